--- /dev/null
+++ b/daemon/caller.c
@@ -0,0 +1,511 @@
+/*
+ * The caller task.  Each request becomes a message to the task that it
+ * concerns, and waits in a table under its ticket, never under its
+ * connection, until the answer comes.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "daemon/caller.h"
+#include "daemon/jobs.h"
+
+#define JSON "application/json"
+#define MAX_DEADLINE_MS 600000
+
+struct open {
+	struct http_exchange *x;
+	char *request; /* id */
+	uint64_t ticket;
+};
+
+struct caller {
+	struct env *env;
+	struct http_server *server;
+	GHashTable *open; /* ticket to struct open */
+	uint64_t next_ticket;
+	struct config *config;
+	struct peer_list *peers;
+	bool table_answers;
+	bool leaving;
+};
+
+static const struct field check_fields[] = {
+	{"account", FIELD_NAME, true, 1, 60, "characters"},
+	{"request", FIELD_NAME, false, 1, 80, "characters"},
+	{"payload", FIELD_STRING, false, 0, 1 << 20, "characters"},
+	{"run_ms", FIELD_INTEGER, false, 0, MAX_DEADLINE_MS, "milliseconds"},
+	{"deadline_ms", FIELD_INTEGER, false, 1, MAX_DEADLINE_MS,
+	 "milliseconds"},
+	{"idempotent", FIELD_BOOL},
+	{"key", FIELD_NAME, false, 1, 80, "characters"},
+	{0}};
+
+static void reply_json(struct http_exchange *x, int status, json_t *v,
+		       uint32_t retry_after_ms)
+{
+	char *s = json_dumps(v, JSON_COMPACT | JSON_PRESERVE_ORDER);
+
+	exchange_reply(x, status, JSON, s, retry_after_ms);
+	free(s);
+	json_decref(v);
+}
+
+/* Answer a request that never became a message: it did not run. */
+static void reject(struct caller *c, struct http_exchange *x, int status,
+		   enum reason why, json_t *problems)
+{
+	counter_add(c->env->counters, "requests_rejected", NULL, 1);
+	reply_json(x, status,
+		   json_pack("{s:s,s:s,s:s,s:o*}", "verdict", "did_not_run",
+			     "reason", reason_name(why), "text",
+			     reason_text(why), "problems", problems),
+		   0);
+}
+
+static uint64_t hold(struct caller *c, struct http_exchange *x,
+		     const char *request)
+{
+	struct open *o = g_new0(struct open, 1);
+
+	o->x = x;
+	o->ticket = ++c->next_ticket;
+	o->request = g_strdup(request);
+	g_hash_table_insert(c->open, &o->ticket, o);
+	return o->ticket;
+}
+
+static void open_free(void *p)
+{
+	struct open *o = p;
+
+	g_free(o->request);
+	g_free(o);
+}
+
+/* Parse and check a body; NULL when it was bad and has been answered. */
+static json_t *body_of(struct caller *c, struct http_exchange *x,
+		       const struct field *fields)
+{
+	struct problems *p = problems_create("request");
+	size_t len;
+	const char *text = exchange_body(x, &len);
+	json_t *v = schema_parse(fields, text, len, p);
+
+	if (!v)
+		reject(c, x, 400, REASON_BAD_REQUEST, problems_json(p));
+	problems_destroy(p);
+	return v;
+}
+
+/* Quick checks */
+
+/* Complete a check's request; NULL problems when it is good. */
+static json_t *check_problem(struct caller *c, json_t *v)
+{
+	bool once = json_is_false(json_object_get(v, "idempotent"));
+
+	if (once && !json_object_get(v, "key"))
+		return json_string("request: key: missing: a request that is "
+				   "not idempotent needs one");
+	if (!once && json_object_get(v, "key"))
+		json_object_del(v, "key");
+	if (!json_object_get(v, "request")) {
+		char *id = g_strdup_printf(
+			"%s-%" G_GUINT64_FORMAT "-r%" G_GUINT64_FORMAT,
+			c->env->settings->name, c->env->settings->incarnation,
+			c->next_ticket + 1);
+
+		json_object_set_new(v, "request", json_string(id));
+		g_free(id);
+	}
+	return NULL;
+}
+
+static void post_check(struct caller *c, struct http_exchange *x)
+{
+	struct message m = {.tag = MSG_CHECK,
+			    .from = TASK_CALLER,
+			    .to = TASK_CHECK};
+	json_t *v = body_of(c, x, check_fields);
+	json_t *problem;
+	int64_t deadline;
+
+	if (!v)
+		return;
+	problem = check_problem(c, v);
+	if (problem) {
+		json_decref(v);
+		reject(c, x, 400, REASON_BAD_REQUEST,
+		       json_pack("[o]", problem));
+		return;
+	}
+	deadline = c->config ? c->config->limits.check_deadline_ms : 1000;
+	m.check.request = v;
+	m.check.deadline_ms =
+		clock_mono_ms() + json_int_or(v, "deadline_ms", deadline);
+	m.ticket = hold(c, x, json_str_or(v, "request", ""));
+	bus_post(c->env->bus, &m);
+}
+
+static void check_done(struct caller *c, struct message *m)
+{
+	struct open *o = g_hash_table_lookup(c->open, &m->ticket);
+	struct verdict v = m->check_result.verdict;
+	const char *text;
+
+	if (!o)
+		return;
+	text = json_str_or(m->check_result.answer, "answer", NULL);
+	reply_json(o->x, verdict_http_status(v),
+		   json_pack("{s:s,s:s,s:s,s:s,s:s,s:s*}", "request",
+			     o->request, "verdict", verdict_name(v.tag),
+			     "reason", reason_name(v.reason), "text",
+			     reason_text(v.reason), "upstream",
+			     m->check_result.upstream
+				     ? m->check_result.upstream
+				     : "",
+			     "answer", text),
+		   v.tag == VERDICT_DID_NOT_RUN ? v.retry_after_ms : 0);
+	g_hash_table_remove(c->open, &m->ticket);
+}
+
+/* Questions to other tasks */
+
+static void ask(struct caller *c, struct http_exchange *x, enum task_id to,
+		enum ask what, const char *name, json_t *body)
+{
+	struct message m = {.tag = MSG_ASK, .from = TASK_CALLER, .to = to};
+
+	m.ticket = hold(c, x, "");
+	m.question.what = what;
+	m.question.name = g_strdup(name);
+	m.question.body = body;
+	bus_post(c->env->bus, &m);
+}
+
+static void report(struct caller *c, struct message *m)
+{
+	struct open *o = g_hash_table_lookup(c->open, &m->ticket);
+	struct verdict v = m->report.verdict;
+	json_t *body = m->report.body;
+	int status = m->report.status ? m->report.status
+				      : verdict_http_status(v);
+
+	if (!o)
+		return;
+	if (!verdict_is_ran(v) || !body) {
+		body = json_pack("{s:s,s:s,s:s,s:O*}", "verdict",
+				 verdict_name(v.tag), "reason",
+				 reason_name(v.reason), "text",
+				 reason_text(v.reason), "detail", body);
+	} else {
+		json_incref(body);
+		if (json_object_get(body, "state") &&
+		    !json_object_get(body, "domain") &&
+		    json_object_get(body, "version"))
+			status = 202;
+	}
+	reply_json(o->x, status, body,
+		   verdict_is_ran(v) ? 0 : v.retry_after_ms);
+	g_hash_table_remove(c->open, &m->ticket);
+}
+
+static void post_job(struct caller *c, struct http_exchange *x)
+{
+	json_t *v = body_of(c, x, job_fields);
+
+	if (v)
+		ask(c, x, TASK_JOB, ASK_SUBMIT, NULL, v);
+}
+
+static void get_jobs(struct caller *c, struct http_exchange *x)
+{
+	char *state = exchange_query(x, "state");
+
+	ask(c, x, TASK_JOB, ASK_JOBS, state, NULL);
+	g_free(state);
+}
+
+static void post_config(struct caller *c, struct http_exchange *x)
+{
+	size_t len;
+	const char *text = exchange_body(x, &len);
+	json_error_t err;
+	json_t *v = json_loadb(text, len, JSON_REJECT_DUPLICATES, &err);
+
+	if (v)
+		ask(c, x, TASK_CONFIG, ASK_APPLY, NULL, v);
+	else
+		reject(c, x, 400, REASON_BAD_REQUEST,
+		       json_pack("[s]", err.text));
+}
+
+static void get_config(struct caller *c, struct http_exchange *x)
+{
+	ask(c, x, TASK_CONFIG, ASK_CONFIG, NULL, NULL);
+}
+
+static void get_upstreams(struct caller *c, struct http_exchange *x)
+{
+	ask(c, x, TASK_DECIDER, ASK_UPSTREAMS, NULL, NULL);
+}
+
+static void get_roster(struct caller *c, struct http_exchange *x)
+{
+	ask(c, x, TASK_CHECK, ASK_UPSTREAMS, NULL, NULL);
+}
+
+static void get_stuck(struct caller *c, struct http_exchange *x)
+{
+	ask(c, x, TASK_DECIDER, ASK_STUCK, NULL, NULL);
+}
+
+/* Answers that this task has itself */
+
+static bool is_ready(const struct caller *c)
+{
+	return c->config && c->config->version && !c->leaving;
+}
+
+static json_t *self_json(const struct caller *c)
+{
+	const struct settings *s = c->env->settings;
+	char http[ADDRESS_TEXT_BYTES];
+
+	address_format(&s->http, http, sizeof(http));
+	return json_pack("{s:s,s:s,s:s,s:I,s:I,s:b,s:b,s:b,s:b}", "name",
+			 s->name, "domain", s->domain, "http", http,
+			 "incarnation", (json_int_t)s->incarnation,
+			 "config_version",
+			 (json_int_t)(c->config ? c->config->version : 0),
+			 "ready", (int)is_ready(c), "leaving", (int)c->leaving,
+			 "self", 1, "reachable", 1);
+}
+
+static json_t *peer_json(const struct peer_state *p)
+{
+	return json_pack("{s:s,s:s,s:s,s:I,s:I,s:b,s:b,s:b,s:b}", "name",
+			 p->name, "domain", p->domain, "http",
+			 p->http_address, "incarnation",
+			 (json_int_t)p->incarnation, "config_version",
+			 (json_int_t)p->config_version, "ready",
+			 (int)p->ready, "leaving", (int)p->leaving, "deciding",
+			 (int)p->deciding, "reachable", (int)p->reachable);
+}
+
+static void get_instances(struct caller *c, struct http_exchange *x)
+{
+	json_t *list = json_array();
+
+	json_array_append_new(list, self_json(c));
+	for (uint32_t i = 0; c->peers && i < c->peers->len; i++)
+		json_array_append_new(list, peer_json(&c->peers->peers[i]));
+	reply_json(x, 200, json_pack("{s:o}", "instances", list), 0);
+}
+
+static void get_events(struct caller *c, struct http_exchange *x)
+{
+	char *since = exchange_query(x, "since");
+	char *job = exchange_query(x, "job");
+	char *account = exchange_query(x, "account");
+	json_t *list = event_list(c->env->events,
+				  since ? g_ascii_strtoull(since, NULL, 10) : 0,
+				  job, account);
+
+	reply_json(x, 200,
+		   json_pack("{s:s,s:o}", "instance", c->env->settings->name,
+			     "events", list),
+		   0);
+	g_free(since);
+	g_free(job);
+	g_free(account);
+}
+
+static void get_metrics(struct caller *c, struct http_exchange *x)
+{
+	char *s = counters_text(c->env->counters);
+
+	exchange_reply(x, 200, "text/plain; version=0.0.4", s, 0);
+	g_free(s);
+}
+
+static void get_health(struct caller *c, struct http_exchange *x)
+{
+	reply_json(x, 200,
+		   json_pack("{s:b,s:b}", "healthy", 1, "table_answers",
+			     (int)c->table_answers),
+		   0);
+}
+
+static void get_ready(struct caller *c, struct http_exchange *x)
+{
+	reply_json(x, is_ready(c) ? 200 : 503,
+		   json_pack("{s:b}", "ready", (int)is_ready(c)), 0);
+}
+
+static void post_drain(struct caller *c, struct http_exchange *x)
+{
+	struct message m = {.tag = MSG_LEAVE,
+			    .from = TASK_CALLER,
+			    .to = TASK_CALLER};
+
+	bus_post(c->env->bus, &m);
+	reply_json(x, 202, json_pack("{s:b}", "leaving", 1), 0);
+}
+
+struct route {
+	const char *method;
+	const char *path;
+	void (*fn)(struct caller *c, struct http_exchange *x);
+};
+
+static const struct route routes[] = {
+	{"POST", "/v1/checks", post_check},
+	{"POST", "/v1/jobs", post_job},
+	{"GET", "/v1/jobs", get_jobs},
+	{"POST", "/v1/config", post_config},
+	{"GET", "/v1/config", get_config},
+	{"GET", "/v1/instances", get_instances},
+	{"GET", "/v1/upstreams", get_upstreams},
+	{"GET", "/v1/roster", get_roster},
+	{"GET", "/v1/stuck", get_stuck},
+	{"GET", "/v1/events", get_events},
+	{"POST", "/v1/drain", post_drain},
+	{"GET", "/metrics", get_metrics},
+	{"GET", "/health", get_health},
+	{"GET", "/ready", get_ready},
+};
+
+/* Serve /v1/jobs/NAME and /v1/jobs/NAME/why. */
+static void serve_job(struct caller *c, struct http_exchange *x)
+{
+	const char *method = exchange_method(x);
+	char *name = g_strdup(exchange_path(x) + strlen("/v1/jobs/"));
+
+	if (!strcmp(method, "GET") && g_str_has_suffix(name, "/why")) {
+		name[strlen(name) - strlen("/why")] = '\0';
+		ask(c, x, TASK_DECIDER, ASK_WHY, name, NULL);
+	} else if (!strcmp(method, "GET")) {
+		ask(c, x, TASK_JOB, ASK_JOB, name, NULL);
+	} else if (!strcmp(method, "DELETE")) {
+		ask(c, x, TASK_JOB, ASK_CANCEL, name, NULL);
+	} else {
+		reject(c, x, 405, REASON_BAD_REQUEST, NULL);
+	}
+	g_free(name);
+}
+
+static void on_request(void *arg, struct http_exchange *x)
+{
+	struct caller *c = arg;
+	const char *path = exchange_path(x);
+	bool known = false;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
+		if (strcmp(routes[i].path, path))
+			continue;
+		known = true;
+		if (!strcmp(routes[i].method, exchange_method(x))) {
+			routes[i].fn(c, x);
+			return;
+		}
+	}
+	if (known)
+		reject(c, x, 405, REASON_BAD_REQUEST, NULL);
+	else if (g_str_has_prefix(path, "/v1/jobs/"))
+		serve_job(c, x);
+	else
+		reject(c, x, 404, REASON_NOT_FOUND, NULL);
+}
+
+static void leave(struct caller *c)
+{
+	static const enum task_id others[] = {TASK_DECIDER, TASK_PEER};
+
+	if (c->leaving)
+		return;
+	c->leaving = true;
+	event_add(c->env->events, "leaving", c->env->settings->name, NULL,
+		  "no longer ready");
+	log_line(LOG_INFO, "leaving", "asked to stop");
+	http_server_close_after_reply(c->server);
+	for (size_t i = 0; i < G_N_ELEMENTS(others); i++) {
+		struct message m = {.tag = MSG_LEAVE,
+				    .from = TASK_CALLER,
+				    .to = others[i]};
+
+		bus_post(c->env->bus, &m);
+	}
+}
+
+static void receive(void *task, struct message *m)
+{
+	struct caller *c = task;
+
+	switch ((int)m->tag) {
+	case MSG_CHECK_DONE:
+		check_done(c, m);
+		break;
+	case MSG_REPORT:
+		report(c, m);
+		break;
+	case MSG_CONFIG:
+		config_unref(c->config);
+		c->config = m->config;
+		m->config = NULL;
+		break;
+	case MSG_PEERS:
+		g_free(c->peers);
+		c->peers = m->peers;
+		m->peers = NULL;
+		break;
+	case MSG_TABLE_STATE:
+		c->table_answers = m->flag;
+		break;
+	case MSG_LEAVE:
+		leave(c);
+		break;
+	}
+}
+
+/* Create the task; NULL when its address cannot be had. */
+struct caller *caller_create(struct env *env)
+{
+	struct caller *c = g_new0(struct caller, 1);
+
+	c->env = env;
+	c->open = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					open_free);
+	bus_attach(env->bus, TASK_CALLER, receive, c);
+	c->server = http_server_create(env->loop, &env->settings->http,
+				       env->settings->max_body_bytes,
+				       on_request, c);
+	if (c->server)
+		return c;
+	caller_destroy(c);
+	return NULL;
+}
+
+/* Return how many requests wait for their answers. */
+uint32_t caller_open(const struct caller *c)
+{
+	return g_hash_table_size(c->open);
+}
+
+/* Accept no more connections. */
+void caller_close(struct caller *c)
+{
+	http_server_stop_accepting(c->server);
+}
+
+/* Stop listening and free c. */
+void caller_destroy(struct caller *c)
+{
+	if (!c)
+		return;
+	http_server_destroy(c->server);
+	g_hash_table_destroy(c->open);
+	config_unref(c->config);
+	g_free(c->peers);
+	g_free(c);
+}
--- /dev/null
+++ b/daemon/caller.h
@@ -0,0 +1,14 @@
+/* The task that serves callers and operators over HTTP. */
+#ifndef DAEMON_CALLER_H
+#define DAEMON_CALLER_H
+
+#include "daemon/env.h"
+
+struct caller;
+
+struct caller *caller_create(struct env *env);
+void caller_destroy(struct caller *c);
+uint32_t caller_open(const struct caller *c);
+void caller_close(struct caller *c);
+
+#endif
--- /dev/null
+++ b/daemon/check.c
@@ -0,0 +1,577 @@
+/*
+ * Quick checks: admission, waiting for a slot, sending, and retries by
+ * verdict.  An idempotent check that may have run is sent again within
+ * the retry budget; intent.c sees to those that must not be.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "daemon/quick.h"
+
+#define QUEUE_TICK_MS 5
+#define FULL_MS 10
+#define RETRY_TOKENS_MOST 50.0
+#define RETRY_TOKENS_FIRST 20.0
+#define FIRST_TRY_PERCENT 60
+#define RETRY_AFTER_MS 1000
+#define SMOOTHING 0.05
+
+static void quick_free(void *p)
+{
+	struct quick *q = p;
+
+	timer_stop(q->checks->env->loop, &q->timer);
+	if (q->call)
+		http_call_cancel(q->call);
+	json_decref(q->request);
+	g_free(q->lease);
+	intent_free(q);
+	g_free(q);
+}
+
+/* Return the milliseconds that are left until q's deadline. */
+uint32_t quick_left_ms(const struct quick *q)
+{
+	uint64_t now = clock_mono_ms();
+
+	return now < q->deadline_ms ? q->deadline_ms - now : 0;
+}
+
+static void count_end(struct quick *q, struct verdict v)
+{
+	struct counters *c = q->checks->env->counters;
+	char *label = g_strdup_printf("verdict=\"%s\",reason=\"%s\"",
+				      verdict_name(v.tag),
+				      reason_name(v.reason));
+
+	counter_add(c, "checks_ended", label, 1);
+	if (verdict_is_ran(v))
+		latency_add(c, "check_latency",
+			    clock_mono_us() - q->started_us);
+	g_free(label);
+}
+
+/* Answer q's asker and forget q; answer is taken. */
+void quick_finish(struct quick *q, struct verdict v, json_t *answer)
+{
+	struct checks *c = q->checks;
+	struct message m = {.tag = MSG_CHECK_DONE,
+			    .from = TASK_CHECK,
+			    .to = q->asked.from,
+			    .ticket = q->asked.ticket};
+
+	if (v.tag == VERDICT_DID_NOT_RUN && !v.retry_after_ms)
+		v.retry_after_ms = RETRY_AFTER_MS;
+	m.check_result.verdict = v;
+	m.check_result.upstream = g_strdup(q->upstream ? q->upstream->name
+						       : "");
+	m.check_result.answer = answer;
+	bus_post(c->env->bus, &m);
+	count_end(q, v);
+	if (q->account < c->accounts_len)
+		c->in_flight[q->account]--;
+	g_hash_table_remove(c->open, &q->ticket);
+}
+
+/* Waiting for a slot */
+
+static GQueue *queue_of(struct checks *c, uint32_t account)
+{
+	while (c->queues->len <= account)
+		g_ptr_array_add(c->queues, g_queue_new());
+	return g_ptr_array_index(c->queues, account);
+}
+
+/* Estimate how long a check that queues now would wait. */
+static uint32_t expected_wait_ms(const struct checks *c)
+{
+	uint32_t slots = roster_slots(c->roster);
+
+	if (!slots)
+		return 0;
+	return (uint32_t)(c->service_us * c->waiting / slots / 1000);
+}
+
+static void enqueue(struct quick *q)
+{
+	struct checks *c = q->checks;
+
+	if (expected_wait_ms(c) > quick_left_ms(q)) {
+		quick_finish(q, verdict_did_not_run(REASON_BUSY), NULL);
+		return;
+	}
+	q->state = QUICK_WAITING;
+	g_queue_push_tail(queue_of(c, q->account), q);
+	c->waiting++;
+	if (!timer_running(&c->queue_timer))
+		timer_start(c->env->loop, &c->queue_timer, QUEUE_TICK_MS);
+}
+
+static struct quick *dequeue(struct checks *c)
+{
+	for (guint i = 0; i < c->queues->len; i++) {
+		guint at = (c->turn + i) % c->queues->len;
+		GQueue *queue = g_ptr_array_index(c->queues, at);
+
+		if (g_queue_is_empty(queue))
+			continue;
+		c->turn = at + 1;
+		c->waiting--;
+		return g_queue_pop_head(queue);
+	}
+	return NULL;
+}
+
+static void pass_on(struct quick *q)
+{
+	struct message m = {.tag = MSG_CHECK,
+			    .from = TASK_CHECK,
+			    .to = TASK_PEER,
+			    .ticket = q->ticket};
+
+	q->state = QUICK_PASSED;
+	m.check.request = json_incref(q->request);
+	m.check.deadline_ms = q->deadline_ms;
+	bus_post(q->checks->env->bus, &m);
+}
+
+/* Begin to run q on its upstream: at once, or after its intent. */
+static void begin(struct quick *q)
+{
+	quick_new_lease(q);
+	if (q->key)
+		intent_start(q);
+	else
+		quick_send(q);
+}
+
+/* Choose an upstream for q, or let it wait, be passed on or refused. */
+void quick_choose(struct quick *q)
+{
+	struct checks *c = q->checks;
+
+	if (!quick_left_ms(q)) {
+		quick_finish(q, verdict_did_not_run(REASON_DEADLINE), NULL);
+		return;
+	}
+	q->upstream = roster_pick(c->roster, q->tried, q->tried_len);
+	if (q->upstream)
+		begin(q);
+	else if (!q->forwarded && c->remote && !q->lease)
+		pass_on(q);
+	else if (roster_slots(c->roster))
+		enqueue(q);
+	else
+		quick_finish(q, verdict_did_not_run(REASON_NO_UPSTREAM),
+			     NULL);
+}
+
+static void serve_queue(void *arg)
+{
+	struct checks *c = arg;
+	uint32_t n = c->waiting;
+	struct quick *q;
+
+	while (n-- && (q = dequeue(c)))
+		quick_choose(q);
+	if (c->waiting && !timer_running(&c->queue_timer))
+		timer_start(c->env->loop, &c->queue_timer, QUEUE_TICK_MS);
+}
+
+/* Sending */
+
+/* Give q a lease id that was never used before. */
+void quick_new_lease(struct quick *q)
+{
+	struct checks *c = q->checks;
+	const struct settings *s = c->env->settings;
+
+	g_free(q->lease);
+	q->lease = g_strdup_printf("%s-%" G_GUINT64_FORMAT
+				   "-%" G_GUINT64_FORMAT,
+				   s->name, s->incarnation, ++c->next_lease);
+}
+
+static bool take_token(struct checks *c)
+{
+	if (c->retry_tokens < 1) {
+		counter_add(c->env->counters, "retries_refused", NULL, 1);
+		return false;
+	}
+	c->retry_tokens -= 1;
+	counter_add(c->env->counters, "retries", NULL, 1);
+	return true;
+}
+
+static void add_tokens(struct checks *c)
+{
+	c->retry_tokens += c->config->limits.retry_percent / 100.0;
+	if (c->retry_tokens > RETRY_TOKENS_MOST)
+		c->retry_tokens = RETRY_TOKENS_MOST;
+}
+
+static uint64_t subject_of(const struct quick *q)
+{
+	return g_str_hash(q->id) | 1;
+}
+
+static void note_failure(struct quick *q)
+{
+	struct entry *e = q->upstream;
+
+	if (!health_failed(&e->health, subject_of(q), clock_mono_ms()))
+		return;
+	event_add(q->checks->env->events, "quarantined", e->name, NULL,
+		  "three different checks failed in a row");
+	log_line(LOG_WARN, "quarantined", "%s: checks fail", e->name);
+}
+
+/* Send an idempotent check again elsewhere, or give it up with v. */
+static void retry(struct quick *q, struct verdict v)
+{
+	note_failure(q);
+	if (q->tried_len < TRIED_MOST)
+		q->tried[q->tried_len++] = q->upstream;
+	if (q->tried_len < TRIED_MOST && quick_left_ms(q) &&
+	    take_token(q->checks))
+		quick_choose(q);
+	else
+		quick_finish(q, v, NULL);
+}
+
+static void refused(struct quick *q, const struct http_result *r)
+{
+	struct checks *c = q->checks;
+
+	counter_add(c->env->counters, "checks_refused_by_upstream", NULL, 1);
+	q->upstream->full_until_ms = clock_mono_ms() + FULL_MS;
+	if (q->key)
+		intent_did_not_run(q,
+				   verdict_did_not_run(r->status == 429
+							       ? REASON_BUSY
+							       : REASON_REFUSED));
+	else
+		quick_choose(q);
+}
+
+/*
+ * Return the answer if it is whole and q's own: it names the request
+ * and the lease and is as long as it says.  NULL otherwise.
+ */
+json_t *quick_check_answer(struct quick *q, const struct http_result *r,
+			   const char *lease)
+{
+	json_t *v = json_loadb(r->body, r->len, 0, NULL);
+	const char *text = json_str_or(v, "answer", NULL);
+
+	if (text && !strcmp(json_str_or(v, "request", ""), q->id) &&
+	    !strcmp(json_str_or(v, "lease", ""), lease) &&
+	    (size_t)json_int_or(v, "length", -1) == strlen(text))
+		return v;
+	counter_add(q->checks->env->counters, "answers_rejected", NULL, 1);
+	json_decref(v);
+	return NULL;
+}
+
+static void note_success(struct quick *q, const json_t *answer)
+{
+	struct checks *c = q->checks;
+	double us = (double)(clock_mono_us() - q->sent_us);
+
+	health_succeeded(&q->upstream->health);
+	c->service_us += (us - c->service_us) * SMOOTHING;
+	if (json_is_true(json_object_get(answer, "leaving")))
+		roster_off(c->roster, q->upstream->name);
+}
+
+/* A whole HTTP answer came: decide what it means for q. */
+static void answered(struct quick *q, const struct http_result *r)
+{
+	json_t *v;
+
+	if (r->status == 429 || r->status == 409) {
+		refused(q, r);
+		return;
+	}
+	v = r->status == 200 ? quick_check_answer(q, r, q->lease) : NULL;
+	if (v) {
+		note_success(q, v);
+		if (q->key)
+			intent_answered(q, v);
+		else
+			quick_finish(q, verdict_ran(), v);
+	} else if (q->key) {
+		note_failure(q);
+		intent_ambiguous(q);
+	} else {
+		retry(q, verdict_may_have_run(REASON_BAD_ANSWER));
+	}
+}
+
+static void on_answer(void *arg, const struct http_result *r)
+{
+	struct quick *q = arg;
+	struct checks *c = q->checks;
+
+	q->call = NULL;
+	switch (r->verdict.tag) {
+	case VERDICT_RAN:
+		answered(q, r);
+		break;
+	case VERDICT_DID_NOT_RUN:
+		if (q->key) {
+			note_failure(q);
+			intent_did_not_run(q, r->verdict);
+		} else {
+			retry(q, r->verdict);
+		}
+		break;
+	case VERDICT_MAY_HAVE_RUN:
+		if (q->key) {
+			note_failure(q);
+			intent_ambiguous(q);
+		} else {
+			retry(q, r->verdict);
+		}
+		break;
+	}
+	if (c->waiting)
+		serve_queue(c);
+}
+
+/* Return how long to wait for the upstream before trying another. */
+static uint32_t try_ms(const struct quick *q)
+{
+	uint32_t left = quick_left_ms(q);
+	uint32_t share = left * FIRST_TRY_PERCENT / 100;
+	uint32_t run = json_int_or(q->request, "run_ms", 0) * 3 / 2 + 100;
+
+	if (q->tried_len + 1 >= TRIED_MOST)
+		return left;
+	return MIN(left, MAX(share, run));
+}
+
+/* Send q to its upstream under its lease. */
+void quick_send(struct quick *q)
+{
+	struct checks *c = q->checks;
+	const char *payload = json_str_or(q->request, "payload", "");
+	json_t *body = json_pack(
+		"{s:s,s:s,s:s,s:I,s:b}", "lease", q->lease, "request", q->id,
+		"payload", payload, "run_ms",
+		(json_int_t)json_int_or(q->request, "run_ms", 0), "keep",
+		(int)(q->key != NULL));
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	q->state = QUICK_SENT;
+	q->sent_us = clock_mono_us();
+	add_tokens(c);
+	q->call = http_call_start(q->upstream->pool, "POST", "/run", text,
+				  try_ms(q), on_answer, q);
+	free(text);
+	json_decref(body);
+	if (q->call)
+		return;
+	if (q->key)
+		intent_did_not_run(q, verdict_did_not_run(REASON_BUSY));
+	else
+		enqueue(q);
+}
+
+/* Admission */
+
+static void refuse(struct checks *c, const struct message *m,
+		   struct verdict v)
+{
+	struct message out = {.tag = MSG_CHECK_DONE,
+			      .from = TASK_CHECK,
+			      .to = m->from,
+			      .ticket = m->ticket};
+	char *label = g_strdup_printf("verdict=\"%s\",reason=\"%s\"",
+				      verdict_name(v.tag),
+				      reason_name(v.reason));
+
+	v.retry_after_ms = RETRY_AFTER_MS;
+	out.check_result.verdict = v;
+	out.check_result.upstream = g_strdup("");
+	bus_post(c->env->bus, &out);
+	counter_add(c->env->counters, "checks_ended", label, 1);
+	g_free(label);
+}
+
+static bool admit(struct checks *c, const struct message *m, uint32_t *account)
+{
+	const char *name = json_str_or(m->check.request, "account", "");
+	enum reason why = REASON_NONE;
+
+	if (!c->config)
+		why = REASON_NOT_READY;
+	else if (!config_account_find(c->config, name, account))
+		why = REASON_UNKNOWN_ACCOUNT;
+	else if (g_hash_table_size(c->open) >= c->env->settings->max_checks)
+		why = REASON_BUSY;
+	else if (c->in_flight[*account] >=
+		 c->config->accounts[*account].check_limit)
+		why = REASON_QUEUE_FULL;
+	if (why == REASON_NONE)
+		return true;
+	refuse(c, m, verdict_did_not_run(why));
+	return false;
+}
+
+static void start(struct checks *c, struct message *m)
+{
+	struct quick *q;
+	uint32_t account;
+
+	if (!admit(c, m, &account))
+		return;
+	q = g_new0(struct quick, 1);
+	q->checks = c;
+	q->asked = *m;
+	q->ticket = ++c->next_ticket;
+	q->request = m->check.request;
+	m->check.request = NULL;
+	q->account = account;
+	q->id = json_str_or(q->request, "request", "");
+	q->key = json_str_or(q->request, "key", NULL);
+	q->deadline_ms = m->check.deadline_ms;
+	q->forwarded = m->check.forwarded;
+	q->started_us = clock_mono_us();
+	timer_init(&q->timer, NULL, q);
+	c->in_flight[account]++;
+	g_hash_table_insert(c->open, &q->ticket, q);
+	quick_choose(q);
+}
+
+static void passed_done(struct checks *c, struct message *m)
+{
+	struct quick *q = g_hash_table_lookup(c->open, &m->ticket);
+	json_t *answer = m->check_result.answer;
+
+	if (!q || q->state != QUICK_PASSED)
+		return;
+	m->check_result.answer = NULL;
+	quick_finish(q, m->check_result.verdict, answer);
+}
+
+static void take_config(struct checks *c, struct message *m)
+{
+	uint32_t n = m->config->accounts_len;
+	uint32_t *counts = g_new0(uint32_t, n + 1);
+	GHashTableIter it;
+	gpointer v;
+
+	/* accounts are numbered anew: count what is open by name */
+	g_hash_table_iter_init(&it, c->open);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct quick *q = v;
+		const char *name = json_str_or(q->request, "account", "");
+
+		if (q->state == QUICK_WAITING &&
+		    g_queue_remove(queue_of(c, q->account), q))
+			c->waiting--;
+		if (!config_account_find(m->config, name, &q->account))
+			q->account = n;
+		counts[q->account]++;
+		if (q->state == QUICK_WAITING) {
+			g_queue_push_tail(queue_of(c, q->account), q);
+			c->waiting++;
+		}
+	}
+	g_free(c->in_flight);
+	c->in_flight = counts;
+	c->accounts_len = n;
+	config_unref(c->config);
+	c->config = m->config;
+	m->config = NULL;
+	roster_configure(c->roster, c->config);
+}
+
+static void take_peers(struct checks *c, const struct peer_list *l)
+{
+	c->remote = false;
+	for (uint32_t i = 0; i < l->len; i++) {
+		const struct peer_state *p = &l->peers[i];
+
+		if (p->reachable && p->ready && !p->leaving &&
+		    strcmp(p->domain, c->env->settings->domain))
+			c->remote = true;
+	}
+}
+
+static void route_txn(struct checks *c, struct message *m)
+{
+	struct quick *q = g_hash_table_lookup(c->open, &m->ticket);
+
+	if (!q)
+		return;
+	if (m->tag == MSG_TXN_DONE && q->state == QUICK_INTENT)
+		intent_txn_done(q, &m->txn);
+	else if (m->tag == MSG_READ_DONE && q->state == QUICK_READING)
+		intent_read_done(q, &m->txn);
+}
+
+static void receive(void *task, struct message *m)
+{
+	struct checks *c = task;
+
+	switch ((int)m->tag) {
+	case MSG_CHECK:
+		start(c, m);
+		break;
+	case MSG_CHECK_DONE:
+		passed_done(c, m);
+		break;
+	case MSG_TXN_DONE:
+	case MSG_READ_DONE:
+		route_txn(c, m);
+		break;
+	case MSG_CONFIG:
+		take_config(c, m);
+		break;
+	case MSG_MEMBERS:
+		roster_members(c->roster, m->json);
+		break;
+	case MSG_UPSTREAM_OFF:
+		roster_off(c->roster, json_str_or(m->json, "name", ""));
+		break;
+	case MSG_PEERS:
+		take_peers(c, m->peers);
+		break;
+	case MSG_ASK:
+		post_report(c->env->bus, m, verdict_ran(),
+			    roster_json(c->roster));
+		break;
+	}
+}
+
+/* Create the task without upstreams. */
+struct checks *checks_create(struct env *env)
+{
+	struct checks *c = g_new0(struct checks, 1);
+
+	c->env = env;
+	c->roster = roster_create(env);
+	c->open = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					quick_free);
+	c->queues = g_ptr_array_new_with_free_func((void *)g_queue_free);
+	c->retry_tokens = RETRY_TOKENS_FIRST;
+	timer_init(&c->queue_timer, serve_queue, c);
+	bus_attach(env->bus, TASK_CHECK, receive, c);
+	return c;
+}
+
+/* Free c; open checks get no answer. */
+void checks_destroy(struct checks *c)
+{
+	if (!c)
+		return;
+	timer_stop(c->env->loop, &c->queue_timer);
+	g_hash_table_destroy(c->open);
+	g_ptr_array_free(c->queues, TRUE);
+	roster_destroy(c->roster);
+	config_unref(c->config);
+	g_free(c->in_flight);
+	g_free(c);
+}
--- /dev/null
+++ b/daemon/config.h
@@ -0,0 +1,88 @@
+/*
+ * The configuration that the platform keeps: accounts, upstreams,
+ * limits and bindings.  A snapshot does not change; it is counted.
+ */
+#ifndef DAEMON_CONFIG_H
+#define DAEMON_CONFIG_H
+
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "lib/schema.h"
+#include "sched/bind.h"
+
+struct guarantee {
+	enum cell_kind kind;
+	uint32_t count;
+	char domain[64]; /* empty: any */
+};
+
+struct config_account {
+	char name[64];
+	uint32_t weight;
+	uint32_t queue_limit; /* jobs waiting in a domain */
+	uint32_t check_limit; /* quick checks in flight at an instance */
+	uint32_t guarantees_len;
+	struct guarantee *guarantees;
+};
+
+struct config_upstream {
+	char name[64];
+	char domain[64];
+	char rack[48];
+	struct sockaddr_in address;
+	uint32_t accelerators;
+	uint32_t slots;
+};
+
+struct config_binding {
+	char domain[64];
+	char account[64];
+	char at[64]; /* the rack or upstream */
+	enum cell_kind kind;
+	uint32_t mask;
+};
+
+struct config_limits {
+	uint32_t quick_slots;
+	uint32_t lease_term_ms;
+	uint32_t renew_ms;
+	uint32_t grace_ms;
+	uint32_t hold_after_ms;
+	uint32_t check_deadline_ms;
+	uint32_t retry_percent; /* of the checks that were first sends */
+	uint32_t job_tries;	/* upstreams that a job may fail on */
+};
+
+struct config {
+	uint32_t refs;
+	uint64_t version;  /* of the newest change in it */
+	uint64_t head;	   /* of the last accepted change */
+	uint64_t complete; /* the table was followed up to here */
+	struct config_limits limits;
+	uint32_t accounts_len;
+	struct config_account *accounts;
+	uint32_t upstreams_len;
+	struct config_upstream *upstreams;
+	uint32_t bindings_len;
+	struct config_binding *bindings;
+};
+
+extern const struct field config_file_fields[];
+
+struct config *config_ref(struct config *c);
+void config_unref(struct config *c);
+struct config *config_build(json_t *rows, uint64_t version);
+bool config_account_find(const struct config *c, const char *name,
+			 uint32_t *account);
+uint32_t config_domain_site(const struct config *c, const char *domain,
+			    struct site **out);
+void config_site_bind(const struct config *c, const char *domain,
+		      struct site *s);
+json_t *config_bind(const struct config *c, const json_t *lost,
+		    struct problems *p);
+void config_check(const struct config *c, struct problems *p);
+json_t *config_file_rows(const json_t *file);
+
+#endif
--- /dev/null
+++ b/daemon/explain.c
@@ -0,0 +1,277 @@
+/* Answers for operators: what runs where, why a job waits, what to do. */
+#include <string.h>
+
+#include "daemon/domain.h"
+
+static const char *upstream_state(const struct control *c)
+{
+	if (control_gone(c))
+		return "gone";
+	if (c->leaving || c->listed_off)
+		return "leaving";
+	if (c->health.quarantined)
+		return "quarantined";
+	if (!c->claimed)
+		return "silent";
+	return "open";
+}
+
+/* Describe every upstream of the domain; NULL when not deciding. */
+json_t *explain_upstreams(struct decider *d)
+{
+	json_t *list;
+	struct fragmentation f;
+
+	if (d->role != ROLE_DECIDING)
+		return NULL;
+	list = json_array();
+	for (guint i = 0; i < d->controls->len; i++) {
+		const struct control *c = g_ptr_array_index(d->controls, i);
+		const struct upstream *u;
+
+		if (!c->configured)
+			continue;
+		u = site_upstream(sched_site(d->sched), c->index);
+		json_array_append_new(
+			list,
+			json_pack("{s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:i,s:i}",
+				  "name", c->name, "rack", c->rack, "state",
+				  upstream_state(c), "accelerators",
+				  __builtin_popcount(u->all), "used",
+				  __builtin_popcount(u->used), "borrowed",
+				  __builtin_popcount(u->borrowed), "held",
+				  __builtin_popcount(u->held), "slots",
+				  (int)u->slots, "slots_used",
+				  (int)u->slots_used));
+	}
+	site_fragmentation(sched_site(d->sched), &f);
+	return json_pack("{s:s,s:I,s:o,s:{s:i,s:i,s:i,s:i}}", "domain",
+			 d->env->settings->domain, "epoch",
+			 (json_int_t)d->epoch, "upstreams", list,
+			 "fragmentation", "accelerators", (int)f.accelerators,
+			 "free", (int)f.free, "free_on_whole_upstreams",
+			 (int)f.free_whole, "largest_whole_run",
+			 (int)f.largest_run);
+}
+
+static uint32_t bound_total(const struct decider *d, uint32_t account)
+{
+	const struct site *s = sched_site(d->sched);
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < site_upstreams(s); i++)
+		n += __builtin_popcount(
+			upstream_bound_to(site_upstream(s, i), account));
+	return n;
+}
+
+static uint32_t free_total(const struct decider *d)
+{
+	const struct site *s = sched_site(d->sched);
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < site_upstreams(s); i++) {
+		const struct upstream *u = site_upstream(s, i);
+
+		if (u->usable)
+			n += __builtin_popcount(u->all & ~u->used & ~u->held);
+	}
+	return n;
+}
+
+/* Say in words what a waiting gang needs and what would free it. */
+static char *why_waiting(struct decider *d, const struct gang *g)
+{
+	const struct job *j = g->handle == NO_HANDLE
+				      ? NULL
+				      : sched_job(d->sched, g->handle);
+	uint32_t need = g->shape.parts * g->shape.accelerators;
+
+	if (d->caught_up_ms <= d->claimed_ms)
+		return g_strdup("The decider has just taken over and must see "
+				"the table once before it starts anything; "
+				"it goes on when the table answers.");
+	if (!j)
+		return g_strdup("It enters the queue with the next decision.");
+	if (j->state == JOB_CLAIMING)
+		return g_strdup_printf(
+			"It needs %u accelerators in %u parts. Places are "
+			"held for it, and work that is in them is %s.",
+			need, g->shape.parts,
+			j->use == USE_BORROWED ? "awaited" : "being stopped");
+	return g_strdup_printf(
+		"It needs %u accelerators in %u parts of %u. Its account has "
+		"%u bound in this domain, and they are in use by its own work "
+		"or do not have this shape; %u are free in the domain, but "
+		"not in this shape. It starts when other work ends, or when "
+		"the account's guarantee is enlarged.",
+		need, g->shape.parts, g->shape.accelerators,
+		bound_total(d, j->spec.shape.account), free_total(d));
+}
+
+static char *why_text(struct decider *d, const struct gang *g)
+{
+	switch (g->state) {
+	case GANG_WAITING:
+		return why_waiting(d, g);
+	case GANG_RECORDING:
+		return g_strdup("Its start is being recorded in the table; it "
+				"goes on when the table answers.");
+	case GANG_RESERVING:
+		return g_strdup("Its parts are being reserved.");
+	case GANG_STARTING:
+		return g_strdup("Its parts are being started.");
+	case GANG_RUNNING:
+		return g_strdup("It runs.");
+	case GANG_RELEASING:
+		return g_strdup_printf("Its parts are being stopped: %s. It "
+				       "goes on when each has stopped or its "
+				       "lease has lapsed.",
+				       g->why);
+	case GANG_ENDED:
+		return g_strdup("It has ended, and its end is being recorded "
+				"in the table.");
+	}
+	return g_strdup("");
+}
+
+static json_t *where(const struct gang *g)
+{
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; g->parts && i < g->shape.parts; i++)
+		json_array_append_new(
+			list,
+			json_pack("{s:i,s:s,s:I}", "part", (int)i, "upstream",
+				  g->parts[i].at ? g->parts[i].at->name : "",
+				  "mask", (json_int_t)g->parts[i].mask));
+	return list;
+}
+
+/* Explain a job; NULL when this instance does not decide about it. */
+json_t *explain_why(struct decider *d, const char *job)
+{
+	struct gang *g = g_hash_table_lookup(d->gangs, job);
+	char *text;
+	json_t *v;
+
+	if (!g || d->role != ROLE_DECIDING)
+		return NULL;
+	text = why_text(d, g);
+	v = json_pack("{s:s,s:s,s:s,s:I,s:s,s:o}", "job", job, "state",
+		      gang_state_name(g->state), "account", g->account,
+		      "waited_ms",
+		      (json_int_t)(clock_mono_ms() - g->submitted_ms), "why",
+		      text, "where", where(g));
+	g_free(text);
+	return v;
+}
+
+static void add_stuck(json_t *list, const char *kind, const char *name,
+		      const char *cause, const char *remedy)
+{
+	json_array_append_new(list,
+			      json_pack("{s:s,s:s,s:s,s:s}", "kind", kind,
+					"name", name, "cause", cause, "remedy",
+					remedy));
+}
+
+static void stuck_upstream(json_t *list, const struct control *c)
+{
+	const char *state = upstream_state(c);
+
+	if (!strcmp(state, "quarantined"))
+		add_stuck(list, "upstream", c->name,
+			  "it failed three different jobs in a row",
+			  "look at the upstream; it is probed by itself and "
+			  "comes back after a success");
+	else if (!strcmp(state, "silent"))
+		add_stuck(list, "upstream", c->name,
+			  "it does not answer but is listed as live",
+			  "restart it, or take it off the platform's list");
+	else if (!strcmp(state, "gone"))
+		add_stuck(list, "upstream", c->name,
+			  "it is configured but not on the platform's list",
+			  "bring it back, or remove it: config apply with "
+			  "\"remove\"");
+}
+
+static uint32_t guaranteed(const struct config_account *a, const char *domain)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < a->guarantees_len; i++)
+		if (!strcmp(a->guarantees[i].domain, domain))
+			n += a->guarantees[i].count;
+	return n;
+}
+
+static uint32_t bound_cells(const struct config *c, const char *account,
+			    const char *domain)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < c->bindings_len; i++)
+		n += !strcmp(c->bindings[i].account, account) &&
+		     !strcmp(c->bindings[i].domain, domain);
+	return n;
+}
+
+static void stuck_guarantees(const struct decider *d, json_t *list)
+{
+	const struct config *c = d->config;
+	const char *domain = d->env->settings->domain;
+
+	for (uint32_t i = 0; i < c->accounts_len; i++) {
+		const char *name = c->accounts[i].name;
+
+		if (bound_cells(c, name, domain) <
+		    guaranteed(&c->accounts[i], domain))
+			add_stuck(list, "guarantee", name,
+				  "fewer cells are bound than guaranteed, "
+				  "since upstreams are lost",
+				  "bring upstreams back or add some; cells "
+				  "are bound again by themselves");
+	}
+}
+
+/* List what an operator should look at; NULL when not deciding. */
+json_t *explain_stuck(struct decider *d)
+{
+	json_t *list;
+	GHashTableIter it;
+	gpointer v;
+
+	if (d->role != ROLE_DECIDING)
+		return NULL;
+	list = json_array();
+	if (!d->table_answers)
+		add_stuck(list, "platform", "table",
+			  "the table does not answer",
+			  "nothing is lost: running work and idempotent "
+			  "checks go on; new jobs are refused until it is "
+			  "back");
+	for (guint i = 0; i < d->controls->len; i++) {
+		const struct control *c = g_ptr_array_index(d->controls, i);
+
+		if (c->configured)
+			stuck_upstream(list, c);
+	}
+	stuck_guarantees(d, list);
+	g_hash_table_iter_init(&it, d->gangs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct gang *g = v;
+		char *why;
+
+		if (g->state == GANG_RUNNING ||
+		    clock_mono_ms() - g->state_ms <
+			    d->config->limits.hold_after_ms)
+			continue;
+		why = why_text(d, g);
+		add_stuck(list, "job", g->name, why,
+			  "lacewingctl why, or cancel");
+		g_free(why);
+	}
+	return json_pack("{s:s,s:o}", "domain", d->env->settings->domain,
+			 "stuck", list);
+}
--- /dev/null
+++ b/daemon/gang.c
@@ -0,0 +1,728 @@
+/*
+ * One job's attempts.  All parts are reserved under one attempt, then
+ * all are started; a refusal or silence in either step releases all of
+ * them.  A part that is lost later releases all the others.  A release
+ * is over when each lease was reported gone or has lapsed for certain.
+ */
+#include <string.h>
+
+#include "daemon/domain.h"
+
+#define ATTEMPT_BITS 16
+#define TELL_AGAIN_MS 100
+
+static const char *const state_names[] = {
+	[GANG_WAITING] = "waiting",	[GANG_RECORDING] = "recording",
+	[GANG_RESERVING] = "reserving", [GANG_STARTING] = "starting",
+	[GANG_RUNNING] = "running",	[GANG_RELEASING] = "releasing",
+	[GANG_ENDED] = "ended",
+};
+
+/* A call to one upstream on behalf of one attempt. */
+struct step {
+	struct decider *decider;
+	struct control *at;
+	char *name;
+	uint64_t attempt;
+	enum gang_state state;
+};
+
+/* Return the word for s in answers to operators. */
+const char *gang_state_name(enum gang_state s)
+{
+	return state_names[s];
+}
+
+/* Create the gang called name and enter it among the decider's. */
+struct gang *gang_create(struct decider *d, const char *name)
+{
+	struct gang *g = g_new0(struct gang, 1);
+
+	g->decider = d;
+	g->name = g_strdup(name);
+	g->payload = g_strdup("");
+	g->handle = NO_HANDLE;
+	g->idempotent = true;
+	g->shape.parts = 1;
+	g->shape.slots = 1;
+	g->failed_on = json_array();
+	g->submitted_ms = clock_mono_ms();
+	g->state_ms = g->submitted_ms;
+	g_hash_table_insert(d->gangs, g->name, g);
+	return g;
+}
+
+/* Free g, which is no longer among the decider's. */
+void gang_destroy(struct gang *g)
+{
+	json_decref(g->failed_on);
+	g_free(g->payload);
+	g_free(g->parts);
+	g_free(g->name);
+	g_free(g);
+}
+
+/* Report whether g has, or may have, leases at upstreams. */
+bool gang_active(const struct gang *g)
+{
+	return g->state == GANG_RESERVING || g->state == GANG_STARTING ||
+	       g->state == GANG_RUNNING || g->state == GANG_RELEASING;
+}
+
+static void set_state(struct gang *g, enum gang_state s)
+{
+	g->state = s;
+	g->state_ms = clock_mono_ms();
+}
+
+/* Return the lease id of one part of the present attempt. */
+char *gang_lease(const struct gang *g, uint32_t part)
+{
+	return g_strdup_printf("%s#%" G_GUINT64_FORMAT ".%u", g->name,
+			       g->attempt, part);
+}
+
+static uint64_t mono_of_wall(uint64_t wall_ms)
+{
+	uint64_t wall = clock_wall_ms(), now = clock_mono_ms();
+	uint64_t age = wall > wall_ms ? wall - wall_ms : 0;
+
+	return now > age ? now - age : 0;
+}
+
+/* Take what a job's row says; its state of running is our own. */
+void gang_take_row(struct gang *g, const json_t *row)
+{
+	json_t *failed_on = json_object_get(row, "failed_on");
+
+	g->has_row = true;
+	g_strlcpy(g->account, json_str_or(row, "account", ""),
+		  sizeof(g->account));
+	g_strlcpy(g->row_state, json_str_or(row, "state", ""),
+		  sizeof(g->row_state));
+	job_class_parse(json_str_or(row, "class", "batch"), &g->job_class);
+	if (!gang_active(g)) {
+		g->shape.parts = json_int_or(row, "parts", 1);
+		g->shape.accelerators = json_int_or(row, "accelerators", 0);
+		g->shape.slots = json_int_or(row, "slots", 1);
+		g->progress_ms = json_int_or(row, "progress_ms", 0);
+	}
+	g->run_ms = json_int_or(row, "run_ms", 0);
+	g->idempotent = !json_is_false(json_object_get(row, "idempotent"));
+	g->submitted_ms = mono_of_wall(json_int_or(row, "accepted_ms", 0));
+	g_free(g->payload);
+	g->payload = g_strdup(json_str_or(row, "payload", ""));
+	if (json_is_array(failed_on)) {
+		json_decref(g->failed_on);
+		g->failed_on = json_copy(failed_on);
+	}
+}
+
+/* Describe g to the scheduler. */
+void gang_job_spec(const struct gang *g, struct job_spec *spec)
+{
+	uint32_t account = SITE_NO_ACCOUNT;
+	const struct config *c = g->decider->config;
+
+	memset(spec, 0, sizeof(*spec));
+	if (!config_account_find(c, g->account, &account))
+		account = c->accounts_len; /* no longer configured */
+	spec->job_class = g->job_class;
+	spec->shape = g->shape;
+	spec->shape.account = account;
+	spec->submitted_ms = g->submitted_ms;
+	spec->owner = (void *)g;
+}
+
+static void event(struct gang *g, const char *kind, const char *text)
+{
+	event_add(g->decider->env->events, kind, g->name, g->account,
+		  "attempt %" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT "%s%s",
+		  g->attempt >> ATTEMPT_BITS,
+		  g->attempt & ((1 << ATTEMPT_BITS) - 1), *text ? ": " : "",
+		  text);
+}
+
+static void update(struct gang *g, json_t *patch)
+{
+	json_object_set_new(patch, "key", json_string(g->name));
+	json_object_set_new(patch, "attempt", json_integer(g->attempt));
+	post_json(g->decider->env->bus, MSG_JOB_UPDATE, TASK_DECIDER, TASK_JOB,
+		  patch);
+}
+
+/* Record that the job has ended in a final state. */
+void gang_end(struct gang *g, const char *state, const char *why)
+{
+	struct decider *d = g->decider;
+	char *label = g_strdup_printf("state=\"%s\"", state);
+
+	if (g->handle != NO_HANDLE)
+		sched_remove(d->sched, g->handle);
+	g->handle = NO_HANDLE;
+	set_state(g, GANG_ENDED);
+	event(g, state, why);
+	counter_add(d->env->counters, "jobs_ended", label, 1);
+	update(g, json_pack("{s:s,s:s}", "state", state, "why", why));
+	g_free(label);
+}
+
+static void ack_all(struct gang *g)
+{
+	for (uint32_t i = 0; g->parts && i < g->shape.parts; i++)
+		if (g->parts[i].at)
+			g_hash_table_insert(g->parts[i].at->acks,
+					    gang_lease(g, i), NULL);
+}
+
+/* The job's end is in the table: its leases may be forgotten. */
+void gang_forget(struct gang *g)
+{
+	ack_all(g);
+	if (g->handle != NO_HANDLE)
+		sched_remove(g->decider->sched, g->handle);
+	g_hash_table_remove(g->decider->gangs, g->name);
+}
+
+/* Steps: one call to each upstream */
+
+static bool first_at(const struct gang *g, uint32_t part)
+{
+	for (uint32_t i = 0; i < part; i++)
+		if (g->parts[i].at == g->parts[part].at)
+			return false;
+	return true;
+}
+
+static json_t *lease_spec(const struct gang *g, uint32_t part)
+{
+	char *id = gang_lease(g, part);
+	json_t *v = json_pack(
+		"{s:s,s:s,s:s,s:s,s:I,s:i,s:i,s:I,s:i,s:I,s:I,s:s,s:b}",
+		"lease", id, "job", g->name, "account", g->account, "class",
+		job_class_name(g->job_class), "attempt",
+		(json_int_t)g->attempt, "part", (int)part, "parts",
+		(int)g->shape.parts, "mask", (json_int_t)g->parts[part].mask,
+		"slots", (int)g->shape.slots, "run_ms", (json_int_t)g->run_ms,
+		"progress_ms", (json_int_t)g->progress_ms, "payload",
+		g->payload, "idempotent", (int)g->idempotent);
+
+	g_free(id);
+	return v;
+}
+
+/* Return the body that names g's parts at one upstream. */
+static json_t *step_body(const struct gang *g, const struct control *c,
+			 bool whole)
+{
+	json_t *body = control_body(c);
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; i < g->shape.parts; i++) {
+		char *id;
+
+		if (g->parts[i].at != c || g->parts[i].ended)
+			continue;
+		id = gang_lease(g, i);
+		json_array_append_new(list, whole ? lease_spec(g, i)
+						  : json_string(id));
+		g_free(id);
+	}
+	json_object_set_new(body, "leases", list);
+	return body;
+}
+
+static void step_free(struct step *s)
+{
+	g_free(s->name);
+	g_free(s);
+}
+
+static void step_answered(struct gang *g, const struct step *s,
+			  const json_t *v)
+{
+	for (uint32_t i = 0; i < g->shape.parts; i++) {
+		struct gang_part *p = &g->parts[i];
+
+		if (p->at != s->at)
+			continue;
+		p->answered = true;
+		p->version = json_int_or(v, "version", 0);
+		p->incarnation = json_int_or(v, "incarnation", 0);
+	}
+}
+
+static bool all_answered(const struct gang *g)
+{
+	for (uint32_t i = 0; i < g->shape.parts; i++)
+		if (!g->parts[i].answered)
+			return false;
+	return true;
+}
+
+static void send_steps(struct gang *g, enum gang_state s);
+
+static void running(struct gang *g)
+{
+	struct decider *d = g->decider;
+	uint64_t now = clock_mono_ms();
+	json_t *where = json_array();
+
+	set_state(g, GANG_RUNNING);
+	for (uint32_t i = 0; i < g->shape.parts; i++)
+		if (first_at(g, i))
+			json_array_append_new(
+				where, json_string(g->parts[i].at->name));
+	event(g, "running", "all parts started");
+	latency_add(d->env->counters, "job_start",
+		    (now - g->submitted_ms) * 1000);
+	if (g->reclaim_ms) {
+		latency_add(d->env->counters, "reclaim",
+			    (now - g->reclaim_ms) * 1000);
+		event(g, "reclaimed", "the guaranteed shape is in use");
+	}
+	g->reclaim_ms = 0;
+	update(g, json_pack("{s:s,s:o}", "state", "running", "where", where));
+}
+
+static void step_done(struct gang *g)
+{
+	if (g->state == GANG_RESERVING) {
+		event(g, "reserved", "all parts");
+		g->may_have_run = true;
+		set_state(g, GANG_STARTING);
+		send_steps(g, GANG_STARTING);
+	} else {
+		running(g);
+	}
+}
+
+static void on_step(void *arg, const struct http_result *r)
+{
+	struct step *s = arg;
+	struct gang *g = g_hash_table_lookup(s->decider->gangs, s->name);
+	json_t *v = NULL;
+
+	if (!g || g->attempt != s->attempt || g->state != s->state)
+		goto out;
+	if (verdict_is_ran(r->verdict))
+		v = json_loadb(r->body, r->len, 0, NULL);
+	if (verdict_is_ran(r->verdict) && r->status == 200) {
+		step_answered(g, s, v);
+		if (all_answered(g))
+			step_done(g);
+		goto out;
+	}
+	counter_add(s->decider->env->counters, "reservations_wasted", NULL, 1);
+	if (!strcmp(json_str_or(v, "refused", ""), "stale_epoch") &&
+	    (uint64_t)json_int_or(v, "epoch", 0) > s->decider->epoch)
+		decider_stale(s->decider, json_int_or(v, "epoch", 0));
+	else
+		gang_release(g, AFTER_REQUEUE,
+			     verdict_is_ran(r->verdict) ? "refused" : "silence",
+			     0);
+out:
+	json_decref(v);
+	step_free(s);
+}
+
+/* Send the reserve or start calls of g, one to each upstream. */
+static void send_steps(struct gang *g, enum gang_state state)
+{
+	const char *path = state == GANG_RESERVING ? "/reserve" : "/start";
+
+	for (uint32_t i = 0; i < g->shape.parts; i++)
+		g->parts[i].answered = false;
+	for (uint32_t i = 0; i < g->shape.parts && g->state == state; i++) {
+		struct control *c = g->parts[i].at;
+		struct step *s;
+
+		if (!first_at(g, i))
+			continue;
+		s = g_new0(struct step, 1);
+		s->decider = g->decider;
+		s->at = c;
+		s->name = g_strdup(g->name);
+		s->attempt = g->attempt;
+		s->state = state;
+		if (control_call(c, path,
+				 step_body(g, c, state == GANG_RESERVING),
+				 on_step, s))
+			continue;
+		step_free(s);
+		gang_release(g, AFTER_REQUEUE, "connections in use", 0);
+	}
+}
+
+static void reserve(struct gang *g)
+{
+	set_state(g, GANG_RESERVING);
+	send_steps(g, GANG_RESERVING);
+}
+
+/* Begin a new attempt on the given parts of the site. */
+void gang_start(struct gang *g, const struct part *parts)
+{
+	struct decider *d = g->decider;
+
+	g_free(g->parts);
+	g->parts = g_new0(struct gang_part, g->shape.parts);
+	for (uint32_t i = 0; i < g->shape.parts; i++) {
+		g->parts[i].at =
+			g_ptr_array_index(d->controls, parts[i].upstream);
+		g->parts[i].mask = parts[i].mask;
+	}
+	g->attempt = (d->epoch << ATTEMPT_BITS) + ++d->attempts;
+	g->may_have_run = false;
+	event(g, "placed", g->parts[0].at->name);
+	if (g->idempotent) {
+		reserve(g);
+		return;
+	}
+	set_state(g, GANG_RECORDING);
+	update(g, json_pack("{s:s}", "state", "starting"));
+}
+
+/* An update of g's is in the table. */
+void gang_saved(struct gang *g, const json_t *saved)
+{
+	if (g->state == GANG_RECORDING &&
+	    (uint64_t)json_int_or(saved, "attempt", 0) == g->attempt)
+		reserve(g);
+	else if (g->state == GANG_ENDED)
+		gang_forget(g);
+}
+
+/* Release */
+
+static void send_releases(struct gang *g, uint32_t grace_ms);
+
+static void on_released(void *arg, const struct http_result *r)
+{
+	struct step *s = arg;
+	struct gang *g = g_hash_table_lookup(s->decider->gangs, s->name);
+
+	/* the next renewal brings what has become of the leases */
+	if (g && g->attempt == s->attempt && verdict_is_ran(r->verdict))
+		control_renew(s->at);
+	step_free(s);
+}
+
+static void send_releases(struct gang *g, uint32_t grace_ms)
+{
+	g->told_ms = clock_mono_ms();
+	for (uint32_t i = 0; i < g->shape.parts; i++) {
+		struct control *c = g->parts[i].at;
+		struct step *s;
+		json_t *body;
+
+		if (!c || g->parts[i].ended || !first_at(g, i))
+			continue;
+		s = g_new0(struct step, 1);
+		s->decider = g->decider;
+		s->at = c;
+		s->name = g_strdup(g->name);
+		s->attempt = g->attempt;
+		body = step_body(g, c, false);
+		json_object_set_new(body, "grace_ms", json_integer(grace_ms));
+		if (!control_call(c, "/release", body, on_released, s))
+			step_free(s);
+	}
+}
+
+static void released(struct gang *g);
+
+/* Finish the release when every part has ended. */
+static void check_released(struct gang *g)
+{
+	for (uint32_t i = 0; i < g->shape.parts; i++)
+		if (!g->parts[i].ended)
+			return;
+	released(g);
+}
+
+/*
+ * Stop every part of g with grace_ms for a checkpoint.  The leases are
+ * not renewed any more, so that they lapse where the command is lost.
+ */
+void gang_release(struct gang *g, enum gang_after after, const char *why,
+		  uint32_t grace_ms)
+{
+	struct decider *d = g->decider;
+
+	if (g->state == GANG_RELEASING) {
+		if (after != AFTER_REQUEUE)
+			g->after = after;
+		return;
+	}
+	g->after = after;
+	g->why = why;
+	set_state(g, GANG_RELEASING);
+	if (g->handle != NO_HANDLE)
+		sched_evicting(d->sched, g->handle);
+	g->gone_by_ms = clock_mono_ms() + CALL_TIMEOUT_MS +
+			d->config->limits.lease_term_ms + LEASE_MARGIN_MS;
+	event(g, "releasing", why);
+	for (uint32_t i = 0; i < g->shape.parts; i++) {
+		if (!g->parts[i].at)
+			g->parts[i].ended = true;
+		else if (!g->parts[i].ended)
+			g_hash_table_insert(g->parts[i].at->except,
+					    gang_lease(g, i), NULL);
+	}
+	send_releases(g, grace_ms);
+	check_released(g);
+}
+
+static bool all_done(const struct gang *g)
+{
+	for (uint32_t i = 0; i < g->shape.parts; i++)
+		if (!g->parts[i].done)
+			return false;
+	return true;
+}
+
+/* Every lease of g is gone: let it wait again, or end it. */
+static void released(struct gang *g)
+{
+	struct decider *d = g->decider;
+
+	if (all_done(g)) {
+		gang_end(g, "done", "");
+		return;
+	}
+	ack_all(g);
+	g_free(g->parts);
+	g->parts = NULL;
+	switch (g->after) {
+	case AFTER_CANCEL:
+		gang_end(g, "cancelled", "asked for");
+		return;
+	case AFTER_PARK:
+		gang_end(g, "parked", g->why);
+		return;
+	case AFTER_REQUEUE:
+		break;
+	}
+	if (!g->idempotent && g->may_have_run) {
+		gang_end(g, "parked", "it may have run, and must not twice");
+		return;
+	}
+	if (g->handle != NO_HANDLE)
+		sched_requeue(d->sched, g->handle);
+	set_state(g, GANG_WAITING);
+	event(g, "requeued", g->why);
+	counter_add(d->env->counters, "jobs_requeued", NULL, 1);
+	update(g, json_pack("{s:s,s:I,s:s,s:O}", "state", "waiting",
+			    "progress_ms", (json_int_t)g->progress_ms, "why",
+			    g->why, "failed_on", g->failed_on));
+}
+
+/* Reports */
+
+static bool name_listed(const json_t *list, const char *name)
+{
+	json_t *v;
+	size_t i;
+
+	json_array_foreach((json_t *)list, i, v)
+		if (!strcmp(json_string_value(v), name))
+			return true;
+	return false;
+}
+
+static void part_failed(struct gang *g, struct gang_part *p)
+{
+	struct decider *d = g->decider;
+	bool park;
+
+	p->ended = true;
+	if (health_failed(&p->at->health, g_str_hash(g->name) | 1,
+			  clock_mono_ms())) {
+		event_add(d->env->events, "quarantined", p->at->name, NULL,
+			  "three different jobs failed in a row");
+		log_line(LOG_WARN, "quarantined", "%s: jobs fail",
+			 p->at->name);
+	}
+	if (!name_listed(g->failed_on, p->at->name))
+		json_array_append_new(g->failed_on, json_string(p->at->name));
+	if (g->handle != NO_HANDLE)
+		sched_avoid(d->sched, g->handle, p->at->index);
+	park = json_array_size(g->failed_on) >= d->config->limits.job_tries;
+	gang_release(g, park ? AFTER_PARK : AFTER_REQUEUE,
+		     park ? "it failed on several upstreams"
+			  : "a part failed",
+		     0);
+}
+
+static void part_running(struct gang *g, struct gang_part *p,
+			 const char *state)
+{
+	if (!strcmp(state, "running"))
+		return;
+	if (!strcmp(state, "done")) {
+		p->ended = true;
+		p->done = true;
+		health_succeeded(&p->at->health);
+	} else if (!strcmp(state, "failed")) {
+		part_failed(g, p);
+	} else {
+		p->ended = true;
+		gang_release(g, AFTER_REQUEUE, "a part was lost", 0);
+	}
+}
+
+static void part_releasing(struct gang *g, struct gang_part *p,
+			   const json_t *lease)
+{
+	const char *state = json_str_or(lease, "state", "");
+	uint64_t progress = json_int_or(lease, "progress_ms", 0);
+
+	if (!strcmp(state, "running") || !strcmp(state, "stopping") ||
+	    !strcmp(state, "reserved"))
+		return;
+	p->ended = true;
+	p->done = !strcmp(state, "done");
+	if (!strcmp(state, "stopped") && g->shape.parts == 1)
+		g->progress_ms = MAX(progress, g->progress_ms);
+}
+
+/* Take what an upstream has reported of g's parts there. */
+void gang_report(struct gang *g, struct control *c, GHashTable *by_id)
+{
+	enum gang_state state = g->state;
+
+	if (state != GANG_RUNNING && state != GANG_RELEASING)
+		return;
+	for (uint32_t i = 0; i < g->shape.parts && g->state == state; i++) {
+		struct gang_part *p = &g->parts[i];
+		const json_t *lease;
+		char *id;
+
+		if (p->at != c || p->ended ||
+		    (p->incarnation == c->incarnation &&
+		     c->known < p->version))
+			continue;
+		id = gang_lease(g, i);
+		lease = g_hash_table_lookup(by_id, id);
+		g_free(id);
+		if (state == GANG_RUNNING)
+			part_running(g, p, json_str_or(lease, "state", ""));
+		else
+			part_releasing(g, p, lease);
+	}
+	if (g->state == GANG_RUNNING && all_done(g))
+		gang_end(g, "done", "");
+	else if (g->state == GANG_RELEASING)
+		check_released(g);
+}
+
+/* An upstream was silent for too long: its parts are lost. */
+void gang_lost_upstream(struct gang *g, struct control *c)
+{
+	if (g->state != GANG_RUNNING)
+		return;
+	for (uint32_t i = 0; i < g->shape.parts; i++) {
+		if (g->parts[i].at == c && !g->parts[i].ended) {
+			gang_release(g, AFTER_REQUEUE,
+				     "an upstream was silent", 0);
+			return;
+		}
+	}
+}
+
+/* Let time pass: repeat releases, and end them when leases have lapsed. */
+void gang_tick(struct gang *g, uint64_t now_ms)
+{
+	if (g->state != GANG_RELEASING)
+		return;
+	if (now_ms >= g->gone_by_ms) {
+		for (uint32_t i = 0; i < g->shape.parts; i++)
+			g->parts[i].ended = true;
+		check_released(g);
+		return;
+	}
+	if (now_ms - g->told_ms < TELL_AGAIN_MS)
+		return;
+	g->told_ms = now_ms;
+	for (uint32_t i = 0; i < g->shape.parts; i++)
+		if (g->parts[i].at && !g->parts[i].ended && first_at(g, i))
+			control_renew(g->parts[i].at);
+	if (now_ms - g->state_ms > CALL_TIMEOUT_MS)
+		send_releases(g, 0);
+}
+
+/* Adoption */
+
+static json_int_t newest_attempt(json_t *leases)
+{
+	json_int_t newest = 0;
+	json_t *v;
+	size_t i;
+
+	json_array_foreach(leases, i, v)
+		newest = MAX(newest, json_int_or(v, "attempt", 0));
+	return newest;
+}
+
+static void take_lease(struct gang *g, const json_t *v, uint32_t *whole)
+{
+	uint32_t i = json_int_or(v, "part", 0);
+	const char *state = json_str_or(v, "state", "");
+	struct gang_part *p;
+
+	if (i >= g->shape.parts)
+		return;
+	p = &g->parts[i];
+	p->at = decider_control(g->decider, json_str_or(v, "upstream", ""));
+	p->mask = json_int_or(v, "mask", 0);
+	p->incarnation = p->at ? p->at->incarnation : 0;
+	p->done = !strcmp(state, "done");
+	p->ended = p->done || !strcmp(state, "stopped") ||
+		   !strcmp(state, "failed");
+	if (p->done || !strcmp(state, "running"))
+		(*whole)++;
+}
+
+/*
+ * Take over the leases that upstreams report for a job: leases is an
+ * array of their reports with the upstream's name added.  A job of which
+ * every part runs or is done goes on; any other is released.
+ */
+struct gang *gang_adopt(struct decider *d, const char *name, json_t *leases)
+{
+	struct gang *g = g_hash_table_lookup(d->gangs, name);
+	json_int_t attempt = newest_attempt(leases);
+	uint32_t whole = 0;
+	json_t *v;
+	size_t i;
+
+	if (!g)
+		g = gang_create(d, name);
+	json_array_foreach(leases, i, v) {
+		if (json_int_or(v, "attempt", 0) != attempt)
+			continue;
+		if (!g->parts) {
+			g->shape.parts = json_int_or(v, "parts", 1);
+			g->shape.slots = json_int_or(v, "slots", 1);
+			g->shape.accelerators = __builtin_popcount(
+				(uint32_t)json_int_or(v, "mask", 0));
+			g->run_ms = json_int_or(v, "run_ms", 0);
+			g->progress_ms = json_int_or(v, "progress_ms", 0);
+			g->idempotent =
+				json_is_true(json_object_get(v, "idempotent"));
+			g_strlcpy(g->account, json_str_or(v, "account", ""),
+				  sizeof(g->account));
+			job_class_parse(json_str_or(v, "class", "batch"),
+					&g->job_class);
+			g->parts = g_new0(struct gang_part, g->shape.parts);
+		}
+		take_lease(g, v, &whole);
+	}
+	g->attempt = attempt;
+	g->may_have_run = true;
+	set_state(g, GANG_RUNNING);
+	event(g, "adopted",
+	      whole == g->shape.parts ? "all parts" : "not all parts run");
+	return g;
+}
--- /dev/null
+++ b/daemon/jobs.c
@@ -0,0 +1,743 @@
+/*
+ * The job task.  A job is accepted when its row is in the table.  The
+ * row's key holds the caller's key, so that a repeated submission finds
+ * the first one.  The decider's updates are merged into the newest row
+ * and compared and set; they are tried until the table has taken them.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "daemon/jobs.h"
+#include "sched/sched.h"
+
+#define PREFIX "job/"
+#define RETRY_MS 300
+#define SUBMIT_TRIES 4
+#define FINAL_KEPT 5000 /* finished jobs remembered for questions */
+#define LIST_MOST 500
+
+static const char *const classes[] = {"urgent", "batch", "quiet", NULL};
+
+const struct field job_fields[] = {
+	{"key", FIELD_NAME, false, 1, 80, "characters"},
+	{"account", FIELD_NAME, true, 1, 60, "characters"},
+	{"class", FIELD_CHOICE, .choices = classes},
+	{"parts", FIELD_INTEGER, false, 1, 256, "parts"},
+	{"accelerators", FIELD_INTEGER, false, 0, SITE_MAX_ACCELERATORS,
+	 "accelerators a part"},
+	{"slots", FIELD_INTEGER, false, 1, 64, "slots a part"},
+	{"run_ms", FIELD_INTEGER, true, 0, 7 * 86400000LL, "milliseconds"},
+	{"domain", FIELD_NAME, false, 1, 60, "characters"},
+	{"idempotent", FIELD_BOOL},
+	{"payload", FIELD_STRING, false, 0, 65536, "characters"},
+	{0}};
+
+struct row {
+	uint64_t version;
+	json_t *value;
+};
+
+/* A submission or cancellation that waits for the table. */
+struct pending {
+	struct message asked;
+	uint64_t ticket;
+	char *key; /* of the row */
+	char *nonce;
+	json_t *value;
+	uint32_t tries;
+};
+
+/* The newest update of one job, on its way into the table. */
+struct update {
+	struct jobs *jobs;
+	char *key;
+	json_t *patch;
+	uint64_t ticket; /* 0: waits for its timer */
+	bool changed;	 /* a newer patch came while one was under way */
+	struct timer timer;
+};
+
+struct jobs {
+	struct env *env;
+	struct config *config;
+	GHashTable *rows;	/* key to struct row */
+	GHashTable *pending;	/* ticket to struct pending */
+	GHashTable *updates;	/* key to struct update */
+	GHashTable *by_ticket;	/* ticket to struct update */
+	GQueue *final;		/* keys of finished jobs, oldest first */
+	uint64_t next_ticket;
+	uint64_t next_name;
+};
+
+/* Report whether a job in this state will never run again. */
+bool job_state_final(const char *state)
+{
+	static const char *const finals[] = {"done", "cancelled", "parked"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(finals); i++)
+		if (!strcmp(state, finals[i]))
+			return true;
+	return false;
+}
+
+/*
+ * Merge a decider's update into a row's value.  False when it comes too
+ * late: the job has ended, or a later attempt has been made since.
+ */
+bool job_row_merge(json_t *value, const json_t *update)
+{
+	const char *now = json_str_or(value, "state", "");
+	const char *then = json_str_or(update, "state", "");
+
+	if (job_state_final(now))
+		return false;
+	if (json_int_or(update, "attempt", 0) <
+	    json_int_or(value, "attempt", 0))
+		return false;
+	json_object_update(value, (json_t *)update);
+	json_object_del(value, "key");
+	if (!strcmp(now, "cancelling") && !job_state_final(then))
+		json_object_set_new(value, "state", json_string("cancelling"));
+	return true;
+}
+
+static void row_free(void *p)
+{
+	struct row *r = p;
+
+	json_decref(r->value);
+	g_free(r);
+}
+
+/* A job as callers see it: its row with its name. */
+static json_t *job_json(const char *key, const struct row *r)
+{
+	json_t *v = json_copy(r->value);
+
+	json_object_set_new(v, "job", json_string(key + strlen(PREFIX)));
+	json_object_set_new(v, "version", json_integer(r->version));
+	return v;
+}
+
+static void tell_decider(struct jobs *j, const char *key, const struct row *r)
+{
+	post_json(j->env->bus, MSG_JOB, TASK_JOB, TASK_DECIDER,
+		  job_json(key, r));
+}
+
+static void forget_oldest(struct jobs *j)
+{
+	while (g_queue_get_length(j->final) > FINAL_KEPT) {
+		char *key = g_queue_pop_head(j->final);
+
+		g_hash_table_remove(j->rows, key);
+		g_free(key);
+	}
+}
+
+/* Take a row if it is newer than what is known. */
+static void put_row(struct jobs *j, const char *key, uint64_t version,
+		    json_t *value)
+{
+	struct row *r = g_hash_table_lookup(j->rows, key);
+
+	if (!g_str_has_prefix(key, PREFIX) || !json_is_object(value) ||
+	    (r && version <= r->version))
+		return;
+	r = g_new0(struct row, 1);
+	r->version = version;
+	r->value = json_incref(value);
+	g_hash_table_replace(j->rows, g_strdup(key), r);
+	if (job_state_final(json_str_or(value, "state", ""))) {
+		g_queue_push_tail(j->final, g_strdup(key));
+		tell_decider(j, key, r);
+		forget_oldest(j);
+		return;
+	}
+	tell_decider(j, key, r);
+}
+
+static void take_rows(struct jobs *j, const struct rows *r)
+{
+	struct message m = {.tag = MSG_CAUGHT_UP,
+			    .from = TASK_JOB,
+			    .to = TASK_DECIDER};
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(r->list, i, row)
+		put_row(j, json_str_or(row, "key", ""),
+			json_int_or(row, "version", 0),
+			json_object_get(row, "value"));
+	if (!r->caught_up_ms)
+		return;
+	m.number = r->caught_up_ms;
+	bus_post(j->env->bus, &m);
+}
+
+/* Show peers a row at once, ahead of their own scan. */
+static void hint(struct jobs *j, const char *key)
+{
+	const struct row *r = g_hash_table_lookup(j->rows, key);
+	struct message m = {.tag = MSG_ROWS_HINT,
+			    .from = TASK_JOB,
+			    .to = TASK_PEER};
+
+	if (!r)
+		return;
+	m.rows.list = json_pack("[{s:s,s:I,s:O}]", "key", key, "version",
+				(json_int_t)r->version, "value", r->value);
+	bus_post(j->env->bus, &m);
+}
+
+/* Submissions and cancellations */
+
+static void pending_free(void *p)
+{
+	struct pending *w = p;
+
+	g_free(w->key);
+	g_free(w->nonce);
+	json_decref(w->value);
+	g_free(w);
+}
+
+static void pending_end(struct jobs *j, struct pending *w, struct verdict v,
+			json_t *body)
+{
+	post_report(j->env->bus, &w->asked, v, body);
+	g_hash_table_remove(j->pending, &w->ticket);
+}
+
+static void pending_send(struct jobs *j, struct pending *w, uint64_t expect)
+{
+	w->tries++;
+	post_txn(j->env->bus, TASK_JOB, w->ticket,
+		 json_pack("[{s:s,s:O,s:I}]", "key", w->key, "value", w->value,
+			   "expect", (json_int_t)expect));
+}
+
+static struct pending *pending_new(struct jobs *j, const struct message *m,
+				   const char *name)
+{
+	struct pending *w = g_new0(struct pending, 1);
+
+	w->asked = *m;
+	memset(&w->asked.question.name, 0, sizeof(w->asked.question.name));
+	w->asked.question.body = NULL;
+	w->ticket = ++j->next_ticket;
+	w->key = g_strconcat(PREFIX, name, NULL);
+	w->nonce = g_strdup_printf("%s-%" G_GUINT64_FORMAT
+				   "-%" G_GUINT64_FORMAT,
+				   j->env->settings->name,
+				   j->env->settings->incarnation, w->ticket);
+	g_hash_table_insert(j->pending, &w->ticket, w);
+	return w;
+}
+
+
+/* Report whether an empty domain could hold the shape, bound or not. */
+static bool domain_fits(const struct config *c, const char *domain,
+			const struct shape *want, enum where where)
+{
+	struct part *parts = g_new0(struct part, want->parts);
+	struct site *s;
+	bool fits;
+
+	config_domain_site(c, domain, &s);
+	config_site_bind(c, domain, s);
+	fits = place(s, want, where, POLICY_BOUND, parts);
+	site_destroy(s);
+	g_free(parts);
+	return fits;
+}
+
+/*
+ * Choose the domain of a job: the one it asks for, or one whose cells
+ * bound to its account hold it, or the own one, or any that holds it.
+ */
+static const char *choose_domain(struct jobs *j, const json_t *job,
+				 uint32_t account)
+{
+	const struct config *c = j->config;
+	const char *asked = json_str_or(job, "domain", NULL);
+	const char *own = j->env->settings->domain;
+	struct shape want = {.parts = json_int_or(job, "parts", 1),
+			     .accelerators =
+				     json_int_or(job, "accelerators", 0),
+			     .slots = json_int_or(job, "slots", 1),
+			     .account = account};
+
+	if (asked)
+		return domain_fits(c, asked, &want, WHERE_EXISTS) ? asked
+								  : NULL;
+	if (domain_fits(c, own, &want, WHERE_OWN_FREE))
+		return own;
+	for (uint32_t i = 0; want.accelerators && i < c->bindings_len; i++)
+		if (!strcmp(c->bindings[i].account,
+			    c->accounts[account].name) &&
+		    (!i || strcmp(c->bindings[i].domain,
+				  c->bindings[i - 1].domain)) &&
+		    domain_fits(c, c->bindings[i].domain, &want,
+				WHERE_OWN_FREE))
+			return c->bindings[i].domain;
+	if (domain_fits(c, own, &want, WHERE_EXISTS))
+		return own;
+	for (uint32_t i = 0; i < c->upstreams_len; i++)
+		if ((!i || strcmp(c->upstreams[i].domain,
+				  c->upstreams[i - 1].domain)) &&
+		    domain_fits(c, c->upstreams[i].domain, &want,
+				WHERE_EXISTS))
+			return c->upstreams[i].domain;
+	return NULL;
+}
+
+static uint32_t waiting_of(const struct jobs *j, const char *account)
+{
+	GHashTableIter it;
+	gpointer v;
+	uint32_t n = 0;
+
+	g_hash_table_iter_init(&it, j->rows);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const json_t *o = ((struct row *)v)->value;
+		const char *state = json_str_or(o, "state", "");
+
+		if ((!strcmp(state, "accepted") || !strcmp(state, "waiting")) &&
+		    !strcmp(json_str_or(o, "account", ""), account))
+			n++;
+	}
+	return n;
+}
+
+static json_t *job_value(const json_t *job, const char *domain,
+			 const char *nonce)
+{
+	json_t *v = json_copy((json_t *)job);
+
+	json_object_del(v, "key");
+	json_object_set_new(v, "state", json_string("accepted"));
+	json_object_set_new(v, "domain", json_string(domain));
+	json_object_set_new(v, "nonce", json_string(nonce));
+	json_object_set_new(v, "accepted_ms", json_integer(clock_wall_ms()));
+	return v;
+}
+
+static void ask_submit(struct jobs *j, struct message *m)
+{
+	json_t *job = m->question.body;
+	const char *account = json_str_or(job, "account", "");
+	char *name = g_strdup(json_str_or(job, "key", NULL));
+	enum reason why = REASON_NONE;
+	const char *domain = NULL;
+	struct pending *w;
+	uint32_t a = 0;
+
+	if (!j->config)
+		why = REASON_NOT_READY;
+	else if (!config_account_find(j->config, account, &a))
+		why = REASON_UNKNOWN_ACCOUNT;
+	else if (waiting_of(j, account) >= j->config->accounts[a].queue_limit)
+		why = REASON_QUEUE_FULL;
+	else if (!(domain = choose_domain(j, job, a)))
+		why = REASON_NEVER_FITS;
+	if (why != REASON_NONE) {
+		post_report(j->env->bus, m, verdict_did_not_run(why), NULL);
+		goto out;
+	}
+	if (!name)
+		name = g_strdup_printf("%s-%" G_GUINT64_FORMAT
+				       "-%" G_GUINT64_FORMAT,
+				       j->env->settings->name,
+				       j->env->settings->incarnation,
+				       ++j->next_name);
+	w = pending_new(j, m, name);
+	w->value = job_value(job, domain, w->nonce);
+	pending_send(j, w, 0);
+out:
+	g_free(name);
+}
+
+static void accepted(struct jobs *j, struct pending *w, uint64_t version)
+{
+	const char *name = w->key + strlen(PREFIX);
+
+	put_row(j, w->key, version, w->value);
+	hint(j, w->key);
+	if (w->asked.question.what == ASK_SUBMIT) {
+		counter_add(j->env->counters, "jobs_accepted", NULL, 1);
+		event_add(j->env->events, "accepted", name,
+			  json_str_or(w->value, "account", ""),
+			  "domain %s, %d parts of %d accelerators",
+			  json_str_or(w->value, "domain", ""),
+			  (int)json_int_or(w->value, "parts", 1),
+			  (int)json_int_or(w->value, "accelerators", 0));
+	} else {
+		event_add(j->env->events, "cancelling", name,
+			  json_str_or(w->value, "account", ""), "asked for");
+	}
+	pending_end(j, w, verdict_ran(),
+		    json_pack("{s:s,s:s,s:I}", "job", name, "state",
+			      json_str_or(w->value, "state", ""), "version",
+			      (json_int_t)version));
+}
+
+/* Some row with this key exists: ours, the same job, or another one. */
+static void row_exists(struct jobs *j, struct pending *w, json_t *row)
+{
+	json_t *value = json_object_get(row, "value");
+	uint64_t version = json_int_or(row, "version", 0);
+	static const char *const same[] = {"account", "parts", "accelerators",
+					   "run_ms"};
+
+	put_row(j, w->key, version, value);
+	if (!strcmp(json_str_or(value, "nonce", ""), w->nonce)) {
+		accepted(j, w, version);
+		return;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(same); i++) {
+		json_t *a = json_object_get(value, same[i]);
+		json_t *b = json_object_get(w->value, same[i]);
+
+		if ((a || b) && !json_equal(a, b)) {
+			pending_end(j, w, verdict_did_not_run(REASON_CONFLICT),
+				    NULL);
+			return;
+		}
+	}
+	pending_end(j, w, verdict_ran(),
+		    json_pack("{s:s,s:s,s:I,s:b}", "job",
+			      w->key + strlen(PREFIX), "state",
+			      json_str_or(value, "state", ""), "version",
+			      (json_int_t)version, "existing", 1));
+}
+
+static void cancel_send(struct jobs *j, struct pending *w);
+
+static void pending_txn_done(struct jobs *j, struct pending *w,
+			     struct txn_result *t)
+{
+	bool cancel = w->asked.question.what == ASK_CANCEL;
+	json_t *row = t->conflict;
+
+	switch (t->verdict.tag) {
+	case VERDICT_RAN:
+		accepted(j, w, t->version);
+		break;
+	case VERDICT_DID_NOT_RUN:
+		if (cancel && row) {
+			put_row(j, w->key, json_int_or(row, "version", 0),
+				json_object_get(row, "value"));
+			cancel_send(j, w);
+		} else if (row) {
+			row_exists(j, w, row);
+		} else {
+			pending_end(j, w, t->verdict, NULL);
+		}
+		break;
+	case VERDICT_MAY_HAVE_RUN:
+		post_read(j->env->bus, TASK_JOB, w->ticket, w->key);
+		break;
+	}
+}
+
+/* A row was read back after an ambiguous answer. */
+static void pending_read_done(struct jobs *j, struct pending *w,
+			      struct txn_result *t)
+{
+	bool cancel = w->asked.question.what == ASK_CANCEL;
+
+	if (verdict_is_ran(t->verdict) && t->conflict && cancel) {
+		put_row(j, w->key, json_int_or(t->conflict, "version", 0),
+			json_object_get(t->conflict, "value"));
+		cancel_send(j, w);
+	} else if (verdict_is_ran(t->verdict) && t->conflict) {
+		row_exists(j, w, t->conflict);
+	} else if (verdict_is_ran(t->verdict) && w->tries < SUBMIT_TRIES) {
+		pending_send(j, w, 0);
+	} else {
+		pending_end(j, w, verdict_may_have_run(REASON_PLATFORM_OUT),
+			    NULL);
+	}
+}
+
+/* Send a cancellation against the newest row that is known. */
+static void cancel_send(struct jobs *j, struct pending *w)
+{
+	const struct row *r = g_hash_table_lookup(j->rows, w->key);
+	const char *state = r ? json_str_or(r->value, "state", "") : "";
+
+	if (!r) {
+		pending_end(j, w, verdict_did_not_run(REASON_NOT_FOUND), NULL);
+	} else if (!strcmp(state, "cancelling") ||
+		   !strcmp(state, "cancelled")) {
+		pending_end(j, w, verdict_ran(),
+			    json_pack("{s:s,s:s}", "job",
+				      w->key + strlen(PREFIX), "state",
+				      state));
+	} else if (job_state_final(state)) {
+		pending_end(j, w, verdict_did_not_run(REASON_CONFLICT),
+			    json_pack("{s:s}", "state", state));
+	} else if (w->tries >= SUBMIT_TRIES) {
+		pending_end(j, w, verdict_may_have_run(REASON_PLATFORM_OUT),
+			    NULL);
+	} else {
+		json_decref(w->value);
+		w->value = json_copy(r->value);
+		json_object_set_new(w->value, "state",
+				    json_string("cancelling"));
+		pending_send(j, w, r->version);
+	}
+}
+
+static void ask_cancel(struct jobs *j, const struct message *m)
+{
+	struct pending *w = pending_new(j, m, m->question.name);
+
+	cancel_send(j, w);
+}
+
+/* Updates from the decider */
+
+static void update_free(void *p)
+{
+	struct update *u = p;
+
+	timer_stop(u->jobs->env->loop, &u->timer);
+	json_decref(u->patch);
+	g_free(u->key);
+	g_free(u);
+}
+
+static void update_end(struct jobs *j, struct update *u)
+{
+	json_t *saved = json_incref(u->patch);
+
+	post_json(j->env->bus, MSG_JOB_SAVED, TASK_JOB, TASK_DECIDER, saved);
+	g_hash_table_remove(j->updates, u->key);
+}
+
+static void update_later(struct update *u)
+{
+	timer_start(u->jobs->env->loop, &u->timer, RETRY_MS);
+}
+
+static void update_send(void *arg)
+{
+	struct update *u = arg;
+	struct jobs *j = u->jobs;
+	const struct row *r = g_hash_table_lookup(j->rows, u->key);
+	json_t *value;
+
+	if (!r) { /* the row was not seen yet: read it first */
+		u->ticket = ++j->next_ticket;
+		g_hash_table_insert(j->by_ticket, &u->ticket, u);
+		post_read(j->env->bus, TASK_JOB, u->ticket, u->key);
+		return;
+	}
+	value = json_copy(r->value);
+	if (!job_row_merge(value, u->patch)) {
+		json_decref(value);
+		update_end(j, u);
+		return;
+	}
+	u->changed = false;
+	u->ticket = ++j->next_ticket;
+	g_hash_table_insert(j->by_ticket, &u->ticket, u);
+	post_txn(j->env->bus, TASK_JOB, u->ticket,
+		 json_pack("[{s:s,s:o,s:I}]", "key", u->key, "value", value,
+			   "expect", (json_int_t)r->version));
+}
+
+static void take_update(struct jobs *j, const struct message *m)
+{
+	char *key = g_strconcat(PREFIX, json_str_or(m->json, "key", ""), NULL);
+	struct update *u = g_hash_table_lookup(j->updates, key);
+
+	if (u) {
+		json_t *merged = json_copy(u->patch);
+
+		json_object_update(merged, m->json);
+		json_decref(u->patch);
+		u->patch = merged;
+		u->changed = true;
+		g_free(key);
+		return;
+	}
+	u = g_new0(struct update, 1);
+	u->jobs = j;
+	u->key = key;
+	u->patch = json_copy(m->json);
+	timer_init(&u->timer, update_send, u);
+	g_hash_table_insert(j->updates, u->key, u);
+	update_send(u);
+}
+
+static void update_txn_done(struct jobs *j, struct update *u,
+			    struct txn_result *t)
+{
+	const struct row *r = g_hash_table_lookup(j->rows, u->key);
+	json_t *value;
+
+	switch (t->verdict.tag) {
+	case VERDICT_RAN:
+		value = json_copy(r->value);
+		job_row_merge(value, u->patch);
+		put_row(j, u->key, t->version, value);
+		json_decref(value);
+		hint(j, u->key);
+		if (u->changed)
+			update_send(u);
+		else
+			update_end(j, u);
+		break;
+	case VERDICT_DID_NOT_RUN:
+		if (t->conflict) {
+			put_row(j, u->key,
+				json_int_or(t->conflict, "version", 0),
+				json_object_get(t->conflict, "value"));
+			update_send(u);
+		} else {
+			update_later(u);
+		}
+		break;
+	case VERDICT_MAY_HAVE_RUN:
+		update_later(u); /* a conflict will show whether it has */
+		break;
+	}
+}
+
+static void update_read_done(struct jobs *j, struct update *u,
+			     struct txn_result *t)
+{
+	if (!verdict_is_ran(t->verdict)) {
+		update_later(u);
+	} else if (!t->conflict) {
+		update_end(j, u); /* no such row: nothing to update */
+	} else {
+		put_row(j, u->key, json_int_or(t->conflict, "version", 0),
+			json_object_get(t->conflict, "value"));
+		update_send(u);
+	}
+}
+
+static void route(struct jobs *j, struct message *m)
+{
+	struct pending *w = g_hash_table_lookup(j->pending, &m->ticket);
+	struct update *u = g_hash_table_lookup(j->by_ticket, &m->ticket);
+
+	if (u) {
+		g_hash_table_remove(j->by_ticket, &m->ticket);
+		u->ticket = 0;
+		if (m->tag == MSG_TXN_DONE)
+			update_txn_done(j, u, &m->txn);
+		else
+			update_read_done(j, u, &m->txn);
+	} else if (w && m->tag == MSG_TXN_DONE) {
+		pending_txn_done(j, w, &m->txn);
+	} else if (w) {
+		pending_read_done(j, w, &m->txn);
+	}
+}
+
+/* Questions */
+
+static void ask_job(struct jobs *j, const struct message *m)
+{
+	char *key = g_strconcat(PREFIX, m->question.name, NULL);
+	const struct row *r = g_hash_table_lookup(j->rows, key);
+
+	if (r)
+		post_report(j->env->bus, m, verdict_ran(), job_json(key, r));
+	else
+		post_report(j->env->bus, m,
+			    verdict_did_not_run(REASON_NOT_FOUND), NULL);
+	g_free(key);
+}
+
+static void ask_jobs(struct jobs *j, const struct message *m)
+{
+	json_t *list = json_array();
+	GHashTableIter it;
+	gpointer k, v;
+
+	g_hash_table_iter_init(&it, j->rows);
+	while (g_hash_table_iter_next(&it, &k, &v)) {
+		const struct row *r = v;
+		const char *state = json_str_or(r->value, "state", "");
+
+		if (json_array_size(list) >= LIST_MOST)
+			break;
+		if (m->question.name && strcmp(m->question.name, state))
+			continue;
+		json_array_append_new(list, job_json(k, r));
+	}
+	post_report(j->env->bus, m, verdict_ran(),
+		    json_pack("{s:o,s:i}", "jobs", list, "known",
+			      (int)g_hash_table_size(j->rows)));
+}
+
+static void receive(void *task, struct message *m)
+{
+	struct jobs *j = task;
+
+	switch ((int)m->tag) {
+	case MSG_ROWS:
+		take_rows(j, &m->rows);
+		break;
+	case MSG_CONFIG:
+		config_unref(j->config);
+		j->config = m->config;
+		m->config = NULL;
+		break;
+	case MSG_TXN_DONE:
+	case MSG_READ_DONE:
+		route(j, m);
+		break;
+	case MSG_JOB_UPDATE:
+		take_update(j, m);
+		break;
+	case MSG_ASK:
+		if (m->question.what == ASK_SUBMIT)
+			ask_submit(j, m);
+		else if (m->question.what == ASK_CANCEL)
+			ask_cancel(j, m);
+		else if (m->question.what == ASK_JOB)
+			ask_job(j, m);
+		else
+			ask_jobs(j, m);
+		break;
+	}
+}
+
+/* Create the task without rows. */
+struct jobs *jobs_create(struct env *env)
+{
+	struct jobs *j = g_new0(struct jobs, 1);
+
+	j->env = env;
+	j->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					row_free);
+	j->pending = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					   pending_free);
+	j->updates = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   update_free);
+	j->by_ticket = g_hash_table_new(g_int64_hash, g_int64_equal);
+	j->final = g_queue_new();
+	bus_attach(env->bus, TASK_JOB, receive, j);
+	return j;
+}
+
+/* Free j; what waits for the table gets no answer. */
+void jobs_destroy(struct jobs *j)
+{
+	if (!j)
+		return;
+	g_hash_table_destroy(j->by_ticket);
+	g_hash_table_destroy(j->updates);
+	g_hash_table_destroy(j->pending);
+	g_hash_table_destroy(j->rows);
+	g_queue_free_full(j->final, g_free);
+	config_unref(j->config);
+	g_free(j);
+}
--- /dev/null
+++ b/daemon/main.c
@@ -0,0 +1,184 @@
+/* lacewingd: one entry instance. */
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "daemon/caller.h"
+#include "daemon/check.h"
+#include "daemon/decider.h"
+#include "daemon/jobs.h"
+#include "daemon/peer.h"
+#include "daemon/store.h"
+#include "daemon/table.h"
+
+#define STOP_POLL_MS 20
+
+struct instance {
+	struct env env;
+	struct settings *settings;
+	struct caller *caller;
+	struct checks *checks;
+	struct jobs *jobs;
+	struct decider *decider;
+	struct table *table;
+	struct peers *peers;
+	struct store *store;
+	struct timer stop_timer;
+	uint64_t leave_ms; /* when the stop began, or 0 */
+	bool closed;
+};
+
+/* Wait out the balancer, then the open requests, then end the loop. */
+static void on_stopping(void *arg)
+{
+	struct instance *in = arg;
+	uint64_t gone = clock_mono_ms() - in->leave_ms;
+	const struct settings *s = in->settings;
+
+	if (gone >= s->drain_ms && !in->closed) {
+		in->closed = true;
+		caller_close(in->caller);
+	}
+	if ((in->closed && !caller_open(in->caller)) ||
+	    gone >= (uint64_t)s->drain_ms + s->stop_ms) {
+		loop_stop(in->env.loop);
+		return;
+	}
+	timer_start(in->env.loop, &in->stop_timer, STOP_POLL_MS);
+}
+
+static void on_signal(void *arg, int signo)
+{
+	struct instance *in = arg;
+	struct message m = {.tag = MSG_LEAVE,
+			    .from = TASK_CALLER,
+			    .to = TASK_CALLER};
+
+	if (in->leave_ms) {
+		log_line(LOG_WARN, "stopping_now", "second signal %d", signo);
+		loop_stop(in->env.loop);
+		return;
+	}
+	in->leave_ms = clock_mono_ms();
+	bus_post(in->env.bus, &m);
+	timer_start(in->env.loop, &in->stop_timer, STOP_POLL_MS);
+}
+
+static void deliver(void *arg)
+{
+	bus_deliver(arg);
+}
+
+static void instance_destroy(struct instance *in)
+{
+	decider_destroy(in->decider);
+	jobs_destroy(in->jobs);
+	checks_destroy(in->checks);
+	table_destroy(in->table);
+	peers_destroy(in->peers);
+	store_destroy(in->store);
+	caller_destroy(in->caller);
+	http_client_destroy(in->env.http);
+	bus_destroy(in->env.bus);
+	counters_destroy(in->env.counters);
+	event_ring_destroy(in->env.events);
+	loop_destroy(in->env.loop);
+}
+
+/* Create all tasks; false, with a message, when an address is taken. */
+static bool instance_create(struct instance *in, struct settings *s)
+{
+	struct env *e = &in->env;
+
+	in->settings = s;
+	e->settings = s;
+	e->loop = loop_create();
+	e->bus = bus_create();
+	e->counters = counters_create();
+	e->events = event_ring_create(s->events);
+	e->http = http_client_create(e->loop);
+	timer_init(&in->stop_timer, on_stopping, in);
+	loop_on_signal(e->loop, on_signal, in);
+	loop_on_idle(e->loop, deliver, e->bus);
+	in->caller = caller_create(e);
+	in->peers = peers_create(e);
+	if (!in->caller || !in->peers) {
+		fprintf(stderr, "lacewingd: listen: %s: address in use\n",
+			in->caller ? "peer" : "http");
+		return false;
+	}
+	in->store = store_create(e);
+	in->jobs = jobs_create(e);
+	in->checks = checks_create(e);
+	in->decider = decider_create(e);
+	in->table = table_create(e);
+	return true;
+}
+
+static int run(struct settings *s)
+{
+	struct instance in = {0};
+	int rc = 1;
+
+	signal(SIGPIPE, SIG_IGN);
+	log_open("lacewingd", s->name, s->log_level);
+	if (!instance_create(&in, s))
+		goto out;
+	log_line(LOG_INFO, "started", "domain %s", s->domain);
+	event_add(in.env.events, "started", s->name, NULL, "domain %s",
+		  s->domain);
+	loop_run(in.env.loop);
+	log_line(LOG_INFO, "stopped", "%u requests open",
+		 caller_open(in.caller));
+	rc = 0;
+out:
+	instance_destroy(&in);
+	return rc;
+}
+
+static const char summary[] =
+	"One entry instance of the lacewingspur scheduler.  It serves callers "
+	"over HTTP, talks to its peers, to the upstreams of its failure "
+	"domain and to the platform, and keeps nothing on disk.";
+
+int main(int argc, char **argv)
+{
+	GOptionContext *o = g_option_context_new("- scheduler instance");
+	struct problems *p = NULL;
+	struct settings *s = NULL;
+	char *file = NULL, *text;
+	gboolean check = FALSE;
+	GError *err = NULL;
+	int rc = 2;
+	GOptionEntry entries[] = {
+		{"settings", 's', 0, G_OPTION_ARG_FILENAME, &file,
+		 "read the process's settings from FILE", "FILE"},
+		{"check", 'c', 0, G_OPTION_ARG_NONE, &check,
+		 "check the settings, say what is wrong, and exit", NULL},
+		{0}};
+
+	g_option_context_set_summary(o, summary);
+	g_option_context_add_main_entries(o, entries, NULL);
+	if (!g_option_context_parse(o, &argc, &argv, &err) || !file) {
+		fprintf(stderr, "lacewingd: %s\n",
+			err ? err->message : "--settings is missing");
+		goto out;
+	}
+	p = problems_create(file);
+	s = settings_load(file, p);
+	if (!s) {
+		text = problems_text(p);
+		fprintf(stderr, "%s", text);
+		g_free(text);
+		goto out;
+	}
+	rc = check ? 0 : run(s);
+out:
+	settings_destroy(s);
+	problems_destroy(p);
+	g_clear_error(&err);
+	g_free(file);
+	g_option_context_free(o);
+	return rc;
+}
--- /dev/null
+++ b/daemon/message.h
@@ -0,0 +1,170 @@
+/*
+ * Messages between the tasks of one instance.  A task owns its sockets
+ * and state; all it gets from and gives to other tasks is here.
+ */
+#ifndef DAEMON_MESSAGE_H
+#define DAEMON_MESSAGE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <jansson.h>
+
+#include "lib/verdict.h"
+
+struct config;
+
+enum task_id {
+	TASK_CALLER,  /* HTTP towards callers and operators */
+	TASK_CHECK,   /* quick checks */
+	TASK_JOB,     /* accepted jobs as rows of the table */
+	TASK_DECIDER, /* leases and gangs of the domain */
+	TASK_TABLE,   /* the platform */
+	TASK_PEER,    /* other instances */
+	TASK_CONFIG,  /* the configuration */
+	TASK_COUNT,
+};
+
+/* A quick check on its way to an upstream. */
+struct check {
+	json_t *request;      /* as checked by the caller task */
+	uint64_t deadline_ms; /* monotonic */
+	bool forwarded;	      /* came from a peer: not to be passed on */
+};
+
+struct check_result {
+	struct verdict verdict;
+	char *upstream;
+	json_t *answer; /* when it ran */
+};
+
+struct txn_result {
+	struct verdict verdict;
+	uint64_t version;
+	json_t *conflict; /* the row that did not meet its expectation */
+};
+
+struct rows {
+	json_t *list; /* [{"key", "version", "value"}] */
+	uint64_t complete;
+	uint64_t caught_up_ms; /* the table held no more at this time, or 0 */
+};
+
+struct peer_state {
+	char name[64];
+	char domain[64];
+	char http_address[32];
+	uint64_t incarnation;
+	uint64_t epoch;
+	uint64_t config_version;
+	uint64_t heard_ms; /* monotonic */
+	bool deciding;
+	bool claiming;
+	bool leaving;
+	bool ready;
+	bool reachable;
+};
+
+struct peer_list {
+	uint32_t len;
+	struct peer_state peers[];
+};
+
+enum ask {
+	ASK_SUBMIT,
+	ASK_JOB,
+	ASK_JOBS,
+	ASK_CANCEL,
+	ASK_WHY,
+	ASK_STUCK,
+	ASK_UPSTREAMS,
+	ASK_INSTANCES,
+	ASK_CONFIG,
+	ASK_APPLY,
+	ASK_REBIND,
+};
+
+struct question {
+	enum ask what;
+	char *name;
+	json_t *body;
+};
+
+struct report {
+	struct verdict verdict;
+	int status; /* HTTP, 0: as the verdict says */
+	json_t *body;
+};
+
+/* What the decider tells its peers through heartbeats. */
+struct role {
+	uint64_t epoch;
+	bool deciding;
+	bool claiming;
+	json_t *leaving; /* names of upstreams */
+};
+
+enum message_tag {
+	MSG_CHECK,	  /* check: run it */
+	MSG_CHECK_DONE,	  /* check_result */
+	MSG_TXN,	  /* json: operations, all or none */
+	MSG_TXN_DONE,	  /* txn */
+	MSG_READ,	  /* json: the key as a string */
+	MSG_READ_DONE,	  /* txn: conflict is the row, or NULL */
+	MSG_ROWS,	  /* rows that have changed */
+	MSG_ROWS_WANTED,  /* number: a peer wants rows after it */
+	MSG_ROWS_HINT,	  /* rows: hand on to peers */
+	MSG_MEMBERS,	  /* json: the platform's list */
+	MSG_TABLE_STATE,  /* flag: the table answers */
+	MSG_CONFIG,	  /* config: newest snapshot */
+	MSG_PEERS,	  /* peers */
+	MSG_ROLE,	  /* role */
+	MSG_UPSTREAM_OFF, /* json: {"name", "why"} must get nothing new */
+	MSG_JOB,	  /* json: a job's row */
+	MSG_JOB_UPDATE,	  /* json: {"key", "attempt", "state", ...} */
+	MSG_JOB_SAVED,	  /* json: the update that is in the table */
+	MSG_CAUGHT_UP,	  /* number: jobs are as in the table at this time */
+	MSG_ASK,	  /* question */
+	MSG_REPORT,	  /* report */
+	MSG_LEAVE,	  /* stop taking new work */
+};
+
+struct message {
+	enum message_tag tag;
+	enum task_id from;
+	enum task_id to;
+	uint64_t ticket; /* the asker's, sent back with the answer */
+	union {
+		struct check check;
+		struct check_result check_result;
+		json_t *json;
+		struct txn_result txn;
+		struct rows rows;
+		uint64_t number;
+		bool flag;
+		struct config *config;
+		struct peer_list *peers;
+		struct role role;
+		struct question question;
+		struct report report;
+	};
+};
+
+struct bus;
+
+typedef void (*receive_fn)(void *task, struct message *m);
+
+struct bus *bus_create(void);
+void bus_destroy(struct bus *b);
+void bus_attach(struct bus *b, enum task_id id, receive_fn fn, void *task);
+void bus_post(struct bus *b, const struct message *m);
+void bus_deliver(struct bus *b);
+
+void post_txn(struct bus *b, enum task_id from, uint64_t ticket, json_t *ops);
+void post_read(struct bus *b, enum task_id from, uint64_t ticket,
+	       const char *key);
+void post_report(struct bus *b, const struct message *asked,
+		 struct verdict v, json_t *body);
+void post_json(struct bus *b, enum message_tag tag, enum task_id from,
+	       enum task_id to, json_t *v);
+
+#endif
--- /dev/null
+++ b/daemon/peer.c
@@ -0,0 +1,903 @@
+/*
+ * The peer task.  Instances of one domain all know each other; into
+ * every other domain an instance keeps a few links only, so that its
+ * cost does not grow with the fleet.  A link that is silent is closed
+ * and opened anew.
+ */
+#include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "daemon/peer.h"
+#include "lib/frame.h"
+
+#define PROTOCOL 1
+#define HEARTBEAT_MS 400
+#define SILENT_MS 1600
+#define FORGET_MS 60000
+#define LINKS_TO_OTHER_DOMAIN 2
+#define GOSSIP_MOST 64
+
+struct link {
+	struct peers *peers;
+	struct frame_conn *conn;
+	char address[ADDRESS_TEXT_BYTES]; /* the peer's, once known */
+	char name[64];
+	uint64_t opened_ms;
+	uint64_t heard_ms;
+	bool outgoing;
+	bool greeted;
+};
+
+struct target {
+	char address[ADDRESS_TEXT_BYTES];
+	char domain[64]; /* empty until it is known */
+};
+
+/* A check that was passed on, or that a peer has passed to us. */
+struct passed {
+	struct link *link; /* NULL when the link has gone */
+	uint64_t ticket;   /* the other side's */
+	uint64_t local;
+	struct timer timer;
+	struct peers *peers;
+};
+
+struct peers {
+	struct env *env;
+	struct frame_listener *listener;
+	GPtrArray *links;
+	GHashTable *targets;  /* address to struct target */
+	GHashTable *states;   /* name to struct peer_state */
+	GHashTable *sent;     /* ticket to struct passed: by us */
+	GHashTable *received; /* ticket to struct passed: to us */
+	struct timer timer;
+	uint64_t next_ticket;
+	char self[ADDRESS_TEXT_BYTES];
+	struct config *config;
+	struct role role;
+	bool leaving;
+	uint64_t bytes_told;
+};
+
+static const struct frame_events link_events;
+
+static void post_peers(struct peers *p)
+{
+	static const enum task_id listeners[] = {TASK_CALLER, TASK_CHECK,
+						 TASK_DECIDER};
+	uint32_t n = g_hash_table_size(p->states);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(listeners); i++) {
+		struct message m = {.tag = MSG_PEERS,
+				    .from = TASK_PEER,
+				    .to = listeners[i]};
+		GHashTableIter it;
+		gpointer v;
+
+		m.peers = g_malloc0(sizeof(*m.peers) +
+				    n * sizeof(struct peer_state));
+		g_hash_table_iter_init(&it, p->states);
+		while (g_hash_table_iter_next(&it, NULL, &v))
+			m.peers->peers[m.peers->len++] =
+				*(struct peer_state *)v;
+		bus_post(p->env->bus, &m);
+	}
+}
+
+static void add_target(struct peers *p, const char *address,
+		       const char *domain)
+{
+	struct target *t = g_hash_table_lookup(p->targets, address);
+	struct sockaddr_in a;
+
+	if (!strcmp(address, p->self) || !address_parse(address, &a))
+		return;
+	if (!t) {
+		t = g_new0(struct target, 1);
+		g_strlcpy(t->address, address, sizeof(t->address));
+		g_hash_table_insert(p->targets, t->address, t);
+	}
+	if (*domain)
+		g_strlcpy(t->domain, domain, sizeof(t->domain));
+}
+
+/* Sending */
+
+static void send_hello(struct link *l)
+{
+	const struct settings *s = l->peers->env->settings;
+	char http[ADDRESS_TEXT_BYTES];
+	Lacewing__Hello h = LACEWING__HELLO__INIT;
+	Lacewing__Envelope e = LACEWING__ENVELOPE__INIT;
+
+	address_format(&s->http, http, sizeof(http));
+	h.protocol = PROTOCOL;
+	h.name = (char *)s->name;
+	h.domain = (char *)s->domain;
+	h.incarnation = s->incarnation;
+	h.peer_address = l->peers->self;
+	h.http_address = http;
+	e.body_case = LACEWING__ENVELOPE__BODY_HELLO;
+	e.hello = &h;
+	frame_send(l->conn, &e);
+}
+
+/* Return the addresses to gossip, as "domain|address"; free with strv. */
+static char **gossip(const struct peers *p)
+{
+	GPtrArray *a = g_ptr_array_new();
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, p->targets);
+	while (g_hash_table_iter_next(&it, NULL, &v) && a->len < GOSSIP_MOST) {
+		const struct target *t = v;
+
+		if (*t->domain)
+			g_ptr_array_add(a, g_strdup_printf("%s|%s", t->domain,
+							   t->address));
+	}
+	g_ptr_array_add(a, NULL);
+	return (char **)g_ptr_array_free(a, FALSE);
+}
+
+static void send_heartbeat(struct link *l, char **known)
+{
+	struct peers *p = l->peers;
+	size_t n = json_array_size(p->role.leaving);
+	char **names = g_new0(char *, n + 1);
+	Lacewing__Heartbeat h = LACEWING__HEARTBEAT__INIT;
+	Lacewing__Envelope e = LACEWING__ENVELOPE__INIT;
+
+	for (size_t i = 0; i < n; i++)
+		names[i] = (char *)json_string_value(
+			json_array_get(p->role.leaving, i));
+	h.clock = event_clock(p->env->events);
+	h.epoch = p->role.epoch;
+	h.deciding = p->role.deciding;
+	h.claiming = p->role.claiming;
+	h.leaving = p->leaving;
+	h.ready = p->config != NULL;
+	h.config_version = p->config ? p->config->version : 0;
+	h.n_leaving_upstreams = n;
+	h.leaving_upstreams = names;
+	h.n_known_peers = g_strv_length(known);
+	h.known_peers = known;
+	e.body_case = LACEWING__ENVELOPE__BODY_HEARTBEAT;
+	e.heartbeat = &h;
+	frame_send(l->conn, &e);
+	g_free(names);
+}
+
+static void heartbeat_all(struct peers *p)
+{
+	char **known = gossip(p);
+
+	for (guint i = 0; i < p->links->len; i++) {
+		struct link *l = g_ptr_array_index(p->links, i);
+
+		if (l->greeted)
+			send_heartbeat(l, known);
+	}
+	g_strfreev(known);
+}
+
+/* Rows travel as JSON text inside protobuf rows. */
+static void send_rows(struct link *l, const struct rows *r)
+{
+	size_t n = json_array_size(r->list);
+	Lacewing__Row *rows = g_new0(Lacewing__Row, n + 1);
+	Lacewing__Row **refs = g_new0(Lacewing__Row *, n + 1);
+	Lacewing__Rows out = LACEWING__ROWS__INIT;
+	Lacewing__Envelope e = LACEWING__ENVELOPE__INIT;
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(r->list, i, row) {
+		lacewing__row__init(&rows[i]);
+		rows[i].key = (char *)json_str_or(row, "key", "");
+		rows[i].version = json_int_or(row, "version", 0);
+		rows[i].value = json_dumps(json_object_get(row, "value"),
+					   JSON_COMPACT | JSON_ENCODE_ANY);
+		refs[i] = &rows[i];
+	}
+	out.n_rows = n;
+	out.rows = refs;
+	out.complete = r->complete;
+	e.body_case = LACEWING__ENVELOPE__BODY_ROWS;
+	e.rows = &out;
+	frame_send(l->conn, &e);
+	for (i = 0; i < n; i++)
+		free(rows[i].value);
+	g_free(rows);
+	g_free(refs);
+}
+
+static void hint_rows(struct peers *p, const struct rows *r)
+{
+	for (guint i = 0; i < p->links->len; i++) {
+		struct link *l = g_ptr_array_index(p->links, i);
+
+		if (l->greeted)
+			send_rows(l, r);
+	}
+}
+
+static struct link *link_find(const struct peers *p, const char *name)
+{
+	for (guint i = 0; i < p->links->len; i++) {
+		struct link *l = g_ptr_array_index(p->links, i);
+
+		if (l->greeted && !strcmp(l->name, name))
+			return l;
+	}
+	return NULL;
+}
+
+/* Checks that are passed on */
+
+static void passed_free(void *v)
+{
+	struct passed *f = v;
+
+	timer_stop(f->peers->env->loop, &f->timer);
+	g_free(f);
+}
+
+static void check_done(struct peers *p, uint64_t ticket, struct verdict v,
+		       const char *upstream, json_t *answer)
+{
+	struct message m = {.tag = MSG_CHECK_DONE,
+			    .from = TASK_PEER,
+			    .to = TASK_CHECK,
+			    .ticket = ticket};
+
+	m.check_result.verdict = v;
+	m.check_result.upstream = g_strdup(upstream);
+	m.check_result.answer = answer;
+	bus_post(p->env->bus, &m);
+}
+
+/* End a check that we passed on and that no answer will come for. */
+static void sent_lost(struct passed *f, enum reason why)
+{
+	struct peers *p = f->peers;
+	uint64_t local = f->local;
+
+	check_done(p, local, verdict_may_have_run(why), "", NULL);
+	g_hash_table_remove(p->sent, &local);
+}
+
+static void sent_timeout(void *arg)
+{
+	sent_lost(arg, REASON_DEADLINE);
+}
+
+static struct passed *passed_new(struct peers *p, struct link *l,
+				 uint64_t ticket, uint64_t local)
+{
+	struct passed *f = g_new0(struct passed, 1);
+
+	f->peers = p;
+	f->link = l;
+	f->ticket = ticket;
+	f->local = local;
+	timer_init(&f->timer, sent_timeout, f);
+	return f;
+}
+
+/* Return a link into another domain that takes checks, or NULL. */
+static struct link *link_for_check(const struct peers *p)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, p->states);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct peer_state *st = v;
+		struct link *l;
+
+		if (!st->reachable || !st->ready || st->leaving ||
+		    !strcmp(st->domain, p->env->settings->domain))
+			continue;
+		l = link_find(p, st->name);
+		if (l)
+			return l;
+	}
+	return NULL;
+}
+
+static void pass_check(struct peers *p, struct message *m)
+{
+	struct link *l = link_for_check(p);
+	uint64_t now = clock_mono_ms();
+	Lacewing__Check c = LACEWING__CHECK__INIT;
+	Lacewing__Envelope e = LACEWING__ENVELOPE__INIT;
+	struct passed *f;
+	char *text;
+
+	if (!l || m->check.deadline_ms <= now) {
+		check_done(p, m->ticket,
+			   verdict_did_not_run(REASON_NO_UPSTREAM), "", NULL);
+		return;
+	}
+	text = json_dumps(m->check.request, JSON_COMPACT);
+	f = passed_new(p, l, m->ticket, m->ticket);
+	g_hash_table_insert(p->sent, &f->local, f);
+	c.ticket = m->ticket;
+	c.clock = event_clock(p->env->events);
+	c.request = text;
+	c.budget_ms = m->check.deadline_ms - now;
+	timer_start(p->env->loop, &f->timer, c.budget_ms);
+	e.body_case = LACEWING__ENVELOPE__BODY_CHECK;
+	e.check = &c;
+	frame_send(l->conn, &e);
+	free(text);
+	counter_add(p->env->counters, "checks_passed_on", NULL, 1);
+}
+
+static void take_check(struct link *l, const Lacewing__Check *c)
+{
+	struct peers *p = l->peers;
+	struct message m = {.tag = MSG_CHECK,
+			    .from = TASK_PEER,
+			    .to = TASK_CHECK,
+			    .ticket = ++p->next_ticket};
+	struct passed *f;
+
+	event_clock_seen(p->env->events, c->clock);
+	m.check.request = json_loads(c->request, 0, NULL);
+	m.check.deadline_ms = clock_mono_ms() + c->budget_ms;
+	m.check.forwarded = true;
+	if (!m.check.request)
+		return;
+	f = passed_new(p, l, c->ticket, m.ticket);
+	g_hash_table_insert(p->received, &f->local, f);
+	bus_post(p->env->bus, &m);
+}
+
+static void answer_check(struct peers *p, const struct message *m)
+{
+	struct passed *f = g_hash_table_lookup(p->received, &m->ticket);
+	Lacewing__CheckAnswer a = LACEWING__CHECK_ANSWER__INIT;
+	Lacewing__Envelope e = LACEWING__ENVELOPE__INIT;
+	char *text = NULL;
+
+	if (!f)
+		return;
+	if (!f->link)
+		goto out;
+	if (m->check_result.answer)
+		text = json_dumps(m->check_result.answer, JSON_COMPACT);
+	a.ticket = f->ticket;
+	a.verdict = m->check_result.verdict.tag;
+	a.reason = m->check_result.verdict.reason;
+	a.retry_after_ms = m->check_result.verdict.retry_after_ms;
+	a.upstream = m->check_result.upstream ? m->check_result.upstream
+					      : (char *)"";
+	a.answer = text ? text : (char *)"";
+	a.clock = event_clock(p->env->events);
+	e.body_case = LACEWING__ENVELOPE__BODY_CHECK_ANSWER;
+	e.check_answer = &a;
+	frame_send(f->link->conn, &e);
+out:
+	free(text);
+	g_hash_table_remove(p->received, &m->ticket);
+}
+
+static void take_answer(struct link *l, const Lacewing__CheckAnswer *a)
+{
+	struct peers *p = l->peers;
+	uint64_t ticket = a->ticket;
+	struct passed *f = g_hash_table_lookup(p->sent, &ticket);
+	struct verdict v = {a->verdict, a->reason, a->retry_after_ms};
+
+	event_clock_seen(p->env->events, a->clock);
+	if (!f || f->link != l || a->verdict > VERDICT_MAY_HAVE_RUN ||
+	    a->reason >= REASON_COUNT) {
+		counter_add(p->env->counters, "late_check_answers", NULL, 1);
+		return;
+	}
+	check_done(p, ticket, v, a->upstream,
+		   *a->answer ? json_loads(a->answer, 0, NULL) : NULL);
+	g_hash_table_remove(p->sent, &ticket);
+}
+
+/* Links */
+
+static void forget_link(struct peers *p, struct link *l)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, p->received);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		if (((struct passed *)v)->link == l)
+			((struct passed *)v)->link = NULL;
+	for (;;) {
+		struct passed *lost = NULL;
+
+		g_hash_table_iter_init(&it, p->sent);
+		while (!lost && g_hash_table_iter_next(&it, NULL, &v))
+			if (((struct passed *)v)->link == l)
+				lost = v;
+		if (!lost)
+			break;
+		sent_lost(lost, REASON_CUT);
+	}
+	g_ptr_array_remove_fast(p->links, l);
+	g_free(l);
+}
+
+static struct link *link_of(struct peers *p, struct frame_conn *c)
+{
+	for (guint i = 0; i < p->links->len; i++) {
+		struct link *l = g_ptr_array_index(p->links, i);
+
+		if (l->conn == c)
+			return l;
+	}
+	return NULL;
+}
+
+static struct link *link_add(struct peers *p, struct frame_conn *c,
+			     const char *address)
+{
+	struct link *l = g_new0(struct link, 1);
+
+	l->peers = p;
+	l->conn = c;
+	l->opened_ms = clock_mono_ms();
+	l->heard_ms = l->opened_ms;
+	l->outgoing = *address != '\0';
+	g_strlcpy(l->address, address, sizeof(l->address));
+	g_ptr_array_add(p->links, l);
+	return l;
+}
+
+static void on_opened(void *arg, struct frame_conn *c)
+{
+	struct peers *p = arg;
+	struct link *l = link_of(p, c);
+
+	if (!l)
+		l = link_add(p, c, "");
+	send_hello(l);
+}
+
+static void on_closed(void *arg, struct frame_conn *c, const char *why)
+{
+	struct peers *p = arg;
+	struct link *l = link_of(p, c);
+
+	if (!l)
+		return;
+	if (l->greeted || !l->outgoing)
+		log_line(LOG_INFO, "peer_closed", "%s (%s): %s",
+			 *l->name ? l->name : "unknown",
+			 *l->address ? l->address : "incoming", why);
+	counter_add(p->env->counters, "peer_links_closed", NULL, 1);
+	forget_link(p, l);
+}
+
+static void drop_link(struct peers *p, struct link *l, const char *why)
+{
+	struct frame_conn *c = l->conn;
+
+	on_closed(p, c, why);
+	frame_close(c);
+}
+
+static void take_hello(struct link *l, const Lacewing__Hello *h)
+{
+	struct peers *p = l->peers;
+	struct peer_state *st;
+
+	if (h->protocol != PROTOCOL) {
+		log_line(LOG_WARN, "peer_protocol",
+			 "%s speaks protocol %u, expected %d", h->name,
+			 h->protocol, PROTOCOL);
+		counter_add(p->env->counters, "peer_refused", NULL, 1);
+		drop_link(p, l, "unknown protocol version");
+		return;
+	}
+	g_strlcpy(l->name, h->name, sizeof(l->name));
+	g_strlcpy(l->address, h->peer_address, sizeof(l->address));
+	l->greeted = true;
+	add_target(p, h->peer_address, h->domain);
+	st = g_hash_table_lookup(p->states, h->name);
+	if (!st) {
+		st = g_new0(struct peer_state, 1);
+		g_strlcpy(st->name, h->name, sizeof(st->name));
+		g_hash_table_insert(p->states, st->name, st);
+	}
+	if (h->incarnation < st->incarnation)
+		return;
+	st->incarnation = h->incarnation;
+	g_strlcpy(st->domain, h->domain, sizeof(st->domain));
+	g_strlcpy(st->http_address, h->http_address,
+		  sizeof(st->http_address));
+}
+
+static void want_rows(struct link *l)
+{
+	struct peers *p = l->peers;
+	Lacewing__RowsWanted w = LACEWING__ROWS_WANTED__INIT;
+	Lacewing__Envelope e = LACEWING__ENVELOPE__INIT;
+
+	w.after = p->config ? p->config->complete : 0;
+	e.body_case = LACEWING__ENVELOPE__BODY_ROWS_WANTED;
+	e.rows_wanted = &w;
+	frame_send(l->conn, &e);
+}
+
+static void learn_targets(struct peers *p, const Lacewing__Heartbeat *h)
+{
+	for (size_t i = 0; i < h->n_known_peers; i++) {
+		char **v = g_strsplit(h->known_peers[i], "|", 2);
+
+		if (v[0] && v[1])
+			add_target(p, v[1], v[0]);
+		g_strfreev(v);
+	}
+}
+
+static void learn_leaving(struct peers *p, const Lacewing__Heartbeat *h)
+{
+	for (size_t i = 0; i < h->n_leaving_upstreams; i++)
+		post_json(p->env->bus, MSG_UPSTREAM_OFF, TASK_PEER, TASK_CHECK,
+			  json_pack("{s:s,s:s}", "name",
+				    h->leaving_upstreams[i], "why", "leaving"));
+}
+
+static void take_heartbeat(struct link *l, const Lacewing__Heartbeat *h)
+{
+	struct peers *p = l->peers;
+	struct peer_state *st = g_hash_table_lookup(p->states, l->name);
+	bool news;
+
+	if (!st)
+		return;
+	event_clock_seen(p->env->events, h->clock);
+	news = !st->reachable || st->deciding != h->deciding ||
+	       st->leaving != h->leaving || st->epoch != h->epoch;
+	if (!st->reachable)
+		event_add(p->env->events, "peer_reachable", st->name, NULL,
+			  "in domain %s", st->domain);
+	st->heard_ms = clock_mono_ms();
+	st->reachable = true;
+	st->epoch = h->epoch;
+	st->deciding = h->deciding;
+	st->claiming = h->claiming;
+	st->leaving = h->leaving;
+	st->ready = h->ready;
+	st->config_version = h->config_version;
+	if (h->config_version > (p->config ? p->config->version : 0))
+		want_rows(l);
+	learn_targets(p, h);
+	if (!strcmp(st->domain, p->env->settings->domain))
+		learn_leaving(p, h);
+	if (news)
+		post_peers(p);
+}
+
+static void take_rows(struct link *l, const Lacewing__Rows *r)
+{
+	static const enum task_id listeners[] = {TASK_CONFIG, TASK_JOB};
+	json_t *list = json_array();
+
+	for (size_t i = 0; i < r->n_rows; i++) {
+		const Lacewing__Row *row = r->rows[i];
+		json_t *v = json_loads(row->value, JSON_DECODE_ANY, NULL);
+
+		json_array_append_new(
+			list, json_pack("{s:s,s:I,s:o}", "key", row->key,
+					"version", (json_int_t)row->version,
+					"value", v ? v : json_null()));
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(listeners); i++) {
+		struct message m = {.tag = MSG_ROWS,
+				    .from = TASK_PEER,
+				    .to = listeners[i]};
+
+		m.rows.list = json_incref(list);
+		m.rows.complete = r->complete;
+		bus_post(l->peers->env->bus, &m);
+	}
+	json_decref(list);
+}
+
+static void take_rows_wanted(struct link *l, const Lacewing__RowsWanted *w)
+{
+	struct message m = {.tag = MSG_ROWS_WANTED,
+			    .from = TASK_PEER,
+			    .to = TASK_CONFIG};
+
+	/* the answer is found again by the name of the link's peer */
+	m.ticket = XXH64(l->name, strlen(l->name), 0);
+	m.number = w->after;
+	bus_post(l->peers->env->bus, &m);
+}
+
+static void answer_rows(struct peers *p, const struct message *m)
+{
+	for (guint i = 0; i < p->links->len; i++) {
+		struct link *l = g_ptr_array_index(p->links, i);
+
+		if (l->greeted &&
+		    XXH64(l->name, strlen(l->name), 0) == m->ticket) {
+			send_rows(l, &m->rows);
+			return;
+		}
+	}
+}
+
+static void on_received(void *arg, struct frame_conn *c,
+			const Lacewing__Envelope *e)
+{
+	struct peers *p = arg;
+	struct link *l = link_of(p, c);
+
+	if (!l)
+		return;
+	l->heard_ms = clock_mono_ms();
+	if (!l->greeted && e->body_case != LACEWING__ENVELOPE__BODY_HELLO) {
+		drop_link(p, l, "spoke before hello");
+		return;
+	}
+	switch (e->body_case) {
+	case LACEWING__ENVELOPE__BODY_HELLO:
+		take_hello(l, e->hello);
+		break;
+	case LACEWING__ENVELOPE__BODY_HEARTBEAT:
+		take_heartbeat(l, e->heartbeat);
+		break;
+	case LACEWING__ENVELOPE__BODY_ROWS:
+		take_rows(l, e->rows);
+		break;
+	case LACEWING__ENVELOPE__BODY_ROWS_WANTED:
+		take_rows_wanted(l, e->rows_wanted);
+		break;
+	case LACEWING__ENVELOPE__BODY_CHECK:
+		take_check(l, e->check);
+		break;
+	case LACEWING__ENVELOPE__BODY_CHECK_ANSWER:
+		take_answer(l, e->check_answer);
+		break;
+	case LACEWING__ENVELOPE__BODY__NOT_SET:
+	case _LACEWING__ENVELOPE__BODY__CASE_IS_INT_SIZE:
+		break;
+	}
+}
+
+static const struct frame_events link_events = {on_opened, on_received,
+						on_closed};
+
+/* Membership */
+
+static bool linked(const struct peers *p, const char *address)
+{
+	for (guint i = 0; i < p->links->len; i++) {
+		const struct link *l = g_ptr_array_index(p->links, i);
+
+		if (!strcmp(l->address, address))
+			return true;
+	}
+	return false;
+}
+
+static uint64_t rank(const struct peers *p, const struct target *t)
+{
+	return XXH64(t->address, strlen(t->address),
+		     XXH64(p->self, strlen(p->self), 0));
+}
+
+/* Report whether t is one of the few links into its domain. */
+static bool chosen(const struct peers *p, const struct target *t)
+{
+	uint32_t before = 0;
+	GHashTableIter it;
+	gpointer v;
+
+	if (!*t->domain || !strcmp(t->domain, p->env->settings->domain))
+		return true;
+	g_hash_table_iter_init(&it, p->targets);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct target *o = v;
+
+		if (o != t && !strcmp(o->domain, t->domain) &&
+		    rank(p, o) < rank(p, t))
+			before++;
+	}
+	return before < LINKS_TO_OTHER_DOMAIN;
+}
+
+static void connect_targets(struct peers *p)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, p->targets);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct target *t = v;
+		struct frame_conn *c;
+		struct sockaddr_in a;
+
+		if (linked(p, t->address) || !chosen(p, t))
+			continue;
+		address_parse(t->address, &a);
+		c = frame_connect(p->env->loop, &a, &link_events, p);
+		if (c)
+			link_add(p, c, t->address);
+	}
+}
+
+static void close_silent(struct peers *p, uint64_t now)
+{
+	for (guint i = p->links->len; i-- > 0;) {
+		struct link *l;
+
+		if (i >= p->links->len)
+			continue;
+		l = g_ptr_array_index(p->links, i);
+		if (now - l->heard_ms > SILENT_MS)
+			drop_link(p, l, "silent");
+	}
+}
+
+static void judge_states(struct peers *p, uint64_t now)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, p->states);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct peer_state *st = v;
+
+		if (st->reachable && now - st->heard_ms > SILENT_MS) {
+			st->reachable = false;
+			event_add(p->env->events, "peer_silent", st->name,
+				  NULL, "no heartbeat for %d ms", SILENT_MS);
+		}
+		if (now - st->heard_ms > FORGET_MS)
+			g_hash_table_iter_remove(&it);
+	}
+}
+
+static void count_bytes(struct peers *p)
+{
+	uint64_t total = 0;
+
+	for (guint i = 0; i < p->links->len; i++) {
+		const struct link *l = g_ptr_array_index(p->links, i);
+
+		total += frame_bytes_sent(l->conn);
+	}
+	if (total > p->bytes_told)
+		counter_add(p->env->counters, "peer_bytes_sent", NULL,
+			    total - p->bytes_told);
+	p->bytes_told = total;
+}
+
+static void on_timer(void *arg)
+{
+	struct peers *p = arg;
+	uint64_t now = clock_mono_ms();
+
+	close_silent(p, now);
+	judge_states(p, now);
+	connect_targets(p);
+	heartbeat_all(p);
+	count_bytes(p);
+	post_peers(p);
+	timer_start(p->env->loop, &p->timer, HEARTBEAT_MS);
+}
+
+static void learn_members(struct peers *p, const json_t *list)
+{
+	json_t *v;
+	size_t i;
+
+	json_array_foreach(list, i, v)
+		if (!strcmp(json_str_or(v, "role", ""), "entry"))
+			add_target(p, json_str_or(v, "address", ""),
+				   json_str_or(v, "domain", ""));
+}
+
+static void receive(void *task, struct message *m)
+{
+	struct peers *p = task;
+
+	switch ((int)m->tag) {
+	case MSG_CHECK:
+		pass_check(p, m);
+		break;
+	case MSG_CHECK_DONE:
+		answer_check(p, m);
+		break;
+	case MSG_ROWS:
+		answer_rows(p, m);
+		break;
+	case MSG_ROWS_HINT:
+		hint_rows(p, &m->rows);
+		break;
+	case MSG_MEMBERS:
+		learn_members(p, m->json);
+		break;
+	case MSG_CONFIG:
+		config_unref(p->config);
+		p->config = m->config;
+		m->config = NULL;
+		heartbeat_all(p);
+		break;
+	case MSG_ROLE:
+		json_decref(p->role.leaving);
+		p->role = m->role;
+		m->role.leaving = NULL;
+		heartbeat_all(p);
+		break;
+	case MSG_LEAVE:
+		p->leaving = true;
+		heartbeat_all(p);
+		break;
+	}
+}
+
+/* Create the task; NULL when its address cannot be had. */
+struct peers *peers_create(struct env *env)
+{
+	const struct settings *s = env->settings;
+	struct peers *p = g_new0(struct peers, 1);
+	char address[ADDRESS_TEXT_BYTES];
+
+	p->env = env;
+	p->links = g_ptr_array_new();
+	p->targets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   g_free);
+	p->states = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					  g_free);
+	p->sent = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					passed_free);
+	p->received = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					    passed_free);
+	address_format(&s->peer, p->self, sizeof(p->self));
+	for (uint32_t i = 0; i < s->seeds_len; i++) {
+		address_format(&s->seeds[i], address, sizeof(address));
+		add_target(p, address, "");
+	}
+	timer_init(&p->timer, on_timer, p);
+	bus_attach(env->bus, TASK_PEER, receive, p);
+	p->listener = frame_listen(env->loop, &s->peer, &link_events, p);
+	if (!p->listener) {
+		peers_destroy(p);
+		return NULL;
+	}
+	timer_start(env->loop, &p->timer, 0);
+	return p;
+}
+
+/* Close all links and free p. */
+void peers_destroy(struct peers *p)
+{
+	if (!p)
+		return;
+	timer_stop(p->env->loop, &p->timer);
+	bus_attach(p->env->bus, TASK_PEER, NULL, NULL);
+	frame_listener_destroy(p->listener);
+	while (p->links->len) {
+		struct link *l = g_ptr_array_index(p->links, 0);
+		struct frame_conn *c = l->conn;
+
+		forget_link(p, l);
+		frame_close(c);
+	}
+	g_ptr_array_free(p->links, TRUE);
+	g_hash_table_destroy(p->targets);
+	g_hash_table_destroy(p->states);
+	g_hash_table_destroy(p->sent);
+	g_hash_table_destroy(p->received);
+	json_decref(p->role.leaving);
+	config_unref(p->config);
+	g_free(p);
+}
--- /dev/null
+++ b/daemon/peer.h
@@ -0,0 +1,12 @@
+/* The task that talks to other instances. */
+#ifndef DAEMON_PEER_H
+#define DAEMON_PEER_H
+
+#include "daemon/env.h"
+
+struct peers;
+
+struct peers *peers_create(struct env *env);
+void peers_destroy(struct peers *p);
+
+#endif
--- /dev/null
+++ b/daemon/store.c
@@ -0,0 +1,458 @@
+/*
+ * The configuration task.  Rows come from the table and from peers; a
+ * row is replaced only by one of a larger version, so what is in force
+ * never reverts.  A change is one transaction over its rows, the
+ * bindings that follow from it, and a head row that is compared and
+ * set: of two operators who race, one wins.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "daemon/store.h"
+
+#define PREFIX "config/"
+#define KEY_HEAD "config/head"
+#define KEY_BINDING "config/binding/"
+#define APPLY_TRIES 4
+
+struct store {
+	struct env *env;
+	json_t *rows; /* key to {"version", "value"}; value null: deleted */
+	uint64_t newest;   /* version of the newest row */
+	uint64_t complete; /* no older row is missing */
+	struct config *snapshot;
+	GHashTable *applies; /* ticket to struct apply */
+	uint64_t next_ticket;
+	bool rebinding;
+};
+
+/* A change on its way into the table. */
+struct apply {
+	struct message asked; /* to answer; rebinds have no asker */
+	bool rebind;
+	uint64_t ticket;
+	uint64_t base; /* version of the head that it builds on */
+	char *nonce;
+	json_t *rows; /* key to value */
+	json_t *ops;
+	uint32_t tries;
+};
+
+static uint64_t row_version(const struct store *s, const char *key)
+{
+	return json_int_or(json_object_get(s->rows, key), "version", 0);
+}
+
+/* Take a row; false when a newer or the same one is known. */
+static bool put_row(struct store *s, const char *key, uint64_t version,
+		    json_t *value)
+{
+	if (!g_str_has_prefix(key, PREFIX) || version <= row_version(s, key))
+		return false;
+	json_object_set_new(s->rows, key,
+			    json_pack("{s:I,s:O}", "version",
+				      (json_int_t)version, "value",
+				      value ? value : json_null()));
+	s->newest = MAX(s->newest, version);
+	return true;
+}
+
+/* Return the rows that exist as an object of key to value. */
+static json_t *live_values(const struct store *s)
+{
+	json_t *out = json_object();
+	const char *key;
+	json_t *row;
+
+	json_object_foreach(s->rows, key, row) {
+		json_t *value = json_object_get(row, "value");
+
+		if (!json_is_null(value))
+			json_object_set(out, key, value);
+	}
+	return out;
+}
+
+static void publish(struct store *s)
+{
+	static const enum task_id listeners[] = {TASK_CALLER, TASK_CHECK,
+						 TASK_JOB, TASK_DECIDER,
+						 TASK_PEER};
+	json_t *values = live_values(s);
+
+	config_unref(s->snapshot);
+	s->snapshot = config_build(values, s->newest);
+	s->snapshot->head = row_version(s, KEY_HEAD);
+	s->snapshot->complete = s->complete;
+	json_decref(values);
+	for (size_t i = 0; i < G_N_ELEMENTS(listeners); i++) {
+		struct message m = {.tag = MSG_CONFIG,
+				    .from = TASK_CONFIG,
+				    .to = listeners[i]};
+
+		m.config = config_ref(s->snapshot);
+		bus_post(s->env->bus, &m);
+	}
+	event_add(s->env->events, "config_in_force", "config", NULL,
+		  "version %" G_GUINT64_FORMAT, s->newest);
+}
+
+static void take_rows(struct store *s, const struct rows *r)
+{
+	bool changed = false;
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(r->list, i, row)
+		if (put_row(s, json_str_or(row, "key", ""),
+			    json_int_or(row, "version", 0),
+			    json_object_get(row, "value")))
+			changed = true;
+	if (r->complete > s->complete)
+		s->complete = r->complete;
+	if (changed)
+		publish(s);
+}
+
+/* Give a peer, through the peer task, the rows after a version. */
+static void send_rows(struct store *s, const struct message *asked)
+{
+	struct message m = {.tag = MSG_ROWS,
+			    .from = TASK_CONFIG,
+			    .to = asked->from,
+			    .ticket = asked->ticket};
+	const char *key;
+	json_t *row;
+
+	m.rows.list = json_array();
+	m.rows.complete = s->complete;
+	json_object_foreach(s->rows, key, row) {
+		if ((uint64_t)json_int_or(row, "version", 0) <= asked->number)
+			continue;
+		json_array_append_new(
+			m.rows.list,
+			json_pack("{s:s,s:O,s:O}", "key", key, "version",
+				  json_object_get(row, "version"), "value",
+				  json_object_get(row, "value")));
+	}
+	bus_post(s->env->bus, &m);
+}
+
+/* Changes */
+
+static void apply_free(void *p)
+{
+	struct apply *a = p;
+
+	g_free(a->nonce);
+	json_decref(a->rows);
+	json_decref(a->ops);
+	g_free(a);
+}
+
+static void apply_answer(struct store *s, struct apply *a, struct verdict v,
+			 json_t *body)
+{
+	if (a->rebind) {
+		s->rebinding = false;
+		json_decref(body);
+	} else {
+		post_report(s->env->bus, &a->asked, v, body);
+	}
+	g_hash_table_remove(s->applies, &a->ticket);
+}
+
+/* The rows of a are in the table at version: take them. */
+static void apply_done(struct store *s, struct apply *a, uint64_t version)
+{
+	const char *key;
+	json_t *value;
+
+	json_object_foreach(a->rows, key, value)
+		put_row(s, key, version, value);
+	/* the head was compared: no other change lies in between */
+	s->complete = MAX(s->complete, version);
+	event_add(s->env->events, a->rebind ? "rebound" : "config_accepted",
+		  "config", NULL, "version %" G_GUINT64_FORMAT, version);
+	publish(s);
+	apply_answer(s, a, verdict_ran(),
+		     json_pack("{s:I}", "version", (json_int_t)version));
+}
+
+static void apply_send(struct store *s, struct apply *a)
+{
+	a->tries++;
+	post_txn(s->env->bus, TASK_CONFIG, a->ticket, json_incref(a->ops));
+}
+
+static json_t *apply_ops(const struct apply *a)
+{
+	json_t *ops = json_array();
+	const char *key;
+	json_t *value;
+
+	json_object_foreach(a->rows, key, value)
+		json_array_append_new(
+			ops, strcmp(key, KEY_HEAD)
+				     ? json_pack("{s:s,s:O}", "key", key,
+						 "value", value)
+				     : json_pack("{s:s,s:O,s:I}", "key", key,
+						 "value", value, "expect",
+						 (json_int_t)a->base));
+	return ops;
+}
+
+/* Add to rows the bindings that differ from the present ones. */
+static void add_bindings(const struct store *s, json_t *rows, json_t *bindings)
+{
+	const char *key;
+	json_t *value;
+
+	json_object_foreach(bindings, key, value) {
+		const json_t *have = json_object_get(
+			json_object_get(s->rows, key), "value");
+
+		if (!have || !json_equal(have, value))
+			json_object_set(rows, key, value);
+	}
+}
+
+/* Start the transaction for rows, which is taken. */
+static void apply_start(struct store *s, const struct message *asked,
+			json_t *rows)
+{
+	struct apply *a = g_new0(struct apply, 1);
+
+	a->rebind = asked->question.what == ASK_REBIND;
+	a->asked = *asked;
+	memset(&a->asked.question, 0, sizeof(a->asked.question));
+	a->ticket = ++s->next_ticket;
+	a->base = row_version(s, KEY_HEAD);
+	a->nonce = g_strdup_printf("%s-%" G_GUINT64_FORMAT
+				   "-%" G_GUINT64_FORMAT,
+				   s->env->settings->name,
+				   s->env->settings->incarnation, a->ticket);
+	json_object_set_new(rows, KEY_HEAD,
+			    json_pack("{s:s}", "nonce", a->nonce));
+	a->rows = rows;
+	a->ops = apply_ops(a);
+	g_hash_table_insert(s->applies, &a->ticket, a);
+	apply_send(s, a);
+}
+
+/* Return all values as they would be after the change. */
+static json_t *merged_values(const struct store *s, const json_t *changes)
+{
+	json_t *all = live_values(s);
+	const char *key;
+	json_t *value;
+
+	json_object_foreach((json_t *)changes, key, value) {
+		if (json_is_null(value))
+			json_object_del(all, key);
+		else
+			json_object_set(all, key, value);
+	}
+	return all;
+}
+
+static void report_problems(struct store *s, const struct message *asked,
+			    const struct problems *p)
+{
+	struct verdict v = verdict_did_not_run(REASON_BAD_REQUEST);
+
+	counter_add(s->env->counters, "config_refused", NULL, 1);
+	post_report(s->env->bus, asked, v,
+		    json_pack("{s:o}", "problems", problems_json(p)));
+}
+
+static void ask_apply(struct store *s, const struct message *m)
+{
+	struct problems *p = problems_create("configuration");
+	const json_t *file = m->question.body;
+	json_int_t base = json_int_or(file, "base", -1);
+	json_t *rows = NULL, *all = NULL, *bindings = NULL;
+	struct config *c = NULL;
+
+	schema_check(config_file_fields, file, "", p);
+	if (problems_count(p)) {
+		report_problems(s, m, p);
+		goto out;
+	}
+	if (base >= 0 && (uint64_t)base != row_version(s, KEY_HEAD)) {
+		post_report(s->env->bus, m,
+			    verdict_did_not_run(REASON_CONFLICT),
+			    json_pack("{s:I}", "head",
+				      (json_int_t)row_version(s, KEY_HEAD)));
+		goto out;
+	}
+	rows = config_file_rows(file);
+	all = merged_values(s, rows);
+	c = config_build(all, s->newest);
+	config_check(c, p);
+	bindings = config_bind(c, NULL, p);
+	if (problems_count(p)) {
+		report_problems(s, m, p);
+		goto out;
+	}
+	add_bindings(s, rows, bindings);
+	apply_start(s, m, json_incref(rows));
+out:
+	json_decref(bindings);
+	json_decref(all);
+	json_decref(rows);
+	config_unref(c);
+	problems_destroy(p);
+}
+
+static void ask_rebind(struct store *s, const struct message *m)
+{
+	struct problems *p = problems_create("rebind");
+	json_t *rows = json_object();
+	json_t *bindings = NULL;
+	char *text;
+
+	if (s->rebinding || !s->snapshot)
+		goto out;
+	bindings = config_bind(s->snapshot, m->question.body, p);
+	add_bindings(s, rows, bindings);
+	if (problems_count(p)) {
+		text = problems_text(p);
+		event_add(s->env->events, "guarantee_unmet", "config", NULL,
+			  "%s", text);
+		log_line(LOG_ERROR, "guarantee_unmet", "%s", text);
+		g_free(text);
+	}
+	if (!json_object_size(rows))
+		goto out;
+	s->rebinding = true;
+	apply_start(s, m, json_incref(rows));
+out:
+	json_decref(bindings);
+	json_decref(rows);
+	problems_destroy(p);
+}
+
+static void ask_config(struct store *s, const struct message *m)
+{
+	json_t *values = live_values(s);
+	json_t *accounts = json_array(), *upstreams = json_array();
+	json_t *bindings = json_object();
+	json_t *limits = json_object_get(values, "config/limits");
+	const char *key;
+	json_t *value;
+
+	json_object_foreach(values, key, value) {
+		if (g_str_has_prefix(key, "config/account/"))
+			json_array_append(accounts, value);
+		else if (g_str_has_prefix(key, "config/upstream/"))
+			json_array_append(upstreams, value);
+		else if (g_str_has_prefix(key, KEY_BINDING))
+			json_object_set(bindings, key + strlen(KEY_BINDING),
+					value);
+	}
+	post_report(s->env->bus, m, verdict_ran(),
+		    json_pack("{s:I,s:I,s:o,s:o,s:o,s:O?}", "version",
+			      (json_int_t)s->newest, "head",
+			      (json_int_t)row_version(s, KEY_HEAD), "accounts",
+			      accounts, "upstreams", upstreams, "bindings",
+			      bindings, "limits", limits));
+	json_decref(values);
+}
+
+static void txn_done(struct store *s, const struct message *m)
+{
+	struct apply *a = g_hash_table_lookup(s->applies, &m->ticket);
+
+	if (!a)
+		return;
+	switch (m->txn.verdict.tag) {
+	case VERDICT_RAN:
+		apply_done(s, a, m->txn.version);
+		break;
+	case VERDICT_DID_NOT_RUN:
+		if (a->tries > 1) /* an earlier send may be what it met */
+			post_read(s->env->bus, TASK_CONFIG, a->ticket,
+				  KEY_HEAD);
+		else
+			apply_answer(s, a, m->txn.verdict, NULL);
+		break;
+	case VERDICT_MAY_HAVE_RUN:
+		post_read(s->env->bus, TASK_CONFIG, a->ticket, KEY_HEAD);
+		break;
+	}
+}
+
+/* The head was read back after an ambiguous answer. */
+static void read_done(struct store *s, const struct message *m)
+{
+	struct apply *a = g_hash_table_lookup(s->applies, &m->ticket);
+	uint64_t version = m->txn.version;
+	const char *nonce = json_str_or(
+		json_object_get(m->txn.conflict, "value"), "nonce", "");
+
+	if (!a)
+		return;
+	if (verdict_is_ran(m->txn.verdict) && !strcmp(nonce, a->nonce))
+		apply_done(s, a, version);
+	else if (verdict_is_ran(m->txn.verdict) && version != a->base)
+		apply_answer(s, a, verdict_may_have_run(REASON_CONFLICT),
+			     NULL);
+	else if (a->tries < APPLY_TRIES)
+		apply_send(s, a);
+	else
+		apply_answer(s, a, verdict_may_have_run(REASON_PLATFORM_OUT),
+			     NULL);
+}
+
+static void receive(void *task, struct message *m)
+{
+	struct store *s = task;
+
+	switch ((int)m->tag) {
+	case MSG_ROWS:
+		take_rows(s, &m->rows);
+		break;
+	case MSG_ROWS_WANTED:
+		send_rows(s, m);
+		break;
+	case MSG_TXN_DONE:
+		txn_done(s, m);
+		break;
+	case MSG_READ_DONE:
+		read_done(s, m);
+		break;
+	case MSG_ASK:
+		if (m->question.what == ASK_APPLY)
+			ask_apply(s, m);
+		else if (m->question.what == ASK_REBIND)
+			ask_rebind(s, m);
+		else if (m->question.what == ASK_CONFIG)
+			ask_config(s, m);
+		break;
+	}
+}
+
+/* Create the task without any configuration. */
+struct store *store_create(struct env *env)
+{
+	struct store *s = g_new0(struct store, 1);
+
+	s->env = env;
+	s->rows = json_object();
+	s->applies = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					   apply_free);
+	bus_attach(env->bus, TASK_CONFIG, receive, s);
+	return s;
+}
+
+/* Free s; changes that are under way get no answer. */
+void store_destroy(struct store *s)
+{
+	if (!s)
+		return;
+	json_decref(s->rows);
+	config_unref(s->snapshot);
+	g_hash_table_destroy(s->applies);
+	g_free(s);
+}
--- /dev/null
+++ b/lib/counter.c
@@ -0,0 +1,164 @@
+/*
+ * Counters by name and label, and histograms whose buckets grow by a
+ * sixteenth of a power of two, so that a quantile is off by at most 7 %.
+ */
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/counter.h"
+
+#define SUB_BITS 4
+#define SUB_COUNT (1u << SUB_BITS)
+
+struct counters {
+	GHashTable *values;  /* "name{label}" to uint64_t */
+	GHashTable *latency; /* name to struct histogram */
+};
+
+static uint32_t bucket_of(uint64_t us)
+{
+	uint32_t top, i;
+
+	if (us < SUB_COUNT)
+		return us;
+	top = 63 - __builtin_clzll(us);
+	i = (top - SUB_BITS + 1) * SUB_COUNT +
+	    ((us >> (top - SUB_BITS)) & (SUB_COUNT - 1));
+	return i < BUCKET_COUNT ? i : BUCKET_COUNT - 1;
+}
+
+static uint64_t bucket_top_us(uint32_t i)
+{
+	uint32_t shift;
+
+	if (i < SUB_COUNT)
+		return i;
+	shift = i / SUB_COUNT - 1;
+	return ((uint64_t)(SUB_COUNT + i % SUB_COUNT + 1) << shift) - 1;
+}
+
+/* Count one duration of us microseconds. */
+void histogram_add(struct histogram *h, uint64_t us)
+{
+	h->buckets[bucket_of(us)]++;
+	h->count++;
+	h->sum_us += us;
+	if (us > h->max_us)
+		h->max_us = us;
+}
+
+/* Return an upper bound of quantile q (0 to 1) in microseconds. */
+uint64_t histogram_quantile_us(const struct histogram *h, double q)
+{
+	uint64_t want = (uint64_t)((double)h->count * q);
+	uint64_t seen = 0;
+
+	for (uint32_t i = 0; i < BUCKET_COUNT; i++) {
+		seen += h->buckets[i];
+		if (seen > want)
+			return MIN(bucket_top_us(i), h->max_us);
+	}
+	return h->max_us;
+}
+
+/* Create an empty set of counters. */
+struct counters *counters_create(void)
+{
+	struct counters *c = g_new0(struct counters, 1);
+
+	c->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					  g_free);
+	c->latency = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   g_free);
+	return c;
+}
+
+/* Free c and all that it counted. */
+void counters_destroy(struct counters *c)
+{
+	if (!c)
+		return;
+	g_hash_table_destroy(c->values);
+	g_hash_table_destroy(c->latency);
+	g_free(c);
+}
+
+static char *key_of(const char *name, const char *label)
+{
+	if (!label)
+		return g_strdup_printf("lacewing_%s", name);
+	return g_strdup_printf("lacewing_%s{%s}", name, label);
+}
+
+/* Add n to the counter name; label is `key="value"` pairs or NULL. */
+void counter_add(struct counters *c, const char *name, const char *label,
+		 uint64_t n)
+{
+	char *k = key_of(name, label);
+	uint64_t *v = g_hash_table_lookup(c->values, k);
+
+	if (!v) {
+		v = g_new0(uint64_t, 1);
+		g_hash_table_insert(c->values, g_strdup(k), v);
+	}
+	*v += n;
+	g_free(k);
+}
+
+/* Return the value of a counter; 0 when it was never added to. */
+uint64_t counter_get(const struct counters *c, const char *name,
+		     const char *label)
+{
+	char *k = key_of(name, label);
+	uint64_t *v = g_hash_table_lookup(c->values, k);
+
+	g_free(k);
+	return v ? *v : 0;
+}
+
+/* Count a duration of us microseconds under name. */
+void latency_add(struct counters *c, const char *name, uint64_t us)
+{
+	struct histogram *h = g_hash_table_lookup(c->latency, name);
+
+	if (!h) {
+		h = g_new0(struct histogram, 1);
+		g_hash_table_insert(c->latency, g_strdup(name), h);
+	}
+	histogram_add(h, us);
+}
+
+static void latency_text(GString *s, const char *name,
+			 const struct histogram *h)
+{
+	static const double quantiles[] = {0.5, 0.99, 1.0};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(quantiles); i++)
+		g_string_append_printf(
+			s, "lacewing_%s_us{quantile=\"%g\"} %llu\n", name,
+			quantiles[i],
+			(unsigned long long)histogram_quantile_us(
+				h, quantiles[i]));
+	g_string_append_printf(s, "lacewing_%s_us_count %llu\n", name,
+			       (unsigned long long)h->count);
+	g_string_append_printf(s, "lacewing_%s_us_sum %llu\n", name,
+			       (unsigned long long)h->sum_us);
+}
+
+/* Return all counters as text, a line each; free with g_free. */
+char *counters_text(const struct counters *c)
+{
+	GString *s = g_string_new(NULL);
+	GHashTableIter it;
+	gpointer k, v;
+
+	g_hash_table_iter_init(&it, c->values);
+	while (g_hash_table_iter_next(&it, &k, &v))
+		g_string_append_printf(s, "%s %llu\n", (char *)k,
+				       (unsigned long long)*(uint64_t *)v);
+	g_hash_table_iter_init(&it, c->latency);
+	while (g_hash_table_iter_next(&it, &k, &v))
+		latency_text(s, k, v);
+	return g_string_free(s, FALSE);
+}
--- /dev/null
+++ b/lib/event.c
@@ -0,0 +1,121 @@
+/*
+ * Events carry a hybrid logical clock: wall milliseconds in the upper 48
+ * bits, a counter in the lower 16.  A stamp received from a peer moves
+ * the clock past it, so that an effect never sorts before its cause.
+ */
+#include <glib.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "lib/event.h"
+#include "lib/loop.h"
+
+#define COUNTER_BITS 16
+#define TEXT_BYTES 200
+#define NAME_BYTES 72
+
+struct event {
+	uint64_t stamp;
+	char kind[32];
+	char subject[NAME_BYTES];
+	char account[NAME_BYTES];
+	char text[TEXT_BYTES];
+};
+
+struct event_ring {
+	struct event *events;
+	uint32_t capacity;
+	uint64_t added;
+	uint64_t clock;
+};
+
+/* Create a ring that keeps the newest `capacity` events. */
+struct event_ring *event_ring_create(uint32_t capacity)
+{
+	struct event_ring *r = g_new0(struct event_ring, 1);
+
+	r->events = g_new0(struct event, capacity);
+	r->capacity = capacity;
+	return r;
+}
+
+/* Free r and its events. */
+void event_ring_destroy(struct event_ring *r)
+{
+	if (!r)
+		return;
+	g_free(r->events);
+	g_free(r);
+}
+
+/* Advance the clock and return a stamp later than all before. */
+uint64_t event_clock(struct event_ring *r)
+{
+	uint64_t wall = clock_wall_ms() << COUNTER_BITS;
+
+	r->clock = wall > r->clock ? wall : r->clock + 1;
+	return r->clock;
+}
+
+/* Move the clock past a stamp that a peer has sent. */
+void event_clock_seen(struct event_ring *r, uint64_t stamp)
+{
+	if (stamp > r->clock)
+		r->clock = stamp;
+}
+
+/*
+ * Record an event of a kind about subject (a job, request or upstream);
+ * account may be NULL.  The oldest event makes room.
+ */
+void event_add(struct event_ring *r, const char *kind, const char *subject,
+	       const char *account, const char *fmt, ...)
+{
+	struct event *e = &r->events[r->added++ % r->capacity];
+	va_list ap;
+
+	e->stamp = event_clock(r);
+	g_strlcpy(e->kind, kind, sizeof(e->kind));
+	g_strlcpy(e->subject, subject, sizeof(e->subject));
+	g_strlcpy(e->account, account ? account : "", sizeof(e->account));
+	va_start(ap, fmt);
+	vsnprintf(e->text, sizeof(e->text), fmt, ap);
+	va_end(ap);
+}
+
+static bool wanted(const struct event *e, uint64_t since, const char *subject,
+		   const char *account)
+{
+	if (e->stamp <= since)
+		return false;
+	if (subject && strcmp(subject, e->subject))
+		return false;
+	return !account || !strcmp(account, e->account);
+}
+
+/*
+ * Return the events after stamp `since`, oldest first, as a JSON array;
+ * subject and account narrow the choice when they are not NULL.
+ */
+json_t *event_list(const struct event_ring *r, uint64_t since,
+		   const char *subject, const char *account)
+{
+	json_t *out = json_array();
+	uint64_t first = r->added > r->capacity ? r->added - r->capacity : 0;
+
+	for (uint64_t i = first; i < r->added; i++) {
+		const struct event *e = &r->events[i % r->capacity];
+
+		if (!wanted(e, since, subject, account))
+			continue;
+		json_array_append_new(
+			out, json_pack("{s:I,s:I,s:s,s:s,s:s,s:s}", "stamp",
+				       (json_int_t)e->stamp, "time_ms",
+				       (json_int_t)(e->stamp >> COUNTER_BITS),
+				       "kind", e->kind, "subject", e->subject,
+				       "account", e->account, "text",
+				       e->text));
+	}
+	return out;
+}
--- /dev/null
+++ b/lib/frame.h
@@ -0,0 +1,40 @@
+/* Framed TCP connections that carry peer messages. */
+#ifndef LIB_FRAME_H
+#define LIB_FRAME_H
+
+#include <netinet/in.h>
+
+#include "lib/loop.h"
+#include "proto/peer.pb-c.h"
+
+#define FRAME_MAX_BYTES (4u << 20)
+#define FRAME_HEADER_BYTES 4
+
+struct frame_conn;
+struct frame_listener;
+
+struct frame_events {
+	void (*opened)(void *arg, struct frame_conn *c);
+	void (*received)(void *arg, struct frame_conn *c,
+			 const Lacewing__Envelope *e);
+	void (*closed)(void *arg, struct frame_conn *c, const char *why);
+};
+
+struct frame_listener *frame_listen(struct loop *l,
+				    const struct sockaddr_in *at,
+				    const struct frame_events *ev, void *arg);
+void frame_listener_destroy(struct frame_listener *f);
+struct frame_conn *frame_connect(struct loop *l, const struct sockaddr_in *to,
+				 const struct frame_events *ev, void *arg);
+void frame_send(struct frame_conn *c, const Lacewing__Envelope *e);
+void frame_close(struct frame_conn *c);
+uint64_t frame_bytes_sent(const struct frame_conn *c);
+
+/*
+ * Take one frame from buf: return its size in bytes with *payload set,
+ * 0 when it is not all there, -1 when its length is out of bounds.
+ */
+int64_t frame_parse(const uint8_t *buf, size_t len, const uint8_t **payload,
+		    uint32_t *payload_len);
+
+#endif
--- /dev/null
+++ b/lib/http.h
@@ -0,0 +1,71 @@
+/* HTTP over h2o: a client that gives verdicts and a small server. */
+#ifndef LIB_HTTP_H
+#define LIB_HTTP_H
+
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "lib/loop.h"
+#include "lib/verdict.h"
+
+/* Client */
+
+struct http_client;
+struct http_pool;
+struct http_call;
+
+struct http_result {
+	struct verdict verdict; /* ran: a whole answer was received */
+	int status;
+	const char *body; /* ends in NUL; valid during the callback */
+	size_t len;
+};
+
+typedef void (*http_done_fn)(void *arg, const struct http_result *r);
+
+struct http_client *http_client_create(struct loop *l);
+void http_client_destroy(struct http_client *c);
+
+struct http_pool *http_pool_create(struct http_client *c,
+				   const struct sockaddr_in *peer,
+				   uint32_t max_connections);
+void http_pool_destroy(struct http_pool *p);
+uint32_t http_pool_in_flight(const struct http_pool *p);
+void http_pool_distrust(struct http_pool *p);
+
+struct http_call *http_call_start(struct http_pool *p, const char *method,
+				  const char *path, const char *body,
+				  uint32_t timeout_ms, http_done_fn done,
+				  void *arg);
+void http_call_cancel(struct http_call *call);
+
+/* Server */
+
+struct http_server;
+struct http_exchange;
+
+typedef void (*http_handler_fn)(void *arg, struct http_exchange *x);
+
+struct http_server *http_server_create(struct loop *l,
+				       const struct sockaddr_in *at,
+				       size_t max_body, http_handler_fn fn,
+				       void *arg);
+void http_server_destroy(struct http_server *s);
+void http_server_stop_accepting(struct http_server *s);
+void http_server_close_after_reply(struct http_server *s);
+
+const char *exchange_method(const struct http_exchange *x);
+const char *exchange_path(const struct http_exchange *x);
+const char *exchange_body(const struct http_exchange *x, size_t *len);
+char *exchange_query(const struct http_exchange *x, const char *name);
+void exchange_reply(struct http_exchange *x, int status, const char *type,
+		    const char *body, uint32_t retry_after_ms);
+
+bool address_parse(const char *s, struct sockaddr_in *a);
+void address_format(const struct sockaddr_in *a, char *buf, size_t len);
+
+#define ADDRESS_TEXT_BYTES 32
+
+#endif
--- /dev/null
+++ b/lib/httpclient.c
@@ -0,0 +1,330 @@
+/*
+ * The HTTP client.  A call ends in exactly one callback.  Its verdict
+ * says whether the request may have reached the other side: nothing was
+ * sent before a connection was open, everything may have been after.
+ * When a call times out or is cut, the idle connections to that peer
+ * are closed: they may have been forgotten by something in between.
+ */
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/http.h"
+
+#define POOL_IDLE_MS 4000
+#define IO_TIMEOUT_MS 120000
+#define MAX_BODY_BYTES (8u << 20)
+
+struct http_client {
+	struct loop *loop;
+	h2o_timeout_t io_timeout;
+	h2o_http1client_ctx_t ctx;
+};
+
+/* One generation of pooled connections. */
+struct conn_set {
+	h2o_socketpool_t sockets;
+	uint32_t in_flight;
+	bool retired;
+};
+
+struct http_pool {
+	struct http_client *client;
+	struct sockaddr_in peer;
+	uint32_t max_connections;
+	struct conn_set *set;
+	GPtrArray *retired;
+	GHashTable *calls;
+};
+
+struct http_call {
+	struct http_pool *pool;
+	struct conn_set *set;
+	h2o_http1client_t *client;
+	struct timer timer;
+	char *request;
+	h2o_iovec_t iov;
+	GByteArray *body;
+	bool sent;
+	bool framed; /* the answer says where it ends */
+	int status;
+	http_done_fn done;
+	void *arg;
+};
+
+/* Create the state that all pools of one loop share. */
+struct http_client *http_client_create(struct loop *l)
+{
+	struct http_client *c = g_new0(struct http_client, 1);
+
+	c->loop = l;
+	h2o_timeout_init(loop_h2o(l), &c->io_timeout, IO_TIMEOUT_MS);
+	c->ctx.loop = loop_h2o(l);
+	c->ctx.io_timeout = &c->io_timeout;
+	return c;
+}
+
+/* Free c; every pool must have been destroyed before. */
+void http_client_destroy(struct http_client *c)
+{
+	if (!c)
+		return;
+	h2o_timeout_dispose(loop_h2o(c->loop), &c->io_timeout);
+	g_free(c);
+}
+
+static struct conn_set *set_create(struct http_pool *p)
+{
+	struct conn_set *s = g_new0(struct conn_set, 1);
+
+	h2o_socketpool_init_by_address(&s->sockets,
+				       (struct sockaddr *)&p->peer,
+				       sizeof(p->peer), 0, p->max_connections);
+	h2o_socketpool_set_timeout(&s->sockets, loop_h2o(p->client->loop),
+				   POOL_IDLE_MS);
+	return s;
+}
+
+static void set_destroy(struct conn_set *s)
+{
+	h2o_timeout_unlink(&s->sockets._interval_cb.entry);
+	h2o_socketpool_dispose(&s->sockets);
+	g_free(s);
+}
+
+/* Create a pool of at most max_connections open calls to peer. */
+struct http_pool *http_pool_create(struct http_client *c,
+				   const struct sockaddr_in *peer,
+				   uint32_t max_connections)
+{
+	struct http_pool *p = g_new0(struct http_pool, 1);
+
+	p->client = c;
+	p->peer = *peer;
+	p->max_connections = max_connections;
+	p->retired = g_ptr_array_new();
+	p->calls = g_hash_table_new(NULL, NULL);
+	p->set = set_create(p);
+	return p;
+}
+
+static void call_free(struct http_call *call)
+{
+	timer_stop(call->pool->client->loop, &call->timer);
+	g_hash_table_remove(call->pool->calls, call);
+	g_free(call->request);
+	g_byte_array_free(call->body, TRUE);
+	g_free(call);
+}
+
+/* Free the retired sets that no call uses any more. */
+static void sweep_retired(struct http_pool *p)
+{
+	for (guint i = p->retired->len; i-- > 0;) {
+		struct conn_set *s = g_ptr_array_index(p->retired, i);
+
+		if (s->in_flight)
+			continue;
+		g_ptr_array_remove_index_fast(p->retired, i);
+		set_destroy(s);
+	}
+}
+
+/* Cancel the open calls of p without their callbacks and free p. */
+void http_pool_destroy(struct http_pool *p)
+{
+	GHashTableIter it;
+	gpointer k;
+
+	if (!p)
+		return;
+	for (;;) {
+		g_hash_table_iter_init(&it, p->calls);
+		if (!g_hash_table_iter_next(&it, &k, NULL))
+			break;
+		http_call_cancel(k);
+	}
+	sweep_retired(p);
+	set_destroy(p->set);
+	g_ptr_array_free(p->retired, TRUE);
+	g_hash_table_destroy(p->calls);
+	g_free(p);
+}
+
+/* Return the number of calls that are open on p. */
+uint32_t http_pool_in_flight(const struct http_pool *p)
+{
+	return g_hash_table_size(p->calls);
+}
+
+/* Take no idle connection of p again: later calls open new ones. */
+void http_pool_distrust(struct http_pool *p)
+{
+	sweep_retired(p);
+	p->set->retired = true;
+	g_ptr_array_add(p->retired, p->set);
+	p->set = set_create(p);
+	sweep_retired(p);
+}
+
+static void call_finish(struct http_call *call, struct verdict v)
+{
+	struct http_result r = {.verdict = v, .status = call->status};
+	http_done_fn done = call->done;
+	void *arg = call->arg;
+	guint8 nul = 0;
+
+	call->set->in_flight--;
+	if (v.tag != VERDICT_RAN && call->set == call->pool->set)
+		http_pool_distrust(call->pool);
+	r.len = call->body->len;
+	g_byte_array_append(call->body, &nul, 1);
+	r.body = (const char *)call->body->data;
+	timer_stop(call->pool->client->loop, &call->timer);
+	g_hash_table_remove(call->pool->calls, call);
+	done(arg, &r);
+	g_free(call->request);
+	g_byte_array_free(call->body, TRUE);
+	g_free(call);
+}
+
+static struct verdict broken(const struct http_call *call, enum reason r)
+{
+	if (call->sent)
+		return verdict_may_have_run(r);
+	return verdict_did_not_run(r);
+}
+
+static void call_timeout(void *arg)
+{
+	struct http_call *call = arg;
+
+	h2o_http1client_cancel(call->client);
+	call_finish(call, broken(call, REASON_DEADLINE));
+}
+
+static int on_body(h2o_http1client_t *c, const char *err)
+{
+	struct http_call *call = c->data;
+
+	if (c->sock) {
+		h2o_buffer_t *in = c->sock->input;
+
+		g_byte_array_append(call->body, (guint8 *)in->bytes, in->size);
+		h2o_buffer_consume(&c->sock->input, in->size);
+	}
+	if (call->body->len > MAX_BODY_BYTES) {
+		call_finish(call, verdict_may_have_run(REASON_BAD_ANSWER));
+		return -1;
+	}
+	if (!err)
+		return 0;
+	if (err == h2o_http1client_error_is_eos && call->framed)
+		call_finish(call, verdict_ran());
+	else
+		call_finish(call, verdict_may_have_run(REASON_CUT));
+	return 0;
+}
+
+static bool header_is(const h2o_header_t *h, const char *name)
+{
+	return h->name->len == strlen(name) &&
+	       !strncasecmp(h->name->base, name, h->name->len);
+}
+
+static h2o_http1client_body_cb on_head(h2o_http1client_t *c, const char *err,
+				       int minor, int status, h2o_iovec_t msg,
+				       h2o_header_t *headers, size_t n,
+				       int rlen)
+{
+	struct http_call *call = c->data;
+
+	(void)minor;
+	(void)msg;
+	(void)rlen;
+	if (err && err != h2o_http1client_error_is_eos) {
+		call_finish(call, verdict_may_have_run(REASON_CUT));
+		return NULL;
+	}
+	call->status = status;
+	for (size_t i = 0; i < n; i++)
+		if (header_is(&headers[i], "content-length") ||
+		    header_is(&headers[i], "transfer-encoding"))
+			call->framed = true;
+	if (err) {
+		call_finish(call, call->framed
+					  ? verdict_ran()
+					  : verdict_may_have_run(REASON_CUT));
+		return NULL;
+	}
+	return on_body;
+}
+
+static h2o_http1client_head_cb on_connect(h2o_http1client_t *c,
+					  const char *err, h2o_iovec_t **bufs,
+					  size_t *n, int *is_head)
+{
+	struct http_call *call = c->data;
+
+	if (err) {
+		call_finish(call, verdict_did_not_run(REASON_CONNECT));
+		return NULL;
+	}
+	call->sent = true;
+	*bufs = &call->iov;
+	*n = 1;
+	*is_head = 0;
+	return on_head;
+}
+
+static char *request_text(const struct http_pool *p, const char *method,
+			  const char *path, const char *body)
+{
+	char host[ADDRESS_TEXT_BYTES];
+
+	address_format(&p->peer, host, sizeof(host));
+	return g_strdup_printf("%s %s HTTP/1.1\r\nhost: %s\r\n"
+			       "content-type: application/json\r\n"
+			       "content-length: %zu\r\n\r\n%s",
+			       method, path, host, strlen(body), body);
+}
+
+/*
+ * Send one request; done(arg, result) follows exactly once, never from
+ * inside this call.  body may be NULL.  Return NULL, without a callback,
+ * when all connections are in use: the request did not run.
+ */
+struct http_call *http_call_start(struct http_pool *p, const char *method,
+				  const char *path, const char *body,
+				  uint32_t timeout_ms, http_done_fn done,
+				  void *arg)
+{
+	struct http_call *call;
+
+	if (http_pool_in_flight(p) >= p->max_connections)
+		return NULL;
+	call = g_new0(struct http_call, 1);
+	call->pool = p;
+	call->set = p->set;
+	call->set->in_flight++;
+	call->done = done;
+	call->arg = arg;
+	call->body = g_byte_array_new();
+	call->request = request_text(p, method, path, body ? body : "");
+	call->iov = h2o_iovec_init(call->request, strlen(call->request));
+	g_hash_table_add(p->calls, call);
+	timer_init(&call->timer, call_timeout, call);
+	timer_start(p->client->loop, &call->timer, timeout_ms);
+	h2o_http1client_connect_with_pool(&call->client, call, &p->client->ctx,
+					  &p->set->sockets, on_connect);
+	return call;
+}
+
+/* Give up on call: no callback follows. */
+void http_call_cancel(struct http_call *call)
+{
+	h2o_http1client_cancel(call->client);
+	call->set->in_flight--;
+	call_free(call);
+}
--- /dev/null
+++ b/lib/httpserver.c
@@ -0,0 +1,279 @@
+/* The HTTP server: one handler for all paths, answers in any order. */
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "lib/http.h"
+
+#define LISTEN_BACKLOG 4096
+
+struct http_server {
+	struct loop *loop;
+	h2o_globalconf_t config;
+	h2o_context_t ctx;
+	h2o_accept_ctx_t accept;
+	h2o_socket_t *listener;
+	http_handler_fn fn;
+	void *arg;
+	bool closing; /* each connection ends with its next answer */
+};
+
+struct handler {
+	h2o_handler_t super;
+	struct http_server *server;
+};
+
+struct http_exchange {
+	struct http_server *server;
+	h2o_req_t *req;		    /* NULL once the client has gone */
+	struct http_exchange **ref; /* the request's pointer back to this */
+	char *method;
+	char *path;
+	char *query;
+	char *body;
+	size_t body_len;
+};
+
+/* Read "IP:port" into *a; false when s is not of that form. */
+bool address_parse(const char *s, struct sockaddr_in *a)
+{
+	char ip[INET_ADDRSTRLEN];
+	const char *colon = s ? strrchr(s, ':') : NULL;
+	char *end;
+	unsigned long port;
+
+	memset(a, 0, sizeof(*a));
+	a->sin_family = AF_INET;
+	if (!colon || colon - s >= (long)sizeof(ip))
+		return false;
+	memcpy(ip, s, colon - s);
+	ip[colon - s] = '\0';
+	port = strtoul(colon + 1, &end, 10);
+	if (*end || end == colon + 1 || port == 0 || port > 65535)
+		return false;
+	a->sin_port = htons((uint16_t)port);
+	return inet_pton(AF_INET, ip, &a->sin_addr) == 1;
+}
+
+/* Write a as "IP:port" into buf. */
+void address_format(const struct sockaddr_in *a, char *buf, size_t len)
+{
+	char ip[INET_ADDRSTRLEN];
+
+	inet_ntop(AF_INET, &a->sin_addr, ip, sizeof(ip));
+	snprintf(buf, len, "%s:%u", ip, ntohs(a->sin_port));
+}
+
+static void request_gone(void *p)
+{
+	struct http_exchange **ref = p;
+
+	if (!*ref)
+		return;
+	(*ref)->req = NULL;
+	(*ref)->ref = NULL;
+}
+
+static int on_request(h2o_handler_t *self, h2o_req_t *req)
+{
+	struct http_server *s = ((struct handler *)self)->server;
+	struct http_exchange *x = g_new0(struct http_exchange, 1);
+	struct http_exchange **ref;
+	size_t n = req->path.len;
+
+	if (req->query_at != SIZE_MAX) {
+		n = req->query_at;
+		x->query = g_strndup(req->path.base + n + 1,
+				     req->path.len - n - 1);
+	}
+	x->server = s;
+	x->req = req;
+	x->method = g_strndup(req->method.base, req->method.len);
+	x->path = g_strndup(req->path.base, n);
+	x->body = g_strndup(req->entity.base ? req->entity.base : "",
+			    req->entity.len);
+	x->body_len = req->entity.len;
+	ref = h2o_mem_alloc_shared(&req->pool, sizeof(*ref), request_gone);
+	*ref = x;
+	x->ref = ref;
+	s->fn(s->arg, x);
+	return 0;
+}
+
+/* Return the request's method. */
+const char *exchange_method(const struct http_exchange *x)
+{
+	return x->method;
+}
+
+/* Return the request's path without its query. */
+const char *exchange_path(const struct http_exchange *x)
+{
+	return x->path;
+}
+
+/* Return the request's body, which ends in NUL, and its length. */
+const char *exchange_body(const struct http_exchange *x, size_t *len)
+{
+	if (len)
+		*len = x->body_len;
+	return x->body;
+}
+
+/* Return the query's value for name, or NULL; free with g_free. */
+char *exchange_query(const struct http_exchange *x, const char *name)
+{
+	char **parts, *value = NULL;
+	size_t n = strlen(name);
+
+	if (!x->query)
+		return NULL;
+	parts = g_strsplit(x->query, "&", -1);
+	for (char **p = parts; *p && !value; p++)
+		if (!strncmp(*p, name, n) && (*p)[n] == '=')
+			value = g_uri_unescape_string(*p + n + 1, NULL);
+	g_strfreev(parts);
+	return value;
+}
+
+static const char *status_text(int status)
+{
+	return status < 300 ? "OK" : "Not OK";
+}
+
+/*
+ * Answer x and free it.  Nothing is sent when the client has gone.
+ * retry_after_ms other than 0 is sent in whole seconds, rounded up.
+ */
+void exchange_reply(struct http_exchange *x, int status, const char *type,
+		    const char *body, uint32_t retry_after_ms)
+{
+	h2o_req_t *req = x->req;
+	h2o_iovec_t v;
+
+	if (!req)
+		goto out;
+	req->res.status = status;
+	req->res.reason = status_text(status);
+	h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
+		       NULL, type, strlen(type));
+	if (retry_after_ms) {
+		char s[16];
+
+		snprintf(s, sizeof(s), "%u", (retry_after_ms + 999) / 1000);
+		v = h2o_strdup(&req->pool, s, SIZE_MAX);
+		h2o_add_header_by_str(&req->pool, &req->res.headers,
+				      H2O_STRLIT("retry-after"), 0, NULL,
+				      v.base, v.len);
+	}
+	if (x->server->closing)
+		req->http1_is_persistent = 0;
+	v = h2o_strdup(&req->pool, body, SIZE_MAX);
+	*x->ref = NULL;
+	h2o_send_inline(req, v.base, v.len);
+out:
+	g_free(x->method);
+	g_free(x->path);
+	g_free(x->query);
+	g_free(x->body);
+	g_free(x);
+}
+
+static void on_accept(h2o_socket_t *listener, const char *err)
+{
+	struct http_server *s = listener->data;
+	h2o_socket_t *sock;
+
+	if (err)
+		return;
+	while ((sock = h2o_evloop_socket_accept(listener)))
+		h2o_accept(&s->accept, sock);
+}
+
+static int listen_on(const struct sockaddr_in *at)
+{
+	int on = 1;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (const struct sockaddr *)at, sizeof(*at)) ||
+	    listen(fd, LISTEN_BACKLOG)) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+/*
+ * Serve requests on address at with fn(arg, exchange); bodies over
+ * max_body bytes are refused with 413.  Return NULL with errno set when
+ * the address cannot be had.
+ */
+struct http_server *http_server_create(struct loop *l,
+				       const struct sockaddr_in *at,
+				       size_t max_body, http_handler_fn fn,
+				       void *arg)
+{
+	struct http_server *s;
+	h2o_hostconf_t *host;
+	h2o_pathconf_t *path;
+	struct handler *h;
+	int fd = listen_on(at);
+
+	if (fd < 0)
+		return NULL;
+	s = g_new0(struct http_server, 1);
+	s->loop = l;
+	s->fn = fn;
+	s->arg = arg;
+	h2o_config_init(&s->config);
+	s->config.max_request_entity_size = max_body;
+	s->config.server_name = h2o_iovec_init(H2O_STRLIT("lacewingspur"));
+	host = h2o_config_register_host(
+		&s->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+	path = h2o_config_register_path(host, "/", 0);
+	h = (struct handler *)h2o_create_handler(path, sizeof(*h));
+	h->super.on_req = on_request;
+	h->server = s;
+	h2o_context_init(&s->ctx, loop_h2o(l), &s->config);
+	s->accept.ctx = &s->ctx;
+	s->accept.hosts = s->config.hosts;
+	s->listener = h2o_evloop_socket_create(loop_h2o(l), fd,
+					       H2O_SOCKET_FLAG_DONT_READ);
+	s->listener->data = s;
+	h2o_socket_read_start(s->listener, on_accept);
+	return s;
+}
+
+/* Let every connection end with its next answer; go on accepting. */
+void http_server_close_after_reply(struct http_server *s)
+{
+	s->closing = true;
+}
+
+/* Close the listening socket and ask open connections to end. */
+void http_server_stop_accepting(struct http_server *s)
+{
+	if (!s->listener)
+		return;
+	h2o_socket_read_stop(s->listener);
+	h2o_socket_close(s->listener);
+	s->listener = NULL;
+	h2o_context_request_shutdown(&s->ctx);
+}
+
+/*
+ * Stop listening.  The server's memory is left to the end of the
+ * process: h2o keeps references to it in its open connections.
+ */
+void http_server_destroy(struct http_server *s)
+{
+	if (s)
+		http_server_stop_accepting(s);
+}
--- /dev/null
+++ b/lib/log.c
@@ -0,0 +1,114 @@
+/*
+ * The logger.  A record has a time, level, program, instance, an event
+ * name and a text.  The same event name is written at most LOG_BURST
+ * times a second; the next record then says how many were dropped.
+ */
+#include <stdarg.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+#include <jansson.h>
+
+#include "lib/log.h"
+#include "lib/loop.h"
+
+#define LOG_BURST 20
+#define LOG_KINDS 64
+#define LOG_TEXT_BYTES 512
+
+struct log_kind {
+	char what[32];
+	uint64_t second;
+	uint32_t written;
+	uint32_t dropped;
+};
+
+static const char *const level_names[] = {"debug", "info", "warn", "error"};
+static char program_name[32];
+static char instance_name[64];
+static enum log_level min_level = LOG_INFO;
+static struct log_kind kinds[LOG_KINDS];
+
+/* Name the program and instance of every later record. */
+void log_open(const char *program, const char *instance, enum log_level min)
+{
+	snprintf(program_name, sizeof(program_name), "%s", program);
+	snprintf(instance_name, sizeof(instance_name), "%s", instance);
+	min_level = min;
+}
+
+/* Read a level's name into *lv; false when there is no such level. */
+bool log_level_parse(const char *s, enum log_level *lv)
+{
+	for (int i = LOG_DEBUG; i <= LOG_ERROR; i++) {
+		if (!strcmp(s, level_names[i])) {
+			*lv = i;
+			return true;
+		}
+	}
+	return false;
+}
+
+static struct log_kind *kind_find(const char *what)
+{
+	uint32_t h = 5381;
+	struct log_kind *k;
+
+	for (const char *p = what; *p; p++)
+		h = h * 33 + (unsigned char)*p;
+	k = &kinds[h % LOG_KINDS];
+	if (strncmp(k->what, what, sizeof(k->what) - 1)) {
+		memset(k, 0, sizeof(*k));
+		snprintf(k->what, sizeof(k->what), "%s", what);
+	}
+	return k;
+}
+
+/* Count one more record of kind k; false when it is over the rate. */
+static bool kind_admit(struct log_kind *k, uint32_t *dropped)
+{
+	uint64_t s = clock_mono_ms() / 1000;
+
+	*dropped = 0;
+	if (k->second != s) {
+		*dropped = k->dropped;
+		k->second = s;
+		k->written = 0;
+		k->dropped = 0;
+	}
+	if (k->written >= LOG_BURST) {
+		k->dropped++;
+		return false;
+	}
+	k->written++;
+	return true;
+}
+
+/* Write one record of event what at level lv. */
+void log_line(enum log_level lv, const char *what, const char *fmt, ...)
+{
+	char text[LOG_TEXT_BYTES];
+	uint64_t now = clock_wall_ms();
+	uint32_t dropped;
+	va_list ap;
+	json_t *r;
+	char *s;
+
+	if (lv < min_level || !kind_admit(kind_find(what), &dropped))
+		return;
+	va_start(ap, fmt);
+	vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	r = json_pack("{s:I,s:s,s:s,s:s,s:s,s:s*}", "time_ms", (json_int_t)now,
+		      "level", level_names[lv], "program", program_name,
+		      "instance", instance_name, "event", what, "text", text);
+	if (dropped)
+		json_object_set_new(r, "dropped", json_integer(dropped));
+	s = r ? json_dumps(r, JSON_COMPACT | JSON_PRESERVE_ORDER) : NULL;
+	if (s)
+		fprintf(stderr, "%s\n", s);
+	free(s);
+	json_decref(r);
+}
--- /dev/null
+++ b/lib/loop.c
@@ -0,0 +1,249 @@
+/*
+ * The event loop.  h2o's own timeouts follow the wall clock and know one
+ * duration per list, so deadlines here are kept in a heap on the
+ * monotonic clock.
+ */
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/signalfd.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "lib/loop.h"
+
+#define LOOP_MAX_WAIT_MS 100
+
+struct loop {
+	h2o_loop_t *h2o;
+	struct timer **heap; /* heap[1] is due first */
+	uint32_t heap_len;
+	uint32_t heap_cap;
+	bool stopped;
+	void (*idle)(void *arg);
+	void *idle_arg;
+	void (*on_signal)(void *arg, int signo);
+	void *signal_arg;
+	h2o_socket_t *signal_sock;
+};
+
+static uint64_t clock_us(clockid_t id)
+{
+	struct timespec ts;
+
+	clock_gettime(id, &ts);
+	return (uint64_t)ts.tv_sec * 1000000 + (uint64_t)ts.tv_nsec / 1000;
+}
+
+/* Monotonic microseconds: for deadlines and durations. */
+uint64_t clock_mono_us(void)
+{
+	return clock_us(CLOCK_MONOTONIC);
+}
+
+/* Monotonic milliseconds: for deadlines and leases. */
+uint64_t clock_mono_ms(void)
+{
+	return clock_mono_us() / 1000;
+}
+
+/* Wall clock in milliseconds since 1970: for people only. */
+uint64_t clock_wall_ms(void)
+{
+	return clock_us(CLOCK_REALTIME) / 1000;
+}
+
+/* Create an empty loop; aborts when memory is out. */
+struct loop *loop_create(void)
+{
+	struct loop *l = calloc(1, sizeof(*l));
+
+	if (!l)
+		abort();
+	l->h2o = h2o_evloop_create();
+	return l;
+}
+
+/* Free l and its heap.  Timers belong to their owners. */
+void loop_destroy(struct loop *l)
+{
+	if (!l)
+		return;
+	if (l->signal_sock)
+		h2o_socket_close(l->signal_sock);
+	free(l->heap);
+	free(l);
+}
+
+/* Return the h2o loop that sockets are made on. */
+h2o_loop_t *loop_h2o(struct loop *l)
+{
+	return l->h2o;
+}
+
+static void heap_put(struct loop *l, struct timer *t, uint32_t i)
+{
+	l->heap[i] = t;
+	t->slot = i;
+}
+
+static void heap_up(struct loop *l, struct timer *t, uint32_t i)
+{
+	while (i > 1 && l->heap[i / 2]->due_ms > t->due_ms) {
+		heap_put(l, l->heap[i / 2], i);
+		i /= 2;
+	}
+	heap_put(l, t, i);
+}
+
+static void heap_down(struct loop *l, struct timer *t, uint32_t i)
+{
+	for (;;) {
+		uint32_t c = i * 2;
+
+		if (c > l->heap_len)
+			break;
+		if (c < l->heap_len &&
+		    l->heap[c + 1]->due_ms < l->heap[c]->due_ms)
+			c++;
+		if (l->heap[c]->due_ms >= t->due_ms)
+			break;
+		heap_put(l, l->heap[c], i);
+		i = c;
+	}
+	heap_put(l, t, i);
+}
+
+/* Prepare t to call fire(arg) once it is started and due. */
+void timer_init(struct timer *t, void (*fire)(void *arg), void *arg)
+{
+	t->fire = fire;
+	t->arg = arg;
+	t->due_ms = 0;
+	t->slot = 0;
+}
+
+/* Report whether t is waiting to fire. */
+bool timer_running(const struct timer *t)
+{
+	return t->slot != 0;
+}
+
+/* Start t, or start it again, to fire delay_ms from now. */
+void timer_start(struct loop *l, struct timer *t, uint64_t delay_ms)
+{
+	timer_stop(l, t);
+	t->due_ms = clock_mono_ms() + delay_ms;
+	if (l->heap_len + 2 > l->heap_cap) {
+		l->heap_cap = l->heap_cap ? l->heap_cap * 2 : 64;
+		l->heap = realloc(l->heap, l->heap_cap * sizeof(*l->heap));
+		if (!l->heap)
+			abort();
+	}
+	l->heap_len++;
+	heap_up(l, t, l->heap_len);
+}
+
+/* Stop t; harmless when it is not running. */
+void timer_stop(struct loop *l, struct timer *t)
+{
+	struct timer *last;
+	uint32_t i = t->slot;
+
+	if (!i)
+		return;
+	last = l->heap[l->heap_len--];
+	t->slot = 0;
+	if (last == t)
+		return;
+	if (i > 1 && l->heap[i / 2]->due_ms > last->due_ms)
+		heap_up(l, last, i);
+	else
+		heap_down(l, last, i);
+}
+
+static void fire_due(struct loop *l)
+{
+	uint64_t now = clock_mono_ms();
+
+	while (l->heap_len && l->heap[1]->due_ms <= now) {
+		struct timer *t = l->heap[1];
+
+		timer_stop(l, t);
+		t->fire(t->arg);
+	}
+}
+
+/* Run one round: sockets, due timers, then the idle function. */
+void loop_step(struct loop *l, uint32_t max_wait_ms)
+{
+	uint64_t now = clock_mono_ms();
+	uint32_t wait = max_wait_ms;
+
+	if (l->heap_len && l->heap[1]->due_ms <= now)
+		wait = 0;
+	else if (l->heap_len && l->heap[1]->due_ms - now < wait)
+		wait = l->heap[1]->due_ms - now;
+	h2o_evloop_run(l->h2o, (int32_t)wait);
+	fire_due(l);
+	if (l->idle)
+		l->idle(l->idle_arg);
+}
+
+/* Run until loop_stop is called. */
+void loop_run(struct loop *l)
+{
+	while (!l->stopped)
+		loop_step(l, LOOP_MAX_WAIT_MS);
+}
+
+/* Make loop_run return after the present round. */
+void loop_stop(struct loop *l)
+{
+	l->stopped = true;
+}
+
+/* Report whether loop_stop was called. */
+bool loop_stopped(const struct loop *l)
+{
+	return l->stopped;
+}
+
+/* Call idle(arg) at the end of each round, to deliver messages. */
+void loop_on_idle(struct loop *l, void (*idle)(void *arg), void *arg)
+{
+	l->idle = idle;
+	l->idle_arg = arg;
+}
+
+static void signal_readable(h2o_socket_t *s, const char *err)
+{
+	struct loop *l = s->data;
+	struct signalfd_siginfo si;
+
+	if (err)
+		return;
+	while (s->input->size >= sizeof(si)) {
+		memcpy(&si, s->input->bytes, sizeof(si));
+		h2o_buffer_consume(&s->input, sizeof(si));
+		l->on_signal(l->signal_arg, (int)si.ssi_signo);
+	}
+}
+
+/* Deliver SIGTERM and SIGINT to fire(arg, signo) inside the loop. */
+void loop_on_signal(struct loop *l, void (*fire)(void *arg, int signo),
+		    void *arg)
+{
+	sigset_t set;
+	int fd;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigprocmask(SIG_BLOCK, &set, NULL);
+	fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	l->on_signal = fire;
+	l->signal_arg = arg;
+	l->signal_sock = h2o_evloop_socket_create(l->h2o, fd, 0);
+	l->signal_sock->data = l;
+	h2o_socket_read_start(l->signal_sock, signal_readable);
+}
--- /dev/null
+++ b/lib/loop.h
@@ -0,0 +1,38 @@
+/* The event loop: h2o's sockets, own monotonic timers, stop signals. */
+#ifndef LIB_LOOP_H
+#define LIB_LOOP_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <h2o.h>
+
+struct loop;
+
+struct timer {
+	void (*fire)(void *arg);
+	void *arg;
+	uint64_t due_ms;
+	uint32_t slot; /* position in the heap, 0 when idle */
+};
+
+struct loop *loop_create(void);
+void loop_destroy(struct loop *l);
+h2o_loop_t *loop_h2o(struct loop *l);
+void loop_run(struct loop *l);
+void loop_step(struct loop *l, uint32_t max_wait_ms);
+void loop_stop(struct loop *l);
+bool loop_stopped(const struct loop *l);
+void loop_on_idle(struct loop *l, void (*idle)(void *arg), void *arg);
+void loop_on_signal(struct loop *l, void (*fire)(void *arg, int signo),
+		    void *arg);
+
+void timer_init(struct timer *t, void (*fire)(void *arg), void *arg);
+void timer_start(struct loop *l, struct timer *t, uint64_t delay_ms);
+void timer_stop(struct loop *l, struct timer *t);
+bool timer_running(const struct timer *t);
+
+uint64_t clock_mono_ms(void);
+uint64_t clock_mono_us(void);
+uint64_t clock_wall_ms(void);
+
+#endif
--- /dev/null
+++ b/lib/schema.h
@@ -0,0 +1,55 @@
+/* Checked JSON: fields by table, all errors at once. */
+#ifndef LIB_SCHEMA_H
+#define LIB_SCHEMA_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <jansson.h>
+
+enum field_type {
+	FIELD_STRING,
+	FIELD_NAME,    /* letters, digits, '-', '_', '.', '/' */
+	FIELD_ADDRESS, /* "IP:port" */
+	FIELD_INTEGER,
+	FIELD_BOOL,
+	FIELD_CHOICE,
+	FIELD_OBJECT,
+	FIELD_ARRAY, /* of objects with `fields`, or of `item` */
+	FIELD_ANY,
+};
+
+struct field {
+	const char *name;
+	enum field_type type;
+	bool required;
+	int64_t min; /* integers: the value; strings, arrays: the length */
+	int64_t max;
+	const char *unit;	    /* for people */
+	const char *const *choices; /* FIELD_CHOICE, ends in NULL */
+	const struct field *fields; /* object, ends in a NULL name */
+	enum field_type item;	    /* arrays without fields */
+};
+
+struct problems;
+
+struct problems *problems_create(const char *file);
+void problems_destroy(struct problems *p);
+void problem_add(struct problems *p, const char *path, const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+size_t problems_count(const struct problems *p);
+char *problems_text(const struct problems *p);
+json_t *problems_json(const struct problems *p);
+
+void schema_check(const struct field *fields, const json_t *v, const char *path,
+		  struct problems *p);
+json_t *schema_load(const struct field *fields, const char *file,
+		    struct problems *p);
+json_t *schema_parse(const struct field *fields, const char *text, size_t len,
+		     struct problems *p);
+
+int64_t json_int_or(const json_t *o, const char *name, int64_t otherwise);
+const char *json_str_or(const json_t *o, const char *name,
+			const char *otherwise);
+
+#endif
--- /dev/null
+++ b/sched/bind.c
@@ -0,0 +1,164 @@
+/*
+ * Binding.  A guaranteed shape is a number of cells, and each cell is
+ * bound to one account only, so guarantees cannot collide.  Cells are
+ * taken where the least is broken: a part of an upstream from the most
+ * bound upstream that has it, an upstream from the most bound rack.
+ */
+#include <string.h>
+
+#include "sched/bind.h"
+
+static const char *const kind_names[] = {
+	[CELL_ACCELERATOR] = "accelerator",
+	[CELL_HALF] = "half",
+	[CELL_UPSTREAM] = "upstream",
+	[CELL_RACK] = "rack",
+};
+
+/* Return the word for k in settings. */
+const char *cell_kind_name(enum cell_kind k)
+{
+	return kind_names[k];
+}
+
+/* Read the word s into *k; false when there is no such kind. */
+bool cell_kind_parse(const char *s, enum cell_kind *k)
+{
+	for (int i = CELL_ACCELERATOR; i <= CELL_RACK; i++) {
+		if (!strcmp(s, kind_names[i])) {
+			*k = i;
+			return true;
+		}
+	}
+	return false;
+}
+
+static uint32_t bound_mask(const struct upstream *u)
+{
+	uint32_t m = 0;
+
+	for (uint32_t i = 0; i < u->bound_len; i++)
+		m |= u->bound[i].mask;
+	return m;
+}
+
+/* Return the mask of a cell of kind k that u could still give, or 0. */
+static uint32_t cell_in(const struct upstream *u, enum cell_kind k)
+{
+	uint32_t total = __builtin_popcount(u->all);
+	uint32_t avail = u->usable ? u->all & ~bound_mask(u) : 0;
+
+	switch (k) {
+	case CELL_ACCELERATOR:
+		return cell_pick(avail, 1);
+	case CELL_HALF:
+		return total > 1 ? cell_pick(avail, total / 2) : 0;
+	case CELL_UPSTREAM:
+	case CELL_RACK:
+		return avail == u->all ? avail : 0;
+	}
+	return 0;
+}
+
+static uint32_t rack_bound(const struct site *s, uint32_t rack)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < site_upstreams(s); i++) {
+		const struct upstream *u = site_upstream(s, i);
+
+		if (u->rack == rack)
+			n += __builtin_popcount(bound_mask(u));
+	}
+	return n;
+}
+
+/* Report whether every upstream of the rack is usable and unbound. */
+static bool rack_unbound(const struct site *s, uint32_t rack)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < site_upstreams(s); i++) {
+		const struct upstream *u = site_upstream(s, i);
+
+		if (u->rack != rack || !u->all)
+			continue;
+		if (!cell_in(u, CELL_RACK))
+			return false;
+		n++;
+	}
+	return n > 0;
+}
+
+static bool find_rack(const struct site *s, struct cell *out)
+{
+	for (uint32_t r = 0; r < site_racks(s); r++) {
+		if (!rack_unbound(s, r))
+			continue;
+		out->index = r;
+		out->mask = 0;
+		return true;
+	}
+	return false;
+}
+
+/*
+ * Find an unbound cell of the given kind on usable upstreams and write
+ * it to out, for account.  False when the site has none left.
+ */
+bool bind_find(const struct site *s, enum cell_kind kind, uint32_t account,
+	       struct cell *out)
+{
+	uint32_t best = 0;
+	bool found = false;
+
+	out->kind = kind;
+	out->account = account;
+	if (kind == CELL_RACK)
+		return find_rack(s, out);
+	for (uint32_t i = 0; i < site_upstreams(s); i++) {
+		const struct upstream *u = site_upstream(s, i);
+		uint32_t m = cell_in(u, kind);
+		uint32_t score;
+
+		if (!m)
+			continue;
+		score = __builtin_popcount(bound_mask(u)) * 4096 +
+			rack_bound(s, u->rack);
+		if (found && score <= best)
+			continue;
+		found = true;
+		best = score;
+		out->index = i;
+		out->mask = m;
+	}
+	return found;
+}
+
+/* Report whether c's upstreams are usable and its accelerators unbound. */
+bool bind_valid(const struct site *s, const struct cell *c)
+{
+	const struct upstream *u;
+
+	if (c->kind == CELL_RACK)
+		return c->index < site_racks(s) && rack_unbound(s, c->index);
+	if (c->index >= site_upstreams(s) || !c->mask)
+		return false;
+	u = site_upstream(s, c->index);
+	return u->usable && !(c->mask & ~(u->all & ~bound_mask(u)));
+}
+
+/* Bind the accelerators of c to its account. */
+void bind_apply(struct site *s, const struct cell *c)
+{
+	if (c->kind != CELL_RACK) {
+		site_bind(s, c->index, c->account, c->mask);
+		return;
+	}
+	for (uint32_t i = 0; i < site_upstreams(s); i++) {
+		const struct upstream *u = site_upstream(s, i);
+
+		if (u->rack == c->index && u->all)
+			site_bind(s, i, c->account, u->all);
+	}
+}
--- /dev/null
+++ b/sched/sched.c
@@ -0,0 +1,618 @@
+/*
+ * The scheduler.  A job tries, in this order: its account's own cells
+ * that are free; its own cells, by evicting whoever borrows them;
+ * whatever else is free, which it then borrows and may be evicted from.
+ * A job that has waited long has room held for it: what becomes free
+ * there is not given to later work.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "sched/sched.h"
+
+#define NO_JOB UINT32_MAX
+#define SERVICE_HALF_LIFE_MS 3600000u
+
+struct account_state {
+	uint32_t weight;
+	uint32_t waiting;
+	uint64_t borrowed;   /* accelerators in use now */
+	double service;	     /* accelerator-milliseconds, fading */
+};
+
+struct sched {
+	struct site *site;
+	enum policy policy;
+	struct sched_limits limits;
+	struct job *jobs;
+	uint32_t jobs_len;
+	uint32_t jobs_cap;
+	uint32_t *free_jobs;
+	uint32_t free_len;
+	struct account_state *accounts;
+	uint32_t accounts_len;
+	uint32_t holder; /* the borrowing job that room is held for */
+	uint64_t decided_ms;
+};
+
+static const char *const class_names[] = {
+	[CLASS_URGENT] = "urgent",
+	[CLASS_BATCH] = "batch",
+	[CLASS_QUIET] = "quiet",
+};
+
+static const char *const state_names[] = {
+	[JOB_WAITING] = "waiting",
+	[JOB_CLAIMING] = "claiming",
+	[JOB_PLACED] = "placed",
+	[JOB_EVICTING] = "evicting",
+};
+
+static void *grow(void *p, size_t n)
+{
+	p = realloc(p, n);
+	if (!p)
+		abort();
+	return p;
+}
+
+/* Read a class's name into *c; false when there is no such class. */
+bool job_class_parse(const char *s, enum job_class *c)
+{
+	for (int i = CLASS_URGENT; i <= CLASS_QUIET; i++) {
+		if (!strcmp(s, class_names[i])) {
+			*c = i;
+			return true;
+		}
+	}
+	return false;
+}
+
+/* Return the word for c in settings and answers. */
+const char *job_class_name(enum job_class c)
+{
+	return class_names[c];
+}
+
+/* Return the word for st in answers. */
+const char *job_state_name(enum job_state st)
+{
+	return state_names[st];
+}
+
+/* Create a scheduler over site, which it owns from now on. */
+struct sched *sched_create(struct site *site, enum policy policy,
+			   const struct sched_limits *limits)
+{
+	struct sched *s = grow(NULL, sizeof(*s));
+
+	memset(s, 0, sizeof(*s));
+	s->site = site;
+	s->policy = policy;
+	s->limits = *limits;
+	s->holder = NO_JOB;
+	return s;
+}
+
+/* Free s, its site and its jobs. */
+void sched_destroy(struct sched *s)
+{
+	if (!s)
+		return;
+	for (uint32_t i = 0; i < s->jobs_len; i++)
+		free(s->jobs[i].parts);
+	site_destroy(s->site);
+	free(s->jobs);
+	free(s->free_jobs);
+	free(s->accounts);
+	free(s);
+}
+
+/* Return the site that s decides for. */
+struct site *sched_site(struct sched *s)
+{
+	return s->site;
+}
+
+/* Replace the limits; jobs that wait already are kept. */
+void sched_set_limits(struct sched *s, const struct sched_limits *limits)
+{
+	s->limits = *limits;
+}
+
+static struct account_state *account_of(struct sched *s, uint32_t a)
+{
+	while (s->accounts_len <= a) {
+		s->accounts = grow(s->accounts, (s->accounts_len + 1) *
+							sizeof(*s->accounts));
+		memset(&s->accounts[s->accounts_len], 0, sizeof(*s->accounts));
+		s->accounts[s->accounts_len].weight = 1;
+		s->accounts_len++;
+	}
+	return &s->accounts[a];
+}
+
+/* Set account's weight in sharing what is borrowed; at least 1. */
+void sched_set_weight(struct sched *s, uint32_t account, uint32_t weight)
+{
+	account_of(s, account)->weight = weight ? weight : 1;
+}
+
+/* Return the borrowed service of account: what orders its turn. */
+double sched_service(const struct sched *s, uint32_t account)
+{
+	return account < s->accounts_len ? s->accounts[account].service : 0;
+}
+
+/* Set the borrowed service of account, as an earlier scheduler had it. */
+void sched_set_service(struct sched *s, uint32_t account, double service)
+{
+	account_of(s, account)->service = service;
+}
+
+static uint32_t job_new(struct sched *s, const struct job_spec *spec)
+{
+	uint32_t i;
+
+	if (s->free_len) {
+		i = s->free_jobs[--s->free_len];
+	} else {
+		if (s->jobs_len == s->jobs_cap) {
+			s->jobs_cap = s->jobs_cap ? s->jobs_cap * 2 : 64;
+			s->jobs = grow(s->jobs,
+				       s->jobs_cap * sizeof(*s->jobs));
+			s->free_jobs = grow(s->free_jobs,
+					    s->jobs_cap * sizeof(uint32_t));
+		}
+		i = s->jobs_len++;
+	}
+	memset(&s->jobs[i], 0, sizeof(s->jobs[i]));
+	s->jobs[i].spec = *spec;
+	s->jobs[i].live = true;
+	s->jobs[i].parts = grow(NULL, spec->shape.parts * sizeof(struct part));
+	return i;
+}
+
+/*
+ * Take a job into the queue and write its handle to *job.  Refuse one
+ * that could never fit the domain, or one too many for its account.
+ */
+enum submit_result sched_submit(struct sched *s, const struct job_spec *spec,
+				uint32_t *job)
+{
+	struct account_state *a = account_of(s, spec->shape.account);
+	enum submit_result r = SUBMIT_OK;
+	struct part *tmp;
+
+	if (a->waiting >= s->limits.queue_per_account)
+		return SUBMIT_QUEUE_FULL;
+	tmp = grow(NULL, (spec->shape.parts + 1) * sizeof(*tmp));
+	if (!place(s->site, &spec->shape, WHERE_EXISTS, s->policy, tmp))
+		r = SUBMIT_NEVER_FITS;
+	free(tmp);
+	if (r != SUBMIT_OK)
+		return r;
+	*job = job_new(s, spec);
+	a->waiting++;
+	return SUBMIT_OK;
+}
+
+static uint32_t job_accelerators(const struct job *j)
+{
+	return j->spec.shape.parts * j->spec.shape.accelerators;
+}
+
+/* Return how a job that occupies these parts uses them. */
+static enum use use_of(const struct sched *s, const struct job_spec *spec,
+		       const struct part *parts)
+{
+	if (!spec->shape.accelerators)
+		return USE_URGENT;
+	for (uint32_t i = 0; i < spec->shape.parts; i++) {
+		const struct upstream *u =
+			site_upstream(s->site, parts[i].upstream);
+
+		if (parts[i].mask & ~upstream_bound_to(u, spec->shape.account))
+			return USE_BORROWED;
+	}
+	return spec->job_class == CLASS_URGENT ? USE_URGENT : USE_GUARANTEED;
+}
+
+static void parts_take(struct sched *s, struct job *j)
+{
+	j->use = use_of(s, &j->spec, j->parts);
+	for (uint32_t i = 0; i < j->spec.shape.parts; i++)
+		site_take(s->site, j->parts[i].upstream, j->parts[i].mask,
+			  j->spec.shape.slots, j->use);
+	if (j->use == USE_BORROWED)
+		account_of(s, j->spec.shape.account)->borrowed +=
+			job_accelerators(j);
+}
+
+static void parts_release(struct sched *s, struct job *j)
+{
+	for (uint32_t i = 0; i < j->spec.shape.parts; i++)
+		site_release(s->site, j->parts[i].upstream, j->parts[i].mask,
+			     j->spec.shape.slots, j->use);
+	if (j->use == USE_BORROWED)
+		account_of(s, j->spec.shape.account)->borrowed -=
+			job_accelerators(j);
+}
+
+static void parts_hold(struct sched *s, const struct job *j, bool on)
+{
+	for (uint32_t i = 0; i < j->spec.shape.parts; i++)
+		site_hold(s->site, j->parts[i].upstream, j->parts[i].mask, on);
+}
+
+/* Take in a job that was found running on the given parts. */
+uint32_t sched_adopt(struct sched *s, const struct job_spec *spec,
+		     const struct part *parts)
+{
+	uint32_t i = job_new(s, spec);
+	struct job *j = &s->jobs[i];
+
+	account_of(s, spec->shape.account);
+	memcpy(j->parts, parts, spec->shape.parts * sizeof(*parts));
+	j->state = JOB_PLACED;
+	parts_take(s, j);
+	return i;
+}
+
+/* Return a job for reading; NULL when the handle is not in use. */
+const struct job *sched_job(const struct sched *s, uint32_t job)
+{
+	if (job >= s->jobs_len || !s->jobs[job].live)
+		return NULL;
+	return &s->jobs[job];
+}
+
+/* Return one more than the largest handle. */
+uint32_t sched_jobs(const struct sched *s)
+{
+	return s->jobs_len;
+}
+
+/* Return the number of jobs of account that wait. */
+uint32_t sched_waiting(const struct sched *s, uint32_t account)
+{
+	return account < s->accounts_len ? s->accounts[account].waiting : 0;
+}
+
+static void leave_state(struct sched *s, uint32_t i)
+{
+	struct job *j = &s->jobs[i];
+
+	switch (j->state) {
+	case JOB_CLAIMING:
+		parts_hold(s, j, false);
+		if (s->holder == i)
+			s->holder = NO_JOB;
+		account_of(s, j->spec.shape.account)->waiting--;
+		break;
+	case JOB_WAITING:
+		account_of(s, j->spec.shape.account)->waiting--;
+		break;
+	case JOB_PLACED:
+	case JOB_EVICTING:
+		parts_release(s, j);
+		break;
+	}
+}
+
+/* Keep later attempts of a job off an upstream that it failed on. */
+void sched_avoid(struct sched *s, uint32_t job, uint32_t upstream)
+{
+	struct shape *w = &s->jobs[job].spec.shape;
+
+	for (uint32_t i = 0; i < w->avoid_len; i++)
+		if (w->avoid[i] == upstream)
+			return;
+	if (w->avoid_len < SHAPE_AVOID)
+		w->avoid[w->avoid_len++] = upstream;
+}
+
+/* Note that a placed job was told to stop. */
+void sched_evicting(struct sched *s, uint32_t job)
+{
+	if (s->jobs[job].state == JOB_PLACED)
+		s->jobs[job].state = JOB_EVICTING;
+}
+
+/* Give a job's places back and let it wait again. */
+void sched_requeue(struct sched *s, uint32_t job)
+{
+	leave_state(s, job);
+	s->jobs[job].state = JOB_WAITING;
+	account_of(s, s->jobs[job].spec.shape.account)->waiting++;
+}
+
+/* Give a job's places back and forget it. */
+void sched_remove(struct sched *s, uint32_t job)
+{
+	leave_state(s, job);
+	free(s->jobs[job].parts);
+	s->jobs[job].parts = NULL;
+	s->jobs[job].live = false;
+	s->free_jobs[s->free_len++] = job;
+}
+
+/* Judge anew who borrows, after the site's bindings have changed. */
+void sched_rebound(struct sched *s)
+{
+	for (uint32_t i = 0; i < s->jobs_len; i++) {
+		struct job *j = &s->jobs[i];
+
+		if (!j->live)
+			continue;
+		switch (j->state) {
+		case JOB_PLACED:
+		case JOB_EVICTING:
+			parts_release(s, j);
+			parts_take(s, j);
+			break;
+		case JOB_CLAIMING:
+			sched_requeue(s, i);
+			break;
+		case JOB_WAITING:
+			break;
+		}
+	}
+}
+
+static void action_add(struct actions *a, enum action_tag tag, uint32_t job,
+		       uint32_t cause)
+{
+	if (a->len == a->cap) {
+		a->cap = a->cap ? a->cap * 2 : 16;
+		a->list = grow(a->list, a->cap * sizeof(*a->list));
+	}
+	a->list[a->len].tag = tag;
+	a->list[a->len].job = job;
+	a->list[a->len].cause = cause;
+	a->len++;
+}
+
+/* Free the list of actions. */
+void actions_clear(struct actions *a)
+{
+	free(a->list);
+	memset(a, 0, sizeof(*a));
+}
+
+static void start(struct sched *s, uint32_t i, struct actions *out)
+{
+	struct job *j = &s->jobs[i];
+
+	account_of(s, j->spec.shape.account)->waiting--;
+	parts_take(s, j);
+	j->state = JOB_PLACED;
+	action_add(out, ACTION_START, i, i);
+}
+
+static bool overlaps(const struct job *a, const struct job *b)
+{
+	for (uint32_t i = 0; i < a->spec.shape.parts; i++)
+		for (uint32_t k = 0; k < b->spec.shape.parts; k++)
+			if (a->parts[i].upstream == b->parts[k].upstream &&
+			    a->parts[i].mask & b->parts[k].mask)
+				return true;
+	return false;
+}
+
+/* Hold the places of claim i and evict every job that is in the way. */
+static void claim(struct sched *s, uint32_t i, bool evict, struct actions *out)
+{
+	struct job *j = &s->jobs[i];
+
+	j->state = JOB_CLAIMING;
+	parts_hold(s, j, true);
+	for (uint32_t k = 0; evict && k < s->jobs_len; k++) {
+		struct job *v = &s->jobs[k];
+
+		if (!v->live || v->state != JOB_PLACED || !overlaps(j, v))
+			continue;
+		v->state = JOB_EVICTING;
+		action_add(out, ACTION_EVICT, k, i);
+	}
+}
+
+/* Report whether nothing uses the places that job j holds any more. */
+static bool claim_ready(const struct sched *s, const struct job *j)
+{
+	for (uint32_t i = 0; i < j->spec.shape.parts; i++) {
+		const struct upstream *u =
+			site_upstream(s->site, j->parts[i].upstream);
+
+		if (u->used & j->parts[i].mask ||
+		    upstream_slots_free(u) < j->spec.shape.slots)
+			return false;
+	}
+	return true;
+}
+
+/* Report whether a claim stands on an upstream that is no longer usable. */
+static bool claim_broken(const struct sched *s, const struct job *j)
+{
+	for (uint32_t i = 0; i < j->spec.shape.parts; i++)
+		if (!site_upstream(s->site, j->parts[i].upstream)->usable)
+			return true;
+	return false;
+}
+
+static void finish_claims(struct sched *s, struct actions *out)
+{
+	for (uint32_t i = 0; i < s->jobs_len; i++) {
+		struct job *j = &s->jobs[i];
+
+		if (!j->live || j->state != JOB_CLAIMING)
+			continue;
+		if (claim_broken(s, j)) {
+			sched_requeue(s, i);
+			continue;
+		}
+		if (!claim_ready(s, j))
+			continue;
+		parts_hold(s, j, false);
+		if (s->holder == i)
+			s->holder = NO_JOB;
+		start(s, i, out);
+	}
+}
+
+static bool try_place(struct sched *s, struct job *j, enum where where)
+{
+	return place(s->site, &j->spec.shape, where, s->policy, j->parts);
+}
+
+/* Try the account's own cells; true when the job started or claimed. */
+static bool try_own(struct sched *s, uint32_t i, struct actions *out)
+{
+	struct job *j = &s->jobs[i];
+
+	if (!j->spec.shape.accelerators || s->policy != POLICY_BOUND)
+		return false;
+	if (try_place(s, j, WHERE_OWN_FREE)) {
+		start(s, i, out);
+		return true;
+	}
+	if (try_place(s, j, WHERE_OWN_EVICT) ||
+	    (j->spec.job_class == CLASS_URGENT &&
+	     try_place(s, j, WHERE_OWN_URGENT))) {
+		claim(s, i, true, out);
+		return true;
+	}
+	return false;
+}
+
+/* Try the account's own cells, which room held for a borrower yields. */
+static bool try_own_first(struct sched *s, uint32_t i, struct actions *out)
+{
+	uint32_t holder = s->holder;
+
+	if (try_own(s, i, out))
+		return true;
+	if (holder == NO_JOB)
+		return false;
+	sched_requeue(s, holder);
+	if (try_own(s, i, out))
+		return true;
+	claim(s, holder, false, out);
+	s->holder = holder;
+	return false;
+}
+
+static bool try_job(struct sched *s, uint32_t i, uint64_t now_ms,
+		    struct actions *out)
+{
+	struct job *j = &s->jobs[i];
+
+	if (try_own_first(s, i, out))
+		return true;
+	if (try_place(s, j, WHERE_ANY_FREE)) {
+		start(s, i, out);
+		return true;
+	}
+	if (s->policy == POLICY_BOUND && s->holder == NO_JOB &&
+	    now_ms - j->spec.submitted_ms >= s->limits.hold_after_ms &&
+	    try_place(s, j, WHERE_ANY_USABLE)) {
+		s->holder = i;
+		claim(s, i, false, out);
+	}
+	return false;
+}
+
+struct order_key {
+	uint32_t job;
+	enum job_class job_class;
+	double service;
+	uint64_t submitted_ms;
+};
+
+static int by_turn(const void *pa, const void *pb)
+{
+	const struct order_key *a = pa, *b = pb;
+
+	if (a->job_class != b->job_class)
+		return a->job_class < b->job_class ? -1 : 1;
+	if (a->service < b->service || a->service > b->service)
+		return a->service < b->service ? -1 : 1;
+	if (a->submitted_ms != b->submitted_ms)
+		return a->submitted_ms < b->submitted_ms ? -1 : 1;
+	return a->job < b->job ? -1 : a->job > b->job;
+}
+
+/* Add the service since the last decision, and let old service fade. */
+static void account_service(struct sched *s, uint64_t now_ms)
+{
+	uint64_t dt = now_ms - s->decided_ms;
+	double keep = 1.0 / (1.0 + (double)dt / SERVICE_HALF_LIFE_MS);
+
+	for (uint32_t i = 0; i < s->accounts_len; i++) {
+		struct account_state *a = &s->accounts[i];
+
+		a->service = a->service * keep +
+			     (double)a->borrowed * (double)dt / a->weight;
+	}
+	s->decided_ms = now_ms;
+}
+
+static uint32_t collect_waiting(struct sched *s, struct order_key *keys)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < s->jobs_len; i++) {
+		const struct job *j = &s->jobs[i];
+
+		if (!j->live || j->state != JOB_WAITING)
+			continue;
+		keys[n].job = i;
+		keys[n].job_class = j->spec.job_class;
+		keys[n].submitted_ms = j->spec.submitted_ms;
+		keys[n].service =
+			s->policy == POLICY_BOUND
+				? s->accounts[j->spec.shape.account].service
+				: 0;
+		n++;
+	}
+	qsort(keys, n, sizeof(*keys), by_turn);
+	return n;
+}
+
+static bool same_shape(const struct job *a, const struct job *b)
+{
+	return a->spec.job_class == b->spec.job_class &&
+	       !memcmp(&a->spec.shape, &b->spec.shape, sizeof(a->spec.shape));
+}
+
+#define FAILED_SHAPES 64
+
+/*
+ * Decide for now_ms (monotonic): append to out the jobs to start, whose
+ * parts say where, and the jobs to evict.  The caller reports back with
+ * sched_requeue and sched_remove.
+ */
+void sched_decide(struct sched *s, uint64_t now_ms, struct actions *out)
+{
+	uint32_t failed[FAILED_SHAPES], failed_len = 0;
+	struct order_key *keys;
+	uint32_t n;
+
+	account_service(s, now_ms);
+	finish_claims(s, out);
+	keys = grow(NULL, (s->jobs_len + 1) * sizeof(*keys));
+	n = collect_waiting(s, keys);
+	for (uint32_t k = 0; k < n; k++) {
+		struct job *j = &s->jobs[keys[k].job];
+		bool skip = false;
+
+		for (uint32_t f = 0; f < failed_len && !skip; f++)
+			skip = same_shape(j, &s->jobs[failed[f]]);
+		if (skip || j->state != JOB_WAITING)
+			continue;
+		if (!try_job(s, keys[k].job, now_ms, out) &&
+		    failed_len < FAILED_SHAPES)
+			failed[failed_len++] = keys[k].job;
+	}
+	free(keys);
+}
--- /dev/null
+++ b/sched/site.c
@@ -0,0 +1,295 @@
+/* The site aggregate: every change to the masks goes through here. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "sched/site.h"
+
+struct site {
+	struct upstream *upstreams;
+	uint32_t upstreams_len;
+	uint32_t upstreams_cap;
+	char (*racks)[SITE_NAME_BYTES];
+	uint32_t racks_len;
+};
+
+static void *grow(void *p, size_t n)
+{
+	p = realloc(p, n);
+	if (!p)
+		abort();
+	return p;
+}
+
+/* Create a site without upstreams. */
+struct site *site_create(void)
+{
+	struct site *s = grow(NULL, sizeof(*s));
+
+	memset(s, 0, sizeof(*s));
+	return s;
+}
+
+/* Free s and all that it knows. */
+void site_destroy(struct site *s)
+{
+	if (!s)
+		return;
+	for (uint32_t i = 0; i < s->upstreams_len; i++)
+		free(s->upstreams[i].bound);
+	free(s->upstreams);
+	free(s->racks);
+	free(s);
+}
+
+static uint32_t rack_index(struct site *s, const char *name)
+{
+	for (uint32_t i = s->racks_len; i-- > 0;)
+		if (!strcmp(s->racks[i], name))
+			return i;
+	s->racks = grow(s->racks, (s->racks_len + 1) * sizeof(*s->racks));
+	snprintf(s->racks[s->racks_len], SITE_NAME_BYTES, "%s", name);
+	return s->racks_len++;
+}
+
+static uint32_t mask_of(uint32_t n)
+{
+	return n >= SITE_MAX_ACCELERATORS ? UINT32_MAX : (1u << n) - 1;
+}
+
+/* Add an upstream in the named rack and return its index. */
+uint32_t site_add_upstream(struct site *s, const char *name, const char *rack,
+			   uint32_t accelerators, uint32_t slots,
+			   uint32_t slots_quick)
+{
+	struct upstream *u;
+
+	if (s->upstreams_len == s->upstreams_cap) {
+		s->upstreams_cap = s->upstreams_cap ? s->upstreams_cap * 2 : 64;
+		s->upstreams = grow(s->upstreams, s->upstreams_cap *
+							  sizeof(*u));
+	}
+	u = &s->upstreams[s->upstreams_len];
+	memset(u, 0, sizeof(*u));
+	snprintf(u->name, sizeof(u->name), "%s", name);
+	u->rack = rack_index(s, rack);
+	u->all = mask_of(accelerators);
+	u->slots = slots;
+	u->slots_quick = slots_quick;
+	u->usable = true;
+	return s->upstreams_len++;
+}
+
+/* Find the upstream called name; false when there is none. */
+bool site_find(const struct site *s, const char *name, uint32_t *u)
+{
+	for (uint32_t i = 0; i < s->upstreams_len; i++) {
+		if (!strcmp(s->upstreams[i].name, name)) {
+			*u = i;
+			return true;
+		}
+	}
+	return false;
+}
+
+/* Return the number of upstreams; their indexes are below it. */
+uint32_t site_upstreams(const struct site *s)
+{
+	return s->upstreams_len;
+}
+
+/* Return the number of racks; their indexes are below it. */
+uint32_t site_racks(const struct site *s)
+{
+	return s->racks_len;
+}
+
+/* Return a rack's name. */
+const char *site_rack_name(const struct site *s, uint32_t rack)
+{
+	return s->racks[rack];
+}
+
+/* Return upstream u for reading. */
+const struct upstream *site_upstream(const struct site *s, uint32_t u)
+{
+	return &s->upstreams[u];
+}
+
+/* Say whether upstream u may be given new work. */
+void site_set_usable(struct site *s, uint32_t u, bool usable)
+{
+	s->upstreams[u].usable = usable;
+}
+
+/* Bind the accelerators in mask of upstream u to account. */
+void site_bind(struct site *s, uint32_t u, uint32_t account, uint32_t mask)
+{
+	struct upstream *up = &s->upstreams[u];
+
+	for (uint32_t i = 0; i < up->bound_len; i++) {
+		if (up->bound[i].account == account) {
+			up->bound[i].mask |= mask;
+			return;
+		}
+	}
+	up->bound = grow(up->bound,
+			 (up->bound_len + 1) * sizeof(*up->bound));
+	up->bound[up->bound_len].account = account;
+	up->bound[up->bound_len].mask = mask;
+	up->bound_len++;
+}
+
+/* Forget all bindings, before a new configuration brings its own. */
+void site_unbind_all(struct site *s)
+{
+	for (uint32_t i = 0; i < s->upstreams_len; i++)
+		s->upstreams[i].bound_len = 0;
+}
+
+static void account_use(struct upstream *u, uint32_t mask, enum use how,
+			bool on)
+{
+	uint32_t *kind = NULL;
+
+	switch (how) {
+	case USE_URGENT:
+		break;
+	case USE_GUARANTEED:
+		kind = &u->guaranteed;
+		break;
+	case USE_BORROWED:
+		kind = &u->borrowed;
+		break;
+	}
+	if (on)
+		u->used |= mask;
+	else
+		u->used &= ~mask;
+	if (kind && on)
+		*kind |= mask;
+	else if (kind)
+		*kind &= ~mask;
+}
+
+/* Mark the accelerators in mask and some slots of u as used. */
+void site_take(struct site *s, uint32_t u, uint32_t mask, uint32_t slots,
+	       enum use how)
+{
+	account_use(&s->upstreams[u], mask, how, true);
+	s->upstreams[u].slots_used += slots;
+}
+
+/* Undo site_take with the same arguments. */
+void site_release(struct site *s, uint32_t u, uint32_t mask, uint32_t slots,
+		  enum use how)
+{
+	account_use(&s->upstreams[u], mask, how, false);
+	s->upstreams[u].slots_used -= slots;
+}
+
+/* Keep the accelerators in mask from other work, or stop doing so. */
+void site_hold(struct site *s, uint32_t u, uint32_t mask, bool on)
+{
+	if (on)
+		s->upstreams[u].held |= mask;
+	else
+		s->upstreams[u].held &= ~mask;
+}
+
+/* Return the mask of u's accelerators that are bound to account. */
+uint32_t upstream_bound_to(const struct upstream *u, uint32_t account)
+{
+	for (uint32_t i = 0; i < u->bound_len; i++)
+		if (u->bound[i].account == account)
+			return u->bound[i].mask;
+	return 0;
+}
+
+/* Return the slots of u that work other than quick checks may take. */
+uint32_t upstream_slots_free(const struct upstream *u)
+{
+	uint32_t kept = u->slots_used + u->slots_quick;
+
+	return u->slots > kept ? u->slots - kept : 0;
+}
+
+/* Return the size of the aligned cell that n accelerators need. */
+static uint32_t cell_size(uint32_t n)
+{
+	uint32_t size = 1;
+
+	while (size < n)
+		size *= 2;
+	return size;
+}
+
+static uint32_t lowest_bits(uint32_t mask, uint32_t n)
+{
+	uint32_t out = 0;
+
+	while (n-- && mask) {
+		out |= mask & -mask;
+		mask &= mask - 1;
+	}
+	return out;
+}
+
+/*
+ * Pick n adjacent accelerators out of avail: the aligned cell of the
+ * right size whose parent cell is most used, so that larger cells stay
+ * whole.  Where no aligned cell is free, take any n.  0 when fewer than
+ * n are available or n is 0.
+ */
+uint32_t cell_pick(uint32_t avail, uint32_t n)
+{
+	uint32_t size = cell_size(n);
+	uint32_t best = 0, best_free = UINT32_MAX;
+
+	if (!n || (uint32_t)__builtin_popcount(avail) < n)
+		return 0;
+	for (uint32_t at = 0; at + size <= SITE_MAX_ACCELERATORS; at += size) {
+		uint32_t cell = mask_of(size) << at;
+		uint32_t parent = mask_of(size * 2)
+				  << (at / (size * 2) * size * 2);
+		uint32_t near = __builtin_popcount(avail & parent);
+
+		if ((uint32_t)__builtin_popcount(avail & cell) < n ||
+		    near >= best_free)
+			continue;
+		best = lowest_bits(avail & cell, n);
+		best_free = near;
+	}
+	return best ? best : lowest_bits(avail, n);
+}
+
+/* Return how many parts of n accelerators fit into avail. */
+uint32_t cell_capacity(uint32_t avail, uint32_t n)
+{
+	return n ? (uint32_t)__builtin_popcount(avail) / n : UINT32_MAX;
+}
+
+/* Measure how scattered the free accelerators of usable upstreams are. */
+void site_fragmentation(const struct site *s, struct fragmentation *f)
+{
+	uint32_t *per_rack = grow(NULL, (s->racks_len + 1) * sizeof(uint32_t));
+
+	memset(f, 0, sizeof(*f));
+	memset(per_rack, 0, (s->racks_len + 1) * sizeof(uint32_t));
+	for (uint32_t i = 0; i < s->upstreams_len; i++) {
+		const struct upstream *u = &s->upstreams[i];
+		uint32_t n = __builtin_popcount(u->all & ~u->used);
+
+		if (!u->usable)
+			continue;
+		f->accelerators += __builtin_popcount(u->all);
+		f->free += n;
+		if (u->used)
+			continue;
+		f->free_whole += n;
+		per_rack[u->rack] += n;
+		if (per_rack[u->rack] > f->largest_run)
+			f->largest_run = per_rack[u->rack];
+	}
+	free(per_rack);
+}
