--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 LIBS = $(shell pkg-config --libs $(PKGS)) -lh2o-evloop -lssl -lcrypto -lxxhash -lm
 
 LIB = $(wildcard lib/*.c) proto/peer.pb-c.c
-SCHED = $(wildcard sched/*.c)
+SCHED = $(wildcard sched/*.c config/*.c)
 DAEMON = $(filter-out daemon/main.c,$(wildcard daemon/*.c))
 CTL = $(wildcard ctl/*.c)
 UNIT = $(patsubst test/unit_%.c,%,$(wildcard test/unit_*.c))
@@ -18,16 +18,16 @@
 
 obj = $(patsubst %.c,$(OUT)/%.o,$(1))
 
-PROGRAMS = lacewingd platform worker cutter
+PROGRAMS = lacewingd lacewingctl platform worker cutter
 BINARIES = $(addprefix $(OUT)/,$(PROGRAMS))
-SOURCES = $(filter-out proto/%,$(wildcard */*.c)) $(wildcard lib/*.h sched/*.h daemon/*.h ctl/*.h fake/*.h load/*.h test/*.h)
+SOURCES = $(filter-out proto/%,$(wildcard */*.c)) $(wildcard lib/*.h sched/*.h config/*.h daemon/*.h ctl/*.h fake/*.h load/*.h test/*.h)
 
 all: $(BINARIES)
 
 $(OUT)/%.o: %.c
 	@mkdir -p $(@D)
 	@echo "  CC    $<"
-	@$(CC) $(CFLAGS) -MMD -c -o $@ $<
+	@$(CC) $(CFLAGS) -MMD -MP -c -o $@ $<
 
 $(OUT)/lacewingd: $(call obj,daemon/main.c $(DAEMON) $(SCHED) $(LIB))
 $(OUT)/lacewingctl: $(call obj,$(CTL) $(SCHED) $(LIB))
--- a/daemon/config.c
+++ b/config/config.c
@@ -2,7 +2,7 @@
 #include <glib.h>
 #include <string.h>
 
-#include "daemon/config.h"
+#include "config/config.h"
 #include "lib/http.h"
 
 #define KEY_ACCOUNT "config/account/"
--- a/daemon/config.h
+++ b/config/config.h
@@ -2,8 +2,8 @@
  * The configuration that the platform keeps: accounts, upstreams,
  * limits and bindings.  A snapshot does not change; it is counted.
  */
-#ifndef DAEMON_CONFIG_H
-#define DAEMON_CONFIG_H
+#ifndef CONFIG_CONFIG_H
+#define CONFIG_CONFIG_H
 
 #include <netinet/in.h>
 #include <stdbool.h>
--- /dev/null
+++ b/ctl/configcmd.c
@@ -0,0 +1,214 @@
+/* Commands about the configuration and client accounts. */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "config/config.h"
+#include "ctl/ctl.h"
+
+static json_t *load(const char *file)
+{
+	struct problems *p = problems_create(file);
+	json_t *v = schema_load(config_file_fields, file, p);
+	char *text;
+
+	if (!v) {
+		text = problems_text(p);
+		fprintf(stderr, "%s", text);
+		g_free(text);
+	}
+	problems_destroy(p);
+	return v;
+}
+
+static json_t *fetch(struct ctl *c, int *rc)
+{
+	struct reply r = ctl_call(c, c->server, "GET", "/v1/config", NULL);
+
+	*rc = ctl_exit(&r);
+	if (!*rc)
+		return r.body;
+	ctl_print_error(c, &r);
+	json_decref(r.body);
+	return NULL;
+}
+
+static int config_get(struct ctl *c)
+{
+	int rc;
+	json_t *v = fetch(c, &rc);
+
+	if (v) {
+		json_dumpf(v, stdout, JSON_INDENT(1));
+		printf("\n");
+	}
+	json_decref(v);
+	return rc;
+}
+
+/* Check a file by itself: its fields, limits, and that all cells fit. */
+static int config_check_file(const char *file)
+{
+	json_t *v = load(file), *rows = NULL, *bindings = NULL;
+	struct problems *p = problems_create(file);
+	struct config *c = NULL;
+	int rc = EXIT_DID_NOT_RUN;
+	char *text;
+
+	if (!v)
+		goto out;
+	rows = config_file_rows(v);
+	c = config_build(rows, 0);
+	config_check(c, p);
+	if (c->upstreams_len)
+		bindings = config_bind(c, NULL, p);
+	text = problems_text(p);
+	fprintf(stderr, "%s", text);
+	g_free(text);
+	if (!problems_count(p)) {
+		printf("%s: good\n", file);
+		rc = EXIT_RAN;
+	}
+out:
+	json_decref(bindings);
+	json_decref(rows);
+	config_unref(c);
+	problems_destroy(p);
+	json_decref(v);
+	return rc;
+}
+
+static json_t *by_key(const json_t *file)
+{
+	json_t *clean = json_object();
+	const char *const names[] = {"accounts", "upstreams", "limits",
+				     "remove"};
+	json_t *rows;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		json_t *v = json_object_get(file, names[i]);
+
+		if (v)
+			json_object_set(clean, names[i], v);
+	}
+	rows = config_file_rows(clean);
+	json_decref(clean);
+	return rows;
+}
+
+/* Show which rows an apply would add, change or remove. */
+static int config_diff(struct ctl *c, const char *file)
+{
+	json_t *v = load(file), *now, *then, *have;
+	const char *key;
+	json_t *value;
+	int rc;
+
+	if (!v)
+		return EXIT_DID_NOT_RUN;
+	have = fetch(c, &rc);
+	if (!have)
+		goto out;
+	now = by_key(have);
+	then = by_key(v);
+	json_object_foreach(then, key, value) {
+		const json_t *old = json_object_get(now, key);
+
+		if (json_is_null(value) && old)
+			printf("- %s\n", key);
+		else if (!old && !json_is_null(value))
+			printf("+ %s\n", key);
+		else if (old && !json_equal((json_t *)old, value))
+			printf("~ %s\n", key);
+	}
+	json_decref(now);
+	json_decref(then);
+	json_decref(have);
+out:
+	json_decref(v);
+	return rc;
+}
+
+static int config_apply(struct ctl *c, const char *file)
+{
+	json_t *v = load(file);
+	int rc;
+
+	if (!v)
+		return EXIT_DID_NOT_RUN;
+	rc = ctl_simple(c, "POST", "/v1/config", v, NULL, NULL);
+	json_decref(v);
+	return rc;
+}
+
+/* config: get, check, diff or apply. */
+int cmd_config(struct ctl *c, int argc, char **argv)
+{
+	const char *what = argc > 1 ? argv[1] : "";
+
+	if (!strcmp(what, "get") && argc == 2)
+		return config_get(c);
+	if (!strcmp(what, "check") && argc == 3)
+		return config_check_file(argv[2]);
+	if (!strcmp(what, "diff") && argc == 3)
+		return config_diff(c, argv[2]);
+	if (!strcmp(what, "apply") && argc == 3)
+		return config_apply(c, argv[2]);
+	fprintf(stderr, "usage: lacewingctl config get\n"
+			"       lacewingctl config check|diff|apply FILE\n");
+	return EXIT_USAGE;
+}
+
+static const struct column account_columns[] = {
+	{"ACCOUNT", "name"},   {"WEIGHT", "weight"},
+	{"GUARANTEED", "guaranteed"}, {"BOUND", "bound"},
+	{"AT", "at"},	       {0}};
+
+/* Describe one account: what it is guaranteed, and where. */
+static json_t *account_row(const json_t *account, const json_t *bindings)
+{
+	const char *name = json_str_or(account, "name", "");
+	json_t *at = json_array(), *g, *cell, *domain;
+	json_int_t cells = 0;
+	const char *key;
+	size_t i;
+
+	json_array_foreach(json_object_get(account, "guarantee"), i, g)
+		cells += json_int_or(g, "count", 0);
+	json_object_foreach((json_t *)bindings, key, domain) {
+		json_array_foreach(json_object_get(domain, "cells"), i, cell)
+			if (!strcmp(json_str_or(cell, "account", ""), name))
+				json_array_append(at,
+						  json_object_get(cell, "at"));
+	}
+	return json_pack("{s:s,s:I,s:I,s:I,s:o}", "name", name, "weight",
+			 (json_int_t)json_int_or(account, "weight", 1),
+			 "guaranteed", cells, "bound",
+			 (json_int_t)json_array_size(at), "at", at);
+}
+
+/* account: show client accounts with their guarantees and cells. */
+int cmd_account(struct ctl *c, int argc, char **argv)
+{
+	json_t *config, *rows = json_array(), *a;
+	size_t i;
+	int rc;
+
+	config = fetch(c, &rc);
+	json_array_foreach(json_object_get(config, "accounts"), i, a)
+		if (argc < 2 || !strcmp(argv[1], json_str_or(a, "name", "")))
+			json_array_append_new(
+				rows,
+				account_row(a, json_object_get(config,
+							       "bindings")));
+	if (rc)
+		goto out;
+	if (c->json)
+		json_dumpf(rows, stdout, JSON_INDENT(1));
+	else
+		table_print(rows, account_columns);
+out:
+	json_decref(rows);
+	json_decref(config);
+	return rc;
+}
--- /dev/null
+++ b/ctl/ctl.h
@@ -0,0 +1,70 @@
+/* lacewingctl: what its commands share. */
+#ifndef CTL_CTL_H
+#define CTL_CTL_H
+
+#include <stdbool.h>
+#include <jansson.h>
+
+#include "lib/http.h"
+#include "lib/schema.h"
+
+enum exit_code {
+	EXIT_RAN = 0,
+	EXIT_DID_NOT_RUN = 1,
+	EXIT_USAGE = 2,
+	EXIT_MAY_HAVE_RUN = 3,
+	EXIT_UNREACHABLE = 4,
+};
+
+struct ctl {
+	struct loop *loop;
+	struct http_client *http;
+	char *server;
+	bool json;
+	int timeout_ms;
+};
+
+struct reply {
+	struct verdict verdict; /* of the exchange, not of the request */
+	int status;
+	json_t *body;
+};
+
+struct column {
+	const char *title;
+	const char *name;
+};
+
+/* call.c */
+struct reply ctl_call(struct ctl *c, const char *server, const char *method,
+		      const char *path, const json_t *body);
+int ctl_simple(struct ctl *c, const char *method, const char *path,
+	       const json_t *body, const struct column *columns,
+	       const char *list);
+int ctl_exit(const struct reply *r);
+void ctl_print_error(const struct ctl *c, const struct reply *r);
+char *ctl_decider(struct ctl *c, const char *domain);
+json_t *ctl_instances(struct ctl *c);
+
+/* table.c */
+void table_print(const json_t *rows, const struct column *columns);
+void record_print(const json_t *record);
+
+/* the commands */
+int cmd_check(struct ctl *c, int argc, char **argv);
+int cmd_submit(struct ctl *c, int argc, char **argv);
+int cmd_get(struct ctl *c, int argc, char **argv);
+int cmd_list(struct ctl *c, int argc, char **argv);
+int cmd_watch(struct ctl *c, int argc, char **argv);
+int cmd_cancel(struct ctl *c, int argc, char **argv);
+int cmd_why(struct ctl *c, int argc, char **argv);
+int cmd_stuck(struct ctl *c, int argc, char **argv);
+int cmd_account(struct ctl *c, int argc, char **argv);
+int cmd_config(struct ctl *c, int argc, char **argv);
+int cmd_instances(struct ctl *c, int argc, char **argv);
+int cmd_upstreams(struct ctl *c, int argc, char **argv);
+int cmd_events(struct ctl *c, int argc, char **argv);
+int cmd_drain(struct ctl *c, int argc, char **argv);
+int cmd_new(struct ctl *c, int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/ctl/job.c
@@ -0,0 +1,281 @@
+/* Commands about checks and jobs. */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include "ctl/ctl.h"
+
+#define WATCH_MS 200
+
+static const struct column job_columns[] = {
+	{"JOB", "job"},	      {"ACCOUNT", "account"},
+	{"CLASS", "class"},   {"STATE", "state"},
+	{"DOMAIN", "domain"}, {"PARTS", "parts"},
+	{"EACH", "accelerators"}, {"WHERE", "where"},
+	{"WHY", "why"},	      {0}};
+
+static bool parse(GOptionEntry *entries, const char *what, int *argc,
+		  char ***argv)
+{
+	GOptionContext *o = g_option_context_new(what);
+	GError *err = NULL;
+	bool ok;
+
+	g_option_context_add_main_entries(o, entries, NULL);
+	ok = g_option_context_parse(o, argc, argv, &err);
+	if (!ok) {
+		fprintf(stderr, "lacewingctl: %s\n", err->message);
+		g_error_free(err);
+	}
+	g_option_context_free(o);
+	return ok;
+}
+
+static void set_string(json_t *v, const char *name, const char *s)
+{
+	if (s)
+		json_object_set_new(v, name, json_string(s));
+}
+
+static void set_number(json_t *v, const char *name, gint64 n)
+{
+	if (n >= 0)
+		json_object_set_new(v, name, json_integer(n));
+}
+
+/* check: send one quick check and wait for its answer. */
+int cmd_check(struct ctl *c, int argc, char **argv)
+{
+	char *account = NULL, *payload = NULL, *key = NULL;
+	gint run = -1, deadline = -1;
+	GOptionEntry entries[] = {
+		{"account", 'a', 0, G_OPTION_ARG_STRING, &account,
+		 "client account that asks", "NAME"},
+		{"payload", 'p', 0, G_OPTION_ARG_STRING, &payload,
+		 "what to check", "TEXT"},
+		{"run-ms", 'r', 0, G_OPTION_ARG_INT, &run,
+		 "expected run time", "MS"},
+		{"deadline-ms", 'd', 0, G_OPTION_ARG_INT, &deadline,
+		 "give up after this long", "MS"},
+		{"once", 'o', 0, G_OPTION_ARG_STRING, &key,
+		 "not idempotent: run at most once under KEY", "KEY"},
+		{0}};
+	json_t *body;
+	int rc;
+
+	if (!parse(entries, "- run a quick check", &argc, &argv))
+		return EXIT_USAGE;
+	body = json_object();
+	set_string(body, "account", account);
+	set_string(body, "payload", payload);
+	set_string(body, "key", key);
+	set_number(body, "run_ms", run);
+	set_number(body, "deadline_ms", deadline);
+	if (key)
+		json_object_set_new(body, "idempotent", json_false());
+	rc = ctl_simple(c, "POST", "/v1/checks", body, NULL, NULL);
+	json_decref(body);
+	g_free(account);
+	g_free(payload);
+	g_free(key);
+	return rc;
+}
+
+/* submit: submit a batch or gang job. */
+int cmd_submit(struct ctl *c, int argc, char **argv)
+{
+	char *account = NULL, *class = NULL, *key = NULL, *domain = NULL;
+	char *payload = NULL;
+	gint parts = -1, each = -1, slots = -1;
+	gint64 run = -1;
+	gboolean once = FALSE;
+	GOptionEntry entries[] = {
+		{"account", 'a', 0, G_OPTION_ARG_STRING, &account,
+		 "client account that the job runs for", "NAME"},
+		{"class", 'c', 0, G_OPTION_ARG_STRING, &class,
+		 "urgent, batch or quiet", "CLASS"},
+		{"key", 'k', 0, G_OPTION_ARG_STRING, &key,
+		 "the job's name; a repeat finds the first one", "KEY"},
+		{"parts", 'n', 0, G_OPTION_ARG_INT, &parts,
+		 "parts that start together", "N"},
+		{"accelerators", 'g', 0, G_OPTION_ARG_INT, &each,
+		 "accelerators of each part", "N"},
+		{"slots", 's', 0, G_OPTION_ARG_INT, &slots,
+		 "slots of each part", "N"},
+		{"run-ms", 'r', 0, G_OPTION_ARG_INT64, &run,
+		 "expected run time", "MS"},
+		{"domain", 'D', 0, G_OPTION_ARG_STRING, &domain,
+		 "failure domain to run in", "NAME"},
+		{"payload", 'p', 0, G_OPTION_ARG_STRING, &payload,
+		 "handed to the upstream as it is", "TEXT"},
+		{"once", 'o', 0, G_OPTION_ARG_NONE, &once,
+		 "not idempotent: never start it twice", NULL},
+		{0}};
+	json_t *body;
+	int rc;
+
+	if (!parse(entries, "- submit a job", &argc, &argv))
+		return EXIT_USAGE;
+	body = json_object();
+	set_string(body, "account", account);
+	set_string(body, "class", class);
+	set_string(body, "key", key);
+	set_string(body, "domain", domain);
+	set_string(body, "payload", payload);
+	set_number(body, "parts", parts);
+	set_number(body, "accelerators", each);
+	set_number(body, "slots", slots);
+	set_number(body, "run_ms", run);
+	if (once)
+		json_object_set_new(body, "idempotent", json_false());
+	rc = ctl_simple(c, "POST", "/v1/jobs", body, NULL, NULL);
+	json_decref(body);
+	g_free(account);
+	g_free(class);
+	g_free(key);
+	g_free(domain);
+	g_free(payload);
+	return rc;
+}
+
+static bool one_name(int argc, const char *usage)
+{
+	if (argc == 2)
+		return true;
+	fprintf(stderr, "usage: lacewingctl %s\n", usage);
+	return false;
+}
+
+static int on_job(struct ctl *c, const char *method, const char *job)
+{
+	char *path = g_strdup_printf("/v1/jobs/%s", job);
+	int rc = ctl_simple(c, method, path, NULL, NULL, NULL);
+
+	g_free(path);
+	return rc;
+}
+
+/* get: show one job. */
+int cmd_get(struct ctl *c, int argc, char **argv)
+{
+	if (!one_name(argc, "get JOB"))
+		return EXIT_USAGE;
+	return on_job(c, "GET", argv[1]);
+}
+
+/* cancel: cancel one job. */
+int cmd_cancel(struct ctl *c, int argc, char **argv)
+{
+	if (!one_name(argc, "cancel JOB"))
+		return EXIT_USAGE;
+	return on_job(c, "DELETE", argv[1]);
+}
+
+/* list: show jobs, all or those in one state. */
+int cmd_list(struct ctl *c, int argc, char **argv)
+{
+	char *path = argc > 1 ? g_strdup_printf("/v1/jobs?state=%s", argv[1])
+			      : g_strdup("/v1/jobs");
+	int rc = ctl_simple(c, "GET", path, NULL, job_columns, "jobs");
+
+	g_free(path);
+	return rc;
+}
+
+static bool ended(const char *state)
+{
+	return !strcmp(state, "done") || !strcmp(state, "cancelled") ||
+	       !strcmp(state, "parked");
+}
+
+static void pause_ms(long ms)
+{
+	struct timespec ts = {ms / 1000, ms % 1000 * 1000000};
+
+	nanosleep(&ts, NULL);
+}
+
+/* watch: print a job's states until it has ended. */
+int cmd_watch(struct ctl *c, int argc, char **argv)
+{
+	char last[32] = "", *path;
+	int rc = EXIT_RAN;
+
+	if (!one_name(argc, "watch JOB"))
+		return EXIT_USAGE;
+	path = g_strdup_printf("/v1/jobs/%s", argv[1]);
+	while (!ended(last)) {
+		struct reply r = ctl_call(c, c->server, "GET", path, NULL);
+		const char *state = json_str_or(r.body, "state", "");
+
+		rc = ctl_exit(&r);
+		if (rc) {
+			ctl_print_error(c, &r);
+			json_decref(r.body);
+			break;
+		}
+		if (strcmp(state, last)) {
+			printf("%s %s\n", argv[1], state);
+			fflush(stdout);
+			g_strlcpy(last, state, sizeof(last));
+		}
+		json_decref(r.body);
+		if (!ended(last))
+			pause_ms(WATCH_MS);
+	}
+	g_free(path);
+	return rc;
+}
+
+/* why: ask the decider of the job's domain what a job waits for. */
+int cmd_why(struct ctl *c, int argc, char **argv)
+{
+	char *path, *decider = NULL;
+	struct reply r = {0};
+	int rc;
+
+	if (!one_name(argc, "why JOB"))
+		return EXIT_USAGE;
+	path = g_strdup_printf("/v1/jobs/%s", argv[1]);
+	r = ctl_call(c, c->server, "GET", path, NULL);
+	rc = ctl_exit(&r);
+	if (rc) {
+		ctl_print_error(c, &r);
+		goto out;
+	}
+	if (ended(json_str_or(r.body, "state", ""))) {
+		printf("%s is %s. %s\n", argv[1],
+		       json_str_or(r.body, "state", ""),
+		       json_str_or(r.body, "why", ""));
+		goto out;
+	}
+	decider = ctl_decider(c, json_str_or(r.body, "domain", ""));
+	if (!decider) {
+		printf("%s is %s. Nobody decides for domain %s at present; "
+		       "that lasts a few seconds after an instance is lost, "
+		       "or until an upstream that is listed but silent is "
+		       "taken off the list.\n",
+		       argv[1], json_str_or(r.body, "state", ""),
+		       json_str_or(r.body, "domain", ""));
+		goto out;
+	}
+	json_decref(r.body);
+	g_free(path);
+	path = g_strdup_printf("/v1/jobs/%s/why", argv[1]);
+	r = ctl_call(c, decider, "GET", path, NULL);
+	rc = ctl_exit(&r);
+	if (rc)
+		ctl_print_error(c, &r);
+	else if (c->json)
+		json_dumpf(r.body, stdout, JSON_INDENT(1));
+	else
+		printf("%s is %s. %s\n", argv[1],
+		       json_str_or(r.body, "state", ""),
+		       json_str_or(r.body, "why", ""));
+out:
+	json_decref(r.body);
+	g_free(decider);
+	g_free(path);
+	return rc;
+}
--- /dev/null
+++ b/ctl/new.c
@@ -0,0 +1,400 @@
+/*
+ * The questionnaire: a new team says in plain words what its work is,
+ * how urgent it is and what it must be able to count on; the answers
+ * become a client account, and every value names its answer.
+ */
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/config.h"
+#include "ctl/ctl.h"
+
+enum question_id {
+	Q_NAME,
+	Q_WORK,
+	Q_WAITS,
+	Q_PEOPLE,
+	Q_GUARANTEED,
+	Q_TOGETHER,
+	Q_DOMAIN,
+	Q_QUEUE,
+	Q_SHARE,
+	Q_COUNT,
+};
+
+enum answer_kind { ANSWER_TEXT, ANSWER_NAME, ANSWER_NUMBER, ANSWER_CHOICE };
+
+struct prompt {
+	const char *id;
+	const char *text;
+	enum answer_kind kind;
+	long min;
+	long max;
+	const char *const *choices;
+	const char *otherwise; /* when the answer is empty */
+};
+
+static const char *const yes_no[] = {"yes", "no", NULL};
+static const char *const togethers[] = {"anywhere", "half", "upstream",
+					"rack", NULL};
+
+static const struct prompt prompts[Q_COUNT] = {
+	[Q_NAME] = {"name", "What is your team called, in one word?",
+		    ANSWER_NAME, 1, 60},
+	[Q_WORK] = {"work", "What does your work do, in a sentence?",
+		    ANSWER_TEXT, 0, 200, .otherwise = ""},
+	[Q_WAITS] = {"waits", "Does somebody wait while it runs?",
+		     ANSWER_CHOICE, .choices = yes_no, .otherwise = "yes"},
+	[Q_PEOPLE] = {"people",
+		      "At the busiest moment, how many people wait at once?",
+		      ANSWER_NUMBER, 0, 100000, .otherwise = "20"},
+	[Q_GUARANTEED] = {"guaranteed",
+			  "How many accelerators must be there whenever you "
+			  "ask for them?",
+			  ANSWER_NUMBER, 0, 8192, .otherwise = "0"},
+	[Q_TOGETHER] = {"together",
+			"How close must they be to each other: anywhere, on "
+			"half an upstream, one upstream, or one rack?",
+			ANSWER_CHOICE, .choices = togethers,
+			.otherwise = "anywhere"},
+	[Q_DOMAIN] = {"domain",
+		      "In which failure domain must they be? (empty: any)",
+		      ANSWER_NAME, 0, 60, .otherwise = ""},
+	[Q_QUEUE] = {"queue", "How many of your jobs may wait in line?",
+		     ANSWER_NUMBER, 1, 100000, .otherwise = "200"},
+	[Q_SHARE] = {"share",
+		     "Of what others leave free, how large a share is yours, "
+		     "where 1 is usual?",
+		     ANSWER_NUMBER, 1, 1000, .otherwise = "1"},
+};
+
+static bool in_choices(const struct prompt *q, const char *s)
+{
+	for (const char *const *c = q->choices; *c; c++)
+		if (!strcmp(*c, s))
+			return true;
+	return false;
+}
+
+/* Check an answer; return what is wrong with it, or NULL. */
+static char *answer_problem(const struct prompt *q, const char *s)
+{
+	char *end, *all, *text;
+	long n;
+
+	switch (q->kind) {
+	case ANSWER_TEXT:
+	case ANSWER_NAME:
+		if ((long)strlen(s) < q->min || (long)strlen(s) > q->max)
+			return g_strdup_printf(
+				"expected %ld to %ld characters", q->min,
+				q->max);
+		for (; q->kind == ANSWER_NAME && *s; s++)
+			if (!g_ascii_isalnum(*s) && !strchr("-_.", *s))
+				return g_strdup("expected letters, digits, "
+						"'-', '_' and '.' only");
+		return NULL;
+	case ANSWER_NUMBER:
+		n = strtol(s, &end, 10);
+		if (*end || end == s || n < q->min || n > q->max)
+			return g_strdup_printf("expected a number from %ld "
+					       "to %ld",
+					       q->min, q->max);
+		return NULL;
+	case ANSWER_CHOICE:
+		if (in_choices(q, s))
+			return NULL;
+		all = g_strjoinv(", ", (char **)q->choices);
+		text = g_strdup_printf("expected one of %s", all);
+		g_free(all);
+		return text;
+	}
+	return NULL;
+}
+
+static char *read_line(void)
+{
+	char buf[512];
+
+	if (!fgets(buf, sizeof(buf), stdin))
+		return NULL;
+	return g_strdup(g_strstrip(buf));
+}
+
+/* Ask one question until its answer is good; NULL at the end of input. */
+static char *ask(const struct prompt *q)
+{
+	for (;;) {
+		char *s, *problem;
+
+		printf("%s", q->text);
+		if (q->otherwise && *q->otherwise)
+			printf(" [%s]", q->otherwise);
+		printf(" ");
+		fflush(stdout);
+		s = read_line();
+		if (!s)
+			return NULL;
+		if (!*s && q->otherwise) {
+			g_free(s);
+			s = g_strdup(q->otherwise);
+		}
+		problem = answer_problem(q, s);
+		if (!problem)
+			return s;
+		printf("  %s\n", problem);
+		g_free(problem);
+		g_free(s);
+	}
+}
+
+static bool ask_all(json_t *answers)
+{
+	for (int i = 0; i < Q_COUNT; i++) {
+		char *s = ask(&prompts[i]);
+
+		if (!s) {
+			fprintf(stderr, "\nlacewingctl: new: the answers end "
+					"before the questions do\n");
+			return false;
+		}
+		json_object_set_new(answers, prompts[i].id, json_string(s));
+		g_free(s);
+	}
+	return true;
+}
+
+/* Take the answers from a file: an object of question to string. */
+static bool load_answers(const char *file, json_t *answers)
+{
+	json_error_t err;
+	json_t *v = json_load_file(file, 0, &err);
+	bool ok = json_is_object(v);
+	const char *name;
+	json_t *item;
+
+	if (!ok)
+		fprintf(stderr, "%s: line %d: %s\n", file, err.line,
+			v ? "expected an object" : err.text);
+	json_object_foreach(v, name, item) {
+		bool known = false;
+
+		for (int i = 0; i < Q_COUNT; i++)
+			known = known || !strcmp(prompts[i].id, name);
+		if (known)
+			continue;
+		fprintf(stderr, "%s: %s: no such question\n", file, name);
+		ok = false;
+	}
+	for (int i = 0; i < Q_COUNT && json_is_object(v); i++) {
+		const struct prompt *q = &prompts[i];
+		const char *s = json_str_or(v, q->id, q->otherwise);
+		char *problem = s ? answer_problem(q, s)
+				  : g_strdup("no answer given");
+
+		if (problem) {
+			fprintf(stderr, "%s: %s: found \"%s\", %s\n", file,
+				q->id, s ? s : "", problem);
+			ok = false;
+		} else {
+			json_object_set_new(answers, q->id, json_string(s));
+		}
+		g_free(problem);
+	}
+	json_decref(v);
+	return ok;
+}
+
+static long number(const json_t *answers, enum question_id q)
+{
+	return strtol(json_str_or(answers, prompts[q].id, "0"), NULL, 10);
+}
+
+static const char *text(const json_t *answers, enum question_id q)
+{
+	return json_str_or(answers, prompts[q].id, "");
+}
+
+/* Note which answer a value comes from. */
+static void explain(json_t *why, const char *field, const json_t *answers,
+		    enum question_id q)
+{
+	char *s = g_strdup_printf("\"%s\" to: %s", text(answers, q),
+				  prompts[q].text);
+
+	json_object_set_new(why, field, json_string(s));
+	g_free(s);
+}
+
+/* Turn a number of accelerators into cells of the size asked for. */
+static json_t *guarantee_of(const json_t *answers, long per_upstream)
+{
+	long n = number(answers, Q_GUARANTEED);
+	const char *together = text(answers, Q_TOGETHER);
+	const char *cell = "accelerator";
+	long size = 1;
+	json_t *g;
+
+	if (!n)
+		return json_array();
+	if (!strcmp(together, "half")) {
+		cell = "half";
+		size = per_upstream / 2;
+	} else if (!strcmp(together, "upstream")) {
+		cell = "upstream";
+		size = per_upstream;
+	} else if (!strcmp(together, "rack")) {
+		cell = "rack";
+		size = n;
+	}
+	g = json_pack("{s:s,s:I}", "cell", cell, "count",
+		      (json_int_t)((n + size - 1) / size));
+	if (*text(answers, Q_DOMAIN))
+		json_object_set_new(g, "domain",
+				    json_string(text(answers, Q_DOMAIN)));
+	return json_pack("[o]", g);
+}
+
+/* Make the account that the answers ask for. */
+static json_t *account_of(const json_t *answers, long per_upstream)
+{
+	bool waits = !strcmp(text(answers, Q_WAITS), "yes");
+	json_t *why = json_object();
+	long checks = waits ? number(answers, Q_PEOPLE) : 1;
+
+	explain(why, "name", answers, Q_NAME);
+	explain(why, "weight", answers, Q_SHARE);
+	explain(why, "queue_limit", answers, Q_QUEUE);
+	explain(why, "check_limit", answers, waits ? Q_PEOPLE : Q_WAITS);
+	explain(why, "guarantee.count", answers, Q_GUARANTEED);
+	explain(why, "guarantee.cell", answers, Q_TOGETHER);
+	explain(why, "guarantee.domain", answers, Q_DOMAIN);
+	explain(why, "purpose", answers, Q_WORK);
+	return json_pack("{s:s,s:I,s:I,s:I,s:o,s:o}", "name",
+			 text(answers, Q_NAME), "weight",
+			 (json_int_t)number(answers, Q_SHARE), "queue_limit",
+			 (json_int_t)number(answers, Q_QUEUE), "check_limit",
+			 (json_int_t)(checks > 0 ? checks : 1), "guarantee",
+			 guarantee_of(answers, per_upstream), "answers", why);
+}
+
+/* Return the accelerators of the site's most common upstream. */
+static long usual_upstream(const json_t *site)
+{
+	const json_t *list = json_object_get(site, "upstreams");
+	long most = 0;
+	json_t *u;
+	size_t i;
+
+	json_array_foreach((json_t *)list, i, u)
+		if (json_int_or(u, "accelerators", 0) > most)
+			most = json_int_or(u, "accelerators", 0);
+	return most ? most : 8;
+}
+
+/* Check that the account fits beside all others of the site. */
+static bool fits(const json_t *site, const json_t *account)
+{
+	struct problems *p = problems_create("answers");
+	json_t *file = json_pack("{s:O,s:O}", "accounts",
+				 json_object_get(site, "accounts"),
+				 "upstreams",
+				 json_object_get(site, "upstreams"));
+	json_t *rows, *bindings, *all;
+	struct config *c;
+	char *s;
+	bool ok;
+
+	all = json_copy(json_object_get(file, "accounts"));
+	json_array_append(all, (json_t *)account);
+	json_object_set_new(file, "accounts", all);
+	rows = config_file_rows(file);
+	c = config_build(rows, 0);
+	bindings = config_bind(c, NULL, p);
+	ok = !problems_count(p);
+	s = problems_text(p);
+	fprintf(stderr, "%s", s);
+	g_free(s);
+	json_decref(bindings);
+	config_unref(c);
+	json_decref(rows);
+	json_decref(file);
+	problems_destroy(p);
+	return ok;
+}
+
+static void print_explained(const json_t *account)
+{
+	const char *field;
+	json_t *v;
+
+	json_object_foreach(json_object_get(account, "answers"), field, v)
+		fprintf(stderr, "%-18s from %s\n", field,
+			json_string_value(v));
+}
+
+/* new: ask a team about its work and write its configuration. */
+int cmd_new(struct ctl *c, int argc, char **argv)
+{
+	char *file = NULL, *out = NULL;
+	gboolean why = FALSE, offline = FALSE;
+	GOptionEntry entries[] = {
+		{"answers", 'a', 0, G_OPTION_ARG_FILENAME, &file,
+		 "take the answers from FILE, a JSON object", "FILE"},
+		{"output", 'o', 0, G_OPTION_ARG_FILENAME, &out,
+		 "write the configuration to FILE", "FILE"},
+		{"explain", 'e', 0, G_OPTION_ARG_NONE, &why,
+		 "say which answer each value comes from", NULL},
+		{"offline", 0, 0, G_OPTION_ARG_NONE, &offline,
+		 "do not check the answers against the site", NULL},
+		{0}};
+	GOptionContext *o = g_option_context_new("- enter a new team");
+	json_t *answers = json_object(), *account = NULL, *config = NULL;
+	struct reply r = {0};
+	GError *err = NULL;
+	int rc = EXIT_USAGE;
+
+	g_option_context_add_main_entries(o, entries, NULL);
+	if (!g_option_context_parse(o, &argc, &argv, &err)) {
+		fprintf(stderr, "lacewingctl: new: %s\n", err->message);
+		g_error_free(err);
+		goto out;
+	}
+	if (!offline) {
+		r = ctl_call(c, c->server, "GET", "/v1/config", NULL);
+		rc = ctl_exit(&r);
+		if (rc) {
+			ctl_print_error(c, &r);
+			goto out;
+		}
+	}
+	rc = EXIT_DID_NOT_RUN;
+	if (file ? !load_answers(file, answers) : !ask_all(answers))
+		goto out;
+	account = account_of(answers, usual_upstream(r.body));
+	if (r.body && !fits(r.body, account))
+		goto out;
+	config = json_pack("{s:[O]}", "accounts", account);
+	if (why)
+		print_explained(account);
+	if (out ? json_dump_file(config, out, JSON_INDENT(1)) != 0
+		: json_dumpf(config, stdout, JSON_INDENT(1)) != 0) {
+		fprintf(stderr, "lacewingctl: new: %s: cannot write\n",
+			out ? out : "standard output");
+		goto out;
+	}
+	if (!out)
+		printf("\n");
+	rc = EXIT_RAN;
+out:
+	json_decref(config);
+	json_decref(account);
+	json_decref(answers);
+	json_decref(r.body);
+	g_option_context_free(o);
+	g_free(file);
+	g_free(out);
+	return rc;
+}
--- a/daemon/caller.c
+++ b/daemon/caller.c
@@ -26,6 +26,7 @@
 	struct config *config;
 	struct peer_list *peers;
 	bool table_answers;
+	bool deciding;
 	bool leaving;
 };
 
@@ -273,13 +274,13 @@
 	char http[ADDRESS_TEXT_BYTES];
 
 	address_format(&s->http, http, sizeof(http));
-	return json_pack("{s:s,s:s,s:s,s:I,s:I,s:b,s:b,s:b,s:b}", "name",
+	return json_pack("{s:s,s:s,s:s,s:I,s:I,s:b,s:b,s:b,s:b,s:b}", "name",
 			 s->name, "domain", s->domain, "http", http,
 			 "incarnation", (json_int_t)s->incarnation,
 			 "config_version",
 			 (json_int_t)(c->config ? c->config->version : 0),
 			 "ready", (int)is_ready(c), "leaving", (int)c->leaving,
-			 "self", 1, "reachable", 1);
+			 "deciding", (int)c->deciding, "self", 1, "reachable", 1);
 }
 
 static json_t *peer_json(const struct peer_state *p)
@@ -462,6 +463,9 @@
 	case MSG_TABLE_STATE:
 		c->table_answers = m->flag;
 		break;
+	case MSG_ROLE:
+		c->deciding = m->role.deciding;
+		break;
 	case MSG_LEAVE:
 		leave(c);
 		break;
--- a/daemon/check.c
+++ b/daemon/check.c
@@ -59,12 +59,12 @@
 			    .from = TASK_CHECK,
 			    .to = q->asked.from,
 			    .ticket = q->asked.ticket};
+	const char *ran_at = q->upstream ? q->upstream->name : "";
 
 	if (v.tag == VERDICT_DID_NOT_RUN && !v.retry_after_ms)
 		v.retry_after_ms = RETRY_AFTER_MS;
 	m.check_result.verdict = v;
-	m.check_result.upstream = g_strdup(q->upstream ? q->upstream->name
-						       : "");
+	m.check_result.upstream = g_strdup(q->ran_at ? q->ran_at : ran_at);
 	m.check_result.answer = answer;
 	bus_post(c->env->bus, &m);
 	count_end(q, v);
--- a/daemon/decider.c
+++ b/daemon/decider.c
@@ -24,6 +24,9 @@
 	struct message m = {.tag = MSG_ROLE,
 			    .from = TASK_DECIDER,
 			    .to = TASK_PEER};
+	struct message own = {.tag = MSG_ROLE,
+			      .from = TASK_DECIDER,
+			      .to = TASK_CALLER};
 
 	m.role.epoch = MAX(d->epoch, d->epoch_seen);
 	m.role.deciding = d->role == ROLE_DECIDING;
@@ -37,6 +40,9 @@
 					      json_string(c->name));
 	}
 	bus_post(d->env->bus, &m);
+	own.role = m.role;
+	own.role.leaving = NULL;
+	bus_post(d->env->bus, &own);
 }
 
 /* Find the control of an upstream of the domain, or NULL. */
--- a/daemon/env.h
+++ b/daemon/env.h
@@ -2,7 +2,7 @@
 #ifndef DAEMON_ENV_H
 #define DAEMON_ENV_H
 
-#include "daemon/config.h"
+#include "config/config.h"
 #include "daemon/message.h"
 #include "daemon/settings.h"
 #include "lib/counter.h"
--- a/daemon/intent.c
+++ b/daemon/intent.c
@@ -23,6 +23,7 @@
 	g_free(q->row_key);
 	g_free(q->nonce);
 	g_free(q->asked_lease);
+	g_free(q->ran_at);
 }
 
 static char *payload_hash(const struct quick *q)
@@ -100,6 +101,7 @@
 	if (!same) {
 		quick_finish(q, verdict_did_not_run(REASON_CONFLICT), NULL);
 	} else if (!strcmp(state, "done") && answer) {
+		q->ran_at = g_strdup(json_str_or(value, "upstream", ""));
 		quick_finish(q, verdict_ran(), json_incref(answer));
 	} else if (!strcmp(state, "did_not_run")) {
 		intent_start(q);
--- a/daemon/message.c
+++ b/daemon/message.c
@@ -1,7 +1,7 @@
 /* The bus: a queue of messages, delivered between rounds of the loop. */
 #include <glib.h>
 
-#include "daemon/config.h"
+#include "config/config.h"
 #include "daemon/message.h"
 
 struct bus {
--- a/daemon/peer.c
+++ b/daemon/peer.c
@@ -514,6 +514,7 @@
 	}
 	if (h->incarnation < st->incarnation)
 		return;
+	st->heard_ms = clock_mono_ms();
 	st->incarnation = h->incarnation;
 	g_strlcpy(st->domain, h->domain, sizeof(st->domain));
 	g_strlcpy(st->http_address, h->http_address,
--- a/daemon/quick.h
+++ b/daemon/quick.h
@@ -50,6 +50,7 @@
 	uint64_t deadline_ms;
 	bool forwarded;
 	struct entry *upstream;
+	char *ran_at; /* another attempt ran it, at this upstream */
 	char *lease;
 	struct entry *tried[TRIED_MOST];
 	uint32_t tried_len;
--- a/lib/httpserver.c
+++ b/lib/httpserver.c
@@ -173,6 +173,7 @@
 	if (x->server->closing)
 		req->http1_is_persistent = 0;
 	v = h2o_strdup(&req->pool, body, SIZE_MAX);
+	req->res.content_length = v.len;
 	*x->ref = NULL;
 	h2o_send_inline(req, v.base, v.len);
 out:
--- /dev/null
+++ b/test/site.h
@@ -0,0 +1,100 @@
+/* A site of real processes for tests, and questions to it. */
+#ifndef TEST_SITE_H
+#define TEST_SITE_H
+
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <jansson.h>
+
+#include "lib/http.h"
+#include "lib/schema.h"
+
+#define MAX_DOMAINS 3
+#define MAX_INSTANCES 3
+
+struct site_options {
+	uint32_t net; /* second octet of every address: one for each test */
+	uint32_t domains;
+	uint32_t instances; /* in each domain */
+	uint32_t workers;   /* in each domain, eight to a rack */
+	const char *accounts; /* JSON array */
+	const char *limits;   /* JSON object */
+	bool cut_workers;     /* reach workers through the cutter */
+	bool cut_platform;
+};
+
+struct test_site;
+
+struct test_site *site_start(const struct site_options *o);
+void site_stop(struct test_site *s);
+struct loop *test_loop(struct test_site *s);
+struct http_client *test_http(struct test_site *s);
+
+/* addresses */
+const char *at_instance(struct test_site *s, uint32_t domain, uint32_t i);
+const char *at_platform(struct test_site *s);
+const char *at_workers(struct test_site *s, uint32_t domain);
+const char *at_worker_cutter(struct test_site *s, uint32_t domain);
+const char *at_platform_cutter(struct test_site *s, uint32_t domain);
+
+/* processes */
+void instance_signal(struct test_site *s, uint32_t domain, uint32_t i,
+		     int signo);
+void instance_kill(struct test_site *s, uint32_t domain, uint32_t i);
+void instance_wait(struct test_site *s, uint32_t domain, uint32_t i);
+void instance_start(struct test_site *s, uint32_t domain, uint32_t i);
+
+/* questions; answers are the caller's to free */
+json_t *ask(struct test_site *s, const char *server, const char *method,
+	    const char *path, const char *body, int *status);
+void command(struct test_site *s, const char *server, const char *path,
+	     const char *body);
+json_t *records(struct test_site *s, uint32_t domain);
+uint32_t decider_of(struct test_site *s, uint32_t domain);
+bool job_in_state(struct test_site *s, const char *job, const char *state);
+void submit(struct test_site *s, uint32_t domain, uint32_t i, const char *body);
+bool event_seen(struct test_site *s, uint32_t domain, uint32_t i,
+		const char *kind, const char *subject);
+
+/* wait until what is true, or fail the test after ms */
+#define wait_for(s, ms, what) \
+	do { \
+		uint64_t until_ms_ = clock_mono_ms() + (ms); \
+		while (!(what)) { \
+			if (clock_mono_ms() > until_ms_) \
+				fail_msg("not within %d ms: %s", (int)(ms), \
+					 #what); \
+			loop_step(test_loop(s), 10); \
+		} \
+	} while (0)
+
+/* a stream of checks with payloads that can be recognised */
+struct stream {
+	struct test_site *site;
+	uint32_t net;
+	uint32_t concurrent;
+	uint32_t total;
+	const char *extra; /* more JSON fields, such as "run_ms": 5 */
+	bool once;	   /* not idempotent */
+	uint32_t sent;
+	uint32_t open;
+	uint32_t ran;
+	uint32_t did_not_run;
+	uint32_t may_have_run;
+	uint32_t wrong; /* an answer that is not the request's own */
+	uint32_t cut;	/* no answer from the instance at all */
+	uint32_t targets_len;
+	struct http_pool *targets[MAX_DOMAINS * MAX_INSTANCES];
+	char *verdicts; /* of each request: 'r', 'd', 'm', 'c' */
+	struct histogram *latency;
+};
+
+void stream_target(struct stream *st, uint32_t domain, uint32_t i);
+void stream_pump(struct stream *st);
+bool stream_done(const struct stream *st);
+void stream_free(struct stream *st);
+
+#endif
