--- a/Makefile
+++ b/Makefile
@@ -13,8 +13,6 @@
 SCHED = $(wildcard sched/*.c config/*.c)
 DAEMON = $(filter-out daemon/main.c,$(wildcard daemon/*.c))
 CTL = $(wildcard ctl/*.c)
-UNIT = $(patsubst test/unit_%.c,%,$(wildcard test/unit_*.c))
-PROC = $(patsubst test/proc_%.c,%,$(wildcard test/proc_*.c))
 
 obj = $(patsubst %.c,$(OUT)/%.o,$(1))
 
@@ -42,3 +40,19 @@
 	@$(CC) -o $@ $^ $(LIBS)
 
 -include $(wildcard $(OUT)/*/*.d)
+
+TEST_OBJS = $(call obj,test/site.c test/judge.c $(LIB))
+UNIT_TESTS = $(patsubst test/%.c,$(OUT)/%,$(wildcard test/unit_*.c))
+PROC_TESTS = $(patsubst test/%.c,$(OUT)/%,$(wildcard test/proc_*.c))
+
+$(OUT)/unit_%: $(OUT)/test/unit_%.o $(call obj,$(DAEMON) $(SCHED) $(LIB))
+	@echo "  LINK  $@"
+	@$(CC) -o $@ $^ $(LIBS) -lcmocka
+
+$(OUT)/proc_%: $(OUT)/test/proc_%.o $(TEST_OBJS)
+	@echo "  LINK  $@"
+	@$(CC) -o $@ $^ $(LIBS) -lcmocka
+
+tests: $(UNIT_TESTS) $(PROC_TESTS)
+
+.PRECIOUS: $(OUT)/test/%.o
--- /dev/null
+++ b/test/proc_answers.c
@@ -0,0 +1,231 @@
+/*
+ * Every caller gets its own whole answer or an honest verdict; what is
+ * not idempotent runs once at most.
+ */
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "lib/counter.h"
+#include "test/judge.h"
+
+static const char accounts[] =
+	"[{\"name\": \"damodar\", \"check_limit\": 5000}]";
+
+static struct test_site *site_of(uint32_t net, uint32_t domains)
+{
+	struct site_options o = {.net = net, .domains = domains,
+				 .instances = 2, .workers = 6,
+				 .accounts = accounts, .cut_workers = true,
+				 .cut_platform = true};
+
+	return site_start(&o);
+}
+
+static const char *const worker_faults[] = {
+	"{\"worker\": \"kolkata-w1\", \"half_answers\": 5}",
+	"{\"worker\": \"kolkata-w2\", \"swap_answers\": 5}",
+	"{\"worker\": \"kolkata-w3\", \"lose_answers\": 3}",
+	"{\"worker\": \"kolkata-w4\", \"late_ms\": 40}",
+	"{\"worker\": \"kolkata-w4\", \"late_ms\": 0}",
+	"{\"worker\": \"kolkata-w5\", \"half_answers\": 2}",
+};
+
+static const char *const link_faults[] = {
+	"{\"link\": 1, \"mode\": \"half\"}",
+	"{\"link\": 2, \"mode\": \"forget\"}",
+	"{\"link\": 3, \"mode\": \"cut\"}",
+	"{\"link\": 4, \"mode\": \"pass\", \"delay_ms\": 30}",
+	"{\"link\": -1, \"mode\": \"pass\"}",
+};
+
+/* Run a stream to its end, with the next fault after every 300 checks. */
+static void run_with_faults(struct test_site *s, struct stream *st)
+{
+	uint32_t step = 0, due = 300;
+
+	while (!stream_done(st)) {
+		stream_pump(st);
+		if (st->sent < due || st->sent == st->total)
+			continue;
+		due += 300;
+		command(s, at_workers(s, 0), "/control",
+			worker_faults[step % G_N_ELEMENTS(worker_faults)]);
+		command(s, at_worker_cutter(s, 0), "/control",
+			link_faults[step % G_N_ELEMENTS(link_faults)]);
+		step++;
+	}
+}
+
+static void answers_late_crossed_cut_and_doubled(void **state)
+{
+	struct test_site *s = site_of(41, 1);
+	struct stream st = {.site = s, .net = 41, .concurrent = 64,
+			    .total = 10000, .extra = "\"run_ms\": 2"};
+
+	(void)state;
+	stream_target(&st, 0, 0);
+	stream_target(&st, 0, 1);
+	run_with_faults(s, &st);
+	print_message("ran %u, did not run %u, may have run %u\n", st.ran,
+		      st.did_not_run, st.may_have_run);
+	assert_int_equal(st.wrong, 0);
+	assert_int_equal(st.cut, 0);
+	assert_true(st.ran > 9000);
+	judge_once(s, 1, &st);
+	stream_free(&st);
+	site_stop(s);
+}
+
+static void not_idempotent_runs_once(void **state)
+{
+	struct test_site *s = site_of(42, 1);
+	struct stream st = {.site = s, .net = 42, .concurrent = 16,
+			    .total = 3000, .extra = "\"run_ms\": 2",
+			    .once = true};
+
+	(void)state;
+	stream_target(&st, 0, 0);
+	stream_target(&st, 0, 1);
+	command(s, at_platform(s), "/control", "{\"lose_answers\": 40}");
+	run_with_faults(s, &st);
+	print_message("ran %u, did not run %u, may have run %u\n", st.ran,
+		      st.did_not_run, st.may_have_run);
+	assert_int_equal(st.wrong, 0);
+	judge_once(s, 1, &st);
+	stream_free(&st);
+	site_stop(s);
+}
+
+/* Send every key up to three times, through instances of two domains. */
+static void a_repeat_elsewhere_finds_the_first(void **state)
+{
+	struct test_site *s = site_of(43, 2);
+	json_t *first, *second;
+	uint32_t faults = 0;
+
+	(void)state;
+	for (int i = 0; i < 120; i++) {
+		bool ran = false;
+
+		if (i % 4 == 1)
+			command(s, at_workers(s, 0), "/control",
+				"{\"lose_answers\": 1}");
+		if (i % 6 == 2)
+			command(s, at_platform(s), "/control",
+				"{\"lose_answers\": 1}");
+		faults += i % 4 == 1 || i % 6 == 2;
+		for (int k = 0; k < 3 && !ran; k++) {
+			char *body = g_strdup_printf(
+				"{\"account\": \"damodar\", \"key\": \"p%d\", "
+				"\"request\": \"pay%d\", \"payload\": "
+				"\"pay%d\", \"idempotent\": false, "
+				"\"deadline_ms\": 900}", i, i, i);
+			json_t *v = ask(s, at_instance(s, k % 2, 1), "POST",
+					"/v1/checks", body, NULL);
+
+			ran = !strcmp(json_str_or(v, "verdict", ""), "ran");
+			json_decref(v);
+			g_free(body);
+		}
+		if (i == 60) {
+			instance_kill(s, 0, 1);
+			instance_start(s, 0, 1);
+			wait_for(s, 10000, decider_of(s, 0) != UINT32_MAX);
+		}
+	}
+	first = records(s, 0);
+	second = records(s, 1);
+	for (int i = 0; i < 120; i++) {
+		char id[32];
+		uint32_t n;
+
+		snprintf(id, sizeof(id), "pay%d", i);
+		n = runs_of(first, id) + runs_of(second, id);
+		if (n > 1)
+			fail_msg("%s was started %u times", id, n);
+	}
+	assert_true(faults > 40);
+	json_decref(first);
+	json_decref(second);
+	site_stop(s);
+}
+
+static void did_not_run_is_true_over_kills(void **state)
+{
+	struct test_site *s = site_of(44, 1);
+	struct stream st = {.site = s, .net = 44, .concurrent = 32,
+			    .total = 4000, .extra = "\"run_ms\": 4"};
+	uint32_t due = 1000;
+
+	(void)state;
+	stream_target(&st, 0, 0);
+	stream_target(&st, 0, 1);
+	while (!stream_done(&st)) {
+		stream_pump(&st);
+		if (st.sent < due || due > 3000)
+			continue;
+		instance_kill(s, 0, due / 1000 % 2);
+		instance_start(s, 0, due / 1000 % 2);
+		due += 1000;
+	}
+	print_message("ran %u, did not run %u, may have run %u, cut %u\n",
+		      st.ran, st.did_not_run, st.may_have_run, st.cut);
+	assert_int_equal(st.wrong, 0);
+	judge_once(s, 1, &st);
+	stream_free(&st);
+	site_stop(s);
+}
+
+/* Open connections go silent for good, while new ones work. */
+static void silent_connections_are_replaced(void **state)
+{
+	struct test_site *s = site_of(45, 1);
+	struct stream st = {.site = s, .net = 45, .concurrent = 16,
+			    .total = 2000, .extra = "\"run_ms\": 1"};
+	struct stream after = {.site = s, .net = 46, .concurrent = 16,
+			       .total = 500, .extra = "\"run_ms\": 1"};
+	uint64_t began;
+
+	(void)state;
+	stream_target(&st, 0, 0);
+	while (!stream_done(&st)) {
+		stream_pump(&st);
+		if (st.sent != 1000 || !st.open)
+			continue;
+		command(s, at_worker_cutter(s, 0), "/control",
+			"{\"link\": -1, \"mode\": \"forget\"}");
+		command(s, at_platform_cutter(s, 0), "/control",
+			"{\"link\": -1, \"mode\": \"forget\"}");
+	}
+	assert_int_equal(st.wrong, 0);
+	assert_true(st.ran > 1900);
+	began = clock_mono_ms();
+	submit(s, 0, 0, "{\"account\": \"damodar\", \"key\": \"after\", "
+			"\"accelerators\": 1, \"run_ms\": 1}");
+	wait_for(s, 5000, job_in_state(s, "after", "done"));
+	print_message("a job after the silence: %d ms\n",
+		      (int)(clock_mono_ms() - began));
+	stream_target(&after, 0, 0);
+	while (!stream_done(&after))
+		stream_pump(&after);
+	assert_int_equal(after.ran, 500);
+	judge_once(s, 1, &st);
+	stream_free(&st);
+	stream_free(&after);
+	site_stop(s);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(answers_late_crossed_cut_and_doubled),
+		cmocka_unit_test(not_idempotent_runs_once),
+		cmocka_unit_test(a_repeat_elsewhere_finds_the_first),
+		cmocka_unit_test(did_not_run_is_true_over_kills),
+		cmocka_unit_test(silent_connections_are_replaced),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/proc_gang.c
@@ -0,0 +1,168 @@
+/* Gangs start whole or not at all, whoever is killed, cut or frozen. */
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "test/judge.h"
+
+static const char accounts[] = "[{\"name\": \"damodar\"}]";
+static const char gang[] =
+	"{\"account\": \"damodar\", \"key\": \"gang\", \"parts\": 16, "
+	"\"accelerators\": 8, \"run_ms\": 1500}";
+
+static struct test_site *site_of(uint32_t net)
+{
+	struct site_options o = {.net = net, .domains = 1, .instances = 3,
+				 .workers = 17, .accounts = accounts,
+				 .cut_workers = true};
+
+	return site_start(&o);
+}
+
+static void slow_workers(struct test_site *s, uint32_t from, uint32_t to,
+			 uint32_t ms)
+{
+	for (uint32_t i = from; i < to; i++) {
+		char *body = g_strdup_printf("{\"link\": %u, \"mode\": "
+					     "\"pass\", \"delay_ms\": %u}",
+					     i, ms);
+
+		command(s, at_worker_cutter(s, 0), "/control", body);
+		g_free(body);
+	}
+}
+
+static void finish(struct test_site *s)
+{
+	wait_for(s, 30000, job_in_state(s, "gang", "done"));
+	judge_gang(s, 1, "gang", 16);
+	site_stop(s);
+}
+
+static void killed_between_reserve_and_start(void **state)
+{
+	struct test_site *s = site_of(21);
+	uint32_t d = decider_of(s, 0);
+
+	(void)state;
+	slow_workers(s, 0, 17, 150);
+	submit(s, 0, d, gang);
+	wait_for(s, 8000, event_seen(s, 0, d, "reserved", "gang"));
+	instance_kill(s, 0, d);
+	slow_workers(s, 0, 17, 0);
+	finish(s);
+}
+
+static void killed_when_half_the_parts_have_started(void **state)
+{
+	struct test_site *s = site_of(22);
+	uint32_t d = decider_of(s, 0);
+	json_t *list;
+	size_t n;
+
+	(void)state;
+	slow_workers(s, 8, 17, 300);
+	submit(s, 0, d, gang);
+	wait_for(s, 8000, event_seen(s, 0, d, "reserved", "gang"));
+	wait_for(s, 2000, (list = records(s, 0), n = json_array_size(list),
+			   json_decref(list), n > 0));
+	instance_kill(s, 0, d);
+	slow_workers(s, 8, 17, 0);
+	list = records(s, 0);
+	assert_true(json_array_size(list) < 16);
+	json_decref(list);
+	finish(s);
+}
+
+static void killed_while_it_runs(void **state)
+{
+	struct test_site *s = site_of(23);
+	uint32_t d = decider_of(s, 0);
+	json_t *list;
+
+	(void)state;
+	submit(s, 0, d,
+	       "{\"account\": \"damodar\", \"key\": \"gang\", \"parts\": 16, "
+	       "\"accelerators\": 8, \"run_ms\": 6000}");
+	wait_for(s, 8000, job_in_state(s, "gang", "running"));
+	instance_kill(s, 0, d);
+	wait_for(s, 10000, decider_of(s, 0) != UINT32_MAX);
+	wait_for(s, 30000, job_in_state(s, "gang", "done"));
+	list = records(s, 0);
+	assert_int_equal(json_array_size(list), 16); /* adopted, not redone */
+	json_decref(list);
+	finish(s);
+}
+
+static void frozen_past_its_lease_and_woken(void **state)
+{
+	struct test_site *s = site_of(24);
+	uint32_t d = decider_of(s, 0), next;
+
+	(void)state;
+	submit(s, 0, d,
+	       "{\"account\": \"damodar\", \"key\": \"gang\", \"parts\": 16, "
+	       "\"accelerators\": 8, \"run_ms\": 4000}");
+	wait_for(s, 8000, job_in_state(s, "gang", "running"));
+	instance_signal(s, 0, d, SIGSTOP);
+	for (next = 0; next == d; next++)
+		;
+	wait_for(s, 15000,
+		 event_seen(s, 0, next, "deciding", next ? "kolkata-2"
+							  : "kolkata-1") ||
+			 event_seen(s, 0, 2, "deciding", "kolkata-3"));
+	submit(s, 0, next,
+	       "{\"account\": \"damodar\", \"key\": \"later\", "
+	       "\"accelerators\": 8, \"run_ms\": 100}");
+	wait_for(s, 15000, event_seen(s, 0, next, "running", "later") ||
+				   event_seen(s, 0, 2, "running", "later"));
+	instance_signal(s, 0, d, SIGCONT);
+	wait_for(s, 15000, event_seen(s, 0, d, "stepped_down",
+				      d == 0   ? "kolkata-1"
+				      : d == 1 ? "kolkata-2"
+					       : "kolkata-3"));
+	wait_for(s, 15000, job_in_state(s, "later", "done"));
+	judge_gang(s, 1, "later", 1);
+	finish(s);
+}
+
+static void one_worker_is_cut_while_it_runs(void **state)
+{
+	struct test_site *s = site_of(25);
+
+	(void)state;
+	submit(s, 0, 0,
+	       "{\"account\": \"damodar\", \"key\": \"gang\", \"parts\": 16, "
+	       "\"accelerators\": 8, \"run_ms\": 3000}");
+	wait_for(s, 8000, job_in_state(s, "gang", "running"));
+	command(s, at_worker_cutter(s, 0), "/control",
+		"{\"link\": 2, \"mode\": \"cut\"}");
+	wait_for(s, 15000, job_in_state(s, "gang", "waiting"));
+	finish(s);
+}
+
+static void one_worker_is_silent_at_the_reservation(void **state)
+{
+	struct test_site *s = site_of(26);
+
+	(void)state;
+	command(s, at_worker_cutter(s, 0), "/control",
+		"{\"link\": 1, \"mode\": \"freeze\"}");
+	submit(s, 0, 0, gang);
+	finish(s);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(killed_between_reserve_and_start),
+		cmocka_unit_test(killed_when_half_the_parts_have_started),
+		cmocka_unit_test(killed_while_it_runs),
+		cmocka_unit_test(frozen_past_its_lease_and_woken),
+		cmocka_unit_test(one_worker_is_cut_while_it_runs),
+		cmocka_unit_test(one_worker_is_silent_at_the_reservation),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/proc_reclaim.c
@@ -0,0 +1,159 @@
+/* A guaranteed shape can be reclaimed, whatever happens meanwhile. */
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "test/judge.h"
+
+/*
+ * The bound: a checkpoint, one call, one lease term, and what the
+ * scheduler's own periods add.  With the decider lost, a peer must have
+ * missed it, claimed every upstream and seen the table.
+ */
+#define GRACE_MS 500
+#define CALL_MS 1000
+#define PERIODS_MS 1500
+#define RECLAIM_MS (GRACE_MS + CALL_MS + LEASE_TERM_MS + PERIODS_MS)
+#define TAKEOVER_MS 4000
+
+static const char accounts[] =
+	"[{\"name\": \"damodar\"}, {\"name\": \"teesta\", \"guarantee\": "
+	"[{\"cell\": \"upstream\", \"count\": 2}]}]";
+
+static const char claim[] =
+	"{\"account\": \"teesta\", \"key\": \"claim\", \"parts\": 4, "
+	"\"accelerators\": 4, \"run_ms\": 600000}";
+
+/* Start a site of four upstreams, and lend all of them to damodar. */
+static struct test_site *borrowed_site(uint32_t net)
+{
+	struct site_options o = {.net = net, .domains = 1, .instances = 2,
+				 .workers = 4, .accounts = accounts,
+				 .cut_workers = true, .cut_platform = true};
+	struct test_site *s = site_start(&o);
+
+	for (int i = 0; i < 8; i++) {
+		char *body = g_strdup_printf(
+			"{\"account\": \"damodar\", \"key\": \"b%d\", "
+			"\"accelerators\": 4, \"run_ms\": 600000}", i);
+
+		submit(s, 0, i % 2, body);
+		g_free(body);
+	}
+	for (int i = 0; i < 8; i++) {
+		char key[16];
+
+		snprintf(key, sizeof(key), "b%d", i);
+		wait_for(s, 10000, job_in_state(s, key, "running"));
+	}
+	return s;
+}
+
+static bool claim_runs(struct test_site *s)
+{
+	json_t *list = records(s, 0);
+	uint32_t n = runs_of(list, "claim");
+
+	json_decref(list);
+	return n >= 4;
+}
+
+static void finish(struct test_site *s)
+{
+	judge_gang(s, 1, "claim", 4);
+	site_stop(s);
+}
+
+static void from_those_who_borrow(void **state)
+{
+	struct test_site *s = borrowed_site(31);
+
+	(void)state;
+	submit(s, 0, 0, claim);
+	wait_for(s, RECLAIM_MS, claim_runs(s));
+	finish(s);
+}
+
+static void from_work_that_ignores_stop(void **state)
+{
+	struct test_site *s = borrowed_site(32);
+
+	(void)state;
+	command(s, at_workers(s, 0), "/control", "{\"ignore_stop\": true}");
+	submit(s, 0, 0, claim);
+	wait_for(s, RECLAIM_MS, claim_runs(s));
+	finish(s);
+}
+
+static void while_the_decider_is_killed(void **state)
+{
+	struct test_site *s = borrowed_site(33);
+	uint32_t d = decider_of(s, 0);
+
+	(void)state;
+	submit(s, 0, 1 - d, claim);
+	instance_kill(s, 0, d);
+	wait_for(s, RECLAIM_MS + TAKEOVER_MS, claim_runs(s));
+	finish(s);
+}
+
+static void while_the_platform_is_out(void **state)
+{
+	struct test_site *s = borrowed_site(34);
+	uint32_t d = decider_of(s, 0);
+
+	(void)state;
+	submit(s, 0, 1 - d, claim);
+	command(s, at_platform(s), "/control", "{\"outage\": \"hang\"}");
+	wait_for(s, RECLAIM_MS, claim_runs(s));
+	finish(s);
+}
+
+static void while_two_instances_race(void **state)
+{
+	struct test_site *s = borrowed_site(35);
+	uint32_t d = decider_of(s, 0);
+
+	(void)state;
+	/* the decider is paused; the other takes over; both then decide */
+	submit(s, 0, 1 - d, claim);
+	instance_signal(s, 0, d, SIGSTOP);
+	wait_for(s, RECLAIM_MS + TAKEOVER_MS,
+		 event_seen(s, 0, 1 - d, "deciding",
+			    d ? "kolkata-1" : "kolkata-2"));
+	instance_signal(s, 0, d, SIGCONT);
+	wait_for(s, RECLAIM_MS + TAKEOVER_MS, claim_runs(s));
+	finish(s);
+}
+
+static void after_its_upstream_is_gone(void **state)
+{
+	struct test_site *s = borrowed_site(36);
+
+	(void)state;
+	command(s, at_worker_cutter(s, 0), "/control",
+		"{\"link\": 0, \"mode\": \"cut\"}");
+	command(s, at_platform(s), "/control",
+		"{\"member\": {\"name\": \"kolkata-w1\", "
+		"\"state\": \"gone\"}}");
+	wait_for(s, 20000, event_seen(s, 0, 0, "rebound", "config") ||
+				   event_seen(s, 0, 1, "rebound", "config"));
+	submit(s, 0, 0, claim);
+	wait_for(s, RECLAIM_MS, claim_runs(s));
+	finish(s);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(from_those_who_borrow),
+		cmocka_unit_test(from_work_that_ignores_stop),
+		cmocka_unit_test(while_the_decider_is_killed),
+		cmocka_unit_test(while_the_platform_is_out),
+		cmocka_unit_test(while_two_instances_race),
+		cmocka_unit_test(after_its_upstream_is_gone),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
