Say may have run when an earlier send was not answered

Cause: a check was sent, its connection was cut, and the retry was refused; the verdict of the last try went to the caller, so a check that had run was reported as did_not_run.

Ruled out: the upstream's record (it shows the start) and the client's verdicts, which were right for each try alone.

Change: a check remembers that an earlier send may have run, and such a check never ends with did_not_run.

Before: a_retry_does_not_hide_the_first_send failed (q47-0 did not run, but was started 1 times).

--- a/daemon/check.c
+++ b/daemon/check.c
@@ -61,6 +61,8 @@
 			    .ticket = q->asked.ticket};
 	const char *ran_at = q->upstream ? q->upstream->name : "";
 
+	if (v.tag == VERDICT_DID_NOT_RUN && q->may_have_run)
+		v = verdict_may_have_run(v.reason);
 	if (v.tag == VERDICT_DID_NOT_RUN && !v.retry_after_ms)
 		v.retry_after_ms = RETRY_AFTER_MS;
 	m.check_result.verdict = v;
@@ -230,6 +232,7 @@
 static void retry(struct quick *q, struct verdict v)
 {
 	note_failure(q);
+	q->may_have_run = q->may_have_run || v.tag == VERDICT_MAY_HAVE_RUN;
 	if (q->tried_len < TRIED_MOST)
 		q->tried[q->tried_len++] = q->upstream;
 	if (q->tried_len < TRIED_MOST && quick_left_ms(q) &&
--- a/daemon/quick.h
+++ b/daemon/quick.h
@@ -49,6 +49,7 @@
 	uint64_t sent_us;
 	uint64_t deadline_ms;
 	bool forwarded;
+	bool may_have_run; /* an earlier send was not answered */
 	struct entry *upstream;
 	char *ran_at; /* another attempt ran it, at this upstream */
 	char *lease;
--- a/test/proc_answers.c
+++ b/test/proc_answers.c
@@ -178,6 +178,30 @@
 	site_stop(s);
 }
 
+/* The first send runs and its answer is lost; the retry is refused. */
+static void a_retry_does_not_hide_the_first_send(void **state)
+{
+	struct test_site *s = site_of(47, 1);
+	struct stream st = {.site = s, .net = 47, .concurrent = 8,
+			    .total = 8, .extra = "\"run_ms\": 150"};
+	json_t *list;
+	size_t n;
+
+	(void)state;
+	stream_target(&st, 0, 0);
+	stream_pump(&st);
+	wait_for(s, 3000, (list = records(s, 0), n = json_array_size(list),
+			   json_decref(list), n == 8));
+	command(s, at_worker_cutter(s, 0), "/control",
+		"{\"link\": -1, \"mode\": \"cut\"}");
+	while (!stream_done(&st))
+		stream_pump(&st);
+	assert_true(st.did_not_run + st.may_have_run > 0);
+	judge_once(s, 1, &st);
+	stream_free(&st);
+	site_stop(s);
+}
+
 /* Open connections go silent for good, while new ones work. */
 static void silent_connections_are_replaced(void **state)
 {
@@ -224,6 +248,7 @@
 		cmocka_unit_test(not_idempotent_runs_once),
 		cmocka_unit_test(a_repeat_elsewhere_finds_the_first),
 		cmocka_unit_test(did_not_run_is_true_over_kills),
+		cmocka_unit_test(a_retry_does_not_hide_the_first_send),
 		cmocka_unit_test(silent_connections_are_replaced),
 	};
 
--- /dev/null
+++ b/test/proc_config.c
@@ -0,0 +1,226 @@
+/* An accepted configuration is in force everywhere, and never reverts. */
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "test/judge.h"
+
+#define IN_FORCE_MS 5000
+#define CHANGES 100
+
+static const char accounts[] = "[{\"name\": \"damodar\"}]";
+
+static json_int_t version_at(struct test_site *s, uint32_t d, uint32_t i)
+{
+	json_t *v = ask(s, at_instance(s, d, i), "GET", "/v1/config", NULL,
+			NULL);
+	json_int_t n = json_int_or(v, "version", 0);
+
+	json_decref(v);
+	return n;
+}
+
+/* Apply one change; return the version that was accepted, or 0. */
+static json_int_t change(struct test_site *s, uint32_t d, uint32_t i, int n)
+{
+	char *body = g_strdup_printf("{\"accounts\": [{\"name\": \"team%d\", "
+				     "\"weight\": %d}]}",
+				     n % 90, n % 9 + 1);
+	json_t *v = ask(s, at_instance(s, d, i), "POST", "/v1/config", body,
+			NULL);
+	json_int_t version = json_int_or(v, "version", 0);
+
+	json_decref(v);
+	g_free(body);
+	return version;
+}
+
+static bool in_force(struct test_site *s, uint32_t domains, json_int_t version,
+		     int except)
+{
+	for (uint32_t d = 0; d < domains; d++)
+		for (uint32_t i = 0; i < 2; i++)
+			if ((int)d != except && version_at(s, d, i) < version)
+				return false;
+	return true;
+}
+
+/* Note the version of each instance; fail when one has gone back. */
+static void watch_versions(struct test_site *s, uint32_t domains,
+			   json_int_t seen[MAX_DOMAINS][2])
+{
+	for (uint32_t d = 0; d < domains; d++) {
+		for (uint32_t i = 0; i < 2; i++) {
+			json_int_t v = version_at(s, d, i);
+
+			if (v && v < seen[d][i])
+				fail_msg("%u-%u went back from %lld to %lld",
+					 d, i, (long long)seen[d][i],
+					 (long long)v);
+			if (v)
+				seen[d][i] = v;
+		}
+	}
+}
+
+static void changes_under_kills_and_a_cut_domain(void **state)
+{
+	struct site_options o = {.net = 61, .domains = 3, .instances = 2,
+				 .workers = 2, .accounts = accounts,
+				 .cut_platform = true};
+	struct test_site *s = site_start(&o);
+	json_int_t seen[MAX_DOMAINS][2] = {{0}}, last = 0;
+
+	(void)state;
+	for (int n = 0; n < CHANGES; n++) {
+		json_int_t v = change(s, 0, n % 2, n);
+
+		if (v) {
+			assert_true(v > last);
+			last = v;
+		}
+		watch_versions(s, 3, seen);
+		if (n % 25 == 12) {
+			instance_kill(s, 1, n / 25 % 2);
+			seen[1][n / 25 % 2] = 0; /* it keeps nothing */
+			instance_start(s, 1, n / 25 % 2);
+		}
+		if (n == 40)
+			command(s, at_platform_cutter(s, 2), "/control",
+				"{\"mode\": \"freeze\"}");
+		if (n == 80)
+			command(s, at_platform_cutter(s, 2), "/control",
+				"{\"mode\": \"pass\"}");
+	}
+	assert_true(last > 0);
+	wait_for(s, IN_FORCE_MS, in_force(s, 3, last, -1));
+	watch_versions(s, 3, seen);
+	site_stop(s);
+}
+
+/* A domain that the platform is cut from still gets it from peers. */
+static void peers_hand_it_on(void **state)
+{
+	struct site_options o = {.net = 62, .domains = 2, .instances = 2,
+				 .workers = 2, .accounts = accounts,
+				 .cut_platform = true};
+	struct test_site *s = site_start(&o);
+	json_int_t last;
+
+	(void)state;
+	command(s, at_platform_cutter(s, 1), "/control",
+		"{\"mode\": \"freeze\"}");
+	last = change(s, 0, 0, 1);
+	assert_true(last > 0);
+	wait_for(s, IN_FORCE_MS, in_force(s, 2, last, -1));
+	site_stop(s);
+}
+
+static void an_instance_starts_while_the_platform_is_out(void **state)
+{
+	struct site_options o = {.net = 63, .domains = 1, .instances = 2,
+				 .workers = 2, .accounts = accounts};
+	struct test_site *s = site_start(&o);
+	json_int_t last = change(s, 0, 0, 1);
+	json_t *v;
+	int status;
+
+	(void)state;
+	wait_for(s, IN_FORCE_MS, in_force(s, 1, last, -1));
+	instance_kill(s, 0, 1);
+	command(s, at_platform(s), "/control", "{\"outage\": \"refuse\"}");
+	instance_start(s, 0, 1);
+	wait_for(s, IN_FORCE_MS, (v = ask(s, at_instance(s, 0, 1), "GET",
+					  "/ready", NULL, &status),
+				  json_decref(v), status == 200));
+	assert_int_equal(version_at(s, 0, 1), last);
+	site_stop(s);
+}
+
+static void it_is_not_ready_without_a_configuration(void **state)
+{
+	struct site_options o = {.net = 64, .domains = 1, .instances = 2,
+				 .workers = 2, .accounts = accounts};
+	struct test_site *s = site_start(&o);
+	json_t *v;
+	int status;
+
+	(void)state;
+	command(s, at_platform(s), "/control", "{\"outage\": \"refuse\"}");
+	instance_kill(s, 0, 0);
+	instance_kill(s, 0, 1);
+	instance_start(s, 0, 1);
+	wait_for(s, 5000, (v = ask(s, at_instance(s, 0, 1), "GET", "/health",
+				   NULL, &status),
+			   json_decref(v), status == 200));
+	json_decref(ask(s, at_instance(s, 0, 1), "GET", "/ready", NULL,
+			&status));
+	assert_int_equal(status, 503);
+	v = ask(s, at_instance(s, 0, 1), "POST", "/v1/checks",
+		"{\"account\": \"damodar\"}", &status);
+	assert_string_equal(json_str_or(v, "verdict", ""), "did_not_run");
+	json_decref(v);
+	command(s, at_platform(s), "/control", "{\"outage\": \"\"}");
+	wait_for(s, IN_FORCE_MS, (v = ask(s, at_instance(s, 0, 1), "GET",
+					  "/ready", NULL, &status),
+				  json_decref(v), status == 200));
+	site_stop(s);
+}
+
+static void of_two_operators_one_wins(void **state)
+{
+	struct site_options o = {.net = 65, .domains = 1, .instances = 2,
+				 .workers = 2, .accounts = accounts};
+	struct test_site *s = site_start(&o);
+	json_t *v;
+	char *body;
+	int status;
+
+	(void)state;
+	v = ask(s, at_instance(s, 0, 0), "GET", "/v1/config", NULL, NULL);
+	body = g_strdup_printf("{\"base\": %lld, \"accounts\": [{\"name\": "
+			       "\"x\", \"weight\": 2}]}",
+			       (long long)json_int_or(v, "head", 0));
+	json_decref(v);
+	/* the second has not seen the first's change yet, or has: either way */
+	v = ask(s, at_instance(s, 0, 0), "POST", "/v1/config", body, &status);
+	assert_int_equal(status, 200);
+	json_decref(v);
+	v = ask(s, at_instance(s, 0, 1), "POST", "/v1/config", body, &status);
+	assert_int_equal(status, 409);
+	assert_string_equal(json_str_or(v, "reason", ""), "conflict");
+	assert_string_equal(json_str_or(v, "verdict", ""), "did_not_run");
+	json_decref(v);
+	g_free(body);
+	site_stop(s);
+}
+
+static void a_lost_answer_is_read_back(void **state)
+{
+	struct site_options o = {.net = 66, .domains = 1, .instances = 2,
+				 .workers = 2, .accounts = accounts};
+	struct test_site *s = site_start(&o);
+	json_int_t last;
+
+	(void)state;
+	command(s, at_platform(s), "/control", "{\"lose_answers\": 1}");
+	last = change(s, 0, 0, 3);
+	assert_true(last > 0);
+	wait_for(s, IN_FORCE_MS, in_force(s, 1, last, -1));
+	site_stop(s);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(changes_under_kills_and_a_cut_domain),
+		cmocka_unit_test(peers_hand_it_on),
+		cmocka_unit_test(an_instance_starts_while_the_platform_is_out),
+		cmocka_unit_test(it_is_not_ready_without_a_configuration),
+		cmocka_unit_test(of_two_operators_one_wins),
+		cmocka_unit_test(a_lost_answer_is_read_back),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/proc_leave.c
@@ -0,0 +1,155 @@
+/* Upstreams and instances that leave: nothing new, and nothing cut off. */
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "lib/counter.h"
+#include "test/judge.h"
+
+#define LEAVE_MS 3000 /* after the list shows it: the last new start */
+
+static const char accounts[] =
+	"[{\"name\": \"damodar\", \"check_limit\": 5000}]";
+
+static json_int_t last_start_at(struct test_site *s, const char *worker)
+{
+	json_t *list = records(s, 0), *r;
+	json_int_t last = 0;
+	size_t i;
+
+	json_array_foreach(list, i, r)
+		if (!strcmp(json_str_or(r, "worker", ""), worker))
+			last = MAX(last, json_int_or(r, "started_ms", 0));
+	json_decref(list);
+	return last;
+}
+
+static void an_upstream_that_leaves_gets_nothing_new(void **state)
+{
+	struct site_options o = {.net = 51, .domains = 1, .instances = 2,
+				 .workers = 4, .accounts = accounts,
+				 .cut_platform = true};
+	struct test_site *s = site_start(&o);
+	struct stream st = {.site = s, .net = 51, .concurrent = 16,
+			    .total = UINT16_MAX, .extra = "\"run_ms\": 5"};
+	uint64_t shown_ms, until;
+
+	(void)state;
+	stream_target(&st, 0, 0);
+	stream_target(&st, 0, 1);
+	while (st.ran < 200)
+		stream_pump(&st);
+	assert_true(last_start_at(s, "kolkata-w2") > 0);
+	command(s, at_platform(s), "/control",
+		"{\"lag_ms\": 500, \"member\": {\"name\": \"kolkata-w2\", "
+		"\"state\": \"leaving\"}}");
+	shown_ms = clock_mono_ms() + o.domains * 500;
+	while (clock_mono_ms() < shown_ms + 1500)
+		stream_pump(&st);
+	/* the platform is cut off right after: the word must be kept */
+	command(s, at_platform_cutter(s, 0), "/control",
+		"{\"link\": -1, \"mode\": \"cut\"}");
+	until = shown_ms + LEAVE_MS + 3000;
+	while (clock_mono_ms() < until)
+		stream_pump(&st);
+	st.total = st.sent;
+	while (!stream_done(&st))
+		stream_pump(&st);
+	assert_int_equal(st.wrong, 0);
+	assert_true(last_start_at(s, "kolkata-w1") > (json_int_t)until - 1000);
+	if (last_start_at(s, "kolkata-w2") > (json_int_t)(shown_ms + LEAVE_MS))
+		fail_msg("started %lld ms after the list showed it",
+			 (long long)(last_start_at(s, "kolkata-w2") -
+				     (json_int_t)shown_ms));
+	stream_free(&st);
+	site_stop(s);
+}
+
+static void an_upstreams_own_word_is_enough(void **state)
+{
+	struct site_options o = {.net = 52, .domains = 1, .instances = 2,
+				 .workers = 4, .accounts = accounts};
+	struct test_site *s = site_start(&o);
+	struct stream st = {.site = s, .net = 52, .concurrent = 16,
+			    .total = UINT16_MAX, .extra = "\"run_ms\": 5"};
+	uint64_t told_ms;
+
+	(void)state;
+	stream_target(&st, 0, 0);
+	stream_target(&st, 0, 1);
+	while (st.ran < 200)
+		stream_pump(&st);
+	command(s, at_workers(s, 0), "/control",
+		"{\"worker\": \"kolkata-w3\", \"leaving\": true}");
+	told_ms = clock_mono_ms();
+	while (clock_mono_ms() < told_ms + LEAVE_MS + 2000)
+		stream_pump(&st);
+	st.total = st.sent;
+	while (!stream_done(&st))
+		stream_pump(&st);
+	assert_true(last_start_at(s, "kolkata-w3") <
+		    (json_int_t)(told_ms + LEAVE_MS));
+	stream_free(&st);
+	site_stop(s);
+}
+
+/* Stop each instance in turn; the balancer sends to those that are ready. */
+static void a_planned_stop_cuts_off_nothing(void **state)
+{
+	struct site_options o = {.net = 53, .domains = 1, .instances = 3,
+				 .workers = 4, .accounts = accounts};
+	struct test_site *s = site_start(&o);
+
+	(void)state;
+	for (uint32_t i = 0; i < 3; i++) {
+		struct stream st = {.site = s, .net = 530 + i,
+				    .concurrent = 24, .total = UINT16_MAX,
+				    .extra = "\"run_ms\": 60"};
+		char key[64], *body;
+		uint32_t other = (i + 1) % 3;
+
+		stream_target(&st, 0, i);
+		while (st.ran < 100)
+			stream_pump(&st);
+		snprintf(key, sizeof(key), "job%u", i);
+		body = g_strdup_printf("{\"account\": \"damodar\", \"key\": "
+				       "\"%s\", \"accelerators\": 2, "
+				       "\"run_ms\": 4000}", key);
+		submit(s, 0, i, body);
+		g_free(body);
+		instance_signal(s, 0, i, SIGTERM);
+		/* the balancer notices within drain_ms, which is 600 */
+		for (uint64_t until = clock_mono_ms() + 400;
+		     clock_mono_ms() < until;)
+			stream_pump(&st);
+		st.total = st.sent;
+		while (!stream_done(&st))
+			stream_pump(&st);
+		instance_wait(s, 0, i);
+		assert_int_equal(st.cut, 0);
+		assert_int_equal(st.wrong, 0);
+		assert_int_equal(st.ran, st.total);
+		wait_for(s, 15000, job_in_state(s, key, "done"));
+		judge_gang(s, 1, key, 1);
+		stream_free(&st);
+		instance_start(s, 0, i);
+		wait_for(s, 10000, decider_of(s, 0) != UINT32_MAX);
+		wait_for(s, 5000, event_seen(s, 0, other, "peer_reachable",
+					     i == 0   ? "kolkata-1"
+					     : i == 1 ? "kolkata-2"
+						      : "kolkata-3"));
+	}
+	site_stop(s);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(an_upstream_that_leaves_gets_nothing_new),
+		cmocka_unit_test(an_upstreams_own_word_is_enough),
+		cmocka_unit_test(a_planned_stop_cuts_off_nothing),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
