--- a/Makefile
+++ b/Makefile
@@ -56,3 +56,47 @@
 tests: $(UNIT_TESTS) $(PROC_TESTS)
 
 .PRECIOUS: $(OUT)/test/%.o
+
+FUZZ_RUNS = 15000
+FUZZ_SEED = 7
+
+$(OUT)/fuzz_sched: test/fuzz_sched.c $(wildcard sched/*.c sched/*.h)
+	@mkdir -p $(OUT)
+	@echo "  FUZZ  $@"
+	@$(CLANG) -std=gnu11 -O1 -g -I. -fsanitize=fuzzer,address,undefined \
+		-fno-sanitize-recover=undefined -o $@ $(filter %.c,$^)
+
+fuzz: $(OUT)/fuzz_sched
+	$(OUT)/fuzz_sched -seed=$(FUZZ_SEED) -runs=$(FUZZ_RUNS) -max_len=600 \
+		-len_control=0 -print_final_stats=1 -artifact_prefix=$(OUT)/ \
+		>$(OUT)/fuzz.log 2>&1 || { tail -n 40 $(OUT)/fuzz.log; exit 1; }
+	@grep number_of_executed_units $(OUT)/fuzz.log
+
+FORMATTED = $(filter-out proto/%,$(wildcard */*.c */*.h))
+LINTED = $(filter-out proto/%,$(wildcard */*.c))
+
+format:
+	clang-format-14 -i $(FORMATTED)
+
+lint:
+	@echo "  FORMAT"
+	@clang-format-14 --dry-run -Werror $(FORMATTED)
+	@echo "  LINT"
+	@printf '%s\n' $(LINTED) | xargs -P 8 -n 2 sh -c \
+		'clang-tidy-14 --quiet "$$@" -- $(CFLAGS) 2>/dev/null' _
+
+packages:
+	@sh .ci/install
+
+check: all tests lint fuzz
+	test/run.sh 4 $(UNIT_TESTS) $(PROC_TESTS)
+
+demo: packages
+	@$(MAKE) --no-print-directory -j8 all
+	@sh fake/demo.sh
+
+clean:
+	rm -rf $(OUT)
+
+# the process tests link the library; the fuzz is built by clang alone
+.PHONY: all tests fuzz format lint packages check demo clean
--- a/config/config.c
+++ b/config/config.c
@@ -44,16 +44,14 @@
 	{"renew_ms", FIELD_INTEGER, false, 100, 200000, "milliseconds"},
 	{"grace_ms", FIELD_INTEGER, false, 0, 600000, "milliseconds"},
 	{"hold_after_ms", FIELD_INTEGER, false, 0, 86400000, "milliseconds"},
-	{"check_deadline_ms", FIELD_INTEGER, false, 50, 600000,
-	 "milliseconds"},
+	{"check_deadline_ms", FIELD_INTEGER, false, 50, 600000, "milliseconds"},
 	{"retry_percent", FIELD_INTEGER, false, 0, 100, "percent"},
 	{"job_tries", FIELD_INTEGER, false, 1, 10, "upstreams"},
 	{0}};
 
 const struct field config_file_fields[] = {
 	{"accounts", FIELD_ARRAY, false, 0, 10000, .fields = account_fields},
-	{"upstreams", FIELD_ARRAY, false, 0, 100000,
-	 .fields = upstream_fields},
+	{"upstreams", FIELD_ARRAY, false, 0, 100000, .fields = upstream_fields},
 	{"limits", FIELD_OBJECT, .fields = limit_fields},
 	{"remove", FIELD_ARRAY, false, 0, 10000, .item = FIELD_NAME},
 	{"base", FIELD_INTEGER, false, 0, INT64_MAX, "version"},
@@ -91,7 +89,8 @@
 	a->check_limit = json_int_or(v, "check_limit", 1000);
 	a->guarantees_len = json_array_size(list);
 	a->guarantees = g_new0(struct guarantee, a->guarantees_len + 1);
-	json_array_foreach(list, i, g) {
+	json_array_foreach(list, i, g)
+	{
 		cell_kind_parse(json_str_or(g, "cell", "accelerator"),
 				&a->guarantees[i].kind);
 		a->guarantees[i].count = json_int_or(g, "count", 0);
@@ -118,7 +117,8 @@
 
 	c->bindings = g_renew(struct config_binding, c->bindings,
 			      c->bindings_len + json_array_size(list) + 1);
-	json_array_foreach(list, i, b) {
+	json_array_foreach(list, i, b)
+	{
 		struct config_binding *o = &c->bindings[c->bindings_len++];
 
 		g_strlcpy(o->domain, domain, sizeof(o->domain));
@@ -180,8 +180,7 @@
 	c->refs = 1;
 	c->version = version;
 	read_limits(&c->limits, NULL);
-	json_object_foreach(rows, key, v)
-		g_ptr_array_add(keys, (gpointer)key);
+	json_object_foreach(rows, key, v) g_ptr_array_add(keys, (gpointer)key);
 	g_ptr_array_sort(keys, by_key);
 	for (guint i = 0; i < keys->len; i++) {
 		key = g_ptr_array_index(keys, i);
@@ -216,8 +215,8 @@
 		if (strcmp(u->domain, domain))
 			continue;
 		site_add_upstream(s, u->name, u->rack, u->accelerators,
-				  u->slots, MIN(c->limits.quick_slots,
-						u->slots - 1));
+				  u->slots,
+				  MIN(c->limits.quick_slots, u->slots - 1));
 	}
 	*out = s;
 	return site_upstreams(s);
@@ -289,12 +288,12 @@
 				 : site_upstream(s, cell->index)->name;
 
 	bind_apply(s, cell);
-	json_array_append_new(
-		g_ptr_array_index(b->cells, d),
-		json_pack("{s:s,s:s,s:s,s:I}", "account",
-			  b->config->accounts[cell->account].name, "cell",
-			  cell_kind_name(cell->kind), "at", at, "mask",
-			  (json_int_t)cell->mask));
+	json_array_append_new(g_ptr_array_index(b->cells, d),
+			      json_pack("{s:s,s:s,s:s,s:I}", "account",
+					b->config->accounts[cell->account].name,
+					"cell", cell_kind_name(cell->kind),
+					"at", at, "mask",
+					(json_int_t)cell->mask));
 }
 
 /* Take over the present bindings that still serve; return how many. */
@@ -334,8 +333,8 @@
 		if (*g->domain &&
 		    strcmp(g->domain, g_ptr_array_index(b->domains, d)))
 			continue;
-		if (!bind_find(g_ptr_array_index(b->sites, d), g->kind,
-			       account, &cell))
+		if (!bind_find(g_ptr_array_index(b->sites, d), g->kind, account,
+			       &cell))
 			continue;
 		bind_cell(b, d, &cell);
 		return true;
@@ -376,7 +375,8 @@
 	b->kept = g_new0(bool, c->bindings_len + 1);
 	for (uint32_t k = 0; k < c->upstreams_len; k++)
 		domain_index(b, c->upstreams[k].domain);
-	json_array_foreach(lost, i, name) {
+	json_array_foreach(lost, i, name)
+	{
 		for (guint d = 0; d < b->sites->len; d++) {
 			struct site *s = g_ptr_array_index(b->sites, d);
 			uint32_t u;
@@ -395,10 +395,9 @@
 		char *key = g_strconcat(KEY_BINDING,
 					g_ptr_array_index(b->domains, d), NULL);
 
-		json_object_set_new(
-			rows, key,
-			json_pack("{s:O}", "cells",
-				  g_ptr_array_index(b->cells, d)));
+		json_object_set_new(rows, key,
+				    json_pack("{s:O}", "cells",
+					      g_ptr_array_index(b->cells, d)));
 		g_free(key);
 	}
 	return rows;
@@ -476,9 +475,10 @@
 	json_t *v;
 	size_t i;
 
-	json_array_foreach(list, i, v) {
-		char *key = g_strconcat(prefix, json_str_or(v, "name", ""),
-					NULL);
+	json_array_foreach(list, i, v)
+	{
+		char *key =
+			g_strconcat(prefix, json_str_or(v, "name", ""), NULL);
 
 		json_object_set(rows, key, v);
 		g_free(key);
@@ -497,9 +497,10 @@
 	add_rows(rows, KEY_UPSTREAM, json_object_get(file, "upstreams"));
 	if (limits)
 		json_object_set(rows, KEY_LIMITS, limits);
-	json_array_foreach(json_object_get(file, "remove"), i, name) {
-		char *key = g_strconcat("config/", json_string_value(name),
-					NULL);
+	json_array_foreach(json_object_get(file, "remove"), i, name)
+	{
+		char *key =
+			g_strconcat("config/", json_string_value(name), NULL);
 
 		json_object_set_new(rows, key, json_null());
 		g_free(key);
--- a/ctl/call.c
+++ b/ctl/call.c
@@ -70,9 +70,8 @@
 	json_t *v;
 	size_t i;
 
-	json_array_foreach((json_t *)list, i, v)
-		if (json_is_string(v))
-			fprintf(stderr, "  %s\n", json_string_value(v));
+	json_array_foreach((json_t *)list, i, v) if (json_is_string(v))
+		fprintf(stderr, "  %s\n", json_string_value(v));
 }
 
 /* Say on standard error why a request did not succeed. */
@@ -143,7 +142,8 @@
 	json_t *v;
 	size_t i;
 
-	json_array_foreach(list, i, v) {
+	json_array_foreach(list, i, v)
+	{
 		bool self = json_is_true(json_object_get(v, "self"));
 
 		if (self && !domain)
--- a/ctl/configcmd.c
+++ b/ctl/configcmd.c
@@ -111,7 +111,8 @@
 		goto out;
 	now = by_key(have);
 	then = by_key(v);
-	json_object_foreach(then, key, value) {
+	json_object_foreach(then, key, value)
+	{
 		const json_t *old = json_object_get(now, key);
 
 		if (json_is_null(value) && old)
@@ -160,9 +161,8 @@
 }
 
 static const struct column account_columns[] = {
-	{"ACCOUNT", "name"},   {"WEIGHT", "weight"},
-	{"GUARANTEED", "guaranteed"}, {"BOUND", "bound"},
-	{"AT", "at"},	       {0}};
+	{"ACCOUNT", "name"}, {"WEIGHT", "weight"}, {"GUARANTEED", "guaranteed"},
+	{"BOUND", "bound"},  {"AT", "at"},	   {0}};
 
 /* Describe one account: what it is guaranteed, and where. */
 static json_t *account_row(const json_t *account, const json_t *bindings)
@@ -173,13 +173,15 @@
 	const char *key;
 	size_t i;
 
-	json_array_foreach(json_object_get(account, "guarantee"), i, g)
-		cells += json_int_or(g, "count", 0);
-	json_object_foreach((json_t *)bindings, key, domain) {
-		json_array_foreach(json_object_get(domain, "cells"), i, cell)
-			if (!strcmp(json_str_or(cell, "account", ""), name))
-				json_array_append(at,
-						  json_object_get(cell, "at"));
+	json_array_foreach(json_object_get(account, "guarantee"), i, g) cells +=
+		json_int_or(g, "count", 0);
+	json_object_foreach((json_t *)bindings, key, domain)
+	{
+		json_array_foreach(
+			json_object_get(domain, "cells"), i,
+			cell) if (!strcmp(json_str_or(cell, "account", ""),
+					  name))
+			json_array_append(at, json_object_get(cell, "at"));
 	}
 	return json_pack("{s:s,s:I,s:I,s:I,s:o}", "name", name, "weight",
 			 (json_int_t)json_int_or(account, "weight", 1),
@@ -195,12 +197,12 @@
 	int rc;
 
 	config = fetch(c, &rc);
-	json_array_foreach(json_object_get(config, "accounts"), i, a)
-		if (argc < 2 || !strcmp(argv[1], json_str_or(a, "name", "")))
-			json_array_append_new(
-				rows,
-				account_row(a, json_object_get(config,
-							       "bindings")));
+	json_array_foreach(json_object_get(config, "accounts"), i,
+			   a) if (argc < 2 ||
+				  !strcmp(argv[1], json_str_or(a, "name", "")))
+		json_array_append_new(
+			rows,
+			account_row(a, json_object_get(config, "bindings")));
 	if (rc)
 		goto out;
 	if (c->json)
--- a/ctl/job.c
+++ b/ctl/job.c
@@ -9,11 +9,11 @@
 #define WATCH_MS 200
 
 static const struct column job_columns[] = {
-	{"JOB", "job"},	      {"ACCOUNT", "account"},
-	{"CLASS", "class"},   {"STATE", "state"},
-	{"DOMAIN", "domain"}, {"PARTS", "parts"},
+	{"JOB", "job"},		  {"ACCOUNT", "account"},
+	{"CLASS", "class"},	  {"STATE", "state"},
+	{"DOMAIN", "domain"},	  {"PARTS", "parts"},
 	{"EACH", "accelerators"}, {"WHERE", "where"},
-	{"WHY", "why"},	      {0}};
+	{"WHY", "why"},		  {0}};
 
 static bool parse(GOptionEntry *entries, const char *what, int *argc,
 		  char ***argv)
@@ -54,8 +54,8 @@
 		 "client account that asks", "NAME"},
 		{"payload", 'p', 0, G_OPTION_ARG_STRING, &payload,
 		 "what to check", "TEXT"},
-		{"run-ms", 'r', 0, G_OPTION_ARG_INT, &run,
-		 "expected run time", "MS"},
+		{"run-ms", 'r', 0, G_OPTION_ARG_INT, &run, "expected run time",
+		 "MS"},
 		{"deadline-ms", 'd', 0, G_OPTION_ARG_INT, &deadline,
 		 "give up after this long", "MS"},
 		{"once", 'o', 0, G_OPTION_ARG_STRING, &key,
@@ -102,7 +102,7 @@
 		{"accelerators", 'g', 0, G_OPTION_ARG_INT, &each,
 		 "accelerators of each part", "N"},
 		{"slots", 's', 0, G_OPTION_ARG_INT, &slots,
-		 "slots of each part", "N"},
+		 "slots of each part that has no accelerators", "N"},
 		{"run-ms", 'r', 0, G_OPTION_ARG_INT64, &run,
 		 "expected run time", "MS"},
 		{"domain", 'D', 0, G_OPTION_ARG_STRING, &domain,
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -85,15 +85,17 @@
 	g_option_context_add_main_entries(o, entries, NULL);
 	if (!g_option_context_parse(o, &argc, &argv, &err) || argc < 2) {
 		fprintf(stderr, "lacewingctl: %s\n",
-			err ? err->message : "a command is missing, see --help");
+			err ? err->message
+			    : "a command is missing, see --help");
 		goto out;
 	}
 	c.json = json;
 	if (!c.server)
 		c.server = g_strdup(env ? env : DEFAULT_SERVER);
 	if (!address_parse(c.server, &a)) {
-		fprintf(stderr, "lacewingctl: --server: found \"%s\", expected "
-				"an address such as %s\n",
+		fprintf(stderr,
+			"lacewingctl: --server: found \"%s\", expected "
+			"an address such as %s\n",
 			c.server, DEFAULT_SERVER);
 		goto out;
 	}
--- a/ctl/new.c
+++ b/ctl/new.c
@@ -37,8 +37,8 @@
 };
 
 static const char *const yes_no[] = {"yes", "no", NULL};
-static const char *const togethers[] = {"anywhere", "half", "upstream",
-					"rack", NULL};
+static const char *const togethers[] = {"anywhere", "half", "upstream", "rack",
+					NULL};
 
 static const struct prompt prompts[Q_COUNT] = {
 	[Q_NAME] = {"name", "What is your team called, in one word?",
@@ -88,9 +88,8 @@
 	case ANSWER_TEXT:
 	case ANSWER_NAME:
 		if ((long)strlen(s) < q->min || (long)strlen(s) > q->max)
-			return g_strdup_printf(
-				"expected %ld to %ld characters", q->min,
-				q->max);
+			return g_strdup_printf("expected %ld to %ld characters",
+					       q->min, q->max);
 		for (; q->kind == ANSWER_NAME && *s; s++)
 			if (!g_ascii_isalnum(*s) && !strchr("-_.", *s))
 				return g_strdup("expected letters, digits, "
@@ -178,7 +177,8 @@
 	if (!ok)
 		fprintf(stderr, "%s: line %d: %s\n", file, err.line,
 			v ? "expected an object" : err.text);
-	json_object_foreach(v, name, item) {
+	json_object_foreach(v, name, item)
+	{
 		bool known = false;
 
 		for (int i = 0; i < Q_COUNT; i++)
@@ -191,8 +191,8 @@
 	for (int i = 0; i < Q_COUNT && json_is_object(v); i++) {
 		const struct prompt *q = &prompts[i];
 		const char *s = json_str_or(v, q->id, q->otherwise);
-		char *problem = s ? answer_problem(q, s)
-				  : g_strdup("no answer given");
+		char *problem =
+			s ? answer_problem(q, s) : g_strdup("no answer given");
 
 		if (problem) {
 			fprintf(stderr, "%s: %s: found \"%s\", %s\n", file,
@@ -288,9 +288,9 @@
 	json_t *u;
 	size_t i;
 
-	json_array_foreach((json_t *)list, i, u)
-		if (json_int_or(u, "accelerators", 0) > most)
-			most = json_int_or(u, "accelerators", 0);
+	json_array_foreach((json_t *)list, i,
+			   u) if (json_int_or(u, "accelerators", 0) > most)
+		most = json_int_or(u, "accelerators", 0);
 	return most ? most : 8;
 }
 
@@ -299,8 +299,7 @@
 {
 	struct problems *p = problems_create("answers");
 	json_t *file = json_pack("{s:O,s:O}", "accounts",
-				 json_object_get(site, "accounts"),
-				 "upstreams",
+				 json_object_get(site, "accounts"), "upstreams",
 				 json_object_get(site, "upstreams"));
 	json_t *rows, *bindings, *all;
 	struct config *c;
@@ -331,8 +330,7 @@
 	json_t *v;
 
 	json_object_foreach(json_object_get(account, "answers"), field, v)
-		fprintf(stderr, "%-18s from %s\n", field,
-			json_string_value(v));
+		fprintf(stderr, "%-18s from %s\n", field, json_string_value(v));
 }
 
 /* new: ask a team about its work and write its configuration. */
--- a/ctl/site.c
+++ b/ctl/site.c
@@ -6,18 +6,21 @@
 
 #include "ctl/ctl.h"
 
-static const struct column instance_columns[] = {
-	{"INSTANCE", "name"},	{"DOMAIN", "domain"},
-	{"ADDRESS", "http"},	{"REACHABLE", "reachable"},
-	{"READY", "ready"},	{"LEAVING", "leaving"},
-	{"DECIDES", "deciding"}, {"CONFIG", "config_version"},
-	{0}};
+static const struct column instance_columns[] = {{"INSTANCE", "name"},
+						 {"DOMAIN", "domain"},
+						 {"ADDRESS", "http"},
+						 {"REACHABLE", "reachable"},
+						 {"READY", "ready"},
+						 {"LEAVING", "leaving"},
+						 {"DECIDES", "deciding"},
+						 {"CONFIG", "config_version"},
+						 {0}};
 
 static const struct column upstream_columns[] = {
-	{"UPSTREAM", "name"}, {"RACK", "rack"},
-	{"STATE", "state"},   {"ACCELERATORS", "accelerators"},
-	{"USED", "used"},     {"BORROWED", "borrowed"},
-	{"HELD", "held"},     {"SLOTS", "slots"},
+	{"UPSTREAM", "name"},	 {"RACK", "rack"},
+	{"STATE", "state"},	 {"ACCELERATORS", "accelerators"},
+	{"USED", "used"},	 {"BORROWED", "borrowed"},
+	{"HELD", "held"},	 {"SLOTS", "slots"},
 	{"TAKEN", "slots_used"}, {0}};
 
 static const struct column stuck_columns[] = {{"KIND", "kind"},
@@ -50,7 +53,8 @@
 	json_t *v;
 	size_t i;
 
-	json_array_foreach(instances, i, v) {
+	json_array_foreach(instances, i, v)
+	{
 		const char *http = json_str_or(v, "http", "");
 		bool self = json_is_true(json_object_get(v, "self"));
 		struct reply r;
@@ -104,12 +108,12 @@
 	(void)argv;
 	json_array_foreach(json_object_get(r.body, "jobs"), i, v)
 		json_array_append_new(
-			all, json_pack("{s:s,s:s,s:s,s:s}", "kind", "parked",
-				       "name", json_str_or(v, "job", ""),
-				       "cause", json_str_or(v, "why", ""),
-				       "remedy",
-				       "mend the job and submit it under a "
-				       "new key"));
+			all,
+			json_pack("{s:s,s:s,s:s,s:s}", "kind", "parked", "name",
+				  json_str_or(v, "job", ""), "cause",
+				  json_str_or(v, "why", ""), "remedy",
+				  "mend the job and submit it under a "
+				  "new key"));
 	json_decref(r.body);
 	return print_all(c, all, stuck_columns, "Nothing is stuck.");
 }
@@ -126,8 +130,7 @@
 static char *events_path(const struct query *q)
 {
 	guint64 now_ms = g_get_real_time() / 1000;
-	guint64 since = q->since_s > 0 ? (now_ms - q->since_s * 1000) << 16
-				       : 0;
+	guint64 since = q->since_s > 0 ? (now_ms - q->since_s * 1000) << 16 : 0;
 	GString *s = g_string_new(NULL);
 
 	g_string_printf(s, "/v1/events?since=%" G_GUINT64_FORMAT, since);
@@ -168,15 +171,19 @@
 	json_t *out, *v, *e;
 	size_t i, k;
 
-	json_array_foreach(instances, i, v) {
+	json_array_foreach(instances, i, v)
+	{
 		const char *name = json_str_or(v, "name", "");
 		struct reply r = ctl_call(c, json_str_or(v, "http", ""), "GET",
 					  path, NULL);
 
 		if (ctl_exit(&r) != EXIT_RAN)
-			fprintf(stderr, "lacewingctl: %s: not reached, its "
-				"events are missing\n", name);
-		json_array_foreach(json_object_get(r.body, "events"), k, e) {
+			fprintf(stderr,
+				"lacewingctl: %s: not reached, its "
+				"events are missing\n",
+				name);
+		json_array_foreach(json_object_get(r.body, "events"), k, e)
+		{
 			json_object_set_new(e, "instance", json_string(name));
 			json_array_append(all, e);
 		}
@@ -221,7 +228,8 @@
 		"<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"%d\" "
 		"height=\"%zu\" font-family=\"monospace\" font-size=\"10\">\n",
 		SVG_LEFT + SVG_WIDTH + 20, (n + 3) * SVG_ROW);
-	json_array_foreach((json_t *)events, i, e) {
+	json_array_foreach((json_t *)events, i, e)
+	{
 		const char *who = json_str_or(e, "instance", "");
 		double x = SVG_LEFT +
 			   (double)(json_int_or(e, "time_ms", 0) - first) *
@@ -257,8 +265,7 @@
 	} else if (c->json) {
 		json_dumpf(events, stdout, JSON_INDENT(1));
 	} else {
-		json_array_foreach(events, i, e)
-			print_event(e);
+		json_array_foreach(events, i, e) print_event(e);
 	}
 	return EXIT_RAN;
 }
--- a/ctl/table.c
+++ b/ctl/table.c
@@ -35,7 +35,8 @@
 
 	for (; columns[n].title; n++) {
 		width[n] = strlen(columns[n].title);
-		json_array_foreach((json_t *)rows, i, row) {
+		json_array_foreach((json_t *)rows, i, row)
+		{
 			cell_text(json_object_get(row, columns[n].name), buf,
 				  sizeof(buf));
 			if (strlen(buf) > width[n])
@@ -45,7 +46,8 @@
 	for (size_t k = 0; k < n; k++)
 		printf("%-*s%s", k + 1 < n ? (int)width[k] : 0,
 		       columns[k].title, k + 1 < n ? "  " : "\n");
-	json_array_foreach((json_t *)rows, i, row) {
+	json_array_foreach((json_t *)rows, i, row)
+	{
 		for (size_t k = 0; k < n; k++) {
 			cell_text(json_object_get(row, columns[k].name), buf,
 				  sizeof(buf));
@@ -62,7 +64,8 @@
 	const char *name;
 	json_t *v;
 
-	json_object_foreach((json_t *)record, name, v) {
+	json_object_foreach((json_t *)record, name, v)
+	{
 		cell_text(v, buf, sizeof(buf));
 		printf("%-16s %s\n", name, buf);
 	}
--- a/daemon/caller.c
+++ b/daemon/caller.c
@@ -124,9 +124,8 @@
 
 static void post_check(struct caller *c, struct http_exchange *x)
 {
-	struct message m = {.tag = MSG_CHECK,
-			    .from = TASK_CALLER,
-			    .to = TASK_CHECK};
+	struct message m = {
+		.tag = MSG_CHECK, .from = TASK_CALLER, .to = TASK_CHECK};
 	json_t *v = body_of(c, x, check_fields);
 	json_t *problem;
 	int64_t deadline;
@@ -162,9 +161,8 @@
 			     o->request, "verdict", verdict_name(v.tag),
 			     "reason", reason_name(v.reason), "text",
 			     reason_text(v.reason), "upstream",
-			     m->check_result.upstream
-				     ? m->check_result.upstream
-				     : "",
+			     m->check_result.upstream ? m->check_result.upstream
+						      : "",
 			     "answer", text),
 		   v.tag == VERDICT_DID_NOT_RUN ? v.retry_after_ms : 0);
 	g_hash_table_remove(c->open, &m->ticket);
@@ -189,8 +187,8 @@
 	struct open *o = g_hash_table_lookup(c->open, &m->ticket);
 	struct verdict v = m->report.verdict;
 	json_t *body = m->report.body;
-	int status = m->report.status ? m->report.status
-				      : verdict_http_status(v);
+	int status =
+		m->report.status ? m->report.status : verdict_http_status(v);
 
 	if (!o)
 		return;
@@ -274,24 +272,24 @@
 	char http[ADDRESS_TEXT_BYTES];
 
 	address_format(&s->http, http, sizeof(http));
-	return json_pack("{s:s,s:s,s:s,s:I,s:I,s:b,s:b,s:b,s:b,s:b}", "name",
-			 s->name, "domain", s->domain, "http", http,
-			 "incarnation", (json_int_t)s->incarnation,
-			 "config_version",
-			 (json_int_t)(c->config ? c->config->version : 0),
-			 "ready", (int)is_ready(c), "leaving", (int)c->leaving,
-			 "deciding", (int)c->deciding, "self", 1, "reachable", 1);
+	return json_pack(
+		"{s:s,s:s,s:s,s:I,s:I,s:b,s:b,s:b,s:b,s:b}", "name", s->name,
+		"domain", s->domain, "http", http, "incarnation",
+		(json_int_t)s->incarnation, "config_version",
+		(json_int_t)(c->config ? c->config->version : 0), "ready",
+		(int)is_ready(c), "leaving", (int)c->leaving, "deciding",
+		(int)c->deciding, "self", 1, "reachable", 1);
 }
 
 static json_t *peer_json(const struct peer_state *p)
 {
 	return json_pack("{s:s,s:s,s:s,s:I,s:I,s:b,s:b,s:b,s:b}", "name",
-			 p->name, "domain", p->domain, "http",
-			 p->http_address, "incarnation",
-			 (json_int_t)p->incarnation, "config_version",
-			 (json_int_t)p->config_version, "ready",
-			 (int)p->ready, "leaving", (int)p->leaving, "deciding",
-			 (int)p->deciding, "reachable", (int)p->reachable);
+			 p->name, "domain", p->domain, "http", p->http_address,
+			 "incarnation", (json_int_t)p->incarnation,
+			 "config_version", (json_int_t)p->config_version,
+			 "ready", (int)p->ready, "leaving", (int)p->leaving,
+			 "deciding", (int)p->deciding, "reachable",
+			 (int)p->reachable);
 }
 
 static void get_instances(struct caller *c, struct http_exchange *x)
@@ -346,9 +344,8 @@
 
 static void post_drain(struct caller *c, struct http_exchange *x)
 {
-	struct message m = {.tag = MSG_LEAVE,
-			    .from = TASK_CALLER,
-			    .to = TASK_CALLER};
+	struct message m = {
+		.tag = MSG_LEAVE, .from = TASK_CALLER, .to = TASK_CALLER};
 
 	bus_post(c->env->bus, &m);
 	reply_json(x, 202, json_pack("{s:b}", "leaving", 1), 0);
@@ -431,9 +428,8 @@
 	log_line(LOG_INFO, "leaving", "asked to stop");
 	http_server_close_after_reply(c->server);
 	for (size_t i = 0; i < G_N_ELEMENTS(others); i++) {
-		struct message m = {.tag = MSG_LEAVE,
-				    .from = TASK_CALLER,
-				    .to = others[i]};
+		struct message m = {
+			.tag = MSG_LEAVE, .from = TASK_CALLER, .to = others[i]};
 
 		bus_post(c->env->bus, &m);
 	}
--- a/daemon/check.c
+++ b/daemon/check.c
@@ -40,9 +40,9 @@
 static void count_end(struct quick *q, struct verdict v)
 {
 	struct counters *c = q->checks->env->counters;
-	char *label = g_strdup_printf("verdict=\"%s\",reason=\"%s\"",
-				      verdict_name(v.tag),
-				      reason_name(v.reason));
+	char *label =
+		g_strdup_printf("verdict=\"%s\",reason=\"%s\"",
+				verdict_name(v.tag), reason_name(v.reason));
 
 	counter_add(c, "checks_ended", label, 1);
 	if (verdict_is_ran(v))
@@ -164,8 +164,7 @@
 	else if (roster_slots(c->roster))
 		enqueue(q);
 	else
-		quick_finish(q, verdict_did_not_run(REASON_NO_UPSTREAM),
-			     NULL);
+		quick_finish(q, verdict_did_not_run(REASON_NO_UPSTREAM), NULL);
 }
 
 static void serve_queue(void *arg)
@@ -189,9 +188,9 @@
 	const struct settings *s = c->env->settings;
 
 	g_free(q->lease);
-	q->lease = g_strdup_printf("%s-%" G_GUINT64_FORMAT
-				   "-%" G_GUINT64_FORMAT,
-				   s->name, s->incarnation, ++c->next_lease);
+	q->lease =
+		g_strdup_printf("%s-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT,
+				s->name, s->incarnation, ++c->next_lease);
 }
 
 static bool take_token(struct checks *c)
@@ -249,10 +248,10 @@
 	counter_add(c->env->counters, "checks_refused_by_upstream", NULL, 1);
 	q->upstream->full_until_ms = clock_mono_ms() + FULL_MS;
 	if (q->key)
-		intent_did_not_run(q,
-				   verdict_did_not_run(r->status == 429
-							       ? REASON_BUSY
-							       : REASON_REFUSED));
+		intent_did_not_run(
+			q,
+			verdict_did_not_run(r->status == 429 ? REASON_BUSY
+							     : REASON_REFUSED));
 	else
 		quick_choose(q);
 }
@@ -359,11 +358,11 @@
 {
 	struct checks *c = q->checks;
 	const char *payload = json_str_or(q->request, "payload", "");
-	json_t *body = json_pack(
-		"{s:s,s:s,s:s,s:I,s:b}", "lease", q->lease, "request", q->id,
-		"payload", payload, "run_ms",
-		(json_int_t)json_int_or(q->request, "run_ms", 0), "keep",
-		(int)(q->key != NULL));
+	json_t *body =
+		json_pack("{s:s,s:s,s:s,s:I,s:b}", "lease", q->lease, "request",
+			  q->id, "payload", payload, "run_ms",
+			  (json_int_t)json_int_or(q->request, "run_ms", 0),
+			  "keep", (int)(q->key != NULL));
 	char *text = json_dumps(body, JSON_COMPACT);
 
 	q->state = QUICK_SENT;
@@ -383,16 +382,15 @@
 
 /* Admission */
 
-static void refuse(struct checks *c, const struct message *m,
-		   struct verdict v)
+static void refuse(struct checks *c, const struct message *m, struct verdict v)
 {
 	struct message out = {.tag = MSG_CHECK_DONE,
 			      .from = TASK_CHECK,
 			      .to = m->from,
 			      .ticket = m->ticket};
-	char *label = g_strdup_printf("verdict=\"%s\",reason=\"%s\"",
-				      verdict_name(v.tag),
-				      reason_name(v.reason));
+	char *label =
+		g_strdup_printf("verdict=\"%s\",reason=\"%s\"",
+				verdict_name(v.tag), reason_name(v.reason));
 
 	v.retry_after_ms = RETRY_AFTER_MS;
 	out.check_result.verdict = v;
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -21,8 +21,8 @@
 	c->address = u->address;
 	c->pool = http_pool_create(d->env->http, &u->address,
 				   CONTROL_CONNECTIONS);
-	c->except = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					  NULL);
+	c->except =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	c->acks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return c;
 }
--- a/daemon/decider.c
+++ b/daemon/decider.c
@@ -12,21 +12,19 @@
 #include "daemon/jobs.h"
 
 #define TICK_MS 25
-#define SETTLE_MS 1300	 /* after start: hear who decides */
-#define VACANT_MS 200	 /* nobody decides: wait this long first */
-#define TURN_MS 700	 /* and this for each better candidate */
+#define SETTLE_MS 1300 /* after start: hear who decides */
+#define VACANT_MS 200  /* nobody decides: wait this long first */
+#define TURN_MS 700    /* and this for each better candidate */
 #define CLAIM_AGAIN_MS 250
-#define LOST_MS 5000	 /* then its guarantees are bound elsewhere */
+#define LOST_MS 5000 /* then its guarantees are bound elsewhere */
 #define QUEUE_LIMIT 1000000
 
 static void role_tell(struct decider *d)
 {
-	struct message m = {.tag = MSG_ROLE,
-			    .from = TASK_DECIDER,
-			    .to = TASK_PEER};
-	struct message own = {.tag = MSG_ROLE,
-			      .from = TASK_DECIDER,
-			      .to = TASK_CALLER};
+	struct message m = {
+		.tag = MSG_ROLE, .from = TASK_DECIDER, .to = TASK_PEER};
+	struct message own = {
+		.tag = MSG_ROLE, .from = TASK_DECIDER, .to = TASK_CALLER};
 
 	m.role.epoch = MAX(d->epoch, d->epoch_seen);
 	m.role.deciding = d->role == ROLE_DECIDING;
@@ -142,8 +140,7 @@
 		if (old && before &&
 		    config_account_find(before, d->config->accounts[i].name,
 					&was))
-			sched_set_service(d->sched, i,
-					  sched_service(old, was));
+			sched_set_service(d->sched, i, sched_service(old, was));
 	}
 	g_hash_table_iter_init(&it, d->gangs);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
@@ -286,7 +283,8 @@
 		json_t *v;
 		size_t k;
 
-		json_array_foreach(c->leases, k, v) {
+		json_array_foreach(c->leases, k, v)
+		{
 			const char *job = json_str_or(v, "job", "");
 			json_t *list = json_object_get(jobs, job);
 			json_t *copy = json_copy(v);
@@ -327,8 +325,7 @@
 	const char *name;
 	json_t *leases;
 
-	json_object_foreach(jobs, name, leases)
-		gang_adopt(d, name, leases);
+	json_object_foreach(jobs, name, leases) gang_adopt(d, name, leases);
 	json_decref(jobs);
 	d->role = ROLE_DECIDING;
 	d->claimed_ms = clock_mono_ms();
@@ -491,9 +488,8 @@
 {
 	uint32_t mark = 0;
 	json_t *lost = json_array();
-	struct message m = {.tag = MSG_ASK,
-			    .from = TASK_DECIDER,
-			    .to = TASK_CONFIG};
+	struct message m = {
+		.tag = MSG_ASK, .from = TASK_DECIDER, .to = TASK_CONFIG};
 
 	for (guint i = 0; i < d->controls->len; i++) {
 		const struct control *c = g_ptr_array_index(d->controls, i);
@@ -592,7 +588,8 @@
 	json_t *v, *body;
 	size_t i;
 
-	json_array_foreach(c->leases, i, v) {
+	json_array_foreach(c->leases, i, v)
+	{
 		const char *id = json_str_or(v, "lease", "");
 		const struct gang *g = g_hash_table_lookup(
 			d->gangs, json_str_or(v, "job", ""));
@@ -605,8 +602,7 @@
 		} else if (!g_hash_table_contains(c->except, id)) {
 			g_hash_table_insert(c->except, g_strdup(id), NULL);
 			json_array_append_new(list, json_string(id));
-			counter_add(d->env->counters, "orphan_leases", NULL,
-				    1);
+			counter_add(d->env->counters, "orphan_leases", NULL, 1);
 		}
 	}
 	if (json_array_size(list)) {
@@ -639,9 +635,8 @@
 	if (d->role != ROLE_DECIDING || !c->leases)
 		return;
 	by_id = g_hash_table_new(g_str_hash, g_str_equal);
-	json_array_foreach(c->leases, i, v)
-		g_hash_table_insert(by_id,
-				    (gpointer)json_str_or(v, "lease", ""), v);
+	json_array_foreach(c->leases, i, v) g_hash_table_insert(
+		by_id, (gpointer)json_str_or(v, "lease", ""), v);
 	prune_except(c, by_id);
 	all = g_hash_table_get_values(d->gangs);
 	for (GList *l = all; l && d->role == ROLE_DECIDING; l = l->next)
@@ -709,7 +704,8 @@
 	for (guint k = 0; k < d->controls->len; k++)
 		((struct control *)g_ptr_array_index(d->controls, k))->listed =
 			false;
-	json_array_foreach(list, i, v) {
+	json_array_foreach(list, i, v)
+	{
 		struct control *c =
 			decider_control(d, json_str_or(v, "name", ""));
 		bool off = strcmp(json_str_or(v, "state", ""), "live");
--- a/daemon/domain.h
+++ b/daemon/domain.h
@@ -51,20 +51,20 @@
 	uint32_t index; /* in the site */
 	struct http_pool *pool;
 	struct health health;
-	bool claimed;	/* at the decider's epoch */
-	bool claiming;	/* a claim is under way */
-	bool renewing;	/* a renewal is under way */
-	bool leaving;	/* by its own word */
-	bool listed;	/* in the platform's list */
+	bool claimed;	 /* at the decider's epoch */
+	bool claiming;	 /* a claim is under way */
+	bool renewing;	 /* a renewal is under way */
+	bool leaving;	 /* by its own word */
+	bool listed;	 /* in the platform's list */
 	bool listed_off; /* there, but not live */
 	bool configured;
 	uint64_t known; /* version of the last report */
 	uint64_t incarnation;
 	uint64_t confirmed_ms; /* sending time of the last renewal granted */
 	uint64_t call_ms;      /* sending time of the call under way */
-	GHashTable *except; /* leases not to be renewed */
-	GHashTable *acks;   /* ended leases to be forgotten */
-	json_t *leases;	    /* as last reported */
+	GHashTable *except;    /* leases not to be renewed */
+	GHashTable *acks;      /* ended leases to be forgotten */
+	json_t *leases;	       /* as last reported */
 };
 
 enum gang_state {
@@ -83,9 +83,9 @@
 struct gang_part {
 	struct control *at;
 	uint32_t mask;
-	bool answered; /* the present step's call */
-	bool ended;    /* done, or released */
-	bool done;     /* ran to its end */
+	bool answered;	      /* the present step's call */
+	bool ended;	      /* done, or released */
+	bool done;	      /* ran to its end */
 	uint64_t incarnation; /* of the upstream that it was reserved at */
 	uint64_t version;     /* reports below it are older than the start */
 };
@@ -105,14 +105,14 @@
 	uint32_t handle; /* in the scheduler */
 	enum gang_state state;
 	enum gang_after after;
-	const char *why; /* of the release */
+	const char *why;   /* of the release */
 	bool may_have_run; /* a start of this attempt was sent */
 	uint64_t attempt;
 	uint64_t progress_ms;
-	uint64_t gone_by_ms; /* releasing: every lease has lapsed by then */
-	uint64_t state_ms;   /* when the present state began */
-	uint64_t told_ms;    /* when releases were last sent */
-	uint64_t reclaim_ms; /* when it began to reclaim its places, or 0 */
+	uint64_t gone_by_ms;	 /* releasing: every lease has lapsed by then */
+	uint64_t state_ms;	 /* when the present state began */
+	uint64_t told_ms;	 /* when releases were last sent */
+	uint64_t reclaim_ms;	 /* when it began to reclaim its places, or 0 */
 	struct gang_part *parts; /* shape.parts of them when placed */
 	json_t *failed_on;
 };
--- a/daemon/explain.c
+++ b/daemon/explain.c
@@ -82,9 +82,8 @@
 /* Say in words what a waiting gang needs and what would free it. */
 static char *why_waiting(struct decider *d, const struct gang *g)
 {
-	const struct job *j = g->handle == NO_HANDLE
-				      ? NULL
-				      : sched_job(d->sched, g->handle);
+	const struct job *j =
+		g->handle == NO_HANDLE ? NULL : sched_job(d->sched, g->handle);
 	uint32_t need = g->shape.parts * g->shape.accelerators;
 
 	if (d->caught_up_ms <= d->claimed_ms)
@@ -170,10 +169,9 @@
 static void add_stuck(json_t *list, const char *kind, const char *name,
 		      const char *cause, const char *remedy)
 {
-	json_array_append_new(list,
-			      json_pack("{s:s,s:s,s:s,s:s}", "kind", kind,
-					"name", name, "cause", cause, "remedy",
-					remedy));
+	json_array_append_new(list, json_pack("{s:s,s:s,s:s,s:s}", "kind", kind,
+					      "name", name, "cause", cause,
+					      "remedy", remedy));
 }
 
 static void stuck_upstream(json_t *list, const struct control *c)
--- a/daemon/gang.c
+++ b/daemon/gang.c
@@ -104,7 +104,9 @@
 	if (!gang_active(g)) {
 		g->shape.parts = json_int_or(row, "parts", 1);
 		g->shape.accelerators = json_int_or(row, "accelerators", 0);
-		g->shape.slots = json_int_or(row, "slots", 1);
+		g->shape.slots = g->shape.accelerators
+					 ? 0
+					 : json_int_or(row, "slots", 1);
 		g->progress_ms = json_int_or(row, "progress_ms", 0);
 	}
 	g->run_ms = json_int_or(row, "run_ms", 0);
@@ -200,12 +202,12 @@
 	json_t *v = json_pack(
 		"{s:s,s:s,s:s,s:s,s:I,s:i,s:i,s:I,s:i,s:I,s:I,s:s,s:b}",
 		"lease", id, "job", g->name, "account", g->account, "class",
-		job_class_name(g->job_class), "attempt",
-		(json_int_t)g->attempt, "part", (int)part, "parts",
-		(int)g->shape.parts, "mask", (json_int_t)g->parts[part].mask,
-		"slots", (int)g->shape.slots, "run_ms", (json_int_t)g->run_ms,
-		"progress_ms", (json_int_t)g->progress_ms, "payload",
-		g->payload, "idempotent", (int)g->idempotent);
+		job_class_name(g->job_class), "attempt", (json_int_t)g->attempt,
+		"part", (int)part, "parts", (int)g->shape.parts, "mask",
+		(json_int_t)g->parts[part].mask, "slots", (int)g->shape.slots,
+		"run_ms", (json_int_t)g->run_ms, "progress_ms",
+		(json_int_t)g->progress_ms, "payload", g->payload, "idempotent",
+		(int)g->idempotent);
 
 	g_free(id);
 	return v;
@@ -238,8 +240,7 @@
 	g_free(s);
 }
 
-static void step_answered(struct gang *g, const struct step *s,
-			  const json_t *v)
+static void step_answered(struct gang *g, const struct step *s, const json_t *v)
 {
 	for (uint32_t i = 0; i < g->shape.parts; i++) {
 		struct gang_part *p = &g->parts[i];
@@ -525,9 +526,9 @@
 	json_t *v;
 	size_t i;
 
-	json_array_foreach((json_t *)list, i, v)
-		if (!strcmp(json_string_value(v), name))
-			return true;
+	json_array_foreach(
+		(json_t *)list, i,
+		v) if (!strcmp(json_string_value(v), name)) return true;
 	return false;
 }
 
@@ -541,8 +542,7 @@
 			  clock_mono_ms())) {
 		event_add(d->env->events, "quarantined", p->at->name, NULL,
 			  "three different jobs failed in a row");
-		log_line(LOG_WARN, "quarantined", "%s: jobs fail",
-			 p->at->name);
+		log_line(LOG_WARN, "quarantined", "%s: jobs fail", p->at->name);
 	}
 	if (!name_listed(g->failed_on, p->at->name))
 		json_array_append_new(g->failed_on, json_string(p->at->name));
@@ -550,13 +550,11 @@
 		sched_avoid(d->sched, g->handle, p->at->index);
 	park = json_array_size(g->failed_on) >= d->config->limits.job_tries;
 	gang_release(g, park ? AFTER_PARK : AFTER_REQUEUE,
-		     park ? "it failed on several upstreams"
-			  : "a part failed",
+		     park ? "it failed on several upstreams" : "a part failed",
 		     0);
 }
 
-static void part_running(struct gang *g, struct gang_part *p,
-			 const char *state)
+static void part_running(struct gang *g, struct gang_part *p, const char *state)
 {
 	if (!strcmp(state, "running"))
 		return;
@@ -600,8 +598,7 @@
 		char *id;
 
 		if (p->at != c || p->ended ||
-		    (p->incarnation == c->incarnation &&
-		     c->known < p->version))
+		    (p->incarnation == c->incarnation && c->known < p->version))
 			continue;
 		id = gang_lease(g, i);
 		lease = g_hash_table_lookup(by_id, id);
@@ -624,8 +621,8 @@
 		return;
 	for (uint32_t i = 0; i < g->shape.parts; i++) {
 		if (g->parts[i].at == c && !g->parts[i].ended) {
-			gang_release(g, AFTER_REQUEUE,
-				     "an upstream was silent", 0);
+			gang_release(g, AFTER_REQUEUE, "an upstream was silent",
+				     0);
 			return;
 		}
 	}
@@ -660,8 +657,8 @@
 	json_t *v;
 	size_t i;
 
-	json_array_foreach(leases, i, v)
-		newest = MAX(newest, json_int_or(v, "attempt", 0));
+	json_array_foreach(leases, i, v) newest =
+		MAX(newest, json_int_or(v, "attempt", 0));
 	return newest;
 }
 
@@ -699,7 +696,8 @@
 
 	if (!g)
 		g = gang_create(d, name);
-	json_array_foreach(leases, i, v) {
+	json_array_foreach(leases, i, v)
+	{
 		if (json_int_or(v, "attempt", 0) != attempt)
 			continue;
 		if (!g->parts) {
--- a/daemon/intent.c
+++ b/daemon/intent.c
@@ -147,8 +147,7 @@
 
 	if (!verdict_is_ran(t->verdict) || !quick_left_ms(q)) {
 		/* nothing was sent under our lease, and now never will be */
-		quick_finish(q, verdict_did_not_run(REASON_PLATFORM_OUT),
-			     NULL);
+		quick_finish(q, verdict_did_not_run(REASON_PLATFORM_OUT), NULL);
 	} else if (!t->conflict) {
 		q->row_version = 0;
 		intent_start(q);
@@ -203,8 +202,7 @@
 static void has_ended(struct quick *q, json_t *outcome)
 {
 	if (!outcome) {
-		quick_finish(q, verdict_may_have_run(REASON_BAD_ANSWER),
-			     NULL);
+		quick_finish(q, verdict_may_have_run(REASON_BAD_ANSWER), NULL);
 		return;
 	}
 	if (q->own_lease)
@@ -235,15 +233,15 @@
 static void ask(void *arg)
 {
 	struct quick *q = arg;
-	json_t *body = json_pack("{s:s,s:b}", "lease", q->asked_lease,
-				 "tombstone", 1);
+	json_t *body =
+		json_pack("{s:s,s:b}", "lease", q->asked_lease, "tombstone", 1);
 	char *text = json_dumps(body, JSON_COMPACT);
 	uint32_t left = quick_left_ms(q);
 
 	if (q->asked_upstream && left)
-		q->call = http_call_start(q->asked_upstream->pool, "POST",
-					  "/ask", text, MIN(left, ASK_MS),
-					  on_asked, q);
+		q->call =
+			http_call_start(q->asked_upstream->pool, "POST", "/ask",
+					text, MIN(left, ASK_MS), on_asked, q);
 	free(text);
 	json_decref(body);
 	if (q->call)
--- a/daemon/jobs.c
+++ b/daemon/jobs.c
@@ -25,7 +25,8 @@
 	{"parts", FIELD_INTEGER, false, 1, 256, "parts"},
 	{"accelerators", FIELD_INTEGER, false, 0, SITE_MAX_ACCELERATORS,
 	 "accelerators a part"},
-	{"slots", FIELD_INTEGER, false, 1, 64, "slots a part"},
+	{"slots", FIELD_INTEGER, false, 1, 64,
+	 "slots a part without accelerators"},
 	{"run_ms", FIELD_INTEGER, true, 0, 7 * 86400000LL, "milliseconds"},
 	{"domain", FIELD_NAME, false, 1, 60, "characters"},
 	{"idempotent", FIELD_BOOL},
@@ -60,11 +61,11 @@
 struct jobs {
 	struct env *env;
 	struct config *config;
-	GHashTable *rows;	/* key to struct row */
-	GHashTable *pending;	/* ticket to struct pending */
-	GHashTable *updates;	/* key to struct update */
-	GHashTable *by_ticket;	/* ticket to struct update */
-	GQueue *final;		/* keys of finished jobs, oldest first */
+	GHashTable *rows;      /* key to struct row */
+	GHashTable *pending;   /* ticket to struct pending */
+	GHashTable *updates;   /* key to struct update */
+	GHashTable *by_ticket; /* ticket to struct update */
+	GQueue *final;	       /* keys of finished jobs, oldest first */
 	uint64_t next_ticket;
 	uint64_t next_name;
 };
@@ -88,6 +89,7 @@
 {
 	const char *now = json_str_or(value, "state", "");
 	const char *then = json_str_or(update, "state", "");
+	bool cancelling = !strcmp(now, "cancelling");
 
 	if (job_state_final(now))
 		return false;
@@ -96,7 +98,7 @@
 		return false;
 	json_object_update(value, (json_t *)update);
 	json_object_del(value, "key");
-	if (!strcmp(now, "cancelling") && !job_state_final(then))
+	if (cancelling && !job_state_final(then))
 		json_object_set_new(value, "state", json_string("cancelling"));
 	return true;
 }
@@ -159,16 +161,14 @@
 
 static void take_rows(struct jobs *j, const struct rows *r)
 {
-	struct message m = {.tag = MSG_CAUGHT_UP,
-			    .from = TASK_JOB,
-			    .to = TASK_DECIDER};
+	struct message m = {
+		.tag = MSG_CAUGHT_UP, .from = TASK_JOB, .to = TASK_DECIDER};
 	json_t *row;
 	size_t i;
 
-	json_array_foreach(r->list, i, row)
-		put_row(j, json_str_or(row, "key", ""),
-			json_int_or(row, "version", 0),
-			json_object_get(row, "value"));
+	json_array_foreach(r->list, i, row) put_row(
+		j, json_str_or(row, "key", ""), json_int_or(row, "version", 0),
+		json_object_get(row, "value"));
 	if (!r->caught_up_ms)
 		return;
 	m.number = r->caught_up_ms;
@@ -179,9 +179,8 @@
 static void hint(struct jobs *j, const char *key)
 {
 	const struct row *r = g_hash_table_lookup(j->rows, key);
-	struct message m = {.tag = MSG_ROWS_HINT,
-			    .from = TASK_JOB,
-			    .to = TASK_PEER};
+	struct message m = {
+		.tag = MSG_ROWS_HINT, .from = TASK_JOB, .to = TASK_PEER};
 
 	if (!r)
 		return;
@@ -227,15 +226,14 @@
 	w->asked.question.body = NULL;
 	w->ticket = ++j->next_ticket;
 	w->key = g_strconcat(PREFIX, name, NULL);
-	w->nonce = g_strdup_printf("%s-%" G_GUINT64_FORMAT
-				   "-%" G_GUINT64_FORMAT,
-				   j->env->settings->name,
-				   j->env->settings->incarnation, w->ticket);
+	w->nonce =
+		g_strdup_printf("%s-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT,
+				j->env->settings->name,
+				j->env->settings->incarnation, w->ticket);
 	g_hash_table_insert(j->pending, &w->ticket, w);
 	return w;
 }
 
-
 /* Report whether an empty domain could hold the shape, bound or not. */
 static bool domain_fits(const struct config *c, const char *domain,
 			const struct shape *want, enum where where)
@@ -265,9 +263,11 @@
 	struct shape want = {.parts = json_int_or(job, "parts", 1),
 			     .accelerators =
 				     json_int_or(job, "accelerators", 0),
-			     .slots = json_int_or(job, "slots", 1),
+			     .slots = 0,
 			     .account = account};
 
+	if (!want.accelerators)
+		want.slots = json_int_or(job, "slots", 1);
 	if (asked)
 		return domain_fits(c, asked, &want, WHERE_EXISTS) ? asked
 								  : NULL;
@@ -286,8 +286,7 @@
 	for (uint32_t i = 0; i < c->upstreams_len; i++)
 		if ((!i || strcmp(c->upstreams[i].domain,
 				  c->upstreams[i - 1].domain)) &&
-		    domain_fits(c, c->upstreams[i].domain, &want,
-				WHERE_EXISTS))
+		    domain_fits(c, c->upstreams[i].domain, &want, WHERE_EXISTS))
 			return c->upstreams[i].domain;
 	return NULL;
 }
@@ -316,6 +315,8 @@
 	json_t *v = json_copy((json_t *)job);
 
 	json_object_del(v, "key");
+	if (!json_object_get(v, "class"))
+		json_object_set_new(v, "class", json_string("batch"));
 	json_object_set_new(v, "state", json_string("accepted"));
 	json_object_set_new(v, "domain", json_string(domain));
 	json_object_set_new(v, "nonce", json_string(nonce));
@@ -346,11 +347,10 @@
 		goto out;
 	}
 	if (!name)
-		name = g_strdup_printf("%s-%" G_GUINT64_FORMAT
-				       "-%" G_GUINT64_FORMAT,
-				       j->env->settings->name,
-				       j->env->settings->incarnation,
-				       ++j->next_name);
+		name = g_strdup_printf(
+			"%s-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT,
+			j->env->settings->name, j->env->settings->incarnation,
+			++j->next_name);
 	w = pending_new(j, m, name);
 	w->value = job_value(job, domain, w->nonce);
 	pending_send(j, w, 0);
@@ -473,8 +473,7 @@
 		   !strcmp(state, "cancelled")) {
 		pending_end(j, w, verdict_ran(),
 			    json_pack("{s:s,s:s}", "job",
-				      w->key + strlen(PREFIX), "state",
-				      state));
+				      w->key + strlen(PREFIX), "state", state));
 	} else if (job_state_final(state)) {
 		pending_end(j, w, verdict_did_not_run(REASON_CONFLICT),
 			    json_pack("{s:s}", "state", state));
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -51,9 +51,8 @@
 static void on_signal(void *arg, int signo)
 {
 	struct instance *in = arg;
-	struct message m = {.tag = MSG_LEAVE,
-			    .from = TASK_CALLER,
-			    .to = TASK_CALLER};
+	struct message m = {
+		.tag = MSG_LEAVE, .from = TASK_CALLER, .to = TASK_CALLER};
 
 	if (in->leave_ms) {
 		log_line(LOG_WARN, "stopping_now", "second signal %d", signo);
--- a/daemon/message.c
+++ b/daemon/message.c
@@ -137,8 +137,8 @@
 }
 
 /* Answer a question with a verdict and a body, which is taken. */
-void post_report(struct bus *b, const struct message *asked,
-		 struct verdict v, json_t *body)
+void post_report(struct bus *b, const struct message *asked, struct verdict v,
+		 json_t *body)
 {
 	struct message m = {.tag = MSG_REPORT,
 			    .from = asked->to,
--- a/daemon/peer.c
+++ b/daemon/peer.c
@@ -85,8 +85,7 @@
 	}
 }
 
-static void add_target(struct peers *p, const char *address,
-		       const char *domain)
+static void add_target(struct peers *p, const char *address, const char *domain)
 {
 	struct target *t = g_hash_table_lookup(p->targets, address);
 	struct sockaddr_in a;
@@ -194,7 +193,8 @@
 	json_t *row;
 	size_t i;
 
-	json_array_foreach(r->list, i, row) {
+	json_array_foreach(r->list, i, row)
+	{
 		lacewing__row__init(&rows[i]);
 		rows[i].key = (char *)json_str_or(row, "key", "");
 		rows[i].version = json_int_or(row, "version", 0);
@@ -517,8 +517,7 @@
 	st->heard_ms = clock_mono_ms();
 	st->incarnation = h->incarnation;
 	g_strlcpy(st->domain, h->domain, sizeof(st->domain));
-	g_strlcpy(st->http_address, h->http_address,
-		  sizeof(st->http_address));
+	g_strlcpy(st->http_address, h->http_address, sizeof(st->http_address));
 }
 
 static void want_rows(struct link *l)
@@ -598,9 +597,8 @@
 					"value", v ? v : json_null()));
 	}
 	for (size_t i = 0; i < G_N_ELEMENTS(listeners); i++) {
-		struct message m = {.tag = MSG_ROWS,
-				    .from = TASK_PEER,
-				    .to = listeners[i]};
+		struct message m = {
+			.tag = MSG_ROWS, .from = TASK_PEER, .to = listeners[i]};
 
 		m.rows.list = json_incref(list);
 		m.rows.complete = r->complete;
@@ -611,9 +609,8 @@
 
 static void take_rows_wanted(struct link *l, const Lacewing__RowsWanted *w)
 {
-	struct message m = {.tag = MSG_ROWS_WANTED,
-			    .from = TASK_PEER,
-			    .to = TASK_CONFIG};
+	struct message m = {
+		.tag = MSG_ROWS_WANTED, .from = TASK_PEER, .to = TASK_CONFIG};
 
 	/* the answer is found again by the name of the link's peer */
 	m.ticket = XXH64(l->name, strlen(l->name), 0);
@@ -758,8 +755,8 @@
 
 		if (st->reachable && now - st->heard_ms > SILENT_MS) {
 			st->reachable = false;
-			event_add(p->env->events, "peer_silent", st->name,
-				  NULL, "no heartbeat for %d ms", SILENT_MS);
+			event_add(p->env->events, "peer_silent", st->name, NULL,
+				  "no heartbeat for %d ms", SILENT_MS);
 		}
 		if (now - st->heard_ms > FORGET_MS)
 			g_hash_table_iter_remove(&it);
@@ -800,10 +797,10 @@
 	json_t *v;
 	size_t i;
 
-	json_array_foreach(list, i, v)
-		if (!strcmp(json_str_or(v, "role", ""), "entry"))
-			add_target(p, json_str_or(v, "address", ""),
-				   json_str_or(v, "domain", ""));
+	json_array_foreach(list, i,
+			   v) if (!strcmp(json_str_or(v, "role", ""), "entry"))
+		add_target(p, json_str_or(v, "address", ""),
+			   json_str_or(v, "domain", ""));
 }
 
 static void receive(void *task, struct message *m)
@@ -854,10 +851,10 @@
 
 	p->env = env;
 	p->links = g_ptr_array_new();
-	p->targets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					   g_free);
-	p->states = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					  g_free);
+	p->targets =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	p->states =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	p->sent = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					passed_free);
 	p->received = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
--- a/daemon/roster.c
+++ b/daemon/roster.c
@@ -109,7 +109,8 @@
 
 		e->listed_off = e->was_listed;
 	}
-	json_array_foreach(list, i, v) {
+	json_array_foreach(list, i, v)
+	{
 		struct entry *e = roster_find(r, json_str_or(v, "name", ""));
 
 		if (!e)
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -19,10 +19,10 @@
 	uint32_t seeds_len;
 	enum log_level log_level;
 	uint32_t max_body_bytes;
-	uint32_t max_checks;		/* quick checks in flight */
+	uint32_t max_checks;	       /* quick checks in flight */
 	uint32_t upstream_connections; /* to each, for quick checks */
-	uint32_t drain_ms;		/* listen on after SIGTERM */
-	uint32_t stop_ms;		/* give up waiting for requests */
+	uint32_t drain_ms;	       /* listen on after SIGTERM */
+	uint32_t stop_ms;	       /* give up waiting for requests */
 	uint32_t scan_ms;
 	uint32_t events;
 	uint64_t incarnation;
--- a/daemon/store.c
+++ b/daemon/store.c
@@ -17,8 +17,8 @@
 
 struct store {
 	struct env *env;
-	json_t *rows; /* key to {"version", "value"}; value null: deleted */
-	uint64_t newest;   /* version of the newest row */
+	json_t *rows;	 /* key to {"version", "value"}; value null: deleted */
+	uint64_t newest; /* version of the newest row */
 	uint64_t complete; /* no older row is missing */
 	struct config *snapshot;
 	GHashTable *applies; /* ticket to struct apply */
@@ -64,7 +64,8 @@
 	const char *key;
 	json_t *row;
 
-	json_object_foreach(s->rows, key, row) {
+	json_object_foreach(s->rows, key, row)
+	{
 		json_t *value = json_object_get(row, "value");
 
 		if (!json_is_null(value))
@@ -75,9 +76,8 @@
 
 static void publish(struct store *s)
 {
-	static const enum task_id listeners[] = {TASK_CALLER, TASK_CHECK,
-						 TASK_JOB, TASK_DECIDER,
-						 TASK_PEER};
+	static const enum task_id listeners[] = {
+		TASK_CALLER, TASK_CHECK, TASK_JOB, TASK_DECIDER, TASK_PEER};
 	json_t *values = live_values(s);
 
 	config_unref(s->snapshot);
@@ -103,11 +103,11 @@
 	json_t *row;
 	size_t i;
 
-	json_array_foreach(r->list, i, row)
-		if (put_row(s, json_str_or(row, "key", ""),
-			    json_int_or(row, "version", 0),
-			    json_object_get(row, "value")))
-			changed = true;
+	json_array_foreach(r->list, i,
+			   row) if (put_row(s, json_str_or(row, "key", ""),
+					    json_int_or(row, "version", 0),
+					    json_object_get(row, "value")))
+		changed = true;
 	if (r->complete > s->complete)
 		s->complete = r->complete;
 	if (changed)
@@ -126,7 +126,8 @@
 
 	m.rows.list = json_array();
 	m.rows.complete = s->complete;
-	json_object_foreach(s->rows, key, row) {
+	json_object_foreach(s->rows, key, row)
+	{
 		if ((uint64_t)json_int_or(row, "version", 0) <= asked->number)
 			continue;
 		json_array_append_new(
@@ -191,14 +192,12 @@
 	const char *key;
 	json_t *value;
 
-	json_object_foreach(a->rows, key, value)
-		json_array_append_new(
-			ops, strcmp(key, KEY_HEAD)
-				     ? json_pack("{s:s,s:O}", "key", key,
-						 "value", value)
-				     : json_pack("{s:s,s:O,s:I}", "key", key,
-						 "value", value, "expect",
-						 (json_int_t)a->base));
+	json_object_foreach(a->rows, key, value) json_array_append_new(
+		ops,
+		strcmp(key, KEY_HEAD)
+			? json_pack("{s:s,s:O}", "key", key, "value", value)
+			: json_pack("{s:s,s:O,s:I}", "key", key, "value", value,
+				    "expect", (json_int_t)a->base));
 	return ops;
 }
 
@@ -208,9 +207,10 @@
 	const char *key;
 	json_t *value;
 
-	json_object_foreach(bindings, key, value) {
-		const json_t *have = json_object_get(
-			json_object_get(s->rows, key), "value");
+	json_object_foreach(bindings, key, value)
+	{
+		const json_t *have =
+			json_object_get(json_object_get(s->rows, key), "value");
 
 		if (!have || !json_equal(have, value))
 			json_object_set(rows, key, value);
@@ -228,10 +228,10 @@
 	memset(&a->asked.question, 0, sizeof(a->asked.question));
 	a->ticket = ++s->next_ticket;
 	a->base = row_version(s, KEY_HEAD);
-	a->nonce = g_strdup_printf("%s-%" G_GUINT64_FORMAT
-				   "-%" G_GUINT64_FORMAT,
-				   s->env->settings->name,
-				   s->env->settings->incarnation, a->ticket);
+	a->nonce =
+		g_strdup_printf("%s-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT,
+				s->env->settings->name,
+				s->env->settings->incarnation, a->ticket);
 	json_object_set_new(rows, KEY_HEAD,
 			    json_pack("{s:s}", "nonce", a->nonce));
 	a->rows = rows;
@@ -247,7 +247,8 @@
 	const char *key;
 	json_t *value;
 
-	json_object_foreach((json_t *)changes, key, value) {
+	json_object_foreach((json_t *)changes, key, value)
+	{
 		if (json_is_null(value))
 			json_object_del(all, key);
 		else
@@ -342,7 +343,8 @@
 	const char *key;
 	json_t *value;
 
-	json_object_foreach(values, key, value) {
+	json_object_foreach(values, key, value)
+	{
 		if (g_str_has_prefix(key, "config/account/"))
 			json_array_append(accounts, value);
 		else if (g_str_has_prefix(key, "config/upstream/"))
@@ -396,8 +398,7 @@
 	if (verdict_is_ran(m->txn.verdict) && !strcmp(nonce, a->nonce))
 		apply_done(s, a, version);
 	else if (verdict_is_ran(m->txn.verdict) && version != a->base)
-		apply_answer(s, a, verdict_may_have_run(REASON_CONFLICT),
-			     NULL);
+		apply_answer(s, a, verdict_may_have_run(REASON_CONFLICT), NULL);
 	else if (a->tries < APPLY_TRIES)
 		apply_send(s, a);
 	else
--- a/daemon/table.c
+++ b/daemon/table.c
@@ -25,7 +25,7 @@
 	uint64_t scan_sent_ms;
 	struct timer scan_timer;
 	struct timer members_timer;
-	GQueue *waiting; /* struct request */
+	GQueue *waiting;   /* struct request */
 	uint32_t failures; /* in a row */
 	bool out;
 	bool told;
@@ -210,8 +210,8 @@
 
 static void start_read(struct table *t, const struct message *m)
 {
-	char *key = g_uri_escape_string(json_string_value(m->json), NULL,
-					FALSE);
+	char *key =
+		g_uri_escape_string(json_string_value(m->json), NULL, FALSE);
 
 	counter_add(t->env->counters, "platform_reads", NULL, 1);
 	request_start(t, m, g_strdup("GET"),
--- a/fake/cutter.c
+++ b/fake/cutter.c
@@ -217,9 +217,9 @@
 	p->client.sock = client;
 	p->client.open = true;
 	client->data = &p->client;
-	p->target.sock = h2o_socket_connect(
-		loop_h2o(l->cutter->loop), (struct sockaddr *)&l->target,
-		sizeof(l->target), on_connected);
+	p->target.sock = h2o_socket_connect(loop_h2o(l->cutter->loop),
+					    (struct sockaddr *)&l->target,
+					    sizeof(l->target), on_connected);
 	if (!p->target.sock) {
 		pipe_close(p);
 		return;
@@ -276,8 +276,8 @@
 
 static void close_open(struct link *l)
 {
-	while (l->pipes->len)
-		pipe_close(g_ptr_array_index(l->pipes, 0));
+	for (guint i = l->pipes->len; i-- > 0;)
+		pipe_close(g_ptr_array_index(l->pipes, i));
 }
 
 static void link_set(struct link *l, const char *mode, uint32_t delay_ms)
--- /dev/null
+++ b/fake/demo.sh
@@ -0,0 +1,75 @@
+#!/bin/sh
+# The main job on loopback: a site of three failure domains with two entry
+# instances each and 51 workers; quick checks, batch jobs and a gang of 16
+# accelerators; then the result and the time line.  All that it started is
+# ended by pid, also after an interrupt.
+set -eu
+cd "$(dirname "$0")/.."
+. fake/site.sh
+logs=$(mktemp -d)
+trap 'site_stop; rm -rf "$logs"' EXIT
+trap 'exit 130' INT TERM
+
+ctl() {
+	out/lacewingctl "$@"
+}
+
+# Try a command until it succeeds: await TRIES COMMAND...
+await() {
+	tries=$1
+	shift
+	until "$@" >/dev/null 2>&1; do
+		tries=$((tries - 1))
+		[ "$tries" -gt 0 ] || { echo "demo: gave up: $*" >&2; exit 1; }
+		sleep 0.1
+	done
+}
+
+post() {
+	curl -sf -X POST --data-binary "@$2" "$1"
+}
+
+decided() {
+	[ "$(ctl instances | awk '$7 == "yes"' | wc -l)" -eq 3 ]
+}
+
+echo "== a site of 3 domains, 6 instances, 51 workers"
+site_start "$logs" out
+export LACEWING_SERVER=127.0.1.1:7400
+await 50 post http://127.0.0.10:7000/control "$logs/members.json"
+await 50 ctl instances
+ctl config apply "$logs/config.json"
+await 100 decided
+ctl instances
+
+echo
+echo "== quick checks"
+ctl check --account damodar --payload "household 4711" --run-ms 5
+ctl check --account damodar --payload "payout 4711" --run-ms 5 --once pay-4711
+echo "   the same payout again, through another domain:"
+ctl --server 127.0.3.1:7400 check --account damodar \
+	--payload "payout 4711" --run-ms 5 --once pay-4711
+
+echo
+echo "== a gang of 16 accelerators on two adjacent upstreams, and batches"
+ctl submit --account gangasagar --key gang --parts 4 --accelerators 4 \
+	--run-ms 2000 >/dev/null
+for n in 1 2 3 4; do
+	ctl submit --account rupnarayan --key "batch$n" --accelerators 2 \
+		--run-ms 500 >/dev/null
+done
+ctl why gang
+ctl watch gang
+for n in 1 2 3 4; do
+	ctl watch "batch$n" >/dev/null
+done
+ctl list
+
+echo
+echo "== the time line of the gang, over all instances"
+ctl events --job gang
+
+echo
+echo "== accounts, and what is stuck"
+ctl account
+ctl stuck
--- a/fake/platform.c
+++ b/fake/platform.c
@@ -104,21 +104,21 @@
 	json_t *op;
 	size_t i;
 
-	json_array_foreach(ops, i, op) {
+	json_array_foreach(ops, i, op)
+	{
 		const char *key = json_str_or(op, "key", "");
 
 		if (expectation_met(p, op))
 			continue;
 		*status = 409;
-		return json_pack("{s:o}", "conflict",
-				 row_json(key, g_hash_table_lookup(p->rows,
-								   key)));
+		return json_pack(
+			"{s:o}", "conflict",
+			row_json(key, g_hash_table_lookup(p->rows, key)));
 	}
 	p->version++;
 	p->writes++;
-	json_array_foreach(ops, i, op)
-		row_put(p, json_str_or(op, "key", ""),
-			json_object_get(op, "value"));
+	json_array_foreach(ops, i, op) row_put(p, json_str_or(op, "key", ""),
+					       json_object_get(op, "value"));
 	*status = 200;
 	return json_pack("{s:I}", "version", (json_int_t)p->version);
 }
@@ -199,8 +199,7 @@
 			&g_array_index(p->changes, struct change, i);
 		const struct row *r = g_hash_table_lookup(p->rows, c->key);
 
-		if (json_array_size(rows) >= limit &&
-		    c->version != complete) {
+		if (json_array_size(rows) >= limit && c->version != complete) {
 			break;
 		}
 		if (json_array_size(rows) + 1 >= limit)
@@ -246,7 +245,8 @@
 	json_t *old;
 	size_t i;
 
-	json_array_foreach(p->members, i, old) {
+	json_array_foreach(p->members, i, old)
+	{
 		if (strcmp(json_str_or(old, "name", ""), name))
 			json_array_append(all, old);
 		else
@@ -297,8 +297,7 @@
 	else if (!strcmp(path, "/table/scan"))
 		handle_scan(p, x);
 	else if (!strcmp(path, "/members"))
-		reply(x, 200,
-		      json_pack("{s:O}", "members", p->shown));
+		reply(x, 200, json_pack("{s:O}", "members", p->shown));
 	else
 		reply(x, 404, json_pack("{s:s}", "error", "no such path"));
 }
@@ -348,18 +347,17 @@
 int main(int argc, char **argv)
 {
 	struct platform p = {.lag_ms = 500};
-	struct http_server *server = NULL;
 	struct sockaddr_in at;
 	GError *err = NULL;
 	char *listen = NULL;
 	gint lag = 500;
 	int rc = 1;
-	GOptionEntry entries[] = {
-		{"listen", 'l', 0, G_OPTION_ARG_STRING, &listen,
-		 "serve on this address", "IP:PORT"},
-		{"lag-ms", 0, 0, G_OPTION_ARG_INT, &lag,
-		 "the list of members lags by this much", "MS"},
-		{0}};
+	GOptionEntry entries[] = {{"listen", 'l', 0, G_OPTION_ARG_STRING,
+				   &listen, "serve on this address", "IP:PORT"},
+				  {"lag-ms", 0, 0, G_OPTION_ARG_INT, &lag,
+				   "the list of members lags by this much",
+				   "MS"},
+				  {0}};
 	GOptionContext *o = g_option_context_new("- stand-in platform");
 
 	g_option_context_add_main_entries(o, entries, NULL);
@@ -379,8 +377,7 @@
 	p.hung = g_ptr_array_new();
 	loop_on_signal(p.loop, on_signal, p.loop);
 	if (!address_parse(listen, &at) ||
-	    !(server = http_server_create(p.loop, &at, MAX_BODY_BYTES,
-					  on_request, &p))) {
+	    !http_server_create(p.loop, &at, MAX_BODY_BYTES, on_request, &p)) {
 		fprintf(stderr, "platform: listen: %s: cannot\n",
 			listen ? listen : "(none)");
 		goto out;
--- a/fake/worker.c
+++ b/fake/worker.c
@@ -149,10 +149,10 @@
 static json_t *run_answer(const struct run *r)
 {
 	char *text = g_strdup_printf("checked:%s", r->payload);
-	json_t *v = json_pack("{s:s,s:s,s:I,s:s,s:b}", "lease", r->lease,
-			      "request", r->request, "length",
-			      (json_int_t)strlen(text), "answer", text,
-			      "leaving", (int)r->worker->leaving);
+	json_t *v =
+		json_pack("{s:s,s:s,s:I,s:s,s:b}", "lease", r->lease, "request",
+			  r->request, "length", (json_int_t)strlen(text),
+			  "answer", text, "leaving", (int)r->worker->leaving);
 
 	g_free(text);
 	return v;
@@ -193,10 +193,10 @@
 
 	w->slots_used--;
 	if (r->keep)
-		g_hash_table_replace(w->outcomes, g_strdup(r->lease),
-				     w->fail_all ? json_pack("{s:s}", "state",
-							     "failed")
-						 : json_incref(answer));
+		g_hash_table_replace(
+			w->outcomes, g_strdup(r->lease),
+			w->fail_all ? json_pack("{s:s}", "state", "failed")
+				    : json_incref(answer));
 	if (w->fail_all) {
 		record_end(r->record, "failed");
 		json_decref(answer);
@@ -247,8 +247,8 @@
 	json_t *o = g_hash_table_lookup(w->outcomes, lease);
 
 	if (o && json_object_get(o, "answer")) {
-		reply(x, 200, json_pack("{s:s,s:O}", "state", "done",
-					"outcome", o));
+		reply(x, 200,
+		      json_pack("{s:s,s:O}", "state", "done", "outcome", o));
 		return;
 	}
 	if (o) {
@@ -257,12 +257,12 @@
 	}
 	if (json_is_true(json_object_get(v, "tombstone")))
 		g_hash_table_replace(w->outcomes, g_strdup(lease),
-				     json_pack("{s:s}", "state",
-					       "tombstoned"));
-	reply(x, 200, json_pack("{s:s}", "state",
-				json_is_true(json_object_get(v, "tombstone"))
-					? "tombstoned"
-					: "unknown"));
+				     json_pack("{s:s}", "state", "tombstoned"));
+	reply(x, 200,
+	      json_pack("{s:s}", "state",
+			json_is_true(json_object_get(v, "tombstone"))
+				? "tombstoned"
+				: "unknown"));
 }
 
 /* Leases */
@@ -313,11 +313,10 @@
 
 static json_t *report(struct worker *w, uint64_t known)
 {
-	json_t *v = json_pack("{s:I,s:I,s:I,s:b}", "epoch",
-			      (json_int_t)w->epoch, "version",
-			      (json_int_t)w->version, "incarnation",
-			      (json_int_t)w->incarnation, "leaving",
-			      (int)w->leaving);
+	json_t *v = json_pack(
+		"{s:I,s:I,s:I,s:b}", "epoch", (json_int_t)w->epoch, "version",
+		(json_int_t)w->version, "incarnation",
+		(json_int_t)w->incarnation, "leaving", (int)w->leaving);
 	GHashTableIter it;
 	gpointer p;
 	json_t *all;
@@ -342,9 +341,9 @@
 
 static void refuse_stale(struct worker *w, struct http_exchange *x)
 {
-	reply(x, 409, json_pack("{s:s,s:I,s:s}", "refused", "stale_epoch",
-				"epoch", (json_int_t)w->epoch, "holder",
-				w->holder));
+	reply(x, 409,
+	      json_pack("{s:s,s:I,s:s}", "refused", "stale_epoch", "epoch",
+			(json_int_t)w->epoch, "holder", w->holder));
 }
 
 /* Report whether v comes from the decider that holds the claim. */
@@ -363,7 +362,8 @@
 	json_t *e;
 	size_t i;
 
-	json_array_foreach(except, i, e) {
+	json_array_foreach(except, i, e)
+	{
 		struct lease *l =
 			g_hash_table_lookup(w->leases, json_string_value(e));
 
@@ -405,7 +405,8 @@
 		return;
 	}
 	renew_all(w, v);
-	json_array_foreach(json_object_get(v, "ack"), i, ack) {
+	json_array_foreach(json_object_get(v, "ack"), i, ack)
+	{
 		struct lease *l =
 			g_hash_table_lookup(w->leases, json_string_value(ack));
 
@@ -427,7 +428,8 @@
 		return "leaving";
 	if (clock_mono_ms() < w->booted_ms + w->term_ms)
 		return "just_started";
-	json_array_foreach(list, i, o) {
+	json_array_foreach(list, i, o)
+	{
 		uint32_t mask = json_int_or(o, "mask", 0);
 
 		if (mask & used || mask & ~w->accelerators)
@@ -441,8 +443,7 @@
 	return w->slots_used + slots > w->slots ? "no_slot" : NULL;
 }
 
-static void handle_reserve(struct worker *w, struct http_exchange *x,
-			   json_t *v)
+static void handle_reserve(struct worker *w, struct http_exchange *x, json_t *v)
 {
 	const json_t *list = json_object_get(v, "leases");
 	const char *why;
@@ -458,7 +459,8 @@
 		refuse(x, 409, why);
 		return;
 	}
-	json_array_foreach(list, i, o) {
+	json_array_foreach(list, i, o)
+	{
 		struct lease *l = g_new0(struct lease, 1);
 
 		l->id = g_strdup(json_str_or(o, "lease", ""));
@@ -497,9 +499,10 @@
 	json_t *id;
 	size_t i;
 
-	json_array_foreach(list, i, id)
-		if (!g_hash_table_lookup(w->leases, json_string_value(id)))
-			return false;
+	json_array_foreach(list, i, id) if (!g_hash_table_lookup(
+						    w->leases,
+						    json_string_value(
+							    id))) return false;
 	return true;
 }
 
@@ -517,7 +520,8 @@
 		refuse(x, 409, "lease_unknown");
 		return;
 	}
-	json_array_foreach(list, i, id) {
+	json_array_foreach(list, i, id)
+	{
 		struct lease *l =
 			g_hash_table_lookup(w->leases, json_string_value(id));
 
@@ -528,8 +532,7 @@
 	reply(x, 200, report(w, w->version));
 }
 
-static void handle_release(struct worker *w, struct http_exchange *x,
-			   json_t *v)
+static void handle_release(struct worker *w, struct http_exchange *x, json_t *v)
 {
 	uint64_t grace = json_int_or(v, "grace_ms", 0);
 	json_t *id;
@@ -539,7 +542,8 @@
 		refuse_stale(w, x);
 		return;
 	}
-	json_array_foreach(json_object_get(v, "leases"), i, id) {
+	json_array_foreach(json_object_get(v, "leases"), i, id)
+	{
 		struct lease *l =
 			g_hash_table_lookup(w->leases, json_string_value(id));
 
@@ -711,15 +715,14 @@
 	w->site = s;
 	w->name = g_strdup_printf("%s%u", prefix, n);
 	w->slots = slots;
-	w->accelerators = accelerators >= 32 ? UINT32_MAX
-					     : (1u << accelerators) - 1;
+	w->accelerators =
+		accelerators >= 32 ? UINT32_MAX : (1u << accelerators) - 1;
 	w->incarnation = clock_wall_ms();
 	w->holder = g_strdup("");
 	w->leases = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					  lease_free);
-	w->outcomes =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-				      (GDestroyNotify)json_decref);
+	w->outcomes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    (GDestroyNotify)json_decref);
 	g_ptr_array_add(s->workers, w);
 	if (http_server_create(s->loop, at, MAX_BODY_BYTES, on_request, w))
 		return w;
@@ -774,8 +777,8 @@
 		 "names are this and a number", "NAME"},
 		{"accelerators", 'a', 0, G_OPTION_ARG_INT, &op.accelerators,
 		 "accelerators of each", "N"},
-		{"slots", 's', 0, G_OPTION_ARG_INT, &op.slots,
-		 "slots of each", "N"},
+		{"slots", 's', 0, G_OPTION_ARG_INT, &op.slots, "slots of each",
+		 "N"},
 		{"control", 'c', 0, G_OPTION_ARG_STRING, &op.control,
 		 "serve faults and records here", "IP:PORT"},
 		{"record", 'r', 0, G_OPTION_ARG_NONE, &op.record,
--- a/lib/counter.c
+++ b/lib/counter.c
@@ -67,10 +67,10 @@
 {
 	struct counters *c = g_new0(struct counters, 1);
 
-	c->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					  g_free);
-	c->latency = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					   g_free);
+	c->values =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	c->latency =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return c;
 }
 
--- a/lib/event.c
+++ b/lib/event.c
@@ -114,8 +114,7 @@
 				       (json_int_t)e->stamp, "time_ms",
 				       (json_int_t)(e->stamp >> COUNTER_BITS),
 				       "kind", e->kind, "subject", e->subject,
-				       "account", e->account, "text",
-				       e->text));
+				       "account", e->account, "text", e->text));
 	}
 	return out;
 }
--- a/lib/frame.c
+++ b/lib/frame.c
@@ -252,8 +252,8 @@
 				 const struct frame_events *ev, void *arg)
 {
 	struct sockaddr_in a = *to;
-	h2o_socket_t *s = h2o_socket_connect(
-		loop_h2o(l), (struct sockaddr *)&a, sizeof(a), on_connect);
+	h2o_socket_t *s = h2o_socket_connect(loop_h2o(l), (struct sockaddr *)&a,
+					     sizeof(a), on_connect);
 
 	return s ? conn_create(s, ev, arg) : NULL;
 }
--- a/lib/httpclient.c
+++ b/lib/httpclient.c
@@ -78,8 +78,7 @@
 {
 	struct conn_set *s = g_new0(struct conn_set, 1);
 
-	h2o_socketpool_init_by_address(&s->sockets,
-				       (struct sockaddr *)&p->peer,
+	h2o_socketpool_init_by_address(&s->sockets, (struct sockaddr *)&p->peer,
 				       sizeof(p->peer), 0, p->max_connections);
 	h2o_socketpool_set_timeout(&s->sockets, loop_h2o(p->client->loop),
 				   POOL_IDLE_MS);
@@ -261,9 +260,9 @@
 	return on_body;
 }
 
-static h2o_http1client_head_cb on_connect(h2o_http1client_t *c,
-					  const char *err, h2o_iovec_t **bufs,
-					  size_t *n, int *is_head)
+static h2o_http1client_head_cb on_connect(h2o_http1client_t *c, const char *err,
+					  h2o_iovec_t **bufs, size_t *n,
+					  int *is_head)
 {
 	struct http_call *call = c->data;
 
--- a/lib/schema.c
+++ b/lib/schema.c
@@ -40,9 +40,8 @@
 	va_start(ap, fmt);
 	s = g_strdup_vprintf(fmt, ap);
 	va_end(ap);
-	g_ptr_array_add(p->lines,
-			g_strdup_printf("%s: %s: %s", p->file,
-					*path ? path : "(whole)", s));
+	g_ptr_array_add(p->lines, g_strdup_printf("%s: %s: %s", p->file,
+						  *path ? path : "(whole)", s));
 	g_free(s);
 }
 
@@ -130,10 +129,9 @@
 		return;
 	}
 	if (f->max && (len < f->min || len > f->max))
-		problem_add(p, path,
-			    "found %lld characters, expected %lld to %lld",
-			    (long long)len, (long long)f->min,
-			    (long long)f->max);
+		problem_add(
+			p, path, "found %lld characters, expected %lld to %lld",
+			(long long)len, (long long)f->min, (long long)f->max);
 	if (f->type == FIELD_NAME && !name_ok(json_string_value(v)))
 		problem_add(p, path,
 			    "found \"%s\", expected letters, digits, "
@@ -254,7 +252,8 @@
 		expected(p, path, v, "an object");
 		return;
 	}
-	json_object_foreach((json_t *)v, name, item) {
+	json_object_foreach((json_t *)v, name, item)
+	{
 		const struct field *f = field_find(fields, name);
 		char *at = g_strdup_printf("%s%s%s", path, dot, name);
 
--- a/lib/verdict.c
+++ b/lib/verdict.c
@@ -34,8 +34,8 @@
 	[REASON_REFUSED] = {"refused", "the upstream refused it", 503},
 	[REASON_STALE_EPOCH] = {"stale_epoch",
 				"a newer decider holds the upstream", 503},
-	[REASON_UNKNOWN_ACCOUNT] = {"unknown_account",
-				    "no such client account", 403},
+	[REASON_UNKNOWN_ACCOUNT] = {"unknown_account", "no such client account",
+				    403},
 };
 
 static const char *const tag_names[] = {
--- a/sched/place.c
+++ b/sched/place.c
@@ -53,23 +53,13 @@
 	return a < b ? a : b;
 }
 
-static uint32_t slots_of(const struct upstream *u, const struct shape *want,
-			 enum where where)
+/* Return the slots of u that parts without accelerators could have. */
+static uint32_t slots_of(const struct upstream *u, enum where where)
 {
-	switch (where) {
-	case WHERE_OWN_FREE:
-	case WHERE_ANY_FREE:
-		return upstream_slots_free(u);
-	case WHERE_OWN_EVICT:
-	case WHERE_OWN_URGENT:
-		/* an evicted part gives back its slot with its cell */
-		return want->accelerators ? u->slots - u->slots_quick
-					  : upstream_slots_free(u);
-	case WHERE_ANY_USABLE:
-	case WHERE_EXISTS:
-		return u->slots - u->slots_quick;
-	}
-	return 0;
+	if (where == WHERE_ANY_USABLE || where == WHERE_EXISTS)
+		return u->slots > u->slots_quick ? u->slots - u->slots_quick
+						 : 0;
+	return upstream_slots_free(u);
 }
 
 static bool avoided(const struct shape *want, uint32_t upstream)
@@ -93,7 +83,7 @@
 		if (where != WHERE_EXISTS && (!u->usable || avoided(want, i)))
 			continue;
 		avail = avail_of(u, want, where);
-		by_slots = want->slots ? slots_of(u, want, where) / want->slots
+		by_slots = want->slots ? slots_of(u, where) / want->slots
 				       : UINT32_MAX;
 		c[n].capacity = min32(by_slots,
 				      cell_capacity(avail, want->accelerators));
@@ -102,9 +92,9 @@
 		c[n].upstream = i;
 		c[n].rack = u->rack;
 		c[n].avail = avail;
-		c[n].free = (uint32_t)__builtin_popcount(u->all & ~u->used) *
-				    64 +
-			    upstream_slots_free(u);
+		c[n].free =
+			(uint32_t)__builtin_popcount(u->all & ~u->used) * 64 +
+			upstream_slots_free(u);
 		n++;
 	}
 	return n;
--- a/sched/place.h
+++ b/sched/place.h
@@ -11,12 +11,12 @@
 };
 
 enum where {
-	WHERE_OWN_FREE,	 /* free accelerators bound to the account */
-	WHERE_OWN_EVICT, /* the same, and those that others borrow */
+	WHERE_OWN_FREE,	  /* free accelerators bound to the account */
+	WHERE_OWN_EVICT,  /* the same, and those that others borrow */
 	WHERE_OWN_URGENT, /* the same, and those of its own other work */
-	WHERE_ANY_FREE,	 /* whatever is free and not held */
+	WHERE_ANY_FREE,	  /* whatever is free and not held */
 	WHERE_ANY_USABLE, /* whatever could become free */
-	WHERE_EXISTS,	 /* whatever there is */
+	WHERE_EXISTS,	  /* whatever there is */
 };
 
 #define SHAPE_AVOID 4
@@ -24,7 +24,7 @@
 struct shape {
 	uint32_t parts;
 	uint32_t accelerators; /* a part */
-	uint32_t slots;	       /* a part */
+	uint32_t slots;	       /* a part that has no accelerators */
 	uint32_t account;
 	uint32_t avoid_len;
 	uint32_t avoid[SHAPE_AVOID]; /* upstreams that it failed on */
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -16,8 +16,8 @@
 struct account_state {
 	uint32_t weight;
 	uint32_t waiting;
-	uint64_t borrowed;   /* accelerators in use now */
-	double service;	     /* accelerator-milliseconds, fading */
+	uint64_t borrowed; /* accelerators in use now */
+	double service;	   /* accelerator-milliseconds, fading */
 };
 
 struct sched {
@@ -150,6 +150,18 @@
 	account_of(s, account)->service = service;
 }
 
+/*
+ * Slots are for work without accelerators: a part that has some takes no
+ * slot, so that a guaranteed cell never waits for one.
+ */
+static void shape_settle(struct shape *f)
+{
+	if (f->accelerators)
+		f->slots = 0;
+	else if (!f->slots)
+		f->slots = 1;
+}
+
 static uint32_t job_new(struct sched *s, const struct job_spec *spec)
 {
 	uint32_t i;
@@ -159,8 +171,7 @@
 	} else {
 		if (s->jobs_len == s->jobs_cap) {
 			s->jobs_cap = s->jobs_cap ? s->jobs_cap * 2 : 64;
-			s->jobs = grow(s->jobs,
-				       s->jobs_cap * sizeof(*s->jobs));
+			s->jobs = grow(s->jobs, s->jobs_cap * sizeof(*s->jobs));
 			s->free_jobs = grow(s->free_jobs,
 					    s->jobs_cap * sizeof(uint32_t));
 		}
@@ -168,6 +179,7 @@
 	}
 	memset(&s->jobs[i], 0, sizeof(s->jobs[i]));
 	s->jobs[i].spec = *spec;
+	shape_settle(&s->jobs[i].spec.shape);
 	s->jobs[i].live = true;
 	s->jobs[i].parts = grow(NULL, spec->shape.parts * sizeof(struct part));
 	return i;
@@ -182,12 +194,14 @@
 {
 	struct account_state *a = account_of(s, spec->shape.account);
 	enum submit_result r = SUBMIT_OK;
+	struct shape shape = spec->shape;
 	struct part *tmp;
 
+	shape_settle(&shape);
 	if (a->waiting >= s->limits.queue_per_account)
 		return SUBMIT_QUEUE_FULL;
 	tmp = grow(NULL, (spec->shape.parts + 1) * sizeof(*tmp));
-	if (!place(s->site, &spec->shape, WHERE_EXISTS, s->policy, tmp))
+	if (!place(s->site, &shape, WHERE_EXISTS, s->policy, tmp))
 		r = SUBMIT_NEVER_FITS;
 	free(tmp);
 	if (r != SUBMIT_OK)
@@ -424,8 +438,7 @@
 		const struct upstream *u =
 			site_upstream(s->site, j->parts[i].upstream);
 
-		if (u->used & j->parts[i].mask ||
-		    upstream_slots_free(u) < j->spec.shape.slots)
+		if (u->used & j->parts[i].mask)
 			return false;
 	}
 	return true;
@@ -514,6 +527,7 @@
 		return true;
 	}
 	if (s->policy == POLICY_BOUND && s->holder == NO_JOB &&
+	    j->spec.shape.accelerators &&
 	    now_ms - j->spec.submitted_ms >= s->limits.hold_after_ms &&
 	    try_place(s, j, WHERE_ANY_USABLE)) {
 		s->holder = i;
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -49,7 +49,7 @@
 };
 
 struct sched_limits {
-	uint64_t hold_after_ms;	  /* a wait after which room is held */
+	uint64_t hold_after_ms;	    /* a wait after which room is held */
 	uint32_t queue_per_account; /* waiting jobs */
 };
 
--- a/sched/site.c
+++ b/sched/site.c
@@ -66,8 +66,8 @@
 
 	if (s->upstreams_len == s->upstreams_cap) {
 		s->upstreams_cap = s->upstreams_cap ? s->upstreams_cap * 2 : 64;
-		s->upstreams = grow(s->upstreams, s->upstreams_cap *
-							  sizeof(*u));
+		s->upstreams =
+			grow(s->upstreams, s->upstreams_cap * sizeof(*u));
 	}
 	u = &s->upstreams[s->upstreams_len];
 	memset(u, 0, sizeof(*u));
@@ -133,8 +133,7 @@
 			return;
 		}
 	}
-	up->bound = grow(up->bound,
-			 (up->bound_len + 1) * sizeof(*up->bound));
+	up->bound = grow(up->bound, (up->bound_len + 1) * sizeof(*up->bound));
 	up->bound[up->bound_len].account = account;
 	up->bound[up->bound_len].mask = mask;
 	up->bound_len++;
--- a/test/judge.c
+++ b/test/judge.c
@@ -62,9 +62,9 @@
 		json_t *list = records(s, d), *r;
 		size_t i;
 
-		json_array_foreach(list, i, r)
-			if (!strcmp(json_str_or(r, "subject", ""), job))
-				add_record(all, r);
+		json_array_foreach(list, i,
+				   r) if (!strcmp(json_str_or(r, "subject", ""),
+						  job)) add_record(all, r);
 		json_decref(list);
 	}
 	g_array_sort(all, by_number);
@@ -79,9 +79,9 @@
 		    a->longest > LEASE_TERM_MS + LEASE_SLACK_MS)
 			fail_msg("%s: %u of %u parts ran for %lld ms", job,
 				 a->started, parts, (long long)a->longest);
-		if (i && a->first_start <
-				 g_array_index(all, struct attempt, i - 1)
-					 .last_end)
+		if (i &&
+		    a->first_start <
+			    g_array_index(all, struct attempt, i - 1).last_end)
 			fail_msg("%s: attempts overlap", job);
 		complete += a->done == parts;
 	}
@@ -97,8 +97,8 @@
 	json_t *r;
 	size_t i;
 
-	json_array_foreach((json_t *)list, i, r)
-		n += !strcmp(json_str_or(r, "subject", ""), subject);
+	json_array_foreach((json_t *)list, i, r) n +=
+		!strcmp(json_str_or(r, "subject", ""), subject);
 	return n;
 }
 
@@ -107,7 +107,8 @@
 	json_t *r;
 	size_t i;
 
-	json_array_foreach((json_t *)list, i, r) {
+	json_array_foreach((json_t *)list, i, r)
+	{
 		const char *id = json_str_or(r, "subject", "");
 		guint n = GPOINTER_TO_UINT(g_hash_table_lookup(runs, id));
 
@@ -123,8 +124,8 @@
  */
 void judge_once(struct test_site *s, uint32_t domains, const struct stream *st)
 {
-	GHashTable *runs = g_hash_table_new_full(g_str_hash, g_str_equal,
-						 g_free, NULL);
+	GHashTable *runs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 
 	for (uint32_t d = 0; d < domains; d++) {
 		json_t *list = records(s, d);
@@ -139,13 +140,14 @@
 		snprintf(id, sizeof(id), "q%u-%u", st->net, i);
 		n = GPOINTER_TO_UINT(g_hash_table_lookup(runs, id));
 		if (st->verdicts[i] == 'd' && n)
-			fail_msg("%s did not run, but was started %u times",
-				 id, n);
+			fail_msg("%s did not run, but was started %u times", id,
+				 n);
 		if (st->verdicts[i] == 'r' && !n)
 			fail_msg("%s ran, but was never started", id);
 		if (st->once && n > 1)
 			fail_msg("%s is not idempotent and was started %u "
-				 "times", id, n);
+				 "times",
+				 id, n);
 	}
 	g_hash_table_destroy(runs);
 }
--- a/test/proc_answers.c
+++ b/test/proc_answers.c
@@ -15,9 +15,12 @@
 
 static struct test_site *site_of(uint32_t net, uint32_t domains)
 {
-	struct site_options o = {.net = net, .domains = domains,
-				 .instances = 2, .workers = 6,
-				 .accounts = accounts, .cut_workers = true,
+	struct site_options o = {.net = net,
+				 .domains = domains,
+				 .instances = 2,
+				 .workers = 6,
+				 .accounts = accounts,
+				 .cut_workers = true,
 				 .cut_platform = true};
 
 	return site_start(&o);
@@ -61,8 +64,11 @@
 static void answers_late_crossed_cut_and_doubled(void **state)
 {
 	struct test_site *s = site_of(41, 1);
-	struct stream st = {.site = s, .net = 41, .concurrent = 64,
-			    .total = 10000, .extra = "\"run_ms\": 2"};
+	struct stream st = {.site = s,
+			    .net = 41,
+			    .concurrent = 64,
+			    .total = 10000,
+			    .extra = "\"run_ms\": 2"};
 
 	(void)state;
 	stream_target(&st, 0, 0);
@@ -81,8 +87,11 @@
 static void not_idempotent_runs_once(void **state)
 {
 	struct test_site *s = site_of(42, 1);
-	struct stream st = {.site = s, .net = 42, .concurrent = 16,
-			    .total = 3000, .extra = "\"run_ms\": 2",
+	struct stream st = {.site = s,
+			    .net = 42,
+			    .concurrent = 16,
+			    .total = 3000,
+			    .extra = "\"run_ms\": 2",
 			    .once = true};
 
 	(void)state;
@@ -121,7 +130,8 @@
 				"{\"account\": \"damodar\", \"key\": \"p%d\", "
 				"\"request\": \"pay%d\", \"payload\": "
 				"\"pay%d\", \"idempotent\": false, "
-				"\"deadline_ms\": 900}", i, i, i);
+				"\"deadline_ms\": 900}",
+				i, i, i);
 			json_t *v = ask(s, at_instance(s, k % 2, 1), "POST",
 					"/v1/checks", body, NULL);
 
@@ -155,8 +165,11 @@
 static void did_not_run_is_true_over_kills(void **state)
 {
 	struct test_site *s = site_of(44, 1);
-	struct stream st = {.site = s, .net = 44, .concurrent = 32,
-			    .total = 4000, .extra = "\"run_ms\": 4"};
+	struct stream st = {.site = s,
+			    .net = 44,
+			    .concurrent = 32,
+			    .total = 4000,
+			    .extra = "\"run_ms\": 4"};
 	uint32_t due = 1000;
 
 	(void)state;
@@ -182,16 +195,20 @@
 static void a_retry_does_not_hide_the_first_send(void **state)
 {
 	struct test_site *s = site_of(47, 1);
-	struct stream st = {.site = s, .net = 47, .concurrent = 8,
-			    .total = 8, .extra = "\"run_ms\": 150"};
+	struct stream st = {.site = s,
+			    .net = 47,
+			    .concurrent = 8,
+			    .total = 8,
+			    .extra = "\"run_ms\": 150"};
 	json_t *list;
 	size_t n;
 
 	(void)state;
 	stream_target(&st, 0, 0);
 	stream_pump(&st);
-	wait_for(s, 3000, (list = records(s, 0), n = json_array_size(list),
-			   json_decref(list), n == 8));
+	wait_for(s, 3000,
+		 (list = records(s, 0), n = json_array_size(list),
+		  json_decref(list), n == 8));
 	command(s, at_worker_cutter(s, 0), "/control",
 		"{\"link\": -1, \"mode\": \"cut\"}");
 	while (!stream_done(&st))
@@ -206,10 +223,16 @@
 static void silent_connections_are_replaced(void **state)
 {
 	struct test_site *s = site_of(45, 1);
-	struct stream st = {.site = s, .net = 45, .concurrent = 16,
-			    .total = 2000, .extra = "\"run_ms\": 1"};
-	struct stream after = {.site = s, .net = 46, .concurrent = 16,
-			       .total = 500, .extra = "\"run_ms\": 1"};
+	struct stream st = {.site = s,
+			    .net = 45,
+			    .concurrent = 16,
+			    .total = 2000,
+			    .extra = "\"run_ms\": 1"};
+	struct stream after = {.site = s,
+			       .net = 46,
+			       .concurrent = 16,
+			       .total = 500,
+			       .extra = "\"run_ms\": 1"};
 	uint64_t began;
 
 	(void)state;
@@ -226,8 +249,9 @@
 	assert_int_equal(st.wrong, 0);
 	assert_true(st.ran > 1900);
 	began = clock_mono_ms();
-	submit(s, 0, 0, "{\"account\": \"damodar\", \"key\": \"after\", "
-			"\"accelerators\": 1, \"run_ms\": 1}");
+	submit(s, 0, 0,
+	       "{\"account\": \"damodar\", \"key\": \"after\", "
+	       "\"accelerators\": 1, \"run_ms\": 1}");
 	wait_for(s, 5000, job_in_state(s, "after", "done"));
 	print_message("a job after the silence: %d ms\n",
 		      (int)(clock_mono_ms() - began));
--- a/test/proc_config.c
+++ b/test/proc_config.c
@@ -13,8 +13,8 @@
 
 static json_int_t version_at(struct test_site *s, uint32_t d, uint32_t i)
 {
-	json_t *v = ask(s, at_instance(s, d, i), "GET", "/v1/config", NULL,
-			NULL);
+	json_t *v =
+		ask(s, at_instance(s, d, i), "GET", "/v1/config", NULL, NULL);
 	json_int_t n = json_int_or(v, "version", 0);
 
 	json_decref(v);
@@ -27,8 +27,8 @@
 	char *body = g_strdup_printf("{\"accounts\": [{\"name\": \"team%d\", "
 				     "\"weight\": %d}]}",
 				     n % 90, n % 9 + 1);
-	json_t *v = ask(s, at_instance(s, d, i), "POST", "/v1/config", body,
-			NULL);
+	json_t *v =
+		ask(s, at_instance(s, d, i), "POST", "/v1/config", body, NULL);
 	json_int_t version = json_int_or(v, "version", 0);
 
 	json_decref(v);
@@ -55,8 +55,8 @@
 			json_int_t v = version_at(s, d, i);
 
 			if (v && v < seen[d][i])
-				fail_msg("%u-%u went back from %lld to %lld",
-					 d, i, (long long)seen[d][i],
+				fail_msg("%u-%u went back from %lld to %lld", d,
+					 i, (long long)seen[d][i],
 					 (long long)v);
 			if (v)
 				seen[d][i] = v;
@@ -66,8 +66,11 @@
 
 static void changes_under_kills_and_a_cut_domain(void **state)
 {
-	struct site_options o = {.net = 61, .domains = 3, .instances = 2,
-				 .workers = 2, .accounts = accounts,
+	struct site_options o = {.net = 61,
+				 .domains = 3,
+				 .instances = 2,
+				 .workers = 2,
+				 .accounts = accounts,
 				 .cut_platform = true};
 	struct test_site *s = site_start(&o);
 	json_int_t seen[MAX_DOMAINS][2] = {{0}}, last = 0;
@@ -102,8 +105,11 @@
 /* A domain that the platform is cut from still gets it from peers. */
 static void peers_hand_it_on(void **state)
 {
-	struct site_options o = {.net = 62, .domains = 2, .instances = 2,
-				 .workers = 2, .accounts = accounts,
+	struct site_options o = {.net = 62,
+				 .domains = 2,
+				 .instances = 2,
+				 .workers = 2,
+				 .accounts = accounts,
 				 .cut_platform = true};
 	struct test_site *s = site_start(&o);
 	json_int_t last;
@@ -119,8 +125,11 @@
 
 static void an_instance_starts_while_the_platform_is_out(void **state)
 {
-	struct site_options o = {.net = 63, .domains = 1, .instances = 2,
-				 .workers = 2, .accounts = accounts};
+	struct site_options o = {.net = 63,
+				 .domains = 1,
+				 .instances = 2,
+				 .workers = 2,
+				 .accounts = accounts};
 	struct test_site *s = site_start(&o);
 	json_int_t last = change(s, 0, 0, 1);
 	json_t *v;
@@ -131,17 +140,21 @@
 	instance_kill(s, 0, 1);
 	command(s, at_platform(s), "/control", "{\"outage\": \"refuse\"}");
 	instance_start(s, 0, 1);
-	wait_for(s, IN_FORCE_MS, (v = ask(s, at_instance(s, 0, 1), "GET",
-					  "/ready", NULL, &status),
-				  json_decref(v), status == 200));
+	wait_for(s, IN_FORCE_MS,
+		 (v = ask(s, at_instance(s, 0, 1), "GET", "/ready", NULL,
+			  &status),
+		  json_decref(v), status == 200));
 	assert_int_equal(version_at(s, 0, 1), last);
 	site_stop(s);
 }
 
 static void it_is_not_ready_without_a_configuration(void **state)
 {
-	struct site_options o = {.net = 64, .domains = 1, .instances = 2,
-				 .workers = 2, .accounts = accounts};
+	struct site_options o = {.net = 64,
+				 .domains = 1,
+				 .instances = 2,
+				 .workers = 2,
+				 .accounts = accounts};
 	struct test_site *s = site_start(&o);
 	json_t *v;
 	int status;
@@ -151,27 +164,32 @@
 	instance_kill(s, 0, 0);
 	instance_kill(s, 0, 1);
 	instance_start(s, 0, 1);
-	wait_for(s, 5000, (v = ask(s, at_instance(s, 0, 1), "GET", "/health",
-				   NULL, &status),
-			   json_decref(v), status == 200));
-	json_decref(ask(s, at_instance(s, 0, 1), "GET", "/ready", NULL,
-			&status));
+	wait_for(s, 5000,
+		 (v = ask(s, at_instance(s, 0, 1), "GET", "/health", NULL,
+			  &status),
+		  json_decref(v), status == 200));
+	json_decref(
+		ask(s, at_instance(s, 0, 1), "GET", "/ready", NULL, &status));
 	assert_int_equal(status, 503);
 	v = ask(s, at_instance(s, 0, 1), "POST", "/v1/checks",
 		"{\"account\": \"damodar\"}", &status);
 	assert_string_equal(json_str_or(v, "verdict", ""), "did_not_run");
 	json_decref(v);
 	command(s, at_platform(s), "/control", "{\"outage\": \"\"}");
-	wait_for(s, IN_FORCE_MS, (v = ask(s, at_instance(s, 0, 1), "GET",
-					  "/ready", NULL, &status),
-				  json_decref(v), status == 200));
+	wait_for(s, IN_FORCE_MS,
+		 (v = ask(s, at_instance(s, 0, 1), "GET", "/ready", NULL,
+			  &status),
+		  json_decref(v), status == 200));
 	site_stop(s);
 }
 
 static void of_two_operators_one_wins(void **state)
 {
-	struct site_options o = {.net = 65, .domains = 1, .instances = 2,
-				 .workers = 2, .accounts = accounts};
+	struct site_options o = {.net = 65,
+				 .domains = 1,
+				 .instances = 2,
+				 .workers = 2,
+				 .accounts = accounts};
 	struct test_site *s = site_start(&o);
 	json_t *v;
 	char *body;
@@ -198,8 +216,11 @@
 
 static void a_lost_answer_is_read_back(void **state)
 {
-	struct site_options o = {.net = 66, .domains = 1, .instances = 2,
-				 .workers = 2, .accounts = accounts};
+	struct site_options o = {.net = 66,
+				 .domains = 1,
+				 .instances = 2,
+				 .workers = 2,
+				 .accounts = accounts};
 	struct test_site *s = site_start(&o);
 	json_int_t last;
 
--- a/test/proc_gang.c
+++ b/test/proc_gang.c
@@ -13,8 +13,11 @@
 
 static struct test_site *site_of(uint32_t net)
 {
-	struct site_options o = {.net = net, .domains = 1, .instances = 3,
-				 .workers = 17, .accounts = accounts,
+	struct site_options o = {.net = net,
+				 .domains = 1,
+				 .instances = 3,
+				 .workers = 17,
+				 .accounts = accounts,
 				 .cut_workers = true};
 
 	return site_start(&o);
@@ -65,8 +68,9 @@
 	slow_workers(s, 8, 17, 300);
 	submit(s, 0, d, gang);
 	wait_for(s, 8000, event_seen(s, 0, d, "reserved", "gang"));
-	wait_for(s, 2000, (list = records(s, 0), n = json_array_size(list),
-			   json_decref(list), n > 0));
+	wait_for(s, 2000,
+		 (list = records(s, 0), n = json_array_size(list),
+		  json_decref(list), n > 0));
 	instance_kill(s, 0, d);
 	slow_workers(s, 8, 17, 0);
 	list = records(s, 0);
@@ -109,19 +113,21 @@
 	for (next = 0; next == d; next++)
 		;
 	wait_for(s, 15000,
-		 event_seen(s, 0, next, "deciding", next ? "kolkata-2"
-							  : "kolkata-1") ||
+		 event_seen(s, 0, next, "deciding",
+			    next ? "kolkata-2" : "kolkata-1") ||
 			 event_seen(s, 0, 2, "deciding", "kolkata-3"));
 	submit(s, 0, next,
 	       "{\"account\": \"damodar\", \"key\": \"later\", "
 	       "\"accelerators\": 8, \"run_ms\": 100}");
-	wait_for(s, 15000, event_seen(s, 0, next, "running", "later") ||
-				   event_seen(s, 0, 2, "running", "later"));
+	wait_for(s, 15000,
+		 event_seen(s, 0, next, "running", "later") ||
+			 event_seen(s, 0, 2, "running", "later"));
 	instance_signal(s, 0, d, SIGCONT);
-	wait_for(s, 15000, event_seen(s, 0, d, "stepped_down",
-				      d == 0   ? "kolkata-1"
-				      : d == 1 ? "kolkata-2"
-					       : "kolkata-3"));
+	wait_for(s, 15000,
+		 event_seen(s, 0, d, "stepped_down",
+			    d == 0   ? "kolkata-1"
+			    : d == 1 ? "kolkata-2"
+				     : "kolkata-3"));
 	wait_for(s, 15000, job_in_state(s, "later", "done"));
 	judge_gang(s, 1, "later", 1);
 	finish(s);
--- a/test/proc_leave.c
+++ b/test/proc_leave.c
@@ -18,21 +18,27 @@
 	json_int_t last = 0;
 	size_t i;
 
-	json_array_foreach(list, i, r)
-		if (!strcmp(json_str_or(r, "worker", ""), worker))
-			last = MAX(last, json_int_or(r, "started_ms", 0));
+	json_array_foreach(list, i,
+			   r) if (!strcmp(json_str_or(r, "worker", ""), worker))
+		last = MAX(last, json_int_or(r, "started_ms", 0));
 	json_decref(list);
 	return last;
 }
 
 static void an_upstream_that_leaves_gets_nothing_new(void **state)
 {
-	struct site_options o = {.net = 51, .domains = 1, .instances = 2,
-				 .workers = 4, .accounts = accounts,
+	struct site_options o = {.net = 51,
+				 .domains = 1,
+				 .instances = 2,
+				 .workers = 4,
+				 .accounts = accounts,
 				 .cut_platform = true};
 	struct test_site *s = site_start(&o);
-	struct stream st = {.site = s, .net = 51, .concurrent = 16,
-			    .total = UINT16_MAX, .extra = "\"run_ms\": 5"};
+	struct stream st = {.site = s,
+			    .net = 51,
+			    .concurrent = 16,
+			    .total = UINT16_MAX,
+			    .extra = "\"run_ms\": 5"};
 	uint64_t shown_ms, until;
 
 	(void)state;
@@ -58,7 +64,7 @@
 		stream_pump(&st);
 	assert_int_equal(st.wrong, 0);
 	assert_true(last_start_at(s, "kolkata-w1") > (json_int_t)until - 1000);
-	if (last_start_at(s, "kolkata-w2") > (json_int_t)(shown_ms + LEAVE_MS))
+	if (last_start_at(s, "kolkata-w2") > (json_int_t)shown_ms + LEAVE_MS)
 		fail_msg("started %lld ms after the list showed it",
 			 (long long)(last_start_at(s, "kolkata-w2") -
 				     (json_int_t)shown_ms));
@@ -68,11 +74,17 @@
 
 static void an_upstreams_own_word_is_enough(void **state)
 {
-	struct site_options o = {.net = 52, .domains = 1, .instances = 2,
-				 .workers = 4, .accounts = accounts};
+	struct site_options o = {.net = 52,
+				 .domains = 1,
+				 .instances = 2,
+				 .workers = 4,
+				 .accounts = accounts};
 	struct test_site *s = site_start(&o);
-	struct stream st = {.site = s, .net = 52, .concurrent = 16,
-			    .total = UINT16_MAX, .extra = "\"run_ms\": 5"};
+	struct stream st = {.site = s,
+			    .net = 52,
+			    .concurrent = 16,
+			    .total = UINT16_MAX,
+			    .extra = "\"run_ms\": 5"};
 	uint64_t told_ms;
 
 	(void)state;
@@ -89,7 +101,7 @@
 	while (!stream_done(&st))
 		stream_pump(&st);
 	assert_true(last_start_at(s, "kolkata-w3") <
-		    (json_int_t)(told_ms + LEAVE_MS));
+		    (json_int_t)told_ms + LEAVE_MS);
 	stream_free(&st);
 	site_stop(s);
 }
@@ -97,14 +109,19 @@
 /* Stop each instance in turn; the balancer sends to those that are ready. */
 static void a_planned_stop_cuts_off_nothing(void **state)
 {
-	struct site_options o = {.net = 53, .domains = 1, .instances = 3,
-				 .workers = 4, .accounts = accounts};
+	struct site_options o = {.net = 53,
+				 .domains = 1,
+				 .instances = 3,
+				 .workers = 4,
+				 .accounts = accounts};
 	struct test_site *s = site_start(&o);
 
 	(void)state;
 	for (uint32_t i = 0; i < 3; i++) {
-		struct stream st = {.site = s, .net = 530 + i,
-				    .concurrent = 24, .total = UINT16_MAX,
+		struct stream st = {.site = s,
+				    .net = 530 + i,
+				    .concurrent = 24,
+				    .total = UINT16_MAX,
 				    .extra = "\"run_ms\": 60"};
 		char key[64], *body;
 		uint32_t other = (i + 1) % 3;
@@ -115,7 +132,8 @@
 		snprintf(key, sizeof(key), "job%u", i);
 		body = g_strdup_printf("{\"account\": \"damodar\", \"key\": "
 				       "\"%s\", \"accelerators\": 2, "
-				       "\"run_ms\": 4000}", key);
+				       "\"run_ms\": 4000}",
+				       key);
 		submit(s, 0, i, body);
 		g_free(body);
 		instance_signal(s, 0, i, SIGTERM);
@@ -135,10 +153,11 @@
 		stream_free(&st);
 		instance_start(s, 0, i);
 		wait_for(s, 10000, decider_of(s, 0) != UINT32_MAX);
-		wait_for(s, 5000, event_seen(s, 0, other, "peer_reachable",
-					     i == 0   ? "kolkata-1"
-					     : i == 1 ? "kolkata-2"
-						      : "kolkata-3"));
+		wait_for(s, 5000,
+			 event_seen(s, 0, other, "peer_reachable",
+				    i == 0   ? "kolkata-1"
+				    : i == 1 ? "kolkata-2"
+					     : "kolkata-3"));
 	}
 	site_stop(s);
 }
--- a/test/proc_outage.c
+++ b/test/proc_outage.c
@@ -47,8 +47,11 @@
 static void checks_go_on(struct test_site *s, uint32_t net, uint32_t ms,
 			 uint32_t first, uint32_t last)
 {
-	struct stream st = {.site = s, .net = net, .concurrent = 2,
-			    .total = UINT32_MAX / 2, .extra = "\"run_ms\": 5"};
+	struct stream st = {.site = s,
+			    .net = net,
+			    .concurrent = 2,
+			    .total = UINT32_MAX / 2,
+			    .extra = "\"run_ms\": 5"};
 	uint64_t until = clock_mono_ms() + ms;
 
 	st.total = 200000;
@@ -84,8 +87,11 @@
 
 static void through_an_outage(uint32_t net, const char *fault)
 {
-	struct site_options o = {.net = net, .domains = 1, .instances = 2,
-				 .workers = 4, .accounts = accounts};
+	struct site_options o = {.net = net,
+				 .domains = 1,
+				 .instances = 2,
+				 .workers = 4,
+				 .accounts = accounts};
 	struct test_site *s = site_start(&o);
 
 	submit_some(s, "before", 3, 1000);
@@ -116,8 +122,11 @@
 
 static void the_store_is_slow(void **state)
 {
-	struct site_options o = {.net = 73, .domains = 1, .instances = 2,
-				 .workers = 4, .accounts = accounts};
+	struct site_options o = {.net = 73,
+				 .domains = 1,
+				 .instances = 2,
+				 .workers = 4,
+				 .accounts = accounts};
 	struct test_site *s = site_start(&o);
 
 	(void)state;
@@ -131,8 +140,11 @@
 /* The decider dies while the platform is out: nothing is doubled. */
 static void the_decider_dies_while_it_is_down(void **state)
 {
-	struct site_options o = {.net = 74, .domains = 1, .instances = 2,
-				 .workers = 4, .accounts = accounts};
+	struct site_options o = {.net = 74,
+				 .domains = 1,
+				 .instances = 2,
+				 .workers = 4,
+				 .accounts = accounts};
 	struct test_site *s = site_start(&o);
 	uint32_t d = decider_of(s, 0);
 
@@ -158,16 +170,18 @@
 /* Answers are lost after the write, many times: one row, one run. */
 static void answers_are_lost_after_the_write(void **state)
 {
-	struct site_options o = {.net = 75, .domains = 1, .instances = 2,
-				 .workers = 4, .accounts = accounts};
+	struct site_options o = {.net = 75,
+				 .domains = 1,
+				 .instances = 2,
+				 .workers = 4,
+				 .accounts = accounts};
 	struct test_site *s = site_start(&o);
 
 	(void)state;
 	for (int i = 0; i < 6; i++) {
 		char prefix[16];
 
-		command(s, at_platform(s), "/control",
-			"{\"lose_answers\": 2}");
+		command(s, at_platform(s), "/control", "{\"lose_answers\": 2}");
 		snprintf(prefix, sizeof(prefix), "lost%d-", i);
 		submit_some(s, prefix, 1, 200);
 	}
--- a/test/proc_path.c
+++ b/test/proc_path.c
@@ -15,8 +15,11 @@
 
 static void a_job_of_each_kind_runs_to_its_end(void **state)
 {
-	struct site_options o = {.net = 11, .domains = 2, .instances = 2,
-				 .workers = 4, .accounts = accounts};
+	struct site_options o = {.net = 11,
+				 .domains = 2,
+				 .instances = 2,
+				 .workers = 4,
+				 .accounts = accounts};
 	struct test_site *s = site_start(&o);
 	json_t *v;
 	int status;
@@ -27,10 +30,12 @@
 	assert_int_equal(status, 200);
 	assert_string_equal(json_str_or(v, "answer", ""), "checked:x");
 	json_decref(v);
-	submit(s, 0, 0, "{\"account\": \"damodar\", \"key\": \"batch\", "
-			"\"accelerators\": 1, \"run_ms\": 50}");
-	submit(s, 1, 1, "{\"account\": \"teesta\", \"key\": \"gang\", "
-			"\"parts\": 4, \"accelerators\": 4, \"run_ms\": 50}");
+	submit(s, 0, 0,
+	       "{\"account\": \"damodar\", \"key\": \"batch\", "
+	       "\"accelerators\": 1, \"run_ms\": 50}");
+	submit(s, 1, 1,
+	       "{\"account\": \"teesta\", \"key\": \"gang\", "
+	       "\"parts\": 4, \"accelerators\": 4, \"run_ms\": 50}");
 	wait_for(s, 8000, job_in_state(s, "batch", "done"));
 	wait_for(s, 8000, job_in_state(s, "gang", "done"));
 	site_stop(s);
@@ -38,8 +43,11 @@
 
 static void a_repeated_submission_finds_the_first(void **state)
 {
-	struct site_options o = {.net = 12, .domains = 1, .instances = 2,
-				 .workers = 2, .accounts = accounts};
+	struct site_options o = {.net = 12,
+				 .domains = 1,
+				 .instances = 2,
+				 .workers = 2,
+				 .accounts = accounts};
 	struct test_site *s = site_start(&o);
 	static const char body[] = "{\"account\": \"damodar\", \"key\": \"j\", "
 				   "\"accelerators\": 1, \"run_ms\": 300}";
@@ -52,8 +60,8 @@
 	(void)state;
 	submit(s, 0, 0, body);
 	v = ask(s, at_instance(s, 0, 1), "POST", "/v1/jobs", body, &status);
-	assert_true(json_is_true(json_object_get(v, "existing")) || status ==
-								       202);
+	assert_true(json_is_true(json_object_get(v, "existing")) ||
+		    status == 202);
 	json_decref(v);
 	v = ask(s, at_instance(s, 0, 1), "POST", "/v1/jobs", other, &status);
 	assert_int_equal(status, 409);
@@ -67,17 +75,22 @@
 
 static void a_cancelled_job_stops(void **state)
 {
-	struct site_options o = {.net = 13, .domains = 1, .instances = 2,
-				 .workers = 2, .accounts = accounts};
+	struct site_options o = {.net = 13,
+				 .domains = 1,
+				 .instances = 2,
+				 .workers = 2,
+				 .accounts = accounts};
 	struct test_site *s = site_start(&o);
 	int status;
 
 	(void)state;
-	submit(s, 0, 0, "{\"account\": \"damodar\", \"key\": \"long\", "
-			"\"accelerators\": 8, \"parts\": 2, "
-			"\"run_ms\": 600000}");
-	submit(s, 0, 0, "{\"account\": \"damodar\", \"key\": \"behind\", "
-			"\"accelerators\": 8, \"run_ms\": 600000}");
+	submit(s, 0, 0,
+	       "{\"account\": \"damodar\", \"key\": \"long\", "
+	       "\"accelerators\": 8, \"parts\": 2, "
+	       "\"run_ms\": 600000}");
+	submit(s, 0, 0,
+	       "{\"account\": \"damodar\", \"key\": \"behind\", "
+	       "\"accelerators\": 8, \"run_ms\": 600000}");
 	wait_for(s, 8000, job_in_state(s, "long", "running"));
 	json_decref(ask(s, at_instance(s, 0, 1), "DELETE", "/v1/jobs/behind",
 			NULL, &status));
@@ -92,21 +105,26 @@
 
 static void a_job_that_fails_everywhere_is_parked(void **state)
 {
-	struct site_options o = {.net = 14, .domains = 1, .instances = 1,
-				 .workers = 5, .accounts = accounts};
+	struct site_options o = {.net = 14,
+				 .domains = 1,
+				 .instances = 1,
+				 .workers = 5,
+				 .accounts = accounts};
 	struct test_site *s = site_start(&o);
 
 	(void)state;
-	submit(s, 0, 0, "{\"account\": \"damodar\", \"key\": \"bad\", "
-			"\"accelerators\": 1, \"run_ms\": 10, "
-			"\"payload\": \"fail\"}");
+	submit(s, 0, 0,
+	       "{\"account\": \"damodar\", \"key\": \"bad\", "
+	       "\"accelerators\": 1, \"run_ms\": 10, "
+	       "\"payload\": \"fail\"}");
 	wait_for(s, 15000, job_in_state(s, "bad", "parked"));
 	command(s, at_workers(s, 0), "/control",
 		"{\"worker\": \"kolkata-w1\", \"fail_all\": true}");
 	for (int i = 0; i < 6; i++) {
 		char *body = g_strdup_printf(
 			"{\"account\": \"damodar\", \"key\": \"good%d\", "
-			"\"accelerators\": 1, \"run_ms\": 10}", i);
+			"\"accelerators\": 1, \"run_ms\": 10}",
+			i);
 
 		submit(s, 0, 0, body);
 		g_free(body);
@@ -208,8 +226,11 @@
 
 static void bad_input_is_refused_with_a_reason(void **state)
 {
-	struct site_options o = {.net = 15, .domains = 1, .instances = 1,
-				 .workers = 4, .accounts = accounts};
+	struct site_options o = {.net = 15,
+				 .domains = 1,
+				 .instances = 1,
+				 .workers = 4,
+				 .accounts = accounts};
 	struct test_site *s = site_start(&o);
 	char *large = g_strnfill(300 << 10, 'x');
 	char peer[64];
@@ -250,20 +271,25 @@
 
 static void a_full_queue_is_refused(void **state)
 {
-	struct site_options o = {.net = 16, .domains = 1, .instances = 1,
-				 .workers = 2, .accounts = accounts};
+	struct site_options o = {.net = 16,
+				 .domains = 1,
+				 .instances = 1,
+				 .workers = 2,
+				 .accounts = accounts};
 	struct test_site *s = site_start(&o);
 	int status = 0;
 
 	(void)state;
-	submit(s, 0, 0, "{\"account\": \"damodar\", \"key\": \"all\", "
-			"\"accelerators\": 8, \"parts\": 2, "
-			"\"run_ms\": 600000}");
+	submit(s, 0, 0,
+	       "{\"account\": \"damodar\", \"key\": \"all\", "
+	       "\"accelerators\": 8, \"parts\": 2, "
+	       "\"run_ms\": 600000}");
 	wait_for(s, 8000, job_in_state(s, "all", "running"));
 	for (int i = 0; i < 3 && status != 429; i++) {
 		char *body = g_strdup_printf(
 			"{\"account\": \"damodar\", \"key\": \"w%d\", "
-			"\"accelerators\": 8, \"run_ms\": 1}", i);
+			"\"accelerators\": 8, \"run_ms\": 1}",
+			i);
 
 		submit(s, 0, 0, body);
 		g_free(body);
@@ -272,7 +298,8 @@
 		char *body = g_strdup_printf(
 			"{\"account\": \"teesta\", \"key\": \"t%d\", "
 			"\"accelerators\": 8, \"parts\": 2, \"run_ms\": "
-			"600000, \"class\": \"quiet\"}", i);
+			"600000, \"class\": \"quiet\"}",
+			i);
 
 		json_decref(ask(s, at_instance(s, 0, 0), "POST", "/v1/jobs",
 				body, &status));
--- a/test/proc_reclaim.c
+++ b/test/proc_reclaim.c
@@ -28,15 +28,20 @@
 /* Start a site of four upstreams, and lend all of them to damodar. */
 static struct test_site *borrowed_site(uint32_t net)
 {
-	struct site_options o = {.net = net, .domains = 1, .instances = 2,
-				 .workers = 4, .accounts = accounts,
-				 .cut_workers = true, .cut_platform = true};
+	struct site_options o = {.net = net,
+				 .domains = 1,
+				 .instances = 2,
+				 .workers = 4,
+				 .accounts = accounts,
+				 .cut_workers = true,
+				 .cut_platform = true};
 	struct test_site *s = site_start(&o);
 
 	for (int i = 0; i < 8; i++) {
 		char *body = g_strdup_printf(
 			"{\"account\": \"damodar\", \"key\": \"b%d\", "
-			"\"accelerators\": 4, \"run_ms\": 600000}", i);
+			"\"accelerators\": 4, \"run_ms\": 600000}",
+			i);
 
 		submit(s, 0, i % 2, body);
 		g_free(body);
@@ -137,8 +142,9 @@
 	command(s, at_platform(s), "/control",
 		"{\"member\": {\"name\": \"kolkata-w1\", "
 		"\"state\": \"gone\"}}");
-	wait_for(s, 20000, event_seen(s, 0, 0, "rebound", "config") ||
-				   event_seen(s, 0, 1, "rebound", "config"));
+	wait_for(s, 20000,
+		 event_seen(s, 0, 0, "rebound", "config") ||
+			 event_seen(s, 0, 1, "rebound", "config"));
 	submit(s, 0, 0, claim);
 	wait_for(s, RECLAIM_MS, claim_runs(s));
 	finish(s);
--- a/test/site.c
+++ b/test/site.c
@@ -30,7 +30,8 @@
 	uint32_t text_at;
 };
 
-static const char *const domains[] = {"kolkata", "durgapur", "siliguri"};
+static const char *const domains[MAX_DOMAINS] = {"kolkata", "durgapur",
+						 "siliguri"};
 
 static const char *address(struct test_site *s, uint32_t third, uint32_t fourth,
 			   uint32_t port)
@@ -156,17 +157,18 @@
 
 static void start_workers(struct test_site *s, uint32_t d)
 {
-	char name[TEXT], prefix[TEXT], count[16], first[TEXT], control[TEXT];
-	char cut[TEXT], cut_control[TEXT];
-	char *argv[] = {"out/worker", "--record", "--first", first,
-			"--count", count, "--prefix", prefix, "--control",
-			control, NULL};
-	char *cutter[] = {"out/cutter", "--first", cut, "--target",
-			  first, "--count", count, "--control",
-			  cut_control, NULL};
+	char name[TEXT], prefix[TEXT], count[16];
+	char first[TEXT] = "", control[TEXT] = "";
+	char cut[TEXT] = "", cut_control[TEXT] = "";
+	char *argv[] = {"out/worker", "--record", "--first",  first,
+			"--count",    count,	  "--prefix", prefix,
+			"--control",  control,	  NULL};
+	char *cutter[] = {"out/cutter", "--first", cut,	  "--target",
+			  first,	"--count", count, "--control",
+			  cut_control,	NULL};
 
 	snprintf(name, sizeof(name), "workers-%u", d);
-	snprintf(prefix, sizeof(prefix), "%s-w", domains[d]);
+	snprintf(prefix, sizeof(prefix), "%s-w", domains[d % MAX_DOMAINS]);
 	snprintf(count, sizeof(count), "%u", s->o.workers);
 	g_strlcpy(first, address(s, 101 + d, 1, 9000), sizeof(first));
 	g_strlcpy(control, at_workers(s, d), sizeof(control));
@@ -181,10 +183,11 @@
 
 static void start_platform(struct test_site *s)
 {
-	char listen[TEXT], first[TEXT], control[TEXT], name[TEXT];
+	char listen[TEXT] = "", first[TEXT] = "", control[TEXT] = "";
+	char name[TEXT];
 	char *argv[] = {"out/platform", "--listen", listen, NULL};
-	char *cutter[] = {"out/cutter", "--first", first, "--target",
-			  listen, "--control", control, NULL};
+	char *cutter[] = {"out/cutter", "--first",   first,   "--target",
+			  listen,	"--control", control, NULL};
 
 	g_strlcpy(listen, at_platform(s), sizeof(listen));
 	run_other(s, "platform", argv);
@@ -216,10 +219,10 @@
 			snprintf(name, sizeof(name), "%s-w%u", domains[d],
 				 w + 1);
 			json_array_append_new(
-				list, json_pack("{s:s,s:s,s:s,s:s}", "name",
-						name, "role", "upstream",
-						"domain", domains[d], "state",
-						"live"));
+				list,
+				json_pack("{s:s,s:s,s:s,s:s}", "name", name,
+					  "role", "upstream", "domain",
+					  domains[d], "state", "live"));
 		}
 	}
 	return json_pack("{s:o}", "members", list);
@@ -249,8 +252,7 @@
 	}
 	return json_pack("{s:o,s:o,s:o}", "upstreams", list, "accounts",
 			 json_loads(s->o.accounts, 0, NULL), "limits",
-			 json_loads(s->o.limits ? s->o.limits : "{}", 0,
-				    NULL));
+			 json_loads(s->o.limits ? s->o.limits : "{}", 0, NULL));
 }
 
 static bool answers(struct test_site *s, const char *server, const char *path)
@@ -281,24 +283,26 @@
 
 	signal(SIGPIPE, SIG_IGN);
 	s->o = *o;
+	s->o.domains = MIN(o->domains, MAX_DOMAINS);
+	s->o.instances = MIN(o->instances, MAX_INSTANCES);
 	s->loop = loop_create();
 	s->http = http_client_create(s->loop);
 	snprintf(s->dir, sizeof(s->dir), "out/test-%u", o->net);
 	g_mkdir_with_parents(s->dir, 0755);
 	start_platform(s);
-	for (uint32_t d = 0; d < o->domains; d++)
+	for (uint32_t d = 0; d < s->o.domains; d++)
 		start_workers(s, d);
 	wait_for(s, 5000, answers(s, at_platform(s), "/members"));
 	send_json(s, at_platform(s), "/control", members(s));
-	for (uint32_t d = 0; d < o->domains; d++)
-		for (uint32_t i = 0; i < o->instances; i++)
+	for (uint32_t d = 0; d < s->o.domains; d++)
+		for (uint32_t i = 0; i < s->o.instances; i++)
 			instance_start(s, d, i);
-	for (uint32_t d = 0; d < o->domains; d++)
-		for (uint32_t i = 0; i < o->instances; i++)
+	for (uint32_t d = 0; d < s->o.domains; d++)
+		for (uint32_t i = 0; i < s->o.instances; i++)
 			wait_for(s, 5000,
 				 answers(s, at_instance(s, d, i), "/health"));
 	send_json(s, at_instance(s, 0, 0), "/v1/config", configuration(s));
-	for (uint32_t d = 0; d < o->domains; d++)
+	for (uint32_t d = 0; d < s->o.domains; d++)
 		wait_for(s, 10000, decider_of(s, d) != UINT32_MAX);
 	return s;
 }
@@ -385,8 +389,8 @@
 /* Return the records of every start at the workers of a domain. */
 json_t *records(struct test_site *s, uint32_t domain)
 {
-	json_t *v = ask(s, at_workers(s, domain), "GET", "/records", NULL,
-			NULL);
+	json_t *v =
+		ask(s, at_workers(s, domain), "GET", "/records", NULL, NULL);
 	json_t *list = json_incref(json_object_get(v, "records"));
 
 	json_decref(v);
@@ -454,8 +458,8 @@
 	json_t *e;
 	size_t k;
 
-	json_array_foreach(json_object_get(v, "events"), k, e)
-		seen = seen || !strcmp(json_str_or(e, "kind", ""), kind);
+	json_array_foreach(json_object_get(v, "events"), k, e) seen =
+		seen || !strcmp(json_str_or(e, "kind", ""), kind);
 	json_decref(v);
 	g_free(path);
 	return seen;
--- a/test/site.h
+++ b/test/site.h
@@ -18,8 +18,8 @@
 struct site_options {
 	uint32_t net; /* second octet of every address: one for each test */
 	uint32_t domains;
-	uint32_t instances; /* in each domain */
-	uint32_t workers;   /* in each domain, eight to a rack */
+	uint32_t instances;   /* in each domain */
+	uint32_t workers;     /* in each domain, eight to a rack */
 	const char *accounts; /* JSON array */
 	const char *limits;   /* JSON object */
 	bool cut_workers;     /* reach workers through the cutter */
@@ -60,15 +60,15 @@
 		const char *kind, const char *subject);
 
 /* wait until what is true, or fail the test after ms */
-#define wait_for(s, ms, what) \
-	do { \
-		uint64_t until_ms_ = clock_mono_ms() + (ms); \
-		while (!(what)) { \
-			if (clock_mono_ms() > until_ms_) \
-				fail_msg("not within %d ms: %s", (int)(ms), \
-					 #what); \
-			loop_step(test_loop(s), 10); \
-		} \
+#define wait_for(s, ms, what)                                                  \
+	do {                                                                   \
+		uint64_t until_ms_ = clock_mono_ms() + (ms);                   \
+		while (!(what)) {                                              \
+			if (clock_mono_ms() > until_ms_)                       \
+				fail_msg("not within %d ms: %s", (int)(ms),    \
+					 #what);                               \
+			loop_step(test_loop(s), 10);                           \
+		}                                                              \
 	} while (0)
 
 /* a stream of checks with payloads that can be recognised */
--- /dev/null
+++ b/test/unit_lib.c
@@ -0,0 +1,357 @@
+/* The library: verdicts, timers, counters, frames, events, settings. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <glib.h>
+#include <string.h>
+
+#include "config/config.h"
+#include "daemon/jobs.h"
+#include "daemon/settings.h"
+#include "lib/counter.h"
+#include "lib/event.h"
+#include "lib/frame.h"
+#include "lib/loop.h"
+#include "lib/verdict.h"
+
+static void verdicts_have_names_and_statuses(void **state)
+{
+	enum verdict_tag t;
+
+	(void)state;
+	for (int r = 0; r < REASON_COUNT; r++) {
+		struct verdict v = verdict_did_not_run(r);
+
+		assert_non_null(reason_name(r));
+		assert_true(verdict_http_status(v) >= 400);
+	}
+	assert_int_equal(verdict_http_status(verdict_ran()), 200);
+	assert_int_equal(verdict_http_status(verdict_may_have_run(REASON_CUT)),
+			 504);
+	assert_true(verdict_parse("may_have_run", &t));
+	assert_int_equal(t, VERDICT_MAY_HAVE_RUN);
+	assert_false(verdict_parse("perhaps", &t));
+}
+
+struct fired {
+	struct timer timer;
+	uint32_t *count;
+	uint32_t at;
+};
+
+static void on_fire(void *arg)
+{
+	struct fired *f = arg;
+
+	f->at = ++*f->count;
+}
+
+static void timers_fire_in_order_and_stop(void **state)
+{
+	struct loop *l = loop_create();
+	struct fired f[50];
+	uint32_t count = 0;
+
+	(void)state;
+	for (uint32_t i = 0; i < 50; i++) {
+		f[i].count = &count;
+		f[i].at = 0;
+		timer_init(&f[i].timer, on_fire, &f[i]);
+		timer_start(l, &f[i].timer, (i * 37) % 50);
+	}
+	timer_stop(l, &f[3].timer);
+	timer_stop(l, &f[3].timer);
+	while (count < 49)
+		loop_step(l, 5);
+	assert_int_equal(f[3].at, 0);
+	for (uint32_t i = 0; i < 50; i++)
+		for (uint32_t k = 0; k < 50; k++)
+			if (i != 3 && k != 3 && (i * 37) % 50 < (k * 37) % 50)
+				assert_true(f[i].at < f[k].at);
+	loop_destroy(l);
+}
+
+static void quantiles_are_close(void **state)
+{
+	struct histogram h = {{0}};
+
+	(void)state;
+	for (uint64_t us = 1; us <= 100000; us++)
+		histogram_add(&h, us);
+	assert_in_range(histogram_quantile_us(&h, 0.5), 50000, 53600);
+	assert_in_range(histogram_quantile_us(&h, 0.99), 99000, 100000);
+	assert_int_equal(histogram_quantile_us(&h, 1.0), 100000);
+}
+
+static void frames_are_bounded(void **state)
+{
+	static const struct {
+		const char *bytes;
+		size_t len;
+		int64_t taken;
+	} cases[] = {
+		{"", 0, 0},
+		{"\0\0\0", 3, 0},
+		{"\0\0\0\0", 4, -1},
+		{"\0\0\0\1", 4, 0},
+		{"\0\0\0\1x", 5, 5},
+		{"\0\0\0\1xy", 6, 5},
+		{"\0\x40\0\1", 4, -1},
+		{"\xff\xff\xff\xff", 4, -1},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const uint8_t *payload;
+		uint32_t n;
+
+		assert_int_equal(frame_parse((const uint8_t *)cases[i].bytes,
+					     cases[i].len, &payload, &n),
+				 cases[i].taken);
+	}
+}
+
+static void an_effect_sorts_after_its_cause(void **state)
+{
+	struct event_ring *a = event_ring_create(4);
+	struct event_ring *b = event_ring_create(4);
+	uint64_t sent, later;
+	json_t *list;
+
+	(void)state;
+	event_clock_seen(a, event_clock(a) + (1000000ull << 16));
+	sent = event_clock(a); /* a's clock is far ahead */
+	event_clock_seen(b, sent);
+	later = event_clock(b);
+	assert_true(later > sent);
+	for (int i = 0; i < 10; i++)
+		event_add(b, "kind", i % 2 ? "odd" : "even", NULL, "%d", i);
+	list = event_list(b, 0, "odd", NULL);
+	assert_int_equal(json_array_size(list), 2); /* of the newest four */
+	json_decref(list);
+	event_ring_destroy(a);
+	event_ring_destroy(b);
+}
+
+struct bad_value {
+	const char *json;
+	const char *path;
+};
+
+static void expect_problem(const struct field *fields, const char *text,
+			   const char *path)
+{
+	struct problems *p = problems_create("file");
+	json_t *v = schema_parse(fields, text, strlen(text), p);
+	char *all = problems_text(p);
+	char *want = g_strdup_printf("file: %s: ", path);
+
+	if (v || !strstr(all, want))
+		fail_msg("%s: expected a problem at %s, got: %s", text, path,
+			 all);
+	json_decref(v);
+	g_free(all);
+	g_free(want);
+	problems_destroy(p);
+}
+
+static const char good_settings[] =
+	"{\"name\": \"a\", \"domain\": \"b\", \"http\": \"127.0.0.1:1\", "
+	"\"peer\": \"127.0.0.1:2\", \"platform\": [\"127.0.0.1:3\"]%s%s}";
+
+static const struct bad_value bad_settings[] = {
+	{"\"more\": 1", "more"},
+	{"\"seeds\": 5", "seeds"},
+	{"\"seeds\": [5]", "seeds[0]"},
+	{"\"seeds\": [\"x\"]", "seeds[0]"},
+	{"\"log_level\": \"loud\"", "log_level"},
+	{"\"log_level\": 1", "log_level"},
+	{"\"limits\": []", "limits"},
+	{"\"limits\": {\"more\": 1}", "limits.more"},
+	{"\"limits\": {\"max_body_bytes\": 10}", "limits.max_body_bytes"},
+	{"\"limits\": {\"max_checks\": 0}", "limits.max_checks"},
+	{"\"limits\": {\"upstream_connections\": 1001}",
+	 "limits.upstream_connections"},
+	{"\"limits\": {\"drain_ms\": -1}", "limits.drain_ms"},
+	{"\"limits\": {\"stop_ms\": 1.5}", "limits.stop_ms"},
+	{"\"limits\": {\"scan_ms\": 9}", "limits.scan_ms"},
+	{"\"limits\": {\"events\": \"many\"}", "limits.events"},
+};
+
+static const struct bad_value bad_required[] = {
+	{"{}", "name"},
+	{"{}", "domain"},
+	{"{}", "http"},
+	{"{}", "peer"},
+	{"{}", "platform"},
+	{"{\"name\": \"\"}", "name"},
+	{"{\"name\": \"a b\"}", "name"},
+	{"{\"domain\": 7}", "domain"},
+	{"{\"http\": \"127.0.0.1\"}", "http"},
+	{"{\"http\": \"localhost:80\"}", "http"},
+	{"{\"peer\": \"127.0.0.1:70000\"}", "peer"},
+	{"{\"platform\": []}", "platform"},
+	{"{\"platform\": [\"1.2.3.4:x\"]}", "platform[0]"},
+	{"[]", "(whole)"},
+	{"{\"name\": 1", "(whole)"},
+};
+
+static void each_setting_is_checked(void **state)
+{
+	struct problems *p = problems_create("file");
+	char *text = g_strdup_printf(good_settings, "", "");
+	json_t *v = schema_parse(settings_fields, text, strlen(text), p);
+
+	(void)state;
+	assert_non_null(v);
+	json_decref(v);
+	g_free(text);
+	for (size_t i = 0; i < G_N_ELEMENTS(bad_settings); i++) {
+		text = g_strdup_printf(good_settings, ", ",
+				       bad_settings[i].json);
+		expect_problem(settings_fields, text, bad_settings[i].path);
+		g_free(text);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(bad_required); i++)
+		expect_problem(settings_fields, bad_required[i].json,
+			       bad_required[i].path);
+	problems_destroy(p);
+}
+
+#define ACCOUNT(more) "{\"accounts\": [{\"name\": \"a\", " more "}]}"
+#define UPSTREAM(field, value)                                                 \
+	"{\"upstreams\": [{\"name\": \"a\", \"domain\": \"d\", \"rack\": "     \
+	"\"r\", \"address\": \"1.2.3.4:5\", \"accelerators\": 1, "             \
+	"\"slots\": 2}, {\"" field "\": " value "}]}"
+#define LIMIT(field, value) "{\"limits\": {\"" field "\": " value "}}"
+
+static const struct bad_value bad_config[] = {
+	{"{\"more\": 1}", "more"},
+	{"{\"base\": -1}", "base"},
+	{"{\"remove\": \"x\"}", "remove"},
+	{"{\"remove\": [\"a b\"]}", "remove[0]"},
+	{"{\"accounts\": {}}", "accounts"},
+	{"{\"accounts\": [{}]}", "accounts[0].name"},
+	{"{\"accounts\": [{\"name\": \"a b\"}]}", "accounts[0].name"},
+	{ACCOUNT("\"more\": 1"), "accounts[0].more"},
+	{ACCOUNT("\"weight\": 0"), "accounts[0].weight"},
+	{ACCOUNT("\"queue_limit\": 0"), "accounts[0].queue_limit"},
+	{ACCOUNT("\"check_limit\": \"x\""), "accounts[0].check_limit"},
+	{ACCOUNT("\"guarantee\": 1"), "accounts[0].guarantee"},
+	{ACCOUNT("\"guarantee\": [{}]"), "accounts[0].guarantee[0].cell"},
+	{ACCOUNT("\"guarantee\": [{}]"), "accounts[0].guarantee[0].count"},
+	{ACCOUNT("\"guarantee\": [{\"cell\": \"pod\"}]"),
+	 "accounts[0].guarantee[0].cell"},
+	{ACCOUNT("\"guarantee\": [{\"count\": 0}]"),
+	 "accounts[0].guarantee[0].count"},
+	{ACCOUNT("\"guarantee\": [{\"domain\": 3}]"),
+	 "accounts[0].guarantee[0].domain"},
+	{"{\"upstreams\": 1}", "upstreams"},
+	{UPSTREAM("name", "1"), "upstreams[1].name"},
+	{UPSTREAM("domain", "\"\""), "upstreams[1].domain"},
+	{UPSTREAM("rack", "null"), "upstreams[1].rack"},
+	{UPSTREAM("address", "\"here\""), "upstreams[1].address"},
+	{UPSTREAM("accelerators", "33"), "upstreams[1].accelerators"},
+	{UPSTREAM("slots", "0"), "upstreams[1].slots"},
+	{LIMIT("more", "1"), "limits.more"},
+	{LIMIT("quick_slots", "-1"), "limits.quick_slots"},
+	{LIMIT("lease_term_ms", "499"), "limits.lease_term_ms"},
+	{LIMIT("renew_ms", "99"), "limits.renew_ms"},
+	{LIMIT("grace_ms", "-1"), "limits.grace_ms"},
+	{LIMIT("hold_after_ms", "true"), "limits.hold_after_ms"},
+	{LIMIT("check_deadline_ms", "49"), "limits.check_deadline_ms"},
+	{LIMIT("retry_percent", "101"), "limits.retry_percent"},
+	{LIMIT("job_tries", "0"), "limits.job_tries"},
+};
+
+static void each_field_of_the_configuration_is_checked(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(bad_config); i++)
+		expect_problem(config_file_fields, bad_config[i].json,
+			       bad_config[i].path);
+}
+
+static void all_problems_are_told_at_once(void **state)
+{
+	struct problems *p = problems_create("file");
+	static const char text[] = "{\"name\": 1, \"domain\": 2, \"x\": 3}";
+
+	(void)state;
+	assert_null(schema_parse(settings_fields, text, strlen(text), p));
+	assert_int_equal(problems_count(p), 6);
+	problems_destroy(p);
+}
+
+static void contradictions_are_found(void **state)
+{
+	struct problems *p = problems_create("file");
+	json_t *file = json_loads(
+		"{\"limits\": {\"renew_ms\": 2000, \"quick_slots\": 9}, "
+		"\"upstreams\": [{\"name\": \"u\", \"domain\": \"d\", "
+		"\"rack\": \"r\", \"address\": \"1.2.3.4:5\", "
+		"\"accelerators\": 8, \"slots\": 8}]}",
+		0, NULL);
+	json_t *rows = config_file_rows(file);
+	struct config *c = config_build(rows, 1);
+
+	(void)state;
+	config_check(c, p);
+	assert_int_equal(problems_count(p), 2);
+	config_unref(c);
+	json_decref(rows);
+	json_decref(file);
+	problems_destroy(p);
+}
+
+static void a_late_update_does_not_win(void **state)
+{
+	static const struct {
+		const char *row, *update, *state;
+		bool taken;
+	} cases[] = {
+		{"{\"state\": \"accepted\"}",
+		 "{\"state\": \"running\", \"attempt\": 5}", "running", true},
+		{"{\"state\": \"running\", \"attempt\": 6}",
+		 "{\"state\": \"waiting\", \"attempt\": 5}", "running", false},
+		{"{\"state\": \"done\", \"attempt\": 5}",
+		 "{\"state\": \"running\", \"attempt\": 6}", "done", false},
+		{"{\"state\": \"cancelling\", \"attempt\": 5}",
+		 "{\"state\": \"running\", \"attempt\": 5}", "cancelling",
+		 true},
+		{"{\"state\": \"cancelling\", \"attempt\": 5}",
+		 "{\"state\": \"done\", \"attempt\": 5}", "done", true},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		json_t *row = json_loads(cases[i].row, 0, NULL);
+		json_t *update = json_loads(cases[i].update, 0, NULL);
+
+		assert_int_equal(job_row_merge(row, update), cases[i].taken);
+		assert_string_equal(json_str_or(row, "state", ""),
+				    cases[i].state);
+		json_decref(row);
+		json_decref(update);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(verdicts_have_names_and_statuses),
+		cmocka_unit_test(timers_fire_in_order_and_stop),
+		cmocka_unit_test(quantiles_are_close),
+		cmocka_unit_test(frames_are_bounded),
+		cmocka_unit_test(an_effect_sorts_after_its_cause),
+		cmocka_unit_test(each_setting_is_checked),
+		cmocka_unit_test(each_field_of_the_configuration_is_checked),
+		cmocka_unit_test(all_problems_are_told_at_once),
+		cmocka_unit_test(contradictions_are_found),
+		cmocka_unit_test(a_late_update_does_not_win),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
