--- a/Makefile
+++ b/Makefile
@@ -14,15 +14,15 @@
 DAEMON = $(filter-out daemon/main.c,$(wildcard daemon/*.c))
 CTL = $(wildcard ctl/*.c)
 
-obj = $(patsubst %.c,$(OUT)/%.o,$(1))
+obj = $(patsubst %.c,$(OUT)/obj/%.o,$(1))
 
-PROGRAMS = lacewingd lacewingctl platform worker cutter
+PROGRAMS = lacewingd lacewingctl platform worker cutter load model
 BINARIES = $(addprefix $(OUT)/,$(PROGRAMS))
 SOURCES = $(filter-out proto/%,$(wildcard */*.c)) $(wildcard lib/*.h sched/*.h config/*.h daemon/*.h ctl/*.h fake/*.h load/*.h test/*.h)
 
 all: $(BINARIES)
 
-$(OUT)/%.o: %.c
+$(OUT)/obj/%.o: %.c
 	@mkdir -p $(@D)
 	@echo "  CC    $<"
 	@$(CC) $(CFLAGS) -MMD -MP -c -o $@ $<
@@ -39,23 +39,23 @@
 	@echo "  LINK  $@"
 	@$(CC) -o $@ $^ $(LIBS)
 
--include $(wildcard $(OUT)/*/*.d)
+-include $(wildcard $(OUT)/obj/*/*.d)
 
 TEST_OBJS = $(call obj,test/site.c test/judge.c $(LIB))
 UNIT_TESTS = $(patsubst test/%.c,$(OUT)/%,$(wildcard test/unit_*.c))
 PROC_TESTS = $(patsubst test/%.c,$(OUT)/%,$(wildcard test/proc_*.c))
 
-$(OUT)/unit_%: $(OUT)/test/unit_%.o $(call obj,$(DAEMON) $(SCHED) $(LIB))
+$(OUT)/unit_%: $(OUT)/obj/test/unit_%.o $(call obj,$(DAEMON) $(SCHED) $(LIB))
 	@echo "  LINK  $@"
 	@$(CC) -o $@ $^ $(LIBS) -lcmocka
 
-$(OUT)/proc_%: $(OUT)/test/proc_%.o $(TEST_OBJS)
+$(OUT)/proc_%: $(OUT)/obj/test/proc_%.o $(TEST_OBJS)
 	@echo "  LINK  $@"
 	@$(CC) -o $@ $^ $(LIBS) -lcmocka
 
 tests: $(UNIT_TESTS) $(PROC_TESTS)
 
-.PRECIOUS: $(OUT)/test/%.o
+.PRECIOUS: $(OUT)/obj/test/%.o
 
 FUZZ_RUNS = 15000
 FUZZ_SEED = 7
