--- a/daemon/decider.c
+++ b/daemon/decider.c
@@ -437,7 +437,7 @@
 		if (cause) {
 			struct gang *by = cause->spec.owner;
 
-			if (!by->reclaim_ms)
+			if (cause->reclaims && !by->reclaim_ms)
 				by->reclaim_ms = clock_mono_ms();
 			event_add(d->env->events, "evicted", g->name,
 				  g->account, "for %s of %s", by->name,
--- a/load/model.c
+++ b/load/model.c
@@ -51,6 +51,8 @@
 	uint32_t burst_jobs;
 	double fail_every_ms; /* an upstream is lost */
 	uint32_t hours;
+	uint32_t headroom; /* accelerators kept by each account */
+	uint64_t compact_every_ms;
 };
 
 static const struct mix mixes[] = {
@@ -132,6 +134,7 @@
 	uint64_t evicted_accelerators;
 	uint64_t unfinished;
 	uint64_t late_reclaims;
+	uint64_t broken_claims;
 	uint64_t partial; /* gangs with some parts only */
 };
 
@@ -321,9 +324,11 @@
 static struct sched *make_sched(const struct mix *m, enum policy policy)
 {
 	struct sched_limits l = {.hold_after_ms = HOLD_AFTER_MS,
+				 .compact_every_ms = m->compact_every_ms,
 				 .queue_per_account = UINT32_MAX};
 	struct site *s = site_create();
 	char name[32], rack[32];
+	struct sched *sched;
 	struct cell c;
 
 	for (uint32_t i = 0; i < UPSTREAMS; i++) {
@@ -335,7 +340,10 @@
 		for (uint32_t i = 0; i < m->bound[a]; i++)
 			if (bind_find(s, CELL_UPSTREAM, a, &c))
 				bind_apply(s, &c);
-	return sched_create(s, policy, &l);
+	sched = sched_create(s, policy, &l);
+	for (uint32_t a = 0; a < ACCOUNTS; a++)
+		sched_set_headroom(sched, a, m->headroom);
+	return sched;
 }
 
 static void arrive(struct run *run, uint32_t i)
@@ -406,6 +414,25 @@
 	     l->attempt);
 }
 
+/*
+ * A claim that was broken, because an upstream of it was lost or cells
+ * were bound anew, is no longer a call on what the account holds.
+ */
+static void drop_broken_claims(struct run *run)
+{
+	for (uint32_t i = 0; i < sched_jobs(run->sched); i++) {
+		const struct job *j = sched_job(run->sched, i);
+		struct life *l = j ? j->spec.owner : NULL;
+
+		if (l && l->reclaim_ms &&
+		    (j->state == JOB_WAITING ||
+		     (j->state == JOB_CLAIMING && !j->reclaims))) {
+			l->reclaim_ms = 0;
+			run->r->broken_claims++;
+		}
+	}
+}
+
 static void decide(struct run *run)
 {
 	struct actions a = {0};
@@ -421,6 +448,7 @@
 			evicted(run, j->spec.owner, by ? by->spec.owner : NULL);
 	}
 	actions_clear(&a);
+	drop_broken_claims(run);
 }
 
 static void finished(struct run *run, struct life *l)
@@ -445,9 +473,26 @@
 	sched_requeue(run->sched, l->handle);
 }
 
+/* Bind other cells in place of those on a lost upstream. */
+static void rebind(struct run *run, uint32_t u)
+{
+	struct site *s = sched_site(run->sched);
+	struct cell c;
+
+	for (uint32_t a = 0; a < ACCOUNTS; a++) {
+		if (!upstream_bound_to(site_upstream(s, u), a))
+			continue;
+		site_unbind(s, u);
+		if (bind_find(s, CELL_UPSTREAM, a, &c))
+			bind_apply(s, &c);
+		sched_rebound(run->sched);
+	}
+}
+
 static void lose_upstream(struct run *run, uint32_t u)
 {
 	site_set_usable(sched_site(run->sched), u, false);
+	rebind(run, u);
 	for (uint32_t i = 0; i < sched_jobs(run->sched); i++) {
 		const struct job *j = sched_job(run->sched, i);
 		bool there = false;
@@ -580,12 +625,14 @@
 	printf(" gang_done_s %.0f/%.0f",
 	       seconds(histogram_quantile_us(&r->done[KIND_GANG], 0.5)),
 	       seconds(histogram_quantile_us(&r->done[KIND_GANG], 0.99)));
-	printf(" reclaims %llu reclaim_s %.2f/%.2f late %llu partial %llu "
+	printf(" reclaims %llu reclaim_s %.2f/%.2f late %llu broken %llu "
+	       "partial %llu "
 	       "evictions %llu evicted_accelerators %llu gangs_waiting "
 	       "%llu\n",
 	       (unsigned long long)r->reclaim.count,
 	       seconds(histogram_quantile_us(&r->reclaim, 0.5)),
 	       seconds(r->reclaim.max_us), (unsigned long long)r->late_reclaims,
+	       (unsigned long long)r->broken_claims,
 	       (unsigned long long)r->partial, (unsigned long long)r->evictions,
 	       (unsigned long long)r->evicted_accelerators,
 	       (unsigned long long)r->unfinished);
--- a/sched/place.c
+++ b/sched/place.c
@@ -14,11 +14,13 @@
 	uint32_t avail;
 	uint32_t capacity; /* parts that fit */
 	uint32_t free;	   /* free accelerators and slots, to compare */
+	uint32_t cost;	   /* of stopping what a first part needs stopped */
 };
 
 struct rack_room {
 	uint32_t rack;
 	uint32_t capacity;
+	uint32_t cost;	/* of its cheapest candidates, as many as needed */
 	uint32_t first; /* its candidates in the sorted array */
 	uint32_t len;
 };
@@ -31,14 +33,14 @@
 
 	switch (where) {
 	case WHERE_OWN_FREE:
-		return own & free;
+		return own & free & (want->urgent ? ~0u : ~u->headroom);
 	case WHERE_OWN_EVICT:
 		return own & (free | (u->borrowed & ~u->held));
 	case WHERE_OWN_URGENT:
 		return own &
 		       (free | ((u->borrowed | u->guaranteed) & ~u->held));
 	case WHERE_ANY_FREE:
-		return free;
+		return free & ~u->headroom;
 	case WHERE_ANY_USABLE:
 		return u->all & ~(u->used & ~u->borrowed & ~u->guaranteed) &
 		       ~u->held;
@@ -62,6 +64,40 @@
 	return upstream_slots_free(u);
 }
 
+/* Report whether places that are in use may be chosen. */
+static bool evicts(enum where where)
+{
+	return where == WHERE_OWN_EVICT || where == WHERE_OWN_URGENT ||
+	       where == WHERE_ANY_USABLE;
+}
+
+static uint32_t pick(const struct upstream *u, uint32_t avail, uint32_t n,
+		     enum where where)
+{
+	return evicts(where) ? cell_pick_cheapest(u, avail, n)
+			     : cell_pick(avail, n);
+}
+
+#define COST_BOUND 2 /* its account may call on it at any time */
+
+/* Return what stands against putting a part on u. */
+static uint32_t cost_of(const struct upstream *u, uint32_t avail,
+			const struct shape *want, enum where where)
+{
+	uint32_t cell, cost;
+
+	if (!evicts(where))
+		return 0;
+	cell = cell_pick_cheapest(u, avail, want->accelerators);
+	cost = eviction_cost(u, cell);
+	if (where == WHERE_ANY_USABLE)
+		cost += (uint32_t)__builtin_popcount(
+				cell &
+				upstream_bound_to_others(u, want->account)) *
+			COST_BOUND;
+	return cost;
+}
+
 static bool avoided(const struct shape *want, uint32_t upstream)
 {
 	for (uint32_t i = 0; i < want->avoid_len; i++)
@@ -90,6 +126,7 @@
 		if (!c[n].capacity)
 			continue;
 		c[n].upstream = i;
+		c[n].cost = cost_of(u, avail, want, where);
 		c[n].rack = u->rack;
 		c[n].avail = avail;
 		c[n].free =
@@ -111,6 +148,8 @@
 
 	if (a->rack != b->rack)
 		return order32(a->rack, b->rack);
+	if (a->cost != b->cost)
+		return order32(a->cost, b->cost);
 	if (a->free != b->free)
 		return order32(a->free, b->free);
 	return order32(a->upstream, b->upstream);
@@ -135,8 +174,9 @@
 }
 
 /* Fill candidates in order with up to `parts` parts; return how many. */
-static uint32_t fill(const struct candidate *c, uint32_t n,
-		     const struct shape *want, uint32_t parts, struct part *out)
+static uint32_t fill(const struct site *s, const struct candidate *c,
+		     uint32_t n, const struct shape *want, enum where where,
+		     uint32_t parts, struct part *out)
 {
 	uint32_t done = 0;
 
@@ -145,7 +185,8 @@
 		uint32_t left = c[i].capacity;
 
 		while (left-- && done < parts) {
-			uint32_t m = cell_pick(avail, want->accelerators);
+			uint32_t m = pick(site_upstream(s, c[i].upstream),
+					  avail, want->accelerators, where);
 
 			avail &= ~m;
 			out[done].upstream = c[i].upstream;
@@ -157,7 +198,7 @@
 }
 
 /* Group sorted candidates by rack; return the number of racks. */
-static uint32_t group(const struct candidate *c, uint32_t n,
+static uint32_t group(const struct candidate *c, uint32_t n, uint32_t parts,
 		      struct rack_room *r)
 {
 	uint32_t len = 0;
@@ -166,17 +207,20 @@
 		if (!len || r[len - 1].rack != c[i].rack) {
 			r[len].rack = c[i].rack;
 			r[len].capacity = 0;
+			r[len].cost = 0;
 			r[len].first = i;
 			r[len].len = 0;
 			len++;
 		}
+		if (r[len - 1].capacity < parts)
+			r[len - 1].cost += c[i].cost;
 		r[len - 1].capacity += c[i].capacity;
 		r[len - 1].len++;
 	}
 	return len;
 }
 
-/* Return the smallest rack that holds all parts, or NULL. */
+/* Return the cheapest, then smallest, rack that holds all parts. */
 static const struct rack_room *one_rack(const struct rack_room *r, uint32_t n,
 					uint32_t parts)
 {
@@ -184,42 +228,47 @@
 
 	for (uint32_t i = 0; i < n; i++)
 		if (r[i].capacity >= parts &&
-		    (!best || r[i].capacity < best->capacity))
+		    (!best || r[i].cost < best->cost ||
+		     (r[i].cost == best->cost &&
+		      r[i].capacity < best->capacity)))
 			best = &r[i];
 	return best;
 }
 
-/* Find the fullest single upstream that takes the whole job. */
+/* Find the cheapest, then fullest, upstream that takes the whole job. */
 static const struct candidate *one_upstream(const struct candidate *c,
 					    uint32_t n, uint32_t parts)
 {
 	const struct candidate *best = NULL;
 
 	for (uint32_t i = 0; i < n; i++)
-		if (c[i].capacity >= parts && (!best || c[i].free < best->free))
+		if (c[i].capacity >= parts &&
+		    (!best || c[i].cost < best->cost ||
+		     (c[i].cost == best->cost && c[i].free < best->free)))
 			best = &c[i];
 	return best;
 }
 
-static bool place_packed(struct candidate *c, uint32_t n,
-			 const struct shape *want, struct rack_room *racks,
-			 struct part *out)
+static bool place_packed(const struct site *s, struct candidate *c, uint32_t n,
+			 const struct shape *want, enum where where,
+			 struct rack_room *racks, struct part *out)
 {
 	const struct candidate *single = one_upstream(c, n, want->parts);
 	const struct rack_room *r;
 	uint32_t len, done = 0;
 
 	if (single)
-		return fill(single, 1, want, want->parts, out) == want->parts;
+		return fill(s, single, 1, want, where, want->parts, out) ==
+		       want->parts;
 	qsort(c, n, sizeof(*c), by_rack_then_fullest);
-	len = group(c, n, racks);
+	len = group(c, n, want->parts, racks);
 	r = one_rack(racks, len, want->parts);
 	if (r)
-		return fill(c + r->first, r->len, want, want->parts, out) ==
-		       want->parts;
+		return fill(s, c + r->first, r->len, want, where, want->parts,
+			    out) == want->parts;
 	qsort(racks, len, sizeof(*racks), by_room);
 	for (uint32_t i = 0; i < len && done < want->parts; i++)
-		done += fill(c + racks[i].first, racks[i].len, want,
+		done += fill(s, c + racks[i].first, racks[i].len, want, where,
 			     want->parts - done, out + done);
 	return done == want->parts;
 }
@@ -248,14 +297,16 @@
 		goto out;
 	switch (policy) {
 	case POLICY_BOUND:
-		ok = place_packed(c, n, want, racks, out);
+		ok = place_packed(s, c, n, want, where, racks, out);
 		break;
 	case POLICY_LEAST_LOADED:
 		qsort(c, n, sizeof(*c), by_emptiest);
-		ok = fill(c, n, want, want->parts, out) == want->parts;
+		ok = fill(s, c, n, want, where, want->parts, out) ==
+		     want->parts;
 		break;
 	case POLICY_FIRST_FIT:
-		ok = fill(c, n, want, want->parts, out) == want->parts;
+		ok = fill(s, c, n, want, where, want->parts, out) ==
+		     want->parts;
 		break;
 	}
 out:
--- a/sched/place.h
+++ b/sched/place.h
@@ -26,6 +26,7 @@
 	uint32_t accelerators; /* a part */
 	uint32_t slots;	       /* a part that has no accelerators */
 	uint32_t account;
+	uint32_t urgent; /* may use its account's headroom at once */
 	uint32_t avoid_len;
 	uint32_t avoid[SHAPE_AVOID]; /* upstreams that it failed on */
 };
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -16,6 +16,7 @@
 struct account_state {
 	uint32_t weight;
 	uint32_t waiting;
+	uint32_t headroom; /* accelerators kept for urgent work */
 	uint64_t borrowed; /* accelerators in use now */
 	double service;	   /* accelerator-milliseconds, fading */
 };
@@ -33,6 +34,7 @@
 	uint32_t accounts_len;
 	uint32_t holder; /* the borrowing job that room is held for */
 	uint64_t decided_ms;
+	uint64_t compacted_ms;
 };
 
 static const char *const class_names[] = {
@@ -138,6 +140,13 @@
 	account_of(s, account)->weight = weight ? weight : 1;
 }
 
+/* Keep some of account's free accelerators for its urgent work. */
+void sched_set_headroom(struct sched *s, uint32_t account,
+			uint32_t accelerators)
+{
+	account_of(s, account)->headroom = accelerators;
+}
+
 /* Return the borrowed service of account: what orders its turn. */
 double sched_service(const struct sched *s, uint32_t account)
 {
@@ -180,6 +189,7 @@
 	memset(&s->jobs[i], 0, sizeof(s->jobs[i]));
 	s->jobs[i].spec = *spec;
 	shape_settle(&s->jobs[i].spec.shape);
+	s->jobs[i].spec.shape.urgent = spec->job_class == CLASS_URGENT;
 	s->jobs[i].live = true;
 	s->jobs[i].parts = grow(NULL, spec->shape.parts * sizeof(struct part));
 	return i;
@@ -227,18 +237,24 @@
 			site_upstream(s->site, parts[i].upstream);
 
 		if (parts[i].mask & ~upstream_bound_to(u, spec->shape.account))
-			return USE_BORROWED;
+			return spec->job_class == CLASS_QUIET ? USE_QUIET
+							      : USE_BORROWED;
 	}
 	return spec->job_class == CLASS_URGENT ? USE_URGENT : USE_GUARANTEED;
 }
 
+static bool borrows(const struct job *j)
+{
+	return j->use == USE_BORROWED || j->use == USE_QUIET;
+}
+
 static void parts_take(struct sched *s, struct job *j)
 {
 	j->use = use_of(s, &j->spec, j->parts);
 	for (uint32_t i = 0; i < j->spec.shape.parts; i++)
 		site_take(s->site, j->parts[i].upstream, j->parts[i].mask,
-			  j->spec.shape.slots, j->use);
-	if (j->use == USE_BORROWED)
+			  j->spec.shape.slots, j->use, j->spec.shape.parts > 1);
+	if (borrows(j))
 		account_of(s, j->spec.shape.account)->borrowed +=
 			job_accelerators(j);
 }
@@ -248,7 +264,7 @@
 	for (uint32_t i = 0; i < j->spec.shape.parts; i++)
 		site_release(s->site, j->parts[i].upstream, j->parts[i].mask,
 			     j->spec.shape.slots, j->use);
-	if (j->use == USE_BORROWED)
+	if (borrows(j))
 		account_of(s, j->spec.shape.account)->borrowed -=
 			job_accelerators(j);
 }
@@ -414,19 +430,46 @@
 	return false;
 }
 
-/* Hold the places of claim i and evict every job that is in the way. */
-static void claim(struct sched *s, uint32_t i, bool evict, struct actions *out)
+#define DISPLACED_MOST 2 /* then it may stay where it is */
+
+/* Report whether v is small borrowed work that may be moved elsewhere. */
+static bool movable(const struct job *v)
+{
+	return v->state == JOB_PLACED && borrows(v) &&
+	       v->spec.shape.parts == 1 && v->spec.shape.accelerators &&
+	       v->displaced < DISPLACED_MOST;
+}
+
+/* Report whether job v is stopped for a claim, or waited for. */
+static bool yields(const struct job *v, const struct job *claim, bool own)
+{
+	if (own)
+		return true;
+	if (v->use == USE_QUIET && claim->spec.job_class != CLASS_QUIET)
+		return true;
+	return claim->spec.shape.parts > 1 && movable(v);
+}
+
+/*
+ * Hold the places of claim i.  When they are its account's own, evict
+ * every job that is in the way; otherwise only quiet work, and small
+ * work that was not moved too often already.
+ */
+static void claim(struct sched *s, uint32_t i, bool own, struct actions *out)
 {
 	struct job *j = &s->jobs[i];
 
 	j->state = JOB_CLAIMING;
+	j->reclaims = own;
 	parts_hold(s, j, true);
-	for (uint32_t k = 0; evict && k < s->jobs_len; k++) {
+	for (uint32_t k = 0; k < s->jobs_len; k++) {
 		struct job *v = &s->jobs[k];
 
-		if (!v->live || v->state != JOB_PLACED || !overlaps(j, v))
+		if (!v->live || v->state != JOB_PLACED || !yields(v, j, own) ||
+		    !overlaps(j, v))
 			continue;
 		v->state = JOB_EVICTING;
+		v->displaced += !own;
 		action_add(out, ACTION_EVICT, k, i);
 	}
 }
@@ -482,16 +525,18 @@
 static bool try_own(struct sched *s, uint32_t i, struct actions *out)
 {
 	struct job *j = &s->jobs[i];
+	bool urgent = j->spec.job_class == CLASS_URGENT;
 
 	if (!j->spec.shape.accelerators || s->policy != POLICY_BOUND)
 		return false;
-	if (try_place(s, j, WHERE_OWN_FREE)) {
+	/* urgent work takes what is free anywhere before it evicts */
+	if (try_place(s, j, WHERE_OWN_FREE) ||
+	    (urgent && try_place(s, j, WHERE_ANY_FREE))) {
 		start(s, i, out);
 		return true;
 	}
 	if (try_place(s, j, WHERE_OWN_EVICT) ||
-	    (j->spec.job_class == CLASS_URGENT &&
-	     try_place(s, j, WHERE_OWN_URGENT))) {
+	    (urgent && try_place(s, j, WHERE_OWN_URGENT))) {
 		claim(s, i, true, out);
 		return true;
 	}
@@ -599,6 +644,106 @@
 	       !memcmp(&a->spec.shape, &b->spec.shape, sizeof(a->spec.shape));
 }
 
+/*
+ * Mark, of each account's free accelerators, as many as it keeps for
+ * urgent work: borrowers and its own other work go round them.
+ */
+static void mark_headroom(struct sched *s)
+{
+	uint32_t *left = grow(NULL, (s->accounts_len + 1) * sizeof(*left));
+
+	for (uint32_t i = 0; i < s->accounts_len; i++)
+		left[i] = s->accounts[i].headroom;
+	for (uint32_t i = 0; i < site_upstreams(s->site); i++) {
+		const struct upstream *u = site_upstream(s->site, i);
+		uint32_t mask = 0;
+
+		for (uint32_t k = 0; u->usable && k < u->bound_len; k++) {
+			uint32_t a = u->bound[k].account;
+			uint32_t free = u->bound[k].mask & ~u->used & ~u->held;
+
+			for (; a < s->accounts_len && left[a] && free;
+			     left[a]--) {
+				mask |= free & -free;
+				free &= free - 1;
+			}
+		}
+		site_set_headroom(s->site, i, mask);
+	}
+	free(left);
+}
+
+/* Report whether nothing but movable work uses upstream u, and count it. */
+static bool only_movable(const struct sched *s, uint32_t u, uint32_t *n)
+{
+	*n = 0;
+	for (uint32_t i = 0; i < s->jobs_len; i++) {
+		const struct job *j = &s->jobs[i];
+
+		if (!j->live ||
+		    (j->state != JOB_PLACED && j->state != JOB_EVICTING))
+			continue;
+		for (uint32_t p = 0; p < j->spec.shape.parts; p++) {
+			if (j->parts[p].upstream != u || !j->parts[p].mask)
+				continue;
+			if (!movable(j))
+				return false;
+			*n += job_accelerators(j);
+		}
+	}
+	return *n > 0;
+}
+
+/* Return the free accelerators of upstreams that are broken already. */
+static uint32_t broken_room(const struct sched *s, uint32_t but)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < site_upstreams(s->site); i++) {
+		const struct upstream *u = site_upstream(s->site, i);
+
+		if (i != but && u->usable && u->used && !u->held)
+			n += (uint32_t)__builtin_popcount(u->all & ~u->used &
+							  ~u->headroom);
+	}
+	return n;
+}
+
+/*
+ * Move the work of the upstream that is least used, when all of it is
+ * small and borrowed and there is room for it on upstreams that are
+ * broken already: a whole upstream becomes free.
+ */
+static void compact(struct sched *s, uint64_t now_ms, struct actions *out)
+{
+	uint32_t best = NO_JOB, least = UINT32_MAX, n;
+
+	if (!s->limits.compact_every_ms || s->policy != POLICY_BOUND ||
+	    now_ms - s->compacted_ms < s->limits.compact_every_ms)
+		return;
+	s->compacted_ms = now_ms;
+	for (uint32_t i = 0; i < site_upstreams(s->site); i++) {
+		const struct upstream *u = site_upstream(s->site, i);
+		uint32_t used = (uint32_t)__builtin_popcount(u->used);
+
+		if (!used || u->held || used >= least ||
+		    u->used & ~u->borrowed || !only_movable(s, i, &n) ||
+		    broken_room(s, i) < n * 2)
+			continue;
+		best = i;
+		least = used;
+	}
+	for (uint32_t i = 0; best != NO_JOB && i < s->jobs_len; i++) {
+		struct job *j = &s->jobs[i];
+
+		if (!j->live || !movable(j) || j->parts[0].upstream != best)
+			continue;
+		j->state = JOB_EVICTING;
+		j->displaced++;
+		action_add(out, ACTION_EVICT, i, i);
+	}
+}
+
 #define FAILED_SHAPES 64
 
 /*
@@ -614,6 +759,7 @@
 
 	account_service(s, now_ms);
 	finish_claims(s, out);
+	mark_headroom(s);
 	keys = grow(NULL, (s->jobs_len + 1) * sizeof(*keys));
 	n = collect_waiting(s, keys);
 	for (uint32_t k = 0; k < n; k++) {
@@ -629,4 +775,6 @@
 			failed[failed_len++] = keys[k].job;
 	}
 	free(keys);
+	if (!failed_len)
+		compact(s, now_ms, out);
 }
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -31,6 +31,8 @@
 	enum job_state state;
 	enum use use;
 	struct part *parts;
+	bool reclaims;	    /* claiming: cells of its own account */
+	uint32_t displaced; /* times that it was moved for a borrower */
 	bool live;
 };
 
@@ -50,6 +52,7 @@
 
 struct sched_limits {
 	uint64_t hold_after_ms;	    /* a wait after which room is held */
+	uint64_t compact_every_ms;  /* move small work together; 0: never */
 	uint32_t queue_per_account; /* waiting jobs */
 };
 
@@ -61,6 +64,8 @@
 struct site *sched_site(struct sched *s);
 void sched_set_limits(struct sched *s, const struct sched_limits *limits);
 void sched_set_weight(struct sched *s, uint32_t account, uint32_t weight);
+void sched_set_headroom(struct sched *s, uint32_t account,
+			uint32_t accelerators);
 double sched_service(const struct sched *s, uint32_t account);
 void sched_set_service(struct sched *s, uint32_t account, double service);
 
--- a/sched/site.c
+++ b/sched/site.c
@@ -139,6 +139,12 @@
 	up->bound_len++;
 }
 
+/* Forget the bindings of one upstream, which is lost. */
+void site_unbind(struct site *s, uint32_t u)
+{
+	s->upstreams[u].bound_len = 0;
+}
+
 /* Forget all bindings, before a new configuration brings its own. */
 void site_unbind_all(struct site *s)
 {
@@ -146,36 +152,42 @@
 		s->upstreams[i].bound_len = 0;
 }
 
-static void account_use(struct upstream *u, uint32_t mask, enum use how,
-			bool on)
+static void set_bits(uint32_t *to, uint32_t mask, bool on)
 {
-	uint32_t *kind = NULL;
+	if (on)
+		*to |= mask;
+	else
+		*to &= ~mask;
+}
 
+static void note_use(struct upstream *u, uint32_t mask, enum use how, bool on)
+{
+	set_bits(&u->used, mask, on);
 	switch (how) {
 	case USE_URGENT:
 		break;
 	case USE_GUARANTEED:
-		kind = &u->guaranteed;
+		set_bits(&u->guaranteed, mask, on);
+		break;
+	case USE_QUIET:
+		set_bits(&u->quiet, mask, on);
+		set_bits(&u->borrowed, mask, on);
 		break;
 	case USE_BORROWED:
-		kind = &u->borrowed;
+		set_bits(&u->borrowed, mask, on);
 		break;
 	}
-	if (on)
-		u->used |= mask;
-	else
-		u->used &= ~mask;
-	if (kind && on)
-		*kind |= mask;
-	else if (kind)
-		*kind &= ~mask;
 }
 
-/* Mark the accelerators in mask and some slots of u as used. */
+/*
+ * Mark the accelerators in mask and some slots of u as used; gang says
+ * that the job has other parts, which would be stopped with this one.
+ */
 void site_take(struct site *s, uint32_t u, uint32_t mask, uint32_t slots,
-	       enum use how)
+	       enum use how, bool gang)
 {
-	account_use(&s->upstreams[u], mask, how, true);
+	note_use(&s->upstreams[u], mask, how, true);
+	set_bits(&s->upstreams[u].ganged, mask, gang);
 	s->upstreams[u].slots_used += slots;
 }
 
@@ -183,7 +195,8 @@
 void site_release(struct site *s, uint32_t u, uint32_t mask, uint32_t slots,
 		  enum use how)
 {
-	account_use(&s->upstreams[u], mask, how, false);
+	note_use(&s->upstreams[u], mask, how, false);
+	set_bits(&s->upstreams[u].ganged, mask, false);
 	s->upstreams[u].slots_used -= slots;
 }
 
@@ -196,6 +209,12 @@
 		s->upstreams[u].held &= ~mask;
 }
 
+/* Say which accelerators of u are kept for urgent work. */
+void site_set_headroom(struct site *s, uint32_t u, uint32_t mask)
+{
+	s->upstreams[u].headroom = mask;
+}
+
 /* Return the mask of u's accelerators that are bound to account. */
 uint32_t upstream_bound_to(const struct upstream *u, uint32_t account)
 {
@@ -205,6 +224,17 @@
 	return 0;
 }
 
+/* Return the mask of u's accelerators bound to any other account. */
+uint32_t upstream_bound_to_others(const struct upstream *u, uint32_t account)
+{
+	uint32_t m = 0;
+
+	for (uint32_t i = 0; i < u->bound_len; i++)
+		if (u->bound[i].account != account)
+			m |= u->bound[i].mask;
+	return m;
+}
+
 /* Return the slots of u that work other than quick checks may take. */
 uint32_t upstream_slots_free(const struct upstream *u)
 {
@@ -262,6 +292,47 @@
 	return best ? best : lowest_bits(avail, n);
 }
 
+#define COST_QUIET 1
+#define COST_SINGLE 4
+#define COST_GANG 64 /* the whole gang stops with its part */
+
+/* Return what it costs to empty mask: quiet work least, gangs most. */
+uint32_t eviction_cost(const struct upstream *u, uint32_t mask)
+{
+	uint32_t busy = mask & u->used;
+	uint32_t gang = busy & u->ganged;
+	uint32_t quiet = busy & u->quiet & ~gang;
+	uint32_t single = busy & ~gang & ~quiet;
+
+	return (uint32_t)__builtin_popcount(quiet) * COST_QUIET +
+	       (uint32_t)__builtin_popcount(single) * COST_SINGLE +
+	       (uint32_t)__builtin_popcount(gang) * COST_GANG;
+}
+
+/*
+ * Pick n adjacent accelerators of u out of avail whose present work is
+ * the cheapest to stop.  0 when fewer than n are available.
+ */
+uint32_t cell_pick_cheapest(const struct upstream *u, uint32_t avail,
+			    uint32_t n)
+{
+	uint32_t size = cell_size(n);
+	uint32_t best = 0, best_cost = UINT32_MAX;
+
+	if (!n || (uint32_t)__builtin_popcount(avail) < n)
+		return 0;
+	for (uint32_t at = 0; at + size <= SITE_MAX_ACCELERATORS; at += size) {
+		uint32_t cell = lowest_bits(avail & (mask_of(size) << at), n);
+		uint32_t cost = eviction_cost(u, cell);
+
+		if ((uint32_t)__builtin_popcount(cell) < n || cost >= best_cost)
+			continue;
+		best = cell;
+		best_cost = cost;
+	}
+	return best ? best : lowest_bits(avail, n);
+}
+
 /* Return how many parts of n accelerators fit into avail. */
 uint32_t cell_capacity(uint32_t avail, uint32_t n)
 {
