Keep headroom for urgent work, and let quiet work yield

Quiet work held guaranteed cells of its account all over the site; room for a gang was held where the most was in use; a claim stopped gangs as readily as single parts.

Change: quiet work never calls on a guarantee and yields to room that is held for others; a single part takes what is free before it evicts; what is cheapest to stop is stopped; room is held where the least must be waited for, across racks where one rack costs more than twice as much; an account may keep accelerators free for urgent work, on upstreams that are broken already.

Quiet work waits longer: that is its place.

--- a/config/config.c
+++ b/config/config.c
@@ -24,6 +24,7 @@
 	{"weight", FIELD_INTEGER, false, 1, 1000, "shares"},
 	{"queue_limit", FIELD_INTEGER, false, 1, 100000, "jobs"},
 	{"check_limit", FIELD_INTEGER, false, 1, 100000, "checks"},
+	{"headroom", FIELD_INTEGER, false, 0, 1024, "accelerators"},
 	{"guarantee", FIELD_ARRAY, false, 0, 64, .fields = guarantee_fields},
 	{"answers", FIELD_ANY},
 	{0}};
@@ -87,6 +88,7 @@
 	a->weight = json_int_or(v, "weight", 1);
 	a->queue_limit = json_int_or(v, "queue_limit", 1000);
 	a->check_limit = json_int_or(v, "check_limit", 1000);
+	a->headroom = json_int_or(v, "headroom", 0);
 	a->guarantees_len = json_array_size(list);
 	a->guarantees = g_new0(struct guarantee, a->guarantees_len + 1);
 	json_array_foreach(list, i, g)
--- a/config/config.h
+++ b/config/config.h
@@ -23,6 +23,7 @@
 	uint32_t weight;
 	uint32_t queue_limit; /* jobs waiting in a domain */
 	uint32_t check_limit; /* quick checks in flight at an instance */
+	uint32_t headroom;    /* accelerators kept free for urgent work */
 	uint32_t guarantees_len;
 	struct guarantee *guarantees;
 };
--- a/ctl/new.c
+++ b/ctl/new.c
@@ -19,6 +19,7 @@
 	Q_GUARANTEED,
 	Q_TOGETHER,
 	Q_DOMAIN,
+	Q_HEADROOM,
 	Q_QUEUE,
 	Q_SHARE,
 	Q_COUNT,
@@ -62,6 +63,10 @@
 	[Q_DOMAIN] = {"domain",
 		      "In which failure domain must they be? (empty: any)",
 		      ANSWER_NAME, 0, 60, .otherwise = ""},
+	[Q_HEADROOM] = {"headroom",
+			"How many of them should stay free, so that urgent "
+			"work starts at once?",
+			ANSWER_NUMBER, 0, 1024, .otherwise = "0"},
 	[Q_QUEUE] = {"queue", "How many of your jobs may wait in line?",
 		     ANSWER_NUMBER, 1, 100000, .otherwise = "200"},
 	[Q_SHARE] = {"share",
@@ -268,15 +273,17 @@
 	explain(why, "weight", answers, Q_SHARE);
 	explain(why, "queue_limit", answers, Q_QUEUE);
 	explain(why, "check_limit", answers, waits ? Q_PEOPLE : Q_WAITS);
+	explain(why, "headroom", answers, Q_HEADROOM);
 	explain(why, "guarantee.count", answers, Q_GUARANTEED);
 	explain(why, "guarantee.cell", answers, Q_TOGETHER);
 	explain(why, "guarantee.domain", answers, Q_DOMAIN);
 	explain(why, "purpose", answers, Q_WORK);
-	return json_pack("{s:s,s:I,s:I,s:I,s:o,s:o}", "name",
+	return json_pack("{s:s,s:I,s:I,s:I,s:I,s:o,s:o}", "name",
 			 text(answers, Q_NAME), "weight",
 			 (json_int_t)number(answers, Q_SHARE), "queue_limit",
 			 (json_int_t)number(answers, Q_QUEUE), "check_limit",
-			 (json_int_t)(checks > 0 ? checks : 1), "guarantee",
+			 (json_int_t)(checks > 0 ? checks : 1), "headroom",
+			 (json_int_t)number(answers, Q_HEADROOM), "guarantee",
 			 guarantee_of(answers, per_upstream), "answers", why);
 }
 
--- a/daemon/decider.c
+++ b/daemon/decider.c
@@ -137,6 +137,8 @@
 		uint32_t was;
 
 		sched_set_weight(d->sched, i, d->config->accounts[i].weight);
+		sched_set_headroom(d->sched, i,
+				   d->config->accounts[i].headroom);
 		if (old && before &&
 		    config_account_find(before, d->config->accounts[i].name,
 					&was))
--- a/lib/http.h
+++ b/lib/http.h
@@ -27,6 +27,7 @@
 
 struct http_client *http_client_create(struct loop *l);
 void http_client_destroy(struct http_client *c);
+uint64_t http_client_bytes(const struct http_client *c);
 
 struct http_pool *http_pool_create(struct http_client *c,
 				   const struct sockaddr_in *peer,
--- a/lib/httpclient.c
+++ b/lib/httpclient.c
@@ -20,6 +20,7 @@
 	struct loop *loop;
 	h2o_timeout_t io_timeout;
 	h2o_http1client_ctx_t ctx;
+	uint64_t bytes; /* of requests sent and answers received */
 };
 
 /* One generation of pooled connections. */
@@ -74,6 +75,12 @@
 	g_free(c);
 }
 
+/* Return the bytes that were sent and received so far. */
+uint64_t http_client_bytes(const struct http_client *c)
+{
+	return c->bytes;
+}
+
 static struct conn_set *set_create(struct http_pool *p)
 {
 	struct conn_set *s = g_new0(struct conn_set, 1);
@@ -211,6 +218,7 @@
 		h2o_buffer_t *in = c->sock->input;
 
 		g_byte_array_append(call->body, (guint8 *)in->bytes, in->size);
+		call->pool->client->bytes += in->size;
 		h2o_buffer_consume(&c->sock->input, in->size);
 	}
 	if (call->body->len > MAX_BODY_BYTES) {
@@ -241,12 +249,12 @@
 
 	(void)minor;
 	(void)msg;
-	(void)rlen;
 	if (err && err != h2o_http1client_error_is_eos) {
 		call_finish(call, verdict_may_have_run(REASON_CUT));
 		return NULL;
 	}
 	call->status = status;
+	call->pool->client->bytes += (uint64_t)rlen;
 	for (size_t i = 0; i < n; i++)
 		if (header_is(&headers[i], "content-length") ||
 		    header_is(&headers[i], "transfer-encoding"))
@@ -271,6 +279,7 @@
 		return NULL;
 	}
 	call->sent = true;
+	call->pool->client->bytes += call->iov.len;
 	*bufs = &call->iov;
 	*n = 1;
 	*is_head = 0;
--- a/sched/place.c
+++ b/sched/place.c
@@ -78,7 +78,8 @@
 			     : cell_pick(avail, n);
 }
 
-#define COST_BOUND 2 /* its account may call on it at any time */
+#define COST_BOUND 2	   /* its account may call on it at any time */
+#define COST_GUARANTEED 16 /* and does, and is not made to stop */
 
 /* Return what stands against putting a part on u. */
 static uint32_t cost_of(const struct upstream *u, uint32_t avail,
@@ -94,7 +95,9 @@
 		cost += (uint32_t)__builtin_popcount(
 				cell &
 				upstream_bound_to_others(u, want->account)) *
-			COST_BOUND;
+				COST_BOUND +
+			(uint32_t)__builtin_popcount(cell & u->guaranteed) *
+				COST_GUARANTEED;
 	return cost;
 }
 
@@ -173,6 +176,15 @@
 	return order32(a->rack, b->rack);
 }
 
+static int by_cost(const void *pa, const void *pb)
+{
+	const struct rack_room *a = pa, *b = pb;
+	uint64_t x = (uint64_t)a->cost * b->capacity;
+	uint64_t y = (uint64_t)b->cost * a->capacity;
+
+	return x < y ? -1 : x > y;
+}
+
 /* Fill candidates in order with up to `parts` parts; return how many. */
 static uint32_t fill(const struct site *s, const struct candidate *c,
 		     uint32_t n, const struct shape *want, enum where where,
@@ -249,6 +261,29 @@
 	return best;
 }
 
+static int by_cost_alone(const void *pa, const void *pb)
+{
+	return order32(*(const uint32_t *)pa, *(const uint32_t *)pb);
+}
+
+/* Return the cost of the cheapest upstreams for all parts, in any rack. */
+static uint32_t cheapest_cost(const struct candidate *c, uint32_t n,
+			      uint32_t parts)
+{
+	uint32_t *costs = calloc(n + 1, sizeof(*costs));
+	uint32_t sum = 0;
+
+	if (!costs)
+		abort();
+	for (uint32_t i = 0; i < n; i++)
+		costs[i] = c[i].cost;
+	qsort(costs, n, sizeof(*costs), by_cost_alone);
+	for (uint32_t i = 0; i < n && i < parts; i++)
+		sum += costs[i];
+	free(costs);
+	return sum;
+}
+
 static bool place_packed(const struct site *s, struct candidate *c, uint32_t n,
 			 const struct shape *want, enum where where,
 			 struct rack_room *racks, struct part *out)
@@ -263,10 +298,12 @@
 	qsort(c, n, sizeof(*c), by_rack_then_fullest);
 	len = group(c, n, want->parts, racks);
 	r = one_rack(racks, len, want->parts);
-	if (r)
+	if (r && !(where == WHERE_ANY_USABLE &&
+		   r->cost > 2 * cheapest_cost(c, n, want->parts)))
 		return fill(s, c + r->first, r->len, want, where, want->parts,
 			    out) == want->parts;
-	qsort(racks, len, sizeof(*racks), by_room);
+	qsort(racks, len, sizeof(*racks),
+	      where == WHERE_ANY_USABLE ? by_cost : by_room);
 	for (uint32_t i = 0; i < len && done < want->parts; i++)
 		done += fill(s, c + racks[i].first, racks[i].len, want, where,
 			     want->parts - done, out + done);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -32,9 +32,9 @@
 	uint32_t free_len;
 	struct account_state *accounts;
 	uint32_t accounts_len;
-	uint32_t holder; /* the borrowing job that room is held for */
+	uint32_t holder;   /* the borrowing job that room is held for */
+	bool held_dropped; /* room held for a borrower was given up */
 	uint64_t decided_ms;
-	uint64_t compacted_ms;
 };
 
 static const char *const class_names[] = {
@@ -226,19 +226,23 @@
 	return j->spec.shape.parts * j->spec.shape.accelerators;
 }
 
-/* Return how a job that occupies these parts uses them. */
+/*
+ * Return how a job that occupies these parts uses them.  Quiet work
+ * never calls on a guarantee: it borrows wherever it runs.
+ */
 static enum use use_of(const struct sched *s, const struct job_spec *spec,
 		       const struct part *parts)
 {
 	if (!spec->shape.accelerators)
 		return USE_URGENT;
+	if (spec->job_class == CLASS_QUIET)
+		return USE_QUIET;
 	for (uint32_t i = 0; i < spec->shape.parts; i++) {
 		const struct upstream *u =
 			site_upstream(s->site, parts[i].upstream);
 
 		if (parts[i].mask & ~upstream_bound_to(u, spec->shape.account))
-			return spec->job_class == CLASS_QUIET ? USE_QUIET
-							      : USE_BORROWED;
+			return USE_BORROWED;
 	}
 	return spec->job_class == CLASS_URGENT ? USE_URGENT : USE_GUARANTEED;
 }
@@ -430,30 +434,16 @@
 	return false;
 }
 
-#define DISPLACED_MOST 2 /* then it may stay where it is */
-
-/* Report whether v is small borrowed work that may be moved elsewhere. */
-static bool movable(const struct job *v)
-{
-	return v->state == JOB_PLACED && borrows(v) &&
-	       v->spec.shape.parts == 1 && v->spec.shape.accelerators &&
-	       v->displaced < DISPLACED_MOST;
-}
-
 /* Report whether job v is stopped for a claim, or waited for. */
 static bool yields(const struct job *v, const struct job *claim, bool own)
 {
-	if (own)
-		return true;
-	if (v->use == USE_QUIET && claim->spec.job_class != CLASS_QUIET)
-		return true;
-	return claim->spec.shape.parts > 1 && movable(v);
+	return own ||
+	       (v->use == USE_QUIET && claim->spec.job_class != CLASS_QUIET);
 }
 
 /*
  * Hold the places of claim i.  When they are its account's own, evict
- * every job that is in the way; otherwise only quiet work, and small
- * work that was not moved too often already.
+ * every job that is in the way; otherwise only quiet work.
  */
 static void claim(struct sched *s, uint32_t i, bool own, struct actions *out)
 {
@@ -469,7 +459,6 @@
 		    !overlaps(j, v))
 			continue;
 		v->state = JOB_EVICTING;
-		v->displaced += !own;
 		action_add(out, ACTION_EVICT, k, i);
 	}
 }
@@ -521,56 +510,78 @@
 	return place(s->site, &j->spec.shape, where, s->policy, j->parts);
 }
 
-/* Try the account's own cells; true when the job started or claimed. */
-static bool try_own(struct sched *s, uint32_t i, struct actions *out)
+/* Report whether job j may call on its account's guarantee. */
+static bool may_reclaim(const struct sched *s, const struct job *j)
+{
+	return j->spec.shape.accelerators && s->policy == POLICY_BOUND &&
+	       j->spec.job_class != CLASS_QUIET;
+}
+
+/* Start job i on what is free; true when it did. */
+static bool try_free(struct sched *s, uint32_t i, enum where where,
+		     struct actions *out)
+{
+	if (!try_place(s, &s->jobs[i], where))
+		return false;
+	start(s, i, out);
+	return true;
+}
+
+/* Claim the account's own cells from others; true when it did. */
+static bool try_evict(struct sched *s, uint32_t i, struct actions *out)
 {
 	struct job *j = &s->jobs[i];
-	bool urgent = j->spec.job_class == CLASS_URGENT;
 
-	if (!j->spec.shape.accelerators || s->policy != POLICY_BOUND)
+	if (!try_place(s, j, WHERE_OWN_EVICT) &&
+	    (j->spec.job_class != CLASS_URGENT ||
+	     !try_place(s, j, WHERE_OWN_URGENT)))
 		return false;
-	/* urgent work takes what is free anywhere before it evicts */
-	if (try_place(s, j, WHERE_OWN_FREE) ||
-	    (urgent && try_place(s, j, WHERE_ANY_FREE))) {
-		start(s, i, out);
-		return true;
-	}
-	if (try_place(s, j, WHERE_OWN_EVICT) ||
-	    (urgent && try_place(s, j, WHERE_OWN_URGENT))) {
-		claim(s, i, true, out);
-		return true;
-	}
-	return false;
+	claim(s, i, true, out);
+	return true;
 }
 
-/* Try the account's own cells, which room held for a borrower yields. */
-static bool try_own_first(struct sched *s, uint32_t i, struct actions *out)
+/* Call on own cells in which room is held for a borrower: it yields. */
+static bool try_held(struct sched *s, uint32_t i, struct actions *out)
 {
 	uint32_t holder = s->holder;
 
-	if (try_own(s, i, out))
-		return true;
 	if (holder == NO_JOB)
 		return false;
 	sched_requeue(s, holder);
-	if (try_own(s, i, out))
+	s->held_dropped =
+		try_free(s, i, WHERE_OWN_FREE, out) || try_evict(s, i, out);
+	if (s->held_dropped)
 		return true;
 	claim(s, holder, false, out);
 	s->holder = holder;
 	return false;
 }
 
+/*
+ * Try job i's own free cells; then, for a gang, its own cells by
+ * eviction, since there it cannot be evicted itself.  A single part takes
+ * what is free anywhere before it evicts.
+ */
+static bool try_guarantee(struct sched *s, uint32_t i, struct actions *out)
+{
+	bool gang = s->jobs[i].spec.shape.parts > 1;
+
+	if (!may_reclaim(s, &s->jobs[i]))
+		return false;
+	return try_free(s, i, WHERE_OWN_FREE, out) ||
+	       (!gang && try_free(s, i, WHERE_ANY_FREE, out)) ||
+	       try_evict(s, i, out) || try_held(s, i, out);
+}
+
 static bool try_job(struct sched *s, uint32_t i, uint64_t now_ms,
 		    struct actions *out)
 {
 	struct job *j = &s->jobs[i];
 
-	if (try_own_first(s, i, out))
+	if (try_guarantee(s, i, out))
 		return true;
-	if (try_place(s, j, WHERE_ANY_FREE)) {
-		start(s, i, out);
+	if (try_free(s, i, WHERE_ANY_FREE, out))
 		return true;
-	}
 	if (s->policy == POLICY_BOUND && s->holder == NO_JOB &&
 	    j->spec.shape.accelerators &&
 	    now_ms - j->spec.submitted_ms >= s->limits.hold_after_ms &&
@@ -644,124 +655,56 @@
 	       !memcmp(&a->spec.shape, &b->spec.shape, sizeof(a->spec.shape));
 }
 
-/*
- * Mark, of each account's free accelerators, as many as it keeps for
- * urgent work: borrowers and its own other work go round them.
- */
-static void mark_headroom(struct sched *s)
+/* Mark headroom on one upstream, as far as accounts lack some. */
+static uint32_t mark_on(struct sched *s, const struct upstream *u,
+			uint32_t *left)
 {
-	uint32_t *left = grow(NULL, (s->accounts_len + 1) * sizeof(*left));
-
-	for (uint32_t i = 0; i < s->accounts_len; i++)
-		left[i] = s->accounts[i].headroom;
-	for (uint32_t i = 0; i < site_upstreams(s->site); i++) {
-		const struct upstream *u = site_upstream(s->site, i);
-		uint32_t mask = 0;
-
-		for (uint32_t k = 0; u->usable && k < u->bound_len; k++) {
-			uint32_t a = u->bound[k].account;
-			uint32_t free = u->bound[k].mask & ~u->used & ~u->held;
-
-			for (; a < s->accounts_len && left[a] && free;
-			     left[a]--) {
-				mask |= free & -free;
-				free &= free - 1;
-			}
-		}
-		site_set_headroom(s->site, i, mask);
-	}
-	free(left);
-}
+	uint32_t mask = 0;
 
-/* Report whether nothing but movable work uses upstream u, and count it. */
-static bool only_movable(const struct sched *s, uint32_t u, uint32_t *n)
-{
-	*n = 0;
-	for (uint32_t i = 0; i < s->jobs_len; i++) {
-		const struct job *j = &s->jobs[i];
+	for (uint32_t k = 0; u->usable && k < u->bound_len; k++) {
+		uint32_t a = u->bound[k].account;
+		uint32_t free = u->bound[k].mask & ~u->used & ~u->held;
 
-		if (!j->live ||
-		    (j->state != JOB_PLACED && j->state != JOB_EVICTING))
-			continue;
-		for (uint32_t p = 0; p < j->spec.shape.parts; p++) {
-			if (j->parts[p].upstream != u || !j->parts[p].mask)
-				continue;
-			if (!movable(j))
-				return false;
-			*n += job_accelerators(j);
+		for (; a < s->accounts_len && left[a] && free; left[a]--) {
+			mask |= free & -free;
+			free &= free - 1;
 		}
 	}
-	return *n > 0;
-}
-
-/* Return the free accelerators of upstreams that are broken already. */
-static uint32_t broken_room(const struct sched *s, uint32_t but)
-{
-	uint32_t n = 0;
-
-	for (uint32_t i = 0; i < site_upstreams(s->site); i++) {
-		const struct upstream *u = site_upstream(s->site, i);
-
-		if (i != but && u->usable && u->used && !u->held)
-			n += (uint32_t)__builtin_popcount(u->all & ~u->used &
-							  ~u->headroom);
-	}
-	return n;
+	return mask;
 }
 
 /*
- * Move the work of the upstream that is least used, when all of it is
- * small and borrowed and there is room for it on upstreams that are
- * broken already: a whole upstream becomes free.
+ * Mark, of each account's free accelerators, as many as it keeps for
+ * urgent work: borrowers and its own other work go round them.  They are
+ * taken from upstreams that are broken already, where there are some.
  */
-static void compact(struct sched *s, uint64_t now_ms, struct actions *out)
+static void mark_headroom(struct sched *s)
 {
-	uint32_t best = NO_JOB, least = UINT32_MAX, n;
+	uint32_t *left = grow(NULL, (s->accounts_len + 1) * sizeof(*left));
 
-	if (!s->limits.compact_every_ms || s->policy != POLICY_BOUND ||
-	    now_ms - s->compacted_ms < s->limits.compact_every_ms)
-		return;
-	s->compacted_ms = now_ms;
-	for (uint32_t i = 0; i < site_upstreams(s->site); i++) {
-		const struct upstream *u = site_upstream(s->site, i);
-		uint32_t used = (uint32_t)__builtin_popcount(u->used);
-
-		if (!used || u->held || used >= least ||
-		    u->used & ~u->borrowed || !only_movable(s, i, &n) ||
-		    broken_room(s, i) < n * 2)
-			continue;
-		best = i;
-		least = used;
-	}
-	for (uint32_t i = 0; best != NO_JOB && i < s->jobs_len; i++) {
-		struct job *j = &s->jobs[i];
+	for (uint32_t i = 0; i < s->accounts_len; i++)
+		left[i] = s->accounts[i].headroom;
+	for (int whole = 0; whole <= 1; whole++) {
+		for (uint32_t i = 0; i < site_upstreams(s->site); i++) {
+			const struct upstream *u = site_upstream(s->site, i);
 
-		if (!j->live || !movable(j) || j->parts[0].upstream != best)
-			continue;
-		j->state = JOB_EVICTING;
-		j->displaced++;
-		action_add(out, ACTION_EVICT, i, i);
+			if (whole == !u->used)
+				site_set_headroom(s->site, i,
+						  mark_on(s, u, left));
+		}
 	}
+	free(left);
 }
 
 #define FAILED_SHAPES 64
 
-/*
- * Decide for now_ms (monotonic): append to out the jobs to start, whose
- * parts say where, and the jobs to evict.  The caller reports back with
- * sched_requeue and sched_remove.
- */
-void sched_decide(struct sched *s, uint64_t now_ms, struct actions *out)
+/* Try every waiting job once, in turn. */
+static void try_waiting(struct sched *s, uint64_t now_ms, struct actions *out)
 {
 	uint32_t failed[FAILED_SHAPES], failed_len = 0;
-	struct order_key *keys;
-	uint32_t n;
+	struct order_key *keys = grow(NULL, (s->jobs_len + 1) * sizeof(*keys));
+	uint32_t n = collect_waiting(s, keys);
 
-	account_service(s, now_ms);
-	finish_claims(s, out);
-	mark_headroom(s);
-	keys = grow(NULL, (s->jobs_len + 1) * sizeof(*keys));
-	n = collect_waiting(s, keys);
 	for (uint32_t k = 0; k < n; k++) {
 		struct job *j = &s->jobs[keys[k].job];
 		bool skip = false;
@@ -775,6 +718,21 @@
 			failed[failed_len++] = keys[k].job;
 	}
 	free(keys);
-	if (!failed_len)
-		compact(s, now_ms, out);
+}
+
+/*
+ * Decide for now_ms (monotonic): append to out the jobs to start, whose
+ * parts say where, and the jobs to evict.  The caller reports back with
+ * sched_requeue and sched_remove.
+ */
+void sched_decide(struct sched *s, uint64_t now_ms, struct actions *out)
+{
+	account_service(s, now_ms);
+	finish_claims(s, out);
+	mark_headroom(s);
+	do {
+		/* held room that was given up may serve an earlier job too */
+		s->held_dropped = false;
+		try_waiting(s, now_ms, out);
+	} while (s->held_dropped);
 }
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -31,8 +31,7 @@
 	enum job_state state;
 	enum use use;
 	struct part *parts;
-	bool reclaims;	    /* claiming: cells of its own account */
-	uint32_t displaced; /* times that it was moved for a borrower */
+	bool reclaims; /* claiming: cells of its own account */
 	bool live;
 };
 
@@ -52,7 +51,6 @@
 
 struct sched_limits {
 	uint64_t hold_after_ms;	    /* a wait after which room is held */
-	uint64_t compact_every_ms;  /* move small work together; 0: never */
 	uint32_t queue_per_account; /* waiting jobs */
 };
 
--- a/sched/site.c
+++ b/sched/site.c
@@ -294,6 +294,7 @@
 
 #define COST_QUIET 1
 #define COST_SINGLE 4
+#define COST_HEADROOM 8
 #define COST_GANG 64 /* the whole gang stops with its part */
 
 /* Return what it costs to empty mask: quiet work least, gangs most. */
@@ -303,9 +304,11 @@
 	uint32_t gang = busy & u->ganged;
 	uint32_t quiet = busy & u->quiet & ~gang;
 	uint32_t single = busy & ~gang & ~quiet;
+	uint32_t kept = mask & ~u->used & u->headroom;
 
 	return (uint32_t)__builtin_popcount(quiet) * COST_QUIET +
 	       (uint32_t)__builtin_popcount(single) * COST_SINGLE +
+	       (uint32_t)__builtin_popcount(kept) * COST_HEADROOM +
 	       (uint32_t)__builtin_popcount(gang) * COST_GANG;
 }
 
@@ -339,7 +342,10 @@
 	return n ? (uint32_t)__builtin_popcount(avail) / n : UINT32_MAX;
 }
 
-/* Measure how scattered the free accelerators of usable upstreams are. */
+/*
+ * Measure how scattered the free accelerators of usable upstreams are.
+ * What is kept for urgent work is not counted as free.
+ */
 void site_fragmentation(const struct site *s, struct fragmentation *f)
 {
 	uint32_t *per_rack = grow(NULL, (s->racks_len + 1) * sizeof(uint32_t));
@@ -348,13 +354,15 @@
 	memset(per_rack, 0, (s->racks_len + 1) * sizeof(uint32_t));
 	for (uint32_t i = 0; i < s->upstreams_len; i++) {
 		const struct upstream *u = &s->upstreams[i];
-		uint32_t n = __builtin_popcount(u->all & ~u->used);
+		uint32_t n =
+			__builtin_popcount(u->all & ~u->used & ~u->headroom);
 
 		if (!u->usable)
 			continue;
 		f->accelerators += __builtin_popcount(u->all);
+		f->used += __builtin_popcount(u->used);
 		f->free += n;
-		if (u->used)
+		if (u->used | u->headroom)
 			continue;
 		f->free_whole += n;
 		per_rack[u->rack] += n;
--- a/sched/site.h
+++ b/sched/site.h
@@ -78,6 +78,7 @@
 
 struct fragmentation {
 	uint32_t accelerators;
+	uint32_t used;
 	uint32_t free;
 	uint32_t free_whole;  /* free on entirely free upstreams */
 	uint32_t largest_run; /* most free in one rack, whole upstreams */
--- a/test/unit_lib.c
+++ b/test/unit_lib.c
@@ -239,6 +239,7 @@
 	{ACCOUNT("\"weight\": 0"), "accounts[0].weight"},
 	{ACCOUNT("\"queue_limit\": 0"), "accounts[0].queue_limit"},
 	{ACCOUNT("\"check_limit\": \"x\""), "accounts[0].check_limit"},
+	{ACCOUNT("\"headroom\": -1"), "accounts[0].headroom"},
 	{ACCOUNT("\"guarantee\": 1"), "accounts[0].guarantee"},
 	{ACCOUNT("\"guarantee\": [{}]"), "accounts[0].guarantee[0].cell"},
 	{ACCOUNT("\"guarantee\": [{}]"), "accounts[0].guarantee[0].count"},
--- a/test/unit_sched.c
+++ b/test/unit_sched.c
@@ -241,6 +241,59 @@
 	sched_destroy(s);
 }
 
+static void headroom_is_kept_from_borrowers(void **state)
+{
+	struct sched *s = sched_of(2);
+	uint32_t urgent;
+
+	(void)state;
+	bind(s, 1, CELL_UPSTREAM, 2);
+	sched_set_headroom(s, 1, 2);
+	for (int i = 0; i < 20; i++)
+		add(s, 0, 1, 1, CLASS_BATCH, i);
+	decide(s, 30);
+	assert_int_equal(sched_waiting(s, 0), 6); /* 14 of 16 are lent */
+	urgent = add(s, 1, 1, 1, CLASS_URGENT, 31);
+	assert_int_equal(decide(s, 32), 0);
+	assert_int_equal(state_of(s, urgent), JOB_PLACED);
+	sched_destroy(s);
+}
+
+static void quiet_work_makes_room_for_a_gang(void **state)
+{
+	struct sched *s = sched_of(2);
+	uint32_t gang;
+
+	(void)state;
+	for (int i = 0; i < 16; i++)
+		add(s, 0, 1, 1, CLASS_QUIET, i);
+	decide(s, 20);
+	gang = add(s, 1, 2, 8, CLASS_BATCH, 21);
+	assert_int_equal(decide(s, 30), 0);
+	assert_int_equal(decide(s, 1030), 16); /* it has waited */
+	requeue_evicted(s);
+	decide(s, 1031);
+	assert_int_equal(state_of(s, gang), JOB_PLACED);
+	sched_destroy(s);
+}
+
+static void the_cheapest_work_is_evicted(void **state)
+{
+	struct sched *s = sched_of(2);
+	uint32_t gang, claim;
+
+	(void)state;
+	bind(s, 1, CELL_UPSTREAM, 2);
+	gang = add(s, 0, 3, 4, CLASS_BATCH, 0);
+	add(s, 0, 1, 4, CLASS_BATCH, 1);
+	decide(s, 2);
+	claim = add(s, 1, 1, 4, CLASS_BATCH, 3);
+	assert_int_equal(decide(s, 4), 1);
+	assert_int_equal(state_of(s, claim), JOB_CLAIMING);
+	assert_int_equal(state_of(s, gang), JOB_PLACED);
+	sched_destroy(s);
+}
+
 static void borrowers_take_turns_by_service(void **state)
 {
 	struct sched *s = sched_of(1);
@@ -316,6 +369,9 @@
 		cmocka_unit_test(urgent_work_takes_its_accounts_own_cells),
 		cmocka_unit_test(a_waiting_gang_holds_back_small_work),
 		cmocka_unit_test(held_room_yields_to_a_guarantee),
+		cmocka_unit_test(headroom_is_kept_from_borrowers),
+		cmocka_unit_test(quiet_work_makes_room_for_a_gang),
+		cmocka_unit_test(the_cheapest_work_is_evicted),
 		cmocka_unit_test(borrowers_take_turns_by_service),
 		cmocka_unit_test(quick_slots_are_kept),
 		cmocka_unit_test(what_never_fits_is_refused),
