--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 OUT = out
 PKGS = glib-2.0 jansson libprotobuf-c
 CFLAGS = -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wno-missing-field-initializers \
-	-I. -DH2O_USE_LIBUV=0 $(shell pkg-config --cflags $(PKGS))
+	-I. -DH2O_USE_LIBUV=0 $(shell pkg-config --cflags $(PKGS)) $(EXTRA)
 LIBS = $(shell pkg-config --libs $(PKGS)) -lh2o-evloop -lssl -lcrypto -lxxhash -lm
 
 LIB = $(wildcard lib/*.c) proto/peer.pb-c.c
--- a/fake/worker.c
+++ b/fake/worker.c
@@ -171,6 +171,11 @@
 		w->swap_answers--;
 		json_object_set_new(answer, "request",
 				    json_string("somebody-elses"));
+		json_object_set_new(answer, "answer",
+				    json_string("checked:somebody-elses"));
+		json_object_set_new(
+			answer, "length",
+			json_integer(strlen("checked:somebody-elses")));
 	}
 	if (w->half_answers) {
 		char *s = json_dumps(answer, JSON_COMPACT);
--- a/load/capacity.sh
+++ b/load/capacity.sh
@@ -56,7 +56,7 @@
 		printf "{\"members\": [" > m
 		printf "{\"limits\": {\"quick_slots\": 2}, \"upstreams\": [" > c
 		for (i = 1; i <= w; i++) {
-			sep = i > 1 ? "," : ""
+			sep = (i > 1) ? "," : ""
 			printf "%s{\"name\": \"w%d\", \"role\": \"upstream\", \"domain\": \"d\", \"state\": \"live\"}", sep, i > m
 			printf "%s{\"name\": \"w%d\", \"domain\": \"d\", \"rack\": \"r%d\", \"address\": \"%s:9000\", \"accelerators\": 8, \"slots\": 18}", sep, i, int((i - 1) / 8), ip(i) > c
 		}
@@ -65,7 +65,7 @@
 		printf "]}" > m
 		printf "], \"accounts\": [" > c
 		for (i = 1; i <= a; i++)
-			printf "%s{\"name\": \"team%d\", \"queue_limit\": 100000}", i > 1 ? "," : "", i > c
+			printf "%s{\"name\": \"team%d\", \"queue_limit\": 100000}", (i > 1 ? "," : ""), i > c
 		printf "]}" > c
 	}'
 }
--- a/test/proc_answers.c
+++ b/test/proc_answers.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "lib/counter.h"
@@ -276,5 +277,6 @@
 		cmocka_unit_test(silent_connections_are_replaced),
 	};
 
+	cmocka_set_test_filter(getenv("TEST_FILTER"));
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/test/proc_config.c
+++ b/test/proc_config.c
@@ -2,6 +2,7 @@
 #include <glib.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "test/judge.h"
@@ -243,5 +244,6 @@
 		cmocka_unit_test(a_lost_answer_is_read_back),
 	};
 
+	cmocka_set_test_filter(getenv("TEST_FILTER"));
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/test/proc_gang.c
+++ b/test/proc_gang.c
@@ -2,6 +2,7 @@
 #include <glib.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "test/judge.h"
@@ -170,5 +171,6 @@
 		cmocka_unit_test(one_worker_is_silent_at_the_reservation),
 	};
 
+	cmocka_set_test_filter(getenv("TEST_FILTER"));
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/test/proc_leave.c
+++ b/test/proc_leave.c
@@ -2,6 +2,7 @@
 #include <glib.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "lib/counter.h"
@@ -170,5 +171,6 @@
 		cmocka_unit_test(a_planned_stop_cuts_off_nothing),
 	};
 
+	cmocka_set_test_filter(getenv("TEST_FILTER"));
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/test/proc_outage.c
+++ b/test/proc_outage.c
@@ -2,6 +2,7 @@
 #include <glib.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "lib/counter.h"
@@ -204,5 +205,6 @@
 		cmocka_unit_test(answers_are_lost_after_the_write),
 	};
 
+	cmocka_set_test_filter(getenv("TEST_FILTER"));
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/test/proc_path.c
+++ b/test/proc_path.c
@@ -2,6 +2,7 @@
 #include <arpa/inet.h>
 #include <glib.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -322,5 +323,6 @@
 		cmocka_unit_test(a_full_queue_is_refused),
 	};
 
+	cmocka_set_test_filter(getenv("TEST_FILTER"));
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/test/unit_lib.c
+++ b/test/unit_lib.c
@@ -5,6 +5,7 @@
 #include <stdint.h>
 #include <cmocka.h>
 #include <glib.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "config/config.h"
@@ -354,5 +355,6 @@
 		cmocka_unit_test(a_late_update_does_not_win),
 	};
 
+	cmocka_set_test_filter(getenv("TEST_FILTER"));
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/test/unit_sched.c
+++ b/test/unit_sched.c
@@ -5,6 +5,7 @@
 #include <stdint.h>
 #include <cmocka.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "sched/bind.h"
@@ -378,5 +379,6 @@
 		cmocka_unit_test(one_bad_job_does_not_quarantine),
 	};
 
+	cmocka_set_test_filter(getenv("TEST_FILTER"));
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
