--- a/daemon/gang.c
+++ b/daemon/gang.c
@@ -234,6 +234,19 @@
 	return body;
 }
 
+/* Note what a call to c is made for: g's attempt in its present state. */
+static struct step *step_new(const struct gang *g, struct control *c)
+{
+	struct step *s = g_new0(struct step, 1);
+
+	s->decider = g->decider;
+	s->at = c;
+	s->name = g_strdup(g->name);
+	s->attempt = g->attempt;
+	s->state = g->state;
+	return s;
+}
+
 static void step_free(struct step *s)
 {
 	g_free(s->name);
@@ -341,12 +354,7 @@
 
 		if (!first_at(g, i))
 			continue;
-		s = g_new0(struct step, 1);
-		s->decider = g->decider;
-		s->at = c;
-		s->name = g_strdup(g->name);
-		s->attempt = g->attempt;
-		s->state = state;
+		s = step_new(g, c);
 		if (control_call(c, path,
 				 step_body(g, c, state == GANG_RESERVING),
 				 on_step, s))
@@ -397,8 +405,6 @@
 
 /* Release */
 
-static void send_releases(struct gang *g, uint32_t grace_ms);
-
 static void on_released(void *arg, const struct http_result *r)
 {
 	struct step *s = arg;
@@ -420,11 +426,7 @@
 
 		if (!c || g->parts[i].ended || !first_at(g, i))
 			continue;
-		s = g_new0(struct step, 1);
-		s->decider = g->decider;
-		s->at = c;
-		s->name = g_strdup(g->name);
-		s->attempt = g->attempt;
+		s = step_new(g, c);
 		body = step_body(g, c, false);
 		json_object_set_new(body, "grace_ms", json_integer(grace_ms));
 		if (!control_call(c, "/release", body, on_released, s))
--- a/daemon/peer.c
+++ b/daemon/peer.c
@@ -4,12 +4,10 @@
  * cost does not grow with the fleet.  A link that is silent is closed
  * and opened anew.
  */
-#include <glib.h>
 #include <string.h>
 #include <xxhash.h>
 
-#include "daemon/peer.h"
-#include "lib/frame.h"
+#include "daemon/link.h"
 
 #define PROTOCOL 1
 #define HEARTBEAT_MS 400
@@ -19,49 +17,6 @@
 #define GOSSIP_MOST 64
 #define GOSSIP_EVERY 10 /* heartbeats */
 
-struct link {
-	struct peers *peers;
-	struct frame_conn *conn;
-	char address[ADDRESS_TEXT_BYTES]; /* the peer's, once known */
-	char name[64];
-	uint64_t opened_ms;
-	uint64_t heard_ms;
-	bool outgoing;
-	bool greeted;
-};
-
-struct target {
-	char address[ADDRESS_TEXT_BYTES];
-	char domain[64]; /* empty until it is known */
-};
-
-/* A check that was passed on, or that a peer has passed to us. */
-struct passed {
-	struct link *link; /* NULL when the link has gone */
-	uint64_t ticket;   /* the other side's */
-	uint64_t local;
-	struct timer timer;
-	struct peers *peers;
-};
-
-struct peers {
-	struct env *env;
-	struct frame_listener *listener;
-	GPtrArray *links;
-	GHashTable *targets;  /* address to struct target */
-	GHashTable *states;   /* name to struct peer_state */
-	GHashTable *sent;     /* ticket to struct passed: by us */
-	GHashTable *received; /* ticket to struct passed: to us */
-	struct timer timer;
-	uint64_t next_ticket;
-	char self[ADDRESS_TEXT_BYTES];
-	struct config *config;
-	struct role role;
-	bool leaving;
-	uint64_t bytes_told;
-	uint32_t beats;
-};
-
 static const struct frame_events link_events;
 
 static void post_peers(struct peers *p)
@@ -227,208 +182,11 @@
 	}
 }
 
-static struct link *link_find(const struct peers *p, const char *name)
-{
-	for (guint i = 0; i < p->links->len; i++) {
-		struct link *l = g_ptr_array_index(p->links, i);
-
-		if (l->greeted && !strcmp(l->name, name))
-			return l;
-	}
-	return NULL;
-}
-
-/* Checks that are passed on */
-
-static void passed_free(void *v)
-{
-	struct passed *f = v;
-
-	timer_stop(f->peers->env->loop, &f->timer);
-	g_free(f);
-}
-
-static void check_done(struct peers *p, uint64_t ticket, struct verdict v,
-		       const char *upstream, json_t *answer)
-{
-	struct message m = {.tag = MSG_CHECK_DONE,
-			    .from = TASK_PEER,
-			    .to = TASK_CHECK,
-			    .ticket = ticket};
-
-	m.check_result.verdict = v;
-	m.check_result.upstream = g_strdup(upstream);
-	m.check_result.answer = answer;
-	bus_post(p->env->bus, &m);
-}
-
-/* End a check that we passed on and that no answer will come for. */
-static void sent_lost(struct passed *f, enum reason why)
-{
-	struct peers *p = f->peers;
-	uint64_t local = f->local;
-
-	check_done(p, local, verdict_may_have_run(why), "", NULL);
-	g_hash_table_remove(p->sent, &local);
-}
-
-static void sent_timeout(void *arg)
-{
-	sent_lost(arg, REASON_DEADLINE);
-}
-
-static struct passed *passed_new(struct peers *p, struct link *l,
-				 uint64_t ticket, uint64_t local)
-{
-	struct passed *f = g_new0(struct passed, 1);
-
-	f->peers = p;
-	f->link = l;
-	f->ticket = ticket;
-	f->local = local;
-	timer_init(&f->timer, sent_timeout, f);
-	return f;
-}
-
-/* Return a link into another domain that takes checks, or NULL. */
-static struct link *link_for_check(const struct peers *p)
-{
-	GHashTableIter it;
-	gpointer v;
-
-	g_hash_table_iter_init(&it, p->states);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const struct peer_state *st = v;
-		struct link *l;
-
-		if (!st->reachable || !st->ready || st->leaving ||
-		    !strcmp(st->domain, p->env->settings->domain))
-			continue;
-		l = link_find(p, st->name);
-		if (l)
-			return l;
-	}
-	return NULL;
-}
-
-static void pass_check(struct peers *p, struct message *m)
-{
-	struct link *l = link_for_check(p);
-	uint64_t now = clock_mono_ms();
-	Lacewing__Check c = LACEWING__CHECK__INIT;
-	Lacewing__Envelope e = LACEWING__ENVELOPE__INIT;
-	struct passed *f;
-	char *text;
-
-	if (!l || m->check.deadline_ms <= now) {
-		check_done(p, m->ticket,
-			   verdict_did_not_run(REASON_NO_UPSTREAM), "", NULL);
-		return;
-	}
-	text = json_dumps(m->check.request, JSON_COMPACT);
-	f = passed_new(p, l, m->ticket, m->ticket);
-	g_hash_table_insert(p->sent, &f->local, f);
-	c.ticket = m->ticket;
-	c.clock = event_clock(p->env->events);
-	c.request = text;
-	c.budget_ms = m->check.deadline_ms - now;
-	timer_start(p->env->loop, &f->timer, c.budget_ms);
-	e.body_case = LACEWING__ENVELOPE__BODY_CHECK;
-	e.check = &c;
-	frame_send(l->conn, &e);
-	free(text);
-	counter_add(p->env->counters, "checks_passed_on", NULL, 1);
-}
-
-static void take_check(struct link *l, const Lacewing__Check *c)
-{
-	struct peers *p = l->peers;
-	struct message m = {.tag = MSG_CHECK,
-			    .from = TASK_PEER,
-			    .to = TASK_CHECK,
-			    .ticket = ++p->next_ticket};
-	struct passed *f;
-
-	event_clock_seen(p->env->events, c->clock);
-	m.check.request = json_loads(c->request, 0, NULL);
-	m.check.deadline_ms = clock_mono_ms() + c->budget_ms;
-	m.check.forwarded = true;
-	if (!m.check.request)
-		return;
-	f = passed_new(p, l, c->ticket, m.ticket);
-	g_hash_table_insert(p->received, &f->local, f);
-	bus_post(p->env->bus, &m);
-}
-
-static void answer_check(struct peers *p, const struct message *m)
-{
-	struct passed *f = g_hash_table_lookup(p->received, &m->ticket);
-	Lacewing__CheckAnswer a = LACEWING__CHECK_ANSWER__INIT;
-	Lacewing__Envelope e = LACEWING__ENVELOPE__INIT;
-	char *text = NULL;
-
-	if (!f)
-		return;
-	if (!f->link)
-		goto out;
-	if (m->check_result.answer)
-		text = json_dumps(m->check_result.answer, JSON_COMPACT);
-	a.ticket = f->ticket;
-	a.verdict = m->check_result.verdict.tag;
-	a.reason = m->check_result.verdict.reason;
-	a.retry_after_ms = m->check_result.verdict.retry_after_ms;
-	a.upstream = m->check_result.upstream ? m->check_result.upstream
-					      : (char *)"";
-	a.answer = text ? text : (char *)"";
-	a.clock = event_clock(p->env->events);
-	e.body_case = LACEWING__ENVELOPE__BODY_CHECK_ANSWER;
-	e.check_answer = &a;
-	frame_send(f->link->conn, &e);
-out:
-	free(text);
-	g_hash_table_remove(p->received, &m->ticket);
-}
-
-static void take_answer(struct link *l, const Lacewing__CheckAnswer *a)
-{
-	struct peers *p = l->peers;
-	uint64_t ticket = a->ticket;
-	struct passed *f = g_hash_table_lookup(p->sent, &ticket);
-	struct verdict v = {a->verdict, a->reason, a->retry_after_ms};
-
-	event_clock_seen(p->env->events, a->clock);
-	if (!f || f->link != l || a->verdict > VERDICT_MAY_HAVE_RUN ||
-	    a->reason >= REASON_COUNT) {
-		counter_add(p->env->counters, "late_check_answers", NULL, 1);
-		return;
-	}
-	check_done(p, ticket, v, a->upstream,
-		   *a->answer ? json_loads(a->answer, 0, NULL) : NULL);
-	g_hash_table_remove(p->sent, &ticket);
-}
-
 /* Links */
 
 static void forget_link(struct peers *p, struct link *l)
 {
-	GHashTableIter it;
-	gpointer v;
-
-	g_hash_table_iter_init(&it, p->received);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		if (((struct passed *)v)->link == l)
-			((struct passed *)v)->link = NULL;
-	for (;;) {
-		struct passed *lost = NULL;
-
-		g_hash_table_iter_init(&it, p->sent);
-		while (!lost && g_hash_table_iter_next(&it, NULL, &v))
-			if (((struct passed *)v)->link == l)
-				lost = v;
-		if (!lost)
-			break;
-		sent_lost(lost, REASON_CUT);
-	}
+	passing_forget(p, l);
 	g_ptr_array_remove_fast(p->links, l);
 	g_free(l);
 }
@@ -661,10 +419,10 @@
 		take_rows_wanted(l, e->rows_wanted);
 		break;
 	case LACEWING__ENVELOPE__BODY_CHECK:
-		take_check(l, e->check);
+		passing_take(l, e->check);
 		break;
 	case LACEWING__ENVELOPE__BODY_CHECK_ANSWER:
-		take_answer(l, e->check_answer);
+		passing_answered(l, e->check_answer);
 		break;
 	case LACEWING__ENVELOPE__BODY__NOT_SET:
 	case _LACEWING__ENVELOPE__BODY__CASE_IS_INT_SIZE:
@@ -812,10 +570,10 @@
 
 	switch ((int)m->tag) {
 	case MSG_CHECK:
-		pass_check(p, m);
+		passing_send(p, m);
 		break;
 	case MSG_CHECK_DONE:
-		answer_check(p, m);
+		passing_answer(p, m);
 		break;
 	case MSG_ROWS:
 		answer_rows(p, m);
@@ -859,9 +617,9 @@
 	p->states =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	p->sent = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-					passed_free);
+					passing_free);
 	p->received = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-					    passed_free);
+					    passing_free);
 	address_format(&s->peer, p->self, sizeof(p->self));
 	for (uint32_t i = 0; i < s->seeds_len; i++) {
 		address_format(&s->seeds[i], address, sizeof(address));
--- a/fake/cutter.c
+++ b/fake/cutter.c
@@ -14,7 +14,6 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include "lib/http.h"
 #include "lib/log.h"
@@ -247,15 +246,10 @@
 			const struct sockaddr_in *target)
 {
 	struct link *l;
-	int on = 1;
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	int fd = address_listen(at);
 
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(fd, (const struct sockaddr *)at, sizeof(*at)) ||
-	    listen(fd, 1024)) {
-		close(fd);
+	if (fd < 0)
 		return false;
-	}
 	l = g_new0(struct link, 1);
 	l->cutter = c;
 	l->target = *target;
--- a/fake/demo.sh
+++ b/fake/demo.sh
@@ -14,17 +14,6 @@
 	out/lacewingctl "$@"
 }
 
-# Try a command until it succeeds: await TRIES COMMAND...
-await() {
-	tries=$1
-	shift
-	until "$@" >/dev/null 2>&1; do
-		tries=$((tries - 1))
-		[ "$tries" -gt 0 ] || { echo "demo: gave up: $*" >&2; exit 1; }
-		sleep 0.1
-	done
-}
-
 post() {
 	curl -sf -X POST --data-binary "@$2" "$1"
 }
--- a/fake/site.sh
+++ b/fake/site.sh
@@ -19,10 +19,6 @@
 	site_pids="$site_pids $!"
 }
 
-site_http() {
-	echo "127.0.$1.$2:7400"
-}
-
 # Write the settings of instance I of domain number D called NAME.
 site_settings() {
 	cat <<EOF
@@ -123,3 +119,14 @@
 	done
 	site_pids=
 }
+
+# Try a command until it succeeds: await TRIES COMMAND...
+await() {
+	tries=$1
+	shift
+	until "$@" >/dev/null 2>&1; do
+		tries=$((tries - 1))
+		[ "$tries" -gt 0 ] || { echo "gave up: $*" >&2; exit 1; }
+		sleep 0.1
+	done
+}
--- /dev/null
+++ b/lib/address.c
@@ -0,0 +1,61 @@
+/* Addresses: IP numbers and ports only, as the users run them. */
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "lib/address.h"
+
+#define LISTEN_BACKLOG 4096
+
+/* Read "IP:port" into *a; false when s is not of that form. */
+bool address_parse(const char *s, struct sockaddr_in *a)
+{
+	char ip[INET_ADDRSTRLEN];
+	const char *colon = s ? strrchr(s, ':') : NULL;
+	char *end;
+	unsigned long port;
+
+	memset(a, 0, sizeof(*a));
+	a->sin_family = AF_INET;
+	if (!colon || colon - s >= (long)sizeof(ip))
+		return false;
+	memcpy(ip, s, colon - s);
+	ip[colon - s] = '\0';
+	port = strtoul(colon + 1, &end, 10);
+	if (*end || end == colon + 1 || port == 0 || port > 65535)
+		return false;
+	a->sin_port = htons((uint16_t)port);
+	return inet_pton(AF_INET, ip, &a->sin_addr) == 1;
+}
+
+/* Write a as "IP:port" into buf. */
+void address_format(const struct sockaddr_in *a, char *buf, size_t len)
+{
+	char ip[INET_ADDRSTRLEN];
+
+	inet_ntop(AF_INET, &a->sin_addr, ip, sizeof(ip));
+	snprintf(buf, len, "%s:%u", ip, ntohs(a->sin_port));
+}
+
+/*
+ * Return a non-blocking socket that listens on at, or -1 with errno set
+ * when the address cannot be had.
+ */
+int address_listen(const struct sockaddr_in *at)
+{
+	int on = 1;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (const struct sockaddr *)at, sizeof(*at)) ||
+	    listen(fd, LISTEN_BACKLOG)) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
--- a/lib/frame.c
+++ b/lib/frame.c
@@ -8,12 +8,11 @@
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
+#include "lib/address.h"
 #include "lib/frame.h"
 
 #define QUEUE_MAX_BYTES (16u << 20)
-#define BACKLOG 256
 
 struct frame_conn {
 	h2o_socket_t *sock;
@@ -206,17 +205,10 @@
 				    const struct frame_events *ev, void *arg)
 {
 	struct frame_listener *f;
-	int on = 1;
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	int fd = address_listen(at);
 
 	if (fd < 0)
 		return NULL;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(fd, (const struct sockaddr *)at, sizeof(*at)) ||
-	    listen(fd, BACKLOG)) {
-		close(fd);
-		return NULL;
-	}
 	f = g_new0(struct frame_listener, 1);
 	f->loop = l;
 	f->ev = ev;
--- a/lib/http.h
+++ b/lib/http.h
@@ -7,6 +7,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "lib/address.h"
 #include "lib/loop.h"
 #include "lib/verdict.h"
 
@@ -64,9 +65,4 @@
 void exchange_reply(struct http_exchange *x, int status, const char *type,
 		    const char *body, uint32_t retry_after_ms);
 
-bool address_parse(const char *s, struct sockaddr_in *a);
-void address_format(const struct sockaddr_in *a, char *buf, size_t len);
-
-#define ADDRESS_TEXT_BYTES 32
-
 #endif
--- a/lib/httpserver.c
+++ b/lib/httpserver.c
@@ -1,16 +1,11 @@
 /* The HTTP server: one handler for all paths, answers in any order. */
-#include <arpa/inet.h>
-#include <fcntl.h>
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
 
 #include "lib/http.h"
 
-#define LISTEN_BACKLOG 4096
-
 struct http_server {
 	struct loop *loop;
 	h2o_globalconf_t config;
@@ -38,36 +33,6 @@
 	size_t body_len;
 };
 
-/* Read "IP:port" into *a; false when s is not of that form. */
-bool address_parse(const char *s, struct sockaddr_in *a)
-{
-	char ip[INET_ADDRSTRLEN];
-	const char *colon = s ? strrchr(s, ':') : NULL;
-	char *end;
-	unsigned long port;
-
-	memset(a, 0, sizeof(*a));
-	a->sin_family = AF_INET;
-	if (!colon || colon - s >= (long)sizeof(ip))
-		return false;
-	memcpy(ip, s, colon - s);
-	ip[colon - s] = '\0';
-	port = strtoul(colon + 1, &end, 10);
-	if (*end || end == colon + 1 || port == 0 || port > 65535)
-		return false;
-	a->sin_port = htons((uint16_t)port);
-	return inet_pton(AF_INET, ip, &a->sin_addr) == 1;
-}
-
-/* Write a as "IP:port" into buf. */
-void address_format(const struct sockaddr_in *a, char *buf, size_t len)
-{
-	char ip[INET_ADDRSTRLEN];
-
-	inet_ntop(AF_INET, &a->sin_addr, ip, sizeof(ip));
-	snprintf(buf, len, "%s:%u", ip, ntohs(a->sin_port));
-}
-
 static void request_gone(void *p)
 {
 	struct http_exchange **ref = p;
@@ -195,22 +160,6 @@
 		h2o_accept(&s->accept, sock);
 }
 
-static int listen_on(const struct sockaddr_in *at)
-{
-	int on = 1;
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-
-	if (fd < 0)
-		return -1;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(fd, (const struct sockaddr *)at, sizeof(*at)) ||
-	    listen(fd, LISTEN_BACKLOG)) {
-		close(fd);
-		return -1;
-	}
-	return fd;
-}
-
 /*
  * Serve requests on address at with fn(arg, exchange); bodies over
  * max_body bytes are refused with 413.  Return NULL with errno set when
@@ -225,7 +174,7 @@
 	h2o_hostconf_t *host;
 	h2o_pathconf_t *path;
 	struct handler *h;
-	int fd = listen_on(at);
+	int fd = address_listen(at);
 
 	if (fd < 0)
 		return NULL;
--- a/load/capacity.sh
+++ b/load/capacity.sh
@@ -5,6 +5,7 @@
 # ended.
 set -eu
 cd "$(dirname "$0")/.."
+. fake/site.sh
 pids=
 logs=$(mktemp -d)
 stop() {
@@ -29,16 +30,6 @@
 	out/lacewingctl --server "$net.1.1:7400" "$@"
 }
 
-await() {
-	tries=$1
-	shift
-	until "$@" >/dev/null 2>&1; do
-		tries=$((tries - 1))
-		[ "$tries" -gt 0 ] || { echo "gave up: $*" >&2; exit 1; }
-		sleep 0.1
-	done
-}
-
 metric() {
 	curl -sf "http://$1/metrics" | awk -v m="$2" '$1 == m {print $2}'
 }
--- a/load/latency.sh
+++ b/load/latency.sh
@@ -14,16 +14,6 @@
 	out/lacewingctl --server 127.0.1.1:7400 "$@"
 }
 
-await() {
-	tries=$1
-	shift
-	until "$@" >/dev/null 2>&1; do
-		tries=$((tries - 1))
-		[ "$tries" -gt 0 ] || { echo "gave up: $*" >&2; exit 1; }
-		sleep 0.1
-	done
-}
-
 running() {
 	[ "$(ctl --json list running | grep -c '"job"')" -ge "$1" ]
 }
--- a/test/proc_path.c
+++ b/test/proc_path.c
@@ -140,6 +140,40 @@
 	site_stop(s);
 }
 
+static void another_domain_runs_what_this_one_cannot(void **state)
+{
+	struct site_options o = {.net = 17,
+				 .domains = 2,
+				 .instances = 1,
+				 .workers = 2,
+				 .accounts = accounts};
+	struct test_site *s = site_start(&o);
+	json_t *v;
+	int status;
+
+	(void)state;
+	for (int i = 1; i <= 2; i++) {
+		char *body = g_strdup_printf(
+			"{\"member\": {\"name\": \"kolkata-w%d\", "
+			"\"state\": \"leaving\"}}",
+			i);
+
+		command(s, at_platform(s), "/control", body);
+		g_free(body);
+	}
+	wait_for(s, 5000,
+		 event_seen(s, 0, 0, "upstream_leaving", "kolkata-w1"));
+	wait_for(s, 5000,
+		 event_seen(s, 0, 0, "upstream_leaving", "kolkata-w2"));
+	v = ask(s, at_instance(s, 0, 0), "POST", "/v1/checks",
+		"{\"account\": \"damodar\", \"payload\": \"x\"}", &status);
+	assert_int_equal(status, 200);
+	assert_string_equal(json_str_or(v, "answer", ""), "checked:x");
+	assert_non_null(strstr(json_str_or(v, "upstream", ""), "durgapur"));
+	json_decref(v);
+	site_stop(s);
+}
+
 struct bad {
 	const char *method;
 	const char *path;
@@ -319,6 +353,7 @@
 		cmocka_unit_test(a_repeated_submission_finds_the_first),
 		cmocka_unit_test(a_cancelled_job_stops),
 		cmocka_unit_test(a_job_that_fails_everywhere_is_parked),
+		cmocka_unit_test(another_domain_runs_what_this_one_cannot),
 		cmocka_unit_test(bad_input_is_refused_with_a_reason),
 		cmocka_unit_test(a_full_queue_is_refused),
 	};
