Name the upstream of a check that another domain ran

Cause: the answer of a check that was passed on came without the name of its upstream: the asking instance put in its own choice, which was none. Before: another_domain_runs_what_this_one_cannot failed on it; after: it passes.

--- a/daemon/check.c
+++ b/daemon/check.c
@@ -460,6 +460,8 @@
 	if (!q || q->state != QUICK_PASSED)
 		return;
 	m->check_result.answer = NULL;
+	q->ran_at = m->check_result.upstream;
+	m->check_result.upstream = NULL;
 	quick_finish(q, m->check_result.verdict, answer);
 }
 
--- a/daemon/quick.h
+++ b/daemon/quick.h
@@ -51,7 +51,7 @@
 	bool forwarded;
 	bool may_have_run; /* an earlier send was not answered */
 	struct entry *upstream;
-	char *ran_at; /* another attempt ran it, at this upstream */
+	char *ran_at; /* another attempt, or instance, ran it here */
 	char *lease;
 	struct entry *tried[TRIED_MOST];
 	uint32_t tried_len;
