--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,7 @@
 
 tests: $(UNIT_TESTS) $(PROC_TESTS)
 
-.PRECIOUS: $(OUT)/obj/test/%.o
+.SECONDARY:
 
 FUZZ_RUNS = 15000
 FUZZ_SEED = 7
