Let the task that accepts a job say 202; take out what nothing calls

The caller task guessed from the fields of an answer whether it meant 202, while a report had a status that nobody set: the job task says it now. Three functions that sent JSON are one, exchange_reply_json. counter_get, sched_set_limits, job_state_name and loop_stopped were called by nothing.

--- a/daemon/caller.c
+++ b/daemon/caller.c
@@ -9,7 +9,6 @@
 #include "daemon/caller.h"
 #include "daemon/jobs.h"
 
-#define JSON "application/json"
 #define MAX_DEADLINE_MS 600000
 
 struct open {
@@ -41,26 +40,17 @@
 	{"key", FIELD_NAME, false, 1, 80, "characters"},
 	{0}};
 
-static void reply_json(struct http_exchange *x, int status, json_t *v,
-		       uint32_t retry_after_ms)
-{
-	char *s = json_dumps(v, JSON_COMPACT | JSON_PRESERVE_ORDER);
-
-	exchange_reply(x, status, JSON, s, retry_after_ms);
-	free(s);
-	json_decref(v);
-}
-
 /* Answer a request that never became a message: it did not run. */
 static void reject(struct caller *c, struct http_exchange *x, int status,
 		   enum reason why, json_t *problems)
 {
 	counter_add(c->env->counters, "requests_rejected", NULL, 1);
-	reply_json(x, status,
-		   json_pack("{s:s,s:s,s:s,s:o*}", "verdict", "did_not_run",
-			     "reason", reason_name(why), "text",
-			     reason_text(why), "problems", problems),
-		   0);
+	exchange_reply_json(x, status,
+			    json_pack("{s:s,s:s,s:s,s:o*}", "verdict",
+				      "did_not_run", "reason", reason_name(why),
+				      "text", reason_text(why), "problems",
+				      problems),
+			    0);
 }
 
 static uint64_t hold(struct caller *c, struct http_exchange *x,
@@ -156,15 +146,16 @@
 	if (!o)
 		return;
 	text = json_str_or(m->check_result.answer, "answer", NULL);
-	reply_json(o->x, verdict_http_status(v),
-		   json_pack("{s:s,s:s,s:s,s:s,s:s,s:s*}", "request",
-			     o->request, "verdict", verdict_name(v.tag),
-			     "reason", reason_name(v.reason), "text",
-			     reason_text(v.reason), "upstream",
-			     m->check_result.upstream ? m->check_result.upstream
-						      : "",
-			     "answer", text),
-		   v.tag == VERDICT_DID_NOT_RUN ? v.retry_after_ms : 0);
+	exchange_reply_json(
+		o->x, verdict_http_status(v),
+		json_pack("{s:s,s:s,s:s,s:s,s:s,s:s*}", "request", o->request,
+			  "verdict", verdict_name(v.tag), "reason",
+			  reason_name(v.reason), "text", reason_text(v.reason),
+			  "upstream",
+			  m->check_result.upstream ? m->check_result.upstream
+						   : "",
+			  "answer", text),
+		v.tag == VERDICT_DID_NOT_RUN ? v.retry_after_ms : 0);
 	g_hash_table_remove(c->open, &m->ticket);
 }
 
@@ -199,13 +190,9 @@
 				 reason_text(v.reason), "detail", body);
 	} else {
 		json_incref(body);
-		if (json_object_get(body, "state") &&
-		    !json_object_get(body, "domain") &&
-		    json_object_get(body, "version"))
-			status = 202;
 	}
-	reply_json(o->x, status, body,
-		   verdict_is_ran(v) ? 0 : v.retry_after_ms);
+	exchange_reply_json(o->x, status, body,
+			    verdict_is_ran(v) ? 0 : v.retry_after_ms);
 	g_hash_table_remove(c->open, &m->ticket);
 }
 
@@ -299,7 +286,7 @@
 	json_array_append_new(list, self_json(c));
 	for (uint32_t i = 0; c->peers && i < c->peers->len; i++)
 		json_array_append_new(list, peer_json(&c->peers->peers[i]));
-	reply_json(x, 200, json_pack("{s:o}", "instances", list), 0);
+	exchange_reply_json(x, 200, json_pack("{s:o}", "instances", list), 0);
 }
 
 static void get_events(struct caller *c, struct http_exchange *x)
@@ -311,10 +298,10 @@
 				  since ? g_ascii_strtoull(since, NULL, 10) : 0,
 				  job, account);
 
-	reply_json(x, 200,
-		   json_pack("{s:s,s:o}", "instance", c->env->settings->name,
-			     "events", list),
-		   0);
+	exchange_reply_json(x, 200,
+			    json_pack("{s:s,s:o}", "instance",
+				      c->env->settings->name, "events", list),
+			    0);
 	g_free(since);
 	g_free(job);
 	g_free(account);
@@ -334,16 +321,16 @@
 
 static void get_health(struct caller *c, struct http_exchange *x)
 {
-	reply_json(x, 200,
-		   json_pack("{s:b,s:b}", "healthy", 1, "table_answers",
-			     (int)c->table_answers),
-		   0);
+	exchange_reply_json(x, 200,
+			    json_pack("{s:b,s:b}", "healthy", 1,
+				      "table_answers", (int)c->table_answers),
+			    0);
 }
 
 static void get_ready(struct caller *c, struct http_exchange *x)
 {
-	reply_json(x, is_ready(c) ? 200 : 503,
-		   json_pack("{s:b}", "ready", (int)is_ready(c)), 0);
+	exchange_reply_json(x, is_ready(c) ? 200 : 503,
+			    json_pack("{s:b}", "ready", (int)is_ready(c)), 0);
 }
 
 static void post_drain(struct caller *c, struct http_exchange *x)
@@ -352,7 +339,7 @@
 		.tag = MSG_LEAVE, .from = TASK_CALLER, .to = TASK_CALLER};
 
 	bus_post(c->env->bus, &m);
-	reply_json(x, 202, json_pack("{s:b}", "leaving", 1), 0);
+	exchange_reply_json(x, 202, json_pack("{s:b}", "leaving", 1), 0);
 }
 
 struct route {
--- a/daemon/jobs.c
+++ b/daemon/jobs.c
@@ -208,6 +208,12 @@
 	g_hash_table_remove(j->pending, &w->ticket);
 }
 
+static void pending_accepted(struct jobs *j, struct pending *w, json_t *body)
+{
+	post_accepted(j->env->bus, &w->asked, body);
+	g_hash_table_remove(j->pending, &w->ticket);
+}
+
 static void pending_send(struct jobs *j, struct pending *w, uint64_t expect)
 {
 	w->tries++;
@@ -376,10 +382,10 @@
 		event_add(j->env->events, "cancelling", name,
 			  json_str_or(w->value, "account", ""), "asked for");
 	}
-	pending_end(j, w, verdict_ran(),
-		    json_pack("{s:s,s:s,s:I}", "job", name, "state",
-			      json_str_or(w->value, "state", ""), "version",
-			      (json_int_t)version));
+	pending_accepted(j, w,
+			 json_pack("{s:s,s:s,s:I}", "job", name, "state",
+				   json_str_or(w->value, "state", ""),
+				   "version", (json_int_t)version));
 }
 
 /* Some row with this key exists: ours, the same job, or another one. */
@@ -405,11 +411,11 @@
 			return;
 		}
 	}
-	pending_end(j, w, verdict_ran(),
-		    json_pack("{s:s,s:s,s:I,s:b}", "job",
-			      w->key + strlen(PREFIX), "state",
-			      json_str_or(value, "state", ""), "version",
-			      (json_int_t)version, "existing", 1));
+	pending_accepted(j, w,
+			 json_pack("{s:s,s:s,s:I,s:b}", "job",
+				   w->key + strlen(PREFIX), "state",
+				   json_str_or(value, "state", ""), "version",
+				   (json_int_t)version, "existing", 1));
 }
 
 static void cancel_send(struct jobs *j, struct pending *w);
--- a/daemon/message.c
+++ b/daemon/message.c
@@ -136,9 +136,8 @@
 	bus_post(b, &m);
 }
 
-/* Answer a question with a verdict and a body, which is taken. */
-void post_report(struct bus *b, const struct message *asked, struct verdict v,
-		 json_t *body)
+static void report(struct bus *b, const struct message *asked, int status,
+		   struct verdict v, json_t *body)
 {
 	struct message m = {.tag = MSG_REPORT,
 			    .from = asked->to,
@@ -146,10 +145,24 @@
 			    .ticket = asked->ticket};
 
 	m.report.verdict = v;
+	m.report.status = status;
 	m.report.body = body;
 	bus_post(b, &m);
 }
 
+/* Answer a question with a verdict and a body, which is taken. */
+void post_report(struct bus *b, const struct message *asked, struct verdict v,
+		 json_t *body)
+{
+	report(b, asked, 0, v, body);
+}
+
+/* Answer that a job is recorded and goes on from here: status 202. */
+void post_accepted(struct bus *b, const struct message *asked, json_t *body)
+{
+	report(b, asked, 202, verdict_ran(), body);
+}
+
 /* Send a message whose content is one JSON value, which is taken. */
 void post_json(struct bus *b, enum message_tag tag, enum task_id from,
 	       enum task_id to, json_t *v)
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -164,6 +164,7 @@
 	       const char *key);
 void post_report(struct bus *b, const struct message *asked, struct verdict v,
 		 json_t *body);
+void post_accepted(struct bus *b, const struct message *asked, json_t *body);
 void post_json(struct bus *b, enum message_tag tag, enum task_id from,
 	       enum task_id to, json_t *v);
 
--- a/fake/platform.c
+++ b/fake/platform.c
@@ -55,11 +55,7 @@
 
 static void reply(struct http_exchange *x, int status, json_t *v)
 {
-	char *s = json_dumps(v, JSON_COMPACT);
-
-	exchange_reply(x, status, "application/json", s, 0);
-	free(s);
-	json_decref(v);
+	exchange_reply_json(x, status, v, 0);
 }
 
 static void row_free(void *p)
--- a/lib/counter.c
+++ b/lib/counter.c
@@ -106,17 +106,6 @@
 	g_free(k);
 }
 
-/* Return the value of a counter; 0 when it was never added to. */
-uint64_t counter_get(const struct counters *c, const char *name,
-		     const char *label)
-{
-	char *k = key_of(name, label);
-	uint64_t *v = g_hash_table_lookup(c->values, k);
-
-	g_free(k);
-	return v ? *v : 0;
-}
-
 /* Count a duration of us microseconds under name. */
 void latency_add(struct counters *c, const char *name, uint64_t us)
 {
--- a/lib/counter.h
+++ b/lib/counter.h
@@ -23,8 +23,6 @@
 void counters_destroy(struct counters *c);
 void counter_add(struct counters *c, const char *name, const char *label,
 		 uint64_t n);
-uint64_t counter_get(const struct counters *c, const char *name,
-		     const char *label);
 void latency_add(struct counters *c, const char *name, uint64_t us);
 char *counters_text(const struct counters *c);
 
--- a/lib/http.h
+++ b/lib/http.h
@@ -2,6 +2,7 @@
 #ifndef LIB_HTTP_H
 #define LIB_HTTP_H
 
+#include <jansson.h>
 #include <netinet/in.h>
 #include <stdbool.h>
 #include <stddef.h>
@@ -64,5 +65,7 @@
 char *exchange_query(const struct http_exchange *x, const char *name);
 void exchange_reply(struct http_exchange *x, int status, const char *type,
 		    const char *body, uint32_t retry_after_ms);
+void exchange_reply_json(struct http_exchange *x, int status, json_t *v,
+			 uint32_t retry_after_ms);
 
 #endif
--- a/lib/httpserver.c
+++ b/lib/httpserver.c
@@ -149,6 +149,17 @@
 	g_free(x);
 }
 
+/* Answer x with the value v, which is taken. */
+void exchange_reply_json(struct http_exchange *x, int status, json_t *v,
+			 uint32_t retry_after_ms)
+{
+	char *s = json_dumps(v, JSON_COMPACT | JSON_PRESERVE_ORDER);
+
+	exchange_reply(x, status, "application/json", s, retry_after_ms);
+	free(s);
+	json_decref(v);
+}
+
 static void on_accept(h2o_socket_t *listener, const char *err)
 {
 	struct http_server *s = listener->data;
--- a/lib/loop.c
+++ b/lib/loop.c
@@ -202,12 +202,6 @@
 	l->stopped = true;
 }
 
-/* Report whether loop_stop was called. */
-bool loop_stopped(const struct loop *l)
-{
-	return l->stopped;
-}
-
 /* Call idle(arg) at the end of each round, to deliver messages. */
 void loop_on_idle(struct loop *l, void (*idle)(void *arg), void *arg)
 {
--- a/lib/loop.h
+++ b/lib/loop.h
@@ -21,7 +21,6 @@
 void loop_run(struct loop *l);
 void loop_step(struct loop *l, uint32_t max_wait_ms);
 void loop_stop(struct loop *l);
-bool loop_stopped(const struct loop *l);
 void loop_on_idle(struct loop *l, void (*idle)(void *arg), void *arg);
 void loop_on_signal(struct loop *l, void (*fire)(void *arg, int signo),
 		    void *arg);
--- a/sched/sched.c
+++ b/sched/sched.c
@@ -43,13 +43,6 @@
 	[CLASS_QUIET] = "quiet",
 };
 
-static const char *const state_names[] = {
-	[JOB_WAITING] = "waiting",
-	[JOB_CLAIMING] = "claiming",
-	[JOB_PLACED] = "placed",
-	[JOB_EVICTING] = "evicting",
-};
-
 static void *grow(void *p, size_t n)
 {
 	p = realloc(p, n);
@@ -76,12 +69,6 @@
 	return class_names[c];
 }
 
-/* Return the word for st in answers. */
-const char *job_state_name(enum job_state st)
-{
-	return state_names[st];
-}
-
 /* Create a scheduler over site, which it owns from now on. */
 struct sched *sched_create(struct site *site, enum policy policy,
 			   const struct sched_limits *limits)
@@ -116,12 +103,6 @@
 	return s->site;
 }
 
-/* Replace the limits; jobs that wait already are kept. */
-void sched_set_limits(struct sched *s, const struct sched_limits *limits)
-{
-	s->limits = *limits;
-}
-
 static struct account_state *account_of(struct sched *s, uint32_t a)
 {
 	while (s->accounts_len <= a) {
--- a/sched/sched.h
+++ b/sched/sched.h
@@ -60,7 +60,6 @@
 			   const struct sched_limits *limits);
 void sched_destroy(struct sched *s);
 struct site *sched_site(struct sched *s);
-void sched_set_limits(struct sched *s, const struct sched_limits *limits);
 void sched_set_weight(struct sched *s, uint32_t account, uint32_t weight);
 void sched_set_headroom(struct sched *s, uint32_t account,
 			uint32_t accelerators);
@@ -84,6 +83,5 @@
 
 bool job_class_parse(const char *s, enum job_class *c);
 const char *job_class_name(enum job_class c);
-const char *job_state_name(enum job_state st);
 
 #endif
