--- a/Makefile
+++ b/Makefile
@@ -11,17 +11,20 @@
 
 LIB = $(wildcard lib/*.c) proto/peer.pb-c.c
 SCHED = $(wildcard sched/*.c config/*.c)
-DAEMON = $(filter-out daemon/main.c,$(wildcard daemon/*.c))
+JOINT = $(wildcard platform/*.c lead/*.c entry/*.c)
+DAEMON = $(filter-out daemon/main.c,$(wildcard daemon/*.c)) $(JOINT)
 CTL = $(wildcard ctl/*.c)
 
 obj = $(patsubst %.c,$(OUT)/obj/%.o,$(1))
 
 PROGRAMS = lacewingd lacewingctl platform worker cutter load model
 BINARIES = $(addprefix $(OUT)/,$(PROGRAMS))
-SOURCES = $(filter-out proto/%,$(wildcard */*.c)) $(wildcard lib/*.h sched/*.h config/*.h daemon/*.h ctl/*.h fake/*.h load/*.h test/*.h)
+SOURCES = $(filter-out proto/%,$(wildcard */*.c)) $(wildcard */*.h)
 
 all: $(BINARIES)
 
+lacewingd: $(OUT)/lacewingd
+
 $(OUT)/obj/%.o: %.c
 	@mkdir -p $(@D)
 	@echo "  CC    $<"
@@ -108,4 +111,4 @@
 	rm -rf $(OUT)
 
 # the process tests link the library; the fuzz is built by clang alone
-.PHONY: all tests fuzz format lint packages check demo measure capacity clean
+.PHONY: all lacewingd tests fuzz format lint packages check demo measure capacity clean
--- /dev/null
+++ b/config/policy.c
@@ -0,0 +1,87 @@
+/* Queues by route, accounts by key. */
+#include <string.h>
+
+#include "config/policy.h"
+
+/* Create an empty policy. */
+struct policy *policy_create(uint64_t version)
+{
+	struct policy *p = g_new0(struct policy, 1);
+
+	p->version = version;
+	return p;
+}
+
+/* Free p. */
+void policy_destroy(struct policy *p)
+{
+	if (!p)
+		return;
+	for (uint32_t i = 0; i < p->accounts_len; i++)
+		g_strfreev(p->accounts[i].keys);
+	g_free(p->queues);
+	g_free(p->services);
+	g_free(p->accounts);
+	g_free(p);
+}
+
+/* Append a queue whose fields are all 0. */
+struct queue *policy_add_queue(struct policy *p)
+{
+	p->queues = g_renew(struct queue, p->queues, p->queues_len + 1);
+	memset(&p->queues[p->queues_len], 0, sizeof(struct queue));
+	return &p->queues[p->queues_len++];
+}
+
+/* Append a service whose fields are all 0. */
+struct service *policy_add_service(struct policy *p)
+{
+	p->services = g_renew(struct service, p->services, p->services_len + 1);
+	memset(&p->services[p->services_len], 0, sizeof(struct service));
+	return &p->services[p->services_len++];
+}
+
+/* Append an account whose fields are all 0. */
+struct account *policy_add_account(struct policy *p)
+{
+	p->accounts = g_renew(struct account, p->accounts, p->accounts_len + 1);
+	memset(&p->accounts[p->accounts_len], 0, sizeof(struct account));
+	return &p->accounts[p->accounts_len++];
+}
+
+/* Return the queue of host with the longest prefix of path, or NULL. */
+const struct queue *policy_route(const struct policy *p, const char *host,
+				 const char *path)
+{
+	const struct queue *best = NULL;
+
+	for (uint32_t i = 0; i < p->queues_len; i++) {
+		const struct queue *q = &p->queues[i];
+
+		if (g_ascii_strcasecmp(q->host, host) ||
+		    !g_str_has_prefix(path, q->prefix))
+			continue;
+		if (!best || strlen(q->prefix) > strlen(best->prefix))
+			best = q;
+	}
+	return best;
+}
+
+/* Return the queue of this name, or NULL. */
+const struct queue *policy_queue(const struct policy *p, const char *name)
+{
+	for (uint32_t i = 0; p && i < p->queues_len; i++)
+		if (!strcmp(p->queues[i].name, name))
+			return &p->queues[i];
+	return NULL;
+}
+
+/* Return the account that has the key, or NULL. */
+const struct account *policy_key(const struct policy *p, const char *key)
+{
+	for (uint32_t i = 0; i < p->accounts_len; i++)
+		for (char **k = p->accounts[i].keys; *k; k++)
+			if (!strcmp(*k, key))
+				return &p->accounts[i];
+	return NULL;
+}
--- /dev/null
+++ b/config/policy.h
@@ -0,0 +1,60 @@
+/*
+ * What the operators of a joint platform configure: queues, services and
+ * client accounts.  A policy does not change once it has been read.
+ */
+#ifndef CONFIG_POLICY_H
+#define CONFIG_POLICY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "sched/work.h"
+
+struct queue {
+	char name[LABEL_BYTES];
+	char host[128];
+	char prefix[256];
+	char service[LABEL_BYTES];
+	uint32_t priority; /* 0 is the most urgent */
+	uint32_t max_attempts;
+	uint32_t timeout_ms;
+	uint64_t target_ms; /* added to slack times the chain of work */
+	double slack;
+	bool open; /* no key is asked for */
+	bool advised; /* an advisor says which upstreams may run a step */
+};
+
+struct service {
+	char name[LABEL_BYTES];
+	bool guards; /* its upstreams refuse what does not fit */
+	bool standby;
+};
+
+struct account {
+	char name[LABEL_BYTES];
+	char **keys; /* ends in NULL */
+	int64_t guaranteed; /* accelerators; 0: none */
+};
+
+struct policy {
+	uint64_t version;
+	uint32_t queues_len;
+	struct queue *queues;
+	uint32_t services_len;
+	struct service *services;
+	uint32_t accounts_len;
+	struct account *accounts;
+	uint32_t max_body_bytes;
+};
+
+struct policy *policy_create(uint64_t version);
+void policy_destroy(struct policy *p);
+struct queue *policy_add_queue(struct policy *p);
+struct service *policy_add_service(struct policy *p);
+struct account *policy_add_account(struct policy *p);
+const struct queue *policy_route(const struct policy *p, const char *host,
+				 const char *path);
+const struct queue *policy_queue(const struct policy *p, const char *name);
+const struct account *policy_key(const struct policy *p, const char *key);
+
+#endif
--- /dev/null
+++ b/daemon/joint.c
@@ -0,0 +1,292 @@
+/*
+ * An instance on the joint platform: it wires the tasks, follows the
+ * three tables, says whether it is ready, and stops gracefully.
+ */
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "daemon/joint.h"
+#include "entry/entry.h"
+#include "lead/lead.h"
+#include "lead/record.h"
+#include "lib/log.h"
+#include "platform/decode.h"
+
+/* How long one call of a feed is held by the store. */
+#define FEED_WAIT_MS 1000
+/* An instance whose newest answer of the store is older is not ready. */
+#define READY_AGE_MS 2500
+#define STOP_POLL_MS 20
+/* After SIGTERM, listen for this long beyond the time in which the
+ * balancer notices. */
+#define DRAIN_SLACK_MS 400
+/* Leave this much of the time before SIGKILL unused. */
+#define GRACE_SLACK_MS 500
+
+struct joint {
+	struct joint_settings *settings;
+	const char *file;
+	struct loop *loop;
+	struct http_client *http;
+	struct counters *counters;
+	struct rows *rows;
+	struct follower *ours;
+	struct follower *upstreams;
+	struct follower *operators;
+	struct policy *policy;
+	struct entry *entry;
+	struct lead *lead;
+	struct http_server *readiness;
+	struct http_server *metrics;
+	struct timer stop_timer;
+	uint64_t leave_ms; /* when the stop began, or 0 */
+	bool closed;
+	bool was_ready;
+};
+
+static void our_row(void *arg, const char *key, const char *value,
+		    uint64_t version)
+{
+	struct joint *j = arg;
+
+	entry_row(j->entry, key, value);
+	lead_row(j->lead, key, value, version);
+}
+
+static void our_answer(void *arg)
+{
+	lead_answered(((struct joint *)arg)->lead);
+}
+
+static void upstream_row(void *arg, const char *key, const char *value,
+			 uint64_t version)
+{
+	(void)version;
+	lead_upstream(((struct joint *)arg)->lead, key, value);
+}
+
+static void operator_row(void *arg, const char *key, const char *value,
+			 uint64_t version)
+{
+	struct joint *j = arg;
+	struct policy *p, *before = j->policy;
+
+	(void)version;
+	if (strcmp(key, "config") || !value)
+		return;
+	p = decode_policy(value);
+	if (!p || (before && p->version <= before->version)) {
+		log_fields(LOG_WARN, "policy_refused", "{s:I,s:I}", "version",
+			   (json_int_t)(p ? p->version : 0), "present",
+			   (json_int_t)(before ? before->version : 0));
+		policy_destroy(p);
+		return;
+	}
+	j->policy = p;
+	entry_policy(j->entry, p);
+	lead_policy(j->lead, p);
+	log_fields(LOG_INFO, "policy", "{s:I,s:I,s:i,s:i}", "version",
+		   (json_int_t)p->version, "before",
+		   (json_int_t)(before ? before->version : 0), "queues",
+		   (int)p->queues_len, "accounts", (int)p->accounts_len);
+	policy_destroy(before);
+}
+
+static bool ready(const struct joint *j)
+{
+	return !j->leave_ms && j->policy && follower_complete(j->ours) &&
+	       follower_age_ms(j->ours) < READY_AGE_MS;
+}
+
+static void on_readiness(void *arg, struct http_exchange *x)
+{
+	struct joint *j = arg;
+	bool is = ready(j);
+
+	if (is != j->was_ready)
+		log_fields(LOG_INFO, "ready", "{s:b,s:I,s:I,s:b}", "ready", is,
+			   "policy",
+			   (json_int_t)(j->policy ? j->policy->version : 0),
+			   "table_age_ms", (json_int_t)follower_age_ms(j->ours),
+			   "leaving", j->leave_ms != 0);
+	j->was_ready = is;
+	exchange_reply(x, is ? 200 : 503, "text/plain", is ? "ready\n" : "no\n",
+		       0);
+}
+
+static void on_metrics(void *arg, struct http_exchange *x)
+{
+	struct joint *j = arg;
+	char *s = counters_text(j->counters);
+	char *all = g_strdup_printf(
+		"%slacewing_leads %d\nlacewing_ready %d\n"
+		"lacewing_log_lost %llu\n",
+		s, lead_leads(j->lead), ready(j),
+		(unsigned long long)log_lost());
+
+	exchange_reply(x, 200, "text/plain", all, 0);
+	g_free(all);
+	g_free(s);
+}
+
+/* Wait out the balancer, then the open requests, then end the loop. */
+static void on_stopping(void *arg)
+{
+	struct joint *j = arg;
+	const struct joint_settings *s = j->settings;
+	uint64_t gone = clock_mono_ms() - j->leave_ms;
+	uint64_t most = s->grace_ms > 2 * GRACE_SLACK_MS
+				? s->grace_ms - GRACE_SLACK_MS
+				: s->grace_ms / 2;
+
+	if (gone >= s->drain_ms + DRAIN_SLACK_MS && !j->closed) {
+		j->closed = true;
+		entry_close(j->entry);
+	}
+	if ((j->closed && !entry_open(j->entry)) || gone >= most) {
+		loop_stop(j->loop);
+		return;
+	}
+	timer_start(j->loop, &j->stop_timer, STOP_POLL_MS);
+}
+
+/* Read the settings again; addresses cannot change in a process. */
+static void reload(struct joint *j)
+{
+	struct problems *p = problems_create(j->file);
+	struct joint_settings *s = joint_settings_load(j->file, p);
+	char *text = problems_text(p);
+
+	if (s) {
+		log_open("lacewingd", j->settings->instance, s->log_level);
+		j->settings->lease_ms = s->lease_ms;
+		j->settings->stop_ms = s->stop_ms;
+		j->settings->gang_wait_ms = s->gang_wait_ms;
+		j->settings->checkpoint_ms = s->checkpoint_ms;
+		j->settings->remote_factor = s->remote_factor;
+		j->settings->keep_ended_ms = s->keep_ended_ms;
+		j->settings->drain_ms = s->drain_ms;
+		j->settings->grace_ms = s->grace_ms;
+	}
+	log_fields(s ? LOG_INFO : LOG_ERROR, "reload", "{s:b,s:s}", "taken",
+		   s != NULL, "problems", text);
+	joint_settings_destroy(s);
+	g_free(text);
+	problems_destroy(p);
+}
+
+static void on_signal(void *arg, int signo)
+{
+	struct joint *j = arg;
+
+	if (signo == SIGHUP) {
+		reload(j);
+		return;
+	}
+	if (j->leave_ms)
+		return;
+	log_fields(LOG_INFO, "stopping", "{s:i,s:i,s:b}", "signal", signo,
+		   "open", (int)entry_open(j->entry), "leads",
+		   lead_leads(j->lead));
+	j->leave_ms = clock_mono_ms();
+	entry_drain(j->entry);
+	lead_retire(j->lead);
+	timer_start(j->loop, &j->stop_timer, STOP_POLL_MS);
+}
+
+static void follow(struct joint *j)
+{
+	struct follower_events ours = {.changed = our_row,
+				       .answered = our_answer};
+	struct follower_events list = {.changed = upstream_row,
+				       .answered = our_answer};
+	struct follower_events op = {.changed = operator_row,
+				     .answered = our_answer};
+
+	j->ours = follower_create(j->loop, j->rows, OUR_TABLE, FEED_WAIT_MS,
+				  &ours, j);
+	j->upstreams = follower_create(j->loop, j->rows, "servers",
+				       FEED_WAIT_MS, &list, j);
+	j->operators = follower_create(j->loop, j->rows, "op", FEED_WAIT_MS,
+				       &op, j);
+}
+
+static bool create(struct joint *j)
+{
+	const struct joint_settings *s = j->settings;
+	struct entry_env ee;
+	struct lead_env le;
+
+	j->loop = loop_create();
+	j->counters = counters_create();
+	j->http = http_client_create(j->loop);
+	j->rows = rows_create(j->http, &s->store);
+	timer_init(&j->stop_timer, on_stopping, j);
+	loop_on_signal(j->loop, on_signal, j);
+	follow(j);
+	ee = (struct entry_env){.loop = j->loop,
+				.rows = j->rows,
+				.counters = j->counters,
+				.settings = s,
+				.ours = j->ours};
+	le = (struct lead_env){.loop = j->loop,
+			       .http = j->http,
+			       .rows = j->rows,
+			       .counters = j->counters,
+			       .settings = s,
+			       .ours = j->ours,
+			       .upstreams = j->upstreams,
+			       .incarnation = clock_wall_ms()};
+	j->lead = lead_create(&le);
+	j->entry = entry_create(&ee);
+	j->readiness = http_server_create(j->loop, &s->readiness, 1024,
+					  on_readiness, j);
+	j->metrics =
+		http_server_create(j->loop, &s->metrics, 1024, on_metrics, j);
+	return j->entry && j->readiness && j->metrics;
+}
+
+static void destroy(struct joint *j)
+{
+	rows_destroy(j->rows);
+	entry_destroy(j->entry);
+	lead_destroy(j->lead);
+	http_server_destroy(j->readiness);
+	http_server_destroy(j->metrics);
+	follower_destroy(j->ours);
+	follower_destroy(j->upstreams);
+	follower_destroy(j->operators);
+	policy_destroy(j->policy);
+	http_client_destroy(j->http);
+	counters_destroy(j->counters);
+	loop_destroy(j->loop);
+}
+
+/*
+ * Run an instance until it is told to stop; s was read from file.
+ * Returns the exit status.
+ */
+int joint_run(struct joint_settings *s, const char *file)
+{
+	struct joint j = {.settings = s, .file = file};
+	int rc = 1;
+
+	signal(SIGPIPE, SIG_IGN);
+	log_open("lacewingd", s->instance, s->log_level);
+	if (!create(&j)) {
+		log_line(LOG_ERROR, "listen_failed", "an address is in use");
+		goto out;
+	}
+	log_fields(LOG_INFO, "started", "{s:s,s:I}", "domain", s->domain,
+		   "lease_ms", (json_int_t)s->lease_ms);
+	loop_run(j.loop);
+	log_fields(LOG_INFO, "stopped", "{s:i,s:I}", "open",
+		   (int)entry_open(j.entry), "log_lost",
+		   (json_int_t)log_lost());
+	rc = 0;
+out:
+	destroy(&j);
+	return rc;
+}
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -7,6 +7,7 @@
 #include "daemon/caller.h"
 #include "daemon/check.h"
 #include "daemon/decider.h"
+#include "daemon/joint.h"
 #include "daemon/jobs.h"
 #include "daemon/peer.h"
 #include "daemon/store.h"
@@ -54,6 +55,11 @@
 	struct message m = {
 		.tag = MSG_LEAVE, .from = TASK_CALLER, .to = TASK_CALLER};
 
+	if (signo == SIGHUP) {
+		log_line(LOG_WARN, "reload",
+			 "these settings are read at the start only");
+		return;
+	}
 	if (in->leave_ms) {
 		log_line(LOG_WARN, "stopping_now", "second signal %d", signo);
 		loop_stop(in->env.loop);
@@ -146,6 +152,7 @@
 	GOptionContext *o = g_option_context_new("- scheduler instance");
 	struct problems *p = NULL;
 	struct settings *s = NULL;
+	struct joint_settings *joint = NULL;
 	char *file = NULL, *text;
 	gboolean check = FALSE;
 	GError *err = NULL;
@@ -165,15 +172,22 @@
 		goto out;
 	}
 	p = problems_create(file);
-	s = settings_load(file, p);
-	if (!s) {
+	if (joint_settings_named(file))
+		joint = joint_settings_load(file, p);
+	else
+		s = settings_load(file, p);
+	if (!s && !joint) {
 		text = problems_text(p);
 		fprintf(stderr, "%s", text);
 		g_free(text);
 		goto out;
 	}
-	rc = check ? 0 : run(s);
+	if (check)
+		rc = 0;
+	else
+		rc = joint ? joint_run(joint, file) : run(s);
 out:
+	joint_settings_destroy(joint);
 	settings_destroy(s);
 	problems_destroy(p);
 	g_clear_error(&err);
--- /dev/null
+++ b/entry/board.c
@@ -0,0 +1,96 @@
+/* The board: one entry a job, from the rows job/, run/ and cancel/. */
+#include <jansson.h>
+#include <string.h>
+
+#include "entry/board.h"
+#include "lead/record.h"
+#include "lib/schema.h"
+
+struct board {
+	GHashTable *jobs; /* id to struct board_job */
+};
+
+/* Create an empty board. */
+struct board *board_create(void)
+{
+	struct board *b = g_new0(struct board, 1);
+
+	b->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					g_free);
+	return b;
+}
+
+/* Free b. */
+void board_destroy(struct board *b)
+{
+	if (!b)
+		return;
+	g_hash_table_destroy(b->jobs);
+	g_free(b);
+}
+
+static struct board_job *entry_of(struct board *b, const char *id)
+{
+	struct board_job *j = g_hash_table_lookup(b->jobs, id);
+
+	if (!j) {
+		j = g_new0(struct board_job, 1);
+		g_hash_table_insert(b->jobs, g_strdup(id), j);
+	}
+	return j;
+}
+
+static void job_row(struct board *b, const char *id, const char *value)
+{
+	json_t *v;
+	struct board_job *j;
+
+	if (!value) {
+		g_hash_table_remove(b->jobs, id);
+		return;
+	}
+	v = json_loads(value, 0, NULL);
+	j = entry_of(b, id);
+	g_strlcpy(j->queue, json_str_or(v, "queue", ""), sizeof(j->queue));
+	g_strlcpy(j->account, json_str_or(v, "account", ""),
+		  sizeof(j->account));
+	j->timed = json_int_or(v, "repeat", 0) > 0;
+	json_decref(v);
+}
+
+/* Take in a row; value NULL: it was removed. */
+void board_row(struct board *b, const char *key, const char *value)
+{
+	if (g_str_has_prefix(key, KEY_JOB))
+		job_row(b, key + strlen(KEY_JOB), value);
+	else if (g_str_has_prefix(key, KEY_RUN) && value)
+		run_decode_state(value,
+				 &entry_of(b, key + strlen(KEY_RUN))->state);
+	else if (g_str_has_prefix(key, KEY_CANCEL) && value)
+		entry_of(b, key + strlen(KEY_CANCEL))->cancelled = true;
+}
+
+/* Return what is known of a job, or NULL. */
+const struct board_job *board_find(const struct board *b, const char *id)
+{
+	const struct board_job *j = g_hash_table_lookup(b->jobs, id);
+
+	return j && *j->queue ? j : NULL;
+}
+
+/* Return how many accepted jobs of a queue have not begun. */
+uint64_t board_pending(const struct board *b, const char *queue)
+{
+	GHashTableIter it;
+	gpointer v;
+	uint64_t n = 0;
+
+	g_hash_table_iter_init(&it, b->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct board_job *j = v;
+
+		n += j->state == JOB_QUEUED && !j->cancelled &&
+		     !strcmp(j->queue, queue);
+	}
+	return n;
+}
--- /dev/null
+++ b/entry/entry.h
@@ -0,0 +1,31 @@
+/*
+ * The entry task: the callers of the joint platform.  It accepts jobs,
+ * answers for their states, and cancels.
+ */
+#ifndef ENTRY_ENTRY_H
+#define ENTRY_ENTRY_H
+
+#include "config/policy.h"
+#include "lead/follower.h"
+#include "lib/counter.h"
+#include "platform/settings.h"
+
+struct entry;
+
+struct entry_env {
+	struct loop *loop;
+	struct rows *rows;
+	struct counters *counters;
+	const struct joint_settings *settings;
+	struct follower *ours;
+};
+
+struct entry *entry_create(const struct entry_env *e);
+void entry_destroy(struct entry *n);
+void entry_row(struct entry *n, const char *key, const char *value);
+void entry_policy(struct entry *n, const struct policy *p);
+void entry_drain(struct entry *n);
+void entry_close(struct entry *n);
+uint32_t entry_open(const struct entry *n);
+
+#endif
--- /dev/null
+++ b/lead/follower.c
@@ -0,0 +1,306 @@
+/*
+ * A follower reads the whole table once, then waits on the feed.  When
+ * the feed's history is gone it reads the table again.  Connections may
+ * go silent, so each call has a time-out shortly above its wait.
+ */
+#include <string.h>
+
+#include "lead/follower.h"
+#include "lib/log.h"
+
+/* An answer may take this long beyond the wait: the store slowed down
+ * to sixty times its time for a call. */
+#define ANSWER_MS 600
+/* Pause after a failed call, doubled up to the second figure. */
+#define RETRY_MS 60
+#define RETRY_MAX_MS 250
+#define PAGE_ROWS 500
+
+struct stored_row {
+	char *value;
+	uint64_t version;
+	uint32_t seen; /* in the read with this number */
+};
+
+struct follower {
+	struct loop *loop;
+	struct rows *rows;
+	char *table;
+	uint32_t wait_ms;
+	uint32_t gap_ms;
+	struct follower_events ev;
+	void *arg;
+	GTree *copy; /* key to struct stored_row, in order */
+	bool complete;
+	uint32_t read_number;
+	uint64_t read_version; /* of the first page */
+	char *next_key;
+	uint64_t version;
+	uint64_t answered_ms; /* of the newest answer, 0: none */
+	uint64_t since_ms;    /* answers without a failure since */
+	uint64_t store_ms;    /* the store's clock at answered_ms */
+	uint32_t failures;
+	struct timer timer;
+};
+
+static void go_on(void *arg);
+
+static void stored_free(void *p)
+{
+	struct stored_row *s = p;
+
+	g_free(s->value);
+	g_free(s);
+}
+
+static gint compare(gconstpointer a, gconstpointer b, gpointer arg)
+{
+	(void)arg;
+	return strcmp(a, b);
+}
+
+/*
+ * Follow a table.  Each call of the feed waits for at most wait_ms in
+ * the store.  The callbacks never come from inside this function.
+ */
+struct follower *follower_create(struct loop *l, struct rows *r,
+				 const char *table, uint32_t wait_ms,
+				 const struct follower_events *ev, void *arg)
+{
+	struct follower *f = g_new0(struct follower, 1);
+
+	f->loop = l;
+	f->rows = r;
+	f->table = g_strdup(table);
+	f->wait_ms = wait_ms;
+	f->ev = *ev;
+	f->arg = arg;
+	f->copy = g_tree_new_full(compare, NULL, g_free, stored_free);
+	f->next_key = g_strdup("");
+	timer_init(&f->timer, go_on, f);
+	timer_start(l, &f->timer, 0);
+	return f;
+}
+
+/* Free f, whose store client must have been destroyed before. */
+void follower_destroy(struct follower *f)
+{
+	if (!f)
+		return;
+	timer_stop(f->loop, &f->timer);
+	g_tree_destroy(f->copy);
+	g_free(f->next_key);
+	g_free(f->table);
+	g_free(f);
+}
+
+/* Report whether the whole table has been read. */
+bool follower_complete(const struct follower *f)
+{
+	return f->complete;
+}
+
+/* Return how old the newest answer is; UINT64_MAX: there was none. */
+uint64_t follower_age_ms(const struct follower *f)
+{
+	return f->answered_ms ? clock_mono_ms() - f->answered_ms : UINT64_MAX;
+}
+
+/* Return since when every call was answered; 0: the last was not. */
+uint64_t follower_answered_since_ms(const struct follower *f)
+{
+	return f->since_ms;
+}
+
+/* Return the version up to which the copy holds everything. */
+uint64_t follower_version(const struct follower *f)
+{
+	return f->version;
+}
+
+/* Return the store's steady clock as far as it is known. */
+uint64_t follower_store_ms(const struct follower *f)
+{
+	if (!f->answered_ms)
+		return 0;
+	return f->store_ms + (clock_mono_ms() - f->answered_ms);
+}
+
+/* Pause between an answer and the next call of the feed. */
+void follower_set_gap(struct follower *f, uint32_t gap_ms)
+{
+	f->gap_ms = gap_ms;
+	if (!gap_ms && timer_running(&f->timer) && !f->failures)
+		timer_start(f->loop, &f->timer, 0);
+}
+
+/* Return the value of a row, or NULL; version may be NULL. */
+const char *follower_get(const struct follower *f, const char *key,
+			 uint64_t *version)
+{
+	const struct stored_row *s = g_tree_lookup(f->copy, key);
+
+	if (version)
+		*version = s ? s->version : 0;
+	return s ? s->value : NULL;
+}
+
+struct visit {
+	const char *prefix;
+	row_changed_fn fn;
+	void *arg;
+};
+
+static gboolean visit_row(gpointer key, gpointer value, gpointer arg)
+{
+	const struct visit *v = arg;
+	const struct stored_row *s = value;
+
+	if (g_str_has_prefix(key, v->prefix))
+		v->fn(v->arg, key, s->value, s->version);
+	return FALSE;
+}
+
+/* Call fn for each row whose key begins so. */
+void follower_each(const struct follower *f, const char *prefix,
+		   row_changed_fn fn, void *arg)
+{
+	struct visit v = {prefix, fn, arg};
+
+	g_tree_foreach(f->copy, visit_row, &v);
+}
+
+static void apply(struct follower *f, const struct row *row)
+{
+	struct stored_row *s = g_tree_lookup(f->copy, row->key);
+
+	if (!row->value) {
+		if (!s)
+			return;
+		f->ev.changed(f->arg, row->key, NULL, row->version);
+		g_tree_remove(f->copy, row->key);
+		return;
+	}
+	if (s && s->version >= row->version) {
+		s->seen = f->read_number;
+		return;
+	}
+	s = g_new0(struct stored_row, 1);
+	s->value = g_strdup(row->value);
+	s->version = row->version;
+	s->seen = f->read_number;
+	g_tree_replace(f->copy, g_strdup(row->key), s);
+	f->ev.changed(f->arg, row->key, s->value, s->version);
+}
+
+struct unseen {
+	uint32_t number;
+	GPtrArray *keys;
+};
+
+static gboolean note_unseen(gpointer key, gpointer value, gpointer arg)
+{
+	struct unseen *u = arg;
+
+	if (((struct stored_row *)value)->seen != u->number)
+		g_ptr_array_add(u->keys, g_strdup(key));
+	return FALSE;
+}
+
+/* Remove the rows that a whole read has not found. */
+static void remove_unseen(struct follower *f)
+{
+	struct unseen u = {f->read_number,
+			   g_ptr_array_new_with_free_func(g_free)};
+
+	g_tree_foreach(f->copy, note_unseen, &u);
+	for (guint i = 0; i < u.keys->len; i++) {
+		struct row gone = {.key = g_ptr_array_index(u.keys, i)};
+
+		apply(f, &gone);
+	}
+	g_ptr_array_free(u.keys, TRUE);
+}
+
+static void set_next_key(struct follower *f, char *key)
+{
+	g_free(f->next_key);
+	f->next_key = key;
+}
+
+static void page_read(struct follower *f, const struct rows_answer *a)
+{
+	if (!*f->next_key)
+		f->read_version = a->version;
+	if (a->more && a->len) {
+		/* the next key in order */
+		set_next_key(f, g_strconcat(a->list[a->len - 1].key, "\001",
+					    NULL));
+		return;
+	}
+	remove_unseen(f);
+	set_next_key(f, g_strdup(""));
+	f->complete = true;
+	f->version = f->read_version;
+}
+
+static void note_failure(struct follower *f, const struct rows_answer *a)
+{
+	uint32_t pause = MIN(RETRY_MS << MIN(f->failures, 4), RETRY_MAX_MS);
+
+	if (!f->failures++)
+		log_fields(LOG_WARN, "store_lost", "{s:s,s:s,s:I}", "table",
+			   f->table, "outcome", rows_outcome_name(a->outcome),
+			   "version", (json_int_t)f->version);
+	f->since_ms = 0;
+	if (f->ev.lost)
+		f->ev.lost(f->arg);
+	timer_start(f->loop, &f->timer, pause);
+}
+
+static void on_answer(void *arg, const struct rows_answer *a)
+{
+	struct follower *f = arg;
+
+	if (a->outcome == ROWS_COMPACTED) {
+		log_fields(LOG_WARN, "feed_compacted", "{s:s,s:I}", "table",
+			   f->table, "version", (json_int_t)f->version);
+		f->complete = false;
+		f->read_number++;
+		timer_start(f->loop, &f->timer, 0);
+		return;
+	}
+	if (a->outcome != ROWS_OK) {
+		note_failure(f, a);
+		return;
+	}
+	if (f->failures)
+		log_fields(LOG_INFO, "store_regained", "{s:s,s:i}", "table",
+			   f->table, "failures", (int)f->failures);
+	f->failures = 0;
+	f->answered_ms = clock_mono_ms();
+	f->store_ms = a->now_ms;
+	if (!f->since_ms)
+		f->since_ms = f->answered_ms;
+	for (uint32_t i = 0; i < a->len; i++)
+		apply(f, &a->list[i]);
+	if (!f->complete)
+		page_read(f, a);
+	else if (a->version > f->version)
+		f->version = a->version;
+	timer_start(f->loop, &f->timer, f->complete ? f->gap_ms : 0);
+	if (f->ev.answered)
+		f->ev.answered(f->arg);
+}
+
+static void go_on(void *arg)
+{
+	struct follower *f = arg;
+
+	if (f->complete)
+		rows_feed(f->rows, f->table, f->version, f->wait_ms,
+			  f->wait_ms + ANSWER_MS, on_answer, f);
+	else
+		rows_range(f->rows, f->table, f->next_key, PAGE_ROWS,
+			   ANSWER_MS, on_answer, f);
+}
--- /dev/null
+++ b/lead/keeper.c
@@ -0,0 +1,568 @@
+/*
+ * A keeper has at most one call for the lists open.  The upstream holds
+ * it until something ends, so an end is known at once; the next call
+ * extends the leases again.
+ */
+#include <string.h>
+
+#include "lead/keeper.h"
+#include "lib/log.h"
+
+/* The longest that a call for the lists is held: leases are extended at
+ * this interval, so it is taken off what is left of them in a cut. */
+#define HOLD_WAIT_MS 600
+/* Time for an answer beyond that. */
+#define ANSWER_MS 400
+/* Pause before the next call after a failed one. */
+#define RETRY_MS 120
+/* Time for the answer to an order; it is then sent again. */
+#define ORDER_MS 250
+/* Orders to start a run are sent again for this long, within the time
+ * that the other members of a gang wait. */
+#define START_PATIENCE_MS 1200
+/* The lease that comes with a start; the next call for lists extends it. */
+#define START_LEASE_MS 3000
+/* A clock of an upstream may be slow by one part in this many. */
+#define CLOCK_SLOW_PART 50
+#define CLOCK_SLACK_MS 30
+/* Pause before an order is sent again. */
+#define ORDER_RETRY_MS 30
+/* No new work is placed on an upstream that did not answer, refused for
+ * want of room, or called itself unhealthy. */
+#define AVOID_SILENT_MS 1000
+#define AVOID_FULL_MS 100
+
+struct keeper {
+	const struct keeper_env *env;
+	struct upstream *upstream;
+	struct orders *orders;
+	struct sockaddr_in address;
+	uint64_t born_wall_ms;
+	bool open;	       /* a call for the lists is in flight */
+	bool waiting;	       /* it is one that the upstream may hold */
+	uint64_t sent_ms;      /* when it was sent */
+	uint64_t seen;	       /* newest end that the model knows */
+	uint64_t marked;       /* newest end in the write in flight */
+	uint64_t acknowledged; /* newest end that the rows know */
+	uint64_t clock_ms;     /* the upstream's clock ... */
+	uint64_t clock_at_ms;  /* ... in an answer received then; 0: none */
+	uint64_t leases_end_ms; /* no lease lasts beyond it, on our clock */
+	uint32_t failures;
+	struct timer timer;
+	struct timer retry; /* of orders that were not answered */
+};
+
+/* An order in flight, by name: its task may be gone when it returns. */
+struct order {
+	struct keeper *keeper;
+	char task[TASK_NAME_BYTES];
+	uint32_t run;
+	uint64_t sent_ms;
+};
+
+static void call_lists(struct keeper *k);
+
+static void on_timer(void *arg)
+{
+	call_lists(arg);
+}
+
+/* Send again the orders that were not answered. */
+static void on_retry(void *arg)
+{
+	struct keeper *k = arg;
+	GPtrArray *tasks = k->upstream->tasks;
+
+	for (guint i = 0; i < tasks->len; i++) {
+		struct task *t = g_ptr_array_index(tasks, i);
+
+		if (!t->retry)
+			continue;
+		t->retry = false;
+		if (t->state == TASK_PLACED)
+			keeper_start(k, t);
+		else if (t->state == TASK_STOPPING && !t->stop_answered_ms)
+			keeper_stop(k, t);
+	}
+}
+
+static void order_again(struct keeper *k, struct task *t)
+{
+	t->retry = true;
+	if (!timer_running(&k->retry))
+		timer_start(k->env->loop, &k->retry, ORDER_RETRY_MS);
+}
+
+static void forget_life(struct keeper *k)
+{
+	k->seen = 0;
+	k->marked = 0;
+	k->acknowledged = 0;
+	k->clock_at_ms = 0;
+	k->leases_end_ms = 0;
+	k->upstream->commanded = false;
+}
+
+static void connect_to(struct keeper *k, const struct sockaddr_in *at)
+{
+	k->address = *at;
+	orders_destroy(k->orders);
+	k->open = false;
+	k->orders = orders_create(k->env->http, k->upstream->id, at);
+}
+
+static void apply_entry(struct keeper *k, const struct upstream_entry *e)
+{
+	struct upstream *u = k->upstream;
+	uint64_t now = clock_mono_ms();
+
+	g_strlcpy(u->service, e->service, sizeof(u->service));
+	g_strlcpy(u->domain, e->domain, sizeof(u->domain));
+	g_strlcpy(u->kind, e->kind, sizeof(u->kind));
+	g_strlcpy(u->rack, e->rack, sizeof(u->rack));
+	u->room = e->room;
+	u->state = e->draining ? UPSTREAM_DRAINING : UPSTREAM_READY;
+	if (e->draining && e->leaving_in_ms)
+		u->leaves_ms = now + e->leaving_in_ms;
+}
+
+/* Create the keeper of u, which calls for the lists at once. */
+struct keeper *keeper_create(const struct keeper_env *e, struct upstream *u,
+			     const struct upstream_entry *entry)
+{
+	struct keeper *k = g_new0(struct keeper, 1);
+
+	k->env = e;
+	k->upstream = u;
+	k->born_wall_ms = entry->born_wall_ms;
+	timer_init(&k->timer, on_timer, k);
+	timer_init(&k->retry, on_retry, k);
+	connect_to(k, &entry->address);
+	apply_entry(k, entry);
+	k->leases_end_ms = e->earlier_leases_ms;
+	timer_start(e->loop, &k->timer, 0);
+	return k;
+}
+
+/* Drop all calls and free k. */
+void keeper_destroy(struct keeper *k)
+{
+	if (!k)
+		return;
+	timer_stop(k->env->loop, &k->timer);
+	timer_stop(k->env->loop, &k->retry);
+	orders_destroy(k->orders);
+	g_free(k);
+}
+
+/* The upstream has a new life: all of the earlier one has ended. */
+static void reborn(struct keeper *k, uint64_t born_wall_ms)
+{
+	log_fields(LOG_INFO, "upstream_reborn", "{s:s,s:I,s:I}", "upstream",
+		   k->upstream->id, "born", (json_int_t)born_wall_ms, "before",
+		   (json_int_t)k->born_wall_ms);
+	model_lose_upstream(k->env->model, k->upstream, clock_mono_ms(),
+			    "restarted");
+	k->born_wall_ms = born_wall_ms;
+	forget_life(k);
+	k->env->events.changed(k->env->arg);
+}
+
+/* Take in a newer entry of the platform's list. */
+void keeper_entry(struct keeper *k, const struct upstream_entry *entry)
+{
+	enum upstream_state before = k->upstream->state;
+
+	if (entry->born_wall_ms > k->born_wall_ms)
+		reborn(k, entry->born_wall_ms);
+	if (entry->address.sin_addr.s_addr != k->address.sin_addr.s_addr ||
+	    entry->address.sin_port != k->address.sin_port)
+		connect_to(k, &entry->address);
+	apply_entry(k, entry);
+	if (k->upstream->state != before)
+		log_fields(LOG_INFO, "upstream_state", "{s:s,s:i,s:i}",
+			   "upstream", k->upstream->id, "from", (int)before,
+			   "to", (int)k->upstream->state);
+	keeper_poke(k);
+}
+
+/* Return which life of the upstream is talked to. */
+uint64_t keeper_born(const struct keeper *k)
+{
+	return k->born_wall_ms;
+}
+
+/* A write that is about to be sent holds all ends seen so far. */
+void keeper_mark(struct keeper *k)
+{
+	k->marked = k->seen;
+}
+
+/* That write has taken effect: the ends may be forgotten there. */
+void keeper_recorded(struct keeper *k)
+{
+	k->acknowledged = MAX(k->acknowledged, k->marked);
+}
+
+/* Return the least that the upstream's clock can show now; 0: unknown. */
+static uint64_t clock_low(const struct keeper *k)
+{
+	uint64_t gone = clock_mono_ms() - k->clock_at_ms;
+
+	if (!k->clock_at_ms)
+		return 0;
+	return k->clock_ms + gone - gone / CLOCK_SLOW_PART;
+}
+
+/*
+ * Return the time on the upstream's clock up to which to ask for a lease
+ * of ms, and note until when it can last; 0 when its clock is unknown.
+ */
+static uint64_t ask_lease(struct keeper *k, uint32_t ms)
+{
+	uint64_t now = clock_mono_ms();
+	uint64_t low = clock_low(k);
+	uint64_t most = ms + ms / (CLOCK_SLOW_PART - 1) + CLOCK_SLACK_MS;
+
+	if (!low)
+		return 0;
+	k->leases_end_ms = MAX(k->leases_end_ms, now + most);
+	return low + ms;
+}
+
+static bool has_work(const struct keeper *k)
+{
+	const struct upstream *u = k->upstream;
+
+	return u->tasks->len || k->seen > k->acknowledged ||
+	       (!u->commanded && u->state != UPSTREAM_GONE);
+}
+
+static void stray_answer(void *arg, const struct order_answer *a)
+{
+	(void)a; /* asked again when it is listed again */
+	g_free(arg);
+}
+
+static void stop_strays(struct keeper *k, const GArray *strays)
+{
+	for (guint i = 0; i < strays->len; i++) {
+		const struct stray *s = &g_array_index(strays, struct stray, i);
+		struct order *o = g_new0(struct order, 1);
+
+		log_fields(LOG_WARN, "stray_run", "{s:s,s:I,s:s}", "task",
+			   s->task, "run", (json_int_t)s->run, "upstream",
+			   k->upstream->id);
+		orders_stop(k->orders, s->task, s->run, k->env->epoch, ORDER_MS,
+			    stray_answer, o);
+	}
+}
+
+static void apply_lists(struct keeper *k, const struct order_answer *a)
+{
+	GArray *strays = g_array_new(FALSE, FALSE, sizeof(struct stray));
+	uint64_t now = clock_mono_ms();
+
+	k->seen = model_apply_lists(k->env->model, k->upstream, a, k->sent_ms,
+				    now, k->seen, strays);
+	stop_strays(k, strays);
+	g_array_unref(strays);
+	if (!k->upstream->commanded) {
+		k->upstream->commanded = true;
+		log_fields(LOG_INFO, "upstream_commanded", "{s:s,s:I,s:i}",
+			   "upstream", k->upstream->id, "epoch",
+			   (json_int_t)k->env->epoch, "running",
+			   (int)a->running_len);
+	}
+}
+
+static void note_clock(struct keeper *k, const struct order_answer *a)
+{
+	if (!a->clock_ms)
+		return;
+	k->clock_ms = a->clock_ms;
+	k->clock_at_ms = clock_mono_ms();
+}
+
+/*
+ * Take in what any answer says of the upstream itself.  Returns false
+ * when the call's own meaning is void: another life has answered.
+ */
+static bool note_answer(struct keeper *k, const struct order_answer *a)
+{
+	switch (a->outcome) {
+	case ORDER_STALE_EPOCH:
+		log_fields(LOG_WARN, "epoch_refused", "{s:s,s:I}", "upstream",
+			   k->upstream->id, "epoch",
+			   (json_int_t)k->env->epoch);
+		k->env->events.stale(k->env->arg);
+		return false;
+	case ORDER_REPLACED:
+		model_lose_upstream(k->env->model, k->upstream,
+				    clock_mono_ms(), "replaced");
+		forget_life(k);
+		k->upstream->state = UPSTREAM_GONE;
+		k->env->events.changed(k->env->arg);
+		return false;
+	case ORDER_DONE:
+	case ORDER_OLD_RUN:
+	case ORDER_LATE:
+	case ORDER_NO_ROOM:
+	case ORDER_NO_TICKET:
+	case ORDER_BAD:
+	case ORDER_UNHEALTHY:
+	case ORDER_NOT_SENT:
+	case ORDER_UNKNOWN:
+		break;
+	}
+	if (a->born_wall_ms && a->born_wall_ms > k->born_wall_ms) {
+		reborn(k, a->born_wall_ms);
+		return false;
+	}
+	if (a->born_wall_ms && a->born_wall_ms < k->born_wall_ms)
+		return false; /* an answer of the life before */
+	note_clock(k, a);
+	return true;
+}
+
+static void avoid(struct keeper *k, uint32_t ms)
+{
+	uint64_t until = clock_mono_ms() + ms;
+
+	k->upstream->avoid_until_ms = MAX(k->upstream->avoid_until_ms, until);
+}
+
+/* The lists could not be had: see whether the leases have ended. */
+static void lists_failed(struct keeper *k, const struct order_answer *a)
+{
+	uint64_t now = clock_mono_ms();
+
+	if (!k->failures++)
+		log_fields(LOG_WARN, "upstream_silent", "{s:s,s:s,s:I}",
+			   "upstream", k->upstream->id, "outcome",
+			   order_outcome_name(a->outcome), "leases_end_in_ms",
+			   (json_int_t)k->leases_end_ms - (json_int_t)now);
+	avoid(k, AVOID_SILENT_MS);
+	if (k->upstream->tasks->len && now > k->leases_end_ms) {
+		model_lose_upstream(k->env->model, k->upstream, now,
+				    "leases ended");
+		k->env->events.changed(k->env->arg);
+	}
+	if (has_work(k))
+		timer_start(k->env->loop, &k->timer, RETRY_MS);
+}
+
+static void on_lists(void *arg, const struct order_answer *a)
+{
+	struct keeper *k = arg;
+	const struct keeper_env *env = k->env;
+	uint64_t before = k->seen;
+	bool commanded = k->upstream->commanded;
+
+	k->open = false;
+	if (!note_answer(k, a)) {
+		if (a->outcome != ORDER_STALE_EPOCH && has_work(k))
+			timer_start(env->loop, &k->timer, RETRY_MS);
+		return;
+	}
+	if (a->outcome != ORDER_DONE || !a->lists) {
+		lists_failed(k, a);
+		return;
+	}
+	if (k->failures)
+		log_fields(LOG_INFO, "upstream_answers", "{s:s,s:i}",
+			   "upstream", k->upstream->id, "failures",
+			   (int)k->failures);
+	k->failures = 0;
+	apply_lists(k, a);
+	if (has_work(k))
+		timer_start(env->loop, &k->timer, 0);
+	if (k->seen != before || !commanded)
+		env->events.changed(env->arg);
+}
+
+static void call_lists(struct keeper *k)
+{
+	uint64_t lease;
+	uint32_t wait = HOLD_WAIT_MS;
+
+	if (k->open)
+		return;
+	lease = ask_lease(k, k->env->settings->lease_ms);
+	if (!k->upstream->commanded || k->failures || !lease ||
+	    k->seen > k->acknowledged)
+		wait = 0;
+	k->open = true;
+	k->sent_ms = clock_mono_ms();
+	counter_add(k->env->counters, "upstream_lists", NULL, 1);
+	orders_hold(k->orders, lease, k->env->epoch, k->acknowledged, wait,
+		    wait + ANSWER_MS, on_lists, k);
+}
+
+/* Make sure that the lists are called for as long as there is work. */
+void keeper_poke(struct keeper *k)
+{
+	if (!k->open && !timer_running(&k->timer) && has_work(k))
+		timer_start(k->env->loop, &k->timer, 0);
+}
+
+/* Return the task of an order if it still has the same run on k. */
+static struct task *order_task(const struct order *o)
+{
+	struct task *t = model_task(o->keeper->env->model, o->task);
+
+	if (!t || t->run != o->run || !task_active(t) ||
+	    t->at != o->keeper->upstream)
+		return NULL;
+	return t;
+}
+
+static struct order *order_create(struct keeper *k, const struct task *t)
+{
+	struct order *o = g_new0(struct order, 1);
+
+	o->keeper = k;
+	o->run = t->run;
+	o->sent_ms = clock_mono_ms();
+	task_name(t, o->task, sizeof(o->task));
+	return o;
+}
+
+static void start_failed(struct keeper *k, struct task *t,
+			 const struct order *o, enum order_outcome outcome)
+{
+	log_fields(LOG_WARN, "start_failed", "{s:s,s:s,s:I,s:s,s:s,s:b}", "job",
+		   t->stage->job->id, "task", o->task, "run",
+		   (json_int_t)o->run, "upstream", k->upstream->id, "outcome",
+		   order_outcome_name(outcome), "uncertain", t->uncertain);
+	if (t->uncertain) {
+		t->state = TASK_STOPPING;
+		keeper_stop(k, t);
+	} else {
+		task_end(t, RUN_NEVER, NULL, clock_mono_ms());
+	}
+	k->env->events.changed(k->env->arg);
+}
+
+static void start_again(struct keeper *k, struct task *t,
+			const struct order *o, enum order_outcome outcome)
+{
+	if (t->state == TASK_PLACED &&
+	    clock_mono_ms() < t->placed_ms + START_PATIENCE_MS) {
+		order_again(k, t);
+		return;
+	}
+	avoid(k, AVOID_SILENT_MS);
+	start_failed(k, t, o, outcome);
+}
+
+static void start_answered(struct keeper *k, struct task *t,
+			   const struct order *o, enum order_outcome outcome)
+{
+	switch (outcome) {
+	case ORDER_DONE:
+		task_confirm(t, clock_mono_ms());
+		latency_add(k->env->counters, "start",
+			    (clock_mono_ms() - t->placed_ms) * 1000);
+		if (t->state == TASK_STOPPING)
+			keeper_stop(k, t);
+		break;
+	case ORDER_UNKNOWN:
+		t->uncertain = true;
+		start_again(k, t, o, outcome);
+		break;
+	case ORDER_NOT_SENT:
+		start_again(k, t, o, outcome);
+		break;
+	case ORDER_OLD_RUN:
+		t->uncertain = false;
+		start_failed(k, t, o, outcome);
+		break;
+	case ORDER_NO_ROOM:
+		avoid(k, AVOID_FULL_MS);
+		start_failed(k, t, o, outcome);
+		break;
+	case ORDER_UNHEALTHY:
+		avoid(k, AVOID_SILENT_MS);
+		start_failed(k, t, o, outcome);
+		break;
+	case ORDER_LATE:
+	case ORDER_NO_TICKET:
+		start_failed(k, t, o, outcome);
+		break;
+	case ORDER_BAD:
+		t->uncertain = false;
+		task_end(t, RUN_FAILED, NULL, clock_mono_ms());
+		k->env->events.changed(k->env->arg);
+		break;
+	case ORDER_STALE_EPOCH:
+	case ORDER_REPLACED:
+		break; /* note_answer has dealt with it */
+	}
+}
+
+static void on_start(void *arg, const struct order_answer *a)
+{
+	struct order *o = arg;
+	struct keeper *k = o->keeper;
+	struct task *t;
+
+	if (note_answer(k, a)) {
+		t = order_task(o);
+		if (t)
+			start_answered(k, t, o, a->outcome);
+	}
+	g_free(o);
+}
+
+/* Order the upstream to start the newest run of t, which is recorded. */
+void keeper_start(struct keeper *k, struct task *t)
+{
+	struct order *o = order_create(k, t);
+	struct start_order s = {
+		.task = o->task,
+		.run = t->run,
+		.payload = t->stage->job->payload,
+		.checkpoint = t->checkpoint,
+		.lease_clock_ms = ask_lease(
+			k, MIN(START_LEASE_MS, k->env->settings->lease_ms)),
+		.epoch = k->env->epoch,
+	};
+
+	t->sent = true;
+	counter_add(k->env->counters, "orders", "kind=\"start\"", 1);
+	orders_start(k->orders, &s, ORDER_MS, on_start, o);
+	keeper_poke(k);
+}
+
+static void on_stop(void *arg, const struct order_answer *a)
+{
+	struct order *o = arg;
+	struct keeper *k = o->keeper;
+	struct task *t = NULL;
+
+	if (note_answer(k, a))
+		t = order_task(o);
+	if (t && a->outcome == ORDER_DONE) {
+		t->stop_answered_ms = clock_mono_ms();
+		keeper_poke(k);
+	} else if (t) {
+		order_again(k, t);
+		log_fields(LOG_WARN, "stop_failed", "{s:s,s:s,s:s}", "task",
+			   o->task, "upstream", k->upstream->id, "outcome",
+			   order_outcome_name(a->outcome));
+		keeper_poke(k);
+	}
+	g_free(o);
+}
+
+/* Order the upstream to stop the newest run of t, and never start it. */
+void keeper_stop(struct keeper *k, struct task *t)
+{
+	struct order *o = order_create(k, t);
+
+	counter_add(k->env->counters, "orders", "kind=\"stop\"", 1);
+	orders_stop(k->orders, o->task, o->run, k->env->epoch, ORDER_MS,
+		    on_stop, o);
+	keeper_poke(k);
+}
--- /dev/null
+++ b/lead/lead.h
@@ -0,0 +1,36 @@
+/*
+ * The lead task.  On every instance it follows the owner row; on the one
+ * that leads it holds the model, decides, records and gives orders.
+ */
+#ifndef LEAD_LEAD_H
+#define LEAD_LEAD_H
+
+#include "config/policy.h"
+#include "lead/follower.h"
+#include "lib/counter.h"
+#include "platform/settings.h"
+
+struct lead;
+
+struct lead_env {
+	struct loop *loop;
+	struct http_client *http;
+	struct rows *rows;
+	struct counters *counters;
+	const struct joint_settings *settings;
+	struct follower *ours;	    /* our table */
+	struct follower *upstreams; /* the platform's list */
+	uint64_t incarnation;
+};
+
+struct lead *lead_create(const struct lead_env *e);
+void lead_destroy(struct lead *d);
+void lead_row(struct lead *d, const char *key, const char *value,
+	      uint64_t version);
+void lead_upstream(struct lead *d, const char *id, const char *value);
+void lead_policy(struct lead *d, const struct policy *p);
+void lead_answered(struct lead *d);
+void lead_retire(struct lead *d);
+bool lead_leads(const struct lead *d);
+
+#endif
--- /dev/null
+++ b/lead/model.c
@@ -0,0 +1,245 @@
+/* The leader's beliefs and how lists of upstreams change them. */
+#include <string.h>
+
+#include "lead/model.h"
+#include "lib/log.h"
+
+/* A list of ends that is this long may have been cut. */
+#define LIST_PAGE 500
+
+static void job_free(void *p)
+{
+	struct job *j = p;
+
+	for (uint32_t i = 0; i < j->stages_len; i++)
+		for (uint32_t k = 0; k < j->stages[i].step->count; k++)
+			if (j->stages[i].tasks[k].at)
+				fleet_release(&j->stages[i].tasks[k]);
+	job_destroy(j);
+}
+
+/* Create a model without jobs and upstreams. */
+struct model *model_create(void)
+{
+	struct model *m = g_new0(struct model, 1);
+
+	m->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					job_free);
+	m->live = g_ptr_array_new();
+	m->fleet = fleet_create();
+	return m;
+}
+
+/* Free m with its jobs and upstreams. */
+void model_destroy(struct model *m)
+{
+	if (!m)
+		return;
+	g_ptr_array_free(m->live, TRUE);
+	g_hash_table_destroy(m->jobs);
+	fleet_destroy(m->fleet);
+	g_free(m);
+}
+
+/* Take over j, which must have been laid out. */
+void model_add_job(struct model *m, struct job *j)
+{
+	g_hash_table_insert(m->jobs, j->id, j);
+	g_ptr_array_add(m->live, j);
+}
+
+/* Forget a job. */
+void model_remove_job(struct model *m, const char *id)
+{
+	struct job *j = model_job(m, id);
+
+	if (!j)
+		return;
+	g_ptr_array_remove(m->live, j);
+	g_hash_table_remove(m->jobs, id);
+}
+
+/* Find a job by its id; NULL when there is none. */
+struct job *model_job(const struct model *m, const char *id)
+{
+	return g_hash_table_lookup(m->jobs, id);
+}
+
+/* Find a task by its name; NULL when there is none. */
+struct task *model_task(const struct model *m, const char *name)
+{
+	char id[JOB_ID_BYTES];
+	uint32_t occurrence, step, index;
+	struct job *j;
+
+	if (!task_name_parse(name, id, &occurrence, &step, &index))
+		return NULL;
+	j = model_job(m, id);
+	return j ? job_task(j, occurrence, step, index) : NULL;
+}
+
+static void job_apply_policy(struct job *j, const struct policy *p)
+{
+	const struct queue *q = policy_queue(p, j->queue);
+
+	/* a job outlives its queue: it goes on where the queue last led */
+	if (!q)
+		return;
+	j->queue_known = true;
+	g_strlcpy(j->service, q->service, sizeof(j->service));
+	j->priority = q->priority;
+	j->max_attempts = MAX(q->max_attempts, 1);
+	j->slack = q->slack;
+	j->target_ms = q->target_ms;
+}
+
+/* Give every job what the policy says of its queue. */
+void model_apply_policy(struct model *m, const struct policy *p)
+{
+	for (guint i = 0; p && i < m->live->len; i++)
+		job_apply_policy(g_ptr_array_index(m->live, i), p);
+}
+
+/* Report whether any task of j occupies room. */
+static bool job_occupies(const struct job *j)
+{
+	for (uint32_t i = 0; i < j->stages_len; i++)
+		if (!stage_idle(&j->stages[i]))
+			return true;
+	return false;
+}
+
+/* Settle the live jobs, and drop those that are over and stopped. */
+void model_sweep(struct model *m, uint64_t store_now_ms)
+{
+	for (guint i = m->live->len; i-- > 0;) {
+		struct job *j = g_ptr_array_index(m->live, i);
+
+		job_settle(j, store_now_ms);
+		if (job_over(j) && !job_occupies(j) && !j->dirty)
+			g_ptr_array_remove_index_fast(m->live, i);
+	}
+}
+
+static void end_task(struct task *t, enum run_end how, const char *checkpoint,
+		     struct upstream *u, uint64_t now_ms)
+{
+	char name[TASK_NAME_BYTES];
+
+	task_name(t, name, sizeof(name));
+	log_fields(LOG_INFO, "run_ended", "{s:s,s:s,s:I,s:s,s:s,s:I,s:b}",
+		   "job", t->stage->job->id, "task", name, "run",
+		   (json_int_t)t->run, "how", run_end_name(how), "upstream",
+		   u->id, "after_ms", (json_int_t)(now_ms - t->placed_ms),
+		   "stopping", t->state == TASK_STOPPING);
+	if (how == RUN_FAILED)
+		upstream_note_failure(u, t->stage->job, now_ms);
+	if (how == RUN_DONE)
+		upstream_note_success(u);
+	task_end(t, how, checkpoint, now_ms);
+}
+
+static uint64_t apply_ends(struct model *m, struct upstream *u,
+			   const struct order_answer *a, uint64_t now_ms,
+			   uint64_t seen)
+{
+	for (uint32_t i = 0; i < a->ended_len; i++) {
+		const struct end_row *e = &a->ended[i];
+		struct task *t;
+
+		if (e->number <= seen)
+			continue;
+		seen = e->number;
+		t = model_task(m, e->task);
+		if (t && task_active(t) && t->at == u && t->run == e->run)
+			end_task(t, e->how, e->checkpoint, u, now_ms);
+	}
+	return seen;
+}
+
+static void note_stray(GArray *strays, const struct run_row *r)
+{
+	struct stray s = {.run = r->run};
+
+	g_strlcpy(s.task, r->task, sizeof(s.task));
+	g_array_append_val(strays, s);
+}
+
+static void apply_running(struct model *m, struct upstream *u,
+			  const struct order_answer *a, uint64_t now_ms,
+			  GHashTable *there, GArray *strays)
+{
+	for (uint32_t i = 0; i < a->running_len; i++) {
+		const struct run_row *r = &a->running[i];
+		struct task *t = model_task(m, r->task);
+
+		if (!t || !task_active(t) || t->at != u || t->run != r->run) {
+			note_stray(strays, r);
+			continue;
+		}
+		g_hash_table_add(there, t);
+		t->percent = r->percent;
+		if (*r->checkpoint &&
+		    g_strcmp0(t->checkpoint, r->checkpoint)) {
+			g_free(t->checkpoint);
+			t->checkpoint = g_strdup(r->checkpoint);
+		}
+		task_confirm(t, now_ms);
+	}
+}
+
+/*
+ * Report whether t, which is in neither list of an answer to a call sent
+ * at sent_ms, is certain not to run and never to start.
+ */
+static bool certainly_absent(const struct task *t, uint64_t sent_ms)
+{
+	if (t->inherited)
+		return true; /* the call carried our epoch before any order */
+	if (t->state == TASK_STOPPING)
+		return t->stop_answered_ms && t->stop_answered_ms <= sent_ms;
+	return t->confirmed_ms >= t->placed_ms && t->confirmed_ms &&
+	       t->confirmed_ms <= sent_ms;
+}
+
+/*
+ * Take in the lists of u from an answer to a call sent at sent_ms.  Ends
+ * up to `seen` were taken in before; returns the newest one.  Runs that
+ * u must stop are added to strays.
+ */
+uint64_t model_apply_lists(struct model *m, struct upstream *u,
+			   const struct order_answer *a, uint64_t sent_ms,
+			   uint64_t now_ms, uint64_t seen, GArray *strays)
+{
+	GHashTable *there = g_hash_table_new(NULL, NULL);
+	GPtrArray *absent = g_ptr_array_new();
+
+	seen = apply_ends(m, u, a, now_ms, seen);
+	apply_running(m, u, a, now_ms, there, strays);
+	for (guint i = 0; i < u->tasks->len; i++) {
+		struct task *t = g_ptr_array_index(u->tasks, i);
+
+		if (a->ended_len < LIST_PAGE &&
+		    !g_hash_table_contains(there, t) &&
+		    certainly_absent(t, sent_ms))
+			g_ptr_array_add(absent, t);
+	}
+	for (guint i = 0; i < absent->len; i++)
+		end_task(g_ptr_array_index(absent, i), RUN_NEVER, NULL, u,
+			 now_ms);
+	g_ptr_array_free(absent, TRUE);
+	g_hash_table_destroy(there);
+	return seen;
+}
+
+/* All that ran on u has ended with it, or with its lease. */
+void model_lose_upstream(struct model *m, struct upstream *u,
+			 uint64_t now_ms, const char *why)
+{
+	(void)m;
+	log_fields(LOG_WARN, "upstream_lost", "{s:s,s:s,s:i}", "upstream",
+		   u->id, "why", why, "tasks", (int)u->tasks->len);
+	while (u->tasks->len)
+		end_task(g_ptr_array_index(u->tasks, 0), RUN_LOST, NULL, u,
+			 now_ms);
+}
--- /dev/null
+++ b/lead/model.h
@@ -0,0 +1,40 @@
+/*
+ * What the leader believes: the jobs, the fleet, and which runs are
+ * where.  It takes in the lists of upstreams and answers to orders; it
+ * does no I/O, so that recovery can be tested without a network.
+ */
+#ifndef LEAD_MODEL_H
+#define LEAD_MODEL_H
+
+#include "config/policy.h"
+#include "platform/orders.h"
+#include "sched/dispatch.h"
+
+struct model {
+	GHashTable *jobs; /* id to struct job, owned */
+	GPtrArray *live;  /* jobs that are not over, or occupy room */
+	struct fleet *fleet;
+};
+
+/* A run that an upstream must stop though no task of ours has it. */
+struct stray {
+	char task[TASK_NAME_BYTES];
+	uint32_t run;
+};
+
+struct model *model_create(void);
+void model_destroy(struct model *m);
+void model_add_job(struct model *m, struct job *j);
+void model_remove_job(struct model *m, const char *id);
+struct job *model_job(const struct model *m, const char *id);
+struct task *model_task(const struct model *m, const char *name);
+void model_apply_policy(struct model *m, const struct policy *p);
+void model_sweep(struct model *m, uint64_t store_now_ms);
+
+uint64_t model_apply_lists(struct model *m, struct upstream *u,
+			   const struct order_answer *a, uint64_t sent_ms,
+			   uint64_t now_ms, uint64_t seen, GArray *strays);
+void model_lose_upstream(struct model *m, struct upstream *u,
+			 uint64_t now_ms, const char *why);
+
+#endif
--- a/lib/http.h
+++ b/lib/http.h
@@ -42,6 +42,10 @@
 				  const char *path, const char *body,
 				  uint32_t timeout_ms, http_done_fn done,
 				  void *arg);
+struct http_call *http_call_send(struct http_pool *p, const char *method,
+				 const char *path, const char *headers,
+				 const char *body, uint32_t timeout_ms,
+				 http_done_fn done, void *arg);
 void http_call_cancel(struct http_call *call);
 
 /* Server */
@@ -58,11 +62,15 @@
 void http_server_destroy(struct http_server *s);
 void http_server_stop_accepting(struct http_server *s);
 void http_server_close_after_reply(struct http_server *s);
+uint32_t http_server_open(const struct http_server *s);
 
 const char *exchange_method(const struct http_exchange *x);
 const char *exchange_path(const struct http_exchange *x);
 const char *exchange_body(const struct http_exchange *x, size_t *len);
 char *exchange_query(const struct http_exchange *x, const char *name);
+char *exchange_header(const struct http_exchange *x, const char *name);
+char *exchange_host(const struct http_exchange *x);
+bool exchange_open(const struct http_exchange *x);
 void exchange_reply(struct http_exchange *x, int status, const char *type,
 		    const char *body, uint32_t retry_after_ms);
 void exchange_reply_json(struct http_exchange *x, int status, json_t *v,
--- a/lib/httpclient.c
+++ b/lib/httpclient.c
@@ -287,15 +287,16 @@
 }
 
 static char *request_text(const struct http_pool *p, const char *method,
-			  const char *path, const char *body)
+			  const char *path, const char *headers,
+			  const char *body)
 {
 	char host[ADDRESS_TEXT_BYTES];
 
 	address_format(&p->peer, host, sizeof(host));
 	return g_strdup_printf("%s %s HTTP/1.1\r\nhost: %s\r\n"
 			       "content-type: application/json\r\n"
-			       "content-length: %zu\r\n\r\n%s",
-			       method, path, host, strlen(body), body);
+			       "%scontent-length: %zu\r\n\r\n%s",
+			       method, path, host, headers, strlen(body), body);
 }
 
 /*
@@ -307,6 +308,18 @@
 				  const char *path, const char *body,
 				  uint32_t timeout_ms, http_done_fn done,
 				  void *arg)
+{
+	return http_call_send(p, method, path, "", body, timeout_ms, done, arg);
+}
+
+/*
+ * Send one request as http_call_start does, with further header lines,
+ * each of which ends in CR LF.
+ */
+struct http_call *http_call_send(struct http_pool *p, const char *method,
+				 const char *path, const char *headers,
+				 const char *body, uint32_t timeout_ms,
+				 http_done_fn done, void *arg)
 {
 	struct http_call *call;
 
@@ -319,7 +332,7 @@
 	call->done = done;
 	call->arg = arg;
 	call->body = g_byte_array_new();
-	call->request = request_text(p, method, path, body ? body : "");
+	call->request = request_text(p, method, path, headers, body ? body : "");
 	call->iov = h2o_iovec_init(call->request, strlen(call->request));
 	g_hash_table_add(p->calls, call);
 	timer_init(&call->timer, call_timeout, call);
--- a/lib/httpserver.c
+++ b/lib/httpserver.c
@@ -6,6 +6,9 @@
 
 #include "lib/http.h"
 
+/* An idle connection is kept for longer than callers keep theirs. */
+#define IDLE_TIMEOUT_MS 60000
+
 struct http_server {
 	struct loop *loop;
 	h2o_globalconf_t config;
@@ -14,7 +17,8 @@
 	h2o_socket_t *listener;
 	http_handler_fn fn;
 	void *arg;
-	bool closing; /* each connection ends with its next answer */
+	bool closing;	/* each connection ends with its next answer */
+	uint32_t open;	/* exchanges that have not been answered */
 };
 
 struct handler {
@@ -56,6 +60,7 @@
 				     req->path.len - n - 1);
 	}
 	x->server = s;
+	s->open++;
 	x->req = req;
 	x->method = g_strndup(req->method.base, req->method.len);
 	x->path = g_strndup(req->path.base, n);
@@ -105,9 +110,65 @@
 	return value;
 }
 
+/*
+ * Return the value of a header of the request, or NULL when there is
+ * none or the client has gone; free with g_free.
+ */
+char *exchange_header(const struct http_exchange *x, const char *name)
+{
+	ssize_t i = -1;
+
+	if (!x->req)
+		return NULL;
+	i = h2o_find_header_by_str(&x->req->headers, name, strlen(name), -1);
+	if (i < 0)
+		return NULL;
+	return g_strndup(x->req->headers.entries[i].value.base,
+			 x->req->headers.entries[i].value.len);
+}
+
+/* Return the host that the request names; free with g_free. */
+char *exchange_host(const struct http_exchange *x)
+{
+	if (!x->req)
+		return g_strdup("");
+	return g_strndup(x->req->input.authority.base,
+			 x->req->input.authority.len);
+}
+
+/* Report whether the client still waits for an answer. */
+bool exchange_open(const struct http_exchange *x)
+{
+	return x->req != NULL;
+}
+
 static const char *status_text(int status)
 {
-	return status < 300 ? "OK" : "Not OK";
+	static const struct {
+		int status;
+		const char *text;
+	} texts[] = {{200, "OK"},
+		     {201, "Created"},
+		     {202, "Accepted"},
+		     {400, "Bad Request"},
+		     {401, "Unauthorized"},
+		     {403, "Forbidden"},
+		     {404, "Not Found"},
+		     {405, "Method Not Allowed"},
+		     {409, "Conflict"},
+		     {410, "Gone"},
+		     {413, "Payload Too Large"},
+		     {422, "Unprocessable Entity"},
+		     {429, "Too Many Requests"},
+		     {500, "Internal Server Error"},
+		     {502, "Bad Gateway"},
+		     {503, "Service Unavailable"},
+		     {504, "Gateway Timeout"}};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		if (texts[i].status == status)
+			return texts[i].text;
+	return status < 300 ? "OK" : "Error";
 }
 
 /*
@@ -142,6 +203,7 @@
 	*x->ref = NULL;
 	h2o_send_inline(req, v.base, v.len);
 out:
+	x->server->open--;
 	g_free(x->method);
 	g_free(x->path);
 	g_free(x->query);
@@ -195,6 +257,7 @@
 	s->arg = arg;
 	h2o_config_init(&s->config);
 	s->config.max_request_entity_size = max_body;
+	s->config.http1.req_timeout = IDLE_TIMEOUT_MS;
 	s->config.server_name = h2o_iovec_init(H2O_STRLIT("lacewingspur"));
 	host = h2o_config_register_host(
 		&s->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
@@ -218,6 +281,12 @@
 	s->closing = true;
 }
 
+/* Return how many requests have been read and not answered. */
+uint32_t http_server_open(const struct http_server *s)
+{
+	return s->open;
+}
+
 /* Close the listening socket and ask open connections to end. */
 void http_server_stop_accepting(struct http_server *s)
 {
--- a/lib/log.c
+++ b/lib/log.c
@@ -2,7 +2,10 @@
  * The logger.  A record has a time, level, program, instance, an event
  * name and a text.  The same event name is written at most LOG_BURST
  * times a second; the next record then says how many were dropped.
+ * Records go to standard output, and are lost rather than waited for
+ * when it is a pipe that nobody reads.
  */
+#include <poll.h>
 #include <stdarg.h>
 #include <stdint.h>
 #include <stdio.h>
@@ -14,9 +17,10 @@
 #include "lib/log.h"
 #include "lib/loop.h"
 
-#define LOG_BURST 20
+#define LOG_BURST 40
 #define LOG_KINDS 64
 #define LOG_TEXT_BYTES 512
+#define LOG_LINE_BYTES 4096 /* PIPE_BUF */
 
 struct log_kind {
 	char what[32];
@@ -30,6 +34,7 @@
 static char instance_name[64];
 static enum log_level min_level = LOG_INFO;
 static struct log_kind kinds[LOG_KINDS];
+static uint64_t lost;
 
 /* Name the program and instance of every later record. */
 void log_open(const char *program, const char *instance, enum log_level min)
@@ -86,29 +91,85 @@
 	return true;
 }
 
+static json_t *record(enum log_level lv, const char *what, uint32_t dropped)
+{
+	json_t *r = json_pack("{s:I,s:I,s:s,s:s,s:s,s:s}", "time_ms",
+			      (json_int_t)clock_wall_ms(), "mono_ms",
+			      (json_int_t)clock_mono_ms(), "level",
+			      level_names[lv], "program", program_name,
+			      "instance", instance_name, "event", what);
+
+	if (dropped)
+		json_object_set_new(r, "dropped", json_integer(dropped));
+	return r;
+}
+
+/*
+ * Write r, which is taken, as one line.  A pipe that is writable takes
+ * PIPE_BUF bytes without blocking; longer records are cut to that.
+ */
+static void emit(json_t *r)
+{
+	char *s = json_dumps(r, JSON_COMPACT | JSON_PRESERVE_ORDER);
+	struct pollfd p = {.fd = STDOUT_FILENO, .events = POLLOUT};
+	char line[LOG_LINE_BYTES];
+	int n;
+
+	json_decref(r);
+	if (!s)
+		return;
+	n = snprintf(line, sizeof(line) - 1, "%s", s);
+	if (n > (int)sizeof(line) - 2)
+		n = sizeof(line) - 2;
+	line[n++] = '\n';
+	free(s);
+	if (poll(&p, 1, 0) != 1 || !(p.revents & POLLOUT) ||
+	    write(STDOUT_FILENO, line, n) != n)
+		lost++;
+}
+
+/* Return how many records were lost because nobody read the output. */
+uint64_t log_lost(void)
+{
+	return lost;
+}
+
 /* Write one record of event what at level lv. */
 void log_line(enum log_level lv, const char *what, const char *fmt, ...)
 {
 	char text[LOG_TEXT_BYTES];
-	uint64_t now = clock_wall_ms();
 	uint32_t dropped;
 	va_list ap;
 	json_t *r;
-	char *s;
 
 	if (lv < min_level || !kind_admit(kind_find(what), &dropped))
 		return;
 	va_start(ap, fmt);
 	vsnprintf(text, sizeof(text), fmt, ap);
 	va_end(ap);
-	r = json_pack("{s:I,s:s,s:s,s:s,s:s,s:s*}", "time_ms", (json_int_t)now,
-		      "level", level_names[lv], "program", program_name,
-		      "instance", instance_name, "event", what, "text", text);
-	if (dropped)
-		json_object_set_new(r, "dropped", json_integer(dropped));
-	s = r ? json_dumps(r, JSON_COMPACT | JSON_PRESERVE_ORDER) : NULL;
-	if (s)
-		fprintf(stderr, "%s\n", s);
-	free(s);
-	json_decref(r);
+	r = record(lv, what, dropped);
+	json_object_set_new(r, "text", json_string(text));
+	emit(r);
+}
+
+/*
+ * Write one record of event what at level lv with the fields that fmt
+ * packs, as json_pack does.
+ */
+void log_fields(enum log_level lv, const char *what, const char *fmt, ...)
+{
+	uint32_t dropped;
+	va_list ap;
+	json_t *r, *fields;
+
+	if (lv < min_level || !kind_admit(kind_find(what), &dropped))
+		return;
+	va_start(ap, fmt);
+	fields = json_vpack_ex(NULL, 0, fmt, ap);
+	va_end(ap);
+	r = record(lv, what, dropped);
+	if (fields)
+		json_object_update(r, fields);
+	json_decref(fields);
+	emit(r);
 }
--- a/lib/log.h
+++ b/lib/log.h
@@ -1,8 +1,9 @@
-/* Structured logs: one JSON record a line on standard error. */
+/* Structured logs: one JSON record a line on standard output. */
 #ifndef LIB_LOG_H
 #define LIB_LOG_H
 
 #include <stdbool.h>
+#include <stdint.h>
 
 enum log_level { LOG_DEBUG, LOG_INFO, LOG_WARN, LOG_ERROR };
 
@@ -11,4 +12,13 @@
 void log_line(enum log_level lv, const char *what, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
 
+/*
+ * Write a record whose further fields are given as for json_pack: an
+ * object such as "{s:s,s:I}".
+ */
+void log_fields(enum log_level lv, const char *what, const char *fmt, ...);
+
+/* Return how many records were lost because nobody read the output. */
+uint64_t log_lost(void);
+
 #endif
--- a/lib/loop.c
+++ b/lib/loop.c
@@ -223,7 +223,7 @@
 	}
 }
 
-/* Deliver SIGTERM and SIGINT to fire(arg, signo) inside the loop. */
+/* Deliver SIGTERM, SIGINT and SIGHUP to fire(arg, signo) inside the loop. */
 void loop_on_signal(struct loop *l, void (*fire)(void *arg, int signo),
 		    void *arg)
 {
@@ -233,6 +233,7 @@
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
 	sigprocmask(SIG_BLOCK, &set, NULL);
 	fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
 	l->on_signal = fire;
--- /dev/null
+++ b/sched/dispatch.h
@@ -0,0 +1,48 @@
+/*
+ * The decision of what runs where: given the work, the fleet and the
+ * guarantees, start what has its turn and stop what has to make room.
+ */
+#ifndef SCHED_DISPATCH_H
+#define SCHED_DISPATCH_H
+
+#include "sched/fleet.h"
+
+enum stop_cause {
+	STOP_CANCELLED,
+	STOP_JOB_FAILED,
+	STOP_ROOM,    /* for work of a higher rank */
+	STOP_GANG,    /* another member has ended */
+	STOP_LEAVING, /* the upstream leaves before the task can end */
+	STOP_UNKNOWN, /* whether it runs is not known */
+};
+
+enum action_tag { ACTION_START, ACTION_STOP };
+
+struct action {
+	enum action_tag tag;
+	struct task *task;
+	union {
+		struct upstream *to;   /* ACTION_START */
+		enum stop_cause cause; /* ACTION_STOP */
+	} u;
+};
+
+struct guarantee_count {
+	const char *account;
+	int64_t accelerators;
+};
+
+struct dispatch_view {
+	GPtrArray *jobs; /* struct job, those that are not over */
+	struct fleet *fleet;
+	const struct guarantee_count *guarantees;
+	uint32_t guarantees_len;
+	uint64_t now_ms;
+	uint64_t wall_ms;
+	uint32_t checkpoint_ms; /* work between checkpoints */
+};
+
+GArray *dispatch(const struct dispatch_view *v);
+const char *stop_cause_name(enum stop_cause c);
+
+#endif
--- /dev/null
+++ b/sched/fleet.c
@@ -0,0 +1,151 @@
+/* The upstreams: what each has, what occupies it, whether it is sound. */
+#include <string.h>
+
+#include "sched/fleet.h"
+
+/* After failures of different jobs in a row an upstream is left alone
+ * for this long, doubled with each further one up to the maximum. */
+#define AVOID_MS 1500
+#define AVOID_MAX_MS 12000
+
+static void upstream_free(void *p)
+{
+	struct upstream *u = p;
+
+	g_ptr_array_free(u->tasks, TRUE);
+	g_free(u);
+}
+
+/* Create a fleet without upstreams. */
+struct fleet *fleet_create(void)
+{
+	struct fleet *f = g_new0(struct fleet, 1);
+
+	f->list = g_ptr_array_new_with_free_func(upstream_free);
+	f->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	return f;
+}
+
+/* Free f and its upstreams. */
+void fleet_destroy(struct fleet *f)
+{
+	if (!f)
+		return;
+	g_hash_table_destroy(f->by_id);
+	g_ptr_array_free(f->list, TRUE);
+	g_free(f);
+}
+
+/* Find an upstream by its id; NULL when there is none. */
+struct upstream *fleet_find(struct fleet *f, const char *id)
+{
+	return g_hash_table_lookup(f->by_id, id);
+}
+
+/* Add an upstream without room. */
+struct upstream *fleet_add(struct fleet *f, const char *id)
+{
+	struct upstream *u = g_new0(struct upstream, 1);
+
+	g_strlcpy(u->id, id, sizeof(u->id));
+	u->tasks = g_ptr_array_new();
+	u->number = f->list->len;
+	g_ptr_array_add(f->list, u);
+	g_hash_table_insert(f->by_id, u->id, u);
+	return u;
+}
+
+/* Remove and free u, which nothing may occupy. */
+void fleet_remove(struct fleet *f, struct upstream *u)
+{
+	g_hash_table_remove(f->by_id, u->id);
+	g_ptr_array_remove(f->list, u);
+	for (guint i = 0; i < f->list->len; i++)
+		((struct upstream *)g_ptr_array_index(f->list, i))->number = i;
+}
+
+/* Add (sign 1) or take away (sign -1) n. */
+void room_add(struct room *r, const struct room *n, int sign)
+{
+	r->cpu_milli += sign * n->cpu_milli;
+	r->memory_mb += sign * n->memory_mb;
+	r->accelerators += sign * n->accelerators;
+}
+
+/* Report whether `have` holds `need`. */
+bool room_holds(const struct room *have, const struct room *need)
+{
+	return have->cpu_milli >= need->cpu_milli &&
+	       have->memory_mb >= need->memory_mb &&
+	       have->accelerators >= need->accelerators;
+}
+
+/* Return what t occupies. */
+struct room task_room(const struct task *t)
+{
+	struct room r = t->stage->step->need;
+
+	if (t->stage->step->fills)
+		r.cpu_milli = 0;
+	return r;
+}
+
+/* Let t occupy room on u. */
+void fleet_occupy(struct upstream *u, struct task *t)
+{
+	struct room r = task_room(t);
+
+	t->at = u;
+	g_ptr_array_add(u->tasks, t);
+	room_add(&u->used, &r, 1);
+}
+
+/* Give back the room of t. */
+void fleet_release(struct task *t)
+{
+	struct room r = task_room(t);
+
+	room_add(&t->at->used, &r, -1);
+	g_ptr_array_remove_fast(t->at->tasks, t);
+	t->at = NULL;
+}
+
+/* Report whether u has the label; an empty one is had by all. */
+bool upstream_has_label(const struct upstream *u, const char *label)
+{
+	return !*label || !strcmp(u->kind, label) || !strcmp(u->rack, label);
+}
+
+/* Report whether new work may be placed on u. */
+bool upstream_usable(const struct upstream *u, uint64_t now_ms)
+{
+	return u->state == UPSTREAM_READY && u->commanded &&
+	       u->avoid_until_ms <= now_ms;
+}
+
+/*
+ * Count a failed run of j against u.  A job that fails twice in a row
+ * counts once: it may be the job's own fault.
+ */
+void upstream_note_failure(struct upstream *u, const struct job *j,
+			   uint64_t now_ms)
+{
+	uint64_t ms;
+
+	if (u->struck_by == j)
+		return;
+	u->struck_by = j;
+	u->strikes++;
+	if (u->strikes < 2)
+		return;
+	ms = (uint64_t)AVOID_MS << MIN(u->strikes - 2, 3);
+	u->avoid_until_ms = now_ms + MIN(ms, AVOID_MAX_MS);
+}
+
+/* Note that a run has ended well on u. */
+void upstream_note_success(struct upstream *u)
+{
+	u->strikes = 0;
+	u->struck_by = NULL;
+	u->avoid_until_ms = 0;
+}
--- /dev/null
+++ b/sched/fleet.h
@@ -0,0 +1,55 @@
+/* The upstreams as the scheduler sees them: room, racks, health. */
+#ifndef SCHED_FLEET_H
+#define SCHED_FLEET_H
+
+#include "sched/work.h"
+
+enum upstream_state {
+	UPSTREAM_READY,
+	UPSTREAM_DRAINING,
+	UPSTREAM_GONE, /* no longer listed */
+};
+
+struct upstream {
+	char id[LABEL_BYTES];
+	char service[LABEL_BYTES];
+	char domain[LABEL_BYTES];
+	char kind[LABEL_BYTES];
+	char rack[LABEL_BYTES];
+	enum upstream_state state;
+	bool commanded; /* obeys our epoch, and its lists were read */
+	uint64_t leaves_ms; /* when draining: not before; 0: unknown */
+	struct room room;
+	struct room used;
+	GPtrArray *tasks; /* that occupy room */
+	uint64_t avoid_until_ms; /* after failures */
+	uint32_t strikes;	 /* failures since the last success */
+	const struct job *struck_by; /* the last job that failed; not followed */
+	uint32_t number;	 /* position in the fleet */
+	void *keeper;		 /* of the task that talks to it */
+};
+
+struct fleet {
+	GPtrArray *list;
+	GHashTable *by_id;
+};
+
+struct fleet *fleet_create(void);
+void fleet_destroy(struct fleet *f);
+struct upstream *fleet_find(struct fleet *f, const char *id);
+struct upstream *fleet_add(struct fleet *f, const char *id);
+void fleet_remove(struct fleet *f, struct upstream *u);
+void fleet_occupy(struct upstream *u, struct task *t);
+void fleet_release(struct task *t);
+
+struct room task_room(const struct task *t);
+bool room_holds(const struct room *have, const struct room *need);
+void room_add(struct room *r, const struct room *n, int sign);
+bool upstream_has_label(const struct upstream *u, const char *label);
+bool upstream_usable(const struct upstream *u, uint64_t now_ms);
+
+void upstream_note_failure(struct upstream *u, const struct job *j,
+			   uint64_t now_ms);
+void upstream_note_success(struct upstream *u);
+
+#endif
--- /dev/null
+++ b/sched/work.c
@@ -0,0 +1,422 @@
+/*
+ * The rules of a job: which stages may run, what the end of a run means,
+ * and when the job is over.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "sched/fleet.h"
+#include "sched/work.h"
+
+#define MAX_STEPS 64
+#define MAX_TASKS 20000
+#define MAX_CPU_MILLI 10000000
+#define MAX_MEMORY_MB 100000000
+#define MAX_ACCELERATORS 1024
+#define MAX_OCCURRENCES 1000
+
+static const char *const state_names[] = {
+	[JOB_QUEUED] = "queued",     [JOB_RUNNING] = "running",
+	[JOB_COMPLETED] = "completed", [JOB_FAILED] = "failed",
+	[JOB_CANCELLED] = "cancelled",
+};
+
+/* Create a job without steps. */
+struct job *job_create(const char *id)
+{
+	struct job *j = g_new0(struct job, 1);
+
+	g_strlcpy(j->id, id, sizeof(j->id));
+	j->max_attempts = 1;
+	j->slack = 1;
+	return j;
+}
+
+/* Free j; its tasks must not occupy room any more. */
+void job_destroy(struct job *j)
+{
+	if (!j)
+		return;
+	for (uint32_t i = 0; i < j->stages_len; i++) {
+		struct stage *st = &j->stages[i];
+
+		for (uint32_t k = 0; k < st->step->count; k++)
+			g_free(st->tasks[k].checkpoint);
+		g_free(st->tasks);
+	}
+	for (uint32_t i = 0; i < j->steps_len; i++)
+		g_free(j->steps[i].after);
+	g_free(j->stages);
+	g_free(j->steps);
+	g_free(j->payload);
+	g_free(j);
+}
+
+/* Append a step to a job that has not been laid out; all fields are 0. */
+struct step *job_add_step(struct job *j)
+{
+	j->steps = g_renew(struct step, j->steps, j->steps_len + 1);
+	memset(&j->steps[j->steps_len], 0, sizeof(struct step));
+	return &j->steps[j->steps_len++];
+}
+
+/* Return how many times the steps run. */
+uint32_t job_occurrences(const struct job *j)
+{
+	return j->repeat ? j->repeat : 1;
+}
+
+static char *check_step(const struct job *j, uint32_t i)
+{
+	const struct step *s = &j->steps[i];
+
+	if (!s->count)
+		return g_strdup_printf("steps[%u].count: expected 1 or more",
+				       i);
+	if (s->need.cpu_milli < 0 || s->need.cpu_milli > MAX_CPU_MILLI ||
+	    s->need.memory_mb < 0 || s->need.memory_mb > MAX_MEMORY_MB ||
+	    s->need.accelerators < 0 ||
+	    s->need.accelerators > MAX_ACCELERATORS)
+		return g_strdup_printf("steps[%u]: resources out of bounds", i);
+	for (uint32_t k = 0; k < s->after_len; k++)
+		if (s->after[k] >= i)
+			return g_strdup_printf(
+				"steps[%u].after: found %u, expected the "
+				"number of an earlier step",
+				i, s->after[k]);
+	return NULL;
+}
+
+/*
+ * Report whether j can be worked on at all; otherwise *why says what is
+ * wrong with it, to be freed with g_free.
+ */
+bool job_check(const struct job *j, char **why)
+{
+	uint64_t tasks = 0;
+
+	*why = NULL;
+	if (!j->steps_len || j->steps_len > MAX_STEPS)
+		*why = g_strdup_printf("steps: expected 1 to %d", MAX_STEPS);
+	for (uint32_t i = 0; i < j->steps_len && !*why; i++) {
+		*why = check_step(j, i);
+		tasks += j->steps[i].count;
+	}
+	if (!*why && job_occurrences(j) > MAX_OCCURRENCES)
+		*why = g_strdup_printf("occurrences: expected at most %d",
+				       MAX_OCCURRENCES);
+	if (!*why && tasks * job_occurrences(j) > MAX_TASKS)
+		*why = g_strdup_printf("tasks: expected at most %d", MAX_TASKS);
+	return !*why;
+}
+
+/* Create the stages and tasks of a job that job_check has passed. */
+void job_lay_out(struct job *j)
+{
+	uint32_t n = 0;
+
+	j->stages_len = job_occurrences(j) * j->steps_len;
+	j->stages = g_new0(struct stage, j->stages_len);
+	for (uint32_t k = 0; k < job_occurrences(j); k++) {
+		for (uint32_t i = 0; i < j->steps_len; i++) {
+			struct stage *st = &j->stages[n++];
+
+			st->job = j;
+			st->step = &j->steps[i];
+			st->step_index = i;
+			st->occurrence = k;
+			st->tasks = g_new0(struct task, st->step->count);
+			for (uint32_t t = 0; t < st->step->count; t++) {
+				st->tasks[t].stage = st;
+				st->tasks[t].index = t;
+			}
+		}
+	}
+}
+
+/* Report whether j has reached a state that does not change any more. */
+bool job_over(const struct job *j)
+{
+	switch (j->state) {
+	case JOB_QUEUED:
+	case JOB_RUNNING:
+		return false;
+	case JOB_COMPLETED:
+	case JOB_FAILED:
+	case JOB_CANCELLED:
+		return true;
+	}
+	return true;
+}
+
+/* Return the word for s. */
+const char *job_state_name(enum job_state s)
+{
+	return state_names[s];
+}
+
+/* Read the word for a state; false when there is none such. */
+bool job_state_parse(const char *s, enum job_state *out)
+{
+	for (int i = JOB_QUEUED; i <= JOB_CANCELLED; i++) {
+		if (!strcmp(s, state_names[i])) {
+			*out = i;
+			return true;
+		}
+	}
+	return false;
+}
+
+/* Return a task of j, or NULL when the numbers name none. */
+struct task *job_task(struct job *j, uint32_t occurrence, uint32_t step,
+		      uint32_t index)
+{
+	struct stage *st;
+
+	if (occurrence >= job_occurrences(j) || step >= j->steps_len)
+		return NULL;
+	st = &j->stages[occurrence * j->steps_len + step];
+	return index < st->step->count ? &st->tasks[index] : NULL;
+}
+
+/* Write the name of t, JOB.OCCURRENCE.STEP.INDEX, into buf. */
+void task_name(const struct task *t, char *buf, size_t len)
+{
+	const struct stage *st = t->stage;
+
+	snprintf(buf, len, "%s.%u.%u.%u", st->job->id, st->occurrence,
+		 st->step_index, t->index);
+}
+
+/* Take a task's name apart; id has JOB_ID_BYTES.  False: no such name. */
+bool task_name_parse(const char *name, char *id, uint32_t *occurrence,
+		     uint32_t *step, uint32_t *index)
+{
+	return sscanf(name, "%23[^.].%u.%u.%u", id, occurrence, step, index) ==
+	       4;
+}
+
+/* Report whether t occupies room on an upstream. */
+bool task_active(const struct task *t)
+{
+	return t->state == TASK_PLACED || t->state == TASK_RUNNING ||
+	       t->state == TASK_STOPPING;
+}
+
+/* Return when st is due, in wall-clock milliseconds; 0: at once. */
+uint64_t stage_due_wall_ms(const struct stage *st)
+{
+	const struct job *j = st->job;
+
+	return j->repeat ? j->start_at_wall_ms + st->occurrence * j->interval_ms
+			 : 0;
+}
+
+static bool stage_complete(const struct stage *st)
+{
+	return st->done == st->step->count;
+}
+
+/* Report whether the turn of st has come at wall_ms. */
+bool stage_ready(const struct stage *st, uint64_t wall_ms)
+{
+	const struct job *j = st->job;
+	const struct stage *first = &j->stages[st->occurrence * j->steps_len];
+
+	if (job_over(j) || j->cancel_wanted || stage_complete(st) ||
+	    stage_due_wall_ms(st) > wall_ms)
+		return false;
+	for (uint32_t i = 0; i < st->step->after_len; i++)
+		if (!stage_complete(&first[st->step->after[i]]))
+			return false;
+	return true;
+}
+
+/* Report whether no task of st occupies room. */
+bool stage_idle(const struct stage *st)
+{
+	for (uint32_t i = 0; i < st->step->count; i++)
+		if (task_active(&st->tasks[i]))
+			return false;
+	return true;
+}
+
+/* Return how many tasks of st wait to be placed. */
+uint32_t stage_waiting(const struct stage *st)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < st->step->count; i++)
+		n += st->tasks[i].state == TASK_WAITING;
+	return n;
+}
+
+/* Return the number of the next run of a gang: above all of its members. */
+uint32_t stage_next_run(const struct stage *st)
+{
+	uint32_t run = 0;
+
+	for (uint32_t i = 0; i < st->step->count; i++)
+		run = MAX(run, st->tasks[i].run);
+	return run + 1;
+}
+
+/* Let t occupy room on u for its next run. */
+void task_place(struct task *t, struct upstream *u, uint32_t run,
+		uint64_t now_ms)
+{
+	t->state = TASK_PLACED;
+	t->run = run;
+	t->placed_ms = now_ms;
+	t->percent = 0;
+	t->inherited = false;
+	t->sent = false;
+	t->uncertain = false;
+	t->retry = false;
+	t->stop_answered_ms = 0;
+	fleet_occupy(u, t);
+	t->stage->job->dirty = true;
+	if (t->stage->job->state == JOB_QUEUED)
+		t->stage->job->state = JOB_RUNNING;
+}
+
+/* Note that the upstream runs t. */
+void task_confirm(struct task *t, uint64_t now_ms)
+{
+	if (t->state == TASK_PLACED)
+		t->state = TASK_RUNNING;
+	if (!t->confirmed_ms || t->confirmed_ms < t->placed_ms)
+		t->confirmed_ms = now_ms;
+	t->inherited = false;
+}
+
+static void set_checkpoint(struct task *t, const char *checkpoint)
+{
+	struct stage *st = t->stage;
+	uint32_t first = t->index, last = t->index;
+
+	if (!checkpoint || !*checkpoint)
+		return;
+	if (st->step->gang) {
+		first = 0;
+		last = st->step->count - 1;
+	}
+	for (uint32_t i = first; i <= last; i++) {
+		g_free(st->tasks[i].checkpoint);
+		st->tasks[i].checkpoint = g_strdup(checkpoint);
+	}
+}
+
+/* A gang ends as done together: one such end stands for all. */
+static void gang_done(struct stage *st, uint64_t now_ms)
+{
+	for (uint32_t i = 0; i < st->step->count; i++) {
+		struct task *t = &st->tasks[i];
+
+		if (t->at)
+			fleet_release(t);
+		t->state = TASK_DONE;
+		t->ended_ms = now_ms;
+	}
+	st->done = st->step->count;
+}
+
+static void count_failure(struct task *t)
+{
+	struct stage *st = t->stage;
+	uint32_t *n = st->step->gang ? &st->failures : &t->failures;
+
+	t->failed_at = t->at;
+	if (st->step->gang && st->failed_run == t->run)
+		return; /* another member's failure was counted for this run */
+	st->failed_run = t->run;
+	(*n)++;
+	if (*n >= st->job->max_attempts && !st->step->lasting)
+		st->job->state = JOB_FAILED;
+}
+
+/*
+ * Note how the newest run of t has ended.  The caller has made sure that
+ * the end is one of that run, and that it cannot start any more.
+ */
+void task_end(struct task *t, enum run_end how, const char *checkpoint,
+	      uint64_t now_ms)
+{
+	struct stage *st = t->stage;
+	struct job *j = st->job;
+
+	if (t->state == TASK_DONE)
+		return;
+	j->dirty = true;
+	set_checkpoint(t, checkpoint);
+	if (how == RUN_FAILED && !job_over(j))
+		count_failure(t);
+	if (how == RUN_DONE && !st->step->lasting) {
+		if (st->step->gang) {
+			gang_done(st, now_ms);
+			return;
+		}
+		st->done++;
+		t->state = TASK_DONE;
+	} else {
+		t->state = TASK_WAITING;
+	}
+	if (t->at)
+		fleet_release(t);
+	t->ended_ms = now_ms;
+	t->inherited = false;
+}
+
+/* Complete j when all of its stages are, at a time of the store's clock. */
+void job_settle(struct job *j, uint64_t store_now_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < j->stages_len; i++)
+		if (!stage_complete(&j->stages[i]))
+			break;
+	if (i == j->stages_len && !job_over(j)) {
+		j->state = JOB_COMPLETED;
+		j->dirty = true;
+	}
+	if (job_over(j) && !j->ended_ms) {
+		j->ended_ms = store_now_ms;
+		j->dirty = true;
+	}
+}
+
+/* Cancel j unless it is over; what runs has to be stopped. */
+void job_cancel(struct job *j, uint64_t store_now_ms)
+{
+	j->cancel_wanted = true;
+	if (job_over(j))
+		return;
+	j->state = JOB_CANCELLED;
+	j->ended_ms = store_now_ms;
+	j->dirty = true;
+}
+
+/* Return the word for how a run has ended. */
+const char *run_end_name(enum run_end how)
+{
+	switch (how) {
+	case RUN_DONE:
+		return "done";
+	case RUN_FAILED:
+		return "failed";
+	case RUN_STOPPED:
+		return "stopped";
+	case RUN_LAPSED:
+		return "lapsed";
+	case RUN_BROKEN:
+		return "broken";
+	case RUN_ALONE:
+		return "alone";
+	case RUN_NEVER:
+		return "never_started";
+	case RUN_LOST:
+		return "lost";
+	}
+	return "";
+}
--- /dev/null
+++ b/sched/work.h
@@ -0,0 +1,170 @@
+/*
+ * Work: jobs, their steps, the stages that have to run and the runs of
+ * their tasks.  A stage is one occurrence of one step.  Nothing here does
+ * I/O; times are monotonic milliseconds of the caller unless they say
+ * otherwise.
+ */
+#ifndef SCHED_WORK_H
+#define SCHED_WORK_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define JOB_ID_BYTES 24
+#define LABEL_BYTES 64
+#define TASK_NAME_BYTES 64
+
+struct upstream;
+
+/* What a task needs, or an upstream has. */
+struct room {
+	int64_t cpu_milli;
+	int64_t memory_mb;
+	int64_t accelerators;
+};
+
+struct step {
+	uint32_t count;
+	struct room need;
+	uint32_t estimate_ms;
+	uint32_t after_len;
+	uint32_t *after;
+	bool checkpoints;
+	bool gang;
+	bool one_rack;	/* slower when its tasks span racks */
+	bool copies;	/* may run more than once at a time */
+	bool lasting;	/* runs until the job is cancelled */
+	bool fills;	/* takes only the processor that others leave */
+	uint32_t spread; /* tasks on one upstream at most; 0: any */
+	uint32_t max_unavailable;
+	uint32_t target_ms;
+	char label[LABEL_BYTES];
+	char data_rack[LABEL_BYTES];
+	char image[LABEL_BYTES];
+};
+
+enum task_state {
+	TASK_WAITING,
+	TASK_PLACED,   /* chosen and recorded; not yet confirmed */
+	TASK_RUNNING,  /* the upstream has confirmed it */
+	TASK_STOPPING, /* a stop is wanted; its end is awaited */
+	TASK_DONE,
+};
+
+enum run_end {
+	RUN_DONE,
+	RUN_FAILED,
+	RUN_STOPPED,
+	RUN_LAPSED,	/* the lease ended */
+	RUN_BROKEN,	/* another member of the gang ended */
+	RUN_ALONE,	/* the other members did not come in time */
+	RUN_NEVER,	/* it is certain that it has not started */
+	RUN_LOST,	/* its upstream has gone */
+};
+
+struct stage;
+
+struct task {
+	struct stage *stage;
+	uint32_t index; /* within the stage */
+	enum task_state state;
+	uint32_t run; /* number of the newest run, 0: none yet */
+	uint32_t failures;
+	struct upstream *at; /* while it occupies room */
+	char *checkpoint;    /* NULL: none */
+	uint32_t percent;
+	uint64_t placed_ms;
+	uint64_t confirmed_ms;
+	uint64_t ended_ms;
+	bool inherited; /* placed by an earlier leader, not seen yet */
+	bool sent;	/* an order to start the newest run has gone out */
+	bool uncertain; /* such an order was not answered */
+	bool retry;	/* its order has to be sent again */
+	uint64_t stop_answered_ms; /* 0: no stop of it was answered */
+	const struct upstream *failed_at; /* the last one; not followed */
+};
+
+struct job;
+
+struct stage {
+	struct job *job;
+	const struct step *step;
+	uint32_t step_index;
+	uint32_t occurrence;
+	uint32_t done;	/* tasks */
+	uint32_t failures; /* of the gang as a whole */
+	uint32_t failed_run; /* the gang's newest run that failed */
+	uint64_t since_ms; /* its turn has come; 0: not yet */
+	uint64_t held_back_ms; /* do not place before */
+	struct task *tasks;
+};
+
+enum job_state {
+	JOB_QUEUED,
+	JOB_RUNNING,
+	JOB_COMPLETED,
+	JOB_FAILED,
+	JOB_CANCELLED,
+};
+
+struct job {
+	char id[JOB_ID_BYTES];
+	char queue[LABEL_BYTES];
+	char account[LABEL_BYTES];
+	char *payload;
+	uint32_t steps_len;
+	struct step *steps;
+	uint64_t start_at_wall_ms; /* of occurrence 0; 0: at once */
+	uint64_t interval_ms;
+	uint32_t repeat; /* occurrences; 0 counts as one, without a time */
+	uint64_t received_ms; /* on the store's clock */
+	/* the state */
+	enum job_state state;
+	bool cancel_wanted;
+	bool dirty; /* differs from its row */
+	uint64_t since_ms; /* received_ms on our clock */
+	uint64_t ended_ms; /* on the store's clock */
+	uint32_t stages_len;
+	struct stage *stages;
+	/* of its queue, refreshed with each configuration */
+	bool queue_known;
+	char service[LABEL_BYTES];
+	uint32_t priority;
+	uint32_t max_attempts;
+	double slack;
+	uint64_t target_ms;
+};
+
+struct job *job_create(const char *id);
+void job_destroy(struct job *j);
+struct step *job_add_step(struct job *j);
+bool job_check(const struct job *j, char **why);
+void job_lay_out(struct job *j);
+bool job_over(const struct job *j);
+uint32_t job_occurrences(const struct job *j);
+const char *job_state_name(enum job_state s);
+bool job_state_parse(const char *s, enum job_state *out);
+struct task *job_task(struct job *j, uint32_t occurrence, uint32_t step,
+		      uint32_t index);
+bool task_name_parse(const char *name, char *id, uint32_t *occurrence,
+		     uint32_t *step, uint32_t *index);
+void task_name(const struct task *t, char *buf, size_t len);
+bool task_active(const struct task *t);
+
+bool stage_ready(const struct stage *st, uint64_t wall_ms);
+bool stage_idle(const struct stage *st);
+uint32_t stage_waiting(const struct stage *st);
+uint32_t stage_next_run(const struct stage *st);
+uint64_t stage_due_wall_ms(const struct stage *st);
+
+void task_place(struct task *t, struct upstream *u, uint32_t run,
+		uint64_t now_ms);
+void task_confirm(struct task *t, uint64_t now_ms);
+void task_end(struct task *t, enum run_end how, const char *checkpoint,
+	      uint64_t now_ms);
+void job_settle(struct job *j, uint64_t store_now_ms);
+void job_cancel(struct job *j, uint64_t store_now_ms);
+const char *run_end_name(enum run_end how);
+
+#endif
