Keep a run whose start may still be carried out; let leases of silent upstreams end

Cause: calls to a silent upstream counted a lease as granted each time, so what ran there was never known to have ended (LOST). A refusal of a repeated start was taken to speak of the first one too, which was then carried out late (TWICE); starts with no known clock were refused as malformed and counted as failures (LOST, shown as failed). Change: lease_clock asks for nothing while unanswered; delivery_next decides what an answer means. Unit tests in test/unit_lead.c.

--- a/lead/keeper.c
+++ b/lead/keeper.c
@@ -5,7 +5,9 @@
  */
 #include <string.h>
 
+#include "lead/delivery.h"
 #include "lead/keeper.h"
+#include "lead/leaseclock.h"
 #include "lib/log.h"
 
 /* The longest that a call for the lists is held: leases are extended at
@@ -17,14 +19,8 @@
 #define RETRY_MS 120
 /* Time for the answer to an order; it is then sent again. */
 #define ORDER_MS 250
-/* Orders to start a run are sent again for this long, within the time
- * that the other members of a gang wait. */
-#define START_PATIENCE_MS 1200
 /* The lease that comes with a start; the next call for lists extends it. */
 #define START_LEASE_MS 3000
-/* A clock of an upstream may be slow by one part in this many. */
-#define CLOCK_SLOW_PART 50
-#define CLOCK_SLACK_MS 30
 /* Pause before an order is sent again. */
 #define ORDER_RETRY_MS 30
 /* No new work is placed on an upstream that did not answer, refused for
@@ -44,9 +40,7 @@
 	uint64_t seen;	       /* newest end that the model knows */
 	uint64_t marked;       /* newest end in the write in flight */
 	uint64_t acknowledged; /* newest end that the rows know */
-	uint64_t clock_ms;     /* the upstream's clock ... */
-	uint64_t clock_at_ms;  /* ... in an answer received then; 0: none */
-	uint64_t leases_end_ms; /* no lease lasts beyond it, on our clock */
+	struct lease_clock leases;
 	uint32_t failures;
 	struct timer timer;
 	struct timer retry; /* of orders that were not answered */
@@ -98,8 +92,7 @@
 	k->seen = 0;
 	k->marked = 0;
 	k->acknowledged = 0;
-	k->clock_at_ms = 0;
-	k->leases_end_ms = 0;
+	lease_clock_reset(&k->leases, 0);
 	k->upstream->commanded = false;
 }
 
@@ -139,7 +132,7 @@
 	timer_init(&k->retry, on_retry, k);
 	connect_to(k, &entry->address);
 	apply_entry(k, entry);
-	k->leases_end_ms = e->earlier_leases_ms;
+	lease_clock_reset(&k->leases, e->earlier_leases_ms);
 	timer_start(e->loop, &k->timer, 0);
 	return k;
 }
@@ -204,32 +197,6 @@
 	k->acknowledged = MAX(k->acknowledged, k->marked);
 }
 
-/* Return the least that the upstream's clock can show now; 0: unknown. */
-static uint64_t clock_low(const struct keeper *k)
-{
-	uint64_t gone = clock_mono_ms() - k->clock_at_ms;
-
-	if (!k->clock_at_ms)
-		return 0;
-	return k->clock_ms + gone - gone / CLOCK_SLOW_PART;
-}
-
-/*
- * Return the time on the upstream's clock up to which to ask for a lease
- * of ms, and note until when it can last; 0 when its clock is unknown.
- */
-static uint64_t ask_lease(struct keeper *k, uint32_t ms)
-{
-	uint64_t now = clock_mono_ms();
-	uint64_t low = clock_low(k);
-	uint64_t most = ms + ms / (CLOCK_SLOW_PART - 1) + CLOCK_SLACK_MS;
-
-	if (!low)
-		return 0;
-	k->leases_end_ms = MAX(k->leases_end_ms, now + most);
-	return low + ms;
-}
-
 static bool has_work(const struct keeper *k)
 {
 	const struct upstream *u = k->upstream;
@@ -278,10 +245,8 @@
 
 static void note_clock(struct keeper *k, const struct order_answer *a)
 {
-	if (!a->clock_ms)
-		return;
-	k->clock_ms = a->clock_ms;
-	k->clock_at_ms = clock_mono_ms();
+	if (a->clock_ms)
+		lease_clock_answer(&k->leases, a->clock_ms, clock_mono_ms());
 }
 
 /*
@@ -341,9 +306,10 @@
 		log_fields(LOG_WARN, "upstream_silent", "{s:s,s:s,s:I}",
 			   "upstream", k->upstream->id, "outcome",
 			   order_outcome_name(a->outcome), "leases_end_in_ms",
-			   (json_int_t)k->leases_end_ms - (json_int_t)now);
+			   (json_int_t)k->leases.end_ms - (json_int_t)now);
+	lease_clock_silent(&k->leases);
 	avoid(k, AVOID_SILENT_MS);
-	if (k->upstream->tasks->len && now > k->leases_end_ms) {
+	if (k->upstream->tasks->len && lease_clock_over(&k->leases, now)) {
 		model_lose_upstream(k->env->model, k->upstream, now,
 				    "leases ended");
 		k->env->events.changed(k->env->arg);
@@ -388,7 +354,8 @@
 
 	if (k->open)
 		return;
-	lease = ask_lease(k, k->env->settings->lease_ms);
+	lease = lease_clock_ask(&k->leases, k->env->settings->lease_ms,
+				clock_mono_ms());
 	if (!k->upstream->commanded || k->failures || !lease ||
 	    k->seen > k->acknowledged)
 		wait = 0;
@@ -435,69 +402,65 @@
 		   t->stage->job->id, "task", o->task, "run",
 		   (json_int_t)o->run, "upstream", k->upstream->id, "outcome",
 		   order_outcome_name(outcome), "uncertain", t->uncertain);
-	if (t->uncertain) {
-		t->state = TASK_STOPPING;
-		keeper_stop(k, t);
-	} else {
-		task_end(t, RUN_NEVER, NULL, clock_mono_ms());
-	}
 	k->env->events.changed(k->env->arg);
 }
 
-static void start_again(struct keeper *k, struct task *t,
-			const struct order *o, enum order_outcome outcome)
+/* An upstream that refuses gets no new work for a while. */
+static void avoid_after(struct keeper *k, enum order_outcome outcome)
 {
-	if (t->state == TASK_PLACED &&
-	    clock_mono_ms() < t->placed_ms + START_PATIENCE_MS) {
-		order_again(k, t);
-		return;
+	switch (outcome) {
+	case ORDER_NO_ROOM:
+		avoid(k, AVOID_FULL_MS);
+		break;
+	case ORDER_UNHEALTHY:
+	case ORDER_UNKNOWN:
+	case ORDER_NOT_SENT:
+		avoid(k, AVOID_SILENT_MS);
+		break;
+	case ORDER_DONE:
+	case ORDER_STALE_EPOCH:
+	case ORDER_OLD_RUN:
+	case ORDER_LATE:
+	case ORDER_NO_TICKET:
+	case ORDER_BAD:
+	case ORDER_REPLACED:
+		break;
 	}
-	avoid(k, AVOID_SILENT_MS);
-	start_failed(k, t, o, outcome);
 }
 
 static void start_answered(struct keeper *k, struct task *t,
 			   const struct order *o, enum order_outcome outcome)
 {
-	switch (outcome) {
-	case ORDER_DONE:
-		task_confirm(t, clock_mono_ms());
+	uint64_t now = clock_mono_ms();
+
+	switch (delivery_next(t, outcome, now)) {
+	case DELIVERY_NONE:
+		break;
+	case DELIVERY_CONFIRMED:
+		task_confirm(t, now);
 		latency_add(k->env->counters, "start",
-			    (clock_mono_ms() - t->placed_ms) * 1000);
+			    (now - t->placed_ms) * 1000);
 		if (t->state == TASK_STOPPING)
 			keeper_stop(k, t);
 		break;
-	case ORDER_UNKNOWN:
-		t->uncertain = true;
-		start_again(k, t, o, outcome);
-		break;
-	case ORDER_NOT_SENT:
-		start_again(k, t, o, outcome);
+	case DELIVERY_AGAIN:
+		order_again(k, t);
 		break;
-	case ORDER_OLD_RUN:
-		t->uncertain = false;
-		start_failed(k, t, o, outcome);
-		break;
-	case ORDER_NO_ROOM:
-		avoid(k, AVOID_FULL_MS);
+	case DELIVERY_FORBID:
 		start_failed(k, t, o, outcome);
+		t->state = TASK_STOPPING;
+		avoid_after(k, outcome);
+		keeper_stop(k, t);
 		break;
-	case ORDER_UNHEALTHY:
-		avoid(k, AVOID_SILENT_MS);
+	case DELIVERY_NEVER:
 		start_failed(k, t, o, outcome);
+		avoid_after(k, outcome);
+		task_end(t, RUN_NEVER, NULL, now);
 		break;
-	case ORDER_LATE:
-	case ORDER_NO_TICKET:
+	case DELIVERY_FAILED:
 		start_failed(k, t, o, outcome);
+		task_end(t, RUN_FAILED, NULL, now);
 		break;
-	case ORDER_BAD:
-		t->uncertain = false;
-		task_end(t, RUN_FAILED, NULL, clock_mono_ms());
-		k->env->events.changed(k->env->arg);
-		break;
-	case ORDER_STALE_EPOCH:
-	case ORDER_REPLACED:
-		break; /* note_answer has dealt with it */
 	}
 }
 
@@ -524,12 +487,21 @@
 		.run = t->run,
 		.payload = t->stage->job->payload,
 		.checkpoint = t->checkpoint,
-		.lease_clock_ms = ask_lease(
-			k, MIN(START_LEASE_MS, k->env->settings->lease_ms)),
+		.lease_clock_ms = lease_clock_ask(
+			&k->leases,
+			MIN(START_LEASE_MS, k->env->settings->lease_ms),
+			clock_mono_ms()),
 		.epoch = k->env->epoch,
 	};
 
 	t->sent = true;
+	if (!s.lease_clock_ms) {
+		/* the upstream has to show its clock first */
+		start_answered(k, t, o, ORDER_NOT_SENT);
+		g_free(o);
+		keeper_poke(k);
+		return;
+	}
 	counter_add(k->env->counters, "orders", "kind=\"start\"", 1);
 	orders_start(k->orders, &s, ORDER_MS, on_start, o);
 	keeper_poke(k);
--- /dev/null
+++ b/test/unit_lead.c
@@ -0,0 +1,202 @@
+/* Leading without a network: leases, lists of upstreams, recovery. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "lead/delivery.h"
+#include "lead/leaseclock.h"
+#include "lead/model.h"
+
+#define LEASE_MS 6000
+
+/*
+ * An upstream that stops answering is asked again and again; what ran on
+ * it must be known to have ended when the last granted lease is over.
+ */
+static void test_leases_of_a_silent_upstream_end(void **state)
+{
+	struct lease_clock c;
+	uint64_t now = 1000000;
+
+	(void)state;
+	lease_clock_reset(&c, 0);
+	lease_clock_answer(&c, 500, now);
+	assert_int_equal(lease_clock_ask(&c, LEASE_MS, now), 500 + LEASE_MS);
+	for (uint32_t i = 0; i < 60; i++) {
+		lease_clock_silent(&c);
+		now += 120;
+		assert_int_equal(lease_clock_ask(&c, LEASE_MS, now), 0);
+	}
+	assert_true(lease_clock_over(&c, now));
+}
+
+static void test_lease_may_last_longer_on_a_slow_clock(void **state)
+{
+	struct lease_clock c;
+
+	(void)state;
+	lease_clock_reset(&c, 0);
+	lease_clock_answer(&c, 500, 1000);
+	lease_clock_ask(&c, LEASE_MS, 1000);
+	assert_false(lease_clock_over(&c, 1000 + LEASE_MS * 100 / 98));
+	assert_true(lease_clock_over(&c, 1000 + LEASE_MS * 104 / 100));
+}
+
+static void test_lease_is_asked_for_on_the_slowest_clock(void **state)
+{
+	struct lease_clock c;
+
+	(void)state;
+	lease_clock_reset(&c, 0);
+	assert_int_equal(lease_clock_ask(&c, LEASE_MS, 1000), 0);
+	lease_clock_answer(&c, 500, 1000);
+	assert_int_equal(lease_clock_ask(&c, LEASE_MS, 2000),
+			 500 + 980 + LEASE_MS);
+}
+
+/* A fleet of one upstream and a job of one task that is placed on it. */
+struct scene {
+	struct model *model;
+	struct upstream *upstream;
+	struct job *job;
+	struct task *task;
+};
+
+static void scene_create(struct scene *s, uint32_t tasks, bool gang)
+{
+	struct step *step;
+
+	s->model = model_create();
+	s->upstream = fleet_add(s->model->fleet, "u1");
+	s->upstream->room = (struct room){100000, 100000, 100};
+	s->job = job_create("00000000000000a1");
+	s->job->max_attempts = 3;
+	s->job->queue_known = true;
+	step = job_add_step(s->job);
+	step->count = tasks;
+	step->gang = gang;
+	step->need = (struct room){1000, 1000, 1};
+	job_lay_out(s->job);
+	model_add_job(s->model, s->job);
+	for (uint32_t i = 0; i < tasks; i++)
+		task_place(job_task(s->job, 0, 0, i), s->upstream, 1, 1000);
+	s->task = job_task(s->job, 0, 0, 0);
+}
+
+static void scene_destroy(struct scene *s)
+{
+	model_destroy(s->model);
+}
+
+/*
+ * The first order was not answered and may be carried out seconds later;
+ * whatever is said of its repetition, the run may not be forgotten.
+ */
+static void test_refused_repetition_says_nothing_of_the_first(void **state)
+{
+	static const enum order_outcome refusals[] = {
+		ORDER_BAD, ORDER_NO_ROOM, ORDER_UNHEALTHY, ORDER_NO_TICKET};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(refusals); i++) {
+		struct scene s;
+
+		scene_create(&s, 1, false);
+		assert_int_equal(delivery_next(s.task, ORDER_UNKNOWN, 1100),
+				 DELIVERY_AGAIN);
+		assert_int_equal(delivery_next(s.task, refusals[i], 1200),
+				 DELIVERY_FORBID);
+		scene_destroy(&s);
+	}
+}
+
+static void test_late_repetition_is_forbidden_in_the_end(void **state)
+{
+	struct scene s;
+
+	(void)state;
+	scene_create(&s, 1, false);
+	delivery_next(s.task, ORDER_UNKNOWN, 1100);
+	assert_int_equal(delivery_next(s.task, ORDER_LATE, 1200),
+			 DELIVERY_AGAIN);
+	assert_int_equal(delivery_next(s.task, ORDER_LATE, 9000),
+			 DELIVERY_FORBID);
+	scene_destroy(&s);
+}
+
+static void test_refused_first_order_never_starts(void **state)
+{
+	struct scene s;
+
+	(void)state;
+	scene_create(&s, 1, false);
+	assert_int_equal(delivery_next(s.task, ORDER_NO_ROOM, 1100),
+			 DELIVERY_NEVER);
+	scene_destroy(&s);
+}
+
+static void test_old_run_never_starts(void **state)
+{
+	struct scene s;
+
+	(void)state;
+	scene_create(&s, 1, false);
+	delivery_next(s.task, ORDER_UNKNOWN, 1100);
+	assert_int_equal(delivery_next(s.task, ORDER_OLD_RUN, 1200),
+			 DELIVERY_NEVER);
+	scene_destroy(&s);
+}
+
+/* A stopped run is gone only in a list asked for after the stop. */
+static void test_list_from_before_the_stop_proves_nothing(void **state)
+{
+	GArray *strays = g_array_new(FALSE, FALSE, sizeof(struct stray));
+	struct order_answer empty = {.outcome = ORDER_DONE, .lists = true};
+	struct scene s;
+
+	(void)state;
+	scene_create(&s, 1, false);
+	s.task->state = TASK_STOPPING;
+	model_apply_lists(s.model, s.upstream, &empty, 1500, 1600, 0, strays);
+	assert_int_equal(s.task->state, TASK_STOPPING);
+	s.task->stop_answered_ms = 1550;
+	model_apply_lists(s.model, s.upstream, &empty, 1500, 1600, 0, strays);
+	assert_int_equal(s.task->state, TASK_STOPPING);
+	model_apply_lists(s.model, s.upstream, &empty, 1560, 1600, 0, strays);
+	assert_int_equal(s.task->state, TASK_WAITING);
+	g_array_unref(strays);
+	scene_destroy(&s);
+}
+
+static void test_failures_of_one_gang_run_count_once(void **state)
+{
+	struct scene s;
+
+	(void)state;
+	scene_create(&s, 4, true);
+	for (uint32_t i = 0; i < 4; i++)
+		task_end(job_task(s.job, 0, 0, i), RUN_FAILED, NULL, 2000);
+	assert_int_equal(s.job->stages[0].failures, 1);
+	assert_int_equal(s.job->state, JOB_RUNNING);
+	scene_destroy(&s);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_leases_of_a_silent_upstream_end),
+		cmocka_unit_test(test_lease_may_last_longer_on_a_slow_clock),
+		cmocka_unit_test(test_lease_is_asked_for_on_the_slowest_clock),
+		cmocka_unit_test(
+			test_refused_repetition_says_nothing_of_the_first),
+		cmocka_unit_test(test_late_repetition_is_forbidden_in_the_end),
+		cmocka_unit_test(test_refused_first_order_never_starts),
+		cmocka_unit_test(test_old_run_never_starts),
+		cmocka_unit_test(test_list_from_before_the_stop_proves_nothing),
+		cmocka_unit_test(test_failures_of_one_gang_run_count_once),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
