--- a/lead/model.c
+++ b/lead/model.c
@@ -190,16 +190,17 @@
 
 /*
  * Report whether t, which is in neither list of an answer to a call sent
- * at sent_ms, is certain not to run and never to start.
+ * at sent_ms, is certain not to run and never to start.  Within one
+ * millisecond the order of two events is not known.
  */
 static bool certainly_absent(const struct task *t, uint64_t sent_ms)
 {
 	if (t->inherited)
 		return true; /* the call carried our epoch before any order */
 	if (t->state == TASK_STOPPING)
-		return t->stop_answered_ms && t->stop_answered_ms <= sent_ms;
+		return t->stop_answered_ms && t->stop_answered_ms < sent_ms;
 	return t->confirmed_ms >= t->placed_ms && t->confirmed_ms &&
-	       t->confirmed_ms <= sent_ms;
+	       t->confirmed_ms < sent_ms;
 }
 
 /*
--- a/test/unit_lead.c
+++ b/test/unit_lead.c
@@ -170,6 +170,24 @@
 	scene_destroy(&s);
 }
 
+/* A call sent in the millisecond of the confirmation may be older. */
+static void test_list_of_the_same_millisecond_proves_nothing(void **state)
+{
+	GArray *strays = g_array_new(FALSE, FALSE, sizeof(struct stray));
+	struct order_answer empty = {.outcome = ORDER_DONE, .lists = true};
+	struct scene s;
+
+	(void)state;
+	scene_create(&s, 1, false);
+	task_confirm(s.task, 1015);
+	model_apply_lists(s.model, s.upstream, &empty, 1015, 1016, 0, strays);
+	assert_int_equal(s.task->state, TASK_RUNNING);
+	model_apply_lists(s.model, s.upstream, &empty, 1016, 1017, 0, strays);
+	assert_int_equal(s.task->state, TASK_WAITING);
+	g_array_unref(strays);
+	scene_destroy(&s);
+}
+
 static void test_failures_of_one_gang_run_count_once(void **state)
 {
 	struct scene s;
@@ -195,6 +213,8 @@
 		cmocka_unit_test(test_refused_first_order_never_starts),
 		cmocka_unit_test(test_old_run_never_starts),
 		cmocka_unit_test(test_list_from_before_the_stop_proves_nothing),
+		cmocka_unit_test(
+			test_list_of_the_same_millisecond_proves_nothing),
 		cmocka_unit_test(test_failures_of_one_gang_run_count_once),
 	};
 
