Take a refused repetition as a sign that the run may have ended

The lists now decide. The test fails without the change. Ruled out: a change of leader; the same leader gave both orders.

--- a/lead/delivery.c
+++ b/lead/delivery.c
@@ -37,9 +37,9 @@
 	case ORDER_LATE:
 		return again(t, now_ms);
 	case ORDER_OLD_RUN:
-		/* no order for this run is obeyed any more */
-		t->uncertain = false;
-		return DELIVERY_NEVER;
+		/* refused for good; an earlier order may have been carried
+		 * out, and the run have ended since */
+		return t->uncertain ? DELIVERY_SETTLED : DELIVERY_NEVER;
 	case ORDER_NO_ROOM:
 	case ORDER_UNHEALTHY:
 	case ORDER_NO_TICKET:
--- a/lead/delivery.h
+++ b/lead/delivery.h
@@ -13,6 +13,7 @@
 	DELIVERY_CONFIRMED, /* it runs */
 	DELIVERY_AGAIN,	    /* send the order again */
 	DELIVERY_FORBID,    /* it may start yet: have it stopped */
+	DELIVERY_SETTLED,   /* it cannot start any more, but may have run */
 	DELIVERY_NEVER,	    /* it certainly never starts */
 	DELIVERY_FAILED,    /* the upstream cannot run it */
 };
--- a/lead/keeper.c
+++ b/lead/keeper.c
@@ -452,6 +452,12 @@
 		avoid_after(k, outcome);
 		keeper_stop(k, t);
 		break;
+	case DELIVERY_SETTLED:
+		/* the next lists show its end, or that it never was */
+		t->state = TASK_STOPPING;
+		t->stop_answered_ms = now;
+		keeper_poke(k);
+		break;
 	case DELIVERY_NEVER:
 		start_failed(k, t, o, outcome);
 		avoid_after(k, outcome);
--- a/test/unit_lead.c
+++ b/test/unit_lead.c
@@ -143,12 +143,27 @@
 
 	(void)state;
 	scene_create(&s, 1, false);
-	delivery_next(s.task, ORDER_UNKNOWN, 1100);
 	assert_int_equal(delivery_next(s.task, ORDER_OLD_RUN, 1200),
 			 DELIVERY_NEVER);
 	scene_destroy(&s);
 }
 
+/*
+ * The first order was carried out and its answer lost; the run was short
+ * and had ended when the order was repeated.
+ */
+static void test_old_run_may_have_ended_as_done(void **state)
+{
+	struct scene s;
+
+	(void)state;
+	scene_create(&s, 1, false);
+	delivery_next(s.task, ORDER_UNKNOWN, 1100);
+	assert_int_equal(delivery_next(s.task, ORDER_OLD_RUN, 1200),
+			 DELIVERY_SETTLED);
+	scene_destroy(&s);
+}
+
 /* A stopped run is gone only in a list asked for after the stop. */
 static void test_list_from_before_the_stop_proves_nothing(void **state)
 {
@@ -212,6 +227,7 @@
 		cmocka_unit_test(test_late_repetition_is_forbidden_in_the_end),
 		cmocka_unit_test(test_refused_first_order_never_starts),
 		cmocka_unit_test(test_old_run_never_starts),
+		cmocka_unit_test(test_old_run_may_have_ended_as_done),
 		cmocka_unit_test(test_list_from_before_the_stop_proves_nothing),
 		cmocka_unit_test(
 			test_list_of_the_same_millisecond_proves_nothing),
