Look at upstreams and at the list of them less often

Cause: with ends that were not recorded yet, the lists were called for in a loop; every instance read each change of the list of upstreams. Change: wait for the record; followers read the list each second.

--- a/lead/follower.c
+++ b/lead/follower.c
@@ -129,9 +129,9 @@
 /* Pause between an answer and the next call of the feed. */
 void follower_set_gap(struct follower *f, uint32_t gap_ms)
 {
+	if (gap_ms < f->gap_ms && timer_running(&f->timer) && !f->failures)
+		timer_start(f->loop, &f->timer, gap_ms);
 	f->gap_ms = gap_ms;
-	if (!gap_ms && timer_running(&f->timer) && !f->failures)
-		timer_start(f->loop, &f->timer, 0);
 }
 
 /* Return the value of a row, or NULL; version may be NULL. */
--- a/lead/keeper.c
+++ b/lead/keeper.c
@@ -13,6 +13,9 @@
 /* The longest that a call for the lists is held: leases are extended at
  * this interval, so it is taken off what is left of them in a cut. */
 #define HOLD_WAIT_MS 600
+/* With ends that are not recorded yet an upstream answers at once; wait
+ * for the record, but not for longer than this. */
+#define RECORD_WAIT_MS 300
 /* Time for an answer beyond that. */
 #define ANSWER_MS 400
 /* Pause before the next call after a failed one. */
@@ -194,7 +197,11 @@
 /* That write has taken effect: the ends may be forgotten there. */
 void keeper_recorded(struct keeper *k)
 {
-	k->acknowledged = MAX(k->acknowledged, k->marked);
+	if (k->marked <= k->acknowledged)
+		return;
+	k->acknowledged = k->marked;
+	if (!k->open && k->acknowledged == k->seen)
+		timer_start(k->env->loop, &k->timer, 0);
 }
 
 static bool has_work(const struct keeper *k)
@@ -342,7 +349,8 @@
 	k->failures = 0;
 	apply_lists(k, a);
 	if (has_work(k))
-		timer_start(env->loop, &k->timer, 0);
+		timer_start(env->loop, &k->timer,
+			    k->seen > k->acknowledged ? RECORD_WAIT_MS : 0);
 	if (k->seen != before || !commanded)
 		env->events.changed(env->arg);
 }
--- a/lead/lead.c
+++ b/lead/lead.c
@@ -16,8 +16,12 @@
 #define REMOVALS_PER_WRITE 2
 /* Rows of ended jobs stay this much longer than they can be asked for. */
 #define KEEP_SLACK_MS 10000
-/* Followers of a table that do not lead read it at this interval. */
-#define FOLLOW_GAP_MS 120
+/* Pauses between an answer of the feed and the next call: an instance
+ * that does not lead reads our table, and the list of upstreams, at
+ * these intervals; the leader reads the list at the last one. */
+#define FOLLOW_GAP_MS 150
+#define FOLLOW_LIST_GAP_MS 1000
+#define LEAD_LIST_GAP_MS 150
 
 struct planned_start {
 	char task[TASK_NAME_BYTES];
@@ -66,6 +70,7 @@
 	g_array_set_size(d->planned, 0);
 	g_array_set_size(d->written, 0);
 	follower_set_gap(d->env.ours, FOLLOW_GAP_MS);
+	follower_set_gap(d->env.upstreams, FOLLOW_LIST_GAP_MS);
 }
 
 static void on_lost(void *arg, const char *why)
@@ -209,6 +214,7 @@
 	d->claimed = true;
 	d->claim_version = version;
 	follower_set_gap(d->env.ours, 0);
+	follower_set_gap(d->env.upstreams, LEAD_LIST_GAP_MS);
 	lead_answered(d);
 }
 
@@ -468,6 +474,7 @@
 				e->settings->instance, e->incarnation, &ev, d);
 	timer_init(&d->work, work, d);
 	follower_set_gap(e->ours, FOLLOW_GAP_MS);
+	follower_set_gap(e->upstreams, FOLLOW_LIST_GAP_MS);
 	return d;
 }
 
