--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -163,6 +163,7 @@
 		log_open("lacewingd", j->settings->instance, s->log_level);
 		j->settings->lease_ms = s->lease_ms;
 		j->settings->stop_ms = s->stop_ms;
+		j->settings->reclaim_ms = s->reclaim_ms;
 		j->settings->gang_wait_ms = s->gang_wait_ms;
 		j->settings->checkpoint_ms = s->checkpoint_ms;
 		j->settings->remote_factor = s->remote_factor;
--- a/lead/lead.c
+++ b/lead/lead.c
@@ -274,7 +274,10 @@
 		.guarantees_len = d->guarantees_len,
 		.now_ms = clock_mono_ms(),
 		.wall_ms = clock_wall_ms(),
+		.learn = d->model->learn,
 		.checkpoint_ms = d->env.settings->checkpoint_ms,
+		.stop_ms = d->env.settings->stop_ms,
+		.reclaim_ms = d->env.settings->reclaim_ms,
 	};
 	GArray *actions = dispatch(&v);
 
--- a/lead/model.c
+++ b/lead/model.c
@@ -27,6 +27,7 @@
 					job_free);
 	m->live = g_ptr_array_new();
 	m->fleet = fleet_create();
+	m->learn = learn_create();
 	return m;
 }
 
@@ -38,6 +39,7 @@
 	g_ptr_array_free(m->live, TRUE);
 	g_hash_table_destroy(m->jobs);
 	fleet_destroy(m->fleet);
+	learn_destroy(m->learn);
 	g_free(m);
 }
 
@@ -45,6 +47,7 @@
 void model_add_job(struct model *m, struct job *j)
 {
 	g_hash_table_insert(m->jobs, j->id, j);
+	learn_job(m->learn, j);
 	g_ptr_array_add(m->live, j);
 }
 
@@ -121,7 +124,7 @@
 	}
 }
 
-static void end_task(struct task *t, enum run_end how, const char *checkpoint,
+static void end_task(struct model *m, struct task *t, enum run_end how, const char *checkpoint,
 		     struct upstream *u, uint64_t now_ms)
 {
 	char name[TASK_NAME_BYTES];
@@ -134,8 +137,13 @@
 		   "stopping", t->state == TASK_STOPPING);
 	if (how == RUN_FAILED)
 		upstream_note_failure(u, t->stage->job, now_ms);
-	if (how == RUN_DONE)
+	if (how == RUN_DONE) {
 		upstream_note_success(u);
+		if (!t->checkpoint && !t->inherited)
+			learn_run(m->learn, t->stage->job->queue,
+				  t->stage->step->estimate_ms,
+				  now_ms - t->placed_ms);
+	}
 	task_end(t, how, checkpoint, now_ms);
 }
 
@@ -152,7 +160,7 @@
 		seen = e->number;
 		t = model_task(m, e->task);
 		if (t && task_active(t) && t->at == u && t->run == e->run)
-			end_task(t, e->how, e->checkpoint, u, now_ms);
+			end_task(m, t, e->how, e->checkpoint, u, now_ms);
 	}
 	return seen;
 }
@@ -178,7 +186,7 @@
 			continue;
 		}
 		g_hash_table_add(there, t);
-		t->percent = r->percent;
+		task_progress(t, r->percent, now_ms);
 		if (*r->checkpoint &&
 		    g_strcmp0(t->checkpoint, r->checkpoint)) {
 			g_free(t->checkpoint);
@@ -226,7 +234,7 @@
 			g_ptr_array_add(absent, t);
 	}
 	for (guint i = 0; i < absent->len; i++)
-		end_task(g_ptr_array_index(absent, i), RUN_NEVER, NULL, u,
+		end_task(m, g_ptr_array_index(absent, i), RUN_NEVER, NULL, u,
 			 now_ms);
 	g_ptr_array_free(absent, TRUE);
 	g_hash_table_destroy(there);
@@ -237,10 +245,9 @@
 void model_lose_upstream(struct model *m, struct upstream *u,
 			 uint64_t now_ms, const char *why)
 {
-	(void)m;
 	log_fields(LOG_WARN, "upstream_lost", "{s:s,s:s,s:i}", "upstream",
 		   u->id, "why", why, "tasks", (int)u->tasks->len);
 	while (u->tasks->len)
-		end_task(g_ptr_array_index(u->tasks, 0), RUN_LOST, NULL, u,
+		end_task(m, g_ptr_array_index(u->tasks, 0), RUN_LOST, NULL, u,
 			 now_ms);
 }
--- a/sched/dispatch.h
+++ b/sched/dispatch.h
@@ -6,6 +6,7 @@
 #define SCHED_DISPATCH_H
 
 #include "sched/fleet.h"
+#include "sched/learn.h"
 
 enum stop_cause {
 	STOP_CANCELLED,
@@ -39,7 +40,10 @@
 	uint32_t guarantees_len;
 	uint64_t now_ms;
 	uint64_t wall_ms;
+	const struct learn *learn;
 	uint32_t checkpoint_ms; /* work between checkpoints */
+	uint32_t stop_ms;	/* an upstream needs to stop a run */
+	uint32_t reclaim_ms;	/* a covered job has begun after that */
 };
 
 GArray *dispatch(const struct dispatch_view *v);
--- /dev/null
+++ b/sched/learn.c
@@ -0,0 +1,132 @@
+/*
+ * Durations are learned as logarithms: the estimate and the queue's mean
+ * are two predictors, weighted by how far each was off.
+ */
+#include <math.h>
+
+#include "sched/learn.h"
+
+/* Weight of a new observation once there are many. */
+#define NEWEST 0.05
+/* Before anything was seen: the squared error that is assumed of an
+ * estimate, and of a mean that is not known. */
+#define PRIOR_ESTIMATE_ERROR 0.2
+#define PRIOR_MEAN_ERROR 1.0
+/* An accelerator counts as this many cores of work. */
+#define ACCELERATOR_CORES 8
+
+struct queue_record {
+	double runs;
+	double mean;	       /* of the logarithm of the duration */
+	double bias;	       /* of the duration over the estimate */
+	double mean_error;     /* squared, of the mean */
+	double estimate_error; /* squared, of the estimate without its bias */
+	double jobs;
+	double work; /* mean of a job */
+};
+
+struct learn {
+	GHashTable *queues; /* name to struct queue_record */
+};
+
+/* Create a record of nothing. */
+struct learn *learn_create(void)
+{
+	struct learn *l = g_new0(struct learn, 1);
+
+	l->queues = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					  g_free);
+	return l;
+}
+
+/* Free l. */
+void learn_destroy(struct learn *l)
+{
+	if (!l)
+		return;
+	g_hash_table_destroy(l->queues);
+	g_free(l);
+}
+
+static struct queue_record *record_of(struct learn *l, const char *queue)
+{
+	struct queue_record *r = g_hash_table_lookup(l->queues, queue);
+
+	if (!r) {
+		r = g_new0(struct queue_record, 1);
+		r->mean_error = PRIOR_MEAN_ERROR;
+		r->estimate_error = PRIOR_ESTIMATE_ERROR;
+		g_hash_table_insert(l->queues, g_strdup(queue), r);
+	}
+	return r;
+}
+
+static double toward(double old, double seen, double n)
+{
+	return old + (seen - old) * MAX(NEWEST, 1 / (n + 1));
+}
+
+/* Note that a task with this estimate ran from its start in took_ms. */
+void learn_run(struct learn *l, const char *queue, uint32_t estimate_ms,
+	       uint64_t took_ms)
+{
+	struct queue_record *r = record_of(l, queue);
+	double took = log(MAX(took_ms, 1));
+	double over = took - log(MAX(estimate_ms, 1));
+
+	r->mean_error = toward(r->mean_error,
+			       (took - r->mean) * (took - r->mean),
+			       r->runs + 2);
+	r->estimate_error = toward(r->estimate_error,
+				   (over - r->bias) * (over - r->bias),
+				   r->runs + 2);
+	r->mean = toward(r->mean, took, r->runs);
+	r->bias = toward(r->bias, over, r->runs + 1);
+	r->runs++;
+}
+
+/* Return how long a task of step s of a queue is expected to run. */
+uint64_t learn_duration_ms(const struct learn *l, const char *queue,
+			   const struct step *s)
+{
+	const struct queue_record *r = g_hash_table_lookup(l->queues, queue);
+	double estimate = MAX(s->estimate_ms, 1);
+	double trust;
+
+	if (!r || r->runs < 1)
+		return s->estimate_ms;
+	trust = r->mean_error / (r->mean_error + r->estimate_error);
+	return exp(trust * (log(estimate) + r->bias) + (1 - trust) * r->mean);
+}
+
+static double work_of(const struct job *j)
+{
+	double sum = 0;
+
+	for (uint32_t i = 0; i < j->steps_len; i++) {
+		const struct step *s = &j->steps[i];
+
+		sum += (double)s->count * s->estimate_ms *
+		       (s->need.cpu_milli / 1000.0 +
+			s->need.accelerators * ACCELERATOR_CORES);
+	}
+	return sum;
+}
+
+/* Note a job that has come. */
+void learn_job(struct learn *l, const struct job *j)
+{
+	struct queue_record *r = record_of(l, j->queue);
+
+	r->work = toward(r->work, work_of(j), r->jobs);
+	r->jobs++;
+}
+
+/* Return the work of j over the mean of its queue. */
+double learn_size(const struct learn *l, const struct job *j)
+{
+	const struct queue_record *r =
+		g_hash_table_lookup(l->queues, j->queue);
+
+	return r && r->work > 0 ? work_of(j) / r->work : 1;
+}
--- /dev/null
+++ b/sched/learn.h
@@ -0,0 +1,21 @@
+/*
+ * What has been seen of each queue: how long its tasks really run, and
+ * how much to trust the estimates that come with its jobs.
+ */
+#ifndef SCHED_LEARN_H
+#define SCHED_LEARN_H
+
+#include "sched/work.h"
+
+struct learn;
+
+struct learn *learn_create(void);
+void learn_destroy(struct learn *l);
+void learn_run(struct learn *l, const char *queue, uint32_t estimate_ms,
+	       uint64_t took_ms);
+uint64_t learn_duration_ms(const struct learn *l, const char *queue,
+			   const struct step *s);
+void learn_job(struct learn *l, const struct job *j);
+double learn_size(const struct learn *l, const struct job *j);
+
+#endif
--- a/sched/work.c
+++ b/sched/work.c
@@ -270,6 +270,10 @@
 	t->run = run;
 	t->placed_ms = now_ms;
 	t->percent = 0;
+	t->percent_ms = now_ms;
+	t->percent_first = 0;
+	/* a run without a checkpoint begins at 0 percent */
+	t->percent_first_ms = t->checkpoint ? 0 : now_ms;
 	t->inherited = false;
 	t->sent = false;
 	t->uncertain = false;
@@ -291,6 +295,17 @@
 	t->inherited = false;
 }
 
+/* Note how far t has come, as its upstream lists it. */
+void task_progress(struct task *t, uint32_t percent, uint64_t now_ms)
+{
+	t->percent = percent;
+	t->percent_ms = now_ms;
+	if (t->percent_first_ms)
+		return;
+	t->percent_first = percent;
+	t->percent_first_ms = now_ms;
+}
+
 static void set_checkpoint(struct task *t, const char *checkpoint)
 {
 	struct stage *st = t->stage;
--- a/sched/work.h
+++ b/sched/work.h
@@ -73,7 +73,10 @@
 	uint32_t failures;
 	struct upstream *at; /* while it occupies room */
 	char *checkpoint;    /* NULL: none */
-	uint32_t percent;
+	uint32_t percent;	   /* of the whole work, as last listed */
+	uint64_t percent_ms;	   /* when it was listed */
+	uint32_t percent_first;	   /* of this run, as first listed ... */
+	uint64_t percent_first_ms; /* ... then; 0: not listed yet */
 	uint64_t placed_ms;
 	uint64_t confirmed_ms;
 	uint64_t ended_ms;
@@ -98,6 +101,7 @@
 	uint64_t since_ms; /* its turn has come; 0: not yet */
 	uint64_t held_back_ms; /* do not place before */
 	struct task *tasks;
+	char held_rack[LABEL_BYTES]; /* where room was kept for it last */
 };
 
 enum job_state {
@@ -161,6 +165,7 @@
 void task_place(struct task *t, struct upstream *u, uint32_t run,
 		uint64_t now_ms);
 void task_confirm(struct task *t, uint64_t now_ms);
+void task_progress(struct task *t, uint32_t percent, uint64_t now_ms);
 void task_end(struct task *t, enum run_end how, const char *checkpoint,
 	      uint64_t now_ms);
 void job_settle(struct job *j, uint64_t store_now_ms);
