--- a/lead/lead.c
+++ b/lead/lead.c
@@ -239,14 +239,18 @@
 static void note_start(struct lead *d, const struct action *a)
 {
 	struct planned_start s = {.run = a->task->run};
+	const struct job *j = a->task->stage->job;
+	uint64_t now = clock_mono_ms();
 
 	task_name(a->task, s.task, sizeof(s.task));
 	g_array_append_val(d->planned, s);
-	log_fields(LOG_INFO, "start_decided", "{s:s,s:s,s:I,s:s,s:s,s:I}",
-		   "job", a->task->stage->job->id, "task", s.task, "run",
-		   (json_int_t)s.run, "upstream", a->u.to->id, "rack",
-		   a->u.to->rack, "waited_ms",
-		   (json_int_t)(clock_mono_ms() - a->task->stage->since_ms));
+	log_fields(LOG_INFO, "start_decided",
+		   "{s:s,s:s,s:I,s:s,s:s,s:I,s:I,s:i}", "job", j->id, "task",
+		   s.task, "run", (json_int_t)s.run, "upstream", a->u.to->id,
+		   "rack", a->u.to->rack, "waited_ms",
+		   (json_int_t)(now - a->task->stage->since_ms), "age_ms",
+		   (json_int_t)(now - j->since_ms), "priority",
+		   (int)j->priority);
 }
 
 static void do_stop(struct lead *d, const struct action *a)
--- a/lib/log.c
+++ b/lib/log.c
@@ -17,7 +17,7 @@
 #include "lib/log.h"
 #include "lib/loop.h"
 
-#define LOG_BURST 40
+#define LOG_BURST 400
 #define LOG_KINDS 64
 #define LOG_TEXT_BYTES 512
 #define LOG_LINE_BYTES 4096 /* PIPE_BUF */
