--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -15,9 +15,11 @@
 #include "platform/decode.h"
 
 /* How long one call of a feed is held by the store. */
-#define FEED_WAIT_MS 1000
+#define FEED_WAIT_MS 500
+/* Pause between an answer of the feed of jobs and the next call. */
+#define JOBS_GAP_MS 100
 /* An instance whose newest answer of the store is older is not ready. */
-#define READY_AGE_MS 2500
+#define READY_AGE_MS 1300
 #define STOP_POLL_MS 20
 /* After SIGTERM, listen for this long beyond the time in which the
  * balancer notices. */
@@ -32,8 +34,7 @@
 	struct http_client *http;
 	struct counters *counters;
 	struct rows *rows;
-	struct follower *ours;
-	struct follower *upstreams;
+	struct follower *jobs;
 	struct follower *operators;
 	struct policy *policy;
 	struct entry *entry;
@@ -46,25 +47,14 @@
 	bool was_ready;
 };
 
-static void our_row(void *arg, const char *key, const char *value,
+static void job_row(void *arg, const char *key, const char *value,
 		    uint64_t version)
 {
 	struct joint *j = arg;
 
-	entry_row(j->entry, key, value);
-	lead_row(j->lead, key, value, version);
-}
-
-static void our_answer(void *arg)
-{
-	lead_answered(((struct joint *)arg)->lead);
-}
-
-static void upstream_row(void *arg, const char *key, const char *value,
-			 uint64_t version)
-{
 	(void)version;
-	lead_upstream(((struct joint *)arg)->lead, key, value);
+	entry_row(j->entry, key, value);
+	lead_job_row(j->lead, key, value);
 }
 
 static void operator_row(void *arg, const char *key, const char *value,
@@ -96,8 +86,8 @@
 
 static bool ready(const struct joint *j)
 {
-	return !j->leave_ms && j->policy && follower_complete(j->ours) &&
-	       follower_age_ms(j->ours) < READY_AGE_MS;
+	return !j->leave_ms && j->policy && follower_complete(j->jobs) &&
+	       follower_age_ms(j->jobs) < READY_AGE_MS;
 }
 
 static void on_readiness(void *arg, struct http_exchange *x)
@@ -109,7 +99,7 @@
 		log_fields(LOG_INFO, "ready", "{s:b,s:I,s:I,s:b}", "ready", is,
 			   "policy",
 			   (json_int_t)(j->policy ? j->policy->version : 0),
-			   "table_age_ms", (json_int_t)follower_age_ms(j->ours),
+			   "table_age_ms", (json_int_t)follower_age_ms(j->jobs),
 			   "leaving", j->leave_ms != 0);
 	j->was_ready = is;
 	exchange_reply(x, is ? 200 : 503, "text/plain", is ? "ready\n" : "no\n",
@@ -199,17 +189,12 @@
 
 static void follow(struct joint *j)
 {
-	struct follower_events ours = {.changed = our_row,
-				       .answered = our_answer};
-	struct follower_events list = {.changed = upstream_row,
-				       .answered = our_answer};
-	struct follower_events op = {.changed = operator_row,
-				     .answered = our_answer};
+	struct follower_events jobs = {.changed = job_row};
+	struct follower_events op = {.changed = operator_row};
 
-	j->ours = follower_create(j->loop, j->rows, OUR_TABLE, FEED_WAIT_MS,
-				  &ours, j);
-	j->upstreams = follower_create(j->loop, j->rows, "servers",
-				       FEED_WAIT_MS, &list, j);
+	j->jobs = follower_create(j->loop, j->rows, JOB_TABLE, FEED_WAIT_MS,
+				  &jobs, j);
+	follower_set_gap(j->jobs, JOBS_GAP_MS);
 	j->operators = follower_create(j->loop, j->rows, "op", FEED_WAIT_MS,
 				       &op, j);
 }
@@ -231,14 +216,13 @@
 				.rows = j->rows,
 				.counters = j->counters,
 				.settings = s,
-				.ours = j->ours};
+				.jobs = j->jobs};
 	le = (struct lead_env){.loop = j->loop,
 			       .http = j->http,
 			       .rows = j->rows,
 			       .counters = j->counters,
 			       .settings = s,
-			       .ours = j->ours,
-			       .upstreams = j->upstreams,
+			       .jobs = j->jobs,
 			       .incarnation = clock_wall_ms()};
 	j->lead = lead_create(&le);
 	j->entry = entry_create(&ee);
@@ -256,8 +240,7 @@
 	lead_destroy(j->lead);
 	http_server_destroy(j->readiness);
 	http_server_destroy(j->metrics);
-	follower_destroy(j->ours);
-	follower_destroy(j->upstreams);
+	follower_destroy(j->jobs);
 	follower_destroy(j->operators);
 	policy_destroy(j->policy);
 	http_client_destroy(j->http);
--- a/entry/board.c
+++ b/entry/board.c
@@ -1,10 +1,8 @@
 /* The board: one entry a job, from the rows job/, run/ and cancel/. */
-#include <jansson.h>
 #include <string.h>
 
 #include "entry/board.h"
-#include "lead/record.h"
-#include "lib/schema.h"
+#include "lib/log.h"
 
 struct board {
 	GHashTable *jobs; /* id to struct board_job */
@@ -42,20 +40,16 @@
 
 static void job_row(struct board *b, const char *id, const char *value)
 {
-	json_t *v;
 	struct board_job *j;
 
 	if (!value) {
 		g_hash_table_remove(b->jobs, id);
 		return;
 	}
-	v = json_loads(value, 0, NULL);
 	j = entry_of(b, id);
-	g_strlcpy(j->queue, json_str_or(v, "queue", ""), sizeof(j->queue));
-	g_strlcpy(j->account, json_str_or(v, "account", ""),
-		  sizeof(j->account));
-	j->timed = json_int_or(v, "repeat", 0) > 0;
-	json_decref(v);
+	if (!job_decode(value, &j->record))
+		log_fields(LOG_ERROR, "bad_row", "{s:s,s:s}", "job", id,
+			   "value", value);
 }
 
 /* Take in a row; value NULL: it was removed. */
@@ -63,9 +57,6 @@
 {
 	if (g_str_has_prefix(key, KEY_JOB))
 		job_row(b, key + strlen(KEY_JOB), value);
-	else if (g_str_has_prefix(key, KEY_RUN) && value)
-		run_decode_state(value,
-				 &entry_of(b, key + strlen(KEY_RUN))->state);
 	else if (g_str_has_prefix(key, KEY_CANCEL) && value)
 		entry_of(b, key + strlen(KEY_CANCEL))->cancelled = true;
 }
@@ -75,7 +66,7 @@
 {
 	const struct board_job *j = g_hash_table_lookup(b->jobs, id);
 
-	return j && *j->queue ? j : NULL;
+	return j && *j->record.queue ? j : NULL;
 }
 
 /* Return how many accepted jobs of a queue have not begun. */
@@ -89,8 +80,8 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		const struct board_job *j = v;
 
-		n += j->state == JOB_QUEUED && !j->cancelled &&
-		     !strcmp(j->queue, queue);
+		n += j->record.state == JOB_QUEUED && !j->cancelled &&
+		     !strcmp(j->record.queue, queue);
 	}
 	return n;
 }
--- a/entry/board.h
+++ b/entry/board.h
@@ -2,16 +2,13 @@
 #ifndef ENTRY_BOARD_H
 #define ENTRY_BOARD_H
 
-#include "sched/work.h"
+#include "lead/record.h"
 
 struct board;
 
 struct board_job {
-	char queue[LABEL_BYTES];
-	char account[LABEL_BYTES];
-	enum job_state state;
+	struct job_record record;
 	bool cancelled; /* a request to cancel it is recorded */
-	bool timed;	/* it waits for times of its own */
 };
 
 struct board *board_create(void);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -118,7 +118,7 @@
 		   kind_name(r->kind), "status", status, "why", why, "took_ms",
 		   (json_int_t)(clock_mono_ms() - r->began_ms), "uncertain",
 		   r->uncertain, "table_age_ms",
-		   (json_int_t)follower_age_ms(n->env.ours));
+		   (json_int_t)follower_age_ms(n->env.jobs));
 	count_answer(n, r->kind, status);
 	latency_add(n->env.counters, kind_name(r->kind),
 		    (clock_mono_ms() - r->began_ms) * 1000);
@@ -164,7 +164,7 @@
 
 static void on_submitted(struct request *r, const struct rows_answer *a)
 {
-	struct job *j;
+	struct job_record j;
 	bool same = false;
 
 	switch (a->outcome) {
@@ -172,11 +172,9 @@
 		finish(r, 200, "accepted", 0);
 		return;
 	case ROWS_CONFLICT:
-		j = a->len && a->list[0].value
-			    ? job_decode(r->id, a->list[0].value)
-			    : NULL;
-		same = j && !strcmp(j->account, r->account);
-		job_destroy(j);
+		same = a->len && a->list[0].value &&
+		       job_decode(a->list[0].value, &j) &&
+		       !strcmp(j.account, r->account);
 		if (same)
 			finish(r, 200, "was accepted before", 0);
 		else
@@ -237,9 +235,9 @@
 {
 	if (!j)
 		return JOB_QUEUED;
-	if (j->cancelled && (j->state == JOB_QUEUED || j->state == JOB_RUNNING))
+	if (j->cancelled && !work_state_final(j->record.state))
 		return JOB_CANCELLED;
-	return j->state;
+	return j->record.state;
 }
 
 static void on_looked(void *arg, const struct rows_answer *a)
@@ -270,7 +268,7 @@
 	char key[JOB_ID_BYTES + 8];
 
 	g_snprintf(key, sizeof(key), "%s%s", KEY_JOB, r->id);
-	rows_range(r->entry->env.rows, OUR_TABLE, key, 1, STORE_MS, on_looked,
+	rows_range(r->entry->env.rows, JOB_TABLE, key, 1, STORE_MS, on_looked,
 		   r);
 }
 
@@ -330,12 +328,14 @@
 {
 	struct rows_tx *t = rows_tx_create();
 	char *key = g_strconcat(KEY_JOB, j->id, NULL);
-	char *value = job_encode(j);
+	char *value = job_encode(j), *spec = spec_encode(j);
 	char *text;
 
-	rows_tx_expect(t, OUR_TABLE, key, 0);
-	rows_tx_put(t, OUR_TABLE, key, value);
+	rows_tx_expect(t, JOB_TABLE, key, 0);
+	rows_tx_put(t, JOB_TABLE, key, value);
+	rows_tx_put(t, SPEC_TABLE, j->id, spec);
 	text = rows_tx_text(t);
+	free(spec);
 	free(value);
 	g_free(key);
 	rows_tx_destroy(t);
@@ -359,7 +359,7 @@
 	}
 	g_strlcpy(j->queue, q->name, sizeof(j->queue));
 	g_strlcpy(j->account, account, sizeof(j->account));
-	j->received_ms = follower_store_ms(n->env.ours);
+	j->received_ms = follower_store_ms(n->env.jobs);
 	r = request_create(n, x, REQUEST_SUBMIT, id, account);
 	r->write = submit_text(j);
 	job_destroy(j);
@@ -388,7 +388,7 @@
 	char *key = g_strconcat(KEY_CANCEL, id, NULL);
 	char *text;
 
-	rows_tx_put(t, OUR_TABLE, key, "{}");
+	rows_tx_put(t, JOB_TABLE, key, "{}");
 	text = rows_tx_text(t);
 	g_free(key);
 	rows_tx_destroy(t);
@@ -402,8 +402,7 @@
 	struct request *r =
 		request_create(n, x, REQUEST_CANCEL, id, account);
 
-	if (j && (j->cancelled || j->state == JOB_COMPLETED ||
-		  j->state == JOB_FAILED || j->state == JOB_CANCELLED)) {
+	if (j && (j->cancelled || work_state_final(j->record.state))) {
 		finish(r, 200, "over already", 0);
 		return;
 	}
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -17,7 +17,7 @@
 	struct rows *rows;
 	struct counters *counters;
 	const struct joint_settings *settings;
-	struct follower *ours;
+	struct follower *jobs;
 };
 
 struct entry *entry_create(const struct entry_env *e);
--- a/lead/follower.c
+++ b/lead/follower.c
@@ -40,6 +40,8 @@
 	uint64_t since_ms;    /* answers without a failure since */
 	uint64_t store_ms;    /* the store's clock at answered_ms */
 	uint32_t failures;
+	bool calling;
+	bool destroyed; /* to be freed when the call returns */
 	struct timer timer;
 };
 
@@ -82,18 +84,25 @@
 	return f;
 }
 
-/* Free f, whose store client must have been destroyed before. */
-void follower_destroy(struct follower *f)
+static void follower_free(struct follower *f)
 {
-	if (!f)
-		return;
-	timer_stop(f->loop, &f->timer);
 	g_tree_destroy(f->copy);
 	g_free(f->next_key);
 	g_free(f->table);
 	g_free(f);
 }
 
+/* Stop following; there are no callbacks any more. */
+void follower_destroy(struct follower *f)
+{
+	if (!f)
+		return;
+	timer_stop(f->loop, &f->timer);
+	f->destroyed = true;
+	if (!f->calling)
+		follower_free(f);
+}
+
 /* Report whether the whole table has been read. */
 bool follower_complete(const struct follower *f)
 {
@@ -262,6 +271,11 @@
 {
 	struct follower *f = arg;
 
+	f->calling = false;
+	if (f->destroyed) {
+		follower_free(f);
+		return;
+	}
 	if (a->outcome == ROWS_COMPACTED) {
 		log_fields(LOG_WARN, "feed_compacted", "{s:s,s:I}", "table",
 			   f->table, "version", (json_int_t)f->version);
@@ -297,6 +311,7 @@
 {
 	struct follower *f = arg;
 
+	f->calling = true;
 	if (f->complete)
 		rows_feed(f->rows, f->table, f->version, f->wait_ms,
 			  f->wait_ms + ANSWER_MS, on_answer, f);
--- a/lead/lead.c
+++ b/lead/lead.c
@@ -11,17 +11,21 @@
 #include "lib/log.h"
 
 /* Jobs in one write: the platform takes 100 entries, two are the owner
- * row's, and a removal takes three. */
-#define JOBS_PER_WRITE 90
-#define REMOVALS_PER_WRITE 2
+ * row's, a job takes up to three and a removal two. */
+#define JOBS_PER_WRITE 30
+#define REMOVALS_PER_WRITE 4
+/* How often to look for rows that nobody can ask for any more. */
+#define REMOVE_EVERY_MS 5000
+/* How long a call of a feed is held by the store. */
+#define OWNER_WAIT_MS 500
+#define FEED_WAIT_MS 1000
 /* Rows of ended jobs stay this much longer than they can be asked for. */
 #define KEEP_SLACK_MS 10000
-/* Pauses between an answer of the feed and the next call: an instance
- * that does not lead reads our table, and the list of upstreams, at
- * these intervals; the leader reads the list at the last one. */
-#define FOLLOW_GAP_MS 150
-#define FOLLOW_LIST_GAP_MS 1000
-#define LEAD_LIST_GAP_MS 150
+/* Pauses between an answer of a feed and the next call: each instance
+ * reads the owner row, and the leader the list of upstreams, in which
+ * something always changes, at these intervals. */
+#define OWNER_GAP_MS 350
+#define LIST_GAP_MS 150
 
 struct planned_start {
 	char task[TASK_NAME_BYTES];
@@ -32,10 +36,14 @@
 	struct lead_env env;
 	struct owner *owner;
 	struct keeper_env keepers;
+	struct follower *owners;
 	const struct policy *policy;
-	bool leading;		/* the model is complete */
-	uint64_t claim_version; /* the copy of our table must reach it */
-	bool claimed;
+	bool leading; /* the model is complete */
+	/* while it leads, or reads what its predecessor has left */
+	struct follower *specs;
+	struct follower *runs;
+	struct follower *upstreams;
+	uint64_t removed_ms; /* when it last looked for old rows */
 	struct model *model;
 	GArray *planned; /* starts that are not in a write yet */
 	GArray *written; /* starts in the write in flight */
@@ -56,9 +64,12 @@
 
 static void stop_leading(struct lead *d)
 {
-	d->claimed = false;
 	d->leading = false;
 	timer_stop(d->env.loop, &d->work);
+	follower_destroy(d->specs);
+	follower_destroy(d->runs);
+	follower_destroy(d->upstreams);
+	d->specs = d->runs = d->upstreams = NULL;
 	for (guint i = 0; d->model && i < d->model->fleet->list->len; i++) {
 		struct upstream *u =
 			g_ptr_array_index(d->model->fleet->list, i);
@@ -69,8 +80,6 @@
 	d->model = NULL;
 	g_array_set_size(d->planned, 0);
 	g_array_set_size(d->written, 0);
-	follower_set_gap(d->env.ours, FOLLOW_GAP_MS);
-	follower_set_gap(d->env.upstreams, FOLLOW_LIST_GAP_MS);
 }
 
 static void on_lost(void *arg, const char *why)
@@ -88,13 +97,6 @@
 	counter_add(d->env.counters, "stale_epoch", NULL, 1);
 }
 
-static void add_upstream(void *arg, const char *id, const char *value,
-			 uint64_t version)
-{
-	(void)version;
-	lead_upstream(arg, id, value);
-}
-
 static uint64_t born_of(void *arg, const struct upstream *u)
 {
 	(void)arg;
@@ -120,16 +122,33 @@
 	t->sent = true;
 }
 
+static void cancel_job(struct lead *d, struct job *j)
+{
+	if (j->cancel_wanted)
+		return;
+	job_cancel(j, follower_store_ms(d->env.jobs));
+	log_fields(LOG_INFO, "job_cancelled", "{s:s,s:s}", "job", j->id,
+		   "state", job_state_name(j->state));
+}
+
+static bool cancel_recorded(const struct lead *d, const char *id)
+{
+	char *key = g_strconcat(KEY_CANCEL, id, NULL);
+	bool found = follower_get(d->env.jobs, key, NULL) != NULL;
+
+	g_free(key);
+	return found;
+}
+
 static void add_job(struct lead *d, const char *id, const char *value)
 {
 	struct job *j;
-	const char *run;
-	char *key;
-	uint64_t age, store = follower_store_ms(d->env.ours);
+	const char *run = d->runs ? follower_get(d->runs, id, NULL) : NULL;
+	uint64_t age, store = follower_store_ms(d->env.jobs);
 
 	if (model_job(d->model, id))
 		return;
-	j = job_decode(id, value);
+	j = spec_decode(id, value);
 	if (!j) {
 		log_fields(LOG_ERROR, "bad_row", "{s:s}", "job", id);
 		return;
@@ -137,42 +156,69 @@
 	age = store > j->received_ms ? store - j->received_ms : 0;
 	j->since_ms = clock_mono_ms() - MIN(age, clock_mono_ms() - 1);
 	model_add_job(d->model, j);
-	key = g_strconcat(KEY_RUN, id, NULL);
-	run = follower_get(d->env.ours, key, NULL);
-	g_free(key);
 	if (run && !run_decode(j, run, inherit, d))
 		log_fields(LOG_ERROR, "bad_row", "{s:s,s:s}", "job", id, "run",
 			   run);
-	j->dirty = false;
+	j->dirty = job_over(j); /* its rows have to be removed */
+	j->recorded = j->state;
+	if (cancel_recorded(d, id))
+		cancel_job(d, j);
 }
 
-static void cancel_job(struct lead *d, const char *id)
+static void spec_row(void *arg, const char *id, const char *value,
+		     uint64_t version)
 {
-	struct job *j = model_job(d->model, id);
+	struct lead *d = arg;
 
-	if (!j || j->cancel_wanted)
+	(void)version;
+	if (!d->leading)
 		return;
-	job_cancel(j, follower_store_ms(d->env.ours));
-	log_fields(LOG_INFO, "job_cancelled", "{s:s,s:s}", "job", id, "state",
-		   job_state_name(j->state));
+	if (value) {
+		add_job(d, id, value);
+		model_apply_policy(d->model, d->policy);
+	} else {
+		model_remove_job(d->model, id);
+	}
+	want_work(d);
 }
 
-static void build_row(void *arg, const char *key, const char *value,
-		      uint64_t version)
+static void build_spec(void *arg, const char *id, const char *value,
+		       uint64_t version)
 {
-	struct lead *d = arg;
-
 	(void)version;
-	if (g_str_has_prefix(key, KEY_JOB))
-		add_job(d, key + strlen(KEY_JOB), value);
+	add_job(arg, id, value);
 }
 
-static void build_cancel(void *arg, const char *key, const char *value,
+/* Take in a change of the list of upstreams; value NULL: removed. */
+static void upstream_row(void *arg, const char *id, const char *value,
 			 uint64_t version)
 {
-	(void)value;
+	struct lead *d = arg;
+	struct upstream_entry e;
+	struct upstream *u;
+
 	(void)version;
-	cancel_job(arg, key + strlen(KEY_CANCEL));
+	if (!d->leading)
+		return;
+	u = fleet_find(d->model->fleet, id);
+	if (!value || !decode_upstream(value, &e)) {
+		if (value)
+			log_fields(LOG_WARN, "bad_upstream_entry", "{s:s}",
+				   "upstream", id);
+		if (u && u->state != UPSTREAM_GONE) {
+			log_fields(LOG_INFO, "upstream_unlisted", "{s:s,s:i}",
+				   "upstream", id, "tasks", (int)u->tasks->len);
+			u->state = UPSTREAM_GONE;
+		}
+		return;
+	}
+	if (!u)
+		u = fleet_add(d->model->fleet, id);
+	if (u->keeper)
+		keeper_entry(u->keeper, &e);
+	else
+		u->keeper = keeper_create(&d->keepers, u, &e);
+	want_work(d);
 }
 
 /* Build the model from the copies of the tables. */
@@ -194,41 +240,79 @@
 	d->model = model_create();
 	d->keepers.model = d->model;
 	d->leading = true;
-	follower_each(e->upstreams, "", add_upstream, d);
-	follower_each(e->ours, KEY_JOB, build_row, d);
+	follower_each(d->upstreams, "", upstream_row, d);
+	follower_each(d->specs, "", build_spec, d);
 	model_apply_policy(d->model, d->policy);
-	follower_each(e->ours, KEY_CANCEL, build_cancel, d);
+	follower_destroy(d->runs);
+	d->runs = NULL;
 	log_fields(LOG_INFO, "leading", "{s:I,s:i,s:i,s:I,s:I}", "epoch",
 		   (json_int_t)owner_epoch(d->owner), "jobs",
 		   (int)d->model->live->len, "upstreams",
-		   (int)d->model->fleet->list->len, "table_version",
-		   (json_int_t)follower_version(e->ours), "policy",
+		   (int)d->model->fleet->list->len, "specs_version",
+		   (json_int_t)follower_version(d->specs), "policy",
 		   (json_int_t)(d->policy ? d->policy->version : 0));
 	want_work(d);
 }
 
-static void on_gained(void *arg, uint64_t version)
+/* Build the model once all that a predecessor has left was read. */
+static void on_read(void *arg)
 {
 	struct lead *d = arg;
 
-	d->claimed = true;
-	d->claim_version = version;
-	follower_set_gap(d->env.ours, 0);
-	follower_set_gap(d->env.upstreams, LEAD_LIST_GAP_MS);
-	lead_answered(d);
+	if (!d->leading && d->specs && follower_complete(d->specs) &&
+	    follower_complete(d->runs) && follower_complete(d->upstreams) &&
+	    d->policy && follower_complete(d->env.jobs))
+		build(d);
+}
+
+static void ignore_row(void *arg, const char *key, const char *value,
+		       uint64_t version)
+{
+	(void)arg;
+	(void)key;
+	(void)value;
+	(void)version;
 }
 
-/* Note an answer of the store: claim, or build the model, if it is time. */
-void lead_answered(struct lead *d)
+/* The claim has taken effect: what is read from now on is complete. */
+static void on_gained(void *arg, uint64_t version)
 {
+	struct lead *d = arg;
 	const struct lead_env *e = &d->env;
+	struct follower_events specs = {.changed = spec_row,
+					.answered = on_read};
+	struct follower_events runs = {.changed = ignore_row,
+				       .answered = on_read};
+	struct follower_events list = {.changed = upstream_row,
+				       .answered = on_read};
 
-	owner_consider(d->owner, follower_answered_since_ms(e->ours),
-		       follower_complete(e->ours) &&
-			       follower_complete(e->upstreams) && d->policy);
-	if (d->claimed && !d->leading &&
-	    follower_version(e->ours) >= d->claim_version)
-		build(d);
+	(void)version;
+	d->specs = follower_create(e->loop, e->rows, SPEC_TABLE, FEED_WAIT_MS,
+				   &specs, d);
+	d->runs = follower_create(e->loop, e->rows, RUN_TABLE, FEED_WAIT_MS,
+				  &runs, d);
+	d->upstreams = follower_create(e->loop, e->rows, "servers",
+				       FEED_WAIT_MS, &list, d);
+	follower_set_gap(d->upstreams, LIST_GAP_MS);
+}
+
+static void owner_changed(void *arg, const char *key, const char *value,
+			  uint64_t version)
+{
+	struct lead *d = arg;
+
+	if (!strcmp(key, KEY_OWNER))
+		owner_row(d->owner, value, version);
+}
+
+/* Note an answer of the store: see whether to claim. */
+static void owner_answered(void *arg)
+{
+	struct lead *d = arg;
+
+	owner_consider(d->owner, follower_answered_since_ms(d->owners),
+		       follower_complete(d->owners) && d->policy &&
+			       follower_complete(d->env.jobs));
 }
 
 static struct keeper *keeper_of(const struct task *t)
@@ -301,45 +385,75 @@
 	g_array_unref(actions);
 }
 
-static void put_run(struct lead *d, struct rows_tx *t, struct job *j)
+static void put_state(struct rows_tx *t, struct job *j)
 {
-	char *key = g_strconcat(KEY_RUN, j->id, NULL);
-	char *value = run_encode(j, born_of, d);
+	char *key = g_strconcat(KEY_JOB, j->id, NULL);
+	char *value = job_encode(j);
 
-	rows_tx_put(t, OUR_TABLE, key, value);
-	j->dirty = false;
+	rows_tx_put(t, JOB_TABLE, key, value);
+	j->recorded = j->state;
 	free(value);
 	g_free(key);
 }
 
-static void remove_row(struct rows_tx *t, const char *prefix, const char *id)
+/* Write what has changed of j; only the state remains of one that is over. */
+static void put_job(struct lead *d, struct rows_tx *t, struct job *j)
 {
-	char *key = g_strconcat(prefix, id, NULL);
+	char *value;
 
-	rows_tx_remove(t, OUR_TABLE, key);
-	g_free(key);
+	j->dirty = false;
+	if (job_over(j) && !job_occupies(j)) {
+		put_state(t, j);
+		rows_tx_remove(t, SPEC_TABLE, j->id);
+		rows_tx_remove(t, RUN_TABLE, j->id);
+		j->removed = true;
+		return;
+	}
+	if (j->state != j->recorded)
+		put_state(t, j);
+	value = run_encode(j, born_of, d);
+	rows_tx_put(t, RUN_TABLE, j->id, value);
+	free(value);
+}
+
+struct removal {
+	struct rows_tx *tx;
+	uint64_t before_ms; /* of the store's clock */
+	uint32_t count;
+};
+
+static void remove_old(void *arg, const char *key, const char *value,
+		       uint64_t version)
+{
+	struct removal *r = arg;
+	struct job_record j;
+	char *cancel;
+
+	(void)version;
+	if (r->count >= REMOVALS_PER_WRITE || !job_decode(value, &j) ||
+	    !work_state_final(j.state) || j.ended_ms > r->before_ms)
+		return;
+	cancel = g_strconcat(KEY_CANCEL, key + strlen(KEY_JOB), NULL);
+	rows_tx_remove(r->tx, JOB_TABLE, key);
+	rows_tx_remove(r->tx, JOB_TABLE, cancel);
+	r->count++;
+	g_free(cancel);
 }
 
 /* Remove the rows of jobs that nobody can ask for any more. */
 static void put_removals(struct lead *d, struct rows_tx *t)
 {
-	uint64_t store = follower_store_ms(d->env.ours);
+	uint64_t store = follower_store_ms(d->env.jobs);
 	uint64_t keep = d->env.settings->keep_ended_ms + KEEP_SLACK_MS;
-	GHashTableIter it;
-	gpointer v;
-	uint32_t n = 0;
-
-	g_hash_table_iter_init(&it, d->model->jobs);
-	while (n < REMOVALS_PER_WRITE && g_hash_table_iter_next(&it, NULL, &v)) {
-		struct job *j = v;
+	uint64_t now = clock_mono_ms();
+	struct removal r = {.tx = t};
 
-		if (!job_over(j) || !j->ended_ms || j->ended_ms + keep > store)
-			continue;
-		remove_row(t, KEY_JOB, j->id);
-		remove_row(t, KEY_RUN, j->id);
-		remove_row(t, KEY_CANCEL, j->id);
-		n++;
-	}
+	if (store <= keep || now < d->removed_ms + REMOVE_EVERY_MS)
+		return;
+	r.before_ms = store - keep;
+	follower_each(d->env.jobs, KEY_JOB, remove_old, &r);
+	if (r.count < REMOVALS_PER_WRITE)
+		d->removed_ms = now;
 }
 
 /* Write all that has changed, and the beat of the leader with it. */
@@ -353,7 +467,7 @@
 		struct job *j = g_ptr_array_index(d->model->live, i);
 
 		if (j->dirty && n++ < JOBS_PER_WRITE)
-			put_run(d, t, j);
+			put_job(d, t, j);
 	}
 	if (n <= JOBS_PER_WRITE) {
 		put_removals(d, t);
@@ -371,6 +485,17 @@
 	owner_commit(d->owner, t);
 }
 
+/* Forget the jobs whose rows were removed. */
+static void forget_removed(struct lead *d)
+{
+	for (guint i = d->model->live->len; i-- > 0;) {
+		struct job *j = g_ptr_array_index(d->model->live, i);
+
+		if (j->removed && !j->dirty)
+			model_remove_job(d->model, j->id);
+	}
+}
+
 /* The recorded starts may go out now. */
 static void send_starts(struct lead *d)
 {
@@ -409,6 +534,7 @@
 		}
 	}
 	send_starts(d);
+	forget_removed(d);
 	want_work(d);
 }
 
@@ -444,10 +570,10 @@
 	if (!d->leading)
 		return;
 	lose_unlisted(d);
-	model_sweep(d->model, follower_store_ms(d->env.ours));
+	model_sweep(d->model, follower_store_ms(d->env.jobs));
 	if (!owner_writing(d->owner))
 		decide(d);
-	model_sweep(d->model, follower_store_ms(d->env.ours));
+	model_sweep(d->model, follower_store_ms(d->env.jobs));
 	if (!owner_writing(d->owner) && anything_dirty(d))
 		record(d);
 }
@@ -473,6 +599,8 @@
 				  .lost = on_lost,
 				  .committed = on_committed,
 				  .beat = on_beat};
+	struct follower_events owners = {.changed = owner_changed,
+					 .answered = owner_answered};
 
 	d->env = *e;
 	d->planned = g_array_new(FALSE, FALSE, sizeof(struct planned_start));
@@ -480,8 +608,9 @@
 	d->owner = owner_create(e->loop, e->rows, e->counters,
 				e->settings->instance, e->incarnation, &ev, d);
 	timer_init(&d->work, work, d);
-	follower_set_gap(e->ours, FOLLOW_GAP_MS);
-	follower_set_gap(e->upstreams, FOLLOW_LIST_GAP_MS);
+	d->owners = follower_create(e->loop, e->rows, OWNER_TABLE,
+				    OWNER_WAIT_MS, &owners, d);
+	follower_set_gap(d->owners, OWNER_GAP_MS);
 	return d;
 }
 
@@ -491,6 +620,7 @@
 	if (!d)
 		return;
 	stop_leading(d);
+	follower_destroy(d->owners);
 	owner_destroy(d->owner);
 	g_array_unref(d->planned);
 	g_array_unref(d->written);
@@ -498,56 +628,17 @@
 	g_free(d);
 }
 
-/* Take in a change of our table; value NULL: the row was removed. */
-void lead_row(struct lead *d, const char *key, const char *value,
-	      uint64_t version)
-{
-	if (!strcmp(key, KEY_OWNER))
-		owner_row(d->owner, value, version);
-	if (!d->leading)
-		return;
-	if (g_str_has_prefix(key, KEY_JOB)) {
-		const char *id = key + strlen(KEY_JOB);
-
-		if (value) {
-			add_job(d, id, value);
-			model_apply_policy(d->model, d->policy);
-		} else {
-			model_remove_job(d->model, id);
-		}
-		want_work(d);
-	} else if (g_str_has_prefix(key, KEY_CANCEL) && value) {
-		cancel_job(d, key + strlen(KEY_CANCEL));
-		want_work(d);
-	}
-}
-
-/* Take in a change of the list of upstreams; value NULL: removed. */
-void lead_upstream(struct lead *d, const char *id, const char *value)
+/* Take in a row of the table of jobs; value NULL: it was removed. */
+void lead_job_row(struct lead *d, const char *key, const char *value)
 {
-	struct upstream_entry e;
-	struct upstream *u;
+	struct job *j;
 
-	if (!d->leading)
+	if (!d->leading || !value || !g_str_has_prefix(key, KEY_CANCEL))
 		return;
-	u = fleet_find(d->model->fleet, id);
-	if (!value || !decode_upstream(value, &e)) {
-		if (value)
-			log_fields(LOG_WARN, "bad_upstream_entry", "{s:s}",
-				   "upstream", id);
-		if (u && u->state != UPSTREAM_GONE) {
-			log_fields(LOG_INFO, "upstream_unlisted", "{s:s,s:i}",
-				   "upstream", id, "tasks", (int)u->tasks->len);
-			u->state = UPSTREAM_GONE;
-		}
+	j = model_job(d->model, key + strlen(KEY_CANCEL));
+	if (!j)
 		return;
-	}
-	if (!u)
-		u = fleet_add(d->model->fleet, id);
-	if (u->keeper)
-		keeper_entry(u->keeper, &e);
-	else
-		u->keeper = keeper_create(&d->keepers, u, &e);
+	cancel_job(d, j);
 	want_work(d);
 }
 
--- a/lead/lead.h
+++ b/lead/lead.h
@@ -18,18 +18,14 @@
 	struct rows *rows;
 	struct counters *counters;
 	const struct joint_settings *settings;
-	struct follower *ours;	    /* our table */
-	struct follower *upstreams; /* the platform's list */
+	struct follower *jobs; /* the state of every job */
 	uint64_t incarnation;
 };
 
 struct lead *lead_create(const struct lead_env *e);
 void lead_destroy(struct lead *d);
-void lead_row(struct lead *d, const char *key, const char *value,
-	      uint64_t version);
-void lead_upstream(struct lead *d, const char *id, const char *value);
+void lead_job_row(struct lead *d, const char *key, const char *value);
 void lead_policy(struct lead *d, const struct policy *p);
-void lead_answered(struct lead *d);
 void lead_retire(struct lead *d);
 bool lead_leads(const struct lead *d);
 
--- a/lead/model.c
+++ b/lead/model.c
@@ -103,24 +103,18 @@
 		job_apply_policy(g_ptr_array_index(m->live, i), p);
 }
 
-/* Report whether any task of j occupies room. */
-static bool job_occupies(const struct job *j)
-{
-	for (uint32_t i = 0; i < j->stages_len; i++)
-		if (!stage_idle(&j->stages[i]))
-			return true;
-	return false;
-}
-
-/* Settle the live jobs, and drop those that are over and stopped. */
+/*
+ * Settle the live jobs.  One that is over is written once more when
+ * nothing of it runs any more.
+ */
 void model_sweep(struct model *m, uint64_t store_now_ms)
 {
 	for (guint i = m->live->len; i-- > 0;) {
 		struct job *j = g_ptr_array_index(m->live, i);
 
 		job_settle(j, store_now_ms);
-		if (job_over(j) && !job_occupies(j) && !j->dirty)
-			g_ptr_array_remove_index_fast(m->live, i);
+		if (job_over(j) && !job_occupies(j) && !j->removed)
+			j->dirty = true;
 	}
 }
 
--- a/lead/owner.c
+++ b/lead/owner.c
@@ -320,8 +320,8 @@
 	if (o->retiring)
 		r.instance[0] = '\0';
 	value = owner_encode(&r);
-	rows_tx_expect(t, OUR_TABLE, KEY_OWNER, o->any ? o->version : 0);
-	rows_tx_put(t, OUR_TABLE, KEY_OWNER, value);
+	rows_tx_expect(t, OWNER_TABLE, KEY_OWNER, o->any ? o->version : 0);
+	rows_tx_put(t, OWNER_TABLE, KEY_OWNER, value);
 	free(value);
 	o->writing = rows_tx_text(t);
 	o->write_number++;
--- a/lead/record.c
+++ b/lead/record.c
@@ -76,8 +76,37 @@
 			 s->image);
 }
 
-/* Encode what was submitted; free with free. */
+/* Encode what every instance knows of j; free with free. */
 char *job_encode(const struct job *j)
+{
+	json_t *v = json_pack("{s:s,s:s,s:s,s:I}", "queue", j->queue,
+			      "account", j->account, "state",
+			      job_state_name(j->state), "ended_ms",
+			      (json_int_t)j->ended_ms);
+	char *s = json_dumps(v, JSON_COMPACT);
+
+	json_decref(v);
+	return s;
+}
+
+/* Decode what job_encode has encoded; false when it is not of the form. */
+bool job_decode(const char *text, struct job_record *r)
+{
+	json_t *v = json_loads(text, 0, NULL);
+	bool ok;
+
+	memset(r, 0, sizeof(*r));
+	g_strlcpy(r->queue, json_str_or(v, "queue", ""), sizeof(r->queue));
+	g_strlcpy(r->account, json_str_or(v, "account", ""),
+		  sizeof(r->account));
+	r->ended_ms = json_int_or(v, "ended_ms", 0);
+	ok = job_state_parse(json_str_or(v, "state", ""), &r->state);
+	json_decref(v);
+	return ok;
+}
+
+/* Encode what was submitted; free with free. */
+char *spec_encode(const struct job *j)
 {
 	json_t *steps = json_array();
 	json_t *v;
@@ -128,7 +157,7 @@
 }
 
 /* Decode a job and lay it out; NULL when the value is not of the form. */
-struct job *job_decode(const char *id, const char *text)
+struct job *spec_decode(const char *id, const char *text)
 {
 	json_t *v = json_loads(text, 0, NULL);
 	const json_t *item;
@@ -160,82 +189,162 @@
 	return j;
 }
 
-static json_t *task_encode(const struct task *t, born_fn born, void *arg)
+/* The lives of upstreams that a row names, each once. */
+struct life_list {
+	GPtrArray *upstreams;
+	json_t *names; /* "ID@BORN" */
+	born_fn born;
+	void *arg;
+};
+
+static uint32_t life_number(struct life_list *l, const struct upstream *u)
 {
-	const struct stage *st = t->stage;
-	const struct upstream *u = task_active(t) ? t->at : NULL;
-
-	if (t->state == TASK_DONE)
-		return json_pack("[i,i,i,I]", (int)st->occurrence,
-				 (int)st->step_index, (int)t->index,
-				 (json_int_t)t->run);
-	return json_pack("[i,i,i,I,I,s,s,I]", (int)st->occurrence,
-			 (int)st->step_index, (int)t->index, (json_int_t)t->run,
-			 (json_int_t)t->failures,
-			 t->checkpoint ? t->checkpoint : "", u ? u->id : "",
-			 u ? (json_int_t)born(arg, u) : 0);
+	char *name;
+
+	for (guint i = 0; i < l->upstreams->len; i++)
+		if (g_ptr_array_index(l->upstreams, i) == u)
+			return i;
+	name = g_strdup_printf("%s@%llu", u->id,
+			       (unsigned long long)l->born(l->arg, u));
+	json_array_append_new(l->names, json_string(name));
+	g_ptr_array_add(l->upstreams, (gpointer)u);
+	g_free(name);
+	return l->upstreams->len - 1;
+}
+
+/*
+ * Append the tasks of st to s, separated by spaces: `=` and the run for
+ * one that is done, otherwise RUN,FAILURES,LIFE,CHECKPOINT with the last
+ * ones left out when they are empty; N* before it: for the next N tasks.
+ */
+static void stage_encode(GString *s, const struct stage *st,
+			 struct life_list *lives)
+{
+	GString *one = g_string_new(NULL), *last = g_string_new(NULL);
+	uint32_t same = 0;
+
+	for (uint32_t i = 0; i <= st->step->count; i++) {
+		const struct task *t = &st->tasks[i];
+
+		g_string_truncate(one, 0);
+		if (i == st->step->count)
+			g_string_append(one, "end");
+		else if (t->state == TASK_DONE)
+			g_string_append_printf(one, "=%u", t->run);
+		else if (task_active(t))
+			g_string_append_printf(one, "%u,%u,%u", t->run,
+					       t->failures,
+					       life_number(lives, t->at));
+		else
+			g_string_append_printf(one, "%u,%u,", t->run,
+					       t->failures);
+		if (i < st->step->count && t->state != TASK_DONE &&
+		    t->checkpoint)
+			g_string_append_printf(one, ",%s", t->checkpoint);
+		if (same && g_string_equal(one, last)) {
+			same++;
+			continue;
+		}
+		if (same > 1)
+			g_string_append_printf(s, "%u*%s ", same, last->str);
+		else if (same)
+			g_string_append_printf(s, "%s ", last->str);
+		g_string_assign(last, one->str);
+		same = 1;
+	}
+	g_string_free(one, TRUE);
+	g_string_free(last, TRUE);
 }
 
 /* Encode the state of j and of the runs of its tasks; free with free. */
 char *run_encode(const struct job *j, born_fn born, void *arg)
 {
-	json_t *tasks = json_array(), *gangs = json_array(), *v;
+	struct life_list lives = {.upstreams = g_ptr_array_new(),
+				  .names = json_array(),
+				  .born = born,
+				  .arg = arg};
+	json_t *stages = json_array(), *v;
 	char *s;
 
 	for (uint32_t i = 0; i < j->stages_len; i++) {
 		const struct stage *st = &j->stages[i];
+		GString *tasks = g_string_new(NULL);
 
-		if (st->failures)
-			json_array_append_new(
-				gangs, json_pack("[i,I]", (int)i,
-						 (json_int_t)st->failures));
-		for (uint32_t k = 0; k < st->step->count; k++)
-			if (st->tasks[k].run)
-				json_array_append_new(
-					tasks, task_encode(&st->tasks[k], born,
-							   arg));
+		if (stage_begun(st))
+			stage_encode(tasks, st, &lives);
+		json_array_append_new(stages,
+				      json_pack("[I,s]",
+						(json_int_t)st->failures,
+						tasks->str));
+		g_string_free(tasks, TRUE);
 	}
 	v = json_pack("{s:s,s:I,s:o,s:o}", "state", job_state_name(j->state),
-		      "ended_ms", (json_int_t)j->ended_ms, "gangs", gangs,
-		      "tasks", tasks);
+		      "ended_ms", (json_int_t)j->ended_ms, "lives",
+		      lives.names, "stages", stages);
 	s = json_dumps(v, JSON_COMPACT);
 	json_decref(v);
+	g_ptr_array_free(lives.upstreams, TRUE);
 	return s;
 }
 
-/* Decode only a job's state; false when the value is not of the form. */
-bool run_decode_state(const char *text, enum job_state *state)
+/* A row that is being decoded. */
+struct run_reader {
+	const json_t *lives;
+	active_fn active;
+	void *arg;
+};
+
+static void active_decode(const struct run_reader *r, struct task *t,
+			  const char *life)
 {
-	json_t *v = json_loads(text, 0, NULL);
-	bool ok = job_state_parse(json_str_or(v, "state", ""), state);
+	size_t n = g_ascii_strtoull(life, NULL, 10);
+	const char *name = json_string_value(json_array_get(r->lives, n));
+	char **part = g_strsplit(name ? name : "", "@", 2);
 
-	json_decref(v);
-	return ok;
+	if (part[0] && part[1])
+		r->active(r->arg, t, part[0],
+			  g_ascii_strtoull(part[1], NULL, 10));
+	g_strfreev(part);
 }
 
-static void task_decode(struct job *j, const json_t *v, active_fn active,
-			void *arg)
+static void task_decode(const struct run_reader *r, struct task *t,
+			const char *text)
 {
-	struct task *t = job_task(j, json_integer_value(json_array_get(v, 0)),
-				  json_integer_value(json_array_get(v, 1)),
-				  json_integer_value(json_array_get(v, 2)));
-	const char *s;
+	char **field;
 
-	if (!t)
-		return;
-	t->run = json_integer_value(json_array_get(v, 3));
-	if (json_array_size(v) == 4) {
+	if (*text == '=') {
+		t->run = g_ascii_strtoull(text + 1, NULL, 10);
 		t->state = TASK_DONE;
 		t->stage->done++;
 		return;
 	}
-	t->failures = json_integer_value(json_array_get(v, 4));
-	s = json_string_value(json_array_get(v, 5));
-	if (s && *s)
-		t->checkpoint = g_strdup(s);
-	s = json_string_value(json_array_get(v, 6));
-	if (s && *s)
-		active(arg, t, s, json_integer_value(json_array_get(v, 7)));
+	field = g_strsplit(text, ",", 4);
+	t->run = g_ascii_strtoull(field[0], NULL, 10);
+	if (field[0] && field[1])
+		t->failures = g_ascii_strtoull(field[1], NULL, 10);
+	if (g_strv_length(field) > 3)
+		t->checkpoint = g_strdup(field[3]);
+	if (g_strv_length(field) > 2 && *field[2])
+		active_decode(r, t, field[2]);
+	g_strfreev(field);
+}
+
+static void stage_decode(const struct run_reader *r, struct stage *st,
+			 const char *text)
+{
+	char **list = g_strsplit(text, " ", -1);
+	uint32_t at = 0;
+
+	for (char **p = list; *p; p++) {
+		char *star = strchr(*p, '*');
+		uint32_t n = star ? g_ascii_strtoull(*p, NULL, 10) : 1;
+
+		if (!**p)
+			continue;
+		for (; n && at < st->step->count; n--)
+			task_decode(r, &st->tasks[at++], star ? star + 1 : *p);
+	}
+	g_strfreev(list);
 }
 
 /*
@@ -245,21 +354,24 @@
 bool run_decode(struct job *j, const char *text, active_fn active, void *arg)
 {
 	json_t *v = json_loads(text, 0, NULL);
+	struct run_reader r = {.lives = json_object_get(v, "lives"),
+			       .active = active,
+			       .arg = arg};
 	const json_t *item;
 	bool ok = job_state_parse(json_str_or(v, "state", ""), &j->state);
 	size_t i;
 
 	j->ended_ms = json_int_or(v, "ended_ms", 0);
-	json_array_foreach(json_object_get(v, "gangs"), i, item)
+	json_array_foreach(json_object_get(v, "stages"), i, item)
 	{
-		uint32_t n = json_integer_value(json_array_get(item, 0));
+		const char *tasks = json_string_value(json_array_get(item, 1));
 
-		if (n < j->stages_len)
-			j->stages[n].failures =
-				json_integer_value(json_array_get(item, 1));
+		if (i >= j->stages_len)
+			break;
+		j->stages[i].failures =
+			json_integer_value(json_array_get(item, 0));
+		stage_decode(&r, &j->stages[i], tasks ? tasks : "");
 	}
-	json_array_foreach(json_object_get(v, "tasks"), i, item)
-		task_decode(j, item, active, arg);
 	json_decref(v);
 	return ok;
 }
--- a/lead/record.h
+++ b/lead/record.h
@@ -4,11 +4,18 @@
 
 #include "sched/work.h"
 
-#define OUR_TABLE "lacewingspur"
+/* Who leads; every instance follows it. */
+#define OWNER_TABLE "lacewingspur-owner"
 #define KEY_OWNER "owner"
+/* The state of every job, and wishes to cancel one; every instance
+ * follows it. */
+#define JOB_TABLE "lacewingspur"
 #define KEY_JOB "job/"
 #define KEY_CANCEL "cancel/"
-#define KEY_RUN "run/"
+/* What was submitted, by the job's id; the leader follows it. */
+#define SPEC_TABLE "lacewingspur-specs"
+/* The runs of each job, by its id; a new leader reads it once. */
+#define RUN_TABLE "lacewingspur-runs"
 
 /* Who leads. */
 struct owner_record {
@@ -20,8 +27,19 @@
 
 char *owner_encode(const struct owner_record *o);
 bool owner_decode(const char *text, struct owner_record *o);
+
+/* What every instance knows of a job. */
+struct job_record {
+	char queue[LABEL_BYTES];
+	char account[LABEL_BYTES];
+	enum job_state state;
+	uint64_t ended_ms; /* on the store's clock */
+};
+
 char *job_encode(const struct job *j);
-struct job *job_decode(const char *id, const char *text);
+bool job_decode(const char *text, struct job_record *r);
+char *spec_encode(const struct job *j);
+struct job *spec_decode(const char *id, const char *text);
 
 /* The life of an upstream that a run was given to, by its id. */
 typedef uint64_t (*born_fn)(void *arg, const struct upstream *u);
@@ -32,6 +50,5 @@
 
 char *run_encode(const struct job *j, born_fn born, void *arg);
 bool run_decode(struct job *j, const char *text, active_fn active, void *arg);
-bool run_decode_state(const char *text, enum job_state *state);
 
 #endif
--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -282,7 +282,9 @@
 	bool ok;
 
 	rules.await_ms = p->v->stop_ms + HANDOVER_MS;
-	if (spare > (int64_t)rules.await_ms && c->rank <= RANK_URGENT)
+	if (worth >= MUST)
+		rules.await_ms = 0; /* an expectation is no guarantee */
+	else if (spare > (int64_t)rules.await_ms && c->rank <= RANK_URGENT)
 		rules.await_ms = spare;
 	if (worth <= 0)
 		return false;
--- a/sched/work.c
+++ b/sched/work.c
@@ -10,7 +10,7 @@
 #include "sched/work.h"
 
 #define MAX_STEPS 64
-#define MAX_TASKS 20000
+#define MAX_TASKS 4000
 #define MAX_CPU_MILLI 10000000
 #define MAX_MEMORY_MB 100000000
 #define MAX_ACCELERATORS 1024
@@ -135,10 +135,10 @@
 	}
 }
 
-/* Report whether j has reached a state that does not change any more. */
-bool job_over(const struct job *j)
+/* Report whether a job in state s is over. */
+bool work_state_final(enum job_state s)
 {
-	switch (j->state) {
+	switch (s) {
 	case JOB_QUEUED:
 	case JOB_RUNNING:
 		return false;
@@ -150,6 +150,12 @@
 	return true;
 }
 
+/* Report whether j has reached a state that does not change any more. */
+bool job_over(const struct job *j)
+{
+	return work_state_final(j->state);
+}
+
 /* Return the word for s. */
 const char *job_state_name(enum job_state s)
 {
@@ -242,6 +248,24 @@
 	return true;
 }
 
+/* Report whether any task of j occupies room. */
+bool job_occupies(const struct job *j)
+{
+	for (uint32_t i = 0; i < j->stages_len; i++)
+		if (!stage_idle(&j->stages[i]))
+			return true;
+	return false;
+}
+
+/* Report whether any task of st was ever placed. */
+bool stage_begun(const struct stage *st)
+{
+	for (uint32_t i = 0; i < st->step->count; i++)
+		if (st->tasks[i].run)
+			return true;
+	return false;
+}
+
 /* Return how many tasks of st wait to be placed. */
 uint32_t stage_waiting(const struct stage *st)
 {
--- a/sched/work.h
+++ b/sched/work.h
@@ -126,7 +126,9 @@
 	/* the state */
 	enum job_state state;
 	bool cancel_wanted;
-	bool dirty; /* differs from its row */
+	bool dirty; /* differs from its rows */
+	bool removed; /* its rows, but for the state, are removed */
+	enum job_state recorded; /* the state in the rows */
 	uint64_t since_ms; /* received_ms on our clock */
 	uint64_t ended_ms; /* on the store's clock */
 	uint32_t stages_len;
@@ -146,7 +148,9 @@
 bool job_check(const struct job *j, char **why);
 void job_lay_out(struct job *j);
 bool job_over(const struct job *j);
+bool job_occupies(const struct job *j);
 uint32_t job_occurrences(const struct job *j);
+bool work_state_final(enum job_state s);
 const char *job_state_name(enum job_state s);
 bool job_state_parse(const char *s, enum job_state *out);
 struct task *job_task(struct job *j, uint32_t occurrence, uint32_t step,
@@ -158,6 +162,7 @@
 
 bool stage_ready(const struct stage *st, uint64_t wall_ms);
 bool stage_idle(const struct stage *st);
+bool stage_begun(const struct stage *st);
 uint32_t stage_waiting(const struct stage *st);
 uint32_t stage_next_run(const struct stage *st);
 uint64_t stage_due_wall_ms(const struct stage *st);
--- /dev/null
+++ b/test/unit_dispatch.c
@@ -0,0 +1,196 @@
+/* What runs where: the load is played on the pure scheduler. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdio.h>
+
+#include "sched/dispatch.h"
+
+#define STOP_MS 900
+#define RECLAIM_MS 3400
+
+/* A site of racks of eight upstreams with eight accelerators each. */
+struct play {
+	struct fleet *fleet;
+	struct learn *learn;
+	GPtrArray *jobs;
+	struct guarantee_count guarantee;
+	uint64_t now_ms;
+	uint32_t number;
+};
+
+static void play_open(struct play *p, uint32_t upstreams)
+{
+	p->fleet = fleet_create();
+	p->learn = learn_create();
+	p->jobs = g_ptr_array_new();
+	p->guarantee = (struct guarantee_count){"account", 64};
+	p->now_ms = 1000000;
+	p->number = 0;
+	for (uint32_t i = 0; i < upstreams; i++) {
+		char id[16], rack[16];
+		struct upstream *u;
+
+		snprintf(id, sizeof(id), "u%u", i);
+		snprintf(rack, sizeof(rack), "r%u", i / 8);
+		u = fleet_add(p->fleet, id);
+		g_strlcpy(u->service, "s", sizeof(u->service));
+		g_strlcpy(u->rack, rack, sizeof(u->rack));
+		u->room = (struct room){32000, 65536, 8};
+		u->commanded = true;
+	}
+}
+
+static void play_close(struct play *p)
+{
+	for (guint i = 0; i < p->jobs->len; i++) {
+		struct job *j = g_ptr_array_index(p->jobs, i);
+
+		for (uint32_t s = 0; s < j->stages_len; s++)
+			for (uint32_t t = 0; t < j->stages[s].step->count; t++)
+				if (j->stages[s].tasks[t].at)
+					fleet_release(&j->stages[s].tasks[t]);
+		job_destroy(j);
+	}
+	g_ptr_array_free(p->jobs, TRUE);
+	learn_destroy(p->learn);
+	fleet_destroy(p->fleet);
+}
+
+static struct job *play_job(struct play *p, uint32_t priority, uint32_t count,
+			    int64_t accelerators, uint32_t estimate_ms,
+			    bool gang)
+{
+	char id[JOB_ID_BYTES];
+	struct job *j;
+	struct step *s;
+
+	snprintf(id, sizeof(id), "%016x", ++p->number);
+	j = job_create(id);
+	g_strlcpy(j->account, "account", sizeof(j->account));
+	g_strlcpy(j->service, "s", sizeof(j->service));
+	snprintf(j->queue, sizeof(j->queue), "q%u", priority);
+	j->queue_known = true;
+	j->priority = priority;
+	j->max_attempts = 3;
+	j->slack = priority ? 3 : 1.5;
+	j->target_ms = priority ? 1000 : 250;
+	j->since_ms = p->now_ms;
+	s = job_add_step(j);
+	s->count = count;
+	s->need = (struct room){2000, 4000, accelerators};
+	s->estimate_ms = estimate_ms;
+	s->gang = gang;
+	s->one_rack = gang;
+	job_lay_out(j);
+	g_ptr_array_add(p->jobs, j);
+	learn_job(p->learn, j);
+	return j;
+}
+
+/* Decide once; all starts are confirmed, all stops end at once if asked. */
+static uint32_t play_pass(struct play *p, bool end_stops)
+{
+	struct dispatch_view v = {.jobs = p->jobs,
+				  .fleet = p->fleet,
+				  .guarantees = &p->guarantee,
+				  .guarantees_len = 1,
+				  .now_ms = p->now_ms,
+				  .learn = p->learn,
+				  .checkpoint_ms = 2000,
+				  .stop_ms = STOP_MS,
+				  .reclaim_ms = RECLAIM_MS};
+	GArray *actions = dispatch(&v);
+	uint32_t stops = 0;
+
+	for (guint i = 0; i < actions->len; i++) {
+		struct action *a = &g_array_index(actions, struct action, i);
+
+		if (a->tag == ACTION_START) {
+			task_confirm(a->task, p->now_ms);
+			continue;
+		}
+		stops++;
+		if (end_stops)
+			task_end(a->task, RUN_STOPPED, NULL, p->now_ms);
+	}
+	g_array_unref(actions);
+	return stops;
+}
+
+static bool running(const struct job *j)
+{
+	return !stage_waiting(&j->stages[0]);
+}
+
+/*
+ * The load: quiet work fills the site, and its upstreams list no
+ * progress, so that it seems to end soon; then a covered urgent gang
+ * comes.  Its guarantee does not rest on that expectation.
+ */
+static void test_covered_gang_begins_in_time(void **state)
+{
+	struct play p;
+	struct job *urgent;
+
+	(void)state;
+	play_open(&p, 16);
+	play_job(&p, 2, 128, 1, 1000, false);
+	play_pass(&p, true);
+	p.now_ms += 10000;
+	urgent = play_job(&p, 0, 3, 8, 2500, true);
+	for (uint32_t ms = 0; ms < RECLAIM_MS - STOP_MS; ms += 100) {
+		play_pass(&p, true);
+		p.now_ms += 100;
+	}
+	assert_true(running(urgent));
+	play_close(&p);
+}
+
+/* Urgent work never stops urgent work that is covered itself. */
+static void test_covered_work_is_not_stopped(void **state)
+{
+	struct play p;
+	struct job *first, *second;
+
+	(void)state;
+	play_open(&p, 8);
+	first = play_job(&p, 0, 4, 8, 2500, true);
+	second = play_job(&p, 0, 4, 8, 2500, true);
+	play_pass(&p, true);
+	assert_true(running(first) && running(second));
+	p.now_ms += 3000;
+	play_job(&p, 0, 8, 8, 2500, true);
+	assert_int_equal(play_pass(&p, true), 0);
+	assert_true(running(first) && running(second));
+	play_close(&p);
+}
+
+/* A gang starts whole or not at all. */
+static void test_gang_starts_whole_or_not(void **state)
+{
+	struct play p;
+	struct job *gang;
+
+	(void)state;
+	play_open(&p, 8);
+	play_job(&p, 1, 5, 8, 20000, false);
+	play_pass(&p, true);
+	gang = play_job(&p, 1, 4, 8, 5000, true);
+	play_pass(&p, true);
+	assert_int_equal(stage_waiting(&gang->stages[0]), 4);
+	play_close(&p);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_covered_gang_begins_in_time),
+		cmocka_unit_test(test_covered_work_is_not_stopped),
+		cmocka_unit_test(test_gang_starts_whole_or_not),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
