Let a request for a state wait for the change that is on its way

Cause: clients ask within 10 ms of the last end, while the record is being written, were told running, and asked again 250 ms later. Change: a state that is not final waits for up to 60 ms for the copy of the table to show a change; submissions are refused at once when the store is known to be silent; room is kept for the next urgent stage.

--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -17,7 +17,7 @@
 /* How long one call of a feed is held by the store. */
 #define FEED_WAIT_MS 500
 /* Pause between an answer of the feed of jobs and the next call. */
-#define JOBS_GAP_MS 100
+#define JOBS_GAP_MS 10
 /* An instance whose newest answer of the store is older is not ready. */
 #define READY_AGE_MS 1300
 #define STOP_POLL_MS 20
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -24,14 +24,18 @@
 #define REFUSED_PAUSE_MS 60
 /* When to come back after a refusal for want of the store. */
 #define RETRY_STORE_MS 1000
-/* A caller's states may be this old without asking the store. */
-#define FRESH_MS 2500
+/* A state that is not final may just have changed: the answer waits so
+ * long for the copy of the table to show it. */
+#define FRESH_WAIT_MS 60
+/* With a copy of the table that is older, the store does not answer. */
+#define STALE_MS 1300
 #define ID_LENGTH 16
 
 struct entry {
 	struct entry_env env;
 	struct http_server *server;
 	struct board *board;
+	GHashTable *waiting; /* requests for a state that may change now */
 	const struct policy *policy;
 	bool draining;
 };
@@ -351,6 +355,12 @@
 	const char *body = exchange_body(x, &len);
 	char *why;
 
+	if (follower_age_ms(n->env.jobs) > STALE_MS) {
+		refuse(n, x, REQUEST_SUBMIT, id, 503,
+		       "the store does not answer; nothing was done",
+		       RETRY_STORE_MS);
+		return;
+	}
 	j = decode_submission(id, body, len, &why);
 	if (!j) {
 		refuse(n, x, REQUEST_SUBMIT, id, 400, why, 0);
@@ -366,6 +376,19 @@
 	send_request(r);
 }
 
+static void on_waited(void *arg)
+{
+	struct request *r = arg;
+
+	g_hash_table_remove(r->entry->waiting, r);
+	reply_state(r, state_of(board_find(r->entry->board, r->id)));
+}
+
+/*
+ * Answer with the state of a job.  One that is not final may have changed
+ * a moment ago: the answer waits until the copy shows a change, or for
+ * FRESH_WAIT_MS.  When the store cannot be asked it is the best there is.
+ */
 static void state(struct entry *n, struct http_exchange *x, const char *account,
 		  const char *id)
 {
@@ -373,13 +396,36 @@
 	struct request *r =
 		request_create(n, x, REQUEST_STATE, id, account);
 
-	/* a state that is final does not change; another may be stale, but
-	 * when the store cannot be asked it is the best there is */
-	if (j) {
+	if (!j) {
+		look(r);
+	} else if (work_state_final(state_of(j)) ||
+		   follower_age_ms(n->env.jobs) > STALE_MS) {
 		reply_state(r, state_of(j));
+	} else {
+		timer_init(&r->timer, on_waited, r);
+		timer_start(n->env.loop, &r->timer, FRESH_WAIT_MS);
+		g_hash_table_add(n->waiting, r);
+	}
+}
+
+/* Answer the requests that wait for the state of a job to change. */
+static void wake(struct entry *n, const char *id)
+{
+	const struct board_job *j = board_find(n->board, id);
+	GHashTableIter it;
+	gpointer k;
+
+	if (!j || !work_state_final(state_of(j)))
 		return;
+	g_hash_table_iter_init(&it, n->waiting);
+	while (g_hash_table_iter_next(&it, &k, NULL)) {
+		struct request *r = k;
+
+		if (strcmp(r->id, id))
+			continue;
+		g_hash_table_iter_remove(&it);
+		reply_state(r, state_of(j));
 	}
-	look(r);
 }
 
 static char *cancel_text(const char *id)
@@ -520,6 +566,7 @@
 
 	n->env = *e;
 	n->board = board_create();
+	n->waiting = g_hash_table_new(NULL, NULL);
 	n->server = http_server_create(e->loop, &e->settings->callers,
 				       256 << 10, on_request, n);
 	if (!n->server) {
@@ -536,6 +583,7 @@
 		return;
 	http_server_destroy(n->server);
 	board_destroy(n->board);
+	g_hash_table_destroy(n->waiting);
 	g_free(n);
 }
 
@@ -543,6 +591,8 @@
 void entry_row(struct entry *n, const char *key, const char *value)
 {
 	board_row(n->board, key, value);
+	if (value)
+		wake(n, strchr(key, '/') ? strchr(key, '/') + 1 : key);
 }
 
 /* Take in a newer policy, which the caller keeps until the next call. */
--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -23,6 +23,9 @@
  * longer would make it late. */
 #define LAST_MOMENT_MS 1500
 
+/* Urgent stages for which room is kept free. */
+#define HEADROOM_STAGES 2
+
 /* A value that no loss outweighs. */
 #define MUST 1e9
 
@@ -156,8 +159,12 @@
 
 		if (!stage_ready(c.stage, p->v->wall_ms))
 			continue;
-		if (!c.stage->since_ms)
+		if (!c.stage->since_ms) {
 			c.stage->since_ms = p->v->now_ms;
+			if (rank <= RANK_URGENT)
+				learn_urgent(p->v->learn, c.stage,
+					     p->v->now_ms);
+		}
 		stop_broken_gang(p, c.stage);
 		if (!stage_waiting(c.stage) ||
 		    (c.stage->step->gang && !stage_idle(c.stage)))
@@ -303,7 +310,7 @@
 }
 
 /* Keep room for a gang that has waited, where most of it is free. */
-static void hold_for(struct pass *p, struct stage *st, uint32_t want,
+static void hold_for(struct pass *p, const struct stage *st, uint32_t want,
 		     uint32_t rank)
 {
 	struct room *rooms = g_new(struct room, p->pack.n + 1);
@@ -328,6 +335,21 @@
 	g_free(rooms);
 }
 
+/* Keep room for urgent work that is likely to come next. */
+static void hold_headroom(struct pass *p)
+{
+	const struct stage *st =
+		learn_next_urgent(p->v->learn, p->v->now_ms);
+
+	for (uint32_t k = 0; st && k < HEADROOM_STAGES; k++) {
+		if (pack_choose_all(&p->pack, st, st->step->count,
+				    p->pack.avail))
+			reserve_chosen(p, st);
+		else
+			hold_for(p, st, st->step->count, RANK_URGENT);
+	}
+}
+
 static void place(struct pass *p, const struct candidate *c)
 {
 	struct stage *st = c->stage;
@@ -403,6 +425,7 @@
 GArray *dispatch(const struct dispatch_view *v)
 {
 	struct pass p = {.v = v};
+	bool held = false;
 
 	p.value = (struct value_view){.learn = v->learn,
 				      .machine = mean_machine(v->fleet),
@@ -415,8 +438,16 @@
 	leave(&p);
 	collect(&p);
 	pack_open(&p.pack, v->fleet, v->now_ms);
-	for (guint i = 0; i < p.candidates->len; i++)
-		place(&p, &g_array_index(p.candidates, struct candidate, i));
+	for (guint i = 0; i < p.candidates->len; i++) {
+		struct candidate *c =
+			&g_array_index(p.candidates, struct candidate, i);
+
+		if (c->rank > RANK_URGENT && !held) {
+			hold_headroom(&p);
+			held = true;
+		}
+		place(&p, c);
+	}
 	pack_close(&p.pack);
 	g_array_unref(p.candidates);
 	return p.actions;
--- a/sched/dispatch.h
+++ b/sched/dispatch.h
@@ -40,7 +40,7 @@
 	uint32_t guarantees_len;
 	uint64_t now_ms;
 	uint64_t wall_ms;
-	const struct learn *learn;
+	struct learn *learn;
 	uint32_t checkpoint_ms; /* work between checkpoints */
 	uint32_t stop_ms;	/* an upstream needs to stop a run */
 	uint32_t reclaim_ms;	/* a covered job has begun after that */
--- a/sched/learn.c
+++ b/sched/learn.c
@@ -3,6 +3,8 @@
  * are two predictors, weighted by how far each was off.
  */
 #include <math.h>
+#include <stdlib.h>
+#include <string.h>
 
 #include "sched/learn.h"
 
@@ -25,8 +27,25 @@
 	double work; /* mean of a job */
 };
 
+/* Urgent stages are remembered for this long, and so many of them. */
+#define URGENT_WINDOW_MS 10000
+#define URGENT_MOST 16
+/* With fewer than this many in the window none is expected. */
+#define URGENT_LEAST 3
+
+/* An urgent stage that has come, as one that could come again. */
+struct arrival {
+	uint64_t at_ms;
+	struct job job;
+	struct step step;
+	struct stage stage;
+	struct task task;
+};
+
 struct learn {
 	GHashTable *queues; /* name to struct queue_record */
+	struct arrival urgent[URGENT_MOST];
+	uint32_t urgent_next;
 };
 
 /* Create a record of nothing. */
@@ -113,6 +132,55 @@
 	return sum;
 }
 
+/* Note an urgent stage whose turn has come. */
+void learn_urgent(struct learn *l, const struct stage *st, uint64_t now_ms)
+{
+	struct arrival *a = &l->urgent[l->urgent_next++ % URGENT_MOST];
+
+	memset(a, 0, sizeof(*a));
+	a->at_ms = now_ms;
+	a->step = *st->step;
+	a->step.after = NULL;
+	a->step.after_len = 0;
+	a->stage.job = &a->job;
+	a->stage.step = &a->step;
+	a->stage.tasks = &a->task;
+	a->task.stage = &a->stage;
+	g_strlcpy(a->job.service, st->job->service, sizeof(a->job.service));
+}
+
+static int64_t accelerators(const struct arrival *a)
+{
+	return a->step.count * MAX(a->step.need.accelerators, 1);
+}
+
+static int by_size(const void *a, const void *b)
+{
+	int64_t x = accelerators(*(struct arrival *const *)a);
+	int64_t y = accelerators(*(struct arrival *const *)b);
+
+	return x < y ? -1 : x > y;
+}
+
+/*
+ * Return an urgent stage as large as two thirds of those that came of
+ * late, or NULL when too few came to expect another.
+ */
+const struct stage *learn_next_urgent(const struct learn *l, uint64_t now_ms)
+{
+	const struct arrival *list[URGENT_MOST];
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < URGENT_MOST; i++)
+		if (l->urgent[i].at_ms &&
+		    l->urgent[i].at_ms + URGENT_WINDOW_MS > now_ms)
+			list[n++] = &l->urgent[i];
+	if (n < URGENT_LEAST)
+		return NULL;
+	qsort(list, n, sizeof(*list), by_size);
+	return &list[n * 2 / 3]->stage;
+}
+
 /* Note a job that has come. */
 void learn_job(struct learn *l, const struct job *j)
 {
--- a/sched/pack.c
+++ b/sched/pack.c
@@ -49,7 +49,8 @@
 	if (strcmp(u->service, st->job->service) ||
 	    !upstream_has_label(u, st->step->label))
 		return false;
-	for (uint32_t i = 0; i < st->step->count; i++)
+	for (uint32_t i = 0; st->job->state != JOB_QUEUED &&
+			     i < st->step->count; i++)
 		if (st->tasks[i].failed_at == u)
 			return false;
 	return true;
