--- a/config/policy.h
+++ b/config/policy.h
@@ -20,7 +20,7 @@
 	uint32_t timeout_ms;
 	uint64_t target_ms; /* added to slack times the chain of work */
 	double slack;
-	bool open; /* no key is asked for */
+	bool open;    /* no key is asked for */
 	bool advised; /* an advisor says which upstreams may run a step */
 };
 
@@ -32,7 +32,7 @@
 
 struct account {
 	char name[LABEL_BYTES];
-	char **keys; /* ends in NULL */
+	char **keys;	    /* ends in NULL */
 	int64_t guaranteed; /* accelerators; 0: none */
 };
 
--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -35,6 +35,7 @@
 	struct counters *counters;
 	struct rows *rows;
 	struct follower *jobs;
+	struct follower *states;
 	struct follower *operators;
 	struct policy *policy;
 	struct entry *entry;
@@ -53,10 +54,17 @@
 	struct joint *j = arg;
 
 	(void)version;
-	entry_row(j->entry, key, value);
+	entry_job_row(j->entry, key, value);
 	lead_job_row(j->lead, key, value);
 }
 
+static void state_row(void *arg, const char *id, const char *value,
+		      uint64_t version)
+{
+	(void)version;
+	entry_state_row(((struct joint *)arg)->entry, id, value);
+}
+
 static void operator_row(void *arg, const char *key, const char *value,
 			 uint64_t version)
 {
@@ -64,7 +72,7 @@
 	struct policy *p, *before = j->policy;
 
 	(void)version;
-	if (strcmp(key, "config") || !value)
+	if (strcmp(key, OPERATOR_POLICY) || !value)
 		return;
 	p = decode_policy(value);
 	if (!p || (before && p->version <= before->version)) {
@@ -87,6 +95,7 @@
 static bool ready(const struct joint *j)
 {
 	return !j->leave_ms && j->policy && follower_complete(j->jobs) &&
+	       follower_complete(j->states) &&
 	       follower_age_ms(j->jobs) < READY_AGE_MS;
 }
 
@@ -110,11 +119,10 @@
 {
 	struct joint *j = arg;
 	char *s = counters_text(j->counters);
-	char *all = g_strdup_printf(
-		"%slacewing_leads %d\nlacewing_ready %d\n"
-		"lacewing_log_lost %llu\n",
-		s, lead_leads(j->lead), ready(j),
-		(unsigned long long)log_lost());
+	char *all = g_strdup_printf("%slacewing_leads %d\nlacewing_ready %d\n"
+				    "lacewing_log_lost %llu\n",
+				    s, lead_leads(j->lead), ready(j),
+				    (unsigned long long)log_lost());
 
 	exchange_reply(x, 200, "text/plain", all, 0);
 	g_free(all);
@@ -190,13 +198,18 @@
 static void follow(struct joint *j)
 {
 	struct follower_events jobs = {.changed = job_row};
+	struct follower_events states = {.changed = state_row};
 	struct follower_events op = {.changed = operator_row};
 
-	j->jobs = follower_create(j->loop, j->rows, JOB_TABLE, FEED_WAIT_MS,
-				  &jobs, j);
+	j->jobs = follower_create(j->loop, j->rows, JOB_TABLE, job_parts,
+				  FEED_WAIT_MS, &jobs, j);
+	j->states =
+		follower_create(j->loop, j->rows, STATE_TABLE,
+				follower_one_part, FEED_WAIT_MS, &states, j);
 	follower_set_gap(j->jobs, JOBS_GAP_MS);
-	j->operators = follower_create(j->loop, j->rows, "op", FEED_WAIT_MS,
-				       &op, j);
+	follower_set_gap(j->states, JOBS_GAP_MS);
+	j->operators = follower_create(j->loop, j->rows, OPERATOR_TABLE,
+				       follower_one_part, FEED_WAIT_MS, &op, j);
 }
 
 static bool create(struct joint *j)
@@ -223,7 +236,8 @@
 			       .counters = j->counters,
 			       .settings = s,
 			       .jobs = j->jobs,
-			       .incarnation = clock_wall_ms()};
+			       .states = j->states,
+			       .incarnation = clock_wall_ms() ^ g_random_int()};
 	j->lead = lead_create(&le);
 	j->entry = entry_create(&ee);
 	j->readiness = http_server_create(j->loop, &s->readiness, 1024,
@@ -241,6 +255,7 @@
 	http_server_destroy(j->readiness);
 	http_server_destroy(j->metrics);
 	follower_destroy(j->jobs);
+	follower_destroy(j->states);
 	follower_destroy(j->operators);
 	policy_destroy(j->policy);
 	http_client_destroy(j->http);
--- a/entry/board.c
+++ b/entry/board.c
@@ -13,8 +13,8 @@
 {
 	struct board *b = g_new0(struct board, 1);
 
-	b->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					g_free);
+	b->jobs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return b;
 }
 
@@ -52,8 +52,8 @@
 			   "value", value);
 }
 
-/* Take in a row; value NULL: it was removed. */
-void board_row(struct board *b, const char *key, const char *value)
+/* Take in a row of the table of jobs; value NULL: it was removed. */
+void board_job_row(struct board *b, const char *key, const char *value)
 {
 	if (g_str_has_prefix(key, KEY_JOB))
 		job_row(b, key + strlen(KEY_JOB), value);
@@ -61,6 +61,20 @@
 		entry_of(b, key + strlen(KEY_CANCEL))->cancelled = true;
 }
 
+/* Take in a row of the table of states; value NULL: it was removed. */
+void board_state_row(struct board *b, const char *id, const char *value)
+{
+	struct state_record r;
+
+	if (!value)
+		return; /* the row of the job goes with it */
+	if (state_decode(value, &r))
+		entry_of(b, id)->state = r.state;
+	else
+		log_fields(LOG_ERROR, "bad_row", "{s:s,s:s}", "job", id,
+			   "value", value);
+}
+
 /* Return what is known of a job, or NULL. */
 const struct board_job *board_find(const struct board *b, const char *id)
 {
@@ -80,7 +94,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		const struct board_job *j = v;
 
-		n += j->record.state == JOB_QUEUED && !j->cancelled &&
+		n += j->state == JOB_QUEUED && !j->cancelled &&
 		     !strcmp(j->record.queue, queue);
 	}
 	return n;
--- a/entry/board.h
+++ b/entry/board.h
@@ -8,12 +8,14 @@
 
 struct board_job {
 	struct job_record record;
+	enum job_state state;
 	bool cancelled; /* a request to cancel it is recorded */
 };
 
 struct board *board_create(void);
 void board_destroy(struct board *b);
-void board_row(struct board *b, const char *key, const char *value);
+void board_job_row(struct board *b, const char *key, const char *value);
+void board_state_row(struct board *b, const char *id, const char *value);
 const struct board_job *board_find(const struct board *b, const char *id);
 uint64_t board_pending(const struct board *b, const char *queue);
 
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -17,8 +17,6 @@
 #define DEADLINE_DEFAULT_MS 3000
 /* An answer leaves this long before the caller's deadline. */
 #define DEADLINE_MARGIN_MS 150
-/* Time for an answer of the store; the call is then sent again. */
-#define STORE_MS 400
 /* A store that refuses is asked again for this long. */
 #define REFUSED_PATIENCE_MS 600
 #define REFUSED_PAUSE_MS 60
@@ -239,9 +237,9 @@
 {
 	if (!j)
 		return JOB_QUEUED;
-	if (j->cancelled && !work_state_final(j->record.state))
+	if (j->cancelled && !work_state_final(j->state))
 		return JOB_CANCELLED;
-	return j->record.state;
+	return j->state;
 }
 
 static void on_looked(void *arg, const struct rows_answer *a)
@@ -272,8 +270,8 @@
 	char key[JOB_ID_BYTES + 8];
 
 	g_snprintf(key, sizeof(key), "%s%s", KEY_JOB, r->id);
-	rows_range(r->entry->env.rows, JOB_TABLE, key, 1, STORE_MS, on_looked,
-		   r);
+	rows_range(r->entry->env.rows, JOB_TABLE, job_part(r->id), key, 1,
+		   rows_patience_ms(r->entry->env.rows), on_looked, r);
 }
 
 /* Send the call of the store that r waits for. */
@@ -283,11 +281,13 @@
 
 	switch (r->kind) {
 	case REQUEST_SUBMIT:
-		rows_commit(rows, r->write, STORE_MS, on_write, r);
+		rows_commit(rows, r->write, rows_patience_ms(rows), on_write,
+			    r);
 		break;
 	case REQUEST_CANCEL:
 		if (r->looked)
-			rows_commit(rows, r->write, STORE_MS, on_write, r);
+			rows_commit(rows, r->write, rows_patience_ms(rows),
+				    on_write, r);
 		else
 			look(r);
 		break;
@@ -307,8 +307,8 @@
 	g_free(s);
 	if (!ms)
 		ms = DEADLINE_DEFAULT_MS;
-	return now + (ms > 2 * DEADLINE_MARGIN_MS ? ms - DEADLINE_MARGIN_MS
-						  : ms / 2);
+	return now +
+	       (ms > 2 * DEADLINE_MARGIN_MS ? ms - DEADLINE_MARGIN_MS : ms / 2);
 }
 
 static struct request *request_create(struct entry *n, struct http_exchange *x,
@@ -330,7 +330,7 @@
 
 static char *submit_text(const struct job *j)
 {
-	struct rows_tx *t = rows_tx_create();
+	struct rows_tx *t = rows_tx_create(job_part(j->id));
 	char *key = g_strconcat(KEY_JOB, j->id, NULL);
 	char *value = job_encode(j), *spec = spec_encode(j);
 	char *text;
@@ -393,8 +393,7 @@
 		  const char *id)
 {
 	const struct board_job *j = board_find(n->board, id);
-	struct request *r =
-		request_create(n, x, REQUEST_STATE, id, account);
+	struct request *r = request_create(n, x, REQUEST_STATE, id, account);
 
 	if (!j) {
 		look(r);
@@ -430,7 +429,7 @@
 
 static char *cancel_text(const char *id)
 {
-	struct rows_tx *t = rows_tx_create();
+	struct rows_tx *t = rows_tx_create(job_part(id));
 	char *key = g_strconcat(KEY_CANCEL, id, NULL);
 	char *text;
 
@@ -445,10 +444,9 @@
 		   const char *account, const char *id)
 {
 	const struct board_job *j = board_find(n->board, id);
-	struct request *r =
-		request_create(n, x, REQUEST_CANCEL, id, account);
+	struct request *r = request_create(n, x, REQUEST_CANCEL, id, account);
 
-	if (j && (j->cancelled || work_state_final(j->record.state))) {
+	if (j && (j->cancelled || work_state_final(j->state))) {
 		finish(r, 200, "over already", 0);
 		return;
 	}
@@ -587,12 +585,17 @@
 	g_free(n);
 }
 
-/* Take in a change of our table; value NULL: the row was removed. */
-void entry_row(struct entry *n, const char *key, const char *value)
+/* Take in a row of the table of jobs; value NULL: it was removed. */
+void entry_job_row(struct entry *n, const char *key, const char *value)
 {
-	board_row(n->board, key, value);
-	if (value)
-		wake(n, strchr(key, '/') ? strchr(key, '/') + 1 : key);
+	board_job_row(n->board, key, value);
+}
+
+/* Take in a row of the table of states; value NULL: it was removed. */
+void entry_state_row(struct entry *n, const char *id, const char *value)
+{
+	board_state_row(n->board, id, value);
+	wake(n, id);
 }
 
 /* Take in a newer policy, which the caller keeps until the next call. */
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -22,7 +22,8 @@
 
 struct entry *entry_create(const struct entry_env *e);
 void entry_destroy(struct entry *n);
-void entry_row(struct entry *n, const char *key, const char *value);
+void entry_job_row(struct entry *n, const char *key, const char *value);
+void entry_state_row(struct entry *n, const char *id, const char *value);
 void entry_policy(struct entry *n, const struct policy *p);
 void entry_drain(struct entry *n);
 void entry_close(struct entry *n);
--- a/lead/follower.c
+++ b/lead/follower.c
@@ -26,6 +26,8 @@
 	struct loop *loop;
 	struct rows *rows;
 	char *table;
+	const char *const *parts; /* ends in NULL; not owned */
+	uint32_t part;		  /* that is being read */
 	uint32_t wait_ms;
 	uint32_t gap_ms;
 	struct follower_events ev;
@@ -45,6 +47,8 @@
 	struct timer timer;
 };
 
+const char *const follower_one_part[] = {"", NULL};
+
 static void go_on(void *arg);
 
 static void stored_free(void *p)
@@ -62,11 +66,13 @@
 }
 
 /*
- * Follow a table.  Each call of the feed waits for at most wait_ms in
- * the store.  The callbacks never come from inside this function.
+ * Follow a table with these parts.  Each call of the feed waits for at
+ * most wait_ms in the store.  The callbacks never come from inside this
+ * function.
  */
 struct follower *follower_create(struct loop *l, struct rows *r,
-				 const char *table, uint32_t wait_ms,
+				 const char *table, const char *const *parts,
+				 uint32_t wait_ms,
 				 const struct follower_events *ev, void *arg)
 {
 	struct follower *f = g_new0(struct follower, 1);
@@ -74,6 +80,7 @@
 	f->loop = l;
 	f->rows = r;
 	f->table = g_strdup(table);
+	f->parts = parts;
 	f->wait_ms = wait_ms;
 	f->ev = *ev;
 	f->arg = arg;
@@ -239,16 +246,19 @@
 
 static void page_read(struct follower *f, const struct rows_answer *a)
 {
-	if (!*f->next_key)
+	if (!*f->next_key && !f->part)
 		f->read_version = a->version;
 	if (a->more && a->len) {
 		/* the next key in order */
-		set_next_key(f, g_strconcat(a->list[a->len - 1].key, "\001",
-					    NULL));
+		set_next_key(
+			f, g_strconcat(a->list[a->len - 1].key, "\001", NULL));
 		return;
 	}
-	remove_unseen(f);
 	set_next_key(f, g_strdup(""));
+	if (f->parts[++f->part])
+		return;
+	f->part = 0;
+	remove_unseen(f);
 	f->complete = true;
 	f->version = f->read_version;
 }
@@ -316,6 +326,6 @@
 		rows_feed(f->rows, f->table, f->version, f->wait_ms,
 			  f->wait_ms + ANSWER_MS, on_answer, f);
 	else
-		rows_range(f->rows, f->table, f->next_key, PAGE_ROWS,
-			   ANSWER_MS, on_answer, f);
+		rows_range(f->rows, f->table, f->parts[f->part], f->next_key,
+			   PAGE_ROWS, ANSWER_MS, on_answer, f);
 }
--- a/lead/follower.h
+++ b/lead/follower.h
@@ -8,6 +8,9 @@
 
 struct follower;
 
+/* The parts of a table that is not divided. */
+extern const char *const follower_one_part[];
+
 /* value is NULL when the row was removed. */
 typedef void (*row_changed_fn)(void *arg, const char *key, const char *value,
 			       uint64_t version);
@@ -20,7 +23,8 @@
 };
 
 struct follower *follower_create(struct loop *l, struct rows *r,
-				 const char *table, uint32_t wait_ms,
+				 const char *table, const char *const *parts,
+				 uint32_t wait_ms,
 				 const struct follower_events *ev, void *arg);
 void follower_destroy(struct follower *f);
 bool follower_complete(const struct follower *f);
--- a/lead/keeper.c
+++ b/lead/keeper.c
@@ -265,13 +265,12 @@
 	switch (a->outcome) {
 	case ORDER_STALE_EPOCH:
 		log_fields(LOG_WARN, "epoch_refused", "{s:s,s:I}", "upstream",
-			   k->upstream->id, "epoch",
-			   (json_int_t)k->env->epoch);
+			   k->upstream->id, "epoch", (json_int_t)k->env->epoch);
 		k->env->events.stale(k->env->arg);
 		return false;
 	case ORDER_REPLACED:
-		model_lose_upstream(k->env->model, k->upstream,
-				    clock_mono_ms(), "replaced");
+		model_lose_upstream(k->env->model, k->upstream, clock_mono_ms(),
+				    "replaced");
 		forget_life(k);
 		k->upstream->state = UPSTREAM_GONE;
 		k->env->events.changed(k->env->arg);
--- a/lead/lead.c
+++ b/lead/lead.c
@@ -11,11 +11,19 @@
 #include "lib/log.h"
 
 /* Jobs in one write: the platform takes 100 entries, two are the owner
- * row's, a job takes up to three and a removal two. */
-#define JOBS_PER_WRITE 30
-#define REMOVALS_PER_WRITE 4
-/* How often to look for rows that nobody can ask for any more. */
-#define REMOVE_EVERY_MS 5000
+ * row's, a job takes two and a removal one. */
+#define JOBS_PER_WRITE 40
+#define REMOVALS_PER_WRITE 16
+/* When a write takes longer than this, the next one waits as long again:
+ * other instances' writes need the store as well. */
+#define SLOW_WRITE_MS 50
+/* An instance with less of a core, or of a link, than this claims the
+ * leadership later, by up to HANDICAP_MS. */
+#define STRONG_PROCESSOR 0.25
+#define STRONG_LINK_MBPS 100.0
+#define HANDICAP_MS 1000
+/* How often to look for rows that are not needed any more. */
+#define REMOVE_EVERY_MS 2000
 /* How long a call of a feed is held by the store. */
 #define OWNER_WAIT_MS 500
 #define FEED_WAIT_MS 1000
@@ -24,7 +32,7 @@
 /* Pauses between an answer of a feed and the next call: each instance
  * reads the owner row, and the leader the list of upstreams, in which
  * something always changes, at these intervals. */
-#define OWNER_GAP_MS 350
+#define OWNER_GAP_MS 250
 #define LIST_GAP_MS 150
 
 struct planned_start {
@@ -38,12 +46,14 @@
 	struct keeper_env keepers;
 	struct follower *owners;
 	const struct policy *policy;
-	bool leading; /* the model is complete */
+	bool leading;		/* the model is complete */
+	uint64_t claim_version; /* the states must have been read up to it */
 	/* while it leads, or reads what its predecessor has left */
 	struct follower *specs;
 	struct follower *runs;
 	struct follower *upstreams;
-	uint64_t removed_ms; /* when it last looked for old rows */
+	uint64_t removed_ms;	 /* when it last looked for old rows */
+	uint64_t write_after_ms; /* the store is slow: not before */
 	struct model *model;
 	GArray *planned; /* starts that are not in a write yet */
 	GArray *written; /* starts in the write in flight */
@@ -140,13 +150,22 @@
 	return found;
 }
 
+/* Report whether a job is over and nothing of it runs any more. */
+static bool ended(const struct lead *d, const char *id)
+{
+	const char *value = follower_get(d->env.states, id, NULL);
+	struct state_record r;
+
+	return value && state_decode(value, &r) && work_state_final(r.state);
+}
+
 static void add_job(struct lead *d, const char *id, const char *value)
 {
 	struct job *j;
 	const char *run = d->runs ? follower_get(d->runs, id, NULL) : NULL;
 	uint64_t age, store = follower_store_ms(d->env.jobs);
 
-	if (model_job(d->model, id))
+	if (model_job(d->model, id) || (!run && ended(d, id)))
 		return;
 	j = spec_decode(id, value);
 	if (!j) {
@@ -261,7 +280,9 @@
 
 	if (!d->leading && d->specs && follower_complete(d->specs) &&
 	    follower_complete(d->runs) && follower_complete(d->upstreams) &&
-	    d->policy && follower_complete(d->env.jobs))
+	    d->policy && follower_complete(d->env.jobs) &&
+	    follower_complete(d->env.states) &&
+	    follower_version(d->env.states) >= d->claim_version)
 		build(d);
 }
 
@@ -286,13 +307,14 @@
 	struct follower_events list = {.changed = upstream_row,
 				       .answered = on_read};
 
-	(void)version;
-	d->specs = follower_create(e->loop, e->rows, SPEC_TABLE, FEED_WAIT_MS,
-				   &specs, d);
-	d->runs = follower_create(e->loop, e->rows, RUN_TABLE, FEED_WAIT_MS,
-				  &runs, d);
-	d->upstreams = follower_create(e->loop, e->rows, "servers",
-				       FEED_WAIT_MS, &list, d);
+	d->claim_version = version;
+	d->specs = follower_create(e->loop, e->rows, SPEC_TABLE, job_parts,
+				   FEED_WAIT_MS, &specs, d);
+	d->runs = follower_create(e->loop, e->rows, RUN_TABLE,
+				  follower_one_part, FEED_WAIT_MS, &runs, d);
+	d->upstreams =
+		follower_create(e->loop, e->rows, UPSTREAM_TABLE,
+				follower_one_part, FEED_WAIT_MS, &list, d);
 	follower_set_gap(d->upstreams, LIST_GAP_MS);
 }
 
@@ -328,13 +350,12 @@
 
 	task_name(a->task, s.task, sizeof(s.task));
 	g_array_append_val(d->planned, s);
-	log_fields(LOG_INFO, "start_decided",
-		   "{s:s,s:s,s:I,s:s,s:s,s:I,s:I,s:i}", "job", j->id, "task",
-		   s.task, "run", (json_int_t)s.run, "upstream", a->u.to->id,
-		   "rack", a->u.to->rack, "waited_ms",
-		   (json_int_t)(now - a->task->stage->since_ms), "age_ms",
-		   (json_int_t)(now - j->since_ms), "priority",
-		   (int)j->priority);
+	log_fields(
+		LOG_INFO, "start_decided", "{s:s,s:s,s:I,s:s,s:s,s:I,s:I,s:i}",
+		"job", j->id, "task", s.task, "run", (json_int_t)s.run,
+		"upstream", a->u.to->id, "rack", a->u.to->rack, "waited_ms",
+		(json_int_t)(now - a->task->stage->since_ms), "age_ms",
+		(json_int_t)(now - j->since_ms), "priority", (int)j->priority);
 }
 
 static void do_stop(struct lead *d, const struct action *a)
@@ -387,13 +408,11 @@
 
 static void put_state(struct rows_tx *t, struct job *j)
 {
-	char *key = g_strconcat(KEY_JOB, j->id, NULL);
-	char *value = job_encode(j);
+	char *value = state_encode(j);
 
-	rows_tx_put(t, JOB_TABLE, key, value);
+	rows_tx_put(t, STATE_TABLE, j->id, value);
 	j->recorded = j->state;
 	free(value);
-	g_free(key);
 }
 
 /* Write what has changed of j; only the state remains of one that is over. */
@@ -404,7 +423,6 @@
 	j->dirty = false;
 	if (job_over(j) && !job_occupies(j)) {
 		put_state(t, j);
-		rows_tx_remove(t, SPEC_TABLE, j->id);
 		rows_tx_remove(t, RUN_TABLE, j->id);
 		j->removed = true;
 		return;
@@ -416,50 +434,101 @@
 	free(value);
 }
 
+/* Rows that are not needed any more, by the part they lie in. */
 struct removal {
-	struct rows_tx *tx;
+	struct lead *lead;
+	struct rows_tx *states;
+	struct rows_tx *parts[8];
 	uint64_t before_ms; /* of the store's clock */
-	uint32_t count;
 };
 
-static void remove_old(void *arg, const char *key, const char *value,
+static struct rows_tx *part_removal(struct removal *r, const char *id)
+{
+	const char *part = job_part(id);
+	uint32_t n = 0;
+
+	while (job_parts[n] != part)
+		n++;
+	if (!r->parts[n])
+		r->parts[n] = rows_tx_create(part);
+	return rows_tx_entries(r->parts[n]) < 3 * REMOVALS_PER_WRITE
+		       ? r->parts[n]
+		       : NULL;
+}
+
+static void remove_old(void *arg, const char *id, const char *value,
 		       uint64_t version)
 {
 	struct removal *r = arg;
-	struct job_record j;
-	char *cancel;
+	struct lead *d = r->lead;
+	struct state_record s;
+	struct rows_tx *t;
+	char *key;
 
 	(void)version;
-	if (r->count >= REMOVALS_PER_WRITE || !job_decode(value, &j) ||
-	    !work_state_final(j.state) || j.ended_ms > r->before_ms)
+	if (!state_decode(value, &s) || !work_state_final(s.state) ||
+	    model_job(d->model, id))
+		return;
+	t = part_removal(r, id);
+	if (t && follower_get(d->specs, id, NULL))
+		rows_tx_remove(t, SPEC_TABLE, id);
+	if (!t || s.ended_ms > r->before_ms ||
+	    rows_tx_entries(r->states) >= REMOVALS_PER_WRITE)
 		return;
-	cancel = g_strconcat(KEY_CANCEL, key + strlen(KEY_JOB), NULL);
-	rows_tx_remove(r->tx, JOB_TABLE, key);
-	rows_tx_remove(r->tx, JOB_TABLE, cancel);
-	r->count++;
-	g_free(cancel);
+	key = g_strconcat(KEY_JOB, id, NULL);
+	rows_tx_remove(t, JOB_TABLE, key);
+	g_free(key);
+	key = g_strconcat(KEY_CANCEL, id, NULL);
+	rows_tx_remove(t, JOB_TABLE, key);
+	g_free(key);
+	rows_tx_remove(r->states, STATE_TABLE, id);
 }
 
-/* Remove the rows of jobs that nobody can ask for any more. */
-static void put_removals(struct lead *d, struct rows_tx *t)
+static void on_removed(void *arg, const struct rows_answer *a)
 {
-	uint64_t store = follower_store_ms(d->env.jobs);
+	(void)arg;
+	/* what was not removed is found again */
+	if (a->outcome != ROWS_OK)
+		log_fields(LOG_WARN, "removal_failed", "{s:s}", "outcome",
+			   rows_outcome_name(a->outcome));
+}
+
+/*
+ * Remove the specs of jobs that have ended, and the last rows of those
+ * that nobody can ask for any more.  Nothing depends on when, or by whom,
+ * it is done: an ended job never changes.
+ */
+static void remove_rows(struct lead *d, struct rows_tx *states)
+{
+	uint64_t store = follower_store_ms(d->env.states);
 	uint64_t keep = d->env.settings->keep_ended_ms + KEEP_SLACK_MS;
 	uint64_t now = clock_mono_ms();
-	struct removal r = {.tx = t};
+	struct removal r = {.lead = d, .states = states};
 
-	if (store <= keep || now < d->removed_ms + REMOVE_EVERY_MS)
+	if (now < d->removed_ms + REMOVE_EVERY_MS)
 		return;
-	r.before_ms = store - keep;
-	follower_each(d->env.jobs, KEY_JOB, remove_old, &r);
-	if (r.count < REMOVALS_PER_WRITE)
-		d->removed_ms = now;
+	d->removed_ms = now;
+	r.before_ms = store > keep ? store - keep : 0;
+	follower_each(d->env.states, "", remove_old, &r);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(r.parts); i++) {
+		char *text;
+
+		if (!r.parts[i])
+			continue;
+		text = rows_tx_text(r.parts[i]);
+		if (rows_tx_entries(r.parts[i]))
+			rows_commit(d->env.rows, text,
+				    rows_patience_ms(d->env.rows), on_removed,
+				    d);
+		free(text);
+		rows_tx_destroy(r.parts[i]);
+	}
 }
 
 /* Write all that has changed, and the beat of the leader with it. */
 static void record(struct lead *d)
 {
-	struct rows_tx *t = rows_tx_create();
+	struct rows_tx *t = rows_tx_create(LEADER_PART);
 	GArray *starts = d->written;
 	uint32_t n = 0;
 
@@ -470,7 +539,7 @@
 			put_job(d, t, j);
 	}
 	if (n <= JOBS_PER_WRITE) {
-		put_removals(d, t);
+		remove_rows(d, t);
 		for (guint i = 0; i < d->model->fleet->list->len; i++) {
 			struct upstream *u =
 				g_ptr_array_index(d->model->fleet->list, i);
@@ -533,6 +602,8 @@
 			keeper_poke(u->keeper);
 		}
 	}
+	if (owner_write_ms(d->owner) > SLOW_WRITE_MS)
+		d->write_after_ms = clock_mono_ms() + owner_write_ms(d->owner);
 	send_starts(d);
 	forget_removed(d);
 	want_work(d);
@@ -567,8 +638,14 @@
 {
 	struct lead *d = arg;
 
+	uint64_t now = clock_mono_ms();
+
 	if (!d->leading)
 		return;
+	if (now < d->write_after_ms) {
+		timer_start(d->env.loop, &d->work, d->write_after_ms - now);
+		return;
+	}
 	lose_unlisted(d);
 	model_sweep(d->model, follower_store_ms(d->env.jobs));
 	if (!owner_writing(d->owner))
@@ -583,14 +660,24 @@
 	struct lead *d = arg;
 
 	if (!d->leading) {
-		owner_commit(d->owner, rows_tx_create());
+		owner_commit(d->owner, rows_tx_create(LEADER_PART));
 		return;
 	}
-	work(d);
+	if (clock_mono_ms() >= d->write_after_ms)
+		work(d);
 	if (!owner_writing(d->owner))
 		record(d);
 }
 
+/* Return how much later than a strong instance this one claims. */
+static uint32_t handicap(const struct joint_settings *s)
+{
+	double strength = MIN(s->processor_share / STRONG_PROCESSOR,
+			      s->link_mbps / STRONG_LINK_MBPS);
+
+	return strength < 1 ? (1 - strength) * HANDICAP_MS : 0;
+}
+
 /* Create the task; it leads when the owner row says so. */
 struct lead *lead_create(const struct lead_env *e)
 {
@@ -606,10 +693,12 @@
 	d->planned = g_array_new(FALSE, FALSE, sizeof(struct planned_start));
 	d->written = g_array_new(FALSE, FALSE, sizeof(struct planned_start));
 	d->owner = owner_create(e->loop, e->rows, e->counters,
-				e->settings->instance, e->incarnation, &ev, d);
+				e->settings->instance, e->incarnation,
+				handicap(e->settings), &ev, d);
 	timer_init(&d->work, work, d);
-	d->owners = follower_create(e->loop, e->rows, OWNER_TABLE,
-				    OWNER_WAIT_MS, &owners, d);
+	d->owners =
+		follower_create(e->loop, e->rows, OWNER_TABLE,
+				follower_one_part, OWNER_WAIT_MS, &owners, d);
 	follower_set_gap(d->owners, OWNER_GAP_MS);
 	return d;
 }
--- a/lead/lead.h
+++ b/lead/lead.h
@@ -18,7 +18,8 @@
 	struct rows *rows;
 	struct counters *counters;
 	const struct joint_settings *settings;
-	struct follower *jobs; /* the state of every job */
+	struct follower *jobs;	 /* accepted jobs and wishes to cancel */
+	struct follower *states; /* the state of every job */
 	uint64_t incarnation;
 };
 
--- a/lead/leaseclock.c
+++ b/lead/leaseclock.c
@@ -40,8 +40,8 @@
 			 uint64_t now_ms)
 {
 	uint64_t gone = now_ms - c->clock_at_ms;
-	uint64_t end = now_ms + lease_ms + lease_ms / (CLOCK_SLOW_PART - 1) +
-		       SLACK_MS;
+	uint64_t end =
+		now_ms + lease_ms + lease_ms / (CLOCK_SLOW_PART - 1) + SLACK_MS;
 
 	if (!c->clock_at_ms || c->unanswered)
 		return 0;
--- a/lead/model.c
+++ b/lead/model.c
@@ -23,8 +23,8 @@
 {
 	struct model *m = g_new0(struct model, 1);
 
-	m->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					job_free);
+	m->jobs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
 	m->live = g_ptr_array_new();
 	m->fleet = fleet_create();
 	m->learn = learn_create();
@@ -118,8 +118,9 @@
 	}
 }
 
-static void end_task(struct model *m, struct task *t, enum run_end how, const char *checkpoint,
-		     struct upstream *u, uint64_t now_ms)
+static void end_task(struct model *m, struct task *t, enum run_end how,
+		     const char *checkpoint, struct upstream *u,
+		     uint64_t now_ms)
 {
 	char name[TASK_NAME_BYTES];
 
@@ -181,8 +182,7 @@
 		}
 		g_hash_table_add(there, t);
 		task_progress(t, r->percent, now_ms);
-		if (*r->checkpoint &&
-		    g_strcmp0(t->checkpoint, r->checkpoint)) {
+		if (*r->checkpoint && g_strcmp0(t->checkpoint, r->checkpoint)) {
 			g_free(t->checkpoint);
 			t->checkpoint = g_strdup(r->checkpoint);
 		}
@@ -236,8 +236,8 @@
 }
 
 /* All that ran on u has ended with it, or with its lease. */
-void model_lose_upstream(struct model *m, struct upstream *u,
-			 uint64_t now_ms, const char *why)
+void model_lose_upstream(struct model *m, struct upstream *u, uint64_t now_ms,
+			 const char *why)
 {
 	log_fields(LOG_WARN, "upstream_lost", "{s:s,s:s,s:i}", "upstream",
 		   u->id, "why", why, "tasks", (int)u->tasks->len);
--- a/lead/model.h
+++ b/lead/model.h
@@ -36,7 +36,7 @@
 uint64_t model_apply_lists(struct model *m, struct upstream *u,
 			   const struct order_answer *a, uint64_t sent_ms,
 			   uint64_t now_ms, uint64_t seen, GArray *strays);
-void model_lose_upstream(struct model *m, struct upstream *u,
-			 uint64_t now_ms, const char *why);
+void model_lose_upstream(struct model *m, struct upstream *u, uint64_t now_ms,
+			 const char *why);
 
 #endif
--- a/lead/owner.c
+++ b/lead/owner.c
@@ -17,9 +17,8 @@
 #define TAKEOVER_MS 1500
 /* Without a successful write for this long the leader gives up. */
 #define RENEW_WITHOUT_STORE_MS 20000
-/* Time for an answer to a write: at first, and at most. */
-#define WRITE_MS 150
-#define WRITE_MAX_MS 1200
+/* Instances that would claim at the same moment spread over this time. */
+#define CLAIM_SPREAD_MS 250
 /* Pause after a refused write. */
 #define REFUSED_PAUSE_MS 40
 #define REFUSED_PAUSE_MAX_MS 250
@@ -35,21 +34,25 @@
 	struct owner_events ev;
 	void *arg;
 	enum role role;
-	struct owner_record self; /* while it claims or leads */
-	struct owner_record seen; /* the row */
-	uint64_t version;	  /* of the row as seen */
-	uint64_t changed_ms;	  /* when it was seen to change */
-	bool any;		  /* the row exists */
-	uint64_t before_ms;	  /* last sign of the leader before us */
-	bool before_gone;	  /* it has certainly ended */
+	struct owner_record self;   /* while it claims or leads */
+	struct owner_record seen;   /* the row */
+	uint64_t version;	    /* of the row as seen */
+	uint64_t changed_ms;	    /* when it was seen to change */
+	bool any;		    /* the row exists */
+	uint32_t handicap_ms;	    /* a weak instance claims later */
+	uint64_t answered_since_ms; /* the store answers since; 0: no */
+	bool complete;		    /* all that a leader needs was read */
+	uint64_t before_ms;	    /* last sign of the leader before us */
+	bool before_gone;	    /* it has certainly ended */
 	bool retiring;
-	char *writing; /* the text of the write in flight, or NULL */
+	char *writing;	       /* the text of the write in flight, or NULL */
 	uint64_t write_number; /* tells its answer from an earlier one's */
 	uint64_t first_sent_ms;
 	uint64_t written_ms; /* when the last successful write was sent */
-	uint32_t write_ms;
+	bool retired;	     /* the write in flight names nobody */
 	uint32_t refused;
-	struct timer timer; /* beat or retry */
+	uint32_t took_ms;   /* the last write */
+	struct timer timer; /* beat, retry, or a claim to come */
 };
 
 /* A write that was sent. */
@@ -59,11 +62,15 @@
 };
 
 static void on_timer(void *arg);
+static void consider(struct owner *o);
 
-/* Create the follower of the owner row for this process. */
-struct owner *owner_create(struct loop *l, struct rows *r,
-			   struct counters *c, const char *instance,
-			   uint64_t incarnation, const struct owner_events *ev,
+/*
+ * Create the follower of the owner row for this process, which claims
+ * handicap_ms later than a strong one.
+ */
+struct owner *owner_create(struct loop *l, struct rows *r, struct counters *c,
+			   const char *instance, uint64_t incarnation,
+			   uint32_t handicap_ms, const struct owner_events *ev,
 			   void *arg)
 {
 	struct owner *o = g_new0(struct owner, 1);
@@ -73,9 +80,9 @@
 	o->counters = c;
 	o->ev = *ev;
 	o->arg = arg;
-	o->write_ms = WRITE_MS;
 	g_strlcpy(o->self.instance, instance, sizeof(o->self.instance));
 	o->self.incarnation = incarnation;
+	o->handicap_ms = handicap_ms;
 	timer_init(&o->timer, on_timer, o);
 	return o;
 }
@@ -102,6 +109,12 @@
 	return o->writing != NULL;
 }
 
+/* Return how long the last write took. */
+uint32_t owner_write_ms(const struct owner *o)
+{
+	return o->took_ms;
+}
+
 /* Return the epoch of this process's leadership. */
 uint64_t owner_epoch(const struct owner *o)
 {
@@ -182,7 +195,7 @@
 	o->written_ms = o->first_sent_ms;
 	o->role = ROLE_LEADS;
 	timer_start(o->loop, &o->timer, BEAT_MS);
-	if (o->retiring) {
+	if (o->retired) {
 		step_down(o, "retired");
 		return;
 	}
@@ -249,8 +262,7 @@
 	switch (a->outcome) {
 	case ROWS_OK:
 		latency_add(o->counters, "store_write", took * 1000);
-		/* room for an answer that takes four times as long */
-		o->write_ms = CLAMP(took * 4, WRITE_MS, WRITE_MAX_MS);
+		o->took_ms = took;
 		claimed_or_committed(o, a->version);
 		return;
 	case ROWS_CONFLICT:
@@ -262,7 +274,6 @@
 		break;
 	case ROWS_UNKNOWN:
 	case ROWS_COMPACTED:
-		o->write_ms = MIN(o->write_ms * 2, WRITE_MAX_MS);
 		break;
 	}
 	if (!o->refused++)
@@ -292,7 +303,8 @@
 
 	c->owner = o;
 	c->number = o->write_number;
-	rows_commit(o->rows, o->writing, o->write_ms, on_written, c);
+	rows_commit(o->rows, o->writing, rows_patience_ms(o->rows), on_written,
+		    c);
 }
 
 static void on_timer(void *arg)
@@ -300,6 +312,10 @@
 	struct owner *o = arg;
 	uint64_t now = clock_mono_ms();
 
+	if (o->role == ROLE_FOLLOWS) {
+		consider(o);
+		return;
+	}
 	if (o->role == ROLE_LEADS &&
 	    now > o->written_ms + RENEW_WITHOUT_STORE_MS) {
 		step_down(o, "no write succeeded for too long");
@@ -317,7 +333,8 @@
 	char *value;
 
 	r.sequence = ++o->self.sequence;
-	if (o->retiring)
+	o->retired = o->retiring;
+	if (o->retired)
 		r.instance[0] = '\0';
 	value = owner_encode(&r);
 	rows_tx_expect(t, OWNER_TABLE, KEY_OWNER, o->any ? o->version : 0);
@@ -355,7 +372,29 @@
 	o->role = ROLE_CLAIMS;
 	o->self.epoch = o->seen.epoch + 1;
 	o->self.sequence = 0;
-	write_row(o, rows_tx_create());
+	write_row(o, rows_tx_create(LEADER_PART));
+}
+
+static void consider(struct owner *o)
+{
+	uint64_t now = clock_mono_ms();
+	uint64_t quiet_since = MAX(o->changed_ms, o->answered_since_ms);
+	bool nobody = !o->any || !*o->seen.instance;
+	bool self = !nobody && !strcmp(o->seen.instance, o->self.instance);
+	uint64_t spread =
+		g_str_hash(o->self.instance) % CLAIM_SPREAD_MS + o->handicap_ms;
+
+	if (o->role != ROLE_FOLLOWS || !o->complete || o->retiring ||
+	    !o->answered_since_ms)
+		return;
+	if (self && o->seen.incarnation != o->self.incarnation)
+		claim(o, true);
+	else if (nobody && now >= quiet_since + spread)
+		claim(o, true);
+	else if (nobody && !timer_running(&o->timer))
+		timer_start(o->loop, &o->timer, quiet_since + spread - now);
+	else if (!nobody && now >= quiet_since + TAKEOVER_MS + spread)
+		claim(o, false);
 }
 
 /*
@@ -364,16 +403,7 @@
  */
 void owner_consider(struct owner *o, uint64_t answered_since_ms, bool complete)
 {
-	uint64_t now = clock_mono_ms();
-	uint64_t quiet_since = MAX(o->changed_ms, answered_since_ms);
-
-	if (o->role != ROLE_FOLLOWS || !complete || o->retiring ||
-	    !answered_since_ms)
-		return;
-	if (!o->any || !*o->seen.instance)
-		claim(o, true);
-	else if (!strcmp(o->seen.instance, o->self.instance))
-		claim(o, o->seen.incarnation != o->self.incarnation);
-	else if (now >= quiet_since + TAKEOVER_MS)
-		claim(o, false);
+	o->answered_since_ms = answered_since_ms;
+	o->complete = complete;
+	consider(o);
 }
--- a/lead/owner.h
+++ b/lead/owner.h
@@ -19,16 +19,16 @@
 	void (*beat)(void *arg); /* time for a write, even an empty one */
 };
 
-struct owner *owner_create(struct loop *l, struct rows *r,
-			   struct counters *c, const char *instance,
-			   uint64_t incarnation, const struct owner_events *ev,
+struct owner *owner_create(struct loop *l, struct rows *r, struct counters *c,
+			   const char *instance, uint64_t incarnation,
+			   uint32_t handicap_ms, const struct owner_events *ev,
 			   void *arg);
 void owner_destroy(struct owner *o);
 void owner_row(struct owner *o, const char *value, uint64_t version);
-void owner_consider(struct owner *o, uint64_t answered_since_ms,
-		    bool complete);
+void owner_consider(struct owner *o, uint64_t answered_since_ms, bool complete);
 bool owner_leads(const struct owner *o);
 bool owner_writing(const struct owner *o);
+uint32_t owner_write_ms(const struct owner *o);
 uint64_t owner_epoch(const struct owner *o);
 const char *owner_instance(const struct owner *o);
 uint64_t owner_earlier_leases_ms(const struct owner *o, uint32_t lease_ms);
--- a/lead/record.c
+++ b/lead/record.c
@@ -7,6 +7,14 @@
 #include "lib/schema.h"
 #include "sched/fleet.h"
 
+const char *const job_parts[] = {"0", "1", "2", "3", NULL};
+
+/* Return the part in which the rows of a job lie that any instance writes. */
+const char *job_part(const char *id)
+{
+	return job_parts[(unsigned char)id[0] & 3];
+}
+
 /* Encode who leads; free with free. */
 char *owner_encode(const struct owner_record *o)
 {
@@ -76,13 +84,11 @@
 			 s->image);
 }
 
-/* Encode what every instance knows of j; free with free. */
+/* Encode whose job j is; free with free. */
 char *job_encode(const struct job *j)
 {
-	json_t *v = json_pack("{s:s,s:s,s:s,s:I}", "queue", j->queue,
-			      "account", j->account, "state",
-			      job_state_name(j->state), "ended_ms",
-			      (json_int_t)j->ended_ms);
+	json_t *v = json_pack("{s:s,s:s}", "queue", j->queue, "account",
+			      j->account);
 	char *s = json_dumps(v, JSON_COMPACT);
 
 	json_decref(v);
@@ -93,14 +99,33 @@
 bool job_decode(const char *text, struct job_record *r)
 {
 	json_t *v = json_loads(text, 0, NULL);
-	bool ok;
 
 	memset(r, 0, sizeof(*r));
 	g_strlcpy(r->queue, json_str_or(v, "queue", ""), sizeof(r->queue));
 	g_strlcpy(r->account, json_str_or(v, "account", ""),
 		  sizeof(r->account));
+	json_decref(v);
+	return *r->queue;
+}
+
+/* Encode the state of j; free with free. */
+char *state_encode(const struct job *j)
+{
+	json_t *v = json_pack("{s:s,s:I}", "state", job_state_name(j->state),
+			      "ended_ms", (json_int_t)j->ended_ms);
+	char *s = json_dumps(v, JSON_COMPACT);
+
+	json_decref(v);
+	return s;
+}
+
+/* Decode what state_encode has encoded; false when it is not of the form. */
+bool state_decode(const char *text, struct state_record *r)
+{
+	json_t *v = json_loads(text, 0, NULL);
+	bool ok = job_state_parse(json_str_or(v, "state", ""), &r->state);
+
 	r->ended_ms = json_int_or(v, "ended_ms", 0);
-	ok = job_state_parse(json_str_or(v, "state", ""), &r->state);
 	json_decref(v);
 	return ok;
 }
@@ -272,15 +297,14 @@
 
 		if (stage_begun(st))
 			stage_encode(tasks, st, &lives);
-		json_array_append_new(stages,
-				      json_pack("[I,s]",
-						(json_int_t)st->failures,
-						tasks->str));
+		json_array_append_new(
+			stages, json_pack("[I,s]", (json_int_t)st->failures,
+					  tasks->str));
 		g_string_free(tasks, TRUE);
 	}
 	v = json_pack("{s:s,s:I,s:o,s:o}", "state", job_state_name(j->state),
-		      "ended_ms", (json_int_t)j->ended_ms, "lives",
-		      lives.names, "stages", stages);
+		      "ended_ms", (json_int_t)j->ended_ms, "lives", lives.names,
+		      "stages", stages);
 	s = json_dumps(v, JSON_COMPACT);
 	json_decref(v);
 	g_ptr_array_free(lives.upstreams, TRUE);
--- a/lead/record.h
+++ b/lead/record.h
@@ -4,18 +4,29 @@
 
 #include "sched/work.h"
 
+/*
+ * The leader's tables have one part, so that each of its writes can ask
+ * that it still leads.  What other instances write has several: a slow
+ * store then takes in jobs beside each other and beside the leader.
+ */
+#define LEADER_PART ""
 /* Who leads; every instance follows it. */
 #define OWNER_TABLE "lacewingspur-owner"
 #define KEY_OWNER "owner"
-/* The state of every job, and wishes to cancel one; every instance
+/* The state of each job, by its id; every instance follows it. */
+#define STATE_TABLE "lacewingspur-states"
+/* The runs of each job, by its id; a new leader reads it once. */
+#define RUN_TABLE "lacewingspur-runs"
+/* The jobs that were accepted, and wishes to cancel one; every instance
  * follows it. */
-#define JOB_TABLE "lacewingspur"
+#define JOB_TABLE "lacewingspur-jobs"
 #define KEY_JOB "job/"
 #define KEY_CANCEL "cancel/"
 /* What was submitted, by the job's id; the leader follows it. */
 #define SPEC_TABLE "lacewingspur-specs"
-/* The runs of each job, by its id; a new leader reads it once. */
-#define RUN_TABLE "lacewingspur-runs"
+
+extern const char *const job_parts[];
+const char *job_part(const char *id);
 
 /* Who leads. */
 struct owner_record {
@@ -32,12 +43,17 @@
 struct job_record {
 	char queue[LABEL_BYTES];
 	char account[LABEL_BYTES];
+};
+
+struct state_record {
 	enum job_state state;
 	uint64_t ended_ms; /* on the store's clock */
 };
 
 char *job_encode(const struct job *j);
 bool job_decode(const char *text, struct job_record *r);
+char *state_encode(const struct job *j);
+bool state_decode(const char *text, struct state_record *r);
 char *spec_encode(const struct job *j);
 struct job *spec_decode(const char *id, const char *text);
 
--- a/lib/httpclient.c
+++ b/lib/httpclient.c
@@ -332,7 +332,8 @@
 	call->done = done;
 	call->arg = arg;
 	call->body = g_byte_array_new();
-	call->request = request_text(p, method, path, headers, body ? body : "");
+	call->request =
+		request_text(p, method, path, headers, body ? body : "");
 	call->iov = h2o_iovec_init(call->request, strlen(call->request));
 	g_hash_table_add(p->calls, call);
 	timer_init(&call->timer, call_timeout, call);
--- a/lib/httpserver.c
+++ b/lib/httpserver.c
@@ -17,8 +17,8 @@
 	h2o_socket_t *listener;
 	http_handler_fn fn;
 	void *arg;
-	bool closing;	/* each connection ends with its next answer */
-	uint32_t open;	/* exchanges that have not been answered */
+	bool closing;  /* each connection ends with its next answer */
+	uint32_t open; /* exchanges that have not been answered */
 };
 
 struct handler {
--- a/lib/schema.c
+++ b/lib/schema.c
@@ -211,6 +211,15 @@
 	case FIELD_INTEGER:
 		check_integer(f, v, path, p);
 		break;
+	case FIELD_NUMBER:
+		if (!json_is_number(v) ||
+		    json_number_value(v) < (double)f->min ||
+		    json_number_value(v) > (double)f->max)
+			problem_add(p, path,
+				    "expected a number from %lld to %lld %s",
+				    (long long)f->min, (long long)f->max,
+				    f->unit ? f->unit : "");
+		break;
 	case FIELD_BOOL:
 		if (!json_is_boolean(v))
 			expected(p, path, v, "true or false");
--- a/lib/schema.h
+++ b/lib/schema.h
@@ -12,6 +12,7 @@
 	FIELD_NAME,    /* letters, digits, '-', '_', '.', '/' */
 	FIELD_ADDRESS, /* "IP:port" */
 	FIELD_INTEGER,
+	FIELD_NUMBER, /* may have a fraction */
 	FIELD_BOOL,
 	FIELD_CHOICE,
 	FIELD_OBJECT,
--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -300,8 +300,7 @@
 	if (ok) {
 		for (guint i = 0; i < e.stop->len; i++)
 			stop_run(p, g_ptr_array_index(e.stop, i), STOP_ROOM);
-		memcpy(p->pack.chosen, e.chosen,
-		       p->pack.n * sizeof(*e.chosen));
+		memcpy(p->pack.chosen, e.chosen, p->pack.n * sizeof(*e.chosen));
 		g_strlcpy(st->held_rack, e.rack, sizeof(st->held_rack));
 		reserve_chosen(p, st);
 	}
@@ -338,8 +337,7 @@
 /* Keep room for urgent work that is likely to come next. */
 static void hold_headroom(struct pass *p)
 {
-	const struct stage *st =
-		learn_next_urgent(p->v->learn, p->v->now_ms);
+	const struct stage *st = learn_next_urgent(p->v->learn, p->v->now_ms);
 
 	for (uint32_t k = 0; st && k < HEADROOM_STAGES; k++) {
 		if (pack_choose_all(&p->pack, st, st->step->count,
--- a/sched/evict.c
+++ b/sched/evict.c
@@ -129,8 +129,7 @@
 	uint32_t spread = d->stage->step->spread;
 
 	return (!d->rack || !strcmp(u->rack, d->rack)) &&
-	       upstream_usable(u, d->pack->now_ms) &&
-	       pack_suits(d->stage, u) &&
+	       upstream_usable(u, d->pack->now_ms) && pack_suits(d->stage, u) &&
 	       (!spread || d->out->chosen[i] < spread);
 }
 
@@ -184,14 +183,11 @@
 }
 
 static void plan_within(const struct pack *p, const struct evict_rules *r,
-			const struct stage *st, uint32_t want,
-			const char *rack, struct eviction *e)
+			const struct stage *st, uint32_t want, const char *rack,
+			struct eviction *e)
 {
-	struct draft d = {.pack = p,
-			  .rules = r,
-			  .stage = st,
-			  .rack = rack,
-			  .out = e};
+	struct draft d = {
+		.pack = p, .rules = r, .stage = st, .rack = rack, .out = e};
 
 	memset(e, 0, sizeof(*e));
 	e->stop = g_ptr_array_new();
--- a/sched/evict.h
+++ b/sched/evict.h
@@ -7,9 +7,9 @@
 
 struct eviction {
 	bool possible;
-	double loss;	   /* value that is lost by it */
-	GPtrArray *stop;   /* tasks to stop, without the rest of gangs */
-	uint32_t *chosen;  /* places, as in struct pack */
+	double loss;	  /* value that is lost by it */
+	GPtrArray *stop;  /* tasks to stop, without the rest of gangs */
+	uint32_t *chosen; /* places, as in struct pack */
 	char rack[LABEL_BYTES];
 };
 
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -17,16 +17,17 @@
 	char kind[LABEL_BYTES];
 	char rack[LABEL_BYTES];
 	enum upstream_state state;
-	bool commanded; /* obeys our epoch, and its lists were read */
+	bool commanded;	    /* obeys our epoch, and its lists were read */
 	uint64_t leaves_ms; /* when draining: not before; 0: unknown */
 	struct room room;
 	struct room used;
-	GPtrArray *tasks; /* that occupy room */
+	GPtrArray *tasks;	 /* that occupy room */
 	uint64_t avoid_until_ms; /* after failures */
 	uint32_t strikes;	 /* failures since the last success */
-	const struct job *struck_by; /* the last job that failed; not followed */
-	uint32_t number;	 /* position in the fleet */
-	void *keeper;		 /* of the task that talks to it */
+	const struct job
+		*struck_by; /* the last job that failed; not followed */
+	uint32_t number;    /* position in the fleet */
+	void *keeper;	    /* of the task that talks to it */
 };
 
 struct fleet {
--- a/sched/learn.c
+++ b/sched/learn.c
@@ -53,8 +53,8 @@
 {
 	struct learn *l = g_new0(struct learn, 1);
 
-	l->queues = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					  g_free);
+	l->queues =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return l;
 }
 
@@ -93,12 +93,12 @@
 	double took = log(MAX(took_ms, 1));
 	double over = took - log(MAX(estimate_ms, 1));
 
-	r->mean_error = toward(r->mean_error,
-			       (took - r->mean) * (took - r->mean),
-			       r->runs + 2);
-	r->estimate_error = toward(r->estimate_error,
-				   (over - r->bias) * (over - r->bias),
-				   r->runs + 2);
+	r->mean_error =
+		toward(r->mean_error, (took - r->mean) * (took - r->mean),
+		       r->runs + 2);
+	r->estimate_error =
+		toward(r->estimate_error, (over - r->bias) * (over - r->bias),
+		       r->runs + 2);
 	r->mean = toward(r->mean, took, r->runs);
 	r->bias = toward(r->bias, over, r->runs + 1);
 	r->runs++;
@@ -193,8 +193,7 @@
 /* Return the work of j over the mean of its queue. */
 double learn_size(const struct learn *l, const struct job *j)
 {
-	const struct queue_record *r =
-		g_hash_table_lookup(l->queues, j->queue);
+	const struct queue_record *r = g_hash_table_lookup(l->queues, j->queue);
 
 	return r && r->work > 0 ? work_of(j) / r->work : 1;
 }
--- a/sched/pack.c
+++ b/sched/pack.c
@@ -49,8 +49,8 @@
 	if (strcmp(u->service, st->job->service) ||
 	    !upstream_has_label(u, st->step->label))
 		return false;
-	for (uint32_t i = 0; st->job->state != JOB_QUEUED &&
-			     i < st->step->count; i++)
+	for (uint32_t i = 0;
+	     st->job->state != JOB_QUEUED && i < st->step->count; i++)
 		if (st->tasks[i].failed_at == u)
 			return false;
 	return true;
@@ -70,8 +70,8 @@
 }
 
 /* Return how many tasks of st `have`, the room of upstream i, can take. */
-uint32_t pack_capacity(const struct pack *p, const struct stage *st,
-			     uint32_t i, const struct room *have)
+uint32_t pack_capacity(const struct pack *p, const struct stage *st, uint32_t i,
+		       const struct room *have)
 {
 	const struct upstream *u = pack_upstream(p, i);
 	struct room need = task_room(&st->tasks[0]);
@@ -107,7 +107,7 @@
  * placed.
  */
 uint32_t pack_choose(struct pack *p, const struct stage *st, uint32_t want,
-		       const struct room *rooms, const char *rack)
+		     const struct room *rooms, const char *rack)
 {
 	struct slot *slots = g_new(struct slot, p->n + 1);
 	uint32_t n = 0, placed = 0;
@@ -151,7 +151,8 @@
 bool pack_first_of_rack(const struct pack *p, uint32_t i)
 {
 	for (uint32_t k = 0; k < i; k++)
-		if (!strcmp(pack_upstream(p, k)->rack, pack_upstream(p, i)->rack))
+		if (!strcmp(pack_upstream(p, k)->rack,
+			    pack_upstream(p, i)->rack))
 			return false;
 	return true;
 }
@@ -173,7 +174,8 @@
 		if (!pack_first_of_rack(p, i))
 			continue;
 		n = rack_free(p, rooms, rack);
-		if (n >= best_free || pack_choose(p, st, want, rooms, rack) < want)
+		if (n >= best_free ||
+		    pack_choose(p, st, want, rooms, rack) < want)
 			continue;
 		best = rack;
 		best_free = n;
@@ -204,14 +206,15 @@
 
 /* Choose places for all `want` tasks; false when `rooms` are too small. */
 bool pack_choose_all(struct pack *p, const struct stage *st, uint32_t want,
-		       const struct room *rooms)
+		     const struct room *rooms)
 {
 	const char *rack = NULL;
 
 	if (*st->step->data_rack &&
 	    pack_choose(p, st, want, rooms, st->step->data_rack) == want)
 		return true;
-	if (st->step->gang && st->step->one_rack && pack_rack_could_hold(p, st)) {
+	if (st->step->gang && st->step->one_rack &&
+	    pack_rack_could_hold(p, st)) {
 		rack = best_rack(p, st, want, rooms);
 		if (!rack)
 			return false;
--- a/sched/pack.h
+++ b/sched/pack.h
@@ -17,8 +17,8 @@
 void pack_close(struct pack *p);
 struct upstream *pack_upstream(const struct pack *p, uint32_t i);
 bool pack_suits(const struct stage *st, const struct upstream *u);
-uint32_t pack_capacity(const struct pack *p, const struct stage *st,
-		       uint32_t i, const struct room *have);
+uint32_t pack_capacity(const struct pack *p, const struct stage *st, uint32_t i,
+		       const struct room *have);
 uint32_t pack_choose(struct pack *p, const struct stage *st, uint32_t want,
 		     const struct room *rooms, const char *rack);
 bool pack_choose_all(struct pack *p, const struct stage *st, uint32_t want,
--- a/sched/value.c
+++ b/sched/value.c
@@ -79,7 +79,7 @@
 /* Return what j is worth when it ends in time, or late. */
 double value_of(const struct value_view *v, const struct job *j, bool late)
 {
-	double base = j->priority == 0 ? VALUE_URGENT
+	double base = j->priority == 0	 ? VALUE_URGENT
 		      : j->priority == 1 ? VALUE_SECOND
 					 : VALUE_OTHER;
 	double size = VALUE_FIXED + (1 - VALUE_FIXED) * learn_size(v->learn, j);
@@ -119,8 +119,8 @@
 /* Return the value that st can still earn for a second of an upstream. */
 double value_density(const struct value_view *v, const struct stage *st)
 {
-	uint64_t late = begun_ms(st) +
-			LATE_TIMES * value_objective_ms(v, st->job);
+	uint64_t late =
+		begun_ms(st) + LATE_TIMES * value_objective_ms(v, st->job);
 	uint64_t rest = value_rest_ms(v, st);
 	double seconds = MAX(rest, 1) / 1000.0 * share(v, st) * st->step->count;
 
@@ -159,8 +159,8 @@
 	loss = MACHINE_SECOND * share(v, t->stage) * ms / 1000.0;
 	/* a job that then ends late loses most of its value */
 	if (!t->stage->step->lasting) {
-		int64_t spare = value_spare_ms(v, t->stage) -
-				(int64_t)v->stop_ms;
+		int64_t spare =
+			value_spare_ms(v, t->stage) - (int64_t)v->stop_ms;
 		int64_t kept = value_spare_ms(v, t->stage) +
 			       (int64_t)(v->now_ms - t->placed_ms);
 
--- a/sched/work.c
+++ b/sched/work.c
@@ -17,7 +17,7 @@
 #define MAX_OCCURRENCES 1000
 
 static const char *const state_names[] = {
-	[JOB_QUEUED] = "queued",     [JOB_RUNNING] = "running",
+	[JOB_QUEUED] = "queued",       [JOB_RUNNING] = "running",
 	[JOB_COMPLETED] = "completed", [JOB_FAILED] = "failed",
 	[JOB_CANCELLED] = "cancelled",
 };
@@ -76,8 +76,7 @@
 				       i);
 	if (s->need.cpu_milli < 0 || s->need.cpu_milli > MAX_CPU_MILLI ||
 	    s->need.memory_mb < 0 || s->need.memory_mb > MAX_MEMORY_MB ||
-	    s->need.accelerators < 0 ||
-	    s->need.accelerators > MAX_ACCELERATORS)
+	    s->need.accelerators < 0 || s->need.accelerators > MAX_ACCELERATORS)
 		return g_strdup_printf("steps[%u]: resources out of bounds", i);
 	for (uint32_t k = 0; k < s->after_len; k++)
 		if (s->after[k] >= i)
--- a/sched/work.h
+++ b/sched/work.h
@@ -32,10 +32,10 @@
 	uint32_t *after;
 	bool checkpoints;
 	bool gang;
-	bool one_rack;	/* slower when its tasks span racks */
-	bool copies;	/* may run more than once at a time */
-	bool lasting;	/* runs until the job is cancelled */
-	bool fills;	/* takes only the processor that others leave */
+	bool one_rack;	 /* slower when its tasks span racks */
+	bool copies;	 /* may run more than once at a time */
+	bool lasting;	 /* runs until the job is cancelled */
+	bool fills;	 /* takes only the processor that others leave */
 	uint32_t spread; /* tasks on one upstream at most; 0: any */
 	uint32_t max_unavailable;
 	uint32_t target_ms;
@@ -56,11 +56,11 @@
 	RUN_DONE,
 	RUN_FAILED,
 	RUN_STOPPED,
-	RUN_LAPSED,	/* the lease ended */
-	RUN_BROKEN,	/* another member of the gang ended */
-	RUN_ALONE,	/* the other members did not come in time */
-	RUN_NEVER,	/* it is certain that it has not started */
-	RUN_LOST,	/* its upstream has gone */
+	RUN_LAPSED, /* the lease ended */
+	RUN_BROKEN, /* another member of the gang ended */
+	RUN_ALONE,  /* the other members did not come in time */
+	RUN_NEVER,  /* it is certain that it has not started */
+	RUN_LOST,   /* its upstream has gone */
 };
 
 struct stage;
@@ -71,8 +71,8 @@
 	enum task_state state;
 	uint32_t run; /* number of the newest run, 0: none yet */
 	uint32_t failures;
-	struct upstream *at; /* while it occupies room */
-	char *checkpoint;    /* NULL: none */
+	struct upstream *at;	   /* while it occupies room */
+	char *checkpoint;	   /* NULL: none */
 	uint32_t percent;	   /* of the whole work, as last listed */
 	uint64_t percent_ms;	   /* when it was listed */
 	uint32_t percent_first;	   /* of this run, as first listed ... */
@@ -84,7 +84,7 @@
 	bool sent;	/* an order to start the newest run has gone out */
 	bool uncertain; /* such an order was not answered */
 	bool retry;	/* its order has to be sent again */
-	uint64_t stop_answered_ms; /* 0: no stop of it was answered */
+	uint64_t stop_answered_ms;	  /* 0: no stop of it was answered */
 	const struct upstream *failed_at; /* the last one; not followed */
 };
 
@@ -95,10 +95,10 @@
 	const struct step *step;
 	uint32_t step_index;
 	uint32_t occurrence;
-	uint32_t done;	/* tasks */
-	uint32_t failures; /* of the gang as a whole */
-	uint32_t failed_run; /* the gang's newest run that failed */
-	uint64_t since_ms; /* its turn has come; 0: not yet */
+	uint32_t done;	       /* tasks */
+	uint32_t failures;     /* of the gang as a whole */
+	uint32_t failed_run;   /* the gang's newest run that failed */
+	uint64_t since_ms;     /* its turn has come; 0: not yet */
 	uint64_t held_back_ms; /* do not place before */
 	struct task *tasks;
 	char held_rack[LABEL_BYTES]; /* where room was kept for it last */
@@ -121,16 +121,16 @@
 	struct step *steps;
 	uint64_t start_at_wall_ms; /* of occurrence 0; 0: at once */
 	uint64_t interval_ms;
-	uint32_t repeat; /* occurrences; 0 counts as one, without a time */
+	uint32_t repeat;      /* occurrences; 0 counts as one, without a time */
 	uint64_t received_ms; /* on the store's clock */
 	/* the state */
 	enum job_state state;
 	bool cancel_wanted;
-	bool dirty; /* differs from its rows */
-	bool removed; /* its rows, but for the state, are removed */
+	bool dirty;		 /* differs from its rows */
+	bool removed;		 /* its rows, but for the state, are removed */
 	enum job_state recorded; /* the state in the rows */
-	uint64_t since_ms; /* received_ms on our clock */
-	uint64_t ended_ms; /* on the store's clock */
+	uint64_t since_ms;	 /* received_ms on our clock */
+	uint64_t ended_ms;	 /* on the store's clock */
 	uint32_t stages_len;
 	struct stage *stages;
 	/* of its queue, refreshed with each configuration */
