--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -39,6 +39,7 @@
 struct candidate {
 	struct stage *stage;
 	uint32_t rank;
+	bool due; /* its guarantee leaves it no more time to wait */
 	double density;
 };
 
@@ -134,6 +135,8 @@
 {
 	const struct candidate *x = a, *y = b;
 
+	if (x->due != y->due)
+		return x->due ? -1 : 1;
 	if (x->rank != y->rank)
 		return x->rank < y->rank ? -1 : 1;
 	if (x->density != y->density)
@@ -150,6 +153,14 @@
 		stop_stage(p, st, STOP_GANG);
 }
 
+/* Report whether room for j has to be made now to meet its guarantee. */
+static bool reclaim_due(const struct pass *p, const struct job *j)
+{
+	uint64_t waited = p->v->now_ms - MIN(j->since_ms, p->v->now_ms);
+
+	return waited + p->v->stop_ms + RECLAIM_MARGIN_MS >= p->v->reclaim_ms;
+}
+
 static void collect_job(struct pass *p, struct job *j)
 {
 	uint32_t rank = rank_of(p->v, j);
@@ -169,6 +180,7 @@
 		if (!stage_waiting(c.stage) ||
 		    (c.stage->step->gang && !stage_idle(c.stage)))
 			continue;
+		c.due = rank == RANK_COVERED && reclaim_due(p, j);
 		c.density = value_density(&p->value, c.stage);
 		g_array_append_val(p->candidates, c);
 	}
@@ -259,11 +271,9 @@
 static double worth_of_room(const struct pass *p, const struct candidate *c)
 {
 	const struct stage *st = c->stage;
-	uint64_t waited = p->v->now_ms - MIN(st->job->since_ms, p->v->now_ms);
 	int64_t spare;
 
-	if (c->rank == RANK_COVERED &&
-	    waited + p->v->stop_ms + RECLAIM_MARGIN_MS >= p->v->reclaim_ms)
+	if (c->due)
 		return MUST;
 	if (c->rank <= RANK_URGENT)
 		return value_gain(&p->value, st);
--- a/test/unit_dispatch.c
+++ b/test/unit_dispatch.c
@@ -149,6 +149,32 @@
 	play_close(&p);
 }
 
+/*
+ * The load: a covered gang has waited too long to end in time; urgent
+ * gangs that still can, and are worth more, keep coming.  They may not
+ * take the room that was made for it.
+ */
+static void test_covered_gang_is_not_overtaken(void **state)
+{
+	struct play p;
+	struct job *gang;
+
+	(void)state;
+	play_open(&p, 8);
+	p.guarantee.accelerators = 1000;
+	play_job(&p, 2, 64, 1, 20000, false);
+	play_pass(&p, true);
+	gang = play_job(&p, 0, 6, 8, 1000, true);
+	gang->since_ms = p.now_ms - (RECLAIM_MS - STOP_MS - 400);
+	for (uint32_t ms = 0; ms < 400; ms += 50) {
+		play_job(&p, 0, 3, 8, 2500, true);
+		play_pass(&p, true);
+		p.now_ms += 50;
+	}
+	assert_true(running(gang));
+	play_close(&p);
+}
+
 /* Urgent work never stops urgent work that is covered itself. */
 static void test_covered_work_is_not_stopped(void **state)
 {
@@ -188,6 +214,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_covered_gang_begins_in_time),
+		cmocka_unit_test(test_covered_gang_is_not_overtaken),
 		cmocka_unit_test(test_covered_work_is_not_stopped),
 		cmocka_unit_test(test_gang_starts_whole_or_not),
 	};
