--- a/lead/keeper.c
+++ b/lead/keeper.c
@@ -68,19 +68,17 @@
 static void on_retry(void *arg)
 {
 	struct keeper *k = arg;
-	GPtrArray *tasks = k->upstream->tasks;
+	GPtrArray *list = upstream_take_retries(k->upstream);
 
-	for (guint i = 0; i < tasks->len; i++) {
-		struct task *t = g_ptr_array_index(tasks, i);
+	for (guint i = 0; i < list->len; i++) {
+		struct task *t = g_ptr_array_index(list, i);
 
-		if (!t->retry)
-			continue;
-		t->retry = false;
 		if (t->state == TASK_PLACED)
 			keeper_start(k, t);
 		else if (t->state == TASK_STOPPING && !t->stop_answered_ms)
 			keeper_stop(k, t);
 	}
+	g_ptr_array_free(list, TRUE);
 }
 
 static void order_again(struct keeper *k, struct task *t)
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -110,6 +110,25 @@
 	t->at = NULL;
 }
 
+/*
+ * Return the tasks on u whose order has to be sent again, and clear that
+ * mark.  The list is a copy: sending may end a task and take it off u.
+ * It is to be freed with g_ptr_array_free.
+ */
+GPtrArray *upstream_take_retries(struct upstream *u)
+{
+	GPtrArray *list = g_ptr_array_new();
+
+	for (guint i = 0; i < u->tasks->len; i++) {
+		struct task *t = g_ptr_array_index(u->tasks, i);
+
+		if (t->retry)
+			g_ptr_array_add(list, t);
+		t->retry = false;
+	}
+	return list;
+}
+
 /* Report whether u has the label; an empty one is had by all. */
 bool upstream_has_label(const struct upstream *u, const char *label)
 {
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -42,6 +42,7 @@
 void fleet_remove(struct fleet *f, struct upstream *u);
 void fleet_occupy(struct upstream *u, struct task *t);
 void fleet_release(struct task *t);
+GPtrArray *upstream_take_retries(struct upstream *u);
 
 struct room task_room(const struct task *t);
 bool room_holds(const struct room *have, const struct room *need);
--- a/test/unit_lead.c
+++ b/test/unit_lead.c
@@ -164,6 +164,25 @@
 	scene_destroy(&s);
 }
 
+/* Orders are sent again for all tasks, though some end meanwhile. */
+static void test_retries_reach_every_task(void **state)
+{
+	GPtrArray *list;
+	struct scene s;
+
+	(void)state;
+	scene_create(&s, 5, false);
+	for (uint32_t i = 0; i < 5; i++)
+		job_task(s.job, 0, 0, i)->retry = true;
+	list = upstream_take_retries(s.upstream);
+	for (guint i = 0; i < list->len; i++)
+		task_end(g_ptr_array_index(list, i), RUN_NEVER, NULL, 2000);
+	assert_int_equal(list->len, 5);
+	assert_int_equal(s.upstream->tasks->len, 0);
+	g_ptr_array_free(list, TRUE);
+	scene_destroy(&s);
+}
+
 /* A stopped run is gone only in a list asked for after the stop. */
 static void test_list_from_before_the_stop_proves_nothing(void **state)
 {
@@ -228,6 +247,7 @@
 		cmocka_unit_test(test_refused_first_order_never_starts),
 		cmocka_unit_test(test_old_run_never_starts),
 		cmocka_unit_test(test_old_run_may_have_ended_as_done),
+		cmocka_unit_test(test_retries_reach_every_task),
 		cmocka_unit_test(test_list_from_before_the_stop_proves_nothing),
 		cmocka_unit_test(
 			test_list_of_the_same_millisecond_proves_nothing),
