Count leases of an upstream that obeys us from then on

Change: once an upstream obeys the new epoch nobody else extends leases there; a leader without the store renews for 10 s, not 20.

--- a/lead/keeper.c
+++ b/lead/keeper.c
@@ -241,6 +241,8 @@
 	g_array_unref(strays);
 	if (!k->upstream->commanded) {
 		k->upstream->commanded = true;
+		lease_clock_commanded(&k->leases, k->env->settings->lease_ms,
+				      now);
 		log_fields(LOG_INFO, "upstream_commanded", "{s:s,s:I,s:i}",
 			   "upstream", k->upstream->id, "epoch",
 			   (json_int_t)k->env->epoch, "running",
--- a/lead/leaseclock.c
+++ b/lead/leaseclock.c
@@ -24,6 +24,24 @@
 	c->unanswered = false;
 }
 
+static uint64_t longest(uint32_t lease_ms, uint64_t now_ms)
+{
+	return now_ms + lease_ms + lease_ms / (CLOCK_SLOW_PART - 1) + SLACK_MS;
+}
+
+/*
+ * The upstream obeys our epoch from now on: earlier leaders cannot extend
+ * a lease any more, and none that it has granted lasts over lease_ms.
+ */
+void lease_clock_commanded(struct lease_clock *c, uint32_t lease_ms,
+			   uint64_t now_ms)
+{
+	uint64_t end = longest(lease_ms, now_ms);
+
+	if (c->end_ms > end)
+		c->end_ms = end;
+}
+
 /* A call was not answered: whatever it has granted counts as granted. */
 void lease_clock_silent(struct lease_clock *c)
 {
--- a/lead/leaseclock.h
+++ b/lead/leaseclock.h
@@ -18,6 +18,8 @@
 void lease_clock_reset(struct lease_clock *c, uint64_t end_ms);
 void lease_clock_answer(struct lease_clock *c, uint64_t clock_ms,
 			uint64_t now_ms);
+void lease_clock_commanded(struct lease_clock *c, uint32_t lease_ms,
+			   uint64_t now_ms);
 void lease_clock_silent(struct lease_clock *c);
 uint64_t lease_clock_ask(struct lease_clock *c, uint32_t lease_ms,
 			 uint64_t now_ms);
--- a/lead/owner.c
+++ b/lead/owner.c
@@ -16,7 +16,7 @@
  * store answered: five beats. */
 #define TAKEOVER_MS 1500
 /* Without a successful write for this long the leader gives up. */
-#define RENEW_WITHOUT_STORE_MS 20000
+#define RENEW_WITHOUT_STORE_MS 10000
 /* Instances that would claim at the same moment spread over this time. */
 #define CLAIM_SPREAD_MS 250
 /* Pause after a refused write. */
--- a/test/unit_lead.c
+++ b/test/unit_lead.c
@@ -56,6 +56,22 @@
 			 500 + 980 + LEASE_MS);
 }
 
+/*
+ * An upstream that has obeyed a new leader, and then left, holds up its
+ * tasks for no longer than a lease, whatever the old leader might do.
+ */
+static void test_command_ends_the_predecessors_leases(void **state)
+{
+	struct lease_clock c;
+
+	(void)state;
+	lease_clock_reset(&c, 1000 + 26000);
+	lease_clock_answer(&c, 500, 1000);
+	lease_clock_commanded(&c, LEASE_MS, 1000);
+	assert_false(lease_clock_over(&c, 1000 + LEASE_MS));
+	assert_true(lease_clock_over(&c, 1000 + LEASE_MS * 104 / 100));
+}
+
 /* A fleet of one upstream and a job of one task that is placed on it. */
 struct scene {
 	struct model *model;
@@ -241,6 +257,7 @@
 		cmocka_unit_test(test_leases_of_a_silent_upstream_end),
 		cmocka_unit_test(test_lease_may_last_longer_on_a_slow_clock),
 		cmocka_unit_test(test_lease_is_asked_for_on_the_slowest_clock),
+		cmocka_unit_test(test_command_ends_the_predecessors_leases),
 		cmocka_unit_test(
 			test_refused_repetition_says_nothing_of_the_first),
 		cmocka_unit_test(test_late_repetition_is_forbidden_in_the_end),
