Read the states with the claim; do not stop members of a gang that is done

Change: it reads the states anew, like all else that its predecessor has left; members of a gang that has ended as done are no strays.

--- a/lead/lead.c
+++ b/lead/lead.c
@@ -32,7 +32,7 @@
 /* Pauses between an answer of a feed and the next call: each instance
  * reads the owner row, and the leader the list of upstreams, in which
  * something always changes, at these intervals. */
-#define OWNER_GAP_MS 250
+#define OWNER_GAP_MS 150
 #define LIST_GAP_MS 150
 
 struct planned_start {
@@ -46,11 +46,11 @@
 	struct keeper_env keepers;
 	struct follower *owners;
 	const struct policy *policy;
-	bool leading;		/* the model is complete */
-	uint64_t claim_version; /* the states must have been read up to it */
+	bool leading; /* the model is complete */
 	/* while it leads, or reads what its predecessor has left */
 	struct follower *specs;
 	struct follower *runs;
+	struct follower *states; /* as they were after the claim */
 	struct follower *upstreams;
 	uint64_t removed_ms;	 /* when it last looked for old rows */
 	uint64_t write_after_ms; /* the store is slow: not before */
@@ -78,8 +78,9 @@
 	timer_stop(d->env.loop, &d->work);
 	follower_destroy(d->specs);
 	follower_destroy(d->runs);
+	follower_destroy(d->states);
 	follower_destroy(d->upstreams);
-	d->specs = d->runs = d->upstreams = NULL;
+	d->specs = d->runs = d->states = d->upstreams = NULL;
 	for (guint i = 0; d->model && i < d->model->fleet->list->len; i++) {
 		struct upstream *u =
 			g_ptr_array_index(d->model->fleet->list, i);
@@ -153,7 +154,8 @@
 /* Report whether a job is over and nothing of it runs any more. */
 static bool ended(const struct lead *d, const char *id)
 {
-	const char *value = follower_get(d->env.states, id, NULL);
+	const char *value =
+		follower_get(d->states ? d->states : d->env.states, id, NULL);
 	struct state_record r;
 
 	return value && state_decode(value, &r) && work_state_final(r.state);
@@ -263,7 +265,8 @@
 	follower_each(d->specs, "", build_spec, d);
 	model_apply_policy(d->model, d->policy);
 	follower_destroy(d->runs);
-	d->runs = NULL;
+	follower_destroy(d->states);
+	d->runs = d->states = NULL;
 	log_fields(LOG_INFO, "leading", "{s:I,s:i,s:i,s:I,s:I}", "epoch",
 		   (json_int_t)owner_epoch(d->owner), "jobs",
 		   (int)d->model->live->len, "upstreams",
@@ -280,9 +283,8 @@
 
 	if (!d->leading && d->specs && follower_complete(d->specs) &&
 	    follower_complete(d->runs) && follower_complete(d->upstreams) &&
-	    d->policy && follower_complete(d->env.jobs) &&
-	    follower_complete(d->env.states) &&
-	    follower_version(d->env.states) >= d->claim_version)
+	    follower_complete(d->states) && d->policy &&
+	    follower_complete(d->env.jobs))
 		build(d);
 }
 
@@ -307,7 +309,9 @@
 	struct follower_events list = {.changed = upstream_row,
 				       .answered = on_read};
 
-	d->claim_version = version;
+	(void)version;
+	d->states = follower_create(e->loop, e->rows, STATE_TABLE,
+				    follower_one_part, FEED_WAIT_MS, &runs, d);
 	d->specs = follower_create(e->loop, e->rows, SPEC_TABLE, job_parts,
 				   FEED_WAIT_MS, &specs, d);
 	d->runs = follower_create(e->loop, e->rows, RUN_TABLE,
--- a/lead/model.c
+++ b/lead/model.c
@@ -176,6 +176,8 @@
 		const struct run_row *r = &a->running[i];
 		struct task *t = model_task(m, r->task);
 
+		if (t && t->state == TASK_DONE && t->run == r->run)
+			continue; /* of a gang that is about to end */
 		if (!t || !task_active(t) || t->at != u || t->run != r->run) {
 			note_stray(strays, r);
 			continue;
--- a/lead/owner.c
+++ b/lead/owner.c
@@ -18,7 +18,7 @@
 /* Without a successful write for this long the leader gives up. */
 #define RENEW_WITHOUT_STORE_MS 10000
 /* Instances that would claim at the same moment spread over this time. */
-#define CLAIM_SPREAD_MS 250
+#define CLAIM_SPREAD_MS 150
 /* Pause after a refused write. */
 #define REFUSED_PAUSE_MS 40
 #define REFUSED_PAUSE_MAX_MS 250
