--- a/Makefile
+++ b/Makefile
@@ -67,7 +67,9 @@
 	@mkdir -p $(OUT)
 	@echo "  FUZZ  $@"
 	@$(CLANG) -std=gnu11 -O1 -g -I. -fsanitize=fuzzer,address,undefined \
-		-fno-sanitize-recover=undefined -o $@ $(filter %.c,$^)
+		-fno-sanitize-recover=undefined \
+		$(shell pkg-config --cflags glib-2.0) -o $@ $(filter %.c,$^) \
+		$(shell pkg-config --libs glib-2.0) -lm
 
 fuzz: $(OUT)/fuzz_sched
 	$(OUT)/fuzz_sched -seed=$(FUZZ_SEED) -runs=$(FUZZ_RUNS) -max_len=600 \
