--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 
 obj = $(patsubst %.c,$(OUT)/obj/%.o,$(1))
 
-PROGRAMS = lacewingd lacewingctl platform worker cutter load model
+PROGRAMS = lacewingd lacewingctl platform worker joint cutter load model
 BINARIES = $(addprefix $(OUT)/,$(PROGRAMS))
 SOURCES = $(filter-out proto/%,$(wildcard */*.c)) $(wildcard */*.h)
 
@@ -34,6 +34,7 @@
 $(OUT)/lacewingctl: $(call obj,$(CTL) $(SCHED) $(LIB))
 $(OUT)/platform: $(call obj,fake/platform.c $(LIB))
 $(OUT)/worker: $(call obj,fake/worker.c $(LIB))
+$(OUT)/joint: $(call obj,fake/joint.c $(LIB))
 $(OUT)/cutter: $(call obj,fake/cutter.c $(LIB))
 $(OUT)/load: $(call obj,load/load.c $(LIB))
 $(OUT)/model: $(call obj,load/model.c $(SCHED) $(LIB))
--- a/config/policy.c
+++ b/config/policy.c
@@ -49,6 +49,14 @@
 	return &p->accounts[p->accounts_len++];
 }
 
+/* Report whether a request's host, which may have a port, is this one. */
+static bool same_host(const char *asked, const char *host)
+{
+	size_t n = strcspn(asked, ":");
+
+	return strlen(host) == n && !g_ascii_strncasecmp(asked, host, n);
+}
+
 /* Return the queue of host with the longest prefix of path, or NULL. */
 const struct queue *policy_route(const struct policy *p, const char *host,
 				 const char *path)
@@ -58,7 +66,7 @@
 	for (uint32_t i = 0; i < p->queues_len; i++) {
 		const struct queue *q = &p->queues[i];
 
-		if (g_ascii_strcasecmp(q->host, host) ||
+		if (!same_host(host, q->host) ||
 		    !g_str_has_prefix(path, q->prefix))
 			continue;
 		if (!best || strlen(q->prefix) > strlen(best->prefix))
