--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -16,8 +16,10 @@
 
 /* How long one call of a feed is held by the store. */
 #define FEED_WAIT_MS 500
-/* Pause between an answer of the feed of jobs and the next call. */
-#define JOBS_GAP_MS 10
+/* Pauses between an answer of a feed and the next call: callers ask for
+ * states at once, for counts of jobs that may be two seconds old. */
+#define STATES_GAP_MS 40
+#define JOBS_GAP_MS 400
 /* An instance whose newest answer of the store is older is not ready. */
 #define READY_AGE_MS 1300
 #define STOP_POLL_MS 20
@@ -207,7 +209,7 @@
 		follower_create(j->loop, j->rows, STATE_TABLE,
 				follower_one_part, FEED_WAIT_MS, &states, j);
 	follower_set_gap(j->jobs, JOBS_GAP_MS);
-	follower_set_gap(j->states, JOBS_GAP_MS);
+	follower_set_gap(j->states, STATES_GAP_MS);
 	j->operators = follower_create(j->loop, j->rows, OPERATOR_TABLE,
 				       follower_one_part, FEED_WAIT_MS, &op, j);
 }
@@ -235,6 +237,7 @@
 			       .rows = j->rows,
 			       .counters = j->counters,
 			       .settings = s,
+			       .jobs_gap_ms = JOBS_GAP_MS,
 			       .jobs = j->jobs,
 			       .states = j->states,
 			       .incarnation = clock_wall_ms() ^ g_random_int()};
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -24,7 +24,7 @@
 #define RETRY_STORE_MS 1000
 /* A state that is not final may just have changed: the answer waits so
  * long for the copy of the table to show it. */
-#define FRESH_WAIT_MS 60
+#define FRESH_WAIT_MS 80
 /* With a copy of the table that is older, the store does not answer. */
 #define STALE_MS 1300
 #define ID_LENGTH 16
--- a/lead/lead.c
+++ b/lead/lead.c
@@ -32,7 +32,7 @@
 /* Pauses between an answer of a feed and the next call: each instance
  * reads the owner row, and the leader the list of upstreams, in which
  * something always changes, at these intervals. */
-#define OWNER_GAP_MS 150
+#define OWNER_GAP_MS 250
 #define LIST_GAP_MS 150
 
 struct planned_start {
@@ -81,6 +81,7 @@
 	follower_destroy(d->states);
 	follower_destroy(d->upstreams);
 	d->specs = d->runs = d->states = d->upstreams = NULL;
+	follower_set_gap(d->env.jobs, d->env.jobs_gap_ms);
 	for (guint i = 0; d->model && i < d->model->fleet->list->len; i++) {
 		struct upstream *u =
 			g_ptr_array_index(d->model->fleet->list, i);
@@ -320,6 +321,7 @@
 		follower_create(e->loop, e->rows, UPSTREAM_TABLE,
 				follower_one_part, FEED_WAIT_MS, &list, d);
 	follower_set_gap(d->upstreams, LIST_GAP_MS);
+	follower_set_gap(e->jobs, 0); /* wishes to cancel come with them */
 }
 
 static void owner_changed(void *arg, const char *key, const char *value,
--- a/lead/lead.h
+++ b/lead/lead.h
@@ -18,6 +18,7 @@
 	struct rows *rows;
 	struct counters *counters;
 	const struct joint_settings *settings;
+	uint32_t jobs_gap_ms;	 /* of the next, when it does not lead */
 	struct follower *jobs;	 /* accepted jobs and wishes to cancel */
 	struct follower *states; /* the state of every job */
 	uint64_t incarnation;
