Make a pass of the scheduler ten times faster

Cause: with 350 upstreams a pass took 68 ms, most of it in comparing names of racks and in counting guarantees anew for each victim; on an instance with a fraction of a core urgent starts waited 0.1 to 0.5 s. Change: names are compared as numbers, racks are summed once, ranks are set once a pass. 6.3 ms a pass on the same load (2,509 tasks running).

--- a/lead/keeper.c
+++ b/lead/keeper.c
@@ -110,10 +110,7 @@
 	struct upstream *u = k->upstream;
 	uint64_t now = clock_mono_ms();
 
-	g_strlcpy(u->service, e->service, sizeof(u->service));
-	g_strlcpy(u->domain, e->domain, sizeof(u->domain));
-	g_strlcpy(u->kind, e->kind, sizeof(u->kind));
-	g_strlcpy(u->rack, e->rack, sizeof(u->rack));
+	upstream_describe(u, e->service, e->domain, e->kind, e->rack);
 	u->room = e->room;
 	u->state = e->draining ? UPSTREAM_DRAINING : UPSTREAM_READY;
 	if (e->draining && e->leaving_in_ms)
--- a/lead/model.c
+++ b/lead/model.c
@@ -89,7 +89,7 @@
 	if (!q)
 		return;
 	j->queue_known = true;
-	g_strlcpy(j->service, q->service, sizeof(j->service));
+	job_set_service(j, q->service);
 	j->priority = q->priority;
 	j->max_attempts = MAX(q->max_attempts, 1);
 	j->slack = q->slack;
--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -95,40 +95,54 @@
 		stop_task(p, t, cause);
 }
 
-/* Return the accelerators that the unfinished urgent jobs of an account
- * need at most. */
-static int64_t urgent_need(const struct dispatch_view *v, const char *account)
+/* Return the accelerators that an unfinished urgent job needs at most. */
+static int64_t urgent_need(const struct job *j)
 {
-	int64_t sum = 0;
+	int64_t most = 0;
 
-	for (guint i = 0; i < v->jobs->len; i++) {
-		const struct job *j = g_ptr_array_index(v->jobs, i);
-		int64_t most = 0;
-
-		if (j->priority || strcmp(j->account, account) || job_over(j))
-			continue;
-		for (uint32_t k = 0; k < j->steps_len; k++)
-			most = MAX(most, j->steps[k].count *
-						 j->steps[k].need.accelerators);
-		sum += most;
-	}
-	return sum;
+	if (j->priority || job_over(j))
+		return 0;
+	for (uint32_t k = 0; k < j->steps_len; k++)
+		most = MAX(most,
+			   j->steps[k].count * j->steps[k].need.accelerators);
+	return most;
 }
 
-static bool covered(const struct dispatch_view *v, const struct job *j)
+/* Return the place of an account among the guarantees, or their number. */
+static uint32_t guarantee_of(const struct dispatch_view *v, const char *account)
 {
-	for (uint32_t i = 0; i < v->guarantees_len; i++)
-		if (!strcmp(v->guarantees[i].account, j->account))
-			return urgent_need(v, j->account) <=
-			       v->guarantees[i].accelerators;
-	return false;
+	uint32_t i = 0;
+
+	while (i < v->guarantees_len &&
+	       strcmp(v->guarantees[i].account, account))
+		i++;
+	return i;
 }
 
-static uint32_t rank_of(const struct dispatch_view *v, const struct job *j)
+/* Set the rank of every job: a guarantee covers an account's urgent jobs
+ * when it covers all of them that have not ended. */
+static void rank_jobs(const struct dispatch_view *v)
 {
-	if (j->priority)
-		return RANK_URGENT + j->priority;
-	return covered(v, j) ? RANK_COVERED : RANK_URGENT;
+	int64_t *need = g_new0(int64_t, v->guarantees_len + 1);
+
+	for (guint i = 0; i < v->jobs->len; i++) {
+		const struct job *j = g_ptr_array_index(v->jobs, i);
+
+		need[guarantee_of(v, j->account)] += urgent_need(j);
+	}
+	for (guint i = 0; i < v->jobs->len; i++) {
+		struct job *j = g_ptr_array_index(v->jobs, i);
+		uint32_t g = guarantee_of(v, j->account);
+
+		if (j->priority)
+			j->rank = RANK_URGENT + j->priority;
+		else if (g < v->guarantees_len &&
+			 need[g] <= v->guarantees[g].accelerators)
+			j->rank = RANK_COVERED;
+		else
+			j->rank = RANK_URGENT;
+	}
+	g_free(need);
 }
 
 static gint by_rank(gconstpointer a, gconstpointer b)
@@ -163,7 +177,7 @@
 
 static void collect_job(struct pass *p, struct job *j)
 {
-	uint32_t rank = rank_of(p->v, j);
+	uint32_t rank = j->rank;
 
 	for (uint32_t i = 0; i < j->stages_len; i++) {
 		struct candidate c = {.stage = &j->stages[i], .rank = rank};
@@ -248,14 +262,12 @@
 			g_array_append_val(p->actions, a);
 		}
 	}
-	st->held_rack[0] = '\0';
+	st->held_rack = 0;
 	reserve_chosen(p, st);
 }
 
 struct claim {
-	const struct pass *pass;
 	uint32_t rank;
-	bool in_last_moment;
 };
 
 /* Work may be stopped for work of a higher rank. */
@@ -263,8 +275,7 @@
 {
 	const struct claim *c = arg;
 
-	return !t->stage->step->lasting &&
-	       rank_of(c->pass->v, t->stage->job) > c->rank;
+	return !t->stage->step->lasting && t->stage->job->rank > c->rank;
 }
 
 /* What it is worth to make room for st now. */
@@ -290,7 +301,7 @@
 static bool make_room(struct pass *p, const struct candidate *c, uint32_t want)
 {
 	struct stage *st = c->stage;
-	struct claim claim = {.pass = p, .rank = c->rank};
+	struct claim claim = {.rank = c->rank};
 	int64_t spare = value_spare_ms(&p->value, st);
 	double worth = worth_of_room(p, c);
 	struct evict_rules rules = {
@@ -311,7 +322,8 @@
 		for (guint i = 0; i < e.stop->len; i++)
 			stop_run(p, g_ptr_array_index(e.stop, i), STOP_ROOM);
 		memcpy(p->pack.chosen, e.chosen, p->pack.n * sizeof(*e.chosen));
-		g_strlcpy(st->held_rack, e.rack, sizeof(st->held_rack));
+		if (e.rack != ANY_RACK)
+			st->held_rack = p->pack.racks[e.rack];
 		reserve_chosen(p, st);
 	}
 	evict_clear(&e);
@@ -335,7 +347,7 @@
 			struct room r = task_room(t);
 
 			if (t->state != TASK_STOPPING &&
-			    rank_of(p->v, t->stage->job) > rank)
+			    t->stage->job->rank > rank)
 				room_add(&rooms[i], &r, 1);
 		}
 	}
@@ -370,7 +382,7 @@
 	}
 	if (!st->step->gang) {
 		/* what fits now; the rest of it stays a candidate */
-		uint32_t n = pack_choose(k, st, want, k->avail, NULL);
+		uint32_t n = pack_choose(k, st, want, k->avail, ANY_RACK);
 
 		if (n) {
 			start_chosen(p, st);
@@ -442,6 +454,7 @@
 				      .checkpoint_ms = v->checkpoint_ms};
 	p.actions = g_array_new(FALSE, FALSE, sizeof(struct action));
 	p.candidates = g_array_new(FALSE, FALSE, sizeof(struct candidate));
+	rank_jobs(v);
 	stop_unwanted(&p);
 	leave(&p);
 	collect(&p);
--- a/sched/evict.c
+++ b/sched/evict.c
@@ -22,7 +22,7 @@
 	const struct pack *pack;
 	const struct evict_rules *rules;
 	const struct stage *stage;
-	const char *rack; /* NULL: any */
+	int rack; /* or ANY_RACK */
 	struct room *rooms;
 	GHashTable *given_up; /* tasks */
 	struct eviction *out;
@@ -128,7 +128,7 @@
 	const struct upstream *u = pack_upstream(d->pack, i);
 	uint32_t spread = d->stage->step->spread;
 
-	return (!d->rack || !strcmp(u->rack, d->rack)) &&
+	return (d->rack == ANY_RACK || d->pack->rack[i] == (uint32_t)d->rack) &&
 	       upstream_usable(u, d->pack->now_ms) && pack_suits(d->stage, u) &&
 	       (!spread || d->out->chosen[i] < spread);
 }
@@ -183,7 +183,7 @@
 }
 
 static void plan_within(const struct pack *p, const struct evict_rules *r,
-			const struct stage *st, uint32_t want, const char *rack,
+			const struct stage *st, uint32_t want, int rack,
 			struct eviction *e)
 {
 	struct draft d = {
@@ -193,8 +193,7 @@
 	e->stop = g_ptr_array_new();
 	e->chosen = g_new0(uint32_t, p->n + 1);
 	e->possible = true;
-	if (rack)
-		g_strlcpy(e->rack, rack, sizeof(e->rack));
+	e->rack = rack;
 	d.rooms = g_new(struct room, p->n + 1);
 	memcpy(d.rooms, p->soon, p->n * sizeof(*d.rooms));
 	d.given_up = g_hash_table_new(NULL, NULL);
@@ -213,18 +212,15 @@
 {
 	if (!st->step->gang || !st->step->one_rack ||
 	    !pack_rack_could_hold(p, st)) {
-		plan_within(p, r, st, want, NULL, e);
+		plan_within(p, r, st, want, ANY_RACK, e);
 		return;
 	}
 	memset(e, 0, sizeof(*e));
-	for (uint32_t i = 0; i < p->n; i++) {
-		const char *rack = pack_upstream(p, i)->rack;
+	for (uint32_t k = 0; k < p->racks_len; k++) {
 		struct eviction one;
 
-		if (!pack_first_of_rack(p, i))
-			continue;
-		plan_within(p, r, st, want, rack, &one);
-		if (!strcmp(rack, st->held_rack))
+		plan_within(p, r, st, want, (int)k, &one);
+		if (p->racks[k] == st->held_rack)
 			one.loss -= HELD_BONUS;
 		if (one.possible && (!e->possible || one.loss < e->loss)) {
 			evict_clear(e);
--- a/sched/evict.h
+++ b/sched/evict.h
@@ -10,7 +10,7 @@
 	double loss;	  /* value that is lost by it */
 	GPtrArray *stop;  /* tasks to stop, without the rest of gangs */
 	uint32_t *chosen; /* places, as in struct pack */
-	char rack[LABEL_BYTES];
+	int rack;	  /* or ANY_RACK */
 };
 
 /* Whether t may be stopped for the stage. */
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -55,13 +55,17 @@
 	return u;
 }
 
-/* Remove and free u, which nothing may occupy. */
-void fleet_remove(struct fleet *f, struct upstream *u)
+/* Say what u belongs to, and where it is. */
+void upstream_describe(struct upstream *u, const char *service,
+		       const char *domain, const char *kind, const char *rack)
 {
-	g_hash_table_remove(f->by_id, u->id);
-	g_ptr_array_remove(f->list, u);
-	for (guint i = 0; i < f->list->len; i++)
-		((struct upstream *)g_ptr_array_index(f->list, i))->number = i;
+	g_strlcpy(u->service, service, sizeof(u->service));
+	g_strlcpy(u->domain, domain, sizeof(u->domain));
+	g_strlcpy(u->kind, kind, sizeof(u->kind));
+	g_strlcpy(u->rack, rack, sizeof(u->rack));
+	u->service_name = g_quark_from_string(u->service);
+	u->kind_name = g_quark_from_string(u->kind);
+	u->rack_name = g_quark_from_string(u->rack);
 }
 
 /* Add (sign 1) or take away (sign -1) n. */
@@ -129,10 +133,11 @@
 	return list;
 }
 
-/* Report whether u has the label; an empty one is had by all. */
-bool upstream_has_label(const struct upstream *u, const char *label)
+/* Report whether u has the label that s asks for, if it does. */
+bool upstream_has_label(const struct upstream *u, const struct step *s)
 {
-	return !*label || !strcmp(u->kind, label) || !strcmp(u->rack, label);
+	return !*s->label || u->kind_name == s->label_name ||
+	       u->rack_name == s->label_name;
 }
 
 /* Report whether new work may be placed on u. */
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -16,6 +16,9 @@
 	char domain[LABEL_BYTES];
 	char kind[LABEL_BYTES];
 	char rack[LABEL_BYTES];
+	GQuark service_name; /* of service, kind and rack, for comparisons */
+	GQuark kind_name;
+	GQuark rack_name;
 	enum upstream_state state;
 	bool commanded;	    /* obeys our epoch, and its lists were read */
 	uint64_t leaves_ms; /* when draining: not before; 0: unknown */
@@ -39,7 +42,8 @@
 void fleet_destroy(struct fleet *f);
 struct upstream *fleet_find(struct fleet *f, const char *id);
 struct upstream *fleet_add(struct fleet *f, const char *id);
-void fleet_remove(struct fleet *f, struct upstream *u);
+void upstream_describe(struct upstream *u, const char *service,
+		       const char *domain, const char *kind, const char *rack);
 void fleet_occupy(struct upstream *u, struct task *t);
 void fleet_release(struct task *t);
 GPtrArray *upstream_take_retries(struct upstream *u);
@@ -47,7 +51,7 @@
 struct room task_room(const struct task *t);
 bool room_holds(const struct room *have, const struct room *need);
 void room_add(struct room *r, const struct room *n, int sign);
-bool upstream_has_label(const struct upstream *u, const char *label);
+bool upstream_has_label(const struct upstream *u, const struct step *s);
 bool upstream_usable(const struct upstream *u, uint64_t now_ms);
 
 void upstream_note_failure(struct upstream *u, const struct job *j,
--- a/sched/learn.c
+++ b/sched/learn.c
@@ -146,7 +146,7 @@
 	a->stage.step = &a->step;
 	a->stage.tasks = &a->task;
 	a->task.stage = &a->stage;
-	g_strlcpy(a->job.service, st->job->service, sizeof(a->job.service));
+	job_set_service(&a->job, st->job->service);
 }
 
 static int64_t accelerators(const struct arrival *a)
--- a/sched/pack.c
+++ b/sched/pack.c
@@ -46,8 +46,8 @@
 /* Report whether tasks of st may run on u at all. */
 bool pack_suits(const struct stage *st, const struct upstream *u)
 {
-	if (strcmp(u->service, st->job->service) ||
-	    !upstream_has_label(u, st->step->label))
+	if (u->service_name != st->job->service_name ||
+	    !upstream_has_label(u, st->step))
 		return false;
 	for (uint32_t i = 0;
 	     st->job->state != JOB_QUEUED && i < st->step->count; i++)
@@ -86,137 +86,127 @@
 	return there >= st->step->spread ? 0 : MIN(n, st->step->spread - there);
 }
 
-struct slot {
-	uint32_t upstream;
-	uint32_t count;
-	int64_t left; /* accelerators that stay free when all is filled */
-};
-
 static int by_left(const void *a, const void *b)
 {
-	const struct slot *x = a, *y = b;
+	const struct pack_slot *x = a, *y = b;
 
 	if (x->left != y->left)
 		return x->left < y->left ? -1 : 1;
 	return x->upstream < y->upstream ? -1 : x->upstream > y->upstream;
 }
 
+/* Return the number of the rack with this name; ANY_RACK: none has it. */
+int pack_rack(const struct pack *p, GQuark name)
+{
+	for (uint32_t r = 0; r < p->racks_len; r++)
+		if (p->racks[r] == name)
+			return (int)r;
+	return ANY_RACK;
+}
+
 /*
  * Choose upstreams for `want` tasks of st, the tightest first, within a
- * rack or anywhere (rack NULL).  Sets p->chosen and returns how many were
+ * rack or anywhere (ANY_RACK).  Sets p->chosen and returns how many were
  * placed.
  */
 uint32_t pack_choose(struct pack *p, const struct stage *st, uint32_t want,
-		     const struct room *rooms, const char *rack)
+		     const struct room *rooms, int rack)
 {
-	struct slot *slots = g_new(struct slot, p->n + 1);
 	uint32_t n = 0, placed = 0;
 
 	memset(p->chosen, 0, p->n * sizeof(*p->chosen));
 	for (uint32_t i = 0; i < p->n; i++) {
-		const struct upstream *u = pack_upstream(p, i);
-		struct slot s = {.upstream = i};
+		struct pack_slot s = {.upstream = i};
 
-		if (rack && strcmp(u->rack, rack))
+		if (rack != ANY_RACK && p->rack[i] != (uint32_t)rack)
 			continue;
 		s.count = pack_capacity(p, st, i, &rooms[i]);
 		if (!s.count)
 			continue;
 		s.left = rooms[i].accelerators -
 			 MIN(s.count, want) * st->step->need.accelerators;
-		slots[n++] = s;
+		p->slots[n++] = s;
 	}
-	qsort(slots, n, sizeof(*slots), by_left);
+	qsort(p->slots, n, sizeof(*p->slots), by_left);
 	for (uint32_t k = 0; k < n && placed < want; k++) {
-		uint32_t c = MIN(slots[k].count, want - placed);
+		uint32_t c = MIN(p->slots[k].count, want - placed);
 
-		p->chosen[slots[k].upstream] = c;
+		p->chosen[p->slots[k].upstream] = c;
 		placed += c;
 	}
-	g_free(slots);
 	return placed;
 }
 
-static int64_t rack_free(const struct pack *p, const struct room *rooms,
-			 const char *rack)
-{
-	int64_t sum = 0;
-
-	for (uint32_t i = 0; i < p->n; i++)
-		if (!strcmp(pack_upstream(p, i)->rack, rack))
-			sum += MAX(rooms[i].accelerators, 0);
-	return sum;
-}
+/* What each rack could take of a stage, and has free. */
+struct rack_sum {
+	uint64_t fits;
+	int64_t free;
+};
 
-bool pack_first_of_rack(const struct pack *p, uint32_t i)
+static void sum_racks(const struct pack *p, const struct stage *st,
+		      const struct room *rooms, struct rack_sum *sums)
 {
-	for (uint32_t k = 0; k < i; k++)
-		if (!strcmp(pack_upstream(p, k)->rack,
-			    pack_upstream(p, i)->rack))
-			return false;
-	return true;
+	memset(sums, 0, p->racks_len * sizeof(*sums));
+	for (uint32_t i = 0; i < p->n; i++) {
+		sums[p->rack[i]].fits += pack_capacity(p, st, i, &rooms[i]);
+		sums[p->rack[i]].free += MAX(rooms[i].accelerators, 0);
+	}
 }
 
 /*
  * Return the rack with the least free accelerators that takes all `want`
- * tasks of st, or NULL.
+ * tasks of st, or ANY_RACK when there is none.
  */
-static const char *best_rack(struct pack *p, const struct stage *st,
-			     uint32_t want, const struct room *rooms)
+static int best_rack(struct pack *p, const struct stage *st, uint32_t want,
+		     const struct room *rooms)
 {
-	const char *best = NULL;
-	int64_t best_free = INT64_MAX;
-
-	for (uint32_t i = 0; i < p->n; i++) {
-		const char *rack = pack_upstream(p, i)->rack;
-		int64_t n;
-
-		if (!pack_first_of_rack(p, i))
-			continue;
-		n = rack_free(p, rooms, rack);
-		if (n >= best_free ||
-		    pack_choose(p, st, want, rooms, rack) < want)
-			continue;
-		best = rack;
-		best_free = n;
-	}
+	struct rack_sum *sums = g_new(struct rack_sum, p->racks_len + 1);
+	int best = ANY_RACK;
+
+	sum_racks(p, st, rooms, sums);
+	for (uint32_t r = 0; r < p->racks_len; r++)
+		if (sums[r].fits >= want &&
+		    (best == ANY_RACK || sums[r].free < sums[best].free))
+			best = (int)r;
+	g_free(sums);
 	return best;
 }
 
 /* Report whether any rack could hold the stage if it were empty. */
 bool pack_rack_could_hold(const struct pack *p, const struct stage *st)
 {
-	for (uint32_t i = 0; i < p->n; i++) {
-		uint32_t n = 0;
+	uint64_t *fits = g_new0(uint64_t, p->racks_len + 1);
+	bool could = false;
 
-		if (!pack_first_of_rack(p, i))
-			continue;
-		for (uint32_t k = 0; k < p->n; k++) {
-			const struct upstream *u = pack_upstream(p, k);
+	for (uint32_t i = 0; i < p->n; i++) {
+		const struct upstream *u = pack_upstream(p, i);
 
-			if (u->state == UPSTREAM_READY &&
-			    !strcmp(u->rack, pack_upstream(p, i)->rack))
-				n += pack_capacity(p, st, k, &u->room);
-		}
-		if (n >= st->step->count)
-			return true;
+		if (u->state == UPSTREAM_READY)
+			fits[p->rack[i]] += pack_capacity(p, st, i, &u->room);
 	}
-	return false;
+	for (uint32_t r = 0; r < p->racks_len; r++)
+		could |= fits[r] >= st->step->count;
+	g_free(fits);
+	return could;
 }
 
 /* Choose places for all `want` tasks; false when `rooms` are too small. */
 bool pack_choose_all(struct pack *p, const struct stage *st, uint32_t want,
 		     const struct room *rooms)
 {
-	const char *rack = NULL;
+	int rack = ANY_RACK;
 
-	if (*st->step->data_rack &&
-	    pack_choose(p, st, want, rooms, st->step->data_rack) == want)
-		return true;
+	if (*st->step->data_rack) {
+		rack = pack_rack(p, st->step->data_rack_name);
+		if (rack != ANY_RACK &&
+		    pack_choose(p, st, want, rooms, rack) == want)
+			return true;
+		rack = ANY_RACK;
+	}
 	if (st->step->gang && st->step->one_rack &&
 	    pack_rack_could_hold(p, st)) {
 		rack = best_rack(p, st, want, rooms);
-		if (!rack)
+		if (rack == ANY_RACK)
 			return false;
 	}
 	return pack_choose(p, st, want, rooms, rack) == want;
@@ -233,6 +223,20 @@
 	}
 }
 
+static void number_racks(struct pack *p)
+{
+	for (uint32_t i = 0; i < p->n; i++) {
+		GQuark name = pack_upstream(p, i)->rack_name;
+		int r = pack_rack(p, name);
+
+		if (r == ANY_RACK) {
+			r = (int)p->racks_len;
+			p->racks[p->racks_len++] = name;
+		}
+		p->rack[i] = r;
+	}
+}
+
 /* Begin a pass over f: measure what is free. */
 void pack_open(struct pack *p, struct fleet *f, uint64_t now_ms)
 {
@@ -242,6 +246,11 @@
 	p->avail = g_new0(struct room, p->n + 1);
 	p->soon = g_new0(struct room, p->n + 1);
 	p->chosen = g_new0(uint32_t, p->n + 1);
+	p->slots = g_new0(struct pack_slot, p->n + 1);
+	p->racks = g_new0(GQuark, p->n + 1);
+	p->rack = g_new0(uint32_t, p->n + 1);
+	p->racks_len = 0;
+	number_racks(p);
 	measure(p);
 }
 
@@ -251,4 +260,7 @@
 	g_free(p->avail);
 	g_free(p->soon);
 	g_free(p->chosen);
+	g_free(p->slots);
+	g_free(p->racks);
+	g_free(p->rack);
 }
--- a/sched/work.c
+++ b/sched/work.c
@@ -115,6 +115,12 @@
 {
 	uint32_t n = 0;
 
+	for (uint32_t i = 0; i < j->steps_len; i++) {
+		struct step *s = &j->steps[i];
+
+		s->label_name = g_quark_from_string(s->label);
+		s->data_rack_name = g_quark_from_string(s->data_rack);
+	}
 	j->stages_len = job_occurrences(j) * j->steps_len;
 	j->stages = g_new0(struct stage, j->stages_len);
 	for (uint32_t k = 0; k < job_occurrences(j); k++) {
@@ -134,6 +140,13 @@
 	}
 }
 
+/* Let j run on the upstreams of a service. */
+void job_set_service(struct job *j, const char *service)
+{
+	g_strlcpy(j->service, service, sizeof(j->service));
+	j->service_name = g_quark_from_string(j->service);
+}
+
 /* Report whether a job in state s is over. */
 bool work_state_final(enum job_state s)
 {
--- a/sched/work.h
+++ b/sched/work.h
@@ -42,6 +42,8 @@
 	char label[LABEL_BYTES];
 	char data_rack[LABEL_BYTES];
 	char image[LABEL_BYTES];
+	GQuark label_name; /* of label and data_rack, for comparisons */
+	GQuark data_rack_name;
 };
 
 enum task_state {
@@ -101,7 +103,7 @@
 	uint64_t since_ms;     /* its turn has come; 0: not yet */
 	uint64_t held_back_ms; /* do not place before */
 	struct task *tasks;
-	char held_rack[LABEL_BYTES]; /* where room was kept for it last */
+	GQuark held_rack; /* where room was made for it last; 0: nowhere */
 };
 
 enum job_state {
@@ -136,6 +138,8 @@
 	/* of its queue, refreshed with each configuration */
 	bool queue_known;
 	char service[LABEL_BYTES];
+	GQuark service_name;
+	uint32_t rank; /* in the present pass of the scheduler */
 	uint32_t priority;
 	uint32_t max_attempts;
 	double slack;
@@ -147,6 +151,7 @@
 struct step *job_add_step(struct job *j);
 bool job_check(const struct job *j, char **why);
 void job_lay_out(struct job *j);
+void job_set_service(struct job *j, const char *service);
 bool job_over(const struct job *j);
 bool job_occupies(const struct job *j);
 uint32_t job_occurrences(const struct job *j);
--- a/test/unit_dispatch.c
+++ b/test/unit_dispatch.c
@@ -36,8 +36,7 @@
 		snprintf(id, sizeof(id), "u%u", i);
 		snprintf(rack, sizeof(rack), "r%u", i / 8);
 		u = fleet_add(p->fleet, id);
-		g_strlcpy(u->service, "s", sizeof(u->service));
-		g_strlcpy(u->rack, rack, sizeof(u->rack));
+		upstream_describe(u, "s", "d", "a", rack);
 		u->room = (struct room){32000, 65536, 8};
 		u->commanded = true;
 	}
@@ -70,7 +69,7 @@
 	snprintf(id, sizeof(id), "%016x", ++p->number);
 	j = job_create(id);
 	g_strlcpy(j->account, "account", sizeof(j->account));
-	g_strlcpy(j->service, "s", sizeof(j->service));
+	job_set_service(j, "s");
 	snprintf(j->queue, sizeof(j->queue), "q%u", priority);
 	j->queue_known = true;
 	j->priority = priority;
