--- a/sched/value.c
+++ b/sched/value.c
@@ -11,9 +11,13 @@
 /* What remains of the value after the objective, up to three times it. */
 #define LATE_SHARE 0.25
 #define LATE_TIMES 3
-/* What a second of a whole upstream is worth: other work could use it,
- * and work that is thrown away is paid for. */
-#define MACHINE_SECOND 0.2
+/* What a second of a whole upstream is worth to other work. */
+#define MACHINE_SECOND 0.1
+/* What a second of a core costs that is thrown away, an accelerator
+ * counting as ACCELERATOR_CORES: the users pay a thousandth of a quiet
+ * job for each. */
+#define CORE_SECOND 0.001
+#define ACCELERATOR_CORES 8
 /* Progress of less than this many percent tells nothing yet. */
 #define PERCENT_LEAST 4
 
@@ -150,13 +154,17 @@
 /* Return what is lost by stopping t, without the rest of its gang. */
 double value_loss(const struct value_view *v, const struct task *t)
 {
+	const struct room *need = &t->stage->step->need;
 	uint64_t ms = v->now_ms - MIN(t->placed_ms, v->now_ms);
 	double loss;
 
 	if (t->stage->step->checkpoints)
 		ms = MIN(ms, v->checkpoint_ms);
 	ms += v->stop_ms;
-	loss = MACHINE_SECOND * share(v, t->stage) * ms / 1000.0;
+	loss = ms / 1000.0 *
+	       (MACHINE_SECOND * share(v, t->stage) +
+		CORE_SECOND * (need->cpu_milli / 1000.0 +
+			       need->accelerators * ACCELERATOR_CORES));
 	/* a job that then ends late loses most of its value */
 	if (!t->stage->step->lasting) {
 		int64_t spare =
