--- a/entry/entry.c
+++ b/entry/entry.c
@@ -17,6 +17,10 @@
 #define DEADLINE_DEFAULT_MS 3000
 /* An answer leaves this long before the caller's deadline. */
 #define DEADLINE_MARGIN_MS 150
+/* A write that was not answered is sent again after this long at least: a
+ * store that is only slow would have to carry it out twice, and the job
+ * begins whether its caller has been told or not. */
+#define WRITE_PATIENCE_MS 800
 /* A store that refuses is asked again for this long. */
 #define REFUSED_PATIENCE_MS 600
 #define REFUSED_PAUSE_MS 60
@@ -278,16 +282,15 @@
 static void send_request(struct request *r)
 {
 	struct rows *rows = r->entry->env.rows;
+	uint32_t patience = MAX(rows_patience_ms(rows), WRITE_PATIENCE_MS);
 
 	switch (r->kind) {
 	case REQUEST_SUBMIT:
-		rows_commit(rows, r->write, rows_patience_ms(rows), on_write,
-			    r);
+		rows_commit(rows, r->write, patience, on_write, r);
 		break;
 	case REQUEST_CANCEL:
 		if (r->looked)
-			rows_commit(rows, r->write, rows_patience_ms(rows),
-				    on_write, r);
+			rows_commit(rows, r->write, patience, on_write, r);
 		else
 			look(r);
 		break;
