--- a/entry/entry.c
+++ b/entry/entry.c
@@ -22,7 +22,7 @@
  * begins whether its caller has been told or not. */
 #define WRITE_PATIENCE_MS 800
 /* A store that refuses is asked again for this long. */
-#define REFUSED_PATIENCE_MS 600
+#define REFUSED_PATIENCE_MS 150
 #define REFUSED_PAUSE_MS 60
 /* When to come back after a refusal for want of the store. */
 #define RETRY_STORE_MS 1000
