--- a/lead/lead.c
+++ b/lead/lead.c
@@ -478,7 +478,7 @@
 	t = part_removal(r, id);
 	if (t && follower_get(d->specs, id, NULL))
 		rows_tx_remove(t, SPEC_TABLE, id);
-	if (!t || s.ended_ms > r->before_ms ||
+	if (!t || !state_expired(&s, r->before_ms) ||
 	    rows_tx_entries(r->states) >= REMOVALS_PER_WRITE)
 		return;
 	key = g_strconcat(KEY_JOB, id, NULL);
@@ -538,6 +538,8 @@
 	GArray *starts = d->written;
 	uint32_t n = 0;
 
+	/* a final state is recorded with the time at which it was reached */
+	model_sweep(d->model, follower_store_ms(d->env.jobs));
 	for (guint i = 0; i < d->model->live->len; i++) {
 		struct job *j = g_ptr_array_index(d->model->live, i);
 
--- a/lead/record.c
+++ b/lead/record.c
@@ -7,8 +7,7 @@
 #include "lib/schema.h"
 #include "sched/fleet.h"
 
-const char *const job_parts[] = {"0", "1", "2", "3", "4",
-				 "5", "6", "7", NULL};
+const char *const job_parts[] = {"0", "1", "2", "3", "4", "5", "6", "7", NULL};
 
 /* Return the part in which the rows of a job lie that any instance writes. */
 const char *job_part(const char *id)
@@ -131,6 +130,16 @@
 	return ok;
 }
 
+/*
+ * Report whether a job reached its final state before a time of the
+ * store's clock; one whose time is not known never expires.
+ */
+bool state_expired(const struct state_record *r, uint64_t before_ms)
+{
+	return work_state_final(r->state) && r->ended_ms &&
+	       r->ended_ms < before_ms;
+}
+
 /* Encode what was submitted; free with free. */
 char *spec_encode(const struct job *j)
 {
--- a/lead/record.h
+++ b/lead/record.h
@@ -54,6 +54,7 @@
 bool job_decode(const char *text, struct job_record *r);
 char *state_encode(const struct job *j);
 bool state_decode(const char *text, struct state_record *r);
+bool state_expired(const struct state_record *r, uint64_t before_ms);
 char *spec_encode(const struct job *j);
 struct job *spec_decode(const char *id, const char *text);
 
--- a/test/unit_lead.c
+++ b/test/unit_lead.c
@@ -4,10 +4,13 @@
 #include <setjmp.h>
 #include <stdint.h>
 #include <cmocka.h>
+#include <string.h>
 
 #include "lead/delivery.h"
 #include "lead/leaseclock.h"
 #include "lead/model.h"
+#include "lead/record.h"
+#include <stdlib.h>
 
 #define LEASE_MS 6000
 
@@ -101,6 +104,23 @@
 	s->task = job_task(s->job, 0, 0, 0);
 }
 
+static uint32_t actives;
+
+static uint64_t life_of_one(void *arg, const struct upstream *u)
+{
+	(void)arg;
+	(void)u;
+	return 77;
+}
+
+static void count_active(void *arg, struct task *t, const char *upstream,
+			 uint64_t born)
+{
+	(void)arg;
+	(void)t;
+	actives += !strcmp(upstream, "u1") && born == 77;
+}
+
 static void scene_destroy(struct scene *s)
 {
 	model_destroy(s->model);
@@ -180,6 +200,56 @@
 	scene_destroy(&s);
 }
 
+/* A final state is swept with its time before it is recorded, and a row
+ * without one is kept. */
+static void test_failed_job_is_kept_for_its_time(void **state)
+{
+	struct state_record r = {.state = JOB_FAILED};
+	struct scene s;
+	char *text;
+
+	(void)state;
+	assert_false(state_expired(&r, 0));
+	assert_false(state_expired(&r, 1000));
+	scene_create(&s, 1, false);
+	s.job->max_attempts = 1;
+	task_end(s.task, RUN_FAILED, NULL, 2000);
+	model_sweep(s.model, 7000);
+	text = state_encode(s.job);
+	assert_true(state_decode(text, &r));
+	assert_int_equal(r.ended_ms, 7000);
+	assert_false(state_expired(&r, 7000));
+	assert_true(state_expired(&r, 7001));
+	free(text);
+	scene_destroy(&s);
+}
+
+/* The rows of a job say all that a new leader has to know of its runs. */
+static void test_run_row_is_read_back(void **state)
+{
+	struct scene s, t;
+	char *text;
+
+	(void)state;
+	scene_create(&s, 6, false);
+	task_end(job_task(s.job, 0, 0, 1), RUN_DONE, NULL, 2000);
+	task_end(job_task(s.job, 0, 0, 2), RUN_FAILED, "saved", 2000);
+	text = run_encode(s.job, life_of_one, NULL);
+	scene_create(&t, 6, false);
+	for (uint32_t i = 0; i < 6; i++)
+		task_end(job_task(t.job, 0, 0, i), RUN_NEVER, NULL, 2000);
+	actives = 0;
+	assert_true(run_decode(t.job, text, count_active, NULL));
+	assert_int_equal(actives, 4);
+	assert_int_equal(job_task(t.job, 0, 0, 1)->state, TASK_DONE);
+	assert_int_equal(job_task(t.job, 0, 0, 2)->failures, 1);
+	assert_string_equal(job_task(t.job, 0, 0, 2)->checkpoint, "saved");
+	assert_int_equal(job_task(t.job, 0, 0, 5)->run, 1);
+	free(text);
+	scene_destroy(&s);
+	scene_destroy(&t);
+}
+
 /* Orders are sent again for all tasks, though some end meanwhile. */
 static void test_retries_reach_every_task(void **state)
 {
@@ -264,6 +334,8 @@
 		cmocka_unit_test(test_refused_first_order_never_starts),
 		cmocka_unit_test(test_old_run_never_starts),
 		cmocka_unit_test(test_old_run_may_have_ended_as_done),
+		cmocka_unit_test(test_failed_job_is_kept_for_its_time),
+		cmocka_unit_test(test_run_row_is_read_back),
 		cmocka_unit_test(test_retries_reach_every_task),
 		cmocka_unit_test(test_list_from_before_the_stop_proves_nothing),
 		cmocka_unit_test(
