Stop cancelled work while a write is in flight; pace writes by one answer

Change: the pause follows the time of the last answer alone; while nothing can be recorded stops are decided all the same.

--- a/lead/lead.c
+++ b/lead/lead.c
@@ -389,6 +389,7 @@
 		.guarantees_len = d->guarantees_len,
 		.now_ms = clock_mono_ms(),
 		.wall_ms = clock_wall_ms(),
+		.stops_only = owner_writing(d->owner),
 		.learn = d->model->learn,
 		.checkpoint_ms = d->env.settings->checkpoint_ms,
 		.stop_ms = d->env.settings->stop_ms,
@@ -656,8 +657,7 @@
 	}
 	lose_unlisted(d);
 	model_sweep(d->model, follower_store_ms(d->env.jobs));
-	if (!owner_writing(d->owner))
-		decide(d);
+	decide(d);
 	model_sweep(d->model, follower_store_ms(d->env.jobs));
 	if (!owner_writing(d->owner) && anything_dirty(d))
 		record(d);
--- a/lead/owner.c
+++ b/lead/owner.c
@@ -51,7 +51,8 @@
 	uint64_t written_ms; /* when the last successful write was sent */
 	bool retired;	     /* the write in flight names nobody */
 	uint32_t refused;
-	uint32_t took_ms;   /* the last write */
+	uint64_t sent_ms;   /* when the write was sent last */
+	uint32_t took_ms;   /* its answer, from then on */
 	struct timer timer; /* beat, retry, or a claim to come */
 };
 
@@ -109,7 +110,7 @@
 	return o->writing != NULL;
 }
 
-/* Return how long the last write took. */
+/* Return how long the store took for the last write. */
 uint32_t owner_write_ms(const struct owner *o)
 {
 	return o->took_ms;
@@ -262,7 +263,7 @@
 	switch (a->outcome) {
 	case ROWS_OK:
 		latency_add(o->counters, "store_write", took * 1000);
-		o->took_ms = took;
+		o->took_ms = clock_mono_ms() - o->sent_ms;
 		claimed_or_committed(o, a->version);
 		return;
 	case ROWS_CONFLICT:
@@ -303,6 +304,7 @@
 
 	c->owner = o;
 	c->number = o->write_number;
+	o->sent_ms = clock_mono_ms();
 	rows_commit(o->rows, o->writing, rows_patience_ms(o->rows), on_written,
 		    c);
 }
--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -191,6 +191,8 @@
 					     p->v->now_ms);
 		}
 		stop_broken_gang(p, c.stage);
+		if (p->v->stops_only)
+			continue;
 		if (!stage_waiting(c.stage) ||
 		    (c.stage->step->gang && !stage_idle(c.stage)))
 			continue;
--- a/sched/dispatch.h
+++ b/sched/dispatch.h
@@ -40,6 +40,7 @@
 	uint32_t guarantees_len;
 	uint64_t now_ms;
 	uint64_t wall_ms;
+	bool stops_only; /* nothing can be recorded now, so start nothing */
 	struct learn *learn;
 	uint32_t checkpoint_ms; /* work between checkpoints */
 	uint32_t stop_ms;	/* an upstream needs to stop a run */
--- a/test/unit_dispatch.c
+++ b/test/unit_dispatch.c
@@ -19,6 +19,7 @@
 	struct guarantee_count guarantee;
 	uint64_t now_ms;
 	uint32_t number;
+	bool stops_only;
 };
 
 static void play_open(struct play *p, uint32_t upstreams)
@@ -29,6 +30,7 @@
 	p->guarantee = (struct guarantee_count){"account", 64};
 	p->now_ms = 1000000;
 	p->number = 0;
+	p->stops_only = false;
 	for (uint32_t i = 0; i < upstreams; i++) {
 		char id[16], rack[16];
 		struct upstream *u;
@@ -97,6 +99,7 @@
 				  .guarantees = &p->guarantee,
 				  .guarantees_len = 1,
 				  .now_ms = p->now_ms,
+				  .stops_only = p->stops_only,
 				  .learn = p->learn,
 				  .checkpoint_ms = 2000,
 				  .stop_ms = STOP_MS,
@@ -193,6 +196,25 @@
 	play_close(&p);
 }
 
+/* While nothing can be recorded, a cancelled job is stopped all the same,
+ * and nothing new is placed. */
+static void test_cancelled_work_stops_without_records(void **state)
+{
+	struct play p;
+	struct job *first, *second;
+
+	(void)state;
+	play_open(&p, 8);
+	first = play_job(&p, 1, 4, 8, 20000, false);
+	play_pass(&p, true);
+	job_cancel(first, 5000);
+	second = play_job(&p, 1, 2, 8, 5000, false);
+	p.stops_only = true;
+	assert_int_equal(play_pass(&p, true), 4);
+	assert_false(running(second));
+	play_close(&p);
+}
+
 /* A gang starts whole or not at all. */
 static void test_gang_starts_whole_or_not(void **state)
 {
@@ -215,6 +237,7 @@
 		cmocka_unit_test(test_covered_gang_begins_in_time),
 		cmocka_unit_test(test_covered_gang_is_not_overtaken),
 		cmocka_unit_test(test_covered_work_is_not_stopped),
+		cmocka_unit_test(test_cancelled_work_stops_without_records),
 		cmocka_unit_test(test_gang_starts_whole_or_not),
 	};
 
