--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 
 -include $(wildcard $(OUT)/obj/*/*.d)
 
-TEST_OBJS = $(call obj,test/site.c test/judge.c $(LIB))
+TEST_OBJS = $(call obj,test/site.c test/judge.c test/jointsite.c $(LIB))
 UNIT_TESTS = $(patsubst test/%.c,$(OUT)/%,$(wildcard test/unit_*.c))
 PROC_TESTS = $(patsubst test/%.c,$(OUT)/%,$(wildcard test/proc_*.c))
 
--- /dev/null
+++ b/test/jointsite.c
@@ -0,0 +1,309 @@
+/* A site of real processes on the joint platform's stand-in. */
+#include <fcntl.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "test/jointsite.h"
+
+/* A queue; the client names the instance's address as the host. */
+#define QUEUE                                                                  \
+	"{\"name\": \"urgent%u\", \"host\": \"127.%u.9.%u\", "                 \
+	"\"pathPrefix\": \"/u/\", \"service\": \"service\", "                  \
+	"\"priority\": 0, \"maxAttempts\": 3, \"slackFactor\": 1.5, "          \
+	"\"targetRuntimeMs\": 250, \"timeoutMs\": 3000}"
+
+#define POLICY                                                                 \
+	"{\"version\": 3, \"routes\": [%s], \"services\": [{\"name\": "        \
+	"\"service\", \"enforcesCapacity\": true}], \"limits\": "              \
+	"{\"maxBodyBytes\": 262144}, \"tenants\": [{\"name\": \"team\", "      \
+	"\"apiKeys\": [\"key\"], \"guaranteed\": {\"gpu\": 16}}]}"
+
+struct reply {
+	bool done;
+	bool ran;
+	int status;
+	json_t *body;
+};
+
+static char *at(const struct joint_site *s, uint32_t host, uint32_t port)
+{
+	return g_strdup_printf("127.%u.9.%u:%u", s->net, host, port);
+}
+
+static pid_t run(const struct joint_site *s, const char *name,
+		 char *const *argv)
+{
+	char *log = g_strdup_printf("%s/%s.log", s->dir, name);
+	pid_t pid = fork();
+	int fd;
+
+	if (!pid) {
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+		dup2(fd, 1);
+		dup2(fd, 2);
+		execv(argv[0], argv);
+		_exit(127);
+	}
+	g_free(log);
+	return pid;
+}
+
+static void on_reply(void *arg, const struct http_result *r)
+{
+	struct reply *y = arg;
+
+	y->done = true;
+	y->ran = verdict_is_ran(r->verdict);
+	y->status = r->status;
+	y->body = json_loadb(r->body, r->len, 0, NULL);
+}
+
+/* Ask and wait; returns the status, 0 when no answer came. */
+int joint_ask(struct joint_site *s, struct http_pool *p, const char *method,
+	      const char *path, const char *body, json_t **out)
+{
+	struct reply y = {0};
+
+	if (!http_call_send(p, method, path,
+			    "Authorization: Bearer key\r\n"
+			    "Lacewingspur-Deadline-Ms: 3000\r\n",
+			    body, 4000, on_reply, &y))
+		return 0;
+	while (!y.done)
+		loop_step(s->loop, 10);
+	if (out)
+		*out = y.body;
+	else
+		json_decref(y.body);
+	return y.ran ? y.status : 0;
+}
+
+static struct http_pool *pool(struct joint_site *s, uint32_t host,
+			      uint32_t port)
+{
+	struct sockaddr_in a;
+	char *text = at(s, host, port);
+
+	address_parse(text, &a);
+	g_free(text);
+	return http_pool_create(s->http, &a, 20);
+}
+
+void joint_instance_start(struct joint_site *s, uint32_t i)
+{
+	char *file = g_strdup_printf("%s/i%u.json", s->dir, i);
+	char *name = g_strdup_printf("i%u", i);
+	char *argv[] = {"out/lacewingd", "--settings", file, NULL};
+	char *callers = at(s, 10 + i, 7000), *ready = at(s, 10 + i, 7001);
+	char *metrics = at(s, 10 + i, 7002), *peers = at(s, 10 + i, 7003);
+	char *store = at(s, 1, 7100);
+	char *text = g_strdup_printf(
+		"{\"instance\": \"i%u\", \"domain\": \"kolkata\", \"joint\": "
+		"{\"callers\": \"%s\", \"readiness\": \"%s\", \"metrics\": "
+		"\"%s\", \"peers\": \"%s\", \"store\": \"%s\", "
+		"\"processor_share\": 1, \"link_mbps\": 1000, \"lease_ms\": "
+		"3000, \"stop_ms\": 100, \"reclaim_ms\": 2700, "
+		"\"gang_wait_ms\": 3000, \"checkpoint_ms\": 2000, "
+		"\"remote_factor\": 3, \"keep_ended_ms\": 120000, "
+		"\"drain_ms\": 500, \"grace_ms\": 3000, \"history_ms\": "
+		"20000}}",
+		i, callers, ready, metrics, peers, store);
+
+	g_file_set_contents(file, text, -1, NULL);
+	s->instances[i] = run(s, name, argv);
+	g_free(text);
+	g_free(store);
+	g_free(peers);
+	g_free(metrics);
+	g_free(ready);
+	g_free(callers);
+	g_free(name);
+	g_free(file);
+}
+
+void joint_wait_ready(struct joint_site *s, uint32_t i)
+{
+	struct http_pool *p = pool(s, 10 + i, 7001);
+	uint64_t until = clock_mono_ms() + WAIT_MS;
+
+	while (joint_ask(s, p, "GET", "/-/ready", NULL, NULL) != 200) {
+		if (clock_mono_ms() > until)
+			fail_msg("instance %u is not ready", i);
+		loop_step(s->loop, 20);
+	}
+	http_pool_destroy(p);
+}
+
+static void put_policy(struct joint_site *s)
+{
+	GString *queues = g_string_new(NULL);
+	char *policy, *b64, *body;
+	uint64_t until = clock_mono_ms() + WAIT_MS;
+
+	for (uint32_t i = 0; i < INSTANCES; i++)
+		g_string_append_printf(queues, "%s" QUEUE, i ? ", " : "", i,
+				       s->net, 10 + i);
+	policy = g_strdup_printf(POLICY, queues->str);
+	b64 = g_base64_encode((const guchar *)policy, strlen(policy));
+	body = g_strdup_printf(
+		"{\"expected\": [], \"remove\": [], \"puts\": [{\"table\": "
+		"\"op\", \"part\": \"\", \"key\": \"config\", \"value\": "
+		"\"%s\"}]}",
+		b64);
+	while (joint_ask(s, s->store, "POST", "/-/rows-tx", body, NULL) !=
+	       200) {
+		if (clock_mono_ms() > until)
+			fail_msg("the stand-in does not answer");
+		loop_step(s->loop, 20);
+	}
+	g_free(body);
+	g_free(b64);
+	g_free(policy);
+	g_string_free(queues, TRUE);
+}
+
+struct joint_site *joint_start(uint32_t net)
+{
+	struct joint_site *s = g_new0(struct joint_site, 1);
+	char *ip = g_strdup_printf("127.%u.9.1", net);
+	char upstreams[8];
+	char *argv[] = {"out/joint", ip, "7100", "7200", upstreams, NULL};
+
+	s->net = net;
+	snprintf(upstreams, sizeof(upstreams), "%d", UPSTREAMS);
+	snprintf(s->dir, sizeof(s->dir), "out/joint-%u", net);
+	g_mkdir_with_parents(s->dir, 0755);
+	s->loop = loop_create();
+	s->http = http_client_create(s->loop);
+	s->platform = run(s, "platform", argv);
+	s->store = pool(s, 1, 7100);
+	put_policy(s);
+	for (uint32_t i = 0; i < INSTANCES; i++) {
+		s->callers[i] = pool(s, 10 + i, 7000);
+		joint_instance_start(s, i);
+	}
+	for (uint32_t i = 0; i < INSTANCES; i++)
+		joint_wait_ready(s, i);
+	g_free(ip);
+	return s;
+}
+
+void joint_instance_kill(struct joint_site *s, uint32_t i, int signo)
+{
+	kill(s->instances[i], signo);
+	waitpid(s->instances[i], NULL, 0);
+	s->instances[i] = 0;
+}
+
+/* Check what the upstreams have seen, and end all processes. */
+void joint_stop(struct joint_site *s)
+{
+	json_t *record = NULL;
+
+	assert_int_equal(
+		joint_ask(s, s->store, "GET", "/record", NULL, &record), 200);
+	assert_int_equal(json_int_or(record, "twice", -1), 0);
+	assert_int_equal(json_int_or(record, "after_done", -1), 0);
+	json_decref(record);
+	for (uint32_t i = 0; i < INSTANCES; i++) {
+		if (s->instances[i])
+			joint_instance_kill(s, i, SIGKILL);
+		http_pool_destroy(s->callers[i]);
+	}
+	http_pool_destroy(s->store);
+	kill(s->platform, SIGKILL);
+	waitpid(s->platform, NULL, 0);
+	http_client_destroy(s->http);
+	loop_destroy(s->loop);
+	g_free(s);
+}
+
+char *joint_job_path(uint32_t n)
+{
+	return g_strdup_printf("/u/%016x", n);
+}
+
+static char *job_body(uint32_t tasks, uint32_t run_ms, bool gang)
+{
+	return g_strdup_printf("{\"spec\": \"%u\", \"steps\": [{\"count\": %u, "
+			       "\"cpu\": 1000, \"memMb\": 100, \"gpu\": 1, "
+			       "\"estimateMs\": %u%s}]}",
+			       run_ms, tasks, run_ms,
+			       gang ? ", \"gang\": true" : "");
+}
+
+int joint_submit(struct joint_site *s, uint32_t i, uint32_t n, uint32_t tasks,
+		 uint32_t run_ms)
+{
+	char *path = joint_job_path(n), *body = job_body(tasks, run_ms, false);
+	int status = joint_ask(s, s->callers[i], "POST", path, body, NULL);
+
+	g_free(path);
+	g_free(body);
+	return status;
+}
+
+bool joint_in_state(struct joint_site *s, uint32_t i, uint32_t n,
+		    const char *state)
+{
+	char *path = joint_job_path(n);
+	json_t *v = NULL;
+	int status = joint_ask(s, s->callers[i], "GET", path, NULL, &v);
+	bool is = status == 200 && !strcmp(json_str_or(v, "state", ""), state);
+
+	json_decref(v);
+	g_free(path);
+	return is;
+}
+
+void joint_wait_state(struct joint_site *s, uint32_t i, uint32_t n,
+		      const char *state)
+{
+	uint64_t until = clock_mono_ms() + WAIT_MS;
+
+	while (!joint_in_state(s, i, n, state)) {
+		if (clock_mono_ms() > until)
+			fail_msg("job %u is not %s", n, state);
+		loop_step(s->loop, 20);
+	}
+}
+
+void joint_control(struct joint_site *s, const char *body)
+{
+	assert_int_equal(joint_ask(s, s->store, "POST", "/control", body, NULL),
+			 200);
+}
+
+/* Return the instance that leads, by its metrics. */
+uint32_t joint_leader(struct joint_site *s)
+{
+	uint64_t until = clock_mono_ms() + WAIT_MS;
+
+	for (uint32_t i = 0;; i = (i + 1) % INSTANCES) {
+		char *log = g_strdup_printf("%s/i%u.log", s->dir, i);
+		char *text = NULL;
+		const char *gained, *lost;
+		bool leads = false;
+
+		if (s->instances[i] &&
+		    g_file_get_contents(log, &text, NULL, NULL)) {
+			gained = g_strrstr(text, "\"event\":\"leading\"");
+			lost = g_strrstr(text, "\"event\":\"leadership_lost\"");
+			leads = gained && (!lost || lost < gained);
+		}
+		g_free(text);
+		g_free(log);
+		if (leads)
+			return i;
+		if (clock_mono_ms() > until)
+			fail_msg("nobody leads");
+		loop_step(s->loop, 10);
+	}
+}
