--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -16,9 +16,8 @@
 
 /* How long one call of a feed is held by the store. */
 #define FEED_WAIT_MS 500
-/* Pauses between an answer of a feed and the next call: callers ask for
- * states at once, for counts of jobs that may be two seconds old. */
-#define STATES_GAP_MS 40
+/* Pause between an answer of the feed of jobs and the next call: counts of
+ * jobs may be two seconds old. */
 #define JOBS_GAP_MS 400
 /* An instance whose newest answer of the store is older is not ready. */
 #define READY_AGE_MS 1300
@@ -209,7 +208,6 @@
 		follower_create(j->loop, j->rows, STATE_TABLE,
 				follower_one_part, FEED_WAIT_MS, &states, j);
 	follower_set_gap(j->jobs, JOBS_GAP_MS);
-	follower_set_gap(j->states, STATES_GAP_MS);
 	j->operators = follower_create(j->loop, j->rows, OPERATOR_TABLE,
 				       follower_one_part, FEED_WAIT_MS, &op, j);
 }
@@ -231,7 +229,8 @@
 				.rows = j->rows,
 				.counters = j->counters,
 				.settings = s,
-				.jobs = j->jobs};
+				.jobs = j->jobs,
+				.states = j->states};
 	le = (struct lead_env){.loop = j->loop,
 			       .http = j->http,
 			       .rows = j->rows,
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -11,6 +11,7 @@
 #include "lead/record.h"
 #include "lib/log.h"
 #include "platform/decode.h"
+#include "platform/ingress.h"
 #include "platform/rows.h"
 
 /* A caller that does not say how long it waits gets this time. */
@@ -29,6 +30,10 @@
 /* A state that is not final may just have changed: the answer waits so
  * long for the copy of the table to show it. */
 #define FRESH_WAIT_MS 80
+/* Pauses of the feed of states: while somebody waits for one to change,
+ * and otherwise. */
+#define STATES_GAP_ASKED_MS 5
+#define STATES_GAP_MS 300
 /* With a copy of the table that is older, the store does not answer. */
 #define STALE_MS 1300
 #define ID_LENGTH 16
@@ -304,10 +309,8 @@
 
 static uint64_t deadline_of(const struct http_exchange *x, uint64_t now)
 {
-	char *s = exchange_header(x, "lacewingspur-deadline-ms");
-	uint64_t ms = s ? g_ascii_strtoull(s, NULL, 10) : 0;
+	uint64_t ms = ingress_patience_ms(x);
 
-	g_free(s);
 	if (!ms)
 		ms = DEADLINE_DEFAULT_MS;
 	return now +
@@ -379,11 +382,20 @@
 	send_request(r);
 }
 
+/* Read the states as often as the callers that wait for one need. */
+static void pace_states(struct entry *n)
+{
+	follower_set_gap(n->env.states, g_hash_table_size(n->waiting)
+						? STATES_GAP_ASKED_MS
+						: STATES_GAP_MS);
+}
+
 static void on_waited(void *arg)
 {
 	struct request *r = arg;
 
 	g_hash_table_remove(r->entry->waiting, r);
+	pace_states(r->entry);
 	reply_state(r, state_of(board_find(r->entry->board, r->id)));
 }
 
@@ -407,6 +419,7 @@
 		timer_init(&r->timer, on_waited, r);
 		timer_start(n->env.loop, &r->timer, FRESH_WAIT_MS);
 		g_hash_table_add(n->waiting, r);
+		pace_states(n);
 	}
 }
 
@@ -428,6 +441,7 @@
 		g_hash_table_iter_remove(&it);
 		reply_state(r, state_of(j));
 	}
+	pace_states(n);
 }
 
 static char *cancel_text(const char *id)
@@ -482,13 +496,11 @@
 static bool account_of(const struct entry *n, const struct http_exchange *x,
 		       const struct queue *q, char *account, size_t len)
 {
-	char *s = exchange_header(x, "authorization");
-	const struct account *a = NULL;
+	char *key = ingress_key(x);
+	const struct account *a = key ? policy_key(n->policy, key) : NULL;
 
 	*account = '\0';
-	if (s && !g_ascii_strncasecmp(s, "bearer ", 7))
-		a = policy_key(n->policy, g_strstrip(s + 7));
-	g_free(s);
+	g_free(key);
 	if (a)
 		g_strlcpy(account, a->name, len);
 	return a || q->open;
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -17,7 +17,8 @@
 	struct rows *rows;
 	struct counters *counters;
 	const struct joint_settings *settings;
-	struct follower *jobs;
+	struct follower *jobs;	 /* accepted jobs and wishes to cancel */
+	struct follower *states; /* the state of every job */
 };
 
 struct entry *entry_create(const struct entry_env *e);
--- a/lead/lead.c
+++ b/lead/lead.c
@@ -32,7 +32,7 @@
 /* Pauses between an answer of a feed and the next call: each instance
  * reads the owner row, and the leader the list of upstreams, in which
  * something always changes, at these intervals. */
-#define OWNER_GAP_MS 250
+#define OWNER_GAP_MS 400
 #define LIST_GAP_MS 150
 
 struct planned_start {
@@ -417,6 +417,10 @@
 {
 	char *value = state_encode(j);
 
+	log_fields(LOG_INFO, "job_state", "{s:s,s:s,s:s,s:s,s:I}", "job", j->id,
+		   "state", job_state_name(j->state), "queue", j->queue,
+		   "account", j->account, "age_ms",
+		   (json_int_t)(clock_mono_ms() - j->since_ms));
 	rows_tx_put(t, STATE_TABLE, j->id, value);
 	j->recorded = j->state;
 	free(value);
