--- a/test/jointsite.c
+++ b/test/jointsite.c
@@ -134,6 +134,10 @@
 	uint64_t until = clock_mono_ms() + WAIT_MS;
 
 	while (joint_ask(s, p, "GET", "/-/ready", NULL, NULL) != 200) {
+		int end;
+
+		if (waitpid(s->instances[i], &end, WNOHANG) > 0)
+			fail_msg("instance %u has ended, status %d", i, end);
 		if (clock_mono_ms() > until)
 			fail_msg("instance %u is not ready", i);
 		loop_step(s->loop, 20);
