--- a/entry/entry.c
+++ b/entry/entry.c
@@ -173,41 +173,36 @@
 		    refused ? REFUSED_PAUSE_MS : 0);
 }
 
-static void on_submitted(struct request *r, const struct rows_answer *a)
+/* Report whether the row that is there already is the caller's own job. */
+static bool same_job(const struct request *r, const struct rows_answer *a)
 {
 	struct job_record j;
-	bool same = false;
 
-	switch (a->outcome) {
-	case ROWS_OK:
-		finish(r, 200, "accepted", 0);
-		return;
-	case ROWS_CONFLICT:
-		same = a->len && a->list[0].value &&
-		       job_decode(a->list[0].value, &j) &&
-		       !strcmp(j.account, r->account);
-		if (same)
-			finish(r, 200, "was accepted before", 0);
-		else
-			finish(r, 409, "the id belongs to another job", 0);
-		return;
-	case ROWS_UNKNOWN:
-		r->uncertain = true;
-		try_again(r, false);
-		return;
-	case ROWS_REFUSED:
-	case ROWS_COMPACTED:
-		try_again(r, true);
-		return;
-	}
+	return a->len && a->list[0].value && job_decode(a->list[0].value, &j) &&
+	       !strcmp(j.account, r->account);
+}
+
+static void on_conflict(struct request *r, const struct rows_answer *a)
+{
+	if (r->kind == REQUEST_CANCEL)
+		finish(r, 200, "cancelled", 0);
+	else if (same_job(r, a))
+		finish(r, 200, "was accepted before", 0);
+	else
+		finish(r, 409, "the id belongs to another job", 0);
 }
 
-static void on_cancelled(struct request *r, const struct rows_answer *a)
+static void on_write(void *arg, const struct rows_answer *a)
 {
+	struct request *r = arg;
+
 	switch (a->outcome) {
 	case ROWS_OK:
+		finish(r, 200,
+		       r->kind == REQUEST_CANCEL ? "cancelled" : "accepted", 0);
+		return;
 	case ROWS_CONFLICT:
-		finish(r, 200, "cancelled", 0);
+		on_conflict(r, a);
 		return;
 	case ROWS_UNKNOWN:
 		r->uncertain = true;
@@ -220,16 +215,6 @@
 	}
 }
 
-static void on_write(void *arg, const struct rows_answer *a)
-{
-	struct request *r = arg;
-
-	if (r->kind == REQUEST_SUBMIT)
-		on_submitted(r, a);
-	else
-		on_cancelled(r, a);
-}
-
 static void reply_state(struct request *r, enum job_state s)
 {
 	struct entry *n = r->entry;
--- /dev/null
+++ b/lead/expire.c
@@ -0,0 +1,89 @@
+/* Rows that outlive their use are found in the copies of the tables. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "lead/expire.h"
+#include "lead/record.h"
+#include "lib/log.h"
+
+/* Rows that are not needed any more, by the part they lie in. */
+struct removal {
+	const struct expiry *expiry;
+	struct rows_tx *states;
+	struct rows_tx *parts[JOB_PARTS];
+};
+
+static struct rows_tx *part_removal(struct removal *r, const char *id)
+{
+	const char *part = job_part(id);
+	uint32_t n = 0;
+
+	while (job_parts[n] != part)
+		n++;
+	if (!r->parts[n])
+		r->parts[n] = rows_tx_create(part);
+	return rows_tx_entries(r->parts[n]) < 3 * EXPIRE_MOST ? r->parts[n]
+							      : NULL;
+}
+
+static void remove_old(void *arg, const char *id, const char *value,
+		       uint64_t version)
+{
+	struct removal *r = arg;
+	const struct expiry *e = r->expiry;
+	struct state_record s;
+	struct rows_tx *t;
+	char *key;
+
+	(void)version;
+	if (!state_decode(value, &s) || !work_state_final(s.state) ||
+	    model_job(e->model, id))
+		return;
+	t = part_removal(r, id);
+	if (t && follower_get(e->specs, id, NULL))
+		rows_tx_remove(t, SPEC_TABLE, id);
+	if (!t || !state_expired(&s, e->before_ms) ||
+	    rows_tx_entries(r->states) >= EXPIRE_MOST)
+		return;
+	key = g_strconcat(KEY_JOB, id, NULL);
+	rows_tx_remove(t, JOB_TABLE, key);
+	g_free(key);
+	key = g_strconcat(KEY_CANCEL, id, NULL);
+	rows_tx_remove(t, JOB_TABLE, key);
+	g_free(key);
+	rows_tx_remove(r->states, STATE_TABLE, id);
+}
+
+static void on_removed(void *arg, const struct rows_answer *a)
+{
+	(void)arg;
+	/* what was not removed is found again */
+	if (a->outcome != ROWS_OK)
+		log_fields(LOG_WARN, "removal_failed", "{s:s}", "outcome",
+			   rows_outcome_name(a->outcome));
+}
+
+/*
+ * Remove the specs of jobs that have ended, and the last rows of those
+ * that nobody can ask for any more; removals of the leader's rows are
+ * added to `states`.  Nothing depends on when, or by whom, the others are
+ * done: an ended job never changes.
+ */
+void expire_rows(const struct expiry *e, struct rows_tx *states)
+{
+	struct removal r = {.expiry = e, .states = states};
+
+	follower_each(e->states, "", remove_old, &r);
+	for (uint32_t i = 0; i < JOB_PARTS; i++) {
+		char *text;
+
+		if (!r.parts[i])
+			continue;
+		text = rows_tx_text(r.parts[i]);
+		if (rows_tx_entries(r.parts[i]))
+			rows_commit(e->rows, text, rows_patience_ms(e->rows),
+				    on_removed, NULL);
+		free(text);
+		rows_tx_destroy(r.parts[i]);
+	}
+}
--- a/lead/lead.c
+++ b/lead/lead.c
@@ -5,15 +5,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "lead/expire.h"
 #include "lead/keeper.h"
 #include "lead/lead.h"
 #include "lead/owner.h"
 #include "lib/log.h"
 
 /* Jobs in one write: the platform takes 100 entries, two are the owner
- * row's, a job takes two and a removal one. */
+ * row's, a job takes two and a removal (EXPIRE_MOST of them) one. */
 #define JOBS_PER_WRITE 40
-#define REMOVALS_PER_WRITE 16
 /* When a write takes longer than this, the next one waits as long again:
  * other instances' writes need the store as well. */
 #define SLOW_WRITE_MS 50
@@ -445,95 +445,22 @@
 	free(value);
 }
 
-/* Rows that are not needed any more, by the part they lie in. */
-struct removal {
-	struct lead *lead;
-	struct rows_tx *states;
-	struct rows_tx *parts[8];
-	uint64_t before_ms; /* of the store's clock */
-};
-
-static struct rows_tx *part_removal(struct removal *r, const char *id)
-{
-	const char *part = job_part(id);
-	uint32_t n = 0;
-
-	while (job_parts[n] != part)
-		n++;
-	if (!r->parts[n])
-		r->parts[n] = rows_tx_create(part);
-	return rows_tx_entries(r->parts[n]) < 3 * REMOVALS_PER_WRITE
-		       ? r->parts[n]
-		       : NULL;
-}
-
-static void remove_old(void *arg, const char *id, const char *value,
-		       uint64_t version)
-{
-	struct removal *r = arg;
-	struct lead *d = r->lead;
-	struct state_record s;
-	struct rows_tx *t;
-	char *key;
-
-	(void)version;
-	if (!state_decode(value, &s) || !work_state_final(s.state) ||
-	    model_job(d->model, id))
-		return;
-	t = part_removal(r, id);
-	if (t && follower_get(d->specs, id, NULL))
-		rows_tx_remove(t, SPEC_TABLE, id);
-	if (!t || !state_expired(&s, r->before_ms) ||
-	    rows_tx_entries(r->states) >= REMOVALS_PER_WRITE)
-		return;
-	key = g_strconcat(KEY_JOB, id, NULL);
-	rows_tx_remove(t, JOB_TABLE, key);
-	g_free(key);
-	key = g_strconcat(KEY_CANCEL, id, NULL);
-	rows_tx_remove(t, JOB_TABLE, key);
-	g_free(key);
-	rows_tx_remove(r->states, STATE_TABLE, id);
-}
-
-static void on_removed(void *arg, const struct rows_answer *a)
-{
-	(void)arg;
-	/* what was not removed is found again */
-	if (a->outcome != ROWS_OK)
-		log_fields(LOG_WARN, "removal_failed", "{s:s}", "outcome",
-			   rows_outcome_name(a->outcome));
-}
-
-/*
- * Remove the specs of jobs that have ended, and the last rows of those
- * that nobody can ask for any more.  Nothing depends on when, or by whom,
- * it is done: an ended job never changes.
- */
-static void remove_rows(struct lead *d, struct rows_tx *states)
+/* Remove now and then the rows that are not needed any more. */
+static void remove_rows(struct lead *d, struct rows_tx *t)
 {
+	struct expiry e = {.rows = d->env.rows,
+			   .states = d->env.states,
+			   .specs = d->specs,
+			   .model = d->model};
 	uint64_t store = follower_store_ms(d->env.states);
 	uint64_t keep = d->env.settings->keep_ended_ms + KEEP_SLACK_MS;
 	uint64_t now = clock_mono_ms();
-	struct removal r = {.lead = d, .states = states};
 
 	if (now < d->removed_ms + REMOVE_EVERY_MS)
 		return;
 	d->removed_ms = now;
-	r.before_ms = store > keep ? store - keep : 0;
-	follower_each(d->env.states, "", remove_old, &r);
-	for (uint32_t i = 0; i < G_N_ELEMENTS(r.parts); i++) {
-		char *text;
-
-		if (!r.parts[i])
-			continue;
-		text = rows_tx_text(r.parts[i]);
-		if (rows_tx_entries(r.parts[i]))
-			rows_commit(d->env.rows, text,
-				    rows_patience_ms(d->env.rows), on_removed,
-				    d);
-		free(text);
-		rows_tx_destroy(r.parts[i]);
-	}
+	e.before_ms = store > keep ? store - keep : 0;
+	expire_rows(&e, t);
 }
 
 /* Write all that has changed, and the beat of the leader with it. */
--- a/lead/record.c
+++ b/lead/record.c
@@ -7,12 +7,13 @@
 #include "lib/schema.h"
 #include "sched/fleet.h"
 
-const char *const job_parts[] = {"0", "1", "2", "3", "4", "5", "6", "7", NULL};
+const char *const job_parts[JOB_PARTS + 1] = {"0", "1", "2", "3", "4",
+					      "5", "6", "7", NULL};
 
 /* Return the part in which the rows of a job lie that any instance writes. */
 const char *job_part(const char *id)
 {
-	return job_parts[(unsigned char)id[0] & 7];
+	return job_parts[(unsigned char)id[0] % JOB_PARTS];
 }
 
 /* Encode who leads; free with free. */
--- a/lead/record.h
+++ b/lead/record.h
@@ -25,7 +25,8 @@
 /* What was submitted, by the job's id; the leader follows it. */
 #define SPEC_TABLE "lacewingspur-specs"
 
-extern const char *const job_parts[];
+#define JOB_PARTS 8
+extern const char *const job_parts[]; /* ends in NULL */
 const char *job_part(const char *id);
 
 /* Who leads. */
--- a/test/proc_soak.c
+++ b/test/proc_soak.c
@@ -178,22 +178,41 @@
 	g_rand_free(k.random);
 }
 
-static void every_promise_is_kept_under_faults(void **state)
+static void play_all(const char *text)
 {
-	const char *text = getenv("SOAK_SEEDS");
-	char **seeds = g_strsplit(text ? text : SEEDS, " ", -1);
+	char **seeds = g_strsplit(text, " ", -1);
 
-	(void)state;
 	for (char **s = seeds; *s; s++)
 		if (**s)
 			play(g_ascii_strtoull(*s, NULL, 10));
 	g_strfreev(seeds);
 }
 
+static void every_promise_is_kept_under_faults(void **state)
+{
+	const char *text = getenv("SOAK_SEEDS");
+
+	(void)state;
+	play_all(text ? text : SEEDS);
+}
+
+/*
+ * Seeds that have failed once:
+ * 50: an instance that woke from a freeze was not ready again; its log
+ *     ended in that millisecond.  Not traced.
+ */
+static void seeds_that_have_failed_pass(void **state)
+{
+	(void)state;
+	if (!getenv("SOAK_SEEDS"))
+		play_all("50");
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(every_promise_is_kept_under_faults),
+		cmocka_unit_test(seeds_that_have_failed_pass),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
