--- a/lead/keeper.c
+++ b/lead/keeper.c
@@ -312,7 +312,10 @@
 			   (json_int_t)k->leases.end_ms - (json_int_t)now);
 	lease_clock_silent(&k->leases);
 	avoid(k, AVOID_SILENT_MS);
-	if (k->upstream->tasks->len && lease_clock_over(&k->leases, now)) {
+	/* a call from before the leases ended says nothing: this process may
+	 * have stood still, and the upstream lists how its runs have ended */
+	if (k->upstream->tasks->len &&
+	    lease_clock_over(&k->leases, k->sent_ms)) {
 		model_lose_upstream(k->env->model, k->upstream, now,
 				    "leases ended");
 		k->env->events.changed(k->env->arg);
--- a/test/proc_soak.c
+++ b/test/proc_soak.c
@@ -200,12 +200,14 @@
  * Seeds that have failed once:
  * 50: an instance that woke from a freeze was not ready again; its log
  *     ended in that millisecond.  Not traced.
+ * 97: a leader that woke took the leases for ended and ran again what the
+ *     upstreams had listed as done.
  */
 static void seeds_that_have_failed_pass(void **state)
 {
 	(void)state;
 	if (!getenv("SOAK_SEEDS"))
-		play_all("50");
+		play_all("50 97");
 }
 
 int main(void)
