--- a/lead/owner.c
+++ b/lead/owner.c
@@ -122,12 +122,6 @@
 	return o->self.epoch;
 }
 
-/* Return the instance that the row names. */
-const char *owner_instance(const struct owner *o)
-{
-	return o->seen.instance;
-}
-
 /*
  * Return until when, on our clock, leases can last that earlier leaders
  * have extended; each lasts lease_ms at most on a clock that may be slow.
--- a/lead/owner.h
+++ b/lead/owner.h
@@ -30,7 +30,6 @@
 bool owner_writing(const struct owner *o);
 uint32_t owner_write_ms(const struct owner *o);
 uint64_t owner_epoch(const struct owner *o);
-const char *owner_instance(const struct owner *o);
 uint64_t owner_earlier_leases_ms(const struct owner *o, uint32_t lease_ms);
 void owner_commit(struct owner *o, struct rows_tx *t);
 void owner_retire(struct owner *o);
--- a/lib/http.h
+++ b/lib/http.h
@@ -70,7 +70,6 @@
 char *exchange_query(const struct http_exchange *x, const char *name);
 char *exchange_header(const struct http_exchange *x, const char *name);
 char *exchange_host(const struct http_exchange *x);
-bool exchange_open(const struct http_exchange *x);
 void exchange_reply(struct http_exchange *x, int status, const char *type,
 		    const char *body, uint32_t retry_after_ms);
 void exchange_reply_json(struct http_exchange *x, int status, json_t *v,
--- a/lib/httpserver.c
+++ b/lib/httpserver.c
@@ -136,12 +136,6 @@
 			 x->req->input.authority.len);
 }
 
-/* Report whether the client still waits for an answer. */
-bool exchange_open(const struct http_exchange *x)
-{
-	return x->req != NULL;
-}
-
 static const char *status_text(int status)
 {
 	static const struct {
--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -65,8 +65,6 @@
 		return "gang";
 	case STOP_LEAVING:
 		return "leaving";
-	case STOP_UNKNOWN:
-		return "unknown";
 	}
 	return "";
 }
--- a/sched/dispatch.h
+++ b/sched/dispatch.h
@@ -14,7 +14,6 @@
 	STOP_ROOM,    /* for work of a higher rank */
 	STOP_GANG,    /* another member has ended */
 	STOP_LEAVING, /* the upstream leaves before the task can end */
-	STOP_UNKNOWN, /* whether it runs is not known */
 };
 
 enum action_tag { ACTION_START, ACTION_STOP };
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -49,7 +49,6 @@
 
 	g_strlcpy(u->id, id, sizeof(u->id));
 	u->tasks = g_ptr_array_new();
-	u->number = f->list->len;
 	g_ptr_array_add(f->list, u);
 	g_hash_table_insert(f->by_id, u->id, u);
 	return u;
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -29,7 +29,6 @@
 	uint32_t strikes;	 /* failures since the last success */
 	const struct job
 		*struck_by; /* the last job that failed; not followed */
-	uint32_t number;    /* position in the fleet */
 	void *keeper;	    /* of the task that talks to it */
 };
 
--- a/sched/work.h
+++ b/sched/work.h
@@ -97,11 +97,10 @@
 	const struct step *step;
 	uint32_t step_index;
 	uint32_t occurrence;
-	uint32_t done;	       /* tasks */
-	uint32_t failures;     /* of the gang as a whole */
-	uint32_t failed_run;   /* the gang's newest run that failed */
-	uint64_t since_ms;     /* its turn has come; 0: not yet */
-	uint64_t held_back_ms; /* do not place before */
+	uint32_t done;	     /* tasks */
+	uint32_t failures;   /* of the gang as a whole */
+	uint32_t failed_run; /* the gang's newest run that failed */
+	uint64_t since_ms;   /* its turn has come; 0: not yet */
 	struct task *tasks;
 	GQuark held_rack; /* where room was made for it last; 0: nowhere */
 };
