Take a late time-out for a process that stood still, not for a silent store

Change: a call that ends long after its time-out is repeated at once and counts as no failure; submissions are refused only while calls fail.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -346,7 +346,7 @@
 	const char *body = exchange_body(x, &len);
 	char *why;
 
-	if (follower_age_ms(n->env.jobs) > STALE_MS) {
+	if (follower_silent(n->env.jobs, STALE_MS)) {
 		refuse(n, x, REQUEST_SUBMIT, id, 503,
 		       "the store does not answer; nothing was done",
 		       RETRY_STORE_MS);
--- a/lead/follower.c
+++ b/lead/follower.c
@@ -15,6 +15,9 @@
 #define RETRY_MS 60
 #define RETRY_MAX_MS 250
 #define PAGE_ROWS 500
+/* A call that ends this much after its time-out says that the process
+ * stood still, not that the store is silent. */
+#define STOOD_STILL_MS 300
 
 struct stored_row {
 	char *value;
@@ -42,6 +45,7 @@
 	uint64_t since_ms;    /* answers without a failure since */
 	uint64_t store_ms;    /* the store's clock at answered_ms */
 	uint32_t failures;
+	uint64_t due_ms; /* when the call in flight ends at the latest */
 	bool calling;
 	bool destroyed; /* to be freed when the call returns */
 	struct timer timer;
@@ -122,6 +126,12 @@
 	return f->answered_ms ? clock_mono_ms() - f->answered_ms : UINT64_MAX;
 }
 
+/* Report whether calls fail, and none was answered for ms. */
+bool follower_silent(const struct follower *f, uint32_t ms)
+{
+	return f->failures && follower_age_ms(f) > ms;
+}
+
 /* Return since when every call was answered; 0: the last was not. */
 uint64_t follower_answered_since_ms(const struct follower *f)
 {
@@ -266,7 +276,15 @@
 static void note_failure(struct follower *f, const struct rows_answer *a)
 {
 	uint32_t pause = MIN(RETRY_MS << MIN(f->failures, 4), RETRY_MAX_MS);
+	uint64_t late = clock_mono_ms() - MIN(f->due_ms, clock_mono_ms());
 
+	if (late > STOOD_STILL_MS) {
+		log_fields(LOG_WARN, "stood_still", "{s:s,s:I}", "table",
+			   f->table, "late_ms", (json_int_t)late);
+		f->since_ms = 0;
+		timer_start(f->loop, &f->timer, 0);
+		return;
+	}
 	if (!f->failures++)
 		log_fields(LOG_WARN, "store_lost", "{s:s,s:s,s:I}", "table",
 			   f->table, "outcome", rows_outcome_name(a->outcome),
@@ -322,6 +340,8 @@
 	struct follower *f = arg;
 
 	f->calling = true;
+	f->due_ms =
+		clock_mono_ms() + ANSWER_MS + (f->complete ? f->wait_ms : 0);
 	if (f->complete)
 		rows_feed(f->rows, f->table, f->version, f->wait_ms,
 			  f->wait_ms + ANSWER_MS, on_answer, f);
