--- a/entry/entry.c
+++ b/entry/entry.c
@@ -44,7 +44,6 @@
 	struct board *board;
 	GHashTable *waiting; /* requests for a state that may change now */
 	const struct policy *policy;
-	bool draining;
 };
 
 enum request_kind {
@@ -607,7 +606,6 @@
 /* Let every connection end with its next answer. */
 void entry_drain(struct entry *n)
 {
-	n->draining = true;
 	http_server_close_after_reply(n->server);
 }
 
--- a/lead/follower.c
+++ b/lead/follower.c
@@ -290,8 +290,6 @@
 			   f->table, "outcome", rows_outcome_name(a->outcome),
 			   "version", (json_int_t)f->version);
 	f->since_ms = 0;
-	if (f->ev.lost)
-		f->ev.lost(f->arg);
 	timer_start(f->loop, &f->timer, pause);
 }
 
--- a/lead/follower.h
+++ b/lead/follower.h
@@ -19,7 +19,6 @@
 struct follower_events {
 	row_changed_fn changed;
 	follower_event_fn answered; /* after each answer of the store */
-	follower_event_fn lost;	    /* the store stopped answering */
 };
 
 struct follower *follower_create(struct loop *l, struct rows *r,
--- a/lead/keeper.c
+++ b/lead/keeper.c
@@ -38,7 +38,6 @@
 	struct sockaddr_in address;
 	uint64_t born_wall_ms;
 	bool open;	       /* a call for the lists is in flight */
-	bool waiting;	       /* it is one that the upstream may hold */
 	uint64_t sent_ms;      /* when it was sent */
 	uint64_t seen;	       /* newest end that the model knows */
 	uint64_t marked;       /* newest end in the write in flight */
@@ -54,7 +53,6 @@
 	struct keeper *keeper;
 	char task[TASK_NAME_BYTES];
 	uint32_t run;
-	uint64_t sent_ms;
 };
 
 static void call_lists(struct keeper *k);
@@ -397,7 +395,6 @@
 
 	o->keeper = k;
 	o->run = t->run;
-	o->sent_ms = clock_mono_ms();
 	task_name(t, o->task, sizeof(o->task));
 	return o;
 }
--- a/lead/lead.c
+++ b/lead/lead.c
@@ -183,6 +183,7 @@
 			   run);
 	j->dirty = job_over(j); /* its rows have to be removed */
 	j->recorded = j->state;
+	model_job_policy(j, d->policy);
 	if (cancel_recorded(d, id))
 		cancel_job(d, j);
 }
@@ -195,12 +196,10 @@
 	(void)version;
 	if (!d->leading)
 		return;
-	if (value) {
+	if (value)
 		add_job(d, id, value);
-		model_apply_policy(d->model, d->policy);
-	} else {
+	else
 		model_remove_job(d->model, id);
-	}
 	want_work(d);
 }
 
@@ -264,7 +263,6 @@
 	d->leading = true;
 	follower_each(d->upstreams, "", upstream_row, d);
 	follower_each(d->specs, "", build_spec, d);
-	model_apply_policy(d->model, d->policy);
 	follower_destroy(d->runs);
 	follower_destroy(d->states);
 	d->runs = d->states = NULL;
@@ -364,7 +362,7 @@
 		(json_int_t)(now - j->since_ms), "priority", (int)j->priority);
 }
 
-static void do_stop(struct lead *d, const struct action *a)
+static void do_stop(const struct action *a)
 {
 	struct task *t = a->task;
 	char name[TASK_NAME_BYTES];
@@ -377,7 +375,6 @@
 		task_end(t, RUN_NEVER, NULL, clock_mono_ms());
 	else if (keeper_of(t))
 		keeper_stop(keeper_of(t), t);
-	(void)d;
 }
 
 static void decide(struct lead *d)
@@ -406,7 +403,7 @@
 			note_start(d, a);
 			break;
 		case ACTION_STOP:
-			do_stop(d, a);
+			do_stop(a);
 			break;
 		}
 	}
--- a/lead/model.c
+++ b/lead/model.c
@@ -81,7 +81,8 @@
 	return j ? job_task(j, occurrence, step, index) : NULL;
 }
 
-static void job_apply_policy(struct job *j, const struct policy *p)
+/* Give j what the policy says of its queue. */
+void model_job_policy(struct job *j, const struct policy *p)
 {
 	const struct queue *q = policy_queue(p, j->queue);
 
@@ -100,7 +101,7 @@
 void model_apply_policy(struct model *m, const struct policy *p)
 {
 	for (guint i = 0; p && i < m->live->len; i++)
-		job_apply_policy(g_ptr_array_index(m->live, i), p);
+		model_job_policy(g_ptr_array_index(m->live, i), p);
 }
 
 /*
--- a/lead/model.h
+++ b/lead/model.h
@@ -30,6 +30,7 @@
 void model_remove_job(struct model *m, const char *id);
 struct job *model_job(const struct model *m, const char *id);
 struct task *model_task(const struct model *m, const char *name);
+void model_job_policy(struct job *j, const struct policy *p);
 void model_apply_policy(struct model *m, const struct policy *p);
 void model_sweep(struct model *m, uint64_t store_now_ms);
 
--- a/lead/record.c
+++ b/lead/record.c
@@ -162,11 +162,6 @@
 	return s;
 }
 
-static void copy(char *to, size_t len, const json_t *o, const char *name)
-{
-	g_strlcpy(to, json_str_or(o, name, ""), len);
-}
-
 static void step_decode(const json_t *v, struct step *s)
 {
 	const json_t *after = json_object_get(v, "after"), *n;
@@ -181,9 +176,9 @@
 	s->spread = json_int_or(v, "spread", 0);
 	s->max_unavailable = json_int_or(v, "max_unavailable", 0);
 	s->target_ms = json_int_or(v, "target_ms", 0);
-	copy(s->label, sizeof(s->label), v, "label");
-	copy(s->data_rack, sizeof(s->data_rack), v, "data_rack");
-	copy(s->image, sizeof(s->image), v, "image");
+	json_str_copy(s->label, sizeof(s->label), v, "label");
+	json_str_copy(s->data_rack, sizeof(s->data_rack), v, "data_rack");
+	json_str_copy(s->image, sizeof(s->image), v, "image");
 	for (i = 0; i < G_N_ELEMENTS(flags); i++)
 		*((bool *)((char *)s + flags[i].at)) =
 			strchr(letters, flags[i].letter) != NULL;
@@ -204,8 +199,8 @@
 	if (!json_is_object(v))
 		goto out;
 	j = job_create(id);
-	copy(j->queue, sizeof(j->queue), v, "queue");
-	copy(j->account, sizeof(j->account), v, "account");
+	json_str_copy(j->queue, sizeof(j->queue), v, "queue");
+	json_str_copy(j->account, sizeof(j->account), v, "account");
 	j->received_ms = json_int_or(v, "received_ms", 0);
 	j->start_at_wall_ms = json_int_or(v, "start_at_wall_ms", 0);
 	j->interval_ms = json_int_or(v, "interval_ms", 0);
--- a/lib/schema.h
+++ b/lib/schema.h
@@ -52,5 +52,6 @@
 int64_t json_int_or(const json_t *o, const char *name, int64_t otherwise);
 const char *json_str_or(const json_t *o, const char *name,
 			const char *otherwise);
+void json_str_copy(char *to, size_t len, const json_t *o, const char *name);
 
 #endif
