--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 $(OUT)/joint: $(call obj,fake/joint.c $(LIB))
 $(OUT)/cutter: $(call obj,fake/cutter.c $(LIB))
 $(OUT)/load: $(call obj,load/load.c $(LIB))
-$(OUT)/model: $(call obj,load/model.c $(SCHED) $(LIB))
+$(OUT)/model: $(call obj,load/model.c load/play.c $(SCHED) $(LIB))
 
 $(BINARIES):
 	@echo "  LINK  $@"
--- a/load/model.c
+++ b/load/model.c
@@ -5,6 +5,8 @@
  *
  *	model mix --deployment barsha --seeds 20
  *	model cost --upstreams 6100 --tasks 80000
+ *	model pass --upstreams 1100 --jobs 500 --tasks 15000
+ *	model day --upstreams 1100 --seed 3
  */
 #include <glib.h>
 #include <malloc.h>
@@ -15,6 +17,7 @@
 
 #include "lib/counter.h"
 #include "lib/loop.h"
+#include "load/play.h"
 #include "sched/bind.h"
 #include "sched/sched.h"
 
@@ -766,7 +769,8 @@
 {
 	char *deployment = NULL;
 	gint seeds = 20, from = 1, upstreams = 610, tasks = 8000;
-	gint accounts = 90;
+	gint accounts = 90, jobs = 500, seconds = 20, seed = 1;
+	gdouble load = 1;
 	GOptionEntry entries[] = {
 		{"deployment", 'd', 0, G_OPTION_ARG_STRING, &deployment,
 		 "mix: barsha or midlands", "NAME"},
@@ -774,30 +778,51 @@
 		{"from", 'f', 0, G_OPTION_ARG_INT, &from, "mix: first seed",
 		 "N"},
 		{"upstreams", 'u', 0, G_OPTION_ARG_INT, &upstreams,
-		 "cost: upstreams of the domain", "N"},
+		 "cost, pass, day: upstreams", "N"},
 		{"tasks", 't', 0, G_OPTION_ARG_INT, &tasks,
-		 "cost: tasks that run", "N"},
+		 "cost, pass: tasks of all jobs", "N"},
+		{"jobs", 'j', 0, G_OPTION_ARG_INT, &jobs,
+		 "pass: jobs that are always there", "N"},
+		{"seconds", 's', 0, G_OPTION_ARG_INT, &seconds,
+		 "pass, day: virtual time", "N"},
+		{"seed", 0, 0, G_OPTION_ARG_INT, &seed, "pass, day", "N"},
+		{"load", 'l', 0, G_OPTION_ARG_DOUBLE, &load,
+		 "day: arrivals over the site's", "X"},
 		{"accounts", 'a', 0, G_OPTION_ARG_INT, &accounts,
 		 "cost: client accounts", "N"},
 		{0}};
-	GOptionContext *o = g_option_context_new("mix|cost - the scheduler "
-						 "alone");
+	GOptionContext *o = g_option_context_new("mix|cost|pass|day - the "
+						 "scheduler alone");
+	struct play_options play;
 	GError *err = NULL;
 	int rc = 2;
 
 	g_option_context_add_main_entries(o, entries, NULL);
 	if (!g_option_context_parse(o, &argc, &argv, &err) || argc != 2 ||
-	    seeds < 1 || upstreams < 1 || accounts < 1 || tasks < 0) {
+	    seeds < 1 || upstreams < 1 || accounts < 1 || tasks < 0 ||
+	    jobs < 1 || seconds < 1 || load <= 0) {
 		fprintf(stderr, "model: %s\n",
-			err ? err->message : "mix or cost, see --help");
+			err ? err->message : "no such play, see --help");
 		goto out;
 	}
+	play = (struct play_options){.upstreams = (uint32_t)upstreams,
+				     .jobs = (uint32_t)jobs,
+				     .tasks = (uint32_t)tasks,
+				     .seconds = (uint32_t)seconds,
+				     .seed = (uint64_t)seed,
+				     .load = load};
 	if (!strcmp(argv[1], "mix"))
 		rc = run_mix(deployment ? deployment : "barsha", (uint32_t)from,
 			     (uint32_t)seeds);
 	else if (!strcmp(argv[1], "cost"))
 		rc = run_cost((uint32_t)upstreams, (uint32_t)tasks,
 			      (uint32_t)accounts);
+	else if (!strcmp(argv[1], "pass"))
+		rc = play_cost(&play);
+	else if (!strcmp(argv[1], "day"))
+		rc = play_day(&play);
+	else
+		fprintf(stderr, "model: %s: no such play\n", argv[1]);
 out:
 	g_clear_error(&err);
 	g_option_context_free(o);
--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -27,6 +27,12 @@
  * makes room for itself when it has waited so long. */
 #define LASTING_PATIENCE_MS 1500
 
+/* A stage for which no room could be made tries again after this time, a
+ * ninth of the shortest stop; so many stages try in one pass, those of the
+ * highest rank and value first.  Due guarantees try in every pass. */
+#define PLAN_RETRY_MS 100
+#define PLANS_MOST 16
+
 /* Urgent stages for which room is kept free. */
 #define HEADROOM_STAGES 2
 
@@ -51,6 +57,8 @@
 	const struct dispatch_view *v;
 	struct value_view value;
 	struct pack pack;
+	struct evict *evict; /* NULL: nobody needed it yet */
+	uint32_t plans;	     /* to make room that have failed */
 	GArray *actions;
 	GArray *candidates;
 };
@@ -79,6 +87,8 @@
 
 	if (t->state != TASK_PLACED && t->state != TASK_RUNNING)
 		return;
+	if (p->pack.n)
+		pack_note_stop(&p->pack, t);
 	t->state = TASK_STOPPING;
 	g_array_append_val(p->actions, a);
 }
@@ -110,41 +120,45 @@
 	return most;
 }
 
-/* Return the place of an account among the guarantees, or their number. */
-static uint32_t guarantee_of(const struct dispatch_view *v, const char *account)
-{
-	uint32_t i = 0;
-
-	while (i < v->guarantees_len &&
-	       strcmp(v->guarantees[i].account, account))
-		i++;
-	return i;
-}
+/* What the urgent jobs of an account need, and what it is guaranteed. */
+struct account_need {
+	int64_t need;
+	int64_t guaranteed;
+};
 
 /* Set the rank of every job: a guarantee covers an account's urgent jobs
  * when it covers all of them that have not ended. */
 static void rank_jobs(const struct dispatch_view *v)
 {
-	int64_t *need = g_new0(int64_t, v->guarantees_len + 1);
-
+	GHashTable *accounts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	struct account_need *a;
+
+	for (uint32_t i = 0; i < v->guarantees_len; i++) {
+		a = g_new0(struct account_need, 1);
+		a->guaranteed = v->guarantees[i].accelerators;
+		g_hash_table_insert(accounts,
+				    (gpointer)v->guarantees[i].account, a);
+	}
 	for (guint i = 0; i < v->jobs->len; i++) {
 		const struct job *j = g_ptr_array_index(v->jobs, i);
 
-		need[guarantee_of(v, j->account)] += urgent_need(j);
+		a = g_hash_table_lookup(accounts, j->account);
+		if (a)
+			a->need += urgent_need(j);
 	}
 	for (guint i = 0; i < v->jobs->len; i++) {
 		struct job *j = g_ptr_array_index(v->jobs, i);
-		uint32_t g = guarantee_of(v, j->account);
 
+		a = g_hash_table_lookup(accounts, j->account);
 		if (j->priority)
 			j->rank = RANK_URGENT + j->priority;
-		else if (g < v->guarantees_len &&
-			 need[g] <= v->guarantees[g].accelerators)
+		else if (a && a->need <= a->guaranteed)
 			j->rank = RANK_COVERED;
 		else
 			j->rank = RANK_URGENT;
 	}
-	g_free(need);
+	g_hash_table_destroy(accounts);
 }
 
 static gint by_rank(gconstpointer a, gconstpointer b)
@@ -218,47 +232,43 @@
 	g_array_sort(p->candidates, by_rank);
 }
 
+static void stop_job(struct pass *p, struct job *j, enum stop_cause cause)
+{
+	for (uint32_t i = 0; i < j->stages_len; i++)
+		stop_stage(p, &j->stages[i], cause);
+}
+
 /* Stop what must not run any more. */
 static void stop_unwanted(struct pass *p)
 {
-	for (guint i = 0; i < p->v->fleet->list->len; i++) {
-		struct upstream *u = g_ptr_array_index(p->v->fleet->list, i);
-
-		for (guint k = 0; k < u->tasks->len; k++) {
-			struct task *t = g_ptr_array_index(u->tasks, k);
+	for (guint i = 0; i < p->v->jobs->len; i++) {
+		struct job *j = g_ptr_array_index(p->v->jobs, i);
 
-			switch (t->stage->job->state) {
-			case JOB_QUEUED:
-			case JOB_RUNNING:
-				break;
-			case JOB_COMPLETED:
-			case JOB_CANCELLED:
-				stop_task(p, t, STOP_CANCELLED);
-				break;
-			case JOB_FAILED:
-				stop_task(p, t, STOP_JOB_FAILED);
-				break;
-			}
+		switch (j->state) {
+		case JOB_QUEUED:
+		case JOB_RUNNING:
+			break;
+		case JOB_COMPLETED:
+		case JOB_CANCELLED:
+			stop_job(p, j, STOP_CANCELLED);
+			break;
+		case JOB_FAILED:
+			stop_job(p, j, STOP_JOB_FAILED);
+			break;
 		}
 	}
 }
 
-/* Keep the chosen places free for the rest of the pass. */
-static void reserve_chosen(struct pass *p, const struct stage *st)
-{
-	struct room need = task_room(&st->tasks[0]);
-
-	pack_deduct(&p->pack, &need);
-}
-
 static void start_chosen(struct pass *p, struct stage *st)
 {
 	uint32_t next = 0, run = stage_next_run(st);
 
-	for (uint32_t i = 0; i < p->pack.n; i++) {
-		for (uint32_t k = 0; k < p->pack.chosen[i]; k++) {
+	for (uint32_t i = 0; i < p->pack.chosen_len; i++) {
+		const struct pack_slot *s = &p->pack.chosen[i];
+
+		for (uint32_t k = 0; k < s->count; k++) {
 			struct action a = {.tag = ACTION_START,
-					   .u.to = pack_upstream(&p->pack, i)};
+					   .u.to = p->pack.upstreams[s->place]};
 
 			while (st->tasks[next].state != TASK_WAITING)
 				next++;
@@ -270,45 +280,13 @@
 		}
 	}
 	st->held_rack = 0;
-	reserve_chosen(p, st);
-}
-
-struct claim {
-	uint32_t rank;
-	bool due; /* for a guarantee that leaves no more time */
-};
-
-/* Count the tasks of st that do not serve their users now. */
-static uint32_t away(const struct stage *st)
-{
-	uint32_t n = 0;
-
-	for (uint32_t i = 0; i < st->step->count; i++)
-		n += st->tasks[i].state != TASK_RUNNING ||
-		     st->tasks[i].percent < 100;
-	return n;
-}
-
-/*
- * Work may be stopped for work of a higher rank; work that lasts only for
- * a guarantee, and no more of it at a time than its step allows.
- */
-static bool may_stop(void *arg, const struct task *t, uint32_t planned)
-{
-	const struct step *s = t->stage->step;
-	const struct claim *c = arg;
-
-	if (s->lasting)
-		return c->due &&
-		       (!s->max_unavailable ||
-			away(t->stage) + planned < s->max_unavailable);
-	return t->stage->job->rank > c->rank;
+	pack_deduct(&p->pack);
 }
 
 /* What it is worth to make room for st now. */
 static double worth_of_room(const struct pass *p, const struct candidate *c)
 {
-	const struct stage *st = c->stage;
+	struct stage *st = c->stage;
 	int64_t spare;
 
 	if (c->due)
@@ -331,73 +309,46 @@
 static bool make_room(struct pass *p, const struct candidate *c, uint32_t want)
 {
 	struct stage *st = c->stage;
-	struct claim claim = {.rank = c->rank, .due = c->due};
 	int64_t spare = value_spare_ms(&p->value, st);
-	double worth = worth_of_room(p, c);
-	struct evict_rules rules = {
-		.value = &p->value, .may = may_stop, .arg = &claim};
+	struct claim claim = {.rank = c->rank,
+			      .due = c->due,
+			      .await_ms = p->v->stop_ms + HANDOVER_MS,
+			      .worth = worth_of_room(p, c)};
 	struct eviction e;
-	bool ok;
-
-	rules.await_ms = p->v->stop_ms + HANDOVER_MS;
-	if (worth >= MUST)
-		rules.await_ms = 0; /* an expectation is no guarantee */
-	else if (spare > (int64_t)rules.await_ms && c->rank <= RANK_URGENT)
-		rules.await_ms = spare;
-	if (worth <= 0)
-		return false;
-	evict_plan(&p->pack, &rules, st, want, &e);
-	ok = e.possible && e.loss <= worth;
-	if (ok) {
-		for (guint i = 0; i < e.stop->len; i++)
-			stop_run(p, g_ptr_array_index(e.stop, i), STOP_ROOM);
-		memcpy(p->pack.chosen, e.chosen, p->pack.n * sizeof(*e.chosen));
-		if (e.rack != ANY_RACK)
-			st->held_rack = p->pack.racks[e.rack];
-		reserve_chosen(p, st);
-	}
-	evict_clear(&e);
-	return ok;
-}
 
-/* Keep room for a gang that has waited, where most of it is free. */
-static void hold_for(struct pass *p, const struct stage *st, uint32_t want,
-		     uint32_t rank)
-{
-	struct room *rooms = g_new(struct room, p->pack.n + 1);
-
-	for (uint32_t i = 0; i < p->pack.n; i++) {
-		struct upstream *u = pack_upstream(&p->pack, i);
-
-		rooms[i] = p->pack.soon[i];
-		if (!upstream_usable(u, p->v->now_ms))
-			continue;
-		for (guint k = 0; k < u->tasks->len; k++) {
-			struct task *t = g_ptr_array_index(u->tasks, k);
-			struct room r = task_room(t);
-
-			if (t->state != TASK_STOPPING &&
-			    t->stage->job->rank > rank)
-				room_add(&rooms[i], &r, 1);
-		}
+	if (claim.worth <= 0)
+		return false;
+	if (!c->due && (p->plans >= PLANS_MOST || p->v->now_ms < st->plan_ms))
+		return false;
+	if (claim.worth >= MUST)
+		claim.await_ms = 0; /* an expectation is no guarantee */
+	else if (spare > (int64_t)claim.await_ms && c->rank <= RANK_URGENT)
+		claim.await_ms = spare;
+	if (!p->evict)
+		p->evict = evict_create(&p->pack, &p->value);
+	if (!evict_plan(p->evict, &claim, st, want, &e)) {
+		st->plan_ms = p->v->now_ms + PLAN_RETRY_MS;
+		p->plans++;
+		return false;
 	}
-	if (pack_choose_all(&p->pack, st, want, rooms))
-		reserve_chosen(p, st);
-	g_free(rooms);
+	pack_deduct(&p->pack);
+	for (guint i = 0; i < e.stop->len; i++)
+		stop_run(p, g_ptr_array_index(e.stop, i), STOP_ROOM);
+	if (e.rack != ANY_RACK)
+		st->held_rack = p->pack.racks[e.rack];
+	eviction_clear(&e);
+	return true;
 }
 
 /* Keep room for urgent work that is likely to come next. */
 static void hold_headroom(struct pass *p)
 {
-	const struct stage *st = learn_next_urgent(p->v->learn, p->v->now_ms);
+	struct stage *st = learn_next_urgent(p->v->learn, p->v->now_ms);
 
-	for (uint32_t k = 0; st && k < HEADROOM_STAGES; k++) {
-		if (pack_choose_all(&p->pack, st, st->step->count,
-				    p->pack.avail))
-			reserve_chosen(p, st);
-		else
-			hold_for(p, st, st->step->count, RANK_URGENT);
-	}
+	for (uint32_t k = 0; st && k < HEADROOM_STAGES; k++)
+		if (pack_choose_all(&p->pack, st, st->step->count, PACK_NOW) ||
+		    pack_hold(&p->pack, st, st->step->count, RANK_URGENT))
+			pack_deduct(&p->pack);
 }
 
 static void place(struct pass *p, const struct candidate *c)
@@ -406,21 +357,21 @@
 	struct pack *k = &p->pack;
 	uint32_t want = stage_waiting(st);
 
-	if (pack_choose_all(k, st, want, k->avail)) {
+	if (pack_choose_all(k, st, want, PACK_NOW)) {
 		start_chosen(p, st);
 		return;
 	}
 	if (!st->step->gang) {
 		/* what fits now; the rest of it stays a candidate */
-		uint32_t n = pack_choose(k, st, want, k->avail, ANY_RACK);
+		uint32_t n = pack_choose_some(k, st, want);
 
 		if (n) {
 			start_chosen(p, st);
 			want -= n;
 		}
 	}
-	if (pack_choose_all(k, st, want, k->soon)) {
-		reserve_chosen(p, st);
+	if (pack_choose_all(k, st, want, PACK_SOON)) {
+		pack_deduct(k);
 		return;
 	}
 	if (make_room(p, c, want))
@@ -431,8 +382,9 @@
 		place(p, c);
 		return;
 	}
-	if (st->step->gang && p->v->now_ms >= st->since_ms + HOLD_AFTER_MS)
-		hold_for(p, st, want, c->rank);
+	if (st->step->gang && p->v->now_ms >= st->since_ms + HOLD_AFTER_MS &&
+	    pack_hold(k, st, want, c->rank))
+		pack_deduct(k);
 }
 
 /*
@@ -500,7 +452,8 @@
 	struct pass p = {.v = v};
 	bool held = false;
 
-	p.value = (struct value_view){.learn = v->learn,
+	p.value = (struct value_view){.pass = ++v->fleet->passes,
+				      .learn = v->learn,
 				      .machine = mean_machine(v->fleet),
 				      .now_ms = v->now_ms,
 				      .stop_ms = v->stop_ms,
@@ -511,6 +464,8 @@
 	stop_unwanted(&p);
 	leave(&p);
 	collect(&p);
+	if (!p.candidates->len)
+		goto out;
 	pack_open(&p.pack, v->fleet, v->now_ms);
 	for (guint i = 0; i < p.candidates->len; i++) {
 		struct candidate *c =
@@ -522,7 +477,9 @@
 		}
 		place(&p, c);
 	}
+	evict_destroy(p.evict);
 	pack_close(&p.pack);
+out:
 	g_array_unref(p.candidates);
 	return p.actions;
 }
--- a/sched/evict.h
+++ b/sched/evict.h
@@ -5,27 +5,28 @@
 #include "sched/pack.h"
 #include "sched/value.h"
 
-struct eviction {
-	bool possible;
-	double loss;	  /* value that is lost by it */
-	GPtrArray *stop;  /* tasks to stop, without the rest of gangs */
-	uint32_t *chosen; /* places, as in struct pack */
-	int rack;	  /* or ANY_RACK */
-};
-
-/* Whether t may be stopped for the stage, when `planned` other tasks of its
- * own stage are to be stopped already. */
-typedef bool (*evict_may_fn)(void *arg, const struct task *t, uint32_t planned);
+/* The runs that could be given up in one pass. */
+struct evict;
 
-struct evict_rules {
-	const struct value_view *value;
-	evict_may_fn may;
-	void *arg;
+/* For whom room is to be made, and at what price. */
+struct claim {
+	uint32_t rank;	   /* only work above it is stopped */
+	bool due;	   /* for a guarantee that leaves no more time */
 	uint64_t await_ms; /* runs that end so soon are waited for; 0: none */
+	double worth;	   /* nothing is done at a higher loss */
+};
+
+/* How room can be made; the places are in the pack's choice. */
+struct eviction {
+	double loss;	 /* value that is lost by it */
+	GPtrArray *stop; /* tasks to stop, without the rest of gangs */
+	int rack;	 /* or ANY_RACK */
 };
 
-void evict_plan(const struct pack *p, const struct evict_rules *r,
-		const struct stage *st, uint32_t want, struct eviction *e);
-void evict_clear(struct eviction *e);
+struct evict *evict_create(struct pack *p, const struct value_view *v);
+void evict_destroy(struct evict *e);
+bool evict_plan(struct evict *e, const struct claim *c, struct stage *st,
+		uint32_t want, struct eviction *out);
+void eviction_clear(struct eviction *e);
 
 #endif
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -67,22 +67,6 @@
 	u->rack_name = g_quark_from_string(u->rack);
 }
 
-/* Add (sign 1) or take away (sign -1) n. */
-void room_add(struct room *r, const struct room *n, int sign)
-{
-	r->cpu_milli += sign * n->cpu_milli;
-	r->memory_mb += sign * n->memory_mb;
-	r->accelerators += sign * n->accelerators;
-}
-
-/* Report whether `have` holds `need`. */
-bool room_holds(const struct room *have, const struct room *need)
-{
-	return have->cpu_milli >= need->cpu_milli &&
-	       have->memory_mb >= need->memory_mb &&
-	       have->accelerators >= need->accelerators;
-}
-
 /* Return what t occupies. */
 struct room task_room(const struct task *t)
 {
@@ -132,11 +116,10 @@
 	return list;
 }
 
-/* Report whether u has the label that s asks for, if it does. */
-bool upstream_has_label(const struct upstream *u, const struct step *s)
+/* Report whether u has this label; 0: none is asked for. */
+bool upstream_has_label(const struct upstream *u, GQuark label)
 {
-	return !*s->label || u->kind_name == s->label_name ||
-	       u->rack_name == s->label_name;
+	return !label || u->kind_name == label || u->rack_name == label;
 }
 
 /* Report whether new work may be placed on u. */
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -31,11 +31,14 @@
 	const struct job
 		*struck_by; /* the last job that failed; not followed */
 	void *keeper;	    /* of the task that talks to it */
+	uint32_t place;	    /* in the present pass of the scheduler */
 };
 
 struct fleet {
 	GPtrArray *list;
 	GHashTable *by_id;
+	uint64_t passes; /* of the scheduler */
+	uint64_t drafts; /* plans to make room */
 };
 
 struct fleet *fleet_create(void);
@@ -49,9 +52,24 @@
 GPtrArray *upstream_take_retries(struct upstream *u);
 
 struct room task_room(const struct task *t);
-bool room_holds(const struct room *have, const struct room *need);
-void room_add(struct room *r, const struct room *n, int sign);
-bool upstream_has_label(const struct upstream *u, const struct step *s);
+
+/* Add (sign 1) or take away (sign -1) n. */
+static inline void room_add(struct room *r, const struct room *n, int sign)
+{
+	r->cpu_milli += sign * n->cpu_milli;
+	r->memory_mb += sign * n->memory_mb;
+	r->accelerators += sign * n->accelerators;
+}
+
+/* Report whether `have` holds `need`. */
+static inline bool room_holds(const struct room *have, const struct room *need)
+{
+	return have->cpu_milli >= need->cpu_milli &&
+	       have->memory_mb >= need->memory_mb &&
+	       have->accelerators >= need->accelerators;
+}
+
+bool upstream_has_label(const struct upstream *u, GQuark label);
 bool upstream_usable(const struct upstream *u, uint64_t now_ms);
 
 void upstream_note_failure(struct upstream *u, const struct job *j,
--- a/sched/learn.c
+++ b/sched/learn.c
@@ -184,9 +184,9 @@
  * Return an urgent stage as large as two thirds of those that came of
  * late, or NULL when too few came to expect another.
  */
-const struct stage *learn_next_urgent(const struct learn *l, uint64_t now_ms)
+struct stage *learn_next_urgent(struct learn *l, uint64_t now_ms)
 {
-	const struct arrival *list[URGENT_MOST];
+	struct arrival *list[URGENT_MOST];
 	uint32_t n = 0;
 
 	for (uint32_t i = 0; i < URGENT_MOST; i++)
--- a/sched/learn.h
+++ b/sched/learn.h
@@ -16,7 +16,7 @@
 uint64_t learn_duration_ms(const struct learn *l, const struct job *j,
 			   uint32_t step);
 void learn_urgent(struct learn *l, const struct stage *st, uint64_t now_ms);
-const struct stage *learn_next_urgent(const struct learn *l, uint64_t now_ms);
+struct stage *learn_next_urgent(struct learn *l, uint64_t now_ms);
 void learn_job(struct learn *l, const struct job *j);
 double learn_size(const struct learn *l, const struct job *j);
 
--- a/sched/pack.c
+++ b/sched/pack.c
@@ -4,33 +4,86 @@
 
 #include "sched/pack.h"
 
-/* Return the upstream with this number. */
-struct upstream *pack_upstream(const struct pack *p, uint32_t i)
+/* Demands that did not fit are remembered up to this number. */
+#define MISSES_MOST 64
+/* Free accelerators from the last one on are not told apart when places
+ * are put in order. */
+#define LEFT_MOST 128
+
+/*
+ * A demand that did not fit in this pass.  Room only shrinks during a
+ * pass, so nothing that asks for as much will fit either.
+ */
+struct miss {
+	enum pack_room which;
+	uint32_t rank; /* with PACK_HELD */
+	struct demand demand;
+	uint32_t want;
+	bool one_rack;
+};
+
+static uint64_t mix(uint64_t h, uint64_t v)
 {
-	return g_ptr_array_index(p->fleet->list, i);
+	return (h ^ v) * UINT64_C(0x100000001b3);
 }
 
-static void measure(struct pack *p)
+/* Say what the next choices are for. */
+void pack_demand(struct pack *p, const struct stage *st)
 {
-	for (uint32_t i = 0; i < p->n; i++) {
-		struct upstream *u = pack_upstream(p, i);
-
-		memset(&p->avail[i], 0, sizeof(p->avail[i]));
-		if (upstream_usable(u, p->now_ms)) {
-			p->avail[i] = u->room;
-			room_add(&p->avail[i], &u->used, -1);
-		}
-		p->soon[i] = p->avail[i];
-		if (!upstream_usable(u, p->now_ms))
+	struct demand *d = &p->demand;
+
+	if (d->stage == st)
+		return;
+	p->demand_number++;
+	*d = (struct demand){.stage = st,
+			     .need = task_room(&st->tasks[0]),
+			     .service = st->job->service_name,
+			     .label = *st->step->label ? st->step->label_name
+						       : 0};
+	if (st->job->state == JOB_QUEUED)
+		return;
+	for (uint32_t i = 0; i < st->step->count; i++) {
+		const struct upstream *u = st->tasks[i].failed_at;
+
+		if (!u)
 			continue;
-		for (guint k = 0; k < u->tasks->len; k++) {
-			struct task *t = g_ptr_array_index(u->tasks, k);
-			struct room r = task_room(t);
+		d->barred = true;
+		if (u->place < p->n && p->upstreams[u->place] == u)
+			p->barred_by[u->place] = p->demand_number;
+	}
+}
 
-			if (t->state == TASK_STOPPING)
-				room_add(&p->soon[i], &r, 1);
-		}
+static bool same_or_wider(const struct demand *a, const struct demand *b)
+{
+	return a->service == b->service && (!a->label || a->label == b->label);
+}
+
+static bool known_miss(const struct pack *p, enum pack_room which,
+		       uint32_t rank, uint32_t want, bool one_rack)
+{
+	for (guint i = 0; i < p->misses->len; i++) {
+		const struct miss *m =
+			&g_array_index(p->misses, struct miss, i);
+
+		if (m->which == which && m->rank <= rank && m->want <= want &&
+		    (!m->one_rack || one_rack) &&
+		    same_or_wider(&m->demand, &p->demand) &&
+		    room_holds(&p->demand.need, &m->demand.need))
+			return true;
 	}
+	return false;
+}
+
+/* A stage that may not use every place says nothing of others. */
+static void note_miss(struct pack *p, enum pack_room which, uint32_t rank,
+		      uint32_t want, bool one_rack)
+{
+	struct miss m = {which, rank, p->demand, want, one_rack};
+
+	if (p->demand.barred || p->demand.stage->step->spread ||
+	    p->misses->len >= MISSES_MOST)
+		return;
+	g_array_append_val(p->misses, m);
 }
 
 static uint32_t siblings(const struct upstream *u, const struct stage *st)
@@ -43,17 +96,14 @@
 	return n;
 }
 
-/* Report whether tasks of st may run on u at all. */
-bool pack_suits(const struct stage *st, const struct upstream *u)
+/* Report whether tasks of the demand may run on this place at all. */
+bool pack_suits(const struct pack *p, uint32_t place)
 {
-	if (u->service_name != st->job->service_name ||
-	    !upstream_has_label(u, st->step))
-		return false;
-	for (uint32_t i = 0;
-	     st->job->state != JOB_QUEUED && i < st->step->count; i++)
-		if (st->tasks[i].failed_at == u)
-			return false;
-	return true;
+	const struct upstream *u = p->upstreams[place];
+
+	return u->service_name == p->demand.service &&
+	       p->barred_by[place] != p->demand_number &&
+	       upstream_has_label(u, p->demand.label);
 }
 
 static uint32_t fit_count(const struct room *have, const struct room *need)
@@ -66,207 +116,413 @@
 		n = MIN(n, have->memory_mb / need->memory_mb);
 	if (need->accelerators > 0)
 		n = MIN(n, have->accelerators / need->accelerators);
-	return n < 0 ? 0 : n;
+	return n;
 }
 
-/* Return how many tasks of st `have`, the room of upstream i, can take. */
-uint32_t pack_capacity(const struct pack *p, const struct stage *st, uint32_t i,
+/* Return how many tasks of the demand `have`, room of a place, can take. */
+uint32_t pack_capacity(const struct pack *p, uint32_t place,
 		       const struct room *have)
 {
-	const struct upstream *u = pack_upstream(p, i);
-	struct room need = task_room(&st->tasks[0]);
-	uint32_t n = fit_count(have, &need);
-	uint32_t there;
+	const struct stage *st = p->demand.stage;
+	uint32_t n, there;
 
-	if (!n || !pack_suits(st, u))
+	if (!room_holds(have, &p->demand.need) || !pack_suits(p, place))
 		return 0;
+	n = fit_count(have, &p->demand.need);
 	if (!st->step->spread)
 		return n;
-	there = siblings(u, st);
+	there = siblings(p->upstreams[place], st);
 	return there >= st->step->spread ? 0 : MIN(n, st->step->spread - there);
 }
 
-static int by_left(const void *a, const void *b)
+static const struct room *rooms_of(const struct pack *p, enum pack_room which)
 {
-	const struct pack_slot *x = a, *y = b;
-
-	if (x->left != y->left)
-		return x->left < y->left ? -1 : 1;
-	return x->upstream < y->upstream ? -1 : x->upstream > y->upstream;
-}
-
-/* Return the number of the rack with this name; ANY_RACK: none has it. */
-int pack_rack(const struct pack *p, GQuark name)
-{
-	for (uint32_t r = 0; r < p->racks_len; r++)
-		if (p->racks[r] == name)
-			return (int)r;
-	return ANY_RACK;
+	switch (which) {
+	case PACK_NOW:
+		return p->now;
+	case PACK_SOON:
+		return p->soon;
+	case PACK_HELD:
+		return p->held;
+	}
+	return NULL;
 }
 
-/*
- * Choose upstreams for `want` tasks of st, the tightest first, within a
- * rack or anywhere (ANY_RACK).  Sets p->chosen and returns how many were
- * placed.
- */
-uint32_t pack_choose(struct pack *p, const struct stage *st, uint32_t want,
-		     const struct room *rooms, int rack)
+/* List the places with room for the demand; returns their number. */
+static uint32_t list_slots(struct pack *p, uint32_t want,
+			   const struct room *rooms, int rack)
 {
-	uint32_t n = 0, placed = 0;
+	uint32_t n = 0, from = 0, to = p->n;
 
-	memset(p->chosen, 0, p->n * sizeof(*p->chosen));
-	for (uint32_t i = 0; i < p->n; i++) {
-		struct pack_slot s = {.upstream = i};
+	if (rack != ANY_RACK) {
+		from = p->rack_first[rack];
+		to = p->rack_first[rack + 1];
+	}
+	for (uint32_t k = from; k < to; k++) {
+		uint32_t i = rack == ANY_RACK ? k : p->rack_places[k];
+		struct pack_slot s = {.place = i};
 
-		if (rack != ANY_RACK && p->rack[i] != (uint32_t)rack)
-			continue;
-		s.count = pack_capacity(p, st, i, &rooms[i]);
+		s.count = pack_capacity(p, i, &rooms[i]);
 		if (!s.count)
 			continue;
 		s.left = rooms[i].accelerators -
-			 MIN(s.count, want) * st->step->need.accelerators;
+			 MIN(s.count, want) * p->demand.need.accelerators;
 		p->slots[n++] = s;
 	}
-	qsort(p->slots, n, sizeof(*p->slots), by_left);
+	return n;
+}
+
+static uint32_t left_class(const struct pack_slot *s)
+{
+	return CLAMP(s->left, 0, LEFT_MOST - 1);
+}
+
+/* Choose among n slots, the tightest first; returns how many it placed. */
+static uint32_t choose_slots(struct pack *p, uint32_t n, uint32_t want)
+{
+	uint32_t first[LEFT_MOST + 1] = {0}, placed = 0;
+	struct pack_slot *sorted = p->slots + p->n;
+
+	for (uint32_t k = 0; k < n; k++)
+		first[left_class(&p->slots[k]) + 1]++;
+	for (uint32_t c = 0; c < LEFT_MOST; c++)
+		first[c + 1] += first[c];
+	for (uint32_t k = 0; k < n; k++)
+		sorted[first[left_class(&p->slots[k])]++] = p->slots[k];
 	for (uint32_t k = 0; k < n && placed < want; k++) {
-		uint32_t c = MIN(p->slots[k].count, want - placed);
+		struct pack_slot s = sorted[k];
 
-		p->chosen[p->slots[k].upstream] = c;
-		placed += c;
+		s.count = MIN(s.count, want - placed);
+		p->chosen[p->chosen_len++] = s;
+		placed += s.count;
 	}
 	return placed;
 }
 
-/* What each rack could take of a stage, and has free. */
-struct rack_sum {
-	uint64_t fits;
-	int64_t free;
-};
+static uint32_t choose_within(struct pack *p, uint32_t want,
+			      const struct room *rooms, int rack)
+{
+	p->chosen_len = 0;
+	return choose_slots(p, list_slots(p, want, rooms, rack), want);
+}
 
-static void sum_racks(const struct pack *p, const struct stage *st,
-		      const struct room *rooms, struct rack_sum *sums)
+/*
+ * Choose free places for up to `want` tasks of st, the tightest first.
+ * Sets p->chosen and returns how many were placed.
+ */
+uint32_t pack_choose_some(struct pack *p, struct stage *st, uint32_t want)
 {
-	memset(sums, 0, p->racks_len * sizeof(*sums));
-	for (uint32_t i = 0; i < p->n; i++) {
-		sums[p->rack[i]].fits += pack_capacity(p, st, i, &rooms[i]);
-		sums[p->rack[i]].free += MAX(rooms[i].accelerators, 0);
-	}
+	uint32_t n;
+
+	pack_demand(p, st);
+	p->chosen_len = 0;
+	if (known_miss(p, PACK_NOW, 0, 1, false))
+		return 0;
+	n = choose_within(p, want, p->now, ANY_RACK);
+	if (!n)
+		note_miss(p, PACK_NOW, 0, 1, false);
+	return n;
 }
 
 /*
  * Return the rack with the least free accelerators that takes all `want`
- * tasks of st, or ANY_RACK when there is none.
+ * tasks of the demand, or ANY_RACK when there is none.
  */
-static int best_rack(struct pack *p, const struct stage *st, uint32_t want,
+static int best_rack(const struct pack *p, uint32_t want,
 		     const struct room *rooms)
 {
-	struct rack_sum *sums = g_new(struct rack_sum, p->racks_len + 1);
+	int64_t best_free = INT64_MAX;
 	int best = ANY_RACK;
 
-	sum_racks(p, st, rooms, sums);
-	for (uint32_t r = 0; r < p->racks_len; r++)
-		if (sums[r].fits >= want &&
-		    (best == ANY_RACK || sums[r].free < sums[best].free))
-			best = (int)r;
-	g_free(sums);
+	for (uint32_t r = 0; r < p->racks_len; r++) {
+		uint64_t fits = 0;
+		int64_t left = 0;
+
+		for (uint32_t k = p->rack_first[r]; k < p->rack_first[r + 1];
+		     k++) {
+			uint32_t i = p->rack_places[k];
+
+			fits += pack_capacity(p, i, &rooms[i]);
+			left += MAX(rooms[i].accelerators, 0);
+		}
+		if (fits < want || left >= best_free)
+			continue;
+		best = (int)r;
+		best_free = left;
+	}
 	return best;
 }
 
-/* Report whether any rack could hold the stage if it were empty. */
-static bool rack_could_hold(const struct pack *p, const struct stage *st)
+/* Report whether any rack could hold the demand if it were empty. */
+static bool rack_could_hold(const struct pack *p)
 {
-	uint64_t *fits = g_new0(uint64_t, p->racks_len + 1);
-	bool could = false;
+	for (uint32_t r = 0; r < p->racks_len; r++) {
+		uint64_t fits = 0;
 
-	for (uint32_t i = 0; i < p->n; i++) {
-		const struct upstream *u = pack_upstream(p, i);
+		for (uint32_t k = p->rack_first[r]; k < p->rack_first[r + 1];
+		     k++) {
+			const struct upstream *u =
+				p->upstreams[p->rack_places[k]];
 
-		if (u->state == UPSTREAM_READY)
-			fits[p->rack[i]] += pack_capacity(p, st, i, &u->room);
+			if (u->state == UPSTREAM_READY)
+				fits += pack_capacity(p, p->rack_places[k],
+						      &u->room);
+		}
+		if (fits >= p->demand.stage->step->count)
+			return true;
 	}
-	for (uint32_t r = 0; r < p->racks_len; r++)
-		could |= fits[r] >= st->step->count;
-	g_free(fits);
-	return could;
+	return false;
 }
 
-/* Report whether st is to run on one rack. */
-bool pack_needs_rack(const struct pack *p, const struct stage *st)
+/* Report whether st, the demand, is to run on one rack. */
+bool pack_needs_rack(const struct pack *p, struct stage *st)
 {
-	return st->step->gang && st->step->one_rack && !st->any_rack &&
-	       rack_could_hold(p, st);
+	uint64_t shape;
+
+	if (!st->step->gang || !st->step->one_rack || st->any_rack)
+		return false;
+	shape = mix(p->shape, st->failures); /* it avoids where it failed */
+	if (st->rack_shape != shape) {
+		st->rack_shape = shape;
+		st->rack_holds = rack_could_hold(p);
+	}
+	return st->rack_holds;
 }
 
-/* Choose places for all `want` tasks; false when `rooms` are too small. */
-bool pack_choose_all(struct pack *p, const struct stage *st, uint32_t want,
-		     const struct room *rooms)
+static bool choose_all(struct pack *p, struct stage *st, uint32_t want,
+		       enum pack_room which, uint32_t rank)
 {
+	const struct room *rooms = rooms_of(p, which);
+	bool one_rack;
 	int rack = ANY_RACK;
+	uint32_t placed = 0;
 
-	if (*st->step->data_rack) {
-		rack = pack_rack(p, st->step->data_rack_name);
-		if (rack != ANY_RACK &&
-		    pack_choose(p, st, want, rooms, rack) == want)
-			return true;
-		rack = ANY_RACK;
-	}
-	if (pack_needs_rack(p, st)) {
-		rack = best_rack(p, st, want, rooms);
+	pack_demand(p, st);
+	one_rack = pack_needs_rack(p, st);
+	if (known_miss(p, which, rank, want, one_rack))
+		return false;
+	if (one_rack) {
+		rack = best_rack(p, want, rooms);
 		if (rack == ANY_RACK)
-			return false;
+			goto out;
 	}
-	return pack_choose(p, st, want, rooms, rack) == want;
+	placed = choose_within(p, want, rooms, rack);
+out:
+	if (placed < want)
+		note_miss(p, which, rank, want, one_rack);
+	return placed == want;
+}
+
+/* Return the number of the rack with this name; ANY_RACK: none has it. */
+static int find_rack(const struct pack *p, GQuark name)
+{
+	for (uint32_t r = 0; r < p->racks_len; r++)
+		if (p->racks[r] == name)
+			return (int)r;
+	return ANY_RACK;
+}
+
+/* Choose places near the data of st; false: there is no room for all. */
+static bool choose_near_data(struct pack *p, struct stage *st, uint32_t want,
+			     enum pack_room which)
+{
+	int rack;
+
+	if (!*st->step->data_rack)
+		return false;
+	pack_demand(p, st);
+	rack = find_rack(p, st->step->data_rack_name);
+	return rack != ANY_RACK &&
+	       choose_within(p, want, rooms_of(p, which), rack) == want;
+}
+
+/* Choose places for all `want` tasks; false when the room is too small. */
+bool pack_choose_all(struct pack *p, struct stage *st, uint32_t want,
+		     enum pack_room which)
+{
+	return choose_near_data(p, st, want, which) ||
+	       choose_all(p, st, want, which, 0);
 }
 
-/* Take the chosen places, `need` for each task, out of the free room. */
-void pack_deduct(const struct pack *p, const struct room *need)
+/* Measure what the work above a rank occupies. */
+static const struct room *lower_work(struct pack *p, uint32_t rank)
 {
+	struct room *sums = p->lower[rank];
+
+	if (sums)
+		return sums;
+	sums = p->lower[rank] = g_new0(struct room, p->n + 1);
 	for (uint32_t i = 0; i < p->n; i++) {
-		for (uint32_t k = 0; k < p->chosen[i]; k++) {
-			room_add(&p->avail[i], need, -1);
-			room_add(&p->soon[i], need, -1);
+		const struct upstream *u = p->upstreams[i];
+
+		for (guint k = 0; p->usable[i] && k < u->tasks->len; k++) {
+			const struct task *t = g_ptr_array_index(u->tasks, k);
+			struct room r = task_room(t);
+
+			if (t->state != TASK_STOPPING &&
+			    t->stage->job->rank > rank)
+				room_add(&sums[i], &r, 1);
 		}
 	}
+	return sums;
 }
 
-static void number_racks(struct pack *p)
+/*
+ * Choose places for `want` tasks of st where there would be room without
+ * the work above a rank; false when there are too few.
+ */
+bool pack_hold(struct pack *p, struct stage *st, uint32_t want, uint32_t rank)
 {
+	const struct room *lower;
+
+	rank = MIN(rank, PACK_RANKS - 1);
+	pack_demand(p, st);
+	if (known_miss(p, PACK_HELD, rank, want, pack_needs_rack(p, st)))
+		return false;
+	lower = lower_work(p, rank);
 	for (uint32_t i = 0; i < p->n; i++) {
-		GQuark name = pack_upstream(p, i)->rack_name;
-		int r = pack_rack(p, name);
+		p->held[i] = p->soon[i];
+		room_add(&p->held[i], &lower[i], 1);
+	}
+	return choose_near_data(p, st, want, PACK_HELD) ||
+	       choose_all(p, st, want, PACK_HELD, rank);
+}
 
-		if (r == ANY_RACK) {
-			r = (int)p->racks_len;
-			p->racks[p->racks_len++] = name;
+/* Keep the chosen places free of other demands for the rest of the pass. */
+void pack_deduct(struct pack *p)
+{
+	for (uint32_t k = 0; k < p->chosen_len; k++) {
+		const struct pack_slot *s = &p->chosen[k];
+
+		for (uint32_t c = 0; c < s->count; c++) {
+			room_add(&p->now[s->place], &p->demand.need, -1);
+			room_add(&p->soon[s->place], &p->demand.need, -1);
 		}
-		p->rack[i] = r;
 	}
 }
 
+/* Note that t is stopped in this pass, for room that is kept already. */
+void pack_note_stop(struct pack *p, const struct task *t)
+{
+	struct room r = task_room(t);
+
+	if (t->at->place >= p->n || p->upstreams[t->at->place] != t->at)
+		return;
+	for (uint32_t rank = 0; rank < MIN(t->stage->job->rank, PACK_RANKS);
+	     rank++)
+		if (p->lower[rank])
+			room_add(&p->lower[rank][t->at->place], &r, -1);
+}
+
+static void measure(struct pack *p, uint32_t i)
+{
+	const struct upstream *u = p->upstreams[i];
+
+	p->usable[i] = upstream_usable(u, p->now_ms);
+	if (!p->usable[i])
+		return;
+	p->now[i] = u->room;
+	room_add(&p->now[i], &u->used, -1);
+	p->soon[i] = p->now[i];
+	for (guint k = 0; k < u->tasks->len; k++) {
+		const struct task *t = g_ptr_array_index(u->tasks, k);
+		struct room r = task_room(t);
+
+		if (t->state == TASK_STOPPING)
+			room_add(&p->soon[i], &r, 1);
+	}
+}
+
+static void add_place(struct pack *p, struct upstream *u)
+{
+	u->place = p->n++;
+	p->upstreams[u->place] = u;
+	p->shape = mix(p->shape, u->rack_name);
+	p->shape = mix(p->shape, u->service_name);
+	p->shape = mix(p->shape, u->kind_name);
+	p->shape = mix(p->shape, u->state);
+	p->shape = mix(p->shape, u->room.cpu_milli);
+	p->shape = mix(p->shape, u->room.memory_mb);
+	p->shape = mix(p->shape, u->room.accelerators);
+	measure(p, u->place);
+}
+
+static void number_racks(struct pack *p)
+{
+	GHashTable *numbers = g_hash_table_new(NULL, NULL);
+
+	for (uint32_t i = 0; i < p->n; i++) {
+		gpointer name = GUINT_TO_POINTER(p->upstreams[i]->rack_name);
+		gpointer number;
+
+		if (!g_hash_table_lookup_extended(numbers, name, NULL,
+						  &number)) {
+			number = GUINT_TO_POINTER(p->racks_len);
+			g_hash_table_insert(numbers, name, number);
+			p->racks[p->racks_len++] = p->upstreams[i]->rack_name;
+		}
+		p->rack[i] = GPOINTER_TO_UINT(number);
+		p->rack_first[p->rack[i] + 1]++;
+	}
+	for (uint32_t r = 0; r < p->racks_len; r++)
+		p->rack_first[r + 1] += p->rack_first[r];
+	for (uint32_t i = 0; i < p->n; i++)
+		p->rack_places[p->rack_first[p->rack[i]]++] = i;
+	/* each has moved on to where the next one begins */
+	for (uint32_t r = p->racks_len; r > 0; r--)
+		p->rack_first[r] = p->rack_first[r - 1];
+	p->rack_first[0] = 0;
+	g_hash_table_destroy(numbers);
+}
+
 /* Begin a pass over f: measure what is free. */
 void pack_open(struct pack *p, struct fleet *f, uint64_t now_ms)
 {
+	uint32_t most = f->list->len;
+
+	memset(p, 0, sizeof(*p));
 	p->fleet = f;
 	p->now_ms = now_ms;
-	p->n = f->list->len;
-	p->avail = g_new0(struct room, p->n + 1);
-	p->soon = g_new0(struct room, p->n + 1);
-	p->chosen = g_new0(uint32_t, p->n + 1);
-	p->slots = g_new0(struct pack_slot, p->n + 1);
-	p->racks = g_new0(GQuark, p->n + 1);
-	p->rack = g_new0(uint32_t, p->n + 1);
-	p->racks_len = 0;
+	p->shape = 1;
+	p->upstreams = g_new(struct upstream *, most + 1);
+	p->usable = g_new0(bool, most + 1);
+	p->now = g_new0(struct room, most + 1);
+	p->soon = g_new0(struct room, most + 1);
+	p->held = g_new0(struct room, most + 1);
+	p->barred_by = g_new0(uint64_t, most + 1);
+	p->racks = g_new0(GQuark, most + 1);
+	p->rack = g_new0(uint32_t, most + 1);
+	p->rack_first = g_new0(uint32_t, most + 2);
+	p->rack_places = g_new0(uint32_t, most + 1);
+	p->slots = g_new(struct pack_slot, 2 * most + 1);
+	p->chosen = g_new(struct pack_slot, most + 1);
+	p->misses = g_array_new(FALSE, FALSE, sizeof(struct miss));
+	for (uint32_t i = 0; i < most; i++) {
+		struct upstream *u = g_ptr_array_index(f->list, i);
+
+		u->place = UINT32_MAX;
+		if (u->state != UPSTREAM_GONE)
+			add_place(p, u);
+	}
 	number_racks(p);
-	measure(p);
 }
 
 /* Free what the pass has used. */
 void pack_close(struct pack *p)
 {
-	g_free(p->avail);
+	g_free(p->upstreams);
+	g_free(p->usable);
+	g_free(p->now);
 	g_free(p->soon);
-	g_free(p->chosen);
-	g_free(p->slots);
+	g_free(p->held);
+	g_free(p->barred_by);
 	g_free(p->racks);
 	g_free(p->rack);
+	g_free(p->rack_first);
+	g_free(p->rack_places);
+	g_free(p->slots);
+	g_free(p->chosen);
+	g_array_unref(p->misses);
+	for (uint32_t rank = 0; rank < PACK_RANKS; rank++)
+		g_free(p->lower[rank]);
 }
--- a/sched/pack.h
+++ b/sched/pack.h
@@ -6,39 +6,71 @@
 
 /* In place of a rack: any. */
 #define ANY_RACK (-1)
+/* Ranks from the last one on are not told apart when room is kept. */
+#define PACK_RANKS 8
+
+/* Which room to look at. */
+enum pack_room {
+	PACK_NOW,  /* free now */
+	PACK_SOON, /* free once what is being stopped has ended */
+	PACK_HELD, /* and without the work of lower ranks */
+};
 
 /* A place for `count` tasks. */
 struct pack_slot {
-	uint32_t upstream;
+	uint32_t place;
 	uint32_t count;
 	int64_t left; /* accelerators that stay free when all is filled */
 };
 
+/* What a stage asks for. */
+struct demand {
+	const struct stage *stage;
+	struct room need;
+	GQuark service;
+	GQuark label;
+	bool barred; /* its tasks have failed somewhere */
+};
+
+/* A place is an upstream that is listed; its number is an index. */
 struct pack {
 	struct fleet *fleet;
 	uint64_t now_ms;
-	uint32_t n;	    /* upstreams */
-	struct room *avail; /* free now */
-	struct room *soon;  /* free once what is being stopped has ended */
+	uint32_t n;
+	struct upstream **upstreams;
+	bool *usable;
+	struct room *now;
+	struct room *soon;
+	struct room *held;   /* scratch of pack_hold */
+	uint64_t *barred_by; /* number of the demand that may not use it */
+	uint64_t demand_number;
+	struct demand demand;
 	uint32_t racks_len;
-	GQuark *racks;		 /* names, in the order of first members */
-	uint32_t *rack;		 /* of each upstream: index into racks */
-	struct pack_slot *slots; /* scratch of a choice */
-	uint32_t *chosen; /* of the last choice: tasks for each upstream */
+	GQuark *racks;	      /* names */
+	uint32_t *rack;	      /* of each place: index into racks */
+	uint32_t *rack_first; /* into rack_places, racks_len + 1 of them */
+	uint32_t *rack_places;
+	struct room *lower[PACK_RANKS]; /* work above this rank; NULL: not
+					 * measured yet */
+	uint64_t shape;		  /* of racks and machines: changes with them */
+	struct pack_slot *slots;  /* scratch of a choice */
+	struct pack_slot *chosen; /* the last choice */
+	uint32_t chosen_len;
+	GArray *misses; /* demands that did not fit in this pass */
 };
 
 void pack_open(struct pack *p, struct fleet *f, uint64_t now_ms);
 void pack_close(struct pack *p);
-struct upstream *pack_upstream(const struct pack *p, uint32_t i);
-bool pack_suits(const struct stage *st, const struct upstream *u);
-uint32_t pack_capacity(const struct pack *p, const struct stage *st, uint32_t i,
+void pack_demand(struct pack *p, const struct stage *st);
+bool pack_suits(const struct pack *p, uint32_t place);
+uint32_t pack_capacity(const struct pack *p, uint32_t place,
 		       const struct room *have);
-uint32_t pack_choose(struct pack *p, const struct stage *st, uint32_t want,
-		     const struct room *rooms, int rack);
-bool pack_choose_all(struct pack *p, const struct stage *st, uint32_t want,
-		     const struct room *rooms);
-bool pack_needs_rack(const struct pack *p, const struct stage *st);
-int pack_rack(const struct pack *p, GQuark name);
-void pack_deduct(const struct pack *p, const struct room *need);
+uint32_t pack_choose_some(struct pack *p, struct stage *st, uint32_t want);
+bool pack_choose_all(struct pack *p, struct stage *st, uint32_t want,
+		     enum pack_room which);
+bool pack_hold(struct pack *p, struct stage *st, uint32_t want, uint32_t rank);
+bool pack_needs_rack(const struct pack *p, struct stage *st);
+void pack_deduct(struct pack *p);
+void pack_note_stop(struct pack *p, const struct task *t);
 
 #endif
--- a/sched/value.c
+++ b/sched/value.c
@@ -21,12 +21,6 @@
 /* Progress of less than this many percent tells nothing yet. */
 #define PERCENT_LEAST 4
 
-/* Return how long st is expected to run on one rack near its data. */
-uint64_t value_stage_ms(const struct value_view *v, const struct stage *st)
-{
-	return learn_duration_ms(v->learn, st->job, st->step_index);
-}
-
 /* The longest chain of steps that ends with step i. */
 static uint64_t chain_ms(const struct value_view *v, const struct job *j,
 			 uint32_t i)
@@ -61,77 +55,90 @@
 	return after + learn_duration_ms(v->learn, j, i);
 }
 
-/* Return the expected time from the start of st to the end of its job. */
-uint64_t value_rest_ms(const struct value_view *v, const struct stage *st)
-{
-	return rest_from(v, st->job, st->step_index);
-}
-
 static uint64_t begun_ms(const struct stage *st)
 {
 	/* the objective of an occurrence counts from its own time */
 	return st->job->repeat ? st->since_ms : st->job->since_ms;
 }
 
-/* Return for how long st can wait and its job still end in time. */
-int64_t value_spare_ms(const struct value_view *v, const struct stage *st)
+/* The share of a mean upstream that a task of st takes. */
+static double share(const struct value_view *v, const struct stage *st)
 {
-	return (int64_t)(begun_ms(st) + value_objective_ms(v, st->job)) -
-	       (int64_t)(v->now_ms + value_rest_ms(v, st));
+	const struct room *n = &st->step->need, *m = &v->machine;
+	double most = 0.001;
+
+	if (m->cpu_milli)
+		most = MAX(most, (double)n->cpu_milli / m->cpu_milli);
+	if (m->memory_mb)
+		most = MAX(most, (double)n->memory_mb / m->memory_mb);
+	if (m->accelerators)
+		most = MAX(most, (double)n->accelerators / m->accelerators);
+	return MIN(most, 1);
 }
 
-/* Return what j is worth when it ends in time, or late. */
-double value_of(const struct value_view *v, const struct job *j, bool late)
+static double worth(const struct value_view *v, const struct job *j)
 {
 	double base = j->priority == 0	 ? VALUE_URGENT
 		      : j->priority == 1 ? VALUE_SECOND
 					 : VALUE_OTHER;
 	double size = VALUE_FIXED + (1 - VALUE_FIXED) * learn_size(v->learn, j);
 
-	return base * MIN(size, SIZE_MOST) * (late ? LATE_SHARE : 1);
+	return base * MIN(size, SIZE_MOST);
+}
+
+/* Return what is known of st in this pass. */
+static const struct stage_value *value_of(const struct value_view *v,
+					  struct stage *st)
+{
+	struct stage_value *k = &st->value;
+
+	if (k->pass == v->pass)
+		return k;
+	k->pass = v->pass;
+	k->run_ms = learn_duration_ms(v->learn, st->job, st->step_index);
+	k->objective_ms = value_objective_ms(v, st->job);
+	k->rest_ms = rest_from(v, st->job, st->step_index);
+	k->spare_ms = (int64_t)(begun_ms(st) + k->objective_ms) -
+		      (int64_t)(v->now_ms + k->rest_ms);
+	k->in_time = worth(v, st->job);
+	k->late = k->in_time * LATE_SHARE;
+	k->share = share(v, st);
+	k->gang_loss = -1;
+	return k;
+}
+
+/* Return for how long st can wait and its job still end in time. */
+int64_t value_spare_ms(const struct value_view *v, struct stage *st)
+{
+	return value_of(v, st)->spare_ms;
 }
 
 /* Return what is gained by starting st now rather than too late. */
-double value_gain(const struct value_view *v, const struct stage *st)
+double value_gain(const struct value_view *v, struct stage *st)
 {
-	double gain = value_of(v, st->job, false) - value_of(v, st->job, true);
-	int64_t spare = value_spare_ms(v, st);
+	const struct stage_value *k = value_of(v, st);
+	double gain = k->in_time - k->late;
 
-	if (spare >= (int64_t)v->stop_ms)
+	if (k->spare_ms >= (int64_t)v->stop_ms)
 		return gain;
 	/* durations are uncertain: it may end in time nevertheless */
-	if (spare + (int64_t)value_stage_ms(v, st) / 4 >= (int64_t)v->stop_ms)
+	if (k->spare_ms + (int64_t)k->run_ms / 4 >= (int64_t)v->stop_ms)
 		return gain / 3;
 	return 0;
 }
 
-/* The share of a mean upstream that a task of st takes. */
-static double share(const struct value_view *v, const struct stage *st)
-{
-	const struct room *n = &st->step->need, *m = &v->machine;
-	double most = 0.001;
-
-	if (m->cpu_milli)
-		most = MAX(most, (double)n->cpu_milli / m->cpu_milli);
-	if (m->memory_mb)
-		most = MAX(most, (double)n->memory_mb / m->memory_mb);
-	if (m->accelerators)
-		most = MAX(most, (double)n->accelerators / m->accelerators);
-	return MIN(most, 1);
-}
-
 /* Return the value that st can still earn for a second of an upstream. */
-double value_density(const struct value_view *v, const struct stage *st)
+double value_density(const struct value_view *v, struct stage *st)
 {
-	uint64_t late =
-		begun_ms(st) + LATE_TIMES * value_objective_ms(v, st->job);
-	uint64_t rest = value_rest_ms(v, st);
-	double seconds = MAX(rest, 1) / 1000.0 * share(v, st) * st->step->count;
-
-	if (value_spare_ms(v, st) >= 0)
-		return value_of(v, st->job, false) / seconds;
-	if (v->now_ms + rest <= late)
-		return value_of(v, st->job, true) / seconds;
+	const struct stage_value *k = value_of(v, st);
+	uint64_t late = begun_ms(st) + LATE_TIMES * k->objective_ms;
+	double seconds =
+		MAX(k->rest_ms, 1) / 1000.0 * k->share * st->step->count;
+
+	if (k->spare_ms >= 0)
+		return k->in_time / seconds;
+	if (v->now_ms + k->rest_ms <= late)
+		return k->late / seconds;
 	return 0;
 }
 
@@ -139,7 +146,7 @@
 uint64_t value_left_ms(const struct value_view *v, const struct task *t)
 {
 	uint64_t ran = v->now_ms - MIN(t->placed_ms, v->now_ms);
-	uint64_t whole = value_stage_ms(v, t->stage);
+	uint64_t whole = value_of(v, t->stage)->run_ms;
 	uint64_t since = v->now_ms - MIN(t->percent_ms, v->now_ms);
 	uint32_t made = t->percent - MIN(t->percent_first, t->percent);
 	uint64_t left;
@@ -154,28 +161,39 @@
 /* Return what is lost by stopping t, without the rest of its gang. */
 double value_loss(const struct value_view *v, const struct task *t)
 {
+	const struct stage_value *k = value_of(v, t->stage);
 	const struct room *need = &t->stage->step->need;
-	uint64_t ms = v->now_ms - MIN(t->placed_ms, v->now_ms);
+	uint64_t ran = v->now_ms - MIN(t->placed_ms, v->now_ms);
+	uint64_t ms = ran;
 	double loss;
 
 	if (t->stage->step->checkpoints)
 		ms = MIN(ms, v->checkpoint_ms);
 	ms += v->stop_ms;
 	loss = ms / 1000.0 *
-	       (MACHINE_SECOND * share(v, t->stage) +
+	       (MACHINE_SECOND * k->share +
 		CORE_SECOND * (need->cpu_milli / 1000.0 +
 			       need->accelerators * ACCELERATOR_CORES));
 	/* a job that then ends late loses most of its value */
-	if (!t->stage->step->lasting) {
-		int64_t spare =
-			value_spare_ms(v, t->stage) - (int64_t)v->stop_ms;
-		int64_t kept = value_spare_ms(v, t->stage) +
-			       (int64_t)(v->now_ms - t->placed_ms);
-
-		if (spare < 0 && kept >= 0)
-			loss += (value_of(v, t->stage->job, false) -
-				 value_of(v, t->stage->job, true)) /
-				t->stage->step->count;
-	}
+	if (!t->stage->step->lasting && k->spare_ms < (int64_t)v->stop_ms &&
+	    k->spare_ms + (int64_t)ran >= 0)
+		loss += (k->in_time - k->late) / t->stage->step->count;
 	return loss;
 }
+
+/* Return what is lost by stopping t and the rest of its gang. */
+double value_whole_loss(const struct value_view *v, const struct task *t)
+{
+	struct stage *st = t->stage;
+	double sum = 0;
+
+	if (!st->step->gang)
+		return value_loss(v, t);
+	if (value_of(v, st)->gang_loss >= 0)
+		return st->value.gang_loss;
+	for (uint32_t i = 0; i < st->step->count; i++)
+		if (task_active(&st->tasks[i]))
+			sum += value_loss(v, &st->tasks[i]);
+	st->value.gang_loss = sum;
+	return sum;
+}
--- a/sched/work.h
+++ b/sched/work.h
@@ -94,6 +94,19 @@
 
 struct job;
 
+/* What a pass of the scheduler has worked out; it is valid for that pass. */
+struct stage_value {
+	uint64_t pass;
+	uint64_t run_ms;       /* of a task */
+	uint64_t objective_ms; /* of the job */
+	uint64_t rest_ms; /* from the start of the stage to the job's end */
+	int64_t spare_ms; /* it can wait so long and end in time */
+	double in_time;	  /* worth of the job then ... */
+	double late;	  /* ... and when it ends late */
+	double share;	  /* of a mean upstream that a task takes */
+	double gang_loss; /* of stopping a gang; negative: not known */
+};
+
 struct stage {
 	struct job *job;
 	const struct step *step;
@@ -104,8 +117,14 @@
 	uint32_t failed_run; /* the gang's newest run that failed */
 	uint64_t since_ms;   /* its turn has come; 0: not yet */
 	struct task *tasks;
-	GQuark held_rack; /* where room was made for it last; 0: nowhere */
-	bool any_rack;	  /* may span racks though that is slower */
+	GQuark held_rack;    /* where room was made for it last; 0: nowhere */
+	bool any_rack;	     /* may span racks though that is slower */
+	bool rack_holds;     /* a rack could hold it if it were empty ... */
+	uint64_t rack_shape; /* ... when the racks had this shape */
+	struct stage_value value;
+	uint64_t plan_ms;     /* no plan to make room is tried before then */
+	uint64_t draft;	      /* the last plan that gives tasks of it up ... */
+	uint32_t draft_tasks; /* ... and how many */
 };
 
 enum job_state {
