--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -11,6 +11,7 @@
 #include "daemon/joint.h"
 #include "entry/entry.h"
 #include "lead/lead.h"
+#include "lead/succession.h"
 #include "lead/record.h"
 #include "lib/log.h"
 #include "peer/relay.h"
@@ -18,9 +19,12 @@
 
 /* How long one call of a feed is held by the store. */
 #define FEED_WAIT_MS 500
+#define OWNER_WAIT_MS 300 /* a beat of the leader */
 /* Pause between an answer of the feed of the owner row, which changes all
- * the time, and the next call. */
-#define OWNER_GAP_MS 400
+ * the time, and the next call: a strong instance is to claim as soon as
+ * the leader is lost, others only when no strong one does. */
+#define OWNER_GAP_MS 150
+#define OWNER_GAP_WEAK_MS 900
 /* Time for an answer to the write of our own row. */
 #define ENROL_MS 1000
 /* Pause between an answer of the feed of jobs and the next call: counts of
@@ -29,6 +33,10 @@
 /* An instance whose newest answer of the store is older is not ready. */
 #define READY_AGE_MS 1300
 #define STOP_POLL_MS 20
+/* A round of the loop that takes longer is logged: answers wait meanwhile,
+ * and the leases that a leader extends. */
+#define LONG_TURN_LEADER_US 20000
+#define LONG_TURN_US 100000
 /* After SIGTERM, listen for this long beyond the time in which the
  * balancer notices. */
 #define DRAIN_SLACK_MS 400
@@ -97,6 +105,12 @@
 			   rows_outcome_name(a->outcome));
 }
 
+static uint32_t strength(const struct joint *j)
+{
+	return succession_strength(j->settings->processor_share,
+				   j->settings->link_mbps);
+}
+
 /* Say where peers find this instance, now and then again. */
 static void enrol(struct joint *j)
 {
@@ -112,6 +126,7 @@
 	j->enrolling = true;
 	g_strlcpy(p.domain, j->settings->domain, sizeof(p.domain));
 	p.written_ms = follower_store_ms(j->owners);
+	p.strength = strength(j);
 	value = peer_encode(&p);
 	key = g_strconcat(KEY_INSTANCE, j->settings->instance, NULL);
 	t = rows_tx_create(LEADER_PART);
@@ -124,6 +139,13 @@
 	free(value);
 }
 
+static uint32_t stronger(void *arg)
+{
+	struct joint *j = arg;
+
+	return relay_stronger(j->relay, strength(j));
+}
+
 static void owner_answered(void *arg)
 {
 	struct joint *j = arg;
@@ -189,6 +211,22 @@
 		       0);
 }
 
+/* Count what a round of the loop took, and say so of a long one. */
+static void on_turn(void *arg, const struct turn *t)
+{
+	struct joint *j = arg;
+	uint64_t us = t->sockets_us + t->timers_us;
+
+	latency_add(j->counters, "turn", us);
+	if (MAX(us, t->late_us) >
+	    (lead_leads(j->lead) ? LONG_TURN_LEADER_US : LONG_TURN_US))
+		log_fields(LOG_INFO, "turn_long", "{s:I,s:I,s:I,s:b}",
+			   "sockets_us", (json_int_t)t->sockets_us, "timers_us",
+			   (json_int_t)t->timers_us, "late_us",
+			   (json_int_t)t->late_us, "leads",
+			   lead_leads(j->lead));
+}
+
 static void on_metrics(void *arg, struct http_exchange *x)
 {
 	struct joint *j = arg;
@@ -282,8 +320,10 @@
 
 	j->owners =
 		follower_create(j->loop, j->rows, OWNER_TABLE,
-				follower_one_part, FEED_WAIT_MS, &owners, j);
-	follower_set_gap(j->owners, OWNER_GAP_MS);
+				follower_one_part, OWNER_WAIT_MS, &owners, j);
+	follower_set_gap(j->owners, strength(j) == STRENGTH_FULL
+					    ? OWNER_GAP_MS
+					    : OWNER_GAP_WEAK_MS);
 	j->jobs = follower_create(j->loop, j->rows, JOB_TABLE, job_parts,
 				  FEED_WAIT_MS, &jobs, j);
 	j->states =
@@ -319,6 +359,7 @@
 		return false;
 	j->rows = rows_create(relay_call, j->relay);
 	timer_init(&j->stop_timer, on_stopping, j);
+	loop_on_turn(j->loop, on_turn, j);
 	loop_on_signal(j->loop, on_signal, j);
 	follow(j);
 	ee = (struct entry_env){.loop = j->loop,
@@ -336,7 +377,10 @@
 			       .owners = j->owners,
 			       .jobs = j->jobs,
 			       .states = j->states,
-			       .incarnation = j->incarnation};
+			       .incarnation = j->incarnation,
+			       .strength = strength(j),
+			       .stronger = stronger,
+			       .arg = j};
 	j->lead = lead_create(&le);
 	j->entry = entry_create(&ee);
 	j->readiness = http_server_create(j->loop, &s->readiness, 1024,
--- a/lead/lead.c
+++ b/lead/lead.c
@@ -9,6 +9,7 @@
 #include "lead/keeper.h"
 #include "lead/lead.h"
 #include "lead/owner.h"
+#include "lead/succession.h"
 #include "lib/log.h"
 
 /* Jobs in one write: the platform takes 100 entries, two are the owner
@@ -19,11 +20,6 @@
 #define SLOW_WRITE_MS 50
 /* A decision that takes longer than this is logged. */
 #define SLOW_PASS_MS 50
-/* An instance with less of a core, or of a link, than this claims the
- * leadership later, by up to HANDICAP_MS. */
-#define STRONG_PROCESSOR 0.25
-#define STRONG_LINK_MBPS 100.0
-#define HANDICAP_MS 1000
 /* How often to look for rows that are not needed any more. */
 #define REMOVE_EVERY_MS 2000
 /* How long a call of a feed is held by the store. */
@@ -42,6 +38,7 @@
 struct lead {
 	struct lead_env env;
 	struct owner *owner;
+	struct succession succession;
 	struct keeper_env keepers;
 	const struct policy *policy;
 	bool leading; /* the model is complete */
@@ -73,6 +70,7 @@
 static void stop_leading(struct lead *d)
 {
 	d->leading = false;
+	succession_lost(&d->succession);
 	timer_stop(d->env.loop, &d->work);
 	follower_destroy(d->specs);
 	follower_destroy(d->runs);
@@ -261,6 +259,7 @@
 	d->model = model_create();
 	d->keepers.model = d->model;
 	d->leading = true;
+	succession_gained(&d->succession, clock_mono_ms());
 	follower_each(d->upstreams, "", upstream_row, d);
 	follower_each(d->specs, "", build_spec, d);
 	follower_destroy(d->runs);
@@ -586,6 +585,19 @@
 		record(d);
 }
 
+/* Give the leadership away with the next write if others suit it better. */
+static void yield_to_stronger(struct lead *d)
+{
+	uint32_t n = d->env.stronger(d->env.arg);
+
+	if (!succession_yields(&d->succession, n, clock_mono_ms()))
+		return;
+	log_fields(LOG_INFO, "leadership_yielded", "{s:I,s:i,s:i}", "epoch",
+		   (json_int_t)owner_epoch(d->owner), "strength",
+		   (int)d->env.strength, "stronger_peers", (int)n);
+	owner_yield(d->owner);
+}
+
 static void on_beat(void *arg)
 {
 	struct lead *d = arg;
@@ -594,21 +606,13 @@
 		owner_commit(d->owner, rows_tx_create(LEADER_PART));
 		return;
 	}
+	yield_to_stronger(d);
 	if (clock_mono_ms() >= d->write_after_ms)
 		work(d);
 	if (!owner_writing(d->owner))
 		record(d);
 }
 
-/* Return how much later than a strong instance this one claims. */
-static uint32_t handicap(const struct joint_settings *s)
-{
-	double strength = MIN(s->processor_share / STRONG_PROCESSOR,
-			      s->link_mbps / STRONG_LINK_MBPS);
-
-	return strength < 1 ? (1 - strength) * HANDICAP_MS : 0;
-}
-
 /* Create the task; it leads when the owner row says so. */
 struct lead *lead_create(const struct lead_env *e)
 {
@@ -619,11 +623,12 @@
 				  .beat = on_beat};
 
 	d->env = *e;
+	d->succession.strength = e->strength;
 	d->planned = g_array_new(FALSE, FALSE, sizeof(struct planned_start));
 	d->written = g_array_new(FALSE, FALSE, sizeof(struct planned_start));
 	d->owner = owner_create(e->loop, e->rows, e->counters,
 				e->settings->instance, e->incarnation,
-				handicap(e->settings), &ev, d);
+				succession_handicap_ms(e->strength), &ev, d);
 	timer_init(&d->work, work, d);
 	return d;
 }
--- a/lead/lead.h
+++ b/lead/lead.h
@@ -23,6 +23,10 @@
 	struct follower *jobs;	 /* accepted jobs and wishes to cancel */
 	struct follower *states; /* the state of every job */
 	uint64_t incarnation;
+	uint32_t strength; /* of this instance, in percent */
+	/* how many peers have twice that */
+	uint32_t (*stronger)(void *arg);
+	void *arg;
 };
 
 struct lead *lead_create(const struct lead_env *e);
--- a/lead/model.c
+++ b/lead/model.c
@@ -143,6 +143,19 @@
 	task_end(t, how, checkpoint, now_ms);
 }
 
+/* A run that was taken for lost has ended as done. */
+static void done_after_all(struct task *t, const struct end_row *e,
+			   const struct upstream *u, uint64_t now_ms)
+{
+	uint32_t run = t->run;
+
+	if (task_done_before(t, now_ms))
+		log_fields(LOG_WARN, "run_done_after_all",
+			   "{s:s,s:s,s:I,s:I,s:s}", "job", t->stage->job->id,
+			   "task", e->task, "run", (json_int_t)e->run, "newest",
+			   (json_int_t)run, "upstream", u->id);
+}
+
 static uint64_t apply_ends(struct model *m, struct upstream *u,
 			   const struct order_answer *a, uint64_t now_ms,
 			   uint64_t seen)
@@ -155,8 +168,12 @@
 			continue;
 		seen = e->number;
 		t = model_task(m, e->task);
-		if (t && task_active(t) && t->at == u && t->run == e->run)
+		if (!t)
+			continue;
+		if (task_active(t) && t->at == u && t->run == e->run)
 			end_task(m, t, e->how, e->checkpoint, u, now_ms);
+		else if (e->how == RUN_DONE && e->run <= t->run)
+			done_after_all(t, e, u, now_ms);
 	}
 	return seen;
 }
--- a/lead/owner.c
+++ b/lead/owner.c
@@ -22,6 +22,9 @@
 /* Pause after a refused write. */
 #define REFUSED_PAUSE_MS 40
 #define REFUSED_PAUSE_MAX_MS 250
+/* After it has given the leadership away an instance lets others claim for
+ * this long: the latest claim of an instance that is a little stronger. */
+#define REST_MS 5000
 /* A clock may be slow by one part in this many. */
 #define CLOCK_SLOW_PART 50
 
@@ -45,6 +48,8 @@
 	uint64_t before_ms;	    /* last sign of the leader before us */
 	bool before_gone;	    /* it has certainly ended */
 	bool retiring;
+	bool yielding;	       /* with the next write */
+	uint64_t rests_ms;     /* it claims nothing before then */
 	char *writing;	       /* the text of the write in flight, or NULL */
 	uint64_t write_number; /* tells its answer from an earlier one's */
 	uint64_t first_sent_ms;
@@ -191,7 +196,9 @@
 	o->role = ROLE_LEADS;
 	timer_start(o->loop, &o->timer, BEAT_MS);
 	if (o->retired) {
-		step_down(o, "retired");
+		o->rests_ms = clock_mono_ms() + (o->yielding ? REST_MS : 0);
+		o->yielding = false;
+		step_down(o, "given away");
 		return;
 	}
 	if (before == ROLE_CLAIMS) {
@@ -329,7 +336,7 @@
 	char *value;
 
 	r.sequence = ++o->self.sequence;
-	o->retired = o->retiring;
+	o->retired = o->retiring || o->yielding;
 	if (o->retired)
 		r.instance[0] = '\0';
 	value = owner_encode(&r);
@@ -356,6 +363,12 @@
 	o->retiring = true;
 }
 
+/* Let another instance lead, from the next write on. */
+void owner_yield(struct owner *o)
+{
+	o->yielding = true;
+}
+
 static void claim(struct owner *o, bool before_gone)
 {
 	log_fields(LOG_INFO, "leadership_claim", "{s:s,s:I,s:I,s:b}", "from",
@@ -381,7 +394,7 @@
 		g_str_hash(o->self.instance) % CLAIM_SPREAD_MS + o->handicap_ms;
 
 	if (o->role != ROLE_FOLLOWS || !o->complete || o->retiring ||
-	    !o->answered_since_ms)
+	    !o->answered_since_ms || now < o->rests_ms)
 		return;
 	if (self && o->seen.incarnation != o->self.incarnation)
 		claim(o, true);
--- a/lead/owner.h
+++ b/lead/owner.h
@@ -33,5 +33,6 @@
 uint64_t owner_earlier_leases_ms(const struct owner *o, uint32_t lease_ms);
 void owner_commit(struct owner *o, struct rows_tx *t);
 void owner_retire(struct owner *o);
+void owner_yield(struct owner *o);
 
 #endif
--- a/lib/loop.c
+++ b/lib/loop.c
@@ -3,6 +3,7 @@
  * duration per list, so deadlines here are kept in a heap on the
  * monotonic clock.
  */
+#include <glib.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <sys/signalfd.h>
@@ -12,6 +13,8 @@
 #include "lib/loop.h"
 
 #define LOOP_MAX_WAIT_MS 100
+/* A turn that takes longer holds up what waits for its own turn. */
+#define TURN_LONG_US 10000
 
 struct loop {
 	h2o_loop_t *h2o;
@@ -19,6 +22,9 @@
 	uint32_t heap_len;
 	uint32_t heap_cap;
 	bool stopped;
+	uint64_t held_us; /* in long turns, and by waking late */
+	void (*turned)(void *arg, const struct turn *t);
+	void *turned_arg;
 	void (*idle)(void *arg);
 	void *idle_arg;
 	void (*on_signal)(void *arg, int signo);
@@ -184,11 +190,56 @@
 	h2o_timeout__do_post_callback(l->h2o);
 }
 
+/*
+ * Return for how long the loop could not serve its sockets so far.  A
+ * time-out that ran meanwhile says nothing of the other side: its answer
+ * may be waiting here.
+ */
+uint64_t loop_held_ms(const struct loop *l)
+{
+	return l->held_us / 1000;
+}
+
+/* Call turned(arg, turn) after each round. */
+void loop_on_turn(struct loop *l,
+		  void (*turned)(void *arg, const struct turn *t), void *arg)
+{
+	l->turned = turned;
+	l->turned_arg = arg;
+}
+
+/*
+ * Return how long the callbacks of sockets took in a call of h2o's loop
+ * from began_us to ended_us: h2o notes the wall clock before them.
+ */
+static uint64_t callbacks_us(const struct loop *l, uint64_t began_us,
+			     uint64_t ended_us)
+{
+	uint64_t wall = clock_wall_ms(), noted = h2o_now(l->h2o);
+
+	if (wall < noted)
+		return 0; /* it was set back meanwhile */
+	return MIN((wall - noted) * 1000, ended_us - began_us);
+}
+
+static void note_turn(struct loop *l, const struct turn *t)
+{
+	uint64_t work = t->sockets_us + t->timers_us;
+
+	if (work > TURN_LONG_US)
+		l->held_us += work;
+	if (t->late_us > TURN_LONG_US)
+		l->held_us += t->late_us;
+	if (l->turned)
+		l->turned(l->turned_arg, t);
+}
+
 /* Run one round: sockets, due timers, then the idle function. */
 void loop_step(struct loop *l, uint32_t max_wait_ms)
 {
 	uint32_t wait = max_wait_ms;
-	uint64_t now;
+	uint64_t now, began, polled, took;
+	struct turn t = {0};
 
 	report_ended(l); /* of the idle function, and from outside */
 	now = clock_mono_ms();
@@ -196,11 +247,19 @@
 		wait = 0;
 	else if (l->heap_len && l->heap[1]->due_ms - now < wait)
 		wait = l->heap[1]->due_ms - now;
+	began = clock_mono_us();
 	h2o_evloop_run(l->h2o, (int32_t)wait);
+	polled = clock_mono_us();
+	t.sockets_us = callbacks_us(l, began, polled);
+	took = polled - began - t.sockets_us;
+	if (took > wait * UINT64_C(1000))
+		t.late_us = took - wait * UINT64_C(1000);
 	fire_due(l);
 	report_ended(l);
 	if (l->idle)
 		l->idle(l->idle_arg);
+	t.timers_us = clock_mono_us() - polled;
+	note_turn(l, &t);
 }
 
 /* Run until loop_stop is called. */
--- a/lib/loop.h
+++ b/lib/loop.h
@@ -8,6 +8,13 @@
 
 struct loop;
 
+/* What one round of the loop took, in microseconds. */
+struct turn {
+	uint64_t sockets_us; /* callbacks of sockets */
+	uint64_t timers_us;  /* timers, and messages */
+	uint64_t late_us;    /* it was woken so much after it should be */
+};
+
 struct timer {
 	void (*fire)(void *arg);
 	void *arg;
@@ -21,6 +28,9 @@
 void loop_run(struct loop *l);
 void loop_step(struct loop *l, uint32_t max_wait_ms);
 void loop_stop(struct loop *l);
+uint64_t loop_held_ms(const struct loop *l);
+void loop_on_turn(struct loop *l,
+		  void (*turned)(void *arg, const struct turn *t), void *arg);
 void loop_on_idle(struct loop *l, void (*idle)(void *arg), void *arg);
 void loop_on_signal(struct loop *l, void (*fire)(void *arg, int signo),
 		    void *arg);
--- a/peer/relay.c
+++ b/peer/relay.c
@@ -297,6 +297,19 @@
 	return g_hash_table_size(r->peers);
 }
 
+/* Return how many peers have at least twice this strength. */
+uint32_t relay_stronger(const struct relay *r, uint32_t strength)
+{
+	GHashTableIter it;
+	gpointer p;
+	uint32_t n = 0;
+
+	g_hash_table_iter_init(&it, r->peers);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		n += ((struct peer *)p)->record.strength >= 2 * strength;
+	return n;
+}
+
 /* Report whether calls go through peers at present. */
 bool relay_indirect(const struct relay *r)
 {
--- a/peer/relay.h
+++ b/peer/relay.h
@@ -30,6 +30,7 @@
 		const char *body, uint32_t timeout_ms, http_done_fn done,
 		void *done_arg);
 uint32_t relay_peers(const struct relay *r);
+uint32_t relay_stronger(const struct relay *r, uint32_t strength);
 bool relay_indirect(const struct relay *r);
 
 #endif
--- a/peer/roster.c
+++ b/peer/roster.c
@@ -14,9 +14,10 @@
 	char *s;
 
 	address_format(&p->address, address, sizeof(address));
-	v = json_pack("{s:s,s:s,s:I,s:I}", "domain", p->domain, "address",
+	v = json_pack("{s:s,s:s,s:I,s:I,s:I}", "domain", p->domain, "address",
 		      address, "incarnation", (json_int_t)p->incarnation,
-		      "written_ms", (json_int_t)p->written_ms);
+		      "strength", (json_int_t)p->strength, "written_ms",
+		      (json_int_t)p->written_ms);
 	s = json_dumps(v, JSON_COMPACT);
 	json_decref(v);
 	return s;
@@ -31,6 +32,7 @@
 	memset(p, 0, sizeof(*p));
 	json_str_copy(p->domain, sizeof(p->domain), v, "domain");
 	p->incarnation = json_int_or(v, "incarnation", 0);
+	p->strength = json_int_or(v, "strength", 0);
 	p->written_ms = json_int_or(v, "written_ms", 0);
 	ok = address_parse(json_str_or(v, "address", ""), &p->address);
 	json_decref(v);
--- a/peer/roster.h
+++ b/peer/roster.h
@@ -12,6 +12,7 @@
 	char domain[PEER_NAME_BYTES];
 	struct sockaddr_in address;
 	uint64_t incarnation;
+	uint32_t strength;   /* as a leader, in percent */
 	uint64_t written_ms; /* on the store's clock */
 };
 
--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -77,6 +77,8 @@
 		return "gang";
 	case STOP_LEAVING:
 		return "leaving";
+	case STOP_DONE:
+		return "done_before";
 	}
 	return "";
 }
@@ -183,6 +185,14 @@
 		stop_stage(p, st, STOP_GANG);
 }
 
+/* Stop the runs whose tasks an earlier run has done. */
+static void stop_finished(struct pass *p, struct stage *st)
+{
+	for (uint32_t i = 0; i < st->step->count; i++)
+		if (st->tasks[i].finished)
+			stop_task(p, &st->tasks[i], STOP_DONE);
+}
+
 /* Report whether room for j has to be made now to meet its guarantee. */
 static bool reclaim_due(const struct pass *p, const struct job *j)
 {
@@ -209,6 +219,8 @@
 				learn_urgent(p->v->learn, c.stage,
 					     p->v->now_ms);
 		}
+		if (c.stage->finished)
+			stop_finished(p, c.stage);
 		stop_broken_gang(p, c.stage);
 		if (p->v->stops_only)
 			continue;
--- a/sched/dispatch.h
+++ b/sched/dispatch.h
@@ -14,6 +14,7 @@
 	STOP_ROOM,    /* for work of a higher rank */
 	STOP_GANG,    /* another member has ended */
 	STOP_LEAVING, /* the upstream leaves before the task can end */
+	STOP_DONE,    /* an earlier run is done after all */
 };
 
 enum action_tag { ACTION_START, ACTION_STOP };
--- a/sched/evict.c
+++ b/sched/evict.c
@@ -59,10 +59,8 @@
 	uint32_t *first; /* of a place's victims; one more than places */
 	struct victim *victims;
 	struct place_sum *sums; /* by place */
-	struct offer *heap;	/* the cheapest offer first */
-	uint32_t heap_len;
-	uint32_t heap_most;
-	uint64_t draft; /* number of the present plan */
+	GArray *heap;		/* of offers, the cheapest first */
+	uint64_t draft;		/* number of the present plan */
 	/* by place, of the plan that the number names */
 	uint64_t *room_draft;
 	struct room *rooms;
@@ -140,8 +138,7 @@
 	e->first = g_new(uint32_t, p->n + 1);
 	e->victims = g_new(struct victim, n + 1);
 	e->sums = g_new0(struct place_sum, p->n + 1);
-	e->heap_most = MAX(p->n, 16);
-	e->heap = g_new(struct offer, e->heap_most);
+	e->heap = g_array_sized_new(FALSE, FALSE, sizeof(struct offer), p->n);
 	e->room_draft = g_new0(uint64_t, p->n + 1);
 	e->rooms = g_new0(struct room, p->n + 1);
 	e->count = g_new(uint32_t, p->n + 1);
@@ -164,7 +161,7 @@
 	g_free(e->first);
 	g_free(e->victims);
 	g_free(e->sums);
-	g_free(e->heap);
+	g_array_unref(e->heap);
 	g_free(e->room_draft);
 	g_free(e->rooms);
 	g_free(e->count);
@@ -289,6 +286,7 @@
 	bool fits;
 
 	c->n = c->waits = 0;
+	c->have = (struct room){0};
 	c->loss = INFINITY;
 	if (!e->pack->usable[place] || !pack_suits(e->pack, place) ||
 	    !room_holds(&e->pack->upstreams[place]->room,
@@ -350,33 +348,35 @@
 	d->out->loss += c->loss;
 }
 
+static struct offer *heap_at(const struct evict *e, guint i)
+{
+	return &g_array_index(e->heap, struct offer, i);
+}
+
 static void heap_push(struct evict *e, struct offer o)
 {
-	uint32_t i = e->heap_len++;
+	guint i = e->heap->len;
 
-	if (e->heap_len > e->heap_most) {
-		e->heap_most *= 2;
-		e->heap = g_renew(struct offer, e->heap, e->heap_most);
-	}
-	for (; i && o.cost < e->heap[(i - 1) / 2].cost; i = (i - 1) / 2)
-		e->heap[i] = e->heap[(i - 1) / 2];
-	e->heap[i] = o;
+	g_array_append_val(e->heap, o);
+	for (; i && o.cost < heap_at(e, (i - 1) / 2)->cost; i = (i - 1) / 2)
+		*heap_at(e, i) = *heap_at(e, (i - 1) / 2);
+	*heap_at(e, i) = o;
 }
 
 static void heap_pop(struct evict *e)
 {
-	struct offer last = e->heap[--e->heap_len];
-	uint32_t i = 0;
+	guint n = e->heap->len - 1, i = 0;
+	struct offer last = *heap_at(e, n);
 
-	for (uint32_t c = 1; c < e->heap_len; i = c, c = 2 * i + 1) {
-		if (c + 1 < e->heap_len &&
-		    e->heap[c + 1].cost < e->heap[c].cost)
+	for (guint c = 1; c < n; i = c, c = 2 * i + 1) {
+		if (c + 1 < n && heap_at(e, c + 1)->cost < heap_at(e, c)->cost)
 			c++;
-		if (e->heap[c].cost >= last.cost)
+		if (heap_at(e, c)->cost >= last.cost)
 			break;
-		e->heap[i] = e->heap[c];
+		*heap_at(e, i) = *heap_at(e, c);
 	}
-	e->heap[i] = last;
+	*heap_at(e, i) = last;
+	g_array_set_size(e->heap, n);
 }
 
 /* Put a price on one more task at a place. */
@@ -425,8 +425,8 @@
 	struct evict *e = d->e;
 	uint32_t stopped = d->out->stop->len;
 
-	while (e->heap_len) {
-		struct offer o = e->heap[0];
+	while (e->heap->len) {
+		struct offer o = *heap_at(e, 0);
 		struct clearing c;
 
 		if (d->out->loss + o.cost > most_loss)
@@ -490,7 +490,7 @@
 	}
 	*out = (struct eviction){.stop = g_ptr_array_new(), .rack = rack};
 	e->draft = ++p->fleet->drafts;
-	e->heap_len = 0;
+	g_array_set_size(e->heap, 0);
 	for (uint32_t k = 0; k < d.places_len; k++)
 		price(&d, place_at(&d, k));
 	while (placed < want && place_one(&d, most_loss))
--- a/sched/pack.c
+++ b/sched/pack.c
@@ -436,7 +436,8 @@
 static void add_place(struct pack *p, struct upstream *u)
 {
 	u->place = p->n++;
-	p->upstreams[u->place] = u;
+	g_ptr_array_add(p->listed, u);
+	p->upstreams = (struct upstream **)p->listed->pdata;
 	p->shape = mix(p->shape, u->rack_name);
 	p->shape = mix(p->shape, u->service_name);
 	p->shape = mix(p->shape, u->kind_name);
@@ -484,7 +485,7 @@
 	p->fleet = f;
 	p->now_ms = now_ms;
 	p->shape = 1;
-	p->upstreams = g_new(struct upstream *, most + 1);
+	p->listed = g_ptr_array_sized_new(most + 1);
 	p->usable = g_new0(bool, most + 1);
 	p->now = g_new0(struct room, most + 1);
 	p->soon = g_new0(struct room, most + 1);
@@ -510,7 +511,7 @@
 /* Free what the pass has used. */
 void pack_close(struct pack *p)
 {
-	g_free(p->upstreams);
+	g_ptr_array_free(p->listed, TRUE);
 	g_free(p->usable);
 	g_free(p->now);
 	g_free(p->soon);
--- a/sched/pack.h
+++ b/sched/pack.h
@@ -37,7 +37,8 @@
 	struct fleet *fleet;
 	uint64_t now_ms;
 	uint32_t n;
-	struct upstream **upstreams;
+	GPtrArray *listed;	     /* the upstreams */
+	struct upstream **upstreams; /* the same */
 	bool *usable;
 	struct room *now;
 	struct room *soon;
--- a/sched/value.c
+++ b/sched/value.c
@@ -1,4 +1,6 @@
 /* The worth of jobs, and of the work in their runs. */
+#include <string.h>
+
 #include "sched/value.h"
 
 /* By priority: an urgent job, the next, all others. */
@@ -21,38 +23,42 @@
 /* Progress of less than this many percent tells nothing yet. */
 #define PERCENT_LEAST 4
 
-/* The longest chain of steps that ends with step i. */
-static uint64_t chain_ms(const struct value_view *v, const struct job *j,
-			 uint32_t i)
+/*
+ * Work out for each step of j the expected time from its start to the end
+ * of the job.  A step comes after earlier ones only, so one way back over
+ * them is enough.
+ */
+static void rests_ms(const struct value_view *v, const struct job *j,
+		     uint64_t rest[JOB_STEPS_MOST])
 {
-	const struct step *s = &j->steps[i];
-	uint64_t before = 0;
-
-	for (uint32_t k = 0; k < s->after_len; k++)
-		before = MAX(before, chain_ms(v, j, s->after[k]));
-	return before + learn_duration_ms(v->learn, j, i);
+	memset(rest, 0, j->steps_len * sizeof(*rest));
+	for (uint32_t i = j->steps_len; i-- > 0;) {
+		const struct step *s = &j->steps[i];
+
+		rest[i] += learn_duration_ms(v->learn, j, i);
+		for (uint32_t k = 0; k < s->after_len; k++)
+			rest[s->after[k]] = MAX(rest[s->after[k]], rest[i]);
+	}
 }
 
 /* Return the time from its submission in which j should end. */
 uint64_t value_objective_ms(const struct value_view *v, const struct job *j)
 {
-	uint64_t longest = 0;
+	uint64_t rest[JOB_STEPS_MOST], longest = 0;
 
+	rests_ms(v, j, rest);
 	for (uint32_t i = 0; i < j->steps_len; i++)
-		longest = MAX(longest, chain_ms(v, j, i));
+		longest = MAX(longest, rest[i]);
 	return longest * j->slack + j->target_ms;
 }
 
 static uint64_t rest_from(const struct value_view *v, const struct job *j,
 			  uint32_t i)
 {
-	uint64_t after = 0;
+	uint64_t rest[JOB_STEPS_MOST];
 
-	for (uint32_t k = i + 1; k < j->steps_len; k++)
-		for (uint32_t n = 0; n < j->steps[k].after_len; n++)
-			if (j->steps[k].after[n] == i)
-				after = MAX(after, rest_from(v, j, k));
-	return after + learn_duration_ms(v->learn, j, i);
+	rests_ms(v, j, rest);
+	return rest[i];
 }
 
 static uint64_t begun_ms(const struct stage *st)
--- a/sched/work.c
+++ b/sched/work.c
@@ -9,7 +9,6 @@
 #include "sched/fleet.h"
 #include "sched/work.h"
 
-#define MAX_STEPS 64
 #define MAX_TASKS 4000
 #define MAX_CPU_MILLI 10000000
 #define MAX_MEMORY_MB 100000000
@@ -78,6 +77,11 @@
 	    s->need.memory_mb < 0 || s->need.memory_mb > MAX_MEMORY_MB ||
 	    s->need.accelerators < 0 || s->need.accelerators > MAX_ACCELERATORS)
 		return g_strdup_printf("steps[%u]: resources out of bounds", i);
+	if (s->after_len > i)
+		return g_strdup_printf(
+			"steps[%u].after: found %u, expected each earlier "
+			"step once at most",
+			i, s->after_len);
 	for (uint32_t k = 0; k < s->after_len; k++)
 		if (s->after[k] >= i)
 			return g_strdup_printf(
@@ -96,8 +100,9 @@
 	uint64_t tasks = 0;
 
 	*why = NULL;
-	if (!j->steps_len || j->steps_len > MAX_STEPS)
-		*why = g_strdup_printf("steps: expected 1 to %d", MAX_STEPS);
+	if (!j->steps_len || j->steps_len > JOB_STEPS_MOST)
+		*why = g_strdup_printf("steps: expected 1 to %d",
+				       JOB_STEPS_MOST);
 	for (uint32_t i = 0; i < j->steps_len && !*why; i++) {
 		*why = check_step(j, i);
 		tasks += j->steps[i].count;
@@ -399,6 +404,8 @@
 
 	if (t->state == TASK_DONE)
 		return;
+	if (t->finished)
+		how = RUN_DONE;
 	j->dirty = true;
 	set_checkpoint(t, checkpoint);
 	if (how == RUN_FAILED && !job_over(j))
@@ -419,6 +426,35 @@
 	t->inherited = false;
 }
 
+/*
+ * Note that an earlier run of t, or of its gang, has ended as done after
+ * all, though it was taken for lost.  What runs of it now has to be
+ * stopped, and counts as done when that has ended.  Returns false when
+ * there is nothing to note.
+ */
+bool task_done_before(struct task *t, uint64_t now_ms)
+{
+	struct stage *st = t->stage;
+	uint32_t first = t->index, last = t->index;
+	bool active = false;
+
+	if (t->state == TASK_DONE || t->finished || st->step->lasting ||
+	    job_over(st->job))
+		return false;
+	if (st->step->gang) {
+		first = 0;
+		last = st->step->count - 1;
+	}
+	for (uint32_t i = first; i <= last; i++) {
+		st->tasks[i].finished = task_active(&st->tasks[i]);
+		active |= st->tasks[i].finished;
+	}
+	st->finished |= active;
+	if (!active)
+		task_end(t, RUN_DONE, NULL, now_ms);
+	return true;
+}
+
 /* Complete j when all of its stages are, at a time of the store's clock. */
 void job_settle(struct job *j, uint64_t store_now_ms)
 {
--- a/sched/work.h
+++ b/sched/work.h
@@ -14,6 +14,7 @@
 #define JOB_ID_BYTES 24
 #define LABEL_BYTES 64
 #define TASK_NAME_BYTES 64
+#define JOB_STEPS_MOST 64
 
 struct upstream;
 
@@ -88,6 +89,7 @@
 	bool sent;	/* an order to start the newest run has gone out */
 	bool uncertain; /* such an order was not answered */
 	bool retry;	/* its order has to be sent again */
+	bool finished;	/* an earlier run has ended as done */
 	uint64_t stop_answered_ms;	  /* 0: no stop of it was answered */
 	const struct upstream *failed_at; /* the last one; not followed */
 };
@@ -118,6 +120,7 @@
 	uint64_t since_ms;   /* its turn has come; 0: not yet */
 	struct task *tasks;
 	GQuark held_rack;    /* where room was made for it last; 0: nowhere */
+	bool finished;	     /* an earlier run of active tasks is done */
 	bool any_rack;	     /* may span racks though that is slower */
 	bool rack_holds;     /* a rack could hold it if it were empty ... */
 	uint64_t rack_shape; /* ... when the racks had this shape */
@@ -199,6 +202,7 @@
 void task_progress(struct task *t, uint32_t percent, uint64_t now_ms);
 void task_end(struct task *t, enum run_end how, const char *checkpoint,
 	      uint64_t now_ms);
+bool task_done_before(struct task *t, uint64_t now_ms);
 void job_settle(struct job *j, uint64_t store_now_ms);
 void job_cancel(struct job *j, uint64_t store_now_ms);
 const char *run_end_name(enum run_end how);
--- a/test/unit_dispatch.c
+++ b/test/unit_dispatch.c
@@ -373,6 +373,39 @@
 	play_close(&p);
 }
 
+/*
+ * The load: a job each of whose steps comes after all earlier ones.  The
+ * number of ways through it is astronomical; a pass takes its usual time.
+ */
+static void test_many_ways_through_a_job_cost_nothing(void **state)
+{
+	struct play p;
+	struct job *j;
+	struct step *s;
+
+	(void)state;
+	play_open(&p, 8);
+	j = job_create("00000000000000ff");
+	g_strlcpy(j->account, "account", sizeof(j->account));
+	job_set_service(j, "s");
+	j->queue_known = true;
+	j->since_ms = p.now_ms;
+	for (uint32_t i = 0; i < JOB_STEPS_MOST; i++) {
+		s = job_add_step(j);
+		s->count = 1;
+		s->need = (struct room){2000, 4000, 1};
+		s->estimate_ms = 100;
+		s->after = g_new0(uint32_t, i + 1);
+		for (uint32_t k = 0; k < i; k++)
+			s->after[s->after_len++] = k;
+	}
+	job_lay_out(j);
+	g_ptr_array_add(p.jobs, j);
+	play_pass(&p, true);
+	assert_int_equal(j->stages[0].tasks[0].state, TASK_RUNNING);
+	play_close(&p);
+}
+
 /* A gang starts whole or not at all. */
 static void test_gang_starts_whole_or_not(void **state)
 {
@@ -403,6 +436,7 @@
 		cmocka_unit_test(test_lasting_work_keeps_its_number),
 		cmocka_unit_test(test_gang_moves_off_an_upstream_that_leaves),
 		cmocka_unit_test(test_gang_starts_whole_or_not),
+		cmocka_unit_test(test_many_ways_through_a_job_cost_nothing),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/unit_lead.c
+++ b/test/unit_lead.c
@@ -11,6 +11,7 @@
 #include "lead/leaseclock.h"
 #include "lead/model.h"
 #include "lead/record.h"
+#include "lead/succession.h"
 #include <stdlib.h>
 
 #define LEASE_MS 6000
@@ -400,6 +401,93 @@
 	scene_destroy(&s);
 }
 
+static void apply_done(struct scene *s, uint32_t run, GArray *strays)
+{
+	struct end_row end = {.number = 1,
+			      .task = "00000000000000a1.0.0.0",
+			      .run = run,
+			      .how = RUN_DONE,
+			      .checkpoint = ""};
+	struct order_answer a = {.outcome = ORDER_DONE,
+				 .lists = true,
+				 .ended = &end,
+				 .ended_len = 1};
+
+	model_apply_lists(s->model, s->upstream, &a, 3000, 3001, 0, strays);
+}
+
+/*
+ * An upstream was silent until its leases had ended, so its run was taken
+ * for lost; then it lists that the run was done.  It is not run again.
+ */
+static void test_work_that_was_done_in_silence_is_done(void **state)
+{
+	GArray *strays = g_array_new(FALSE, FALSE, sizeof(struct stray));
+	struct scene s;
+
+	(void)state;
+	scene_create(&s, 1, false);
+	task_confirm(s.task, 1015);
+	model_lose_upstream(s.model, s.upstream, 2000, "leases ended");
+	assert_int_equal(s.task->state, TASK_WAITING);
+	apply_done(&s, s.task->run, strays);
+	assert_int_equal(s.task->state, TASK_DONE);
+	g_array_unref(strays);
+	scene_destroy(&s);
+}
+
+/* The same, when it runs again already: that run is stopped, and its end
+ * counts as done however it is listed. */
+static void test_work_that_runs_again_though_done_is_stopped(void **state)
+{
+	GArray *strays = g_array_new(FALSE, FALSE, sizeof(struct stray));
+	struct upstream *other;
+	struct scene s;
+	uint32_t run;
+
+	(void)state;
+	scene_create(&s, 1, false);
+	task_confirm(s.task, 1015);
+	run = s.task->run;
+	model_lose_upstream(s.model, s.upstream, 2000, "leases ended");
+	other = fleet_add(s.model->fleet, "u9");
+	task_place(s.task, other, run + 1, 2100);
+	apply_done(&s, run, strays);
+	assert_true(task_active(s.task));
+	assert_true(s.task->finished && s.task->stage->finished);
+	task_end(s.task, RUN_STOPPED, NULL, 3100);
+	assert_int_equal(s.task->state, TASK_DONE);
+	g_array_unref(strays);
+	scene_destroy(&s);
+}
+
+/* A strong instance claims first; a weak leader gives way, but leads on
+ * when none of the stronger ones claims, for longer each time. */
+static void test_weak_leader_gives_way(void **state)
+{
+	uint32_t weak = succession_strength(0.12, 20);
+	uint32_t full = succession_strength(0.5, 200);
+	struct succession s = {.strength = weak};
+	uint32_t yields = 0;
+
+	(void)state;
+	assert_int_equal(full, STRENGTH_FULL);
+	assert_int_equal(succession_handicap_ms(full), 0);
+	assert_true(succession_handicap_ms(weak) > 3000);
+	succession_gained(&s, 1000);
+	assert_false(succession_yields(&s, 0, 100000)); /* nobody is stronger */
+	assert_false(succession_yields(&s, 3, 1100));
+	for (uint64_t now = 1000; now < 61000; now += 100) {
+		if (!succession_yields(&s, 3, now))
+			continue;
+		yields++;
+		succession_lost(&s);
+		assert_false(succession_yields(&s, 3, now + 50));
+		succession_gained(&s, now + 100);
+	}
+	assert_in_range(yields, 1, 6);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -423,6 +511,10 @@
 		cmocka_unit_test(
 			test_list_of_the_same_millisecond_proves_nothing),
 		cmocka_unit_test(test_failures_of_one_gang_run_count_once),
+		cmocka_unit_test(test_work_that_was_done_in_silence_is_done),
+		cmocka_unit_test(
+			test_work_that_runs_again_though_done_is_stopped),
+		cmocka_unit_test(test_weak_leader_gives_way),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/unit_lib.c
+++ b/test/unit_lib.c
@@ -8,6 +8,8 @@
 #include <stdlib.h>
 #include <malloc.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "config/config.h"
 #include "daemon/jobs.h"
@@ -475,6 +477,124 @@
 	mallopt(M_PERTURB, 0);
 }
 
+/* A server in a thread of its own, which always answers at once. */
+struct prompt_server {
+	struct sockaddr_in at;
+	gint ready;
+	gint stop;
+};
+
+static void answer_at_once(void *arg, struct http_exchange *x)
+{
+	(void)arg;
+	exchange_reply(x, 200, "text/plain", "ok", 0);
+}
+
+static gpointer serve_promptly(gpointer arg)
+{
+	struct prompt_server *p = arg;
+	struct loop *l = loop_create();
+	struct http_server *s =
+		http_server_create(l, &p->at, 1024, answer_at_once, NULL);
+
+	g_atomic_int_set(&p->ready, s ? 1 : -1);
+	while (s && !g_atomic_int_get(&p->stop))
+		loop_step(l, 10);
+	http_server_destroy(s);
+	loop_destroy(l);
+	return NULL;
+}
+
+static void note_verdict(void *arg, const struct http_result *r)
+{
+	uint32_t *n = arg;
+
+	n[r->verdict.tag]++;
+	n[3]++;
+}
+
+#define HELD_CALLS 8
+
+struct holding {
+	struct http_pool *pool;
+	uint32_t n[4]; /* results by verdict, and of all */
+};
+
+/* Begin calls, and then serve nothing for longer than they may take. */
+static void begin_and_hold(void *arg)
+{
+	struct holding *h = arg;
+
+	for (uint32_t i = 0; i < HELD_CALLS; i++)
+		assert_non_null(http_call_start(h->pool, "POST", "/", "", 100,
+						note_verdict, h->n));
+	g_usleep(400000);
+}
+
+/*
+ * The loop is held for longer than a call may take, so that its time is
+ * over when its connection is open at last.  The other side answers at
+ * once, so it does not count as silent.
+ */
+static void a_held_loop_is_no_silence_of_others(void **state)
+{
+	struct prompt_server server = {0};
+	struct loop *l = loop_create();
+	struct http_client *c = http_client_create(l);
+	struct holding h = {0};
+	struct timer hold;
+	GThread *t;
+
+	(void)state;
+	address_parse("127.42.0.1:7433", &server.at);
+	t = g_thread_new("server", serve_promptly, &server);
+	while (!g_atomic_int_get(&server.ready))
+		g_usleep(1000);
+	assert_int_equal(g_atomic_int_get(&server.ready), 1);
+	timer_init(&hold, begin_and_hold, &h);
+	for (uint32_t round = 1; round <= 3; round++) {
+		h.pool = http_pool_create(c, &server.at, HELD_CALLS);
+		timer_start(l, &hold, 0);
+		while (h.n[3] < HELD_CALLS * round)
+			loop_step(l, 10);
+		http_pool_destroy(h.pool);
+	}
+	assert_int_equal(h.n[VERDICT_RAN], 3 * HELD_CALLS);
+	assert_true(loop_held_ms(l) >= 3 * 400);
+	g_atomic_int_set(&server.stop, 1);
+	g_thread_join(t);
+	http_client_destroy(c);
+	loop_destroy(l);
+}
+
+/* A server that does not answer at all is found to be silent in time. */
+static void a_silent_server_is_found(void **state)
+{
+	struct loop *l = loop_create();
+	struct http_client *c = http_client_create(l);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	uint64_t began = clock_mono_ms();
+	struct sockaddr_in at;
+	struct http_pool *p;
+	uint32_t n[4] = {0};
+
+	(void)state;
+	address_parse("127.42.0.1:7434", &at);
+	assert_int_equal(bind(fd, (struct sockaddr *)&at, sizeof(at)), 0);
+	assert_int_equal(listen(fd, 4), 0);
+	p = http_pool_create(c, &at, 4);
+	assert_non_null(
+		http_call_start(p, "POST", "/", "", 100, note_verdict, n));
+	while (!n[3])
+		loop_step(l, 10);
+	assert_int_equal(n[VERDICT_MAY_HAVE_RUN], 1);
+	assert_in_range(clock_mono_ms() - began, 100, 2000);
+	http_pool_destroy(p);
+	http_client_destroy(c);
+	loop_destroy(l);
+	close(fd);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -490,6 +610,8 @@
 		cmocka_unit_test(a_late_update_does_not_win),
 		cmocka_unit_test(a_timer_may_write_and_close),
 		cmocka_unit_test(a_cut_call_leaves_its_connections_alone),
+		cmocka_unit_test(a_held_loop_is_no_silence_of_others),
+		cmocka_unit_test(a_silent_server_is_found),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
--- a/test/unit_peer.c
+++ b/test/unit_peer.c
@@ -49,6 +49,7 @@
 {
 	struct peer_record p = {.domain = "durgapur",
 				.incarnation = 7,
+				.strength = 40,
 				.written_ms = 5000},
 			   q;
 	char *text;
@@ -59,6 +60,7 @@
 	assert_true(peer_decode(text, &q));
 	assert_string_equal(q.domain, "durgapur");
 	assert_int_equal(q.incarnation, 7);
+	assert_int_equal(q.strength, 40);
 	assert_int_equal(q.address.sin_port, p.address.sin_port);
 	assert_int_equal(q.address.sin_addr.s_addr, p.address.sin_addr.s_addr);
 	assert_false(peer_expired(&q, 5000 + ROSTER_EVERY_MS));
--- /dev/null
+++ b/test/unit_random.c
@@ -0,0 +1,437 @@
+/*
+ * The scheduler on thousands of random sites and loads, judged by rules
+ * that are worked out in the plainest way: nothing is overbooked, gangs
+ * start whole, only work of a lower rank is stopped, what fits at the head
+ * of the line starts, and a due guarantee that can be met is met.
+ */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "sched/dispatch.h"
+
+#define SITES 1500
+#define PASSES 4
+#define RACK 4
+#define STOP_MS 900
+#define RECLAIM_MS 3400
+#define ROOM_CPU 32000
+#define ROOM_MB 65536
+#define ROOM_ACCELERATORS 8
+
+struct site {
+	GRand *rand;
+	struct fleet *fleet;
+	struct learn *learn;
+	GPtrArray *jobs;
+	struct guarantee_count guarantee;
+	uint64_t now_ms;
+	uint32_t number;
+};
+
+static int pick(struct site *s, int from, int to)
+{
+	return g_rand_int_range(s->rand, from, to + 1);
+}
+
+static void add_job(struct site *s)
+{
+	char id[JOB_ID_BYTES];
+	struct step *step;
+	struct job *j;
+
+	snprintf(id, sizeof(id), "%016x", ++s->number);
+	j = job_create(id);
+	snprintf(j->account, sizeof(j->account), "account%d", pick(s, 0, 1));
+	job_set_service(j, pick(s, 0, 9) ? "s" : "other");
+	j->queue_known = true;
+	j->priority = pick(s, 0, 2);
+	snprintf(j->queue, sizeof(j->queue), "q%u", j->priority);
+	j->max_attempts = 2;
+	j->slack = 1.5;
+	j->target_ms = 1000;
+	j->since_ms = s->now_ms - pick(s, 0, 3500);
+	step = job_add_step(j);
+	step->count = pick(s, 1, 12);
+	step->need = (struct room){pick(s, 1, 16) * 1000, pick(s, 1, 16) * 2000,
+				   pick(s, 0, 8)};
+	step->estimate_ms = pick(s, 100, 9000);
+	step->gang = pick(s, 0, 1);
+	step->one_rack = pick(s, 0, 1);
+	step->checkpoints = pick(s, 0, 1);
+	step->lasting = j->priority && !pick(s, 0, 5);
+	step->max_unavailable = step->lasting ? pick(s, 0, 3) : 0;
+	step->spread = pick(s, 0, 4) ? 0 : pick(s, 1, 3);
+	if (!pick(s, 0, 4))
+		g_strlcpy(step->label, pick(s, 0, 1) ? "a" : "r1",
+			  sizeof(step->label));
+	job_lay_out(j);
+	g_ptr_array_add(s->jobs, j);
+	learn_job(s->learn, j);
+}
+
+static void site_open(struct site *s, uint32_t seed)
+{
+	uint32_t n;
+
+	*s = (struct site){.rand = g_rand_new_with_seed(seed),
+			   .fleet = fleet_create(),
+			   .learn = learn_create(),
+			   .jobs = g_ptr_array_new(),
+			   .now_ms = 1000000};
+	s->guarantee = (struct guarantee_count){"account0", pick(s, 0, 200)};
+	n = pick(s, 1, 24);
+	for (uint32_t i = 0; i < n; i++) {
+		char id[16], rack[16];
+		struct upstream *u;
+
+		snprintf(id, sizeof(id), "u%u", i);
+		snprintf(rack, sizeof(rack), "r%u", i / RACK);
+		u = fleet_add(s->fleet, id);
+		upstream_describe(u, pick(s, 0, 9) ? "s" : "other", "d",
+				  pick(s, 0, 1) ? "a" : "b", rack);
+		u->room = (struct room){ROOM_CPU, ROOM_MB, ROOM_ACCELERATORS};
+		u->commanded = pick(s, 0, 9) != 0;
+		u->state = pick(s, 0, 9) ? UPSTREAM_READY : UPSTREAM_DRAINING;
+		if (!pick(s, 0, 19))
+			u->state = UPSTREAM_GONE;
+	}
+}
+
+static void site_close(struct site *s)
+{
+	for (guint i = 0; i < s->jobs->len; i++) {
+		struct job *j = g_ptr_array_index(s->jobs, i);
+
+		for (uint32_t t = 0; t < j->stages[0].step->count; t++)
+			if (j->stages[0].tasks[t].at)
+				fleet_release(&j->stages[0].tasks[t]);
+		job_destroy(j);
+	}
+	g_ptr_array_free(s->jobs, TRUE);
+	learn_destroy(s->learn);
+	fleet_destroy(s->fleet);
+	g_rand_free(s->rand);
+}
+
+/* The plain rules */
+
+static bool suits(const struct stage *st, const struct upstream *u)
+{
+	const struct step *s = st->step;
+
+	for (uint32_t i = 0; i < s->count; i++)
+		if (st->tasks[i].failed_at == u)
+			return false;
+	return !g_strcmp0(u->service, st->job->service) &&
+	       (!*s->label || !g_strcmp0(s->label, u->kind) ||
+		!g_strcmp0(s->label, u->rack));
+}
+
+static uint32_t siblings(const struct upstream *u, const struct stage *st)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < st->step->count; i++)
+		n += st->tasks[i].at == u;
+	return n;
+}
+
+/* How many tasks of st would fit on u with this much free. */
+static uint32_t fits(const struct site *s, const struct stage *st,
+		     const struct upstream *u, struct room have)
+{
+	uint32_t n = siblings(u, st), from = n;
+
+	if (u->state != UPSTREAM_READY || !u->commanded || !suits(st, u) ||
+	    u->avoid_until_ms > s->now_ms)
+		return 0;
+	while (room_holds(&have, &st->step->need) &&
+	       (!st->step->spread || n < st->step->spread) &&
+	       n < st->step->count) {
+		room_add(&have, &st->step->need, -1);
+		n++;
+	}
+	return n - from;
+}
+
+static struct room free_on(const struct upstream *u)
+{
+	struct room r = u->room;
+
+	room_add(&r, &u->used, -1);
+	return r;
+}
+
+/* Whether all waiting tasks of st would fit into what is free: on one rack,
+ * or anywhere. */
+static bool fits_now(const struct site *s, const struct stage *st,
+		     bool one_rack)
+{
+	uint32_t all = 0, want = stage_waiting(st);
+	uint32_t racks[8] = {0};
+
+	for (guint i = 0; i < s->fleet->list->len; i++) {
+		const struct upstream *u = g_ptr_array_index(s->fleet->list, i);
+		uint32_t n = fits(s, st, u, free_on(u));
+
+		all += n;
+		racks[atoi(u->rack + 1)] += n;
+	}
+	for (uint32_t r = 0; one_rack && r < G_N_ELEMENTS(racks); r++)
+		if (racks[r] >= want)
+			return true;
+	return !one_rack && all >= want;
+}
+
+static void check_room(const struct site *s)
+{
+	for (guint i = 0; i < s->fleet->list->len; i++) {
+		const struct upstream *u = g_ptr_array_index(s->fleet->list, i);
+
+		assert_true(room_holds(&u->room, &u->used));
+	}
+}
+
+static void check_start(const struct action *a)
+{
+	const struct stage *st = a->task->stage;
+
+	assert_int_equal(a->u.to->state, UPSTREAM_READY);
+	assert_true(a->u.to->commanded);
+	assert_true(suits(st, a->u.to));
+	if (st->step->spread)
+		assert_in_range(siblings(a->u.to, st), 1, st->step->spread);
+	if (st->step->gang)
+		assert_int_equal(stage_waiting(st), 0);
+}
+
+static void check_stop(const struct site *s, const struct action *a)
+{
+	const struct stage *st = a->task->stage;
+	uint32_t stopping = 0;
+
+	if (a->u.cause != STOP_ROOM)
+		return;
+	assert_true(st->job->rank > 0);
+	for (uint32_t i = 0; i < st->step->count; i++)
+		stopping += st->tasks[i].state == TASK_STOPPING;
+	if (st->step->gang)
+		assert_int_equal(stopping, st->step->count - stage_waiting(st));
+	if (st->step->lasting && st->step->max_unavailable)
+		assert_true(stopping <= st->step->max_unavailable);
+	(void)s;
+}
+
+static GArray *pass(struct site *s)
+{
+	struct dispatch_view v = {.jobs = s->jobs,
+				  .fleet = s->fleet,
+				  .guarantees = &s->guarantee,
+				  .guarantees_len = 1,
+				  .now_ms = s->now_ms,
+				  .learn = s->learn,
+				  .checkpoint_ms = 1000,
+				  .stop_ms = STOP_MS,
+				  .reclaim_ms = RECLAIM_MS,
+				  .lease_ms = 10000};
+
+	return dispatch(&v);
+}
+
+/* Let some runs end, some fail, and all stops take effect. */
+static void live(struct site *s)
+{
+	for (guint i = 0; i < s->jobs->len; i++) {
+		struct job *j = g_ptr_array_index(s->jobs, i);
+
+		for (uint32_t k = 0; k < j->stages[0].step->count; k++) {
+			struct task *t = &j->stages[0].tasks[k];
+
+			if (t->state == TASK_STOPPING)
+				task_end(t, RUN_STOPPED, NULL, s->now_ms);
+			else if (t->state == TASK_RUNNING && !pick(s, 0, 9))
+				task_end(t,
+					 pick(s, 0, 5) ? RUN_DONE : RUN_FAILED,
+					 NULL, s->now_ms);
+		}
+		job_settle(j, s->now_ms);
+		if (!pick(s, 0, 30))
+			job_cancel(j, s->now_ms);
+	}
+}
+
+static void confirm_all(struct site *s, GArray *actions)
+{
+	for (guint i = 0; i < actions->len; i++) {
+		struct action *a = &g_array_index(actions, struct action, i);
+
+		if (a->tag == ACTION_START)
+			task_confirm(a->task, s->now_ms);
+	}
+}
+
+static void random_sites_are_kept_in_order(void **state)
+{
+	(void)state;
+	for (uint32_t seed = 1; seed <= SITES; seed++) {
+		struct site s;
+
+		site_open(&s, seed);
+		for (uint32_t n = 0; n < PASSES; n++) {
+			GArray *actions;
+
+			for (int k = pick(&s, 0, 12); k > 0; k--)
+				add_job(&s);
+			actions = pass(&s);
+			check_room(&s);
+			for (guint i = 0; i < actions->len; i++) {
+				struct action *a = &g_array_index(
+					actions, struct action, i);
+
+				if (a->tag == ACTION_START)
+					check_start(a);
+				else
+					check_stop(&s, a);
+			}
+			confirm_all(&s, actions);
+			g_array_unref(actions);
+			s.now_ms += pick(&s, 50, 1500);
+			live(&s);
+		}
+		site_close(&s);
+	}
+}
+
+/* A stage that is alone in waiting starts if it fits. */
+static void what_fits_alone_starts(void **state)
+{
+	uint32_t fitted = 0;
+
+	(void)state;
+	for (uint32_t seed = 1; seed <= SITES; seed++) {
+		struct stage *st;
+		struct site s;
+		bool one_rack, any;
+
+		site_open(&s, seed);
+		for (int k = pick(&s, 0, 8); k > 0; k--)
+			add_job(&s);
+		g_array_unref(pass(&s));
+		for (guint i = 0; i < s.jobs->len; i++) {
+			struct job *j = g_ptr_array_index(s.jobs, i);
+
+			if (stage_waiting(&j->stages[0]))
+				job_cancel(j, s.now_ms);
+		}
+		s.now_ms += 11000; /* no urgent work is expected */
+		add_job(&s);
+		st = &((struct job *)g_ptr_array_index(s.jobs, s.jobs->len - 1))
+			      ->stages[0];
+		one_rack = fits_now(&s, st, true);
+		any = fits_now(&s, st, false);
+		g_array_unref(pass(&s));
+		if (one_rack ||
+		    (any && !(st->step->gang && st->step->one_rack))) {
+			assert_int_equal(stage_waiting(st), 0);
+			fitted++;
+		}
+		if (!any && st->step->gang)
+			assert_true(stage_waiting(st));
+		site_close(&s);
+	}
+	assert_true(fitted > SITES / 4);
+}
+
+/* Whether st would fit, on one rack or anywhere, without all work that may
+ * be stopped for a due guarantee. */
+static bool could_be_met(struct site *s, const struct stage *st)
+{
+	uint32_t all = 0;
+
+	for (guint i = 0; i < s->fleet->list->len; i++) {
+		const struct upstream *u = g_ptr_array_index(s->fleet->list, i);
+		struct room have = free_on(u);
+
+		for (guint k = 0; k < u->tasks->len; k++) {
+			const struct task *t = g_ptr_array_index(u->tasks, k);
+
+			if (t->stage->job->priority && !t->stage->step->lasting)
+				room_add(&have, &t->stage->step->need, 1);
+		}
+		all += fits(s, st, u, have);
+	}
+	return all >= st->step->count;
+}
+
+/* A covered job that is due begins as soon as what it stops has ended. */
+static void due_guarantees_are_met(void **state)
+{
+	uint32_t met = 0;
+
+	(void)state;
+	for (uint32_t seed = 1; seed <= SITES; seed++) {
+		struct stage *st;
+		struct site s;
+		struct job *j;
+		bool could;
+
+		site_open(&s, seed);
+		s.guarantee.accelerators = 1000;
+		for (int k = pick(&s, 1, 10); k > 0; k--)
+			add_job(&s);
+		g_array_unref(pass(&s));
+		for (guint i = 0; i < s.jobs->len; i++) {
+			j = g_ptr_array_index(s.jobs, i);
+			for (uint32_t k = 0; k < j->stages[0].step->count; k++)
+				task_confirm(&j->stages[0].tasks[k], s.now_ms);
+			if (!j->priority && stage_waiting(&j->stages[0]))
+				job_cancel(j, s.now_ms);
+		}
+		s.now_ms += 100;
+		add_job(&s);
+		j = g_ptr_array_index(s.jobs, s.jobs->len - 1);
+		g_strlcpy(j->account, "account0", sizeof(j->account));
+		j->priority = 0;
+		j->steps[0].lasting = false;
+		j->since_ms = s.now_ms - RECLAIM_MS + STOP_MS + 300;
+		st = &j->stages[0];
+		could = could_be_met(&s, st);
+		for (uint32_t n = 0; n < 3; n++) {
+			GArray *actions = pass(&s);
+
+			confirm_all(&s, actions);
+			for (guint i = 0; i < actions->len; i++) {
+				struct action *a = &g_array_index(
+					actions, struct action, i);
+
+				if (a->tag == ACTION_STOP)
+					task_end(a->task, RUN_STOPPED, NULL,
+						 s.now_ms);
+			}
+			g_array_unref(actions);
+			s.now_ms += 20;
+		}
+		if (could) {
+			assert_int_equal(stage_waiting(st), 0);
+			met++;
+		}
+		site_close(&s);
+	}
+	assert_true(met > SITES / 4);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(random_sites_are_kept_in_order),
+		cmocka_unit_test(what_fits_alone_starts),
+		cmocka_unit_test(due_guarantees_are_met),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
