--- a/test/unit_lib.c
+++ b/test/unit_lib.c
@@ -572,7 +572,7 @@
 {
 	struct loop *l = loop_create();
 	struct http_client *c = http_client_create(l);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int fd = socket(AF_INET, SOCK_STREAM, 0), one = 1;
 	uint64_t began = clock_mono_ms();
 	struct sockaddr_in at;
 	struct http_pool *p;
@@ -580,6 +580,7 @@
 
 	(void)state;
 	address_parse("127.42.0.1:7434", &at);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	assert_int_equal(bind(fd, (struct sockaddr *)&at, sizeof(at)), 0);
 	assert_int_equal(listen(fd, 4), 0);
 	p = http_pool_create(c, &at, 4);
