Keep room by the rate of urgent arrivals; share by what fits; leave out slow upstreams

Room was kept for two urgent stages whatever came; a task was valued by its largest share of an upstream, though a rooftop survey's 270 GB let only one of its kind on each; and upstreams that ran six times slower took new gangs.

--- a/lead/model.c
+++ b/lead/model.c
@@ -3,6 +3,7 @@
 
 #include "lead/model.h"
 #include "lib/log.h"
+#include "sched/pace.h"
 
 /* A list of ends that is this long may have been cut. */
 #define LIST_PAGE 500
@@ -225,6 +226,18 @@
 	       t->confirmed_ms < sent_ms;
 }
 
+/* See whether u is slow, by the pace of its runs. */
+static void judge_pace(struct upstream *u, uint64_t now_ms)
+{
+	bool before = u->slow_until_ms > now_ms;
+
+	pace_judge(u, now_ms);
+	if (before != (u->slow_until_ms > now_ms))
+		log_fields(LOG_INFO, "upstream_pace", "{s:s,s:b,s:i}",
+			   "upstream", u->id, "slow", !before, "tasks",
+			   (int)u->tasks->len);
+}
+
 /*
  * Take in the lists of u from an answer to a call sent at sent_ms.  Ends
  * up to `seen` were taken in before; returns the newest one.  Runs that
@@ -252,6 +265,7 @@
 			 now_ms);
 	g_ptr_array_free(absent, TRUE);
 	g_hash_table_destroy(there);
+	judge_pace(u, now_ms);
 	return seen;
 }
 
--- a/load/play.c
+++ b/load/play.c
@@ -13,6 +13,7 @@
 #include "lib/loop.h"
 #include "load/play.h"
 #include "sched/dispatch.h"
+#include "sched/pace.h"
 
 #define RACK 8
 #define DOMAINS 5
@@ -52,7 +53,9 @@
 	int64_t sizes[SIZES];
 	double estimate_off;
 	bool gang;
-	double one_rack, checkpoints, hopeless, cancelled;
+	double one_rack[SIZES]; /* share by size that is slower across racks */
+	double checkpoints, hopeless, cancelled;
+	double errors; /* share of runs that fail */
 	double slack, target_ms, worth, late_worth;
 };
 
@@ -71,7 +74,7 @@
 	 .sizes = {1, 2, 4, 8, 8},
 	 .estimate_off = 0.5,
 	 .gang = true,
-	 .one_rack = 0.6,
+	 .errors = 0.02,
 	 .checkpoints = 0.45,
 	 .hopeless = 0.03,
 	 .cancelled = 0.05,
@@ -93,7 +96,8 @@
 	 .sizes = {1, 2, 4, 8, 8},
 	 .estimate_off = 0.9,
 	 .gang = true,
-	 .one_rack = 0.8,
+	 .one_rack = {0.78, 0.7, 0.5, 0.24, 0.24},
+	 .errors = 0.05,
 	 .slack = 1.5,
 	 .target_ms = 250,
 	 .worth = 4,
@@ -111,6 +115,7 @@
 	 .need = {11000, 59000, 0},
 	 .sizes = {1, 1, 1, 1, 1},
 	 .estimate_off = 0.2,
+	 .errors = 0.005,
 	 .checkpoints = 0.45,
 	 .hopeless = 0.03,
 	 .cancelled = 0.15,
@@ -144,6 +149,15 @@
 	double factor;
 };
 
+/* How far a task is. */
+struct progress {
+	double saved_ms; /* work that a checkpoint holds */
+	double made_ms;	 /* work of the present run, up to since_ms */
+	double factor;	 /* time over work since then */
+	uint64_t since_ms;
+	uint32_t order; /* of the newest EVENT_END of it */
+};
+
 /* What the play knows of a job and the scheduler does not. */
 struct truth {
 	enum kind kind;
@@ -153,7 +167,7 @@
 	double size; /* core-seconds of its work */
 	bool hopeless;
 	bool counted;
-	double *done_ms; /* by task: work that a checkpoint holds */
+	struct progress *progress; /* by task */
 };
 
 struct outcome {
@@ -183,6 +197,7 @@
 	double mean_size[KIND_COUNT];
 	uint32_t mean_count[KIND_COUNT];
 	uint64_t starts, stops, passes;
+	double busy, room; /* accelerator-milliseconds */
 	struct histogram cost;
 	struct outcome by_kind[KIND_COUNT];
 };
@@ -255,7 +270,7 @@
 {
 	struct truth *t = v;
 
-	g_free(t->done_ms);
+	g_free(t->progress);
 	g_free(t);
 }
 
@@ -277,6 +292,8 @@
 	char id[JOB_ID_BYTES];
 	struct step *step;
 	struct job *j;
+	double width;
+	int size;
 
 	snprintf(id, sizeof(id), "%016x", ++p->number);
 	j = job_create(id);
@@ -295,19 +312,20 @@
 	t->work_ms = draw(p, s->work_ms, s->work_spread, s->work_most_ms);
 	t->hopeless = chance(p, s->hopeless);
 	step = job_add_step(j);
-	step->count = MAX(1, draw(p, s->width, s->width_spread, s->width_most) *
-				     p->width_scale);
+	width = draw(p, s->width, s->width_spread, s->width_most);
+	step->count = MAX(1, width * p->width_scale);
 	step->need = s->need;
-	step->need.accelerators = s->sizes[g_rand_int_range(p->rand, 0, SIZES)];
+	size = g_rand_int_range(p->rand, 0, SIZES);
+	step->need.accelerators = s->sizes[size];
 	step->gang = s->gang;
-	step->one_rack = chance(p, s->one_rack);
+	step->one_rack = chance(p, s->one_rack[size]);
 	step->checkpoints = chance(p, s->checkpoints);
 	step->estimate_ms =
 		t->work_ms *
 		exp(g_rand_double_range(p->rand, -1, 1) * s->estimate_off);
 	job_lay_out(j);
 	t->objective_ms = t->work_ms * s->slack + s->target_ms;
-	t->done_ms = g_new0(double, step->count);
+	t->progress = g_new0(struct progress, step->count);
 	t->size = step->count * t->work_ms / 1000 * cores(&step->need);
 	p->mean_size[k] += (t->size - p->mean_size[k]) / ++p->mean_count[k];
 	g_hash_table_insert(p->truths, j, t);
@@ -346,39 +364,94 @@
 	       (st->step->one_rack && spans_racks(st) ? REMOTE_FACTOR : 1);
 }
 
+static struct progress *progress_of(const struct play *p, const struct task *t)
+{
+	return &truth_of(p, t->stage->job)->progress[t->index];
+}
+
+/* Work that t has done by now, with what it began from. */
+static double done_ms(const struct play *p, const struct task *t)
+{
+	const struct progress *g = progress_of(p, t);
+
+	return g->saved_ms + g->made_ms + (p->now_ms - g->since_ms) / g->factor;
+}
+
+/* Say when t ends, as fast as it goes from now on. */
+static void schedule_end(struct play *p, struct task *t)
+{
+	struct progress *g = progress_of(p, t);
+	double left =
+		truth_of(p, t->stage->job)->work_ms - g->saved_ms - g->made_ms;
+
+	g->factor = factor_of(p, t);
+	g->since_ms = p->now_ms;
+	g->order++;
+	push(p, p->now_ms + (uint64_t)(MAX(left, 0) * g->factor),
+	     (struct event){.tag = EVENT_END, .task = t, .run = g->order});
+}
+
+/* The speed of t has changed. */
+static void change_pace(struct play *p, struct task *t)
+{
+	struct progress *g = progress_of(p, t);
+
+	if (t->state != TASK_RUNNING && t->state != TASK_STOPPING)
+		return;
+	if (!g->factor)
+		return; /* it has not begun */
+	g->made_ms += (p->now_ms - g->since_ms) / g->factor;
+	schedule_end(p, t);
+}
+
 static void confirm(struct play *p, const struct event *e)
 {
 	struct task *t = e->task;
-	struct truth *u = truth_of(p, t->stage->job);
-	double left;
+	struct progress *g;
 
 	if (t->run != e->run || t->state != TASK_PLACED)
 		return;
+	g = progress_of(p, t);
 	task_confirm(t, p->now_ms);
-	left = (u->work_ms - u->done_ms[t->index]) * factor_of(p, t);
-	if (u->done_ms[t->index] > 0)
-		left += RESTORE_MS;
-	push(p, p->now_ms + (uint64_t)left,
-	     (struct event){.tag = EVENT_END, .task = t, .run = t->run});
+	g->made_ms = g->saved_ms > 0 ? -RESTORE_MS : 0;
+	schedule_end(p, t);
+}
+
+/* Upstream u turns slower by a factor. */
+static void slow_down(struct play *p, struct upstream *u, double factor)
+{
+	*(double *)g_hash_table_lookup(p->speeds, u) /= factor;
+	for (guint i = 0; i < u->tasks->len; i++) {
+		struct task *t = g_ptr_array_index(u->tasks, i);
+		struct stage *st = t->stage;
+
+		if (!st->step->gang)
+			change_pace(p, t);
+		for (uint32_t k = 0; st->step->gang && k < st->step->count; k++)
+			change_pace(p, &st->tasks[k]);
+	}
 }
 
 /* Save what a checkpoint holds of a run that is broken off; the rest of
  * its work is thrown away. */
 static void break_off(struct play *p, struct task *t)
 {
-	struct truth *u = truth_of(p, t->stage->job);
+	struct progress *g = progress_of(p, t);
 	double ran = p->now_ms - t->placed_ms, kept = 0;
 
-	if (t->stage->step->checkpoints && t->confirmed_ms) {
-		kept = floor(ran / CHECKPOINT_MS) * CHECKPOINT_MS;
-		kept = MIN(kept / factor_of(p, t),
-			   u->work_ms - u->done_ms[t->index]);
-		u->done_ms[t->index] += kept;
+	if (!g->factor)
+		return; /* it has not begun */
+	if (t->stage->step->checkpoints) {
+		kept = done_ms(p, t) - g->saved_ms;
+		kept = MAX(floor(kept / CHECKPOINT_MS) * CHECKPOINT_MS, 0);
+		g->saved_ms += kept;
 		g_free(t->checkpoint);
 		t->checkpoint = g_strdup("c");
 	}
-	p->by_kind[u->kind].thrown +=
+	p->by_kind[truth_of(p, t->stage->job)->kind].thrown +=
 		MAX(ran - kept, 0) / 1000 * cores(&t->stage->step->need);
+	g->order++;
+	g->factor = 0;
 }
 
 static void settle(struct play *p, struct job *j)
@@ -416,9 +489,10 @@
 	struct task *t = e->task;
 	struct truth *u = truth_of(p, t->stage->job);
 
-	if (t->run != e->run || t->state != TASK_RUNNING)
+	if (progress_of(p, t)->order != e->run || t->state != TASK_RUNNING)
 		return;
-	if (u->hopeless) {
+	progress_of(p, t)->factor = 0;
+	if (u->hopeless || chance(p, kinds[u->kind].errors)) {
 		upstream_note_failure(t->at, t->stage->job, p->now_ms);
 		task_end(t, RUN_FAILED, NULL, p->now_ms);
 	} else {
@@ -443,18 +517,19 @@
 	}
 }
 
-static void list_upstream(struct play *p, const struct upstream *u)
+static void list_upstream(struct play *p, struct upstream *u)
 {
 	for (guint k = 0; k < u->tasks->len; k++) {
 		struct task *t = g_ptr_array_index(u->tasks, k);
-		struct truth *r = truth_of(p, t->stage->job);
-		double done = r->done_ms[t->index];
+		double done;
 
-		if (t->state != TASK_RUNNING)
+		if (t->state != TASK_RUNNING || !progress_of(p, t)->factor)
 			continue;
-		done += (p->now_ms - t->confirmed_ms) / factor_of(p, t);
-		task_progress(t, MIN(100 * done / r->work_ms, 100), p->now_ms);
+		done = MAX(done_ms(p, t), 0) /
+		       truth_of(p, t->stage->job)->work_ms;
+		task_progress(t, MIN(100 * done, 100), p->now_ms);
 	}
+	pace_judge(u, p->now_ms);
 }
 
 static void apply_event(struct play *p, const struct event *e)
@@ -485,8 +560,7 @@
 		push(p, p->now_ms + LIST_MS, *e);
 		break;
 	case EVENT_SLOW:
-		*(double *)g_hash_table_lookup(p->speeds, e->upstream) /=
-			e->factor;
+		slow_down(p, e->upstream, e->factor);
 		break;
 	case EVENT_LEAVES:
 		e->upstream->state = UPSTREAM_DRAINING;
@@ -532,6 +606,19 @@
 	}
 }
 
+/* Add up what runs, and could run, in the time between two passes. */
+static void note_use(struct play *p)
+{
+	for (guint i = 0; i < p->fleet->list->len; i++) {
+		const struct upstream *u = g_ptr_array_index(p->fleet->list, i);
+
+		if (u->state == UPSTREAM_GONE)
+			continue;
+		p->busy += u->used.accelerators;
+		p->room += u->room.accelerators;
+	}
+}
+
 static void decide(struct play *p)
 {
 	struct dispatch_view v = {.jobs = p->jobs,
@@ -551,6 +638,7 @@
 	if (p->now_ms >= p->began_ms + WARM_UP_MS)
 		histogram_add(&p->cost, took);
 	p->passes++;
+	note_use(p);
 	for (guint i = 0; i < actions->len; i++)
 		apply_action(p, &g_array_index(actions, struct action, i));
 	g_array_unref(actions);
@@ -572,7 +660,6 @@
 	p->speeds = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	p->width_scale = 1;
 	for (uint32_t i = 0; i < o->upstreams; i++) {
-		static const double speeds[] = {0.8, 1.0, 1.25};
 		char id[16], rack[16], domain[16];
 		double *speed = g_new(double, 1);
 		struct upstream *u;
@@ -585,7 +672,7 @@
 		upstream_describe(u, "s", domain, "a", rack);
 		u->room = (struct room){128000, 524288, 8};
 		u->commanded = true;
-		*speed = speeds[g_rand_int_range(p->rand, 0, 3)];
+		*speed = 1;
 		g_hash_table_insert(p->speeds, u, speed);
 	}
 	for (uint32_t i = 0; i < ACCOUNTS; i++)
@@ -762,6 +849,7 @@
 int play_day(const struct play_options *o)
 {
 	double earned = 0, owed = 0, thrown = 0;
+	uint32_t jobs = 0, lost = 0;
 	struct play p;
 	uint64_t end;
 
@@ -782,11 +870,13 @@
 		earned += p.by_kind[k].earned;
 		owed += p.by_kind[k].owed;
 		thrown += p.by_kind[k].thrown;
+		jobs += p.by_kind[k].jobs;
+		lost += p.by_kind[k].lost;
 	}
-	printf("all: credit=%.3f thrown_core_s=%.0f passes=%llu p50_us=%llu "
-	       "p99_us=%llu starts=%llu stops=%llu\n",
-	       owed > 0 ? earned / owed : 0, thrown,
-	       (unsigned long long)p.passes,
+	printf("all: credit=%.3f unserved=%.3f busy=%.3f thrown_core_s=%.0f "
+	       "passes=%llu p50_us=%llu p99_us=%llu starts=%llu stops=%llu\n",
+	       owed > 0 ? earned / owed : 0, (double)lost / MAX(jobs, 1),
+	       p.busy / MAX(p.room, 1), thrown, (unsigned long long)p.passes,
 	       (unsigned long long)histogram_quantile_us(&p.cost, 0.5),
 	       (unsigned long long)histogram_quantile_us(&p.cost, 0.99),
 	       (unsigned long long)p.starts, (unsigned long long)p.stops);
--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -33,9 +33,6 @@
 #define PLAN_RETRY_MS 100
 #define PLANS_MOST 16
 
-/* Urgent stages for which room is kept free. */
-#define HEADROOM_STAGES 2
-
 /* A value that no loss outweighs. */
 #define MUST 1e9
 
@@ -352,15 +349,23 @@
 	return true;
 }
 
-/* Keep room for urgent work that is likely to come next. */
+/*
+ * The load: urgent work that comes in a steady stream or a burst.  Keep
+ * room for what is likely to come in the time that it takes to stop other
+ * work, so that it begins at once.
+ */
 static void hold_headroom(struct pass *p)
 {
-	struct stage *st = learn_next_urgent(p->v->learn, p->v->now_ms);
+	uint32_t n =
+		learn_urgent_expected(p->v->learn, p->v->now_ms, p->v->stop_ms);
+
+	for (uint32_t k = 0; k < n; k++) {
+		struct stage *st = learn_urgent_like(p->v->learn, k);
 
-	for (uint32_t k = 0; st && k < HEADROOM_STAGES; k++)
 		if (pack_choose_all(&p->pack, st, st->step->count, PACK_NOW) ||
 		    pack_hold(&p->pack, st, st->step->count, RANK_URGENT))
 			pack_deduct(&p->pack);
+	}
 }
 
 static void place(struct pass *p, const struct candidate *c)
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -27,6 +27,7 @@
 	struct room used;
 	GPtrArray *tasks;	 /* that occupy room */
 	uint64_t avoid_until_ms; /* after failures */
+	uint64_t slow_until_ms;	 /* its runs lag behind */
 	uint32_t strikes;	 /* failures since the last success */
 	const struct job
 		*struck_by; /* the last job that failed; not followed */
--- a/sched/learn.c
+++ b/sched/learn.c
@@ -27,9 +27,10 @@
 	double work; /* mean of a job */
 };
 
-/* Urgent stages are remembered for this long, and so many of them. */
+/* Urgent stages are counted over these times, and so many remembered. */
 #define URGENT_WINDOW_MS 10000
-#define URGENT_MOST 16
+#define URGENT_BURST_MS 2000
+#define URGENT_MOST 256
 /* With fewer than this many in the window none is expected. */
 #define URGENT_LEAST 3
 
@@ -167,36 +168,38 @@
 	job_set_service(&a->job, st->job->service);
 }
 
-static int64_t accelerators(const struct arrival *a)
+static uint32_t urgent_since(const struct learn *l, uint64_t since_ms)
 {
-	return a->step.count * MAX(a->step.need.accelerators, 1);
-}
-
-static int by_size(const void *a, const void *b)
-{
-	int64_t x = accelerators(*(struct arrival *const *)a);
-	int64_t y = accelerators(*(struct arrival *const *)b);
+	uint32_t n = 0;
 
-	return x < y ? -1 : x > y;
+	for (uint32_t i = 0; i < URGENT_MOST; i++)
+		n += l->urgent[i].at_ms > since_ms;
+	return n;
 }
 
 /*
- * Return an urgent stage as large as two thirds of those that came of
- * late, or NULL when too few came to expect another.
+ * Return how many urgent stages are expected in the next horizon_ms: as
+ * many as came in such a time of late, or in a burst just now.
+ * learn_urgent_like tells what they may look like.
  */
-struct stage *learn_next_urgent(struct learn *l, uint64_t now_ms)
+uint32_t learn_urgent_expected(const struct learn *l, uint64_t now_ms,
+			       uint32_t horizon_ms)
 {
-	struct arrival *list[URGENT_MOST];
-	uint32_t n = 0;
+	uint64_t of_late = now_ms - MIN(now_ms, URGENT_WINDOW_MS);
+	uint64_t just_now = now_ms - MIN(now_ms, URGENT_BURST_MS);
+	uint64_t n = urgent_since(l, of_late);
+	uint64_t burst = urgent_since(l, just_now);
 
-	for (uint32_t i = 0; i < URGENT_MOST; i++)
-		if (l->urgent[i].at_ms &&
-		    l->urgent[i].at_ms + URGENT_WINDOW_MS > now_ms)
-			list[n++] = &l->urgent[i];
 	if (n < URGENT_LEAST)
-		return NULL;
-	qsort(list, n, sizeof(*list), by_size);
-	return &list[n * 2 / 3]->stage;
+		return 0;
+	return 1 + MAX(n * horizon_ms / URGENT_WINDOW_MS,
+		       burst * horizon_ms / URGENT_BURST_MS);
+}
+
+/* Return the urgent stage that came as the k-th last one. */
+struct stage *learn_urgent_like(struct learn *l, uint32_t k)
+{
+	return &l->urgent[(l->urgent_next - 1 - k) % URGENT_MOST].stage;
 }
 
 /* Note a job that has come. */
--- a/sched/pack.c
+++ b/sched/pack.c
@@ -6,6 +6,8 @@
 
 /* Demands that did not fit are remembered up to this number. */
 #define MISSES_MOST 64
+/* When more than one upstream in so many is slow, none is left out. */
+#define SLOW_SHARE 3
 /* Free accelerators from the last one on are not told apart when places
  * are put in order. */
 #define LEFT_MOST 128
@@ -149,9 +151,10 @@
 }
 
 /* List the places with room for the demand; returns their number. */
-static uint32_t list_slots(struct pack *p, uint32_t want,
-			   const struct room *rooms, int rack)
+static uint32_t list_slots(struct pack *p, uint32_t want, enum pack_room which,
+			   int rack)
 {
+	const struct room *rooms = rooms_of(p, which);
 	uint32_t n = 0, from = 0, to = p->n;
 
 	if (rack != ANY_RACK) {
@@ -167,16 +170,12 @@
 			continue;
 		s.left = rooms[i].accelerators -
 			 MIN(s.count, want) * p->demand.need.accelerators;
+		s.left = CLAMP(s.left, 0, LEFT_MOST - 1);
 		p->slots[n++] = s;
 	}
 	return n;
 }
 
-static uint32_t left_class(const struct pack_slot *s)
-{
-	return CLAMP(s->left, 0, LEFT_MOST - 1);
-}
-
 /* Choose among n slots, the tightest first; returns how many it placed. */
 static uint32_t choose_slots(struct pack *p, uint32_t n, uint32_t want)
 {
@@ -184,11 +183,11 @@
 	struct pack_slot *sorted = p->slots + p->n;
 
 	for (uint32_t k = 0; k < n; k++)
-		first[left_class(&p->slots[k]) + 1]++;
+		first[p->slots[k].left + 1]++;
 	for (uint32_t c = 0; c < LEFT_MOST; c++)
 		first[c + 1] += first[c];
 	for (uint32_t k = 0; k < n; k++)
-		sorted[first[left_class(&p->slots[k])]++] = p->slots[k];
+		sorted[first[p->slots[k].left]++] = p->slots[k];
 	for (uint32_t k = 0; k < n && placed < want; k++) {
 		struct pack_slot s = sorted[k];
 
@@ -200,10 +199,10 @@
 }
 
 static uint32_t choose_within(struct pack *p, uint32_t want,
-			      const struct room *rooms, int rack)
+			      enum pack_room which, int rack)
 {
 	p->chosen_len = 0;
-	return choose_slots(p, list_slots(p, want, rooms, rack), want);
+	return choose_slots(p, list_slots(p, want, which, rack), want);
 }
 
 /*
@@ -218,7 +217,7 @@
 	p->chosen_len = 0;
 	if (known_miss(p, PACK_NOW, 0, 1, false))
 		return 0;
-	n = choose_within(p, want, p->now, ANY_RACK);
+	n = choose_within(p, want, PACK_NOW, ANY_RACK);
 	if (!n)
 		note_miss(p, PACK_NOW, 0, 1, false);
 	return n;
@@ -306,7 +305,7 @@
 		if (rack == ANY_RACK)
 			goto out;
 	}
-	placed = choose_within(p, want, rooms, rack);
+	placed = choose_within(p, want, which, rack);
 out:
 	if (placed < want)
 		note_miss(p, which, rank, want, one_rack);
@@ -332,8 +331,7 @@
 		return false;
 	pack_demand(p, st);
 	rack = find_rack(p, st->step->data_rack_name);
-	return rack != ANY_RACK &&
-	       choose_within(p, want, rooms_of(p, which), rack) == want;
+	return rack != ANY_RACK && choose_within(p, want, which, rack) == want;
 }
 
 /* Choose places for all `want` tasks; false when the room is too small. */
@@ -418,7 +416,8 @@
 {
 	const struct upstream *u = p->upstreams[i];
 
-	p->usable[i] = upstream_usable(u, p->now_ms);
+	p->usable[i] = upstream_usable(u, p->now_ms) &&
+		       (p->slow_too || u->slow_until_ms <= p->now_ms);
 	if (!p->usable[i])
 		return;
 	p->now[i] = u->room;
@@ -476,6 +475,20 @@
 	g_hash_table_destroy(numbers);
 }
 
+/* Report whether too many upstreams are slow to do without them. */
+static bool many_slow(const struct fleet *f, uint64_t now_ms)
+{
+	uint32_t all = 0, slow = 0;
+
+	for (guint i = 0; i < f->list->len; i++) {
+		const struct upstream *u = g_ptr_array_index(f->list, i);
+
+		all += u->state == UPSTREAM_READY;
+		slow += u->state == UPSTREAM_READY && u->slow_until_ms > now_ms;
+	}
+	return slow * SLOW_SHARE > all;
+}
+
 /* Begin a pass over f: measure what is free. */
 void pack_open(struct pack *p, struct fleet *f, uint64_t now_ms)
 {
@@ -498,6 +511,7 @@
 	p->slots = g_new(struct pack_slot, 2 * most + 1);
 	p->chosen = g_new(struct pack_slot, most + 1);
 	p->misses = g_array_new(FALSE, FALSE, sizeof(struct miss));
+	p->slow_too = many_slow(f, now_ms);
 	for (uint32_t i = 0; i < most; i++) {
 		struct upstream *u = g_ptr_array_index(f->list, i);
 
--- a/sched/pack.h
+++ b/sched/pack.h
@@ -40,6 +40,7 @@
 	GPtrArray *listed;	     /* the upstreams */
 	struct upstream **upstreams; /* the same */
 	bool *usable;
+	bool slow_too; /* slow ones as well */
 	struct room *now;
 	struct room *soon;
 	struct room *held;   /* scratch of pack_hold */
--- a/sched/value.c
+++ b/sched/value.c
@@ -1,6 +1,7 @@
 /* The worth of jobs, and of the work in their runs. */
 #include <string.h>
 
+#include "sched/pace.h"
 #include "sched/value.h"
 
 /* By priority: an urgent job, the next, all others. */
@@ -20,6 +21,8 @@
  * job for each. */
 #define CORE_SECOND 0.001
 #define ACCELERATOR_CORES 8
+/* No upstream is taken to hold more tasks than this. */
+#define TASKS_MOST 1000
 /* Progress of less than this many percent tells nothing yet. */
 #define PERCENT_LEAST 4
 
@@ -67,19 +70,22 @@
 	return st->job->repeat ? st->since_ms : st->job->since_ms;
 }
 
-/* The share of a mean upstream that a task of st takes. */
+/*
+ * The share of a mean upstream that a task of st takes: what is left over
+ * when no more tasks like it fit is of little use to others.
+ */
 static double share(const struct value_view *v, const struct stage *st)
 {
 	const struct room *n = &st->step->need, *m = &v->machine;
-	double most = 0.001;
-
-	if (m->cpu_milli)
-		most = MAX(most, (double)n->cpu_milli / m->cpu_milli);
-	if (m->memory_mb)
-		most = MAX(most, (double)n->memory_mb / m->memory_mb);
-	if (m->accelerators)
-		most = MAX(most, (double)n->accelerators / m->accelerators);
-	return MIN(most, 1);
+	int64_t fit = TASKS_MOST;
+
+	if (n->cpu_milli)
+		fit = MIN(fit, m->cpu_milli / n->cpu_milli);
+	if (n->memory_mb)
+		fit = MIN(fit, m->memory_mb / n->memory_mb);
+	if (n->accelerators)
+		fit = MIN(fit, m->accelerators / n->accelerators);
+	return 1.0 / MAX(fit, 1);
 }
 
 static double worth(const struct value_view *v, const struct job *j)
@@ -157,10 +163,14 @@
 	uint32_t made = t->percent - MIN(t->percent_first, t->percent);
 	uint64_t left;
 
+	if (made < PERCENT_LEAST && pace_lags(t, whole))
+		return t->pace.whole_ms * (100 - t->percent) / 100;
 	if (made < PERCENT_LEAST)
 		return whole > ran ? whole - ran : whole / 4;
 	left = (t->percent_ms - t->percent_first_ms) * (100 - t->percent) /
 	       made;
+	if (pace_lags(t, whole))
+		left = MAX(left, t->pace.whole_ms * (100 - t->percent) / 100);
 	return left > since ? left - since : 0;
 }
 
--- a/sched/work.c
+++ b/sched/work.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "sched/fleet.h"
+#include "sched/pace.h"
 #include "sched/work.h"
 
 #define MAX_TASKS 4000
@@ -311,6 +312,7 @@
 	t->run = run;
 	t->placed_ms = now_ms;
 	t->percent = 0;
+	pace_begin(t);
 	t->percent_ms = now_ms;
 	t->percent_first = 0;
 	/* a run without a checkpoint begins at 0 percent */
@@ -341,6 +343,7 @@
 {
 	t->percent = percent;
 	t->percent_ms = now_ms;
+	pace_note(t, percent, now_ms);
 	if (t->percent_first_ms)
 		return;
 	t->percent_first = percent;
--- a/sched/work.h
+++ b/sched/work.h
@@ -70,6 +70,13 @@
 
 struct stage;
 
+/* How fast a run goes. */
+struct pace {
+	uint32_t percent;  /* at the start of the present window ... */
+	uint64_t since_ms; /* ... which was then; 0: none yet */
+	uint64_t whole_ms; /* all of it at the last window's pace; 0: unknown */
+};
+
 struct task {
 	struct stage *stage;
 	uint32_t index; /* within the stage */
@@ -82,6 +89,7 @@
 	uint64_t percent_ms;	   /* when it was listed */
 	uint32_t percent_first;	   /* of this run, as first listed ... */
 	uint64_t percent_first_ms; /* ... then; 0: not listed yet */
+	struct pace pace;
 	uint64_t placed_ms;
 	uint64_t confirmed_ms;
 	uint64_t ended_ms;
@@ -119,6 +127,7 @@
 	uint32_t failed_run; /* the gang's newest run that failed */
 	uint64_t since_ms;   /* its turn has come; 0: not yet */
 	struct task *tasks;
+	uint64_t fastest_ms; /* a task at the best pace seen; 0: unknown */
 	GQuark held_rack;    /* where room was made for it last; 0: nowhere */
 	bool finished;	     /* an earlier run of active tasks is done */
 	bool any_rack;	     /* may span racks though that is slower */
--- a/test/unit_dispatch.c
+++ b/test/unit_dispatch.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 
 #include "sched/dispatch.h"
+#include "sched/pace.h"
 
 #define STOP_MS 900
 #define RECLAIM_MS 3400
@@ -373,6 +374,106 @@
 	play_close(&p);
 }
 
+/* End the tasks that have run for run_ms, some a little later. */
+static void play_end_runs(struct play *p, uint64_t run_ms)
+{
+	for (guint i = 0; i < p->jobs->len; i++) {
+		struct job *j = g_ptr_array_index(p->jobs, i);
+		struct stage *st = &j->stages[0];
+
+		for (uint32_t k = 0; k < st->step->count; k++)
+			if (st->tasks[k].state == TASK_RUNNING &&
+			    p->now_ms >= st->tasks[k].placed_ms + run_ms +
+						 k % 7 * 50)
+				task_end(&st->tasks[k], RUN_DONE, NULL,
+					 p->now_ms);
+		job_settle(j, p->now_ms);
+	}
+}
+
+/*
+ * The load: quiet work without end fills the site, and every 900 ms four
+ * urgent jobs of a whole upstream come for 300 ms.  Once such jobs are
+ * known to come, room is kept for them: they begin in the pass in which
+ * they come.
+ */
+static void test_urgent_stream_begins_at_once(void **state)
+{
+	uint32_t at_once = 0, came = 0;
+	struct play p;
+
+	(void)state;
+	play_open(&p, 16);
+	play_job(&p, 2, 4000, 1, 300, false);
+	for (uint32_t ms = 0; ms < 12000; ms += 50) {
+		struct job *j[4] = {NULL};
+
+		play_end_runs(&p, 300);
+		for (uint32_t k = 0; ms % 900 == 0 && k < 4; k++)
+			j[k] = play_job(&p, 0, 1, 8, 300, true);
+		play_pass(&p, true);
+		for (uint32_t k = 0; j[0] && ms >= 3000 && k < 4; k++) {
+			came++;
+			at_once += running(j[k]);
+		}
+		p.now_ms += 50;
+	}
+	assert_true(at_once * 10 >= came * 9);
+	play_close(&p);
+}
+
+/* Let the upstream list all of its runs at this percentage. */
+static void play_list(struct play *p, struct upstream *u, uint32_t percent)
+{
+	for (guint k = 0; k < u->tasks->len; k++)
+		task_progress(g_ptr_array_index(u->tasks, k), percent,
+			      p->now_ms);
+	pace_judge(u, p->now_ms);
+}
+
+/*
+ * The load: quiet work on four upstreams, one of which turns slow by a
+ * factor of six.  New work goes elsewhere, and there again when it is
+ * sound; an upstream that only lists nothing for a while is not slow.
+ */
+static void test_slow_upstream_is_left_out(void **state)
+{
+	struct upstream *slow, *silent;
+	struct job *quiet, *later;
+	struct play p;
+
+	(void)state;
+	play_open(&p, 4);
+	quiet = play_job(&p, 2, 16, 1, 10000, false);
+	quiet->steps[0].spread = 4;
+	play_pass(&p, true);
+	slow = g_ptr_array_index(p.fleet->list, 1);
+	silent = g_ptr_array_index(p.fleet->list, 2);
+	for (uint32_t n = 0; n <= 4; n++) {
+		for (guint i = 0; i < 4; i++) {
+			struct upstream *u =
+				g_ptr_array_index(p.fleet->list, i);
+
+			if (u != silent || n == 0 || n == 4)
+				play_list(&p, u, u == slow ? n : 6 * n);
+		}
+		p.now_ms += 600;
+	}
+	later = play_job(&p, 1, 12, 1, 10000, false);
+	play_pass(&p, true);
+	assert_true(running(later));
+	for (uint32_t i = 0; i < 12; i++)
+		assert_ptr_not_equal(later->stages[0].tasks[i].at, slow);
+	for (uint32_t n = 1; n <= 3; n++) {
+		play_list(&p, slow, 4 + 6 * n);
+		p.now_ms += 600;
+	}
+	later = play_job(&p, 1, 4, 1, 10000, false);
+	play_pass(&p, true);
+	assert_ptr_equal(later->stages[0].tasks[0].at, slow);
+	play_close(&p);
+}
+
 /*
  * The load: a job each of whose steps comes after all earlier ones.  The
  * number of ways through it is astronomical; a pass takes its usual time.
@@ -437,6 +538,8 @@
 		cmocka_unit_test(test_gang_moves_off_an_upstream_that_leaves),
 		cmocka_unit_test(test_gang_starts_whole_or_not),
 		cmocka_unit_test(test_many_ways_through_a_job_cost_nothing),
+		cmocka_unit_test(test_urgent_stream_begins_at_once),
+		cmocka_unit_test(test_slow_upstream_is_left_out),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
