Ask for the configuration after standing still; time-outs of peers as of calls

Cause: an instance that had been stopped served the requests in its sockets by the keys it knew before, also one withdrawn meanwhile (a_woken_instance_asks_before_it_admits got 200 before).

Change: after a pause of a second requests wait until the store was asked for the configuration, for 600 ms at most. The rule that a held loop is no silence of others moves from the HTTP client into the timers, and holds for calls through peers too. An answer that is not UTF-8 is no crash.

--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -188,6 +188,11 @@
 	policy_destroy(before);
 }
 
+static void operators_answered(void *arg)
+{
+	entry_policies_answered(((struct joint *)arg)->entry);
+}
+
 static bool ready(const struct joint *j)
 {
 	return !j->leave_ms && j->policy && follower_complete(j->jobs) &&
@@ -218,6 +223,7 @@
 	uint64_t us = t->sockets_us + t->timers_us;
 
 	latency_add(j->counters, "turn", us);
+	entry_stood_still(j->entry, MAX(us, t->late_us) / 1000);
 	if (MAX(us, t->late_us) >
 	    (lead_leads(j->lead) ? LONG_TURN_LEADER_US : LONG_TURN_US))
 		log_fields(LOG_INFO, "turn_long", "{s:I,s:I,s:I,s:b}",
@@ -316,7 +322,8 @@
 					 .answered = owner_answered};
 	struct follower_events jobs = {.changed = job_row};
 	struct follower_events states = {.changed = state_row};
-	struct follower_events op = {.changed = operator_row};
+	struct follower_events op = {.changed = operator_row,
+				     .answered = operators_answered};
 
 	j->owners =
 		follower_create(j->loop, j->rows, OWNER_TABLE,
@@ -366,6 +373,7 @@
 				.rows = j->rows,
 				.counters = j->counters,
 				.settings = s,
+				.policies = j->operators,
 				.jobs = j->jobs,
 				.states = j->states};
 	le = (struct lead_env){.loop = j->loop,
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -36,6 +36,13 @@
 #define STATES_GAP_MS 300
 /* With a copy of the table that is older, the store does not answer. */
 #define STALE_MS 1300
+/* After a pause of the whole process of at least this, what it knows of keys
+ * and queues may have been withdrawn meanwhile: half of the shortest time in
+ * which a configuration has to be in force. */
+#define DOUBT_AFTER_MS 1000
+/* For so long it is asked for again before requests are served with what is
+ * known: the store may be out of reach. */
+#define DOUBT_MOST_MS 600
 #define ID_LENGTH 16
 
 struct entry {
@@ -44,6 +51,9 @@
 	struct board *board;
 	GHashTable *waiting; /* requests for a state that may change now */
 	const struct policy *policy;
+	uint64_t doubt_ms;  /* since when the policy is in doubt; 0: no */
+	GPtrArray *doubted; /* requests that wait for that to end */
+	struct timer doubt_timer;
 };
 
 enum request_kind {
@@ -537,9 +547,8 @@
 	return true;
 }
 
-static void on_request(void *arg, struct http_exchange *x)
+static void handle(struct entry *n, struct http_exchange *x)
 {
-	struct entry *n = arg;
 	const char *path = exchange_path(x), *id = path;
 	char *host = exchange_host(x);
 	char account[LABEL_BYTES];
@@ -569,6 +578,64 @@
 	g_free(host);
 }
 
+/* Serve the requests that have waited, by what is known now. */
+static void end_doubt(struct entry *n)
+{
+	GPtrArray *waited = n->doubted;
+
+	if (!n->doubt_ms)
+		return;
+	log_fields(LOG_INFO, "doubt_ended", "{s:I,s:i,s:b,s:I}", "took_ms",
+		   (json_int_t)(clock_mono_ms() - n->doubt_ms), "requests",
+		   (int)waited->len, "asked",
+		   follower_asked_ms(n->env.policies) > n->doubt_ms, "policy",
+		   (json_int_t)(n->policy ? n->policy->version : 0));
+	n->doubt_ms = 0;
+	timer_stop(n->env.loop, &n->doubt_timer);
+	n->doubted = g_ptr_array_new();
+	for (guint i = 0; i < waited->len; i++)
+		handle(n, g_ptr_array_index(waited, i));
+	g_ptr_array_free(waited, TRUE);
+}
+
+static void on_doubt_over(void *arg)
+{
+	end_doubt(arg);
+}
+
+/* Take in that the store has answered about the configuration. */
+void entry_policies_answered(struct entry *n)
+{
+	if (n->doubt_ms && follower_asked_ms(n->env.policies) > n->doubt_ms)
+		end_doubt(n);
+}
+
+/*
+ * Note that this process has stood still for ms.  A key may have been
+ * withdrawn meanwhile: requests wait until the configuration was asked for.
+ */
+void entry_stood_still(struct entry *n, uint64_t ms)
+{
+	if (ms < DOUBT_AFTER_MS || n->doubt_ms)
+		return;
+	log_fields(LOG_WARN, "doubt", "{s:I}", "stood_still_ms",
+		   (json_int_t)ms);
+	n->doubt_ms = clock_mono_ms();
+	timer_start(n->env.loop, &n->doubt_timer, DOUBT_MOST_MS);
+	follower_hurry(n->env.policies);
+}
+
+static void on_request(void *arg, struct http_exchange *x)
+{
+	struct entry *n = arg;
+
+	entry_stood_still(n, loop_late_ms(n->env.loop));
+	if (n->doubt_ms)
+		g_ptr_array_add(n->doubted, x);
+	else
+		handle(n, x);
+}
+
 /* Listen for callers; NULL when the address cannot be had. */
 struct entry *entry_create(const struct entry_env *e)
 {
@@ -577,6 +644,8 @@
 	n->env = *e;
 	n->board = board_create();
 	n->waiting = g_hash_table_new(NULL, NULL);
+	n->doubted = g_ptr_array_new();
+	timer_init(&n->doubt_timer, on_doubt_over, n);
 	n->server = http_server_create(e->loop, &e->settings->callers,
 				       256 << 10, on_request, n);
 	if (!n->server) {
@@ -594,6 +663,8 @@
 	http_server_destroy(n->server);
 	board_destroy(n->board);
 	g_hash_table_destroy(n->waiting);
+	timer_stop(n->env.loop, &n->doubt_timer);
+	g_ptr_array_free(n->doubted, TRUE);
 	g_free(n);
 }
 
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -17,8 +17,9 @@
 	struct rows *rows;
 	struct counters *counters;
 	const struct joint_settings *settings;
-	struct follower *jobs;	 /* accepted jobs and wishes to cancel */
-	struct follower *states; /* the state of every job */
+	struct follower *policies; /* the operators' configuration */
+	struct follower *jobs;	   /* accepted jobs and wishes to cancel */
+	struct follower *states;   /* the state of every job */
 };
 
 struct entry *entry_create(const struct entry_env *e);
@@ -26,6 +27,8 @@
 void entry_job_row(struct entry *n, const char *key, const char *value);
 void entry_state_row(struct entry *n, const char *id, const char *value);
 void entry_policy(struct entry *n, const struct policy *p);
+void entry_stood_still(struct entry *n, uint64_t ms);
+void entry_policies_answered(struct entry *n);
 void entry_drain(struct entry *n);
 void entry_close(struct entry *n);
 uint32_t entry_open(const struct entry *n);
--- a/lead/follower.c
+++ b/lead/follower.c
@@ -45,7 +45,10 @@
 	uint64_t since_ms;    /* answers without a failure since */
 	uint64_t store_ms;    /* the store's clock at answered_ms */
 	uint32_t failures;
-	uint64_t due_ms; /* when the call in flight ends at the latest */
+	uint64_t due_ms;   /* when the call in flight ends at the latest */
+	uint64_t sent_ms;  /* when it was sent */
+	uint64_t asked_ms; /* when the newest answered one was sent */
+	bool hurry;	   /* the next call is not to be held */
 	bool calling;
 	bool destroyed; /* to be freed when the call returns */
 	struct timer timer;
@@ -126,6 +129,20 @@
 	return f->answered_ms ? clock_mono_ms() - f->answered_ms : UINT64_MAX;
 }
 
+/* Return when the newest call that was answered had been sent; 0: none. */
+uint64_t follower_asked_ms(const struct follower *f)
+{
+	return f->asked_ms;
+}
+
+/* Let the next call be answered at once, and come soon. */
+void follower_hurry(struct follower *f)
+{
+	f->hurry = true;
+	if (timer_running(&f->timer) && !f->failures)
+		timer_start(f->loop, &f->timer, 0);
+}
+
 /* Report whether calls fail, and none was answered for ms. */
 bool follower_silent(const struct follower *f, uint32_t ms)
 {
@@ -319,6 +336,7 @@
 			   f->table, "failures", (int)f->failures);
 	f->failures = 0;
 	f->answered_ms = clock_mono_ms();
+	f->asked_ms = f->sent_ms;
 	f->store_ms = a->now_ms;
 	if (!f->since_ms)
 		f->since_ms = f->answered_ms;
@@ -328,7 +346,8 @@
 		page_read(f, a);
 	else if (a->version > f->version)
 		f->version = a->version;
-	timer_start(f->loop, &f->timer, f->complete ? f->gap_ms : 0);
+	timer_start(f->loop, &f->timer,
+		    f->complete && !f->hurry ? f->gap_ms : 0);
 	if (f->ev.answered)
 		f->ev.answered(f->arg);
 }
@@ -336,13 +355,15 @@
 static void go_on(void *arg)
 {
 	struct follower *f = arg;
+	uint32_t wait = f->hurry ? 0 : f->wait_ms;
 
 	f->calling = true;
-	f->due_ms =
-		clock_mono_ms() + ANSWER_MS + (f->complete ? f->wait_ms : 0);
+	f->hurry = false;
+	f->sent_ms = clock_mono_ms();
+	f->due_ms = f->sent_ms + ANSWER_MS + (f->complete ? wait : 0);
 	if (f->complete)
-		rows_feed(f->rows, f->table, f->version, f->wait_ms,
-			  f->wait_ms + ANSWER_MS, on_answer, f);
+		rows_feed(f->rows, f->table, f->version, wait, wait + ANSWER_MS,
+			  on_answer, f);
 	else
 		rows_range(f->rows, f->table, f->parts[f->part], f->next_key,
 			   PAGE_ROWS, ANSWER_MS, on_answer, f);
--- a/lib/httpclient.c
+++ b/lib/httpclient.c
@@ -45,8 +45,6 @@
 	struct conn_set *set;
 	h2o_http1client_t *client;
 	struct timer timer;
-	uint32_t timeout_ms;
-	uint64_t held_ms; /* of the loop, when the timer was started */
 	char *request;
 	h2o_iovec_t iov;
 	GByteArray *body;
@@ -214,28 +212,9 @@
 	return verdict_did_not_run(r);
 }
 
-/* Start the time-out of a call, as the loop's time goes. */
-static void start_timeout(struct http_call *call, uint64_t ms)
-{
-	struct loop *l = call->pool->client->loop;
-
-	call->held_ms = loop_held_ms(l);
-	timer_start(l, &call->timer, ms);
-}
-
-/*
- * The time is over.  Time in which this process served no sockets does
- * not count: the answer may have been there all along.
- */
 static void call_timeout(void *arg)
 {
 	struct http_call *call = arg;
-	uint64_t held = loop_held_ms(call->pool->client->loop) - call->held_ms;
-
-	if (held) {
-		start_timeout(call, MIN(held, call->timeout_ms));
-		return;
-	}
 
 	h2o_http1client_cancel(call->client);
 	call_finish(call, broken(call, REASON_DEADLINE));
@@ -368,8 +347,7 @@
 	call->iov = h2o_iovec_init(call->request, strlen(call->request));
 	g_hash_table_add(p->calls, call);
 	timer_init(&call->timer, call_timeout, call);
-	call->timeout_ms = timeout_ms;
-	start_timeout(call, timeout_ms);
+	timer_start_patience(p->client->loop, &call->timer, timeout_ms);
 	h2o_http1client_connect_with_pool(&call->client, call, &p->client->ctx,
 					  &p->set->sockets, on_connect);
 	return call;
--- a/lib/httpserver.c
+++ b/lib/httpserver.c
@@ -211,7 +211,9 @@
 {
 	char *s = json_dumps(v, JSON_COMPACT | JSON_PRESERVE_ORDER);
 
-	exchange_reply(x, status, "application/json", s, retry_after_ms);
+	/* text that is not UTF-8 cannot be sent as JSON */
+	exchange_reply(x, status, "application/json", s ? s : "{}",
+		       retry_after_ms);
 	free(s);
 	json_decref(v);
 }
--- a/lib/loop.c
+++ b/lib/loop.c
@@ -23,6 +23,7 @@
 	uint32_t heap_cap;
 	bool stopped;
 	uint64_t held_us; /* in long turns, and by waking late */
+	uint64_t due_us;  /* when the present round had to be awake */
 	void (*turned)(void *arg, const struct turn *t);
 	void *turned_arg;
 	void (*idle)(void *arg);
@@ -134,8 +135,7 @@
 	return t->slot != 0;
 }
 
-/* Start t, or start it again, to fire delay_ms from now. */
-void timer_start(struct loop *l, struct timer *t, uint64_t delay_ms)
+static void start(struct loop *l, struct timer *t, uint64_t delay_ms)
 {
 	timer_stop(l, t);
 	t->due_ms = clock_mono_ms() + delay_ms;
@@ -149,6 +149,37 @@
 	heap_up(l, t, l->heap_len);
 }
 
+/* Start t, or start it again, to fire delay_ms from now. */
+void timer_start(struct loop *l, struct timer *t, uint64_t delay_ms)
+{
+	t->patience_ms = 0;
+	start(l, t, delay_ms);
+}
+
+/*
+ * Start t as a time-out of another side's answer.  It fires after ms in
+ * which the loop served its sockets: while the loop is held the answer
+ * may be there to be read.
+ */
+void timer_start_patience(struct loop *l, struct timer *t, uint64_t ms)
+{
+	t->patience_ms = MAX(ms, 1);
+	t->held_ms = loop_held_ms(l);
+	start(l, t, ms);
+}
+
+/* Start a time-out that is due again, if the loop was held meanwhile. */
+static bool extend_patience(struct loop *l, struct timer *t)
+{
+	uint64_t held = loop_held_ms(l) - t->held_ms;
+
+	if (!t->patience_ms || !held)
+		return false;
+	t->held_ms += held;
+	start(l, t, MIN(held, t->patience_ms));
+	return true;
+}
+
 /* Stop t; harmless when it is not running. */
 void timer_stop(struct loop *l, struct timer *t)
 {
@@ -175,7 +206,8 @@
 		struct timer *t = l->heap[1];
 
 		timer_stop(l, t);
-		t->fire(t->arg);
+		if (!extend_patience(l, t))
+			t->fire(t->arg);
 	}
 }
 
@@ -200,6 +232,17 @@
 	return l->held_us / 1000;
 }
 
+/*
+ * Return by how much the present round is late: this process may have
+ * stood still, and what it knows be as much older than it seems.
+ */
+uint64_t loop_late_ms(const struct loop *l)
+{
+	uint64_t now = clock_mono_us();
+
+	return (now - MIN(now, l->due_us)) / 1000;
+}
+
 /* Call turned(arg, turn) after each round. */
 void loop_on_turn(struct loop *l,
 		  void (*turned)(void *arg, const struct turn *t), void *arg)
@@ -248,6 +291,7 @@
 	else if (l->heap_len && l->heap[1]->due_ms - now < wait)
 		wait = l->heap[1]->due_ms - now;
 	began = clock_mono_us();
+	l->due_us = began + wait * UINT64_C(1000);
 	h2o_evloop_run(l->h2o, (int32_t)wait);
 	polled = clock_mono_us();
 	t.sockets_us = callbacks_us(l, began, polled);
--- a/lib/loop.h
+++ b/lib/loop.h
@@ -20,6 +20,10 @@
 	void *arg;
 	uint64_t due_ms;
 	uint32_t slot; /* position in the heap, 0 when idle */
+	/* of a time-out: its length, and for how long the loop had been held
+	 * when it began; 0: an ordinary timer */
+	uint64_t patience_ms;
+	uint64_t held_ms;
 };
 
 struct loop *loop_create(void);
@@ -29,6 +33,7 @@
 void loop_step(struct loop *l, uint32_t max_wait_ms);
 void loop_stop(struct loop *l);
 uint64_t loop_held_ms(const struct loop *l);
+uint64_t loop_late_ms(const struct loop *l);
 void loop_on_turn(struct loop *l,
 		  void (*turned)(void *arg, const struct turn *t), void *arg);
 void loop_on_idle(struct loop *l, void (*idle)(void *arg), void *arg);
@@ -37,6 +42,7 @@
 
 void timer_init(struct timer *t, void (*fire)(void *arg), void *arg);
 void timer_start(struct loop *l, struct timer *t, uint64_t delay_ms);
+void timer_start_patience(struct loop *l, struct timer *t, uint64_t ms);
 void timer_stop(struct loop *l, struct timer *t);
 bool timer_running(const struct timer *t);
 
--- a/test/jointsite.c
+++ b/test/jointsite.c
@@ -23,10 +23,10 @@
 #define FAKETIME "/usr/lib/*/faketime/libfaketime.so.1"
 
 #define POLICY                                                                 \
-	"{\"version\": 3, \"routes\": [%s], \"services\": [{\"name\": "        \
+	"{\"version\": %u, \"routes\": [%s], \"services\": [{\"name\": "       \
 	"\"service\", \"enforcesCapacity\": true}], \"limits\": "              \
 	"{\"maxBodyBytes\": 262144}, \"tenants\": [{\"name\": \"team\", "      \
-	"\"apiKeys\": [\"key\"], \"guaranteed\": {\"gpu\": 16}}]}"
+	"\"apiKeys\": [\"%s\"], \"guaranteed\": {\"gpu\": 16}}]}"
 
 struct reply {
 	bool done;
@@ -217,7 +217,7 @@
 	g_free(want);
 }
 
-static void put_policy(struct joint_site *s)
+void joint_put_policy(struct joint_site *s, uint32_t version, const char *key)
 {
 	GString *queues = g_string_new(NULL);
 	char *policy, *b64, *body;
@@ -226,7 +226,7 @@
 	for (uint32_t i = 0; i < INSTANCES; i++)
 		g_string_append_printf(queues, "%s" QUEUE, i ? ", " : "", i,
 				       s->net, 10 + i);
-	policy = g_strdup_printf(POLICY, queues->str);
+	policy = g_strdup_printf(POLICY, version, queues->str, key);
 	b64 = g_base64_encode((const guchar *)policy, strlen(policy));
 	body = g_strdup_printf(
 		"{\"expected\": [], \"remove\": [], \"puts\": [{\"table\": "
@@ -320,7 +320,7 @@
 	s->store = pool(s, 1, 7100);
 	s->store_control = pool(s, 2, 7100);
 	s->upstream_control = pool(s, 3, 7100);
-	put_policy(s);
+	joint_put_policy(s, 3, "key");
 	for (uint32_t i = 0; i < INSTANCES; i++) {
 		s->callers[i] = pool(s, 10 + i, 7000);
 		joint_clock(s, i, 0);
--- a/test/jointsite.h
+++ b/test/jointsite.h
@@ -39,6 +39,8 @@
 void joint_wait_ready(struct joint_site *s, uint32_t i);
 /* Wait until an instance knows where all of its peers are. */
 void joint_wait_peers(struct joint_site *s, uint32_t i);
+/* Put a configuration with this version and the team's only key. */
+void joint_put_policy(struct joint_site *s, uint32_t version, const char *key);
 void joint_control(struct joint_site *s, const char *body);
 /* Set the time of day of one instance off by so many seconds. */
 void joint_clock(struct joint_site *s, uint32_t i, int32_t off_s);
--- a/test/proc_joint.c
+++ b/test/proc_joint.c
@@ -108,6 +108,40 @@
 	joint_stop(s);
 }
 
+static void wake_up(void *arg)
+{
+	kill(*(pid_t *)arg, SIGCONT);
+}
+
+/*
+ * A key is withdrawn while an instance stands still, by the second of two
+ * changes; a request with it lies in its socket when it wakes.  It asks
+ * for the configuration before it serves the request.
+ */
+static void a_woken_instance_asks_before_it_admits(void **state)
+{
+	struct joint_site *s = joint_start(89);
+	uint32_t i = (joint_leader(s) + 1) % INSTANCES;
+	struct timer wake;
+
+	(void)state;
+	assert_int_equal(joint_submit(s, i, 1, 1, 100), 200);
+	timer_init(&wake, wake_up, &s->instances[i]);
+	for (uint32_t round = 0; round < 5; round++) {
+		uint32_t version = 4 + 3 * round;
+
+		kill(s->instances[i], SIGSTOP);
+		joint_put_policy(s, version, "key");
+		joint_put_policy(s, version + 1, "another");
+		timer_start(s->loop, &wake, 1500);
+		assert_int_equal(joint_submit(s, i, 10 + round, 1, 100), 401);
+		joint_put_policy(s, version + 2, "key");
+		while (joint_submit(s, i, 20 + round, 1, 100) != 200)
+			loop_step(s->loop, 20);
+	}
+	joint_stop(s);
+}
+
 /* Check that instance i, whose way to the store is broken, serves on. */
 static void serves_without_its_way(uint32_t net, const char *mode, bool leader)
 {
@@ -326,6 +360,7 @@
 		cmocka_unit_test(all_instances_are_killed_at_once),
 		cmocka_unit_test(starts_are_carried_out_late),
 		cmocka_unit_test(the_leader_is_frozen_and_wakes),
+		cmocka_unit_test(a_woken_instance_asks_before_it_admits),
 		cmocka_unit_test(an_instance_that_the_store_resets_serves_on),
 		cmocka_unit_test(
 			an_instance_that_the_store_leaves_silent_serves_on),
