--- a/daemon/gang.c
+++ b/daemon/gang.c
@@ -162,6 +162,10 @@
 	if (g->handle != NO_HANDLE)
 		sched_remove(d->sched, g->handle);
 	g->handle = NO_HANDLE;
+	/* known from its row alone: this decider's word goes before what an
+	 * earlier one has recorded, or is about to */
+	if (!g->parts)
+		g->attempt = MAX(g->attempt, d->epoch << ATTEMPT_BITS);
 	set_state(g, GANG_ENDED);
 	event(g, state, why);
 	counter_add(d->env->counters, "jobs_ended", label, 1);
