--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -19,6 +19,9 @@
 
 /* How long one call of a feed is held by the store. */
 #define FEED_WAIT_MS 500
+/* The same of the operators' configuration: a call that goes silent is
+ * given up in time for the change to be in force within two seconds. */
+#define OPERATORS_WAIT_MS 1000
 #define OWNER_WAIT_MS 300 /* a beat of the leader */
 /* Pause between an answer of the feed of the owner row, which changes all
  * the time, and the next call: a strong instance is to claim as soon as
@@ -29,7 +32,7 @@
 #define ENROL_MS 1000
 /* Pause between an answer of the feed of jobs and the next call: counts of
  * jobs may be two seconds old. */
-#define JOBS_GAP_MS 400
+#define JOBS_GAP_MS 1000
 /* An instance whose newest answer of the store is older is not ready. */
 #define READY_AGE_MS 1300
 #define STOP_POLL_MS 20
@@ -193,11 +196,19 @@
 	entry_policies_answered(((struct joint *)arg)->entry);
 }
 
+/* Return how old the newest answer of the store is. */
+static uint64_t store_age_ms(const struct joint *j)
+{
+	uint64_t tables =
+		MIN(follower_age_ms(j->jobs), follower_age_ms(j->states));
+
+	return MIN(tables, follower_age_ms(j->operators));
+}
+
 static bool ready(const struct joint *j)
 {
 	return !j->leave_ms && j->policy && follower_complete(j->jobs) &&
-	       follower_complete(j->states) &&
-	       follower_age_ms(j->jobs) < READY_AGE_MS;
+	       follower_complete(j->states) && store_age_ms(j) < READY_AGE_MS;
 }
 
 static void on_readiness(void *arg, struct http_exchange *x)
@@ -209,7 +220,7 @@
 		log_fields(LOG_INFO, "ready", "{s:b,s:I,s:I,s:b}", "ready", is,
 			   "policy",
 			   (json_int_t)(j->policy ? j->policy->version : 0),
-			   "table_age_ms", (json_int_t)follower_age_ms(j->jobs),
+			   "table_age_ms", (json_int_t)store_age_ms(j),
 			   "leaving", j->leave_ms != 0);
 	j->was_ready = is;
 	exchange_reply(x, is ? 200 : 503, "text/plain", is ? "ready\n" : "no\n",
@@ -337,8 +348,9 @@
 		follower_create(j->loop, j->rows, STATE_TABLE,
 				follower_one_part, FEED_WAIT_MS, &states, j);
 	follower_set_gap(j->jobs, JOBS_GAP_MS);
-	j->operators = follower_create(j->loop, j->rows, OPERATOR_TABLE,
-				       follower_one_part, FEED_WAIT_MS, &op, j);
+	j->operators =
+		follower_create(j->loop, j->rows, OPERATOR_TABLE,
+				follower_one_part, OPERATORS_WAIT_MS, &op, j);
 }
 
 static bool create(struct joint *j)
--- a/entry/board.c
+++ b/entry/board.c
@@ -83,6 +83,12 @@
 	return j && *j->record.queue ? j : NULL;
 }
 
+/* Return what is known of a job whose row may not have come yet, or NULL. */
+const struct board_job *board_any(const struct board *b, const char *id)
+{
+	return g_hash_table_lookup(b->jobs, id);
+}
+
 /* Return how many accepted jobs of a queue have not begun. */
 uint64_t board_pending(const struct board *b, const char *queue)
 {
--- a/entry/board.h
+++ b/entry/board.h
@@ -17,6 +17,7 @@
 void board_job_row(struct board *b, const char *key, const char *value);
 void board_state_row(struct board *b, const char *id, const char *value);
 const struct board_job *board_find(const struct board *b, const char *id);
+const struct board_job *board_any(const struct board *b, const char *id);
 uint64_t board_pending(const struct board *b, const char *queue);
 
 #endif
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -33,8 +33,8 @@
 /* Pauses of the feed of states: while somebody waits for one to change,
  * and otherwise. */
 #define STATES_GAP_ASKED_MS 5
-#define STATES_GAP_MS 300
-/* With a copy of the table that is older, the store does not answer. */
+#define STATES_GAP_MS 1000
+/* When no copy of a table is newer, the store does not answer. */
 #define STALE_MS 1300
 /* After a pause of the whole process of at least this, what it knows of keys
  * and queues may have been withdrawn meanwhile: half of the shortest time in
@@ -102,6 +102,20 @@
 	counter_add(n->env.counters, "requests", label, 1);
 }
 
+/* Return how old the newest answer of the store is. */
+static uint64_t store_age_ms(const struct entry *n)
+{
+	return MIN(follower_age_ms(n->env.jobs),
+		   follower_age_ms(n->env.states));
+}
+
+/* Report whether the store has left calls unanswered for STALE_MS. */
+static bool store_silent(const struct entry *n)
+{
+	return follower_silent(n->env.jobs, STALE_MS) &&
+	       follower_silent(n->env.states, STALE_MS);
+}
+
 static void reply_error(struct http_exchange *x, int status, const char *why,
 			uint32_t retry_after_ms)
 {
@@ -137,8 +151,7 @@
 		   "{s:s,s:s,s:i,s:s,s:I,s:b,s:I}", "job", r->id, "kind",
 		   kind_name(r->kind), "status", status, "why", why, "took_ms",
 		   (json_int_t)(clock_mono_ms() - r->began_ms), "uncertain",
-		   r->uncertain, "table_age_ms",
-		   (json_int_t)follower_age_ms(n->env.jobs));
+		   r->uncertain, "table_age_ms", (json_int_t)store_age_ms(n));
 	count_answer(n, r->kind, status);
 	latency_add(n->env.counters, kind_name(r->kind),
 		    (clock_mono_ms() - r->began_ms) * 1000);
@@ -245,6 +258,34 @@
 	return j->state;
 }
 
+/* Read the states as often as the callers that wait for one need. */
+static void pace_states(struct entry *n)
+{
+	follower_set_gap(n->env.states, g_hash_table_size(n->waiting)
+						? STATES_GAP_ASKED_MS
+						: STATES_GAP_MS);
+}
+
+static void on_waited(void *arg)
+{
+	struct request *r = arg;
+
+	g_hash_table_remove(r->entry->waiting, r);
+	pace_states(r->entry);
+	reply_state(r, state_of(board_any(r->entry->board, r->id)));
+}
+
+/* Answer r, whose job exists, when its state changes, or soon. */
+static void wait_for_state(struct request *r)
+{
+	struct entry *n = r->entry;
+
+	timer_init(&r->timer, on_waited, r);
+	timer_start(n->env.loop, &r->timer, FRESH_WAIT_MS);
+	g_hash_table_add(n->waiting, r);
+	pace_states(n);
+}
+
 static void on_looked(void *arg, const struct rows_answer *a)
 {
 	struct request *r = arg;
@@ -261,7 +302,8 @@
 		return;
 	}
 	if (r->kind == REQUEST_STATE) {
-		reply_state(r, state_of(j));
+		/* the copy of the states may not show its last change yet */
+		wait_for_state(r);
 		return;
 	}
 	r->looked = true;
@@ -368,7 +410,7 @@
 	const char *body = exchange_body(x, &len);
 	char *why;
 
-	if (follower_silent(n->env.jobs, STALE_MS)) {
+	if (store_silent(n)) {
 		refuse(n, x, REQUEST_SUBMIT, id, 503,
 		       "the store does not answer; nothing was done",
 		       RETRY_STORE_MS);
@@ -389,23 +431,6 @@
 	send_request(r);
 }
 
-/* Read the states as often as the callers that wait for one need. */
-static void pace_states(struct entry *n)
-{
-	follower_set_gap(n->env.states, g_hash_table_size(n->waiting)
-						? STATES_GAP_ASKED_MS
-						: STATES_GAP_MS);
-}
-
-static void on_waited(void *arg)
-{
-	struct request *r = arg;
-
-	g_hash_table_remove(r->entry->waiting, r);
-	pace_states(r->entry);
-	reply_state(r, state_of(board_find(r->entry->board, r->id)));
-}
-
 /*
  * Answer with the state of a job.  One that is not final may have changed
  * a moment ago: the answer waits until the copy shows a change, or for
@@ -420,20 +445,17 @@
 	if (!j) {
 		look(r);
 	} else if (work_state_final(state_of(j)) ||
-		   follower_age_ms(n->env.jobs) > STALE_MS) {
+		   store_age_ms(n) > STALE_MS) {
 		reply_state(r, state_of(j));
 	} else {
-		timer_init(&r->timer, on_waited, r);
-		timer_start(n->env.loop, &r->timer, FRESH_WAIT_MS);
-		g_hash_table_add(n->waiting, r);
-		pace_states(n);
+		wait_for_state(r);
 	}
 }
 
 /* Answer the requests that wait for the state of a job to change. */
 static void wake(struct entry *n, const char *id)
 {
-	const struct board_job *j = board_find(n->board, id);
+	const struct board_job *j = board_any(n->board, id);
 	GHashTableIter it;
 	gpointer k;
 
--- a/lead/follower.c
+++ b/lead/follower.c
@@ -11,6 +11,9 @@
 /* An answer may take this long beyond the wait: the store slowed down
  * to sixty times its time for a call. */
 #define ANSWER_MS 600
+/* After a failure it may take twice as long, and after two four times: a
+ * large row needs its time on a narrow link. */
+#define ANSWER_DOUBLINGS 2
 /* Pause after a failed call, doubled up to the second figure. */
 #define RETRY_MS 60
 #define RETRY_MAX_MS 250
@@ -293,7 +296,8 @@
 static void note_failure(struct follower *f, const struct rows_answer *a)
 {
 	uint32_t pause = MIN(RETRY_MS << MIN(f->failures, 4), RETRY_MAX_MS);
-	uint64_t late = clock_mono_ms() - MIN(f->due_ms, clock_mono_ms());
+	uint64_t now = clock_mono_ms();
+	uint64_t late = now - MIN(f->due_ms, now);
 
 	if (late > STOOD_STILL_MS) {
 		log_fields(LOG_WARN, "stood_still", "{s:s,s:I}", "table",
@@ -356,15 +360,16 @@
 {
 	struct follower *f = arg;
 	uint32_t wait = f->hurry ? 0 : f->wait_ms;
+	uint32_t answer = ANSWER_MS << MIN(f->failures, ANSWER_DOUBLINGS);
 
 	f->calling = true;
 	f->hurry = false;
 	f->sent_ms = clock_mono_ms();
-	f->due_ms = f->sent_ms + ANSWER_MS + (f->complete ? wait : 0);
+	f->due_ms = f->sent_ms + answer + (f->complete ? wait : 0);
 	if (f->complete)
-		rows_feed(f->rows, f->table, f->version, wait, wait + ANSWER_MS,
+		rows_feed(f->rows, f->table, f->version, wait, wait + answer,
 			  on_answer, f);
 	else
 		rows_range(f->rows, f->table, f->parts[f->part], f->next_key,
-			   PAGE_ROWS, ANSWER_MS, on_answer, f);
+			   PAGE_ROWS, answer, on_answer, f);
 }
--- a/peer/guest.c
+++ b/peer/guest.c
@@ -9,10 +9,11 @@
 
 #include "lib/log.h"
 #include "peer/guest.h"
+#include "peer/roster.h"
 
 struct guest {
 	bool greeted;
-	bool known;	   /* our table names it */
+	char name[PEER_NAME_BYTES];
 	GHashTable *calls; /* struct guest_call that are open */
 };
 
@@ -82,7 +83,8 @@
 	c->conn = conn;
 	c->guest = g;
 	c->ticket = m->ticket;
-	if (g->known && s->env.serve(s->env.arg, &call, on_result, c)) {
+	if (s->env.known(s->env.arg, g->name) &&
+	    s->env.serve(s->env.arg, &call, on_result, c)) {
 		g_hash_table_add(g->calls, c);
 		return;
 	}
@@ -106,7 +108,8 @@
 
 /*
  * Take in a hello.  One who is not known may have been started a moment
- * ago: its calls are declined, so that it knows that they were not made.
+ * ago: its calls are declined until our table names it, so that it knows
+ * that they were not made.
  * An earlier process of a known instance does no harm: its writes carry
  * conditions of their own.
  */
@@ -118,8 +121,8 @@
 		return;
 	}
 	g->greeted = true;
-	g->known = s->env.known(s->env.arg, h->name);
-	if (!g->known)
+	g_strlcpy(g->name, h->name, sizeof(g->name));
+	if (!s->env.known(s->env.arg, g->name))
 		note_refusal(s, "not an instance of this deployment");
 }
 
--- a/peer/relay.c
+++ b/peer/relay.c
@@ -147,25 +147,32 @@
 }
 
 /* Return how well p suits, 0 when it cannot be asked now. */
-static uint32_t suits(const struct relay *r, const struct peer *p)
+static uint64_t suits(const struct relay *r, const struct peer *p)
 {
 	if (clock_mono_ms() < p->avoid_until_ms)
 		return 0;
 	if (p == r->last)
-		return 3;
-	return strcmp(p->record.domain, r->env.domain) ? 1 : 2;
+		return UINT64_MAX;
+	return peer_preference(&p->record, p->name, r->env.domain,
+			       r->env.instance);
 }
 
 static struct peer *choose_peer(const struct relay *r)
 {
 	struct peer *best = NULL;
+	uint64_t best_suits = 0;
 	GHashTableIter it;
 	gpointer v;
 
 	g_hash_table_iter_init(&it, r->peers);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		if (suits(r, v) > (best ? suits(r, best) : 0))
-			best = v;
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		uint64_t s = suits(r, v);
+
+		if (s <= best_suits)
+			continue;
+		best = v;
+		best_suits = s;
+	}
 	return best;
 }
 
--- a/peer/roster.h
+++ b/peer/roster.h
@@ -22,6 +22,8 @@
 
 char *peer_encode(const struct peer_record *p);
 bool peer_decode(const char *text, struct peer_record *p);
+uint64_t peer_preference(const struct peer_record *p, const char *peer,
+			 const char *domain, const char *instance);
 bool peer_expired(const struct peer_record *p, uint64_t store_ms);
 
 #endif
