Keep a quarter of the upstreams for urgent work at most

Cause: by reading: after a few urgent gangs of most of a site the room kept for others like them held up everything else for ten seconds; on an idle site that breaks the promise that what fits runs (LOST).

Change: stages that would bring the kept part over a quarter are passed over. test_headroom_leaves_room_for_others fails without the bound.

--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -33,6 +33,10 @@
 #define PLAN_RETRY_MS 100
 #define PLANS_MOST 16
 
+/* The part of the upstreams that is kept free for urgent work at most: what
+ * waits must not starve for work that may not come. */
+#define HEADROOM_MOST 0.25
+
 /* A value that no loss outweighs. */
 #define MUST 1e9
 
@@ -349,6 +353,22 @@
 	return true;
 }
 
+/* Return the part of all upstreams together that st takes, by what it
+ * needs most of. */
+static double part_of_all(const struct pass *p, const struct stage *st)
+{
+	const struct room *n = &st->step->need, *m = &p->value.machine;
+	double most = 0;
+
+	if (m->cpu_milli)
+		most = MAX(most, (double)n->cpu_milli / m->cpu_milli);
+	if (m->memory_mb)
+		most = MAX(most, (double)n->memory_mb / m->memory_mb);
+	if (m->accelerators)
+		most = MAX(most, (double)n->accelerators / m->accelerators);
+	return most * st->step->count / MAX(p->pack.n, 1);
+}
+
 /*
  * The load: urgent work that comes in a steady stream or a burst.  Keep
  * room for what is likely to come in the time that it takes to stop other
@@ -358,13 +378,19 @@
 {
 	uint32_t n =
 		learn_urgent_expected(p->v->learn, p->v->now_ms, p->v->stop_ms);
+	double held = 0;
 
 	for (uint32_t k = 0; k < n; k++) {
 		struct stage *st = learn_urgent_like(p->v->learn, k);
+		double part = part_of_all(p, st);
 
+		if (held + part > HEADROOM_MOST)
+			continue;
 		if (pack_choose_all(&p->pack, st, st->step->count, PACK_NOW) ||
-		    pack_hold(&p->pack, st, st->step->count, RANK_URGENT))
+		    pack_hold(&p->pack, st, st->step->count, RANK_URGENT)) {
 			pack_deduct(&p->pack);
+			held += part;
+		}
 	}
 }
 
--- a/test/unit_dispatch.c
+++ b/test/unit_dispatch.c
@@ -422,6 +422,30 @@
 	play_close(&p);
 }
 
+/*
+ * The load: three urgent gangs of most of the site have come and gone.  The
+ * room that is kept for others like them does not hold up quiet work on an
+ * idle site.
+ */
+static void test_headroom_leaves_room_for_others(void **state)
+{
+	struct play p;
+	struct job *quiet;
+
+	(void)state;
+	play_open(&p, 16);
+	for (uint32_t n = 0; n < 3; n++) {
+		play_job(&p, 0, 14, 8, 300, true);
+		play_pass(&p, true);
+		p.now_ms += 700;
+		play_end_runs(&p, 300);
+	}
+	quiet = play_job(&p, 2, 64, 1, 5000, false);
+	play_pass(&p, true);
+	assert_true(running(quiet));
+	play_close(&p);
+}
+
 /* Let the upstream list all of its runs at this percentage. */
 static void play_list(struct play *p, struct upstream *u, uint32_t percent)
 {
@@ -540,6 +564,7 @@
 		cmocka_unit_test(test_many_ways_through_a_job_cost_nothing),
 		cmocka_unit_test(test_urgent_stream_begins_at_once),
 		cmocka_unit_test(test_slow_upstream_is_left_out),
+		cmocka_unit_test(test_headroom_leaves_room_for_others),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
