Judge an upstream's pace by all of its runs, on its own clock

Change: an upstream is slow when its single tasks go at less than a third of the expected pace on average (a fifth for one alone), in windows of its own clock; resumed runs, gangs and work with data elsewhere say nothing.

--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -27,7 +27,8 @@
 	struct room used;
 	GPtrArray *tasks;	 /* that occupy room */
 	uint64_t avoid_until_ms; /* after failures */
-	uint64_t slow_until_ms;	 /* its runs lag behind */
+	uint64_t lags_since_ms;	 /* its runs lag behind; 0: they do not */
+	uint64_t slow_until_ms;	 /* they have lagged for long */
 	uint32_t strikes;	 /* failures since the last success */
 	const struct job
 		*struck_by; /* the last job that failed; not followed */
--- a/sched/value.c
+++ b/sched/value.c
@@ -1,7 +1,6 @@
 /* The worth of jobs, and of the work in their runs. */
 #include <string.h>
 
-#include "sched/pace.h"
 #include "sched/value.h"
 
 /* By priority: an urgent job, the next, all others. */
@@ -163,14 +162,10 @@
 	uint32_t made = t->percent - MIN(t->percent_first, t->percent);
 	uint64_t left;
 
-	if (made < PERCENT_LEAST && pace_lags(t, whole))
-		return t->pace.whole_ms * (100 - t->percent) / 100;
 	if (made < PERCENT_LEAST)
 		return whole > ran ? whole - ran : whole / 4;
 	left = (t->percent_ms - t->percent_first_ms) * (100 - t->percent) /
 	       made;
-	if (pace_lags(t, whole))
-		left = MAX(left, t->pace.whole_ms * (100 - t->percent) / 100);
 	return left > since ? left - since : 0;
 }
 
--- a/sched/work.c
+++ b/sched/work.c
@@ -343,7 +343,6 @@
 {
 	t->percent = percent;
 	t->percent_ms = now_ms;
-	pace_note(t, percent, now_ms);
 	if (t->percent_first_ms)
 		return;
 	t->percent_first = percent;
--- a/sched/work.h
+++ b/sched/work.h
@@ -73,8 +73,9 @@
 /* How fast a run goes. */
 struct pace {
 	uint32_t percent;  /* at the start of the present window ... */
-	uint64_t since_ms; /* ... which was then; 0: none yet */
+	uint64_t since_ms; /* ... on its upstream's clock; 0: none yet */
 	uint64_t whole_ms; /* all of it at the last window's pace; 0: unknown */
+	bool resumed;	   /* the run has begun from a checkpoint */
 };
 
 struct task {
@@ -127,7 +128,6 @@
 	uint32_t failed_run; /* the gang's newest run that failed */
 	uint64_t since_ms;   /* its turn has come; 0: not yet */
 	struct task *tasks;
-	uint64_t fastest_ms; /* a task at the best pace seen; 0: unknown */
 	GQuark held_rack;    /* where room was made for it last; 0: nowhere */
 	bool finished;	     /* an earlier run of active tasks is done */
 	bool any_rack;	     /* may span racks though that is slower */
