--- a/lib/loop.c
+++ b/lib/loop.c
@@ -127,6 +127,8 @@
 	t->arg = arg;
 	t->due_ms = 0;
 	t->slot = 0;
+	t->patience_ms = 0;
+	t->held_ms = 0;
 }
 
 /* Report whether t is waiting to fire. */
