Ask near peers first again; give only the configuration's feed more time

Change: a peer of the own domain first, and not the same for all; only the configuration, whose row is large, gets more time after a failure; states are read three times a second again, and tell that the store is silent.

--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -351,6 +351,7 @@
 	j->operators =
 		follower_create(j->loop, j->rows, OPERATOR_TABLE,
 				follower_one_part, OPERATORS_WAIT_MS, &op, j);
+	follower_expect_large(j->operators);
 }
 
 static bool create(struct joint *j)
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -33,7 +33,7 @@
 /* Pauses of the feed of states: while somebody waits for one to change,
  * and otherwise. */
 #define STATES_GAP_ASKED_MS 5
-#define STATES_GAP_MS 1000
+#define STATES_GAP_MS 300
 /* When no copy of a table is newer, the store does not answer. */
 #define STALE_MS 1300
 /* After a pause of the whole process of at least this, what it knows of keys
@@ -109,11 +109,11 @@
 		   follower_age_ms(n->env.states));
 }
 
-/* Report whether the store has left calls unanswered for STALE_MS. */
+/* Report whether the store has left calls unanswered for STALE_MS, by the
+ * table that is read most often. */
 static bool store_silent(const struct entry *n)
 {
-	return follower_silent(n->env.jobs, STALE_MS) &&
-	       follower_silent(n->env.states, STALE_MS);
+	return follower_silent(n->env.states, STALE_MS);
 }
 
 static void reply_error(struct http_exchange *x, int status, const char *why,
--- a/lead/follower.c
+++ b/lead/follower.c
@@ -11,8 +11,8 @@
 /* An answer may take this long beyond the wait: the store slowed down
  * to sixty times its time for a call. */
 #define ANSWER_MS 600
-/* After a failure it may take twice as long, and after two four times: a
- * large row needs its time on a narrow link. */
+/* After a failure a large row may take twice as long, and after two four
+ * times.  Other tables are asked again soon: the store may be back. */
 #define ANSWER_DOUBLINGS 2
 /* Pause after a failed call, doubled up to the second figure. */
 #define RETRY_MS 60
@@ -51,6 +51,7 @@
 	uint64_t due_ms;   /* when the call in flight ends at the latest */
 	uint64_t sent_ms;  /* when it was sent */
 	uint64_t asked_ms; /* when the newest answered one was sent */
+	bool large;	   /* its rows may need time on a narrow link */
 	bool hurry;	   /* the next call is not to be held */
 	bool calling;
 	bool destroyed; /* to be freed when the call returns */
@@ -138,6 +139,12 @@
 	return f->asked_ms;
 }
 
+/* Expect rows that need their time on a narrow link. */
+void follower_expect_large(struct follower *f)
+{
+	f->large = true;
+}
+
 /* Let the next call be answered at once, and come soon. */
 void follower_hurry(struct follower *f)
 {
@@ -360,7 +367,9 @@
 {
 	struct follower *f = arg;
 	uint32_t wait = f->hurry ? 0 : f->wait_ms;
-	uint32_t answer = ANSWER_MS << MIN(f->failures, ANSWER_DOUBLINGS);
+	uint32_t answer = ANSWER_MS
+			  << (f->large ? MIN(f->failures, ANSWER_DOUBLINGS)
+				       : 0);
 
 	f->calling = true;
 	f->hurry = false;
--- a/lead/follower.h
+++ b/lead/follower.h
@@ -30,6 +30,7 @@
 uint64_t follower_age_ms(const struct follower *f);
 uint64_t follower_asked_ms(const struct follower *f);
 void follower_hurry(struct follower *f);
+void follower_expect_large(struct follower *f);
 bool follower_silent(const struct follower *f, uint32_t ms);
 uint64_t follower_answered_since_ms(const struct follower *f);
 uint64_t follower_version(const struct follower *f);
--- a/peer/roster.c
+++ b/peer/roster.c
@@ -6,9 +6,6 @@
 #include "lib/schema.h"
 #include "peer/roster.h"
 
-/* An instance of this strength can make the calls of others as well. */
-#define STRONG_PERCENT 75
-
 /* Encode where an instance is found; free with free. */
 char *peer_encode(const struct peer_record *p)
 {
@@ -44,20 +41,18 @@
 
 /*
  * Return how gladly an instance in a domain has its calls made by a peer:
- * a strong one first, whose link carries more than its own calls, then one
- * of its own domain; otherwise each instance prefers other peers, so that
- * no single one has to serve all.
+ * one of its own domain first; otherwise each instance prefers other peers,
+ * so that no single one has to serve all.
  */
 uint64_t peer_preference(const struct peer_record *p, const char *peer,
 			 const char *domain, const char *instance)
 {
-	uint64_t strong = p->strength >= STRONG_PERCENT ? 2 : 0;
 	uint64_t near = !strcmp(p->domain, domain);
 	char *pair = g_strconcat(instance, " ", peer, NULL);
 	uint64_t mixed = g_str_hash(pair) * UINT64_C(2654435761);
 
 	g_free(pair);
-	return (strong + near + 1) << 32 | (mixed & UINT32_MAX);
+	return (near + 1) << 32 | (mixed & UINT32_MAX);
 }
 
 /* Report whether the instance of a row is gone. */
