Make one piece of code of what the scheduler and the relay had twice

How often a room holds a need stood in pack.c and value.c: room_count. Whether one demand rules out another stood in pack.c and evict.c: demand_implies and demand_tells; a miss there kept its claim's worth twice. The way back over a job's steps was taken twice a stage and pass. The age of the store's newest answer stood in entry and joint. Every relayed call worked out the preference of each peer anew, with an allocation each: it is kept with the peer.

--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -199,10 +199,7 @@
 /* Return how old the newest answer of the store is. */
 static uint64_t store_age_ms(const struct joint *j)
 {
-	uint64_t tables =
-		MIN(follower_age_ms(j->jobs), follower_age_ms(j->states));
-
-	return MIN(tables, follower_age_ms(j->operators));
+	return MIN(entry_store_age_ms(j->entry), follower_age_ms(j->operators));
 }
 
 static bool ready(const struct joint *j)
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -102,8 +102,8 @@
 	counter_add(n->env.counters, "requests", label, 1);
 }
 
-/* Return how old the newest answer of the store is. */
-static uint64_t store_age_ms(const struct entry *n)
+/* Return how old the newest answer about jobs and their states is. */
+uint64_t entry_store_age_ms(const struct entry *n)
 {
 	return MIN(follower_age_ms(n->env.jobs),
 		   follower_age_ms(n->env.states));
@@ -151,7 +151,8 @@
 		   "{s:s,s:s,s:i,s:s,s:I,s:b,s:I}", "job", r->id, "kind",
 		   kind_name(r->kind), "status", status, "why", why, "took_ms",
 		   (json_int_t)(clock_mono_ms() - r->began_ms), "uncertain",
-		   r->uncertain, "table_age_ms", (json_int_t)store_age_ms(n));
+		   r->uncertain, "table_age_ms",
+		   (json_int_t)entry_store_age_ms(n));
 	count_answer(n, r->kind, status);
 	latency_add(n->env.counters, kind_name(r->kind),
 		    (clock_mono_ms() - r->began_ms) * 1000);
@@ -445,7 +446,7 @@
 	if (!j) {
 		look(r);
 	} else if (work_state_final(state_of(j)) ||
-		   store_age_ms(n) > STALE_MS) {
+		   entry_store_age_ms(n) > STALE_MS) {
 		reply_state(r, state_of(j));
 	} else {
 		wait_for_state(r);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -29,6 +29,7 @@
 void entry_policy(struct entry *n, const struct policy *p);
 void entry_stood_still(struct entry *n, uint64_t ms);
 void entry_policies_answered(struct entry *n);
+uint64_t entry_store_age_ms(const struct entry *n);
 void entry_drain(struct entry *n);
 void entry_close(struct entry *n);
 uint32_t entry_open(const struct entry *n);
--- a/lead/lead.c
+++ b/lead/lead.c
@@ -623,7 +623,6 @@
 				  .beat = on_beat};
 
 	d->env = *e;
-	d->succession.strength = e->strength;
 	d->planned = g_array_new(FALSE, FALSE, sizeof(struct planned_start));
 	d->written = g_array_new(FALSE, FALSE, sizeof(struct planned_start));
 	d->owner = owner_create(e->loop, e->rows, e->counters,
--- a/lead/succession.h
+++ b/lead/succession.h
@@ -12,7 +12,6 @@
 #define STRENGTH_FULL 100
 
 struct succession {
-	uint32_t strength; /* of this instance, in percent */
 	uint64_t leads_ms; /* since when it leads; 0: it does not */
 	uint32_t yields;   /* so far */
 };
--- a/load/play.c
+++ b/load/play.c
@@ -171,7 +171,7 @@
 };
 
 struct outcome {
-	uint32_t jobs, in_time, late, lost, open;
+	uint32_t jobs, in_time, late, lost;
 	double earned, owed;
 	double thrown; /* core-seconds */
 	struct histogram wait;
--- a/peer/relay.c
+++ b/peer/relay.c
@@ -33,6 +33,7 @@
 struct peer {
 	char name[PEER_NAME_BYTES];
 	struct peer_record record;
+	uint64_t preference; /* the highest is asked first */
 	struct link *link;
 	uint64_t avoid_until_ms;
 };
@@ -153,8 +154,7 @@
 		return 0;
 	if (p == r->last)
 		return UINT64_MAX;
-	return peer_preference(&p->record, p->name, r->env.domain,
-			       r->env.instance);
+	return p->preference;
 }
 
 static struct peer *choose_peer(const struct relay *r)
@@ -356,6 +356,8 @@
 	q = g_new0(struct peer, 1);
 	g_strlcpy(q->name, name, sizeof(q->name));
 	q->record = *p;
+	q->preference =
+		peer_preference(p, name, r->env.domain, r->env.instance);
 	g_hash_table_insert(r->peers, q->name, q);
 }
 
--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -90,8 +90,7 @@
 
 	if (t->state != TASK_PLACED && t->state != TASK_RUNNING)
 		return;
-	if (p->pack.n)
-		pack_note_stop(&p->pack, t);
+	pack_note_stop(&p->pack, t);
 	t->state = TASK_STOPPING;
 	g_array_append_val(p->actions, a);
 }
--- a/sched/evict.c
+++ b/sched/evict.c
@@ -44,13 +44,12 @@
 	uint32_t place;
 };
 
-/* No room was made for this demand at a loss of `floor` or less. */
+/* No room could be made for this claim. */
 struct miss {
 	struct demand demand;
 	struct claim claim;
 	uint32_t want;
 	bool one_rack;
-	double floor;
 };
 
 struct evict {
@@ -504,18 +503,15 @@
 static bool known_miss(const struct evict *e, const struct claim *c,
 		       uint32_t want, bool one_rack)
 {
-	const struct demand *d = &e->pack->demand;
-
 	for (guint i = 0; i < e->misses->len; i++) {
 		const struct miss *m =
 			&g_array_index(e->misses, struct miss, i);
 
 		if (m->want <= want && (!m->one_rack || one_rack) &&
 		    m->claim.rank <= c->rank && (m->claim.due || !c->due) &&
-		    m->claim.await_ms >= c->await_ms && m->floor >= c->worth &&
-		    m->demand.service == d->service &&
-		    (!m->demand.label || m->demand.label == d->label) &&
-		    room_holds(&d->need, &m->demand.need))
+		    m->claim.await_ms >= c->await_ms &&
+		    m->claim.worth >= c->worth &&
+		    demand_implies(&m->demand, &e->pack->demand))
 			return true;
 	}
 	return false;
@@ -524,12 +520,10 @@
 static void note_miss(struct evict *e, const struct claim *c, uint32_t want,
 		      bool one_rack)
 {
-	struct miss m = {e->pack->demand, *c, want, one_rack, c->worth};
+	struct miss m = {e->pack->demand, *c, want, one_rack};
 
-	if (m.demand.barred || m.demand.stage->step->spread ||
-	    e->misses->len >= MISSES_MOST)
-		return;
-	g_array_append_val(e->misses, m);
+	if (demand_tells(&m.demand) && e->misses->len < MISSES_MOST)
+		g_array_append_val(e->misses, m);
 }
 
 static bool plan_rack(struct evict *e, const struct claim *c, struct stage *st,
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -67,6 +67,20 @@
 	u->rack_name = g_quark_from_string(u->rack);
 }
 
+/* Return how many times `have`, which holds nothing negative, holds `need`. */
+uint32_t room_count(const struct room *have, const struct room *need)
+{
+	int64_t n = INT32_MAX;
+
+	if (need->cpu_milli > 0)
+		n = MIN(n, have->cpu_milli / need->cpu_milli);
+	if (need->memory_mb > 0)
+		n = MIN(n, have->memory_mb / need->memory_mb);
+	if (need->accelerators > 0)
+		n = MIN(n, have->accelerators / need->accelerators);
+	return n;
+}
+
 /* Return what t occupies. */
 struct room task_room(const struct task *t)
 {
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -53,6 +53,7 @@
 void fleet_release(struct task *t);
 GPtrArray *upstream_take_retries(struct upstream *u);
 
+uint32_t room_count(const struct room *have, const struct room *need);
 struct room task_room(const struct task *t);
 
 /* Add (sign 1) or take away (sign -1) n. */
--- a/sched/pack.c
+++ b/sched/pack.c
@@ -55,9 +55,20 @@
 	}
 }
 
-static bool same_or_wider(const struct demand *a, const struct demand *b)
+/* Report whether b asks for at least what a asks for, of no more places: if
+ * a cannot be met, b cannot either. */
+bool demand_implies(const struct demand *a, const struct demand *b)
 {
-	return a->service == b->service && (!a->label || a->label == b->label);
+	return a->service == b->service &&
+	       (!a->label || a->label == b->label) &&
+	       room_holds(&b->need, &a->need);
+}
+
+/* Report whether a miss of d says something of others: a stage that may not
+ * use every place says nothing. */
+bool demand_tells(const struct demand *d)
+{
+	return !d->barred && !d->stage->step->spread;
 }
 
 static bool known_miss(const struct pack *p, enum pack_room which,
@@ -69,23 +80,19 @@
 
 		if (m->which == which && m->rank <= rank && m->want <= want &&
 		    (!m->one_rack || one_rack) &&
-		    same_or_wider(&m->demand, &p->demand) &&
-		    room_holds(&p->demand.need, &m->demand.need))
+		    demand_implies(&m->demand, &p->demand))
 			return true;
 	}
 	return false;
 }
 
-/* A stage that may not use every place says nothing of others. */
 static void note_miss(struct pack *p, enum pack_room which, uint32_t rank,
 		      uint32_t want, bool one_rack)
 {
 	struct miss m = {which, rank, p->demand, want, one_rack};
 
-	if (p->demand.barred || p->demand.stage->step->spread ||
-	    p->misses->len >= MISSES_MOST)
-		return;
-	g_array_append_val(p->misses, m);
+	if (demand_tells(&p->demand) && p->misses->len < MISSES_MOST)
+		g_array_append_val(p->misses, m);
 }
 
 static uint32_t siblings(const struct upstream *u, const struct stage *st)
@@ -108,19 +115,6 @@
 	       upstream_has_label(u, p->demand.label);
 }
 
-static uint32_t fit_count(const struct room *have, const struct room *need)
-{
-	int64_t n = INT32_MAX;
-
-	if (need->cpu_milli > 0)
-		n = MIN(n, have->cpu_milli / need->cpu_milli);
-	if (need->memory_mb > 0)
-		n = MIN(n, have->memory_mb / need->memory_mb);
-	if (need->accelerators > 0)
-		n = MIN(n, have->accelerators / need->accelerators);
-	return n;
-}
-
 /* Return how many tasks of the demand `have`, room of a place, can take. */
 uint32_t pack_capacity(const struct pack *p, uint32_t place,
 		       const struct room *have)
@@ -130,7 +124,7 @@
 
 	if (!room_holds(have, &p->demand.need) || !pack_suits(p, place))
 		return 0;
-	n = fit_count(have, &p->demand.need);
+	n = room_count(have, &p->demand.need);
 	if (!st->step->spread)
 		return n;
 	there = siblings(p->upstreams[place], st);
@@ -214,7 +208,6 @@
 	uint32_t n;
 
 	pack_demand(p, st);
-	p->chosen_len = 0;
 	if (known_miss(p, PACK_NOW, 0, 1, false))
 		return 0;
 	n = choose_within(p, want, PACK_NOW, ANY_RACK);
--- a/sched/pack.h
+++ b/sched/pack.h
@@ -61,6 +61,8 @@
 	GArray *misses; /* demands that did not fit in this pass */
 };
 
+bool demand_implies(const struct demand *a, const struct demand *b);
+bool demand_tells(const struct demand *d);
 void pack_open(struct pack *p, struct fleet *f, uint64_t now_ms);
 void pack_close(struct pack *p);
 void pack_demand(struct pack *p, const struct stage *st);
--- a/sched/value.c
+++ b/sched/value.c
@@ -43,26 +43,6 @@
 	}
 }
 
-/* Return the time from its submission in which j should end. */
-uint64_t value_objective_ms(const struct value_view *v, const struct job *j)
-{
-	uint64_t rest[JOB_STEPS_MOST], longest = 0;
-
-	rests_ms(v, j, rest);
-	for (uint32_t i = 0; i < j->steps_len; i++)
-		longest = MAX(longest, rest[i]);
-	return longest * j->slack + j->target_ms;
-}
-
-static uint64_t rest_from(const struct value_view *v, const struct job *j,
-			  uint32_t i)
-{
-	uint64_t rest[JOB_STEPS_MOST];
-
-	rests_ms(v, j, rest);
-	return rest[i];
-}
-
 static uint64_t begun_ms(const struct stage *st)
 {
 	/* the objective of an occurrence counts from its own time */
@@ -75,16 +55,9 @@
  */
 static double share(const struct value_view *v, const struct stage *st)
 {
-	const struct room *n = &st->step->need, *m = &v->machine;
-	int64_t fit = TASKS_MOST;
-
-	if (n->cpu_milli)
-		fit = MIN(fit, m->cpu_milli / n->cpu_milli);
-	if (n->memory_mb)
-		fit = MIN(fit, m->memory_mb / n->memory_mb);
-	if (n->accelerators)
-		fit = MIN(fit, m->accelerators / n->accelerators);
-	return 1.0 / MAX(fit, 1);
+	uint32_t fit = room_count(&v->machine, &st->step->need);
+
+	return 1.0 / CLAMP(fit, 1, TASKS_MOST);
 }
 
 static double worth(const struct value_view *v, const struct job *j)
@@ -101,17 +74,22 @@
 static const struct stage_value *value_of(const struct value_view *v,
 					  struct stage *st)
 {
+	const struct job *j = st->job;
+	uint64_t rest[JOB_STEPS_MOST], longest = 0;
 	struct stage_value *k = &st->value;
 
 	if (k->pass == v->pass)
 		return k;
+	rests_ms(v, j, rest);
+	for (uint32_t i = 0; i < j->steps_len; i++)
+		longest = MAX(longest, rest[i]);
 	k->pass = v->pass;
-	k->run_ms = learn_duration_ms(v->learn, st->job, st->step_index);
-	k->objective_ms = value_objective_ms(v, st->job);
-	k->rest_ms = rest_from(v, st->job, st->step_index);
+	k->run_ms = learn_duration_ms(v->learn, j, st->step_index);
+	k->objective_ms = longest * j->slack + j->target_ms;
+	k->rest_ms = rest[st->step_index];
 	k->spare_ms = (int64_t)(begun_ms(st) + k->objective_ms) -
 		      (int64_t)(v->now_ms + k->rest_ms);
-	k->in_time = worth(v, st->job);
+	k->in_time = worth(v, j);
 	k->late = k->in_time * LATE_SHARE;
 	k->share = share(v, st);
 	k->gang_loss = -1;
@@ -170,7 +148,7 @@
 }
 
 /* Return what is lost by stopping t, without the rest of its gang. */
-double value_loss(const struct value_view *v, const struct task *t)
+static double task_loss(const struct value_view *v, const struct task *t)
 {
 	const struct stage_value *k = value_of(v, t->stage);
 	const struct room *need = &t->stage->step->need;
@@ -199,12 +177,12 @@
 	double sum = 0;
 
 	if (!st->step->gang)
-		return value_loss(v, t);
+		return task_loss(v, t);
 	if (value_of(v, st)->gang_loss >= 0)
 		return st->value.gang_loss;
 	for (uint32_t i = 0; i < st->step->count; i++)
 		if (task_active(&st->tasks[i]))
-			sum += value_loss(v, &st->tasks[i]);
+			sum += task_loss(v, &st->tasks[i]);
 	st->value.gang_loss = sum;
 	return sum;
 }
--- a/sched/value.h
+++ b/sched/value.h
@@ -18,12 +18,10 @@
 	uint32_t checkpoint_ms;
 };
 
-uint64_t value_objective_ms(const struct value_view *v, const struct job *j);
 int64_t value_spare_ms(const struct value_view *v, struct stage *st);
 double value_gain(const struct value_view *v, struct stage *st);
 double value_density(const struct value_view *v, struct stage *st);
 uint64_t value_left_ms(const struct value_view *v, const struct task *t);
-double value_loss(const struct value_view *v, const struct task *t);
 double value_whole_loss(const struct value_view *v, const struct task *t);
 
 #endif
--- a/sched/work.h
+++ b/sched/work.h
@@ -108,14 +108,15 @@
 /* What a pass of the scheduler has worked out; it is valid for that pass. */
 struct stage_value {
 	uint64_t pass;
-	uint64_t run_ms;       /* of a task */
-	uint64_t objective_ms; /* of the job */
-	uint64_t rest_ms; /* from the start of the stage to the job's end */
-	int64_t spare_ms; /* it can wait so long and end in time */
-	double in_time;	  /* worth of the job then ... */
-	double late;	  /* ... and when it ends late */
-	double share;	  /* of a mean upstream that a task takes */
-	double gang_loss; /* of stopping a gang; negative: not known */
+	uint64_t run_ms; /* of a task */
+	uint64_t
+		objective_ms; /* from its submission the job should take so long */
+	uint64_t rest_ms;     /* from the start of the stage to the job's end */
+	int64_t spare_ms;     /* it can wait so long and end in time */
+	double in_time;	      /* worth of the job then ... */
+	double late;	      /* ... and when it ends late */
+	double share;	      /* of a mean upstream that a task takes */
+	double gang_loss;     /* of stopping a gang; negative: not known */
 };
 
 struct stage {
--- a/test/unit_lead.c
+++ b/test/unit_lead.c
@@ -467,7 +467,7 @@
 {
 	uint32_t weak = succession_strength(0.12, 20);
 	uint32_t full = succession_strength(0.5, 200);
-	struct succession s = {.strength = weak};
+	struct succession s = {0};
 	uint32_t yields = 0;
 
 	(void)state;
