--- a/lead/leader.c
+++ b/lead/leader.c
@@ -178,15 +178,24 @@
 {
 	const struct step *s = &j->steps[0];
 
+	json_t *counts = json_array();
+
+	for (uint32_t i = 0; i < j->steps_len; i++)
+		json_array_append_new(counts, json_integer(j->steps[i].count));
 	log_fields(LOG_INFO, "job_known",
-		   "{s:s,s:s,s:s,s:i,s:i,s:i,s:I,s:I,s:b,s:b,s:b,s:I}", "job",
-		   j->id, "queue", j->queue, "account", j->account, "priority",
-		   (int)j->priority, "steps", (int)j->steps_len, "tasks",
-		   (int)s->count, "accelerators",
+		   "{s:s,s:s,s:s,s:i,s:i,s:o,s:i,s:I,s:I,s:b,s:b,s:b,s:I,s:f,"
+		   "s:I,s:I,s:b,s:I}",
+		   "job", j->id, "queue", j->queue, "account", j->account, "priority",
+		   (int)j->priority, "steps", (int)j->steps_len, "counts", counts,
+		   "tasks", (int)s->count, "accelerators",
 		   (json_int_t)s->need.accelerators, "cpu_milli",
 		   (json_int_t)s->need.cpu_milli, "gang", s->gang, "one_rack",
 		   s->rack_sensitive, "checkpoints", s->checkpoints,
-		   "estimate_ms", (json_int_t)s->estimate_ms);
+		   "estimate_ms", (json_int_t)s->estimate_ms, "slack_factor",
+		   j->slack_factor, "target_ms", (json_int_t)j->target_ms,
+		   "occurrences", (json_int_t)job_occurrences(j),
+		   "long_running", s->long_running, "age_ms",
+		   (json_int_t)(clock_mono_ms() - j->since_ms));
 }
 
 /*
@@ -404,15 +413,29 @@
 	char name[TASK_NAME_BYTES];
 
 	task_format_name(t, name, sizeof(name));
-	log_fields(LOG_INFO, "stop_decided", "{s:s,s:s,s:I,s:s,s:s}", "job",
-		   t->stage->job->id, "task", name, "run", (json_int_t)t->run,
-		   "upstream", t->at->id, "why", stop_cause_name(a->u.cause));
+	log_fields(LOG_INFO, "stop_decided", "{s:s,s:s,s:I,s:s,s:s,s:s*}",
+		   "job", t->stage->job->id, "task", name, "run",
+		   (json_int_t)t->run, "upstream", t->at->id, "why",
+		   stop_cause_name(a->u.stop.cause), "for",
+		   a->u.stop.preemptor ? a->u.stop.preemptor->id : NULL);
 	if (!t->sent)
 		task_end_run(t, RUN_NEVER_STARTED, NULL, clock_mono_ms());
 	else if (task_session(t))
 		session_stop_run(task_session(t), t);
 }
 
+/* Log why a stage waits; dispatch reports each change of the reason. */
+static void log_wait(const struct action *a)
+{
+	const struct stage *st = a->task->stage;
+
+	log_fields(LOG_INFO, "stage_waits", "{s:s,s:i,s:i,s:s,s:I,s:i}", "job",
+		   st->job->id, "step", (int)st->step_index, "occurrence",
+		   (int)st->occurrence, "why", wait_reason_name(a->u.wait),
+		   "slack_ms", (json_int_t)st->value.slack_ms, "rank",
+		   (int)st->job->rank);
+}
+
 /*
  * Decide on starts and stops. No run is placed while a write is in flight,
  * as its start could not be recorded yet.
@@ -455,6 +478,9 @@
 		case ACTION_STOP:
 			carry_out_stop(a);
 			break;
+		case ACTION_WAIT:
+			log_wait(a);
+			break;
 		}
 	}
 	g_array_unref(actions);
--- a/load/play.c
+++ b/load/play.c
@@ -646,6 +646,8 @@
 							STOP_MAX_MS),
 			       e);
 		break;
+	case ACTION_WAIT:
+		break;
 	}
 }
 
--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -69,6 +69,7 @@
 	struct pack pack;
 	struct evict *evict; /* created on first use */
 	uint32_t failed_plans;
+	const struct job *preemptor; /* the job that stops are made for */
 	GArray *actions;
 	GArray *candidates;
 };
@@ -96,7 +97,9 @@
 /* Stop the run of t; no effect unless it is placed or running. */
 static void stop_task(struct pass *p, struct task *t, enum stop_cause cause)
 {
-	struct action a = {.tag = ACTION_STOP, .task = t, .u.cause = cause};
+	struct action a = {.tag = ACTION_STOP,
+			   .task = t,
+			   .u.stop = {cause, p->preemptor}};
 
 	if (t->state != TASK_PLACED && t->state != TASK_RUNNING)
 		return;
@@ -324,9 +327,22 @@
 		}
 	}
 	st->reserved_rack = 0;
+	st->wait_reason = WAIT_NONE;
 	pack_deduct_chosen(&p->pack);
 }
 
+/* Note why st waits; the caller is told when that changes. */
+static void note_wait(struct pass *p, struct stage *st, enum wait_reason w)
+{
+	struct action a = {
+		.tag = ACTION_WAIT, .task = &st->tasks[0], .u.wait = w};
+
+	if (st->wait_reason == w)
+		return;
+	st->wait_reason = w;
+	g_array_append_val(p->actions, a);
+}
+
 /* Return the value of preempting for the candidate now; 0: do not preempt. */
 static double preemption_value(const struct pass *p, const struct candidate *c)
 {
@@ -364,11 +380,17 @@
 					  .max_loss = preemption_value(p, c)};
 	struct eviction e;
 
-	if (request.max_loss <= 0)
+	if (request.max_loss <= 0) {
+		note_wait(p, st,
+			  slack_ms > 0 ? WAIT_NOT_URGENT : WAIT_TOO_LATE);
 		return false;
+	}
 	if (!c->due && (p->failed_plans >= FAILED_PLANS_MAX ||
-			p->input->now_ms < st->next_plan_ms))
+			p->input->now_ms < st->next_plan_ms)) {
+		if (st->wait_reason != WAIT_LOSS)
+			note_wait(p, st, WAIT_PLAN_LATER);
 		return false;
+	}
 	if (request.max_loss >= VALUE_MANDATORY)
 		request.await_within_ms =
 			0; /* an expected end does not satisfy a guarantee */
@@ -380,11 +402,15 @@
 	if (!evict_plan(p->evict, &request, st, want, &e)) {
 		st->next_plan_ms = p->input->now_ms + PLAN_RETRY_MS;
 		p->failed_plans++;
+		note_wait(p, st, WAIT_LOSS);
 		return false;
 	}
 	pack_deduct_chosen(&p->pack);
+	p->preemptor = st->job;
 	for (guint i = 0; i < e.stop->len; i++)
 		stop_run(p, g_ptr_array_index(e.stop, i), STOP_PREEMPTED);
+	p->preemptor = NULL;
+	note_wait(p, st, e.stop->len ? WAIT_STOPS : WAIT_ENDS);
 	if (e.rack != PACK_ANY_RACK)
 		st->reserved_rack = p->pack.racks[e.rack];
 	eviction_clear(&e);
@@ -460,6 +486,7 @@
 	}
 	if (pack_choose_all(k, st, want, PACK_FREE_AFTER_STOPS)) {
 		pack_deduct_chosen(k);
+		note_wait(p, st, WAIT_STOPS);
 		return;
 	}
 	if (preempt_for(p, c, want))
--- a/sched/dispatch.h
+++ b/sched/dispatch.h
@@ -17,14 +17,18 @@
 	STOP_ALREADY_DONE,     /* an earlier run has completed the task */
 };
 
-enum action_tag { ACTION_START, ACTION_STOP };
+enum action_tag { ACTION_START, ACTION_STOP, ACTION_WAIT };
 
 struct action {
 	enum action_tag tag;
-	struct task *task;
+	struct task *task; /* ACTION_WAIT: the first of the stage */
 	union {
-		struct upstream *to;   /* ACTION_START */
-		enum stop_cause cause; /* ACTION_STOP */
+		struct upstream *to; /* ACTION_START */
+		struct {
+			enum stop_cause cause;
+			const struct job *preemptor; /* or NULL */
+		} stop;
+		enum wait_reason wait; /* ACTION_WAIT: it has changed */
 	} u;
 };
 
--- a/sched/job.c
+++ b/sched/job.c
@@ -529,3 +529,25 @@
 	}
 	return "";
 }
+
+/* Return the name of w in logs. */
+const char *wait_reason_name(enum wait_reason w)
+{
+	switch (w) {
+	case WAIT_NONE:
+		return "none";
+	case WAIT_STOPS:
+		return "stops";
+	case WAIT_ENDS:
+		return "ends";
+	case WAIT_NOT_URGENT:
+		return "not_urgent";
+	case WAIT_TOO_LATE:
+		return "too_late";
+	case WAIT_LOSS:
+		return "loss";
+	case WAIT_PLAN_LATER:
+		return "plan_later";
+	}
+	return "";
+}
--- a/sched/job.h
+++ b/sched/job.h
@@ -110,6 +110,17 @@
 
 struct job;
 
+/* Why a ready stage did not start in the last scheduling pass. */
+enum wait_reason {
+	WAIT_NONE,	 /* it started, or it was not considered yet */
+	WAIT_STOPS,	 /* for runs that are being stopped for it */
+	WAIT_ENDS,	 /* for runs that are expected to end in time */
+	WAIT_NOT_URGENT, /* preemption for it is not worth it yet */
+	WAIT_TOO_LATE,	 /* preemption for it gains nothing any more */
+	WAIT_LOSS,	 /* no preemption loses less than it gains */
+	WAIT_PLAN_LATER, /* a preemption plan has failed recently */
+};
+
 /* Values computed in one scheduling pass and valid for that pass only. */
 struct stage_value {
 	uint64_t pass;
@@ -143,6 +154,7 @@
 	/* rack layout for which rack_can_hold was computed */
 	uint64_t rack_layout;
 	struct stage_value value;
+	enum wait_reason wait_reason;
 	uint64_t next_plan_ms; /* earliest time of the next preemption plan */
 	uint64_t plan_id;      /* last plan that stops tasks of this stage */
 	uint32_t plan_stop_count; /* number of tasks stopped by that plan */
@@ -224,5 +236,6 @@
 void job_update_completion(struct job *j, uint64_t store_now_ms);
 void job_cancel(struct job *j, uint64_t store_now_ms);
 const char *run_end_name(enum run_end how);
+const char *wait_reason_name(enum wait_reason w);
 
 #endif
--- a/test/unit_dispatch.c
+++ b/test/unit_dispatch.c
@@ -125,6 +125,8 @@
 			task_confirm(a->task, sim->now_ms);
 			continue;
 		}
+		if (a->tag != ACTION_STOP)
+			continue;
 		stops++;
 		if (end_stops)
 			task_end_run(a->task, RUN_STOPPED, NULL, sim->now_ms);
--- a/test/unit_random.c
+++ b/test/unit_random.c
@@ -240,7 +240,7 @@
 	const struct stage *st = a->task->stage;
 	uint32_t stopping = 0;
 
-	if (a->u.cause != STOP_PREEMPTED)
+	if (a->u.stop.cause != STOP_PREEMPTED)
 		return;
 	assert_true(st->job->rank > 0);
 	for (uint32_t i = 0; i < st->step->count; i++)
@@ -326,7 +326,7 @@
 
 				if (a->tag == ACTION_START)
 					check_start(a);
-				else
+				else if (a->tag == ACTION_STOP)
 					check_stop(&s, a);
 			}
 			confirm_all(&s, actions);
