Report from the instances' logs where time and jobs were lost

On-call engineers of the joint platform have logs only, and lacewingctl spoke only to the product's own interface. lacewingctl report reads the records of any number of instances, puts them on one time line, and splits each job's time from its first request to its recorded end by cause. It prints a summary by account, queue and size, what the jobs that were not served in time lost by cause, the moments in which most was lost, the work that ended without use, or the time line of one job.

Tests: the parts add up, causes of waits and failed runs, outages, clocks, lines that are no records, any order.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,8 @@
 SCHED = $(wildcard sched/*.c config/*.c)
 JOINT = $(wildcard platform/*.c lead/*.c entry/*.c peer/*.c)
 DAEMON = $(filter-out daemon/main.c,$(wildcard daemon/*.c)) $(JOINT)
-CTL = $(wildcard ctl/*.c)
+REPORT = $(wildcard report/*.c)
+CTL = $(wildcard ctl/*.c) $(REPORT)
 
 obj = $(patsubst %.c,$(OUT)/obj/%.o,$(1))
 
@@ -31,6 +32,7 @@
 	@$(CC) $(CFLAGS) -MMD -MP -c -o $@ $<
 
 $(OUT)/lacewingd: $(call obj,daemon/main.c $(DAEMON) $(SCHED) $(LIB))
+$(OUT)/lacewingctl: LIBS += $(shell pkg-config --libs gsl)
 $(OUT)/lacewingctl: $(call obj,$(CTL) $(SCHED) $(LIB))
 $(OUT)/platform: $(call obj,fake/platform.c $(LIB))
 $(OUT)/worker: $(call obj,fake/worker.c $(LIB))
@@ -53,6 +55,9 @@
 	@echo "  LINK  $@"
 	@$(CC) -o $@ $^ $(LIBS) -lcmocka
 
+$(OUT)/unit_report: LIBS += $(shell pkg-config --libs gsl)
+$(OUT)/unit_report: $(call obj,$(REPORT))
+
 $(OUT)/proc_%: $(OUT)/obj/test/proc_%.o $(TEST_OBJS)
 	@echo "  LINK  $@"
 	@$(CC) -o $@ $^ $(LIBS) -lcmocka
@@ -63,6 +68,8 @@
 
 FUZZ_RUNS = 15000
 FUZZ_SEED = 7
+# a run of the report's fuzz reads up to 500 records
+FUZZ_REPORT_RUNS = 1500
 
 $(OUT)/fuzz_sched: test/fuzz_sched.c $(wildcard sched/*.c sched/*.h)
 	@mkdir -p $(OUT)
@@ -72,7 +79,20 @@
 		$(shell pkg-config --cflags glib-2.0) -o $@ $(filter %.c,$^) \
 		$(shell pkg-config --libs glib-2.0) -lm
 
-fuzz: $(OUT)/fuzz_sched
+$(OUT)/fuzz_report: test/fuzz_report.c $(REPORT) lib/schema.c lib/address.c
+	@mkdir -p $(OUT)
+	@echo "  FUZZ  $@"
+	@$(CLANG) -std=gnu11 -O1 -g -I. -fsanitize=fuzzer,address,undefined \
+		-fno-sanitize-recover=undefined \
+		-DH2O_USE_LIBUV=0 \
+		$(shell pkg-config --cflags glib-2.0 jansson gsl) -o $@ $^ \
+		$(shell pkg-config --libs glib-2.0 jansson gsl) -lxxhash -lm
+
+fuzz: $(OUT)/fuzz_sched $(OUT)/fuzz_report
+	$(OUT)/fuzz_report -seed=$(FUZZ_SEED) -runs=$(FUZZ_REPORT_RUNS) -max_len=2000 \
+		-len_control=0 -dict=test/fuzz_report.dict \
+		-artifact_prefix=$(OUT)/ >$(OUT)/fuzz.log 2>&1 || \
+		{ tail -n 40 $(OUT)/fuzz.log; exit 1; }
 	$(OUT)/fuzz_sched -seed=$(FUZZ_SEED) -runs=$(FUZZ_RUNS) -max_len=600 \
 		-len_control=0 -print_final_stats=1 -artifact_prefix=$(OUT)/ \
 		>$(OUT)/fuzz.log 2>&1 || { tail -n 40 $(OUT)/fuzz.log; exit 1; }
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -65,6 +65,7 @@
 int cmd_upstreams(struct ctl *c, int argc, char **argv);
 int cmd_events(struct ctl *c, int argc, char **argv);
 int cmd_drain(struct ctl *c, int argc, char **argv);
+int cmd_report(struct ctl *c, int argc, char **argv);
 int cmd_new(struct ctl *c, int argc, char **argv);
 
 #endif
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -33,6 +33,7 @@
 	{"upstreams", cmd_upstreams, "show upstreams and their usage"},
 	{"events", cmd_events, "show the time line of all instances"},
 	{"drain", cmd_drain, "make the server refuse new work"},
+	{"report", cmd_report, "show from logs where jobs and time were lost"},
 };
 
 static char *help_summary(void)
--- /dev/null
+++ b/report/record.c
@@ -0,0 +1,283 @@
+/* Reads log lines into records, whatever else the lines hold. */
+#include <jansson.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "lib/schema.h"
+#include "report/record.h"
+
+/* Bounds on what a job_known record may say. */
+#define JOB_TASKS_MAX 100000
+#define JOB_STEPS_MAX 64
+
+/*
+ * How the fields of an event are kept; NULL: not kept. The names are those of
+ * the log records, see docs/OPERATIONS.md.
+ */
+struct event_format {
+	const char *name;
+	const char *text;
+	const char *other;
+	const char *value;
+	const char *code;
+	const char *flag;
+};
+
+static const struct event_format formats[EVENT_KINDS_COUNT] = {
+	[EVENT_REQUEST_ENDED] = {"request_ended", "why", "kind", "took_ms",
+				 "status", "uncertain"},
+	[EVENT_REQUEST_REFUSED] = {"request_refused", "why", "kind", NULL,
+				   "status", NULL},
+	[EVENT_JOB_KNOWN] = {"job_known", "queue", "account", "age_ms",
+			     "priority", "gang"},
+	[EVENT_STAGE_WAITS] = {"stage_waits", "why", NULL, "slack_ms", "step",
+			       NULL},
+	[EVENT_START_DECIDED] = {"start_decided", "rack", NULL, "waited_ms",
+				 "priority", NULL},
+	[EVENT_START_FAILED] = {"start_failed", "outcome", NULL, NULL, NULL,
+				"uncertain"},
+	[EVENT_STOP_DECIDED] = {"stop_decided", "why", "for", NULL, NULL, NULL},
+	[EVENT_RUN_ENDED] = {"run_ended", "how", NULL, "after_ms",
+			     "confirmed_after_ms", "stopping"},
+	[EVENT_JOB_STATE] = {"job_state", "state", "account", "age_ms", NULL,
+			     NULL},
+	[EVENT_LEADING] = {"leading", NULL, NULL, "epoch", "jobs", NULL},
+	[EVENT_LEADERSHIP_LOST] = {"leadership_lost", "why", NULL, "epoch",
+				   NULL, NULL},
+	[EVENT_STORE_LOST] = {"store_lost", "outcome", "table", "version", NULL,
+			      NULL},
+	[EVENT_STORE_REGAINED] = {"store_regained", NULL, "table", NULL, NULL,
+				  NULL},
+	[EVENT_STARTED] = {"started", "domain", NULL, NULL, NULL, NULL},
+	[EVENT_STOPPING] = {"stopping", NULL, NULL, NULL, "signal", NULL},
+	[EVENT_STOOD_STILL] = {"stood_still", NULL, "table", NULL, NULL, NULL},
+	[EVENT_POLICY] = {"policy", NULL, NULL, "version", NULL, NULL},
+	[EVENT_UPSTREAM_PACE] = {"upstream_pace", NULL, NULL, NULL, "tasks",
+				 "slow"},
+	[EVENT_UPSTREAM_SILENT] = {"upstream_silent", "outcome", NULL, NULL,
+				   NULL, NULL},
+	[EVENT_UPSTREAM_ANSWERS] = {"upstream_answers", NULL, NULL, NULL,
+				    "failures", NULL},
+	[EVENT_UPSTREAM_LOST] = {"upstream_lost", "why", NULL, NULL, "tasks",
+				 NULL},
+	[EVENT_UPSTREAM_STATE] = {"upstream_state", NULL, NULL, NULL, "to",
+				  NULL},
+};
+
+/* Events of the product that the report does not use. */
+static const char *const other_events[] = {"stopped",
+					   "reload",
+					   "ready",
+					   "feed_compacted",
+					   "store_way",
+					   "peer_refused",
+					   "registration_failed",
+					   "pass_slow",
+					   "write_slow",
+					   "loop_slow",
+					   "doubt",
+					   "doubt_ended",
+					   "leadership_yielded",
+					   "leadership_claim",
+					   "leadership_gained",
+					   "write_failed",
+					   "stop_failed",
+					   "run_done_after_all",
+					   "job_cancelled",
+					   "upstream_commanded",
+					   "upstream_reborn",
+					   "upstream_unlisted",
+					   "epoch_refused",
+					   "stray_run",
+					   "bad_row",
+					   "bad_upstream_entry",
+					   "removal_failed",
+					   "policy_refused",
+					   "order_answer",
+					   "store_answer",
+					   "store_busy",
+					   "listen_failed",
+					   NULL};
+
+/* Return the name of k in logs. */
+const char *event_kind_name(enum event_kind k)
+{
+	return formats[k].name ? formats[k].name : "";
+}
+
+static void job_facts_free(void *p)
+{
+	struct job_facts *f = p;
+
+	g_free(f->counts);
+	g_free(f);
+}
+
+/* Create a set without records. */
+struct record_set *record_set_create(void)
+{
+	struct record_set *s = g_new0(struct record_set, 1);
+
+	s->records = g_array_new(FALSE, FALSE, sizeof(struct record));
+	s->jobs = g_hash_table_new_full(NULL, NULL, NULL, job_facts_free);
+	s->seen = g_hash_table_new(NULL, NULL);
+	return s;
+}
+
+/* Free s; NULL is allowed. */
+void record_set_destroy(struct record_set *s)
+{
+	if (!s)
+		return;
+	g_array_unref(s->records);
+	g_hash_table_destroy(s->jobs);
+	g_hash_table_destroy(s->seen);
+	g_free(s);
+}
+
+/* Return the quark of a text field of o, 0 if it has none. */
+static GQuark text_field(const json_t *o, const char *name)
+{
+	const char *text = name ? json_str_or(o, name, NULL) : NULL;
+
+	return text && *text ? g_quark_from_string(text) : 0;
+}
+
+static int64_t int_field(const json_t *o, const char *name)
+{
+	return name ? json_int_or(o, name, 0) : 0;
+}
+
+/* Return the kind of the event, EVENT_KINDS_COUNT if it is unknown. */
+static enum event_kind find_kind(const char *event)
+{
+	for (uint32_t k = 0; k < EVENT_KINDS_COUNT; k++)
+		if (formats[k].name && !strcmp(formats[k].name, event))
+			return k;
+	for (uint32_t k = 0; other_events[k]; k++)
+		if (!strcmp(other_events[k], event))
+			return EVENT_OTHER;
+	return EVENT_KINDS_COUNT;
+}
+
+/* Keep what a job asks for; a later record of a new leader changes nothing. */
+static void add_job_facts(struct record_set *s, GQuark id, const json_t *o)
+{
+	const json_t *counts = json_object_get(o, "counts");
+	struct job_facts *f;
+	uint32_t n = json_array_size(counts);
+
+	if (!id || g_hash_table_contains(s->jobs, GUINT_TO_POINTER(id)))
+		return;
+	f = g_new0(struct job_facts, 1);
+	f->id = id;
+	f->queue = text_field(o, "queue");
+	f->account = text_field(o, "account");
+	f->priority = int_field(o, "priority");
+	f->gang = json_is_true(json_object_get(o, "gang"));
+	f->checkpoints = json_is_true(json_object_get(o, "checkpoints"));
+	f->endless = json_is_true(json_object_get(o, "long_running")) ||
+		     json_int_or(o, "occurrences", 1) > 1;
+	f->slack_factor = json_number_value(json_object_get(o, "slack_factor"));
+	f->target_ms = int_field(o, "target_ms");
+	f->estimate_ms = int_field(o, "estimate_ms");
+	f->cpu_milli = int_field(o, "cpu_milli");
+	f->accelerators = int_field(o, "accelerators");
+	f->steps_len = CLAMP(n, 1, JOB_STEPS_MAX);
+	f->counts = g_new0(uint32_t, f->steps_len);
+	f->counts[0] = CLAMP(int_field(o, "tasks"), 0, JOB_TASKS_MAX);
+	for (uint32_t i = 0; i < MIN(n, f->steps_len); i++)
+		f->counts[i] =
+			CLAMP(json_integer_value(json_array_get(counts, i)), 0,
+			      JOB_TASKS_MAX);
+	g_hash_table_insert(s->jobs, GUINT_TO_POINTER(id), f);
+}
+
+/* Add the record in o; returns false if it lacks what every record has. */
+static bool add_record(struct record_set *s, const json_t *o)
+{
+	const char *event = json_str_or(o, "event", NULL);
+	const json_t *time = json_object_get(o, "time_ms");
+	enum event_kind k;
+	const struct event_format *f;
+	struct record r = {0};
+
+	if (!event || !json_is_integer(time) || !text_field(o, "instance"))
+		return false;
+	s->stats.dropped += MAX(json_int_or(o, "dropped", 0), 0);
+	k = find_kind(event);
+	if (k == EVENT_KINDS_COUNT)
+		s->stats.unknown++;
+	if (k == EVENT_KINDS_COUNT)
+		k = EVENT_OTHER;
+	f = &formats[k];
+	r.kind = k;
+	r.time_ms = json_integer_value(time);
+	r.mono_ms = json_int_or(o, "mono_ms", 0);
+	r.order = s->records->len;
+	r.instance = text_field(o, "instance");
+	r.job = text_field(o, "job");
+	r.task = text_field(o, "task");
+	r.upstream = text_field(o, "upstream");
+	r.text = text_field(o, f->text);
+	r.other = text_field(o, f->other);
+	r.run = int_field(o, "run");
+	r.value = int_field(o, f->value);
+	r.code = int_field(o, f->code);
+	r.flag = f->flag && json_is_true(json_object_get(o, f->flag));
+	if (k == EVENT_JOB_KNOWN)
+		add_job_facts(s, r.job, o);
+	g_array_append_val(s->records, r);
+	s->stats.records++;
+	return true;
+}
+
+/*
+ * Add the record of a line, which may have a prefix before the JSON object and
+ * may be cut off or of another program: such lines are counted.
+ */
+void record_set_add_line(struct record_set *s, const char *line, size_t len)
+{
+	const char *start = memchr(line, '{', len);
+	json_t *o;
+	uint64_t hash;
+
+	s->stats.lines++;
+	if (!start) {
+		s->stats.foreign++;
+		return;
+	}
+	len -= start - line;
+	hash = XXH3_64bits(start, len);
+	if (!g_hash_table_add(s->seen, (gpointer)(uintptr_t)hash)) {
+		s->stats.duplicates++;
+		return;
+	}
+	o = json_loadb(start, len, JSON_DISABLE_EOF_CHECK, NULL);
+	if (!o || !add_record(s, o))
+		s->stats.malformed++;
+	json_decref(o);
+}
+
+/* Order records by time, then by their order in the input. */
+static gint compare_records(gconstpointer a, gconstpointer b)
+{
+	const struct record *x = a, *y = b;
+
+	if (x->time_ms != y->time_ms)
+		return x->time_ms < y->time_ms ? -1 : 1;
+	return x->order < y->order ? -1 : x->order > y->order;
+}
+
+/* Sort the records by time. */
+void record_set_sort(struct record_set *s)
+{
+	g_array_sort(s->records, compare_records);
+}
+
+/* Return what is known of a job; NULL if no record says what it asks for. */
+const struct job_facts *record_set_find_job(const struct record_set *s,
+					    GQuark id)
+{
+	return g_hash_table_lookup(s->jobs, GUINT_TO_POINTER(id));
+}
--- /dev/null
+++ b/test/unit_report.c
@@ -0,0 +1,366 @@
+/* Tests of the report: records in, causes of lost time out. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "report/window.h"
+
+/* A report under test, with what it is made of. */
+struct fixture {
+	struct record_set *set;
+	GArray *clocks;
+	struct history *history;
+};
+
+static void add(struct fixture *f, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+
+/* Add a line to the input. */
+static void add(struct fixture *f, const char *fmt, ...)
+{
+	va_list ap;
+	char *line;
+
+	va_start(ap, fmt);
+	line = g_strdup_vprintf(fmt, ap);
+	va_end(ap);
+	record_set_add_line(f->set, line, strlen(line));
+	g_free(line);
+}
+
+/* Add a record of an instance whose two clocks differ by 1,000,000 ms. */
+static void add_event(struct fixture *f, const char *instance, int64_t ms,
+		      const char *event, const char *fields)
+{
+	add(f,
+	    "x {\"time_ms\":%" PRId64 ",\"mono_ms\":%" PRId64
+	    ",\"instance\":\"%s\",\"event\":\"%s\"%s%s}",
+	    ms + 1000000, ms, instance, event, *fields ? "," : "", fields);
+}
+
+static void fixture_create(struct fixture *f)
+{
+	*f = (struct fixture){.set = record_set_create()};
+}
+
+/* Evaluate the input. */
+static void finish(struct fixture *f)
+{
+	f->clocks = clocks_align(f->set);
+	f->history = history_create(f->set);
+}
+
+static void fixture_destroy(struct fixture *f)
+{
+	history_destroy(f->history);
+	if (f->clocks)
+		g_array_unref(f->clocks);
+	record_set_destroy(f->set);
+}
+
+static const struct job_history *find_job(const struct fixture *f,
+					  const char *id)
+{
+	for (guint i = 0; i < f->history->jobs->len; i++) {
+		const struct job_history *j =
+			g_ptr_array_index(f->history->jobs, i);
+
+		if (!strcmp(g_quark_to_string(j->id), id))
+			return j;
+	}
+	fail_msg("no history of job %s", id);
+	return NULL;
+}
+
+/* Check that the parts of a job's time are in order and add up. */
+static void assert_parts_add_up(const struct job_history *j)
+{
+	int64_t sum = 0, at = j->first_ms;
+
+	for (guint i = 0; i < j->spans->len; i++) {
+		const struct span *s = &g_array_index(j->spans, struct span, i);
+
+		assert_int_equal(s->from_ms, at);
+		assert_true(s->to_ms > s->from_ms);
+		at = s->to_ms;
+	}
+	for (int c = 0; c < CAUSES_COUNT; c++)
+		sum += j->by_cause_ms[c];
+	assert_int_equal(sum, j->ended_ms - j->first_ms);
+}
+
+#define JOB "\"job\":\"0123456789abcdef\""
+#define TASK0 JOB ",\"task\":\"0123456789abcdef.0.0.0\""
+#define TASK1 JOB ",\"task\":\"0123456789abcdef.0.0.1\""
+#define FACTS                                                                  \
+	JOB ",\"queue\":\"q\",\"account\":\"a\",\"priority\":0,\"tasks\":2,"   \
+	    "\"counts\":[2],\"accelerators\":8,\"cpu_milli\":1000,"            \
+	    "\"gang\":true,\"estimate_ms\":1000,\"slack_factor\":1.5,"         \
+	    "\"target_ms\":250,\"occurrences\":1,\"age_ms\":10"
+
+/* Submit a gang of two tasks at 100 ms; the leader knows it at 120 ms. */
+static void add_submission(struct fixture *f)
+{
+	add_event(f, "e", 110, "request_ended",
+		  JOB ",\"kind\":\"submit\",\"status\":200,\"took_ms\":10");
+	add_event(f, "l", 120, "job_known", FACTS);
+}
+
+/* Start both tasks as this run. */
+static void add_starts(struct fixture *f, int64_t ms, int run)
+{
+	char *first = g_strdup_printf(TASK0 ",\"run\":%d", run);
+	char *second = g_strdup_printf(TASK1 ",\"run\":%d", run);
+
+	add_event(f, "l", ms, "start_decided", first);
+	add_event(f, "l", ms, "start_decided", second);
+	g_free(first);
+	g_free(second);
+}
+
+static void waits_and_order_of_a_late_job_have_their_causes(void **state)
+{
+	struct fixture f;
+	const struct job_history *j;
+
+	(void)state;
+	fixture_create(&f);
+	add_submission(&f);
+	add_event(&f, "l", 121, "stage_waits", JOB ",\"why\":\"loss\"");
+	add_event(&f, "l", 1000, "stage_waits", JOB ",\"why\":\"stops\"");
+	add_starts(&f, 1500, 1);
+	add_event(&f, "l", 2530, "run_ended",
+		  TASK0 ",\"run\":1,\"how\":\"done\",\"after_ms\":1030,"
+			"\"confirmed_after_ms\":30");
+	add_event(&f, "l", 2540, "job_state", JOB ",\"state\":\"completed\"");
+	finish(&f);
+	j = find_job(&f, "0123456789abcdef");
+	assert_parts_add_up(j);
+	assert_int_equal(j->by_cause_ms[CAUSE_SUBMITTING], 10);
+	assert_int_equal(j->by_cause_ms[CAUSE_UNKNOWN], 10);
+	assert_int_equal(j->by_cause_ms[CAUSE_RESOURCES], 880);
+	assert_int_equal(j->by_cause_ms[CAUSE_STOPS], 500);
+	assert_int_equal(j->by_cause_ms[CAUSE_ORDER], 30);
+	assert_int_equal(j->by_cause_ms[CAUSE_RUNNING], 1000);
+	assert_int_equal(j->by_cause_ms[CAUSE_NOT_RECORDED], 10);
+	assert_int_equal(j->outcome, OUTCOME_LATE);
+	fixture_destroy(&f);
+}
+
+static void a_failed_run_of_a_gang_is_lost_with_the_wait_after_it(void **state)
+{
+	struct fixture f;
+	const struct job_history *j;
+
+	(void)state;
+	fixture_create(&f);
+	add_submission(&f);
+	add_starts(&f, 120, 1);
+	add_event(&f, "l", 620, "run_ended",
+		  TASK0 ",\"run\":1,\"how\":\"failed\",\"after_ms\":500");
+	add_event(&f, "l", 640, "run_ended",
+		  TASK1 ",\"run\":1,\"how\":\"broken\",\"after_ms\":520");
+	add_starts(&f, 820, 2);
+	add_event(&f, "l", 1820, "run_ended",
+		  TASK1 ",\"run\":2,\"how\":\"done\",\"after_ms\":1000");
+	add_event(&f, "l", 1820, "job_state", JOB ",\"state\":\"completed\"");
+	finish(&f);
+	j = find_job(&f, "0123456789abcdef");
+	assert_parts_add_up(j);
+	assert_int_equal(j->by_cause_ms[CAUSE_FAILED], 700);
+	assert_int_equal(j->by_cause_ms[CAUSE_RUNNING], 1000);
+	/* 8 accelerators and a core: 65 cores, for 0.5 and 0.52 s */
+	assert_int_equal(f.history->wastes->len, 2);
+	assert_int_equal(
+		g_array_index(f.history->wastes, struct waste, 0).core_seconds *
+				1000 +
+			0.5,
+		33800);
+	fixture_destroy(&f);
+}
+
+static void waits_without_a_leader_belong_to_the_outage(void **state)
+{
+	struct fixture f;
+	const struct job_history *j;
+
+	(void)state;
+	fixture_create(&f);
+	add_event(&f, "l", 10, "leading", "\"epoch\":1");
+	add_event(&f, "e", 110, "request_ended",
+		  JOB ",\"kind\":\"submit\",\"status\":200,\"took_ms\":10");
+	add_event(&f, "l", 300, "stopping", "");
+	add_event(&f, "m", 1300, "leading", "\"epoch\":2");
+	add_event(&f, "m", 1310, "job_known", FACTS);
+	add_starts(&f, 1320, 1);
+	finish(&f);
+	j = find_job(&f, "0123456789abcdef");
+	assert_parts_add_up(j);
+	assert_int_equal(j->by_cause_ms[CAUSE_UNKNOWN], 190 + 10);
+	assert_int_equal(j->by_cause_ms[CAUSE_NO_LEADER], 1000);
+	assert_int_equal(j->outcome, OUTCOME_OPEN);
+	fixture_destroy(&f);
+}
+
+static void waits_of_a_leader_without_the_store_belong_to_it(void **state)
+{
+	struct fixture f;
+	const struct job_history *j;
+
+	(void)state;
+	fixture_create(&f);
+	add_event(&f, "l", 10, "leading", "\"epoch\":1");
+	add_submission(&f);
+	add_event(&f, "l", 200, "store_lost", "\"table\":\"t\"");
+	add_event(&f, "e", 200, "store_lost", "\"table\":\"t\"");
+	add_event(&f, "e", 500, "store_regained", "\"table\":\"t\"");
+	add_event(&f, "l", 700, "store_regained", "\"table\":\"t\"");
+	add_starts(&f, 720, 1);
+	finish(&f);
+	j = find_job(&f, "0123456789abcdef");
+	assert_parts_add_up(j);
+	assert_int_equal(j->by_cause_ms[CAUSE_STORE_AWAY], 500);
+	assert_int_equal(j->by_cause_ms[CAUSE_RESOURCES], 100);
+	fixture_destroy(&f);
+}
+
+/* Instance b is 5 s ahead and its clock is set back during its life. */
+static void clocks_that_differ_and_are_set_are_aligned(void **state)
+{
+	struct fixture f;
+
+	(void)state;
+	fixture_create(&f);
+	for (int i = 0; i < 5; i++) {
+		char version[32];
+
+		snprintf(version, sizeof(version), "\"version\":%d", i + 1);
+		add_event(&f, "a", 1000 * i, "policy", version);
+		add_event(&f, "c", 1000 * i + 20, "policy", version);
+		add(&f,
+		    "{\"time_ms\":%d,\"mono_ms\":%d,\"instance\":\"b\","
+		    "\"event\":\"policy\",%s}",
+		    1005000 + 1000 * i + (i == 4 ? 3000 : 0), 700 + 1000 * i,
+		    version);
+	}
+	finish(&f);
+	for (guint i = 0; i < f.clocks->len; i++) {
+		const struct clock_note *n =
+			&g_array_index(f.clocks, struct clock_note, i);
+		bool is_b = !strcmp(g_quark_to_string(n->instance), "b");
+
+		assert_in_range(n->offset_ms, is_b ? 4900 : 0, is_b ? 5000 : 0);
+		assert_int_equal(n->steps, is_b);
+	}
+	for (guint i = 1; i < f.set->records->len; i++)
+		assert_true(g_array_index(f.set->records, struct record, i)
+				    .time_ms >=
+			    g_array_index(f.set->records, struct record, i - 1)
+				    .time_ms);
+	assert_in_range(f.history->last_ms - f.history->first_ms, 4000, 4100);
+	fixture_destroy(&f);
+}
+
+static void lines_that_are_no_records_are_counted(void **state)
+{
+	struct fixture f;
+
+	(void)state;
+	fixture_create(&f);
+	add(&f, "a line of another program");
+	add(&f, "{\"time_ms\":1,\"instance\":\"a\",\"event\":\"job_st");
+	add(&f, "{\"time_ms\":\"soon\",\"instance\":\"a\",\"event\":\"x\"}");
+	add(&f, "{\"time_ms\":5,\"instance\":\"a\",\"event\":\"policy\"}");
+	add(&f, "{\"time_ms\":5,\"instance\":\"a\",\"event\":\"policy\"}");
+	add(&f, "{\"time_ms\":6,\"instance\":\"a\",\"event\":\"dance\"}");
+	add(&f, "{\"time_ms\":7,\"instance\":\"a\",\"event\":\"run_ended\","
+		"\"job\":\"j\",\"task\":\"no name\",\"after_ms\":-5,"
+		"\"how\":\"\",\"dropped\":3}");
+	finish(&f);
+	assert_int_equal(f.set->stats.lines, 7);
+	assert_int_equal(f.set->stats.foreign, 1);
+	assert_int_equal(f.set->stats.malformed, 2);
+	assert_int_equal(f.set->stats.duplicates, 1);
+	assert_int_equal(f.set->stats.unknown, 1);
+	assert_int_equal(f.set->stats.dropped, 3);
+	assert_int_equal(f.set->stats.records, 3);
+	fixture_destroy(&f);
+}
+
+/* Records in any order give the same report. */
+static void the_order_of_the_input_does_not_matter(void **state)
+{
+	struct fixture f;
+	const struct job_history *j;
+
+	(void)state;
+	fixture_create(&f);
+	add_event(&f, "l", 1140, "job_state", JOB ",\"state\":\"completed\"");
+	add_event(&f, "l", 1130, "run_ended",
+		  TASK0 ",\"run\":1,\"how\":\"done\",\"after_ms\":1000");
+	add_starts(&f, 130, 1);
+	add_submission(&f);
+	finish(&f);
+	j = find_job(&f, "0123456789abcdef");
+	assert_parts_add_up(j);
+	assert_int_equal(j->outcome, OUTCOME_IN_TIME);
+	assert_int_equal(j->by_cause_ms[CAUSE_RUNNING], 1000);
+	fixture_destroy(&f);
+}
+
+/* The text and JSON outputs name the job's queue and its cause. */
+static void the_report_names_queues_causes_and_moments(void **state)
+{
+	struct fixture f;
+	struct report r;
+	char *text = NULL;
+	size_t len;
+
+	(void)state;
+	fixture_create(&f);
+	add_submission(&f);
+	add_starts(&f, 2500, 1);
+	add_event(&f, "l", 3500, "run_ended",
+		  TASK0 ",\"run\":1,\"how\":\"done\",\"after_ms\":1000");
+	add_event(&f, "l", 3500, "job_state", JOB ",\"state\":\"completed\"");
+	finish(&f);
+	r = (struct report){.set = f.set,
+			    .history = f.history,
+			    .clocks = f.clocks,
+			    .out = open_memstream(&text, &len)};
+	report_print(&r);
+	r.json = true;
+	report_print(&r);
+	assert_true(report_print_job(&r, "0123456789abcdef"));
+	assert_false(report_print_job(&r, "fedcba9876543210"));
+	fclose(r.out);
+	assert_non_null(strstr(text, "1 jobs not served in time"));
+	assert_non_null(strstr(text, "\nresources          2.4 1\n"));
+	assert_non_null(strstr(text, "\"record\":\"moment\""));
+	assert_non_null(strstr(text, "\"outcome\":\"late\""));
+	free(text);
+	fixture_destroy(&f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			waits_and_order_of_a_late_job_have_their_causes),
+		cmocka_unit_test(
+			a_failed_run_of_a_gang_is_lost_with_the_wait_after_it),
+		cmocka_unit_test(waits_without_a_leader_belong_to_the_outage),
+		cmocka_unit_test(
+			waits_of_a_leader_without_the_store_belong_to_it),
+		cmocka_unit_test(clocks_that_differ_and_are_set_are_aligned),
+		cmocka_unit_test(lines_that_are_no_records_are_counted),
+		cmocka_unit_test(the_order_of_the_input_does_not_matter),
+		cmocka_unit_test(the_report_names_queues_causes_and_moments),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
