Expect a gang to free its upstreams when its last member ends

Preemption plans await runs that end soon. A run that was overdue was predicted to end at once for ever; it now is expected to need as long again as it is overdue.

--- a/sched/evict.c
+++ b/sched/evict.c
@@ -108,7 +108,7 @@
 		.loss = value_stop_loss(e->value, t),
 		.remaining_ms = s->long_running
 					? UINT64_MAX
-					: value_remaining_ms(e->value, t),
+					: value_release_ms(e->value, t),
 		.rank = t->stage->job->rank,
 		.gang = s->gang,
 		.long_running = s->long_running,
--- a/sched/job.h
+++ b/sched/job.h
@@ -134,6 +134,8 @@
 	double upstream_share; /* share of a mean upstream that a task uses */
 	/* value lost by stopping the gang; negative: unknown */
 	double gang_stop_loss;
+	/* time until the gang is expected to end; 0: unknown */
+	uint64_t gang_release_ms;
 };
 
 struct stage {
--- a/sched/value.c
+++ b/sched/value.c
@@ -107,6 +107,7 @@
 	sv->value_late = sv->value_in_time * LATE_VALUE_SHARE;
 	sv->upstream_share = upstream_share(v, st);
 	sv->gang_stop_loss = -1;
+	sv->gang_release_ms = 0;
 	return sv;
 }
 
@@ -157,7 +158,8 @@
 
 /*
  * Return the expected remaining run time of t in milliseconds: by its listed
- * progress, or by the expected run time while there is little progress.
+ * progress, or by the expected run time while there is little progress. A run
+ * that is overdue is expected to need as long again as it is overdue.
  */
 uint64_t value_remaining_ms(const struct value_context *v, const struct task *t)
 {
@@ -169,10 +171,33 @@
 	uint64_t left_ms;
 
 	if (progressed < PROGRESS_MIN_PERCENT)
-		return run_ms > ran_ms ? run_ms - ran_ms : run_ms / 4;
+		return run_ms > ran_ms ? run_ms - ran_ms
+				       : MAX(run_ms / 4, ran_ms - run_ms);
 	left_ms = (t->percent_listed_ms - t->first_percent_ms) *
 		  (100 - t->percent) / progressed;
-	return left_ms > since_listed_ms ? left_ms - since_listed_ms : 0;
+	return left_ms > since_listed_ms ? left_ms - since_listed_ms
+					 : since_listed_ms - left_ms;
+}
+
+/*
+ * Return the time after which t is expected to free its resources, in
+ * milliseconds: the members of a gang end together, with the last one.
+ */
+uint64_t value_release_ms(const struct value_context *v, const struct task *t)
+{
+	struct stage *st = t->stage;
+	uint64_t longest_ms = 0;
+
+	if (!st->step->gang)
+		return value_remaining_ms(v, t);
+	if (stage_value_of(v, st)->gang_release_ms)
+		return st->value.gang_release_ms;
+	for (uint32_t i = 0; i < st->step->count; i++)
+		if (task_is_active(&st->tasks[i]))
+			longest_ms = MAX(longest_ms,
+					 value_remaining_ms(v, &st->tasks[i]));
+	st->value.gang_release_ms = MAX(longest_ms, 1);
+	return st->value.gang_release_ms;
 }
 
 /*
