--- a/lead/leader.c
+++ b/lead/leader.c
@@ -185,9 +185,9 @@
 	log_fields(LOG_INFO, "job_known",
 		   "{s:s,s:s,s:s,s:i,s:i,s:o,s:i,s:I,s:I,s:b,s:b,s:b,s:I,s:f,"
 		   "s:I,s:I,s:b,s:I}",
-		   "job", j->id, "queue", j->queue, "account", j->account, "priority",
-		   (int)j->priority, "steps", (int)j->steps_len, "counts", counts,
-		   "tasks", (int)s->count, "accelerators",
+		   "job", j->id, "queue", j->queue, "account", j->account,
+		   "priority", (int)j->priority, "steps", (int)j->steps_len,
+		   "counts", counts, "tasks", (int)s->count, "accelerators",
 		   (json_int_t)s->need.accelerators, "cpu_milli",
 		   (json_int_t)s->need.cpu_milli, "gang", s->gang, "one_rack",
 		   s->rack_sensitive, "checkpoints", s->checkpoints,
