--- a/report/clocks.c
+++ b/report/clocks.c
@@ -234,6 +234,7 @@
 {
 	GArray *notes = g_array_new(FALSE, FALSE, sizeof(struct clock_note));
 
+	record_set_end_input(s);
 	record_set_sort(s);
 	align_processes(s, notes);
 	estimate_offsets(s, notes);
--- a/report/history.c
+++ b/report/history.c
@@ -8,6 +8,8 @@
 #include "report/history.h"
 
 #define ACCELERATOR_CORES 8
+/* Tasks of a step with a higher index share a state. */
+#define TASK_INDEX_MAX 100000
 
 static const char *const cause_names[CAUSES_COUNT] = {
 	"submitting",  "unknown",      "resources",  "stops",
@@ -34,7 +36,6 @@
 
 struct task_state {
 	enum task_phase phase;
-	uint32_t step;
 	int64_t placed_ms;
 	GQuark stopped_why; /* reason of the stop of its active run */
 	GQuark stopped_for;
@@ -45,6 +46,7 @@
 	uint32_t count;
 	uint32_t active;
 	uint32_t done;
+	GArray *tasks;	      /* struct task_state, by index */
 	int64_t longest_ms;   /* longest run that ended as done */
 	int64_t restarted_ms; /* since when a gang's present run is placed */
 };
@@ -52,7 +54,6 @@
 /* A job during the replay. */
 struct job_replay {
 	struct job_history *history;
-	GHashTable *tasks; /* quark to struct task_state */
 	struct step_state *steps;
 	uint32_t steps_len;
 	int64_t since_ms;   /* up to here the spans are complete */
@@ -110,7 +111,8 @@
 {
 	struct job_replay *j = p;
 
-	g_hash_table_destroy(j->tasks);
+	for (uint32_t i = 0; i < j->steps_len; i++)
+		g_array_unref(j->steps[i].tasks);
 	g_free(j->steps);
 	g_free(j);
 }
@@ -135,11 +137,13 @@
 		return j;
 	f = record_set_find_job(p->set, id);
 	j = g_new0(struct job_replay, 1);
-	j->tasks = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	j->steps_len = f ? f->steps_len : 1;
 	j->steps = g_new0(struct step_state, j->steps_len);
-	for (uint32_t i = 0; f && i < f->steps_len; i++)
-		j->steps[i].count = f->counts[i];
+	for (uint32_t i = 0; i < j->steps_len; i++) {
+		j->steps[i].count = f ? f->counts[i] : 0;
+		j->steps[i].tasks =
+			g_array_new(FALSE, TRUE, sizeof(struct task_state));
+	}
 	j->since_ms = now_ms;
 	j->history = g_new0(struct job_history, 1);
 	j->history->id = id;
@@ -227,35 +231,23 @@
 	}
 }
 
-/* Return the step of a task named JOB.OCCURRENCE.STEP.INDEX. */
-static uint32_t step_of(GQuark task)
-{
-	char **parts = g_strsplit(g_quark_to_string(task), ".", 4);
-	uint32_t step = 0;
-
-	if (g_strv_length(parts) == 4)
-		step = strtoul(parts[2], NULL, 10);
-	g_strfreev(parts);
-	return step;
-}
-
-static struct task_state *task_state_of(struct job_replay *j, GQuark task)
+/* Return the state of the task that r names, and set *step to its step. */
+static struct task_state *find_task(struct job_replay *j,
+				    const struct record *r,
+				    struct step_state **step)
 {
-	gpointer key = GUINT_TO_POINTER(task);
-	struct task_state *t = g_hash_table_lookup(j->tasks, key);
+	uint32_t index = MIN(r->task, TASK_INDEX_MAX);
 
-	if (t)
-		return t;
-	t = g_new0(struct task_state, 1);
-	t->step = MIN(step_of(task), j->steps_len - 1);
-	g_hash_table_insert(j->tasks, key, t);
-	return t;
+	*step = &j->steps[MIN(r->step, j->steps_len - 1)];
+	if (index >= (*step)->tasks->len)
+		g_array_set_size((*step)->tasks, index + 1);
+	return &g_array_index((*step)->tasks, struct task_state, index);
 }
 
 static void on_start_decided(struct job_replay *j, const struct record *r)
 {
-	struct task_state *t = task_state_of(j, r->task);
-	struct step_state *s = &j->steps[t->step];
+	struct step_state *s;
+	struct task_state *t = find_task(j, r, &s);
 
 	if (t->phase == TASK_ENDED)
 		return;
@@ -323,23 +315,19 @@
 }
 
 /* Complete the tasks of a gang, as one that is done counts for all. */
-static void complete_gang(struct job_replay *j, uint32_t step)
+static void complete_gang(struct step_state *s)
 {
-	GHashTableIter it;
-	gpointer v;
-
-	j->steps[step].active = 0;
-	j->steps[step].done = j->steps[step].count;
-	g_hash_table_iter_init(&it, j->tasks);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		if (((struct task_state *)v)->step == step)
-			((struct task_state *)v)->phase = TASK_ENDED;
+	s->active = 0;
+	s->done = s->count;
+	for (guint i = 0; i < s->tasks->len; i++)
+		g_array_index(s->tasks, struct task_state, i).phase =
+			TASK_ENDED;
 }
 
 static void on_run_done(struct replay *p, struct job_replay *j,
-			struct task_state *t, const struct record *r)
+			struct step_state *s, struct task_state *t,
+			const struct record *r)
 {
-	struct step_state *s = &j->steps[t->step];
 	/* an inherited run was placed by an earlier leader */
 	int64_t placed = t->phase == TASK_ACTIVE
 				 ? MIN(t->placed_ms, r->time_ms - r->value)
@@ -353,7 +341,7 @@
 			 CAUSE_RUNNING_SLOW);
 	s->longest_ms = MAX(s->longest_ms, r->time_ms - placed);
 	if (gang) {
-		complete_gang(j, t->step);
+		complete_gang(s);
 		return;
 	}
 	if (t->phase == TASK_ACTIVE)
@@ -365,13 +353,13 @@
 static void on_run_ended(struct replay *p, struct job_replay *j,
 			 const struct record *r)
 {
-	struct task_state *t = task_state_of(j, r->task);
-	struct step_state *s = &j->steps[t->step];
+	struct step_state *s;
+	struct task_state *t = find_task(j, r, &s);
 
 	if (t->phase == TASK_ENDED)
 		return;
 	if (r->text == p->q_done) {
-		on_run_done(p, j, t, r);
+		on_run_done(p, j, s, t, r);
 		return;
 	}
 	add_waste(p, j, t, r);
@@ -440,6 +428,8 @@
 static void replay_job_record(struct replay *p, const struct record *r)
 {
 	bool is_new = !g_hash_table_contains(p->jobs, GUINT_TO_POINTER(r->job));
+	struct step_state *s;
+	struct task_state *t;
 	struct job_replay *j;
 
 	if (is_new &&
@@ -467,8 +457,9 @@
 		on_start_decided(j, r);
 		break;
 	case EVENT_STOP_DECIDED:
-		task_state_of(j, r->task)->stopped_why = r->text;
-		task_state_of(j, r->task)->stopped_for = r->other;
+		t = find_task(j, r, &s);
+		t->stopped_why = r->text;
+		t->stopped_for = r->other;
 		break;
 	case EVENT_RUN_ENDED:
 		on_run_ended(p, j, r);
--- a/report/print.c
+++ b/report/print.c
@@ -487,26 +487,26 @@
 
 static void print_job_record(const struct report *r, const struct record *x)
 {
-	double at_s = (x->time_ms - r->history->first_ms) / 1000.0;
+	int64_t at_ms = x->time_ms - r->history->first_ms;
+	char *task = record_task_name(x);
 
 	if (r->json)
-		print_json(r, json_pack("{s:s,s:I,s:s,s:s,s:s,s:s,s:i,s:s,s:I}",
+		print_json(r, json_pack("{s:s,s:I,s:s,s:s,s:s,s:s,s:i,s:s,s:i}",
 					"record", "event", "at_ms",
-					(json_int_t)(x->time_ms -
-						     r->history->first_ms),
-					"instance", text_or_empty(x->instance),
-					"event", event_kind_name(x->kind),
-					"task", text_or_empty(x->task),
+					(json_int_t)at_ms, "instance",
+					text_or_empty(x->instance), "event",
+					event_kind_name(x->kind), "task", task,
 					"upstream", text_or_empty(x->upstream),
 					"run", (int)x->run, "text",
 					text_or_empty(x->text), "value",
-					(json_int_t)x->value));
+					(int)x->value));
 	else
 		fprintf(r->out, "%9.3f  %-18s %-16s %-26s %3d  %-14s %s %s\n",
-			at_s, text_or_empty(x->instance),
-			event_kind_name(x->kind), text_or_empty(x->task),
-			x->run, text_or_empty(x->upstream),
-			text_or_empty(x->text), text_or_empty(x->other));
+			at_ms / 1000.0, text_or_empty(x->instance),
+			event_kind_name(x->kind), task, x->run,
+			text_or_empty(x->upstream), text_or_empty(x->text),
+			text_or_empty(x->other));
+	g_free(task);
 }
 
 /*
--- a/report/record.c
+++ b/report/record.c
@@ -113,6 +113,21 @@
 	g_free(f);
 }
 
+/* List the kinds of all events of the product by name. */
+static GHashTable *index_kinds(void)
+{
+	GHashTable *t = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (uint32_t k = 0; k < EVENT_KINDS_COUNT; k++)
+		if (formats[k].name)
+			g_hash_table_insert(t, (gpointer)formats[k].name,
+					    GUINT_TO_POINTER(k));
+	for (uint32_t k = 0; other_events[k]; k++)
+		g_hash_table_insert(t, (gpointer)other_events[k],
+				    GUINT_TO_POINTER(EVENT_OTHER));
+	return t;
+}
+
 /* Create a set without records. */
 struct record_set *record_set_create(void)
 {
@@ -121,6 +136,7 @@
 	s->records = g_array_new(FALSE, FALSE, sizeof(struct record));
 	s->jobs = g_hash_table_new_full(NULL, NULL, NULL, job_facts_free);
 	s->seen = g_hash_table_new(NULL, NULL);
+	s->kinds = index_kinds();
 	return s;
 }
 
@@ -132,6 +148,7 @@
 	g_array_unref(s->records);
 	g_hash_table_destroy(s->jobs);
 	g_hash_table_destroy(s->seen);
+	g_hash_table_destroy(s->kinds);
 	g_free(s);
 }
 
@@ -148,18 +165,6 @@
 	return name ? json_int_or(o, name, 0) : 0;
 }
 
-/* Return the kind of the event, EVENT_KINDS_COUNT if it is unknown. */
-static enum event_kind find_kind(const char *event)
-{
-	for (uint32_t k = 0; k < EVENT_KINDS_COUNT; k++)
-		if (formats[k].name && !strcmp(formats[k].name, event))
-			return k;
-	for (uint32_t k = 0; other_events[k]; k++)
-		if (!strcmp(other_events[k], event))
-			return EVENT_OTHER;
-	return EVENT_KINDS_COUNT;
-}
-
 /* Keep what a job asks for; a later record of a new leader changes nothing. */
 static void add_job_facts(struct record_set *s, GQuark id, const json_t *o)
 {
@@ -193,39 +198,68 @@
 	g_hash_table_insert(s->jobs, GUINT_TO_POINTER(id), f);
 }
 
+/*
+ * Set the task of r by its name, JOB.OCCURRENCE.STEP.INDEX; a name of another
+ * form is ignored.
+ */
+static void parse_task(const char *name, struct record *r)
+{
+	const char *p = strchr(name, '.');
+	uint64_t n[3];
+	char *end;
+
+	for (int i = 0; i < 3; i++) {
+		if (!p || *p != '.')
+			return;
+		n[i] = g_ascii_strtoull(p + 1, &end, 10);
+		p = end;
+	}
+	r->occurrence = MIN(n[0], UINT16_MAX);
+	r->step = MIN(n[1], UINT16_MAX);
+	r->task = MIN(n[2], UINT32_MAX);
+	r->has_task = true;
+}
+
+/* Return the name of the task of r, empty if it has none; to be freed. */
+char *record_task_name(const struct record *r)
+{
+	if (!r->has_task || !r->job)
+		return g_strdup("");
+	return g_strdup_printf("%s.%u.%u.%u", g_quark_to_string(r->job),
+			       r->occurrence, r->step, r->task);
+}
+
 /* Add the record in o; returns false if it lacks what every record has. */
 static bool add_record(struct record_set *s, const json_t *o)
 {
 	const char *event = json_str_or(o, "event", NULL);
 	const json_t *time = json_object_get(o, "time_ms");
-	enum event_kind k;
 	const struct event_format *f;
+	gpointer k;
 	struct record r = {0};
 
 	if (!event || !json_is_integer(time) || !text_field(o, "instance"))
 		return false;
 	s->stats.dropped += MAX(json_int_or(o, "dropped", 0), 0);
-	k = find_kind(event);
-	if (k == EVENT_KINDS_COUNT)
+	if (!g_hash_table_lookup_extended(s->kinds, event, NULL, &k)) {
 		s->stats.unknown++;
-	if (k == EVENT_KINDS_COUNT)
-		k = EVENT_OTHER;
-	f = &formats[k];
-	r.kind = k;
+		k = GUINT_TO_POINTER(EVENT_OTHER);
+	}
+	r.kind = GPOINTER_TO_UINT(k);
+	f = &formats[r.kind];
 	r.time_ms = json_integer_value(time);
 	r.mono_ms = json_int_or(o, "mono_ms", 0);
-	r.order = s->records->len;
 	r.instance = text_field(o, "instance");
 	r.job = text_field(o, "job");
-	r.task = text_field(o, "task");
+	parse_task(json_str_or(o, "task", ""), &r);
 	r.upstream = text_field(o, "upstream");
 	r.text = text_field(o, f->text);
 	r.other = text_field(o, f->other);
 	r.run = int_field(o, "run");
-	r.value = int_field(o, f->value);
+	r.value = CLAMP(int_field(o, f->value), INT32_MIN, INT32_MAX);
 	r.code = int_field(o, f->code);
 	r.flag = f->flag && json_is_true(json_object_get(o, f->flag));
-	if (k == EVENT_JOB_KNOWN)
+	if (r.kind == EVENT_JOB_KNOWN)
 		add_job_facts(s, r.job, o);
 	g_array_append_val(s->records, r);
 	s->stats.records++;
@@ -259,20 +293,23 @@
 	json_decref(o);
 }
 
-/* Order records by time, then by their order in the input. */
-static gint compare_records(gconstpointer a, gconstpointer b)
+/* Free what is needed only while lines are added. */
+void record_set_end_input(struct record_set *s)
+{
+	g_hash_table_remove_all(s->seen);
+}
+
+static gint compare_times(gconstpointer a, gconstpointer b)
 {
 	const struct record *x = a, *y = b;
 
-	if (x->time_ms != y->time_ms)
-		return x->time_ms < y->time_ms ? -1 : 1;
-	return x->order < y->order ? -1 : x->order > y->order;
+	return x->time_ms < y->time_ms ? -1 : x->time_ms > y->time_ms;
 }
 
-/* Sort the records by time. */
+/* Sort the records by time; the order of the input decides between equals. */
 void record_set_sort(struct record_set *s)
 {
-	g_array_sort(s->records, compare_records);
+	g_array_sort(s->records, compare_times);
 }
 
 /* Return what is known of a job; NULL if no record says what it asks for. */
--- a/report/record.h
+++ b/report/record.h
@@ -42,11 +42,13 @@
 struct record {
 	int64_t time_ms; /* wall clock of the instance */
 	int64_t mono_ms; /* steady clock of the process */
-	int64_t value;
-	uint32_t order; /* position in the input */
+	int32_t value;
 	GQuark instance;
 	GQuark job;
-	GQuark task;
+	uint32_t task; /* index within its step */
+	uint16_t step;
+	uint16_t occurrence;
+	bool has_task;
 	GQuark upstream;
 	GQuark text;  /* a reason, state, outcome or the way a run ended */
 	GQuark other; /* the job that a run was stopped for, or a table */
@@ -87,9 +89,10 @@
 
 /* All records of the input and the jobs that they name. */
 struct record_set {
-	GArray *records;  /* struct record */
-	GHashTable *jobs; /* quark to struct job_facts */
-	GHashTable *seen; /* hashes of the lines */
+	GArray *records;   /* struct record */
+	GHashTable *jobs;  /* quark to struct job_facts */
+	GHashTable *seen;  /* hashes of the lines */
+	GHashTable *kinds; /* names of events to enum event_kind */
 	struct record_stats stats;
 };
 
@@ -99,6 +102,8 @@
 void record_set_sort(struct record_set *s);
 const struct job_facts *record_set_find_job(const struct record_set *s,
 					    GQuark id);
+char *record_task_name(const struct record *r);
+void record_set_end_input(struct record_set *s);
 const char *event_kind_name(enum event_kind k);
 
 #endif
--- a/test/planted.sh
+++ b/test/planted.sh
@@ -14,7 +14,8 @@
 	copy=$top/out/planted/$name
 	rm -rf "$copy"
 	mkdir -p "$copy"
-	cp -r Makefile lib sched config daemon ctl fake load proto test "$copy"
+	cp -r Makefile lib sched config daemon ctl entry fake lead load peer \
+		platform proto report test "$copy"
 	planted=no
 	for f in $file; do
 		sed -i "$expr" "$copy/$f"
