Let urgent work preempt instead of waiting for runs that end soon

Each pass chose an expected end again, since it costs nothing.

Change: urgent work waits for no expected end. Other work still waits for runs that end sooner than a stop takes.

--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -364,9 +364,9 @@
 }
 
 /*
- * Preempt for the candidate if that gains value. Runs that end while it can
- * still wait are awaited instead of stopped. Returns false if nothing was
- * planned.
+ * Preempt for the candidate if that gains value. Urgent work does not wait for
+ * runs that are expected to end: each expectation that fails costs it the time
+ * that it can wait. Returns false if nothing was planned.
  */
 static bool preempt_for(struct pass *p, const struct candidate *c,
 			uint32_t want)
@@ -391,12 +391,8 @@
 			note_wait(p, st, WAIT_PLAN_LATER);
 		return false;
 	}
-	if (request.max_loss >= VALUE_MANDATORY)
-		request.await_within_ms =
-			0; /* an expected end does not satisfy a guarantee */
-	else if (slack_ms > (int64_t)request.await_within_ms &&
-		 c->rank <= RANK_URGENT)
-		request.await_within_ms = slack_ms;
+	if (request.max_loss >= VALUE_MANDATORY || c->rank <= RANK_URGENT)
+		request.await_within_ms = 0;
 	if (!p->evict)
 		p->evict = evict_create(&p->pack, &p->value);
 	if (!evict_plan(p->evict, &request, st, want, &e)) {
