--- a/report/history.c
+++ b/report/history.c
@@ -666,7 +666,7 @@
 		.q_stops = g_quark_from_static_string("stops"),
 		.q_completed = g_quark_from_static_string("completed"),
 		.q_failed = g_quark_from_static_string("failed"),
-		.q_cancelled = g_quark_from_static_string("canceled"),
+		.q_cancelled = g_quark_from_static_string("cancelled"),
 	};
 	GHashTableIter it;
 	gpointer j;
