Answer an uncertain submission when the store is known to be silent

Beside it, a replica took a call that ended late, because it was relayed in vain, for a pause of its own process, so that the store did not count as silent and new submissions were held as well.

Change: 504 when a write has timed out and the store is known to be silent. A pause is judged by how late the event loop was.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -253,7 +253,14 @@
 		return;
 	case ROWS_UNKNOWN:
 		r->write_uncertain = true;
-		retry_request(r, false);
+		/* another instance may reach the store before the deadline */
+		if (store_is_silent(r->entry))
+			finish_request(
+				r, 504,
+				"the store does not answer; it may be accepted",
+				STORE_RETRY_AFTER_MS);
+		else
+			retry_request(r, false);
 		return;
 	case ROWS_REFUSED:
 	case ROWS_COMPACTED:
--- a/lead/replica.c
+++ b/lead/replica.c
@@ -26,8 +26,8 @@
 /* Maximum number of rows in one page of a full read. */
 #define PAGE_ROWS_MAX 500
 /*
- * A call that ends this long after its timeout shows that this process was
- * suspended, not that the store is unreachable.
+ * A call that times out in an iteration of the event loop that began this late
+ * proves nothing about the store: the process was suspended.
  */
 #define PROCESS_STALL_MIN_MS 300
 
@@ -72,8 +72,7 @@
 	uint64_t store_ms;
 	/* Count of calls that failed since the newest answer. */
 	uint32_t failure_count;
-	/* Deadline of the call in flight, and when that call was sent. */
-	uint64_t call_deadline_ms;
+	/* When the call in flight was sent. */
 	uint64_t call_sent_ms;
 	/* When the newest answered call was sent. */
 	uint64_t answered_call_sent_ms;
@@ -344,12 +343,11 @@
 {
 	uint32_t delay = MIN(RETRY_DELAY_MS << MIN(f->failure_count, 4),
 			     RETRY_DELAY_MAX_MS);
-	uint64_t now = clock_mono_ms();
-	uint64_t overdue = now - MIN(f->call_deadline_ms, now);
+	uint64_t late_ms = loop_wakeup_delay_ms(f->loop);
 
-	if (overdue > PROCESS_STALL_MIN_MS) {
+	if (late_ms > PROCESS_STALL_MIN_MS) {
 		log_fields(LOG_WARN, "stood_still", "{s:s,s:I}", "table",
-			   f->table, "late_ms", (json_int_t)overdue);
+			   f->table, "late_ms", (json_int_t)late_ms);
 		f->answered_since_ms = 0;
 		timer_start(f->loop, &f->timer, 0);
 		return;
@@ -418,8 +416,6 @@
 	f->call_in_flight = true;
 	f->refresh = false;
 	f->call_sent_ms = clock_mono_ms();
-	f->call_deadline_ms =
-		f->call_sent_ms + answer_timeout + (f->complete ? wait : 0);
 	if (f->complete)
 		rows_read_feed(f->rows, f->table, f->version, wait,
 			       wait + answer_timeout, on_answer, f);
--- a/test/proc_joint.c
+++ b/test/proc_joint.c
@@ -11,6 +11,11 @@
 
 #include "test/jointsite.h"
 
+/* Deadline that callers state. */
+#define DEADLINE_MS 3000
+/* A store that hangs is known as silent soon after this time. */
+#define STORE_SILENT_AFTER_MS 700
+
 static void submitted_job_completes(void **state)
 {
 	struct joint_site *s = joint_start(60);
@@ -310,6 +315,31 @@
 	joint_stop(s);
 }
 
+/*
+ * The store has hung for long enough to be known as silent when the write of a
+ * submission times out. The caller gets 504 then, and not just before its
+ * deadline, so that it can go to an instance that reaches the store.
+ */
+static void submission_gets_504_once_the_store_is_known_to_hang(void **state)
+{
+	struct joint_site *s = joint_start(105);
+	uint64_t start_ms;
+
+	(void)state;
+	joint_control_platform(s, "{\"store\": \"hang\"}");
+	start_ms = clock_mono_ms();
+	while (clock_mono_ms() - start_ms < STORE_SILENT_AFTER_MS)
+		loop_step(s->loop, 10);
+	start_ms = clock_mono_ms();
+	assert_int_equal(joint_submit(s, 0, 1, 2, 200), 504);
+	assert_true(clock_mono_ms() - start_ms < DEADLINE_MS * 2 / 3);
+	joint_control_platform(s, "{\"store\": \"ok\"}");
+	joint_wait_ready(s, 0);
+	assert_int_equal(joint_submit(s, 0, 1, 2, 200), 200);
+	joint_wait_state(s, 0, 1, "completed");
+	joint_stop(s);
+}
+
 static void submission_gets_503_at_once_when_store_refuses(void **state)
 {
 	struct joint_site *s = joint_start(68);
@@ -394,6 +424,8 @@
 		cmocka_unit_test(cancelled_job_stops_its_tasks),
 		cmocka_unit_test(
 			submission_gets_504_within_deadline_when_store_hangs),
+		cmocka_unit_test(
+			submission_gets_504_once_the_store_is_known_to_hang),
 		cmocka_unit_test(
 			submission_gets_503_at_once_when_store_refuses),
 		cmocka_unit_test(invalid_request_is_refused_with_reason),
