Place no work in a failure domain that seems cut off

Cause: only upstreams with work are called.

Change: the upstreams that are called speak for the others. While two or more of a domain are silent and none has answered for 0.4 s, the domain is in doubt; its upstreams get no work and are called, and one that answers ends the doubt. sched/reach.c decides, without I/O.

--- a/lead/leader.c
+++ b/lead/leader.c
@@ -14,6 +14,7 @@
 #include "lead/election.h"
 #include "lead/succession.h"
 #include "lib/log.h"
+#include "sched/reach.h"
 
 /*
  * Maximum number of jobs in one write. The platform accepts 100 entries:
@@ -658,6 +659,29 @@
 	}
 }
 
+/*
+ * Note which failure domains seem cut off, and call their upstreams: one that
+ * answers shows that its domain is not.
+ */
+static void update_reach(struct leader *d)
+{
+	struct fleet *f = d->model->fleet;
+
+	if (!reach_update(f, clock_mono_ms()))
+		return;
+	for (guint i = 0; i < f->list->len; i++) {
+		struct upstream *u = g_ptr_array_index(f->list, i);
+
+		if (!u->doubted || !u->session)
+			continue;
+		log_fields(LOG_INFO, "upstream_doubted", "{s:s,s:s,s:I}",
+			   "upstream", u->id, "domain", u->domain,
+			   "unheard_ms",
+			   (json_int_t)(clock_mono_ms() - u->heard_ms));
+		session_schedule_call(u->session);
+	}
+}
+
 static bool any_job_is_dirty(const struct leader *d)
 {
 	for (guint i = 0; i < d->model->job_list->len; i++)
@@ -685,6 +709,7 @@
 		return;
 	}
 	lose_unlisted_upstreams(d);
+	update_reach(d);
 	model_update_job_states(d->model, replica_store_clock_ms(d->env.jobs));
 	dispatch_jobs(d);
 	model_update_job_states(d->model, replica_store_clock_ms(d->env.jobs));
--- a/lead/session.c
+++ b/lead/session.c
@@ -10,6 +10,7 @@
 #include "lead/session.h"
 #include "lead/leaseclock.h"
 #include "lib/log.h"
+#include "sched/reach.h"
 
 /*
  * Maximum time for which the upstream holds a list call. Leases are
@@ -243,13 +244,14 @@
 
 /*
  * Report whether list calls are needed: for runs, for ends that are not
- * acknowledged, or to make the upstream obey this leader's epoch.
+ * acknowledged, to make the upstream obey this leader's epoch, or to learn
+ * whether its failure domain is cut off.
  */
 static bool needs_calls(const struct session *k)
 {
 	const struct upstream *u = k->upstream;
 
-	return u->tasks->len ||
+	return u->tasks->len || u->doubted ||
 	       k->newest_end_seen > k->newest_end_acknowledged ||
 	       (!u->synced && u->state != UPSTREAM_GONE);
 }
@@ -368,6 +370,7 @@
 {
 	uint64_t now = clock_mono_ms();
 
+	reach_record_silence(k->upstream);
 	if (!k->failure_count++)
 		log_fields(LOG_WARN, "upstream_silent", "{s:s,s:s,s:I}",
 			   "upstream", k->upstream->id, "outcome",
@@ -412,6 +415,7 @@
 			   "upstream", k->upstream->id, "failures",
 			   (int)k->failure_count);
 	k->failure_count = 0;
+	reach_record_answer(k->upstream, clock_mono_ms());
 	apply_lists(k, a);
 	if (needs_calls(k))
 		timer_start(env->loop, &k->call_timer,
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -68,6 +68,7 @@
 	u->service_quark = g_quark_from_string(u->service);
 	u->kind_quark = g_quark_from_string(u->kind);
 	u->rack_quark = g_quark_from_string(u->rack);
+	u->domain_quark = g_quark_from_string(u->domain);
 }
 
 /* Return how many times `need` fits into `have`, which is not negative. */
@@ -142,11 +143,11 @@
 
 /*
  * Report whether new work may be placed on u: it is ready, has accepted our
- * epoch and is not in backoff after failures.
+ * epoch, is not in backoff after failures and seems reachable.
  */
 bool upstream_is_usable(const struct upstream *u, uint64_t now_ms)
 {
-	return u->state == UPSTREAM_READY && u->synced &&
+	return u->state == UPSTREAM_READY && u->synced && !u->doubted &&
 	       u->avoid_until_ms <= now_ms;
 }
 
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -18,9 +18,10 @@
 	char rack[LABEL_BYTES];
 	/* start time, identifies the incarnation; 0: unknown */
 	uint64_t started_wall_ms;
-	GQuark service_quark; /* service, kind and rack as quarks */
+	GQuark service_quark; /* service, kind, rack and domain as quarks */
 	GQuark kind_quark;
 	GQuark rack_quark;
+	GQuark domain_quark;
 	enum upstream_state state;
 	bool synced; /* has accepted our epoch and its run lists were read */
 	uint64_t leaves_ms; /* earliest departure when draining; 0: unknown */
@@ -28,6 +29,9 @@
 	struct resources used;
 	GPtrArray *tasks;	 /* active tasks */
 	uint64_t avoid_until_ms; /* end of the backoff after failures */
+	uint64_t heard_ms;	 /* newest answer; 0: none yet */
+	bool silent;		 /* the last call was not answered */
+	bool doubted;		 /* its failure domain seems cut off */
 	/* start of the current slow period; 0: not slow */
 	uint64_t slow_since_ms;
 	uint64_t slow_until_ms;	       /* treated as slow until this time */
