Confirm the leader's writes by the feed of the owner row

The next claim was executed at once, but its answer was not received in time, and the claimant went on sending it for 2.3 s; another instance saw the claim in the feed, waited for its timeout, and claimed as well. Nothing led for 2.5 s.

Change: a row of the feed that is what the write in flight leaves confirms the write.

Test: unit_lead, a store that executes writes and loses their answers. The report no longer takes a leader that has been overtaken for the one that leads.

--- a/lead/election.c
+++ b/lead/election.c
@@ -196,34 +196,6 @@
 	       r->epoch == e->self.epoch;
 }
 
-/*
- * Apply the owner row as received from the feed; value is NULL when it was
- * removed.
- */
-void election_apply_row(struct election *e, const char *value, uint64_t version)
-{
-	struct owner_record r;
-
-	if (version < e->row_version)
-		return;
-	memset(&r, 0, sizeof(r));
-	e->row_exists = value && owner_decode(value, &r);
-	if (e->role == ROLE_LEADER) {
-		if (e->row_exists && !is_own_record(e, &r) &&
-		    r.epoch > e->self.epoch) {
-			e->row = r;
-			e->row_version = version;
-			step_down(e, "another instance has claimed");
-		}
-		/* The answers to own writes report their versions. */
-		return;
-	}
-	e->row = r;
-	if (version != e->row_version)
-		e->row_changed_ms = clock_mono_ms();
-	e->row_version = version;
-}
-
 /* Handle a committed write, which left the owner row at this version. */
 static void handle_write_success(struct election *e, uint64_t version)
 {
@@ -255,6 +227,49 @@
 	}
 }
 
+/*
+ * Report whether r is what the write in flight leaves: the write has been
+ * committed, even if its answer is late or lost.
+ */
+static bool is_write_in_flight(const struct election *e,
+			       const struct owner_record *r)
+{
+	return e->write_text && !e->write_resigns && is_own_record(e, r) &&
+	       r->sequence == e->self.sequence;
+}
+
+/*
+ * Apply the owner row as received from the feed; value is NULL when it was
+ * removed.
+ */
+void election_apply_row(struct election *e, const char *value, uint64_t version)
+{
+	struct owner_record r;
+
+	if (version < e->row_version)
+		return;
+	memset(&r, 0, sizeof(r));
+	e->row_exists = value && owner_decode(value, &r);
+	if (e->row_exists && is_write_in_flight(e, &r)) {
+		handle_write_success(e, version);
+		return;
+	}
+	if (e->role == ROLE_LEADER) {
+		if (e->row_exists && !is_own_record(e, &r) &&
+		    r.epoch > e->self.epoch) {
+			e->row = r;
+			e->row_version = version;
+			step_down(e, "another instance has claimed");
+		}
+		/* The answers to own writes report their versions. */
+		return;
+	}
+	e->row = r;
+	if (version != e->row_version)
+		e->row_changed_ms = clock_mono_ms();
+	e->row_version = version;
+}
+
 /* Give up a claim that another instance has overtaken. */
 static void abandon_claim(struct election *e)
 {
--- a/report/history.c
+++ b/report/history.c
@@ -73,6 +73,7 @@
 	GHashTable *heard_ms;	 /* quark of an instance to its last record */
 	GHashTable *lost_tables; /* tables that the leader cannot read */
 	GQuark leader;
+	int32_t epoch;		     /* of that leader */
 	int64_t leaderless_since_ms; /* 0: there is a leader */
 	int64_t store_lost_ms;	     /* 0: the store answers */
 	GQuark q_done, q_submit, q_stops, q_none, q_completed, q_failed,
@@ -497,6 +498,9 @@
 
 	switch ((enum event_kind)r->kind) {
 	case EVENT_LEADING:
+		if (r->value < p->epoch)
+			break; /* it has been overtaken and does not know */
+		p->epoch = r->value;
 		heard = g_hash_table_lookup(p->heard_ms,
 					    GUINT_TO_POINTER(p->leader));
 		/* a leader that has gone was last heard before */
--- a/test/unit_lead.c
+++ b/test/unit_lead.c
@@ -11,6 +11,7 @@
 
 #include "lead/delivery.h"
 #include "lead/departure.h"
+#include "lead/election.h"
 #include "lead/leaseclock.h"
 #include "lead/model.h"
 #include "lead/record.h"
@@ -519,10 +520,113 @@
 	assert_in_range(yields, 1, 6);
 }
 
+/* What an election under test has reported. */
+struct election_log {
+	uint32_t gained;
+	uint32_t committed;
+	uint32_t sent;
+};
+
+/* A store that takes calls and never answers. */
+static bool send_without_answer(void *arg, const char *method, const char *path,
+				const char *body, uint32_t timeout_ms,
+				http_done_fn done, void *done_arg)
+{
+	struct election_log *g = arg;
+
+	(void)method;
+	(void)path;
+	(void)body;
+	(void)timeout_ms;
+	(void)done;
+	(void)done_arg;
+	g->sent++;
+	return true;
+}
+
+static void note_gained(void *arg, uint64_t version)
+{
+	(void)version;
+	((struct election_log *)arg)->gained++;
+}
+
+static void note_lost(void *arg, const char *why)
+{
+	(void)arg;
+	(void)why;
+}
+
+static void note_committed(void *arg)
+{
+	((struct election_log *)arg)->committed++;
+}
+
+static void note_write_due(void *arg)
+{
+	(void)arg;
+}
+
+/* Show the election its own record of this sequence in the feed. */
+static void feed_own_row(struct election *e, uint64_t sequence,
+			 uint64_t version)
+{
+	struct owner_record r = {.instance = "i",
+				 .incarnation = 7,
+				 .epoch = 1,
+				 .sequence = sequence};
+	char *value = owner_encode(&r);
+
+	election_apply_row(e, value, version);
+	free(value);
+}
+
+/*
+ * The store executes a claim and a write and loses both answers. The feed shows
+ * their rows, so the claim holds and the write counts as committed; the row of
+ * an earlier write confirms nothing. Guards against a leaderless time until the
+ * store answers a retry.
+ */
+static void test_feed_confirms_writes_without_answer(void **state)
+{
+	struct election_log g = {0};
+	struct election_events ev = {.gained = note_gained,
+				     .lost = note_lost,
+				     .committed = note_committed,
+				     .write_due = note_write_due};
+	struct loop *l = loop_create();
+	struct counters *c = counters_create();
+	struct rows *rows = rows_create(send_without_answer, &g);
+	struct election *e = election_create(l, rows, c, "i", 7, 0, &ev, &g);
+	uint64_t deadline_ms = clock_mono_ms() + 5000;
+
+	(void)state;
+	election_apply_row(e, NULL, 0);
+	while (!g.sent && clock_mono_ms() < deadline_ms) {
+		election_consider_claim(e, 1, true);
+		loop_step(l, 10);
+	}
+	assert_int_equal(g.sent, 1);
+	feed_own_row(e, 1, 5);
+	assert_int_equal(g.gained, 1);
+	assert_true(election_is_leader(e));
+	election_commit(e, rows_tx_create("leader"));
+	feed_own_row(e, 1, 5);
+	assert_int_equal(g.committed, 0);
+	assert_true(election_write_in_flight(e));
+	feed_own_row(e, 2, 6);
+	assert_int_equal(g.committed, 1);
+	assert_false(election_write_in_flight(e));
+	election_destroy(e);
+	rows_destroy(rows);
+	counters_destroy(c);
+	loop_destroy(l);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_leases_of_silent_upstream_expire),
+		cmocka_unit_test(test_feed_confirms_writes_without_answer),
 		cmocka_unit_test(
 			test_lease_bound_allows_for_slow_upstream_clock),
 		cmocka_unit_test(
