--- a/test/unit_report.c
+++ b/test/unit_report.c
@@ -346,6 +346,78 @@
 	fixture_destroy(&f);
 }
 
+#define LATE "\"job\":\"f469baaca9ee3a15\""
+#define LATE_TASK LATE ",\"task\":\"f469baaca9ee3a15.0.0.0\""
+#define FAILED "\"job\":\"d933b961f6312806\""
+#define FAILED_TASK FAILED ",\"task\":\"d933b961f6312806.0.0.0\""
+#define REFUSED "\"job\":\"bd9b443e5770e449\""
+
+/* Add the records of the three worked examples of docs/OPERATIONS.md. */
+static void add_worked_examples(struct fixture *f)
+{
+	add_event(f, "o2", 33169, "leading", "\"epoch\":1");
+	add_event(f, "s2", 33169, "request_ended",
+		  FAILED ",\"kind\":\"submit\",\"status\":200");
+	add_event(f, "o2", 33169, "job_known", FAILED ",\"tasks\":1");
+	add_event(f, "o2", 33170, "start_decided", FAILED_TASK ",\"run\":1");
+	add_event(f, "o2", 34200, "run_ended",
+		  FAILED_TASK ",\"run\":1,\"how\":\"failed\"");
+	add_event(f, "o2", 34201, "start_decided", FAILED_TASK ",\"run\":2");
+	add_event(f, "a3", 35933, "request_ended",
+		  LATE ",\"kind\":\"submit\",\"status\":200,\"took_ms\":10");
+	add_event(f, "o2", 35934, "job_known",
+		  LATE ",\"tasks\":1,\"gang\":true,\"slack_factor\":1.5,"
+		       "\"target_ms\":250");
+	add_event(f, "o2", 35938, "stage_waits", LATE ",\"why\":\"stops\"");
+	add_event(f, "o2", 36318, "start_decided", LATE_TASK ",\"run\":1");
+	add_event(f, "o2", 36726, "stop_decided",
+		  LATE_TASK ",\"run\":1,\"why\":\"room\"");
+	add_event(f, "o2", 36853, "run_ended",
+		  LATE_TASK ",\"run\":1,\"how\":\"stopped\"");
+	add_event(f, "o2", 37063, "stage_waits", LATE ",\"why\":\"loss\"");
+	add_event(f, "o2", 38031, "start_decided", LATE_TASK ",\"run\":2");
+	add_event(f, "o2", 40663, "run_ended",
+		  LATE_TASK ",\"run\":2,\"how\":\"done\",\"after_ms\":2632,"
+			    "\"confirmed_after_ms\":12");
+	add_event(f, "o2", 40663, "job_state", LATE ",\"state\":\"completed\"");
+	add_event(f, "o2", 41242, "run_ended",
+		  FAILED_TASK ",\"run\":2,\"how\":\"failed\"");
+	add_event(f, "o2", 41242, "job_state", FAILED ",\"state\":\"failed\"");
+	add_event(f, "o2", 41500, "store_lost", "\"table\":\"t\"");
+	add_event(f, "o2", 42251, "request_refused",
+		  REFUSED ",\"kind\":\"submit\",\"status\":503");
+	add_event(f, "o1", 43357, "request_refused",
+		  REFUSED ",\"kind\":\"submit\",\"status\":503");
+	add_event(f, "o2", 44587, "store_regained", "\"table\":\"t\"");
+	add_event(f, "o2", 44587, "job_known", REFUSED ",\"tasks\":1");
+	add_event(f, "o2", 44588, "request_ended",
+		  REFUSED ",\"kind\":\"submit\",\"status\":200");
+}
+
+static void the_worked_examples_of_the_operators_page_hold(void **state)
+{
+	struct fixture f;
+	const struct job_history *j;
+
+	(void)state;
+	fixture_create(&f);
+	add_worked_examples(&f);
+	finish(&f);
+	j = find_job(&f, "bd9b443e5770e449");
+	assert_parts_add_up(j);
+	assert_int_equal(j->by_cause_ms[CAUSE_STORE_AWAY], 2336);
+	j = find_job(&f, "f469baaca9ee3a15");
+	assert_parts_add_up(j);
+	assert_int_equal(j->by_cause_ms[CAUSE_STOPS], 380);
+	assert_int_equal(j->by_cause_ms[CAUSE_STOPPED], 1713);
+	assert_int_equal(j->by_cause_ms[CAUSE_RUNNING], 2620);
+	assert_int_equal(j->outcome, OUTCOME_LATE);
+	j = find_job(&f, "d933b961f6312806");
+	assert_parts_add_up(j);
+	assert_int_equal(j->outcome, OUTCOME_FAILED);
+	fixture_destroy(&f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -360,6 +432,8 @@
 		cmocka_unit_test(lines_that_are_no_records_are_counted),
 		cmocka_unit_test(the_order_of_the_input_does_not_matter),
 		cmocka_unit_test(the_report_names_queues_causes_and_moments),
+		cmocka_unit_test(
+			the_worked_examples_of_the_operators_page_hold),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
