--- a/lead/leader.c
+++ b/lead/leader.c
@@ -675,8 +675,7 @@
 		if (!u->doubted || !u->session)
 			continue;
 		log_fields(LOG_INFO, "upstream_doubted", "{s:s,s:s,s:I}",
-			   "upstream", u->id, "domain", u->domain,
-			   "unheard_ms",
+			   "upstream", u->id, "domain", u->domain, "unheard_ms",
 			   (json_int_t)(clock_mono_ms() - u->heard_ms));
 		session_schedule_call(u->session);
 	}
--- a/lead/model.c
+++ b/lead/model.c
@@ -137,8 +137,7 @@
 		   t->confirmed_ms >= t->placed_ms
 			   ? (json_int_t)(t->confirmed_ms - t->placed_ms)
 			   : (json_int_t)-1,
-		   "stopping",
-		   t->state == TASK_STOPPING);
+		   "stopping", t->state == TASK_STOPPING);
 	if (end_reason == RUN_FAILED)
 		upstream_record_failure(u, t->stage->job, now_ms);
 	if (end_reason == RUN_DONE) {
--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -97,9 +97,8 @@
 /* Stop the run of t; no effect unless it is placed or running. */
 static void stop_task(struct pass *p, struct task *t, enum stop_cause cause)
 {
-	struct action a = {.tag = ACTION_STOP,
-			   .task = t,
-			   .u.stop = {cause, p->preemptor}};
+	struct action a = {
+		.tag = ACTION_STOP, .task = t, .u.stop = {cause, p->preemptor}};
 
 	if (t->state != TASK_PLACED && t->state != TASK_RUNNING)
 		return;
--- a/sched/evict.c
+++ b/sched/evict.c
@@ -106,9 +106,8 @@
 		.stage = t->stage,
 		.resources = task_resources(t),
 		.loss = value_stop_loss(e->value, t),
-		.remaining_ms = s->long_running
-					? UINT64_MAX
-					: value_release_ms(e->value, t),
+		.remaining_ms = s->long_running ? UINT64_MAX
+						: value_release_ms(e->value, t),
 		.rank = t->stage->job->rank,
 		.gang = s->gang,
 		.long_running = s->long_running,
