--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -362,6 +362,13 @@
 	return value_gain(&p->value, st);
 }
 
+/* Report whether the candidate, which must not preempt now, still can later. */
+static bool can_wait(const struct candidate *c, int64_t slack_ms)
+{
+	return c->stage->step->long_running ||
+	       (c->rank > RANK_URGENT && slack_ms > 0);
+}
+
 /*
  * Preempt for the candidate if that gains value. Urgent work does not wait for
  * runs that are expected to end: each expectation that fails costs it the time
@@ -381,7 +388,8 @@
 
 	if (request.max_loss <= 0) {
 		note_wait(p, st,
-			  slack_ms > 0 ? WAIT_NOT_URGENT : WAIT_TOO_LATE);
+			  can_wait(c, slack_ms) ? WAIT_NOT_URGENT
+						: WAIT_TOO_LATE);
 		return false;
 	}
 	if (!c->due && (p->failed_plans >= FAILED_PLANS_MAX ||
