Remove the waiting for expected ends from preemption plans

Cause: since urgent work waits for no expected end, only other work did, for ends that come sooner than a stop takes.

Change: plans, victims and requests know of no awaited runs any more; the expected end of a gang serves work on upstreams that drain.

--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -11,12 +11,6 @@
 /* A gang reserves resources after it has waited this long. */
 #define RESERVE_AFTER_MS 300
 
-/*
- * Delay between a stop order and the start of the preempting work, beyond the
- * time that an upstream takes to stop.
- */
-#define START_LATENCY_MS 100
-
 /*
  * A guaranteed job preempts this long before its start deadline, to leave time
  * for records, orders and a second try.
@@ -370,8 +364,8 @@
 }
 
 /*
- * Preempt for the candidate if that gains value. Urgent work does not wait for
- * runs that are expected to end: each expectation that fails costs it the time
+ * Preempt for the candidate if that gains value. It never waits for runs that
+ * are expected to end: each expectation that fails costs urgent work the time
  * that it can wait. Returns false if nothing was planned.
  */
 static bool preempt_for(struct pass *p, const struct candidate *c,
@@ -381,8 +375,6 @@
 	int64_t slack_ms = value_slack_ms(&p->value, st);
 	struct preempt_request request = {.rank = c->rank,
 					  .due = c->due,
-					  .await_within_ms = p->input->stop_ms +
-							     START_LATENCY_MS,
 					  .max_loss = preemption_value(p, c)};
 	struct eviction e;
 
@@ -398,8 +390,6 @@
 			note_wait(p, st, WAIT_PLAN_LATER);
 		return false;
 	}
-	if (request.max_loss >= VALUE_MANDATORY || c->rank <= RANK_URGENT)
-		request.await_within_ms = 0;
 	if (!p->evict)
 		p->evict = evict_create(&p->pack, &p->value);
 	if (!evict_plan(p->evict, &request, st, want, &e)) {
@@ -413,7 +403,7 @@
 	for (guint i = 0; i < e.stop->len; i++)
 		stop_run(p, g_ptr_array_index(e.stop, i), STOP_PREEMPTED);
 	p->preemptor = NULL;
-	note_wait(p, st, e.stop->len ? WAIT_STOPS : WAIT_ENDS);
+	note_wait(p, st, WAIT_STOPS);
 	if (e.rack != PACK_ANY_RACK)
 		st->reserved_rack = p->pack.racks[e.rack];
 	eviction_clear(&e);
@@ -520,7 +510,7 @@
 	uint64_t stays_ms = leaves_ms - MIN(now, leaves_ms);
 
 	if (t->state != TASK_RUNNING ||
-	    value_remaining_ms(&p->value, t) <= stays_ms)
+	    value_release_ms(&p->value, t) <= stays_ms)
 		return false;
 	return t->stage->step->checkpoints ||
 	       ran_ms + p->input->stop_ms < stays_ms + p->input->lease_ms;
--- a/sched/evict.c
+++ b/sched/evict.c
@@ -1,7 +1,6 @@
 /*
  * Finds a cheap preemption for a stage, task by task. On each upstream the runs
- * with the least loss go first; runs that end soon cost nothing and are
- * awaited.
+ * with the least loss go first.
  */
 #include <math.h>
 #include <stdlib.h>
@@ -27,9 +26,8 @@
 	struct task *task;
 	struct stage *stage;
 	struct resources resources;
-	double loss; /* loss by stopping it or its whole gang */
-	uint64_t remaining_ms;
-	uint64_t plan_id; /* last plan that stops or awaits it */
+	double loss;	  /* loss by stopping it or its whole gang */
+	uint64_t plan_id; /* last plan that stops it */
 	uint32_t rank;
 	bool gang;
 	bool long_running;
@@ -38,7 +36,6 @@
 /* Bounds over the runs on one upstream. */
 struct upstream_summary {
 	uint32_t max_rank;
-	uint64_t min_remaining_ms;
 	bool long_running; /* some runs are long-running */
 };
 
@@ -106,8 +103,6 @@
 		.stage = t->stage,
 		.resources = task_resources(t),
 		.loss = value_stop_loss(e->value, t),
-		.remaining_ms = s->long_running ? UINT64_MAX
-						: value_release_ms(e->value, t),
 		.rank = t->stage->job->rank,
 		.gang = s->gang,
 		.long_running = s->long_running,
@@ -121,7 +116,6 @@
 	struct upstream_summary *summary = &e->summaries[index];
 	uint32_t from = *n;
 
-	summary->min_remaining_ms = UINT64_MAX;
 	for (guint k = 0; e->pack->usable[index] && k < u->tasks->len; k++) {
 		struct task *t = g_ptr_array_index(u->tasks, k);
 		struct victim v;
@@ -130,8 +124,6 @@
 			continue;
 		v = make_victim(e, t);
 		summary->max_rank = MAX(summary->max_rank, v.rank);
-		summary->min_remaining_ms =
-			MIN(summary->min_remaining_ms, v.remaining_ms);
 		summary->long_running |= v.long_running;
 		e->victims[(*n)++] = v;
 	}
@@ -233,27 +225,18 @@
 	       unavailable_count(st) + more < st->step->max_unavailable;
 }
 
-/* Report whether v ends so soon that the plan waits for it. */
-static bool is_awaited(const struct plan *plan, const struct victim *v)
-{
-	return plan->request->await_within_ms &&
-	       v->remaining_ms <= plan->request->await_within_ms;
-}
-
 /* Report whether the plan already stops the gang of v. */
 static bool gang_is_stopped(const struct plan *plan, const struct victim *v)
 {
 	return v->gang && v->stage->plan_id == plan->e->plan_id;
 }
 
-/* Add v to this plan, to be stopped or awaited. */
-static void select_victim(struct plan *plan, struct victim *v, bool stop)
+/* Add v to the runs that this plan stops. */
+static void select_victim(struct plan *plan, struct victim *v)
 {
 	struct stage *st = v->stage;
 
 	v->plan_id = plan->e->plan_id;
-	if (!stop)
-		return;
 	if (st->plan_id != plan->e->plan_id) {
 		st->plan_id = plan->e->plan_id;
 		st->plan_stop_count = 0;
@@ -279,7 +262,6 @@
 	const struct upstream_summary *s = &plan->e->summaries[index];
 
 	return s->max_rank > plan->request->rank ||
-	       s->min_remaining_ms <= plan->request->await_within_ms ||
 	       (s->long_running && plan->request->due);
 }
 
@@ -290,7 +272,6 @@
 struct victim_set {
 	uint32_t list[VICTIMS_MAX];
 	uint32_t n;
-	uint32_t free_count; /* the first free_count cost nothing */
 	struct resources have;
 	double loss; /* INFINITY: the task cannot fit */
 };
@@ -307,7 +288,7 @@
 		plan->stage->step->max_tasks_per_upstream;
 	bool fits;
 
-	c->n = c->free_count = 0;
+	c->n = 0;
 	c->have = (struct resources){0};
 	c->loss = INFINITY;
 	if (!e->pack->usable[index] || !pack_is_eligible(e->pack, index) ||
@@ -329,13 +310,11 @@
 		     i < e->first[index + 1] && !fits && c->n < VICTIMS_MAX;
 		     i++) {
 			const struct victim *v = &e->victims[i];
-			bool ends_soon = is_awaited(plan, v);
-			bool is_free = ends_soon || gang_is_stopped(plan, v);
+			bool is_free = gang_is_stopped(plan, v);
 
 			if (v->plan_id == e->plan_id || is_free == (bool)costly)
 				continue;
-			if (!ends_soon &&
-			    !can_stop(plan, v,
+			if (!can_stop(plan, v,
 				      count_same_stage(e, v, c->list, c->n)))
 				continue;
 			if (v->task->state == TASK_STOPPING)
@@ -348,8 +327,6 @@
 						 &e->pack->demand.need) &&
 			       pack_capacity(e->pack, index, &c->have);
 		}
-		if (!costly)
-			c->free_count = c->n;
 	}
 	if (!fits)
 		c->loss = INFINITY;
@@ -361,12 +338,8 @@
 {
 	struct evict *e = plan->e;
 
-	for (uint32_t i = 0; i < c->n; i++) {
-		struct victim *v = &e->victims[c->list[i]];
-
-		select_victim(plan, v,
-			      i >= c->free_count || !is_awaited(plan, v));
-	}
+	for (uint32_t i = 0; i < c->n; i++)
+		select_victim(plan, &e->victims[c->list[i]]);
 	resources_add(&c->have, &e->pack->demand.need, -1);
 	e->available[index] = c->have;
 	e->count[index]++;
@@ -554,7 +527,6 @@
 		if (m->want <= want && (!m->one_rack || one_rack) &&
 		    m->request.rank <= request->rank &&
 		    (m->request.due || !request->due) &&
-		    m->request.await_within_ms >= request->await_within_ms &&
 		    m->request.max_loss >= request->max_loss &&
 		    demand_covers(&m->demand, &e->pack->demand))
 			return true;
--- a/sched/evict.h
+++ b/sched/evict.h
@@ -1,4 +1,4 @@
-/* Preemption: which runs to stop, or to wait for, to place a stage. */
+/* Preemption: which runs to stop to place a stage. */
 #ifndef SCHED_EVICT_H
 #define SCHED_EVICT_H
 
@@ -10,10 +10,8 @@
 
 /* The limits of a preemption. */
 struct preempt_request {
-	uint32_t rank; /* only runs of a greater rank number are stopped */
-	bool due;      /* made for a guarantee that is due */
-	/* runs that end within it are awaited; 0: none */
-	uint64_t await_within_ms;
+	uint32_t rank;	 /* only runs of a greater rank number are stopped */
+	bool due;	 /* made for a guarantee that is due */
 	double max_loss; /* maximum value that may be lost */
 };
 
--- a/sched/job.c
+++ b/sched/job.c
@@ -538,8 +538,6 @@
 		return "none";
 	case WAIT_STOPS:
 		return "stops";
-	case WAIT_ENDS:
-		return "ends";
 	case WAIT_NOT_URGENT:
 		return "not_urgent";
 	case WAIT_TOO_LATE:
--- a/sched/job.h
+++ b/sched/job.h
@@ -114,7 +114,6 @@
 enum wait_reason {
 	WAIT_NONE,	 /* it started, or it was not considered yet */
 	WAIT_STOPS,	 /* for runs that are being stopped for it */
-	WAIT_ENDS,	 /* for runs that are expected to end in time */
 	WAIT_NOT_URGENT, /* preemption for it is not worth it yet */
 	WAIT_TOO_LATE,	 /* preemption for it gains nothing any more */
 	WAIT_LOSS,	 /* no preemption loses less than it gains */
