--- a/lead/election.c
+++ b/lead/election.c
@@ -228,10 +228,10 @@
 }
 
 /*
- * Report whether r is what the write in flight leaves: the write has been
- * committed, even if its answer is late or lost.
+ * Report whether r is the row that the write in flight leaves: the write has
+ * been committed, even if its answer is late or lost.
  */
-static bool is_write_in_flight(const struct election *e,
+static bool row_confirms_write(const struct election *e,
 			       const struct owner_record *r)
 {
 	return e->write_text && !e->write_resigns && is_own_record(e, r) &&
@@ -250,7 +250,7 @@
 		return;
 	memset(&r, 0, sizeof(r));
 	e->row_exists = value && owner_decode(value, &r);
-	if (e->row_exists && is_write_in_flight(e, &r)) {
+	if (e->row_exists && row_confirms_write(e, &r)) {
 		handle_write_success(e, version);
 		return;
 	}
