Ask the store for an immediate answer after a feed call failed

By reading: a call that is lost during the outage ends after its wait of 1 s and a timeout that has doubled to 2.4 s, so that the policy can be 3.6 s old after the store is back; the rule holds from 3 s on.

Change: the call after a failed one does not let the store wait for a change, which bounds it to 2.65 s.

Test: unit_lead. That this was the cause is not shown.

--- a/lead/replica.c
+++ b/lead/replica.c
@@ -406,7 +406,9 @@
 static void send_next_call(void *arg)
 {
 	struct replica *f = arg;
-	uint32_t wait = f->refresh ? 0 : f->wait_ms;
+	/* A call that is lost when the store is back must not cost the wait
+	 * as well: a change of the policy has to be in force soon after. */
+	uint32_t wait = f->refresh || f->failure_count ? 0 : f->wait_ms;
 	uint32_t answer_timeout =
 		ANSWER_TIMEOUT_MS
 		<< (f->large_rows ? MIN(f->failure_count,
--- a/test/unit_lead.c
+++ b/test/unit_lead.c
@@ -15,6 +15,7 @@
 #include "lead/leaseclock.h"
 #include "lead/model.h"
 #include "lead/record.h"
+#include "lead/replica.h"
 #include "lead/succession.h"
 #include <stdlib.h>
 
@@ -622,11 +623,91 @@
 	loop_destroy(l);
 }
 
+static void ignore_change(void *arg, const char *key, const char *value,
+			  uint64_t version)
+{
+	(void)arg;
+	(void)key;
+	(void)value;
+	(void)version;
+}
+
+/* A store whose calls the test answers. */
+struct manual_store {
+	char path[256]; /* of the call in flight; empty: none */
+	http_done_fn done;
+	void *done_arg;
+};
+
+static bool send_to_test(void *arg, const char *method, const char *path,
+			 const char *body, uint32_t timeout_ms,
+			 http_done_fn done, void *done_arg)
+{
+	struct manual_store *m = arg;
+
+	(void)method;
+	(void)body;
+	(void)timeout_ms;
+	g_strlcpy(m->path, path, sizeof(m->path));
+	m->done = done;
+	m->done_arg = done_arg;
+	return true;
+}
+
+/* Wait for a call and check that its path contains this text. */
+static void assert_call(struct manual_store *m, struct loop *l,
+			const char *text)
+{
+	uint64_t deadline_ms = clock_mono_ms() + 5000;
+
+	while (!*m->path && clock_mono_ms() < deadline_ms)
+		loop_step(l, 10);
+	assert_non_null(strstr(m->path, text));
+	*m->path = '\0';
+}
+
+/*
+ * A feed call is not answered. The next one does not let the store wait for a
+ * change, so that it is known early when the store is back; the one after its
+ * answer does. Guards against a policy that comes into force too late after an
+ * outage.
+ */
+static void test_feed_call_after_failure_asks_for_immediate_answer(void **state)
+{
+	struct manual_store m = {0};
+	struct loop *l = loop_create();
+	struct rows *rows = rows_create(send_to_test, &m);
+	struct replica_events ev = {.changed = ignore_change};
+	struct http_result ok = {.verdict = verdict_ran(),
+				 .status = 200,
+				 .body = "{}",
+				 .len = 2};
+	struct http_result lost = {
+		.verdict = verdict_may_have_run(REASON_DEADLINE), .body = ""};
+	struct replica *f = replica_create(l, rows, "op", replica_single_part,
+					   1000, &ev, NULL);
+
+	(void)state;
+	assert_call(&m, l, "/-/rows-get");
+	m.done(m.done_arg, &ok);
+	assert_call(&m, l, "waitMs=1000");
+	m.done(m.done_arg, &lost);
+	assert_call(&m, l, "waitMs=0");
+	m.done(m.done_arg, &ok);
+	assert_call(&m, l, "waitMs=1000");
+	m.done(m.done_arg, &ok);
+	replica_destroy(f);
+	rows_destroy(rows);
+	loop_destroy(l);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_leases_of_silent_upstream_expire),
 		cmocka_unit_test(test_feed_confirms_writes_without_answer),
+		cmocka_unit_test(
+			test_feed_call_after_failure_asks_for_immediate_answer),
 		cmocka_unit_test(
 			test_lease_bound_allows_for_slow_upstream_clock),
 		cmocka_unit_test(
