Count the store as silent only if no table is answered

The test comes to that moment since an uncertain submission is answered earlier.

Change: the newest answer of any table counts, as it does for readiness.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -123,12 +123,14 @@
 
 /*
  * Report whether calls to the store fail and none has been answered for
- * STORE_SILENT_MIN_MS. This checks the table of states, which is read most
- * often.
+ * STORE_SILENT_MIN_MS. The table of states is read most often, so its calls
+ * fail first; the other tables may show earlier that the store is back.
  */
 static bool store_is_silent(const struct entry *n)
 {
-	return replica_is_unanswered(n->env.states, STORE_SILENT_MIN_MS);
+	return replica_is_unanswered(n->env.states, STORE_SILENT_MIN_MS) &&
+	       MIN(entry_store_age_ms(n), replica_age_ms(n->env.policies)) >
+		       STORE_SILENT_MIN_MS;
 }
 
 static void reply_error(struct http_exchange *x, int status, const char *why,
