Share what the report, the options and the age of the store repeat

Each of these stood twice: - the age of the newest answer of the store, in entry/ and in the joint task: readiness and refusals now ask the same function; - parsing a command's options and printing the error, in four commands: ctl_parse_options; - sorting doubles and their quantiles, in the clocks and the tables of the report, a task's cores, and the time by cause as JSON; - the tail of two tests, two fakes of a store, the flags of two fuzzers.

Offsets are subtracted for the instances that have one, and no longer looked up for every record. Unused: a quark, a job's id in its facts, and the kind upstream_answers, which the report read and never used.

--- a/Makefile
+++ b/Makefile
@@ -66,6 +66,8 @@
 
 .SECONDARY:
 
+FUZZ_CC = $(CLANG) -std=gnu11 -O1 -g -I. \
+	-fsanitize=fuzzer,address,undefined -fno-sanitize-recover=undefined
 FUZZ_RUNS = 15000
 FUZZ_SEED = 7
 # a run of the report's fuzz reads up to 500 records
@@ -74,16 +76,14 @@
 $(OUT)/fuzz_sched: test/fuzz_sched.c $(wildcard sched/*.c sched/*.h)
 	@mkdir -p $(OUT)
 	@echo "  FUZZ  $@"
-	@$(CLANG) -std=gnu11 -O1 -g -I. -fsanitize=fuzzer,address,undefined \
-		-fno-sanitize-recover=undefined \
+	@$(FUZZ_CC) \
 		$(shell pkg-config --cflags glib-2.0) -o $@ $(filter %.c,$^) \
 		$(shell pkg-config --libs glib-2.0) -lm
 
 $(OUT)/fuzz_report: test/fuzz_report.c $(REPORT) lib/schema.c lib/address.c
 	@mkdir -p $(OUT)
 	@echo "  FUZZ  $@"
-	@$(CLANG) -std=gnu11 -O1 -g -I. -fsanitize=fuzzer,address,undefined \
-		-fno-sanitize-recover=undefined \
+	@$(FUZZ_CC) \
 		-DH2O_USE_LIBUV=0 \
 		$(shell pkg-config --cflags glib-2.0 jansson gsl) -o $@ $^ \
 		$(shell pkg-config --libs glib-2.0 jansson gsl) -lxxhash -lm
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -2,6 +2,7 @@
 #ifndef CTL_CTL_H
 #define CTL_CTL_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <jansson.h>
 
@@ -46,6 +47,10 @@
 char *ctl_find_coordinator(struct ctl *c, const char *domain);
 json_t *ctl_get_instances(struct ctl *c);
 
+/* options.c */
+bool ctl_parse_options(const char *prefix, GOptionContext *o,
+		       const GOptionEntry *entries, int *argc, char ***argv);
+
 /* table.c */
 void table_print(const json_t *rows, const struct column *columns);
 void record_print(const json_t *record);
--- a/ctl/job.c
+++ b/ctl/job.c
@@ -15,23 +15,6 @@
 	{"EACH", "accelerators"}, {"WHERE", "where"},
 	{"WHY", "why"},		  {0}};
 
-static bool parse_options(GOptionEntry *entries, const char *summary, int *argc,
-			  char ***argv)
-{
-	GOptionContext *o = g_option_context_new(summary);
-	GError *err = NULL;
-	bool ok;
-
-	g_option_context_add_main_entries(o, entries, NULL);
-	ok = g_option_context_parse(o, argc, argv, &err);
-	if (!ok) {
-		fprintf(stderr, "lacewingctl: %s\n", err->message);
-		g_error_free(err);
-	}
-	g_option_context_free(o);
-	return ok;
-}
-
 /* Set a member of v unless s is NULL. */
 static void set_string(json_t *v, const char *name, const char *s)
 {
@@ -66,7 +49,9 @@
 	json_t *body;
 	int rc;
 
-	if (!parse_options(entries, "- run a quick check", &argc, &argv))
+	if (!ctl_parse_options("lacewingctl",
+			       g_option_context_new("- run a quick check"),
+			       entries, &argc, &argv))
 		return EXIT_USAGE;
 	body = json_object();
 	set_string(body, "account", account);
@@ -117,7 +102,9 @@
 	json_t *body;
 	int rc;
 
-	if (!parse_options(entries, "- submit a job", &argc, &argv))
+	if (!ctl_parse_options("lacewingctl",
+			       g_option_context_new("- submit a job"), entries,
+			       &argc, &argv))
 		return EXIT_USAGE;
 	body = json_object();
 	set_string(body, "account", account);
--- a/ctl/new.c
+++ b/ctl/new.c
@@ -361,19 +361,15 @@
 		{"offline", 0, 0, G_OPTION_ARG_NONE, &offline,
 		 "do not check the answers against the site", NULL},
 		{0}};
-	GOptionContext *o =
-		g_option_context_new("- create the account of a new team");
 	json_t *answers = json_object(), *account = NULL, *config = NULL;
 	struct reply r = {0};
-	GError *err = NULL;
 	int rc = EXIT_USAGE;
 
-	g_option_context_add_main_entries(o, entries, NULL);
-	if (!g_option_context_parse(o, &argc, &argv, &err)) {
-		fprintf(stderr, "lacewingctl: new: %s\n", err->message);
-		g_error_free(err);
+	if (!ctl_parse_options(
+		    "lacewingctl: new",
+		    g_option_context_new("- create the account of a new team"),
+		    entries, &argc, &argv))
 		goto out;
-	}
 	if (!offline) {
 		r = ctl_call(c, c->server, "GET", "/v1/config", NULL);
 		rc = ctl_exit_code(&r);
@@ -405,7 +401,6 @@
 	json_decref(account);
 	json_decref(answers);
 	json_decref(r.body);
-	g_option_context_free(o);
 	g_free(file);
 	g_free(out);
 	return rc;
--- a/ctl/report.c
+++ b/ctl/report.c
@@ -140,21 +140,13 @@
 		 "print an object a line", NULL},
 		{0}};
 	GOptionContext *x = g_option_context_new("[FILE...]");
-	GError *err = NULL;
 	int rc = EXIT_USAGE;
 
 	g_option_context_set_summary(
 		x, "Read log records of any number of instances, from files or "
 		   "standard input, and print\nwhere jobs and time were lost.");
-	g_option_context_add_main_entries(x, entries, NULL);
-	if (!g_option_context_parse(x, &argc, &argv, &err)) {
-		fprintf(stderr, "lacewingctl: report: %s\n", err->message);
-		goto out;
-	}
-	rc = run_report(c, &o, argc - 1, argv + 1);
-out:
-	g_clear_error(&err);
-	g_option_context_free(x);
+	if (ctl_parse_options("lacewingctl: report", x, entries, &argc, &argv))
+		rc = run_report(c, &o, argc - 1, argv + 1);
 	g_free(o.job);
 	g_free(o.svg);
 	g_free(o.account);
--- a/ctl/site.c
+++ b/ctl/site.c
@@ -297,25 +297,20 @@
 		{"svg", 0, 0, G_OPTION_ARG_FILENAME, &q.svg,
 		 "draw the time line to FILE", "FILE"},
 		{0}};
-	GOptionContext *o = g_option_context_new("- show the time line");
-	GError *err = NULL;
 	json_t *events;
 	char *path;
 	int rc = EXIT_USAGE;
 
-	g_option_context_add_main_entries(o, entries, NULL);
-	if (!g_option_context_parse(o, &argc, &argv, &err)) {
-		fprintf(stderr, "lacewingctl: events: %s\n", err->message);
-		g_error_free(err);
+	if (!ctl_parse_options("lacewingctl: events",
+			       g_option_context_new("- show the time line"),
+			       entries, &argc, &argv))
 		goto out;
-	}
 	path = events_path(&q);
 	events = collect_events(c, path);
 	rc = print_events(c, events, q.svg);
 	json_decref(events);
 	g_free(path);
 out:
-	g_option_context_free(o);
 	g_free(q.job);
 	g_free(q.account);
 	g_free(q.svg);
--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -216,17 +216,11 @@
 	entry_note_policy_read(((struct joint *)arg)->entry);
 }
 
-/* Return the age of the newest answer of the store. */
-static uint64_t store_age_ms(const struct joint *j)
-{
-	return MIN(entry_store_age_ms(j->entry), replica_age_ms(j->policies));
-}
-
 static bool is_ready(const struct joint *j)
 {
 	return !j->stop_started_ms && j->policy &&
 	       replica_is_complete(j->jobs) && replica_is_complete(j->states) &&
-	       store_age_ms(j) < READY_STORE_AGE_MAX_MS;
+	       entry_store_age_ms(j->entry) < READY_STORE_AGE_MAX_MS;
 }
 
 static void on_readiness(void *arg, struct http_exchange *x)
@@ -238,8 +232,9 @@
 		log_fields(LOG_INFO, "ready", "{s:b,s:I,s:I,s:b}", "ready",
 			   ready_now, "policy",
 			   (json_int_t)(j->policy ? j->policy->version : 0),
-			   "table_age_ms", (json_int_t)store_age_ms(j),
-			   "leaving", j->stop_started_ms != 0);
+			   "table_age_ms",
+			   (json_int_t)entry_store_age_ms(j->entry), "leaving",
+			   j->stop_started_ms != 0);
 	j->was_ready = ready_now;
 	exchange_reply(x, ready_now ? 200 : 503, "text/plain",
 		       ready_now ? "ready\n" : "no\n", 0);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -116,11 +116,17 @@
 /*
  * Return the age of the newest answer about jobs and states, in milliseconds.
  */
-uint64_t entry_store_age_ms(const struct entry *n)
+static uint64_t jobs_age_ms(const struct entry *n)
 {
 	return MIN(replica_age_ms(n->env.jobs), replica_age_ms(n->env.states));
 }
 
+/* Return the age of the newest answer of the store, in milliseconds. */
+uint64_t entry_store_age_ms(const struct entry *n)
+{
+	return MIN(jobs_age_ms(n), replica_age_ms(n->env.policies));
+}
+
 /*
  * Report whether calls to the store fail and none has been answered for
  * STORE_SILENT_MIN_MS. The table of states is read most often, so its calls
@@ -129,8 +135,7 @@
 static bool store_is_silent(const struct entry *n)
 {
 	return replica_is_unanswered(n->env.states, STORE_SILENT_MIN_MS) &&
-	       MIN(entry_store_age_ms(n), replica_age_ms(n->env.policies)) >
-		       STORE_SILENT_MIN_MS;
+	       entry_store_age_ms(n) > STORE_SILENT_MIN_MS;
 }
 
 static void reply_error(struct http_exchange *x, int status, const char *why,
@@ -170,7 +175,7 @@
 		   request_kind_name(r->kind), "status", status, "why", why,
 		   "took_ms", (json_int_t)(clock_mono_ms() - r->received_ms),
 		   "uncertain", r->write_uncertain, "table_age_ms",
-		   (json_int_t)entry_store_age_ms(n));
+		   (json_int_t)jobs_age_ms(n));
 	count_answer(n, r->kind, status);
 	latency_add(n->env.counters, request_kind_name(r->kind),
 		    (clock_mono_ms() - r->received_ms) * 1000);
@@ -491,7 +496,7 @@
 	if (!j) {
 		read_job_row(r);
 	} else if (job_state_is_final(effective_state(j)) ||
-		   entry_store_age_ms(n) > STORE_SILENT_MIN_MS) {
+		   jobs_age_ms(n) > STORE_SILENT_MIN_MS) {
 		reply_state(r, effective_state(j));
 	} else {
 		wait_for_state(r);
--- a/report/clocks.c
+++ b/report/clocks.c
@@ -4,10 +4,10 @@
  * of each configuration version shows how far their wall clocks are apart,
  * because all instances read a version at nearly the same time.
  */
-#include <gsl/gsl_statistics_double.h>
 #include <stdlib.h>
 
 #include "report/clocks.h"
+#include "report/doubles.h"
 
 /* Differences below this are delays of the store's feed. */
 #define OFFSET_MIN_MS 250
@@ -23,19 +23,11 @@
 	GQuark instance;
 };
 
-static gint compare_doubles(gconstpointer a, gconstpointer b)
-{
-	double x = *(const double *)a, y = *(const double *)b;
-
-	return x < y ? -1 : x > y;
-}
-
 /* Sort a and return its median; a must not be empty. */
 static double median(GArray *a)
 {
-	g_array_sort(a, compare_doubles);
-	return gsl_stats_median_from_sorted_data((double *)(void *)a->data, 1,
-						 a->len);
+	doubles_sort(a);
+	return doubles_median(a);
 }
 
 static void process_clock_free(void *p)
@@ -226,6 +218,17 @@
 	g_array_unref(sightings);
 }
 
+/* Correct the records of an instance whose clock is ahead. */
+static void subtract_offset(struct record_set *s, const struct clock_note *n)
+{
+	for (guint i = 0; n->offset_ms && i < s->records->len; i++) {
+		struct record *r = &g_array_index(s->records, struct record, i);
+
+		if (r->instance == n->instance)
+			r->time_ms -= n->offset_ms;
+	}
+}
+
 /*
  * Put all records on one time line and sort them. Returns an array of struct
  * clock_note, one an instance, to be freed with g_array_unref.
@@ -238,11 +241,8 @@
 	record_set_sort(s);
 	align_processes(s, notes);
 	estimate_offsets(s, notes);
-	for (guint i = 0; i < s->records->len; i++) {
-		struct record *r = &g_array_index(s->records, struct record, i);
-
-		r->time_ms -= note_for(notes, r->instance)->offset_ms;
-	}
+	for (guint i = 0; i < notes->len; i++)
+		subtract_offset(s, &g_array_index(notes, struct clock_note, i));
 	record_set_sort(s);
 	return notes;
 }
--- a/report/history.c
+++ b/report/history.c
@@ -7,7 +7,6 @@
 
 #include "report/history.h"
 
-#define ACCELERATOR_CORES 8
 /* Tasks of a step with a higher index share a state. */
 #define TASK_INDEX_MAX 100000
 
@@ -76,8 +75,7 @@
 	int32_t epoch;		     /* of that leader */
 	int64_t leaderless_since_ms; /* 0: there is a leader */
 	int64_t store_lost_ms;	     /* 0: the store answers */
-	GQuark q_done, q_submit, q_stops, q_none, q_completed, q_failed,
-		q_cancelled;
+	GQuark q_done, q_submit, q_stops, q_completed, q_failed, q_cancelled;
 };
 
 const char *cause_name(enum cause c)
@@ -310,9 +308,7 @@
 		      other ? other->queue : 0);
 	w->runs++;
 	w->with_checkpoints += f->checkpoints;
-	w->core_seconds += MAX(r->value, 0) / 1000.0 *
-			   (f->cpu_milli / 1000.0 +
-			    (double)f->accelerators * ACCELERATOR_CORES);
+	w->core_seconds += MAX(r->value, 0) / 1000.0 * job_facts_cores(f);
 }
 
 /* Complete the tasks of a gang, as one that is done counts for all. */
--- a/report/print.c
+++ b/report/print.c
@@ -1,9 +1,9 @@
 /* Prints tables: a summary by kind of job, moments, waste, one job. */
-#include <gsl/gsl_statistics_double.h>
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "report/doubles.h"
 #include "report/window.h"
 
 /* Windows that are printed. */
@@ -11,7 +11,6 @@
 /* Shares of the largest jobs of a queue that form classes of their own. */
 #define LARGEST_SHARE 0.1
 #define LARGE_SHARE 0.3
-#define ACCELERATOR_CORES 8
 
 enum size_class { SIZE_LARGEST, SIZE_LARGE, SIZE_OTHER, SIZE_CLASSES_COUNT };
 
@@ -65,16 +64,7 @@
 
 	for (uint32_t i = 0; i < f->steps_len; i++)
 		tasks += f->counts[i];
-	return tasks * f->estimate_ms *
-	       (f->cpu_milli / 1000.0 +
-		(double)f->accelerators * ACCELERATOR_CORES);
-}
-
-static gint compare_doubles(gconstpointer a, gconstpointer b)
-{
-	double x = *(const double *)a, y = *(const double *)b;
-
-	return x < y ? -1 : x > y;
+	return tasks * f->estimate_ms * job_facts_cores(f);
 }
 
 /* The work of the jobs of each queue, sorted. */
@@ -105,7 +95,7 @@
 	}
 	g_hash_table_iter_init(&it, t);
 	while (g_hash_table_iter_next(&it, NULL, &v))
-		g_array_sort(v, compare_doubles);
+		doubles_sort(v);
 	return t;
 }
 
@@ -115,13 +105,9 @@
 	GArray *a = g_hash_table_lookup(works, GUINT_TO_POINTER(f->queue));
 	double work = job_work(f);
 
-	if (work >
-	    gsl_stats_quantile_from_sorted_data((double *)(void *)a->data, 1,
-						a->len, 1 - LARGEST_SHARE))
+	if (work > doubles_quantile(a, 1 - LARGEST_SHARE))
 		return SIZE_LARGEST;
-	if (work >
-	    gsl_stats_quantile_from_sorted_data((double *)(void *)a->data, 1,
-						a->len, 1 - LARGE_SHARE))
+	if (work > doubles_quantile(a, 1 - LARGE_SHARE))
 		return SIZE_LARGE;
 	return SIZE_OTHER;
 }
@@ -182,20 +168,22 @@
 	return order ? order : strcmp(x->size, y->size);
 }
 
-/* Return a quantile of the times in w, in milliseconds. */
-static double taken_quantile_ms(const struct row *w, double q)
+/* Return an object with the time of each cause. */
+static json_t *causes_json(const int64_t by_cause_ms[CAUSES_COUNT])
 {
-	if (!w->taken_ms->len)
-		return 0;
-	return gsl_stats_quantile_from_sorted_data(
-		(double *)(void *)w->taken_ms->data, 1, w->taken_ms->len, q);
+	json_t *o = json_object();
+
+	for (int c = 0; c < CAUSES_COUNT; c++)
+		json_object_set_new(o, cause_name(c),
+				    json_integer(by_cause_ms[c]));
+	return o;
 }
 
 static void print_row(const struct report *r, const struct row *w)
 {
 	uint32_t missed =
 		w->outcomes[OUTCOME_FAILED] + w->outcomes[OUTCOME_OPEN];
-	json_t *o, *causes;
+	json_t *o;
 
 	if (!r->json) {
 		fprintf(r->out,
@@ -203,7 +191,8 @@
 			w->account, w->queue, w->size, w->jobs,
 			w->outcomes[OUTCOME_IN_TIME], w->outcomes[OUTCOME_LATE],
 			missed, w->outcomes[OUTCOME_CANCELLED],
-			taken_quantile_ms(w, 0.5), taken_quantile_ms(w, 0.99));
+			doubles_quantile(w->taken_ms, 0.5),
+			doubles_quantile(w->taken_ms, 0.99));
 		for (int c = 0; c < CAUSES_COUNT; c++)
 			if (w->by_cause_ms[c] >= 50)
 				fprintf(r->out, " %s %.1f", cause_name(c),
@@ -211,16 +200,13 @@
 		fputc('\n', r->out);
 		return;
 	}
-	causes = json_object();
-	for (int c = 0; c < CAUSES_COUNT; c++)
-		json_object_set_new(causes, cause_name(c),
-				    json_integer(w->by_cause_ms[c]));
 	o = json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:f,s:f,s:o}", "record",
 		      "summary", "account", w->account, "queue", w->queue,
 		      "size", w->size, "priority", (int)w->priority, "jobs",
-		      (int)w->jobs, "median_ms", taken_quantile_ms(w, 0.5),
-		      "p99_ms", taken_quantile_ms(w, 0.99), "by_cause_ms",
-		      causes);
+		      (int)w->jobs, "median_ms",
+		      doubles_quantile(w->taken_ms, 0.5), "p99_ms",
+		      doubles_quantile(w->taken_ms, 0.99), "by_cause_ms",
+		      causes_json(w->by_cause_ms));
 	for (int i = 0; i < OUTCOMES_COUNT; i++)
 		json_object_set_new(o, outcome_name(i),
 				    json_integer(w->outcomes[i]));
@@ -265,7 +251,7 @@
 	for (guint i = 0; i < rows->len; i++) {
 		struct row *w = g_ptr_array_index(rows, i);
 
-		g_array_sort(w->taken_ms, compare_doubles);
+		doubles_sort(w->taken_ms);
 		print_row(r, w);
 	}
 	g_hash_table_destroy(works);
@@ -323,7 +309,7 @@
 static void print_moment(const struct report *r, const struct window *w)
 {
 	double at_s = (w->from_ms - r->history->first_ms) / 1000.0;
-	json_t *causes, *events;
+	json_t *events;
 
 	if (!r->json) {
 		fprintf(r->out, "%8.1f %8.1f  ", at_s, w->lost_ms / 1000.0);
@@ -339,20 +325,17 @@
 		fputc('\n', r->out);
 		return;
 	}
-	causes = json_object();
 	events = json_object();
-	for (int c = 0; c < CAUSES_COUNT; c++)
-		json_object_set_new(causes, cause_name(c),
-				    json_integer(w->by_cause_ms[c]));
 	for (int k = 0; k < EVENT_KINDS_COUNT; k++)
 		if (w->events[k] && event_is_notable(k))
 			json_object_set_new(events, event_kind_name(k),
 					    json_integer(w->events[k]));
-	print_json(r, json_pack("{s:s,s:I,s:I,s:o,s:o}", "record", "moment",
-				"at_ms",
-				(json_int_t)(w->from_ms - r->history->first_ms),
-				"lost_ms", (json_int_t)w->lost_ms,
-				"by_cause_ms", causes, "events", events));
+	print_json(r,
+		   json_pack("{s:s,s:I,s:I,s:o,s:o}", "record", "moment",
+			     "at_ms",
+			     (json_int_t)(w->from_ms - r->history->first_ms),
+			     "lost_ms", (json_int_t)w->lost_ms, "by_cause_ms",
+			     causes_json(w->by_cause_ms), "events", events));
 }
 
 /* Print the windows in which most time was lost. */
--- a/report/record.c
+++ b/report/record.c
@@ -9,6 +9,8 @@
 /* Bounds on what a job_known record may say. */
 #define JOB_TASKS_MAX 100000
 #define JOB_STEPS_MAX 64
+/* An accelerator counts as this many cores. */
+#define ACCELERATOR_CORES 8
 
 /*
  * How the fields of an event are kept; NULL: not kept. The names are those of
@@ -56,8 +58,6 @@
 				 "slow"},
 	[EVENT_UPSTREAM_SILENT] = {"upstream_silent", "outcome", NULL, NULL,
 				   NULL, NULL},
-	[EVENT_UPSTREAM_ANSWERS] = {"upstream_answers", NULL, NULL, NULL,
-				    "failures", NULL},
 	[EVENT_UPSTREAM_LOST] = {"upstream_lost", "why", NULL, NULL, "tasks",
 				 NULL},
 	[EVENT_UPSTREAM_STATE] = {"upstream_state", NULL, NULL, NULL, "to",
@@ -86,6 +86,7 @@
 					   "job_cancelled",
 					   "upstream_commanded",
 					   "upstream_reborn",
+					   "upstream_answers",
 					   "upstream_unlisted",
 					   "upstream_doubted",
 					   "epoch_refused",
@@ -176,7 +177,6 @@
 	if (!id || g_hash_table_contains(s->jobs, GUINT_TO_POINTER(id)))
 		return;
 	f = g_new0(struct job_facts, 1);
-	f->id = id;
 	f->queue = text_field(o, "queue");
 	f->account = text_field(o, "account");
 	f->priority = int_field(o, "priority");
@@ -239,7 +239,8 @@
 	gpointer k;
 	struct record r = {0};
 
-	if (!event || !json_is_integer(time) || !text_field(o, "instance"))
+	r.instance = text_field(o, "instance");
+	if (!event || !json_is_integer(time) || !r.instance)
 		return false;
 	s->stats.dropped += MAX(json_int_or(o, "dropped", 0), 0);
 	if (!g_hash_table_lookup_extended(s->kinds, event, NULL, &k)) {
@@ -250,7 +251,6 @@
 	f = &formats[r.kind];
 	r.time_ms = json_integer_value(time);
 	r.mono_ms = json_int_or(o, "mono_ms", 0);
-	r.instance = text_field(o, "instance");
 	r.job = text_field(o, "job");
 	parse_task(json_str_or(o, "task", ""), &r);
 	r.upstream = text_field(o, "upstream");
@@ -319,3 +319,10 @@
 {
 	return g_hash_table_lookup(s->jobs, GUINT_TO_POINTER(id));
 }
+
+/* Return the cores that a task of the job takes, with its accelerators. */
+double job_facts_cores(const struct job_facts *f)
+{
+	return f->cpu_milli / 1000.0 +
+	       (double)f->accelerators * ACCELERATOR_CORES;
+}
--- a/report/record.h
+++ b/report/record.h
@@ -7,7 +7,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* The events that the report reads; others are counted as unknown. */
+/* The events that the report reads. */
 enum event_kind {
 	EVENT_OTHER, /* known to the product and of no use here */
 	EVENT_REQUEST_ENDED,
@@ -29,7 +29,6 @@
 	EVENT_POLICY,
 	EVENT_UPSTREAM_PACE,
 	EVENT_UPSTREAM_SILENT,
-	EVENT_UPSTREAM_ANSWERS,
 	EVENT_UPSTREAM_LOST,
 	EVENT_UPSTREAM_STATE,
 	EVENT_KINDS_COUNT,
@@ -60,7 +59,6 @@
 
 /* What a job asks for, from its job_known record. */
 struct job_facts {
-	GQuark id;
 	GQuark queue;
 	GQuark account;
 	int32_t priority;
@@ -102,6 +100,7 @@
 void record_set_sort(struct record_set *s);
 const struct job_facts *record_set_find_job(const struct record_set *s,
 					    GQuark id);
+double job_facts_cores(const struct job_facts *f);
 char *record_task_name(const struct record *r);
 void record_set_end_input(struct record_set *s);
 const char *event_kind_name(enum event_kind k);
--- a/report/window.c
+++ b/report/window.c
@@ -28,7 +28,6 @@
 	case EVENT_STOP_DECIDED:
 	case EVENT_RUN_ENDED:
 	case EVENT_JOB_STATE:
-	case EVENT_UPSTREAM_ANSWERS:
 	case EVENT_KINDS_COUNT:
 		break;
 	}
--- a/test/proc_joint.c
+++ b/test/proc_joint.c
@@ -294,6 +294,15 @@
 	joint_stop(s);
 }
 
+/* Let the store answer again, and submit the first job once more. */
+static void assert_submission_can_be_repeated(struct joint_site *s)
+{
+	joint_control_platform(s, "{\"store\": \"ok\"}");
+	joint_wait_ready(s, 0);
+	assert_int_equal(joint_submit(s, 0, 1, 2, 200), 200);
+	joint_wait_state(s, 0, 1, "completed");
+}
+
 /*
  * The outcome of a write to a store that does not answer is unknown.  The
  * caller gets 504 within its deadline and can repeat the submission.
@@ -308,10 +317,7 @@
 	start_ms = clock_mono_ms();
 	assert_int_equal(joint_submit(s, 0, 1, 2, 200), 504);
 	assert_true(clock_mono_ms() - start_ms < 3000);
-	joint_control_platform(s, "{\"store\": \"ok\"}");
-	joint_wait_ready(s, 0);
-	assert_int_equal(joint_submit(s, 0, 1, 2, 200), 200);
-	joint_wait_state(s, 0, 1, "completed");
+	assert_submission_can_be_repeated(s);
 	joint_stop(s);
 }
 
@@ -333,10 +339,7 @@
 	start_ms = clock_mono_ms();
 	assert_int_equal(joint_submit(s, 0, 1, 2, 200), 504);
 	assert_true(clock_mono_ms() - start_ms < DEADLINE_MS * 2 / 3);
-	joint_control_platform(s, "{\"store\": \"ok\"}");
-	joint_wait_ready(s, 0);
-	assert_int_equal(joint_submit(s, 0, 1, 2, 200), 200);
-	joint_wait_state(s, 0, 1, "completed");
+	assert_submission_can_be_repeated(s);
 	joint_stop(s);
 }
 
--- a/test/unit_lead.c
+++ b/test/unit_lead.c
@@ -521,30 +521,36 @@
 	assert_in_range(yields, 1, 6);
 }
 
-/* What an election under test has reported. */
-struct election_log {
-	uint32_t gained;
-	uint32_t committed;
-	uint32_t sent;
+/* A store whose calls the test answers. */
+struct manual_store {
+	char path[256]; /* of the call in flight; empty: none */
+	uint32_t sent;	/* number of calls */
+	http_done_fn done;
+	void *done_arg;
 };
 
-/* A store that takes calls and never answers. */
-static bool send_without_answer(void *arg, const char *method, const char *path,
-				const char *body, uint32_t timeout_ms,
-				http_done_fn done, void *done_arg)
+static bool send_to_test(void *arg, const char *method, const char *path,
+			 const char *body, uint32_t timeout_ms,
+			 http_done_fn done, void *done_arg)
 {
-	struct election_log *g = arg;
+	struct manual_store *m = arg;
 
 	(void)method;
-	(void)path;
 	(void)body;
 	(void)timeout_ms;
-	(void)done;
-	(void)done_arg;
-	g->sent++;
+	g_strlcpy(m->path, path, sizeof(m->path));
+	m->sent++;
+	m->done = done;
+	m->done_arg = done_arg;
 	return true;
 }
 
+/* What an election under test has reported. */
+struct election_log {
+	uint32_t gained;
+	uint32_t committed;
+};
+
 static void note_gained(void *arg, uint64_t version)
 {
 	(void)version;
@@ -596,17 +602,18 @@
 				     .write_due = note_write_due};
 	struct loop *l = loop_create();
 	struct counters *c = counters_create();
-	struct rows *rows = rows_create(send_without_answer, &g);
+	struct manual_store m = {0};
+	struct rows *rows = rows_create(send_to_test, &m);
 	struct election *e = election_create(l, rows, c, "i", 7, 0, &ev, &g);
 	uint64_t deadline_ms = clock_mono_ms() + 5000;
 
 	(void)state;
 	election_apply_row(e, NULL, 0);
-	while (!g.sent && clock_mono_ms() < deadline_ms) {
+	while (!m.sent && clock_mono_ms() < deadline_ms) {
 		election_consider_claim(e, 1, true);
 		loop_step(l, 10);
 	}
-	assert_int_equal(g.sent, 1);
+	assert_int_equal(m.sent, 1);
 	feed_own_row(e, 1, 5);
 	assert_int_equal(g.gained, 1);
 	assert_true(election_is_leader(e));
@@ -632,28 +639,6 @@
 	(void)version;
 }
 
-/* A store whose calls the test answers. */
-struct manual_store {
-	char path[256]; /* of the call in flight; empty: none */
-	http_done_fn done;
-	void *done_arg;
-};
-
-static bool send_to_test(void *arg, const char *method, const char *path,
-			 const char *body, uint32_t timeout_ms,
-			 http_done_fn done, void *done_arg)
-{
-	struct manual_store *m = arg;
-
-	(void)method;
-	(void)body;
-	(void)timeout_ms;
-	g_strlcpy(m->path, path, sizeof(m->path));
-	m->done = done;
-	m->done_arg = done_arg;
-	return true;
-}
-
 /* Wait for a call and check that its path contains this text. */
 static void assert_call(struct manual_store *m, struct loop *l,
 			const char *text)
