Let the first job run before the one behind it is submitted

Change: the second job is submitted once the gang runs, so that it is surely the one that queues. Assertions and bounds are the same.

--- a/test/proc_path.c
+++ b/test/proc_path.c
@@ -93,10 +93,11 @@
 	       "{\"account\": \"damodar\", \"key\": \"long\", "
 	       "\"accelerators\": 8, \"parts\": 2, "
 	       "\"run_ms\": 600000}");
+	/* both upstreams are known then, so that the next job has to wait */
+	wait_for(s, 8000, job_in_state(s, "long", "running"));
 	submit(s, 0, 0,
 	       "{\"account\": \"damodar\", \"key\": \"behind\", "
 	       "\"accelerators\": 8, \"run_ms\": 600000}");
-	wait_for(s, 8000, job_in_state(s, "long", "running"));
 	json_decref(ask(s, at_instance(s, 0, 1), "DELETE", "/v1/jobs/behind",
 			NULL, &status));
 	assert_int_equal(status, 202);
