Format the addresses of test sites in the caller's buffer

On arm64 all six tests of proc_gang failed within 0.2 s: the worker got POST /v1/config and answered 404.

Cause: site_start() passed at_instance(...) and configuration(s) to one call. C leaves the order of evaluation of arguments open. configuration() takes more than 16 addresses from the ring buffer of at_*(); where it is evaluated after at_instance(), it overwrites the address of the instance. gcc evaluates the arguments from the left on arm64 and from the right on x86-64.

Change: the loops over instances and upstreams format addresses in a buffer of their own. Only the few addresses that a test names use the ring.

--- a/test/site.c
+++ b/test/site.c
@@ -34,15 +34,24 @@
 static const char *const domains[MAX_DOMAINS] = {"kolkata", "durgapur",
 						 "siliguri"};
 
-/* Returns 127.NET.THIRD.FOURTH:PORT in the next slot of the ring buffer. */
+/* Writes 127.NET.THIRD.FOURTH:PORT to buf, of TEXT_BYTES; returns buf. */
+static char *format_address(const struct test_site *s, char *buf,
+			    uint32_t third, uint32_t fourth, uint32_t port)
+{
+	snprintf(buf, TEXT_BYTES, "127.%u.%u.%u:%u", s->o.net, third, fourth,
+		 port);
+	return buf;
+}
+
+/*
+ * Returns an address in the next slot of the ring buffer. Only for the few
+ * addresses that a test names; loops over instances use format_address.
+ */
 static const char *address(struct test_site *s, uint32_t third, uint32_t fourth,
 			   uint32_t port)
 {
-	char *t = s->text[s->text_at++ % 16];
-
-	snprintf(t, TEXT_BYTES, "127.%u.%u.%u:%u", s->o.net, third, fourth,
-		 port);
-	return t;
+	return format_address(s, s->text[s->text_at++ % 16], third, fourth,
+			      port);
 }
 
 const char *at_instance(struct test_site *s, uint32_t domain, uint32_t i)
@@ -101,22 +110,26 @@
 static void write_settings(struct test_site *s, const char *file,
 			   uint32_t domain, uint32_t i)
 {
-	const char *platform = s->o.cut_platform
-				       ? address(s, 0, 20 + domain, 7000)
-				       : at_platform(s);
+	char platform[TEXT_BYTES], http[TEXT_BYTES], peer[TEXT_BYTES];
+	char seed[TEXT_BYTES];
 	GString *seeds = g_string_new(NULL);
 	char *text;
 
+	if (s->o.cut_platform)
+		format_address(s, platform, 0, 20 + domain, 7000);
+	else
+		g_strlcpy(platform, at_platform(s), sizeof(platform));
+	g_strlcpy(http, at_instance(s, domain, i), sizeof(http));
+	format_address(s, peer, domain + 1, i + 1, 7500);
 	for (uint32_t d = 0; d < s->o.domains; d++)
 		g_string_append_printf(seeds, "%s\"%s\"", d ? ", " : "",
-				       address(s, d + 1, 1, 7500));
+				       format_address(s, seed, d + 1, 1, 7500));
 	text = g_strdup_printf(
 		"{\"name\": \"%s-%u\", \"domain\": \"%s\", \"http\": \"%s\", "
 		"\"peer\": \"%s\", \"platform\": [\"%s\"], \"seeds\": [%s], "
 		"\"limits\": {\"drain_ms\": 600, \"events\": 20000}}\n",
-		domains[domain], i + 1, domains[domain],
-		at_instance(s, domain, i), address(s, domain + 1, i + 1, 7500),
-		platform, seeds->str);
+		domains[domain], i + 1, domains[domain], http, peer, platform,
+		seeds->str);
 	g_file_set_contents(file, text, -1, NULL);
 	g_free(text);
 	g_string_free(seeds, TRUE);
@@ -209,7 +222,7 @@
 static json_t *member_list(struct test_site *s)
 {
 	json_t *list = json_array();
-	char name[TEXT_BYTES];
+	char name[TEXT_BYTES], peer[TEXT_BYTES];
 
 	for (uint32_t d = 0; d < s->o.domains; d++) {
 		for (uint32_t i = 0; i < s->o.instances; i++) {
@@ -220,7 +233,8 @@
 				json_pack("{s:s,s:s,s:s,s:s,s:s}", "name", name,
 					  "role", "entry", "domain", domains[d],
 					  "state", "live", "address",
-					  address(s, d + 1, i + 1, 7500)));
+					  format_address(s, peer, d + 1, i + 1,
+							 7500)));
 		}
 		for (uint32_t w = 0; w < s->o.workers; w++) {
 			snprintf(name, sizeof(name), "%s-w%u", domains[d],
@@ -238,7 +252,7 @@
 static json_t *configuration(struct test_site *s)
 {
 	json_t *list = json_array();
-	char name[TEXT_BYTES], rack[TEXT_BYTES];
+	char name[TEXT_BYTES], rack[TEXT_BYTES], worker[TEXT_BYTES];
 
 	for (uint32_t d = 0; d < s->o.domains; d++) {
 		for (uint32_t w = 0; w < s->o.workers; w++) {
@@ -253,7 +267,8 @@
 				json_pack("{s:s,s:s,s:s,s:s,s:i,s:i}", "name",
 					  name, "domain", domains[d], "rack",
 					  rack, "address",
-					  address(s, third, w + 1, 9000),
+					  format_address(s, worker, third,
+							 w + 1, 9000),
 					  "accelerators", 8, "slots", 8));
 		}
 	}
