Draw the work of a soak job in a fixed order

submit_job() of the soak passed two random draws to one call. C leaves the order of evaluation of arguments open: gcc draws from the left on arm64 and from the right on x86-64, so a seed played different work on each.

The draws are now statements, in the order that x86-64 used, so that recorded seeds (22, 50 and 97 among them) keep their work.

With the draws from the left, as gcc compiled them on arm64, seed 1 gives {6 tasks, 1239 ms} first; from the right {4, 1445}. The new test checks the first three.

--- a/test/proc_soak.c
+++ b/test/proc_soak.c
@@ -70,6 +70,21 @@
 	return g_rand_int_range(k->random, 0, (int)n);
 }
 
+/* The work of a job. */
+struct work {
+	uint32_t tasks;
+	uint32_t run_ms; /* of each task */
+};
+
+static struct work random_work(struct soak *k)
+{
+	struct work w;
+
+	w.run_ms = 100 + random_below(k, 1500);
+	w.tasks = 1 + random_below(k, 8);
+	return w;
+}
+
 /*
  * Submits job n to a random instance that is running.  Once a submission was
  * accepted, the outcomes of later submissions do not change the job's state.
@@ -77,12 +92,13 @@
 static void submit_job(struct soak *k, uint32_t n)
 {
 	uint32_t i = random_below(k, INSTANCE_COUNT);
+	struct work w;
 	int status;
 
 	if (!k->site->instances[i] || k->resume_ms[i])
 		return;
-	status = joint_submit(k->site, i, n + 1, 1 + random_below(k, 8),
-			      100 + random_below(k, 1500));
+	w = random_work(k);
+	status = joint_submit(k->site, i, n + 1, w.tasks, w.run_ms);
 	if (status == 200)
 		k->jobs[n] = JOB_ACCEPTED;
 	else if (k->jobs[n] != JOB_ACCEPTED)
@@ -288,9 +304,26 @@
 		run_seeds("22 50 97");
 }
 
+/* Guards against seeds that play differently on another processor. */
+static void a_seed_draws_the_same_work_everywhere(void **state)
+{
+	static const struct work expected[] = {{4, 1445}, {1, 724}, {2, 863}};
+	struct soak k = {.random = g_rand_new_with_seed(1)};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(expected); i++) {
+		struct work w = random_work(&k);
+
+		assert_int_equal(w.tasks, expected[i].tasks);
+		assert_int_equal(w.run_ms, expected[i].run_ms);
+	}
+	g_rand_free(k.random);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_seed_draws_the_same_work_everywhere),
 		cmocka_unit_test(accepted_jobs_complete_under_random_faults),
 		cmocka_unit_test(seeds_that_failed_before_pass),
 	};
