Draw the jobs of the fault mix in a fixed order

submit_random_job() passed three random draws to one call of g_strdup_printf(). gcc draws from the left on arm64 and from the right on x86-64, so a seed submitted different jobs on each.

The draws are now statements, in the order that x86-64 used.

--- a/test/proc_mix.c
+++ b/test/proc_mix.c
@@ -161,16 +161,25 @@
 		"\"lose_answers\": 0, \"swap_answers\": 0}");
 }
 
-/* Submits a random gang job to a random instance that is not stopped. */
-static void submit_random_job(struct mix *m)
+/* Returns the body that submits a random gang job; free with g_free. */
+static char *random_job(struct mix *m)
 {
 	static const char *const names[] = {"damodar", "teesta"};
-	char *body = g_strdup_printf(
+	uint32_t run_ms = 300 + random_below(m, 2500);
+	uint32_t accelerators = 2 + random_below(m, 3) * 2;
+	const char *account = names[random_below(m, 2)];
+
+	return g_strdup_printf(
 		"{\"account\": \"%s\", \"key\": \"mix%u\", \"parts\": %u, "
 		"\"accelerators\": %u, \"run_ms\": %u, \"idempotent\": %s}",
-		names[random_below(m, 2)], m->job_count, PART_COUNT,
-		2 + random_below(m, 3) * 2, 300 + random_below(m, 2500),
+		account, m->job_count, PART_COUNT, accelerators, run_ms,
 		m->job_count % 2 ? "true" : "false");
+}
+
+/* Submits a random gang job to a random instance that is not stopped. */
+static void submit_random_job(struct mix *m)
+{
+	char *body = random_job(m);
 	uint32_t i = random_below(m, 3);
 	int status = 0;
 
@@ -201,6 +210,11 @@
 		stream_pump(st);
 }
 
+static uint64_t generator_state(uint64_t seed)
+{
+	return seed * 2654435761u + 1;
+}
+
 static void run_seed(uint32_t net, uint64_t seed)
 {
 	struct site_options o = {.net = net,
@@ -209,7 +223,7 @@
 				 .workers = 8,
 				 .accounts = accounts,
 				 .cut_workers = true};
-	struct mix m = {.seed = seed * 2654435761u + 1, .stopped_instance = -1};
+	struct mix m = {.seed = generator_state(seed), .stopped_instance = -1};
 	uint32_t ended_count = 0;
 
 	m.s = site_start(&o);
@@ -286,9 +300,30 @@
 	run_seed(83, 2);
 }
 
+/* Guards against seeds that play differently on another processor. */
+static void a_seed_draws_the_same_jobs_everywhere(void **state)
+{
+	static const char *const expected[] = {
+		"{\"account\": \"damodar\", \"key\": \"mix0\", \"parts\": 3, "
+		"\"accelerators\": 2, \"run_ms\": 1014, \"idempotent\": false}",
+		"{\"account\": \"teesta\", \"key\": \"mix1\", \"parts\": 3, "
+		"\"accelerators\": 6, \"run_ms\": 1560, \"idempotent\": true}",
+	};
+	struct mix m = {.seed = generator_state(1)};
+
+	(void)state;
+	for (; m.job_count < G_N_ELEMENTS(expected); m.job_count++) {
+		char *body = random_job(&m);
+
+		assert_string_equal(body, expected[m.job_count]);
+		g_free(body);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_seed_draws_the_same_jobs_everywhere),
 		cmocka_unit_test(
 			answers_match_worker_records_under_all_faults_seed_1),
 		cmocka_unit_test(
