Let gangs span racks rather than wait on a site that is mostly free

Callers saw an accepted gang with nothing running while it fitted twice over and less than half of the service was in use.

Cause: a gang that is slower across racks waits for one rack as long as some rack could hold it if it were empty. If work of the same rank runs on one upstream of each rack it waits until that work ends: it preempts only lower ranks, and once late nothing at all. Capacities that shrink and upstreams that crash leave few racks that could hold a wide gang.

Evidence: unit_wait, test_gang_spans_racks_of_idle_site, failed before: one of eight upstreams of each of three racks is in use, and a gang of eight did not start within the 10 s that the test plays.

Change: a gang that has waited for 1.5 s since it became ready, or since its last run ended, starts across racks if at most half of each resource of the service is in use. On a site in use it waits for a rack as before, and a rack that becomes free earlier is taken (both tested).

--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -11,6 +11,12 @@
 /* A gang reserves resources after it has waited this long. */
 #define RESERVE_AFTER_MS 300
 
+/*
+ * Maximum time for which a gang waits for one rack while its service is mostly
+ * free: the faster run on one rack is not worth an idle site.
+ */
+#define RACK_WAIT_MAX_MS 1500
+
 /*
  * A guaranteed job preempts this long before its start deadline, to leave time
  * for records, orders and a second try.
@@ -454,6 +460,37 @@
 	}
 }
 
+/* Return since when st waits: when it became ready, or its newest run ended. */
+static uint64_t waiting_since_ms(const struct stage *st)
+{
+	uint64_t since_ms = st->since_ms;
+
+	for (uint32_t i = 0; i < st->step->count; i++)
+		since_ms = MAX(since_ms, st->tasks[i].ended_ms);
+	return since_ms;
+}
+
+/*
+ * Start a gang across racks that has waited for long for one rack of a service
+ * that is mostly free. Returns false if nothing starts.
+ */
+static bool start_across_racks(struct pass *p, struct stage *st, uint32_t want)
+{
+	struct pack *k = &p->pack;
+	bool fits;
+
+	if (!pack_requires_one_rack(k, st) ||
+	    p->input->now_ms < waiting_since_ms(st) + RACK_WAIT_MAX_MS ||
+	    !pack_service_is_mostly_free(k, st->job->service_quark))
+		return false;
+	st->rack_relaxed = true;
+	fits = pack_choose_all(k, st, want, PACK_FREE);
+	st->rack_relaxed = false;
+	if (fits)
+		start_tasks(p, st);
+	return fits;
+}
+
 /*
  * Start what fits of the candidate. For the rest reserve resources that pending
  * stops free, or preempt, or let a gang that has waited reserve resources.
@@ -468,6 +505,8 @@
 		start_tasks(p, st);
 		return;
 	}
+	if (start_across_racks(p, st, want))
+		return;
 	if (!st->step->gang) {
 		/* start what fits now; the rest stays a candidate */
 		uint32_t n = pack_choose_some(k, st, want);
--- a/sched/pack.c
+++ b/sched/pack.c
@@ -305,6 +305,38 @@
 	return st->rack_can_hold;
 }
 
+/* Sum the use and the resources of a service's upstreams that are ready. */
+static void sum_service(const struct pack *p, GQuark service,
+			struct resources *used, struct resources *all)
+{
+	*used = *all = (struct resources){0};
+	for (uint32_t i = 0; i < p->n; i++) {
+		const struct upstream *u = p->upstreams[i];
+
+		if (u->state != UPSTREAM_READY || u->service_quark != service)
+			continue;
+		resources_add(used, &u->used, 1);
+		resources_add(all, &u->resources, 1);
+	}
+}
+
+/*
+ * Report whether at most half of each resource of the service was in use when
+ * this was first asked in the pass.
+ */
+bool pack_service_is_mostly_free(struct pack *p, GQuark service)
+{
+	struct resources used, all;
+
+	if (p->measured_service == service)
+		return p->mostly_free;
+	sum_service(p, service, &used, &all);
+	resources_add(&used, &used, 1);
+	p->measured_service = service;
+	p->mostly_free = resources_contain(&all, &used);
+	return p->mostly_free;
+}
+
 /*
  * Choose upstreams for all `want` tasks, on one rack if required. Returns false
  * if not all fit, and remembers the demand.
--- a/sched/pack.h
+++ b/sched/pack.h
@@ -65,6 +65,9 @@
 	struct pack_slot *chosen; /* the last choice */
 	uint32_t chosen_len;
 	GArray *unmet; /* struct unmet_demand of this pass */
+	/* the last service that was asked for, and whether it is mostly free */
+	GQuark measured_service;
+	bool mostly_free;
 };
 
 bool demand_covers(const struct demand *a, const struct demand *b);
@@ -81,6 +84,7 @@
 bool pack_choose_reservation(struct pack *p, struct stage *st, uint32_t want,
 			     uint32_t rank);
 bool pack_requires_one_rack(const struct pack *p, struct stage *st);
+bool pack_service_is_mostly_free(struct pack *p, GQuark service);
 void pack_deduct_chosen(struct pack *p);
 void pack_record_stop(struct pack *p, const struct task *t);
 
--- /dev/null
+++ b/test/unit_wait.c
@@ -0,0 +1,213 @@
+/*
+ * Tests that a ready stage does not wait without bound while most of its
+ * service is free.
+ */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdio.h>
+
+#include "sched/dispatch.h"
+
+#define STOP_MS 900
+#define RACK_SIZE 8
+#define PASS_INTERVAL_MS 100
+/* An accepted job must have something running within this time. */
+#define IDLE_SITE_WAIT_MAX_MS 2500
+
+/* A site of racks of eight upstreams with eight accelerators each. */
+struct site {
+	struct fleet *fleet;
+	struct estimator *estimator;
+	GPtrArray *jobs;
+	uint64_t now_ms;
+	uint32_t number;
+};
+
+static void site_create(struct site *s, uint32_t upstreams)
+{
+	*s = (struct site){.fleet = fleet_create(),
+			   .estimator = estimator_create(),
+			   .jobs = g_ptr_array_new(),
+			   .now_ms = 1000000};
+	for (uint32_t i = 0; i < upstreams; i++) {
+		char id[16], rack[16];
+		struct upstream *u;
+
+		snprintf(id, sizeof(id), "u%u", i);
+		snprintf(rack, sizeof(rack), "r%u", i / RACK_SIZE);
+		u = fleet_add_upstream(s->fleet, id);
+		upstream_describe(u, "s", "d", "a", rack);
+		u->resources = (struct resources){32000, 65536, 8};
+		u->synced = true;
+	}
+}
+
+static void site_destroy(struct site *s)
+{
+	for (guint i = 0; i < s->jobs->len; i++) {
+		struct job *j = g_ptr_array_index(s->jobs, i);
+
+		for (uint32_t t = 0; t < j->steps[0].count; t++)
+			if (j->stages[0].tasks[t].at)
+				fleet_release(&j->stages[0].tasks[t]);
+		job_destroy(j);
+	}
+	g_ptr_array_free(s->jobs, TRUE);
+	estimator_destroy(s->estimator);
+	fleet_destroy(s->fleet);
+}
+
+static struct upstream *upstream_at(const struct site *s, guint i)
+{
+	return g_ptr_array_index(s->fleet->list, i);
+}
+
+/* Add a job of the second priority whose tasks take a whole upstream each. */
+static struct job *add_job(struct site *s, uint32_t count, bool gang)
+{
+	char id[JOB_ID_BYTES];
+	struct job *j;
+	struct step *step;
+
+	snprintf(id, sizeof(id), "%016x", ++s->number);
+	j = job_create(id);
+	g_strlcpy(j->account, "account", sizeof(j->account));
+	g_strlcpy(j->queue, "q", sizeof(j->queue));
+	job_set_service(j, "s");
+	j->queue_known = true;
+	j->priority = 1;
+	j->max_attempts = 9;
+	j->slack_factor = 3;
+	j->since_ms = s->now_ms;
+	step = job_add_step(j);
+	step->count = count;
+	step->need = (struct resources){2000, 4000, 8};
+	step->estimate_ms = 60000;
+	step->gang = gang;
+	step->rack_sensitive = gang;
+	job_create_stages(j);
+	g_ptr_array_add(s->jobs, j);
+	estimator_record_job(s->estimator, j);
+	return j;
+}
+
+/* Place a job of one task on this upstream, where it runs on. */
+static void occupy(struct site *s, guint index)
+{
+	struct job *j = add_job(s, 1, false);
+
+	task_place(&j->stages[0].tasks[0], upstream_at(s, index), 1, s->now_ms);
+	task_confirm(&j->stages[0].tasks[0], s->now_ms);
+}
+
+static bool is_running(const struct job *j)
+{
+	return !stage_waiting_count(&j->stages[0]);
+}
+
+/* Run one pass and confirm its starts. */
+static void run_pass(struct site *s)
+{
+	struct dispatch_input v = {.jobs = s->jobs,
+				   .fleet = s->fleet,
+				   .now_ms = s->now_ms,
+				   .estimator = s->estimator,
+				   .checkpoint_ms = 2000,
+				   .stop_ms = STOP_MS,
+				   .reclaim_ms = 3400,
+				   .lease_ms = 10000};
+	GArray *actions = dispatch(&v);
+
+	for (guint i = 0; i < actions->len; i++) {
+		struct action *a = &g_array_index(actions, struct action, i);
+
+		if (a->tag == ACTION_START)
+			task_confirm(a->task, s->now_ms);
+	}
+	g_array_unref(actions);
+}
+
+/* Run passes until j runs; returns how long that took, at most max_ms. */
+static uint64_t wait_until_running(struct site *s, const struct job *j,
+				   uint64_t max_ms)
+{
+	uint64_t start_ms = s->now_ms;
+
+	for (run_pass(s); !is_running(j) && s->now_ms < start_ms + max_ms;
+	     run_pass(s))
+		s->now_ms += PASS_INTERVAL_MS;
+	return s->now_ms - start_ms;
+}
+
+/*
+ * One upstream of each rack runs other work of the same rank, so a gang of
+ * eight fits on no rack, but twice over on the site. Guards against a gang
+ * that waits for a rack on an idle site until that work ends.
+ */
+static void test_gang_spans_racks_of_idle_site(void **state)
+{
+	struct site s;
+	struct job *gang;
+
+	(void)state;
+	site_create(&s, 3 * RACK_SIZE);
+	for (uint32_t r = 0; r < 3; r++)
+		occupy(&s, r * RACK_SIZE);
+	gang = add_job(&s, RACK_SIZE, true);
+	assert_in_range(wait_until_running(&s, gang, 10000), 500,
+			IDLE_SITE_WAIT_MAX_MS);
+	site_destroy(&s);
+}
+
+/* On a site that is mostly in use, a gang goes on waiting for a rack. */
+static void test_gang_waits_for_rack_of_busy_site(void **state)
+{
+	struct site s;
+	struct job *gang;
+
+	(void)state;
+	site_create(&s, 3 * RACK_SIZE);
+	for (uint32_t i = 0; i < 3 * RACK_SIZE; i++)
+		if (i % 3)
+			occupy(&s, i);
+	gang = add_job(&s, 4, true);
+	wait_until_running(&s, gang, 10000);
+	assert_false(is_running(gang));
+	site_destroy(&s);
+}
+
+/* A rack that becomes free in time is preferred to spanning racks. */
+static void test_gang_takes_rack_that_becomes_free(void **state)
+{
+	struct site s;
+	struct job *gang, *blocker;
+
+	(void)state;
+	site_create(&s, 3 * RACK_SIZE);
+	for (uint32_t r = 0; r < 3; r++)
+		occupy(&s, r * RACK_SIZE);
+	blocker = g_ptr_array_index(s.jobs, 1);
+	gang = add_job(&s, RACK_SIZE, true);
+	wait_until_running(&s, gang, 500);
+	assert_false(is_running(gang));
+	task_end_run(&blocker->stages[0].tasks[0], RUN_DONE, NULL, s.now_ms);
+	job_update_completion(blocker, s.now_ms);
+	run_pass(&s);
+	for (uint32_t i = 0; i < RACK_SIZE; i++)
+		assert_string_equal(gang->stages[0].tasks[i].at->rack, "r1");
+	site_destroy(&s);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_gang_spans_racks_of_idle_site),
+		cmocka_unit_test(test_gang_waits_for_rack_of_busy_site),
+		cmocka_unit_test(test_gang_takes_rack_that_becomes_free),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
