Record the settings of a job's queue with the job

Callers had a job accepted that was never scheduled.

Cause: the leader took a job's service, priority and attempts from the policy in force when it read the job. If the queue was removed after the job was accepted, or was added and removed in versions that the leader's feed skipped, the next leader knew no service for the job. That a job outlives its queue held within one leader's life only.

Change: the spec row holds the settings of the queue at acceptance; a policy that has the queue replaces them, as before. A row without settings, written by an older version, is logged as queue_unknown when it waits.

--- a/config/policy.c
+++ b/config/policy.c
@@ -84,6 +84,18 @@
 	return NULL;
 }
 
+/* Give j the queue and its settings. */
+void queue_configure_job(const struct queue *q, struct job *j)
+{
+	g_strlcpy(j->queue, q->name, sizeof(j->queue));
+	j->queue_known = true;
+	job_set_service(j, q->service);
+	j->priority = q->priority;
+	j->max_attempts = MAX(q->max_attempts, 1);
+	j->slack_factor = q->slack_factor;
+	j->target_ms = q->target_ms;
+}
+
 /* Return the account that has the key, or NULL. */
 const struct account *policy_find_account(const struct policy *p,
 					  const char *key)
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -471,7 +471,7 @@
 		g_free(why);
 		return;
 	}
-	g_strlcpy(j->queue, q->name, sizeof(j->queue));
+	queue_configure_job(q, j);
 	g_strlcpy(j->account, account, sizeof(j->account));
 	j->received_ms = replica_store_clock_ms(n->env.jobs);
 	r = request_create(n, x, ENTRY_REQUEST_SUBMIT, id, account);
--- a/lead/leader.c
+++ b/lead/leader.c
@@ -226,6 +226,10 @@
 	j->dirty = job_is_final(j);
 	j->recorded_state = j->state;
 	model_apply_queue_policy(j, d->policy);
+	if (!j->queue_known)
+		log_fields(LOG_WARN, "queue_unknown", "{s:s,s:s,s:I}", "job",
+			   id, "queue", j->queue, "policy",
+			   (json_int_t)(d->policy ? d->policy->version : 0));
 	log_job(j);
 	if (cancel_is_recorded(d, id))
 		cancel_job(d, j);
--- a/lead/model.c
+++ b/lead/model.c
@@ -88,14 +88,8 @@
 	const struct queue *q = policy_find_queue(p, j->queue);
 
 	/* A job outlives its queue and keeps the queue's last settings. */
-	if (!q)
-		return;
-	j->queue_known = true;
-	job_set_service(j, q->service);
-	j->priority = q->priority;
-	j->max_attempts = MAX(q->max_attempts, 1);
-	j->slack_factor = q->slack_factor;
-	j->target_ms = q->target_ms;
+	if (q)
+		queue_configure_job(q, j);
 }
 
 /* Apply the policy to every job. */
--- a/lead/record.c
+++ b/lead/record.c
@@ -145,7 +145,37 @@
 	       r->ended_ms < before_ms;
 }
 
-/* Encode the submitted spec; release with free(). */
+/* Encode the settings of j's queue; NULL if they are not known. */
+static json_t *settings_encode(const struct job *j)
+{
+	if (!j->queue_known)
+		return NULL;
+	return json_pack("{s:s,s:I,s:I,s:f,s:I}", "service", j->service,
+			 "priority", (json_int_t)j->priority, "max_attempts",
+			 (json_int_t)j->max_attempts, "slack_factor",
+			 j->slack_factor, "target_ms",
+			 (json_int_t)j->target_ms);
+}
+
+/* Decode the settings of j's queue; v is NULL if they are not recorded. */
+static void settings_decode(const json_t *v, struct job *j)
+{
+	const char *service = json_str_or(v, "service", "");
+
+	if (!*service)
+		return;
+	j->queue_known = true;
+	job_set_service(j, service);
+	j->priority = json_int_or(v, "priority", 0);
+	j->max_attempts = MAX(json_int_or(v, "max_attempts", 1), 1);
+	j->slack_factor = json_number_value(json_object_get(v, "slack_factor"));
+	j->target_ms = json_int_or(v, "target_ms", 0);
+}
+
+/*
+ * Encode the submitted spec with the settings of its queue, which may be
+ * removed before a later leader reads it; release with free().
+ */
 char *spec_encode(const struct job *j)
 {
 	json_t *steps = json_array();
@@ -154,13 +184,13 @@
 
 	for (uint32_t i = 0; i < j->steps_len; i++)
 		json_array_append_new(steps, step_encode(&j->steps[i]));
-	v = json_pack("{s:s,s:s,s:I,s:I,s:I,s:I,s:s,s:o}", "queue", j->queue,
-		      "account", j->account, "received_ms",
-		      (json_int_t)j->received_ms, "start_at_wall_ms",
-		      (json_int_t)j->start_at_wall_ms, "interval_ms",
-		      (json_int_t)j->interval_ms, "repeat",
-		      (json_int_t)j->repeat, "payload", j->payload, "steps",
-		      steps);
+	v = json_pack(
+		"{s:s,s:s,s:o*,s:I,s:I,s:I,s:I,s:s,s:o}", "queue", j->queue,
+		"account", j->account, "settings", settings_encode(j),
+		"received_ms", (json_int_t)j->received_ms, "start_at_wall_ms",
+		(json_int_t)j->start_at_wall_ms, "interval_ms",
+		(json_int_t)j->interval_ms, "repeat", (json_int_t)j->repeat,
+		"payload", j->payload, "steps", steps);
 	s = json_dumps(v, JSON_COMPACT);
 	json_decref(v);
 	return s;
@@ -208,6 +238,7 @@
 	j = job_create(id);
 	json_str_copy(j->queue, sizeof(j->queue), v, "queue");
 	json_str_copy(j->account, sizeof(j->account), v, "account");
+	settings_decode(json_object_get(v, "settings"), j);
 	j->received_ms = json_int_or(v, "received_ms", 0);
 	j->start_at_wall_ms = json_int_or(v, "start_at_wall_ms", 0);
 	j->interval_ms = json_int_or(v, "interval_ms", 0);
