Let a stage that failed on all its upstreams run there again

Callers saw an accepted job with nothing running although upstreams with its label were free.

Cause: an upstream where any task of a stage failed was excluded for the whole stage, for as long as this leader leads. A stage of many tasks can fail on every upstream that its label allows; then none was left.

Evidence: unit_wait, test_stage_that_failed_on_every_upstream_runs_again, failed before: eight tasks that failed on the eight upstreams of their label did not start within the 10 s that the test plays.

--- a/sched/pack.c
+++ b/sched/pack.c
@@ -29,32 +29,6 @@
 	return (h ^ v) * UINT64_C(0x100000001b3);
 }
 
-/* Set the stage that the next choices are for. */
-void pack_set_demand(struct pack *p, const struct stage *st)
-{
-	struct demand *d = &p->demand;
-
-	if (d->stage == st)
-		return;
-	p->demand_id++;
-	*d = (struct demand){.stage = st,
-			     .need = task_resources(&st->tasks[0]),
-			     .service = st->job->service_quark,
-			     .label = *st->step->label ? st->step->label_quark
-						       : 0};
-	if (st->job->state == JOB_QUEUED)
-		return;
-	for (uint32_t i = 0; i < st->step->count; i++) {
-		const struct upstream *u = st->tasks[i].last_failed_on;
-
-		if (!u)
-			continue;
-		d->has_excluded = true;
-		if (u->pass_index < p->n && p->upstreams[u->pass_index] == u)
-			p->excluded_for[u->pass_index] = p->demand_id;
-	}
-}
-
 /*
  * Report whether b needs at least what a needs and allows no other upstreams:
  * if a cannot be met, neither can b.
@@ -145,6 +119,62 @@
 		       : MIN(n, st->step->max_tasks_per_upstream - there);
 }
 
+/*
+ * Report whether listed upstreams that the demand may use could hold it if they
+ * were empty: a whole gang, or one task of other work.
+ */
+static bool eligible_could_hold(const struct pack *p)
+{
+	const struct step *step = p->demand.stage->step;
+	uint64_t want = step->gang ? step->count : 1, fits = 0;
+
+	for (uint32_t i = 0; i < p->n && fits < want; i++)
+		if (p->upstreams[i]->state == UPSTREAM_READY)
+			fits += pack_capacity(p, i,
+					      &p->upstreams[i]->resources);
+	return fits >= want;
+}
+
+/*
+ * Exclude the upstreams where tasks of st failed, unless the others could not
+ * hold it.
+ */
+static void exclude_failed_upstreams(struct pack *p, const struct stage *st)
+{
+	struct demand *d = &p->demand;
+
+	for (uint32_t i = 0; i < st->step->count; i++) {
+		const struct upstream *u = st->tasks[i].last_failed_on;
+
+		if (!u)
+			continue;
+		d->has_excluded = true;
+		if (u->pass_index < p->n && p->upstreams[u->pass_index] == u)
+			p->excluded_for[u->pass_index] = p->demand_id;
+	}
+	if (!d->has_excluded || eligible_could_hold(p))
+		return;
+	p->demand_id++;
+	d->has_excluded = false;
+}
+
+/* Set the stage that the next choices are for. */
+void pack_set_demand(struct pack *p, const struct stage *st)
+{
+	struct demand *d = &p->demand;
+
+	if (d->stage == st)
+		return;
+	p->demand_id++;
+	*d = (struct demand){.stage = st,
+			     .need = task_resources(&st->tasks[0]),
+			     .service = st->job->service_quark,
+			     .label = *st->step->label ? st->step->label_quark
+						       : 0};
+	if (st->job->state != JOB_QUEUED)
+		exclude_failed_upstreams(p, st);
+}
+
 /* Return the resources, by upstream index, that a choice may use. */
 static const struct resources *
 resources_for(const struct pack *p, enum pack_availability availability)
--- a/test/unit_wait.c
+++ b/test/unit_wait.c
@@ -201,12 +201,65 @@
 	site_destroy(&s);
 }
 
+/* Fail the run of a task where it is placed. */
+static void fail_task(struct site *s, struct task *t)
+{
+	task_end_run(t, RUN_FAILED, NULL, s->now_ms);
+}
+
+/*
+ * Each upstream that has the label has failed a task of the stage. Guards
+ * against a stage that is excluded from all upstreams for ever.
+ */
+static void test_stage_that_failed_on_every_upstream_runs_again(void **state)
+{
+	struct site s;
+	struct job *j;
+
+	(void)state;
+	site_create(&s, 3 * RACK_SIZE);
+	j = add_job(&s, RACK_SIZE, false);
+	g_strlcpy(j->steps[0].label, "r1", LABEL_BYTES);
+	j->steps[0].label_quark = g_quark_from_string("r1");
+	run_pass(&s);
+	assert_true(is_running(j));
+	for (uint32_t i = 0; i < RACK_SIZE; i++)
+		fail_task(&s, &j->stages[0].tasks[i]);
+	assert_in_range(wait_until_running(&s, j, 10000), 0,
+			IDLE_SITE_WAIT_MAX_MS);
+	site_destroy(&s);
+}
+
+/* A task runs again elsewhere while another upstream could hold it. */
+static void test_failed_task_avoids_upstream_where_it_failed(void **state)
+{
+	struct upstream *failed_on;
+	struct site s;
+	struct job *j;
+
+	(void)state;
+	site_create(&s, 2);
+	occupy(&s, 0);
+	j = add_job(&s, 1, false);
+	run_pass(&s);
+	failed_on = j->stages[0].tasks[0].at;
+	fail_task(&s, &j->stages[0].tasks[0]);
+	wait_until_running(&s, j, 10000);
+	assert_false(is_running(j));
+	assert_ptr_equal(failed_on, upstream_at(&s, 1));
+	site_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_gang_spans_racks_of_idle_site),
 		cmocka_unit_test(test_gang_waits_for_rack_of_busy_site),
 		cmocka_unit_test(test_gang_takes_rack_that_becomes_free),
+		cmocka_unit_test(
+			test_stage_that_failed_on_every_upstream_runs_again),
+		cmocka_unit_test(
+			test_failed_task_avoids_upstream_where_it_failed),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
