Use upstreams in backoff when runs fail on many of them

Callers saw accepted work with nothing running on an idle site for up to 12 s, again and again, while many hopeless jobs failed.

Cause: two different jobs that fail on an upstream in a row put it into backoff for 1.5 s, five for 12 s. Hopeless jobs are tried on one upstream after the other, so many of them put every upstream into backoff at once, and sound work had nowhere to go.

Evidence: unit_wait, test_hopeless_jobs_do_not_hold_up_sound_work, failed before: after six failed jobs on each of 24 upstreams nothing was placed.

Change: the backoff after failed runs is kept apart from the one after orders that failed, and is ignored, like slowness, if it holds on more than a third of the upstreams: then the work is at fault. Fewer failing upstreams get no new work, as before (tested).

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -143,7 +143,7 @@
 
 /*
  * Report whether new work may be placed on u: it is ready, has accepted our
- * epoch, is not in backoff after failures and seems reachable.
+ * epoch, is not in backoff after failed orders and seems reachable.
  */
 bool upstream_is_usable(const struct upstream *u, uint64_t now_ms)
 {
@@ -153,7 +153,7 @@
 
 /*
  * Count a failed run of j against u. From the second counted failure on, u gets
- * no new work for a backoff. A job that fails twice in a row counts once: it
+ * no new work for a backoff, unless many others fail as well. A job that fails twice in a row counts once: it
  * may be the job's own fault.
  */
 void upstream_record_failure(struct upstream *u, const struct job *j,
@@ -169,7 +169,7 @@
 		return;
 	backoff_ms = (uint64_t)AVOID_INITIAL_MS
 		     << MIN(u->consecutive_failures - 2, 3);
-	u->avoid_until_ms = now_ms + MIN(backoff_ms, AVOID_MAX_MS);
+	u->failing_until_ms = now_ms + MIN(backoff_ms, AVOID_MAX_MS);
 }
 
 /* Record a successful run on u: clear its failures and backoff. */
@@ -177,5 +177,6 @@
 {
 	u->consecutive_failures = 0;
 	u->last_failed_job = NULL;
+	u->failing_until_ms = 0;
 	u->avoid_until_ms = 0;
 }
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -27,11 +27,12 @@
 	uint64_t leaves_ms; /* earliest departure when draining; 0: unknown */
 	struct resources resources;
 	struct resources used;
-	GPtrArray *tasks;	 /* active tasks */
-	uint64_t avoid_until_ms; /* end of the backoff after failures */
-	uint64_t heard_ms;	 /* newest answer; 0: none yet */
-	bool silent;		 /* the last call was not answered */
-	bool doubted;		 /* its failure domain seems cut off */
+	GPtrArray *tasks;	   /* active tasks */
+	uint64_t avoid_until_ms;   /* end of the backoff after failed orders */
+	uint64_t failing_until_ms; /* end of the backoff after failed runs */
+	uint64_t heard_ms;	   /* newest answer; 0: none yet */
+	bool silent;		   /* the last call was not answered */
+	bool doubted;		   /* its failure domain seems cut off */
 	/* start of the current slow period; 0: not slow */
 	uint64_t slow_since_ms;
 	uint64_t slow_until_ms;	       /* treated as slow until this time */
--- a/sched/pack.c
+++ b/sched/pack.c
@@ -6,8 +6,13 @@
 
 /* Maximum number of unmet demands that are remembered in a pass. */
 #define UNMET_MAX 64
-/* Slow upstreams are used when more than one in this many is slow. */
+/*
+ * Slow upstreams are used when more than one in this many is slow, and those on
+ * which runs failed when runs failed on more than one in this many: then the
+ * work is at fault.
+ */
 #define SLOW_SHARE_DIVISOR 3
+#define FAILING_SHARE_DIVISOR 3
 /* Upstreams with this many free accelerators or more are sorted as equal. */
 #define LEFT_ACCELERATORS_MAX 128
 
@@ -518,7 +523,8 @@
 	const struct upstream *u = p->upstreams[i];
 
 	p->usable[i] = upstream_is_usable(u, p->now_ms) &&
-		       (p->slow_allowed || u->slow_until_ms <= p->now_ms);
+		       (p->slow_allowed || u->slow_until_ms <= p->now_ms) &&
+		       (p->failing_allowed || u->failing_until_ms <= p->now_ms);
 	if (!p->usable[i])
 		return;
 	p->free_now[i] = u->resources;
@@ -578,18 +584,22 @@
 	g_hash_table_destroy(rack_indexes);
 }
 
-/* Report whether too many upstreams are slow to leave them unused. */
-static bool too_many_slow(const struct fleet *f, uint64_t now_ms)
+/* Set whether too many upstreams are slow, or fail, to leave them unused. */
+static void count_poor_upstreams(struct pack *p)
 {
-	uint32_t all = 0, slow = 0;
+	uint32_t all = 0, slow = 0, failing = 0;
 
-	for (guint i = 0; i < f->list->len; i++) {
-		const struct upstream *u = g_ptr_array_index(f->list, i);
+	for (guint i = 0; i < p->fleet->list->len; i++) {
+		const struct upstream *u = g_ptr_array_index(p->fleet->list, i);
 
-		all += u->state == UPSTREAM_READY;
-		slow += u->state == UPSTREAM_READY && u->slow_until_ms > now_ms;
+		if (u->state != UPSTREAM_READY)
+			continue;
+		all++;
+		slow += u->slow_until_ms > p->now_ms;
+		failing += u->failing_until_ms > p->now_ms;
 	}
-	return slow * SLOW_SHARE_DIVISOR > all;
+	p->slow_allowed = slow * SLOW_SHARE_DIVISOR > all;
+	p->failing_allowed = failing * FAILING_SHARE_DIVISOR > all;
 }
 
 /* Begin a pass over f: compute the free resources. End it with pack_end. */
@@ -614,7 +624,7 @@
 	p->slots = g_new(struct pack_slot, 2 * len + 1);
 	p->chosen = g_new(struct pack_slot, len + 1);
 	p->unmet = g_array_new(FALSE, FALSE, sizeof(struct unmet_demand));
-	p->slow_allowed = too_many_slow(f, now_ms);
+	count_poor_upstreams(p);
 	for (uint32_t i = 0; i < len; i++) {
 		struct upstream *u = g_ptr_array_index(f->list, i);
 
--- a/sched/pack.h
+++ b/sched/pack.h
@@ -47,6 +47,7 @@
 	struct upstream **upstreams; /* data of upstream_list */
 	bool *usable;		     /* new work may be placed on it */
 	bool slow_allowed;	     /* slow upstreams may be used */
+	bool failing_allowed;	     /* so may those on which runs failed */
 	struct resources *free_now;
 	struct resources *free_after_stops;
 	struct resources *reservable; /* set by pack_choose_reservation */
--- a/test/unit_wait.c
+++ b/test/unit_wait.c
@@ -250,6 +250,55 @@
 	site_destroy(&s);
 }
 
+/* Let several hopeless jobs fail on this upstream, one after the other. */
+static void fail_jobs_on(struct site *s, struct upstream *u)
+{
+	static const struct job hopeless[6];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(hopeless); i++)
+		upstream_record_failure(u, &hopeless[i], s->now_ms);
+}
+
+/*
+ * Hopeless jobs have failed on every upstream. Guards against a backoff of the
+ * whole site, in which sound work waits for what others have done.
+ */
+static void test_hopeless_jobs_do_not_hold_up_sound_work(void **state)
+{
+	struct site s;
+	struct job *j;
+
+	(void)state;
+	site_create(&s, 3 * RACK_SIZE);
+	for (uint32_t i = 0; i < 3 * RACK_SIZE; i++)
+		fail_jobs_on(&s, upstream_at(&s, i));
+	j = add_job(&s, 4, false);
+	run_pass(&s);
+	assert_true(is_running(j));
+	site_destroy(&s);
+}
+
+/* A few upstreams on which different jobs fail get no new work for a while. */
+static void test_failing_upstreams_get_no_new_work(void **state)
+{
+	struct site s;
+	struct job *j;
+
+	(void)state;
+	site_create(&s, 3 * RACK_SIZE);
+	for (uint32_t i = 0; i < RACK_SIZE; i++)
+		fail_jobs_on(&s, upstream_at(&s, i));
+	j = add_job(&s, 3 * RACK_SIZE, false);
+	run_pass(&s);
+	assert_int_equal(stage_waiting_count(&j->stages[0]), RACK_SIZE);
+	for (uint32_t i = 0; i < RACK_SIZE; i++)
+		assert_int_equal(upstream_at(&s, i)->tasks->len, 0);
+	s.now_ms += 12000;
+	run_pass(&s);
+	assert_true(is_running(j));
+	site_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -260,6 +309,8 @@
 			test_stage_that_failed_on_every_upstream_runs_again),
 		cmocka_unit_test(
 			test_failed_task_avoids_upstream_where_it_failed),
+		cmocka_unit_test(test_hopeless_jobs_do_not_hold_up_sound_work),
+		cmocka_unit_test(test_failing_upstreams_get_no_new_work),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
