Send orders again whose answers cannot arrive any more

Callers saw a job with nothing running that the leader took for started, and a cancelled job whose run went on.

Cause: when the address of an upstream changes, its orders in flight are cancelled without an answer. In the same incarnation nothing sent them again: a run that was sent and not confirmed is never taken for absent, as the order may still be carried out, and a run to be stopped waited for an answer to the stop. A stop of a run that an earlier leader recorded was never sent at all if its upstream was not listed when it was decided.

Evidence: unit_session, new, with an upstream in the test's own loop: test_start_survives_change_of_address, test_stop_survives_change_of_address and test_stop_decided_before_session_is_sent failed before; the run stayed placed or stopping for the 3 s that each waits.

Change: a session that takes an address sends the unanswered orders of its upstream again, a start as an uncertain one. Both are safe to repeat, as a run has one number. Starts that an earlier leader sent are settled by the lists, as before.

--- a/lead/session.c
+++ b/lead/session.c
@@ -129,6 +129,25 @@
 	k->upstream->synced = false;
 }
 
+/*
+ * Send the orders again whose answers will not arrive: their calls were
+ * cancelled, or they were decided before the session began. Starts that an
+ * earlier leader has sent are settled by the lists.
+ */
+static void retry_orders(struct session *k)
+{
+	for (guint i = 0; i < k->upstream->tasks->len; i++) {
+		struct task *t = g_ptr_array_index(k->upstream->tasks, i);
+
+		if (t->state == TASK_PLACED && t->sent && !t->inherited) {
+			t->uncertain = true;
+			schedule_order_retry(k, t);
+		} else if (t->state == TASK_STOPPING && !t->stop_answered_ms) {
+			schedule_order_retry(k, t);
+		}
+	}
+}
+
 /* Use this address from now on; calls in flight are cancelled. */
 static void set_address(struct session *k, const struct sockaddr_in *at)
 {
@@ -136,6 +155,7 @@
 	orders_destroy(k->orders);
 	k->call_in_flight = false;
 	k->orders = orders_create(k->env->http, k->upstream->id, at);
+	retry_orders(k);
 }
 
 static void apply_entry(struct session *k, const struct upstream_entry *e)
--- /dev/null
+++ b/test/unit_session.c
@@ -0,0 +1,324 @@
+/*
+ * Tests of the session with one upstream, against an upstream in the same
+ * event loop that answers orders as the test wants.
+ */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <arpa/inet.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "lead/session.h"
+#include "lib/http.h"
+#include "lib/schema.h"
+
+#define BODY_MAX 65536
+#define RUNS_MAX 8
+#define EPOCH 3
+/* Each order must have an effect within this time. */
+#define SETTLE_MAX_MS 3000
+
+/* An upstream that lists its runs and counts the orders it got. */
+struct fake_upstream {
+	struct http_server *server;
+	struct sockaddr_in address;
+	uint64_t born;
+	bool mute; /* leaves all calls unanswered */
+	char running[RUNS_MAX][TASK_NAME_BYTES];
+	uint32_t runs[RUNS_MAX];
+	uint32_t running_len;
+	uint32_t starts, stops;
+};
+
+struct fixture {
+	struct loop *loop;
+	struct http_client *http;
+	struct counters *counters;
+	struct joint_settings settings;
+	struct model *model;
+	struct session_env env;
+	struct upstream *upstream;
+	struct upstream_entry entry;
+	struct job *job;
+	struct task *task;
+	uint32_t changes; /* of the model, as reported by the session */
+};
+
+static void remove_run(struct fake_upstream *f, const char *task)
+{
+	for (uint32_t i = 0; i < f->running_len; i++) {
+		if (strcmp(f->running[i], task))
+			continue;
+		f->running_len--;
+		memmove(f->running[i], f->running[f->running_len],
+			sizeof(f->running[i]));
+		f->runs[i] = f->runs[f->running_len];
+	}
+}
+
+static void add_run(struct fake_upstream *f, const char *task, uint32_t run)
+{
+	remove_run(f, task);
+	g_strlcpy(f->running[f->running_len], task, TASK_NAME_BYTES);
+	f->runs[f->running_len++] = run;
+}
+
+/* Return the answer of f to a list call. */
+static json_t *list_runs(const struct fake_upstream *f)
+{
+	json_t *running = json_array();
+
+	for (uint32_t i = 0; i < f->running_len; i++)
+		json_array_append_new(running,
+				      json_pack("[s,i,s,i]", f->running[i],
+						(int)f->runs[i], "", 10));
+	return json_pack("{s:I,s:I,s:o,s:[]}", "clockMs",
+			 (json_int_t)clock_mono_ms(), "born",
+			 (json_int_t)f->born, "running", running, "finished");
+}
+
+static void handle_call(void *arg, struct http_exchange *x)
+{
+	struct fake_upstream *f = arg;
+	size_t len;
+	const char *text = exchange_body(x, &len);
+	json_t *body = json_loadb(text, len, 0, NULL), *answer;
+
+	if (!strcmp(exchange_path(x), "/-/run-start")) {
+		f->starts++;
+		if (!f->mute)
+			add_run(f, json_str_or(body, "task", ""),
+				json_int_or(body, "run", 0));
+	} else if (!strcmp(exchange_path(x), "/-/run-stop")) {
+		f->stops++;
+		if (!f->mute)
+			remove_run(f, json_str_or(body, "task", ""));
+	}
+	if (!f->mute) {
+		answer = !strcmp(exchange_path(x), "/-/hold")
+				 ? list_runs(f)
+				 : json_pack("{s:I}", "clockMs",
+					     (json_int_t)clock_mono_ms());
+		exchange_reply_json(x, 200, answer, 0);
+	}
+	json_decref(body);
+}
+
+/* Return a loopback address with a port that is free. */
+static struct sockaddr_in free_address(void)
+{
+	struct sockaddr_in at = {.sin_family = AF_INET,
+				 .sin_addr = {htonl(INADDR_LOOPBACK)}};
+	socklen_t len = sizeof(at);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	assert_int_equal(bind(fd, (struct sockaddr *)&at, sizeof(at)), 0);
+	assert_int_equal(getsockname(fd, (struct sockaddr *)&at, &len), 0);
+	close(fd);
+	return at;
+}
+
+static void fake_upstream_create(struct fake_upstream *f, struct loop *l)
+{
+	*f = (struct fake_upstream){.born = 77, .address = free_address()};
+	f->server =
+		http_server_create(l, &f->address, BODY_MAX, handle_call, f);
+	assert_non_null(f->server);
+}
+
+static void note_change(void *arg)
+{
+	((struct fixture *)arg)->changes++;
+}
+
+static void ignore_refusal(void *arg)
+{
+	(void)arg;
+}
+
+static void fixture_create(struct fixture *s)
+{
+	struct step *step;
+
+	*s = (struct fixture){.loop = loop_create()};
+	s->http = http_client_create(s->loop);
+	s->counters = counters_create();
+	s->settings.lease_ms = 6000;
+	s->settings.heartbeat_ms = 1500;
+	s->model = model_create();
+	s->env = (struct session_env){.loop = s->loop,
+				      .http = s->http,
+				      .counters = s->counters,
+				      .settings = &s->settings,
+				      .model = s->model,
+				      .epoch = EPOCH,
+				      .events = {note_change, ignore_refusal},
+				      .arg = s};
+	s->upstream = fleet_add_upstream(s->model->fleet, "u1");
+	s->entry = (struct upstream_entry){.service = "s",
+					   .domain = "d",
+					   .resources = {100000, 100000, 100},
+					   .started_wall_ms = 77};
+	s->job = job_create("00000000000000a1");
+	s->job->payload = g_strdup("");
+	s->job->max_attempts = 3;
+	step = job_add_step(s->job);
+	step->count = 1;
+	step->need = (struct resources){1000, 1000, 1};
+	job_create_stages(s->job);
+	model_add_job(s->model, s->job);
+	s->task = job_find_task(s->job, 0, 0, 0);
+}
+
+/* Begin the session with f, which the list shows at its address. */
+static void open_session(struct fixture *s, const struct fake_upstream *f)
+{
+	s->entry.address = f->address;
+	s->upstream->session = session_create(&s->env, s->upstream, &s->entry);
+}
+
+static void fixture_destroy(struct fixture *s)
+{
+	session_destroy(s->upstream->session);
+	model_destroy(s->model);
+	http_client_destroy(s->http);
+	counters_destroy(s->counters);
+	loop_destroy(s->loop);
+}
+
+/* Step the loop until the value is not 0, or for ms milliseconds. */
+static void step_until(struct loop *l, const uint32_t *value, uint64_t ms)
+{
+	uint64_t deadline_ms = clock_mono_ms() + ms;
+
+	while (!(value && *value) && clock_mono_ms() < deadline_ms)
+		loop_step(l, 10);
+}
+
+/* Step the loop until the task is in this state, at most SETTLE_MAX_MS. */
+static void assert_becomes(struct fixture *s, enum task_state state)
+{
+	uint64_t deadline_ms = clock_mono_ms() + SETTLE_MAX_MS;
+
+	while (s->task->state != state && clock_mono_ms() < deadline_ms)
+		loop_step(s->loop, 10);
+	assert_int_equal(s->task->state, state);
+}
+
+/* Place the task and order its start. */
+static void start_task(struct fixture *s)
+{
+	task_place(s->task, s->upstream, s->task->run + 1, clock_mono_ms());
+	session_start_run(s->upstream->session, s->task);
+}
+
+/* The plain course: a run is started, listed and stopped. */
+static void test_run_is_started_and_stopped(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	open_session(&s, &f);
+	step_until(s.loop, &s.changes, 1000);
+	assert_true(s.upstream->synced);
+	start_task(&s);
+	assert_becomes(&s, TASK_RUNNING);
+	s.task->state = TASK_STOPPING;
+	session_stop_run(s.upstream->session, s.task);
+	assert_becomes(&s, TASK_WAITING);
+	assert_int_equal(f.starts, 1);
+	fixture_destroy(&s);
+}
+
+/*
+ * The upstream's address changes while a start order is in flight. Guards
+ * against a run that stays placed for ever.
+ */
+static void test_start_survives_change_of_address(void **state)
+{
+	struct fake_upstream before, after;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&before, s.loop);
+	fake_upstream_create(&after, s.loop);
+	open_session(&s, &before);
+	step_until(s.loop, &s.changes, 1000);
+	before.mute = true;
+	start_task(&s);
+	step_until(s.loop, &before.starts, 1000);
+	s.entry.address = after.address;
+	session_apply_entry(s.upstream->session, &s.entry);
+	assert_becomes(&s, TASK_RUNNING);
+	fixture_destroy(&s);
+}
+
+/*
+ * The upstream's address changes while a stop order is in flight. Guards
+ * against a run that goes on although it is to be stopped.
+ */
+static void test_stop_survives_change_of_address(void **state)
+{
+	struct fake_upstream before, after;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&before, s.loop);
+	fake_upstream_create(&after, s.loop);
+	open_session(&s, &before);
+	step_until(s.loop, &s.changes, 1000);
+	start_task(&s);
+	assert_becomes(&s, TASK_RUNNING);
+	add_run(&after, before.running[0], before.runs[0]);
+	before.mute = true;
+	s.task->state = TASK_STOPPING;
+	session_stop_run(s.upstream->session, s.task);
+	step_until(s.loop, &before.stops, 1000);
+	s.entry.address = after.address;
+	session_apply_entry(s.upstream->session, &s.entry);
+	assert_becomes(&s, TASK_WAITING);
+	fixture_destroy(&s);
+}
+
+/*
+ * A run that an earlier leader recorded is to be stopped before its upstream
+ * is listed. Guards against a run of a cancelled job that nobody stops.
+ */
+static void test_stop_decided_before_session_is_sent(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	s.upstream->state = UPSTREAM_GONE;
+	s.task->run = 4;
+	model_inherit_run(s.model, s.task, "u1", 77, clock_mono_ms());
+	s.task->state = TASK_STOPPING;
+	add_run(&f, "00000000000000a1.0.0.0", 4);
+	open_session(&s, &f);
+	assert_becomes(&s, TASK_WAITING);
+	assert_int_equal(f.stops, 1);
+	fixture_destroy(&s);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_run_is_started_and_stopped),
+		cmocka_unit_test(test_start_survives_change_of_address),
+		cmocka_unit_test(test_stop_survives_change_of_address),
+		cmocka_unit_test(test_stop_decided_before_session_is_sent),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
