Schedule a pass when an answer ends the doubt of a domain

Callers saw accepted work with nothing running on an idle domain while a few upstreams of it were silent and the store was slow.

Cause: a domain is in doubt if two upstreams are silent and none was heard within 400 ms. Idle upstreams are called only when doubt begins; their answers end it, but scheduled no pass. If the passes are further apart than 400 ms, as with writes that take long, each finds that nothing was heard recently, puts the domain in doubt again and places nothing there.

Evidence: unit_session, test_answer_that_ends_doubt_is_reported, failed before: the answer was not reported to the leader.

Change: an answer of an upstream in doubt reports a change of the model, like its first answer, so a pass follows at once.

--- a/lead/session.c
+++ b/lead/session.c
@@ -417,7 +417,7 @@
 	struct session *k = arg;
 	const struct session_env *env = k->env;
 	uint64_t before = k->newest_end_seen;
-	bool synced = k->upstream->synced;
+	bool usable = k->upstream->synced && !k->upstream->doubted;
 
 	k->call_in_flight = false;
 	if (!note_answer(k, a)) {
@@ -442,7 +442,7 @@
 			    k->newest_end_seen > k->newest_end_acknowledged
 				    ? RECORD_WAIT_MAX_MS
 				    : 0);
-	if (k->newest_end_seen != before || !synced)
+	if (k->newest_end_seen != before || !usable)
 		env->events.model_changed(env->arg);
 }
 
--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -311,6 +311,29 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * An upstream whose domain is in doubt answers. Guards against a site on which
+ * nothing is placed because each pass comes too late after the answers.
+ */
+static void test_answer_that_ends_doubt_is_reported(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	open_session(&s, &f);
+	step_until(s.loop, &s.changes, 1000);
+	s.changes = 0;
+	s.upstream->doubted = true;
+	session_schedule_call(s.upstream->session);
+	step_until(s.loop, &s.changes, 1000);
+	assert_false(s.upstream->doubted);
+	assert_int_equal(s.changes, 1);
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -318,6 +341,7 @@
 		cmocka_unit_test(test_start_survives_change_of_address),
 		cmocka_unit_test(test_stop_survives_change_of_address),
 		cmocka_unit_test(test_stop_decided_before_session_is_sent),
+		cmocka_unit_test(test_answer_that_ends_doubt_is_reported),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
