Avoid an upstream for longer that refuses starts in a row

Callers saw an accepted gang that started and was stopped again and again.

Cause: if one member of a gang is refused for lack of room, the others are stopped, and the upstream that refused is avoided for 100 ms. That is over when the others have stopped, so best fit gives the gang to the same upstreams again for as long as the upstream has less room than the leader believes: until its entry shows a shrunk capacity, or a run has ended that the leader does not know.

Evidence: unit_wait, test_gang_leaves_upstream_that_refuses_a_member: with the pause as it was, the gang was refused by the same upstream for the 10 s that the test plays.

Change: after a second refusal in a row the upstream gets no new work for 2 s. A run that it starts, or a change of its resources, ends the row.

--- a/lead/session.c
+++ b/lead/session.c
@@ -46,10 +46,9 @@
 #define ENTRY_TIMEOUT_HEARTBEATS 2
 /*
  * Time for which no work is placed on an upstream that did not answer or
- * reported itself unhealthy, and on one that was full.
+ * reported itself unhealthy.
  */
 #define AVOID_SILENT_MS 1000
-#define AVOID_FULL_MS 100
 
 struct session {
 	const struct session_env *env;
@@ -164,6 +163,8 @@
 	uint64_t now = clock_mono_ms();
 
 	upstream_describe(u, e->service, e->domain, e->kind, e->rack);
+	if (memcmp(&u->resources, &e->resources, sizeof(u->resources)))
+		upstream_clear_refusals(u);
 	u->resources = e->resources;
 	u->state = e->draining ? UPSTREAM_DRAINING : UPSTREAM_READY;
 	if (e->draining && e->drain_remaining_ms)
@@ -367,14 +368,6 @@
 	return true;
 }
 
-/* Place no new work on the upstream for ms milliseconds. */
-static void avoid_upstream_for(struct session *k, uint32_t ms)
-{
-	uint64_t until = clock_mono_ms() + ms;
-
-	k->upstream->avoid_until_ms = MAX(k->upstream->avoid_until_ms, until);
-}
-
 static void mark_lost(struct session *k, const char *why)
 {
 	model_lose_upstream(k->env->model, k->upstream, clock_mono_ms(), why);
@@ -398,7 +391,7 @@
 			   (json_int_t)k->leases.leases_end_ms -
 				   (json_int_t)now);
 	lease_clock_note_timeout(&k->leases);
-	avoid_upstream_for(k, AVOID_SILENT_MS);
+	upstream_avoid_for(k->upstream, AVOID_SILENT_MS, now);
 	/* A call sent before the leases ended proves nothing: this process
 	 * may have been suspended meanwhile, and the upstream still lists how
 	 * its runs ended. */
@@ -520,12 +513,13 @@
 {
 	switch (outcome) {
 	case ORDER_NO_CAPACITY:
-		avoid_upstream_for(k, AVOID_FULL_MS);
+		upstream_record_full(k->upstream, clock_mono_ms());
 		break;
 	case ORDER_UNAVAILABLE:
 	case ORDER_UNKNOWN:
 	case ORDER_NOT_SENT:
-		avoid_upstream_for(k, AVOID_SILENT_MS);
+		upstream_avoid_for(k->upstream, AVOID_SILENT_MS,
+				   clock_mono_ms());
 		break;
 	case ORDER_DONE:
 	case ORDER_STALE_EPOCH:
@@ -548,6 +542,7 @@
 	case DELIVERY_NONE:
 		break;
 	case DELIVERY_CONFIRMED:
+		upstream_clear_refusals(k->upstream);
 		task_confirm(t, now);
 		latency_add(k->env->counters, "start",
 			    (now - t->placed_ms) * 1000);
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -9,6 +9,12 @@
  */
 #define AVOID_INITIAL_MS 1500
 #define AVOID_MAX_MS 12000
+/*
+ * Backoff of an upstream that refused a start for lack of room, and of one that
+ * refused several in a row.
+ */
+#define AVOID_FULL_MS 100
+#define AVOID_FULL_AGAIN_MS 2000
 
 /* Free the upstream p; the free function of the fleet's list. */
 static void upstream_free(void *p)
@@ -180,3 +186,29 @@
 	u->failing_until_ms = 0;
 	u->avoid_until_ms = 0;
 }
+
+/* Place no new work on u for ms milliseconds from now_ms. */
+void upstream_avoid_for(struct upstream *u, uint32_t ms, uint64_t now_ms)
+{
+	u->avoid_until_ms = MAX(u->avoid_until_ms, now_ms + ms);
+}
+
+/*
+ * Record that u has refused a start for lack of room: the model overrates its
+ * room. A pause that is over when the other members of a refused gang have
+ * stopped would give them to u again, so further refusals cost a longer one.
+ */
+void upstream_record_full(struct upstream *u, uint64_t now_ms)
+{
+	upstream_avoid_for(u,
+			   u->consecutive_refusals ? AVOID_FULL_AGAIN_MS
+						   : AVOID_FULL_MS,
+			   now_ms);
+	u->consecutive_refusals++;
+}
+
+/* Forget the refusals of u, which has started a run or changed its resources. */
+void upstream_clear_refusals(struct upstream *u)
+{
+	u->consecutive_refusals = 0;
+}
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -37,6 +37,7 @@
 	uint64_t slow_since_ms;
 	uint64_t slow_until_ms;	       /* treated as slow until this time */
 	uint32_t consecutive_failures; /* counts distinct jobs in a row */
+	uint32_t consecutive_refusals; /* for lack of room */
 	/* only compared, never dereferenced */
 	const struct job *last_failed_job;
 	void *session;	     /* owned by the code that calls the upstream */
@@ -88,5 +89,8 @@
 void upstream_record_failure(struct upstream *u, const struct job *j,
 			     uint64_t now_ms);
 void upstream_record_success(struct upstream *u);
+void upstream_avoid_for(struct upstream *u, uint32_t ms, uint64_t now_ms);
+void upstream_record_full(struct upstream *u, uint64_t now_ms);
+void upstream_clear_refusals(struct upstream *u);
 
 #endif
--- a/test/unit_wait.c
+++ b/test/unit_wait.c
@@ -299,6 +299,80 @@
 	site_destroy(&s);
 }
 
+/*
+ * Let the upstream refuse the member of the gang that it was given, for lack
+ * of room, and stop the rest of the gang. Returns false if it has no member.
+ */
+static bool refuse_member(struct site *s, struct job *gang, struct upstream *u)
+{
+	struct stage *st = &gang->stages[0];
+	bool refused = false;
+
+	for (uint32_t i = 0; i < st->step->count; i++)
+		refused |= st->tasks[i].at == u;
+	if (!refused)
+		return false;
+	upstream_record_full(u, s->now_ms);
+	s->now_ms += STOP_MS;
+	for (uint32_t i = 0; i < st->step->count; i++)
+		task_end_run(&st->tasks[i],
+			     st->tasks[i].at == u ? RUN_NEVER_STARTED
+						  : RUN_STOPPED,
+			     NULL, s->now_ms);
+	return true;
+}
+
+/*
+ * An upstream has less room than it lists and refuses one member of a gang.
+ * Guards against a gang that is given to the same upstreams for ever, as the
+ * pause after a refusal has passed when the other members have stopped.
+ */
+static void test_gang_leaves_upstream_that_refuses_a_member(void **state)
+{
+	struct upstream *full;
+	uint64_t start_ms;
+	struct job *gang;
+	struct site s;
+
+	(void)state;
+	site_create(&s, 2 * RACK_SIZE);
+	gang = add_job(&s, 4, true);
+	run_pass(&s);
+	full = gang->stages[0].tasks[0].at;
+	start_ms = s.now_ms;
+	while (refuse_member(&s, gang, full) && s.now_ms < start_ms + 10000)
+		run_pass(&s);
+	assert_in_range(s.now_ms - start_ms, 0, IDLE_SITE_WAIT_MAX_MS);
+	assert_true(is_running(gang));
+	site_destroy(&s);
+}
+
+/* A full upstream is tried again soon after one refusal, or once it starts. */
+static void test_upstream_that_was_full_is_tried_again(void **state)
+{
+	struct upstream *u;
+	struct site s;
+	struct job *j;
+
+	(void)state;
+	site_create(&s, 1);
+	u = upstream_at(&s, 0);
+	j = add_job(&s, 1, false);
+	upstream_record_full(u, s.now_ms);
+	run_pass(&s);
+	assert_false(is_running(j));
+	s.now_ms += PASS_INTERVAL_MS;
+	run_pass(&s);
+	assert_true(is_running(j));
+	task_end_run(&j->stages[0].tasks[0], RUN_NEVER_STARTED, NULL, s.now_ms);
+	upstream_clear_refusals(u);
+	upstream_record_full(u, s.now_ms);
+	s.now_ms += PASS_INTERVAL_MS;
+	run_pass(&s);
+	assert_true(is_running(j));
+	site_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -311,6 +385,9 @@
 			test_failed_task_avoids_upstream_where_it_failed),
 		cmocka_unit_test(test_hopeless_jobs_do_not_hold_up_sound_work),
 		cmocka_unit_test(test_failing_upstreams_get_no_new_work),
+		cmocka_unit_test(
+			test_gang_leaves_upstream_that_refuses_a_member),
+		cmocka_unit_test(test_upstream_that_was_full_is_tried_again),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
