Keep runs that a restarted upstream may have started

Callers could get one task run twice at a time: a second run was started elsewhere while the first went on.

Cause: when an upstream's lists or entry showed a new start time, all of its runs counted as lost. An idle upstream is not called, so it may have restarted unnoticed and accepted a start, as orders name the upstream and not its incarnation; then its first lists ended the run that they themselves showed. A start order in flight was forgotten too, and could still be carried out.

Evidence: unit_session, test_run_started_after_unnoticed_restart_is_kept and test_start_in_flight_at_restart_is_settled_there, failed before: the task waited for its next run at once.

Change: a run survives the restart if the newer incarnation lists it, or if its start order is sent and not answered; the latter is settled by the order's answer or a stop. Such a job is recorded again, as the row names the incarnation, and the lease granted with the order counts. A confirmed run that is not listed is lost at once, as before (tested).

--- a/lead/leaseclock.c
+++ b/lead/leaseclock.c
@@ -34,7 +34,7 @@
  * Return the local time at which a lease of lease_ms granted now has ended
  * even if the upstream's clock runs slow.
  */
-static uint64_t latest_lease_end(uint32_t lease_ms, uint64_t now_ms)
+uint64_t lease_clock_latest_end(uint32_t lease_ms, uint64_t now_ms)
 {
 	return now_ms + lease_ms + lease_ms / (CLOCK_DRIFT_DIVISOR - 1) +
 	       ROUNDING_MARGIN_MS;
@@ -48,7 +48,7 @@
 void lease_clock_note_epoch_accepted(struct lease_clock *c, uint32_t lease_ms,
 				     uint64_t now_ms)
 {
-	uint64_t end = latest_lease_end(lease_ms, now_ms);
+	uint64_t end = lease_clock_latest_end(lease_ms, now_ms);
 
 	if (c->leases_end_ms > end)
 		c->leases_end_ms = end;
--- a/lead/leaseclock.h
+++ b/lead/leaseclock.h
@@ -27,6 +27,7 @@
 void lease_clock_note_timeout(struct lease_clock *c);
 uint64_t lease_clock_request(struct lease_clock *c, uint32_t lease_ms,
 			     uint64_t now_ms);
+uint64_t lease_clock_latest_end(uint32_t lease_ms, uint64_t now_ms);
 bool lease_clock_is_expired(const struct lease_clock *c, uint64_t now_ms);
 
 #endif
--- a/lead/model.c
+++ b/lead/model.c
@@ -280,36 +280,93 @@
 	return seen;
 }
 
+/* Report whether the lists of an answer show the newest run of t as running. */
+static bool is_listed(const struct task *t, const struct order_answer *lists)
+{
+	char name[TASK_NAME_BYTES];
+
+	task_format_name(t, name, sizeof(name));
+	for (uint32_t i = 0; lists && i < lists->running_len; i++)
+		if (lists->running[i].run == t->run &&
+		    !strcmp(lists->running[i].task, name))
+			return true;
+	return false;
+}
+
+/*
+ * Report whether the run of t may be active in a newer incarnation of its
+ * upstream than the one it was placed in: this leader has sent a start order
+ * that is not answered, or the newer incarnation lists the run.
+ */
+static bool may_run_after_restart(const struct task *t,
+				  const struct order_answer *lists)
+{
+	bool confirmed = t->confirmed_ms && t->confirmed_ms >= t->placed_ms;
+
+	return (t->sent && !t->inherited && !confirmed &&
+		!t->stop_answered_ms) ||
+	       is_listed(t, lists);
+}
+
+/* End these runs on u as lost, and free the list. */
+static void lose_runs(struct model *m, struct upstream *u, uint64_t now_ms,
+		      const char *why, GPtrArray *lost)
+{
+	log_fields(LOG_WARN, "upstream_lost", "{s:s,s:s,s:i}", "upstream",
+		   u->id, "why", why, "tasks", (int)lost->len);
+	for (guint i = 0; i < lost->len; i++) {
+		struct task *t = g_ptr_array_index(lost, i);
+
+		/* the end of one run may have completed its gang */
+		if (t->at == u)
+			end_task(m, t, RUN_UPSTREAM_GONE, NULL, u, now_ms);
+	}
+	g_ptr_array_free(lost, TRUE);
+}
+
 /* End all runs on u as lost: they ended with the upstream or its leases. */
 void model_lose_upstream(struct model *m, struct upstream *u, uint64_t now_ms,
 			 const char *why)
 {
-	log_fields(LOG_WARN, "upstream_lost", "{s:s,s:s,s:i}", "upstream",
-		   u->id, "why", why, "tasks", (int)u->tasks->len);
-	while (u->tasks->len)
-		end_task(m, g_ptr_array_index(u->tasks, 0), RUN_UPSTREAM_GONE,
-			 NULL, u, now_ms);
+	GPtrArray *lost = g_ptr_array_new();
+
+	for (guint i = 0; i < u->tasks->len; i++)
+		g_ptr_array_add(lost, g_ptr_array_index(u->tasks, i));
+	lose_runs(m, u, now_ms, why, lost);
 }
 
 /*
- * Apply the start time of u, which identifies its incarnation. Returns true
- * for a newer incarnation than the known one; the runs of the earlier one
- * are lost.
+ * Apply the start time of u, which identifies its incarnation; lists is the
+ * answer that shows it, or NULL. Returns true for a newer incarnation than the
+ * known one. The runs of the earlier one are lost, but for those that the newer
+ * one may have started; these must be recorded again, with the incarnation.
  */
 bool model_note_incarnation(struct model *m, struct upstream *u,
-			    uint64_t started_wall_ms, uint64_t now_ms)
+			    uint64_t started_wall_ms, uint64_t now_ms,
+			    const struct order_answer *lists)
 {
 	uint64_t before = u->started_wall_ms;
+	GPtrArray *lost;
 
 	if (started_wall_ms <= before)
 		return false;
 	u->started_wall_ms = started_wall_ms;
 	if (!before)
 		return true;
-	log_fields(LOG_INFO, "upstream_reborn", "{s:s,s:I,s:I}", "upstream",
+	lost = g_ptr_array_new();
+	for (guint i = 0; i < u->tasks->len; i++) {
+		struct task *t = g_ptr_array_index(u->tasks, i);
+
+		if (may_run_after_restart(t, lists))
+			t->stage->job->dirty = true;
+		else
+			g_ptr_array_add(lost, t);
+	}
+	log_fields(LOG_INFO, "upstream_reborn", "{s:s,s:I,s:I,s:i}", "upstream",
 		   u->id, "born", (json_int_t)started_wall_ms, "before",
-		   (json_int_t)before);
-	model_lose_upstream(m, u, now_ms, "restarted");
+		   (json_int_t)before, "kept",
+		   (int)(u->tasks->len - lost->len));
+	lose_runs(m, u, now_ms, "restarted", lost);
 	return true;
 }
 
@@ -328,7 +385,7 @@
 		u = fleet_add_upstream(m->fleet, upstream);
 		u->state = UPSTREAM_GONE;
 	}
-	model_note_incarnation(m, u, started_wall_ms, now_ms);
+	model_note_incarnation(m, u, started_wall_ms, now_ms, NULL);
 	if (u->started_wall_ms != started_wall_ms)
 		return; /* That incarnation has ended, and the run with it. */
 	task_place(t, u, t->run, now_ms);
--- a/lead/session.c
+++ b/lead/session.c
@@ -118,13 +118,21 @@
 					     : ORDER_RETRY_DELAY_MS);
 }
 
-/* Forget all that holds only for the upstream's previous incarnation. */
+/*
+ * Forget all that holds only for the upstream's previous incarnation. A run
+ * that the newer one may have started has a lease there.
+ */
 static void reset_incarnation(struct session *k)
 {
 	k->newest_end_seen = 0;
 	k->newest_end_in_write = 0;
 	k->newest_end_acknowledged = 0;
-	lease_clock_reset(&k->leases, 0);
+	lease_clock_reset(
+		&k->leases,
+		k->upstream->tasks->len
+			? lease_clock_latest_end(k->env->settings->lease_ms,
+						 clock_mono_ms())
+			: 0);
 	k->upstream->synced = false;
 }
 
@@ -185,7 +193,7 @@
 	timer_init(&k->order_retry_timer, on_retry_timer, k);
 	/* Recorded runs may belong to an earlier incarnation. */
 	model_note_incarnation(e->model, u, entry->started_wall_ms,
-			       clock_mono_ms());
+			       clock_mono_ms(), NULL);
 	set_address(k, &entry->address);
 	apply_entry(k, entry);
 	lease_clock_reset(&k->leases, e->earlier_leases_end_ms);
@@ -204,11 +212,15 @@
 	g_free(k);
 }
 
-/* Apply the upstream's start time; returns true for a new incarnation. */
-static bool note_incarnation(struct session *k, uint64_t started_wall_ms)
+/*
+ * Apply the upstream's start time; lists is the answer that shows it, or NULL.
+ * Returns true for a new incarnation.
+ */
+static bool note_incarnation(struct session *k, uint64_t started_wall_ms,
+			     const struct order_answer *lists)
 {
 	if (!model_note_incarnation(k->env->model, k->upstream, started_wall_ms,
-				    clock_mono_ms()))
+				    clock_mono_ms(), lists))
 		return false;
 	reset_incarnation(k);
 	k->env->events.model_changed(k->env->arg);
@@ -221,7 +233,7 @@
 	enum upstream_state before = k->upstream->state;
 
 	departure_note_listed(&k->departure);
-	note_incarnation(k, entry->started_wall_ms);
+	note_incarnation(k, entry->started_wall_ms, NULL);
 	if (entry->address.sin_addr.s_addr != k->address.sin_addr.s_addr ||
 	    entry->address.sin_port != k->address.sin_port)
 		set_address(k, &entry->address);
@@ -329,7 +341,7 @@
 /*
  * Apply what every answer says about the upstream itself. Returns false if
  * the rest of the answer must be ignored because the upstream refuses the
- * epoch, was replaced, or answered in another incarnation.
+ * epoch, was replaced, or lists the runs of another incarnation.
  */
 static bool note_answer(struct session *k, const struct order_answer *a)
 {
@@ -357,8 +369,8 @@
 	case ORDER_UNKNOWN:
 		break;
 	}
-	if (note_incarnation(k, a->started_wall_ms))
-		return false;
+	if (note_incarnation(k, a->started_wall_ms, a) && a->has_lists)
+		return false; /* It got a cursor of the earlier incarnation. */
 	if (a->started_wall_ms &&
 	    a->started_wall_ms < k->upstream->started_wall_ms)
 		return false; /* An earlier incarnation has answered. */
--- a/test/unit_lead.c
+++ b/test/unit_lead.c
@@ -408,12 +408,12 @@
 	row = run_encode(second.job);
 	decode_in_new_leader(&third, row);
 	free(row);
-	assert_false(
-		model_note_incarnation(third.model, third.upstream, 77, 4000));
+	assert_false(model_note_incarnation(third.model, third.upstream, 77,
+					    4000, NULL));
 	assert_ptr_equal(third.task->at, third.upstream);
 	/* None of its runs is active in a later incarnation. */
-	assert_true(
-		model_note_incarnation(third.model, third.upstream, 78, 4000));
+	assert_true(model_note_incarnation(third.model, third.upstream, 78,
+					   4000, NULL));
 	assert_null(third.task->at);
 	assert_int_equal(third.task->state, TASK_WAITING);
 	fixture_destroy(&first);
--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -334,6 +334,87 @@
 	fixture_destroy(&s);
 }
 
+/* Restart f: it runs nothing, under a newer start time. */
+static void restart(struct fake_upstream *f)
+{
+	f->born++;
+	f->running_len = 0;
+}
+
+/*
+ * An idle upstream has restarted unnoticed and starts a run. Guards against a
+ * second run elsewhere beside it, when its lists show the restart.
+ */
+static void test_run_started_after_unnoticed_restart_is_kept(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	open_session(&s, &f);
+	step_until(s.loop, &s.changes, 1000);
+	restart(&f);
+	s.changes = 0;
+	start_task(&s);
+	s.job->dirty = false;
+	step_until(s.loop, &s.changes, 1000);
+	assert_int_equal(s.upstream->started_wall_ms, f.born);
+	step_until(s.loop, NULL, 300);
+	assert_int_equal(s.task->state, TASK_RUNNING);
+	assert_int_equal(s.task->run, 1);
+	assert_int_equal(f.stops, 0);
+	/* its row names the incarnation, so it has to be written again */
+	assert_true(s.job->dirty);
+	fixture_destroy(&s);
+}
+
+/*
+ * The list shows a restart while a start order is in flight, which the newer
+ * incarnation may carry out. Guards against a second run elsewhere.
+ */
+static void test_start_in_flight_at_restart_is_settled_there(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	open_session(&s, &f);
+	step_until(s.loop, &s.changes, 1000);
+	f.mute = true;
+	start_task(&s);
+	step_until(s.loop, &f.starts, 1000);
+	restart(&f);
+	s.entry.started_wall_ms = f.born;
+	session_apply_entry(s.upstream->session, &s.entry);
+	assert_true(task_is_active(s.task));
+	f.mute = false;
+	assert_becomes(&s, TASK_RUNNING);
+	fixture_destroy(&s);
+}
+
+/* A run that was confirmed before a restart is lost with the first lists. */
+static void test_run_of_earlier_incarnation_is_lost(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	open_session(&s, &f);
+	step_until(s.loop, &s.changes, 1000);
+	start_task(&s);
+	assert_becomes(&s, TASK_RUNNING);
+	restart(&f);
+	assert_becomes(&s, TASK_WAITING);
+	assert_int_equal(s.upstream->tasks->len, 0);
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -342,6 +423,11 @@
 		cmocka_unit_test(test_stop_survives_change_of_address),
 		cmocka_unit_test(test_stop_decided_before_session_is_sent),
 		cmocka_unit_test(test_answer_that_ends_doubt_is_reported),
+		cmocka_unit_test(
+			test_run_started_after_unnoticed_restart_is_kept),
+		cmocka_unit_test(
+			test_start_in_flight_at_restart_is_settled_there),
+		cmocka_unit_test(test_run_of_earlier_incarnation_is_lost),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
