Record which run of a gang failed last

Callers could have a job shown as failed after fewer failed runs than its queue allows.

Cause: failures of one run of a gang count once, by the number of the run that failed last. That number was not in the rows: if one member's failure was recorded by one leader and another member's listed to the next, the run counted twice, and two attempts were used up by one run.

Evidence: unit_lead, test_gang_failure_counts_once_across_leaders, failed before with 2 failures in place of 1.

Change: the run row holds the number beside the count of failures; rows without it read as before.

--- a/lead/record.c
+++ b/lead/record.c
@@ -346,8 +346,9 @@
 		if (stage_has_started(st))
 			stage_encode(tasks, st, &incarnations);
 		json_array_append_new(
-			stages, json_pack("[I,s]", (json_int_t)st->failures,
-					  tasks->str));
+			stages,
+			json_pack("[I,s,I]", (json_int_t)st->failures,
+				  tasks->str, (json_int_t)st->failed_run));
 		g_string_free(tasks, TRUE);
 	}
 	v = json_pack("{s:s,s:I,s:o,s:o}", "state", job_state_name(j->state),
@@ -446,6 +447,8 @@
 			break;
 		j->stages[i].failures =
 			json_integer_value(json_array_get(item, 0));
+		j->stages[i].failed_run =
+			json_integer_value(json_array_get(item, 2));
 		stage_decode(&r, &j->stages[i], tasks ? tasks : "");
 	}
 	json_decref(v);
--- a/test/unit_lead.c
+++ b/test/unit_lead.c
@@ -498,6 +498,32 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * Two members of a gang's run fail, one under each of two leaders. Guards
+ * against a job that fails by counting one run twice.
+ */
+static void test_gang_failure_counts_once_across_leaders(void **state)
+{
+	struct fixture s, t;
+	char *row;
+
+	(void)state;
+	fixture_create(&s, 2, true);
+	task_end_run(s.task, RUN_FAILED, NULL, 2000);
+	row = run_encode(s.job);
+	fixture_create(&t, 2, true);
+	for (uint32_t i = 0; i < 2; i++)
+		task_end_run(job_find_task(t.job, 0, 0, i), RUN_NEVER_STARTED,
+			     NULL, 2000);
+	assert_true(run_decode(t.job, row, inherit_run, t.model));
+	assert_true(task_is_active(job_find_task(t.job, 0, 0, 1)));
+	task_end_run(job_find_task(t.job, 0, 0, 1), RUN_FAILED, NULL, 3000);
+	assert_int_equal(t.job->stages[0].failures, 1);
+	free(row);
+	fixture_destroy(&s);
+	fixture_destroy(&t);
+}
+
 static void apply_done(struct fixture *s, uint32_t run, GArray *strays)
 {
 	struct run_end_report end = {.number = 1,
@@ -794,6 +820,7 @@
 		cmocka_unit_test(
 			test_list_requested_in_confirmation_millisecond_keeps_run),
 		cmocka_unit_test(test_failures_of_one_gang_run_count_once),
+		cmocka_unit_test(test_gang_failure_counts_once_across_leaders),
 		cmocka_unit_test(test_run_done_during_silence_completes_task),
 		cmocka_unit_test(
 			test_repeated_run_of_completed_task_is_stopped),
