Send a recorded start although its job has changed since

Callers saw a wide job wait with decided starts that were not ordered.

Cause: after a write was committed, the starts of a job that had changed during it were put off to the next write, because the row of that job might not have been in the write. A job whose ends are listed during each write put its starts off for as long as the ends came; with a slow store that is each write.

Change: the list of starts (lead/starts.c, taken out of leader.c) knows which of them a write holds: those whose job was written, which is when it is not dirty any more. These are sent after the commit; the others wait for the next write, as before (tested).

--- a/lead/leader.c
+++ b/lead/leader.c
@@ -12,6 +12,7 @@
 #include "lead/session.h"
 #include "lead/leader.h"
 #include "lead/election.h"
+#include "lead/starts.h"
 #include "lead/succession.h"
 #include "lib/log.h"
 #include "sched/reach.h"
@@ -44,15 +45,6 @@
  */
 #define UPSTREAMS_POLL_DELAY_MS 150
 
-/*
- * A start order that waits until it is recorded. It names its task, as the
- * task may have been freed by then.
- */
-struct planned_start {
-	char task[TASK_NAME_BYTES];
-	uint32_t run;
-};
-
 struct leader {
 	struct leader_env env;
 	struct election *election;
@@ -74,10 +66,8 @@
 	/* No write is sent before this time, as the store is slow. */
 	uint64_t next_write_ms;
 	struct model *model;
-	/* Starts that are not in a write yet. */
-	GArray *planned_starts;
-	/* Starts that are in the write in flight. */
-	GArray *starts_in_write;
+	/* Starts that wait until they are recorded. */
+	struct starts *starts;
 	struct account_guarantee *guarantees;
 	uint32_t guarantees_len;
 	struct timer pass_timer;
@@ -114,8 +104,7 @@
 	}
 	model_destroy(d->model);
 	d->model = NULL;
-	g_array_set_size(d->planned_starts, 0);
-	g_array_set_size(d->starts_in_write, 0);
+	starts_clear(d->starts);
 }
 
 static void on_leadership_lost(void *arg, const char *why)
@@ -394,15 +383,15 @@
 /* Plan the start order of a placed run for the next write. */
 static void plan_start(struct leader *d, const struct action *a)
 {
-	struct planned_start s = {.run = a->task->run};
 	const struct job *j = a->task->stage->job;
+	char name[TASK_NAME_BYTES];
 	uint64_t now = clock_mono_ms();
 
-	task_format_name(a->task, s.task, sizeof(s.task));
-	g_array_append_val(d->planned_starts, s);
+	task_format_name(a->task, name, sizeof(name));
+	starts_plan(d->starts, a->task);
 	log_fields(
 		LOG_INFO, "start_decided", "{s:s,s:s,s:I,s:s,s:s,s:I,s:I,s:i}",
-		"job", j->id, "task", s.task, "run", (json_int_t)s.run,
+		"job", j->id, "task", name, "run", (json_int_t)a->task->run,
 		"upstream", a->u.to->id, "rack", a->u.to->rack, "waited_ms",
 		(json_int_t)(now - a->task->stage->since_ms), "age_ms",
 		(json_int_t)(now - j->since_ms), "priority", (int)j->priority);
@@ -555,7 +544,6 @@
 static void write_changes(struct leader *d)
 {
 	struct rows_tx *t = rows_tx_create(LEADER_PART);
-	GArray *starts = d->starts_in_write;
 	uint32_t n = 0;
 
 	/* A final state is recorded with the time at which it was reached. */
@@ -578,9 +566,7 @@
 				session_note_write_sent(u->session);
 		}
 	}
-	g_array_set_size(starts, 0);
-	d->starts_in_write = d->planned_starts;
-	d->planned_starts = starts;
+	starts_note_write_sent(d->starts, d->model);
 	election_commit(d->election, t);
 }
 
@@ -598,23 +584,16 @@
 /* Send the start orders that have been recorded. */
 static void send_recorded_starts(struct leader *d)
 {
-	for (guint i = 0; i < d->starts_in_write->len; i++) {
-		const struct planned_start *s = &g_array_index(
-			d->starts_in_write, struct planned_start, i);
-		struct task *t = model_find_task(d->model, s->task);
+	GPtrArray *tasks = starts_take_recorded(d->starts, d->model);
 
-		if (!t || t->run != s->run || t->state != TASK_PLACED ||
-		    t->sent)
-			continue;
-		if (t->stage->job->dirty) {
-			/* Its row may not be in this write: wait for the next. */
-			g_array_append_val(d->planned_starts, *s);
-			continue;
-		}
-		if (task_session(t))
+	for (guint i = 0; i < tasks->len; i++) {
+		struct task *t = g_ptr_array_index(tasks, i);
+
+		/* an order that fails at once may end others of its gang */
+		if (t->state == TASK_PLACED && !t->sent && task_session(t))
 			session_start_run(task_session(t), t);
 	}
-	g_array_set_size(d->starts_in_write, 0);
+	g_ptr_array_free(tasks, TRUE);
 }
 
 static void on_write_committed(void *arg)
@@ -759,10 +738,7 @@
 				     .write_due = on_write_due};
 
 	d->env = *e;
-	d->planned_starts =
-		g_array_new(FALSE, FALSE, sizeof(struct planned_start));
-	d->starts_in_write =
-		g_array_new(FALSE, FALSE, sizeof(struct planned_start));
+	d->starts = starts_create();
 	d->election = election_create(
 		e->loop, e->rows, e->counters, e->settings->instance,
 		e->incarnation, succession_claim_delay_ms(e->strength), &ev, d);
@@ -777,8 +753,7 @@
 		return;
 	stop_leading(d);
 	election_destroy(d->election);
-	g_array_unref(d->planned_starts);
-	g_array_unref(d->starts_in_write);
+	starts_destroy(d->starts);
 	g_free(d->guarantees);
 	g_free(d);
 }
