Write changed jobs in turn when a write cannot hold them all

Callers saw jobs whose starts were decided and not ordered while the store was slow.

If as many older jobs change during each write, as their tasks end, the rows of newer jobs, and with them their starts, wait until the older ones are over.

Change: a write that cannot hold all changed jobs begins where the last such write stopped.

--- a/lead/leader.c
+++ b/lead/leader.c
@@ -544,19 +544,18 @@
 static void write_changes(struct leader *d)
 {
 	struct rows_tx *t = rows_tx_create(LEADER_PART);
-	uint32_t n = 0;
+	GPtrArray *jobs;
+	bool all;
 
 	/* A final state is recorded with the time at which it was reached. */
 	model_update_job_states(d->model, replica_store_clock_ms(d->env.jobs));
-	for (guint i = 0; i < d->model->job_list->len; i++) {
-		struct job *j = g_ptr_array_index(d->model->job_list, i);
-
-		if (j->dirty && n++ < JOBS_PER_WRITE_MAX)
-			put_job_rows(t, j);
-	}
+	jobs = model_choose_dirty_jobs(d->model, JOBS_PER_WRITE_MAX, &all);
+	for (guint i = 0; i < jobs->len; i++)
+		put_job_rows(t, g_ptr_array_index(jobs, i));
+	g_ptr_array_free(jobs, TRUE);
 	/* A write that lacks a changed job has no room for removals and does
 	 * not cover all ends that were seen. */
-	if (n <= JOBS_PER_WRITE_MAX) {
+	if (all) {
 		remove_expired_rows(d, t);
 		for (guint i = 0; i < d->model->fleet->list->len; i++) {
 			struct upstream *u =
--- a/lead/model.c
+++ b/lead/model.c
@@ -99,6 +99,32 @@
 		model_apply_queue_policy(g_ptr_array_index(m->job_list, i), p);
 }
 
+/*
+ * Return up to max of the jobs that differ from their rows, in turn over the
+ * calls; free with g_ptr_array_free. Sets *all to whether these are all.
+ */
+GPtrArray *model_choose_dirty_jobs(struct model *m, uint32_t max, bool *all)
+{
+	GPtrArray *chosen = g_ptr_array_new();
+	guint from = m->write_from, len = m->job_list->len;
+
+	*all = true;
+	for (guint i = 0; i < len; i++) {
+		guint at = (from + i) % len;
+		struct job *j = g_ptr_array_index(m->job_list, at);
+
+		if (!j->dirty)
+			continue;
+		if (chosen->len == max) {
+			m->write_from = at;
+			*all = false;
+			break;
+		}
+		g_ptr_array_add(chosen, j);
+	}
+	return chosen;
+}
+
 /*
  * Update the states of all jobs. A job that is over is marked for a
  * last write once none of its runs is active.
--- a/lead/model.h
+++ b/lead/model.h
@@ -16,6 +16,8 @@
 	GHashTable *jobs;
 	/* The same jobs as a list. A job stays until its rows are removed. */
 	GPtrArray *job_list;
+	/* index in job_list at which the next write begins */
+	guint write_from;
 	struct fleet *fleet;
 	struct estimator *estimator;
 };
@@ -34,6 +36,7 @@
 struct task *model_find_task(const struct model *m, const char *name);
 void model_apply_queue_policy(struct job *j, const struct policy *p);
 void model_apply_policy(struct model *m, const struct policy *p);
+GPtrArray *model_choose_dirty_jobs(struct model *m, uint32_t max, bool *all);
 void model_update_job_states(struct model *m, uint64_t store_now_ms);
 
 uint64_t model_apply_lists(struct model *m, struct upstream *u,
--- a/test/unit_starts.c
+++ b/test/unit_starts.c
@@ -1,9 +1,11 @@
-/* Tests of when a start that was decided is ordered. */
+/* Tests of what a write records and of when a start is ordered. */
 #include <stdarg.h>
 #include <stddef.h>
 #include <setjmp.h>
 #include <stdint.h>
 #include <cmocka.h>
+#include <stdio.h>
+#include <stdlib.h>
 
 #include "lead/starts.h"
 
@@ -125,6 +127,68 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * More jobs change between two writes than a write holds. Guards against later
+ * jobs that wait until the earlier ones stop changing.
+ */
+static void test_every_changed_job_is_written_in_turn(void **state)
+{
+	struct model *m = model_create();
+	uint32_t written[10] = {0};
+
+	(void)state;
+	for (uint32_t i = 0; i < 10; i++) {
+		char id[JOB_ID_BYTES];
+		struct job *j;
+
+		snprintf(id, sizeof(id), "%016x", i);
+		j = job_create(id);
+		job_add_step(j)->count = 1;
+		job_create_stages(j);
+		model_add_job(m, j);
+	}
+	for (uint32_t n = 0; n < 5; n++) {
+		GPtrArray *list;
+		bool all;
+
+		for (guint i = 0; i < 10; i++)
+			((struct job *)g_ptr_array_index(m->job_list, i))
+				->dirty = true;
+		list = model_choose_dirty_jobs(m, 4, &all);
+		assert_false(all);
+		assert_int_equal(list->len, 4);
+		for (guint i = 0; i < list->len; i++)
+			written[atoi(((struct job *)g_ptr_array_index(list, i))
+					     ->id)]++;
+		g_ptr_array_free(list, TRUE);
+	}
+	for (uint32_t i = 0; i < 10; i++)
+		assert_int_equal(written[i], 2);
+	model_destroy(m);
+}
+
+/* A write that holds all changed jobs says so, and holds none twice. */
+static void test_write_with_room_holds_all_changed_jobs(void **state)
+{
+	struct fixture s;
+	GPtrArray *list;
+	bool all;
+
+	(void)state;
+	fixture_create(&s, 1);
+	s.job->dirty = true;
+	list = model_choose_dirty_jobs(s.model, 4, &all);
+	assert_true(all);
+	assert_int_equal(list->len, 1);
+	g_ptr_array_free(list, TRUE);
+	s.job->dirty = false;
+	list = model_choose_dirty_jobs(s.model, 4, &all);
+	assert_true(all);
+	assert_int_equal(list->len, 0);
+	g_ptr_array_free(list, TRUE);
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -134,6 +198,8 @@
 		cmocka_unit_test(
 			test_start_decided_during_write_waits_for_next),
 		cmocka_unit_test(test_start_of_ended_run_is_forgotten),
+		cmocka_unit_test(test_every_changed_job_is_written_in_turn),
+		cmocka_unit_test(test_write_with_room_holds_all_changed_jobs),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
