Log what holds up a stage while its service is mostly free

Operators could not tell from the logs why a job with nothing running waited on an idle site: stage_waits named preemption only, as too_late or not_urgent, and the backoff of an upstream was in no record.

Change: a stage that has waited for 1.5 s while at most half of its service is in use is explained by what holds it up: no listed upstream could hold it, it would fit on upstreams that get no new work, or others reserve the room. The reason is logged when it changes (tested in unit_wait: once in 5 s of passes). upstream_failing says that an upstream enters the backoff after failed runs.

--- a/lead/model.c
+++ b/lead/model.c
@@ -141,6 +141,20 @@
 	}
 }
 
+/* Count a failed run of j on u, and log when that begins a backoff. */
+static void record_failure(struct upstream *u, const struct job *j,
+			   uint64_t now_ms)
+{
+	bool before = u->failing_until_ms > now_ms;
+
+	upstream_record_failure(u, j, now_ms);
+	if (!before && u->failing_until_ms > now_ms)
+		log_fields(LOG_INFO, "upstream_failing", "{s:s,s:i,s:I}",
+			   "upstream", u->id, "jobs",
+			   (int)u->consecutive_failures, "backoff_ms",
+			   (json_int_t)(u->failing_until_ms - now_ms));
+}
+
 /* End the active run of t on u, log it, and update the statistics. */
 static void end_task(struct model *m, struct task *t, enum run_end end_reason,
 		     const char *checkpoint, struct upstream *u,
@@ -159,7 +173,7 @@
 			   : (json_int_t)-1,
 		   "stopping", t->state == TASK_STOPPING);
 	if (end_reason == RUN_FAILED)
-		upstream_record_failure(u, t->stage->job, now_ms);
+		record_failure(u, t->stage->job, now_ms);
 	if (end_reason == RUN_DONE) {
 		upstream_record_success(u);
 		if (!t->checkpoint && !t->inherited)
--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -7,13 +7,15 @@
 
 #include "sched/dispatch.h"
 #include "sched/evict.h"
+#include "sched/wait.h"
 
 /* A gang reserves resources after it has waited this long. */
 #define RESERVE_AFTER_MS 300
 
 /*
  * Maximum time for which a gang waits for one rack while its service is mostly
- * free: the faster run on one rack is not worth an idle site.
+ * free: the faster run on one rack is not worth an idle site. A stage that has
+ * waited for longer there is also explained.
  */
 #define RACK_WAIT_MAX_MS 1500
 
@@ -330,12 +332,40 @@
 	pack_deduct_chosen(&p->pack);
 }
 
+/* Return since when st waits: when it became ready, or its newest run ended. */
+static uint64_t waiting_since_ms(const struct stage *st)
+{
+	uint64_t since_ms = st->since_ms;
+
+	for (uint32_t i = 0; i < st->step->count; i++)
+		since_ms = MAX(since_ms, st->tasks[i].ended_ms);
+	return since_ms;
+}
+
+/*
+ * Return what holds up a stage that waits for reason w, if it has waited for
+ * long although its service is mostly free; otherwise w.
+ */
+static enum wait_reason explain_wait(struct pass *p, struct stage *st,
+				     enum wait_reason w)
+{
+	uint32_t want = st->step->gang ? st->step->count : 1;
+	enum wait_reason found;
+
+	if (w == WAIT_STOPS ||
+	    p->input->now_ms < waiting_since_ms(st) + RACK_WAIT_MAX_MS ||
+	    !pack_service_is_mostly_free(&p->pack, st->job->service_quark))
+		return w;
+	found = wait_explain(&p->pack, st, want);
+	return found == WAIT_NONE ? w : found;
+}
+
 /* Note why st waits; the caller is told when that changes. */
 static void note_wait(struct pass *p, struct stage *st, enum wait_reason w)
 {
-	struct action a = {
-		.tag = ACTION_WAIT, .task = &st->tasks[0], .u.wait = w};
+	struct action a = {.tag = ACTION_WAIT, .task = &st->tasks[0]};
 
+	a.u.wait = w = explain_wait(p, st, w);
 	if (st->wait_reason == w)
 		return;
 	st->wait_reason = w;
@@ -460,16 +490,6 @@
 	}
 }
 
-/* Return since when st waits: when it became ready, or its newest run ended. */
-static uint64_t waiting_since_ms(const struct stage *st)
-{
-	uint64_t since_ms = st->since_ms;
-
-	for (uint32_t i = 0; i < st->step->count; i++)
-		since_ms = MAX(since_ms, st->tasks[i].ended_ms);
-	return since_ms;
-}
-
 /*
  * Start a gang across racks that has waited for long for one rack of a service
  * that is mostly free. Returns false if nothing starts.
--- a/sched/job.c
+++ b/sched/job.c
@@ -546,6 +546,12 @@
 		return "loss";
 	case WAIT_PLAN_LATER:
 		return "plan_later";
+	case WAIT_NO_UPSTREAM:
+		return "no_upstream";
+	case WAIT_AVOIDED:
+		return "avoided";
+	case WAIT_RESERVED:
+		return "reserved";
 	}
 	return "";
 }
--- a/sched/job.h
+++ b/sched/job.h
@@ -118,6 +118,10 @@
 	WAIT_TOO_LATE,	 /* preemption for it gains nothing any more */
 	WAIT_LOSS,	 /* no preemption loses less than it gains */
 	WAIT_PLAN_LATER, /* a preemption plan has failed recently */
+	/* while its service is mostly free: */
+	WAIT_NO_UPSTREAM, /* no listed upstream could hold a task of it */
+	WAIT_AVOIDED,	  /* it would fit on upstreams that get no new work */
+	WAIT_RESERVED,	  /* it would fit on what is reserved for others */
 };
 
 /* Values computed in one scheduling pass and valid for that pass only. */
--- /dev/null
+++ b/sched/wait.h
@@ -0,0 +1,10 @@
+/* Why a stage waits on a service that is mostly free. */
+#ifndef SCHED_WAIT_H
+#define SCHED_WAIT_H
+
+#include "sched/pack.h"
+
+enum wait_reason wait_explain(struct pack *p, const struct stage *st,
+			      uint32_t want);
+
+#endif
--- a/test/unit_wait.c
+++ b/test/unit_wait.c
@@ -24,6 +24,7 @@
 	GPtrArray *jobs;
 	uint64_t now_ms;
 	uint32_t number;
+	uint32_t waits; /* reasons to wait that were reported */
 };
 
 static void site_create(struct site *s, uint32_t upstreams)
@@ -126,6 +127,7 @@
 
 		if (a->tag == ACTION_START)
 			task_confirm(a->task, s->now_ms);
+		s->waits += a->tag == ACTION_WAIT;
 	}
 	g_array_unref(actions);
 }
@@ -373,6 +375,64 @@
 	site_destroy(&s);
 }
 
+/* No upstream has the label: that is reported, once. */
+static void test_stage_without_upstream_is_reported_once(void **state)
+{
+	struct site s;
+	struct job *j;
+
+	(void)state;
+	site_create(&s, RACK_SIZE);
+	j = add_job(&s, 1, false);
+	g_strlcpy(j->steps[0].label, "b", LABEL_BYTES);
+	j->steps[0].label_quark = g_quark_from_string("b");
+	wait_until_running(&s, j, 1000);
+	s.waits = 0;
+	wait_until_running(&s, j, 5000);
+	assert_int_equal(j->stages[0].wait_reason, WAIT_NO_UPSTREAM);
+	assert_int_equal(s.waits, 1);
+	site_destroy(&s);
+}
+
+/* All upstreams are silent: that is reported, once, until one is back. */
+static void test_stage_on_avoided_upstreams_is_reported_once(void **state)
+{
+	struct site s;
+	struct job *j;
+
+	(void)state;
+	site_create(&s, RACK_SIZE);
+	for (uint32_t i = 0; i < RACK_SIZE; i++)
+		upstream_avoid_for(upstream_at(&s, i), 60000, s.now_ms);
+	j = add_job(&s, 1, false);
+	wait_until_running(&s, j, 1000);
+	s.waits = 0;
+	wait_until_running(&s, j, 5000);
+	assert_int_equal(j->stages[0].wait_reason, WAIT_AVOIDED);
+	assert_int_equal(s.waits, 1);
+	upstream_at(&s, 3)->avoid_until_ms = 0;
+	run_pass(&s);
+	assert_true(is_running(j));
+	assert_int_equal(j->stages[0].wait_reason, WAIT_NONE);
+	site_destroy(&s);
+}
+
+/* What waits for the work that runs is not explained otherwise. */
+static void test_stage_on_full_site_waits_for_resources(void **state)
+{
+	struct site s;
+	struct job *j;
+
+	(void)state;
+	site_create(&s, RACK_SIZE);
+	for (uint32_t i = 0; i < RACK_SIZE; i++)
+		occupy(&s, i);
+	j = add_job(&s, 1, false);
+	wait_until_running(&s, j, 5000);
+	assert_int_equal(j->stages[0].wait_reason, WAIT_NOT_URGENT);
+	site_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -388,6 +448,10 @@
 		cmocka_unit_test(
 			test_gang_leaves_upstream_that_refuses_a_member),
 		cmocka_unit_test(test_upstream_that_was_full_is_tried_again),
+		cmocka_unit_test(test_stage_without_upstream_is_reported_once),
+		cmocka_unit_test(
+			test_stage_on_avoided_upstreams_is_reported_once),
+		cmocka_unit_test(test_stage_on_full_site_waits_for_resources),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
