Measure how busy a service is by processors and accelerators

Callers saw a gang wait for a rack while half of the processors and accelerators were idle, because work with much memory ran beside it.

Cause: the rule that lets gangs span racks on a site that is mostly free asked for at most half of the memory in use as well. Tasks that take half of an upstream's memory make a site look busy that is idle otherwise.

Evidence: unit_wait, test_memory_in_use_does_not_make_site_busy, failed before: the gang did not start within the 10 s that the test plays.

Change: memory does not count.

--- a/sched/pack.c
+++ b/sched/pack.c
@@ -356,8 +356,9 @@
 }
 
 /*
- * Report whether at most half of each resource of the service was in use when
- * this was first asked in the pass.
+ * Report whether at most half of the service's processors and of its
+ * accelerators was in use when this was first asked in the pass. Memory does
+ * not count: a few tasks may take it all and leave the rest idle.
  */
 bool pack_service_is_mostly_free(struct pack *p, GQuark service)
 {
@@ -366,9 +367,9 @@
 	if (p->measured_service == service)
 		return p->mostly_free;
 	sum_service(p, service, &used, &all);
-	resources_add(&used, &used, 1);
 	p->measured_service = service;
-	p->mostly_free = resources_contain(&all, &used);
+	p->mostly_free = 2 * used.cpu_milli <= all.cpu_milli &&
+			 2 * used.accelerators <= all.accelerators;
 	return p->mostly_free;
 }
 
--- a/test/unit_wait.c
+++ b/test/unit_wait.c
@@ -164,6 +164,27 @@
 	site_destroy(&s);
 }
 
+/*
+ * Work with much memory takes most of the site's memory and little else. Guards
+ * against a gang that waits for a rack beside idle processors.
+ */
+static void test_memory_in_use_does_not_make_site_busy(void **state)
+{
+	struct site s;
+	struct job *gang;
+
+	(void)state;
+	site_create(&s, 4 * RACK_SIZE);
+	for (uint32_t r = 0; r < 4; r++)
+		occupy(&s, r * RACK_SIZE);
+	for (uint32_t i = 0; i < 4 * RACK_SIZE; i++)
+		upstream_at(&s, i)->used.memory_mb += 40000;
+	gang = add_job(&s, RACK_SIZE, true);
+	assert_in_range(wait_until_running(&s, gang, 10000), 500,
+			IDLE_SITE_WAIT_MAX_MS);
+	site_destroy(&s);
+}
+
 /* On a site that is mostly in use, a gang goes on waiting for a rack. */
 static void test_gang_waits_for_rack_of_busy_site(void **state)
 {
@@ -437,6 +458,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_gang_spans_racks_of_idle_site),
+		cmocka_unit_test(test_memory_in_use_does_not_make_site_busy),
 		cmocka_unit_test(test_gang_waits_for_rack_of_busy_site),
 		cmocka_unit_test(test_gang_takes_rack_that_becomes_free),
 		cmocka_unit_test(
