--- a/lead/session.c
+++ b/lead/session.c
@@ -46,10 +46,9 @@
 #define ENTRY_TIMEOUT_HEARTBEATS 2
 /*
  * Time for which no work is placed on an upstream that did not answer or
- * reported itself unhealthy, and on one that was full.
+ * reported itself unhealthy.
  */
 #define AVOID_SILENT_MS 1000
-#define AVOID_FULL_MS 100
 
 struct session {
 	const struct session_env *env;
@@ -119,16 +118,43 @@
 					     : ORDER_RETRY_DELAY_MS);
 }
 
-/* Forget all that holds only for the upstream's previous incarnation. */
+/*
+ * Forget all that holds only for the upstream's previous incarnation. A run
+ * that the newer one may have started has a lease there.
+ */
 static void reset_incarnation(struct session *k)
 {
 	k->newest_end_seen = 0;
 	k->newest_end_in_write = 0;
 	k->newest_end_acknowledged = 0;
-	lease_clock_reset(&k->leases, 0);
+	lease_clock_reset(
+		&k->leases,
+		k->upstream->tasks->len
+			? lease_clock_latest_end(k->env->settings->lease_ms,
+						 clock_mono_ms())
+			: 0);
 	k->upstream->synced = false;
 }
 
+/*
+ * Send the orders again whose answers will not arrive: their calls were
+ * cancelled, or they were decided before the session began. Starts that an
+ * earlier leader has sent are settled by the lists.
+ */
+static void retry_orders(struct session *k)
+{
+	for (guint i = 0; i < k->upstream->tasks->len; i++) {
+		struct task *t = g_ptr_array_index(k->upstream->tasks, i);
+
+		if (t->state == TASK_PLACED && t->sent && !t->inherited) {
+			t->uncertain = true;
+			schedule_order_retry(k, t);
+		} else if (t->state == TASK_STOPPING && !t->stop_answered_ms) {
+			schedule_order_retry(k, t);
+		}
+	}
+}
+
 /* Use this address from now on; calls in flight are cancelled. */
 static void set_address(struct session *k, const struct sockaddr_in *at)
 {
@@ -136,6 +162,7 @@
 	orders_destroy(k->orders);
 	k->call_in_flight = false;
 	k->orders = orders_create(k->env->http, k->upstream->id, at);
+	retry_orders(k);
 }
 
 static void apply_entry(struct session *k, const struct upstream_entry *e)
@@ -144,6 +171,8 @@
 	uint64_t now = clock_mono_ms();
 
 	upstream_describe(u, e->service, e->domain, e->kind, e->rack);
+	if (memcmp(&u->resources, &e->resources, sizeof(u->resources)))
+		upstream_clear_refusals(u);
 	u->resources = e->resources;
 	u->state = e->draining ? UPSTREAM_DRAINING : UPSTREAM_READY;
 	if (e->draining && e->drain_remaining_ms)
@@ -164,7 +193,7 @@
 	timer_init(&k->order_retry_timer, on_retry_timer, k);
 	/* Recorded runs may belong to an earlier incarnation. */
 	model_note_incarnation(e->model, u, entry->started_wall_ms,
-			       clock_mono_ms());
+			       clock_mono_ms(), NULL);
 	set_address(k, &entry->address);
 	apply_entry(k, entry);
 	lease_clock_reset(&k->leases, e->earlier_leases_end_ms);
@@ -183,11 +212,15 @@
 	g_free(k);
 }
 
-/* Apply the upstream's start time; returns true for a new incarnation. */
-static bool note_incarnation(struct session *k, uint64_t started_wall_ms)
+/*
+ * Apply the upstream's start time; lists is the answer that shows it, or NULL.
+ * Returns true for a new incarnation.
+ */
+static bool note_incarnation(struct session *k, uint64_t started_wall_ms,
+			     const struct order_answer *lists)
 {
 	if (!model_note_incarnation(k->env->model, k->upstream, started_wall_ms,
-				    clock_mono_ms()))
+				    clock_mono_ms(), lists))
 		return false;
 	reset_incarnation(k);
 	k->env->events.model_changed(k->env->arg);
@@ -200,7 +233,7 @@
 	enum upstream_state before = k->upstream->state;
 
 	departure_note_listed(&k->departure);
-	note_incarnation(k, entry->started_wall_ms);
+	note_incarnation(k, entry->started_wall_ms, NULL);
 	if (entry->address.sin_addr.s_addr != k->address.sin_addr.s_addr ||
 	    entry->address.sin_port != k->address.sin_port)
 		set_address(k, &entry->address);
@@ -308,7 +341,7 @@
 /*
  * Apply what every answer says about the upstream itself. Returns false if
  * the rest of the answer must be ignored because the upstream refuses the
- * epoch, was replaced, or answered in another incarnation.
+ * epoch, was replaced, or lists the runs of another incarnation.
  */
 static bool note_answer(struct session *k, const struct order_answer *a)
 {
@@ -336,8 +369,8 @@
 	case ORDER_UNKNOWN:
 		break;
 	}
-	if (note_incarnation(k, a->started_wall_ms))
-		return false;
+	if (note_incarnation(k, a->started_wall_ms, a) && a->has_lists)
+		return false; /* It got a cursor of the earlier incarnation. */
 	if (a->started_wall_ms &&
 	    a->started_wall_ms < k->upstream->started_wall_ms)
 		return false; /* An earlier incarnation has answered. */
@@ -347,14 +380,6 @@
 	return true;
 }
 
-/* Place no new work on the upstream for ms milliseconds. */
-static void avoid_upstream_for(struct session *k, uint32_t ms)
-{
-	uint64_t until = clock_mono_ms() + ms;
-
-	k->upstream->avoid_until_ms = MAX(k->upstream->avoid_until_ms, until);
-}
-
 static void mark_lost(struct session *k, const char *why)
 {
 	model_lose_upstream(k->env->model, k->upstream, clock_mono_ms(), why);
@@ -378,7 +403,7 @@
 			   (json_int_t)k->leases.leases_end_ms -
 				   (json_int_t)now);
 	lease_clock_note_timeout(&k->leases);
-	avoid_upstream_for(k, AVOID_SILENT_MS);
+	upstream_avoid_for(k->upstream, AVOID_SILENT_MS, now);
 	/* A call sent before the leases ended proves nothing: this process
 	 * may have been suspended meanwhile, and the upstream still lists how
 	 * its runs ended. */
@@ -397,7 +422,7 @@
 	struct session *k = arg;
 	const struct session_env *env = k->env;
 	uint64_t before = k->newest_end_seen;
-	bool synced = k->upstream->synced;
+	bool usable = k->upstream->synced && !k->upstream->doubted;
 
 	k->call_in_flight = false;
 	if (!note_answer(k, a)) {
@@ -422,7 +447,7 @@
 			    k->newest_end_seen > k->newest_end_acknowledged
 				    ? RECORD_WAIT_MAX_MS
 				    : 0);
-	if (k->newest_end_seen != before || !synced)
+	if (k->newest_end_seen != before || !usable)
 		env->events.model_changed(env->arg);
 }
 
@@ -500,12 +525,13 @@
 {
 	switch (outcome) {
 	case ORDER_NO_CAPACITY:
-		avoid_upstream_for(k, AVOID_FULL_MS);
+		upstream_record_full(k->upstream, clock_mono_ms());
 		break;
 	case ORDER_UNAVAILABLE:
 	case ORDER_UNKNOWN:
 	case ORDER_NOT_SENT:
-		avoid_upstream_for(k, AVOID_SILENT_MS);
+		upstream_avoid_for(k->upstream, AVOID_SILENT_MS,
+				   clock_mono_ms());
 		break;
 	case ORDER_DONE:
 	case ORDER_STALE_EPOCH:
@@ -528,6 +554,7 @@
 	case DELIVERY_NONE:
 		break;
 	case DELIVERY_CONFIRMED:
+		upstream_clear_refusals(k->upstream);
 		task_confirm(t, now);
 		latency_add(k->env->counters, "start",
 			    (now - t->placed_ms) * 1000);
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -27,15 +27,17 @@
 	uint64_t leaves_ms; /* earliest departure when draining; 0: unknown */
 	struct resources resources;
 	struct resources used;
-	GPtrArray *tasks;	 /* active tasks */
-	uint64_t avoid_until_ms; /* end of the backoff after failures */
-	uint64_t heard_ms;	 /* newest answer; 0: none yet */
-	bool silent;		 /* the last call was not answered */
-	bool doubted;		 /* its failure domain seems cut off */
+	GPtrArray *tasks;	   /* active tasks */
+	uint64_t avoid_until_ms;   /* end of the backoff after failed orders */
+	uint64_t failing_until_ms; /* end of the backoff after failed runs */
+	uint64_t heard_ms;	   /* newest answer; 0: none yet */
+	bool silent;		   /* the last call was not answered */
+	bool doubted;		   /* its failure domain seems cut off */
 	/* start of the current slow period; 0: not slow */
 	uint64_t slow_since_ms;
 	uint64_t slow_until_ms;	       /* treated as slow until this time */
 	uint32_t consecutive_failures; /* counts distinct jobs in a row */
+	uint32_t consecutive_refusals; /* for lack of room */
 	/* only compared, never dereferenced */
 	const struct job *last_failed_job;
 	void *session;	     /* owned by the code that calls the upstream */
@@ -87,5 +89,8 @@
 void upstream_record_failure(struct upstream *u, const struct job *j,
 			     uint64_t now_ms);
 void upstream_record_success(struct upstream *u);
+void upstream_avoid_for(struct upstream *u, uint32_t ms, uint64_t now_ms);
+void upstream_record_full(struct upstream *u, uint64_t now_ms);
+void upstream_clear_refusals(struct upstream *u);
 
 #endif
--- a/test/unit_wait.c
+++ b/test/unit_wait.c
@@ -24,6 +24,7 @@
 	GPtrArray *jobs;
 	uint64_t now_ms;
 	uint32_t number;
+	uint32_t waits; /* reasons to wait that were reported */
 };
 
 static void site_create(struct site *s, uint32_t upstreams)
@@ -126,6 +127,7 @@
 
 		if (a->tag == ACTION_START)
 			task_confirm(a->task, s->now_ms);
+		s->waits += a->tag == ACTION_WAIT;
 	}
 	g_array_unref(actions);
 }
@@ -162,6 +164,27 @@
 	site_destroy(&s);
 }
 
+/*
+ * Work with much memory takes most of the site's memory and little else. Guards
+ * against a gang that waits for a rack beside idle processors.
+ */
+static void test_memory_in_use_does_not_make_site_busy(void **state)
+{
+	struct site s;
+	struct job *gang;
+
+	(void)state;
+	site_create(&s, 4 * RACK_SIZE);
+	for (uint32_t r = 0; r < 4; r++)
+		occupy(&s, r * RACK_SIZE);
+	for (uint32_t i = 0; i < 4 * RACK_SIZE; i++)
+		upstream_at(&s, i)->used.memory_mb += 40000;
+	gang = add_job(&s, RACK_SIZE, true);
+	assert_in_range(wait_until_running(&s, gang, 10000), 500,
+			IDLE_SITE_WAIT_MAX_MS);
+	site_destroy(&s);
+}
+
 /* On a site that is mostly in use, a gang goes on waiting for a rack. */
 static void test_gang_waits_for_rack_of_busy_site(void **state)
 {
@@ -250,16 +273,207 @@
 	site_destroy(&s);
 }
 
+/* Let several hopeless jobs fail on this upstream, one after the other. */
+static void fail_jobs_on(struct site *s, struct upstream *u)
+{
+	static const struct job hopeless[6];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(hopeless); i++)
+		upstream_record_failure(u, &hopeless[i], s->now_ms);
+}
+
+/*
+ * Hopeless jobs have failed on every upstream. Guards against a backoff of the
+ * whole site, in which sound work waits for what others have done.
+ */
+static void test_hopeless_jobs_do_not_hold_up_sound_work(void **state)
+{
+	struct site s;
+	struct job *j;
+
+	(void)state;
+	site_create(&s, 3 * RACK_SIZE);
+	for (uint32_t i = 0; i < 3 * RACK_SIZE; i++)
+		fail_jobs_on(&s, upstream_at(&s, i));
+	j = add_job(&s, 4, false);
+	run_pass(&s);
+	assert_true(is_running(j));
+	site_destroy(&s);
+}
+
+/* A few upstreams on which different jobs fail get no new work for a while. */
+static void test_failing_upstreams_get_no_new_work(void **state)
+{
+	struct site s;
+	struct job *j;
+
+	(void)state;
+	site_create(&s, 3 * RACK_SIZE);
+	for (uint32_t i = 0; i < RACK_SIZE; i++)
+		fail_jobs_on(&s, upstream_at(&s, i));
+	j = add_job(&s, 3 * RACK_SIZE, false);
+	run_pass(&s);
+	assert_int_equal(stage_waiting_count(&j->stages[0]), RACK_SIZE);
+	for (uint32_t i = 0; i < RACK_SIZE; i++)
+		assert_int_equal(upstream_at(&s, i)->tasks->len, 0);
+	s.now_ms += 12000;
+	run_pass(&s);
+	assert_true(is_running(j));
+	site_destroy(&s);
+}
+
+/*
+ * Let the upstream refuse the member of the gang that it was given, for lack
+ * of room, and stop the rest of the gang. Returns false if it has no member.
+ */
+static bool refuse_member(struct site *s, struct job *gang, struct upstream *u)
+{
+	struct stage *st = &gang->stages[0];
+	bool refused = false;
+
+	for (uint32_t i = 0; i < st->step->count; i++)
+		refused |= st->tasks[i].at == u;
+	if (!refused)
+		return false;
+	upstream_record_full(u, s->now_ms);
+	s->now_ms += STOP_MS;
+	for (uint32_t i = 0; i < st->step->count; i++)
+		task_end_run(&st->tasks[i],
+			     st->tasks[i].at == u ? RUN_NEVER_STARTED
+						  : RUN_STOPPED,
+			     NULL, s->now_ms);
+	return true;
+}
+
+/*
+ * An upstream has less room than it lists and refuses one member of a gang.
+ * Guards against a gang that is given to the same upstreams for ever, as the
+ * pause after a refusal has passed when the other members have stopped.
+ */
+static void test_gang_leaves_upstream_that_refuses_a_member(void **state)
+{
+	struct upstream *full;
+	uint64_t start_ms;
+	struct job *gang;
+	struct site s;
+
+	(void)state;
+	site_create(&s, 2 * RACK_SIZE);
+	gang = add_job(&s, 4, true);
+	run_pass(&s);
+	full = gang->stages[0].tasks[0].at;
+	start_ms = s.now_ms;
+	while (refuse_member(&s, gang, full) && s.now_ms < start_ms + 10000)
+		run_pass(&s);
+	assert_in_range(s.now_ms - start_ms, 0, IDLE_SITE_WAIT_MAX_MS);
+	assert_true(is_running(gang));
+	site_destroy(&s);
+}
+
+/* A full upstream is tried again soon after one refusal, or once it starts. */
+static void test_upstream_that_was_full_is_tried_again(void **state)
+{
+	struct upstream *u;
+	struct site s;
+	struct job *j;
+
+	(void)state;
+	site_create(&s, 1);
+	u = upstream_at(&s, 0);
+	j = add_job(&s, 1, false);
+	upstream_record_full(u, s.now_ms);
+	run_pass(&s);
+	assert_false(is_running(j));
+	s.now_ms += PASS_INTERVAL_MS;
+	run_pass(&s);
+	assert_true(is_running(j));
+	task_end_run(&j->stages[0].tasks[0], RUN_NEVER_STARTED, NULL, s.now_ms);
+	upstream_clear_refusals(u);
+	upstream_record_full(u, s.now_ms);
+	s.now_ms += PASS_INTERVAL_MS;
+	run_pass(&s);
+	assert_true(is_running(j));
+	site_destroy(&s);
+}
+
+/* No upstream has the label: that is reported, once. */
+static void test_stage_without_upstream_is_reported_once(void **state)
+{
+	struct site s;
+	struct job *j;
+
+	(void)state;
+	site_create(&s, RACK_SIZE);
+	j = add_job(&s, 1, false);
+	g_strlcpy(j->steps[0].label, "b", LABEL_BYTES);
+	j->steps[0].label_quark = g_quark_from_string("b");
+	wait_until_running(&s, j, 1000);
+	s.waits = 0;
+	wait_until_running(&s, j, 5000);
+	assert_int_equal(j->stages[0].wait_reason, WAIT_NO_UPSTREAM);
+	assert_int_equal(s.waits, 1);
+	site_destroy(&s);
+}
+
+/* All upstreams are silent: that is reported, once, until one is back. */
+static void test_stage_on_avoided_upstreams_is_reported_once(void **state)
+{
+	struct site s;
+	struct job *j;
+
+	(void)state;
+	site_create(&s, RACK_SIZE);
+	for (uint32_t i = 0; i < RACK_SIZE; i++)
+		upstream_avoid_for(upstream_at(&s, i), 60000, s.now_ms);
+	j = add_job(&s, 1, false);
+	wait_until_running(&s, j, 1000);
+	s.waits = 0;
+	wait_until_running(&s, j, 5000);
+	assert_int_equal(j->stages[0].wait_reason, WAIT_AVOIDED);
+	assert_int_equal(s.waits, 1);
+	upstream_at(&s, 3)->avoid_until_ms = 0;
+	run_pass(&s);
+	assert_true(is_running(j));
+	assert_int_equal(j->stages[0].wait_reason, WAIT_NONE);
+	site_destroy(&s);
+}
+
+/* What waits for the work that runs is not explained otherwise. */
+static void test_stage_on_full_site_waits_for_resources(void **state)
+{
+	struct site s;
+	struct job *j;
+
+	(void)state;
+	site_create(&s, RACK_SIZE);
+	for (uint32_t i = 0; i < RACK_SIZE; i++)
+		occupy(&s, i);
+	j = add_job(&s, 1, false);
+	wait_until_running(&s, j, 5000);
+	assert_int_equal(j->stages[0].wait_reason, WAIT_NOT_URGENT);
+	site_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_gang_spans_racks_of_idle_site),
+		cmocka_unit_test(test_memory_in_use_does_not_make_site_busy),
 		cmocka_unit_test(test_gang_waits_for_rack_of_busy_site),
 		cmocka_unit_test(test_gang_takes_rack_that_becomes_free),
 		cmocka_unit_test(
 			test_stage_that_failed_on_every_upstream_runs_again),
 		cmocka_unit_test(
 			test_failed_task_avoids_upstream_where_it_failed),
+		cmocka_unit_test(test_hopeless_jobs_do_not_hold_up_sound_work),
+		cmocka_unit_test(test_failing_upstreams_get_no_new_work),
+		cmocka_unit_test(
+			test_gang_leaves_upstream_that_refuses_a_member),
+		cmocka_unit_test(test_upstream_that_was_full_is_tried_again),
+		cmocka_unit_test(test_stage_without_upstream_is_reported_once),
+		cmocka_unit_test(
+			test_stage_on_avoided_upstreams_is_reported_once),
+		cmocka_unit_test(test_stage_on_full_site_waits_for_resources),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
