Draw the upstreams of the random sites in a fixed order

site_create_random() passed two random draws to one call, and add_job() made three in one initializer list, whose order C leaves open too. gcc draws arguments from the left on arm64 and from the right on x86-64, so a seed created another site on each.

The draws are now statements, in the order that x86-64 used. The new test compares the upstreams and the first job of seed 3; with the draws from the left it fails with other services, kinds and needs.

--- a/test/unit_random.c
+++ b/test/unit_random.c
@@ -60,9 +60,9 @@
 	j->since_ms = s->now_ms - random_in_range(s, 0, 3500);
 	step = job_add_step(j);
 	step->count = random_in_range(s, 1, 12);
-	step->need = (struct resources){random_in_range(s, 1, 16) * 1000,
-					random_in_range(s, 1, 16) * 2000,
-					random_in_range(s, 0, 8)};
+	step->need.cpu_milli = random_in_range(s, 1, 16) * 1000;
+	step->need.memory_mb = random_in_range(s, 1, 16) * 2000;
+	step->need.accelerators = random_in_range(s, 0, 8);
 	step->estimate_ms = random_in_range(s, 100, 9000);
 	step->gang = random_in_range(s, 0, 1);
 	step->rack_sensitive = random_in_range(s, 0, 1);
@@ -94,15 +94,16 @@
 						  random_in_range(s, 0, 200)};
 	n = random_in_range(s, 1, 24);
 	for (uint32_t i = 0; i < n; i++) {
+		const char *service, *kind;
 		char id[16], rack[16];
 		struct upstream *u;
 
 		snprintf(id, sizeof(id), "u%u", i);
 		snprintf(rack, sizeof(rack), "r%u", i / RACK_UPSTREAMS_COUNT);
 		u = fleet_add_upstream(s->fleet, id);
-		upstream_describe(u, random_in_range(s, 0, 9) ? "s" : "other",
-				  "d", random_in_range(s, 0, 1) ? "a" : "b",
-				  rack);
+		kind = random_in_range(s, 0, 1) ? "a" : "b";
+		service = random_in_range(s, 0, 9) ? "s" : "other";
+		upstream_describe(u, service, "d", kind, rack);
 		u->resources = (struct resources){UPSTREAM_CPU_MILLI,
 						  UPSTREAM_MEMORY_MB,
 						  UPSTREAM_ACCELERATORS};
@@ -462,9 +463,35 @@
 	assert_true(met > SITE_COUNT / 4);
 }
 
+/* Guards against seeds that play differently on another processor. */
+static void a_seed_creates_the_same_site_everywhere(void **state)
+{
+	GString *text = g_string_new(NULL);
+	const struct resources *need;
+	struct site s;
+
+	(void)state;
+	site_create_random(&s, 3);
+	add_job(&s);
+	for (guint i = 0; i < s.fleet->list->len; i++) {
+		const struct upstream *u = g_ptr_array_index(s.fleet->list, i);
+
+		g_string_append_printf(text, "%s-%s ", u->service, u->kind);
+	}
+	need = &((struct job *)g_ptr_array_index(s.jobs, 0))->steps[0].need;
+	g_string_append_printf(text, "%d %d %d", (int)need->cpu_milli,
+			       (int)need->memory_mb, (int)need->accelerators);
+	assert_string_equal(
+		text->str,
+		"s-a s-a s-a other-b s-a s-b s-b s-b s-b 6000 10000 2");
+	g_string_free(text, TRUE);
+	site_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_seed_creates_the_same_site_everywhere),
 		cmocka_unit_test(random_sites_obey_the_scheduling_rules),
 		cmocka_unit_test(only_waiting_stage_starts_if_it_fits),
 		cmocka_unit_test(due_guarantee_is_met_if_possible),
