--- a/load/model.c
+++ b/load/model.c
@@ -525,6 +525,17 @@
 	}
 }
 
+/* Schedule the next loss of a random upstream. */
+static void schedule_loss(struct simulation *sim)
+{
+	uint32_t u = (uint32_t)(random_unit(&sim->seed) * UPSTREAM_COUNT);
+	double wait_ms = random_exponential(
+		&sim->seed, sim->workload->mean_failure_interval_ms);
+
+	push_event(sim, sim->now_ms + (uint64_t)wait_ms, EVENT_UPSTREAM_LOST, u,
+		   0);
+}
+
 /*
  * Take upstream u out of use for 10 minutes, requeue its jobs and schedule the
  * loss of another one.
@@ -546,13 +557,7 @@
 	}
 	push_event(sim, sim->now_ms + 10 * 60000, EVENT_UPSTREAM_RESTORED, u,
 		   0);
-	push_event(sim,
-		   sim->now_ms +
-			   (uint64_t)random_exponential(
-				   &sim->seed,
-				   sim->workload->mean_failure_interval_ms),
-		   EVENT_UPSTREAM_LOST,
-		   (uint32_t)(random_unit(&sim->seed) * UPSTREAM_COUNT), 0);
+	schedule_loss(sim);
 }
 
 static void apply_event(struct simulation *sim, const struct event *e)
@@ -648,11 +653,7 @@
 		sim.sim_jobs[i].remaining_ms = a->run_ms;
 		push_event(&sim, a->at_ms, EVENT_JOB_ARRIVAL, i, 0);
 	}
-	push_event(&sim,
-		   (uint64_t)random_exponential(&sim.seed,
-						m->mean_failure_interval_ms),
-		   EVENT_UPSTREAM_LOST,
-		   (uint32_t)(random_unit(&sim.seed) * UPSTREAM_COUNT), 0);
+	schedule_loss(&sim);
 	simulate(&sim);
 	for (guint i = 0; i < sim.arrivals->len; i++)
 		r->gangs_waiting += !sim.sim_jobs[i].first_start_ms &&
