Give up tasks under which upstreams end

Callers saw BUDGET broken and urgent work late: a task that crashes the upstream that starts it was put back to waiting each time, and took one upstream after another down, with the runs of up to seven neighbours each time. Cause: the end of an upstream's life was counted against nobody.

Each end is now counted for the runs that had just begun there (sched/suspect.c). After one, a task is a suspect: it runs on an upstream without other unproven runs, one of its step at a time, until it has lasted; if that upstream ends too, its job fails. Runs that had lasted are suspected after three ends. Ends of many upstreams of a rack or domain at a time, planned leaves, and leases that end in silence until another life answers prove nothing. The counts are in the run row, in a field that older rows lack.

--- a/lead/leader.c
+++ b/lead/leader.c
@@ -654,7 +654,7 @@
 			g_ptr_array_index(d->model->fleet->list, i);
 
 		if (!u->session && u->tasks->len)
-			model_lose_upstream(d->model, u, now,
+			model_lose_upstream(d->model, u, now, LIFE_PRESUMED,
 					    "not listed, leases ended");
 	}
 }
--- a/lead/model.c
+++ b/lead/model.c
@@ -121,6 +121,18 @@
 	}
 }
 
+/* Log that t is no suspect any more. */
+static void log_cleared(const struct task *t, const struct upstream *u,
+			const char *how)
+{
+	char name[TASK_NAME_BYTES];
+
+	task_format_name(t, name, sizeof(name));
+	log_fields(LOG_INFO, "suspect_cleared", "{s:s,s:s,s:s,s:s}", "job",
+		   t->stage->job->id, "task", name, "upstream", u->id, "how",
+		   how);
+}
+
 /* End the active run of t on u, log it, and update the statistics. */
 static void end_task(struct model *m, struct task *t, enum run_end end_reason,
 		     const char *checkpoint, struct upstream *u,
@@ -138,6 +150,10 @@
 			   ? (json_int_t)(t->confirmed_ms - t->placed_ms)
 			   : (json_int_t)-1,
 		   "stopping", t->state == TASK_STOPPING);
+	/* The upstream has outlived these runs. */
+	if ((end_reason == RUN_DONE || end_reason == RUN_FAILED) &&
+	    suspect_clear(t))
+		log_cleared(t, u, run_end_name(end_reason));
 	if (end_reason == RUN_FAILED)
 		upstream_record_failure(u, t->stage->job, now_ms);
 	if (end_reason == RUN_DONE) {
@@ -222,6 +238,8 @@
 			t->checkpoint = g_strdup(r->checkpoint);
 		}
 		task_confirm(t, now_ms);
+		if (suspect_note_running(t))
+			log_cleared(t, u, "lasted");
 	}
 }
 
@@ -255,6 +273,62 @@
 			   (int)u->tasks->len);
 }
 
+/* Log that the job of a task has failed, as it ends upstreams. */
+static void log_confirmed(const struct task *t, const struct upstream *u)
+{
+	const struct suspicion *s = task_suspicion(t);
+	char name[TASK_NAME_BYTES];
+
+	task_format_name(t, name, sizeof(name));
+	log_fields(LOG_WARN, "suspect_confirmed", "{s:s,s:s,s:s,s:i,s:i}",
+		   "job", t->stage->job->id, "task", name, "upstream", u->id,
+		   "early_ends", (int)s->early_ends, "late_ends",
+		   (int)s->late_ends);
+}
+
+/*
+ * Take back what tasks were blamed for: u answers in the same life, whose end
+ * was only presumed.
+ */
+static void withdraw_blame(struct model *m, struct upstream *u)
+{
+	bool withdrawn = false;
+
+	for (guint i = 0; u->blamed && i < u->blamed->len; i++) {
+		const struct blamed_run *b =
+			&g_array_index(u->blamed, struct blamed_run, i);
+		struct task *t = model_find_task(m, b->task);
+
+		withdrawn |= b->presumed;
+		if (!b->presumed || !t)
+			continue;
+		suspect_withdraw(t, b);
+		log_fields(LOG_INFO, "suspect_withdrawn", "{s:s,s:s,s:s}",
+			   "job", t->stage->job->id, "task", b->task,
+			   "upstream", u->id);
+	}
+	if (!withdrawn)
+		return;
+	g_array_set_size(u->blamed, 0);
+	u->life_ended_ms = 0;
+}
+
+/* Judge the tasks that were blamed for the end of u's life: it is known now. */
+static void confirm_blame(struct model *m, struct upstream *u, uint64_t now_ms)
+{
+	for (guint i = 0; u->blamed && i < u->blamed->len; i++) {
+		struct blamed_run *b =
+			&g_array_index(u->blamed, struct blamed_run, i);
+		struct task *t = model_find_task(m, b->task);
+
+		if (!b->presumed)
+			continue;
+		b->presumed = false;
+		if (t && suspect_confirm_presumed(m->fleet, u, t, b, now_ms))
+			log_confirmed(t, u);
+	}
+}
+
 /*
  * Apply the lists of u from an answer to a call sent at sent_ms. Ends up to
  * number `seen` were applied before; returns the number of the newest one.
@@ -267,6 +341,7 @@
 	GHashTable *listed = g_hash_table_new(NULL, NULL);
 	GPtrArray *absent = g_ptr_array_new();
 
+	withdraw_blame(m, u);
 	seen = apply_ends(m, u, a, now_ms, seen);
 	apply_running(m, u, a, now_ms, listed, strays);
 	for (guint i = 0; i < u->tasks->len; i++) {
@@ -286,15 +361,53 @@
 	return seen;
 }
 
-/* End all runs on u as lost: they ended with the upstream or its leases. */
+/* Log the tasks that are blamed for the end of u's life. */
+static void log_findings(const GArray *findings, const struct upstream *u)
+{
+	for (guint i = 0; i < findings->len; i++) {
+		const struct suspect_finding *x =
+			&g_array_index(findings, struct suspect_finding, i);
+		const struct suspicion *s = task_suspicion(x->task);
+		char name[TASK_NAME_BYTES];
+
+		if (!x->is_suspect)
+			continue;
+		task_format_name(x->task, name, sizeof(name));
+		log_fields(LOG_WARN, "suspect_raised",
+			   "{s:s,s:s,s:I,s:s,s:i,s:i,s:b,s:i,s:i}", "job",
+			   x->task->stage->job->id, "task", name, "run",
+			   (json_int_t)x->task->run, "upstream", u->id,
+			   "ran_ms", (int)x->ran_ms, "beside", (int)x->beside,
+			   "only", x->only, "early_ends", (int)s->early_ends,
+			   "late_ends", (int)s->late_ends);
+		if (x->confirmed)
+			log_confirmed(x->task, u);
+	}
+}
+
+/*
+ * End all runs on u as lost: they ended with the upstream or its leases. The
+ * tasks that may have ended it are suspected.
+ */
 void model_lose_upstream(struct model *m, struct upstream *u, uint64_t now_ms,
-			 const char *why)
+			 enum life_end end, const char *why)
 {
-	log_fields(LOG_WARN, "upstream_lost", "{s:s,s:s,s:i}", "upstream",
-		   u->id, "why", why, "tasks", (int)u->tasks->len);
+	GArray *findings =
+		g_array_new(FALSE, FALSE, sizeof(struct suspect_finding));
+	enum life_cause cause = CAUSE_NOT_STARTED;
+
+	if (u->tasks->len)
+		cause = suspect_judge_life(m->fleet, u, end, now_ms, findings);
+	else if (end == LIFE_ENDED)
+		confirm_blame(m, u, now_ms);
+	log_fields(LOG_WARN, "upstream_lost", "{s:s,s:s,s:i,s:s}", "upstream",
+		   u->id, "why", why, "tasks", (int)u->tasks->len, "cause",
+		   life_cause_name(cause));
+	log_findings(findings, u);
 	while (u->tasks->len)
 		end_task(m, g_ptr_array_index(u->tasks, 0), RUN_UPSTREAM_GONE,
 			 NULL, u, now_ms);
+	g_array_unref(findings);
 }
 
 /*
@@ -315,7 +428,7 @@
 	log_fields(LOG_INFO, "upstream_reborn", "{s:s,s:I,s:I}", "upstream",
 		   u->id, "born", (json_int_t)started_wall_ms, "before",
 		   (json_int_t)before);
-	model_lose_upstream(m, u, now_ms, "restarted");
+	model_lose_upstream(m, u, now_ms, LIFE_ENDED, "restarted");
 	return true;
 }
 
@@ -335,8 +448,12 @@
 		u->state = UPSTREAM_GONE;
 	}
 	model_note_incarnation(m, u, started_wall_ms, now_ms);
-	if (u->started_wall_ms != started_wall_ms)
-		return; /* That incarnation has ended, and the run with it. */
+	if (u->started_wall_ms != started_wall_ms) {
+		/* That incarnation has ended, and the run with it. */
+		if (suspect_note_inherited_end(t))
+			log_confirmed(t, u);
+		return;
+	}
 	task_place(t, u, t->run, now_ms);
 	t->inherited = true;
 	t->sent = true;
--- a/lead/model.h
+++ b/lead/model.h
@@ -10,6 +10,7 @@
 #include "platform/orders.h"
 #include "sched/dispatch.h"
 #include "sched/estimator.h"
+#include "sched/suspect.h"
 
 struct model {
 	/* Maps job IDs to struct job, which the table owns. */
@@ -44,6 +45,6 @@
 void model_inherit_run(struct model *m, struct task *t, const char *upstream,
 		       uint64_t started_wall_ms, uint64_t now_ms);
 void model_lose_upstream(struct model *m, struct upstream *u, uint64_t now_ms,
-			 const char *why);
+			 enum life_end end, const char *why);
 
 #endif
--- a/lead/record.c
+++ b/lead/record.c
@@ -297,6 +297,55 @@
 	g_string_free(previous, TRUE);
 }
 
+/*
+ * Encode the ends of upstreams that tasks of j are suspected of, each as
+ * [stage, index, early, late, longest in ms]. A row without them is left as it
+ * was before they were recorded.
+ */
+static json_t *suspicions_encode(const struct job *j)
+{
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; i < j->stages_len; i++) {
+		for (uint32_t k = 0; k < j->stages[i].step->count; k++) {
+			const struct suspicion *s =
+				&j->stages[i].tasks[k].suspicion;
+
+			if (!s->early_ends && !s->late_ends)
+				continue;
+			json_array_append_new(
+				list,
+				json_pack("[i,i,i,i,i]", (int)i, (int)k,
+					  (int)s->early_ends, (int)s->late_ends,
+					  (int)s->longest_ms));
+		}
+	}
+	return list;
+}
+
+/* Decode the suspicions of a row; one that names no task is ignored. */
+static void suspicions_decode(struct job *j, const json_t *list)
+{
+	const json_t *item;
+	size_t n;
+
+	json_array_foreach(list, n, item)
+	{
+		json_int_t v[5] = {0};
+		struct suspicion *s;
+
+		for (size_t i = 0; i < G_N_ELEMENTS(v); i++)
+			v[i] = json_integer_value(json_array_get(item, i));
+		if (v[0] < 0 || v[0] >= j->stages_len || v[1] < 0 ||
+		    v[1] >= j->stages[v[0]].step->count)
+			continue;
+		s = &j->stages[v[0]].tasks[v[1]].suspicion;
+		s->early_ends = CLAMP(v[2], 0, INT32_MAX);
+		s->late_ends = CLAMP(v[3], 0, INT32_MAX);
+		s->longest_ms = CLAMP(v[4], 0, INT32_MAX);
+	}
+}
+
 /*
  * Encode the state of j and the runs of its tasks, which is all that a new
  * leader needs besides the spec; release with free().
@@ -305,7 +354,7 @@
 {
 	struct incarnation_list incarnations = {.upstreams = g_ptr_array_new(),
 						.names = json_array()};
-	json_t *stages = json_array(), *v;
+	json_t *stages = json_array(), *suspicions, *v;
 	char *s;
 
 	for (uint32_t i = 0; i < j->stages_len; i++) {
@@ -322,6 +371,10 @@
 	v = json_pack("{s:s,s:I,s:o,s:o}", "state", job_state_name(j->state),
 		      "ended_ms", (json_int_t)j->ended_ms, "lives",
 		      incarnations.names, "stages", stages);
+	suspicions = suspicions_encode(j);
+	if (json_array_size(suspicions))
+		json_object_set(v, "suspicions", suspicions);
+	json_decref(suspicions);
 	s = json_dumps(v, JSON_COMPACT);
 	json_decref(v);
 	g_ptr_array_free(incarnations.upstreams, TRUE);
@@ -407,6 +460,7 @@
 	size_t i;
 
 	j->ended_ms = json_int_or(v, "ended_ms", 0);
+	suspicions_decode(j, json_object_get(v, "suspicions"));
 	json_array_foreach(json_object_get(v, "stages"), i, item)
 	{
 		const char *tasks = json_string_value(json_array_get(item, 1));
--- a/lead/session.c
+++ b/lead/session.c
@@ -144,6 +144,8 @@
 	uint64_t now = clock_mono_ms();
 
 	upstream_describe(u, e->service, e->domain, e->kind, e->rack);
+	u->host_quark = g_quark_from_string(e->machine);
+	u->leaving = e->draining;
 	u->resources = e->resources;
 	u->state = e->draining ? UPSTREAM_DRAINING : UPSTREAM_READY;
 	if (e->draining && e->drain_remaining_ms)
@@ -320,7 +322,7 @@
 		return false;
 	case ORDER_REPLACED:
 		model_lose_upstream(k->env->model, k->upstream, clock_mono_ms(),
-				    "replaced");
+				    LIFE_ENDED, "replaced");
 		reset_incarnation(k);
 		k->upstream->state = UPSTREAM_GONE;
 		k->env->events.model_changed(k->env->arg);
@@ -355,9 +357,10 @@
 	k->upstream->avoid_until_ms = MAX(k->upstream->avoid_until_ms, until);
 }
 
-static void mark_lost(struct session *k, const char *why)
+static void mark_lost(struct session *k, enum life_end end, const char *why)
 {
-	model_lose_upstream(k->env->model, k->upstream, clock_mono_ms(), why);
+	model_lose_upstream(k->env->model, k->upstream, clock_mono_ms(), end,
+			    why);
 	k->env->events.model_changed(k->env->arg);
 }
 
@@ -371,6 +374,7 @@
 	uint64_t now = clock_mono_ms();
 
 	reach_record_silence(k->upstream);
+	suspect_note_silence(k->upstream, now);
 	if (!k->failure_count++)
 		log_fields(LOG_WARN, "upstream_silent", "{s:s,s:s,s:I}",
 			   "upstream", k->upstream->id, "outcome",
@@ -384,10 +388,10 @@
 	 * its runs ended. */
 	if (k->upstream->tasks->len && a->connection_refused &&
 	    departure_is_certain(&k->departure, k->call_sent_ms))
-		mark_lost(k, "has left");
+		mark_lost(k, LIFE_LEFT, "has left");
 	else if (k->upstream->tasks->len &&
 		 lease_clock_is_expired(&k->leases, k->call_sent_ms))
-		mark_lost(k, "leases ended");
+		mark_lost(k, LIFE_PRESUMED, "leases ended");
 	if (needs_calls(k))
 		timer_start(k->env->loop, &k->call_timer, LISTS_RETRY_DELAY_MS);
 }
--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -7,6 +7,7 @@
 
 #include "sched/dispatch.h"
 #include "sched/evict.h"
+#include "sched/suspect.h"
 
 /* A gang reserves resources after it has waited this long. */
 #define RESERVE_AFTER_MS 300
@@ -40,6 +41,13 @@
  */
 #define HEADROOM_MAX_SHARE 0.25
 
+/*
+ * Suspects that run at a time: a share of the upstreams, as a divisor, and of
+ * one step one, and more for each that was cleared.
+ */
+#define SUSPECT_SHARE_DIVISOR 4
+#define SUSPECTS_PER_CLEARED 2
+
 /* A value above any loss. */
 #define VALUE_MANDATORY 1e9
 
@@ -298,8 +306,29 @@
 	}
 }
 
-/* Start waiting tasks of st on the chosen upstreams. */
-static void start_tasks(struct pass *p, struct stage *st)
+/* Report whether t waits, and waits to be isolated or not. */
+static bool waits(const struct pass *p, const struct task *t, bool isolated)
+{
+	return t->state == TASK_WAITING &&
+	       suspect_is_isolated(t, p->input->now_ms) == isolated;
+}
+
+/* Return how many tasks of st wait to be isolated, or for any upstream. */
+static uint32_t count_waiting(const struct pass *p, const struct stage *st,
+			      bool isolated)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < st->step->count; i++)
+		n += waits(p, &st->tasks[i], isolated);
+	return n;
+}
+
+/*
+ * Start waiting tasks of st on the chosen upstreams, those that are to be
+ * isolated or the others.
+ */
+static void start_tasks(struct pass *p, struct stage *st, bool isolated)
 {
 	uint32_t next = 0, run = stage_next_run_number(st);
 
@@ -310,7 +339,7 @@
 			struct action a = {.tag = ACTION_START,
 					   .u.to = p->pack.upstreams[s->index]};
 
-			while (st->tasks[next].state != TASK_WAITING)
+			while (!waits(p, &st->tasks[next], isolated))
 				next++;
 			a.task = &st->tasks[next];
 			task_place(a.task, a.u.to,
@@ -454,6 +483,63 @@
 	}
 }
 
+/* Count the upstreams that may host a suspect of st now. */
+static uint32_t count_trials_allowed(const struct pass *p,
+				     const struct stage *st)
+{
+	uint32_t limit = MAX(p->pack.n / SUSPECT_SHARE_DIVISOR, 1);
+	uint32_t of_step = 1 + SUSPECTS_PER_CLEARED * st->trials_passed;
+
+	if (p->pack.suspect_upstreams >= limit)
+		return 0;
+	for (uint32_t i = 0; i < st->step->count && of_step; i++)
+		of_step -= task_is_active(&st->tasks[i]) &&
+			   task_is_suspect(&st->tasks[i]);
+	return MIN(of_step, limit - p->pack.suspect_upstreams);
+}
+
+/* Return the first task of st that waits to be isolated, or NULL. */
+static struct task *first_isolated(const struct pass *p, struct stage *st)
+{
+	for (uint32_t i = 0; i < st->step->count; i++)
+		if (waits(p, &st->tasks[i], true))
+			return &st->tasks[i];
+	return NULL;
+}
+
+/*
+ * Start the suspects of the candidate that may run now, each apart from other
+ * runs, a gang as a whole. They first wait for upstreams without runs, then
+ * accept those whose runs have proved themselves.
+ */
+static void place_suspects(struct pass *p, const struct candidate *c)
+{
+	struct stage *st = c->stage;
+	uint32_t want = st->step->gang ? st->step->count : 1;
+	struct task *t;
+
+	/* isolated upstreams must not decide whether a rack can hold it */
+	pack_set_demand(&p->pack, st);
+	pack_requires_one_rack(&p->pack, st);
+	while ((t = first_isolated(p, st)) && count_trials_allowed(p, st)) {
+		bool alone = suspect_waited_ms(t, p->input->now_ms) <
+			     SUSPECT_ALONE_WAIT_MS;
+
+		pack_set_isolation(&p->pack, alone ? PACK_ALONE : PACK_PROVEN);
+		if (!pack_choose_all(&p->pack, st, want, PACK_FREE)) {
+			if (alone)
+				note_wait(p, st, WAIT_ISOLATION);
+			else if (!pack_choose_all(&p->pack, st, want,
+						  PACK_FREE_AFTER_STOPS))
+				preempt_for(p, c, want);
+			break;
+		}
+		start_tasks(p, st, true);
+		pack_close_chosen(&p->pack);
+	}
+	pack_set_isolation(&p->pack, PACK_SHARED);
+}
+
 /*
  * Start what fits of the candidate. For the rest reserve resources that pending
  * stops free, or preempt, or let a gang that has waited reserve resources.
@@ -462,10 +548,18 @@
 {
 	struct stage *st = c->stage;
 	struct pack *k = &p->pack;
-	uint32_t want = stage_waiting_count(st);
+	uint32_t want = count_waiting(p, st, false);
 
+	if (stage_awaits_trial(st, p->input->now_ms)) {
+		note_wait(p, st, WAIT_ISOLATION);
+		return;
+	}
+	if (want < stage_waiting_count(st))
+		place_suspects(p, c);
+	if (!want)
+		return;
 	if (pack_choose_all(k, st, want, PACK_FREE)) {
-		start_tasks(p, st);
+		start_tasks(p, st, false);
 		return;
 	}
 	if (!st->step->gang) {
@@ -473,7 +567,7 @@
 		uint32_t n = pack_choose_some(k, st, want);
 
 		if (n) {
-			start_tasks(p, st);
+			start_tasks(p, st, false);
 			want -= n;
 		}
 	}
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -16,6 +16,8 @@
 	struct upstream *u = p;
 
 	g_ptr_array_free(u->tasks, TRUE);
+	if (u->blamed)
+		g_array_unref(u->blamed);
 	g_free(u);
 }
 
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -10,6 +10,14 @@
 	UPSTREAM_GONE, /* no longer listed */
 };
 
+/* A run that was blamed for the end of an upstream's life. */
+struct blamed_run {
+	char task[TASK_NAME_BYTES];
+	bool early;
+	bool only;     /* no other run there was unproven */
+	bool presumed; /* the end of the life is presumed, not known */
+};
+
 struct upstream {
 	char id[LABEL_BYTES];
 	char service[LABEL_BYTES];
@@ -22,16 +30,24 @@
 	GQuark kind_quark;
 	GQuark rack_quark;
 	GQuark domain_quark;
+	GQuark host_quark; /* the machine, which outlives it; 0: unknown */
 	enum upstream_state state;
 	bool synced; /* has accepted our epoch and its run lists were read */
 	uint64_t leaves_ms; /* earliest departure when draining; 0: unknown */
 	struct resources resources;
 	struct resources used;
-	GPtrArray *tasks;	 /* active tasks */
-	uint64_t avoid_until_ms; /* end of the backoff after failures */
-	uint64_t heard_ms;	 /* newest answer; 0: none yet */
-	bool silent;		 /* the last call was not answered */
-	bool doubted;		 /* its failure domain seems cut off */
+	GPtrArray *tasks;	  /* active tasks */
+	uint64_t avoid_until_ms;  /* end of the backoff after failures */
+	uint64_t heard_ms;	  /* newest answer; 0: none yet */
+	bool silent;		  /* the last call was not answered */
+	uint64_t silent_since_ms; /* the first such call; 0: it answers */
+	bool leaving;		  /* was draining when last listed */
+	uint64_t life_ended_ms;	  /* end of its last life; 0: none yet */
+	uint32_t earlier_ends;	  /* unexplained ones in a row before it */
+	/* that end does not speak against the machine */
+	bool life_end_explained;
+	GArray *blamed; /* struct blamed_run, for that end; NULL: none */
+	bool doubted;	/* its failure domain seems cut off */
 	/* start of the current slow period; 0: not slow */
 	uint64_t slow_since_ms;
 	uint64_t slow_until_ms;	       /* treated as slow until this time */
--- a/sched/job.c
+++ b/sched/job.c
@@ -546,6 +546,8 @@
 		return "loss";
 	case WAIT_PLAN_LATER:
 		return "plan_later";
+	case WAIT_ISOLATION:
+		return "isolation";
 	}
 	return "";
 }
--- a/sched/job.h
+++ b/sched/job.h
@@ -82,6 +82,17 @@
 	bool from_checkpoint; /* the run resumed from a checkpoint */
 };
 
+/*
+ * Lives of upstreams that ended under the runs of a task. In a gang the first
+ * member's record speaks for all.
+ */
+struct suspicion {
+	uint32_t early_ends; /* soon after the start of a run */
+	uint32_t late_ends;
+	uint32_t longest_ms;  /* the longest run at such an end */
+	uint32_t counted_run; /* newest run that was counted */
+};
+
 struct task {
 	struct stage *stage;
 	uint32_t index; /* within the stage */
@@ -106,6 +117,7 @@
 	uint64_t stop_answered_ms; /* 0: no stop order was answered */
 	/* only compared, never dereferenced */
 	const struct upstream *last_failed_on;
+	struct suspicion suspicion;
 };
 
 struct job;
@@ -118,6 +130,7 @@
 	WAIT_TOO_LATE,	 /* preemption for it gains nothing any more */
 	WAIT_LOSS,	 /* no preemption loses less than it gains */
 	WAIT_PLAN_LATER, /* a preemption plan has failed recently */
+	WAIT_ISOLATION,	 /* a suspect, for an upstream without unproven runs */
 };
 
 /* Values computed in one scheduling pass and valid for that pass only. */
@@ -156,8 +169,9 @@
 	uint64_t rack_layout;
 	struct stage_value value;
 	enum wait_reason wait_reason;
-	uint64_t next_plan_ms; /* earliest time of the next preemption plan */
-	uint64_t plan_id;      /* last plan that stops tasks of this stage */
+	uint32_t trials_passed; /* suspects of it that were cleared */
+	uint64_t next_plan_ms;	/* earliest time of the next preemption plan */
+	uint64_t plan_id;	/* last plan that stops tasks of this stage */
 	uint32_t plan_stop_count; /* number of tasks stopped by that plan */
 };
 
--- a/sched/pack.c
+++ b/sched/pack.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "sched/pack.h"
+#include "sched/suspect.h"
 
 /* Maximum number of unmet demands that are remembered in a pass. */
 #define UNMET_MAX 64
@@ -29,6 +30,59 @@
 	return (h ^ v) * UINT64_C(0x100000001b3);
 }
 
+/* Report whether every run on u has lasted. */
+static bool runs_are_proven(const struct upstream *u, uint64_t now_ms)
+{
+	for (guint i = 0; i < u->tasks->len; i++)
+		if (run_is_unproven(g_ptr_array_index(u->tasks, i), now_ms))
+			return false;
+	return true;
+}
+
+/* Report whether the current isolation allows a run on u. */
+static bool isolation_allows(const struct pack *p, const struct upstream *u,
+			     GHashTable *doubtful_hosts)
+{
+	switch (p->isolation) {
+	case PACK_SHARED:
+		return true;
+	case PACK_ALONE:
+		return !u->tasks->len &&
+		       !g_hash_table_contains(doubtful_hosts,
+					      GUINT_TO_POINTER(u->host_quark));
+	case PACK_PROVEN:
+		return runs_are_proven(u, p->now_ms);
+	}
+	return true;
+}
+
+/* Exclude the upstreams that the current isolation does not allow. */
+static void exclude_by_isolation(struct pack *p)
+{
+	GHashTable *hosts;
+
+	if (p->isolation == PACK_SHARED)
+		return;
+	hosts = suspect_doubtful_hosts(p->fleet, p->demand.stage->job,
+				       p->now_ms);
+	p->demand.has_excluded = true;
+	for (uint32_t i = 0; i < p->n; i++)
+		if (!isolation_allows(p, p->upstreams[i], hosts))
+			p->excluded_for[i] = p->demand_id;
+	g_hash_table_destroy(hosts);
+}
+
+/*
+ * Set which other runs may be on the upstreams of the next choices. A gang's
+ * need of one rack is to be asked for before, as it is remembered.
+ */
+void pack_set_isolation(struct pack *p, enum pack_isolation isolation)
+{
+	if (p->isolation != isolation)
+		p->demand.stage = NULL;
+	p->isolation = isolation;
+}
+
 /* Set the stage that the next choices are for. */
 void pack_set_demand(struct pack *p, const struct stage *st)
 {
@@ -42,6 +96,7 @@
 			     .service = st->job->service_quark,
 			     .label = *st->step->label ? st->step->label_quark
 						       : 0};
+	exclude_by_isolation(p);
 	if (st->job->state == JOB_QUEUED)
 		return;
 	for (uint32_t i = 0; i < st->step->count; i++) {
@@ -431,6 +486,18 @@
 	}
 }
 
+/* Place nothing more on the chosen upstreams in this pass. */
+void pack_close_chosen(struct pack *p)
+{
+	for (uint32_t k = 0; k < p->chosen_len; k++) {
+		uint32_t i = p->chosen[k].index;
+
+		p->usable[i] = false;
+		p->free_now[i] = p->free_after_stops[i] = (struct resources){0};
+		p->suspect_upstreams++;
+	}
+}
+
 /*
  * Record that t is stopped in this pass: its resources are reserved for other
  * work and no longer count as used by a lower rank.
@@ -454,8 +521,10 @@
 static void measure_upstream(struct pack *p, uint32_t i)
 {
 	const struct upstream *u = p->upstreams[i];
+	bool has_suspect = upstream_has_suspect(u);
 
-	p->usable[i] = upstream_is_usable(u, p->now_ms) &&
+	p->suspect_upstreams += has_suspect;
+	p->usable[i] = upstream_is_usable(u, p->now_ms) && !has_suspect &&
 		       (p->slow_allowed || u->slow_until_ms <= p->now_ms);
 	if (!p->usable[i])
 		return;
--- a/sched/pack.h
+++ b/sched/pack.h
@@ -19,6 +19,13 @@
 	PACK_RESERVABLE, /* free then, and without work of lower priority */
 };
 
+/* Which other runs may be on the upstreams of a choice. */
+enum pack_isolation {
+	PACK_SHARED, /* any */
+	PACK_ALONE,  /* none, and no doubt about the machine */
+	PACK_PROVEN, /* those that have lasted */
+};
+
 /* An upstream with resources for `count` tasks. */
 struct pack_slot {
 	uint32_t index;
@@ -32,7 +39,7 @@
 	struct resources need;
 	GQuark service;
 	GQuark label;
-	bool has_excluded; /* upstreams where its tasks failed are excluded */
+	bool has_excluded; /* not every upstream of the service may be used */
 };
 
 /*
@@ -53,6 +60,8 @@
 	uint64_t *excluded_for;	      /* last demand_id that may not use it */
 	uint64_t demand_id;	      /* changes with each demand */
 	struct demand demand;	      /* the current demand */
+	enum pack_isolation isolation;
+	uint32_t suspect_upstreams; /* upstreams that host a suspect */
 	uint32_t racks_len;
 	GQuark *racks;		/* names, by rack index */
 	uint32_t *rack;		/* rack index of each upstream */
@@ -81,7 +90,9 @@
 bool pack_choose_reservation(struct pack *p, struct stage *st, uint32_t want,
 			     uint32_t rank);
 bool pack_requires_one_rack(const struct pack *p, struct stage *st);
+void pack_set_isolation(struct pack *p, enum pack_isolation isolation);
 void pack_deduct_chosen(struct pack *p);
+void pack_close_chosen(struct pack *p);
 void pack_record_stop(struct pack *p, const struct task *t);
 
 #endif
--- a/sched/reach.c
+++ b/sched/reach.c
@@ -23,6 +23,7 @@
 {
 	u->heard_ms = now_ms;
 	u->silent = false;
+	u->silent_since_ms = 0;
 	u->doubted = false;
 }
 
--- /dev/null
+++ b/sched/suspect.c
@@ -0,0 +1,594 @@
+/*
+ * Which tasks are blamed for the end of an upstream's life. A run that had just
+ * begun is suspected after the first end, one that had lasted only after
+ * several, as it shares them with whatever began beside it.
+ */
+#include <string.h>
+
+#include "sched/suspect.h"
+
+/* Ends late in its runs after which a task is a suspect. */
+#define LATE_ENDS_MIN 3
+/* Longest time that a suspect has to last to be cleared. */
+#define TRIAL_MAX_MS 10000
+/*
+ * Early ends that fail a task's job if the last one left no other explanation,
+ * and if the upstream may have been at fault; late ends take one more than
+ * those that raise the suspicion.
+ */
+#define ENDS_CONCLUSIVE 2
+#define ENDS_CONCLUSIVE_DOUBTFUL 3
+/* Ends that fail a task's job, whatever ran beside it. */
+#define EARLY_ENDS_MAX 4
+#define ENDS_MAX 5
+/* Ends this close to each other may have a common cause. */
+#define COMMON_CAUSE_MS 700
+/*
+ * The fewest upstreams that show a common cause, and their share, as a
+ * divisor, of a rack or domain and of all.
+ */
+#define COMMON_CAUSE_MIN 3
+#define COMMON_PLACE_DIVISOR 2
+#define COMMON_FLEET_DIVISOR 4
+/* The longest wait for what became of a suspect's upstream. */
+#define OUTCOME_WAIT_MAX_MS 4000
+/* An unexplained end speaks against the machine for this time. */
+#define HOST_HISTORY_MS 60000
+/* So many such ends put a machine in doubt. */
+#define HOST_ENDS_MIN 2
+
+/* Return the name of c in logs. */
+const char *life_cause_name(enum life_cause c)
+{
+	switch (c) {
+	case CAUSE_RUNS:
+		return "runs";
+	case CAUSE_COMMON:
+		return "common";
+	case CAUSE_PLANNED:
+		return "planned";
+	case CAUSE_NOT_STARTED:
+		return "not_started";
+	}
+	return "";
+}
+
+/* Return the record that speaks for t, its own or its gang's. */
+static struct suspicion *record_of(struct task *t)
+{
+	return t->stage->step->gang ? &t->stage->tasks[0].suspicion
+				    : &t->suspicion;
+}
+
+/* Return the record that speaks for t, its own or its gang's. */
+const struct suspicion *task_suspicion(const struct task *t)
+{
+	return t->stage->step->gang ? &t->stage->tasks[0].suspicion
+				    : &t->suspicion;
+}
+
+/* Report whether t may have ended upstreams and is not cleared. */
+bool task_is_suspect(const struct task *t)
+{
+	const struct suspicion *s = task_suspicion(t);
+
+	return s->early_ends || s->late_ends >= LATE_ENDS_MIN;
+}
+
+/* Return how long a run of the suspect t has to last to clear it. */
+uint32_t suspect_trial_ms(const struct task *t)
+{
+	const struct suspicion *s = task_suspicion(t);
+
+	if (s->late_ends < LATE_ENDS_MIN)
+		return SUSPECT_EARLY_MS;
+	return CLAMP(s->longest_ms + s->longest_ms / 4, SUSPECT_EARLY_MS,
+		     TRIAL_MAX_MS);
+}
+
+/*
+ * Return how long the waiting task t, or its gang, has waited for the next
+ * run.
+ */
+uint64_t suspect_waited_ms(const struct task *t, uint64_t now_ms)
+{
+	const struct stage *st = t->stage;
+	uint64_t since_ms = MAX(t->ended_ms, st->since_ms);
+
+	for (uint32_t i = 0; st->step->gang && i < st->step->count; i++)
+		since_ms = MAX(since_ms, st->tasks[i].ended_ms);
+	return now_ms - MIN(since_ms, now_ms);
+}
+
+/*
+ * Report whether the waiting task t is to be kept apart from other runs. A
+ * suspect is not, once it has waited for SUSPECT_WAIT_MAX_MS.
+ */
+bool suspect_is_isolated(const struct task *t, uint64_t now_ms)
+{
+	return task_is_suspect(t) &&
+	       suspect_waited_ms(t, now_ms) < SUSPECT_WAIT_MAX_MS;
+}
+
+/*
+ * Report whether a suspect of st is on an upstream that has just become silent.
+ * Its other tasks wait for the outcome, which may fail the job.
+ */
+bool stage_awaits_trial(const struct stage *st, uint64_t now_ms)
+{
+	for (uint32_t i = 0; i < st->step->count; i++) {
+		const struct task *t = &st->tasks[i];
+
+		if (task_is_active(t) && task_is_suspect(t) &&
+		    t->at->silent_since_ms &&
+		    now_ms < t->at->silent_since_ms + OUTCOME_WAIT_MAX_MS)
+			return true;
+	}
+	return false;
+}
+
+/* Return how long the run of t had lasted at at_ms; 0 if it is unknown. */
+static uint32_t run_age_ms(const struct task *t, uint64_t at_ms)
+{
+	if (t->inherited || !t->confirmed_ms || t->confirmed_ms < t->placed_ms)
+		return 0;
+	return MIN(at_ms - MIN(t->confirmed_ms, at_ms), UINT32_MAX);
+}
+
+/* Report whether the active run of t has just begun. */
+bool run_is_unproven(const struct task *t, uint64_t now_ms)
+{
+	return run_age_ms(t, now_ms) < SUSPECT_EARLY_MS;
+}
+
+/* Report whether a suspect is active on u, which then gets no other work. */
+bool upstream_has_suspect(const struct upstream *u)
+{
+	for (guint i = 0; i < u->tasks->len; i++)
+		if (task_is_suspect(g_ptr_array_index(u->tasks, i)))
+			return true;
+	return false;
+}
+
+/* Note that u has not answered a call, begun before now_ms. */
+void suspect_note_silence(struct upstream *u, uint64_t now_ms)
+{
+	if (!u->silent_since_ms)
+		u->silent_since_ms = now_ms;
+}
+
+/* Report whether two runs are blamed together: in a gang all members are. */
+static bool is_same_unit(const struct task *a, const struct task *b)
+{
+	return a == b || (a->stage == b->stage && a->stage->step->gang);
+}
+
+/* Report whether the run of t may have started on its upstream. */
+static bool may_have_started(const struct task *t)
+{
+	return t->sent || t->inherited;
+}
+
+/* Report whether a time that is set is close to another one. */
+static bool is_close(uint64_t a_ms, uint64_t b_ms)
+{
+	return a_ms && a_ms + COMMON_CAUSE_MS >= b_ms &&
+	       b_ms + COMMON_CAUSE_MS >= a_ms;
+}
+
+/* Report whether the life of v ended, or seems to end, close to at_ms. */
+static bool ends_with(const struct upstream *v, uint64_t at_ms)
+{
+	/* its end was explained by a task */
+	if (v->life_end_explained && v->blamed->len)
+		return false;
+	return !v->leaving && (is_close(v->silent_since_ms, at_ms) ||
+			       is_close(v->life_ended_ms, at_ms));
+}
+
+/* Report whether a task name belongs to j. */
+static bool name_is_of_job(const char *name, const struct job *j)
+{
+	return g_str_has_prefix(name, j->id);
+}
+
+/* Report whether v, whose life ends too, was starting runs of j as well. */
+static bool shares_job(const struct upstream *v, const struct job *j,
+		       uint64_t at_ms)
+{
+	for (guint i = 0; i < v->tasks->len; i++) {
+		const struct task *t = g_ptr_array_index(v->tasks, i);
+
+		if (t->stage->job == j && may_have_started(t) &&
+		    run_is_unproven(t, at_ms))
+			return true;
+	}
+	for (guint i = 0; v->blamed && i < v->blamed->len; i++) {
+		const struct blamed_run *b =
+			&g_array_index(v->blamed, struct blamed_run, i);
+
+		if (b->early && name_is_of_job(b->task, j))
+			return true;
+	}
+	return false;
+}
+
+/* Report whether one job may explain the ends of both u and v. */
+static bool one_job_explains(const struct upstream *u, const struct upstream *v,
+			     uint64_t at_ms)
+{
+	for (guint i = 0; i < u->tasks->len; i++) {
+		const struct task *t = g_ptr_array_index(u->tasks, i);
+
+		if (may_have_started(t) && run_is_unproven(t, at_ms) &&
+		    shares_job(v, t->stage->job, at_ms))
+			return true;
+	}
+	return false;
+}
+
+/* Numbers of upstreams in a rack, in a domain and in all. */
+struct extent {
+	uint32_t rack;
+	uint32_t domain;
+	uint32_t all;
+};
+
+/* Count v in the extents that it shares with u. */
+static void extent_add(struct extent *e, const struct upstream *u,
+		       const struct upstream *v)
+{
+	e->rack += u->rack_quark && v->rack_quark == u->rack_quark;
+	e->domain += u->domain_quark && v->domain_quark == u->domain_quark;
+	e->all++;
+}
+
+/* Report whether n upstreams that ended are enough to show a common cause. */
+static bool is_common(uint32_t n, uint32_t all, uint32_t divisor)
+{
+	return n >= COMMON_CAUSE_MIN && n * divisor >= all;
+}
+
+/*
+ * Report whether u ended together with so many upstreams of its rack, its
+ * domain or all that no run explains it, unless they ran the same job.
+ */
+static bool has_common_cause(const struct fleet *f, const struct upstream *u,
+			     uint64_t at_ms)
+{
+	struct extent ended = {0}, all = {0};
+
+	for (guint i = 0; i < f->list->len; i++) {
+		const struct upstream *v = g_ptr_array_index(f->list, i);
+		bool ends = v == u || ends_with(v, at_ms);
+
+		if (v->state != UPSTREAM_GONE || ends)
+			extent_add(&all, u, v);
+		if (v == u || (ends && !upstream_has_suspect(v) &&
+			       !one_job_explains(u, v, at_ms)))
+			extent_add(&ended, u, v);
+	}
+	return is_common(ended.rack, all.rack, COMMON_PLACE_DIVISOR) ||
+	       is_common(ended.domain, all.domain, COMMON_PLACE_DIVISOR) ||
+	       is_common(ended.all, all.all, COMMON_FLEET_DIVISOR);
+}
+
+/*
+ * Report whether the last end of u was recent and is no more likely to be one
+ * task's doing than the machine's.
+ */
+static bool speaks_against_host(const struct upstream *u, uint64_t now_ms)
+{
+	if (!u->life_ended_ms || u->life_end_explained ||
+	    u->life_ended_ms + HOST_HISTORY_MS <= now_ms)
+		return false;
+	for (guint i = 0; u->blamed && i < u->blamed->len; i++) {
+		const struct blamed_run *b =
+			&g_array_index(u->blamed, struct blamed_run, i);
+
+		if (b->early && b->only)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Report whether the machine of u seems to end lives by itself: it has ended
+ * several lately that no task explains.
+ */
+static bool host_is_doubtful(const struct fleet *f, const struct upstream *u,
+			     uint64_t now_ms)
+{
+	uint32_t ends = 0;
+
+	for (guint i = 0; i < f->list->len; i++) {
+		const struct upstream *v = g_ptr_array_index(f->list, i);
+
+		if ((v == u ||
+		     (u->host_quark && v->host_quark == u->host_quark)) &&
+		    speaks_against_host(v, now_ms))
+			ends += 1 + v->earlier_ends;
+	}
+	return ends >= HOST_ENDS_MIN;
+}
+
+/* Report whether a run of j was blamed for the last end of u. */
+static bool was_ended_by(const struct upstream *u, const struct job *j)
+{
+	for (guint i = 0; u->blamed && i < u->blamed->len; i++)
+		if (name_is_of_job(
+			    g_array_index(u->blamed, struct blamed_run, i).task,
+			    j))
+			return true;
+	return false;
+}
+
+/*
+ * Return the set of machines whose end under a suspect of j would prove little:
+ * they have ended a life that no task explains, or one under j already.
+ */
+GHashTable *suspect_doubtful_hosts(const struct fleet *f, const struct job *j,
+				   uint64_t now_ms)
+{
+	GHashTable *hosts = g_hash_table_new(NULL, NULL);
+
+	for (guint i = 0; i < f->list->len; i++) {
+		const struct upstream *u = g_ptr_array_index(f->list, i);
+
+		if (u->host_quark &&
+		    (speaks_against_host(u, now_ms) || was_ended_by(u, j)))
+			g_hash_table_add(hosts,
+					 GUINT_TO_POINTER(u->host_quark));
+	}
+	return hosts;
+}
+
+/* Mark the ends that the task of this name was blamed for as explained. */
+static void explain_ends(struct fleet *f, const char *task)
+{
+	for (guint i = 0; i < f->list->len; i++) {
+		struct upstream *u = g_ptr_array_index(f->list, i);
+
+		for (guint k = 0; u->blamed && k < u->blamed->len; k++)
+			if (!strcmp(g_array_index(u->blamed, struct blamed_run,
+						  k)
+					    .task,
+				    task))
+				u->life_end_explained = true;
+	}
+}
+
+/*
+ * Report whether the ends counted for t fail its job. `only`: in the last one
+ * no other run was unproven; `doubtful`: that end is presumed, or the machine
+ * may be at fault.
+ */
+static bool is_conclusive(const struct task *t, bool only, bool doubtful)
+{
+	const struct suspicion *s = task_suspicion(t);
+	uint32_t ends = s->early_ends + s->late_ends;
+
+	if (s->early_ends >= EARLY_ENDS_MAX || ends >= ENDS_MAX)
+		return true;
+	return only && (ends > LATE_ENDS_MIN ||
+			s->early_ends >= (doubtful ? ENDS_CONCLUSIVE_DOUBTFUL
+						   : ENDS_CONCLUSIVE));
+}
+
+/* Fail the job of t, unless it has ended. */
+static bool fail_job(struct fleet *f, struct task *t)
+{
+	char name[TASK_NAME_BYTES];
+
+	if (job_is_final(t->stage->job))
+		return false;
+	task_format_name(t, name, sizeof(name));
+	explain_ends(f, name);
+	t->stage->job->state = JOB_FAILED;
+	t->stage->job->dirty = true;
+	return true;
+}
+
+/*
+ * Report whether no other unit's run on u could have ended it as well: none
+ * had just begun, or, for a run that had lasted, none was there at all.
+ */
+static bool is_only_candidate(const struct upstream *u, const struct task *t,
+			      uint64_t at_ms, bool early)
+{
+	for (guint i = 0; i < u->tasks->len; i++) {
+		const struct task *o = g_ptr_array_index(u->tasks, i);
+
+		if (!is_same_unit(o, t) && may_have_started(o) &&
+		    (!early || run_is_unproven(o, at_ms)))
+			return false;
+	}
+	return true;
+}
+
+/* Count the runs of other units on u. */
+static uint32_t count_beside(const struct upstream *u, const struct task *t)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < u->tasks->len; i++)
+		n += !is_same_unit(g_ptr_array_index(u->tasks, i), t);
+	return n;
+}
+
+/* Remember on u that the run of t was blamed for its end. */
+static void add_blamed(struct upstream *u, const struct task *t, bool early,
+		       bool only, bool presumed)
+{
+	struct blamed_run b = {
+		.early = early, .only = only, .presumed = presumed};
+
+	task_format_name(t, b.task, sizeof(b.task));
+	g_array_append_val(u->blamed, b);
+}
+
+/* Count the end of u for the run of t; returns false if it was counted. */
+static bool count_end(struct upstream *u, struct task *t, enum life_end end,
+		      uint64_t at_ms, struct suspect_finding *out)
+{
+	struct suspicion *s = record_of(t);
+	bool early = run_is_unproven(t, at_ms);
+
+	if (s->counted_run == t->run)
+		return false;
+	s->counted_run = t->run;
+	*out = (struct suspect_finding){
+		.task = t,
+		.ran_ms = run_age_ms(t, at_ms),
+		.beside = count_beside(u, t),
+		.only = is_only_candidate(u, t, at_ms, early),
+	};
+	if (early)
+		s->early_ends++;
+	else
+		s->late_ends++;
+	s->longest_ms = MAX(s->longest_ms, out->ran_ms);
+	t->stage->job->dirty = true;
+	add_blamed(u, t, early, out->only, end == LIFE_PRESUMED);
+	out->is_suspect = task_is_suspect(t);
+	return true;
+}
+
+/* Forget what was concluded from an earlier end of u's life. */
+static void reset_blamed(struct upstream *u)
+{
+	if (u->blamed)
+		g_array_set_size(u->blamed, 0);
+	else
+		u->blamed =
+			g_array_new(FALSE, FALSE, sizeof(struct blamed_run));
+}
+
+/*
+ * Judge the end of u's life at now_ms, before its runs are ended: count it for
+ * the tasks that may be its cause and fail the jobs of those that certainly
+ * are. What was found is appended to findings, one for each task or gang.
+ */
+enum life_cause suspect_judge_life(struct fleet *f, struct upstream *u,
+				   enum life_end end, uint64_t now_ms,
+				   GArray *findings)
+{
+	uint64_t at_ms = u->silent_since_ms ? u->silent_since_ms : now_ms;
+	bool doubtful = end != LIFE_ENDED || host_is_doubtful(f, u, now_ms);
+	guint first = findings->len;
+	enum life_cause cause = CAUSE_RUNS;
+
+	u->earlier_ends =
+		speaks_against_host(u, now_ms) ? u->earlier_ends + 1 : 0;
+	reset_blamed(u);
+	u->life_ended_ms = at_ms;
+	if (end == LIFE_LEFT || u->leaving)
+		cause = CAUSE_PLANNED;
+	else if (has_common_cause(f, u, at_ms))
+		cause = CAUSE_COMMON;
+	if (end == LIFE_ENDED)
+		u->silent_since_ms = 0;
+	u->life_end_explained = cause != CAUSE_RUNS;
+	if (cause != CAUSE_RUNS)
+		return cause;
+	for (guint i = 0; i < u->tasks->len; i++) {
+		struct task *t = g_ptr_array_index(u->tasks, i);
+		struct suspect_finding finding;
+
+		if (may_have_started(t) &&
+		    count_end(u, t, end, at_ms, &finding))
+			g_array_append_val(findings, finding);
+	}
+	for (guint i = first; i < findings->len; i++) {
+		struct suspect_finding *x =
+			&g_array_index(findings, struct suspect_finding, i);
+
+		x->confirmed = is_conclusive(x->task, x->only, doubtful) &&
+			       fail_job(f, x->task);
+	}
+	return findings->len > first ? CAUSE_RUNS : CAUSE_NOT_STARTED;
+}
+
+/*
+ * Note that a presumed end of u's life, which t was blamed for, is now known.
+ * Returns true if the job of t fails for it.
+ */
+bool suspect_confirm_presumed(struct fleet *f, struct upstream *u,
+			      struct task *t, const struct blamed_run *b,
+			      uint64_t now_ms)
+{
+	return is_conclusive(t, b->only, host_is_doubtful(f, u, now_ms)) &&
+	       fail_job(f, t);
+}
+
+/* Take back the blame b of t: the upstream's life has not ended. */
+void suspect_withdraw(struct task *t, const struct blamed_run *b)
+{
+	struct suspicion *s = record_of(t);
+	uint32_t *ends = b->early ? &s->early_ends : &s->late_ends;
+
+	if (!*ends)
+		return;
+	(*ends)--;
+	t->stage->job->dirty = true;
+}
+
+/*
+ * Count for t, whose run an earlier leader recorded, that the upstream's life
+ * has ended since. What ran beside it is unknown. Returns true if the job
+ * fails.
+ */
+bool suspect_note_inherited_end(struct task *t)
+{
+	struct suspicion *s = record_of(t);
+
+	if (s->counted_run == t->run || job_is_final(t->stage->job))
+		return false;
+	s->counted_run = t->run;
+	s->early_ends++;
+	t->stage->job->dirty = true;
+	if (s->early_ends < EARLY_ENDS_MAX)
+		return false;
+	t->stage->job->state = JOB_FAILED;
+	return true;
+}
+
+/* Forget what t was suspected of; returns false if it was no suspect. */
+bool suspect_clear(struct task *t)
+{
+	struct suspicion *s = record_of(t);
+
+	if (!task_is_suspect(t))
+		return false;
+	*s = (struct suspicion){.counted_run = s->counted_run};
+	t->stage->trials_passed++;
+	t->stage->job->dirty = true;
+	return true;
+}
+
+/*
+ * Note that t was listed as running by its upstream. Returns true if that
+ * clears it: its run, or each run of its gang, had lasted long enough when its
+ * upstream last answered.
+ */
+bool suspect_note_running(struct task *t)
+{
+	const struct stage *st = t->stage;
+	uint32_t trial_ms, first = t->index, last = t->index;
+
+	if (!task_is_suspect(t))
+		return false;
+	trial_ms = suspect_trial_ms(t);
+	if (st->step->gang) {
+		first = 0;
+		last = st->step->count - 1;
+	}
+	for (uint32_t i = first; i <= last; i++) {
+		const struct task *m = &st->tasks[i];
+
+		if (m->state != TASK_RUNNING ||
+		    run_age_ms(m, m->at->heard_ms) < trial_ms)
+			return false;
+	}
+	return suspect_clear(t);
+}
--- /dev/null
+++ b/sched/suspect.h
@@ -0,0 +1,70 @@
+/*
+ * Suspects: tasks under which lives of upstreams have ended. A suspect runs on
+ * an upstream without other unproven runs until it has proved itself, or until
+ * the life of a second upstream shows that it ends them; then its job fails.
+ */
+#ifndef SCHED_SUSPECT_H
+#define SCHED_SUSPECT_H
+
+#include "sched/fleet.h"
+
+/*
+ * An upstream that ends this soon after the start of a run may have ended by
+ * it; a run that has lasted longer is proven.
+ */
+#define SUSPECT_EARLY_MS 1500
+/* A suspect that has waited this long may run beside proven runs. */
+#define SUSPECT_ALONE_WAIT_MS 1500
+/* A suspect that has waited this long is placed like other tasks. */
+#define SUSPECT_WAIT_MAX_MS 2500
+
+/* What is known about the end of an upstream's life. */
+enum life_end {
+	LIFE_ENDED,    /* another life was seen in its place */
+	LIFE_PRESUMED, /* it is silent and its leases have ended */
+	LIFE_LEFT,     /* it has left as announced */
+};
+
+/* Why the runs that ended with an upstream's life are blamed, or not. */
+enum life_cause {
+	CAUSE_RUNS,	   /* one of them may have ended it */
+	CAUSE_COMMON,	   /* many upstreams ended at the same time */
+	CAUSE_PLANNED,	   /* the upstream was draining */
+	CAUSE_NOT_STARTED, /* no run had begun */
+};
+
+/* What was concluded about a task from the end of an upstream's life. */
+struct suspect_finding {
+	struct task *task; /* in a gang the first member there */
+	uint32_t ran_ms;
+	uint32_t beside; /* other runs on the upstream */
+	bool only;	 /* no other run there was unproven */
+	bool confirmed;	 /* its job has failed for it */
+	bool is_suspect;
+};
+
+bool task_is_suspect(const struct task *t);
+const struct suspicion *task_suspicion(const struct task *t);
+uint32_t suspect_trial_ms(const struct task *t);
+bool suspect_is_isolated(const struct task *t, uint64_t now_ms);
+uint64_t suspect_waited_ms(const struct task *t, uint64_t now_ms);
+bool stage_awaits_trial(const struct stage *st, uint64_t now_ms);
+bool run_is_unproven(const struct task *t, uint64_t now_ms);
+bool upstream_has_suspect(const struct upstream *u);
+
+GHashTable *suspect_doubtful_hosts(const struct fleet *f, const struct job *j,
+				   uint64_t now_ms);
+void suspect_note_silence(struct upstream *u, uint64_t now_ms);
+enum life_cause suspect_judge_life(struct fleet *f, struct upstream *u,
+				   enum life_end end, uint64_t now_ms,
+				   GArray *findings);
+bool suspect_confirm_presumed(struct fleet *f, struct upstream *u,
+			      struct task *t, const struct blamed_run *b,
+			      uint64_t now_ms);
+void suspect_withdraw(struct task *t, const struct blamed_run *b);
+bool suspect_note_inherited_end(struct task *t);
+bool suspect_note_running(struct task *t);
+bool suspect_clear(struct task *t);
+const char *life_cause_name(enum life_cause c);
+
+#endif
--- a/test/unit_lead.c
+++ b/test/unit_lead.c
@@ -454,7 +454,8 @@
 	(void)state;
 	fixture_create(&s, 1, false);
 	task_confirm(s.task, 1015);
-	model_lose_upstream(s.model, s.upstream, 2000, "leases ended");
+	model_lose_upstream(s.model, s.upstream, 2000, LIFE_PRESUMED,
+			    "leases ended");
 	assert_int_equal(s.task->state, TASK_WAITING);
 	apply_done(&s, s.task->run, strays);
 	assert_int_equal(s.task->state, TASK_DONE);
@@ -478,7 +479,8 @@
 	fixture_create(&s, 1, false);
 	task_confirm(s.task, 1015);
 	run = s.task->run;
-	model_lose_upstream(s.model, s.upstream, 2000, "leases ended");
+	model_lose_upstream(s.model, s.upstream, 2000, LIFE_PRESUMED,
+			    "leases ended");
 	other = fleet_add_upstream(s.model->fleet, "u9");
 	task_place(s.task, other, run + 1, 2100);
 	apply_done(&s, run, strays);
@@ -686,9 +688,37 @@
 	loop_destroy(l);
 }
 
+/* BUDGET: each restart of an upstream put its task back to waiting for good. */
+static void test_task_under_which_upstreams_restart_is_given_up(void **state)
+{
+	struct fixture s;
+	uint32_t starts = 0;
+
+	(void)state;
+	fixture_create(&s, 1, false);
+	task_end_run(s.task, RUN_NEVER_STARTED, NULL, 1500);
+	while (!job_is_final(s.job) && starts < 6) {
+		uint64_t now = 2000 + 5000 * starts;
+		char id[16];
+		struct upstream *u;
+
+		snprintf(id, sizeof(id), "x%u", starts++);
+		u = fleet_add_upstream(s.model->fleet, id);
+		model_note_incarnation(s.model, u, 77, now);
+		task_place(s.task, u, s.task->run + 1, now);
+		s.task->sent = true;
+		model_note_incarnation(s.model, u, 78, now + 20);
+	}
+	assert_int_equal(s.job->state, JOB_FAILED);
+	assert_int_equal(starts, 2);
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			test_task_under_which_upstreams_restart_is_given_up),
 		cmocka_unit_test(test_leases_of_silent_upstream_expire),
 		cmocka_unit_test(test_feed_confirms_writes_without_answer),
 		cmocka_unit_test(
