--- a/sched/job.c
+++ b/sched/job.c
@@ -552,6 +552,8 @@
 		return "avoided";
 	case WAIT_RESERVED:
 		return "reserved";
+	case WAIT_ISOLATION:
+		return "isolation";
 	}
 	return "";
 }
