Lose the runs of an upstream whose machine has a later life

Callers saw a job with nothing running for up to the length of a lease, 10 s, after an upstream had crashed and come back under another id.

Cause: the upstream's entry names its machine, and a machine has one life at a time. The leader did not look at it, so runs on the earlier id waited until their leases had ended, as its address was silent, and its stale entry was listed as ready until it expired.

Evidence: unit_session, test_run_on_earlier_life_of_machine_is_lost and test_run_on_earlier_life_of_machine_is_not_inherited, failed before: the run stayed, and a new leader took it over.

Change: of the listed lives of a machine only the one with the latest start time is used; the runs of the others are lost at once. An entry that is listed no more supersedes nothing, so a start time that is wrong costs a while only.

--- a/lead/model.c
+++ b/lead/model.c
@@ -391,6 +391,7 @@
 	if (started_wall_ms <= before)
 		return false;
 	u->started_wall_ms = started_wall_ms;
+	u->machine_quark = 0; /* its next entry compares the machine's lives */
 	if (!before)
 		return true;
 	lost = g_ptr_array_new();
@@ -410,6 +411,40 @@
 	return true;
 }
 
+/* Note that u has ended, as a later life of its machine is listed. */
+static void supersede(struct model *m, struct upstream *u, uint64_t now_ms)
+{
+	u->state = UPSTREAM_GONE;
+	u->superseded = true;
+	if (u->tasks->len)
+		model_lose_upstream(m, u, now_ms, "its machine has restarted");
+}
+
+/*
+ * Note that u is listed as a life of this machine; an empty name is ignored. A
+ * machine has one life at a time, so the runs of its earlier ones are lost.
+ */
+void model_note_machine(struct model *m, struct upstream *u,
+			const char *machine, uint64_t now_ms)
+{
+	GQuark quark = *machine ? g_quark_from_string(machine) : 0;
+
+	if (quark == u->machine_quark && !u->superseded)
+		return;
+	u->machine_quark = quark;
+	u->superseded = false;
+	for (guint i = 0; quark && i < m->fleet->list->len; i++) {
+		struct upstream *v = g_ptr_array_index(m->fleet->list, i);
+
+		if (v->machine_quark != quark)
+			continue;
+		if (v->started_wall_ms < u->started_wall_ms)
+			supersede(m, v, now_ms);
+		else if (v->started_wall_ms > u->started_wall_ms)
+			supersede(m, u, now_ms);
+	}
+}
+
 /*
  * Take over a run of t that an earlier leader recorded for an incarnation
  * of an upstream: it counts as active until it is known to have ended. An
@@ -426,7 +461,7 @@
 		u->state = UPSTREAM_GONE;
 	}
 	model_note_incarnation(m, u, started_wall_ms, now_ms, NULL);
-	if (u->started_wall_ms != started_wall_ms)
+	if (u->started_wall_ms != started_wall_ms || u->superseded)
 		return; /* That incarnation has ended, and the run with it. */
 	task_place(t, u, t->run, now_ms);
 	t->inherited = true;
--- a/lead/model.h
+++ b/lead/model.h
@@ -45,6 +45,8 @@
 bool model_note_incarnation(struct model *m, struct upstream *u,
 			    uint64_t started_wall_ms, uint64_t now_ms,
 			    const struct order_answer *lists);
+void model_note_machine(struct model *m, struct upstream *u,
+			const char *machine, uint64_t now_ms);
 void model_inherit_run(struct model *m, struct task *t, const char *upstream,
 		       uint64_t started_wall_ms, uint64_t now_ms);
 void model_lose_upstream(struct model *m, struct upstream *u, uint64_t now_ms,
--- a/lead/session.c
+++ b/lead/session.c
@@ -177,6 +177,7 @@
 	u->state = e->draining ? UPSTREAM_DRAINING : UPSTREAM_READY;
 	if (e->draining && e->drain_remaining_ms)
 		u->leaves_ms = now + e->drain_remaining_ms;
+	model_note_machine(k->env->model, u, e->machine, now);
 }
 
 /* Create the session with u and schedule the first list call. */
@@ -252,6 +253,7 @@
 				k->upstream->state == UPSTREAM_DRAINING,
 				clock_mono_ms());
 	k->upstream->state = UPSTREAM_GONE;
+	k->upstream->machine_quark = 0;
 	session_schedule_call(k);
 }
 
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -22,6 +22,8 @@
 	GQuark kind_quark;
 	GQuark rack_quark;
 	GQuark domain_quark;
+	GQuark machine_quark; /* 0: unknown or not listed */
+	bool superseded;      /* a later life of its machine is listed */
 	enum upstream_state state;
 	bool synced; /* has accepted our epoch and its run lists were read */
 	uint64_t leaves_ms; /* earliest departure when draining; 0: unknown */
--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -415,6 +415,79 @@
 	fixture_destroy(&s);
 }
 
+/* List an upstream as a life of a machine; returns it. */
+static struct upstream *list_life(struct fixture *s, const char *id,
+				  const char *machine, uint64_t born)
+{
+	struct upstream *u = fleet_find_upstream(s->model->fleet, id);
+
+	if (!u)
+		u = fleet_add_upstream(s->model->fleet, id);
+	s->entry.started_wall_ms = born;
+	g_strlcpy(s->entry.machine, machine, sizeof(s->entry.machine));
+	if (u->session)
+		session_apply_entry(u->session, &s->entry);
+	else
+		u->session = session_create(&s->env, u, &s->entry);
+	return u;
+}
+
+/*
+ * A machine has restarted under another id, and its old address is silent.
+ * Guards against a job with nothing running until the leases have ended.
+ */
+static void test_run_on_earlier_life_of_machine_is_lost(void **state)
+{
+	struct upstream *other, *later;
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	s.entry.address = f.address;
+	list_life(&s, "u1", "m1", 77);
+	step_until(s.loop, &s.changes, 1000);
+	start_task(&s);
+	assert_becomes(&s, TASK_RUNNING);
+	other = list_life(&s, "u2", "m2", 88);
+	assert_int_equal(s.task->state, TASK_RUNNING);
+	later = list_life(&s, "u3", "m1", 99);
+	assert_int_equal(s.task->state, TASK_WAITING);
+	assert_int_equal(s.upstream->state, UPSTREAM_GONE);
+	/* the entry of the earlier life does not make it usable again */
+	list_life(&s, "u1", "m1", 77);
+	assert_int_equal(s.upstream->state, UPSTREAM_GONE);
+	assert_int_equal(later->state, UPSTREAM_READY);
+	/* unless the later one is listed no more */
+	session_note_unlisted(later->session);
+	list_life(&s, "u1", "m1", 77);
+	assert_int_equal(s.upstream->state, UPSTREAM_READY);
+	session_destroy(other->session);
+	session_destroy(later->session);
+	fixture_destroy(&s);
+}
+
+/* A run recorded for an earlier life of a machine is not taken over. */
+static void test_run_on_earlier_life_of_machine_is_not_inherited(void **state)
+{
+	struct upstream *later;
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	s.entry.address = f.address;
+	later = list_life(&s, "u3", "m1", 99);
+	list_life(&s, "u1", "m1", 77);
+	s.task->run = 4;
+	model_inherit_run(s.model, s.task, "u1", 77, clock_mono_ms());
+	assert_false(task_is_active(s.task));
+	session_destroy(later->session);
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -428,6 +501,9 @@
 		cmocka_unit_test(
 			test_start_in_flight_at_restart_is_settled_there),
 		cmocka_unit_test(test_run_of_earlier_incarnation_is_lost),
+		cmocka_unit_test(test_run_on_earlier_life_of_machine_is_lost),
+		cmocka_unit_test(
+			test_run_on_earlier_life_of_machine_is_not_inherited),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
