Reserve no room beside work that lasts

Callers saw work wait for ever for accelerators that were free.

Cause: a gang that does not fit reserves upstreams as if the work of lower ranks there were gone, as it ends by itself or is preempted later. Work that lasts does neither, but counted too: a gang reserved the free room beside it in every pass, never started, and no other work could use that room.

Evidence: unit_wait, test_gang_reserves_nothing_beside_long_running_work, failed before: two small tasks did not start within the 10 s that the test plays.

Change: work that lasts is not counted as room for a reservation.

--- a/sched/pack.c
+++ b/sched/pack.c
@@ -435,9 +435,16 @@
 	       choose_anywhere(p, st, want, availability, 0);
 }
 
+/* Report whether the run of t ends by itself and ranks lower than `rank`. */
+static bool is_reservable(const struct task *t, uint32_t rank)
+{
+	return t->stage->job->rank > rank && !t->stage->step->long_running;
+}
+
 /*
  * Return, by upstream index, the resources used by work of lower priority than
- * a rank, without runs that are being stopped. They are summed once per pass.
+ * a rank, without runs that are being stopped or last. They are summed once per
+ * pass.
  */
 static const struct resources *sum_lower_ranks(struct pack *p, uint32_t rank)
 {
@@ -453,8 +460,7 @@
 			const struct task *t = g_ptr_array_index(u->tasks, k);
 			struct resources r = task_resources(t);
 
-			if (t->state != TASK_STOPPING &&
-			    t->stage->job->rank > rank)
+			if (t->state != TASK_STOPPING && is_reservable(t, rank))
 				resources_add(&use[i], &r, 1);
 		}
 	}
@@ -510,9 +516,8 @@
 	if (t->at->pass_index >= p->n ||
 	    p->upstreams[t->at->pass_index] != t->at)
 		return;
-	for (uint32_t rank = 0; rank < MIN(t->stage->job->rank, PACK_RANKS);
-	     rank++)
-		if (p->lower_rank_use[rank])
+	for (uint32_t rank = 0; rank < PACK_RANKS; rank++)
+		if (p->lower_rank_use[rank] && is_reservable(t, rank))
 			resources_add(
 				&p->lower_rank_use[rank][t->at->pass_index], &r,
 				-1);
--- a/test/unit_wait.c
+++ b/test/unit_wait.c
@@ -396,6 +396,36 @@
 	site_destroy(&s);
 }
 
+/*
+ * Long-running work holds half of each upstream, and a gang of whole upstreams
+ * waits. Guards against other work that waits for ever for the room that the
+ * gang reserves beside work that never ends.
+ */
+static void test_gang_reserves_nothing_beside_long_running_work(void **state)
+{
+	struct job *lasting, *gang, *other;
+	struct site s;
+
+	(void)state;
+	site_create(&s, RACK_SIZE);
+	lasting = add_job(&s, RACK_SIZE, false);
+	lasting->steps[0].need.accelerators = 4;
+	lasting->steps[0].long_running = true;
+	lasting->steps[0].max_tasks_per_upstream = 1;
+	lasting->priority = 2;
+	run_pass(&s);
+	assert_true(is_running(lasting));
+	gang = add_job(&s, RACK_SIZE, true);
+	wait_until_running(&s, gang, 1000);
+	other = add_job(&s, 2, false);
+	other->steps[0].need.accelerators = 4;
+	other->priority = 2;
+	assert_in_range(wait_until_running(&s, other, 10000), 0,
+			IDLE_SITE_WAIT_MAX_MS);
+	assert_false(is_running(gang));
+	site_destroy(&s);
+}
+
 /* No upstream has the label: that is reported, once. */
 static void test_stage_without_upstream_is_reported_once(void **state)
 {
@@ -470,6 +500,8 @@
 		cmocka_unit_test(
 			test_gang_leaves_upstream_that_refuses_a_member),
 		cmocka_unit_test(test_upstream_that_was_full_is_tried_again),
+		cmocka_unit_test(
+			test_gang_reserves_nothing_beside_long_running_work),
 		cmocka_unit_test(test_stage_without_upstream_is_reported_once),
 		cmocka_unit_test(
 			test_stage_on_avoided_upstreams_is_reported_once),
