--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -26,7 +26,8 @@
 	struct http_server *server;
 	struct sockaddr_in address;
 	uint64_t born;
-	bool mute; /* leaves all calls unanswered */
+	bool mute;     /* leaves all calls unanswered */
+	bool replaced; /* another upstream answers at its address */
 	char running[RUNS_MAX][TASK_NAME_BYTES];
 	uint32_t runs[RUNS_MAX];
 	uint32_t running_len;
@@ -87,6 +88,11 @@
 	const char *text = exchange_body(x, &len);
 	json_t *body = json_loadb(text, len, 0, NULL), *answer;
 
+	if (f->replaced) {
+		exchange_reply_json(x, 421, json_object(), 0);
+		json_decref(body);
+		return;
+	}
 	if (!strcmp(exchange_path(x), "/-/run-start")) {
 		f->starts++;
 		if (!f->mute)
@@ -415,6 +421,57 @@
 	fixture_destroy(&s);
 }
 
+/* Report whether the upstream may be given work. */
+static bool is_usable(const struct fixture *s)
+{
+	return upstream_is_usable(s->upstream, clock_mono_ms());
+}
+
+/* Step the loop until the upstream may be given work. */
+static void assert_becomes_usable(struct fixture *s)
+{
+	uint64_t deadline_ms = clock_mono_ms() + SETTLE_MAX_MS;
+
+	while (!is_usable(s) && clock_mono_ms() < deadline_ms)
+		loop_step(s->loop, 10);
+	assert_true(is_usable(s));
+}
+
+/*
+ * An upstream withdraws its draining, is listed again after its entry was
+ * missing, and answers again after another one did at its address.
+ */
+static void test_upstream_that_is_back_gets_work_again(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	open_session(&s, &f);
+	assert_becomes_usable(&s);
+	s.entry.draining = true;
+	s.entry.drain_remaining_ms = 3000;
+	session_apply_entry(s.upstream->session, &s.entry);
+	assert_false(is_usable(&s));
+	s.entry.draining = false;
+	session_apply_entry(s.upstream->session, &s.entry);
+	assert_becomes_usable(&s);
+	session_note_unlisted(s.upstream->session);
+	assert_false(is_usable(&s));
+	session_apply_entry(s.upstream->session, &s.entry);
+	assert_becomes_usable(&s);
+	f.replaced = true;
+	start_task(&s);
+	assert_becomes(&s, TASK_WAITING);
+	assert_false(is_usable(&s));
+	f.replaced = false;
+	session_apply_entry(s.upstream->session, &s.entry);
+	assert_becomes_usable(&s);
+	fixture_destroy(&s);
+}
+
 /* List an upstream as a life of a machine; returns it. */
 static struct upstream *list_life(struct fixture *s, const char *id,
 				  const char *machine, uint64_t born)
@@ -501,6 +558,7 @@
 		cmocka_unit_test(
 			test_start_in_flight_at_restart_is_settled_there),
 		cmocka_unit_test(test_run_of_earlier_incarnation_is_lost),
+		cmocka_unit_test(test_upstream_that_is_back_gets_work_again),
 		cmocka_unit_test(test_run_on_earlier_life_of_machine_is_lost),
 		cmocka_unit_test(
 			test_run_on_earlier_life_of_machine_is_not_inherited),
