Keep the run row of a large job below the store's limit

Callers would have nothing recorded or started any more after a job of a few thousand tasks had come.

Cause: the run row holds a checkpoint for each task. With 4,000 active tasks it is over 100 KB and the store takes 64 KB in a row, so it refuses the leader's write, which is repeated until the leader steps down; the next one writes the same.

Evidence: unit_starts, test_run_row_of_largest_job_fits_into_the_store, failed before with a row of 114,992 bytes.

Change: a row over 48 KB is written without checkpoints. Runs that are active list theirs to a new leader; a task of such a job that waits at a change of the leader begins again.

--- a/lead/record.c
+++ b/lead/record.c
@@ -281,6 +281,13 @@
 	return l->upstreams->len - 1;
 }
 
+/*
+ * Maximum length of a run row with checkpoints; a longer one is written without
+ * them, as the store refuses values over 64 KB. The upstreams list the
+ * checkpoints of runs that are active.
+ */
+#define CHECKPOINTS_ROW_MAX_BYTES 48000
+
 /*
  * Append the tasks of st to s, separated by spaces. A task that is done is
  * written as `=` and its run, any other as RUN,FAILURES,INCARNATION,CHECKPOINT.
@@ -289,6 +296,7 @@
  * stands for N equal tasks in a row.
  */
 static void stage_encode(GString *s, const struct stage *st,
+			 bool with_checkpoints,
 			 struct incarnation_list *incarnations)
 {
 	GString *current = g_string_new(NULL), *previous = g_string_new(NULL);
@@ -310,7 +318,7 @@
 			g_string_append_printf(current, "%u,%u,", t->run,
 					       t->failures);
 		if (i < st->step->count && t->state != TASK_DONE &&
-		    t->checkpoint)
+		    t->checkpoint && with_checkpoints)
 			g_string_append_printf(current, ",%s", t->checkpoint);
 		if (repeat_count && g_string_equal(current, previous)) {
 			repeat_count++;
@@ -328,11 +336,7 @@
 	g_string_free(previous, TRUE);
 }
 
-/*
- * Encode the state of j and the runs of its tasks, which is all that a new
- * leader needs besides the spec; release with free().
- */
-char *run_encode(const struct job *j)
+static char *encode_runs(const struct job *j, bool with_checkpoints)
 {
 	struct incarnation_list incarnations = {.upstreams = g_ptr_array_new(),
 						.names = json_array()};
@@ -344,7 +348,8 @@
 		GString *tasks = g_string_new(NULL);
 
 		if (stage_has_started(st))
-			stage_encode(tasks, st, &incarnations);
+			stage_encode(tasks, st, with_checkpoints,
+				     &incarnations);
 		json_array_append_new(
 			stages,
 			json_pack("[I,s,I]", (json_int_t)st->failures,
@@ -360,6 +365,20 @@
 	return s;
 }
 
+/*
+ * Encode the state of j and the runs of its tasks, which is all that a new
+ * leader needs besides the spec; release with free().
+ */
+char *run_encode(const struct job *j)
+{
+	char *s = encode_runs(j, true);
+
+	if (strlen(s) <= CHECKPOINTS_ROW_MAX_BYTES)
+		return s;
+	free(s);
+	return encode_runs(j, false);
+}
+
 /* What the decoding of one run row needs. */
 struct run_decoder {
 	const json_t *incarnations;
