--- a/lead/session.c
+++ b/lead/session.c
@@ -173,12 +173,12 @@
 	upstream_describe(u, e->service, e->domain, e->kind, e->rack);
 	if (memcmp(&u->resources, &e->resources, sizeof(u->resources)))
 		upstream_clear_refusals(u);
-	u->host_quark = g_quark_from_string(e->machine);
 	u->leaving = e->draining;
 	u->resources = e->resources;
 	u->state = e->draining ? UPSTREAM_DRAINING : UPSTREAM_READY;
 	if (e->draining && e->drain_remaining_ms)
 		u->leaves_ms = now + e->drain_remaining_ms;
+	model_note_machine(k->env->model, u, e->machine, now);
 }
 
 /* Create the session with u and schedule the first list call. */
@@ -254,6 +254,7 @@
 				k->upstream->state == UPSTREAM_DRAINING,
 				clock_mono_ms());
 	k->upstream->state = UPSTREAM_GONE;
+	k->upstream->lives_compared = false;
 	session_schedule_call(k);
 }
 
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -30,7 +30,9 @@
 	GQuark kind_quark;
 	GQuark rack_quark;
 	GQuark domain_quark;
-	GQuark host_quark; /* the machine, which outlives it; 0: unknown */
+	GQuark host_quark;   /* the machine, which outlives it; 0: unknown */
+	bool superseded;     /* a later life of its machine is listed */
+	bool lives_compared; /* with the other lives of its machine */
 	enum upstream_state state;
 	bool synced; /* has accepted our epoch and its run lists were read */
 	uint64_t leaves_ms; /* earliest departure when draining; 0: unknown */
