Let simulated upstreams crash and change their room

A task whose payload is "crash MS" takes down the upstream that started it: its connections break, it forgets runs, ends and fencing token, and it is back under its id with a new start time. Rooms change by command and are listed with the next heartbeat; upstreams can be told not to guard them. The record counts crashes, starts after three crashes under a task, and starts beyond a room; every test of a site checks the last two.

--- /dev/null
+++ b/fake/jointupstream.c
@@ -0,0 +1,681 @@
+/*
+ * The upstreams of the simulated joint platform. A run takes one accelerator of
+ * its upstream's room. An upstream that crashes forgets its runs, their ends
+ * and the fencing token, and comes back under its id with a new start time; its
+ * entry in the table of servers lapses if it is away for long.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "fake/jointupstream.h"
+#include "lib/log.h"
+#include "lib/schema.h"
+
+#define MAX_BODY_BYTES (4u << 20)
+#define LEASE_MAX_MS 3000
+#define STOP_DELAY_MS 50
+#define ACCELERATOR_COUNT 8
+/* A change of the room is listed with the next heartbeat. */
+#define HEARTBEAT_MS 1500
+#define SILENT_HEARTBEATS_MAX 3
+/* Time for which a room that has shrunk still counts, once listed. */
+#define CONTACT_MS 3000
+#define CRASHED_MS_DEFAULT 1500
+/* The payload of a task whose upstream crashes, before the delay in ms. */
+#define CRASH_PAYLOAD "crash"
+/* Starts of such a task are counted after this many crashes under it. */
+#define CRASHES_BEFORE_FURTHER_STARTS 3
+
+struct run {
+	char *task;
+	uint32_t number;
+	uint64_t completes_at_ms;
+	uint64_t stops_at_ms; /* 0: no stop was requested */
+	bool crashes;	      /* its upstream crashes when it completes */
+};
+
+/* A room that was listed until a time. */
+struct past_room {
+	uint32_t room;
+	uint64_t until_ms;
+};
+
+struct upstream {
+	struct joint_upstreams *all;
+	struct sockaddr_in address;
+	struct http_server *server; /* NULL: the port is still in use */
+	char listed_address[ADDRESS_TEXT_BYTES];
+	char id[32];
+	char rack[8];
+	uint64_t born_ms;
+	uint64_t crashed_ms;	     /* 0: it is up */
+	uint64_t max_epoch;	     /* highest fencing token seen */
+	uint64_t lease_end_clock_ms; /* in ms since born_ms, plus 1 */
+	uint64_t voided_end_count;   /* number of the last voided end */
+	GPtrArray *runs;
+	json_t *unacknowledged_ends;   /* ended runs, oldest first */
+	uint64_t end_count;	       /* number of the last ended run */
+	GHashTable *not_startable;     /* task to its highest run to refuse */
+	struct http_exchange *renewal; /* unanswered; NULL: none */
+	uint64_t renewal_deadline_ms;
+	GPtrArray *unanswered_starts; /* of runs that crash the upstream */
+	uint32_t room;		      /* accelerators */
+	GArray *past_rooms;	      /* struct past_room, oldest first */
+	bool is_listed;
+	bool listed_current; /* its entry shows its room and start time */
+	uint32_t listed_room;
+	uint64_t next_beat_ms;
+	uint64_t seq;
+};
+
+/* One life of an upstream: requests to an earlier one get no answer. */
+struct incarnation {
+	struct upstream *upstream;
+	uint64_t born_ms;
+};
+
+/* What happened under a task that crashes its upstreams. */
+struct crash_count {
+	uint32_t crashes;
+	uint32_t further_starts;
+};
+
+struct joint_upstreams {
+	struct loop *loop;
+	struct joint_store *store;
+	GPtrArray *list;
+	uint32_t starts_to_delay;
+	uint32_t start_delay_ms;
+	uint64_t crash_ms; /* time for which a crashed upstream is away */
+	bool guarded;	   /* starts beyond the room are refused */
+	GHashTable *completed_tasks;
+	GHashTable *crash_tasks; /* task to struct crash_count */
+	uint32_t starts;
+	uint32_t duplicate_starts;
+	uint32_t starts_after_done;
+	uint32_t crashes;
+	uint32_t starts_over_room;
+};
+
+/* A request to start a run that is executed after a delay. */
+struct delayed_start {
+	struct upstream *upstream;
+	uint64_t born_ms;
+	json_t *request;
+	struct timer timer;
+};
+
+/* Return the upstream's clock: milliseconds since it came up, plus 1. */
+static uint64_t upstream_clock_ms(const struct upstream *u)
+{
+	return clock_mono_ms() - u->born_ms + 1;
+}
+
+static struct run *find_run(const struct upstream *u, const char *task)
+{
+	for (guint i = 0; i < u->runs->len; i++) {
+		struct run *r = g_ptr_array_index(u->runs, i);
+
+		if (!strcmp(r->task, task))
+			return r;
+	}
+	return NULL;
+}
+
+/* Forbid the start of this run of the task and of all earlier ones. */
+static void forbid_start(struct upstream *u, const char *task, uint32_t run)
+{
+	uint32_t current =
+		GPOINTER_TO_UINT(g_hash_table_lookup(u->not_startable, task));
+
+	if (run > current)
+		g_hash_table_insert(u->not_startable, g_strdup(task),
+				    GUINT_TO_POINTER(run));
+}
+
+static void free_run(struct run *r)
+{
+	g_free(r->task);
+	g_free(r);
+}
+
+static void end_run(struct upstream *u, struct run *r, const char *reason)
+{
+	json_array_append_new(u->unacknowledged_ends,
+			      json_pack("[I,s,i,s,s]",
+					(json_int_t)++u->end_count, r->task,
+					(int)r->number, reason, ""));
+	if (!strcmp(reason, "done"))
+		g_hash_table_add(u->all->completed_tasks, g_strdup(r->task));
+	forbid_start(u, r->task, r->number);
+	g_ptr_array_remove(u->runs, r);
+	free_run(r);
+}
+
+static json_t *build_answer(const struct upstream *u)
+{
+	return json_pack("{s:I,s:I}", "clockMs",
+			 (json_int_t)upstream_clock_ms(u), "born",
+			 (json_int_t)u->born_ms);
+}
+
+static void reply_refused(struct upstream *u, struct http_exchange *x,
+			  const char *reason)
+{
+	json_t *v = build_answer(u);
+
+	json_object_set_new(v, "reason", json_string(reason));
+	exchange_reply_json(x, 409, v, 0);
+}
+
+/* Extend the lease to "dueMs", at most LEASE_MAX_MS from now. */
+static void extend_lease(struct upstream *u, const json_t *v)
+{
+	uint64_t max_lease_end_ms = upstream_clock_ms(u) + LEASE_MAX_MS;
+	uint64_t lease_end_ms = json_int_or(v, "dueMs", 0);
+
+	u->lease_end_clock_ms =
+		MAX(u->lease_end_clock_ms, MIN(lease_end_ms, max_lease_end_ms));
+}
+
+static bool task_is_running(const struct joint_upstreams *us, const char *task)
+{
+	for (guint i = 0; i < us->list->len; i++)
+		if (find_run(g_ptr_array_index(us->list, i), task))
+			return true;
+	return false;
+}
+
+/*
+ * Return the room that a start is judged by: the largest one that is in force,
+ * is listed, or was listed until less than CONTACT_MS ago.
+ */
+static uint32_t counted_room(const struct upstream *u)
+{
+	uint32_t room = MAX(u->room, u->listed_room);
+
+	for (guint i = 0; i < u->past_rooms->len; i++) {
+		const struct past_room *p =
+			&g_array_index(u->past_rooms, struct past_room, i);
+
+		if (clock_mono_ms() < p->until_ms + CONTACT_MS)
+			room = MAX(room, p->room);
+	}
+	return room;
+}
+
+static struct crash_count *
+find_or_create_crash_count(struct joint_upstreams *us, const char *task)
+{
+	struct crash_count *c = g_hash_table_lookup(us->crash_tasks, task);
+
+	if (c)
+		return c;
+	c = g_new0(struct crash_count, 1);
+	g_hash_table_insert(us->crash_tasks, g_strdup(task), c);
+	return c;
+}
+
+/* Count a start of the task on u, which is about to be carried out. */
+static void count_start(struct upstream *u, const char *task, bool crashes)
+{
+	struct joint_upstreams *us = u->all;
+	struct crash_count *c;
+
+	us->starts++;
+	us->duplicate_starts += task_is_running(us, task);
+	us->starts_after_done +=
+		g_hash_table_contains(us->completed_tasks, task);
+	if (u->runs->len >= counted_room(u)) {
+		us->starts_over_room++;
+		log_fields(LOG_WARN, "over_room", "{s:s,s:s,s:i,s:i}",
+			   "upstream", u->id, "task", task, "runs",
+			   (int)u->runs->len, "room", (int)u->room);
+	}
+	if (!crashes)
+		return;
+	c = find_or_create_crash_count(us, task);
+	c->further_starts += c->crashes >= CRASHES_BEFORE_FURTHER_STARTS;
+}
+
+/* Start a run. Return NULL, or the reason for a refusal. */
+static const char *start_run(struct upstream *u, const json_t *v)
+{
+	const char *task = json_str_or(v, "task", "");
+	uint32_t number = json_int_or(v, "run", 0);
+	const char *payload = json_str_or(v, "spec", "100");
+	bool crashes = g_str_has_prefix(payload, CRASH_PAYLOAD);
+	struct run *r = find_run(u, task);
+
+	if ((uint64_t)json_int_or(v, "fencingToken", 0) < u->max_epoch)
+		return "fence";
+	if (r && r->number == number)
+		return NULL;
+	if (number <=
+	    GPOINTER_TO_UINT(g_hash_table_lookup(u->not_startable, task)))
+		return "old";
+	if ((uint64_t)json_int_or(v, "dueMs", 0) <= upstream_clock_ms(u))
+		return "late";
+	extend_lease(u, v);
+	if (u->all->guarded && u->runs->len >= u->room)
+		return "room";
+	count_start(u, task, crashes);
+	r = g_new0(struct run, 1);
+	r->task = g_strdup(task);
+	r->number = number;
+	r->crashes = crashes;
+	if (crashes)
+		payload += strlen(CRASH_PAYLOAD);
+	r->completes_at_ms =
+		clock_mono_ms() + g_ascii_strtoull(payload, NULL, 10);
+	g_ptr_array_add(u->runs, r);
+	return NULL;
+}
+
+static void execute_delayed_start(void *arg)
+{
+	struct delayed_start *d = arg;
+
+	if (!d->upstream->crashed_ms && d->upstream->born_ms == d->born_ms)
+		start_run(d->upstream, d->request);
+	json_decref(d->request);
+	g_free(d);
+}
+
+static void handle_run_start(struct upstream *u, struct http_exchange *x,
+			     const json_t *v)
+{
+	const char *reason;
+	struct run *r;
+
+	if (u->all->starts_to_delay) {
+		struct delayed_start *d = g_new0(struct delayed_start, 1);
+
+		u->all->starts_to_delay--;
+		d->upstream = u;
+		d->born_ms = u->born_ms;
+		d->request = json_deep_copy(v);
+		timer_init(&d->timer, execute_delayed_start, d);
+		timer_start(u->all->loop, &d->timer, u->all->start_delay_ms);
+		return; /* leave the exchange unanswered */
+	}
+	reason = start_run(u, v);
+	r = find_run(u, json_str_or(v, "task", ""));
+	if (reason)
+		reply_refused(u, x, reason);
+	else if (r && r->crashes && r->completes_at_ms <= clock_mono_ms())
+		g_ptr_array_add(u->unanswered_starts, x);
+	else
+		exchange_reply_json(x, 200, build_answer(u), 0);
+}
+
+static void handle_run_stop(struct upstream *u, struct http_exchange *x,
+			    const json_t *v)
+{
+	const char *task = json_str_or(v, "task", "");
+	uint32_t number = json_int_or(v, "run", 0);
+	struct run *r = find_run(u, task);
+
+	if ((uint64_t)json_int_or(v, "fencingToken", 0) < u->max_epoch) {
+		reply_refused(u, x, "fence");
+		return;
+	}
+	if (r && r->number == number && !r->stops_at_ms)
+		r->stops_at_ms = clock_mono_ms() + STOP_DELAY_MS;
+	forbid_start(u, task, number);
+	exchange_reply_json(x, 200, build_answer(u), 0);
+}
+
+/* Answer the open renewal with the running and the ended runs. */
+static void answer_renewal(struct upstream *u)
+{
+	json_t *v = build_answer(u), *running = json_array();
+
+	for (guint i = 0; i < u->runs->len; i++) {
+		const struct run *r = g_ptr_array_index(u->runs, i);
+
+		json_array_append_new(running,
+				      json_pack("[s,i,s,i]", r->task,
+						(int)r->number, "", 50));
+	}
+	json_object_set_new(v, "running", running);
+	json_object_set(v, "finished", u->unacknowledged_ends);
+	exchange_reply_json(u->renewal, 200, v, 0);
+	u->renewal = NULL;
+}
+
+/*
+ * Renew the lease, drop the ended runs up to "ackCursor", and hold the answer
+ * back until a run ends or "waitMs" has elapsed. An earlier renewal that is
+ * still open is answered.
+ */
+static void handle_renewal(struct upstream *u, struct http_exchange *x,
+			   const json_t *v)
+{
+	uint64_t epoch = json_int_or(v, "fencingToken", 0);
+	uint64_t ack_cursor = json_int_or(v, "ackCursor", 0);
+
+	if (epoch < u->max_epoch) {
+		reply_refused(u, x, "fence");
+		return;
+	}
+	u->max_epoch = epoch;
+	extend_lease(u, v);
+	while (json_array_size(u->unacknowledged_ends) &&
+	       (uint64_t)json_integer_value(json_array_get(
+		       json_array_get(u->unacknowledged_ends, 0), 0)) <=
+		       ack_cursor)
+		json_array_remove(u->unacknowledged_ends, 0);
+	if (u->renewal)
+		answer_renewal(u);
+	u->renewal = x;
+	u->renewal_deadline_ms = clock_mono_ms() + json_int_or(v, "waitMs", 0);
+	if (json_array_size(u->unacknowledged_ends) ||
+	    clock_mono_ms() >= u->renewal_deadline_ms)
+		answer_renewal(u);
+}
+
+static void handle_upstream_request(void *arg, struct http_exchange *x)
+{
+	const struct incarnation *n = arg;
+	struct upstream *u = n->upstream;
+	size_t len;
+	const char *body, *path = exchange_path(x);
+	json_t *v;
+	char *id;
+
+	if (u->crashed_ms || u->born_ms != n->born_ms) {
+		exchange_abort(x);
+		return;
+	}
+	body = exchange_body(x, &len);
+	v = json_loadb(body, len, 0, NULL);
+	id = exchange_header(x, "lacewingspur-expect-instance");
+	if (id && strcmp(id, u->id))
+		exchange_reply_json(x, 421, json_object(), 0);
+	else if (!strcmp(path, "/-/run-start"))
+		handle_run_start(u, x, v);
+	else if (!strcmp(path, "/-/run-stop"))
+		handle_run_stop(u, x, v);
+	else if (!strcmp(path, "/-/hold"))
+		handle_renewal(u, x, v);
+	else
+		exchange_reply_json(x, 404, json_object(), 0);
+	g_free(id);
+	json_decref(v);
+}
+
+/*
+ * After the lease has expired, the ends of runs that nobody has acknowledged
+ * are not binding: their tasks may start on another upstream, and such a start
+ * does not count as one of a completed task.
+ */
+static void void_unacknowledged_ends(struct upstream *u)
+{
+	const json_t *end;
+	size_t i;
+
+	json_array_foreach(u->unacknowledged_ends, i, end)
+	{
+		uint64_t n = json_integer_value(json_array_get(end, 0));
+
+		if (n > u->voided_end_count &&
+		    !strcmp(json_string_value(json_array_get(end, 3)), "done"))
+			g_hash_table_remove(
+				u->all->completed_tasks,
+				json_string_value(json_array_get(end, 1)));
+	}
+	u->voided_end_count = u->end_count;
+}
+
+/*
+ * Crash u: break its connections, refuse new ones, and forget its runs, their
+ * ends and what it knows of the leader. Ends that nobody has acknowledged are
+ * not binding.
+ */
+static void crash_upstream(struct upstream *u)
+{
+	log_fields(LOG_WARN, "crash", "{s:s,s:i}", "upstream", u->id, "runs",
+		   (int)u->runs->len);
+	u->crashed_ms = clock_mono_ms();
+	u->all->crashes++;
+	http_server_destroy(u->server);
+	u->server = NULL;
+	if (u->renewal)
+		exchange_abort(u->renewal);
+	u->renewal = NULL;
+	for (guint i = 0; i < u->unanswered_starts->len; i++)
+		exchange_abort(g_ptr_array_index(u->unanswered_starts, i));
+	g_ptr_array_set_size(u->unanswered_starts, 0);
+	for (guint i = 0; i < u->runs->len; i++) {
+		struct run *r = g_ptr_array_index(u->runs, i);
+
+		if (r->crashes)
+			find_or_create_crash_count(u->all, r->task)->crashes++;
+		free_run(r);
+	}
+	g_ptr_array_set_size(u->runs, 0);
+	void_unacknowledged_ends(u);
+	json_array_clear(u->unacknowledged_ends);
+	g_hash_table_remove_all(u->not_startable);
+	u->max_epoch = 0;
+	u->lease_end_clock_ms = 0;
+	u->end_count = u->voided_end_count = 0;
+}
+
+/* Start a new life of u on its address, unless the port is still in use. */
+static void bring_up(struct upstream *u)
+{
+	struct incarnation *n = g_new0(struct incarnation, 1);
+
+	/* h2o's connections refer to it until the process exits */
+	n->upstream = u;
+	n->born_ms = clock_mono_ms();
+	u->server =
+		http_server_create(u->all->loop, &u->address, MAX_BODY_BYTES,
+				   handle_upstream_request, n);
+	if (!u->server) {
+		g_free(n);
+		return;
+	}
+	u->born_ms = n->born_ms;
+	u->crashed_ms = 0;
+	u->seq = 0;
+	u->listed_current = false;
+	u->next_beat_ms = n->born_ms;
+}
+
+/* Write the entry of u in the table of servers. */
+static void list_upstream(struct upstream *u)
+{
+	json_t *v = json_pack(
+		"{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,"
+		"s:I}",
+		"service", "service", "addr", u->listed_address, "zone",
+		"kolkata", "version", "v1", "slots", 8, "state", "ready",
+		"coldLeftMs", 0, "capacity", "cpu", 64000, "memMb", 65536,
+		"gpu", (int)u->room, "labels", "a", u->rack, "clockMs",
+		(json_int_t)upstream_clock_ms(u), "seq", (json_int_t)++u->seq,
+		"born", (json_int_t)u->born_ms);
+	struct past_room p = {u->listed_room, clock_mono_ms()};
+
+	joint_store_put(u->all->store, "servers", u->id, v);
+	json_decref(v);
+	if (u->listed_room != u->room)
+		g_array_append_val(u->past_rooms, p);
+	u->listed_room = u->room;
+	u->is_listed = u->listed_current = true;
+}
+
+/*
+ * Send the heartbeat of u if it is due and the store takes it. The entry of an
+ * upstream that is away lapses.
+ */
+static void beat(struct upstream *u)
+{
+	uint64_t now = clock_mono_ms();
+
+	if (!joint_store_is_available(u->all->store))
+		return;
+	if (u->crashed_ms) {
+		if (u->is_listed &&
+		    now >= u->crashed_ms + SILENT_HEARTBEATS_MAX * HEARTBEAT_MS)
+			joint_store_remove(u->all->store, "servers", u->id);
+		u->is_listed &= now < u->crashed_ms + SILENT_HEARTBEATS_MAX *
+							      HEARTBEAT_MS;
+		return;
+	}
+	if (now < u->next_beat_ms)
+		return;
+	u->next_beat_ms = now + HEARTBEAT_MS;
+	if (!u->listed_current)
+		list_upstream(u);
+}
+
+/* End the runs whose time is over. Return true if one crashes the upstream. */
+static bool end_due_runs(struct upstream *u)
+{
+	uint64_t now = clock_mono_ms();
+
+	for (guint i = u->runs->len; i-- > 0;) {
+		struct run *r = g_ptr_array_index(u->runs, i);
+
+		if (upstream_clock_ms(u) > u->lease_end_clock_ms)
+			end_run(u, r, "lapsed");
+		else if (now >= r->completes_at_ms && r->crashes)
+			return true;
+		else if (now >= r->completes_at_ms)
+			end_run(u, r, "done");
+		else if (r->stops_at_ms && now >= r->stops_at_ms)
+			end_run(u, r, "stopped");
+	}
+	return false;
+}
+
+static void update_upstream(struct upstream *u)
+{
+	uint64_t now = clock_mono_ms();
+
+	if (u->crashed_ms && now >= u->crashed_ms + u->all->crash_ms)
+		bring_up(u);
+	beat(u);
+	if (u->crashed_ms)
+		return;
+	if (upstream_clock_ms(u) > u->lease_end_clock_ms)
+		void_unacknowledged_ends(u);
+	if (end_due_runs(u)) {
+		crash_upstream(u);
+		return;
+	}
+	if (u->renewal && (json_array_size(u->unacknowledged_ends) ||
+			   now >= u->renewal_deadline_ms))
+		answer_renewal(u);
+}
+
+/* Create an empty set of upstreams that register in s. */
+struct joint_upstreams *joint_upstreams_create(struct loop *l,
+					       struct joint_store *s)
+{
+	struct joint_upstreams *us = g_new0(struct joint_upstreams, 1);
+
+	us->loop = l;
+	us->store = s;
+	us->list = g_ptr_array_new();
+	us->guarded = true;
+	us->crash_ms = CRASHED_MS_DEFAULT;
+	us->completed_tasks =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	us->crash_tasks =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return us;
+}
+
+/*
+ * Add an upstream and its entry in the table of servers. Its IP and the listed
+ * one are the given ones plus its number. Return false if the port is in use.
+ */
+bool joint_upstreams_add(struct joint_upstreams *us, struct sockaddr_in address,
+			 struct sockaddr_in listed)
+{
+	struct upstream *u = g_new0(struct upstream, 1);
+	uint32_t number = us->list->len;
+
+	u->all = us;
+	u->address = address;
+	u->address.sin_addr.s_addr =
+		htonl(ntohl(address.sin_addr.s_addr) + number);
+	listed.sin_addr.s_addr = htonl(ntohl(listed.sin_addr.s_addr) + number);
+	address_format(&listed, u->listed_address, sizeof(u->listed_address));
+	g_snprintf(u->id, sizeof(u->id), "w%u", number);
+	g_strlcpy(u->rack, number < 8 ? "r0" : "r1", sizeof(u->rack));
+	u->room = ACCELERATOR_COUNT;
+	u->runs = g_ptr_array_new();
+	u->unacknowledged_ends = json_array();
+	u->unanswered_starts = g_ptr_array_new();
+	u->past_rooms = g_array_new(FALSE, FALSE, sizeof(struct past_room));
+	u->not_startable =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g_ptr_array_add(us->list, u);
+	bring_up(u);
+	if (u->server)
+		beat(u);
+	return u->server != NULL;
+}
+
+/* Apply the part of a control command that concerns the upstreams. */
+void joint_upstreams_control(struct joint_upstreams *us, const json_t *command)
+{
+	json_int_t number = json_int_or(command, "upstream", -1);
+	const json_t *guarded = json_object_get(command, "guarded");
+	struct upstream *u;
+
+	us->starts_to_delay =
+		json_int_or(command, "late_starts", us->starts_to_delay);
+	us->start_delay_ms =
+		json_int_or(command, "late_ms", us->start_delay_ms);
+	us->crash_ms = json_int_or(command, "crash_ms", us->crash_ms);
+	if (guarded)
+		us->guarded = json_is_true(guarded);
+	if (number < 0 || number >= us->list->len)
+		return;
+	u = g_ptr_array_index(us->list, number);
+	u->room = json_int_or(command, "room", u->room);
+	u->listed_current = false;
+}
+
+/* Advance all upstreams to the present. */
+void joint_upstreams_update(struct joint_upstreams *us)
+{
+	for (guint i = 0; i < us->list->len; i++)
+		update_upstream(g_ptr_array_index(us->list, i));
+}
+
+/* Return the counts of starts, runs and crashes as a JSON object. */
+json_t *joint_upstreams_record(const struct joint_upstreams *us)
+{
+	json_t *tasks = json_array();
+	json_int_t running = 0, unlisted = 0;
+	GHashTableIter it;
+	gpointer name, value;
+
+	for (guint i = 0; i < us->list->len; i++) {
+		const struct upstream *u = g_ptr_array_index(us->list, i);
+
+		running += u->runs->len;
+		unlisted += !u->listed_current;
+	}
+	g_hash_table_iter_init(&it, us->crash_tasks);
+	while (g_hash_table_iter_next(&it, &name, &value)) {
+		const struct crash_count *c = value;
+
+		json_array_append_new(tasks, json_pack("[s,i,i]", name,
+						       (int)c->crashes,
+						       (int)c->further_starts));
+	}
+	return json_pack("{s:i,s:i,s:i,s:I,s:I,s:i,s:i,s:o}", "starts",
+			 (int)us->starts, "twice", (int)us->duplicate_starts,
+			 "after_done", (int)us->starts_after_done, "running",
+			 running, "unlisted", unlisted, "crashes",
+			 (int)us->crashes, "over_room",
+			 (int)us->starts_over_room, "crash_tasks", tasks);
+}
--- a/lib/http.h
+++ b/lib/http.h
@@ -75,5 +75,6 @@
 		    const char *body, uint32_t retry_after_ms);
 void exchange_reply_json(struct http_exchange *x, int status, json_t *v,
 			 uint32_t retry_after_ms);
+void exchange_abort(struct http_exchange *x);
 
 #endif
--- a/lib/httpserver.c
+++ b/lib/httpserver.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "lib/http.h"
 
@@ -228,6 +229,21 @@
 	json_decref(v);
 }
 
+/*
+ * Close the connection of x without a reply, and free x. The connection is
+ * shut down first, so that h2o closes it when it fails to write.
+ */
+void exchange_abort(struct http_exchange *x)
+{
+	h2o_socket_t *sock;
+
+	if (x->req) {
+		sock = x->req->conn->callbacks->get_socket(x->req->conn);
+		shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
+	}
+	exchange_reply(x, 503, "text/plain", "", 0);
+}
+
 static void on_accept(h2o_socket_t *listener, const char *err)
 {
 	struct http_server *s = listener->data;
--- a/test/jointsite.c
+++ b/test/jointsite.c
@@ -24,7 +24,7 @@
 
 #define CONFIG_FORMAT                                                          \
 	"{\"version\": %u, \"routes\": [%s], \"services\": [{\"name\": "       \
-	"\"service\", \"enforcesCapacity\": true}], \"limits\": "              \
+	"\"service\", \"enforcesCapacity\": %s}], \"limits\": "                \
 	"{\"maxBodyBytes\": 262144}, \"tenants\": [{\"name\": \"team\", "      \
 	"\"apiKeys\": [\"%s\"], \"guaranteed\": {\"gpu\": 16}}]}"
 
@@ -247,7 +247,8 @@
 	for (uint32_t i = 0; i < INSTANCE_COUNT; i++)
 		g_string_append_printf(routes, "%s" ROUTE_FORMAT, i ? ", " : "",
 				       i, s->net, 10 + i);
-	config = g_strdup_printf(CONFIG_FORMAT, version, routes->str, key);
+	config = g_strdup_printf(CONFIG_FORMAT, version, routes->str,
+				 s->unguarded ? "false" : "true", key);
 	b64 = g_base64_encode((const guchar *)config, strlen(config));
 	body = g_strdup_printf(
 		"{\"expected\": [], \"remove\": [], \"puts\": [{\"table\": "
@@ -341,12 +342,12 @@
 	waitpid(pid, NULL, 0);
 }
 
-/* Starts a site on network 127.NET and waits until all instances are ready. */
-struct joint_site *joint_start(uint32_t net)
+static struct joint_site *start_site(uint32_t net, bool unguarded)
 {
 	struct joint_site *s = g_new0(struct joint_site, 1);
 
 	s->net = net;
+	s->unguarded = unguarded;
 	snprintf(s->dir, sizeof(s->dir), "out/joint-%u", net);
 	g_mkdir_with_parents(s->dir, 0755);
 	s->loop = loop_create();
@@ -356,6 +357,8 @@
 	s->store_control = create_pool(s, 2, 7100);
 	s->upstream_control = create_pool(s, 3, 7100);
 	joint_put_config(s, 3, "key");
+	if (unguarded)
+		joint_control_platform(s, "{\"guarded\": false}");
 	for (uint32_t i = 0; i < INSTANCE_COUNT; i++) {
 		s->callers[i] = create_pool(s, 10 + i, 7000);
 		joint_set_clock_offset(s, i, 0);
@@ -366,6 +369,18 @@
 	return s;
 }
 
+/* Starts a site on network 127.NET and waits until all instances are ready. */
+struct joint_site *joint_start(uint32_t net)
+{
+	return start_site(net, false);
+}
+
+/* Starts a site whose upstreams carry out starts beyond their room. */
+struct joint_site *joint_start_unguarded(uint32_t net)
+{
+	return start_site(net, true);
+}
+
 /* Sends a signal that ends the instance and waits for its end. */
 void joint_instance_kill(struct joint_site *s, uint32_t i, int signo)
 {
@@ -374,20 +389,71 @@
 	s->instances[i] = 0;
 }
 
-/*
- * Checks by the record of the upstreams that no task ran twice at a time or
- * after it was done, then kills all processes and frees the site.
- */
-void joint_stop(struct joint_site *s)
+/* Returns what the upstreams have recorded, which the caller frees. */
+json_t *joint_record(struct joint_site *s)
 {
 	json_t *record = NULL;
 
 	assert_int_equal(
 		joint_request(s, s->store, "GET", "/record", NULL, &record),
 		200);
-	assert_int_equal(json_int_or(record, "twice", -1), 0);
-	assert_int_equal(json_int_or(record, "after_done", -1), 0);
+	return record;
+}
+
+/* Returns one count of the record of the upstreams. */
+int joint_count(struct joint_site *s, const char *name)
+{
+	json_t *record = joint_record(s);
+	int n = (int)json_int_or(record, name, -1);
+
+	json_decref(record);
+	return n;
+}
+
+/*
+ * Returns the largest number in this column of the tasks that crash their
+ * upstreams, see fake/joint.c.
+ */
+static int max_of_crash_tasks(struct joint_site *s, size_t column)
+{
+	json_t *record = joint_record(s);
+	const json_t *task;
+	json_int_t max = 0;
+	size_t i;
+
+	json_array_foreach(json_object_get(record, "crash_tasks"), i,
+			   task) max =
+		MAX(max, json_integer_value(json_array_get(task, column)));
 	json_decref(record);
+	return (int)max;
+}
+
+/* Returns how many upstreams have crashed under one task, at most. */
+int joint_crashes_under_one_task(struct joint_site *s)
+{
+	return max_of_crash_tasks(s, 1);
+}
+
+/*
+ * Checks the record of the upstreams: no task ran twice at a time or after it
+ * was done, no start exceeded an upstream's room, and no task was started
+ * FURTHER_STARTS_LIMIT times more after three upstreams had crashed under it.
+ */
+void joint_check_record(struct joint_site *s)
+{
+	assert_int_equal(joint_count(s, "twice"), 0);
+	assert_int_equal(joint_count(s, "after_done"), 0);
+	assert_int_equal(joint_count(s, "over_room"), 0);
+	assert_true(max_of_crash_tasks(s, 2) < FURTHER_STARTS_LIMIT);
+}
+
+/*
+ * Checks the record of the upstreams, then kills all processes and frees the
+ * site.
+ */
+void joint_stop(struct joint_site *s)
+{
+	joint_check_record(s);
 	for (uint32_t i = 0; i < INSTANCE_COUNT; i++) {
 		if (s->instances[i])
 			joint_instance_kill(s, i, SIGKILL);
@@ -410,13 +476,20 @@
 	return g_strdup_printf("/u/%016x", n);
 }
 
-static char *job_body(uint32_t tasks, uint32_t run_ms, bool gang)
+static int submit_payload(struct joint_site *s, uint32_t i, uint32_t n,
+			  uint32_t tasks, uint32_t run_ms, const char *crash,
+			  bool gang)
 {
-	return g_strdup_printf("{\"spec\": \"%u\", \"steps\": [{\"count\": %u, "
-			       "\"cpu\": 1000, \"memMb\": 100, \"gpu\": 1, "
-			       "\"estimateMs\": %u%s}]}",
-			       run_ms, tasks, run_ms,
-			       gang ? ", \"gang\": true" : "");
+	char *path = joint_job_path(n);
+	char *body = g_strdup_printf(
+		"{\"spec\": \"%s%u\", \"steps\": [{\"count\": %u, \"cpu\": "
+		"1000, \"memMb\": 100, \"gpu\": 1, \"estimateMs\": %u%s}]}",
+		crash, run_ms, tasks, run_ms, gang ? ", \"gang\": true" : "");
+	int status = joint_request(s, s->callers[i], "POST", path, body, NULL);
+
+	g_free(path);
+	g_free(body);
+	return status;
 }
 
 /*
@@ -426,12 +499,34 @@
 int joint_submit(struct joint_site *s, uint32_t i, uint32_t n, uint32_t tasks,
 		 uint32_t run_ms)
 {
-	char *path = joint_job_path(n), *body = job_body(tasks, run_ms, false);
-	int status = joint_request(s, s->callers[i], "POST", path, body, NULL);
+	return submit_payload(s, i, n, tasks, run_ms, "", false);
+}
 
-	g_free(path);
+/* Submits job n as joint_submit does, with its tasks as one gang. */
+int joint_submit_gang(struct joint_site *s, uint32_t i, uint32_t n,
+		      uint32_t tasks, uint32_t run_ms)
+{
+	return submit_payload(s, i, n, tasks, run_ms, "", true);
+}
+
+/*
+ * Submits job n with one task, whose upstream crashes crash_ms after it has
+ * started the task.  Returns as joint_submit does.
+ */
+int joint_submit_crash(struct joint_site *s, uint32_t i, uint32_t n,
+		       uint32_t crash_ms)
+{
+	return submit_payload(s, i, n, 1, crash_ms, "crash ", false);
+}
+
+/* Sets the room of upstream u, in accelerators; each run takes one. */
+void joint_set_room(struct joint_site *s, uint32_t u, uint32_t room)
+{
+	char *body =
+		g_strdup_printf("{\"upstream\": %u, \"room\": %u}", u, room);
+
+	joint_control_platform(s, body);
 	g_free(body);
-	return status;
 }
 
 /* Returns true if instance i reports job n in this state. */
--- a/test/jointsite.h
+++ b/test/jointsite.h
@@ -15,11 +15,16 @@
 #define INSTANCE_COUNT 3
 #define UPSTREAM_COUNT 4
 #define WAIT_TIMEOUT_MS 20000
+/* Accelerators of an upstream, of which a run takes one. */
+#define UPSTREAM_ROOM 8
+/* Starts of a task after three upstreams have crashed under it stay below. */
+#define FURTHER_STARTS_LIMIT 3
 
 /* A fake platform and three instances on the addresses 127.NET.9.*. */
 struct joint_site {
 	uint32_t net; /* second octet of every address: one for each test */
 	char dir[64];
+	bool unguarded; /* upstreams carry out starts beyond their room */
 	struct loop *loop;
 	struct http_client *http;
 	struct http_pool *store;
@@ -35,13 +40,19 @@
 };
 
 struct joint_site *joint_start(uint32_t net);
+struct joint_site *joint_start_unguarded(uint32_t net);
 void joint_stop(struct joint_site *s);
+json_t *joint_record(struct joint_site *s);
+int joint_count(struct joint_site *s, const char *name);
+int joint_crashes_under_one_task(struct joint_site *s);
+void joint_check_record(struct joint_site *s);
 void joint_instance_start(struct joint_site *s, uint32_t i);
 void joint_instance_kill(struct joint_site *s, uint32_t i, int signo);
 void joint_wait_ready(struct joint_site *s, uint32_t i);
 void joint_wait_peers(struct joint_site *s, uint32_t i);
 void joint_put_config(struct joint_site *s, uint32_t version, const char *key);
 void joint_control_platform(struct joint_site *s, const char *body);
+void joint_set_room(struct joint_site *s, uint32_t u, uint32_t room);
 void joint_set_clock_offset(struct joint_site *s, uint32_t i, int32_t off_s);
 void joint_set_store_link(struct joint_site *s, uint32_t i, const char *mode,
 			  uint32_t delay_ms);
@@ -54,6 +65,10 @@
 char *joint_job_path(uint32_t n);
 int joint_submit(struct joint_site *s, uint32_t i, uint32_t n, uint32_t tasks,
 		 uint32_t run_ms);
+int joint_submit_gang(struct joint_site *s, uint32_t i, uint32_t n,
+		      uint32_t tasks, uint32_t run_ms);
+int joint_submit_crash(struct joint_site *s, uint32_t i, uint32_t n,
+		       uint32_t crash_ms);
 void joint_wait_state(struct joint_site *s, uint32_t i, uint32_t n,
 		      const char *state);
 bool joint_in_state(struct joint_site *s, uint32_t i, uint32_t n,
