Let upstreams change their room and crash in the soak

Rooms of upstreams shrink and grow beside the other faults, the upstreams of odd seeds do not guard theirs, and the record is checked in every step. The new faults are drawn from a generator of their own, so that the other faults of a seed stay.

--- a/test/jointsite.c
+++ b/test/jointsite.c
@@ -414,9 +414,8 @@
  * Returns the largest number in this column of the tasks that crash their
  * upstreams, see fake/joint.c.
  */
-static int max_of_crash_tasks(struct joint_site *s, size_t column)
+static json_int_t max_of_crash_tasks(const json_t *record, size_t column)
 {
-	json_t *record = joint_record(s);
 	const json_t *task;
 	json_int_t max = 0;
 	size_t i;
@@ -424,14 +423,17 @@
 	json_array_foreach(json_object_get(record, "crash_tasks"), i,
 			   task) max =
 		MAX(max, json_integer_value(json_array_get(task, column)));
-	json_decref(record);
-	return (int)max;
+	return max;
 }
 
 /* Returns how many upstreams have crashed under one task, at most. */
 int joint_crashes_under_one_task(struct joint_site *s)
 {
-	return max_of_crash_tasks(s, 1);
+	json_t *record = joint_record(s);
+	int n = (int)max_of_crash_tasks(record, 1);
+
+	json_decref(record);
+	return n;
 }
 
 /*
@@ -441,10 +443,13 @@
  */
 void joint_check_record(struct joint_site *s)
 {
-	assert_int_equal(joint_count(s, "twice"), 0);
-	assert_int_equal(joint_count(s, "after_done"), 0);
-	assert_int_equal(joint_count(s, "over_room"), 0);
-	assert_true(max_of_crash_tasks(s, 2) < FURTHER_STARTS_LIMIT);
+	json_t *record = joint_record(s);
+
+	assert_int_equal(json_int_or(record, "twice", -1), 0);
+	assert_int_equal(json_int_or(record, "after_done", -1), 0);
+	assert_int_equal(json_int_or(record, "over_room", -1), 0);
+	assert_true(max_of_crash_tasks(record, 2) < FURTHER_STARTS_LIMIT);
+	json_decref(record);
 }
 
 /*
--- a/test/proc_soak.c
+++ b/test/proc_soak.c
@@ -19,8 +19,12 @@
 #define COMPLETION_TIMEOUT_MS 60000
 /* A process that has just been started does not handle signals yet. */
 #define SIGNAL_SETUP_MS 500
+/* Jobs with a task that crashes its upstreams, and their first number. */
+#define CRASH_JOBS_MAX 3
+#define CRASH_JOBS_FIRST (JOBS_MAX + 1)
 /* The seeds that run if SOAK_SEEDS is not set, as in CI. */
 #define DEFAULT_SEEDS "1 2 3"
+#define DEFAULT_CRASH_SEEDS "4 21"
 
 enum fault {
 	FAULT_KILL,
@@ -43,8 +47,14 @@
 struct soak {
 	struct joint_site *site;
 	GRand *random;
+	/* Faults of the upstreams themselves are drawn from a generator of
+	 * their own, so that the other faults of a seed stay as recorded. */
+	GRand *upstream_random;
+	bool crashes; /* submit jobs that crash their upstreams */
 	enum outcome jobs[JOBS_MAX];
 	uint32_t jobs_len;
+	enum outcome crash_jobs[CRASH_JOBS_MAX];
+	uint32_t crash_jobs_len;
 	/* when each active fault ends, 0 if there is none: SIGSTOP, process
 	 * down, store unavailable, connection from an instance to the store
 	 * broken, connections to an upstream broken, wall clock offset */
@@ -54,7 +64,8 @@
 	uint64_t store_link_until_ms[INSTANCE_COUNT];
 	uint64_t upstream_link_until_ms[UPSTREAM_COUNT];
 	uint64_t clock_until_ms[INSTANCE_COUNT];
-	uint64_t restarted_ms[INSTANCE_COUNT]; /* time of the last restart */
+	uint64_t room_until_ms[UPSTREAM_COUNT]; /* room reduced */
+	uint64_t restarted_ms[INSTANCE_COUNT];	/* time of the last restart */
 };
 
 /* Link modes of the proxy fake/cutter.c and the delay that each adds. */
@@ -163,6 +174,40 @@
 	}
 }
 
+/* Submits a job with a task that crashes its upstreams. */
+static void submit_crash_job(struct soak *k)
+{
+	uint32_t i = g_rand_int_range(k->upstream_random, 0, INSTANCE_COUNT);
+	uint32_t crash_ms = g_rand_int_range(k->upstream_random, 0, 600);
+	uint32_t away_ms = g_rand_int_range(k->upstream_random, 500, 5000);
+	char *body = g_strdup_printf("{\"crash_ms\": %u}", away_ms);
+
+	joint_control_platform(k->site, body);
+	g_free(body);
+	if (!k->site->instances[i] || k->resume_ms[i] ||
+	    k->crash_jobs_len == CRASH_JOBS_MAX)
+		return;
+	if (joint_submit_crash(k->site, i, CRASH_JOBS_FIRST + k->crash_jobs_len,
+			       crash_ms) == 200)
+		k->crash_jobs[k->crash_jobs_len] = JOB_ACCEPTED;
+	k->crash_jobs_len++;
+}
+
+/* Starts a random fault of an upstream itself. */
+static void inject_upstream_fault(struct soak *k)
+{
+	uint32_t u = g_rand_int_range(k->upstream_random, 0, UPSTREAM_COUNT);
+	uint32_t room = g_rand_int_range(k->upstream_random, 0, UPSTREAM_ROOM);
+	uint32_t lasts_ms = g_rand_int_range(k->upstream_random, 1000, 8000);
+
+	if (k->crashes && g_rand_boolean(k->upstream_random)) {
+		submit_crash_job(k);
+		return;
+	}
+	joint_set_room(k->site, u, room);
+	k->room_until_ms[u] = clock_mono_ms() + lasts_ms;
+}
+
 /*
  * Returns true, and marks the fault as ended, if the fault that lasts until
  * *until_ms is active and either its time is over or `all` is set.
@@ -183,9 +228,12 @@
 		if (end_fault_if_due(&k->clock_until_ms[i], all))
 			joint_set_clock_offset(k->site, i, 0);
 	}
-	for (uint32_t u = 0; u < UPSTREAM_COUNT; u++)
+	for (uint32_t u = 0; u < UPSTREAM_COUNT; u++) {
 		if (end_fault_if_due(&k->upstream_link_until_ms[u], all))
 			joint_set_upstream_link(k->site, u, "pass", 0);
+		if (end_fault_if_due(&k->room_until_ms[u], all))
+			joint_set_room(k->site, u, UPSTREAM_ROOM);
+	}
 }
 
 /* Ends the faults whose time is over, or every active fault with `all`. */
@@ -204,63 +252,94 @@
 	end_link_faults(k, all);
 }
 
-/* Checks that each accepted job completes within COMPLETION_TIMEOUT_MS. */
-static void check_accepted_jobs_complete(struct soak *k)
+/*
+ * Waits until job n is in this state, at most COMPLETION_TIMEOUT_MS.  It must
+ * not be shown in the other state.
+ */
+static void check_job_ends(struct soak *k, uint32_t n, const char *state,
+			   const char *other)
 {
-	for (uint32_t n = 0; n < k->jobs_len; n++) {
-		uint64_t until_ms = clock_mono_ms() + COMPLETION_TIMEOUT_MS;
-
-		while (k->jobs[n] == JOB_ACCEPTED &&
-		       !joint_in_state(k->site, n % INSTANCE_COUNT, n + 1,
-				       "completed")) {
-			if (clock_mono_ms() > until_ms)
-				fail_msg("accepted job %u did not complete",
-					 n + 1);
-			loop_step(k->site->loop, 20);
-		}
+	uint64_t until_ms = clock_mono_ms() + COMPLETION_TIMEOUT_MS;
+
+	while (!joint_in_state(k->site, n % INSTANCE_COUNT, n, state)) {
+		if (joint_in_state(k->site, n % INSTANCE_COUNT, n, other))
+			fail_msg("accepted job %u is %s, not %s", n, other,
+				 state);
+		if (clock_mono_ms() > until_ms)
+			fail_msg("accepted job %u is not %s", n, state);
+		joint_check_record(k->site);
+		loop_step(k->site->loop, 20);
 	}
 }
 
+/*
+ * Checks that each accepted job ends: as failed if it crashes its upstreams,
+ * as completed otherwise.
+ */
+static void check_accepted_jobs_end(struct soak *k)
+{
+	for (uint32_t n = 0; n < k->jobs_len; n++)
+		if (k->jobs[n] == JOB_ACCEPTED)
+			check_job_ends(k, n + 1, "completed", "failed");
+	for (uint32_t n = 0; n < k->crash_jobs_len; n++)
+		if (k->crash_jobs[n] == JOB_ACCEPTED)
+			check_job_ends(k, CRASH_JOBS_FIRST + n, "failed",
+				       "completed");
+}
+
+/* Submits a job and may start a fault, then waits for the next step. */
+static void run_step(struct soak *k)
+{
+	uint64_t step_end_ms = clock_mono_ms() + STEP_INTERVAL_MS;
+
+	if (k->jobs_len < JOBS_MAX && random_below(k, 3))
+		submit_job(k, k->jobs_len++);
+	else if (k->jobs_len)
+		submit_job(k, random_below(k, k->jobs_len));
+	if (!random_below(k, 4))
+		inject_fault(k);
+	if (!g_rand_int_range(k->upstream_random, 0, 6))
+		inject_upstream_fault(k);
+	end_faults(k, false);
+	joint_check_record(k->site);
+	while (clock_mono_ms() < step_end_ms)
+		loop_step(k->site->loop, 10);
+}
+
 /*
  * Runs one seed: submits jobs and injects faults for SOAK_MS, ends the
- * faults, then waits until all instances are ready and checks the jobs.
+ * faults, then waits until all instances are ready and checks the jobs.  The
+ * upstreams of odd seeds do not guard their room.
  */
-static void run_seed(uint32_t seed)
+static void run_seed(uint32_t seed, bool crashes)
 {
-	struct soak k = {.random = g_rand_new_with_seed(seed)};
+	struct soak k = {.random = g_rand_new_with_seed(seed),
+			 .upstream_random = g_rand_new_with_seed(~seed),
+			 .crashes = crashes};
 	uint64_t until_ms;
 
 	print_message("seed %u\n", seed);
-	k.site = joint_start(100 + seed % 100);
+	k.site = seed % 2 ? joint_start_unguarded(100 + seed % 100)
+			  : joint_start(100 + seed % 100);
 	until_ms = clock_mono_ms() + SOAK_MS;
-	while (clock_mono_ms() < until_ms) {
-		uint64_t step_end_ms = clock_mono_ms() + STEP_INTERVAL_MS;
-
-		if (k.jobs_len < JOBS_MAX && random_below(&k, 3))
-			submit_job(&k, k.jobs_len++);
-		else if (k.jobs_len)
-			submit_job(&k, random_below(&k, k.jobs_len));
-		if (!random_below(&k, 4))
-			inject_fault(&k);
-		end_faults(&k, false);
-		while (clock_mono_ms() < step_end_ms)
-			loop_step(k.site->loop, 10);
-	}
+	while (clock_mono_ms() < until_ms)
+		run_step(&k);
 	end_faults(&k, true);
 	for (uint32_t i = 0; i < INSTANCE_COUNT; i++)
 		joint_wait_ready(k.site, i);
-	check_accepted_jobs_complete(&k);
+	check_accepted_jobs_end(&k);
 	joint_stop(k.site);
 	g_rand_free(k.random);
+	g_rand_free(k.upstream_random);
 }
 
-static void run_seeds(const char *text)
+static void run_seeds(const char *text, bool crashes)
 {
 	char **seeds = g_strsplit(text, " ", -1);
 
 	for (char **s = seeds; *s; s++)
 		if (**s)
-			run_seed(g_ascii_strtoull(*s, NULL, 10));
+			run_seed(g_ascii_strtoull(*s, NULL, 10), crashes);
 	g_strfreev(seeds);
 }
 
@@ -269,7 +348,15 @@
 	const char *text = getenv("SOAK_SEEDS");
 
 	(void)state;
-	run_seeds(text ? text : DEFAULT_SEEDS);
+	run_seeds(text ? text : DEFAULT_SEEDS, false);
+}
+
+static void accepted_jobs_end_while_tasks_crash_their_upstreams(void **state)
+{
+	const char *text = getenv("SOAK_SEEDS");
+
+	(void)state;
+	run_seeds(text ? text : DEFAULT_CRASH_SEEDS, true);
 }
 
 /*
@@ -285,13 +372,15 @@
 {
 	(void)state;
 	if (!getenv("SOAK_SEEDS"))
-		run_seeds("22 50 97");
+		run_seeds("22 50 97", false);
 }
 
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(accepted_jobs_complete_under_random_faults),
+		cmocka_unit_test(
+			accepted_jobs_end_while_tasks_crash_their_upstreams),
 		cmocka_unit_test(seeds_that_failed_before_pass),
 	};
 
