Round estimates the same on each processor

A compiler may contract a*b + c to one instruction that rounds once. arm64 has it in its base instruction set, x86-64 does not. gcc and clang use it by default.

-ffp-contract=off, also for the fuzz programs.

What remains is the C library's exp() and log(), which may differ in the last bit.

The new test compares a size to its last bit.

--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,10 @@
 CLANG = clang-14
 OUT = out
 PKGS = glib-2.0 jansson libprotobuf-c
+# some compilers fuse multiply-adds on arm64, which rounds estimates differently
+FP_FLAGS = -ffp-contract=off
 CFLAGS = -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wno-missing-field-initializers \
-	-I. -DH2O_USE_LIBUV=0 $(shell pkg-config --cflags $(PKGS)) $(EXTRA)
+	$(FP_FLAGS) -I. -DH2O_USE_LIBUV=0 $(shell pkg-config --cflags $(PKGS)) $(EXTRA)
 LIBS = $(shell pkg-config --libs $(PKGS)) -lh2o-evloop -lssl -lcrypto -lxxhash -lm
 
 LIB = $(wildcard lib/*.c) proto/peer.pb-c.c
@@ -66,7 +68,7 @@
 
 .SECONDARY:
 
-FUZZ_CC = $(CLANG) -std=gnu11 -O1 -g -I. \
+FUZZ_CC = $(CLANG) -std=gnu11 -O1 -g $(FP_FLAGS) -I. \
 	-fsanitize=fuzzer,address,undefined -fno-sanitize-recover=undefined
 FUZZ_RUNS = 15000
 FUZZ_SEED = 7
--- a/test/unit_dispatch.c
+++ b/test/unit_dispatch.c
@@ -612,9 +612,42 @@
 	simulation_destroy(&sim);
 }
 
+/*
+ * The instances of a site may run on different processors and take over from
+ * each other. The sizes are some whose result a fused multiply-add changes.
+ */
+static void test_estimates_round_the_same_on_each_processor(void **state)
+{
+	static const struct {
+		uint32_t estimate_ms;
+		int64_t cpu_milli;
+	} sizes[] = {{5411, 3628}, {4667, 13057}, {5906, 15716}};
+	struct estimator *e = estimator_create();
+	struct job *jobs[G_N_ELEMENTS(sizes)];
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct step *s;
+
+		jobs[i] = job_create("0000000000000001");
+		s = job_add_step(jobs[i]);
+		s->count = 1;
+		s->estimate_ms = sizes[i].estimate_ms;
+		s->need.cpu_milli = sizes[i].cpu_milli;
+		estimator_record_job(e, jobs[i]);
+	}
+	assert_true(estimator_relative_size(e, jobs[2]) ==
+		    0x1.9b21a01f2c959p+0);
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
+		job_destroy(jobs[i]);
+	estimator_destroy(e);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			test_estimates_round_the_same_on_each_processor),
 		cmocka_unit_test(test_guaranteed_gang_starts_in_time),
 		cmocka_unit_test(
 			test_guaranteed_gang_does_not_wait_for_overdue_work),
