Bound the progress that an upstream lists

read_running() assigned the listed number, a double, to 32 bits. More than 100 percent then makes the remaining time of the run wrap round in value_remaining_ms().

json_number_within() bounds a number before it is converted. The new test reads such a list from a server; on the code before it fails on arm64 with 0xffffffff in place of 100.

--- a/lib/schema.c
+++ b/lib/schema.c
@@ -338,6 +338,15 @@
 	return json_is_integer(v) ? json_integer_value(v) : fallback;
 }
 
+/*
+ * Return the number v, at least min and at most max; min if v is no number. The
+ * conversion of a double to an integer type that cannot hold it is undefined.
+ */
+double json_number_within(const json_t *v, double min, double max)
+{
+	return json_is_number(v) ? CLAMP(json_number_value(v), min, max) : min;
+}
+
 /* Return the string called name in o, or fallback when there is none. */
 const char *json_str_or(const json_t *o, const char *name, const char *fallback)
 {
--- a/lib/schema.h
+++ b/lib/schema.h
@@ -50,6 +50,7 @@
 		     struct problems *p);
 
 int64_t json_int_or(const json_t *o, const char *name, int64_t fallback);
+double json_number_within(const json_t *v, double min, double max);
 const char *json_str_or(const json_t *o, const char *name,
 			const char *fallback);
 void json_str_copy(char *to, size_t len, const json_t *o, const char *name);
--- /dev/null
+++ b/test/unit_platform.c
@@ -0,0 +1,75 @@
+/* Tests of decoding what the joint platform and its upstreams send. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "lib/address.h"
+#include "lib/http.h"
+#include "platform/decode.h"
+#include "platform/orders.h"
+
+static void answer_with_runs(void *arg, struct http_exchange *x)
+{
+	(void)arg;
+	exchange_reply(x, 200, "application/json",
+		       "{\"running\": [[\"a\", 1, \"\", -5], "
+		       "[\"a\", 1, \"\", 1e300], [\"a\", 1, \"\", 40.7], "
+		       "[\"a\", 1, \"\", null]]}",
+		       0);
+}
+
+struct listed_progress {
+	uint32_t percent[4];
+	uint32_t len;
+};
+
+static void copy_progress(void *arg, const struct order_answer *a)
+{
+	struct listed_progress *p = arg;
+
+	for (uint32_t i = 0; i < MIN(a->running_len, 4); i++)
+		p->percent[i] = a->running[i].percent;
+	p->len = a->running_len;
+}
+
+/*
+ * Guards against progress that the processor converts to an integer in its own
+ * way: -5 is 0 on arm64 and 4294967291 on x86-64.
+ */
+static void listed_progress_is_between_0_and_100_percent(void **state)
+{
+	static const uint32_t expected[] = {0, 100, 40, 0};
+	struct loop *l = loop_create();
+	struct http_client *c = http_client_create(l);
+	struct listed_progress p = {0};
+	struct http_server *s;
+	struct sockaddr_in at;
+	struct orders *o;
+
+	(void)state;
+	address_parse("127.42.0.1:7435", &at);
+	s = http_server_create(l, &at, 1024, answer_with_runs, NULL);
+	assert_non_null(s);
+	o = orders_create(c, "u1", &at);
+	orders_renew(o, 0, 1, 0, 0, 2000, copy_progress, &p);
+	for (int i = 0; i < 200 && !p.len; i++)
+		loop_step(l, 10);
+	assert_int_equal(p.len, G_N_ELEMENTS(expected));
+	for (uint32_t i = 0; i < p.len; i++)
+		assert_int_equal(p.percent[i], expected[i]);
+	orders_destroy(o);
+	http_server_destroy(s);
+	http_client_destroy(c);
+	loop_destroy(l);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(listed_progress_is_between_0_and_100_percent),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
