--- a/test/unit_platform.c
+++ b/test/unit_platform.c
@@ -65,10 +65,30 @@
 	loop_destroy(l);
 }
 
+/*
+ * Guards against an objective in milliseconds that is undefined: the longest
+ * chain of a job times the factor is converted to an integer.
+ */
+static void slack_factor_of_a_queue_is_bounded(void **state)
+{
+	static const double expected[] = {0, 1000, 1.5, 0};
+	struct policy *p = decode_policy(
+		"{\"version\": 1, \"routes\": [{\"slackFactor\": -2}, "
+		"{\"slackFactor\": 1e300}, {\"slackFactor\": 1.5}, {}]}");
+
+	(void)state;
+	assert_non_null(p);
+	assert_int_equal(p->queues_len, G_N_ELEMENTS(expected));
+	for (uint32_t i = 0; i < p->queues_len; i++)
+		assert_true(p->queues[i].slack_factor == expected[i]);
+	policy_destroy(p);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(listed_progress_is_between_0_and_100_percent),
+		cmocka_unit_test(slack_factor_of_a_queue_is_bounded),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
