Bound the objective that the report computes

The report converts a job's chain times its slack factor to 64 bits. Out of range that is undefined: arm64 gives the largest number and x86-64 the smallest, and with the target added a job counted as late that could not be. The new test fails on the code before on arm64: late in place of in time.

--- a/report/history.c
+++ b/report/history.c
@@ -31,6 +31,9 @@
 		  {"lost", CAUSE_LOST},
 		  {"never_started", CAUSE_NOT_STARTED}};
 
+/* Bound of the time that a job's slack allows, about 30,000 years. */
+#define SLACK_MAX_MS 1000000000000000
+
 enum task_phase { TASK_WAITS, TASK_ACTIVE, TASK_ENDED };
 
 struct task_state {
@@ -383,7 +386,8 @@
 	for (uint32_t i = 0; i < j->steps_len; i++)
 		chain += j->steps[i].longest_ms ? j->steps[i].longest_ms
 						: f->estimate_ms;
-	return (int64_t)(chain * f->slack_factor) + f->target_ms;
+	return (int64_t)CLAMP(chain * f->slack_factor, 0, SLACK_MAX_MS) +
+	       f->target_ms;
 }
 
 static void on_job_state(struct replay *p, struct job_replay *j,
--- a/test/unit_report.c
+++ b/test/unit_report.c
@@ -151,6 +151,24 @@
 	fixture_destroy(&f);
 }
 
+/* Guards against an objective that its integer type cannot hold. */
+static void a_job_with_a_huge_slack_factor_ends_in_time(void **state)
+{
+	struct fixture f;
+
+	(void)state;
+	fixture_create(&f);
+	add_event(&f, "l", 120, "job_known",
+		  JOB ",\"queue\":\"q\",\"tasks\":2,\"estimate_ms\":1000,"
+		      "\"slack_factor\":1e300,\"target_ms\":250");
+	add_starts(&f, 120, 1);
+	add_event(&f, "l", 1120, "job_state", JOB ",\"state\":\"completed\"");
+	finish(&f);
+	assert_int_equal(find_job(&f, "0123456789abcdef")->outcome,
+			 OUTCOME_IN_TIME);
+	fixture_destroy(&f);
+}
+
 static void a_failed_run_of_a_gang_is_lost_with_the_wait_after_it(void **state)
 {
 	struct fixture f;
@@ -423,6 +441,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			waits_and_order_of_a_late_job_have_their_causes),
+		cmocka_unit_test(a_job_with_a_huge_slack_factor_ends_in_time),
 		cmocka_unit_test(
 			a_failed_run_of_a_gang_is_lost_with_the_wait_after_it),
 		cmocka_unit_test(waits_without_a_leader_belong_to_the_outage),
