Run the unit tests with both signs of char

char is signed on x86-64 and unsigned on arm64, and code that depends on it is seen only on the other one. make check now builds the unit tests with the sign that the compiler does not use by default, without optimization, and runs them. The compiler says which one that is, since it may be set otherwise: the gcc of the machine this was written on has signed char on arm64 by its specs file.

--- a/Makefile
+++ b/Makefile
@@ -64,7 +64,9 @@
 	@echo "  LINK  $@"
 	@$(CC) -o $@ $^ $(LIBS) -lcmocka
 
-tests: $(UNIT_TESTS) $(PROC_TESTS)
+unit-tests: $(UNIT_TESTS)
+
+tests: unit-tests $(PROC_TESTS)
 
 .SECONDARY:
 
@@ -124,10 +126,23 @@
 	@TEST_FILTER='a_*' $(MEMCHECK) $(OUT)/unit_lib >$(OUT)/memcheck.log \
 		2>&1 || { cat $(OUT)/memcheck.log; exit 1; }
 
+# char is signed on x86-64 and unsigned on arm64: test what this one is not
+OTHER_CHAR = $(shell $(CC) -dM -E -x c /dev/null | \
+	grep -q __CHAR_UNSIGNED__ && echo -fsigned-char || echo -funsigned-char)
+
+char-sign:
+	@echo "  CHAR  $(OTHER_CHAR)"
+	@$(MAKE) --no-print-directory OUT=$(OUT)/char \
+		EXTRA="$(OTHER_CHAR) -O0" unit-tests
+	@for t in $(UNIT_TESTS:$(OUT)/%=$(OUT)/char/%); do \
+		$$t >$(OUT)/char.log 2>&1 || \
+			{ cat $(OUT)/char.log; exit 1; }; done
+
 packages:
 	@sh .ci/install
 
 check: all tests lint fuzz memcheck
+	@$(MAKE) --no-print-directory char-sign
 	test/run.sh 4 $(UNIT_TESTS) $(PROC_TESTS)
 
 demo: packages
@@ -147,4 +162,4 @@
 	rm -rf $(OUT)
 
 # the process tests link the library; the fuzz is built by clang alone
-.PHONY: all lacewingd tests fuzz memcheck format lint packages check demo measure capacity clean
+.PHONY: all lacewingd unit-tests tests char-sign fuzz memcheck format lint packages check demo measure capacity clean
