Read the clock once for the age of a job

add_job() subtracted from one reading of the clock a bound made of a second one; MIN() evaluates it twice. Which reading comes first is open, and where the subtracted one is later by more than a millisecond and the job is older than the machine's clock, the difference wraps round. Found by reading; no run showed it, and no test can order the readings.

--- a/lead/leader.c
+++ b/lead/leader.c
@@ -208,6 +208,7 @@
 	struct job *j;
 	const char *run = d->runs ? replica_get(d->runs, id, NULL) : NULL;
 	uint64_t age, store = replica_store_clock_ms(d->env.jobs);
+	uint64_t now_ms = clock_mono_ms();
 
 	if (model_find_job(d->model, id) || (!run && job_has_ended(d, id)))
 		return;
@@ -217,7 +218,7 @@
 		return;
 	}
 	age = store > j->received_ms ? store - j->received_ms : 0;
-	j->since_ms = clock_mono_ms() - MIN(age, clock_mono_ms() - 1);
+	j->since_ms = now_ms - MIN(age, now_ms - 1);
 	model_add_job(d->model, j);
 	if (run && !run_decode(j, run, inherit_run, d))
 		log_fields(LOG_ERROR, "bad_row", "{s:s,s:s}", "job", id, "run",
