Compare the times of report options as numbers

Out of range that is undefined: x86-64 gives the smallest number, so that no job is before it, and arm64 the largest. The filter now holds seconds.

On arm64 the old conversion saturates, so there the new test could not have shown it.

--- a/ctl/report.c
+++ b/ctl/report.c
@@ -85,8 +85,8 @@
 	struct report r = {.set = s,
 			   .filter = {.account = o->account,
 				      .queue = o->queue,
-				      .since_ms = (int64_t)(o->since_s * 1000),
-				      .until_ms = (int64_t)(o->until_s * 1000)},
+				      .since_s = o->since_s,
+				      .until_s = o->until_s},
 			   .json = c->json || o->json,
 			   .out = stdout};
 	struct history *h = NULL;
--- a/report/print.c
+++ b/report/print.c
@@ -33,7 +33,7 @@
 bool report_includes(const struct report *r, const struct job_history *j)
 {
 	const struct report_filter *f = &r->filter;
-	int64_t at_ms = j->first_ms - r->history->first_ms;
+	double at_s = (j->first_ms - r->history->first_ms) / 1000.0;
 
 	if (f->account &&
 	    (!j->facts ||
@@ -43,9 +43,9 @@
 	    (!j->facts ||
 	     g_strcmp0(g_quark_to_string(j->facts->queue), f->queue)))
 		return false;
-	if (f->since_ms && at_ms < f->since_ms)
+	if (f->since_s && at_s < f->since_s)
 		return false;
-	return !f->until_ms || at_ms < f->until_ms;
+	return !f->until_s || at_s < f->until_s;
 }
 
 /* Print o as a line of JSON and free it. */
--- a/report/print.h
+++ b/report/print.h
@@ -11,8 +11,8 @@
 struct report_filter {
 	const char *account;
 	const char *queue;
-	int64_t since_ms; /* of the submission, after the first record */
-	int64_t until_ms;
+	double since_s; /* of the submission, after the first record */
+	double until_s;
 };
 
 struct report {
--- a/test/unit_report.c
+++ b/test/unit_report.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "report/print.h"
 #include "report/window.h"
 
 /* A report under test, with what it is made of. */
@@ -169,6 +170,23 @@
 	fixture_destroy(&f);
 }
 
+/* Guards against times of options that an integer type cannot hold. */
+static void a_report_until_a_far_time_includes_all_jobs(void **state)
+{
+	struct fixture f;
+	struct report r;
+
+	(void)state;
+	fixture_create(&f);
+	add_submission(&f);
+	finish(&f);
+	r = (struct report){.history = f.history, .filter = {.until_s = 1e30}};
+	assert_true(report_includes(&r, find_job(&f, "0123456789abcdef")));
+	r.filter = (struct report_filter){.since_s = 1e30};
+	assert_false(report_includes(&r, find_job(&f, "0123456789abcdef")));
+	fixture_destroy(&f);
+}
+
 static void a_failed_run_of_a_gang_is_lost_with_the_wait_after_it(void **state)
 {
 	struct fixture f;
@@ -442,6 +460,7 @@
 		cmocka_unit_test(
 			waits_and_order_of_a_late_job_have_their_causes),
 		cmocka_unit_test(a_job_with_a_huge_slack_factor_ends_in_time),
+		cmocka_unit_test(a_report_until_a_far_time_includes_all_jobs),
 		cmocka_unit_test(
 			a_failed_run_of_a_gang_is_lost_with_the_wait_after_it),
 		cmocka_unit_test(waits_without_a_leader_belong_to_the_outage),
