Give each run of unit_lib an address of its own

a_blocked_loop_does_not_time_out_an_answered_call failed twice in about 15 runs on a machine where several checkouts run their tests: line 553, the server could not listen. Two runs of unit_lib at the same time failed in the same way: they bind 127.42.0.1:7433, which the test holds for over a second. Alone 0 of 8 failed.

unit_lib and unit_platform now use 127.42.x.y, where x and y are the low bytes of the process id. Two runs at once, then four at once: all passed.

--- a/test/unit_lib.c
+++ b/test/unit_lib.c
@@ -344,6 +344,20 @@
 	}
 }
 
+/*
+ * Set a to an address on loopback that only this process uses: runs of the
+ * tests at the same time share the ports.
+ */
+static void own_address(struct sockaddr_in *a, uint32_t port)
+{
+	uint32_t pid = (uint32_t)getpid();
+	char *text = g_strdup_printf("127.42.%u.%u:%u", pid >> 8 & 0xff,
+				     pid & 0xff, port);
+
+	assert_true(address_parse(text, a));
+	g_free(text);
+}
+
 /* Connections that a timer writes to and closes. */
 struct close_test {
 	struct loop *loop;
@@ -414,7 +428,7 @@
 
 	(void)state;
 	mallopt(M_PERTURB, 0x5a); /* overwrite freed memory */
-	address_parse("127.42.0.1:7431", &at);
+	own_address(&at, 7431);
 	f = frame_listen(k.loop, &at, &in, &k);
 	assert_non_null(f);
 	timer_init(&k.timer, write_and_close, &k);
@@ -459,7 +473,7 @@
 
 	(void)state;
 	mallopt(M_PERTURB, 0x5a);
-	address_parse("127.42.0.1:7432", &at);
+	own_address(&at, 7432);
 	f = frame_listen(k.loop, &at, &in, &k);
 	assert_non_null(f);
 	p = http_pool_create(c, &at, 4);
@@ -546,7 +560,7 @@
 	GThread *t;
 
 	(void)state;
-	address_parse("127.42.0.1:7433", &server.at);
+	own_address(&server.at, 7433);
 	t = g_thread_new("server", serve_in_thread, &server);
 	while (!g_atomic_int_get(&server.ready))
 		g_usleep(1000);
@@ -579,7 +593,7 @@
 	uint32_t n[4] = {0};
 
 	(void)state;
-	address_parse("127.42.0.1:7434", &at);
+	own_address(&at, 7434);
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	assert_int_equal(bind(fd, (struct sockaddr *)&at, sizeof(at)), 0);
 	assert_int_equal(listen(fd, 4), 0);
--- a/test/unit_platform.c
+++ b/test/unit_platform.c
@@ -4,12 +4,27 @@
 #include <setjmp.h>
 #include <stdint.h>
 #include <cmocka.h>
+#include <unistd.h>
 
 #include "lib/address.h"
 #include "lib/http.h"
 #include "platform/decode.h"
 #include "platform/orders.h"
 
+/*
+ * Set a to an address on loopback that only this process uses: runs of the
+ * tests at the same time share the ports.
+ */
+static void own_address(struct sockaddr_in *a, uint32_t port)
+{
+	uint32_t pid = (uint32_t)getpid();
+	char *text = g_strdup_printf("127.42.%u.%u:%u", pid >> 8 & 0xff,
+				     pid & 0xff, port);
+
+	assert_true(address_parse(text, a));
+	g_free(text);
+}
+
 static void answer_with_runs(void *arg, struct http_exchange *x)
 {
 	(void)arg;
@@ -49,7 +64,7 @@
 	struct orders *o;
 
 	(void)state;
-	address_parse("127.42.0.1:7435", &at);
+	own_address(&at, 7435);
 	s = http_server_create(l, &at, 1024, answer_with_runs, NULL);
 	assert_non_null(s);
 	o = orders_create(c, "u1", &at);
