Decide with each write that is due while the store is slow

Callers had jobs accepted and nothing started for as long as the store was slow.

Cause: after a slow write the leader pauses as long as the write took, before it decides and writes again. The write that is due every 300 ms, as heartbeat, was sent in the pause without a new decision. If writes take over 300 ms, that write is still in flight when the pause ends, the pass that follows may stop but not start, and the next pause begins: nothing is ever placed.

Change: the write that is due takes new decisions along; the pause delays only writes beside it, as meant.

--- a/lead/leader.c
+++ b/lead/leader.c
@@ -672,9 +672,19 @@
 	return false;
 }
 
+/* Run a scheduling pass. */
+static void decide(struct leader *d)
+{
+	lose_unlisted_upstreams(d);
+	update_reach(d);
+	model_update_job_states(d->model, replica_store_clock_ms(d->env.jobs));
+	dispatch_jobs(d);
+	model_update_job_states(d->model, replica_store_clock_ms(d->env.jobs));
+}
+
 /*
  * Run a scheduling pass and write its decisions; both wait while the store
- * is slow.
+ * is slow, at most until the next write is due in any case.
  */
 static void run_pass(void *arg)
 {
@@ -689,11 +699,7 @@
 			    d->next_write_ms - now);
 		return;
 	}
-	lose_unlisted_upstreams(d);
-	update_reach(d);
-	model_update_job_states(d->model, replica_store_clock_ms(d->env.jobs));
-	dispatch_jobs(d);
-	model_update_job_states(d->model, replica_store_clock_ms(d->env.jobs));
+	decide(d);
 	if (!election_write_in_flight(d->election) && any_job_is_dirty(d))
 		write_changes(d);
 }
@@ -711,7 +717,11 @@
 	election_yield(d->election);
 }
 
-/* Write now; an instance that still reads writes the owner row alone. */
+/*
+ * Write now; an instance that still reads writes the owner row alone. The write
+ * is sent even if the store is slow, so it takes new decisions along: a pass
+ * that waits for the store would find this write in flight.
+ */
 static void on_write_due(void *arg)
 {
 	struct leader *d = arg;
@@ -721,10 +731,8 @@
 		return;
 	}
 	yield_to_stronger_peer(d);
-	if (clock_mono_ms() >= d->next_write_ms)
-		run_pass(d);
-	if (!election_write_in_flight(d->election))
-		write_changes(d);
+	decide(d);
+	write_changes(d);
 }
 
 /* Create the leader task; it leads once the owner row names this instance. */
