Compare ends that a new leader finds only with each other

Callers saw one more upstream taken down by a task after a change of leader: the successor found a crashed upstream at its first call while a domain was cut off, took the time of that call for the time of the end, and saw one event with many upstreams, which excuses their runs.

Cause: an upstream that this leader never saw silent has no known time of its end. Such ends are compared with others of this kind only, which were found at the same time.

Evidence: unit_suspect, test_cut_domain_excuses_no_end_found_by_a_new_leader, failed before (no suspect) and passes.

--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -43,6 +43,7 @@
 	uint64_t silent_since_ms; /* the first such call; 0: it answers */
 	bool leaving;		  /* was draining when last listed */
 	uint64_t life_ended_ms;	  /* end of its last life; 0: none yet */
+	bool life_end_timed;	  /* it was seen to become silent */
 	uint32_t earlier_ends;	  /* unexplained ones in a row before it */
 	/* that end does not speak against the machine */
 	bool life_end_explained;
--- a/sched/suspect.c
+++ b/sched/suspect.c
@@ -176,14 +176,21 @@
 	       b_ms + COMMON_CAUSE_MS >= a_ms;
 }
 
-/* Report whether the life of v ended, or seems to end, close to at_ms. */
-static bool ends_with(const struct upstream *v, uint64_t at_ms)
+/*
+ * Report whether the life of v ended, or seems to end, close to at_ms. An end
+ * whose time was not seen is compared with others of this kind only: they were
+ * found at the same time.
+ */
+static bool ends_with(const struct upstream *v, uint64_t at_ms, bool timed)
 {
 	/* its end was explained by a task */
 	if (v->life_end_explained && v->blamed->len)
 		return false;
-	return !v->leaving && (is_close(v->silent_since_ms, at_ms) ||
-			       is_close(v->life_ended_ms, at_ms));
+	if (v->leaving)
+		return false;
+	if (timed && is_close(v->silent_since_ms, at_ms))
+		return true;
+	return v->life_end_timed == timed && is_close(v->life_ended_ms, at_ms);
 }
 
 /* Report whether a task name belongs to j. */
@@ -254,13 +261,13 @@
  * domain or all that no run explains it, unless they ran the same job.
  */
 static bool has_common_cause(const struct fleet *f, const struct upstream *u,
-			     uint64_t at_ms)
+			     uint64_t at_ms, bool timed)
 {
 	struct extent ended = {0}, all = {0};
 
 	for (guint i = 0; i < f->list->len; i++) {
 		const struct upstream *v = g_ptr_array_index(f->list, i);
-		bool ends = v == u || ends_with(v, at_ms);
+		bool ends = v == u || ends_with(v, at_ms, timed);
 
 		if (v->state != UPSTREAM_GONE || ends)
 			extent_add(&all, u, v);
@@ -482,9 +489,10 @@
 		speaks_against_host(u, now_ms) ? u->earlier_ends + 1 : 0;
 	reset_blamed(u);
 	u->life_ended_ms = at_ms;
+	u->life_end_timed = u->silent_since_ms;
 	if (end == LIFE_LEFT || u->leaving)
 		cause = CAUSE_PLANNED;
-	else if (has_common_cause(f, u, at_ms))
+	else if (has_common_cause(f, u, at_ms, u->life_end_timed))
 		cause = CAUSE_COMMON;
 	if (end == LIFE_ENDED)
 		u->silent_since_ms = 0;
--- a/test/unit_suspect.c
+++ b/test/unit_suspect.c
@@ -397,6 +397,27 @@
 	simulation_destroy(&sim);
 }
 
+/*
+ * BUDGET: a new leader found crashed upstreams while a domain was cut off, and
+ * took both for one event.
+ */
+static void test_cut_domain_excuses_no_end_found_by_a_new_leader(void **state)
+{
+	struct simulation sim;
+	struct job *j;
+
+	(void)state;
+	simulation_create(&sim, 16);
+	j = add_job(&sim, 2, 4, false, "");
+	play(&sim, 100);
+	for (uint32_t i = 8; i < 16; i++)
+		suspect_note_silence(upstream(&sim, i), sim.now_ms);
+	model_lose_upstream(sim.model, j->stages[0].tasks[0].at, sim.now_ms,
+			    LIFE_ENDED, "replaced");
+	assert_true(task_is_suspect(&j->stages[0].tasks[0]));
+	simulation_destroy(&sim);
+}
+
 static void test_planned_leave_raises_no_suspect(void **state)
 {
 	struct simulation sim;
@@ -677,6 +698,8 @@
 			test_suspects_are_started_in_time_without_empty_upstream),
 		cmocka_unit_test(test_suspects_leave_upstreams_to_other_work),
 		cmocka_unit_test(test_power_cut_of_a_rack_raises_no_suspect),
+		cmocka_unit_test(
+			test_cut_domain_excuses_no_end_found_by_a_new_leader),
 		cmocka_unit_test(test_planned_leave_raises_no_suspect),
 		cmocka_unit_test(
 			test_answer_of_the_same_life_withdraws_suspicion),
