--- a/test/unit_suspect.c
+++ b/test/unit_suspect.c
@@ -323,6 +323,25 @@
 	simulation_destroy(&sim);
 }
 
+/* On a full site some run has always just begun on each upstream. */
+static void test_suspects_on_a_full_site_run_apart(void **state)
+{
+	struct simulation sim;
+
+	(void)state;
+	simulation_create(&sim, 8);
+	for (uint32_t i = 0; i < 120; i++) {
+		if (i % 40 == 20)
+			add_job(&sim, 2, 1, false, "deadly 0");
+		add_job(&sim, 8, 1, false, "");
+		play(&sim, 300);
+	}
+	play(&sim, 120000);
+	assert_int_equal(sim.lives_ended, 6);
+	assert_innocent_jobs_are_done(&sim);
+	simulation_destroy(&sim);
+}
+
 /* LOST: suspects that wait for an empty upstream must not wait for good. */
 static void
 test_suspects_are_started_in_time_without_empty_upstream(void **state)
@@ -694,6 +713,7 @@
 			test_deadly_task_ends_two_lives_and_neighbours_end_done),
 		cmocka_unit_test(test_many_deadly_tasks_end_two_lives_each),
 		cmocka_unit_test(test_full_site_has_room_for_suspects_in_time),
+		cmocka_unit_test(test_suspects_on_a_full_site_run_apart),
 		cmocka_unit_test(
 			test_suspects_are_started_in_time_without_empty_upstream),
 		cmocka_unit_test(test_suspects_leave_upstreams_to_other_work),
