--- a/test/unit_suspect.c
+++ b/test/unit_suspect.c
@@ -323,6 +323,25 @@
 	simulation_destroy(&sim);
 }
 
+/* On a full site some run has always just begun on each upstream. */
+static void test_suspects_on_a_full_site_run_apart(void **state)
+{
+	struct simulation sim;
+
+	(void)state;
+	simulation_create(&sim, 8);
+	for (uint32_t i = 0; i < 120; i++) {
+		if (i % 40 == 20)
+			add_job(&sim, 2, 1, false, "deadly 0");
+		add_job(&sim, 8, 1, false, "");
+		play(&sim, 300);
+	}
+	play(&sim, 120000);
+	assert_int_equal(sim.lives_ended, 6);
+	assert_innocent_jobs_are_done(&sim);
+	simulation_destroy(&sim);
+}
+
 /* LOST: suspects that wait for an empty upstream must not wait for good. */
 static void
 test_suspects_are_started_in_time_without_empty_upstream(void **state)
@@ -397,6 +416,27 @@
 	simulation_destroy(&sim);
 }
 
+/*
+ * BUDGET: a new leader found crashed upstreams while a domain was cut off, and
+ * took both for one event.
+ */
+static void test_cut_domain_excuses_no_end_found_by_a_new_leader(void **state)
+{
+	struct simulation sim;
+	struct job *j;
+
+	(void)state;
+	simulation_create(&sim, 16);
+	j = add_job(&sim, 2, 4, false, "");
+	play(&sim, 100);
+	for (uint32_t i = 8; i < 16; i++)
+		suspect_note_silence(upstream(&sim, i), sim.now_ms);
+	model_lose_upstream(sim.model, j->stages[0].tasks[0].at, sim.now_ms,
+			    LIFE_ENDED, "replaced");
+	assert_true(task_is_suspect(&j->stages[0].tasks[0]));
+	simulation_destroy(&sim);
+}
+
 static void test_planned_leave_raises_no_suspect(void **state)
 {
 	struct simulation sim;
@@ -673,10 +713,13 @@
 			test_deadly_task_ends_two_lives_and_neighbours_end_done),
 		cmocka_unit_test(test_many_deadly_tasks_end_two_lives_each),
 		cmocka_unit_test(test_full_site_has_room_for_suspects_in_time),
+		cmocka_unit_test(test_suspects_on_a_full_site_run_apart),
 		cmocka_unit_test(
 			test_suspects_are_started_in_time_without_empty_upstream),
 		cmocka_unit_test(test_suspects_leave_upstreams_to_other_work),
 		cmocka_unit_test(test_power_cut_of_a_rack_raises_no_suspect),
+		cmocka_unit_test(
+			test_cut_domain_excuses_no_end_found_by_a_new_leader),
 		cmocka_unit_test(test_planned_leave_raises_no_suspect),
 		cmocka_unit_test(
 			test_answer_of_the_same_life_withdraws_suspicion),
