Send a start only if it fits what its upstream has by now

After an outage of the store the leader sent starts that it had planned, or planned just then, by the resources that its upstreams had before: 18 of 32 starts went to upstreams whose room had shrunk more than 3 s before. One that does not refuse excess work carries them out.

Cause: nothing looks at an upstream's resources again between the decision and the start order, which waits for its record while the store is away; and the list of upstreams can be read later than the write is answered.

Change: recorded starts on an upstream that has too little by now are dropped, in a gang with all members, and placed again; a start on an upstream that does not refuse excess work waits while the list of upstreams is older than 2 s.

--- a/config/policy.c
+++ b/config/policy.c
@@ -84,6 +84,15 @@
 	return NULL;
 }
 
+/* Report whether the upstreams of this service refuse excess work. */
+bool policy_enforces_capacity(const struct policy *p, const char *service)
+{
+	for (uint32_t i = 0; i < p->services_len; i++)
+		if (!strcmp(p->services[i].name, service))
+			return p->services[i].enforces_capacity;
+	return false;
+}
+
 /* Return the account that has the key, or NULL. */
 const struct account *policy_find_account(const struct policy *p,
 					  const char *key)
--- a/config/policy.h
+++ b/config/policy.h
@@ -55,6 +55,7 @@
 const struct queue *policy_match_queue(const struct policy *p, const char *host,
 				       const char *path);
 const struct queue *policy_find_queue(const struct policy *p, const char *name);
+bool policy_enforces_capacity(const struct policy *p, const char *service);
 const struct account *policy_find_account(const struct policy *p,
 					  const char *key);
 
--- a/lead/leader.c
+++ b/lead/leader.c
@@ -12,6 +12,7 @@
 #include "lead/session.h"
 #include "lead/leader.h"
 #include "lead/election.h"
+#include "lead/starts.h"
 #include "lead/succession.h"
 #include "lib/log.h"
 #include "sched/reach.h"
@@ -38,21 +39,18 @@
  * be queried.
  */
 #define KEEP_MARGIN_MS 10000
+/*
+ * Maximum age of the list of upstreams when a start is sent to one that does
+ * not refuse excess work. Resources that have shrunk count for 3 s more; an
+ * answer can have been under way for up to 0.6 s.
+ */
+#define LIST_AGE_MAX_MS 2000
 /*
  * Delay between an answer of the upstreams feed and the next call; this
  * table changes all the time.
  */
 #define UPSTREAMS_POLL_DELAY_MS 150
 
-/*
- * A start order that waits until it is recorded. It names its task, as the
- * task may have been freed by then.
- */
-struct planned_start {
-	char task[TASK_NAME_BYTES];
-	uint32_t run;
-};
-
 struct leader {
 	struct leader_env env;
 	struct election *election;
@@ -591,19 +589,32 @@
 	}
 }
 
-/* Send the start orders that have been recorded. */
+/*
+ * Report whether a start of t may be sent by what is known of its upstream: one
+ * that does not refuse excess work must not get a start by an old list.
+ */
+static bool upstream_is_known_well(const struct leader *d, const struct task *t)
+{
+	return policy_enforces_capacity(d->policy, t->at->service) ||
+	       replica_age_ms(d->upstreams) <= LIST_AGE_MAX_MS;
+}
+
+/*
+ * Send the start orders that have been recorded and still fit. A start whose
+ * row may not be in this write, or whose upstream is not known well, waits for
+ * the next write.
+ */
 static void send_recorded_starts(struct leader *d)
 {
+	starts_drop_excess(d->starts_in_write, d->model, clock_mono_ms());
 	for (guint i = 0; i < d->starts_in_write->len; i++) {
 		const struct planned_start *s = &g_array_index(
 			d->starts_in_write, struct planned_start, i);
-		struct task *t = model_find_task(d->model, s->task);
+		struct task *t = starts_find_unsent(s, d->model);
 
-		if (!t || t->run != s->run || t->state != TASK_PLACED ||
-		    t->sent)
+		if (!t)
 			continue;
-		if (t->stage->job->dirty) {
-			/* Its row may not be in this write: wait for the next. */
+		if (t->stage->job->dirty || !upstream_is_known_well(d, t)) {
 			g_array_append_val(d->planned_starts, *s);
 			continue;
 		}
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -151,6 +151,12 @@
 	       u->avoid_until_ms <= now_ms;
 }
 
+/* Report whether the active tasks of u need more resources than it has. */
+bool upstream_is_overcommitted(const struct upstream *u)
+{
+	return !resources_contain(&u->resources, &u->used);
+}
+
 /*
  * Count a failed run of j against u. From the second counted failure on, u gets
  * no new work for a backoff. A job that fails twice in a row counts once: it
--- a/test/proc_crash.c
+++ b/test/proc_crash.c
@@ -14,6 +14,10 @@
 #define CRASHED_MS 600
 /* Maximum time for which an upstream that is back gets no work. */
 #define AVOIDED_MS 1500
+/* Interval of the upstreams' heartbeats. */
+#define HEARTBEAT_MS 1500
+/* Delay of the leader's calls to the store, in each direction. */
+#define STORE_DELAY_MS 400
 /* Time for which a room that has shrunk still counts, once it is listed. */
 #define CONTACT_MS 3000
 /* Time within which the leader uses a room that is listed. */
@@ -207,6 +211,37 @@
 	joint_stop(s);
 }
 
+/*
+ * Guards against starts by rooms of before an outage of the store.  The rooms
+ * shrink just before the store hangs, for longer than a room that has shrunk
+ * counts.  The leader's calls take longer than it waits for them, so it
+ * learns of the job through a peer, but not of the rooms.
+ */
+static void start_after_an_outage_fits_the_room_listed_before_it(void **state)
+{
+	struct joint_site *s = joint_start_unguarded(114);
+	uint32_t leader = joint_wait_leader(s);
+	uint32_t other = (leader + 1) % INSTANCE_COUNT;
+	uint64_t shrinks_ms;
+
+	(void)state;
+	set_all_rooms(s, UPSTREAM_ROOM - 1);
+	shrinks_ms = clock_mono_ms() + HEARTBEAT_MS;
+	joint_set_store_link(s, leader, "pass", STORE_DELAY_MS);
+	for (uint32_t u = 0; u < UPSTREAM_COUNT; u++)
+		joint_set_room(s, u, 1);
+	run_for(s, shrinks_ms - STORE_DELAY_MS / 4 - clock_mono_ms());
+	assert_int_equal(joint_submit(s, other, 1, 4 * UPSTREAM_ROOM, 300),
+			 200);
+	set_all_rooms(s, 1);
+	joint_control_platform(s, "{\"store\": \"hang\"}");
+	run_for(s, CONTACT_MS + STORE_DELAY_MS);
+	joint_set_store_link(s, leader, "pass", 0);
+	joint_control_platform(s, "{\"store\": \"ok\"}");
+	wait_completed(s, other, 1);
+	joint_stop(s);
+}
+
 /* Guards against room that is used while the run in it is being stopped. */
 static void stopping_runs_count_until_their_end_is_listed(void **state)
 {
@@ -245,6 +280,8 @@
 			upstreams_are_filled_again_once_their_room_grows),
 		cmocka_unit_test(
 			gang_starts_soon_after_the_room_for_it_is_back),
+		cmocka_unit_test(
+			start_after_an_outage_fits_the_room_listed_before_it),
 		cmocka_unit_test(stopping_runs_count_until_their_end_is_listed),
 	};
 
