--- a/config/policy.h
+++ b/config/policy.h
@@ -56,6 +56,7 @@
 				       const char *path);
 const struct queue *policy_find_queue(const struct policy *p, const char *name);
 void queue_configure_job(const struct queue *q, struct job *j);
+bool policy_enforces_capacity(const struct policy *p, const char *service);
 const struct account *policy_find_account(const struct policy *p,
 					  const char *key);
 
--- a/lead/leader.c
+++ b/lead/leader.c
@@ -39,6 +39,12 @@
  * be queried.
  */
 #define KEEP_MARGIN_MS 10000
+/*
+ * Maximum age of the list of upstreams when a start is sent to one that does
+ * not refuse excess work. Resources that have shrunk count for 3 s more; an
+ * answer can have been under way for up to 0.6 s.
+ */
+#define LIST_AGE_MAX_MS 2000
 /*
  * Delay between an answer of the upstreams feed and the next call; this
  * table changes all the time.
@@ -581,16 +587,35 @@
 	}
 }
 
-/* Send the start orders that have been recorded. */
+/*
+ * Report whether a start of t may be sent by what is known of its upstream: one
+ * that does not refuse excess work must not get a start by an old list.
+ */
+static bool upstream_is_known_well(const struct leader *d, const struct task *t)
+{
+	return policy_enforces_capacity(d->policy, t->at->service) ||
+	       replica_age_ms(d->upstreams) <= LIST_AGE_MAX_MS;
+}
+
+/*
+ * Send the start orders that have been recorded and still fit. A start whose
+ * row may not be in this write, or whose upstream is not known well, waits for
+ * the next write.
+ */
 static void send_recorded_starts(struct leader *d)
 {
 	GPtrArray *tasks = starts_take_recorded(d->starts, d->model);
 
+	starts_drop_excess(tasks, clock_mono_ms());
 	for (guint i = 0; i < tasks->len; i++) {
 		struct task *t = g_ptr_array_index(tasks, i);
 
 		/* an order that fails at once may end others of its gang */
-		if (t->state == TASK_PLACED && !t->sent && task_session(t))
+		if (t->state != TASK_PLACED || t->sent)
+			continue;
+		if (!upstream_is_known_well(d, t))
+			starts_plan(d->starts, t);
+		else if (task_session(t))
 			session_start_run(task_session(t), t);
 	}
 	g_ptr_array_free(tasks, TRUE);
--- a/lead/starts.c
+++ b/lead/starts.c
@@ -4,6 +4,7 @@
  * job that changes again meanwhile does not undo what was recorded.
  */
 #include "lead/starts.h"
+#include "lib/log.h"
 
 /* A start, which names its task, as the task may have been freed since. */
 struct start {
@@ -52,15 +53,19 @@
 	g_array_append_val(s->planned, x);
 }
 
+/* Report whether the newest run of t still waits for its order. */
+static bool is_unsent(const struct task *t)
+{
+	return t->state == TASK_PLACED && !t->sent;
+}
+
 /* Return the task of a start if its run still waits for the order. */
 static struct task *find_waiting_task(const struct start *x,
 				      const struct model *m)
 {
 	struct task *t = model_find_task(m, x->task);
 
-	return t && t->run == x->run && t->state == TASK_PLACED && !t->sent
-		       ? t
-		       : NULL;
+	return t && t->run == x->run && is_unsent(t) ? t : NULL;
 }
 
 /*
@@ -105,3 +110,42 @@
 	g_array_set_size(s->in_write, 0);
 	return tasks;
 }
+
+/* End a run whose start will not be sent, so that it is placed again. */
+static void drop_start(struct task *t, uint64_t now_ms)
+{
+	char name[TASK_NAME_BYTES];
+
+	task_format_name(t, name, sizeof(name));
+	log_fields(LOG_INFO, "start_dropped", "{s:s,s:s,s:I,s:s}", "job",
+		   t->stage->job->id, "task", name, "run", (json_int_t)t->run,
+		   "upstream", t->at->id);
+	task_end_run(t, RUN_NEVER_STARTED, NULL, now_ms);
+}
+
+/* Report whether t belongs to a gang of which a member has no place. */
+static bool gang_is_broken(const struct task *t)
+{
+	return t->stage->step->gang && stage_waiting_count(t->stage);
+}
+
+/*
+ * Drop the starts of those of the tasks whose upstream has too few resources by
+ * now, and of the gangs that lack them. A start can wait for its record for
+ * seconds while the store is away, and resources may shrink in that time.
+ */
+void starts_drop_excess(const GPtrArray *tasks, uint64_t now_ms)
+{
+	for (guint i = 0; i < tasks->len; i++) {
+		struct task *t = g_ptr_array_index(tasks, i);
+
+		if (is_unsent(t) && upstream_is_overcommitted(t->at))
+			drop_start(t, now_ms);
+	}
+	for (guint i = 0; i < tasks->len; i++) {
+		struct task *t = g_ptr_array_index(tasks, i);
+
+		if (is_unsent(t) && gang_is_broken(t))
+			drop_start(t, now_ms);
+	}
+}
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -194,9 +194,14 @@
 {
 	char *address = listen_as_upstream(s);
 	struct job *j = job_create(JOB);
+	struct service *service;
 	struct queue *q;
 
 	s->policy = policy_create(1);
+	/* the feeds are never answered, so the list of upstreams is old */
+	service = policy_add_service(s->policy);
+	g_strlcpy(service->name, "s", sizeof(service->name));
+	service->enforces_capacity = true;
 	q = policy_add_queue(s->policy);
 	g_strlcpy(q->name, "q", sizeof(q->name));
 	g_strlcpy(q->service, "s", sizeof(q->service));
