Let the members of a gang resume from one checkpoint

Callers saw a gang that did not run again after its upstreams were lost.

Cause: the leader keeps the checkpoint of each member as its upstream lists it. The end of a run that saved one sets it for all members. If all members are lost together no end does, and each start carries the member's own checkpoint; an upstream takes the members of a gang only with one value for all.

Evidence: unit_dispatch, test_gang_resumes_from_one_checkpoint, failed before: the first member resumed from another checkpoint than the third, and the second from none.

Change: before a gang starts, the checkpoint of the member that was listed with the most progress is set for all of them; any member's is valid for the gang.

--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -311,6 +311,8 @@
 {
 	uint32_t next = 0, run = stage_next_run_number(st);
 
+	if (st->step->gang)
+		stage_share_checkpoint(st);
 	for (uint32_t i = 0; i < p->pack.chosen_len; i++) {
 		const struct pack_slot *s = &p->pack.chosen[i];
 
--- a/sched/job.c
+++ b/sched/job.c
@@ -380,6 +380,28 @@
 	}
 }
 
+/*
+ * Let all members of a gang resume from one checkpoint: that of the member
+ * which was listed with the most progress.
+ */
+void stage_share_checkpoint(struct stage *st)
+{
+	struct task *best = NULL;
+	char *checkpoint;
+
+	for (uint32_t i = 0; i < st->step->count; i++) {
+		struct task *t = &st->tasks[i];
+
+		if (t->checkpoint && (!best || t->percent > best->percent))
+			best = t;
+	}
+	if (!best)
+		return;
+	checkpoint = g_strdup(best->checkpoint);
+	store_checkpoint(best, checkpoint);
+	g_free(checkpoint);
+}
+
 /* Complete all members of a gang: one member's completion counts for all. */
 static void complete_gang(struct stage *st, uint64_t now_ms)
 {
--- a/sched/job.h
+++ b/sched/job.h
@@ -230,6 +230,7 @@
 uint32_t stage_waiting_count(const struct stage *st);
 uint32_t stage_next_run_number(const struct stage *st);
 uint64_t stage_due_wall_ms(const struct stage *st);
+void stage_share_checkpoint(struct stage *st);
 
 void task_place(struct task *t, struct upstream *u, uint32_t run,
 		uint64_t now_ms);
--- a/test/unit_dispatch.c
+++ b/test/unit_dispatch.c
@@ -612,6 +612,36 @@
 	simulation_destroy(&sim);
 }
 
+/*
+ * The members of a gang have saved different checkpoints when all of their
+ * upstreams are lost. Guards against a gang whose members resume from different
+ * states.
+ */
+static void test_gang_resumes_from_one_checkpoint(void **state)
+{
+	struct simulation sim;
+	struct job *gang;
+	struct task *t;
+
+	(void)state;
+	simulation_create(&sim, 8);
+	gang = simulation_add_job(&sim, 1, 3, 8, 20000, true);
+	gang->steps[0].checkpoints = true;
+	simulation_run_pass(&sim, true);
+	t = gang->stages[0].tasks;
+	t[0].checkpoint = g_strdup("first");
+	task_record_progress(&t[0], 20, sim.now_ms);
+	t[2].checkpoint = g_strdup("second");
+	task_record_progress(&t[2], 40, sim.now_ms);
+	for (uint32_t i = 0; i < 3; i++)
+		task_end_run(&t[i], RUN_UPSTREAM_GONE, NULL, sim.now_ms);
+	simulation_run_pass(&sim, true);
+	assert_true(running(gang));
+	for (uint32_t i = 0; i < 3; i++)
+		assert_string_equal(t[i].checkpoint, "second");
+	simulation_destroy(&sim);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -627,6 +657,7 @@
 		cmocka_unit_test(test_long_running_work_keeps_max_unavailable),
 		cmocka_unit_test(test_gang_moves_off_leaving_upstream),
 		cmocka_unit_test(test_gang_starts_whole_or_not_at_all),
+		cmocka_unit_test(test_gang_resumes_from_one_checkpoint),
 		cmocka_unit_test(test_job_with_many_paths_is_scheduled),
 		cmocka_unit_test(test_urgent_stream_starts_at_once),
 		cmocka_unit_test(test_slow_upstream_gets_no_new_work),
