Move the tests of rows to a file of their own

unit_lead.c had grown by three tests that check rows and what a new leader reads there; they and the one of the largest row are in unit_record.c now, with the same assertions.

--- a/test/unit_lead.c
+++ b/test/unit_lead.c
@@ -298,77 +298,6 @@
 	fixture_destroy(&t);
 }
 
-/*
- * A queue is removed after a job of it was accepted, and the next leader reads
- * the job with a policy that lacks the queue. Guards against an accepted job
- * that is never scheduled.
- */
-static void test_job_keeps_settings_of_removed_queue(void **state)
-{
-	struct policy *p = policy_create(1), *later = policy_create(2);
-	struct queue *q = policy_add_queue(p);
-	struct fixture s;
-	struct job *j;
-	char *row;
-
-	(void)state;
-	g_strlcpy(q->name, "q", sizeof(q->name));
-	g_strlcpy(q->service, "service", sizeof(q->service));
-	q->priority = 2;
-	q->max_attempts = 4;
-	q->slack_factor = 2.5;
-	q->target_ms = 700;
-	fixture_create(&s, 1, false);
-	s.job->payload = g_strdup("");
-	queue_configure_job(q, s.job);
-	row = spec_encode(s.job);
-	j = spec_decode("00000000000000a1", row);
-	assert_non_null(j);
-	model_apply_queue_policy(j, later);
-	assert_true(j->queue_known);
-	assert_string_equal(j->service, "service");
-	assert_int_equal(j->service_quark, s.job->service_quark);
-	assert_int_equal(j->priority, 2);
-	assert_int_equal(j->max_attempts, 4);
-	assert_true(j->slack_factor > 2.4 && j->slack_factor < 2.6);
-	assert_int_equal(j->target_ms, 700);
-	/* a policy that has the queue replaces the recorded settings */
-	q = policy_add_queue(later);
-	g_strlcpy(q->name, "q", sizeof(q->name));
-	g_strlcpy(q->service, "other", sizeof(q->service));
-	model_apply_queue_policy(j, later);
-	assert_string_equal(j->service, "other");
-	assert_int_equal(j->max_attempts, 1);
-	free(row);
-	job_destroy(j);
-	fixture_destroy(&s);
-	policy_destroy(p);
-	policy_destroy(later);
-}
-
-/* A spec row without settings waits for a policy that has the queue. */
-static void test_job_without_settings_waits_for_its_queue(void **state)
-{
-	struct policy *p = policy_create(1);
-	struct fixture s;
-	struct job *j;
-	char *row;
-
-	(void)state;
-	fixture_create(&s, 1, false);
-	s.job->payload = g_strdup("");
-	s.job->queue_known = false;
-	row = spec_encode(s.job);
-	j = spec_decode("00000000000000a1", row);
-	assert_non_null(j);
-	model_apply_queue_policy(j, p);
-	assert_false(j->queue_known);
-	free(row);
-	job_destroy(j);
-	fixture_destroy(&s);
-	policy_destroy(p);
-}
-
 static void inherit_run(void *arg, struct task *t, const char *upstream,
 			uint64_t started_wall_ms)
 {
@@ -498,32 +427,6 @@
 	fixture_destroy(&s);
 }
 
-/*
- * Two members of a gang's run fail, one under each of two leaders. Guards
- * against a job that fails by counting one run twice.
- */
-static void test_gang_failure_counts_once_across_leaders(void **state)
-{
-	struct fixture s, t;
-	char *row;
-
-	(void)state;
-	fixture_create(&s, 2, true);
-	task_end_run(s.task, RUN_FAILED, NULL, 2000);
-	row = run_encode(s.job);
-	fixture_create(&t, 2, true);
-	for (uint32_t i = 0; i < 2; i++)
-		task_end_run(job_find_task(t.job, 0, 0, i), RUN_NEVER_STARTED,
-			     NULL, 2000);
-	assert_true(run_decode(t.job, row, inherit_run, t.model));
-	assert_true(task_is_active(job_find_task(t.job, 0, 0, 1)));
-	task_end_run(job_find_task(t.job, 0, 0, 1), RUN_FAILED, NULL, 3000);
-	assert_int_equal(t.job->stages[0].failures, 1);
-	free(row);
-	fixture_destroy(&s);
-	fixture_destroy(&t);
-}
-
 static void apply_done(struct fixture *s, uint32_t run, GArray *strays)
 {
 	struct run_end_report end = {.number = 1,
@@ -810,8 +713,6 @@
 		cmocka_unit_test(
 			test_failed_job_expires_only_after_its_end_time),
 		cmocka_unit_test(test_run_row_round_trip_restores_task_state),
-		cmocka_unit_test(test_job_keeps_settings_of_removed_queue),
-		cmocka_unit_test(test_job_without_settings_waits_for_its_queue),
 		cmocka_unit_test(
 			test_run_on_unlisted_upstream_survives_leader_changes),
 		cmocka_unit_test(test_retries_cover_tasks_that_end_meanwhile),
@@ -820,7 +721,6 @@
 		cmocka_unit_test(
 			test_list_requested_in_confirmation_millisecond_keeps_run),
 		cmocka_unit_test(test_failures_of_one_gang_run_count_once),
-		cmocka_unit_test(test_gang_failure_counts_once_across_leaders),
 		cmocka_unit_test(test_run_done_during_silence_completes_task),
 		cmocka_unit_test(
 			test_repeated_run_of_completed_task_is_stopped),
--- /dev/null
+++ b/test/unit_record.c
@@ -0,0 +1,202 @@
+/* Tests of the rows that hold a job, and of what a new leader reads there. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lead/model.h"
+#include "lead/record.h"
+
+/* What a row of the store holds. */
+#define STORE_VALUE_BYTES 65536
+
+/* A fleet of one upstream, and a job whose tasks are placed on it. */
+struct fixture {
+	struct model *model;
+	struct upstream *upstream;
+	struct job *job;
+	struct task *task;
+};
+
+static void fixture_create(struct fixture *s, uint32_t tasks, bool gang)
+{
+	struct step *step;
+
+	s->model = model_create();
+	s->upstream = fleet_add_upstream(s->model->fleet, "u1");
+	s->upstream->resources = (struct resources){100000, 100000, 100};
+	s->upstream->started_wall_ms = 77;
+	s->job = job_create("00000000000000a1");
+	s->job->max_attempts = 3;
+	s->job->queue_known = true;
+	step = job_add_step(s->job);
+	step->count = tasks;
+	step->gang = gang;
+	step->need = (struct resources){1000, 1000, 1};
+	job_create_stages(s->job);
+	model_add_job(s->model, s->job);
+	for (uint32_t i = 0; i < tasks; i++)
+		task_place(job_find_task(s->job, 0, 0, i), s->upstream, 1,
+			   1000);
+	s->task = job_find_task(s->job, 0, 0, 0);
+}
+
+static void fixture_destroy(struct fixture *s)
+{
+	model_destroy(s->model);
+}
+
+static void inherit_run(void *arg, struct task *t, const char *upstream,
+			uint64_t started_wall_ms)
+{
+	model_inherit_run(arg, t, upstream, started_wall_ms, 3000);
+}
+
+/*
+ * A queue is removed after a job of it was accepted, and the next leader reads
+ * the job with a policy that lacks the queue. Guards against an accepted job
+ * that is never scheduled.
+ */
+static void test_job_keeps_settings_of_removed_queue(void **state)
+{
+	struct policy *p = policy_create(1), *later = policy_create(2);
+	struct queue *q = policy_add_queue(p);
+	struct fixture s;
+	struct job *j;
+	char *row;
+
+	(void)state;
+	g_strlcpy(q->name, "q", sizeof(q->name));
+	g_strlcpy(q->service, "service", sizeof(q->service));
+	q->priority = 2;
+	q->max_attempts = 4;
+	q->slack_factor = 2.5;
+	q->target_ms = 700;
+	fixture_create(&s, 1, false);
+	s.job->payload = g_strdup("");
+	queue_configure_job(q, s.job);
+	row = spec_encode(s.job);
+	j = spec_decode("00000000000000a1", row);
+	assert_non_null(j);
+	model_apply_queue_policy(j, later);
+	assert_true(j->queue_known);
+	assert_string_equal(j->service, "service");
+	assert_int_equal(j->service_quark, s.job->service_quark);
+	assert_int_equal(j->priority, 2);
+	assert_int_equal(j->max_attempts, 4);
+	assert_true(j->slack_factor > 2.4 && j->slack_factor < 2.6);
+	assert_int_equal(j->target_ms, 700);
+	/* a policy that has the queue replaces the recorded settings */
+	q = policy_add_queue(later);
+	g_strlcpy(q->name, "q", sizeof(q->name));
+	g_strlcpy(q->service, "other", sizeof(q->service));
+	model_apply_queue_policy(j, later);
+	assert_string_equal(j->service, "other");
+	assert_int_equal(j->max_attempts, 1);
+	free(row);
+	job_destroy(j);
+	fixture_destroy(&s);
+	policy_destroy(p);
+	policy_destroy(later);
+}
+
+/* A spec row without settings waits for a policy that has the queue. */
+static void test_job_without_settings_waits_for_its_queue(void **state)
+{
+	struct policy *p = policy_create(1);
+	struct fixture s;
+	struct job *j;
+	char *row;
+
+	(void)state;
+	fixture_create(&s, 1, false);
+	s.job->payload = g_strdup("");
+	s.job->queue_known = false;
+	row = spec_encode(s.job);
+	j = spec_decode("00000000000000a1", row);
+	assert_non_null(j);
+	model_apply_queue_policy(j, p);
+	assert_false(j->queue_known);
+	free(row);
+	job_destroy(j);
+	fixture_destroy(&s);
+	policy_destroy(p);
+}
+
+/*
+ * Two members of a gang's run fail, one under each of two leaders. Guards
+ * against a job that fails by counting one run twice.
+ */
+static void test_gang_failure_counts_once_across_leaders(void **state)
+{
+	struct fixture s, t;
+	char *row;
+
+	(void)state;
+	fixture_create(&s, 2, true);
+	task_end_run(s.task, RUN_FAILED, NULL, 2000);
+	row = run_encode(s.job);
+	fixture_create(&t, 2, true);
+	for (uint32_t i = 0; i < 2; i++)
+		task_end_run(job_find_task(t.job, 0, 0, i), RUN_NEVER_STARTED,
+			     NULL, 2000);
+	assert_true(run_decode(t.job, row, inherit_run, t.model));
+	assert_true(task_is_active(job_find_task(t.job, 0, 0, 1)));
+	task_end_run(job_find_task(t.job, 0, 0, 1), RUN_FAILED, NULL, 3000);
+	assert_int_equal(t.job->stages[0].failures, 1);
+	free(row);
+	fixture_destroy(&s);
+	fixture_destroy(&t);
+}
+
+/*
+ * A job of the largest size is at work on many upstreams, each task with a
+ * checkpoint of its own. Guards against a row that the store refuses, with
+ * which no write of any leader succeeds any more.
+ */
+static void test_run_row_of_largest_job_fits_into_the_store(void **state)
+{
+	enum { UPSTREAMS = 350, TASKS = 4000 };
+	struct upstream *u[UPSTREAMS];
+	struct fixture s;
+	char *row;
+
+	(void)state;
+	fixture_create(&s, TASKS, false);
+	for (uint32_t i = 0; i < UPSTREAMS; i++) {
+		char id[LABEL_BYTES];
+
+		snprintf(id, sizeof(id), "fitfinder-%08x", i);
+		u[i] = fleet_add_upstream(s.model->fleet, id);
+		u[i]->started_wall_ms = UINT64_C(1796430261107) + i;
+	}
+	for (uint32_t i = 0; i < TASKS; i++) {
+		struct task *t = job_find_task(s.job, 0, 0, i);
+
+		task_end_run(t, RUN_NEVER_STARTED, NULL, 1000);
+		t->checkpoint =
+			g_strdup_printf("%016llx", 0x9e3779b97f4a7c15ULL * i);
+		task_place(t, u[i % UPSTREAMS], 12, 1000);
+	}
+	row = run_encode(s.job);
+	assert_in_range(strlen(row), TASKS, STORE_VALUE_BYTES);
+	free(row);
+	fixture_destroy(&s);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_job_keeps_settings_of_removed_queue),
+		cmocka_unit_test(test_job_without_settings_waits_for_its_queue),
+		cmocka_unit_test(test_gang_failure_counts_once_across_leaders),
+		cmocka_unit_test(
+			test_run_row_of_largest_job_fits_into_the_store),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/unit_starts.c
+++ b/test/unit_starts.c
@@ -6,14 +6,9 @@
 #include <cmocka.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
-#include "lead/record.h"
 #include "lead/starts.h"
 
-/* What a row of the store holds. */
-#define STORE_VALUE_BYTES 65536
-
 /* One upstream, and a job whose tasks are placed there and planned. */
 struct fixture {
 	struct model *model;
@@ -194,38 +189,6 @@
 	fixture_destroy(&s);
 }
 
-/*
- * A job of the largest size is at work on many upstreams, each task with a
- * checkpoint of its own. Guards against a row that the store refuses, with
- * which no write of any leader succeeds any more.
- */
-static void test_run_row_of_largest_job_fits_into_the_store(void **state)
-{
-	enum { UPSTREAMS = 350, TASKS = 4000 };
-	struct upstream *u[UPSTREAMS];
-	struct fixture s;
-	char *row;
-
-	(void)state;
-	fixture_create(&s, TASKS);
-	for (uint32_t i = 0; i < UPSTREAMS; i++) {
-		char id[LABEL_BYTES];
-
-		snprintf(id, sizeof(id), "fitfinder-%08x", i);
-		u[i] = fleet_add_upstream(s.model->fleet, id);
-		u[i]->started_wall_ms = UINT64_C(1796430261107) + i;
-	}
-	for (uint32_t i = 0; i < TASKS; i++) {
-		task_at(&s, i)->checkpoint =
-			g_strdup_printf("%016llx", 0x9e3779b97f4a7c15ULL * i);
-		task_place(task_at(&s, i), u[i % UPSTREAMS], 12, 1000);
-	}
-	row = run_encode(s.job);
-	assert_in_range(strlen(row), TASKS, STORE_VALUE_BYTES);
-	free(row);
-	fixture_destroy(&s);
-}
-
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -237,8 +200,6 @@
 		cmocka_unit_test(test_start_of_ended_run_is_forgotten),
 		cmocka_unit_test(test_every_changed_job_is_written_in_turn),
 		cmocka_unit_test(test_write_with_room_holds_all_changed_jobs),
-		cmocka_unit_test(
-			test_run_row_of_largest_job_fits_into_the_store),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
