--- a/lead/starts.c
+++ b/lead/starts.c
@@ -20,9 +20,10 @@
 static void drop_start(struct task *t, const struct planned_start *s,
 		       uint64_t now_ms)
 {
-	log_fields(LOG_INFO, "start_dropped", "{s:s,s:s,s:I,s:s}", "job",
+	log_fields(LOG_INFO, "start_failed", "{s:s,s:s,s:I,s:s,s:s,s:b}", "job",
 		   t->stage->job->id, "task", s->task, "run",
-		   (json_int_t)s->run, "upstream", t->at->id);
+		   (json_int_t)s->run, "upstream", t->at->id, "outcome",
+		   "shrunk", "uncertain", 0);
 	task_end_run(t, RUN_NEVER_STARTED, NULL, now_ms);
 }
 
--- a/test/jointsite.c
+++ b/test/jointsite.c
@@ -562,6 +562,43 @@
 	}
 }
 
+/* Waits until job n is completed; fails the test once it is shown as failed. */
+void joint_wait_completed(struct joint_site *s, uint32_t i, uint32_t n)
+{
+	uint64_t deadline_ms = clock_mono_ms() + WAIT_TIMEOUT_MS;
+
+	while (!joint_in_state(s, i, n, "completed")) {
+		if (joint_in_state(s, i, n, "failed"))
+			fail_msg("job %u, which must complete, has failed", n);
+		if (clock_mono_ms() > deadline_ms)
+			fail_msg("job %u is not completed", n);
+		loop_step(s->loop, 20);
+	}
+}
+
+/* Waits until a count of the record is at least n, at most timeout_ms. */
+void joint_wait_count(struct joint_site *s, const char *name, int n,
+		      uint64_t timeout_ms)
+{
+	uint64_t deadline_ms = clock_mono_ms() + timeout_ms;
+	int last;
+
+	while ((last = joint_count(s, name)) < n) {
+		if (clock_mono_ms() > deadline_ms)
+			fail_msg("%s is %d, not %d", name, last, n);
+		loop_step(s->loop, 10);
+	}
+}
+
+/* Lets ms milliseconds pass. */
+void joint_run_for(struct joint_site *s, uint64_t ms)
+{
+	uint64_t until_ms = clock_mono_ms() + ms;
+
+	while (clock_mono_ms() < until_ms)
+		loop_step(s->loop, 10);
+}
+
 /* Sends a fault command to the fake platform, see fake/joint.c. */
 void joint_control_platform(struct joint_site *s, const char *body)
 {
--- a/test/jointsite.h
+++ b/test/jointsite.h
@@ -71,6 +71,10 @@
 		       uint32_t crash_ms);
 void joint_wait_state(struct joint_site *s, uint32_t i, uint32_t n,
 		      const char *state);
+void joint_wait_completed(struct joint_site *s, uint32_t i, uint32_t n);
+void joint_wait_count(struct joint_site *s, const char *name, int n,
+		      uint64_t timeout_ms);
+void joint_run_for(struct joint_site *s, uint64_t ms);
 bool joint_in_state(struct joint_site *s, uint32_t i, uint32_t n,
 		    const char *state);
 
