--- a/lead/starts.c
+++ b/lead/starts.c
@@ -117,9 +117,9 @@
 	char name[TASK_NAME_BYTES];
 
 	task_format_name(t, name, sizeof(name));
-	log_fields(LOG_INFO, "start_dropped", "{s:s,s:s,s:I,s:s}", "job",
+	log_fields(LOG_INFO, "start_failed", "{s:s,s:s,s:I,s:s,s:s,s:b}", "job",
 		   t->stage->job->id, "task", name, "run", (json_int_t)t->run,
-		   "upstream", t->at->id);
+		   "upstream", t->at->id, "outcome", "shrunk", "uncertain", 0);
 	task_end_run(t, RUN_NEVER_STARTED, NULL, now_ms);
 }
 
