Blame no run that may never have started for an upstream's end

Callers saw a job `failed` without cause (LOST): idle upstreams are not called, so a task was placed on one that had crashed and restarted seconds before. The order was refused, and the run was counted as one that had just begun there; a trial on another such upstream then failed the job.

An order without an answer raises a suspicion but proves nothing by itself. Trials avoid silent upstreams.

--- a/sched/pack.c
+++ b/sched/pack.c
@@ -43,6 +43,8 @@
 static bool isolation_allows(const struct pack *p, const struct upstream *u,
 			     GHashTable *doubtful_hosts)
 {
+	if (p->isolation != PACK_SHARED && u->silent)
+		return false;
 	switch (p->isolation) {
 	case PACK_SHARED:
 		return true;
--- a/sched/suspect.c
+++ b/sched/suspect.c
@@ -135,6 +135,22 @@
 	return MIN(at_ms - MIN(t->confirmed_ms, at_ms), UINT32_MAX);
 }
 
+/*
+ * Report whether the upstream of t lived when it was given the order: it has
+ * confirmed the run, or was heard shortly before or since.
+ */
+static bool started_in_life(const struct task *t)
+{
+	const struct upstream *u = t->at;
+
+	if (t->confirmed_ms && t->confirmed_ms >= t->placed_ms)
+		return true;
+	if (u->silent_since_ms && u->silent_since_ms < t->placed_ms)
+		return false;
+	return t->sent && u->heard_ms &&
+	       u->heard_ms + SUSPECT_EARLY_MS >= t->placed_ms;
+}
+
 /* Report whether the active run of t has just begun. */
 bool run_is_unproven(const struct task *t, uint64_t now_ms)
 {
@@ -163,10 +179,14 @@
 	return a == b || (a->stage == b->stage && a->stage->step->gang);
 }
 
-/* Report whether the run of t may have started on its upstream. */
+/*
+ * Report whether the run of t may have started in the life of its upstream that
+ * has ended. An order that was refused, or that has no answer yet, may have
+ * come after the end, unless the upstream was heard shortly before.
+ */
 static bool may_have_started(const struct task *t)
 {
-	return t->sent || t->inherited;
+	return t->inherited || t->uncertain || started_in_life(t);
 }
 
 /* Report whether a time that is set is close to another one. */
@@ -403,6 +423,8 @@
 static bool is_only_candidate(const struct upstream *u, const struct task *t,
 			      uint64_t at_ms, bool early)
 {
+	if (!t->inherited && !started_in_life(t))
+		return false;
 	for (guint i = 0; i < u->tasks->len; i++) {
 		const struct task *o = g_ptr_array_index(u->tasks, i);
 
@@ -494,11 +516,9 @@
 		cause = CAUSE_PLANNED;
 	else if (has_common_cause(f, u, at_ms, u->life_end_timed))
 		cause = CAUSE_COMMON;
-	if (end == LIFE_ENDED)
-		u->silent_since_ms = 0;
 	u->life_end_explained = cause != CAUSE_RUNS;
 	if (cause != CAUSE_RUNS)
-		return cause;
+		goto out;
 	for (guint i = 0; i < u->tasks->len; i++) {
 		struct task *t = g_ptr_array_index(u->tasks, i);
 		struct suspect_finding finding;
@@ -514,7 +534,12 @@
 		x->confirmed = is_conclusive(x->task, x->only, doubtful) &&
 			       fail_job(f, x->task);
 	}
-	return findings->len > first ? CAUSE_RUNS : CAUSE_NOT_STARTED;
+	if (findings->len == first)
+		cause = CAUSE_NOT_STARTED;
+out:
+	if (end == LIFE_ENDED)
+		u->silent_since_ms = 0;
+	return cause;
 }
 
 /*
--- a/test/unit_lead.c
+++ b/test/unit_lead.c
@@ -707,6 +707,7 @@
 		model_note_incarnation(s.model, u, 77, now);
 		task_place(s.task, u, s.task->run + 1, now);
 		s.task->sent = true;
+		task_confirm(s.task, now + 10);
 		model_note_incarnation(s.model, u, 78, now + 20);
 	}
 	assert_int_equal(s.job->state, JOB_FAILED);
--- a/test/unit_suspect.c
+++ b/test/unit_suspect.c
@@ -437,6 +437,33 @@
 	simulation_destroy(&sim);
 }
 
+/* LOST: a run that never started was taken for the cause of a restart. */
+static void
+test_order_to_an_upstream_that_has_restarted_blames_nobody(void **state)
+{
+	struct simulation sim;
+	struct task *t;
+
+	(void)state;
+	simulation_create(&sim, 1);
+	t = &add_job(&sim, 1, 1, false, "")->stages[0].tasks[0];
+	t->stage->since_ms = sim.now_ms;
+	task_place(t, upstream(&sim, 0), 1, sim.now_ms);
+	t->sent = true;
+	model_lose_upstream(sim.model, upstream(&sim, 0), sim.now_ms + 12,
+			    LIFE_ENDED, "replaced");
+	assert_false(task_is_suspect(t));
+	/* the upstream was heard lately, but not since it became silent */
+	reach_record_answer(upstream(&sim, 0), sim.now_ms + 20);
+	suspect_note_silence(upstream(&sim, 0), sim.now_ms + 100);
+	task_place(t, upstream(&sim, 0), 2, sim.now_ms + 1000);
+	t->sent = true;
+	model_lose_upstream(sim.model, upstream(&sim, 0), sim.now_ms + 1012,
+			    LIFE_ENDED, "replaced");
+	assert_false(task_is_suspect(t));
+	simulation_destroy(&sim);
+}
+
 static void test_planned_leave_raises_no_suspect(void **state)
 {
 	struct simulation sim;
@@ -720,6 +747,8 @@
 		cmocka_unit_test(test_power_cut_of_a_rack_raises_no_suspect),
 		cmocka_unit_test(
 			test_cut_domain_excuses_no_end_found_by_a_new_leader),
+		cmocka_unit_test(
+			test_order_to_an_upstream_that_has_restarted_blames_nobody),
 		cmocka_unit_test(test_planned_leave_raises_no_suspect),
 		cmocka_unit_test(
 			test_answer_of_the_same_life_withdraws_suspicion),
