Ask for more proof against a task while upstreams end by other causes

Ends without any run that had just begun cannot be a task's doing. Three of them within 10 s, of idle upstreams too, put all others in doubt: a third end is needed then.

--- a/lead/model.c
+++ b/lead/model.c
@@ -396,10 +396,12 @@
 		g_array_new(FALSE, FALSE, sizeof(struct suspect_finding));
 	enum life_cause cause = CAUSE_NOT_STARTED;
 
-	if (u->tasks->len)
+	if (u->tasks->len) {
 		cause = suspect_judge_life(m->fleet, u, end, now_ms, findings);
-	else if (end == LIFE_ENDED)
+	} else if (end == LIFE_ENDED) {
 		confirm_blame(m, u, now_ms);
+		suspect_note_idle_end(u, now_ms);
+	}
 	log_fields(LOG_WARN, "upstream_lost", "{s:s,s:s,s:i,s:s}", "upstream",
 		   u->id, "why", why, "tasks", (int)u->tasks->len, "cause",
 		   life_cause_name(cause));
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -36,15 +36,16 @@
 	uint64_t leaves_ms; /* earliest departure when draining; 0: unknown */
 	struct resources resources;
 	struct resources used;
-	GPtrArray *tasks;	  /* active tasks */
-	uint64_t avoid_until_ms;  /* end of the backoff after failures */
-	uint64_t heard_ms;	  /* newest answer; 0: none yet */
-	bool silent;		  /* the last call was not answered */
-	uint64_t silent_since_ms; /* the first such call; 0: it answers */
-	bool leaving;		  /* was draining when last listed */
-	uint64_t life_ended_ms;	  /* end of its last life; 0: none yet */
-	bool life_end_timed;	  /* it was seen to become silent */
-	uint32_t earlier_ends;	  /* unexplained ones in a row before it */
+	GPtrArray *tasks;	      /* active tasks */
+	uint64_t avoid_until_ms;      /* end of the backoff after failures */
+	uint64_t heard_ms;	      /* newest answer; 0: none yet */
+	bool silent;		      /* the last call was not answered */
+	uint64_t silent_since_ms;     /* the first such call; 0: it answers */
+	bool leaving;		      /* was draining when last listed */
+	uint64_t life_ended_ms;	      /* end of its last life; 0: none yet */
+	bool life_end_timed;	      /* it was seen to become silent */
+	bool ended_without_candidate; /* no run there had just begun */
+	uint32_t earlier_ends;	      /* unexplained ones in a row before it */
 	/* that end does not speak against the machine */
 	bool life_end_explained;
 	GArray *blamed; /* struct blamed_run, for that end; NULL: none */
--- a/sched/suspect.c
+++ b/sched/suspect.c
@@ -36,6 +36,9 @@
 #define HOST_HISTORY_MS 60000
 /* So many such ends put a machine in doubt. */
 #define HOST_ENDS_MIN 2
+/* So many ends without a run that had just begun put all others in doubt. */
+#define OTHER_CAUSE_MIN 3
+#define OTHER_CAUSE_MS 10000
 
 /* Return the name of c in logs. */
 const char *life_cause_name(enum life_cause c)
@@ -300,6 +303,16 @@
 	       is_common(ended.all, all.all, COMMON_FLEET_DIVISOR);
 }
 
+/* Forget what was concluded from an earlier end of u's life. */
+static void reset_blamed(struct upstream *u)
+{
+	if (u->blamed)
+		g_array_set_size(u->blamed, 0);
+	else
+		u->blamed =
+			g_array_new(FALSE, FALSE, sizeof(struct blamed_run));
+}
+
 /*
  * Report whether the last end of u was recent and is no more likely to be one
  * task's doing than the machine's.
@@ -339,6 +352,39 @@
 	return ends >= HOST_ENDS_MIN;
 }
 
+/*
+ * Report whether upstreams have lately ended by other causes than runs that had
+ * just begun: then one of these may have begun in time by chance.
+ */
+static bool other_causes_are_likely(const struct fleet *f, uint64_t now_ms)
+{
+	uint32_t ends = 0;
+
+	for (guint i = 0; i < f->list->len; i++) {
+		const struct upstream *u = g_ptr_array_index(f->list, i);
+
+		ends += u->ended_without_candidate && !u->leaving &&
+			u->life_ended_ms + OTHER_CAUSE_MS > now_ms;
+	}
+	return ends >= OTHER_CAUSE_MIN;
+}
+
+/*
+ * Note at now_ms that an upstream without runs has ended its life, unless that
+ * end is known.
+ */
+void suspect_note_idle_end(struct upstream *u, uint64_t now_ms)
+{
+	if (u->leaving || (u->life_ended_ms && u->heard_ms <= u->life_ended_ms))
+		return;
+	reset_blamed(u);
+	u->life_ended_ms = u->silent_since_ms ? u->silent_since_ms : now_ms;
+	u->life_end_timed = u->silent_since_ms;
+	u->life_end_explained = false;
+	u->ended_without_candidate = true;
+	u->silent_since_ms = 0;
+}
+
 /* Report whether a run of j was blamed for the last end of u. */
 static bool was_ended_by(const struct upstream *u, const struct job *j)
 {
@@ -470,6 +516,7 @@
 		.task = t,
 		.ran_ms = run_age_ms(t, at_ms),
 		.beside = count_beside(u, t),
+		.early = early,
 		.only = is_only_candidate(u, t, at_ms, early),
 	};
 	if (early)
@@ -483,16 +530,6 @@
 	return true;
 }
 
-/* Forget what was concluded from an earlier end of u's life. */
-static void reset_blamed(struct upstream *u)
-{
-	if (u->blamed)
-		g_array_set_size(u->blamed, 0);
-	else
-		u->blamed =
-			g_array_new(FALSE, FALSE, sizeof(struct blamed_run));
-}
-
 /*
  * Judge the end of u's life at now_ms, before its runs are ended: count it for
  * the tasks that may be its cause and fail the jobs of those that certainly
@@ -503,8 +540,10 @@
 				   GArray *findings)
 {
 	uint64_t at_ms = u->silent_since_ms ? u->silent_since_ms : now_ms;
-	bool doubtful = end != LIFE_ENDED || host_is_doubtful(f, u, now_ms);
+	bool doubtful = end != LIFE_ENDED || host_is_doubtful(f, u, now_ms) ||
+			other_causes_are_likely(f, now_ms);
 	guint first = findings->len;
+	bool any_early = false;
 	enum life_cause cause = CAUSE_RUNS;
 
 	u->earlier_ends =
@@ -523,9 +562,11 @@
 		struct task *t = g_ptr_array_index(u->tasks, i);
 		struct suspect_finding finding;
 
-		if (may_have_started(t) &&
-		    count_end(u, t, end, at_ms, &finding))
-			g_array_append_val(findings, finding);
+		if (!may_have_started(t) ||
+		    !count_end(u, t, end, at_ms, &finding))
+			continue;
+		g_array_append_val(findings, finding);
+		any_early |= finding.early;
 	}
 	for (guint i = first; i < findings->len; i++) {
 		struct suspect_finding *x =
@@ -537,6 +578,7 @@
 	if (findings->len == first)
 		cause = CAUSE_NOT_STARTED;
 out:
+	u->ended_without_candidate = !any_early && cause != CAUSE_PLANNED;
 	if (end == LIFE_ENDED)
 		u->silent_since_ms = 0;
 	return cause;
@@ -550,7 +592,9 @@
 			      struct task *t, const struct blamed_run *b,
 			      uint64_t now_ms)
 {
-	return is_conclusive(t, b->only, host_is_doubtful(f, u, now_ms)) &&
+	return is_conclusive(t, b->only,
+			     host_is_doubtful(f, u, now_ms) ||
+				     other_causes_are_likely(f, now_ms)) &&
 	       fail_job(f, t);
 }
 
--- a/sched/suspect.h
+++ b/sched/suspect.h
@@ -38,6 +38,7 @@
 	struct task *task; /* in a gang the first member there */
 	uint32_t ran_ms;
 	uint32_t beside; /* other runs on the upstream */
+	bool early;	 /* the run had just begun */
 	bool only;	 /* no other run there was unproven */
 	bool confirmed;	 /* its job has failed for it */
 	bool is_suspect;
@@ -55,6 +56,7 @@
 GHashTable *suspect_doubtful_hosts(const struct fleet *f, const struct job *j,
 				   uint64_t now_ms);
 void suspect_note_silence(struct upstream *u, uint64_t now_ms);
+void suspect_note_idle_end(struct upstream *u, uint64_t now_ms);
 enum life_cause suspect_judge_life(struct fleet *f, struct upstream *u,
 				   enum life_end end, uint64_t now_ms,
 				   GArray *findings);
--- a/test/unit_suspect.c
+++ b/test/unit_suspect.c
@@ -464,6 +464,28 @@
 	simulation_destroy(&sim);
 }
 
+/* LOST: upstreams that restart one after another failed innocent jobs. */
+static void test_wave_of_restarts_fails_no_job(void **state)
+{
+	struct simulation sim;
+
+	(void)state;
+	simulation_create(&sim, 80);
+	for (uint32_t i = 0; i < 300; i++) {
+		uint32_t n = i * 7919 % sim.upstreams;
+
+		add_job(&sim, 3, 1 + i % 4, false, "");
+		play(&sim, 60);
+		if (i % 100 > 20 && i % 2 &&
+		    upstream(&sim, n)->state != UPSTREAM_GONE)
+			crash(&sim, upstream(&sim, n));
+	}
+	play(&sim, 60000);
+	assert_in_range(sim.lives_ended, 40, 150);
+	assert_innocent_jobs_are_done(&sim);
+	simulation_destroy(&sim);
+}
+
 static void test_planned_leave_raises_no_suspect(void **state)
 {
 	struct simulation sim;
@@ -749,6 +771,7 @@
 			test_cut_domain_excuses_no_end_found_by_a_new_leader),
 		cmocka_unit_test(
 			test_order_to_an_upstream_that_has_restarted_blames_nobody),
+		cmocka_unit_test(test_wave_of_restarts_fails_no_job),
 		cmocka_unit_test(test_planned_leave_raises_no_suspect),
 		cmocka_unit_test(
 			test_answer_of_the_same_life_withdraws_suspicion),
