--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -47,7 +47,8 @@
 	bool leaving;		   /* was draining when last listed */
 	uint64_t life_ended_ms;	   /* end of its last life; 0: none yet */
 	bool life_end_timed;	   /* it was seen to become silent */
-	uint32_t earlier_ends;	   /* unexplained ones in a row before it */
+	bool ended_without_candidate; /* no run there had just begun */
+	uint32_t earlier_ends;	      /* unexplained ones in a row before it */
 	/* that end does not speak against the machine */
 	bool life_end_explained;
 	GArray *blamed; /* struct blamed_run, for that end; NULL: none */
