Do not count the runs of silent upstreams as use of a service

Callers saw an accepted gang with nothing running although most of the room on the upstreams that answer was free.

What ran on those that have crashed is active until they are back or their leases have ended, so it counted as use, and gangs waited for a rack meanwhile.

Evidence: unit_wait, test_runs_on_silent_upstreams_do_not_make_site_busy, failed before: of 24 upstreams twelve were silent and nine of the others empty, and a gang of four did not start within the 10 s that the test plays.

Change: use and resources are summed over the upstreams that answer.

--- a/sched/pack.c
+++ b/sched/pack.c
@@ -395,7 +395,10 @@
 	return st->rack_can_hold;
 }
 
-/* Sum the use and the resources of a service's upstreams that are ready. */
+/*
+ * Sum the use and the resources of a service's upstreams that are ready. What
+ * is on a silent one may have ended with it, and leaves the others free.
+ */
 static void sum_service(const struct pack *p, GQuark service,
 			struct resources *used, struct resources *all)
 {
@@ -403,7 +406,8 @@
 	for (uint32_t i = 0; i < p->n; i++) {
 		const struct upstream *u = p->upstreams[i];
 
-		if (u->state != UPSTREAM_READY || u->service_quark != service)
+		if (u->state != UPSTREAM_READY || u->silent ||
+		    u->service_quark != service)
 			continue;
 		resources_add(used, &u->used, 1);
 		resources_add(all, &u->resources, 1);
--- a/test/unit_wait.c
+++ b/test/unit_wait.c
@@ -10,6 +10,7 @@
 #include <stdio.h>
 
 #include "sched/dispatch.h"
+#include "sched/reach.h"
 
 #define STOP_MS 900
 #define RACK_SIZE 8
@@ -185,6 +186,32 @@
 	site_destroy(&s);
 }
 
+/*
+ * Half of the site has crashed with its runs, and most of the rest is free.
+ * Guards against a gang that waits for a rack, as what crashed counts as use.
+ */
+static void test_runs_on_silent_upstreams_do_not_make_site_busy(void **state)
+{
+	struct site s;
+	struct job *gang;
+
+	(void)state;
+	site_create(&s, 3 * RACK_SIZE);
+	for (uint32_t i = 0; i < 3 * RACK_SIZE; i++) {
+		if (i % RACK_SIZE > 4)
+			continue;
+		occupy(&s, i);
+		if (i % RACK_SIZE == 4)
+			continue;
+		reach_record_silence(upstream_at(&s, i));
+		upstream_avoid_for(upstream_at(&s, i), 60000, s.now_ms);
+	}
+	gang = add_job(&s, 4, true);
+	assert_in_range(wait_until_running(&s, gang, 10000), 500,
+			IDLE_SITE_WAIT_MAX_MS);
+	site_destroy(&s);
+}
+
 /* On a site that is mostly in use, a gang goes on waiting for a rack. */
 static void test_gang_waits_for_rack_of_busy_site(void **state)
 {
@@ -459,6 +486,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_gang_spans_racks_of_idle_site),
 		cmocka_unit_test(test_memory_in_use_does_not_make_site_busy),
+		cmocka_unit_test(
+			test_runs_on_silent_upstreams_do_not_make_site_busy),
 		cmocka_unit_test(test_gang_waits_for_rack_of_busy_site),
 		cmocka_unit_test(test_gang_takes_rack_that_becomes_free),
 		cmocka_unit_test(
