Start work that is held up on any upstream that answers

Callers saw an accepted job with nothing running although it fitted twice over and less than half of its service was in use.

Cause: what keeps work off an upstream has no bound that holds for one stage. Upstreams in backoff and slow ones are used only if they are more than a third of all, of any service, so a label or a small service may allow no others, for 12 s and longer. An upstream where a task failed is avoided as long as others could hold it if they were empty, however long these stay in use. A gang that cannot start yet reserves room that it does not use, and other work waits with it.

Change: a stage of which nothing runs and that has waited for 1.5 s on a service that is mostly free starts on any upstream that answers and has room, a gang as a whole and one task of other work, first on those that it would take anyway. A gang that waits for one rack spans racks by the same rule, as before.

--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -7,6 +7,7 @@
 
 #include "sched/dispatch.h"
 #include "sched/evict.h"
+#include "sched/fallback.h"
 #include "sched/suspect.h"
 #include "sched/wait.h"
 
@@ -14,11 +15,11 @@
 #define RESERVE_AFTER_MS 300
 
 /*
- * Maximum time for which a gang waits for one rack while its service is mostly
- * free: the faster run on one rack is not worth an idle site. A stage that has
- * waited for longer there is also explained.
+ * Maximum time for which a stage whose service is mostly free waits for better
+ * upstreams, as a gang for one rack: a faster run is not worth an idle site. A
+ * longer wait there is also explained.
  */
-#define RACK_WAIT_MAX_MS 1500
+#define IDLE_WAIT_MAX_MS 1500
 
 /*
  * A guaranteed job preempts this long before its start deadline, to leave time
@@ -361,14 +362,11 @@
 	pack_deduct_chosen(&p->pack);
 }
 
-/* Return since when st waits: when it became ready, or its newest run ended. */
-static uint64_t waiting_since_ms(const struct stage *st)
+/* Report whether st has waited for long although its service is mostly free. */
+static bool is_held_up(struct pass *p, const struct stage *st)
 {
-	uint64_t since_ms = st->since_ms;
-
-	for (uint32_t i = 0; i < st->step->count; i++)
-		since_ms = MAX(since_ms, st->tasks[i].ended_ms);
-	return since_ms;
+	return p->input->now_ms >= wait_since_ms(st) + IDLE_WAIT_MAX_MS &&
+	       pack_service_is_mostly_free(&p->pack, st->job->service_quark);
 }
 
 /*
@@ -381,9 +379,7 @@
 	uint32_t want = st->step->gang ? st->step->count : 1;
 	enum wait_reason found;
 
-	if (w == WAIT_STOPS ||
-	    p->input->now_ms < waiting_since_ms(st) + RACK_WAIT_MAX_MS ||
-	    !pack_service_is_mostly_free(&p->pack, st->job->service_quark))
+	if (w == WAIT_STOPS || !is_held_up(p, st))
 		return w;
 	found = wait_explain(&p->pack, st, want);
 	return found == WAIT_NONE ? w : found;
@@ -577,24 +573,26 @@
 }
 
 /*
- * Start a gang across racks that has waited for long for one rack of a service
- * that is mostly free. Returns false if nothing starts.
+ * Start a stage that is held up and has nothing running, a gang as a whole and
+ * one task of other work: across racks, or else on upstreams that are to be
+ * avoided or are reserved. Returns the number of tasks that it starts.
  */
-static bool start_across_racks(struct pass *p, struct stage *st, uint32_t want)
+static uint32_t start_held_up(struct pass *p, struct stage *st, uint32_t want)
 {
-	struct pack *k = &p->pack;
-	bool fits;
+	uint32_t n = st->step->gang ? want : MIN(want, 1);
+	bool relaxed = st->rack_relaxed, fits;
 
-	if (!pack_requires_one_rack(k, st) ||
-	    p->input->now_ms < waiting_since_ms(st) + RACK_WAIT_MAX_MS ||
-	    !pack_service_is_mostly_free(k, st->job->service_quark))
-		return false;
+	if (!n || (!stage_is_idle(st) && !st->step->long_running) ||
+	    !is_held_up(p, st))
+		return 0;
 	st->rack_relaxed = true;
-	fits = pack_choose_all(k, st, want, PACK_FREE);
-	st->rack_relaxed = false;
-	if (fits)
-		start_tasks(p, st, false);
-	return fits;
+	fits = pack_choose_all(&p->pack, st, n, PACK_FREE) ||
+	       fallback_choose(&p->pack, st, n);
+	st->rack_relaxed = relaxed;
+	if (!fits)
+		return 0;
+	start_tasks(p, st, false);
+	return n;
 }
 
 /*
@@ -619,8 +617,6 @@
 		start_tasks(p, st, false);
 		return;
 	}
-	if (start_across_racks(p, st, want))
-		return;
 	if (!st->step->gang) {
 		/* start what fits now; the rest stays a candidate */
 		uint32_t n = pack_choose_some(k, st, want);
@@ -630,6 +626,9 @@
 			want -= n;
 		}
 	}
+	want -= start_held_up(p, st, want);
+	if (!want)
+		return;
 	if (pack_choose_all(k, st, want, PACK_FREE_AFTER_STOPS)) {
 		pack_deduct_chosen(k);
 		note_wait(p, st, WAIT_STOPS);
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -161,8 +161,8 @@
 
 /*
  * Count a failed run of j against u. From the second counted failure on, u gets
- * no new work for a backoff, unless many others fail as well. A job that fails twice in a row counts once: it
- * may be the job's own fault.
+ * no new work for a backoff, unless many others fail as well. A job that fails
+ * twice in a row counts once: it may be the job's own fault.
  */
 void upstream_record_failure(struct upstream *u, const struct job *j,
 			     uint64_t now_ms)
--- a/sched/pack.c
+++ b/sched/pack.c
@@ -164,6 +164,16 @@
 	d->has_excluded = false;
 }
 
+/*
+ * Let the current demand use upstreams that it was to avoid, until the next
+ * call of pack_set_demand.
+ */
+void pack_lift_exclusion(struct pack *p)
+{
+	p->demand_id++;
+	p->lifted = true;
+}
+
 /* Report whether every run on u has lasted. */
 static bool runs_are_proven(const struct upstream *u, uint64_t now_ms)
 {
@@ -222,8 +232,9 @@
 {
 	struct demand *d = &p->demand;
 
-	if (d->stage == st)
+	if (d->stage == st && !p->lifted)
 		return;
+	p->lifted = false;
 	p->demand_id++;
 	*d = (struct demand){.stage = st,
 			     .need = task_resources(&st->tasks[0]),
--- a/sched/pack.h
+++ b/sched/pack.h
@@ -61,6 +61,7 @@
 	uint64_t *excluded_for;	      /* last demand_id that may not use it */
 	uint64_t demand_id;	      /* changes with each demand */
 	struct demand demand;	      /* the current demand */
+	bool lifted;		      /* it may use what it was to avoid */
 	enum pack_isolation isolation;
 	uint32_t suspect_upstreams; /* upstreams that host a suspect */
 	uint32_t racks_len;
@@ -85,6 +86,7 @@
 void pack_begin(struct pack *p, struct fleet *f, uint64_t now_ms);
 void pack_end(struct pack *p);
 void pack_set_demand(struct pack *p, const struct stage *st);
+void pack_lift_exclusion(struct pack *p);
 bool pack_is_eligible(const struct pack *p, uint32_t index);
 uint32_t pack_capacity(const struct pack *p, uint32_t index,
 		       const struct resources *have);
--- a/sched/wait.c
+++ b/sched/wait.c
@@ -4,6 +4,24 @@
  */
 #include "sched/wait.h"
 
+/*
+ * Return since when st waits: when it became ready, or when the last run of its
+ * gang, or of the task that waits longest, ended.
+ */
+uint64_t wait_since_ms(const struct stage *st)
+{
+	uint64_t newest_ms = 0, oldest_ms = UINT64_MAX;
+
+	for (uint32_t i = 0; i < st->step->count; i++) {
+		const struct task *t = &st->tasks[i];
+
+		newest_ms = MAX(newest_ms, t->ended_ms);
+		if (t->state == TASK_WAITING)
+			oldest_ms = MIN(oldest_ms, t->ended_ms);
+	}
+	return MAX(st->since_ms, st->step->gang ? newest_ms : oldest_ms);
+}
+
 /* How many tasks of a stage fit on the upstreams that are ready. */
 struct room {
 	uint64_t if_empty;
--- a/sched/wait.h
+++ b/sched/wait.h
@@ -4,6 +4,7 @@
 
 #include "sched/pack.h"
 
+uint64_t wait_since_ms(const struct stage *st);
 enum wait_reason wait_explain(struct pack *p, const struct stage *st,
 			      uint32_t want);
 
