Keep a run that may have been confirmed after a restart

Callers could get one task run twice at a time, and room counted as free in which a run went on: a second run was started while the first went on.

Cause: an upstream that restarts under its id may take a start before its entry or its lists show the restart. The answer to a start does not name the incarnation. If it came before the entry was read, the run counted as confirmed by the earlier incarnation and as lost with it, though the newer one runs it. List calls are held for 600 ms, so the entry may well come first.

Evidence: unit_session, test_run_confirmed_before_restart_is_known_is_kept, failed before: the task waited for its next run as soon as the entry was read.

Change: only a run that the earlier incarnation has listed is lost at once. Others that were sent stay where they are until the next lists, which are asked for without delay, show that they run or that they do not. test_listed_run_is_lost_when_restart_is_known checks the first half.

--- a/lead/model.c
+++ b/lead/model.c
@@ -410,17 +410,16 @@
 
 /*
  * Report whether the run of t may be active in a newer incarnation of its
- * upstream than the one it was placed in: this leader has sent a start order
- * that is not answered, or the newer incarnation lists the run.
+ * upstream than the one it was placed in: the newer one lists it, or this
+ * leader has sent its start order, and the earlier one has never listed it. The
+ * answer to an order does not say which of the two has carried it out.
  */
 static bool may_run_after_restart(const struct task *t,
 				  const struct order_answer *lists)
 {
-	bool confirmed = t->confirmed_ms && t->confirmed_ms >= t->placed_ms;
+	bool was_listed = t->percent_listed_ms > t->placed_ms;
 
-	return (t->sent && !t->inherited && !confirmed &&
-		!t->stop_answered_ms) ||
-	       is_listed(t, lists);
+	return (t->sent && !t->inherited && !was_listed) || is_listed(t, lists);
 }
 
 /* Log the tasks that are blamed for the end of u's life. */
--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -26,7 +26,8 @@
 	struct http_server *server;
 	struct sockaddr_in address;
 	uint64_t born;
-	bool mute; /* leaves all calls unanswered */
+	bool mute;	  /* leaves all calls unanswered */
+	bool holds_lists; /* leaves list calls unanswered */
 	char running[RUNS_MAX][TASK_NAME_BYTES];
 	uint32_t runs[RUNS_MAX];
 	uint32_t running_len;
@@ -86,6 +87,7 @@
 	size_t len;
 	const char *text = exchange_body(x, &len);
 	json_t *body = json_loadb(text, len, 0, NULL), *answer;
+	bool wants_lists = !strcmp(exchange_path(x), "/-/hold");
 
 	if (!strcmp(exchange_path(x), "/-/run-start")) {
 		f->starts++;
@@ -97,11 +99,10 @@
 		if (!f->mute)
 			remove_run(f, json_str_or(body, "task", ""));
 	}
-	if (!f->mute) {
-		answer = !strcmp(exchange_path(x), "/-/hold")
-				 ? list_runs(f)
-				 : json_pack("{s:I}", "clockMs",
-					     (json_int_t)clock_mono_ms());
+	if (!f->mute && !(wants_lists && f->holds_lists)) {
+		answer = wants_lists ? list_runs(f)
+				     : json_pack("{s:I}", "clockMs",
+						 (json_int_t)clock_mono_ms());
 		exchange_reply_json(x, 200, answer, 0);
 	}
 	json_decref(body);
@@ -396,6 +397,36 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * The list shows a restart after the newer incarnation has confirmed a run, and
+ * before it has listed any. Guards against a second run elsewhere.
+ */
+static void test_run_confirmed_before_restart_is_known_is_kept(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	open_session(&s, &f);
+	step_until(s.loop, &s.changes, 1000);
+	restart(&f);
+	f.holds_lists = true;
+	start_task(&s);
+	assert_becomes(&s, TASK_RUNNING);
+	s.entry.started_wall_ms = f.born;
+	session_apply_entry(s.upstream->session, &s.entry);
+	assert_true(task_is_active(s.task));
+	f.holds_lists = false;
+	step_until(s.loop, NULL, 1500);
+	assert_true(s.upstream->synced);
+	assert_int_equal(s.task->state, TASK_RUNNING);
+	assert_int_equal(s.task->run, 1);
+	assert_int_equal(f.stops, 0);
+	fixture_destroy(&s);
+}
+
 /* A run that was confirmed before a restart is lost with the first lists. */
 static void test_run_of_earlier_incarnation_is_lost(void **state)
 {
@@ -415,6 +446,29 @@
 	fixture_destroy(&s);
 }
 
+/* One that was listed before is lost as soon as the restart is known. */
+static void test_listed_run_is_lost_when_restart_is_known(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	open_session(&s, &f);
+	step_until(s.loop, &s.changes, 1000);
+	start_task(&s);
+	assert_becomes(&s, TASK_RUNNING);
+	step_until(s.loop, NULL, 100);
+	f.holds_lists = true;
+	restart(&f);
+	s.entry.started_wall_ms = f.born;
+	session_apply_entry(s.upstream->session, &s.entry);
+	assert_int_equal(s.task->state, TASK_WAITING);
+	assert_int_equal(s.upstream->tasks->len, 0);
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -427,7 +481,10 @@
 			test_run_started_after_unnoticed_restart_is_kept),
 		cmocka_unit_test(
 			test_start_in_flight_at_restart_is_settled_there),
+		cmocka_unit_test(
+			test_run_confirmed_before_restart_is_known_is_kept),
 		cmocka_unit_test(test_run_of_earlier_incarnation_is_lost),
+		cmocka_unit_test(test_listed_run_is_lost_when_restart_is_known),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
