Do not blame runs of a newer incarnation for the end of the earlier one

Callers saw sound work kept apart from other work after a restart; a second such restart could fail its job as one that ends upstreams.

Cause: an idle upstream that restarts unnoticed may have started a run by the time its lists show the restart. That run is kept, but the end of the earlier life was judged with all runs on the upstream: this one had just begun and was the only one, so it was blamed for an end that came before it.

Evidence: unit_lead, test_run_of_newer_incarnation_is_not_blamed, failed before: the task was a suspect though the lists that showed the restart list its run.

Change: runs that the newer incarnation lists are left out when the end of the earlier life is judged. They still count for the end of the newer one (tested), and so do unanswered starts for the earlier one.

--- a/lead/model.c
+++ b/lead/model.c
@@ -509,6 +509,7 @@
 	for (guint i = 0; i < u->tasks->len; i++) {
 		struct task *t = g_ptr_array_index(u->tasks, i);
 
+		t->in_newer_life = is_listed(t, lists);
 		if (may_run_after_restart(t, lists))
 			t->stage->job->dirty = true;
 		else
@@ -519,6 +520,9 @@
 		   (json_int_t)before, "kept",
 		   (int)(u->tasks->len - lost->len));
 	lose_runs(m, u, now_ms, LIFE_ENDED, "restarted", lost);
+	for (guint i = 0; i < u->tasks->len; i++)
+		((struct task *)g_ptr_array_index(u->tasks, i))->in_newer_life =
+			false;
 	return true;
 }
 
--- a/sched/job.h
+++ b/sched/job.h
@@ -118,6 +118,9 @@
 	/* only compared, never dereferenced */
 	const struct upstream *last_failed_on;
 	struct suspicion suspicion;
+	/* while the end of a life of its upstream is judged: the run began in
+	 * the next life */
+	bool in_newer_life;
 };
 
 struct job;
--- a/sched/suspect.c
+++ b/sched/suspect.c
@@ -163,10 +163,10 @@
 	return a == b || (a->stage == b->stage && a->stage->step->gang);
 }
 
-/* Report whether the run of t may have started on its upstream. */
+/* Report whether the run of t may have started in the life of its upstream. */
 static bool may_have_started(const struct task *t)
 {
-	return t->sent || t->inherited;
+	return (t->sent || t->inherited) && !t->in_newer_life;
 }
 
 /* Report whether a time that is set is close to another one. */
--- a/test/unit_lead.c
+++ b/test/unit_lead.c
@@ -811,11 +811,41 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * A restarted upstream lists a run that it has started since. Guards against a
+ * sound task that is suspected of the end of a life in which it never ran.
+ */
+static void test_run_of_newer_incarnation_is_not_blamed(void **state)
+{
+	struct order_answer lists = {.has_lists = true, .running_len = 1};
+	struct run_report running = {.run = 1, .checkpoint = ""};
+	char name[TASK_NAME_BYTES];
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, 1, false);
+	s.task->sent = true;
+	task_confirm(s.task, 1010);
+	task_format_name(s.task, name, sizeof(name));
+	running.task = name;
+	running.run = s.task->run;
+	lists.running = &running;
+	assert_true(
+		model_note_incarnation(s.model, s.upstream, 78, 1020, &lists));
+	assert_ptr_equal(s.task->at, s.upstream);
+	assert_false(task_is_suspect(s.task));
+	/* the end of the newer one still counts */
+	model_lose_upstream(s.model, s.upstream, 1100, LIFE_ENDED, "replaced");
+	assert_true(task_is_suspect(s.task));
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_task_under_which_upstreams_restart_is_given_up),
+		cmocka_unit_test(test_run_of_newer_incarnation_is_not_blamed),
 		cmocka_unit_test(test_leases_of_silent_upstream_expire),
 		cmocka_unit_test(test_feed_confirms_writes_without_answer),
 		cmocka_unit_test(
