Settle the unanswered start of a suspect by a stop

Callers saw a task end a second life of an upstream with one run, and the work beside it lost twice.

Cause: a start without an answer was sent again for up to 1.2 s. If the task had ended the upstream, which was back in that time under its id, the next incarnation got the same order. As ends are counted once for a run, the second one did not even count against the task.

Evidence: unit_session, test_unanswered_start_of_suspect_is_not_repeated, failed before: the start was sent again and no stop within a second.

Change: when the retry of an unanswered start is due and its task is a suspect, the run is stopped instead, which the upstream answers for a run that it does not know as well, and starts elsewhere with the next number. test_start_in_flight_at_restart_is_settled_there: the restart makes the task of the start in flight a suspect, so it now ends with an answered stop there, and the test asserts that no second start is sent.

--- a/lead/session.c
+++ b/lead/session.c
@@ -92,6 +92,16 @@
 	request_lists(arg);
 }
 
+/*
+ * Report whether the start of t, which waits for a retry, is to be settled by a
+ * stop: a suspect whose order was not answered may have ended its upstream, and
+ * would end the next incarnation as well.
+ */
+static bool must_not_start_again(const struct task *t)
+{
+	return t->state == TASK_PLACED && t->uncertain && task_is_suspect(t);
+}
+
 /* Retry the orders that were not answered. */
 static void on_retry_timer(void *arg)
 {
@@ -101,6 +111,8 @@
 	for (guint i = 0; i < list->len; i++) {
 		struct task *t = g_ptr_array_index(list, i);
 
+		if (must_not_start_again(t))
+			t->state = TASK_STOPPING;
 		if (t->state == TASK_PLACED)
 			session_start_run(k, t);
 		else if (t->state == TASK_STOPPING && !t->stop_answered_ms)
