Count the refusals of starts that were sent together once

Callers saw little work start on upstreams that had room again.

Cause: since an upstream that refuses starts in a row is avoided for 2 s, two starts of one pass that are both refused, as two members of a gang, counted as a row: the first lack of room cost 2 s in place of 100 ms.

Evidence: unit_wait, test_refusals_of_one_pass_count_once, failed before: an upstream that refused four starts within 3 ms got no work 100 ms later.

Change: a refusal during a pause does not count; its start was sent before.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -199,9 +199,12 @@
  * Record that u has refused a start for lack of room: the model overrates its
  * room. A pause that is over when the other members of a refused gang have
  * stopped would give them to u again, so further refusals cost a longer one.
+ * Starts that are refused during a pause were sent before it.
  */
 void upstream_record_full(struct upstream *u, uint64_t now_ms)
 {
+	if (u->avoid_until_ms > now_ms)
+		return;
 	upstream_avoid_for(u,
 			   u->consecutive_refusals ? AVOID_FULL_AGAIN_MS
 						   : AVOID_FULL_MS,
--- a/test/unit_wait.c
+++ b/test/unit_wait.c
@@ -528,6 +528,28 @@
 	site_destroy(&s);
 }
 
+/*
+ * Several starts that were sent together are refused. Guards against a pause of
+ * seconds after the first refusal.
+ */
+static void test_refusals_of_one_pass_count_once(void **state)
+{
+	struct upstream *u;
+	struct site s;
+	struct job *j;
+
+	(void)state;
+	site_create(&s, 1);
+	u = upstream_at(&s, 0);
+	j = add_job(&s, 1, false);
+	for (uint32_t i = 0; i < 4; i++)
+		upstream_record_full(u, s.now_ms + i);
+	s.now_ms += PASS_INTERVAL_MS + 4;
+	run_pass(&s);
+	assert_true(is_running(j));
+	site_destroy(&s);
+}
+
 /* No upstream has the label: that is reported, once. */
 static void test_stage_without_upstream_is_reported_once(void **state)
 {
@@ -611,6 +633,7 @@
 		cmocka_unit_test(
 			test_gang_leaves_upstream_that_refuses_a_member),
 		cmocka_unit_test(test_upstream_that_was_full_is_tried_again),
+		cmocka_unit_test(test_refusals_of_one_pass_count_once),
 		cmocka_unit_test(test_stage_without_upstream_is_reported_once),
 		cmocka_unit_test(
 			test_stage_on_avoided_upstreams_is_reported_once),
