--- a/sched/pack.c
+++ b/sched/pack.c
@@ -164,6 +164,16 @@
 	d->has_excluded = false;
 }
 
+/*
+ * Let the current demand use upstreams that it was to avoid, until the next
+ * call of pack_set_demand.
+ */
+void pack_lift_exclusion(struct pack *p)
+{
+	p->demand_id++;
+	p->lifted = true;
+}
+
 /* Report whether every run on u has lasted. */
 static bool runs_are_proven(const struct upstream *u, uint64_t now_ms)
 {
@@ -224,8 +234,9 @@
 {
 	struct demand *d = &p->demand;
 
-	if (d->stage == st)
+	if (d->stage == st && !p->lifted)
 		return;
+	p->lifted = false;
 	p->demand_id++;
 	*d = (struct demand){.stage = st,
 			     .need = task_resources(&st->tasks[0]),
@@ -397,7 +408,10 @@
 	return st->rack_can_hold;
 }
 
-/* Sum the use and the resources of a service's upstreams that are ready. */
+/*
+ * Sum the use and the resources of a service's upstreams that are ready. What
+ * is on a silent one may have ended with it, and leaves the others free.
+ */
 static void sum_service(const struct pack *p, GQuark service,
 			struct resources *used, struct resources *all)
 {
@@ -405,7 +419,8 @@
 	for (uint32_t i = 0; i < p->n; i++) {
 		const struct upstream *u = p->upstreams[i];
 
-		if (u->state != UPSTREAM_READY || u->service_quark != service)
+		if (u->state != UPSTREAM_READY || u->silent ||
+		    u->service_quark != service)
 			continue;
 		resources_add(used, &u->used, 1);
 		resources_add(all, &u->resources, 1);
--- a/sched/suspect.c
+++ b/sched/suspect.c
@@ -189,7 +189,8 @@
  */
 static bool may_have_started(const struct task *t)
 {
-	return t->inherited || t->uncertain || started_in_life(t);
+	return !t->in_newer_life &&
+	       (t->inherited || t->uncertain || started_in_life(t));
 }
 
 /* Report whether a time that is set is close to another one. */
