Blame the member of a gang, and fail no job for what ran beside it

Cause: a gang had one record, so that ends under different members added up; runs of earlier leaders counted as just begun; four early ends failed a job whatever ran beside its task; and suspects that had waited were placed together, so that they shared further ends.

Change: each member has its own record. Two ends within 250 ms of a start, or three early ones, fail the job if nothing else had just begun in the last; one more if the machine, or other ends of that time, leave a doubt. An inherited run never completes the proof. Single tasks with two ends share no upstream. Five early ends still fail a job, as the rule allows two starts after the third.

--- a/lead/record.c
+++ b/lead/record.c
@@ -338,7 +338,7 @@
 
 /*
  * Encode the ends of upstreams that tasks of j are suspected of, each as
- * [stage, index, early, late, longest in ms]. A row without them is left as it
+ * [stage, index, early, late, longest in ms, quick]. A row without them is left as it
  * was before they were recorded.
  */
 static json_t *suspicions_encode(const struct job *j)
@@ -354,9 +354,10 @@
 				continue;
 			json_array_append_new(
 				list,
-				json_pack("[i,i,i,i,i]", (int)i, (int)k,
+				json_pack("[i,i,i,i,i,i]", (int)i, (int)k,
 					  (int)s->early_ends, (int)s->late_ends,
-					  (int)s->longest_ms));
+					  (int)s->longest_ms,
+					  (int)s->quick_ends));
 		}
 	}
 	return list;
@@ -370,7 +371,7 @@
 
 	json_array_foreach(list, n, item)
 	{
-		json_int_t v[5] = {0};
+		json_int_t v[6] = {0};
 		struct suspicion *s;
 
 		for (size_t i = 0; i < G_N_ELEMENTS(v); i++)
@@ -382,6 +383,7 @@
 		s->early_ends = CLAMP(v[2], 0, INT32_MAX);
 		s->late_ends = CLAMP(v[3], 0, INT32_MAX);
 		s->longest_ms = CLAMP(v[4], 0, INT32_MAX);
+		s->quick_ends = CLAMP(v[5], 0, INT32_MAX);
 	}
 }
 
--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -362,6 +362,8 @@
 	st->reserved_rack = 0;
 	st->wait_reason = WAIT_NONE;
 	pack_deduct_chosen(&p->pack);
+	if (p->pack.demand.one_each)
+		pack_close_chosen(&p->pack);
 }
 
 /* Report whether st has waited for long although its service is mostly free. */
@@ -569,7 +571,8 @@
 			break;
 		}
 		start_tasks(p, st, true);
-		pack_close_chosen(&p->pack);
+		if (!p->pack.demand.one_each)
+			pack_close_chosen(&p->pack);
 	}
 	pack_set_isolation(&p->pack, PACK_SHARED);
 }
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -14,6 +14,7 @@
 struct blamed_run {
 	char task[TASK_NAME_BYTES];
 	bool early;
+	bool quick;
 	bool only;     /* no other run there was unproven */
 	bool presumed; /* the end of the life is presumed, not known */
 };
--- a/sched/job.h
+++ b/sched/job.h
@@ -88,6 +88,7 @@
  */
 struct suspicion {
 	uint32_t early_ends; /* soon after the start of a run */
+	uint32_t quick_ends; /* those of them at once after it */
 	uint32_t late_ends;
 	uint32_t longest_ms;  /* the longest run at such an end */
 	uint32_t counted_run; /* newest run that was counted */
--- a/sched/pack.c
+++ b/sched/pack.c
@@ -52,7 +52,8 @@
  */
 bool demand_is_general(const struct demand *d)
 {
-	return !d->has_excluded && !d->stage->step->max_tasks_per_upstream;
+	return !d->has_excluded && !d->one_each &&
+	       !d->stage->step->max_tasks_per_upstream;
 }
 
 /* Report whether an equal or smaller demand did not fit in this pass. */
@@ -117,6 +118,8 @@
 	    !pack_is_eligible(p, index))
 		return 0;
 	n = resources_fit_count(have, &p->demand.need);
+	if (p->demand.one_each)
+		n = MIN(n, 1);
 	if (!st->step->max_tasks_per_upstream)
 		return n;
 	there = stage_tasks_on(p->upstreams[index], st);
@@ -243,8 +246,10 @@
 			     .service = st->job->service_quark,
 			     .label = *st->step->label ? st->step->label_quark
 						       : 0};
-	if (st->job->state != JOB_QUEUED)
+	if (st->job->state != JOB_QUEUED) {
+		d->one_each = stage_spreads_suspects(st);
 		exclude_failed_upstreams(p, st);
+	}
 	exclude_by_isolation(p);
 }
 
--- a/sched/pack.h
+++ b/sched/pack.h
@@ -40,6 +40,7 @@
 	GQuark service;
 	GQuark label;
 	bool has_excluded; /* not every upstream of the service may be used */
+	bool one_each;	   /* at most one task per upstream */
 };
 
 /*
--- a/sched/suspect.c
+++ b/sched/suspect.c
@@ -12,14 +12,18 @@
 /* Longest time that a suspect has to last to be cleared. */
 #define TRIAL_MAX_MS 10000
 /*
- * Early ends that fail a task's job if the last one left no other explanation,
- * and if the upstream may have been at fault; late ends take one more than
- * those that raise the suspicion.
+ * An end this soon after a start was hardly by chance: a task that ends what
+ * starts it does so at once.
  */
-#define ENDS_CONCLUSIVE 2
-#define ENDS_CONCLUSIVE_DOUBTFUL 3
-/* Ends that fail a task's job, whatever ran beside it. */
-#define EARLY_ENDS_MAX 4
+#define QUICK_MS 250
+/*
+ * Ends that fail a task's job if the last one left no other explanation: quick
+ * ones, and other early ones. Late ends take one more than those that raise the
+ * suspicion. It takes one more of each if the upstream may have been at fault.
+ */
+#define QUICK_ENDS_CONCLUSIVE 2
+#define EARLY_ENDS_CONCLUSIVE 3
+/* Early ends that fail a task's job, whatever ran beside it. */
 #define ENDS_MAX 5
 /* Ends this close to each other may have a common cause. */
 #define COMMON_CAUSE_MS 700
@@ -56,36 +60,49 @@
 	return "";
 }
 
-/* Return the record that speaks for t, its own or its gang's. */
-static struct suspicion *record_of(struct task *t)
+/* Report whether the ends that t itself was blamed for make it a suspect. */
+static bool is_blamed(const struct task *t)
 {
-	return t->stage->step->gang ? &t->stage->tasks[0].suspicion
-				    : &t->suspicion;
+	return t->suspicion.early_ends ||
+	       t->suspicion.late_ends >= LATE_ENDS_MIN;
 }
 
-/* Return the record that speaks for t, its own or its gang's. */
-const struct suspicion *task_suspicion(const struct task *t)
+/*
+ * Report whether t may have ended upstreams and is not cleared. The members of
+ * a gang run together, so one that is blamed makes suspects of all.
+ */
+bool task_is_suspect(const struct task *t)
 {
-	return t->stage->step->gang ? &t->stage->tasks[0].suspicion
-				    : &t->suspicion;
+	const struct stage *st = t->stage;
+
+	if (is_blamed(t))
+		return true;
+	for (uint32_t i = 0; st->step->gang && i < st->step->count; i++)
+		if (is_blamed(&st->tasks[i]))
+			return true;
+	return false;
 }
 
-/* Report whether t may have ended upstreams and is not cleared. */
-bool task_is_suspect(const struct task *t)
+/* Return the longest run of t, or of its gang, at an end that was late. */
+static uint32_t longest_late_ms(const struct task *t)
 {
-	const struct suspicion *s = task_suspicion(t);
+	const struct stage *st = t->stage;
+	uint32_t first = st->step->gang ? 0 : t->index, longest_ms = 0;
+	uint32_t end = st->step->gang ? st->step->count : t->index + 1;
 
-	return s->early_ends || s->late_ends >= LATE_ENDS_MIN;
+	for (uint32_t i = first; i < end; i++)
+		if (st->tasks[i].suspicion.late_ends >= LATE_ENDS_MIN)
+			longest_ms = MAX(longest_ms,
+					 st->tasks[i].suspicion.longest_ms);
+	return longest_ms;
 }
 
 /* Return how long a run of the suspect t has to last to clear it. */
 uint32_t suspect_trial_ms(const struct task *t)
 {
-	const struct suspicion *s = task_suspicion(t);
+	uint32_t longest_ms = longest_late_ms(t);
 
-	if (s->late_ends < LATE_ENDS_MIN)
-		return SUSPECT_EARLY_MS;
-	return CLAMP(s->longest_ms + s->longest_ms / 4, SUSPECT_EARLY_MS,
+	return CLAMP(longest_ms + longest_ms / 4, SUSPECT_EARLY_MS,
 		     TRIAL_MAX_MS);
 }
 
@@ -113,6 +130,19 @@
 	       suspect_waited_ms(t, now_ms) < SUSPECT_WAIT_MAX_MS;
 }
 
+/*
+ * Report whether among the single tasks of st waits a suspect of several ends:
+ * such tasks never share an upstream, as the next end must tell them apart.
+ */
+bool stage_spreads_suspects(const struct stage *st)
+{
+	for (uint32_t i = 0; !st->step->gang && i < st->step->count; i++)
+		if (st->tasks[i].state == TASK_WAITING &&
+		    st->tasks[i].suspicion.early_ends >= QUICK_ENDS_CONCLUSIVE)
+			return true;
+	return false;
+}
+
 /*
  * Report whether a suspect of st is on an upstream that has just become silent.
  * Its other tasks wait for the outcome, which may fail the job.
@@ -353,23 +383,6 @@
 	return ends >= HOST_ENDS_MIN;
 }
 
-/*
- * Report whether upstreams have lately ended by other causes than runs that had
- * just begun: then one of these may have begun in time by chance.
- */
-static bool other_causes_are_likely(const struct fleet *f, uint64_t now_ms)
-{
-	uint32_t ends = 0;
-
-	for (guint i = 0; i < f->list->len; i++) {
-		const struct upstream *u = g_ptr_array_index(f->list, i);
-
-		ends += u->ended_without_candidate && !u->leaving &&
-			u->life_ended_ms + OTHER_CAUSE_MS > now_ms;
-	}
-	return ends >= OTHER_CAUSE_MIN;
-}
-
 /*
  * Note at now_ms that an upstream without runs has ended its life, unless that
  * end is known.
@@ -397,6 +410,25 @@
 	return false;
 }
 
+/*
+ * Report whether upstreams have lately ended by other causes than runs of j and
+ * runs that had just begun: then one of these may have begun in time by chance.
+ */
+static bool other_causes_are_likely(const struct fleet *f, const struct job *j,
+				    uint64_t now_ms)
+{
+	uint32_t ends = 0;
+
+	for (guint i = 0; i < f->list->len; i++) {
+		const struct upstream *u = g_ptr_array_index(f->list, i);
+
+		ends += u->ended_without_candidate && !u->leaving &&
+			u->life_ended_ms + OTHER_CAUSE_MS > now_ms &&
+			!was_ended_by(u, j);
+	}
+	return ends >= OTHER_CAUSE_MIN;
+}
+
 /*
  * Return the set of machines whose end under a suspect of j would prove little:
  * they have ended a life that no task explains, or one under j already.
@@ -432,21 +464,25 @@
 	}
 }
 
-/*
- * Report whether the ends counted for t fail its job. `only`: in the last one
- * no other run was unproven; `doubtful`: that end is presumed, or the machine
- * may be at fault.
- */
-static bool is_conclusive(const struct task *t, bool only, bool doubtful)
+/* What speaks against a task after an end that was counted for it. */
+struct evidence {
+	bool only;     /* no other run was unproven in the last end */
+	bool doubtful; /* that end is presumed, or the machine is in doubt */
+	bool others;   /* upstreams end by other causes as well */
+};
+
+/* Report whether the ends counted for t fail its job. */
+static bool is_conclusive(const struct task *t, struct evidence e)
 {
-	const struct suspicion *s = task_suspicion(t);
-	uint32_t ends = s->early_ends + s->late_ends;
+	const struct suspicion *s = &t->suspicion;
+	uint32_t others = e.others, more = e.doubtful || e.others;
 
-	if (s->early_ends >= EARLY_ENDS_MAX || ends >= ENDS_MAX)
+	if (s->early_ends >= ENDS_MAX)
 		return true;
-	return only && (ends > LATE_ENDS_MIN ||
-			s->early_ends >= (doubtful ? ENDS_CONCLUSIVE_DOUBTFUL
-						   : ENDS_CONCLUSIVE));
+	return e.only &&
+	       (s->quick_ends >= QUICK_ENDS_CONCLUSIVE + more ||
+		s->early_ends >= EARLY_ENDS_CONCLUSIVE + more ||
+		s->early_ends + s->late_ends > LATE_ENDS_MIN + others);
 }
 
 /* Fail the job of t, unless it has ended. */
@@ -470,7 +506,7 @@
 static bool is_only_candidate(const struct upstream *u, const struct task *t,
 			      uint64_t at_ms, bool early)
 {
-	if (!t->inherited && !started_in_life(t))
+	if (t->inherited || !started_in_life(t))
 		return false;
 	for (guint i = 0; i < u->tasks->len; i++) {
 		const struct task *o = g_ptr_array_index(u->tasks, i);
@@ -493,13 +529,15 @@
 }
 
 /* Remember on u that the run of t was blamed for its end. */
-static void add_blamed(struct upstream *u, const struct task *t, bool early,
-		       bool only, bool presumed)
+static void add_blamed(struct upstream *u, const struct suspect_finding *x,
+		       bool presumed)
 {
-	struct blamed_run b = {
-		.early = early, .only = only, .presumed = presumed};
+	struct blamed_run b = {.early = x->early,
+			       .quick = x->quick,
+			       .only = x->only,
+			       .presumed = presumed};
 
-	task_format_name(t, b.task, sizeof(b.task));
+	task_format_name(x->task, b.task, sizeof(b.task));
 	g_array_append_val(u->blamed, b);
 }
 
@@ -507,7 +545,7 @@
 static bool count_end(struct upstream *u, struct task *t, enum life_end end,
 		      uint64_t at_ms, struct suspect_finding *out)
 {
-	struct suspicion *s = record_of(t);
+	struct suspicion *s = &t->suspicion;
 	bool early = run_is_unproven(t, at_ms);
 
 	if (s->counted_run == t->run)
@@ -520,13 +558,13 @@
 		.early = early,
 		.only = is_only_candidate(u, t, at_ms, early),
 	};
-	if (early)
-		s->early_ends++;
-	else
-		s->late_ends++;
+	out->quick = early && !t->inherited && out->ran_ms < QUICK_MS;
+	s->early_ends += early;
+	s->quick_ends += out->quick;
+	s->late_ends += !early;
 	s->longest_ms = MAX(s->longest_ms, out->ran_ms);
 	t->stage->job->dirty = true;
-	add_blamed(u, t, early, out->only, end == LIFE_PRESUMED);
+	add_blamed(u, out, end == LIFE_PRESUMED);
 	out->is_suspect = task_is_suspect(t);
 	return true;
 }
@@ -534,15 +572,14 @@
 /*
  * Judge the end of u's life at now_ms, before its runs are ended: count it for
  * the tasks that may be its cause and fail the jobs of those that certainly
- * are. What was found is appended to findings, one for each task or gang.
+ * are. What was found is appended to findings, one for each task.
  */
 enum life_cause suspect_judge_life(struct fleet *f, struct upstream *u,
 				   enum life_end end, uint64_t now_ms,
 				   GArray *findings)
 {
 	uint64_t at_ms = u->silent_since_ms ? u->silent_since_ms : now_ms;
-	bool doubtful = end != LIFE_ENDED || host_is_doubtful(f, u, now_ms) ||
-			other_causes_are_likely(f, now_ms);
+	bool doubtful = end != LIFE_ENDED || host_is_doubtful(f, u, now_ms);
 	guint first = findings->len;
 	bool any_early = false;
 	enum life_cause cause = CAUSE_RUNS;
@@ -572,9 +609,13 @@
 	for (guint i = first; i < findings->len; i++) {
 		struct suspect_finding *x =
 			&g_array_index(findings, struct suspect_finding, i);
+		struct evidence e = {.only = x->only,
+				     .doubtful = doubtful,
+				     .others = other_causes_are_likely(
+					     f, x->task->stage->job, now_ms)};
 
-		x->confirmed = is_conclusive(x->task, x->only, doubtful) &&
-			       fail_job(f, x->task);
+		x->confirmed =
+			is_conclusive(x->task, e) && fail_job(f, x->task);
 	}
 	if (findings->len == first)
 		cause = CAUSE_NOT_STARTED;
@@ -593,54 +634,57 @@
 			      struct task *t, const struct blamed_run *b,
 			      uint64_t now_ms)
 {
-	return is_conclusive(t, b->only,
-			     host_is_doubtful(f, u, now_ms) ||
-				     other_causes_are_likely(f, now_ms)) &&
-	       fail_job(f, t);
+	struct evidence e = {
+		.only = b->only,
+		.doubtful = host_is_doubtful(f, u, now_ms),
+		.others = other_causes_are_likely(f, t->stage->job, now_ms)};
+
+	return is_conclusive(t, e) && fail_job(f, t);
 }
 
 /* Take back the blame b of t: the upstream's life has not ended. */
 void suspect_withdraw(struct task *t, const struct blamed_run *b)
 {
-	struct suspicion *s = record_of(t);
+	struct suspicion *s = &t->suspicion;
 	uint32_t *ends = b->early ? &s->early_ends : &s->late_ends;
 
 	if (!*ends)
 		return;
 	(*ends)--;
+	s->quick_ends -= b->quick && s->quick_ends;
 	t->stage->job->dirty = true;
 }
 
 /*
  * Count for t, whose run an earlier leader recorded, that the upstream's life
- * has ended since. What ran beside it is unknown. Returns true if the job
- * fails.
+ * has ended since. How long it had run and what ran beside it is unknown, so
+ * this makes a suspect of it but proves nothing.
  */
-bool suspect_note_inherited_end(struct task *t)
+void suspect_note_inherited_end(struct task *t)
 {
-	struct suspicion *s = record_of(t);
+	struct suspicion *s = &t->suspicion;
 
 	if (s->counted_run == t->run || job_is_final(t->stage->job))
-		return false;
+		return;
 	s->counted_run = t->run;
-	s->early_ends++;
+	s->early_ends = MIN(s->early_ends + 1, ENDS_MAX - 1);
 	t->stage->job->dirty = true;
-	if (s->early_ends < EARLY_ENDS_MAX)
-		return false;
-	t->stage->job->state = JOB_FAILED;
-	return true;
 }
 
-/* Forget what t was suspected of; returns false if it was no suspect. */
+/* Forget what t, or its gang, was suspected of; false if it was no suspect. */
 bool suspect_clear(struct task *t)
 {
-	struct suspicion *s = record_of(t);
+	struct stage *st = t->stage;
+	uint32_t first = st->step->gang ? 0 : t->index;
+	uint32_t end = st->step->gang ? st->step->count : t->index + 1;
 
 	if (!task_is_suspect(t))
 		return false;
-	*s = (struct suspicion){.counted_run = s->counted_run};
-	t->stage->trials_passed++;
-	t->stage->job->dirty = true;
+	for (uint32_t i = first; i < end; i++)
+		st->tasks[i].suspicion = (struct suspicion){
+			.counted_run = st->tasks[i].suspicion.counted_run};
+	st->trials_passed++;
+	st->job->dirty = true;
 	return true;
 }
 
--- a/sched/suspect.h
+++ b/sched/suspect.h
@@ -35,20 +35,21 @@
 
 /* What was concluded about a task from the end of an upstream's life. */
 struct suspect_finding {
-	struct task *task; /* in a gang the first member there */
+	struct task *task;
 	uint32_t ran_ms;
 	uint32_t beside; /* other runs on the upstream */
 	bool early;	 /* the run had just begun */
+	bool quick;	 /* its upstream ended at once after its start */
 	bool only;	 /* no other run there was unproven */
 	bool confirmed;	 /* its job has failed for it */
 	bool is_suspect;
 };
 
 bool task_is_suspect(const struct task *t);
-const struct suspicion *task_suspicion(const struct task *t);
 uint32_t suspect_trial_ms(const struct task *t);
 bool suspect_is_isolated(const struct task *t, uint64_t now_ms);
 uint64_t suspect_waited_ms(const struct task *t, uint64_t now_ms);
+bool stage_spreads_suspects(const struct stage *st);
 bool stage_awaits_trial(const struct stage *st, uint64_t now_ms);
 bool run_is_unproven(const struct task *t, uint64_t now_ms);
 bool upstream_has_suspect(const struct upstream *u);
@@ -64,7 +65,7 @@
 			      struct task *t, const struct blamed_run *b,
 			      uint64_t now_ms);
 void suspect_withdraw(struct task *t, const struct blamed_run *b);
-bool suspect_note_inherited_end(struct task *t);
+void suspect_note_inherited_end(struct task *t);
 bool suspect_note_running(struct task *t);
 bool suspect_clear(struct task *t);
 const char *life_cause_name(enum life_cause c);
--- a/test/unit_suspect.c
+++ b/test/unit_suspect.c
@@ -755,6 +755,59 @@
 	simulation_destroy(&next);
 }
 
+/* Guards against a sound gang that is given up for ends under other members. */
+static void test_gang_outlives_ends_under_different_members(void **state)
+{
+	struct simulation sim;
+	struct job *gang;
+
+	(void)state;
+	simulation_create(&sim, 24);
+	sim.run_ms = 20000;
+	gang = add_job(&sim, 4, 8, true, "");
+	for (uint32_t i = 0; i < 4; i++) {
+		struct task *t = &gang->stages[0].tasks[i];
+		uint32_t run = t->run;
+
+		for (uint32_t k = 0;
+		     k < 400 && (t->state != TASK_RUNNING || t->run == run);
+		     k++)
+			play(&sim, TICK_MS);
+		assert_int_equal(t->state, TASK_RUNNING);
+		crash(&sim, t->at);
+		play(&sim, RETURN_MS + TICK_MS);
+	}
+	assert_int_equal(sim.lives_ended, 4);
+	play(&sim, 60000);
+	assert_innocent_jobs_are_done(&sim);
+	simulation_destroy(&sim);
+}
+
+/* A suspect of two ends shares no upstream with another of its step. */
+static void test_suspects_of_several_ends_are_spread(void **state)
+{
+	struct simulation sim;
+	struct job *j;
+
+	(void)state;
+	simulation_create(&sim, 4);
+	j = add_job(&sim, 3, 1, false, "");
+	for (uint32_t i = 0; i < 3; i++) {
+		struct task *t = &j->stages[0].tasks[i];
+
+		t->run = 2;
+		t->suspicion.early_ends = 2;
+	}
+	j->state = JOB_RUNNING;
+	j->stages[0].since_ms = sim.now_ms - SUSPECT_WAIT_MAX_MS;
+	play(&sim, TICK_MS);
+	for (uint32_t i = 0; i < 4; i++)
+		assert_in_range(upstream(&sim, i)->tasks->len, 0, 1);
+	play(&sim, 60000);
+	assert_innocent_jobs_are_done(&sim);
+	simulation_destroy(&sim);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -785,6 +838,9 @@
 		cmocka_unit_test(test_long_running_deadly_task_is_given_up),
 		cmocka_unit_test(
 			test_late_ends_make_a_suspect_that_then_runs_alone),
+		cmocka_unit_test(
+			test_gang_outlives_ends_under_different_members),
+		cmocka_unit_test(test_suspects_of_several_ends_are_spread),
 		cmocka_unit_test(test_suspicion_survives_a_change_of_leader),
 		cmocka_unit_test(
 			test_successor_counts_lives_that_ended_meanwhile),
