Bound the wait of held up work for the trials of suspects

Callers saw accepted work with nothing running although the only upstream that its label allowed had room.

Cause: an upstream with a suspect whose run has just begun takes no other work, also none that is held up. A trial lasts 1.5 s, but nothing bounds how many of them follow each other there.

Change: a stage that is held up leaves such upstreams alone for 2.5 s, the time for which a suspect waits to be isolated itself.

--- a/sched/fallback.c
+++ b/sched/fallback.c
@@ -6,6 +6,7 @@
  */
 #include "sched/fallback.h"
 #include "sched/suspect.h"
+#include "sched/wait.h"
 
 /* Report whether a run on u that has just begun may end its life. */
 static bool hosts_unproven_suspect(const struct upstream *u, uint64_t now_ms)
@@ -35,14 +36,19 @@
 	return p->usable[index] && !has_failed_on(st, p->upstreams[index]);
 }
 
-/* Return how many tasks of the demand an upstream takes, reserved or not. */
-static uint32_t open_capacity(const struct pack *p, uint32_t index)
+/*
+ * Return how many tasks of st, the demand, an upstream takes, reserved or not.
+ * A stage leaves suspects alone for as long as one waits to be isolated.
+ */
+static uint32_t open_capacity(const struct pack *p, const struct stage *st,
+			      uint32_t index)
 {
 	const struct upstream *u = p->upstreams[index];
 	struct resources have = u->resources;
 
 	if (!upstream_is_usable(u, p->now_ms) ||
-	    hosts_unproven_suspect(u, p->now_ms))
+	    (hosts_unproven_suspect(u, p->now_ms) &&
+	     p->now_ms < wait_since_ms(st) + SUSPECT_WAIT_MAX_MS))
 		return 0;
 	resources_add(&have, &u->used, -1);
 	return pack_capacity(p, index, &have);
@@ -66,7 +72,7 @@
 
 			if (is_preferred(p, st, i) != preferred)
 				continue;
-			s.count = MIN(open_capacity(p, i), want - placed);
+			s.count = MIN(open_capacity(p, st, i), want - placed);
 			if (s.count)
 				p->chosen[p->chosen_len++] = s;
 			placed += s.count;
--- a/test/unit_wait.c
+++ b/test/unit_wait.c
@@ -454,6 +454,31 @@
 	site_destroy(&s);
 }
 
+/*
+ * The only upstream with the label that has room hosts one suspect after the
+ * other. Guards against work that waits for as long as these come.
+ */
+static void test_suspects_on_labelled_upstream_do_not_hold_up_work(void **state)
+{
+	struct job *suspect, *j;
+	struct site s;
+
+	(void)state;
+	site_create(&s, 2 * RACK_SIZE);
+	for (uint32_t i = 1; i < RACK_SIZE; i++)
+		occupy(&s, i);
+	suspect = add_small_job(&s);
+	suspect->stages[0].tasks[0].suspicion.early_ends = 1;
+	/* a run that is not confirmed has not proved itself */
+	task_place(&suspect->stages[0].tasks[0], upstream_at(&s, 0), 1,
+		   s.now_ms);
+	j = add_small_job(&s);
+	require_label(j, "r0");
+	assert_in_range(wait_until_running(&s, j, 10000), 1600,
+			IDLE_SITE_WAIT_MAX_MS);
+	site_destroy(&s);
+}
+
 /*
  * Let the upstream refuse the member of the gang that it was given, for lack
  * of room, and stop the rest of the gang. Returns false if it has no member.
@@ -630,6 +655,8 @@
 			test_label_of_slow_upstreams_does_not_hold_up_work),
 		cmocka_unit_test(
 			test_reservation_of_idle_site_does_not_hold_up_work),
+		cmocka_unit_test(
+			test_suspects_on_labelled_upstream_do_not_hold_up_work),
 		cmocka_unit_test(
 			test_gang_leaves_upstream_that_refuses_a_member),
 		cmocka_unit_test(test_upstream_that_was_full_is_tried_again),
