--- a/sched/pack.c
+++ b/sched/pack.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "sched/pack.h"
+#include "sched/life.h"
 #include "sched/suspect.h"
 
 /* Maximum number of unmet demands that are remembered in a pass. */
@@ -212,8 +213,7 @@
 
 	if (p->isolation == PACK_SHARED)
 		return;
-	hosts = suspect_doubtful_hosts(p->fleet, p->demand.stage->job,
-				       p->now_ms);
+	hosts = life_doubtful_hosts(p->fleet, p->demand.stage->job, p->now_ms);
 	p->demand.has_excluded = true;
 	for (uint32_t i = 0; i < p->n; i++)
 		if (!isolation_allows(p, p->upstreams[i], hosts))
--- a/sched/suspect.h
+++ b/sched/suspect.h
@@ -51,11 +51,10 @@
 uint64_t suspect_waited_ms(const struct task *t, uint64_t now_ms);
 bool stage_spreads_suspects(const struct stage *st);
 bool stage_awaits_trial(const struct stage *st, uint64_t now_ms);
+bool run_may_have_started(const struct task *t);
 bool run_is_unproven(const struct task *t, uint64_t now_ms);
 bool upstream_has_suspect(const struct upstream *u);
 
-GHashTable *suspect_doubtful_hosts(const struct fleet *f, const struct job *j,
-				   uint64_t now_ms);
 void suspect_note_silence(struct upstream *u, uint64_t now_ms);
 void suspect_note_idle_end(struct upstream *u, uint64_t now_ms);
 enum life_cause suspect_judge_life(struct fleet *f, struct upstream *u,
