--- a/lead/election.c
+++ b/lead/election.c
@@ -61,7 +61,7 @@
 	uint64_t answered_since_ms;
 	/* The replicas that a leader needs are complete. */
 	bool replicas_complete;
-	/* Last sign of life of the previous leader. */
+	/* Last sign of incarnation of the previous leader. */
 	uint64_t predecessor_seen_ms;
 	/* The previous leader has certainly ended. */
 	bool predecessor_ended;
--- a/lead/leader.c
+++ b/lead/leader.c
@@ -662,7 +662,8 @@
 			g_ptr_array_index(d->model->fleet->list, i);
 
 		if (!u->session && u->tasks->len)
-			model_lose_upstream(d->model, u, now, LIFE_PRESUMED,
+			model_lose_upstream(d->model, u, now,
+					    INCARNATION_PRESUMED_ENDED,
 					    "not listed, leases ended");
 	}
 }
--- a/lead/model.c
+++ b/lead/model.c
@@ -321,8 +321,8 @@
 }
 
 /*
- * Take back what tasks were blamed for: u answers in the same life, whose end
- * was only presumed.
+ * Take back what tasks were blamed for: u answers in the same incarnation,
+ * whose end was only presumed.
  */
 static void withdraw_blame(struct model *m, struct upstream *u)
 {
@@ -344,10 +344,13 @@
 	if (!withdrawn)
 		return;
 	g_array_set_size(u->blamed, 0);
-	u->life_ended_ms = 0;
+	u->incarnation_ended_ms = 0;
 }
 
-/* Judge the tasks that were blamed for the end of u's life: it is known now. */
+/*
+ * Judge the tasks that were blamed for the end of u's incarnation: it is known
+ * now.
+ */
 static void confirm_blame(struct model *m, struct upstream *u, uint64_t now_ms)
 {
 	for (guint i = 0; u->blamed && i < u->blamed->len; i++) {
@@ -422,7 +425,7 @@
 	return (t->sent && !t->inherited && !was_listed) || is_listed(t, lists);
 }
 
-/* Log the tasks that are blamed for the end of u's life. */
+/* Log the tasks that are blamed for the end of u's incarnation. */
 static void log_findings(const GArray *findings, const struct upstream *u)
 {
 	for (guint i = 0; i < findings->len; i++) {
@@ -451,21 +454,22 @@
  * or its leases. The tasks that may have ended it are suspected.
  */
 static void lose_runs(struct model *m, struct upstream *u, uint64_t now_ms,
-		      enum life_end end, const char *why, GPtrArray *lost)
+		      enum incarnation_end end, const char *why,
+		      GPtrArray *lost)
 {
 	GArray *findings =
 		g_array_new(FALSE, FALSE, sizeof(struct suspect_finding));
-	enum life_cause cause = CAUSE_NOT_STARTED;
+	enum end_cause cause = CAUSE_NOT_STARTED;
 
 	if (u->tasks->len) {
-		cause = suspect_judge_life(m->fleet, u, end, now_ms, findings);
-	} else if (end == LIFE_ENDED) {
+		cause = suspect_judge_end(m->fleet, u, end, now_ms, findings);
+	} else if (end == INCARNATION_ENDED) {
 		confirm_blame(m, u, now_ms);
 		suspect_note_idle_end(u, now_ms);
 	}
 	log_fields(LOG_WARN, "upstream_lost", "{s:s,s:s,s:i,s:s}", "upstream",
 		   u->id, "why", why, "tasks", (int)lost->len, "cause",
-		   life_cause_name(cause));
+		   end_cause_name(cause));
 	log_findings(findings, u);
 	for (guint i = 0; i < lost->len; i++) {
 		struct task *t = g_ptr_array_index(lost, i);
@@ -480,7 +484,7 @@
 
 /* End all runs on u as lost: they ended with the upstream or its leases. */
 void model_lose_upstream(struct model *m, struct upstream *u, uint64_t now_ms,
-			 enum life_end end, const char *why)
+			 enum incarnation_end end, const char *why)
 {
 	GPtrArray *lost = g_ptr_array_new();
 
@@ -505,14 +509,14 @@
 	if (started_wall_ms <= before)
 		return false;
 	u->started_wall_ms = started_wall_ms;
-	u->lives_compared = false;
+	u->incarnations_compared = false;
 	if (!before)
 		return true;
 	lost = g_ptr_array_new();
 	for (guint i = 0; i < u->tasks->len; i++) {
 		struct task *t = g_ptr_array_index(u->tasks, i);
 
-		t->in_newer_life = is_listed(t, lists);
+		t->in_newer_incarnation = is_listed(t, lists);
 		if (may_run_after_restart(t, lists))
 			t->stage->job->dirty = true;
 		else
@@ -522,37 +526,39 @@
 		   u->id, "born", (json_int_t)started_wall_ms, "before",
 		   (json_int_t)before, "kept",
 		   (int)(u->tasks->len - lost->len));
-	lose_runs(m, u, now_ms, LIFE_ENDED, "restarted", lost);
+	lose_runs(m, u, now_ms, INCARNATION_ENDED, "restarted", lost);
 	for (guint i = 0; i < u->tasks->len; i++)
-		((struct task *)g_ptr_array_index(u->tasks, i))->in_newer_life =
-			false;
+		((struct task *)g_ptr_array_index(u->tasks, i))
+			->in_newer_incarnation = false;
 	return true;
 }
 
-/* Note that u has ended, as a later life of its machine is listed. */
+/* Note that u has ended, as a later incarnation of its machine is listed. */
 static void supersede(struct model *m, struct upstream *u, uint64_t now_ms)
 {
 	u->state = UPSTREAM_GONE;
 	u->superseded = true;
 	if (u->tasks->len)
-		model_lose_upstream(m, u, now_ms, LIFE_ENDED,
+		model_lose_upstream(m, u, now_ms, INCARNATION_ENDED,
 				    "its machine has restarted");
 }
 
 /*
- * Note that u is listed as a life of this machine; an empty name is ignored. A
- * machine has one life at a time, so the runs of its earlier ones are lost. A
- * later life counts only while it is listed, as its start time may be wrong.
+ * Note that u is listed as an incarnation of this machine; an empty name is
+ * ignored. A machine has one incarnation at a time, so the runs of its earlier
+ * ones are lost. A later incarnation counts only while it is listed, as its
+ * start time may be wrong.
  */
 void model_note_machine(struct model *m, struct upstream *u,
 			const char *machine, uint64_t now_ms)
 {
 	GQuark quark = *machine ? g_quark_from_string(machine) : 0;
 
-	if (quark == u->host_quark && u->lives_compared && !u->superseded)
+	if (quark == u->host_quark && u->incarnations_compared &&
+	    !u->superseded)
 		return;
 	u->host_quark = quark;
-	u->lives_compared = true;
+	u->incarnations_compared = true;
 	u->superseded = false;
 	for (guint i = 0; quark && i < m->fleet->list->len; i++) {
 		struct upstream *v = g_ptr_array_index(m->fleet->list, i);
--- a/lead/model.h
+++ b/lead/model.h
@@ -51,6 +51,6 @@
 void model_inherit_run(struct model *m, struct task *t, const char *upstream,
 		       uint64_t started_wall_ms, uint64_t now_ms);
 void model_lose_upstream(struct model *m, struct upstream *u, uint64_t now_ms,
-			 enum life_end end, const char *why);
+			 enum incarnation_end end, const char *why);
 
 #endif
--- a/lead/record.c
+++ b/lead/record.c
@@ -338,8 +338,8 @@
 
 /*
  * Encode the ends of upstreams that tasks of j are suspected of, each as
- * [stage, index, early, late, longest in ms, quick]. A row without them is left as it
- * was before they were recorded.
+ * [stage, index, early, late, longest in ms, quick]. A row without them is left
+ * as it was before they were recorded.
  */
 static json_t *suspicions_encode(const struct job *j)
 {
--- a/lead/session.c
+++ b/lead/session.c
@@ -266,7 +266,7 @@
 				k->upstream->state == UPSTREAM_DRAINING,
 				clock_mono_ms());
 	k->upstream->state = UPSTREAM_GONE;
-	k->upstream->lives_compared = false;
+	k->upstream->incarnations_compared = false;
 	session_schedule_call(k);
 }
 
@@ -368,7 +368,7 @@
 		return false;
 	case ORDER_REPLACED:
 		model_lose_upstream(k->env->model, k->upstream, clock_mono_ms(),
-				    LIFE_ENDED, "replaced");
+				    INCARNATION_ENDED, "replaced");
 		reset_incarnation(k);
 		k->upstream->state = UPSTREAM_GONE;
 		k->env->events.model_changed(k->env->arg);
@@ -395,7 +395,8 @@
 	return true;
 }
 
-static void mark_lost(struct session *k, enum life_end end, const char *why)
+static void mark_lost(struct session *k, enum incarnation_end end,
+		      const char *why)
 {
 	model_lose_upstream(k->env->model, k->upstream, clock_mono_ms(), end,
 			    why);
@@ -426,10 +427,10 @@
 	 * its runs ended. */
 	if (k->upstream->tasks->len && a->connection_refused &&
 	    departure_is_certain(&k->departure, k->call_sent_ms))
-		mark_lost(k, LIFE_LEFT, "has left");
+		mark_lost(k, INCARNATION_LEFT, "has left");
 	else if (k->upstream->tasks->len &&
 		 lease_clock_is_expired(&k->leases, k->call_sent_ms))
-		mark_lost(k, LIFE_PRESUMED, "leases ended");
+		mark_lost(k, INCARNATION_PRESUMED_ENDED, "leases ended");
 	if (needs_calls(k))
 		timer_start(k->env->loop, &k->call_timer, LISTS_RETRY_DELAY_MS);
 }
--- a/sched/life.c
+++ b/sched/ending.c
@@ -1,8 +1,9 @@
 /*
- * Causes of the ends of upstreams' lives other than a task: power, the machine,
- * restarts all over the site. They are told by what else ends at the time.
+ * Causes of the ends of upstreams' incarnations other than a task: power, the
+ * machine, restarts all over the site. They are told by what else ends at the
+ * time.
  */
-#include "sched/life.h"
+#include "sched/ending.h"
 #include "sched/suspect.h"
 
 /* Ends this close to each other may have a common cause. */
@@ -30,20 +31,21 @@
 }
 
 /*
- * Report whether the life of v ended, or seems to end, close to at_ms. An end
- * whose time was not seen is compared with others of this kind only: they were
- * found at the same time.
+ * Report whether the incarnation of v ended, or seems to end, close to at_ms.
+ * An end whose time was not seen is compared with others of this kind only:
+ * they were found at the same time.
  */
 static bool ends_with(const struct upstream *v, uint64_t at_ms, bool timed)
 {
 	/* its end was explained by a task */
-	if (v->life_end_explained && v->blamed->len)
+	if (v->end_explained && v->blamed->len)
 		return false;
 	if (v->leaving)
 		return false;
 	if (timed && is_close(v->silent_since_ms, at_ms))
 		return true;
-	return v->life_end_timed == timed && is_close(v->life_ended_ms, at_ms);
+	return v->end_timed == timed &&
+	       is_close(v->incarnation_ended_ms, at_ms);
 }
 
 /* Report whether a task name belongs to j. */
@@ -52,7 +54,9 @@
 	return g_str_has_prefix(name, j->id);
 }
 
-/* Report whether v, whose life ends too, was starting runs of j as well. */
+/*
+ * Report whether v, whose incarnation ends too, was starting runs of j as well.
+ */
 static bool shares_job(const struct upstream *v, const struct job *j,
 		       uint64_t at_ms)
 {
@@ -113,8 +117,8 @@
  * Report whether u ended together with so many upstreams of its rack, its
  * domain or all that no run explains it, unless they ran the same job.
  */
-bool life_has_common_cause(const struct fleet *f, const struct upstream *u,
-			   uint64_t at_ms, bool timed)
+bool ending_has_common_cause(const struct fleet *f, const struct upstream *u,
+			     uint64_t at_ms, bool timed)
 {
 	struct extent ended = {0}, all = {0};
 
@@ -137,10 +141,10 @@
  * Report whether the last end of u was recent and is no more likely to be one
  * task's doing than the machine's.
  */
-bool life_speaks_against_host(const struct upstream *u, uint64_t now_ms)
+bool ending_speaks_against_host(const struct upstream *u, uint64_t now_ms)
 {
-	if (!u->life_ended_ms || u->life_end_explained ||
-	    u->life_ended_ms + HOST_HISTORY_MS <= now_ms)
+	if (!u->incarnation_ended_ms || u->end_explained ||
+	    u->incarnation_ended_ms + HOST_HISTORY_MS <= now_ms)
 		return false;
 	for (guint i = 0; u->blamed && i < u->blamed->len; i++) {
 		const struct blamed_run *b =
@@ -153,11 +157,11 @@
 }
 
 /*
- * Report whether the machine of u seems to end lives by itself: it has ended
- * several lately that no task explains.
+ * Report whether the machine of u seems to end incarnations by itself: it has
+ * ended several lately that no task explains.
  */
-bool life_host_is_doubtful(const struct fleet *f, const struct upstream *u,
-			   uint64_t now_ms)
+bool ending_host_is_doubtful(const struct fleet *f, const struct upstream *u,
+			     uint64_t now_ms)
 {
 	uint32_t ends = 0;
 
@@ -166,7 +170,7 @@
 
 		if ((v == u ||
 		     (u->host_quark && v->host_quark == u->host_quark)) &&
-		    life_speaks_against_host(v, now_ms))
+		    ending_speaks_against_host(v, now_ms))
 			ends += 1 + v->earlier_ends;
 	}
 	return ends >= HOST_ENDS_MIN;
@@ -187,8 +191,8 @@
  * Report whether upstreams have lately ended by other causes than runs of j and
  * runs that had just begun: then one of these may have begun in time by chance.
  */
-bool life_other_causes_are_likely(const struct fleet *f, const struct job *j,
-				  uint64_t now_ms)
+bool ending_other_causes_are_likely(const struct fleet *f, const struct job *j,
+				    uint64_t now_ms)
 {
 	uint32_t ends = 0;
 
@@ -196,7 +200,7 @@
 		const struct upstream *u = g_ptr_array_index(f->list, i);
 
 		ends += u->ended_without_candidate && !u->leaving &&
-			u->life_ended_ms + OTHER_CAUSE_MS > now_ms &&
+			u->incarnation_ended_ms + OTHER_CAUSE_MS > now_ms &&
 			!was_ended_by(u, j);
 	}
 	return ends >= OTHER_CAUSE_MIN;
@@ -204,18 +208,18 @@
 
 /*
  * Return the set of machines whose end under a suspect of j would prove little:
- * they have ended a life that no task explains, or one under j already.
+ * they have ended an incarnation that no task explains, or one under j already.
  */
-GHashTable *life_doubtful_hosts(const struct fleet *f, const struct job *j,
-				uint64_t now_ms)
+GHashTable *ending_doubtful_hosts(const struct fleet *f, const struct job *j,
+				  uint64_t now_ms)
 {
 	GHashTable *hosts = g_hash_table_new(NULL, NULL);
 
 	for (guint i = 0; i < f->list->len; i++) {
 		const struct upstream *u = g_ptr_array_index(f->list, i);
 
-		if (u->host_quark &&
-		    (life_speaks_against_host(u, now_ms) || was_ended_by(u, j)))
+		if (u->host_quark && (ending_speaks_against_host(u, now_ms) ||
+				      was_ended_by(u, j)))
 			g_hash_table_add(hosts,
 					 GUINT_TO_POINTER(u->host_quark));
 	}
--- a/sched/fallback.c
+++ b/sched/fallback.c
@@ -8,7 +8,7 @@
 #include "sched/suspect.h"
 #include "sched/wait.h"
 
-/* Report whether a run on u that has just begun may end its life. */
+/* Report whether a run on u that has just begun may end its incarnation. */
 static bool hosts_unproven_suspect(const struct upstream *u, uint64_t now_ms)
 {
 	for (guint i = 0; i < u->tasks->len; i++) {
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -218,7 +218,9 @@
 	u->consecutive_refusals++;
 }
 
-/* Forget the refusals of u, which has started a run or changed its resources. */
+/*
+ * Forget the refusals of u, which has started a run or changed its resources.
+ */
 void upstream_clear_refusals(struct upstream *u)
 {
 	u->consecutive_refusals = 0;
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -10,13 +10,13 @@
 	UPSTREAM_GONE, /* no longer listed */
 };
 
-/* A run that was blamed for the end of an upstream's life. */
+/* A run that was blamed for the end of an upstream's incarnation. */
 struct blamed_run {
 	char task[TASK_NAME_BYTES];
 	bool early;
 	bool quick;
 	bool only;     /* no other run there was unproven */
-	bool presumed; /* the end of the life is presumed, not known */
+	bool presumed; /* the end of the incarnation is presumed, not known */
 };
 
 struct upstream {
@@ -31,9 +31,9 @@
 	GQuark kind_quark;
 	GQuark rack_quark;
 	GQuark domain_quark;
-	GQuark host_quark;   /* the machine, which outlives it; 0: unknown */
-	bool superseded;     /* a later life of its machine is listed */
-	bool lives_compared; /* with the other lives of its machine */
+	GQuark host_quark; /* the machine, which outlives it; 0: unknown */
+	bool superseded;   /* a later incarnation of its machine is listed */
+	bool incarnations_compared; /* of its machine with this one */
 	enum upstream_state state;
 	bool synced; /* has accepted our epoch and its run lists were read */
 	uint64_t leaves_ms; /* earliest departure when draining; 0: unknown */
@@ -46,12 +46,12 @@
 	bool silent;		   /* the last call was not answered */
 	uint64_t silent_since_ms;  /* the first such call; 0: it answers */
 	bool leaving;		   /* was draining when last listed */
-	uint64_t life_ended_ms;	   /* end of its last life; 0: none yet */
-	bool life_end_timed;	   /* it was seen to become silent */
-	bool ended_without_candidate; /* no run there had just begun */
-	uint32_t earlier_ends;	      /* unexplained ones in a row before it */
+	uint64_t incarnation_ended_ms; /* the last one; 0: none yet */
+	bool end_timed;		       /* it was seen to become silent */
+	bool ended_without_candidate;  /* no run there had just begun */
+	uint32_t earlier_ends;	       /* unexplained ones in a row before it */
 	/* that end does not speak against the machine */
-	bool life_end_explained;
+	bool end_explained;
 	GArray *blamed; /* struct blamed_run, for that end; NULL: none */
 	bool doubted;	/* its failure domain seems cut off */
 	/* start of the current slow period; 0: not slow */
--- a/sched/job.h
+++ b/sched/job.h
@@ -83,8 +83,8 @@
 };
 
 /*
- * Lives of upstreams that ended under the runs of a task. In a gang the first
- * member's record speaks for all.
+ * Incarnations of upstreams that ended under the runs of a task. Each member of
+ * a gang has its own.
  */
 struct suspicion {
 	uint32_t early_ends; /* soon after the start of a run */
@@ -119,9 +119,11 @@
 	/* only compared, never dereferenced */
 	const struct upstream *last_failed_on;
 	struct suspicion suspicion;
-	/* while the end of a life of its upstream is judged: the run began in
-	 * the next life */
-	bool in_newer_life;
+	/*
+	 * while the end of an incarnation of its upstream is judged: the run
+	 * began in the next incarnation
+	 */
+	bool in_newer_incarnation;
 };
 
 struct job;
--- a/sched/pack.c
+++ b/sched/pack.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "sched/pack.h"
-#include "sched/life.h"
+#include "sched/ending.h"
 #include "sched/suspect.h"
 
 /* Maximum number of unmet demands that are remembered in a pass. */
@@ -213,7 +213,8 @@
 
 	if (p->isolation == PACK_SHARED)
 		return;
-	hosts = life_doubtful_hosts(p->fleet, p->demand.stage->job, p->now_ms);
+	hosts = ending_doubtful_hosts(p->fleet, p->demand.stage->job,
+				      p->now_ms);
 	p->demand.has_excluded = true;
 	for (uint32_t i = 0; i < p->n; i++)
 		if (!isolation_allows(p, p->upstreams[i], hosts))
--- a/sched/suspect.c
+++ b/sched/suspect.c
@@ -1,11 +1,11 @@
 /*
- * Which tasks are blamed for the end of an upstream's life. A run that had just
- * begun is suspected after the first end, one that had lasted only after
- * several, as it shares them with whatever began beside it.
+ * Which tasks are blamed for the end of an upstream's incarnation. A run that
+ * had just begun is suspected after the first end, one that had lasted only
+ * after several, as it shares them with whatever began beside it.
  */
 #include <string.h>
 
-#include "sched/life.h"
+#include "sched/ending.h"
 #include "sched/suspect.h"
 
 /* Ends late in its runs after which a task is a suspect. */
@@ -29,7 +29,7 @@
 /* The longest wait for what became of a suspect's upstream. */
 #define OUTCOME_WAIT_MAX_MS 4000
 /* Return the name of c in logs. */
-const char *life_cause_name(enum life_cause c)
+const char *end_cause_name(enum end_cause c)
 {
 	switch (c) {
 	case CAUSE_RUNS:
@@ -156,7 +156,7 @@
  * Report whether the upstream of t lived when it was given the order: it has
  * confirmed the run, or was heard shortly before or since.
  */
-static bool started_in_life(const struct task *t)
+static bool started_in_incarnation(const struct task *t)
 {
 	const struct upstream *u = t->at;
 
@@ -197,17 +197,18 @@
 }
 
 /*
- * Report whether the run of t may have started in the life of its upstream that
- * has ended. An order that was refused, or that has no answer yet, may have
- * come after the end, unless the upstream was heard shortly before.
+ * Report whether the run of t may have started in the incarnation of its
+ * upstream that has ended. An order that was refused, or that has no answer
+ * yet, may have come after the end, unless the upstream was heard shortly
+ * before.
  */
 bool run_may_have_started(const struct task *t)
 {
-	return !t->in_newer_life &&
-	       (t->inherited || t->uncertain || started_in_life(t));
+	return !t->in_newer_incarnation &&
+	       (t->inherited || t->uncertain || started_in_incarnation(t));
 }
 
-/* Forget what was concluded from an earlier end of u's life. */
+/* Forget what was concluded from an earlier end of u's incarnation. */
 static void reset_blamed(struct upstream *u)
 {
 	if (u->blamed)
@@ -218,17 +219,19 @@
 }
 
 /*
- * Note at now_ms that an upstream without runs has ended its life, unless that
- * end is known.
+ * Note at now_ms that an upstream without runs has ended its incarnation,
+ * unless that end is known.
  */
 void suspect_note_idle_end(struct upstream *u, uint64_t now_ms)
 {
-	if (u->leaving || (u->life_ended_ms && u->heard_ms <= u->life_ended_ms))
+	if (u->leaving ||
+	    (u->incarnation_ended_ms && u->heard_ms <= u->incarnation_ended_ms))
 		return;
 	reset_blamed(u);
-	u->life_ended_ms = u->silent_since_ms ? u->silent_since_ms : now_ms;
-	u->life_end_timed = u->silent_since_ms;
-	u->life_end_explained = false;
+	u->incarnation_ended_ms =
+		u->silent_since_ms ? u->silent_since_ms : now_ms;
+	u->end_timed = u->silent_since_ms;
+	u->end_explained = false;
 	u->ended_without_candidate = true;
 	u->silent_since_ms = 0;
 }
@@ -244,7 +247,7 @@
 						  k)
 					    .task,
 				    task))
-				u->life_end_explained = true;
+				u->end_explained = true;
 	}
 }
 
@@ -290,7 +293,7 @@
 static bool is_only_candidate(const struct upstream *u, const struct task *t,
 			      uint64_t at_ms, bool early)
 {
-	if (t->inherited || !started_in_life(t))
+	if (t->inherited || !started_in_incarnation(t))
 		return false;
 	for (guint i = 0; i < u->tasks->len; i++) {
 		const struct task *o = g_ptr_array_index(u->tasks, i);
@@ -326,8 +329,9 @@
 }
 
 /* Count the end of u for the run of t; returns false if it was counted. */
-static bool count_end(struct upstream *u, struct task *t, enum life_end end,
-		      uint64_t at_ms, struct suspect_finding *out)
+static bool count_end(struct upstream *u, struct task *t,
+		      enum incarnation_end end, uint64_t at_ms,
+		      struct suspect_finding *out)
 {
 	struct suspicion *s = &t->suspicion;
 	bool early = run_is_unproven(t, at_ms);
@@ -348,37 +352,37 @@
 	s->late_ends += !early;
 	s->longest_ms = MAX(s->longest_ms, out->ran_ms);
 	t->stage->job->dirty = true;
-	add_blamed(u, out, end == LIFE_PRESUMED);
+	add_blamed(u, out, end == INCARNATION_PRESUMED_ENDED);
 	out->is_suspect = task_is_suspect(t);
 	return true;
 }
 
 /*
- * Judge the end of u's life at now_ms, before its runs are ended: count it for
- * the tasks that may be its cause and fail the jobs of those that certainly
- * are. What was found is appended to findings, one for each task.
+ * Judge the end of u's incarnation at now_ms, before its runs are ended: count
+ * it for the tasks that may be its cause and fail the jobs of those that
+ * certainly are. What was found is appended to findings, one for each task.
  */
-enum life_cause suspect_judge_life(struct fleet *f, struct upstream *u,
-				   enum life_end end, uint64_t now_ms,
-				   GArray *findings)
+enum end_cause suspect_judge_end(struct fleet *f, struct upstream *u,
+				 enum incarnation_end end, uint64_t now_ms,
+				 GArray *findings)
 {
 	uint64_t at_ms = u->silent_since_ms ? u->silent_since_ms : now_ms;
-	bool doubtful =
-		end != LIFE_ENDED || life_host_is_doubtful(f, u, now_ms);
+	bool doubtful = end != INCARNATION_ENDED ||
+			ending_host_is_doubtful(f, u, now_ms);
 	guint first = findings->len;
 	bool any_early = false;
-	enum life_cause cause = CAUSE_RUNS;
+	enum end_cause cause = CAUSE_RUNS;
 
 	u->earlier_ends =
-		life_speaks_against_host(u, now_ms) ? u->earlier_ends + 1 : 0;
+		ending_speaks_against_host(u, now_ms) ? u->earlier_ends + 1 : 0;
 	reset_blamed(u);
-	u->life_ended_ms = at_ms;
-	u->life_end_timed = u->silent_since_ms;
-	if (end == LIFE_LEFT || u->leaving)
+	u->incarnation_ended_ms = at_ms;
+	u->end_timed = u->silent_since_ms;
+	if (end == INCARNATION_LEFT || u->leaving)
 		cause = CAUSE_PLANNED;
-	else if (life_has_common_cause(f, u, at_ms, u->life_end_timed))
+	else if (ending_has_common_cause(f, u, at_ms, u->end_timed))
 		cause = CAUSE_COMMON;
-	u->life_end_explained = cause != CAUSE_RUNS;
+	u->end_explained = cause != CAUSE_RUNS;
 	if (cause != CAUSE_RUNS)
 		goto out;
 	for (guint i = 0; i < u->tasks->len; i++) {
@@ -396,7 +400,7 @@
 			&g_array_index(findings, struct suspect_finding, i);
 		struct evidence e = {.only = x->only,
 				     .doubtful = doubtful,
-				     .others = life_other_causes_are_likely(
+				     .others = ending_other_causes_are_likely(
 					     f, x->task->stage->job, now_ms)};
 
 		x->confirmed =
@@ -406,28 +410,28 @@
 		cause = CAUSE_NOT_STARTED;
 out:
 	u->ended_without_candidate = !any_early && cause != CAUSE_PLANNED;
-	if (end == LIFE_ENDED)
+	if (end == INCARNATION_ENDED)
 		u->silent_since_ms = 0;
 	return cause;
 }
 
 /*
- * Note that a presumed end of u's life, which t was blamed for, is now known.
- * Returns true if the job of t fails for it.
+ * Note that a presumed end of u's incarnation, which t was blamed for, is now
+ * known. Returns true if the job of t fails for it.
  */
 bool suspect_confirm_presumed(struct fleet *f, struct upstream *u,
 			      struct task *t, const struct blamed_run *b,
 			      uint64_t now_ms)
 {
 	struct evidence e = {.only = b->only,
-			     .doubtful = life_host_is_doubtful(f, u, now_ms),
-			     .others = life_other_causes_are_likely(
+			     .doubtful = ending_host_is_doubtful(f, u, now_ms),
+			     .others = ending_other_causes_are_likely(
 				     f, t->stage->job, now_ms)};
 
 	return is_conclusive(t, e) && fail_job(f, t);
 }
 
-/* Take back the blame b of t: the upstream's life has not ended. */
+/* Take back the blame b of t: the upstream's incarnation has not ended. */
 void suspect_withdraw(struct task *t, const struct blamed_run *b)
 {
 	struct suspicion *s = &t->suspicion;
@@ -441,9 +445,9 @@
 }
 
 /*
- * Count for t, whose run an earlier leader recorded, that the upstream's life
- * has ended since. How long it had run and what ran beside it is unknown, so
- * this makes a suspect of it but proves nothing.
+ * Count for t, whose run an earlier leader recorded, that the upstream's
+ * incarnation has ended since. How long it had run and what ran beside it is
+ * unknown, so this makes a suspect of it but proves nothing.
  */
 void suspect_note_inherited_end(struct task *t)
 {
--- a/sched/suspect.h
+++ b/sched/suspect.h
@@ -1,7 +1,8 @@
 /*
- * Suspects: tasks under which lives of upstreams have ended. A suspect runs on
- * an upstream without other unproven runs until it has proved itself, or until
- * the life of a second upstream shows that it ends them; then its job fails.
+ * Suspects: tasks under which incarnations of upstreams have ended. A suspect
+ * runs on an upstream without other unproven runs until it has proved itself,
+ * or until the incarnation of a second upstream shows that it ends them; then
+ * its job fails.
  */
 #ifndef SCHED_SUSPECT_H
 #define SCHED_SUSPECT_H
@@ -18,22 +19,22 @@
 /* A suspect that has waited this long is placed like other tasks. */
 #define SUSPECT_WAIT_MAX_MS 2500
 
-/* What is known about the end of an upstream's life. */
-enum life_end {
-	LIFE_ENDED,    /* another life was seen in its place */
-	LIFE_PRESUMED, /* it is silent and its leases have ended */
-	LIFE_LEFT,     /* it has left as announced */
+/* What is known about the end of an upstream's incarnation. */
+enum incarnation_end {
+	INCARNATION_ENDED, /* another incarnation was seen in its place */
+	INCARNATION_PRESUMED_ENDED, /* it is silent and its leases have ended */
+	INCARNATION_LEFT,	    /* it has left as announced */
 };
 
-/* Why the runs that ended with an upstream's life are blamed, or not. */
-enum life_cause {
+/* Why the runs that ended with an upstream's incarnation are blamed, or not. */
+enum end_cause {
 	CAUSE_RUNS,	   /* one of them may have ended it */
 	CAUSE_COMMON,	   /* many upstreams ended at the same time */
 	CAUSE_PLANNED,	   /* the upstream was draining */
 	CAUSE_NOT_STARTED, /* no run had begun */
 };
 
-/* What was concluded about a task from the end of an upstream's life. */
+/* What was concluded about a task from the end of an upstream's incarnation. */
 struct suspect_finding {
 	struct task *task;
 	uint32_t ran_ms;
@@ -57,9 +58,9 @@
 
 void suspect_note_silence(struct upstream *u, uint64_t now_ms);
 void suspect_note_idle_end(struct upstream *u, uint64_t now_ms);
-enum life_cause suspect_judge_life(struct fleet *f, struct upstream *u,
-				   enum life_end end, uint64_t now_ms,
-				   GArray *findings);
+enum end_cause suspect_judge_end(struct fleet *f, struct upstream *u,
+				 enum incarnation_end end, uint64_t now_ms,
+				 GArray *findings);
 bool suspect_confirm_presumed(struct fleet *f, struct upstream *u,
 			      struct task *t, const struct blamed_run *b,
 			      uint64_t now_ms);
@@ -67,6 +68,6 @@
 void suspect_note_inherited_end(struct task *t);
 bool suspect_note_running(struct task *t);
 bool suspect_clear(struct task *t);
-const char *life_cause_name(enum life_cause c);
+const char *end_cause_name(enum end_cause c);
 
 #endif
--- a/test/unit_lead.c
+++ b/test/unit_lead.c
@@ -454,8 +454,8 @@
 	(void)state;
 	fixture_create(&s, 1, false);
 	task_confirm(s.task, 1015);
-	model_lose_upstream(s.model, s.upstream, 2000, LIFE_PRESUMED,
-			    "leases ended");
+	model_lose_upstream(s.model, s.upstream, 2000,
+			    INCARNATION_PRESUMED_ENDED, "leases ended");
 	assert_int_equal(s.task->state, TASK_WAITING);
 	apply_done(&s, s.task->run, strays);
 	assert_int_equal(s.task->state, TASK_DONE);
@@ -479,8 +479,8 @@
 	fixture_create(&s, 1, false);
 	task_confirm(s.task, 1015);
 	run = s.task->run;
-	model_lose_upstream(s.model, s.upstream, 2000, LIFE_PRESUMED,
-			    "leases ended");
+	model_lose_upstream(s.model, s.upstream, 2000,
+			    INCARNATION_PRESUMED_ENDED, "leases ended");
 	other = fleet_add_upstream(s.model->fleet, "u9");
 	task_place(s.task, other, run + 1, 2100);
 	apply_done(&s, run, strays);
@@ -717,7 +717,7 @@
 
 /*
  * A restarted upstream lists a run that it has started since. Guards against a
- * sound task that is suspected of the end of a life in which it never ran.
+ * sound task that is suspected of the end of an incarnation in which it never ran.
  */
 static void test_run_of_newer_incarnation_is_not_blamed(void **state)
 {
@@ -739,7 +739,8 @@
 	assert_ptr_equal(s.task->at, s.upstream);
 	assert_false(task_is_suspect(s.task));
 	/* the end of the newer one still counts */
-	model_lose_upstream(s.model, s.upstream, 1100, LIFE_ENDED, "replaced");
+	model_lose_upstream(s.model, s.upstream, 1100, INCARNATION_ENDED,
+			    "replaced");
 	assert_true(task_is_suspect(s.task));
 	fixture_destroy(&s);
 }
--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -555,9 +555,9 @@
 	fixture_destroy(&s);
 }
 
-/* List an upstream as a life of a machine; returns it. */
-static struct upstream *list_life(struct fixture *s, const char *id,
-				  const char *machine, uint64_t born)
+/* List an upstream as an incarnation of a machine; returns it. */
+static struct upstream *list_incarnation(struct fixture *s, const char *id,
+					 const char *machine, uint64_t born)
 {
 	struct upstream *u = fleet_find_upstream(s->model->fleet, id);
 
@@ -576,7 +576,7 @@
  * A machine has restarted under another id, and its old address is silent.
  * Guards against a job with nothing running until the leases have ended.
  */
-static void test_run_on_earlier_life_of_machine_is_lost(void **state)
+static void test_run_on_earlier_incarnation_of_machine_is_lost(void **state)
 {
 	struct upstream *other, *later;
 	struct fake_upstream f;
@@ -586,30 +586,31 @@
 	fixture_create(&s);
 	fake_upstream_create(&f, s.loop);
 	s.entry.address = f.address;
-	list_life(&s, "u1", "m1", 77);
+	list_incarnation(&s, "u1", "m1", 77);
 	step_until(s.loop, &s.changes, 1000);
 	start_task(&s);
 	assert_becomes(&s, TASK_RUNNING);
-	other = list_life(&s, "u2", "m2", 88);
+	other = list_incarnation(&s, "u2", "m2", 88);
 	assert_int_equal(s.task->state, TASK_RUNNING);
-	later = list_life(&s, "u3", "m1", 99);
+	later = list_incarnation(&s, "u3", "m1", 99);
 	assert_int_equal(s.task->state, TASK_WAITING);
 	assert_int_equal(s.upstream->state, UPSTREAM_GONE);
-	/* the entry of the earlier life does not make it usable again */
-	list_life(&s, "u1", "m1", 77);
+	/* the entry of the earlier incarnation does not make it usable again */
+	list_incarnation(&s, "u1", "m1", 77);
 	assert_int_equal(s.upstream->state, UPSTREAM_GONE);
 	assert_int_equal(later->state, UPSTREAM_READY);
 	/* unless the later one is listed no more */
 	session_note_unlisted(later->session);
-	list_life(&s, "u1", "m1", 77);
+	list_incarnation(&s, "u1", "m1", 77);
 	assert_int_equal(s.upstream->state, UPSTREAM_READY);
 	session_destroy(other->session);
 	session_destroy(later->session);
 	fixture_destroy(&s);
 }
 
-/* A run recorded for an earlier life of a machine is not taken over. */
-static void test_run_on_earlier_life_of_machine_is_not_inherited(void **state)
+/* A run recorded for an earlier incarnation of a machine is not taken over. */
+static void
+test_run_on_earlier_incarnation_of_machine_is_not_inherited(void **state)
 {
 	struct upstream *later;
 	struct fake_upstream f;
@@ -619,8 +620,8 @@
 	fixture_create(&s);
 	fake_upstream_create(&f, s.loop);
 	s.entry.address = f.address;
-	later = list_life(&s, "u3", "m1", 99);
-	list_life(&s, "u1", "m1", 77);
+	later = list_incarnation(&s, "u3", "m1", 99);
+	list_incarnation(&s, "u1", "m1", 77);
 	s.task->run = 4;
 	model_inherit_run(s.model, s.task, "u1", 77, clock_mono_ms());
 	assert_false(task_is_active(s.task));
@@ -647,9 +648,10 @@
 		cmocka_unit_test(test_run_of_earlier_incarnation_is_lost),
 		cmocka_unit_test(test_listed_run_is_lost_when_restart_is_known),
 		cmocka_unit_test(test_upstream_that_is_back_gets_work_again),
-		cmocka_unit_test(test_run_on_earlier_life_of_machine_is_lost),
 		cmocka_unit_test(
-			test_run_on_earlier_life_of_machine_is_not_inherited),
+			test_run_on_earlier_incarnation_of_machine_is_lost),
+		cmocka_unit_test(
+			test_run_on_earlier_incarnation_of_machine_is_not_inherited),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/unit_starve.c
+++ b/test/unit_starve.c
@@ -233,7 +233,8 @@
 {
 	struct upstream *u = m->upstream;
 
-	model_lose_upstream(s->model, u, s->now_ms, LIFE_ENDED, "replaced");
+	model_lose_upstream(s->model, u, s->now_ms, INCARNATION_ENDED,
+			    "replaced");
 	u->state = UPSTREAM_GONE;
 	m->upstream = add_upstream(
 		s, (uint32_t)atoi(g_quark_to_string(u->host_quark) + 1),
--- a/test/unit_suspect.c
+++ b/test/unit_suspect.c
@@ -29,7 +29,7 @@
 	uint64_t now_ms;
 	uint32_t jobs;
 	uint32_t upstreams; /* ever added */
-	uint32_t lives_ended;
+	uint32_t incarnations_ended;
 	uint64_t run_ms; /* of each task */
 	GArray *crashes;
 	/* the longest time that a task waited for its next run */
@@ -131,7 +131,7 @@
 	suspect_note_silence(u, sim->now_ms);
 	u->avoid_until_ms = sim->now_ms + RETURN_MS;
 	g_array_append_val(sim->crashes, c);
-	sim->lives_ended++;
+	sim->incarnations_ended++;
 }
 
 /* Let the machine of a crashed upstream answer as another one. */
@@ -145,7 +145,7 @@
 		if (c.back_ms > sim->now_ms)
 			continue;
 		model_lose_upstream(sim->model, c.upstream, sim->now_ms,
-				    LIFE_ENDED, "replaced");
+				    INCARNATION_ENDED, "replaced");
 		c.upstream->state = UPSTREAM_GONE;
 		g_array_remove_index(sim->crashes, i);
 		if (sscanf(host, "h%u", &n) == 1)
@@ -263,7 +263,7 @@
 
 /* BUDGET: one task crashed an upstream every three seconds, all day. */
 static void
-test_deadly_task_ends_two_lives_and_neighbours_end_done(void **state)
+test_deadly_task_ends_two_incarnations_and_neighbours_end_done(void **state)
 {
 	struct simulation sim;
 	struct job *deadly;
@@ -278,12 +278,12 @@
 		add_job(&sim, 5, 1, false, "");
 	play(&sim, 40000);
 	assert_int_equal(deadly->state, JOB_FAILED);
-	assert_int_equal(sim.lives_ended, 2);
+	assert_int_equal(sim.incarnations_ended, 2);
 	assert_innocent_jobs_are_done(&sim);
 	simulation_destroy(&sim);
 }
 
-static void test_many_deadly_tasks_end_two_lives_each(void **state)
+static void test_many_deadly_tasks_end_two_incarnations_each(void **state)
 {
 	struct simulation sim;
 
@@ -299,7 +299,7 @@
 					  sim.model->job_list, i))
 					 ->state,
 				 JOB_FAILED);
-	assert_in_range(sim.lives_ended, 5, 10);
+	assert_in_range(sim.incarnations_ended, 5, 10);
 	assert_innocent_jobs_are_done(&sim);
 	simulation_destroy(&sim);
 }
@@ -318,7 +318,7 @@
 	play(&sim, 500);
 	sim.longest_wait_ms = 0;
 	play(&sim, 60000);
-	assert_in_range(sim.lives_ended, 1, 3);
+	assert_in_range(sim.incarnations_ended, 1, 3);
 	assert_innocent_jobs_are_done(&sim);
 	simulation_destroy(&sim);
 }
@@ -337,7 +337,7 @@
 		play(&sim, 300);
 	}
 	play(&sim, 120000);
-	assert_int_equal(sim.lives_ended, 6);
+	assert_int_equal(sim.incarnations_ended, 6);
 	assert_innocent_jobs_are_done(&sim);
 	simulation_destroy(&sim);
 }
@@ -432,7 +432,7 @@
 	for (uint32_t i = 8; i < 16; i++)
 		suspect_note_silence(upstream(&sim, i), sim.now_ms);
 	model_lose_upstream(sim.model, j->stages[0].tasks[0].at, sim.now_ms,
-			    LIFE_ENDED, "replaced");
+			    INCARNATION_ENDED, "replaced");
 	assert_true(task_is_suspect(&j->stages[0].tasks[0]));
 	simulation_destroy(&sim);
 }
@@ -451,7 +451,7 @@
 	task_place(t, upstream(&sim, 0), 1, sim.now_ms);
 	t->sent = true;
 	model_lose_upstream(sim.model, upstream(&sim, 0), sim.now_ms + 12,
-			    LIFE_ENDED, "replaced");
+			    INCARNATION_ENDED, "replaced");
 	assert_false(task_is_suspect(t));
 	/* the upstream was heard lately, but not since it became silent */
 	reach_record_answer(upstream(&sim, 0), sim.now_ms + 20);
@@ -459,7 +459,7 @@
 	task_place(t, upstream(&sim, 0), 2, sim.now_ms + 1000);
 	t->sent = true;
 	model_lose_upstream(sim.model, upstream(&sim, 0), sim.now_ms + 1012,
-			    LIFE_ENDED, "replaced");
+			    INCARNATION_ENDED, "replaced");
 	assert_false(task_is_suspect(t));
 	simulation_destroy(&sim);
 }
@@ -481,7 +481,7 @@
 			crash(&sim, upstream(&sim, n));
 	}
 	play(&sim, 60000);
-	assert_in_range(sim.lives_ended, 40, 150);
+	assert_in_range(sim.incarnations_ended, 40, 150);
 	assert_innocent_jobs_are_done(&sim);
 	simulation_destroy(&sim);
 }
@@ -498,12 +498,13 @@
 	upstream(&sim, 0)->leaving = true;
 	suspect_note_silence(upstream(&sim, 0), sim.now_ms);
 	model_lose_upstream(sim.model, upstream(&sim, 0), sim.now_ms + 6000,
-			    LIFE_PRESUMED, "leases ended");
+			    INCARNATION_PRESUMED_ENDED, "leases ended");
 	assert_false(task_is_suspect(&j->stages[0].tasks[0]));
 	simulation_destroy(&sim);
 }
 
-static void test_answer_of_the_same_life_withdraws_suspicion(void **state)
+static void
+test_answer_of_the_same_incarnation_withdraws_suspicion(void **state)
 {
 	struct simulation sim;
 	struct task *t;
@@ -514,7 +515,7 @@
 	play(&sim, 100);
 	suspect_note_silence(upstream(&sim, 0), sim.now_ms);
 	model_lose_upstream(sim.model, upstream(&sim, 0), sim.now_ms + 6000,
-			    LIFE_PRESUMED, "leases ended");
+			    INCARNATION_PRESUMED_ENDED, "leases ended");
 	assert_true(task_is_suspect(t));
 	answer_lists(&sim, upstream(&sim, 0));
 	assert_false(task_is_suspect(t));
@@ -536,8 +537,8 @@
 		play(&sim, 100);
 		u = j->stages[0].tasks[0].at;
 		suspect_note_silence(u, sim.now_ms);
-		model_lose_upstream(sim.model, u, sim.now_ms, LIFE_PRESUMED,
-				    "leases ended");
+		model_lose_upstream(sim.model, u, sim.now_ms,
+				    INCARNATION_PRESUMED_ENDED, "leases ended");
 		u->state = UPSTREAM_GONE;
 		assert_int_equal(j->state, JOB_RUNNING);
 		if (i == 1)
@@ -569,7 +570,7 @@
 		play(&sim, 500);
 	}
 	play(&sim, 40000);
-	assert_in_range(sim.lives_ended, 8, 15);
+	assert_in_range(sim.incarnations_ended, 8, 15);
 	assert_innocent_jobs_are_done(&sim);
 	simulation_destroy(&sim);
 }
@@ -587,7 +588,7 @@
 	gang = add_job(&sim, 4, 4, true, "deadly 1");
 	play(&sim, 40000);
 	assert_int_equal(gang->state, JOB_FAILED);
-	assert_in_range(sim.lives_ended, 1, 2);
+	assert_in_range(sim.incarnations_ended, 1, 2);
 	assert_innocent_jobs_are_done(&sim);
 	simulation_destroy(&sim);
 }
@@ -601,13 +602,14 @@
 	add_job(&sim, 4, 3, true, "");
 	add_job(&sim, 6, 1, false, "deadly 0");
 	play(&sim, 60000);
-	assert_int_equal(sim.lives_ended, 2);
+	assert_int_equal(sim.incarnations_ended, 2);
 	assert_innocent_jobs_are_done(&sim);
 	simulation_destroy(&sim);
 }
 
 /* Once a suspect of a step is tried, its others wait for the outcome. */
-static void test_job_of_deadly_tasks_ends_one_life_after_the_first(void **state)
+static void
+test_job_of_deadly_tasks_ends_one_incarnation_after_the_first(void **state)
 {
 	struct simulation sim;
 	struct job *deadly;
@@ -617,10 +619,10 @@
 	simulation_create(&sim, 16);
 	deadly = add_job(&sim, 24, 1, false, "deadly");
 	play(&sim, 100);
-	first = sim.lives_ended;
+	first = sim.incarnations_ended;
 	play(&sim, 40000);
 	assert_int_equal(deadly->state, JOB_FAILED);
-	assert_int_equal(sim.lives_ended, first + 1);
+	assert_int_equal(sim.incarnations_ended, first + 1);
 	simulation_destroy(&sim);
 }
 
@@ -635,7 +637,7 @@
 	deadly->steps[0].long_running = true;
 	play(&sim, 40000);
 	assert_int_equal(deadly->state, JOB_FAILED);
-	assert_int_equal(sim.lives_ended, 2);
+	assert_int_equal(sim.incarnations_ended, 2);
 	simulation_destroy(&sim);
 }
 
@@ -660,7 +662,7 @@
 			crash(&sim, t->at);
 	}
 	assert_int_equal(late->state, JOB_FAILED);
-	assert_int_equal(sim.lives_ended, 4);
+	assert_int_equal(sim.incarnations_ended, 4);
 	play(&sim, 40000);
 	assert_innocent_jobs_are_done(&sim);
 	simulation_destroy(&sim);
@@ -704,7 +706,8 @@
 }
 
 /* Nobody saw the end that fell into the change of leader. */
-static void test_successor_counts_lives_that_ended_meanwhile(void **state)
+static void
+test_successor_counts_incarnations_that_ended_meanwhile(void **state)
 {
 	struct simulation sim, next;
 	struct job *j;
@@ -733,8 +736,9 @@
 	struct job *j;
 
 	(void)state;
-	j = succeed(&next, "{\"state\":\"running\",\"ended_ms\":0,"
-			   "\"lives\":[],\"stages\":[[0,\"1,0, 2,1, \"]]}");
+	j = succeed(&next,
+		    "{\"state\":\"running\",\"ended_ms\":0,"
+		    "\"incarnations\":[],\"stages\":[[0,\"1,0, 2,1, \"]]}");
 	assert_int_equal(j->stages[0].tasks[1].run, 2);
 	assert_false(task_is_suspect(&j->stages[0].tasks[1]));
 	simulation_destroy(&next);
@@ -747,7 +751,7 @@
 
 	(void)state;
 	j = succeed(&next, "{\"state\":\"running\",\"ended_ms\":0,"
-			   "\"lives\":[],\"stages\":[[0,\"2*1,0, \"]],"
+			   "\"incarnations\":[],\"stages\":[[0,\"2*1,0, \"]],"
 			   "\"suspicions\":[[7,0,1,0,0],[0,9,1,0,0],\"x\","
 			   "[-1,0,1,0,0],[0,0,-4,0,0],[0,1]]}");
 	assert_false(task_is_suspect(&j->stages[0].tasks[0]));
@@ -777,7 +781,7 @@
 		crash(&sim, t->at);
 		play(&sim, RETURN_MS + TICK_MS);
 	}
-	assert_int_equal(sim.lives_ended, 4);
+	assert_int_equal(sim.incarnations_ended, 4);
 	play(&sim, 60000);
 	assert_innocent_jobs_are_done(&sim);
 	simulation_destroy(&sim);
@@ -812,8 +816,9 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
-			test_deadly_task_ends_two_lives_and_neighbours_end_done),
-		cmocka_unit_test(test_many_deadly_tasks_end_two_lives_each),
+			test_deadly_task_ends_two_incarnations_and_neighbours_end_done),
+		cmocka_unit_test(
+			test_many_deadly_tasks_end_two_incarnations_each),
 		cmocka_unit_test(test_full_site_has_room_for_suspects_in_time),
 		cmocka_unit_test(test_suspects_on_a_full_site_run_apart),
 		cmocka_unit_test(
@@ -827,14 +832,14 @@
 		cmocka_unit_test(test_wave_of_restarts_fails_no_job),
 		cmocka_unit_test(test_planned_leave_raises_no_suspect),
 		cmocka_unit_test(
-			test_answer_of_the_same_life_withdraws_suspicion),
+			test_answer_of_the_same_incarnation_withdraws_suspicion),
 		cmocka_unit_test(test_presumed_ends_fail_a_job_only_once_known),
 		cmocka_unit_test(test_flapping_upstream_fails_no_job),
 		cmocka_unit_test(test_gang_with_a_deadly_member_is_given_up),
 		cmocka_unit_test(
 			test_innocent_gang_beside_a_deadly_task_ends_done),
 		cmocka_unit_test(
-			test_job_of_deadly_tasks_ends_one_life_after_the_first),
+			test_job_of_deadly_tasks_ends_one_incarnation_after_the_first),
 		cmocka_unit_test(test_long_running_deadly_task_is_given_up),
 		cmocka_unit_test(
 			test_late_ends_make_a_suspect_that_then_runs_alone),
@@ -843,7 +848,7 @@
 		cmocka_unit_test(test_suspects_of_several_ends_are_spread),
 		cmocka_unit_test(test_suspicion_survives_a_change_of_leader),
 		cmocka_unit_test(
-			test_successor_counts_lives_that_ended_meanwhile),
+			test_successor_counts_incarnations_that_ended_meanwhile),
 		cmocka_unit_test(test_rows_without_suspicions_are_read),
 		cmocka_unit_test(test_rows_with_malformed_suspicions_are_read),
 	};
