Let suspects of several ends share no upstream when work is held up

Cause: work that is held up for 1.5 s on a site that is mostly free takes any upstream that answers, after 2.5 s also one where a suspect has just begun. Two suspects that had waited for the same time took the same upstream five times, the task that crashes it and one that does not.

--- a/sched/fallback.c
+++ b/sched/fallback.c
@@ -38,7 +38,8 @@
 
 /*
  * Return how many tasks of st, the demand, an upstream takes, reserved or not.
- * A stage leaves suspects alone for as long as one waits to be isolated.
+ * A stage leaves suspects alone for as long as one waits to be isolated, and for
+ * good if it has suspects of several ends itself.
  */
 static uint32_t open_capacity(const struct pack *p, const struct stage *st,
 			      uint32_t index)
@@ -48,7 +49,8 @@
 
 	if (!upstream_is_usable(u, p->now_ms) ||
 	    (hosts_unproven_suspect(u, p->now_ms) &&
-	     p->now_ms < wait_since_ms(st) + SUSPECT_WAIT_MAX_MS))
+	     (p->demand.one_each ||
+	      p->now_ms < wait_since_ms(st) + SUSPECT_WAIT_MAX_MS)))
 		return 0;
 	resources_add(&have, &u->used, -1);
 	return pack_capacity(p, index, &have);
--- a/test/unit_suspect.c
+++ b/test/unit_suspect.c
@@ -812,6 +812,31 @@
 	simulation_destroy(&sim);
 }
 
+/* Suspects of several ends share no upstream, as held up work neither. */
+static void test_held_up_suspects_share_no_upstream(void **state)
+{
+	struct simulation sim;
+
+	(void)state;
+	simulation_create(&sim, 1);
+	for (uint32_t i = 0; i < 2; i++) {
+		struct job *j = add_job(&sim, 1, 1, false, "");
+		struct task *t = &j->stages[0].tasks[0];
+
+		t->run = 2;
+		t->suspicion.early_ends = 2;
+		j->state = JOB_RUNNING;
+		j->stages[0].since_ms = sim.now_ms - 2 * SUSPECT_WAIT_MAX_MS;
+	}
+	for (uint32_t i = 0; i < SUSPECT_EARLY_MS / TICK_MS - 1; i++) {
+		play(&sim, TICK_MS);
+		assert_in_range(upstream(&sim, 0)->tasks->len, 0, 1);
+	}
+	play(&sim, 60000);
+	assert_innocent_jobs_are_done(&sim);
+	simulation_destroy(&sim);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -846,6 +871,7 @@
 		cmocka_unit_test(
 			test_gang_outlives_ends_under_different_members),
 		cmocka_unit_test(test_suspects_of_several_ends_are_spread),
+		cmocka_unit_test(test_held_up_suspects_share_no_upstream),
 		cmocka_unit_test(test_suspicion_survives_a_change_of_leader),
 		cmocka_unit_test(
 			test_successor_counts_incarnations_that_ended_meanwhile),
