--- a/test/unit_suspect.c
+++ b/test/unit_suspect.c
@@ -812,7 +812,7 @@
 	simulation_destroy(&sim);
 }
 
-/* Suspects of several ends share no upstream, as held up work neither. */
+/* Guards against held up suspects of two jobs that share an upstream. */
 static void test_held_up_suspects_share_no_upstream(void **state)
 {
 	struct simulation sim;
