Look at a leader's tenure on each call of an upstream

Cause: a leader may act for ten seconds after its last committed write, and a successor waits for just that. Only one timer of the election looked at it, and that timer does not run while a write is in flight. A process that wakes from a pause could also send a recorded start before that timer ran.

Now the tenure is a value of its own, which a session asks before each call with the same reading of the clock that bounds the lease, and a timer of its own ends the leadership while a write is in flight. A write that was answered only after its own tenure does not renew it.

The two tests of unit_leader failed before (last call later than the tenure; a start sent after it) and pass now.

--- a/lead/election.c
+++ b/lead/election.c
@@ -21,8 +21,6 @@
  * long while the store answered: five write intervals.
  */
 #define TAKEOVER_TIMEOUT_MS 1500
-/* The leader steps down after this long without a successful write. */
-#define STEP_DOWN_TIMEOUT_MS 10000
 /*
  * Maximum of the per-instance delay that keeps instances from claiming at
  * the same moment.
@@ -36,8 +34,6 @@
  * the latest claim of an instance that is slightly stronger.
  */
 #define YIELD_REST_MS 5000
-/* Clocks of upstreams may run slow by at most 1/50. */
-#define CLOCK_DRIFT_DIVISOR 50
 
 enum role { ROLE_FOLLOWER, ROLE_CANDIDATE, ROLE_LEADER };
 
@@ -61,10 +57,8 @@
 	uint64_t answered_since_ms;
 	/* The replicas that a leader needs are complete. */
 	bool replicas_complete;
-	/* Last sign of incarnation of the previous leader. */
-	uint64_t predecessor_seen_ms;
-	/* The previous leader has certainly ended. */
-	bool predecessor_ended;
+	/* Until when this process and its predecessors may act. */
+	struct tenure tenure;
 	/* The next write gives the leadership away; no claim follows. */
 	bool resigning;
 	/* The next write gives the leadership away for a while. */
@@ -77,8 +71,6 @@
 	uint64_t write_number;
 	/* When the write in flight was sent first. */
 	uint64_t write_first_sent_ms;
-	/* When the last successful write was sent first. */
-	uint64_t last_write_sent_ms;
 	/* The write in flight names no leader. */
 	bool write_resigns;
 	/* Count of failed attempts of the write in flight. */
@@ -89,6 +81,8 @@
 	uint32_t write_duration_ms;
 	/* Runs until the next write, a retry, or a scheduled claim. */
 	struct timer timer;
+	/* Runs until the tenure ends, also while a write is in flight. */
+	struct timer tenure_timer;
 };
 
 /* One attempt of a write, for its answer. */
@@ -98,6 +92,7 @@
 };
 
 static void on_timer(void *arg);
+static void on_tenure_timer(void *arg);
 static void consider_claim(struct election *e);
 
 /*
@@ -120,6 +115,7 @@
 	e->self.incarnation = incarnation;
 	e->claim_delay_ms = claim_delay_ms;
 	timer_init(&e->timer, on_timer, e);
+	timer_init(&e->tenure_timer, on_tenure_timer, e);
 	return e;
 }
 
@@ -129,6 +125,7 @@
 	if (!e)
 		return;
 	timer_stop(e->loop, &e->timer);
+	timer_stop(e->loop, &e->tenure_timer);
 	free(e->write_text);
 	g_free(e);
 }
@@ -161,17 +158,12 @@
 }
 
 /*
- * Return the time on the local monotonic clock at which the last lease
- * extended by an earlier leader ends. A lease lasts at most lease_ms on the
- * upstream's clock, which may run slow.
+ * Return the tenure of this process, which every act of the leader has to ask;
+ * it is valid as long as e.
  */
-uint64_t election_earlier_leases_end_ms(const struct election *e,
-					uint32_t lease_ms)
+const struct tenure *election_tenure(const struct election *e)
 {
-	uint64_t renews = e->predecessor_ended ? 0 : STEP_DOWN_TIMEOUT_MS;
-
-	return e->predecessor_seen_ms + renews + lease_ms +
-	       lease_ms / (CLOCK_DRIFT_DIVISOR - 1);
+	return &e->tenure;
 }
 
 /* Give up the leadership without a write. */
@@ -181,9 +173,11 @@
 		   "epoch", (json_int_t)e->self.epoch, "owner", e->row.instance,
 		   "owner_epoch", (json_int_t)e->row.epoch);
 	e->role = ROLE_FOLLOWER;
+	tenure_end(&e->tenure);
 	free(e->write_text);
 	e->write_text = NULL;
 	timer_stop(e->loop, &e->timer);
+	timer_stop(e->loop, &e->tenure_timer);
 	e->row_changed_ms = clock_mono_ms();
 	e->ev.lost(e->arg, why);
 }
@@ -196,6 +190,25 @@
 	       r->epoch == e->self.epoch;
 }
 
+/*
+ * Restart the timer that ends the tenure. It fires after the last millisecond
+ * in which the leader may act.
+ */
+static void schedule_tenure_end(struct election *e)
+{
+	uint64_t left = tenure_remaining_ms(&e->tenure, clock_mono_ms());
+
+	timer_start(e->loop, &e->tenure_timer, left + 1);
+}
+
+static void on_tenure_timer(void *arg)
+{
+	struct election *e = arg;
+
+	if (e->role == ROLE_LEADER)
+		step_down(e, "no write succeeded for too long");
+}
+
 /* Handle a committed write, which left the owner row at this version. */
 static void handle_write_success(struct election *e, uint64_t version)
 {
@@ -207,9 +220,7 @@
 	e->row = e->self;
 	e->row_exists = true;
 	e->write_failures = 0;
-	e->last_write_sent_ms = e->write_first_sent_ms;
 	e->role = ROLE_LEADER;
-	timer_start(e->loop, &e->timer, WRITE_INTERVAL_MAX_MS);
 	if (e->write_resigns) {
 		e->rest_until_ms =
 			clock_mono_ms() + (e->yielding ? YIELD_REST_MS : 0);
@@ -217,6 +228,13 @@
 		step_down(e, "given away");
 		return;
 	}
+	tenure_extend(&e->tenure, e->write_first_sent_ms);
+	if (!tenure_allows(&e->tenure, clock_mono_ms())) {
+		step_down(e, "the write took too long");
+		return;
+	}
+	schedule_tenure_end(e);
+	timer_start(e->loop, &e->timer, WRITE_INTERVAL_MAX_MS);
 	if (before == ROLE_CANDIDATE) {
 		log_fields(LOG_INFO, "leadership_gained", "{s:I,s:I}", "epoch",
 			   (json_int_t)e->self.epoch, "version",
@@ -274,6 +292,7 @@
 static void abandon_claim(struct election *e)
 {
 	e->role = ROLE_FOLLOWER;
+	tenure_end(&e->tenure);
 	free(e->write_text);
 	e->write_text = NULL;
 	e->row_changed_ms = clock_mono_ms();
@@ -384,9 +403,8 @@
 		consider_claim(e);
 		return;
 	}
-	if (e->role == ROLE_LEADER &&
-	    now > e->last_write_sent_ms + STEP_DOWN_TIMEOUT_MS) {
-		step_down(e, "no write succeeded for too long");
+	if (e->role == ROLE_LEADER && !tenure_allows(&e->tenure, now)) {
+		on_tenure_timer(e);
 		return;
 	}
 	if (e->write_text)
@@ -443,14 +461,14 @@
  */
 static void claim_leadership(struct election *e, bool predecessor_ended)
 {
+	uint64_t now = clock_mono_ms();
+
 	log_fields(LOG_INFO, "leadership_claim", "{s:s,s:I,s:I,s:b}", "from",
 		   e->row.instance, "epoch", (json_int_t)e->row.epoch,
-		   "unchanged_ms",
-		   (json_int_t)(clock_mono_ms() - e->row_changed_ms), "ended",
-		   predecessor_ended);
-	e->predecessor_ended = predecessor_ended;
-	e->predecessor_seen_ms =
-		predecessor_ended ? clock_mono_ms() : e->row_changed_ms;
+		   "unchanged_ms", (json_int_t)(now - e->row_changed_ms),
+		   "ended", predecessor_ended);
+	tenure_begin(&e->tenure, now,
+		     predecessor_ended ? now : e->row_changed_ms + TENURE_MS);
 	e->role = ROLE_CANDIDATE;
 	e->self.epoch = e->row.epoch + 1;
 	e->self.sequence = 0;
--- a/lead/election.h
+++ b/lead/election.h
@@ -6,6 +6,7 @@
 #define LEAD_ELECTION_H
 
 #include "lead/record.h"
+#include "lead/tenure.h"
 #include "lib/counter.h"
 #include "lib/loop.h"
 #include "platform/rows.h"
@@ -36,8 +37,7 @@
 bool election_write_in_flight(const struct election *e);
 uint32_t election_last_write_ms(const struct election *e);
 uint64_t election_epoch(const struct election *e);
-uint64_t election_earlier_leases_end_ms(const struct election *e,
-					uint32_t lease_ms);
+const struct tenure *election_tenure(const struct election *e);
 void election_commit(struct election *e, struct rows_tx *t);
 void election_resign(struct election *e);
 void election_yield(struct election *e);
--- a/lead/leader.c
+++ b/lead/leader.c
@@ -301,8 +301,9 @@
 		.counters = e->counters,
 		.settings = e->settings,
 		.epoch = election_epoch(d->election),
-		.earlier_leases_end_ms = election_earlier_leases_end_ms(
-			d->election, e->settings->lease_ms),
+		.tenure = election_tenure(d->election),
+		.earlier_leases_end_ms = tenure_leases_end_ms(
+			election_tenure(d->election), e->settings->lease_ms),
 		.events = {.model_changed = schedule_pass,
 			   .epoch_refused = on_epoch_refused},
 		.arg = d,
--- a/lead/session.c
+++ b/lead/session.c
@@ -92,6 +92,15 @@
 	request_lists(arg);
 }
 
+/*
+ * Report whether this leader may call the upstream at now_ms. A session whose
+ * tenure has ended makes no call and schedules none: it is about to be freed.
+ */
+static bool may_act(const struct session *k, uint64_t now_ms)
+{
+	return tenure_allows(k->env->tenure, now_ms);
+}
+
 /*
  * Report whether the start of t, which waits for a retry, is to be settled by a
  * stop: a suspect whose order was not answered may have ended its upstream, and
@@ -312,7 +321,7 @@
 
 static void stop_stray_runs(struct session *k, const GArray *strays)
 {
-	for (guint i = 0; i < strays->len; i++) {
+	for (guint i = 0; i < strays->len && may_act(k, clock_mono_ms()); i++) {
 		const struct stray_run *s =
 			&g_array_index(strays, struct stray_run, i);
 		struct order *o = g_new0(struct order, 1);
@@ -477,18 +486,18 @@
  */
 static void request_lists(struct session *k)
 {
-	uint64_t lease;
+	uint64_t now = clock_mono_ms(), lease;
 	uint32_t wait = LISTS_WAIT_MAX_MS;
 
-	if (k->call_in_flight)
+	if (k->call_in_flight || !may_act(k, now))
 		return;
 	lease = lease_clock_request(&k->leases, k->env->settings->lease_ms,
-				    clock_mono_ms());
+				    now);
 	if (!k->upstream->synced || k->failure_count || !lease ||
 	    k->newest_end_seen > k->newest_end_acknowledged)
 		wait = 0;
 	k->call_in_flight = true;
-	k->call_sent_ms = clock_mono_ms();
+	k->call_sent_ms = now;
 	counter_add(k->env->counters, "upstream_lists", NULL, 1);
 	orders_renew(k->orders, lease, k->env->epoch,
 		     k->newest_end_acknowledged, wait, wait + ANSWER_TIMEOUT_MS,
@@ -620,22 +629,28 @@
 	g_free(o);
 }
 
-/* Order the upstream to start the newest run of t, which must be recorded. */
+/*
+ * Order the upstream to start the newest run of t, which must be recorded. Does
+ * nothing after the end of the tenure.
+ */
 void session_start_run(struct session *k, struct task *t)
 {
-	struct order *o = order_create(k, t);
+	uint64_t now = clock_mono_ms();
 	struct start_order s = {
-		.task = o->task,
 		.run = t->run,
 		.payload = t->stage->job->payload,
 		.checkpoint = t->checkpoint,
-		.lease_end_clock_ms = lease_clock_request(
-			&k->leases,
-			MIN(START_LEASE_MS, k->env->settings->lease_ms),
-			clock_mono_ms()),
 		.epoch = k->env->epoch,
 	};
+	struct order *o;
 
+	if (!may_act(k, now))
+		return;
+	o = order_create(k, t);
+	s.task = o->task;
+	s.lease_end_clock_ms = lease_clock_request(
+		&k->leases, MIN(START_LEASE_MS, k->env->settings->lease_ms),
+		now);
 	t->sent = true;
 	if (!s.lease_end_clock_ms) {
 		/* No lease can be requested before the clock is known. */
@@ -671,11 +686,17 @@
 	g_free(o);
 }
 
-/* Order the upstream to stop the newest run of t, or never to start it. */
+/*
+ * Order the upstream to stop the newest run of t, or never to start it. Does
+ * nothing after the end of the tenure.
+ */
 void session_stop_run(struct session *k, struct task *t)
 {
-	struct order *o = order_create(k, t);
+	struct order *o;
 
+	if (!may_act(k, clock_mono_ms()))
+		return;
+	o = order_create(k, t);
 	counter_add(k->env->counters, "orders", "kind=\"stop\"", 1);
 	orders_stop(k->orders, o->task, o->run, k->env->epoch, ORDER_TIMEOUT_MS,
 		    on_stop_answer, o);
--- a/lead/session.h
+++ b/lead/session.h
@@ -6,6 +6,7 @@
 #define LEAD_SESSION_H
 
 #include "lead/model.h"
+#include "lead/tenure.h"
 #include "lib/counter.h"
 #include "platform/decode.h"
 #include "platform/settings.h"
@@ -28,6 +29,8 @@
 	const struct joint_settings *settings;
 	struct model *model;
 	uint64_t epoch;
+	/* Until when this leader may call upstreams; asked before each call. */
+	const struct tenure *tenure;
 	/* Local time at which the last lease of earlier leaders ends. */
 	uint64_t earlier_leases_end_ms;
 	struct session_events events;
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -11,6 +11,8 @@
 #include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/syscall.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "lead/leader.h"
@@ -23,6 +25,11 @@
 #define JOB "00000000000000a1"
 /* A start must be ordered within this time. */
 #define START_MAX_MS 4000
+/* docs/DESIGN.md: a leader acts for at most this long after its last write. */
+#define TENURE_LIMIT_MS 10000
+#define LEASE_MS 6000
+/* Time by which the clock is advanced between two steps of the loop. */
+#define ADVANCE_MS 50
 
 struct fixture {
 	struct loop *loop;
@@ -36,10 +43,17 @@
 	struct policy *policy;
 	char *spec; /* row of the only job */
 	bool has_job;
-	char *entry; /* of the only upstream */
+	char *run;	     /* its run row, or NULL */
+	char *owner;	     /* the owner row, or NULL */
+	char *written_owner; /* as in the last write */
+	bool store_is_silent;
+	uint32_t run_writes; /* writes that hold a run row */
+	char *entry;	     /* of the only upstream */
 	uint64_t version;
 	uint32_t write_delay_ms;
-	uint32_t starts; /* orders that the upstream got */
+	uint32_t starts;       /* orders that the upstream got */
+	uint64_t last_call_ms; /* time of the last call that it got */
+	json_t *running;       /* its list of runs */
 	GPtrArray *calls;
 };
 
@@ -53,6 +67,25 @@
 	void *done_arg;
 };
 
+static int64_t clock_offset_ms;
+
+/*
+ * Replaces the C library's function: all clocks are ahead by clock_offset_ms,
+ * as after a pause of the process.
+ */
+int clock_gettime(clockid_t id, struct timespec *ts)
+{
+	int rc = syscall(SYS_clock_gettime, id, ts);
+
+	ts->tv_sec += clock_offset_ms / 1000;
+	ts->tv_nsec += clock_offset_ms % 1000 * 1000000;
+	if (ts->tv_nsec >= 1000000000) {
+		ts->tv_nsec -= 1000000000;
+		ts->tv_sec++;
+	}
+	return rc;
+}
+
 static void answer_call(void *arg)
 {
 	struct call *c = arg;
@@ -97,6 +130,12 @@
 	} else if (strstr(path, "table=" UPSTREAM_TABLE "&")) {
 		key = "u1";
 		value = s->entry;
+	} else if (strstr(path, "table=" RUN_TABLE "&") && s->run) {
+		key = JOB;
+		value = s->run;
+	} else if (strstr(path, "table=" OWNER_TABLE "&") && s->owner) {
+		key = KEY_OWNER;
+		value = s->owner;
 	}
 	if (!key)
 		return rows;
@@ -104,6 +143,25 @@
 	return rows;
 }
 
+/* Keep the owner row of a write. */
+static void note_written_owner(struct fixture *s, const char *body)
+{
+	json_t *v = json_loads(body, 0, NULL);
+	const json_t *item;
+	size_t i;
+	gsize n;
+
+	json_array_foreach(json_object_get(v, "puts"), i, item)
+	{
+		if (strcmp(json_str_or(item, "table", ""), OWNER_TABLE))
+			continue;
+		g_free(s->written_owner);
+		s->written_owner = (char *)g_base64_decode(
+			json_str_or(item, "value", ""), &n);
+	}
+	json_decref(v);
+}
+
 /* Answer reads and writes; a feed has no changes and is never answered. */
 static bool send_to_store(void *arg, const char *method, const char *path,
 			  const char *body, uint32_t timeout_ms,
@@ -114,8 +172,11 @@
 	bool write = !strcmp(method, "POST");
 	json_t *v;
 
-	(void)body;
 	(void)timeout_ms;
+	if (write) {
+		note_written_owner(s, body);
+		s->run_writes += strstr(body, RUN_TABLE) != NULL;
+	}
 	c->fixture = s;
 	c->path = g_strdup(path);
 	c->done = done;
@@ -128,21 +189,35 @@
 	c->body = json_dumps(v, JSON_COMPACT);
 	json_decref(v);
 	g_ptr_array_add(s->calls, c);
-	if (!strstr(path, "rows-feed"))
+	if (!strstr(path, "rows-feed") && !s->store_is_silent)
 		timer_start(s->loop, &c->timer, write ? s->write_delay_ms : 1);
 	return true;
 }
 
+/* Serve an order as an upstream whose runs never end. */
 static void handle_order(void *arg, struct http_exchange *x)
 {
 	struct fixture *s = arg;
-
-	s->starts += !strcmp(exchange_path(x), "/-/run-start");
+	size_t len;
+	const char *text = exchange_body(x, &len);
+	json_t *order = json_loadb(text, len, 0, NULL);
+
+	if (!strcmp(exchange_path(x), "/-/run-start")) {
+		s->starts++;
+		json_array_append_new(
+			s->running,
+			json_pack("[s,I,s,i]", json_str_or(order, "task", ""),
+				  (json_int_t)json_int_or(order, "run", 0), "",
+				  0));
+	}
+	s->last_call_ms = clock_mono_ms();
 	exchange_reply_json(x, 200,
-			    json_pack("{s:I,s:I,s:[],s:[]}", "clockMs",
+			    json_pack("{s:I,s:I,s:O,s:[]}", "clockMs",
 				      (json_int_t)clock_mono_ms(), "born",
-				      (json_int_t)77, "running", "finished"),
+				      (json_int_t)77, "running", s->running,
+				      "finished"),
 			    0);
+	json_decref(order);
 }
 
 static void on_owner_row(void *arg, const char *key, const char *value,
@@ -229,12 +304,13 @@
 	*s = (struct fixture){.loop = loop_create(),
 			      .calls =
 				      g_ptr_array_new_with_free_func(call_free),
+			      .running = json_array(),
 			      .version = 5,
 			      .write_delay_ms = write_delay_ms};
 	s->http = http_client_create(s->loop);
 	s->counters = counters_create();
 	g_strlcpy(s->settings.instance, "i", sizeof(s->settings.instance));
-	s->settings.lease_ms = 6000;
+	s->settings.lease_ms = LEASE_MS;
 	s->settings.heartbeat_ms = 1500;
 	s->settings.stop_ms = 200;
 	s->settings.reclaim_ms = 3000;
@@ -277,7 +353,12 @@
 	policy_destroy(s->policy);
 	g_free(s->entry);
 	free(s->spec);
+	free(s->run);
+	g_free(s->owner);
+	g_free(s->written_owner);
+	json_decref(s->running);
 	loop_destroy(s->loop);
+	clock_offset_ms = 0;
 }
 
 /* Step the loop until the upstream got a start, for at most ms. */
@@ -346,11 +427,81 @@
 	fixture_destroy(&s);
 }
 
+/* Step the loop for ms of its clock, which runs faster than the real one. */
+static void run_for(struct fixture *s, uint64_t ms)
+{
+	uint64_t until_ms = clock_mono_ms() + ms;
+
+	while (clock_mono_ms() < until_ms) {
+		clock_offset_ms += ADVANCE_MS;
+		leader_note_owner_answer(s->leader);
+		loop_step(s->loop, 1);
+	}
+}
+
+/* Let the leader start its job, whose end the upstream never lists. */
+static void lead_with_running_job(struct fixture *s)
+{
+	fixture_create(s, 5);
+	s->has_job = true;
+	step_until_start(s, START_MAX_MS);
+	assert_int_equal(s->starts, 1);
+}
+
+/*
+ * Guards against renewals by a leader that is cut off: its store is silent, so
+ * that a write is in flight all the time.
+ */
+static void test_leader_calls_no_upstream_after_its_tenure(void **state)
+{
+	struct fixture s;
+	uint64_t cut_ms;
+
+	(void)state;
+	lead_with_running_job(&s);
+	s.store_is_silent = true;
+	cut_ms = clock_mono_ms();
+	run_for(&s, TENURE_LIMIT_MS + 8000);
+	assert_true(s.last_call_ms > cut_ms + 1000);
+	/* a call that was sent in time arrives after a step */
+	assert_true(s.last_call_ms <=
+		    cut_ms + TENURE_LIMIT_MS + 3 * ADVANCE_MS);
+	assert_false(leader_is_active(s.leader));
+	fixture_destroy(&s);
+}
+
+/*
+ * The answer to the write that records a start is read after a pause, before
+ * the timer that ends the tenure can run.
+ */
+static void test_recorded_start_is_not_sent_after_the_tenure(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, 400);
+	step_until_start(&s, 1500);
+	assert_true(leader_is_active(s.leader));
+	submit_job(&s);
+	while (!s.run_writes)
+		loop_step(s.loop, 10);
+	clock_offset_ms += TENURE_LIMIT_MS + 500;
+	for (uint32_t i = 0; i < 60; i++)
+		loop_step(s.loop, 10);
+	assert_int_equal(s.starts, 0);
+	assert_false(leader_is_active(s.leader));
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_job_of_predecessor_is_started),
 		cmocka_unit_test(test_job_is_started_while_writes_are_slow),
+		cmocka_unit_test(
+			test_leader_calls_no_upstream_after_its_tenure),
+		cmocka_unit_test(
+			test_recorded_start_is_not_sent_after_the_tenure),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -42,6 +42,7 @@
 	struct joint_settings settings;
 	struct model *model;
 	struct session_env env;
+	struct tenure tenure;
 	struct upstream *upstream;
 	struct upstream_entry entry;
 	struct job *job;
@@ -156,12 +157,14 @@
 	s->settings.lease_ms = 6000;
 	s->settings.heartbeat_ms = 1500;
 	s->model = model_create();
+	tenure_begin(&s->tenure, UINT64_MAX / 2, 0);
 	s->env = (struct session_env){.loop = s->loop,
 				      .http = s->http,
 				      .counters = s->counters,
 				      .settings = &s->settings,
 				      .model = s->model,
 				      .epoch = EPOCH,
+				      .tenure = &s->tenure,
 				      .events = {note_change, ignore_refusal},
 				      .arg = s};
 	s->upstream = fleet_add_upstream(s->model->fleet, "u1");
