Pass the tenures of earlier leaders on in the owner row

Cause: a successor bounded the leases of earlier leaders by the last leader alone. A row that names nobody, or an earlier process of the same instance, counted as proof that nobody acts.

Now the owner row carries for how long after the write any leader before the one that it names may act, and each leader passes on what is left of it. The successor's bound is the end of the last lease after all of these tenures. A row of an earlier version counts as the whole tenure; the first claim ever as none. A restart with no lost leader in the last ten seconds waits as before.

The three tests of unit_leader failed before: the run was started again 5.9 s after the claim where 15 s are due.

--- a/lead/election.c
+++ b/lead/election.c
@@ -236,9 +236,11 @@
 	schedule_tenure_end(e);
 	timer_start(e->loop, &e->timer, WRITE_INTERVAL_MAX_MS);
 	if (before == ROLE_CANDIDATE) {
-		log_fields(LOG_INFO, "leadership_gained", "{s:I,s:I}", "epoch",
-			   (json_int_t)e->self.epoch, "version",
-			   (json_int_t)version);
+		log_fields(LOG_INFO, "leadership_gained", "{s:I,s:I,s:I}",
+			   "epoch", (json_int_t)e->self.epoch, "version",
+			   (json_int_t)version, "earlier_ms",
+			   (json_int_t)tenure_earlier_remaining_ms(
+				   &e->tenure, clock_mono_ms()));
 		e->ev.gained(e->arg, version);
 	} else {
 		e->ev.committed(e->arg);
@@ -416,11 +418,14 @@
 /* Add the owner row with the next sequence number to t, and send t. */
 static void write_owner_row(struct election *e, struct rows_tx *t)
 {
-	struct owner_record r = e->self;
+	uint64_t now = clock_mono_ms();
+	struct owner_record r;
 	char *value;
 
-	r.sequence = ++e->self.sequence;
+	e->self.sequence++;
+	e->self.earlier_ms = tenure_earlier_remaining_ms(&e->tenure, now);
 	e->write_resigns = e->resigning || e->yielding;
+	r = e->self;
 	if (e->write_resigns)
 		r.instance[0] = '\0';
 	value = owner_encode(&r);
@@ -430,7 +435,7 @@
 	free(value);
 	e->write_text = rows_tx_encode(t);
 	e->write_number++;
-	e->write_first_sent_ms = clock_mono_ms();
+	e->write_first_sent_ms = now;
 	rows_tx_destroy(t);
 	send_write(e);
 }
@@ -455,23 +460,28 @@
 }
 
 /*
- * Claim the leadership with the next epoch. predecessor_ended tells that no
- * earlier leader is active: there was none, it resigned, or it was an
- * earlier process of this instance.
+ * Claim the leadership with the next epoch. last_has_ended tells that the last
+ * leader does not act any more; those before it may.
  */
-static void claim_leadership(struct election *e, bool predecessor_ended)
+static void claim_leadership(struct election *e, bool last_has_ended)
 {
 	uint64_t now = clock_mono_ms();
-
-	log_fields(LOG_INFO, "leadership_claim", "{s:s,s:I,s:I,s:b}", "from",
-		   e->row.instance, "epoch", (json_int_t)e->row.epoch,
-		   "unchanged_ms", (json_int_t)(now - e->row_changed_ms),
-		   "ended", predecessor_ended);
-	tenure_begin(&e->tenure, now,
-		     predecessor_ended ? now : e->row_changed_ms + TENURE_MS);
+	uint64_t earlier_end_ms = 0;
+
+	if (e->row_exists)
+		earlier_end_ms = tenure_inherited_end_ms(
+			e->row_changed_ms, e->row.earlier_ms, last_has_ended);
+	log_fields(
+		LOG_INFO, "leadership_claim", "{s:s,s:I,s:I,s:b,s:I,s:I}",
+		"from", e->row.instance, "epoch", (json_int_t)e->row.epoch,
+		"unchanged_ms", (json_int_t)(now - e->row_changed_ms), "ended",
+		last_has_ended, "row_earlier_ms", (json_int_t)e->row.earlier_ms,
+		"earlier_ms",
+		(json_int_t)(earlier_end_ms > now ? earlier_end_ms - now : 0));
 	e->role = ROLE_CANDIDATE;
 	e->self.epoch = e->row.epoch + 1;
 	e->self.sequence = 0;
+	tenure_begin(&e->tenure, now, earlier_end_ms);
 	write_owner_row(e, rows_tx_create(LEADER_PART));
 }
 
--- a/lead/record.c
+++ b/lead/record.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "lead/record.h"
+#include "lead/tenure.h"
 #include "lib/schema.h"
 #include "sched/fleet.h"
 
@@ -22,20 +23,25 @@
 /* Encode the owner record; release with free(). */
 char *owner_encode(const struct owner_record *o)
 {
-	json_t *v = json_pack("{s:s,s:I,s:I,s:I}", "instance", o->instance,
+	json_t *v = json_pack("{s:s,s:I,s:I,s:I,s:I}", "instance", o->instance,
 			      "incarnation", (json_int_t)o->incarnation,
 			      "epoch", (json_int_t)o->epoch, "sequence",
-			      (json_int_t)o->sequence);
+			      (json_int_t)o->sequence, "earlier_ms",
+			      (json_int_t)o->earlier_ms);
 	char *s = json_dumps(v, JSON_COMPACT);
 
 	json_decref(v);
 	return s;
 }
 
-/* Decode the owner record; returns false for a malformed value. */
+/*
+ * Decode the owner record; returns false for a malformed value. A row of a
+ * version that did not write earlier_ms gets the maximum.
+ */
 bool owner_decode(const char *text, struct owner_record *o)
 {
 	json_t *v = json_loads(text, 0, NULL);
+	int64_t earlier_ms = json_int_or(v, "earlier_ms", TENURE_MS);
 	bool ok = json_is_object(v);
 
 	memset(o, 0, sizeof(*o));
@@ -44,6 +50,7 @@
 	o->incarnation = json_int_or(v, "incarnation", 0);
 	o->epoch = json_int_or(v, "epoch", 0);
 	o->sequence = json_int_or(v, "sequence", 0);
+	o->earlier_ms = CLAMP(earlier_ms, 0, TENURE_MS);
 	json_decref(v);
 	return ok;
 }
--- a/lead/record.h
+++ b/lead/record.h
@@ -43,6 +43,11 @@
 	uint64_t epoch;
 	/* Counts the writes of this epoch. */
 	uint64_t sequence;
+	/*
+	 * For how long after this write leaders before this one may act at
+	 * most, in milliseconds.
+	 */
+	uint64_t earlier_ms;
 };
 
 char *owner_encode(const struct owner_record *o);
--- a/lead/tenure.c
+++ b/lead/tenure.c
@@ -4,6 +4,8 @@
  * committed write, and every reader of the owner row sees that write later than
  * it was sent.
  */
+#include <glib.h>
+
 #include "lead/leaseclock.h"
 #include "lead/tenure.h"
 
@@ -39,6 +41,15 @@
 	return t->ends_ms > now_ms ? t->ends_ms - now_ms : 0;
 }
 
+/*
+ * Return for how long after now_ms an earlier leader may act, which a write
+ * sent at now_ms passes on.
+ */
+uint64_t tenure_earlier_remaining_ms(const struct tenure *t, uint64_t now_ms)
+{
+	return t->earlier_end_ms > now_ms ? t->earlier_end_ms - now_ms : 0;
+}
+
 /*
  * Return when the last lease of lease_ms that an earlier leader requested has
  * ended, even if the upstream's clock runs slow.
@@ -47,3 +58,17 @@
 {
 	return lease_clock_latest_end(lease_ms, t->earlier_end_ms);
 }
+
+/*
+ * Return when all tenures that precede a claim have ended, given when the
+ * claimant saw the owner row change last and the remaining time of earlier
+ * leaders in that row. last_has_ended tells that the row names nobody or a
+ * process that has ended.
+ */
+uint64_t tenure_inherited_end_ms(uint64_t row_seen_ms, uint64_t earlier_ms,
+				 bool last_has_ended)
+{
+	uint64_t remaining = MIN(earlier_ms, TENURE_MS);
+
+	return row_seen_ms + (last_has_ended ? remaining : TENURE_MS);
+}
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -493,6 +493,118 @@
 	fixture_destroy(&s);
 }
 
+/* Return the run row of the only job, whose task an earlier leader started. */
+static char *encode_active_run(const struct fixture *s)
+{
+	struct job *j = spec_decode(JOB, s->spec);
+	struct fleet *f = fleet_create();
+	struct upstream *u = fleet_add_upstream(f, "u9");
+	char *row;
+
+	u->started_wall_ms = 77;
+	task_place(job_find_task(j, 0, 0, 0), u, 1, 1000);
+	row = run_encode(j);
+	fleet_release(job_find_task(j, 0, 0, 0));
+	job_destroy(j);
+	fleet_destroy(f);
+	return row;
+}
+
+/*
+ * Return how long after its start a leader starts a task again that an earlier
+ * leader placed on an upstream that is not listed, given the owner row.
+ */
+static uint64_t measure_restart_ms(struct fixture *s, const char *owner)
+{
+	uint64_t began_ms;
+
+	fixture_create(s, 5);
+	s->has_job = true;
+	s->run = encode_active_run(s);
+	s->owner = g_strdup(owner);
+	began_ms = clock_mono_ms();
+	while (!s->starts && clock_mono_ms() < began_ms + 60000)
+		run_for(s, ADVANCE_MS);
+	assert_int_equal(s->starts, 1);
+	return clock_mono_ms() - began_ms;
+}
+
+/*
+ * The last leader resigned, but the one before it was cut off and may renew its
+ * leases for 9 s more: its run must not be doubled.
+ */
+static void test_run_of_leader_before_the_last_is_not_doubled(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	assert_true(measure_restart_ms(&s, "{\"instance\":\"\","
+					   "\"incarnation\":1,\"epoch\":2,"
+					   "\"sequence\":4,"
+					   "\"earlier_ms\":9000}") >=
+		    9000 + LEASE_MS);
+	fixture_destroy(&s);
+	/* as if the leader that was killed had this test's instance name */
+	assert_true(measure_restart_ms(&s, "{\"instance\":\"i\","
+					   "\"incarnation\":1,\"epoch\":2,"
+					   "\"sequence\":4,"
+					   "\"earlier_ms\":9000}") >=
+		    9000 + LEASE_MS);
+	fixture_destroy(&s);
+}
+
+/* A planned restart costs one lease, and a row of another version the most. */
+static void test_restart_waits_only_for_leaders_that_may_act(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	assert_true(measure_restart_ms(&s,
+				       "{\"instance\":\"\","
+				       "\"incarnation\":1,\"epoch\":2,"
+				       "\"sequence\":4,"
+				       "\"earlier_ms\":0}") < LEASE_MS + 1000);
+	fixture_destroy(&s);
+	assert_true(measure_restart_ms(&s, "{\"instance\":\"\","
+					   "\"incarnation\":1,\"epoch\":2,"
+					   "\"sequence\":4}") >=
+		    TENURE_LIMIT_MS + LEASE_MS);
+	fixture_destroy(&s);
+}
+
+/* Return earlier_ms of the owner row that was written last; -1 if missing. */
+static int64_t written_earlier_ms(const struct fixture *s)
+{
+	json_t *v = json_loads(s->written_owner, 0, NULL);
+	int64_t ms = json_int_or(v, "earlier_ms", -1);
+
+	json_decref(v);
+	return ms;
+}
+
+/* The bound passes through the rows of a leader that resigns. */
+static void test_owner_row_passes_on_tenures_of_earlier_leaders(void **state)
+{
+	struct fixture s;
+	int64_t first, last;
+
+	(void)state;
+	fixture_create(&s, 5);
+	s.owner = g_strdup("{\"instance\":\"other\",\"incarnation\":1,"
+			   "\"epoch\":1,\"sequence\":4,\"earlier_ms\":0}");
+	while (!leader_is_active(s.leader))
+		run_for(&s, ADVANCE_MS);
+	first = written_earlier_ms(&s);
+	assert_in_range(first, TENURE_LIMIT_MS - 4000, TENURE_LIMIT_MS);
+	run_for(&s, 3000);
+	leader_resign(s.leader);
+	run_for(&s, 1000);
+	assert_false(leader_is_active(s.leader));
+	last = written_earlier_ms(&s);
+	assert_in_range(last, TENURE_LIMIT_MS - 9000, first - 2000);
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -502,6 +614,12 @@
 			test_leader_calls_no_upstream_after_its_tenure),
 		cmocka_unit_test(
 			test_recorded_start_is_not_sent_after_the_tenure),
+		cmocka_unit_test(
+			test_run_of_leader_before_the_last_is_not_doubled),
+		cmocka_unit_test(
+			test_restart_waits_only_for_leaders_that_may_act),
+		cmocka_unit_test(
+			test_owner_row_passes_on_tenures_of_earlier_leaders),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
