End a leader's tenure when it sends its resignation

A leader that resigns (SIGTERM, or a weak one that yields) went on renewing and starting until the answer to that write arrived. If the answer is lost, the successor learns of the resignation first and takes all of its leases as ended after one lease, while the leader may act for the rest of its ten seconds.

Now the tenure ends when the write that resigns is sent. The process still retries the write.

test_leader_calls_no_upstream_after_it_resigns failed before.

--- a/lead/election.c
+++ b/lead/election.c
@@ -209,17 +209,25 @@
 		step_down(e, "no write succeeded for too long");
 }
 
-/* Handle a committed write, which left the owner row at this version. */
-static void handle_write_success(struct election *e, uint64_t version)
+/* Note that the owner row was committed at this version by this process. */
+static void note_own_row(struct election *e, uint64_t version)
 {
-	enum role before = e->role;
-
 	free(e->write_text);
 	e->write_text = NULL;
 	e->row_version = version;
 	e->row = e->self;
+	if (e->write_resigns)
+		e->row.instance[0] = '\0';
 	e->row_exists = true;
 	e->write_failures = 0;
+}
+
+/* Handle a committed write, which left the owner row at this version. */
+static void handle_write_success(struct election *e, uint64_t version)
+{
+	enum role before = e->role;
+
+	note_own_row(e, version);
 	e->role = ROLE_LEADER;
 	if (e->write_resigns) {
 		e->rest_until_ms =
@@ -405,7 +413,8 @@
 		consider_claim(e);
 		return;
 	}
-	if (e->role == ROLE_LEADER && !tenure_allows(&e->tenure, now)) {
+	if (e->role == ROLE_LEADER && !e->write_resigns &&
+	    !tenure_allows(&e->tenure, now)) {
 		on_tenure_timer(e);
 		return;
 	}
@@ -415,7 +424,11 @@
 		e->ev.write_due(e->arg);
 }
 
-/* Add the owner row with the next sequence number to t, and send t. */
+/*
+ * Add the owner row with the next sequence number to t, and send t. The tenure
+ * ends with a write that resigns: the successor may see it before its answer
+ * arrives here.
+ */
 static void write_owner_row(struct election *e, struct rows_tx *t)
 {
 	uint64_t now = clock_mono_ms();
@@ -426,8 +439,10 @@
 	e->self.earlier_ms = tenure_earlier_remaining_ms(&e->tenure, now);
 	e->write_resigns = e->resigning || e->yielding;
 	r = e->self;
-	if (e->write_resigns)
+	if (e->write_resigns) {
 		r.instance[0] = '\0';
+		tenure_end(&e->tenure);
+	}
 	value = owner_encode(&r);
 	rows_tx_expect_version(t, OWNER_TABLE, KEY_OWNER,
 			       e->row_exists ? e->row_version : 0);
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -605,6 +605,29 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * Guards against a leader that acts on after its successor has learnt that it
+ * resigned: the answer to its last write is lost.
+ */
+static void test_leader_calls_no_upstream_after_it_resigns(void **state)
+{
+	struct fixture s;
+	uint64_t resigned_ms;
+
+	(void)state;
+	lead_with_running_job(&s);
+	run_for(&s, 500);
+	s.store_is_silent = true;
+	while (s.last_call_ms + 1 < clock_mono_ms())
+		loop_step(s.loop, 1);
+	leader_resign(s.leader);
+	run_for(&s, 400);
+	resigned_ms = clock_mono_ms();
+	run_for(&s, 3000);
+	assert_true(s.last_call_ms <= resigned_ms);
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -620,6 +643,8 @@
 			test_restart_waits_only_for_leaders_that_may_act),
 		cmocka_unit_test(
 			test_owner_row_passes_on_tenures_of_earlier_leaders),
+		cmocka_unit_test(
+			test_leader_calls_no_upstream_after_it_resigns),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
