Claim above every known epoch when the owner row is odd

Another writer may leave a value in the owner row that is no record. It counted as a row that never existed: the next leader claimed epoch 1, which upstreams refuse that have seen a higher one, and it took no earlier leader into account. If the row was removed, claims were refused for ever by their condition.

Now such a row counts as one of a leader that may act: it is logged, claimed after the takeover timeout with the whole tenure, and with an epoch above the highest that this process has seen. Not covered: a process that has never seen a sound row claims epoch 1 over an odd one.

Both tests failed before (6 s instead of 16 s; epoch 1 instead of 6).

--- a/lead/election.c
+++ b/lead/election.c
@@ -51,6 +51,10 @@
 	uint64_t row_version;
 	uint64_t row_changed_ms;
 	bool row_exists;
+	/* The row could be decoded; false if it is absent. */
+	bool row_valid;
+	/* Highest epoch that was seen in the row; a claim exceeds it. */
+	uint64_t highest_epoch;
 	/* Delay of claims, which is longer for a weak instance. */
 	uint32_t claim_delay_ms;
 	/* The store answers every call since then; 0 if the last failed. */
@@ -218,7 +222,7 @@
 	e->row = e->self;
 	if (e->write_resigns)
 		e->row.instance[0] = '\0';
-	e->row_exists = true;
+	e->row_exists = e->row_valid = true;
 	e->write_failures = 0;
 }
 
@@ -266,6 +270,34 @@
 	       r->sequence == e->self.sequence;
 }
 
+/* Take over the owner row as read at this version; value is NULL if absent. */
+static void note_row(struct election *e, const char *value, uint64_t version,
+		     const struct owner_record *r, bool valid)
+{
+	e->row = *r;
+	e->row_version = version;
+	e->row_exists = value != NULL;
+	e->row_valid = valid;
+	if (valid)
+		e->highest_epoch = MAX(e->highest_epoch, r->epoch);
+}
+
+/*
+ * Decode the owner row; value is NULL if it is absent. Returns false for an
+ * absent row, and for a malformed one, which is logged.
+ */
+static bool decode_row(const char *value, struct owner_record *r)
+{
+	memset(r, 0, sizeof(*r));
+	if (!value)
+		return false;
+	if (owner_decode(value, r))
+		return true;
+	log_fields(LOG_ERROR, "bad_row", "{s:s,s:s}", "table", OWNER_TABLE,
+		   "key", KEY_OWNER);
+	return false;
+}
+
 /*
  * Apply the owner row as received from the feed; value is NULL when it was
  * removed.
@@ -273,29 +305,26 @@
 void election_apply_row(struct election *e, const char *value, uint64_t version)
 {
 	struct owner_record r;
+	bool valid;
 
 	if (version < e->row_version)
 		return;
-	memset(&r, 0, sizeof(r));
-	e->row_exists = value && owner_decode(value, &r);
-	if (e->row_exists && row_confirms_write(e, &r)) {
+	valid = decode_row(value, &r);
+	if (valid && row_confirms_write(e, &r)) {
 		handle_write_success(e, version);
 		return;
 	}
 	if (e->role == ROLE_LEADER) {
-		if (e->row_exists && !is_own_record(e, &r) &&
-		    r.epoch > e->self.epoch) {
-			e->row = r;
-			e->row_version = version;
+		if (valid && !is_own_record(e, &r) && r.epoch > e->self.epoch) {
+			note_row(e, value, version, &r, valid);
 			step_down(e, "another instance has claimed");
 		}
 		/* The answers to own writes report their versions. */
 		return;
 	}
-	e->row = r;
 	if (version != e->row_version)
 		e->row_changed_ms = clock_mono_ms();
-	e->row_version = version;
+	note_row(e, value, version, &r, valid);
 }
 
 /* Give up a claim that another instance has overtaken. */
@@ -309,20 +338,13 @@
 	timer_stop(e->loop, &e->timer);
 }
 
-/*
- * Decode the owner row among the rows of a conflict. Returns false if it is
- * missing or malformed; sets version if it is present.
- */
-static bool find_owner_row(const struct rows_answer *a, struct owner_record *r,
-			   uint64_t *version)
+/* Return the owner row among the rows of a conflict; NULL if it is absent. */
+static const struct row *find_owner_row(const struct rows_answer *a)
 {
-	for (uint32_t i = 0; i < a->len; i++) {
-		if (strcmp(a->list[i].key, KEY_OWNER) || !a->list[i].value)
-			continue;
-		*version = a->list[i].version;
-		return owner_decode(a->list[i].value, r);
-	}
-	return false;
+	for (uint32_t i = 0; i < a->len; i++)
+		if (!strcmp(a->list[i].key, KEY_OWNER) && a->list[i].value)
+			return &a->list[i];
+	return NULL;
 }
 
 /*
@@ -331,19 +353,16 @@
  */
 static void handle_conflict(struct election *e, const struct rows_answer *a)
 {
+	const struct row *row = find_owner_row(a);
+	const char *value = row ? row->value : NULL;
 	struct owner_record r;
-	uint64_t version = 0;
+	bool valid = decode_row(value, &r);
 
-	if (find_owner_row(a, &r, &version) && is_own_record(e, &r) &&
-	    r.sequence == e->self.sequence) {
-		handle_write_success(e, version);
+	if (valid && is_own_record(e, &r) && r.sequence == e->self.sequence) {
+		handle_write_success(e, row->version);
 		return;
 	}
-	if (version) {
-		e->row = r;
-		e->row_version = version;
-		e->row_exists = true;
-	}
+	note_row(e, value, row ? row->version : 0, &r, valid);
 	if (e->role == ROLE_CANDIDATE)
 		abandon_claim(e);
 	else
@@ -481,11 +500,12 @@
 static void claim_leadership(struct election *e, bool last_has_ended)
 {
 	uint64_t now = clock_mono_ms();
-	uint64_t earlier_end_ms = 0;
+	uint64_t earlier_end_ms = tenure_inherited_end_ms(
+		e->row_changed_ms, e->row_valid ? e->row.earlier_ms : TENURE_MS,
+		last_has_ended);
 
-	if (e->row_exists)
-		earlier_end_ms = tenure_inherited_end_ms(
-			e->row_changed_ms, e->row.earlier_ms, last_has_ended);
+	if (!e->row_exists && !e->highest_epoch)
+		earlier_end_ms = 0; /* There never was a leader. */
 	log_fields(
 		LOG_INFO, "leadership_claim", "{s:s,s:I,s:I,s:b,s:I,s:I}",
 		"from", e->row.instance, "epoch", (json_int_t)e->row.epoch,
@@ -494,7 +514,7 @@
 		"earlier_ms",
 		(json_int_t)(earlier_end_ms > now ? earlier_end_ms - now : 0));
 	e->role = ROLE_CANDIDATE;
-	e->self.epoch = e->row.epoch + 1;
+	e->self.epoch = MAX(e->row.epoch, e->highest_epoch) + 1;
 	e->self.sequence = 0;
 	tenure_begin(&e->tenure, now, earlier_end_ms);
 	write_owner_row(e, rows_tx_create(LEADER_PART));
@@ -509,8 +529,8 @@
 {
 	uint64_t now = clock_mono_ms();
 	uint64_t quiet_since = MAX(e->row_changed_ms, e->answered_since_ms);
-	bool nobody = !e->row_exists || !*e->row.instance;
-	bool self = !nobody && !strcmp(e->row.instance, e->self.instance);
+	bool nobody = !e->row_exists || (e->row_valid && !*e->row.instance);
+	bool self = e->row_valid && !strcmp(e->row.instance, e->self.instance);
 	uint64_t jitter = g_str_hash(e->self.instance) % CLAIM_JITTER_MAX_MS +
 			  e->claim_delay_ms;
 
--- a/lead/record.c
+++ b/lead/record.c
@@ -8,6 +8,9 @@
 #include "lib/schema.h"
 #include "sched/fleet.h"
 
+/* A row with a higher epoch than this was not written by a leader. */
+#define EPOCH_MAX (INT64_C(1) << 53)
+
 const char *const job_parts[JOB_PARTS + 1] = {"0", "1", "2", "3", "4",
 					      "5", "6", "7", NULL};
 
@@ -41,16 +44,20 @@
 bool owner_decode(const char *text, struct owner_record *o)
 {
 	json_t *v = json_loads(text, 0, NULL);
+	const json_t *instance = json_object_get(v, "instance");
+	int64_t epoch = json_int_or(v, "epoch", -1);
 	int64_t earlier_ms = json_int_or(v, "earlier_ms", TENURE_MS);
-	bool ok = json_is_object(v);
+	bool ok = json_is_string(instance) && epoch >= 0 && epoch <= EPOCH_MAX;
 
 	memset(o, 0, sizeof(*o));
-	g_strlcpy(o->instance, json_str_or(v, "instance", ""),
-		  sizeof(o->instance));
-	o->incarnation = json_int_or(v, "incarnation", 0);
-	o->epoch = json_int_or(v, "epoch", 0);
-	o->sequence = json_int_or(v, "sequence", 0);
-	o->earlier_ms = CLAMP(earlier_ms, 0, TENURE_MS);
+	if (ok) {
+		g_strlcpy(o->instance, json_string_value(instance),
+			  sizeof(o->instance));
+		o->incarnation = json_int_or(v, "incarnation", 0);
+		o->epoch = epoch;
+		o->sequence = json_int_or(v, "sequence", 0);
+		o->earlier_ms = CLAMP(earlier_ms, 0, TENURE_MS);
+	}
 	json_decref(v);
 	return ok;
 }
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -572,14 +572,14 @@
 	fixture_destroy(&s);
 }
 
-/* Return earlier_ms of the owner row that was written last; -1 if missing. */
-static int64_t written_earlier_ms(const struct fixture *s)
+/* Return a field of the owner row that was written last; -1 if missing. */
+static int64_t written_field(const struct fixture *s, const char *name)
 {
 	json_t *v = json_loads(s->written_owner, 0, NULL);
-	int64_t ms = json_int_or(v, "earlier_ms", -1);
+	int64_t n = json_int_or(v, name, -1);
 
 	json_decref(v);
-	return ms;
+	return n;
 }
 
 /* The bound passes through the rows of a leader that resigns. */
@@ -594,13 +594,13 @@
 			   "\"epoch\":1,\"sequence\":4,\"earlier_ms\":0}");
 	while (!leader_is_active(s.leader))
 		run_for(&s, ADVANCE_MS);
-	first = written_earlier_ms(&s);
+	first = written_field(&s, "earlier_ms");
 	assert_in_range(first, TENURE_LIMIT_MS - 4000, TENURE_LIMIT_MS);
 	run_for(&s, 3000);
 	leader_resign(s.leader);
 	run_for(&s, 1000);
 	assert_false(leader_is_active(s.leader));
-	last = written_earlier_ms(&s);
+	last = written_field(&s, "earlier_ms");
 	assert_in_range(last, TENURE_LIMIT_MS - 9000, first - 2000);
 	fixture_destroy(&s);
 }
@@ -628,6 +628,45 @@
 	fixture_destroy(&s);
 }
 
+/* Another writer has left a row that no leader wrote. */
+static void test_odd_owner_row_counts_as_leader_that_may_act(void **state)
+{
+	static const char *const rows[] = {
+		"not JSON",
+		"[[[[]]]]",
+		"{\"instance\":7,\"epoch\":2}",
+		"{\"instance\":\"x\",\"epoch\":-1}",
+		"{\"instance\":\"x\",\"epoch\":9223372036854775807}",
+		"{\"instance\":\"x\",\"epoch\":1e400}",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct fixture s;
+
+		assert_true(measure_restart_ms(&s, rows[i]) >=
+			    TENURE_LIMIT_MS + LEASE_MS);
+		fixture_destroy(&s);
+	}
+}
+
+/* Upstreams refuse an epoch that is lower than one that they have seen. */
+static void test_claim_after_odd_owner_row_exceeds_all_epochs(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, 5);
+	s.owner = g_strdup("{\"instance\":\"x\",\"incarnation\":1,"
+			   "\"epoch\":5,\"sequence\":4,\"earlier_ms\":0}");
+	run_for(&s, 300);
+	leader_apply_owner_row(s.leader, "odd", 6);
+	while (!leader_is_active(s.leader))
+		run_for(&s, ADVANCE_MS);
+	assert_int_equal(written_field(&s, "epoch"), 6);
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -645,6 +684,10 @@
 			test_owner_row_passes_on_tenures_of_earlier_leaders),
 		cmocka_unit_test(
 			test_leader_calls_no_upstream_after_it_resigns),
+		cmocka_unit_test(
+			test_odd_owner_row_counts_as_leader_that_may_act),
+		cmocka_unit_test(
+			test_claim_after_odd_owner_row_exceeds_all_epochs),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
