--- a/lead/election.c
+++ b/lead/election.c
@@ -173,9 +173,12 @@
 /* Give up the leadership without a write. */
 static void step_down(struct election *e, const char *why)
 {
-	log_fields(LOG_WARN, "leadership_lost", "{s:s,s:I,s:s,s:I}", "why", why,
-		   "epoch", (json_int_t)e->self.epoch, "owner", e->row.instance,
-		   "owner_epoch", (json_int_t)e->row.epoch);
+	log_fields(
+		LOG_WARN, "leadership_lost", "{s:s,s:I,s:s,s:I,s:I}", "why",
+		why, "epoch", (json_int_t)e->self.epoch, "owner",
+		e->row.instance, "owner_epoch", (json_int_t)e->row.epoch,
+		"unwritten_ms",
+		(json_int_t)tenure_unwritten_ms(&e->tenure, clock_mono_ms()));
 	e->role = ROLE_FOLLOWER;
 	tenure_end(&e->tenure);
 	free(e->write_text);
--- a/lead/tenure.c
+++ b/lead/tenure.c
@@ -41,6 +41,15 @@
 	return t->ends_ms > now_ms ? t->ends_ms - now_ms : 0;
 }
 
+/*
+ * Return how long before now_ms the write was sent from which the tenure is
+ * counted; 0 if there is no tenure.
+ */
+uint64_t tenure_unwritten_ms(const struct tenure *t, uint64_t now_ms)
+{
+	return t->ends_ms ? now_ms + TENURE_MS - t->ends_ms : 0;
+}
+
 /*
  * Return for how long after now_ms an earlier leader may act, which a write
  * sent at now_ms passes on.
--- a/lead/tenure.h
+++ b/lead/tenure.h
@@ -29,6 +29,7 @@
 void tenure_end(struct tenure *t);
 bool tenure_allows(const struct tenure *t, uint64_t now_ms);
 uint64_t tenure_remaining_ms(const struct tenure *t, uint64_t now_ms);
+uint64_t tenure_unwritten_ms(const struct tenure *t, uint64_t now_ms);
 uint64_t tenure_earlier_remaining_ms(const struct tenure *t, uint64_t now_ms);
 uint64_t tenure_leases_end_ms(const struct tenure *t, uint32_t lease_ms);
 uint64_t tenure_inherited_end_ms(uint64_t row_seen_ms, uint64_t earlier_ms,
