Claim above the own last epoch when the owner row is odd

A leader ignores its own row in the feed, so the highest epoch that it knew was that of its predecessor. If another writer then left an odd value, or removed the row, the same process claimed its own epoch a second time. The successor of a leader relies on a higher one: a start that the leader sent in its first term and that is carried out late is refused only by a higher epoch.

Now an epoch that was claimed counts like one that was seen.

test_claim_after_odd_owner_row_exceeds_own_epoch failed before (1, not 2).

--- a/lead/election.c
+++ b/lead/election.c
@@ -53,7 +53,7 @@
 	bool row_exists;
 	/* The row could be decoded; false if it is absent. */
 	bool row_valid;
-	/* Highest epoch that was seen in the row; a claim exceeds it. */
+	/* Highest epoch that was seen in the row or claimed here. */
 	uint64_t highest_epoch;
 	/* Delay of claims, which is longer for a weak instance. */
 	uint32_t claim_delay_ms;
@@ -515,6 +515,7 @@
 		(json_int_t)(earlier_end_ms > now ? earlier_end_ms - now : 0));
 	e->role = ROLE_CANDIDATE;
 	e->self.epoch = MAX(e->row.epoch, e->highest_epoch) + 1;
+	e->highest_epoch = e->self.epoch;
 	e->self.sequence = 0;
 	tenure_begin(&e->tenure, now, earlier_end_ms);
 	write_owner_row(e, rows_tx_create(LEADER_PART));
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -667,6 +667,30 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * Guards against an epoch that is used twice: this process has led with the
+ * highest epoch before the row became odd.
+ */
+static void test_claim_after_odd_owner_row_exceeds_own_epoch(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, 5);
+	step_until_start(&s, 500);
+	assert_true(leader_is_active(s.leader));
+	assert_int_equal(written_field(&s, "epoch"), 1);
+	s.store_is_silent = true;
+	while (leader_is_active(s.leader))
+		run_for(&s, ADVANCE_MS);
+	leader_apply_owner_row(s.leader, "odd", s.version + 1);
+	s.store_is_silent = false;
+	run_for(&s, 4000);
+	assert_true(leader_is_active(s.leader));
+	assert_int_equal(written_field(&s, "epoch"), 2);
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -688,6 +712,8 @@
 			test_odd_owner_row_counts_as_leader_that_may_act),
 		cmocka_unit_test(
 			test_claim_after_odd_owner_row_exceeds_all_epochs),
+		cmocka_unit_test(
+			test_claim_after_odd_owner_row_exceeds_own_epoch),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
