Forget the wish to yield when the leadership is lost

If a leader that yields never learns the outcome of that write (its tenure ends, or it finds the row changed), the wish stayed. Its next claim was then written without a name: it gave the leadership away at once and rested for 5 s, in which a weak instance that is alone leaves the site without a leader.

Now the wish ends with the leadership, in whichever way that is lost.

test_claim_after_a_lost_yield_names_the_claimant failed before.

--- a/lead/election.c
+++ b/lead/election.c
@@ -177,6 +177,7 @@
 		   "epoch", (json_int_t)e->self.epoch, "owner", e->row.instance,
 		   "owner_epoch", (json_int_t)e->row.epoch);
 	e->role = ROLE_FOLLOWER;
+	e->yielding = false;
 	tenure_end(&e->tenure);
 	free(e->write_text);
 	e->write_text = NULL;
@@ -236,7 +237,6 @@
 	if (e->write_resigns) {
 		e->rest_until_ms =
 			clock_mono_ms() + (e->yielding ? YIELD_REST_MS : 0);
-		e->yielding = false;
 		step_down(e, "given away");
 		return;
 	}
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -47,6 +47,8 @@
 	char *owner;	     /* the owner row, or NULL */
 	char *written_owner; /* as in the last write */
 	bool store_is_silent;
+	bool yields_are_lost; /* the store falls silent with a resignation */
+	uint32_t stronger_peers;
 	uint32_t run_writes; /* writes that hold a run row */
 	char *entry;	     /* of the only upstream */
 	uint64_t version;
@@ -162,6 +164,14 @@
 	json_decref(v);
 }
 
+/* Report whether the last write named no leader. */
+static bool owner_is_nobody(const struct fixture *s)
+{
+	struct owner_record r;
+
+	return owner_decode(s->written_owner, &r) && !*r.instance;
+}
+
 /* Answer reads and writes; a feed has no changes and is never answered. */
 static bool send_to_store(void *arg, const char *method, const char *path,
 			  const char *body, uint32_t timeout_ms,
@@ -175,6 +185,8 @@
 	(void)timeout_ms;
 	if (write) {
 		note_written_owner(s, body);
+		if (s->yields_are_lost && owner_is_nobody(s))
+			s->store_is_silent = true;
 		s->run_writes += strstr(body, RUN_TABLE) != NULL;
 	}
 	c->fixture = s;
@@ -241,10 +253,9 @@
 	(void)version;
 }
 
-static uint32_t no_stronger_peers(void *arg)
+static uint32_t count_stronger_peers(void *arg)
 {
-	(void)arg;
-	return 0;
+	return ((struct fixture *)arg)->stronger_peers;
 }
 
 /* Listen on a free port of the loopback; returns the address. */
@@ -332,7 +343,7 @@
 				.states = s->states,
 				.incarnation = 7,
 				.strength = 100,
-				.count_stronger_peers = no_stronger_peers,
+				.count_stronger_peers = count_stronger_peers,
 				.arg = s};
 	s->leader = leader_create(&e);
 	leader_apply_policy(s->leader, s->policy);
@@ -691,6 +702,32 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * Guards against a claim that gives the leadership away at once: the answer to
+ * the write that yielded was lost.
+ */
+static void test_claim_after_a_lost_yield_names_the_claimant(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, 5);
+	run_for(&s, 1000);
+	assert_true(leader_is_active(s.leader));
+	s.stronger_peers = 1;
+	s.yields_are_lost = true;
+	run_for(&s, 3000);
+	assert_true(s.store_is_silent);
+	s.yields_are_lost = false;
+	s.stronger_peers = 0;
+	while (leader_is_active(s.leader))
+		run_for(&s, ADVANCE_MS);
+	s.store_is_silent = false;
+	run_for(&s, 3000);
+	assert_true(leader_is_active(s.leader));
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -714,6 +751,8 @@
 			test_claim_after_odd_owner_row_exceeds_all_epochs),
 		cmocka_unit_test(
 			test_claim_after_odd_owner_row_exceeds_own_epoch),
+		cmocka_unit_test(
+			test_claim_after_a_lost_yield_names_the_claimant),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
