Do not revive a tenure that has ended

A process that wakes from a pause may run timers of its sessions before it reads the answer to a write. Between the end of the tenure and that answer a session leaves calls out. If the write was younger than the one from which the tenure counted, the answer extended the tenure and the leader went on: an order whose retry had been left out was never sent again, so its task neither ran nor was placed elsewhere.

Now a leader whose tenure has ended steps down, also if its write succeeded.

test_start_is_not_forgotten_when_the_tenure_ends failed before (no start within 8 s; the leader was still active).

--- a/lead/election.c
+++ b/lead/election.c
@@ -240,11 +240,12 @@
 		step_down(e, "given away");
 		return;
 	}
-	tenure_extend(&e->tenure, e->write_first_sent_ms);
+	/* Calls that were due since the end of the tenure were left out. */
 	if (!tenure_allows(&e->tenure, clock_mono_ms())) {
 		step_down(e, "the write took too long");
 		return;
 	}
+	tenure_extend(&e->tenure, e->write_first_sent_ms);
 	schedule_tenure_end(e);
 	timer_start(e->loop, &e->timer, WRITE_INTERVAL_MAX_MS);
 	if (before == ROLE_CANDIDATE) {
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -47,6 +47,7 @@
 	char *owner;	     /* the owner row, or NULL */
 	char *written_owner; /* as in the last write */
 	bool store_is_silent;
+	bool starts_are_late; /* the upstream refuses starts as late */
 	bool yields_are_lost; /* the store falls silent with a resignation */
 	uint32_t stronger_peers;
 	uint32_t run_writes; /* writes that hold a run row */
@@ -54,6 +55,7 @@
 	uint64_t version;
 	uint32_t write_delay_ms;
 	uint32_t starts;       /* orders that the upstream got */
+	uint32_t late_starts;  /* those that it refused as late */
 	uint64_t last_call_ms; /* time of the last call that it got */
 	json_t *running;       /* its list of runs */
 	GPtrArray *calls;
@@ -214,6 +216,17 @@
 	const char *text = exchange_body(x, &len);
 	json_t *order = json_loadb(text, len, 0, NULL);
 
+	if (!strcmp(exchange_path(x), "/-/run-start") && s->starts_are_late) {
+		s->late_starts++;
+		exchange_reply_json(x, 409,
+				    json_pack("{s:I,s:I,s:s}", "clockMs",
+					      (json_int_t)clock_mono_ms(),
+					      "born", (json_int_t)77, "reason",
+					      "late"),
+				    0);
+		json_decref(order);
+		return;
+	}
 	if (!strcmp(exchange_path(x), "/-/run-start")) {
 		s->starts++;
 		json_array_append_new(
@@ -728,6 +741,41 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * Guards against a start that nobody repeats: its retry was due in a pause that
+ * was longer than the tenure, while a younger write was in flight.
+ */
+static void test_start_is_not_forgotten_when_the_tenure_ends(void **state)
+{
+	struct fixture s;
+	uint32_t late;
+	uint64_t written_ms;
+
+	(void)state;
+	fixture_create(&s, 400);
+	step_until_start(&s, 1500);
+	assert_true(leader_is_active(s.leader));
+	s.starts_are_late = true;
+	submit_job(&s);
+	s.has_job = true;
+	while (!s.run_writes)
+		loop_step(s.loop, 1);
+	written_ms = clock_mono_ms();
+	/* the next write is in flight from 700 to 1100 ms after this one */
+	while (clock_mono_ms() < written_ms + 800)
+		loop_step(s.loop, 1);
+	late = s.late_starts;
+	while (s.late_starts == late)
+		loop_step(s.loop, 1);
+	loop_step(s.loop, 1);
+	clock_offset_ms += written_ms + TENURE_LIMIT_MS + 100 - clock_mono_ms();
+	s.write_delay_ms = 5;
+	s.starts_are_late = false;
+	run_for(&s, 8000);
+	assert_int_equal(s.starts, 1);
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -753,6 +801,8 @@
 			test_claim_after_odd_owner_row_exceeds_own_epoch),
 		cmocka_unit_test(
 			test_claim_after_a_lost_yield_names_the_claimant),
+		cmocka_unit_test(
+			test_start_is_not_forgotten_when_the_tenure_ends),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
