--- a/lead/election.c
+++ b/lead/election.c
@@ -53,7 +53,7 @@
 	bool row_exists;
 	/* The row could be decoded; false if it is absent. */
 	bool row_valid;
-	/* Highest epoch that was seen in the row; a claim exceeds it. */
+	/* Highest epoch that was seen in the row or claimed here. */
 	uint64_t highest_epoch;
 	/* Delay of claims, which is longer for a weak instance. */
 	uint32_t claim_delay_ms;
@@ -180,6 +180,7 @@
 		"unwritten_ms",
 		(json_int_t)tenure_unwritten_ms(&e->tenure, clock_mono_ms()));
 	e->role = ROLE_FOLLOWER;
+	e->yielding = false;
 	tenure_end(&e->tenure);
 	free(e->write_text);
 	e->write_text = NULL;
@@ -239,15 +240,15 @@
 	if (e->write_resigns) {
 		e->rest_until_ms =
 			clock_mono_ms() + (e->yielding ? YIELD_REST_MS : 0);
-		e->yielding = false;
 		step_down(e, "given away");
 		return;
 	}
-	tenure_extend(&e->tenure, e->write_first_sent_ms);
+	/* Calls that were due since the end of the tenure were left out. */
 	if (!tenure_allows(&e->tenure, clock_mono_ms())) {
 		step_down(e, "the write took too long");
 		return;
 	}
+	tenure_extend(&e->tenure, e->write_first_sent_ms);
 	schedule_tenure_end(e);
 	timer_start(e->loop, &e->timer, WRITE_INTERVAL_MAX_MS);
 	if (before == ROLE_CANDIDATE) {
@@ -518,6 +519,7 @@
 		(json_int_t)(earlier_end_ms > now ? earlier_end_ms - now : 0));
 	e->role = ROLE_CANDIDATE;
 	e->self.epoch = MAX(e->row.epoch, e->highest_epoch) + 1;
+	e->highest_epoch = e->self.epoch;
 	e->self.sequence = 0;
 	tenure_begin(&e->tenure, now, earlier_end_ms);
 	write_owner_row(e, rows_tx_create(LEADER_PART));
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -47,11 +47,15 @@
 	char *owner;	     /* the owner row, or NULL */
 	char *written_owner; /* as in the last write */
 	bool store_is_silent;
+	bool starts_are_late; /* the upstream refuses starts as late */
+	bool yields_are_lost; /* the store falls silent with a resignation */
+	uint32_t stronger_peers;
 	uint32_t run_writes; /* writes that hold a run row */
 	char *entry;	     /* of the only upstream */
 	uint64_t version;
 	uint32_t write_delay_ms;
 	uint32_t starts;       /* orders that the upstream got */
+	uint32_t late_starts;  /* those that it refused as late */
 	uint64_t last_call_ms; /* time of the last call that it got */
 	json_t *running;       /* its list of runs */
 	GPtrArray *calls;
@@ -162,6 +166,14 @@
 	json_decref(v);
 }
 
+/* Report whether the last write named no leader. */
+static bool owner_is_nobody(const struct fixture *s)
+{
+	struct owner_record r;
+
+	return owner_decode(s->written_owner, &r) && !*r.instance;
+}
+
 /* Answer reads and writes; a feed has no changes and is never answered. */
 static bool send_to_store(void *arg, const char *method, const char *path,
 			  const char *body, uint32_t timeout_ms,
@@ -175,6 +187,8 @@
 	(void)timeout_ms;
 	if (write) {
 		note_written_owner(s, body);
+		if (s->yields_are_lost && owner_is_nobody(s))
+			s->store_is_silent = true;
 		s->run_writes += strstr(body, RUN_TABLE) != NULL;
 	}
 	c->fixture = s;
@@ -202,6 +216,17 @@
 	const char *text = exchange_body(x, &len);
 	json_t *order = json_loadb(text, len, 0, NULL);
 
+	if (!strcmp(exchange_path(x), "/-/run-start") && s->starts_are_late) {
+		s->late_starts++;
+		exchange_reply_json(x, 409,
+				    json_pack("{s:I,s:I,s:s}", "clockMs",
+					      (json_int_t)clock_mono_ms(),
+					      "born", (json_int_t)77, "reason",
+					      "late"),
+				    0);
+		json_decref(order);
+		return;
+	}
 	if (!strcmp(exchange_path(x), "/-/run-start")) {
 		s->starts++;
 		json_array_append_new(
@@ -241,10 +266,9 @@
 	(void)version;
 }
 
-static uint32_t no_stronger_peers(void *arg)
+static uint32_t count_stronger_peers(void *arg)
 {
-	(void)arg;
-	return 0;
+	return ((struct fixture *)arg)->stronger_peers;
 }
 
 /* Listen on a free port of the loopback; returns the address. */
@@ -332,7 +356,7 @@
 				.states = s->states,
 				.incarnation = 7,
 				.strength = 100,
-				.count_stronger_peers = no_stronger_peers,
+				.count_stronger_peers = count_stronger_peers,
 				.arg = s};
 	s->leader = leader_create(&e);
 	leader_apply_policy(s->leader, s->policy);
@@ -667,6 +691,91 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * Guards against an epoch that is used twice: this process has led with the
+ * highest epoch before the row became odd.
+ */
+static void test_claim_after_odd_owner_row_exceeds_own_epoch(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, 5);
+	step_until_start(&s, 500);
+	assert_true(leader_is_active(s.leader));
+	assert_int_equal(written_field(&s, "epoch"), 1);
+	s.store_is_silent = true;
+	while (leader_is_active(s.leader))
+		run_for(&s, ADVANCE_MS);
+	leader_apply_owner_row(s.leader, "odd", s.version + 1);
+	s.store_is_silent = false;
+	run_for(&s, 4000);
+	assert_true(leader_is_active(s.leader));
+	assert_int_equal(written_field(&s, "epoch"), 2);
+	fixture_destroy(&s);
+}
+
+/*
+ * Guards against a claim that gives the leadership away at once: the answer to
+ * the write that yielded was lost.
+ */
+static void test_claim_after_a_lost_yield_names_the_claimant(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, 5);
+	run_for(&s, 1000);
+	assert_true(leader_is_active(s.leader));
+	s.stronger_peers = 1;
+	s.yields_are_lost = true;
+	run_for(&s, 3000);
+	assert_true(s.store_is_silent);
+	s.yields_are_lost = false;
+	s.stronger_peers = 0;
+	while (leader_is_active(s.leader))
+		run_for(&s, ADVANCE_MS);
+	s.store_is_silent = false;
+	run_for(&s, 3000);
+	assert_true(leader_is_active(s.leader));
+	fixture_destroy(&s);
+}
+
+/*
+ * Guards against a start that nobody repeats: its retry was due in a pause that
+ * was longer than the tenure, while a younger write was in flight.
+ */
+static void test_start_is_not_forgotten_when_the_tenure_ends(void **state)
+{
+	struct fixture s;
+	uint32_t late;
+	uint64_t written_ms;
+
+	(void)state;
+	fixture_create(&s, 400);
+	step_until_start(&s, 1500);
+	assert_true(leader_is_active(s.leader));
+	s.starts_are_late = true;
+	submit_job(&s);
+	s.has_job = true;
+	while (!s.run_writes)
+		loop_step(s.loop, 1);
+	written_ms = clock_mono_ms();
+	/* the next write is in flight from 700 to 1100 ms after this one */
+	while (clock_mono_ms() < written_ms + 800)
+		loop_step(s.loop, 1);
+	late = s.late_starts;
+	while (s.late_starts == late)
+		loop_step(s.loop, 1);
+	loop_step(s.loop, 1);
+	clock_offset_ms += written_ms + TENURE_LIMIT_MS + 100 - clock_mono_ms();
+	s.write_delay_ms = 5;
+	s.starts_are_late = false;
+	run_for(&s, 8000);
+	assert_int_equal(s.starts, 1);
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -688,6 +797,12 @@
 			test_odd_owner_row_counts_as_leader_that_may_act),
 		cmocka_unit_test(
 			test_claim_after_odd_owner_row_exceeds_all_epochs),
+		cmocka_unit_test(
+			test_claim_after_odd_owner_row_exceeds_own_epoch),
+		cmocka_unit_test(
+			test_claim_after_a_lost_yield_names_the_claimant),
+		cmocka_unit_test(
+			test_start_is_not_forgotten_when_the_tenure_ends),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
