Count the suspension of the machine in all deadlines

A machine may be suspended for seconds. CLOCK_MONOTONIC does not count that time, while all other machines do. So a suspended leader believed its tenure to run on and sent a start that it had recorded before (rule TWICE), and an entry did not notice that it had been away and served a request by a queue that had been withdrawn meanwhile (rule CONFIG). Not seen in the users' record; found by reading.

Deadlines, leases and ages are of CLOCK_BOOTTIME now. The event loop waits for 100 ms at most, so a timer that falls due during a suspension runs soon after it.

With that clock alone a call whose answer arrives after the suspension timed out at once: a late wake-up counted as blocked time only after the timers of its iteration had run. It counts before them now, which also holds for a process that is stopped by a signal.

With the old clock test_leader_suspended_beyond_its_tenure_sends_nothing failed (1 start instead of 0) and test_request_after_suspension_is_served_by_the_policy_in_force as well (200 instead of 404); test_suspension_does_not_time_out_an_answered_call failed with the new clock and the old order (0 answers instead of 1). All unit tests pass.

--- a/lib/loop.c
+++ b/lib/loop.c
@@ -1,7 +1,8 @@
 /*
  * The event loop.  h2o's own timeouts follow the wall clock and support
  * one duration per list, so the timers here are kept in a binary heap
- * ordered by deadlines on the monotonic clock.
+ * ordered by deadlines on a monotonic clock.  That clock also counts the
+ * time in which the machine is suspended, as other machines count it.
  */
 #include <glib.h>
 #include <signal.h>
@@ -41,10 +42,13 @@
 	return (uint64_t)ts.tv_sec * 1000000 + (uint64_t)ts.tv_nsec / 1000;
 }
 
-/* Return monotonic microseconds, for deadlines and durations. */
+/*
+ * Return monotonic microseconds, for deadlines and durations.  They include
+ * the time in which the machine was suspended.
+ */
 uint64_t clock_mono_us(void)
 {
-	return clock_us(CLOCK_MONOTONIC);
+	return clock_us(CLOCK_BOOTTIME);
 }
 
 /* Return monotonic milliseconds, for deadlines and leases. */
@@ -277,15 +281,23 @@
 	return MIN((wall - h2o_wall) * 1000, ended_us - began_us);
 }
 
-/* Add long parts of an iteration to the blocked time and report it. */
+/*
+ * Add a late wake-up to the blocked time.  This precedes the timers, as an
+ * answer may arrive only after a suspension of the machine.
+ */
+static void record_wakeup(struct loop *l, const struct loop_timing *t)
+{
+	if (t->late_us > LONG_ITERATION_US)
+		l->blocked_us += t->late_us;
+}
+
+/* Add a long iteration to the blocked time and report its parts. */
 static void record_timing(struct loop *l, const struct loop_timing *t)
 {
 	uint64_t busy_us = t->sockets_us + t->timers_us;
 
 	if (busy_us > LONG_ITERATION_US)
 		l->blocked_us += busy_us;
-	if (t->late_us > LONG_ITERATION_US)
-		l->blocked_us += t->late_us;
 	if (l->on_timing)
 		l->on_timing(l->on_timing_arg, t);
 }
@@ -315,6 +327,7 @@
 	waited_us = polled - began - t.sockets_us;
 	if (waited_us > wait * UINT64_C(1000))
 		t.late_us = waited_us - wait * UINT64_C(1000);
+	record_wakeup(l, &t);
 	fire_due_timers(l);
 	run_completion_callbacks(l);
 	if (l->iteration_end)
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -51,9 +51,10 @@
 	char *entry;	     /* of the only upstream */
 	uint64_t version;
 	uint32_t write_delay_ms;
-	uint32_t starts;       /* orders that the upstream got */
-	uint64_t last_call_ms; /* time of the last call that it got */
-	json_t *running;       /* its list of runs */
+	uint32_t starts;	 /* orders that the upstream got */
+	uint32_t upstream_calls; /* all calls that it got */
+	uint64_t last_call_ms;	 /* time of the last call that it got */
+	json_t *running;	 /* its list of runs */
 	GPtrArray *calls;
 };
 
@@ -68,17 +69,22 @@
 };
 
 static int64_t clock_offset_ms;
+static int64_t suspended_ms;
 
 /*
  * Replaces the C library's function: all clocks are ahead by clock_offset_ms,
- * as after a pause of the process.
+ * as after a pause of the process, and by suspended_ms, as after a suspension
+ * of the machine, which CLOCK_MONOTONIC does not count.
  */
 int clock_gettime(clockid_t id, struct timespec *ts)
 {
 	int rc = syscall(SYS_clock_gettime, id, ts);
+	int64_t ms = clock_offset_ms;
 
-	ts->tv_sec += clock_offset_ms / 1000;
-	ts->tv_nsec += clock_offset_ms % 1000 * 1000000;
+	if (id != CLOCK_MONOTONIC)
+		ms += suspended_ms;
+	ts->tv_sec += ms / 1000;
+	ts->tv_nsec += ms % 1000 * 1000000;
 	if (ts->tv_nsec >= 1000000000) {
 		ts->tv_nsec -= 1000000000;
 		ts->tv_sec++;
@@ -210,6 +216,7 @@
 				  (json_int_t)json_int_or(order, "run", 0), "",
 				  0));
 	}
+	s->upstream_calls++;
 	s->last_call_ms = clock_mono_ms();
 	exchange_reply_json(x, 200,
 			    json_pack("{s:I,s:I,s:O,s:[]}", "clockMs",
@@ -358,7 +365,7 @@
 	g_free(s->written_owner);
 	json_decref(s->running);
 	loop_destroy(s->loop);
-	clock_offset_ms = 0;
+	clock_offset_ms = suspended_ms = 0;
 }
 
 /* Step the loop until the upstream got a start, for at most ms. */
@@ -493,6 +500,33 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * The leader's machine is suspended for longer than the tenure while a write is
+ * in flight; the first clock that shows it is CLOCK_BOOTTIME.
+ */
+static void test_leader_suspended_beyond_its_tenure_sends_nothing(void **state)
+{
+	struct fixture s;
+	uint32_t calls;
+
+	(void)state;
+	fixture_create(&s, 400);
+	step_until_start(&s, 1500);
+	assert_true(leader_is_active(s.leader));
+	submit_job(&s);
+	while (!s.run_writes)
+		loop_step(s.loop, 10);
+	loop_step(s.loop, 10); /* for calls that were sent before */
+	calls = s.upstream_calls;
+	suspended_ms += TENURE_LIMIT_MS + 500;
+	for (uint32_t i = 0; i < 60; i++)
+		loop_step(s.loop, 10);
+	assert_int_equal(s.starts, 0);
+	assert_int_equal(s.upstream_calls, calls);
+	assert_false(leader_is_active(s.leader));
+	fixture_destroy(&s);
+}
+
 /* Return the run row of the only job, whose task an earlier leader started. */
 static char *encode_active_run(const struct fixture *s)
 {
@@ -676,6 +710,8 @@
 			test_leader_calls_no_upstream_after_its_tenure),
 		cmocka_unit_test(
 			test_recorded_start_is_not_sent_after_the_tenure),
+		cmocka_unit_test(
+			test_leader_suspended_beyond_its_tenure_sends_nothing),
 		cmocka_unit_test(
 			test_run_of_leader_before_the_last_is_not_doubled),
 		cmocka_unit_test(
--- /dev/null
+++ b/test/unit_suspend.c
@@ -0,0 +1,370 @@
+/*
+ * Tests of a process whose machine is suspended while it waits for events. The
+ * store is in the test's own event loop.
+ */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/syscall.h>
+#include <sys/time.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "entry/entry.h"
+#include "lead/record.h"
+#include "lib/http.h"
+
+#define SUSPENSION_MS 5000
+#define SETTLE_MS 300
+
+static int64_t suspended_ms;
+/* The next wait for events is suspended for this long. */
+static int64_t suspend_next_wait_ms;
+
+static void add_ms(struct timespec *ts, int64_t ms)
+{
+	ts->tv_sec += ms / 1000;
+	ts->tv_nsec += ms % 1000 * 1000000;
+	if (ts->tv_nsec >= 1000000000) {
+		ts->tv_nsec -= 1000000000;
+		ts->tv_sec++;
+	}
+}
+
+/* Replaces the C library's function: CLOCK_MONOTONIC counts no suspension. */
+int clock_gettime(clockid_t id, struct timespec *ts)
+{
+	int rc = syscall(SYS_clock_gettime, id, ts);
+
+	if (id != CLOCK_MONOTONIC)
+		add_ms(ts, suspended_ms);
+	return rc;
+}
+
+/* Replaces the C library's function. */
+int gettimeofday(struct timeval *tv, void *tz)
+{
+	struct timespec ts;
+
+	(void)tz;
+	clock_gettime(CLOCK_REALTIME, &ts);
+	tv->tv_sec = ts.tv_sec;
+	tv->tv_usec = ts.tv_nsec / 1000;
+	return 0;
+}
+
+/* Replaces the C library's function: the machine is suspended in a wait. */
+int epoll_wait(int fd, struct epoll_event *events, int max, int timeout_ms)
+{
+	int rc = syscall(SYS_epoll_pwait, fd, events, max, timeout_ms, NULL, 0);
+
+	suspended_ms += suspend_next_wait_ms;
+	suspend_next_wait_ms = 0;
+	return rc;
+}
+
+struct fixture {
+	struct loop *loop;
+	struct http_client *http;
+	struct http_pool *pool;
+	struct counters *counters;
+	struct joint_settings settings;
+	struct rows *rows;
+	struct replica *policies, *jobs, *states;
+	struct policy *policy;
+	struct entry *entry;
+	GPtrArray *calls; /* pending struct call */
+	uint64_t version; /* of the policy in the store */
+	int status;	  /* of the last answer, or 0 */
+};
+
+/* A call of the store, which is answered after a delay. */
+struct call {
+	struct fixture *fixture;
+	struct timer timer;
+	bool reads_policy;
+	http_done_fn done;
+	void *done_arg;
+};
+
+static void call_free(void *arg)
+{
+	struct call *c = arg;
+
+	timer_stop(c->fixture->loop, &c->timer);
+	g_free(c);
+}
+
+static void answer_call(void *arg)
+{
+	struct call *c = arg;
+	struct fixture *s = c->fixture;
+	json_t *rows = json_array(), *v;
+	struct http_result r = {.verdict = verdict_ran(), .status = 200};
+	char *body;
+
+	if (c->reads_policy)
+		json_array_append_new(rows, json_pack("{s:s,s:s,s:I}", "key",
+						      "config", "value", "",
+						      "rowVersion",
+						      (json_int_t)s->version));
+	v = json_pack("{s:o,s:I,s:I}", "rows", rows, "rowVersion",
+		      (json_int_t)s->version, "nowMs",
+		      (json_int_t)clock_mono_ms());
+	body = json_dumps(v, JSON_COMPACT);
+	json_decref(v);
+	r.body = body;
+	r.len = strlen(body);
+	c->done(c->done_arg, &r);
+	free(body);
+	g_ptr_array_remove_fast(s->calls, c);
+}
+
+/* Answer reads, and feeds that have nothing to wait for, after 1 ms. */
+static bool send_to_store(void *arg, const char *method, const char *path,
+			  const char *body, uint32_t timeout_ms,
+			  http_done_fn done, void *done_arg)
+{
+	struct fixture *s = arg;
+	struct call *c = g_new0(struct call, 1);
+	const char *wait = strstr(path, "waitMs=");
+
+	(void)method;
+	(void)body;
+	(void)timeout_ms;
+	c->fixture = s;
+	c->reads_policy = strstr(path, "table=op&") != NULL;
+	c->done = done;
+	c->done_arg = done_arg;
+	timer_init(&c->timer, answer_call, c);
+	timer_start(s->loop, &c->timer,
+		    wait ? MAX(atoi(wait + strlen("waitMs=")), 1) : 1);
+	g_ptr_array_add(s->calls, c);
+	return true;
+}
+
+/* Use the policy of this version; only the first has a queue. */
+static void on_policy_row(void *arg, const char *key, const char *value,
+			  uint64_t version)
+{
+	struct fixture *s = arg;
+	struct policy *before = s->policy;
+	struct queue *q;
+
+	(void)key;
+	(void)value;
+	s->policy = policy_create(version);
+	if (version == 1) {
+		q = policy_add_queue(s->policy);
+		g_strlcpy(q->name, "q", sizeof(q->name));
+		g_strlcpy(q->host, "127.0.0.1", sizeof(q->host));
+		g_strlcpy(q->prefix, "/q/", sizeof(q->prefix));
+		q->allows_anonymous = true;
+	}
+	entry_set_policy(s->entry, s->policy);
+	policy_destroy(before);
+}
+
+static void on_policy_answer(void *arg)
+{
+	entry_note_policy_read(((struct fixture *)arg)->entry);
+}
+
+static void ignore_row(void *arg, const char *key, const char *value,
+		       uint64_t version)
+{
+	(void)arg;
+	(void)key;
+	(void)value;
+	(void)version;
+}
+
+/* Return a loopback address with a port that is free. */
+static struct sockaddr_in free_address(void)
+{
+	struct sockaddr_in at = {.sin_family = AF_INET,
+				 .sin_addr = {htonl(INADDR_LOOPBACK)}};
+	socklen_t len = sizeof(at);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	assert_int_equal(bind(fd, (struct sockaddr *)&at, sizeof(at)), 0);
+	assert_int_equal(getsockname(fd, (struct sockaddr *)&at, &len), 0);
+	close(fd);
+	return at;
+}
+
+/* Step the loop for ms milliseconds. */
+static void run_for(struct loop *l, uint64_t ms)
+{
+	uint64_t until_ms = clock_mono_ms() + ms;
+
+	while (clock_mono_ms() < until_ms)
+		loop_step(l, 10);
+}
+
+static void fixture_create(struct fixture *s)
+{
+	struct replica_events policies = {.changed = on_policy_row,
+					  .answered = on_policy_answer};
+	struct replica_events other = {.changed = ignore_row};
+	struct entry_env e;
+
+	*s = (struct fixture){.loop = loop_create(),
+			      .calls =
+				      g_ptr_array_new_with_free_func(call_free),
+			      .version = 1};
+	s->http = http_client_create(s->loop);
+	s->counters = counters_create();
+	s->settings.callers = free_address();
+	s->rows = rows_create(send_to_store, s);
+	s->policies = replica_create(s->loop, s->rows, "op",
+				     replica_single_part, 1000, &policies, s);
+	s->jobs = replica_create(s->loop, s->rows, JOB_TABLE,
+				 replica_single_part, 60000, &other, s);
+	s->states = replica_create(s->loop, s->rows, STATE_TABLE,
+				   replica_single_part, 60000, &other, s);
+	e = (struct entry_env){.loop = s->loop,
+			       .rows = s->rows,
+			       .counters = s->counters,
+			       .settings = &s->settings,
+			       .policies = s->policies,
+			       .jobs = s->jobs,
+			       .states = s->states};
+	s->entry = entry_create(&e);
+	assert_non_null(s->entry);
+	s->pool = http_pool_create(s->http, &s->settings.callers, 4);
+	run_for(s->loop, SETTLE_MS);
+	assert_non_null(s->policy);
+}
+
+static void fixture_destroy(struct fixture *s)
+{
+	http_pool_destroy(s->pool);
+	entry_destroy(s->entry);
+	g_ptr_array_free(s->calls, TRUE);
+	replica_destroy(s->policies);
+	replica_destroy(s->jobs);
+	replica_destroy(s->states);
+	rows_destroy(s->rows);
+	http_client_destroy(s->http);
+	counters_destroy(s->counters);
+	policy_destroy(s->policy);
+	loop_destroy(s->loop);
+}
+
+static void on_answer(void *arg, const struct http_result *r)
+{
+	((struct fixture *)arg)->status = r->status;
+}
+
+/* Ask for the count of the only queue; returns the status of the answer. */
+static int ask_for_count(struct fixture *s)
+{
+	s->status = 0;
+	assert_non_null(http_call_start(s->pool, "GET", "/q/", NULL, 3000,
+					on_answer, s));
+	for (uint32_t i = 0; i < 300 && !s->status; i++)
+		loop_step(s->loop, 10);
+	return s->status;
+}
+
+/* The queue is withdrawn while the entry's machine is suspended. */
+static void
+test_request_after_suspension_is_served_by_the_policy_in_force(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	assert_int_equal(ask_for_count(&s), 200);
+	s.version = 2;
+	suspend_next_wait_ms = SUSPENSION_MS;
+	assert_int_equal(ask_for_count(&s), 404);
+	fixture_destroy(&s);
+}
+
+/* A server in its own thread that takes some time to answer. */
+struct slow_server {
+	struct sockaddr_in at;
+	gint ready;
+	gint stop;
+};
+
+static void answer_slowly(void *arg, struct http_exchange *x)
+{
+	(void)arg;
+	g_usleep(60000);
+	exchange_reply(x, 200, "text/plain", "ok", 0);
+}
+
+static gpointer serve_in_thread(gpointer arg)
+{
+	struct slow_server *p = arg;
+	struct loop *l = loop_create();
+	struct http_server *s =
+		http_server_create(l, &p->at, 1024, answer_slowly, NULL);
+
+	g_atomic_int_set(&p->ready, s ? 1 : -1);
+	while (s && !g_atomic_int_get(&p->stop))
+		loop_step(l, 10);
+	http_server_destroy(s);
+	loop_destroy(l);
+	return NULL;
+}
+
+static void count_verdict(void *arg, const struct http_result *r)
+{
+	uint32_t *n = arg;
+
+	n[r->verdict.tag]++;
+	n[3]++;
+}
+
+/* The answer arrives after the suspension, within the call's timeout of it. */
+static void test_suspension_does_not_time_out_an_answered_call(void **state)
+{
+	struct slow_server server = {.at = free_address()};
+	struct loop *l = loop_create();
+	struct http_client *c = http_client_create(l);
+	struct http_pool *p;
+	uint32_t n[4] = {0};
+	GThread *t;
+
+	(void)state;
+	t = g_thread_new("server", serve_in_thread, &server);
+	while (!g_atomic_int_get(&server.ready))
+		g_usleep(1000);
+	assert_int_equal(g_atomic_int_get(&server.ready), 1);
+	p = http_pool_create(c, &server.at, 4);
+	assert_non_null(
+		http_call_start(p, "GET", "/", NULL, 400, count_verdict, n));
+	while (!http_client_bytes_transferred(c))
+		loop_step(l, 1);
+	suspend_next_wait_ms = SUSPENSION_MS;
+	while (!n[3])
+		loop_step(l, 10);
+	assert_int_equal(n[VERDICT_RAN], 1);
+	g_atomic_int_set(&server.stop, 1);
+	g_thread_join(t);
+	http_pool_destroy(p);
+	http_client_destroy(c);
+	loop_destroy(l);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			test_request_after_suspension_is_served_by_the_policy_in_force),
+		cmocka_unit_test(
+			test_suspension_does_not_time_out_an_answered_call),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
