Keep an earlier leader's run at a restart until the epoch is accepted

An upstream that restarts has seen no epoch. A leader that was paused, or that is cut off from the store alone, may send its unanswered start there, as long as its tenure lasts.

Cause: the fence that a successor sets on an upstream ends with the incarnation, but the bound on what others may do did not take that into account.

Now a run that an earlier leader placed stays on the restarted upstream, with the newer incarnation in its row, until the lists of a call with the present epoch show or lack it, or the leases of all earlier leaders have ended. The end of the incarnation is counted against the task at once, as before. A restart costs nothing more when no earlier leader can act; otherwise one call.

--- a/lead/leader.c
+++ b/lead/leader.c
@@ -302,13 +302,13 @@
 		.settings = e->settings,
 		.epoch = election_epoch(d->election),
 		.tenure = election_tenure(d->election),
-		.earlier_leases_end_ms = tenure_leases_end_ms(
-			election_tenure(d->election), e->settings->lease_ms),
 		.events = {.model_changed = schedule_pass,
 			   .epoch_refused = on_epoch_refused},
 		.arg = d,
 	};
 	d->model = model_create();
+	d->model->earlier_leases_end_ms = tenure_leases_end_ms(
+		election_tenure(d->election), e->settings->lease_ms);
 	d->session_env.model = d->model;
 	d->leading = true;
 	succession_note_gained(&d->succession, clock_mono_ms());
@@ -656,7 +656,7 @@
 {
 	uint64_t now = clock_mono_ms();
 
-	if (now <= d->session_env.earlier_leases_end_ms)
+	if (now <= d->model->earlier_leases_end_ms)
 		return;
 	for (guint i = 0; i < d->model->fleet->list->len; i++) {
 		struct upstream *u =
--- a/lead/model.c
+++ b/lead/model.c
@@ -411,18 +411,32 @@
 	return false;
 }
 
+/*
+ * Report whether an earlier leader may start the run of t in an incarnation of
+ * its upstream that begins now: it has forgotten all epochs, so it carries out
+ * an order that this leader's epoch fenced off in the one before.
+ */
+static bool earlier_leader_may_start(const struct model *m,
+				     const struct task *t, uint64_t now_ms)
+{
+	return t->placed_by_earlier && now_ms <= m->earlier_leases_end_ms;
+}
+
 /*
  * Report whether the run of t may be active in a newer incarnation of its
- * upstream than the one it was placed in: the newer one lists it, or this
- * leader has sent its start order, and the earlier one has never listed it. The
- * answer to an order does not say which of the two has carried it out.
+ * upstream than the one it was placed in: the newer one lists it, an earlier
+ * leader may start it there, or this leader has sent its start order, and the
+ * earlier one has never listed it. The answer to an order does not say which of
+ * the two has carried it out.
  */
-static bool may_run_after_restart(const struct task *t,
-				  const struct order_answer *lists)
+static bool may_run_after_restart(const struct model *m, const struct task *t,
+				  const struct order_answer *lists,
+				  uint64_t now_ms)
 {
 	bool was_listed = t->percent_listed_ms > t->placed_ms;
 
-	return (t->sent && !t->inherited && !was_listed) || is_listed(t, lists);
+	return (t->sent && !t->inherited && !was_listed) ||
+	       is_listed(t, lists) || earlier_leader_may_start(m, t, now_ms);
 }
 
 /* Log the tasks that are blamed for the end of u's incarnation. */
@@ -517,7 +531,7 @@
 		struct task *t = g_ptr_array_index(u->tasks, i);
 
 		t->in_newer_incarnation = is_listed(t, lists);
-		if (may_run_after_restart(t, lists))
+		if (may_run_after_restart(m, t, lists, now_ms))
 			t->stage->job->dirty = true;
 		else
 			g_ptr_array_add(lost, t);
@@ -527,9 +541,13 @@
 		   (json_int_t)before, "kept",
 		   (int)(u->tasks->len - lost->len));
 	lose_runs(m, u, now_ms, INCARNATION_ENDED, "restarted", lost);
-	for (guint i = 0; i < u->tasks->len; i++)
-		((struct task *)g_ptr_array_index(u->tasks, i))
-			->in_newer_incarnation = false;
+	for (guint i = 0; i < u->tasks->len; i++) {
+		struct task *t = g_ptr_array_index(u->tasks, i);
+
+		t->in_newer_incarnation = false;
+		/* its lists decide, once it has accepted this epoch */
+		t->inherited = t->placed_by_earlier;
+	}
 	return true;
 }
 
@@ -577,7 +595,8 @@
  * Take over a run of t that an earlier leader recorded for an incarnation
  * of an upstream: it counts as active until it is known to have ended. An
  * upstream that is not listed is added with that incarnation, as it may be
- * listed again.
+ * listed again. A run of an incarnation that has ended is taken over while an
+ * earlier leader may start it in the present one.
  */
 void model_inherit_run(struct model *m, struct task *t, const char *upstream,
 		       uint64_t started_wall_ms, uint64_t now_ms)
@@ -592,9 +611,11 @@
 	if (u->started_wall_ms != started_wall_ms || u->superseded) {
 		/* That incarnation has ended, and the run with it. */
 		suspect_note_inherited_end(t);
-		return;
+		if (u->superseded || now_ms > m->earlier_leases_end_ms)
+			return;
 	}
 	task_place(t, u, t->run, now_ms);
+	t->placed_by_earlier = true;
 	t->inherited = true;
 	t->sent = true;
 }
--- a/lead/model.h
+++ b/lead/model.h
@@ -19,6 +19,8 @@
 	GPtrArray *job_list;
 	/* index in job_list at which the next write begins */
 	guint write_from;
+	/* Local time at which the last lease of earlier leaders ends. */
+	uint64_t earlier_leases_end_ms;
 	struct fleet *fleet;
 	struct estimator *estimator;
 };
--- a/lead/session.c
+++ b/lead/session.c
@@ -140,20 +140,35 @@
 }
 
 /*
- * Forget all that holds only for the upstream's previous incarnation. A run
- * that the newer one may have started has a lease there.
+ * Return when the last lease in an incarnation of the upstream that begins now
+ * has ended, for the runs that it may have started.
  */
+static uint64_t first_leases_end_ms(const struct session *k)
+{
+	const GPtrArray *tasks = k->upstream->tasks;
+	uint64_t end_ms;
+
+	if (!tasks->len)
+		return 0;
+	end_ms = lease_clock_latest_end(k->env->settings->lease_ms,
+					clock_mono_ms());
+	for (guint i = 0; i < tasks->len; i++) {
+		const struct task *t = g_ptr_array_index(tasks, i);
+
+		if (t->placed_by_earlier)
+			end_ms = MAX(end_ms,
+				     k->env->model->earlier_leases_end_ms);
+	}
+	return end_ms;
+}
+
+/* Forget all that holds only for the upstream's previous incarnation. */
 static void reset_incarnation(struct session *k)
 {
 	k->newest_end_seen = 0;
 	k->newest_end_in_write = 0;
 	k->newest_end_acknowledged = 0;
-	lease_clock_reset(
-		&k->leases,
-		k->upstream->tasks->len
-			? lease_clock_latest_end(k->env->settings->lease_ms,
-						 clock_mono_ms())
-			: 0);
+	lease_clock_reset(&k->leases, first_leases_end_ms(k));
 	k->upstream->synced = false;
 }
 
@@ -219,7 +234,7 @@
 			       clock_mono_ms(), NULL);
 	set_address(k, &entry->address);
 	apply_entry(k, entry);
-	lease_clock_reset(&k->leases, e->earlier_leases_end_ms);
+	lease_clock_reset(&k->leases, e->model->earlier_leases_end_ms);
 	timer_start(e->loop, &k->call_timer, 0);
 	return k;
 }
--- a/lead/session.h
+++ b/lead/session.h
@@ -31,8 +31,6 @@
 	uint64_t epoch;
 	/* Until when this leader may call upstreams; asked before each call. */
 	const struct tenure *tenure;
-	/* Local time at which the last lease of earlier leaders ends. */
-	uint64_t earlier_leases_end_ms;
 	struct session_events events;
 	void *arg;
 };
--- a/sched/job.c
+++ b/sched/job.c
@@ -327,6 +327,7 @@
 	t->first_percent = 0;
 	/* a run without a checkpoint begins at 0 percent */
 	t->first_percent_ms = t->checkpoint ? 0 : now_ms;
+	t->placed_by_earlier = false;
 	t->inherited = false;
 	t->sent = false;
 	t->uncertain = false;
--- a/sched/job.h
+++ b/sched/job.h
@@ -110,11 +110,12 @@
 	uint64_t placed_ms;
 	uint64_t confirmed_ms;
 	uint64_t ended_ms;
-	bool inherited; /* placed by an earlier leader and not listed since */
-	bool sent;	/* a start order for the newest run was sent */
-	bool uncertain; /* a start order was not answered */
-	bool retry;	/* the order must be sent again */
-	bool earlier_run_done;	   /* an earlier run has completed the task */
+	bool placed_by_earlier; /* an earlier leader placed the newest run */
+	bool inherited;		/* and it was not listed since */
+	bool sent;		/* a start order for the newest run was sent */
+	bool uncertain;		/* a start order was not answered */
+	bool retry;		/* the order must be sent again */
+	bool earlier_run_done;	/* an earlier run has completed the task */
 	uint64_t stop_answered_ms; /* 0: no stop order was answered */
 	/* only compared, never dereferenced */
 	const struct upstream *last_failed_on;
--- a/test/unit_lead.c
+++ b/test/unit_lead.c
@@ -350,6 +350,113 @@
 	fixture_destroy(&third);
 }
 
+/* Apply lists of the only upstream, which show this many runs of the task. */
+static void apply_running(struct fixture *s, uint32_t running, uint64_t now_ms)
+{
+	GArray *strays = g_array_new(FALSE, FALSE, sizeof(struct stray_run));
+	char name[TASK_NAME_BYTES];
+	struct run_report r = {.run = s->task->run, .checkpoint = ""};
+	struct order_answer a = {.outcome = ORDER_DONE,
+				 .has_lists = true,
+				 .running = &r,
+				 .running_len = running};
+
+	task_format_name(s->task, name, sizeof(name));
+	r.task = name;
+	model_apply_lists(s->model, s->upstream, &a, now_ms, now_ms, 0, strays);
+	assert_int_equal(strays->len, 0);
+	g_array_unref(strays);
+}
+
+/* Let a leader at 3000 take over a run whose upstream is not listed yet. */
+static void take_over_run(struct fixture *s, uint64_t earlier_leases_end_ms)
+{
+	struct fixture first;
+	char *row;
+
+	fixture_create(&first, 1, false);
+	row = run_encode(first.job);
+	decode_in_new_leader(s, row);
+	s->model->earlier_leases_end_ms = earlier_leases_end_ms;
+	s->job->dirty = false;
+	free(row);
+	fixture_destroy(&first);
+}
+
+/*
+ * An upstream has restarted after a change of leader. The earlier leader may
+ * still send its start there, as the new incarnation has seen no epoch. Guards
+ * against a second run elsewhere beside that one.
+ */
+static void
+test_run_is_kept_at_restart_while_earlier_leader_may_start_it(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	take_over_run(&s, 20000);
+	assert_true(
+		model_note_incarnation(s.model, s.upstream, 78, 4000, NULL));
+	assert_ptr_equal(s.task->at, s.upstream);
+	assert_true(s.job->dirty);
+	/* the end of the incarnation counts all the same */
+	assert_int_equal(s.task->suspicion.early_ends, 1);
+	apply_running(&s, 1, 5000);
+	assert_int_equal(s.task->state, TASK_RUNNING);
+	/* and so for a run that this leader has seen there */
+	assert_true(
+		model_note_incarnation(s.model, s.upstream, 79, 6000, NULL));
+	assert_ptr_equal(s.task->at, s.upstream);
+	apply_running(&s, 0, 7000);
+	assert_int_equal(s.task->state, TASK_WAITING);
+	fixture_destroy(&s);
+}
+
+/* A restart costs no time when no earlier leader can act. */
+static void
+test_run_is_lost_at_restart_after_leases_of_earlier_leaders(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	take_over_run(&s, 3999);
+	assert_true(
+		model_note_incarnation(s.model, s.upstream, 78, 4000, NULL));
+	assert_int_equal(s.task->state, TASK_WAITING);
+	fixture_destroy(&s);
+	/* nor for a run that this leader has placed itself */
+	take_over_run(&s, 20000);
+	task_end_run(s.task, RUN_NEVER_STARTED, NULL, 3100);
+	task_place(s.task, s.upstream, s.task->run + 1, 3200);
+	s.task->sent = true;
+	task_confirm(s.task, 3300);
+	task_record_progress(s.task, 1, 3300);
+	assert_true(
+		model_note_incarnation(s.model, s.upstream, 78, 4000, NULL));
+	assert_int_equal(s.task->state, TASK_WAITING);
+	fixture_destroy(&s);
+}
+
+/* The upstream is listed with its new incarnation before the run is read. */
+static void
+test_run_of_ended_incarnation_is_taken_over_while_it_may_start(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	take_over_run(&s, 20000);
+	task_end_run(s.task, RUN_NEVER_STARTED, NULL, 3100);
+	s.upstream->started_wall_ms = 78;
+	model_inherit_run(s.model, s.task, "u1", 77, 3200);
+	assert_ptr_equal(s.task->at, s.upstream);
+	assert_int_equal(s.task->suspicion.early_ends, 1);
+	apply_running(&s, 0, 3300);
+	assert_int_equal(s.task->state, TASK_WAITING);
+	model_inherit_run(s.model, s.task, "u1", 77, 20001);
+	assert_int_equal(s.task->state, TASK_WAITING);
+	fixture_destroy(&s);
+}
+
 /*
  * Every task that waits for a retry is handled, even if tasks end while the
  * list of them is processed.
@@ -777,6 +884,12 @@
 		cmocka_unit_test(test_run_row_round_trip_restores_task_state),
 		cmocka_unit_test(
 			test_run_on_unlisted_upstream_survives_leader_changes),
+		cmocka_unit_test(
+			test_run_is_kept_at_restart_while_earlier_leader_may_start_it),
+		cmocka_unit_test(
+			test_run_is_lost_at_restart_after_leases_of_earlier_leaders),
+		cmocka_unit_test(
+			test_run_of_ended_incarnation_is_taken_over_while_it_may_start),
 		cmocka_unit_test(test_retries_cover_tasks_that_end_meanwhile),
 		cmocka_unit_test(
 			test_list_requested_before_stop_keeps_task_stopping),
--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -439,6 +439,51 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * An upstream that is cut off from this leader restarts, and the leader before
+ * it, which is not, starts its run there. Guards against a second run elsewhere
+ * until the lists show it, or the leases of that leader have ended.
+ */
+static void
+test_run_started_after_restart_by_earlier_leader_is_kept(void **state)
+{
+	uint64_t end_ms;
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	for (uint32_t answers = 0; answers < 2; answers++) {
+		fixture_create(&s);
+		fake_upstream_create(&f, s.loop);
+		s.settings.lease_ms = 300;
+		end_ms = clock_mono_ms() + 1500;
+		s.model->earlier_leases_end_ms = end_ms;
+		s.task->run = 4;
+		s.upstream->state = UPSTREAM_GONE;
+		model_inherit_run(s.model, s.task, "u1", 77, clock_mono_ms());
+		f.mute = true;
+		open_session(&s, &f);
+		step_until(s.loop, NULL, 100);
+		restart(&f);
+		s.entry.started_wall_ms = f.born;
+		session_apply_entry(s.upstream->session, &s.entry);
+		add_run(&f, "00000000000000a1.0.0.0", 4);
+		if (answers) {
+			f.mute = false;
+			assert_becomes(&s, TASK_RUNNING);
+			assert_true(clock_mono_ms() < end_ms);
+			assert_int_equal(f.stops, 0);
+		} else {
+			while (clock_mono_ms() < end_ms) {
+				assert_true(task_is_active(s.task));
+				loop_step(s.loop, 10);
+			}
+			assert_becomes(&s, TASK_WAITING);
+		}
+		fixture_destroy(&s);
+	}
+}
+
 /*
  * The start of a suspect is not answered: it may have ended the upstream.
  * Guards against an order that is sent again to its next incarnation.
@@ -646,6 +691,8 @@
 			test_start_in_flight_at_restart_is_settled_there),
 		cmocka_unit_test(
 			test_run_confirmed_before_restart_is_known_is_kept),
+		cmocka_unit_test(
+			test_run_started_after_restart_by_earlier_leader_is_kept),
 		cmocka_unit_test(
 			test_unanswered_start_of_suspect_is_not_repeated),
 		cmocka_unit_test(test_run_of_earlier_incarnation_is_lost),
