Look at the time of a start order at each repetition

An unanswered start order is repeated for 1.2 s. Only the answer to the last attempt looked at that time, not the timer that sends the next one. Found by reading.

Now the timer asks before each repetition, and otherwise orders a stop, or ends the run if no attempt may have been carried out. With that all repetitions of a start precede the claim of any successor, which waits for longer than 1.2 s after the write that recorded the start.

--- a/lead/delivery.c
+++ b/lead/delivery.c
@@ -16,6 +16,16 @@
 	return t->uncertain ? DELIVERY_STOP : DELIVERY_NOT_STARTED;
 }
 
+/*
+ * Report whether the start order of t, which was sent before, may be sent again
+ * at now_ms. The process may have been paused since this was last asked.
+ */
+bool delivery_may_send_again(const struct task *t, uint64_t now_ms)
+{
+	return t->state == TASK_PLACED &&
+	       now_ms < t->placed_ms + START_RETRY_TIMEOUT_MS;
+}
+
 /*
  * Retry the order while its run is wanted and START_RETRY_TIMEOUT_MS has
  * not passed; then treat it as refused.
@@ -23,10 +33,8 @@
 static enum delivery_action retry_until_timeout(const struct task *t,
 						uint64_t now_ms)
 {
-	if (t->state == TASK_PLACED &&
-	    now_ms < t->placed_ms + START_RETRY_TIMEOUT_MS)
-		return DELIVERY_RETRY;
-	return action_after_refusal(t);
+	return delivery_may_send_again(t, now_ms) ? DELIVERY_RETRY
+						  : action_after_refusal(t);
 }
 
 /*
--- a/lead/session.c
+++ b/lead/session.c
@@ -86,6 +86,7 @@
 };
 
 static void request_lists(struct session *k);
+static void give_up_start(struct session *k, struct task *t);
 
 static void on_call_timer(void *arg)
 {
@@ -122,7 +123,10 @@
 
 		if (must_not_start_again(t))
 			t->state = TASK_STOPPING;
-		if (t->state == TASK_PLACED)
+		if (t->state == TASK_PLACED &&
+		    !delivery_may_send_again(t, clock_mono_ms()))
+			give_up_start(k, t);
+		else if (t->state == TASK_PLACED)
 			session_start_run(k, t);
 		else if (t->state == TASK_STOPPING && !t->stop_answered_ms)
 			session_stop_run(k, t);
@@ -630,6 +634,15 @@
 	}
 }
 
+/* End the attempts to start t, whose time is over. */
+static void give_up_start(struct session *k, struct task *t)
+{
+	struct order *o = order_create(k, t);
+
+	handle_start_answer(k, t, o, ORDER_NOT_SENT);
+	g_free(o);
+}
+
 static void on_start_answer(void *arg, const struct order_answer *a)
 {
 	struct order *o = arg;
--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -510,6 +510,33 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * The process is paused while an unanswered start waits for its retry. Guards
+ * against a start that is sent when its gang, or a successor, has given it up.
+ */
+static void test_start_is_not_repeated_after_its_retry_time(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	open_session(&s, &f);
+	step_until(s.loop, &s.changes, 1000);
+	f.mute = true;
+	start_task(&s);
+	while (!s.task->retry)
+		loop_step(s.loop, 10);
+	assert_int_equal(f.starts, 1);
+	g_usleep(1500000);
+	f.mute = false;
+	assert_becomes(&s, TASK_WAITING);
+	assert_int_equal(f.starts, 1);
+	assert_in_range(f.stops, 1, 2);
+	fixture_destroy(&s);
+}
+
 /* A run that was confirmed before a restart is lost with the first lists. */
 static void test_run_of_earlier_incarnation_is_lost(void **state)
 {
@@ -695,6 +722,8 @@
 			test_run_started_after_restart_by_earlier_leader_is_kept),
 		cmocka_unit_test(
 			test_unanswered_start_of_suspect_is_not_repeated),
+		cmocka_unit_test(
+			test_start_is_not_repeated_after_its_retry_time),
 		cmocka_unit_test(test_run_of_earlier_incarnation_is_lost),
 		cmocka_unit_test(test_listed_run_is_lost_when_restart_is_known),
 		cmocka_unit_test(test_upstream_that_is_back_gets_work_again),
