Judge a departure by the last write of the upstream's entry

An upstream that is draining and cut off from the store, but not from the leader, loses its entry: the platform removes it after three heartbeat intervals. The leader took that for the upstream's own removal, as it counted from the last answer to a call of its own. One refused connection then ended the runs there as "has left", and they were started elsewhere beside those that went on (rule TWICE). A leader that woke from a pause counted from when it read the answer. An entry that another writer had made malformed counted as removed as well. Not seen in the users' record; found by reading.

Now the time counts from the last write of the entry, and from the feed call before the one that showed it: the write is newer than that, whatever was paused in between. What is only known from a full read is never taken for a departure, and a malformed entry neither.

test_upstream_cut_off_from_the_store_has_not_left failed before (taken for departed).

--- a/lead/departure.c
+++ b/lead/departure.c
@@ -1,8 +1,9 @@
 /*
  * An upstream removes its entry when it leaves, after all its runs have
- * ended. The platform also removes an entry after a period of silence,
- * while the upstream may still run behind a network partition. The time
- * since the upstream's last answer distinguishes the two cases.
+ * ended. The platform also removes an entry that has not been written for
+ * some time, while the upstream may still run behind a network partition. The
+ * time since the last write distinguishes the two cases. That of the last
+ * answer does not: an upstream that the store cannot hear may answer the leader.
  */
 #include "lead/departure.h"
 
@@ -18,16 +19,22 @@
 	d->unlisted_ms = 0;
 }
 
+/* Note that the entry was last written after this time; 0: unknown. */
+void departure_note_written(struct departure *d, uint64_t after_ms)
+{
+	d->written_after_ms = after_ms;
+}
+
 /*
- * Note that the upstream's entry was removed at now_ms; draining tells
+ * Note that the upstream's entry was removed before now_ms; draining tells
  * whether the entry last said that the upstream drains.
  */
 void departure_note_unlisted(struct departure *d, bool draining,
 			     uint64_t now_ms)
 {
 	bool removed_by_upstream =
-		draining && d->last_answer_ms &&
-		now_ms < d->last_answer_ms + d->entry_timeout_ms;
+		draining && d->written_after_ms &&
+		now_ms < d->written_after_ms + d->entry_timeout_ms;
 
 	d->unlisted_ms = removed_by_upstream ? now_ms : 0;
 }
--- a/lead/leader.c
+++ b/lead/leader.c
@@ -276,7 +276,7 @@
 			log_fields(LOG_INFO, "upstream_unlisted", "{s:s,s:i}",
 				   "upstream", id, "tasks", (int)u->tasks->len);
 			if (u->session)
-				session_note_unlisted(u->session);
+				session_note_unlisted(u->session, !value);
 			u->state = UPSTREAM_GONE;
 		}
 		return;
@@ -287,6 +287,8 @@
 		session_apply_entry(u->session, &e);
 	else
 		u->session = session_create(&d->session_env, u, &e);
+	session_note_entry_written(u->session,
+				   replica_changes_after_ms(d->upstreams));
 	schedule_pass(d);
 }
 
--- a/lead/replica.c
+++ b/lead/replica.c
@@ -76,6 +76,10 @@
 	uint64_t call_sent_ms;
 	/* When the newest answered call was sent. */
 	uint64_t answered_call_sent_ms;
+	/* When the feed call before it was sent; 0 if that was no feed call. */
+	uint64_t feed_call_sent_ms;
+	/* The changes that are being applied were made after this time. */
+	uint64_t changes_after_ms;
 	/* Rows may take long on a narrow link. */
 	bool large_rows;
 	/* The next call asks for an immediate answer. */
@@ -170,6 +174,15 @@
 	return f->answered_call_sent_ms;
 }
 
+/*
+ * Return a local time after which the change was made that the `changed`
+ * callback is told; 0 if it is unknown or there is none.
+ */
+uint64_t replica_changes_after_ms(const struct replica *f)
+{
+	return f->changes_after_ms;
+}
+
 /* Allow longer timeouts for rows that take long on a narrow link. */
 void replica_expect_large_rows(struct replica *f)
 {
@@ -360,6 +373,19 @@
 	timer_start(f->loop, &f->timer, delay);
 }
 
+/*
+ * Apply the rows of an answer. The changes in an answer of the feed are newer
+ * than the answer before it, which is newer than its call.
+ */
+static void apply_rows(struct replica *f, const struct rows_answer *a)
+{
+	f->changes_after_ms = f->complete ? f->feed_call_sent_ms : 0;
+	for (uint32_t i = 0; i < a->len; i++)
+		apply_row(f, &a->list[i]);
+	f->changes_after_ms = 0;
+	f->feed_call_sent_ms = f->complete ? f->call_sent_ms : 0;
+}
+
 static void on_answer(void *arg, const struct rows_answer *a)
 {
 	struct replica *f = arg;
@@ -390,8 +416,7 @@
 	f->store_ms = a->now_ms;
 	if (!f->answered_since_ms)
 		f->answered_since_ms = f->answered_ms;
-	for (uint32_t i = 0; i < a->len; i++)
-		apply_row(f, &a->list[i]);
+	apply_rows(f, a);
 	if (!f->complete)
 		apply_page(f, a);
 	else if (a->version > f->version)
--- a/lead/session.c
+++ b/lead/session.c
@@ -39,9 +39,8 @@
 #define ORDER_RETRY_DELAY_MS 30
 #define ORDER_RETRY_SILENT_DELAY_MS 200
 /*
- * The platform removes no entry within this many heartbeat intervals of
- * silence: it waits for three missed heartbeats, and the last heartbeat
- * received is up to one interval old.
+ * The platform removes no entry within this many heartbeat intervals of its
+ * last write. It waits for three.
  */
 #define ENTRY_TIMEOUT_HEARTBEATS 2
 /*
@@ -287,11 +286,21 @@
 	session_schedule_call(k);
 }
 
-/* Note that the platform's list no longer has an entry of the upstream. */
-void session_note_unlisted(struct session *k)
+/* Note that the upstream's entry was last written after this local time. */
+void session_note_entry_written(struct session *k, uint64_t after_ms)
+{
+	departure_note_written(&k->departure, after_ms);
+}
+
+/*
+ * Note that the platform's list no longer has an entry of the upstream: it was
+ * removed, or another writer has left one that is malformed.
+ */
+void session_note_unlisted(struct session *k, bool removed)
 {
 	departure_note_unlisted(&k->departure,
-				k->upstream->state == UPSTREAM_DRAINING,
+				removed &&
+					k->upstream->state == UPSTREAM_DRAINING,
 				clock_mono_ms());
 	k->upstream->state = UPSTREAM_GONE;
 	k->upstream->incarnations_compared = false;
--- a/lead/session.h
+++ b/lead/session.h
@@ -39,7 +39,8 @@
 			       const struct upstream_entry *entry);
 void session_destroy(struct session *k);
 void session_apply_entry(struct session *k, const struct upstream_entry *entry);
-void session_note_unlisted(struct session *k);
+void session_note_entry_written(struct session *k, uint64_t after_ms);
+void session_note_unlisted(struct session *k, bool removed);
 void session_schedule_call(struct session *k);
 void session_start_run(struct session *k, struct task *t);
 void session_stop_run(struct session *k, struct task *t);
--- a/test/unit_lead.c
+++ b/test/unit_lead.c
@@ -96,6 +96,7 @@
 
 	(void)state;
 	departure_note_answer(&d, 10000);
+	departure_note_written(&d, 9500);
 	/* The upstream is still listed. */
 	assert_false(departure_is_certain(&d, 10500));
 	departure_note_unlisted(&d, true, 10600);
@@ -108,11 +109,13 @@
 
 	/* After silence it may still run behind a network partition. */
 	departure_note_answer(&d, 20000);
+	departure_note_written(&d, 20000);
 	departure_note_unlisted(&d, true, 23000);
 	assert_false(departure_is_certain(&d, 23100));
 
 	/* An upstream that was not draining did not leave by itself. */
 	departure_note_answer(&d, 30000);
+	departure_note_written(&d, 30000);
 	departure_note_unlisted(&d, false, 30100);
 	assert_false(departure_is_certain(&d, 30200));
 
@@ -120,6 +123,27 @@
 	departure_note_unlisted(&d, true, 30300);
 	departure_note_listed(&d);
 	assert_false(departure_is_certain(&d, 30400));
+
+	/* Nobody knows when an entry was written that a full read shows. */
+	departure_note_written(&d, 0);
+	departure_note_unlisted(&d, true, 30300);
+	assert_false(departure_is_certain(&d, 30400));
+}
+
+/*
+ * A draining upstream is cut off from the store and not from the leader: the
+ * platform removes its entry. Then it is cut off from the leader as well, by a
+ * cut that refuses connections.
+ */
+static void test_upstream_cut_off_from_the_store_has_not_left(void **state)
+{
+	struct departure d = {.entry_timeout_ms = 3000};
+
+	(void)state;
+	departure_note_written(&d, 9900);
+	departure_note_answer(&d, 14400);
+	departure_note_unlisted(&d, true, 14500);
+	assert_false(departure_is_certain(&d, 14700));
 }
 
 /* A fleet of one upstream, and a job whose tasks are placed on it. */
@@ -795,6 +819,63 @@
 	loop_destroy(l);
 }
 
+/* A replica, and the bound on the age of its last change. */
+struct aged_change {
+	struct replica *replica;
+	uint64_t after_ms;
+};
+
+static void note_age(void *arg, const char *key, const char *value,
+		     uint64_t version)
+{
+	struct aged_change *c = arg;
+
+	(void)key;
+	(void)value;
+	(void)version;
+	c->after_ms = replica_changes_after_ms(c->replica);
+}
+
+/*
+ * A change is newer than the answer before the one that shows it, also when
+ * both are read after a pause. That of a full read may have any age.
+ */
+static void test_age_of_a_change_is_bounded_by_the_feed(void **state)
+{
+	static const char *const text[] = {
+		"{\"rowVersion\":1,\"rows\":"
+		"[{\"key\":\"a\",\"value\":\"\",\"rowVersion\":1}]}",
+		"{\"rowVersion\":2,\"rows\":"
+		"[{\"key\":\"a\",\"value\":\"\",\"rowVersion\":2}]}",
+		"{\"rowVersion\":3,\"rows\":"
+		"[{\"key\":\"a\",\"value\":\"\",\"rowVersion\":3}]}"};
+	struct manual_store m = {0};
+	struct loop *l = loop_create();
+	struct rows *rows = rows_create(send_to_test, &m);
+	struct replica_events ev = {.changed = note_age};
+	struct http_result ok = {.verdict = verdict_ran(), .status = 200};
+	struct aged_change c = {.after_ms = 1};
+	uint64_t feed_ms = 0;
+
+	(void)state;
+	c.replica = replica_create(l, rows, "op", replica_single_part, 1000,
+				   &ev, &c);
+	for (uint32_t i = 0; i < 3; i++) {
+		assert_call(&m, l, i ? "rows-feed" : "rows-get");
+		feed_ms = i == 1 ? clock_mono_ms() : feed_ms;
+		g_usleep(20000);
+		ok.body = text[i];
+		ok.len = strlen(text[i]);
+		m.done(m.done_arg, &ok);
+		assert_true(i == 2 ? c.after_ms && c.after_ms <= feed_ms
+				   : !c.after_ms);
+		assert_int_equal(replica_changes_after_ms(c.replica), 0);
+	}
+	replica_destroy(c.replica);
+	rows_destroy(rows);
+	loop_destroy(l);
+}
+
 /* BUDGET: each restart of an upstream put its task back to waiting for good. */
 static void test_task_under_which_upstreams_restart_is_given_up(void **state)
 {
@@ -862,6 +943,7 @@
 		cmocka_unit_test(test_feed_confirms_writes_without_answer),
 		cmocka_unit_test(
 			test_feed_call_after_failure_asks_for_immediate_answer),
+		cmocka_unit_test(test_age_of_a_change_is_bounded_by_the_feed),
 		cmocka_unit_test(
 			test_lease_bound_allows_for_slow_upstream_clock),
 		cmocka_unit_test(
@@ -870,6 +952,8 @@
 			test_new_epoch_bounds_leases_of_earlier_leader),
 		cmocka_unit_test(
 			test_departed_upstream_is_distinguished_from_partition),
+		cmocka_unit_test(
+			test_upstream_cut_off_from_the_store_has_not_left),
 		cmocka_unit_test(
 			test_refused_retry_after_unanswered_order_requires_stop),
 		cmocka_unit_test(test_late_retry_after_timeout_requires_stop),
--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -616,7 +616,7 @@
 	s.entry.draining = false;
 	session_apply_entry(s.upstream->session, &s.entry);
 	assert_becomes_usable(&s);
-	session_note_unlisted(s.upstream->session);
+	session_note_unlisted(s.upstream->session, true);
 	assert_false(is_usable(&s));
 	session_apply_entry(s.upstream->session, &s.entry);
 	assert_becomes_usable(&s);
@@ -675,7 +675,7 @@
 	assert_int_equal(s.upstream->state, UPSTREAM_GONE);
 	assert_int_equal(later->state, UPSTREAM_READY);
 	/* unless the later one is listed no more */
-	session_note_unlisted(later->session);
+	session_note_unlisted(later->session, true);
 	list_incarnation(&s, "u1", "m1", 77);
 	assert_int_equal(s.upstream->state, UPSTREAM_READY);
 	session_destroy(other->session);
