Notice a pause of the process between two iterations of the loop

A process that was paused after the callbacks of an iteration and before the next one began to wait did not notice it: the wait was counted from its own beginning. The window is short in an idle process and longer in a busy one. Found by reading.

The wait counts from the end of the last iteration now.

test_pause_between_two_iterations_is_noticed failed before (85 us late after a pause of 5 s).

--- a/lib/loop.c
+++ b/lib/loop.c
@@ -25,6 +25,7 @@
 	bool stopped;
 	uint64_t blocked_us;	/* total of long iterations and late wake-ups */
 	uint64_t wakeup_due_us; /* latest planned end of the current wait */
+	uint64_t ended_us;	/* end of the last iteration, 0: none yet */
 	void (*on_timing)(void *arg, const struct loop_timing *t);
 	void *on_timing_arg;
 	void (*iteration_end)(void *arg);
@@ -319,7 +320,8 @@
 		wait = 0;
 	else if (l->heap_len && l->heap[1]->due_ms - now < wait)
 		wait = l->heap[1]->due_ms - now;
-	began = clock_mono_us();
+	/* the process may have been paused since the last iteration */
+	began = l->ended_us ? l->ended_us : clock_mono_us();
 	l->wakeup_due_us = began + wait * UINT64_C(1000);
 	h2o_evloop_run(l->h2o, (int32_t)wait);
 	polled = clock_mono_us();
@@ -332,7 +334,8 @@
 	run_completion_callbacks(l);
 	if (l->iteration_end)
 		l->iteration_end(l->iteration_end_arg);
-	t.timers_us = clock_mono_us() - polled;
+	l->ended_us = clock_mono_us();
+	t.timers_us = l->ended_us - polled;
 	record_timing(l, &t);
 }
 
--- a/test/unit_suspend.c
+++ b/test/unit_suspend.c
@@ -357,6 +357,30 @@
 	loop_destroy(l);
 }
 
+static void note_late(void *arg, const struct loop_timing *t)
+{
+	*(uint64_t *)arg = t->late_us;
+}
+
+/* A process can be paused anywhere, also after all callbacks have run. */
+static void test_pause_between_two_iterations_is_noticed(void **state)
+{
+	struct loop *l = loop_create();
+	uint64_t late_us = 0;
+
+	(void)state;
+	loop_on_timing(l, note_late, &late_us);
+	loop_step(l, 10);
+	assert_in_range(late_us, 0, 200000);
+	suspended_ms += SUSPENSION_MS;
+	loop_step(l, 10);
+	assert_in_range(late_us, SUSPENSION_MS * 900, SUSPENSION_MS * 1100);
+	assert_true(loop_wakeup_delay_ms(l) >= SUSPENSION_MS - 100);
+	loop_step(l, 10);
+	assert_in_range(late_us, 0, 200000);
+	loop_destroy(l);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -364,6 +388,7 @@
 			test_request_after_suspension_is_served_by_the_policy_in_force),
 		cmocka_unit_test(
 			test_suspension_does_not_time_out_an_answered_call),
+		cmocka_unit_test(test_pause_between_two_iterations_is_noticed),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
