Count the age of the list of upstreams from its call

Upstreams that do not refuse excess work get no start by an old list (rule LIMIT). Its age counted from when the newest answer was read. A leader that wakes from a pause first reads an answer that has waited for it, takes the list as new, and then sends the starts whose record was committed before the pause: by resources as old as the pause. Found by reading.

Now the age counts from when the answered call was sent. The limit was 2 s for an answer that may have been under way for 0.6 s; it is 2.6 s for the whole now.

test_start_is_not_sent_by_a_list_read_after_a_pause failed before (1 start instead of 0).

--- a/lead/leader.c
+++ b/lead/leader.c
@@ -41,10 +41,9 @@
 #define KEEP_MARGIN_MS 10000
 /*
  * Maximum age of the list of upstreams when a start is sent to one that does
- * not refuse excess work. Resources that have shrunk count for 3 s more; an
- * answer can have been under way for up to 0.6 s.
+ * not refuse excess work. Resources that have shrunk count for 3 s more.
  */
-#define LIST_AGE_MAX_MS 2000
+#define LIST_AGE_MAX_MS 2600
 /*
  * Delay between an answer of the upstreams feed and the next call; this
  * table changes all the time.
@@ -597,7 +596,7 @@
 static bool upstream_is_known_well(const struct leader *d, const struct task *t)
 {
 	return policy_enforces_capacity(d->policy, t->at->service) ||
-	       replica_age_ms(d->upstreams) <= LIST_AGE_MAX_MS;
+	       replica_age_max_ms(d->upstreams) <= LIST_AGE_MAX_MS;
 }
 
 /*
--- a/lead/replica.c
+++ b/lead/replica.c
@@ -160,14 +160,26 @@
 }
 
 /*
- * Return the age of the newest answer in milliseconds; UINT64_MAX if there
- * was none.
+ * Return the time since the newest answer was read in milliseconds; UINT64_MAX
+ * if there was none. The copy may be older.
  */
 uint64_t replica_age_ms(const struct replica *f)
 {
 	return f->answered_ms ? clock_mono_ms() - f->answered_ms : UINT64_MAX;
 }
 
+/*
+ * Return an upper bound on the age of the copy, in milliseconds; UINT64_MAX if
+ * there is none. The newest answer may have been read after a pause, but it is
+ * newer than its call.
+ */
+uint64_t replica_age_max_ms(const struct replica *f)
+{
+	return f->answered_call_sent_ms
+		       ? clock_mono_ms() - f->answered_call_sent_ms
+		       : UINT64_MAX;
+}
+
 /* Return when the newest answered call was sent; 0 if there was none. */
 uint64_t replica_answered_call_sent_ms(const struct replica *f)
 {
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -527,6 +527,51 @@
 	fixture_destroy(&s);
 }
 
+/* Answer the call of this path that was sent first. */
+static void answer_first(struct fixture *s, const char *path)
+{
+	for (guint i = 0; i < s->calls->len; i++) {
+		struct call *c = g_ptr_array_index(s->calls, i);
+
+		if (!strstr(c->path, path))
+			continue;
+		answer_call(c);
+		return;
+	}
+	fail_msg("no call of %s", path);
+}
+
+/*
+ * The upstreams do not refuse excess work. After a pause the leader reads an
+ * answer with their list, and that its write was committed: both are old.
+ */
+static void test_start_is_not_sent_by_a_list_read_after_a_pause(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, 400);
+	s.policy->services[0].enforces_capacity = false;
+	step_until_start(&s, 1500);
+	assert_true(leader_is_active(s.leader));
+	submit_job(&s);
+	while (!s.run_writes)
+		loop_step(s.loop, 10);
+	clock_offset_ms += 5000;
+	answer_first(&s, "rows-feed?table=" UPSTREAM_TABLE "&");
+	for (uint32_t i = 0; i < 10; i++)
+		loop_step(s.loop, 10);
+	assert_int_equal(s.starts, 0);
+	/* the next answer shows the present resources */
+	while (!s.starts && leader_is_active(s.leader)) {
+		run_for(&s, 200);
+		answer_first(&s, "rows-feed?table=" UPSTREAM_TABLE "&");
+		run_for(&s, 400);
+	}
+	assert_int_equal(s.starts, 1);
+	fixture_destroy(&s);
+}
+
 /* Return the run row of the only job, whose task an earlier leader started. */
 static char *encode_active_run(const struct fixture *s)
 {
@@ -712,6 +757,8 @@
 			test_recorded_start_is_not_sent_after_the_tenure),
 		cmocka_unit_test(
 			test_leader_suspended_beyond_its_tenure_sends_nothing),
+		cmocka_unit_test(
+			test_start_is_not_sent_by_a_list_read_after_a_pause),
 		cmocka_unit_test(
 			test_run_of_leader_before_the_last_is_not_doubled),
 		cmocka_unit_test(
