Send no recorded start to an upstream that is leaving by now

Only its resources were looked at again. Found by reading.

Such a start is dropped now and placed again, in a gang with all members.

starts_on_leaving_upstreams_are_dropped failed before (4 starts instead of 2).

--- a/lead/starts.c
+++ b/lead/starts.c
@@ -111,15 +111,18 @@
 	return tasks;
 }
 
-/* End a run whose start will not be sent, so that it is placed again. */
-static void drop_start(struct task *t, uint64_t now_ms)
+/*
+ * End a run whose start will not be sent, so that it is placed again; outcome
+ * says why in logs.
+ */
+static void drop_start(struct task *t, const char *outcome, uint64_t now_ms)
 {
 	char name[TASK_NAME_BYTES];
 
 	task_format_name(t, name, sizeof(name));
 	log_fields(LOG_INFO, "start_failed", "{s:s,s:s,s:I,s:s,s:s,s:b}", "job",
 		   t->stage->job->id, "task", name, "run", (json_int_t)t->run,
-		   "upstream", t->at->id, "outcome", "shrunk", "uncertain", 0);
+		   "upstream", t->at->id, "outcome", outcome, "uncertain", 0);
 	task_end_run(t, RUN_NEVER_STARTED, NULL, now_ms);
 }
 
@@ -131,21 +134,24 @@
 
 /*
  * Drop the starts of those of the tasks whose upstream has too few resources by
- * now, and of the gangs that lack them. A start can wait for its record for
- * seconds while the store is away, and resources may shrink in that time.
+ * now or is about to leave, and of the gangs that lack them. A start can wait
+ * for its record for seconds while the store is away, and the list of upstreams
+ * may change in that time.
  */
 void starts_drop_excess(const GPtrArray *tasks, uint64_t now_ms)
 {
 	for (guint i = 0; i < tasks->len; i++) {
 		struct task *t = g_ptr_array_index(tasks, i);
 
-		if (is_unsent(t) && upstream_is_overcommitted(t->at))
-			drop_start(t, now_ms);
+		if (is_unsent(t) && t->at->state != UPSTREAM_READY)
+			drop_start(t, "leaving", now_ms);
+		else if (is_unsent(t) && upstream_is_overcommitted(t->at))
+			drop_start(t, "shrunk", now_ms);
 	}
 	for (guint i = 0; i < tasks->len; i++) {
 		struct task *t = g_ptr_array_index(tasks, i);
 
 		if (is_unsent(t) && gang_is_broken(t))
-			drop_start(t, now_ms);
+			drop_start(t, "gang", now_ms);
 	}
 }
--- a/test/unit_excess.c
+++ b/test/unit_excess.c
@@ -102,6 +102,24 @@
 	fixture_destroy(&f);
 }
 
+/* DRAIN: the list has shown meanwhile that an upstream is about to leave. */
+static void starts_on_leaving_upstreams_are_dropped(void **state)
+{
+	struct fixture f;
+
+	(void)state;
+	fixture_create(&f, false);
+	f.upstreams[0]->state = UPSTREAM_DRAINING;
+	starts_drop_excess(f.starts, 2000);
+	assert_int_equal(unsent_count(&f), TASK_COUNT - 2);
+	assert_int_equal(f.upstreams[0]->tasks->len, 0);
+	f.upstreams[1]->state = UPSTREAM_GONE;
+	starts_drop_excess(f.starts, 2000);
+	assert_int_equal(unsent_count(&f), 0);
+	assert_true(stage_is_idle(&f.job->stages[0]));
+	fixture_destroy(&f);
+}
+
 /* Guards against members of a gang that wait for one that was dropped. */
 static void gang_is_dropped_whole(void **state)
 {
@@ -122,6 +140,7 @@
 		cmocka_unit_test(starts_are_kept_while_resources_suffice),
 		cmocka_unit_test(starts_beyond_shrunk_resources_are_dropped),
 		cmocka_unit_test(sent_start_occupies_shrunk_resources),
+		cmocka_unit_test(starts_on_leaving_upstreams_are_dropped),
 		cmocka_unit_test(gang_is_dropped_whole),
 	};
 
