Decline a peer's call whose time is over after a pause

An instance that makes store calls for a peer gave each of them its whole time from when it read the call. After a pause it made calls that the peer had given up long before: the store carried out a submission, cancellation or row of an instance seconds after the peer had said that nobody knows. Every such write carries its condition or may be repeated, so no rule broke; found by reading.

A call that may have waited for longer than its time is declined now, which also tells the peer that it was not made; otherwise the wait is taken off its time.

test_call_of_a_peer_is_declined_after_its_time failed before (0 declined instead of 1).

--- a/peer/relay.c
+++ b/peer/relay.c
@@ -382,23 +382,26 @@
 
 /*
  * Make a call on behalf of a peer. Returns false if the store does not answer
- * this instance or too many calls are in flight.
+ * this instance, too many calls are in flight, or the call may have waited here
+ * for longer than the peer waits for its answer: the process was paused.
  */
 static bool serve_call(void *arg, const struct link_call *c, http_done_fn done,
 		       void *done_arg)
 {
 	struct relay *r = arg;
+	uint64_t waited_ms = loop_wakeup_delay_ms(r->env.loop);
 	struct peer_call *s;
 
 	counter_add(r->env.counters, "store_calls_of_peers", NULL, 1);
-	if (!store_path_can_serve(&r->store_path, clock_mono_ms()))
+	if (!store_path_can_serve(&r->store_path, clock_mono_ms()) ||
+	    waited_ms >= c->timeout_ms)
 		return false;
 	s = g_new0(struct peer_call, 1);
 	s->relay = r;
 	s->done = done;
 	s->arg = done_arg;
 	if (http_call_start(r->store, c->method, c->path, c->body,
-			    c->timeout_ms, on_peer_call_done, s))
+			    c->timeout_ms - waited_ms, on_peer_call_done, s))
 		return true;
 	g_free(s);
 	return false;
--- a/test/unit_suspend.c
+++ b/test/unit_suspend.c
@@ -19,6 +19,8 @@
 #include "entry/entry.h"
 #include "lead/record.h"
 #include "lib/http.h"
+#include "peer/link.h"
+#include "peer/relay.h"
 
 #define SUSPENSION_MS 5000
 #define SETTLE_MS 300
@@ -357,6 +359,121 @@
 	loop_destroy(l);
 }
 
+/* A relay, a store behind it, and a peer that sends its calls through it. */
+struct relay_fixture {
+	struct loop *loop;
+	struct http_client *http;
+	struct counters *counters;
+	struct http_server *store;
+	struct relay *relay;
+	struct link *link;
+	uint32_t store_calls;
+	uint32_t answers;
+	uint32_t outcomes[LINK_UNANSWERED + 1];
+};
+
+static void serve_as_store(void *arg, struct http_exchange *x)
+{
+	((struct relay_fixture *)arg)->store_calls++;
+	exchange_reply(x, 200, "application/json", "{}", 0);
+}
+
+static void count_answer(void *arg, const struct http_result *r)
+{
+	(void)r;
+	((struct relay_fixture *)arg)->answers++;
+}
+
+static void count_outcome(void *arg, enum link_outcome o,
+			  const struct http_result *r)
+{
+	struct relay_fixture *s = arg;
+
+	(void)r;
+	s->outcomes[o]++;
+	s->answers++;
+}
+
+static void relay_fixture_create(struct relay_fixture *s)
+{
+	static const struct link_hello hello = {"i2", "d", 2};
+	struct peer_record p = {.domain = "d", .incarnation = 2};
+	struct sockaddr_in store = free_address(), relay = free_address();
+	struct relay_env e;
+
+	*s = (struct relay_fixture){.loop = loop_create(),
+				    .counters = counters_create()};
+	s->http = http_client_create(s->loop);
+	s->store = http_server_create(s->loop, &store, 1024, serve_as_store, s);
+	e = (struct relay_env){.loop = s->loop,
+			       .http = s->http,
+			       .counters = s->counters,
+			       .instance = "i1",
+			       .domain = "d",
+			       .store = store,
+			       .listen = relay,
+			       .probe_path = "/"};
+	s->relay = relay_create(&e);
+	assert_non_null(s->relay);
+	relay_update_peer(s->relay, "i2", &p);
+	s->link = link_create(s->loop, &relay, &hello);
+}
+
+static void relay_fixture_destroy(struct relay_fixture *s)
+{
+	link_destroy(s->link);
+	relay_destroy(s->relay);
+	http_server_destroy(s->store);
+	http_client_destroy(s->http);
+	counters_destroy(s->counters);
+	loop_destroy(s->loop);
+}
+
+/* Send a call of the peer that may take ms, and wait for its outcome. */
+static void send_peer_call(struct relay_fixture *s, uint32_t ms, int64_t pause)
+{
+	struct link_call c = {.method = "GET", .path = "/", .timeout_ms = ms};
+
+	s->answers = 0;
+	link_send_call(s->link, &c, count_outcome, s);
+	suspend_next_wait_ms = pause;
+	while (!s->answers)
+		loop_step(s->loop, 10);
+}
+
+/* Let the relay find that the store answers it. */
+static void call_store(struct relay_fixture *s)
+{
+	s->answers = 0;
+	assert_true(relay_send_call(s->relay, "GET", "/", NULL, 1000,
+				    count_answer, s));
+	while (!s->answers)
+		loop_step(s->loop, 10);
+}
+
+/*
+ * Guards against a call that an instance makes after its pause for a peer that
+ * has given it up.
+ */
+static void test_call_of_a_peer_is_declined_after_its_time(void **state)
+{
+	struct relay_fixture s;
+
+	(void)state;
+	relay_fixture_create(&s);
+	call_store(&s);
+	send_peer_call(&s, 300, 0);
+	assert_int_equal(s.outcomes[LINK_ANSWERED], 1);
+	assert_int_equal(s.store_calls, 2);
+	send_peer_call(&s, 300, 1000);
+	assert_int_equal(s.outcomes[LINK_DECLINED], 1);
+	assert_int_equal(s.store_calls, 2);
+	call_store(&s);
+	send_peer_call(&s, 1300, 1000);
+	assert_int_equal(s.outcomes[LINK_ANSWERED], 2);
+	relay_fixture_destroy(&s);
+}
+
 static void note_late(void *arg, const struct loop_timing *t)
 {
 	*(uint64_t *)arg = t->late_us;
@@ -388,6 +505,8 @@
 			test_request_after_suspension_is_served_by_the_policy_in_force),
 		cmocka_unit_test(
 			test_suspension_does_not_time_out_an_answered_call),
+		cmocka_unit_test(
+			test_call_of_a_peer_is_declined_after_its_time),
 		cmocka_unit_test(test_pause_between_two_iterations_is_noticed),
 	};
 
