Send no caller's request to the store after its deadline

A request that the store had refused waited for its next attempt, and the timer sent it whatever time it was. After a pause of the process a submission or a cancellation reached the store long after its caller's deadline; a submission by a key or queue that may have been withdrawn meanwhile. The caller then got 504, which says that nobody knows. Found by reading.

The timer looks at the deadline now. A request that no attempt can have carried out ends with 503, which says that nothing was done.

test_submission_is_not_sent_after_its_deadline failed before (2 writes instead of 1).

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -187,17 +187,27 @@
 	request_free(r);
 }
 
-/* Answer r, whose deadline has passed, with 504 and free it. */
+/* Answer r, whose deadline has passed, and free it. */
 static void finish_timed_out(struct request *r)
 {
-	finish_request(r, 504, "the store did not answer in time", 0);
+	if (r->write_uncertain || r->kind == ENTRY_REQUEST_STATE)
+		finish_request(r, 504, "the store did not answer in time", 0);
+	else
+		finish_request(r, 503, "out of time; nothing was done",
+			       STORE_RETRY_AFTER_MS);
 }
 
 static void send_request(struct request *r);
 
+/* Send r again, unless the process was paused beyond its deadline. */
 static void on_retry_timer(void *arg)
 {
-	send_request(arg);
+	struct request *r = arg;
+
+	if (clock_mono_ms() >= r->deadline_ms)
+		finish_timed_out(r);
+	else
+		send_request(r);
 }
 
 /*
--- a/test/unit_suspend.c
+++ b/test/unit_suspend.c
@@ -84,6 +84,7 @@
 	GPtrArray *calls; /* pending struct call */
 	uint64_t version; /* of the policy in the store */
 	int status;	  /* of the last answer, or 0 */
+	uint32_t writes;  /* that the store got, and refused */
 };
 
 /* A call of the store, which is answered after a delay. */
@@ -91,6 +92,7 @@
 	struct fixture *fixture;
 	struct timer timer;
 	bool reads_policy;
+	bool write;
 	http_done_fn done;
 	void *done_arg;
 };
@@ -111,6 +113,8 @@
 	struct http_result r = {.verdict = verdict_ran(), .status = 200};
 	char *body;
 
+	if (c->write)
+		r.status = 503;
 	if (c->reads_policy)
 		json_array_append_new(rows, json_pack("{s:s,s:s,s:I}", "key",
 						      "config", "value", "",
@@ -137,10 +141,11 @@
 	struct call *c = g_new0(struct call, 1);
 	const char *wait = strstr(path, "waitMs=");
 
-	(void)method;
 	(void)body;
 	(void)timeout_ms;
 	c->fixture = s;
+	c->write = !strcmp(method, "POST");
+	s->writes += c->write;
 	c->reads_policy = strstr(path, "table=op&") != NULL;
 	c->done = done;
 	c->done_arg = done_arg;
@@ -291,6 +296,33 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * A submission that the store has refused waits for its next attempt when the
+ * machine is suspended for longer than the caller waits.
+ */
+static void test_submission_is_not_sent_after_its_deadline(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	assert_non_null(http_call_start(
+		s.pool, "POST", "/q/00000000000000a1",
+		"{\"spec\":\"\",\"steps\":[{\"count\":1,\"cpu\":1,"
+		"\"memMb\":1,\"estimateMs\":1}]}",
+		8000, on_answer, &s));
+	while (!s.writes)
+		loop_step(s.loop, 10);
+	while (s.calls->len > 3)
+		loop_step(s.loop, 1);
+	suspend_next_wait_ms = SUSPENSION_MS;
+	while (!s.status)
+		loop_step(s.loop, 10);
+	assert_int_equal(s.writes, 1);
+	assert_int_equal(s.status, 503);
+	fixture_destroy(&s);
+}
+
 /* A server in its own thread that takes some time to answer. */
 struct slow_server {
 	struct sockaddr_in at;
@@ -503,6 +535,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_request_after_suspension_is_served_by_the_policy_in_force),
+		cmocka_unit_test(
+			test_submission_is_not_sent_after_its_deadline),
 		cmocka_unit_test(
 			test_suspension_does_not_time_out_an_answered_call),
 		cmocka_unit_test(
