Read the policy again at once when the first read may be too old

After a pause callers' requests wait until the store was asked for the policy. A feed call that was in flight is answered first, and the next one is sent in the same millisecond in which the pause was noticed. It does not count, as it may be older, and the one after it waits for a change: the requests waited for the whole 600 ms and were then served as if the store had not answered.

The policy is read once more in that case.

test_request_after_suspension_is_served_soon failed before (5600 ms instead of 5300 at most, with a suspension of 5000).

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -702,13 +702,20 @@
 	finish_revalidation(arg);
 }
 
-/* Note that the store has answered a read of the configuration. */
+/*
+ * Note that the store has answered a read of the configuration. One that was
+ * sent in the millisecond in which the stall was noticed may be older, so it is
+ * read once more.
+ */
 void entry_note_policy_read(struct entry *n)
 {
-	if (n->revalidating_since_ms &&
-	    replica_answered_call_sent_ms(n->env.policies) >
-		    n->revalidating_since_ms)
+	if (!n->revalidating_since_ms)
+		return;
+	if (replica_answered_call_sent_ms(n->env.policies) >
+	    n->revalidating_since_ms)
 		finish_revalidation(n);
+	else
+		replica_refresh(n->env.policies);
 }
 
 /*
--- a/test/unit_suspend.c
+++ b/test/unit_suspend.c
@@ -296,6 +296,23 @@
 	fixture_destroy(&s);
 }
 
+/* The request waits for the store, which answers at once, and no longer. */
+static void test_request_after_suspension_is_served_soon(void **state)
+{
+	struct fixture s;
+	uint64_t began_ms;
+
+	(void)state;
+	fixture_create(&s);
+	assert_int_equal(ask_for_count(&s), 200);
+	began_ms = clock_mono_ms();
+	suspend_next_wait_ms = SUSPENSION_MS;
+	assert_int_equal(ask_for_count(&s), 200);
+	assert_in_range(clock_mono_ms() - began_ms, SUSPENSION_MS,
+			SUSPENSION_MS + 300);
+	fixture_destroy(&s);
+}
+
 /*
  * A submission that the store has refused waits for its next attempt when the
  * machine is suspended for longer than the caller waits.
@@ -535,6 +552,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_request_after_suspension_is_served_by_the_policy_in_force),
+		cmocka_unit_test(test_request_after_suspension_is_served_soon),
 		cmocka_unit_test(
 			test_submission_is_not_sent_after_its_deadline),
 		cmocka_unit_test(
