Allow for leases of the former length after a reload

A reload of the settings (SIGHUP) that shortens the lease also shortened what a leader allowed for leases that an earlier leader had requested before. Found by reading.

Bounds use the longest lease since the process started, requests the present one. Not covered: a successor that starts after the change knows the shorter lease alone; the owner row would have to say the longest.

test_shorter_lease_setting_does_not_shorten_leases failed before (the task was not active 2 s after the lease of 2 s).

--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -302,10 +302,7 @@
 	timer_start(j->loop, &j->stop_timer, STOP_POLL_INTERVAL_MS);
 }
 
-/*
- * Read the settings file again. Addresses keep their values: a running process
- * cannot change them.
- */
+/* Read the settings file again. */
 static void reload_settings(struct joint *j)
 {
 	struct problems *p = problems_create(j->file);
@@ -313,16 +310,8 @@
 	char *text = problems_text(p);
 
 	if (s) {
+		joint_settings_update(j->settings, s);
 		log_open("lacewingd", j->settings->instance, s->log_level);
-		j->settings->lease_ms = s->lease_ms;
-		j->settings->stop_ms = s->stop_ms;
-		j->settings->reclaim_ms = s->reclaim_ms;
-		j->settings->gang_wait_ms = s->gang_wait_ms;
-		j->settings->checkpoint_ms = s->checkpoint_ms;
-		j->settings->remote_factor = s->remote_factor;
-		j->settings->keep_ended_ms = s->keep_ended_ms;
-		j->settings->drain_ms = s->drain_ms;
-		j->settings->grace_ms = s->grace_ms;
 	}
 	log_fields(s ? LOG_INFO : LOG_ERROR, "reload", "{s:b,s:s}", "taken",
 		   s != NULL, "problems", text);
--- a/lead/leader.c
+++ b/lead/leader.c
@@ -309,7 +309,7 @@
 	};
 	d->model = model_create();
 	d->model->earlier_leases_end_ms = tenure_leases_end_ms(
-		election_tenure(d->election), e->settings->lease_ms);
+		election_tenure(d->election), e->settings->lease_max_ms);
 	d->session_env.model = d->model;
 	d->leading = true;
 	succession_note_gained(&d->succession, clock_mono_ms());
--- a/lead/session.c
+++ b/lead/session.c
@@ -153,7 +153,7 @@
 
 	if (!tasks->len)
 		return 0;
-	end_ms = lease_clock_latest_end(k->env->settings->lease_ms,
+	end_ms = lease_clock_latest_end(k->env->settings->lease_max_ms,
 					clock_mono_ms());
 	for (guint i = 0; i < tasks->len; i++) {
 		const struct task *t = g_ptr_array_index(tasks, i);
@@ -375,7 +375,7 @@
 	if (!k->upstream->synced) {
 		k->upstream->synced = true;
 		lease_clock_note_epoch_accepted(
-			&k->leases, k->env->settings->lease_ms, now);
+			&k->leases, k->env->settings->lease_max_ms, now);
 		log_fields(LOG_INFO, "upstream_commanded", "{s:s,s:I,s:i}",
 			   "upstream", k->upstream->id, "epoch",
 			   (json_int_t)k->env->epoch, "running",
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -317,7 +317,7 @@
 	s->http = http_client_create(s->loop);
 	s->counters = counters_create();
 	g_strlcpy(s->settings.instance, "i", sizeof(s->settings.instance));
-	s->settings.lease_ms = LEASE_MS;
+	s->settings.lease_ms = s->settings.lease_max_ms = LEASE_MS;
 	s->settings.heartbeat_ms = 1500;
 	s->settings.stop_ms = 200;
 	s->settings.reclaim_ms = 3000;
--- a/test/unit_platform.c
+++ b/test/unit_platform.c
@@ -10,6 +10,7 @@
 #include "lib/http.h"
 #include "platform/decode.h"
 #include "platform/orders.h"
+#include "platform/settings.h"
 
 /*
  * Set a to an address on loopback that only this process uses: runs of the
@@ -99,9 +100,31 @@
 	policy_destroy(p);
 }
 
+/* Leases of the longer kind may last, whatever the settings say by now. */
+static void reloaded_settings_keep_the_longest_lease(void **state)
+{
+	struct joint_settings s = {
+		.instance = "i", .lease_ms = 6000, .lease_max_ms = 6000};
+	struct joint_settings newer = {.instance = "j",
+				       .lease_ms = 1000,
+				       .lease_max_ms = 1000,
+				       .stop_ms = 5};
+
+	(void)state;
+	joint_settings_update(&s, &newer);
+	assert_int_equal(s.lease_ms, 1000);
+	assert_int_equal(s.lease_max_ms, 6000);
+	assert_int_equal(s.stop_ms, 5);
+	assert_string_equal(s.instance, "i");
+	newer.lease_ms = 8000;
+	joint_settings_update(&s, &newer);
+	assert_int_equal(s.lease_max_ms, 8000);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(reloaded_settings_keep_the_longest_lease),
 		cmocka_unit_test(listed_progress_is_between_0_and_100_percent),
 		cmocka_unit_test(slack_factor_of_a_queue_is_bounded),
 	};
--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -154,7 +154,7 @@
 	*s = (struct fixture){.loop = loop_create()};
 	s->http = http_client_create(s->loop);
 	s->counters = counters_create();
-	s->settings.lease_ms = 6000;
+	s->settings.lease_ms = s->settings.lease_max_ms = 6000;
 	s->settings.heartbeat_ms = 1500;
 	s->model = model_create();
 	tenure_begin(&s->tenure, UINT64_MAX / 2, 0);
@@ -455,7 +455,7 @@
 	for (uint32_t answers = 0; answers < 2; answers++) {
 		fixture_create(&s);
 		fake_upstream_create(&f, s.loop);
-		s.settings.lease_ms = 300;
+		s.settings.lease_ms = s.settings.lease_max_ms = 300;
 		end_ms = clock_mono_ms() + 1500;
 		s.model->earlier_leases_end_ms = end_ms;
 		s.task->run = 4;
@@ -537,6 +537,38 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * The settings shorten the lease while an earlier leader's one of the former
+ * length lasts. Guards against a run that is taken as lost before it has ended.
+ */
+static void test_shorter_lease_setting_does_not_shorten_leases(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+	uint64_t end_ms;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	s.settings.lease_ms = s.settings.lease_max_ms = 2000;
+	s.model->earlier_leases_end_ms = clock_mono_ms() + 9000;
+	s.task->run = 4;
+	s.upstream->state = UPSTREAM_GONE;
+	model_inherit_run(s.model, s.task, "u1", 77, clock_mono_ms());
+	add_run(&f, "00000000000000a1.0.0.0", 4);
+	s.settings.lease_ms = 500;
+	open_session(&s, &f);
+	end_ms = clock_mono_ms() + 2000;
+	assert_becomes(&s, TASK_RUNNING);
+	f.mute = true;
+	while (clock_mono_ms() < end_ms) {
+		assert_true(task_is_active(s.task));
+		loop_step(s.loop, 10);
+	}
+	assert_becomes(&s, TASK_WAITING);
+	fixture_destroy(&s);
+}
+
 /* A run that was confirmed before a restart is lost with the first lists. */
 static void test_run_of_earlier_incarnation_is_lost(void **state)
 {
@@ -724,6 +756,8 @@
 			test_unanswered_start_of_suspect_is_not_repeated),
 		cmocka_unit_test(
 			test_start_is_not_repeated_after_its_retry_time),
+		cmocka_unit_test(
+			test_shorter_lease_setting_does_not_shorten_leases),
 		cmocka_unit_test(test_run_of_earlier_incarnation_is_lost),
 		cmocka_unit_test(test_listed_run_is_lost_when_restart_is_known),
 		cmocka_unit_test(test_upstream_that_is_back_gets_work_again),
