Look at the list of upstreams before a start is repeated

A start to an upstream that does not refuse excess work is sent by a list of upstreams of a limited age, if it fits. Its repetitions, up to 1.2 s later, looked at neither: an upstream whose room had shrunk got a start beyond it (rule LIMIT), and one that had begun to leave got one too (rule DRAIN). Found by reading.

Now each repetition asks. With an old list it waits for a newer one until its time is over; without room, or when the upstream leaves, the start is settled by a stop, or ended if no attempt may have been carried out.

--- a/lead/leader.c
+++ b/lead/leader.c
@@ -291,6 +291,18 @@
 	schedule_pass(d);
 }
 
+/*
+ * Report whether a start of t may be sent by what is known of its upstream: one
+ * that does not refuse excess work must not get a start by an old list.
+ */
+static bool upstream_is_known_well(void *arg, const struct task *t)
+{
+	const struct leader *d = arg;
+
+	return policy_enforces_capacity(d->policy, t->at->service) ||
+	       replica_age_max_ms(d->upstreams) <= LIST_AGE_MAX_MS;
+}
+
 /* Build the model from the replicas and begin to lead. */
 static void build_model(struct leader *d)
 {
@@ -304,7 +316,8 @@
 		.epoch = election_epoch(d->election),
 		.tenure = election_tenure(d->election),
 		.events = {.model_changed = schedule_pass,
-			   .epoch_refused = on_epoch_refused},
+			   .epoch_refused = on_epoch_refused,
+			   .may_start = upstream_is_known_well},
 		.arg = d,
 	};
 	d->model = model_create();
@@ -589,16 +602,6 @@
 	}
 }
 
-/*
- * Report whether a start of t may be sent by what is known of its upstream: one
- * that does not refuse excess work must not get a start by an old list.
- */
-static bool upstream_is_known_well(const struct leader *d, const struct task *t)
-{
-	return policy_enforces_capacity(d->policy, t->at->service) ||
-	       replica_age_max_ms(d->upstreams) <= LIST_AGE_MAX_MS;
-}
-
 /*
  * Send the start orders that have been recorded and still fit. A start whose
  * row may not be in this write, or whose upstream is not known well, waits for
--- a/lead/session.c
+++ b/lead/session.c
@@ -85,7 +85,9 @@
 };
 
 static void request_lists(struct session *k);
-static void give_up_start(struct session *k, struct task *t);
+static void schedule_order_retry(struct session *k, struct task *t);
+static void give_up_start(struct session *k, struct task *t,
+			  enum order_outcome why);
 
 static void on_call_timer(void *arg)
 {
@@ -111,6 +113,31 @@
 	return t->state == TASK_PLACED && t->uncertain && task_is_suspect(t);
 }
 
+/* Report whether a start may be sent by what is known of the upstreams. */
+static bool is_known_well(const struct session *k, const struct task *t)
+{
+	const struct session_events *ev = &k->env->events;
+
+	return !ev->may_start || ev->may_start(k->env->arg, t);
+}
+
+/*
+ * Send the start of t again, settle it, or wait for the list of upstreams. The
+ * upstream may have less room by now, or be about to leave.
+ */
+static void retry_start(struct session *k, struct task *t)
+{
+	if (!delivery_may_send_again(t, clock_mono_ms()))
+		give_up_start(k, t, ORDER_NOT_SENT);
+	else if (t->at->state != UPSTREAM_READY ||
+		 upstream_is_overcommitted(t->at))
+		give_up_start(k, t, ORDER_NO_CAPACITY);
+	else if (is_known_well(k, t))
+		session_start_run(k, t);
+	else
+		schedule_order_retry(k, t);
+}
+
 /* Retry the orders that were not answered. */
 static void on_retry_timer(void *arg)
 {
@@ -122,11 +149,8 @@
 
 		if (must_not_start_again(t))
 			t->state = TASK_STOPPING;
-		if (t->state == TASK_PLACED &&
-		    !delivery_may_send_again(t, clock_mono_ms()))
-			give_up_start(k, t);
-		else if (t->state == TASK_PLACED)
-			session_start_run(k, t);
+		if (t->state == TASK_PLACED)
+			retry_start(k, t);
 		else if (t->state == TASK_STOPPING && !t->stop_answered_ms)
 			session_stop_run(k, t);
 	}
@@ -643,12 +667,13 @@
 	}
 }
 
-/* End the attempts to start t, whose time is over. */
-static void give_up_start(struct session *k, struct task *t)
+/* End the attempts to start t; the last one had this outcome. */
+static void give_up_start(struct session *k, struct task *t,
+			  enum order_outcome why)
 {
 	struct order *o = order_create(k, t);
 
-	handle_start_answer(k, t, o, ORDER_NOT_SENT);
+	handle_start_answer(k, t, o, why);
 	g_free(o);
 }
 
--- a/lead/session.h
+++ b/lead/session.h
@@ -19,6 +19,11 @@
 	void (*model_changed)(void *arg);
 	/* An upstream obeys a higher epoch than this leader's. */
 	void (*epoch_refused)(void *arg);
+	/*
+	 * Returns whether a start may be sent by the list of upstreams; NULL:
+	 * always.
+	 */
+	bool (*may_start)(void *arg, const struct task *t);
 };
 
 /* Environment shared by all sessions of a leader. */
--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -48,6 +48,7 @@
 	struct job *job;
 	struct task *task;
 	uint32_t changes; /* of the model, as reported by the session */
+	uint32_t refusals;
 };
 
 static void remove_run(struct fake_upstream *f, const char *task)
@@ -537,6 +538,45 @@
 	fixture_destroy(&s);
 }
 
+static bool refuse_start(void *arg, const struct task *t)
+{
+	(void)t;
+	((struct fixture *)arg)->refusals++;
+	return false;
+}
+
+/*
+ * LIMIT: the upstream does not refuse excess work, and the list of upstreams
+ * has become old, or shows less room, while a start waits for its repetition.
+ */
+static void test_start_is_not_repeated_beyond_the_listed_room(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	for (uint32_t shrinks = 0; shrinks < 2; shrinks++) {
+		fixture_create(&s);
+		fake_upstream_create(&f, s.loop);
+		open_session(&s, &f);
+		step_until(s.loop, &s.changes, 1000);
+		f.mute = true;
+		start_task(&s);
+		step_until(s.loop, &f.starts, 1000);
+		if (shrinks)
+			s.upstream->resources.accelerators = 0;
+		else
+			s.env.events.may_start = refuse_start;
+		step_until(s.loop, NULL, 600);
+		f.mute = false;
+		assert_becomes(&s, TASK_WAITING);
+		assert_int_equal(f.starts, 1);
+		assert_true(f.stops);
+		assert_true(shrinks || s.refusals);
+		fixture_destroy(&s);
+	}
+}
+
 /*
  * The settings shorten the lease while an earlier leader's one of the former
  * length lasts. Guards against a run that is taken as lost before it has ended.
@@ -756,6 +796,8 @@
 			test_unanswered_start_of_suspect_is_not_repeated),
 		cmocka_unit_test(
 			test_start_is_not_repeated_after_its_retry_time),
+		cmocka_unit_test(
+			test_start_is_not_repeated_beyond_the_listed_room),
 		cmocka_unit_test(
 			test_shorter_lease_setting_does_not_shorten_leases),
 		cmocka_unit_test(test_run_of_earlier_incarnation_is_lost),
