Send no start once a follower may have claimed the leadership

A leader that was paused while it recorded a start sent it when it woke within its tenure. Found by reading.

A start is sent only for 1.5 s from the first attempt of a committed write. Later it waits for the next write, which is made at once and fails if another leads. Followers claim after 1.5 s without a change of the row at the earliest. A store that takes longer than that for each write would hold starts back; its leader would be deposed for it.

test_start_is_confirmed_by_a_write_after_a_pause failed before (no further write).

--- a/lead/leader.c
+++ b/lead/leader.c
@@ -44,6 +44,12 @@
  * not refuse excess work. Resources that have shrunk count for 3 s more.
  */
 #define LIST_AGE_MAX_MS 2600
+/*
+ * Maximum time from the first attempt of the newest committed write until a
+ * start is sent. It must not exceed the time for which followers wait before
+ * they claim the leadership.
+ */
+#define START_AFTER_WRITE_MAX_MS 1500
 /*
  * Delay between an answer of the upstreams feed and the next call; this
  * table changes all the time.
@@ -602,10 +608,30 @@
 	}
 }
 
+/*
+ * Report whether a follower may have claimed the leadership by now. The process
+ * was paused then, or the store was slow.
+ */
+static bool successor_may_lead(const struct leader *d)
+{
+	return tenure_remaining_ms(election_tenure(d->election),
+				   clock_mono_ms()) +
+		       START_AFTER_WRITE_MAX_MS <
+	       TENURE_MS;
+}
+
+/* Let a start wait for the next write, which is made at once. */
+static void postpone_start(struct leader *d, struct task *t)
+{
+	starts_plan(d->starts, t);
+	t->stage->job->dirty = true;
+}
+
 /*
  * Send the start orders that have been recorded and still fit. A start whose
  * row may not be in this write, or whose upstream is not known well, waits for
- * the next write.
+ * the next write. So do all if a successor may lead: it fences orders off at
+ * each upstream, but not at one that restarts later.
  */
 static void send_recorded_starts(struct leader *d)
 {
@@ -618,7 +644,9 @@
 		/* an order that fails at once may end others of its gang */
 		if (t->state != TASK_PLACED || t->sent)
 			continue;
-		if (!upstream_is_known_well(d, t))
+		if (successor_may_lead(d))
+			postpone_start(d, t);
+		else if (!upstream_is_known_well(d, t))
 			starts_plan(d->starts, t);
 		else if (task_session(t))
 			session_start_run(task_session(t), t);
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -47,6 +47,7 @@
 	char *owner;	     /* the owner row, or NULL */
 	char *written_owner; /* as in the last write */
 	bool store_is_silent;
+	uint32_t writes;
 	uint32_t run_writes; /* writes that hold a run row */
 	char *entry;	     /* of the only upstream */
 	uint64_t version;
@@ -181,6 +182,7 @@
 	(void)timeout_ms;
 	if (write) {
 		note_written_owner(s, body);
+		s->writes++;
 		s->run_writes += strstr(body, RUN_TABLE) != NULL;
 	}
 	c->fixture = s;
@@ -527,6 +529,31 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * The leader is paused for less than its tenure while it records a start; an
+ * upstream that restarts meanwhile has seen no later epoch. Guards against a
+ * start after a successor may have claimed: the leader asks the store first.
+ */
+static void test_start_is_confirmed_by_a_write_after_a_pause(void **state)
+{
+	struct fixture s;
+	uint32_t writes;
+
+	(void)state;
+	fixture_create(&s, 400);
+	step_until_start(&s, 1500);
+	assert_true(leader_is_active(s.leader));
+	submit_job(&s);
+	while (!s.run_writes)
+		loop_step(s.loop, 10);
+	writes = s.writes;
+	clock_offset_ms += 2000;
+	step_until_start(&s, START_MAX_MS);
+	assert_int_equal(s.starts, 1);
+	assert_true(s.writes > writes);
+	fixture_destroy(&s);
+}
+
 /* Answer the call of this path that was sent first. */
 static void answer_first(struct fixture *s, const char *path)
 {
@@ -757,6 +784,8 @@
 			test_recorded_start_is_not_sent_after_the_tenure),
 		cmocka_unit_test(
 			test_leader_suspended_beyond_its_tenure_sends_nothing),
+		cmocka_unit_test(
+			test_start_is_confirmed_by_a_write_after_a_pause),
 		cmocka_unit_test(
 			test_start_is_not_sent_by_a_list_read_after_a_pause),
 		cmocka_unit_test(
