Let the test of an old list look at the list alone

Since a start after a pause of 1.5 s waits for a further write, the test of the list's age passed without that age: its pause was 5 s. The pause is shorter now and the feed call was sent before it, so that the list is too old and the write is not. With the age counted from reading it fails again (1 start instead of 0).

--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -581,10 +581,11 @@
 	s.policy->services[0].enforces_capacity = false;
 	step_until_start(&s, 1500);
 	assert_true(leader_is_active(s.leader));
+	run_for(&s, 1600);
 	submit_job(&s);
 	while (!s.run_writes)
 		loop_step(s.loop, 10);
-	clock_offset_ms += 5000;
+	clock_offset_ms += 1200;
 	answer_first(&s, "rows-feed?table=" UPSTREAM_TABLE "&");
 	for (uint32_t i = 0; i < 10; i++)
 		loop_step(s.loop, 10);
