--- a/entry/entry.c
+++ b/entry/entry.c
@@ -187,17 +187,27 @@
 	request_free(r);
 }
 
-/* Answer r, whose deadline has passed, with 504 and free it. */
+/* Answer r, whose deadline has passed, and free it. */
 static void finish_timed_out(struct request *r)
 {
-	finish_request(r, 504, "the store did not answer in time", 0);
+	if (r->write_uncertain || r->kind == ENTRY_REQUEST_STATE)
+		finish_request(r, 504, "the store did not answer in time", 0);
+	else
+		finish_request(r, 503, "out of time; nothing was done",
+			       STORE_RETRY_AFTER_MS);
 }
 
 static void send_request(struct request *r);
 
+/* Send r again, unless the process was paused beyond its deadline. */
 static void on_retry_timer(void *arg)
 {
-	send_request(arg);
+	struct request *r = arg;
+
+	if (clock_mono_ms() >= r->deadline_ms)
+		finish_timed_out(r);
+	else
+		send_request(r);
 }
 
 /*
@@ -692,13 +702,20 @@
 	finish_revalidation(arg);
 }
 
-/* Note that the store has answered a read of the configuration. */
+/*
+ * Note that the store has answered a read of the configuration. One that was
+ * sent in the millisecond in which the stall was noticed may be older, so it is
+ * read once more.
+ */
 void entry_note_policy_read(struct entry *n)
 {
-	if (n->revalidating_since_ms &&
-	    replica_answered_call_sent_ms(n->env.policies) >
-		    n->revalidating_since_ms)
+	if (!n->revalidating_since_ms)
+		return;
+	if (replica_answered_call_sent_ms(n->env.policies) >
+	    n->revalidating_since_ms)
 		finish_revalidation(n);
+	else
+		replica_refresh(n->env.policies);
 }
 
 /*
--- a/lead/leader.c
+++ b/lead/leader.c
@@ -41,10 +41,15 @@
 #define KEEP_MARGIN_MS 10000
 /*
  * Maximum age of the list of upstreams when a start is sent to one that does
- * not refuse excess work. Resources that have shrunk count for 3 s more; an
- * answer can have been under way for up to 0.6 s.
+ * not refuse excess work. Resources that have shrunk count for 3 s more.
  */
-#define LIST_AGE_MAX_MS 2000
+#define LIST_AGE_MAX_MS 2600
+/*
+ * Maximum time from the first attempt of the newest committed write until a
+ * start is sent. It must not exceed the time for which followers wait before
+ * they claim the leadership.
+ */
+#define START_AFTER_WRITE_MAX_MS 1500
 /*
  * Delay between an answer of the upstreams feed and the next call; this
  * table changes all the time.
@@ -276,7 +281,7 @@
 			log_fields(LOG_INFO, "upstream_unlisted", "{s:s,s:i}",
 				   "upstream", id, "tasks", (int)u->tasks->len);
 			if (u->session)
-				session_note_unlisted(u->session);
+				session_note_unlisted(u->session, !value);
 			u->state = UPSTREAM_GONE;
 		}
 		return;
@@ -287,9 +292,23 @@
 		session_apply_entry(u->session, &e);
 	else
 		u->session = session_create(&d->session_env, u, &e);
+	session_note_entry_written(u->session,
+				   replica_changes_after_ms(d->upstreams));
 	schedule_pass(d);
 }
 
+/*
+ * Report whether a start of t may be sent by what is known of its upstream: one
+ * that does not refuse excess work must not get a start by an old list.
+ */
+static bool upstream_is_known_well(void *arg, const struct task *t)
+{
+	const struct leader *d = arg;
+
+	return policy_enforces_capacity(d->policy, t->at->service) ||
+	       replica_age_max_ms(d->upstreams) <= LIST_AGE_MAX_MS;
+}
+
 /* Build the model from the replicas and begin to lead. */
 static void build_model(struct leader *d)
 {
@@ -302,13 +321,14 @@
 		.settings = e->settings,
 		.epoch = election_epoch(d->election),
 		.tenure = election_tenure(d->election),
-		.earlier_leases_end_ms = tenure_leases_end_ms(
-			election_tenure(d->election), e->settings->lease_ms),
 		.events = {.model_changed = schedule_pass,
-			   .epoch_refused = on_epoch_refused},
+			   .epoch_refused = on_epoch_refused,
+			   .may_start = upstream_is_known_well},
 		.arg = d,
 	};
 	d->model = model_create();
+	d->model->earlier_leases_end_ms = tenure_leases_end_ms(
+		election_tenure(d->election), e->settings->lease_max_ms);
 	d->session_env.model = d->model;
 	d->leading = true;
 	succession_note_gained(&d->succession, clock_mono_ms());
@@ -589,19 +609,29 @@
 }
 
 /*
- * Report whether a start of t may be sent by what is known of its upstream: one
- * that does not refuse excess work must not get a start by an old list.
+ * Report whether a follower may have claimed the leadership by now. The process
+ * was paused then, or the store was slow.
  */
-static bool upstream_is_known_well(const struct leader *d, const struct task *t)
+static bool successor_may_lead(const struct leader *d)
 {
-	return policy_enforces_capacity(d->policy, t->at->service) ||
-	       replica_age_ms(d->upstreams) <= LIST_AGE_MAX_MS;
+	return tenure_remaining_ms(election_tenure(d->election),
+				   clock_mono_ms()) +
+		       START_AFTER_WRITE_MAX_MS <
+	       TENURE_MS;
+}
+
+/* Let a start wait for the next write, which is made at once. */
+static void postpone_start(struct leader *d, struct task *t)
+{
+	starts_plan(d->starts, t);
+	t->stage->job->dirty = true;
 }
 
 /*
  * Send the start orders that have been recorded and still fit. A start whose
  * row may not be in this write, or whose upstream is not known well, waits for
- * the next write.
+ * the next write. So do all if a successor may lead: it fences orders off at
+ * each upstream, but not at one that restarts later.
  */
 static void send_recorded_starts(struct leader *d)
 {
@@ -614,7 +644,9 @@
 		/* an order that fails at once may end others of its gang */
 		if (t->state != TASK_PLACED || t->sent)
 			continue;
-		if (!upstream_is_known_well(d, t))
+		if (successor_may_lead(d))
+			postpone_start(d, t);
+		else if (!upstream_is_known_well(d, t))
 			starts_plan(d->starts, t);
 		else if (task_session(t))
 			session_start_run(task_session(t), t);
@@ -656,7 +688,7 @@
 {
 	uint64_t now = clock_mono_ms();
 
-	if (now <= d->session_env.earlier_leases_end_ms)
+	if (now <= d->model->earlier_leases_end_ms)
 		return;
 	for (guint i = 0; i < d->model->fleet->list->len; i++) {
 		struct upstream *u =
--- a/lead/replica.c
+++ b/lead/replica.c
@@ -76,6 +76,10 @@
 	uint64_t call_sent_ms;
 	/* When the newest answered call was sent. */
 	uint64_t answered_call_sent_ms;
+	/* When the feed call before it was sent; 0 if that was no feed call. */
+	uint64_t feed_call_sent_ms;
+	/* The changes that are being applied were made after this time. */
+	uint64_t changes_after_ms;
 	/* Rows may take long on a narrow link. */
 	bool large_rows;
 	/* The next call asks for an immediate answer. */
@@ -156,20 +160,41 @@
 }
 
 /*
- * Return the age of the newest answer in milliseconds; UINT64_MAX if there
- * was none.
+ * Return the time since the newest answer was read in milliseconds; UINT64_MAX
+ * if there was none. The copy may be older.
  */
 uint64_t replica_age_ms(const struct replica *f)
 {
 	return f->answered_ms ? clock_mono_ms() - f->answered_ms : UINT64_MAX;
 }
 
+/*
+ * Return an upper bound on the age of the copy, in milliseconds; UINT64_MAX if
+ * there is none. The newest answer may have been read after a pause, but it is
+ * newer than its call.
+ */
+uint64_t replica_age_max_ms(const struct replica *f)
+{
+	return f->answered_call_sent_ms
+		       ? clock_mono_ms() - f->answered_call_sent_ms
+		       : UINT64_MAX;
+}
+
 /* Return when the newest answered call was sent; 0 if there was none. */
 uint64_t replica_answered_call_sent_ms(const struct replica *f)
 {
 	return f->answered_call_sent_ms;
 }
 
+/*
+ * Return a local time after which the change was made that the `changed`
+ * callback is told; 0 if it is unknown or there is none.
+ */
+uint64_t replica_changes_after_ms(const struct replica *f)
+{
+	return f->changes_after_ms;
+}
+
 /* Allow longer timeouts for rows that take long on a narrow link. */
 void replica_expect_large_rows(struct replica *f)
 {
@@ -360,6 +385,19 @@
 	timer_start(f->loop, &f->timer, delay);
 }
 
+/*
+ * Apply the rows of an answer. The changes in an answer of the feed are newer
+ * than the answer before it, which is newer than its call.
+ */
+static void apply_rows(struct replica *f, const struct rows_answer *a)
+{
+	f->changes_after_ms = f->complete ? f->feed_call_sent_ms : 0;
+	for (uint32_t i = 0; i < a->len; i++)
+		apply_row(f, &a->list[i]);
+	f->changes_after_ms = 0;
+	f->feed_call_sent_ms = f->complete ? f->call_sent_ms : 0;
+}
+
 static void on_answer(void *arg, const struct rows_answer *a)
 {
 	struct replica *f = arg;
@@ -390,8 +428,7 @@
 	f->store_ms = a->now_ms;
 	if (!f->answered_since_ms)
 		f->answered_since_ms = f->answered_ms;
-	for (uint32_t i = 0; i < a->len; i++)
-		apply_row(f, &a->list[i]);
+	apply_rows(f, a);
 	if (!f->complete)
 		apply_page(f, a);
 	else if (a->version > f->version)
--- a/lead/session.c
+++ b/lead/session.c
@@ -39,9 +39,8 @@
 #define ORDER_RETRY_DELAY_MS 30
 #define ORDER_RETRY_SILENT_DELAY_MS 200
 /*
- * The platform removes no entry within this many heartbeat intervals of
- * silence: it waits for three missed heartbeats, and the last heartbeat
- * received is up to one interval old.
+ * The platform removes no entry within this many heartbeat intervals of its
+ * last write. It waits for three.
  */
 #define ENTRY_TIMEOUT_HEARTBEATS 2
 /*
@@ -86,6 +85,9 @@
 };
 
 static void request_lists(struct session *k);
+static void schedule_order_retry(struct session *k, struct task *t);
+static void give_up_start(struct session *k, struct task *t,
+			  enum order_outcome why);
 
 static void on_call_timer(void *arg)
 {
@@ -111,6 +113,31 @@
 	return t->state == TASK_PLACED && t->uncertain && task_is_suspect(t);
 }
 
+/* Report whether a start may be sent by what is known of the upstreams. */
+static bool is_known_well(const struct session *k, const struct task *t)
+{
+	const struct session_events *ev = &k->env->events;
+
+	return !ev->may_start || ev->may_start(k->env->arg, t);
+}
+
+/*
+ * Send the start of t again, settle it, or wait for the list of upstreams. The
+ * upstream may have less room by now, or be about to leave.
+ */
+static void retry_start(struct session *k, struct task *t)
+{
+	if (!delivery_may_send_again(t, clock_mono_ms()))
+		give_up_start(k, t, ORDER_NOT_SENT);
+	else if (t->at->state != UPSTREAM_READY ||
+		 upstream_is_overcommitted(t->at))
+		give_up_start(k, t, ORDER_NO_CAPACITY);
+	else if (is_known_well(k, t))
+		session_start_run(k, t);
+	else
+		schedule_order_retry(k, t);
+}
+
 /* Retry the orders that were not answered. */
 static void on_retry_timer(void *arg)
 {
@@ -123,7 +150,7 @@
 		if (must_not_start_again(t))
 			t->state = TASK_STOPPING;
 		if (t->state == TASK_PLACED)
-			session_start_run(k, t);
+			retry_start(k, t);
 		else if (t->state == TASK_STOPPING && !t->stop_answered_ms)
 			session_stop_run(k, t);
 	}
@@ -140,20 +167,35 @@
 }
 
 /*
- * Forget all that holds only for the upstream's previous incarnation. A run
- * that the newer one may have started has a lease there.
+ * Return when the last lease in an incarnation of the upstream that begins now
+ * has ended, for the runs that it may have started.
  */
+static uint64_t first_leases_end_ms(const struct session *k)
+{
+	const GPtrArray *tasks = k->upstream->tasks;
+	uint64_t end_ms;
+
+	if (!tasks->len)
+		return 0;
+	end_ms = lease_clock_latest_end(k->env->settings->lease_max_ms,
+					clock_mono_ms());
+	for (guint i = 0; i < tasks->len; i++) {
+		const struct task *t = g_ptr_array_index(tasks, i);
+
+		if (t->placed_by_earlier)
+			end_ms = MAX(end_ms,
+				     k->env->model->earlier_leases_end_ms);
+	}
+	return end_ms;
+}
+
+/* Forget all that holds only for the upstream's previous incarnation. */
 static void reset_incarnation(struct session *k)
 {
 	k->newest_end_seen = 0;
 	k->newest_end_in_write = 0;
 	k->newest_end_acknowledged = 0;
-	lease_clock_reset(
-		&k->leases,
-		k->upstream->tasks->len
-			? lease_clock_latest_end(k->env->settings->lease_ms,
-						 clock_mono_ms())
-			: 0);
+	lease_clock_reset(&k->leases, first_leases_end_ms(k));
 	k->upstream->synced = false;
 }
 
@@ -219,7 +261,7 @@
 			       clock_mono_ms(), NULL);
 	set_address(k, &entry->address);
 	apply_entry(k, entry);
-	lease_clock_reset(&k->leases, e->earlier_leases_end_ms);
+	lease_clock_reset(&k->leases, e->model->earlier_leases_end_ms);
 	timer_start(e->loop, &k->call_timer, 0);
 	return k;
 }
@@ -268,11 +310,21 @@
 	session_schedule_call(k);
 }
 
-/* Note that the platform's list no longer has an entry of the upstream. */
-void session_note_unlisted(struct session *k)
+/* Note that the upstream's entry was last written after this local time. */
+void session_note_entry_written(struct session *k, uint64_t after_ms)
+{
+	departure_note_written(&k->departure, after_ms);
+}
+
+/*
+ * Note that the platform's list no longer has an entry of the upstream: it was
+ * removed, or another writer has left one that is malformed.
+ */
+void session_note_unlisted(struct session *k, bool removed)
 {
 	departure_note_unlisted(&k->departure,
-				k->upstream->state == UPSTREAM_DRAINING,
+				removed &&
+					k->upstream->state == UPSTREAM_DRAINING,
 				clock_mono_ms());
 	k->upstream->state = UPSTREAM_GONE;
 	k->upstream->incarnations_compared = false;
@@ -347,7 +399,7 @@
 	if (!k->upstream->synced) {
 		k->upstream->synced = true;
 		lease_clock_note_epoch_accepted(
-			&k->leases, k->env->settings->lease_ms, now);
+			&k->leases, k->env->settings->lease_max_ms, now);
 		log_fields(LOG_INFO, "upstream_commanded", "{s:s,s:I,s:i}",
 			   "upstream", k->upstream->id, "epoch",
 			   (json_int_t)k->env->epoch, "running",
@@ -615,6 +667,16 @@
 	}
 }
 
+/* End the attempts to start t; the last one had this outcome. */
+static void give_up_start(struct session *k, struct task *t,
+			  enum order_outcome why)
+{
+	struct order *o = order_create(k, t);
+
+	handle_start_answer(k, t, o, why);
+	g_free(o);
+}
+
 static void on_start_answer(void *arg, const struct order_answer *a)
 {
 	struct order *o = arg;
--- a/lead/session.h
+++ b/lead/session.h
@@ -19,6 +19,11 @@
 	void (*model_changed)(void *arg);
 	/* An upstream obeys a higher epoch than this leader's. */
 	void (*epoch_refused)(void *arg);
+	/*
+	 * Returns whether a start may be sent by the list of upstreams; NULL:
+	 * always.
+	 */
+	bool (*may_start)(void *arg, const struct task *t);
 };
 
 /* Environment shared by all sessions of a leader. */
@@ -31,8 +36,6 @@
 	uint64_t epoch;
 	/* Until when this leader may call upstreams; asked before each call. */
 	const struct tenure *tenure;
-	/* Local time at which the last lease of earlier leaders ends. */
-	uint64_t earlier_leases_end_ms;
 	struct session_events events;
 	void *arg;
 };
@@ -41,7 +44,8 @@
 			       const struct upstream_entry *entry);
 void session_destroy(struct session *k);
 void session_apply_entry(struct session *k, const struct upstream_entry *entry);
-void session_note_unlisted(struct session *k);
+void session_note_entry_written(struct session *k, uint64_t after_ms);
+void session_note_unlisted(struct session *k, bool removed);
 void session_schedule_call(struct session *k);
 void session_start_run(struct session *k, struct task *t);
 void session_stop_run(struct session *k, struct task *t);
--- a/lib/loop.c
+++ b/lib/loop.c
@@ -1,7 +1,8 @@
 /*
  * The event loop.  h2o's own timeouts follow the wall clock and support
  * one duration per list, so the timers here are kept in a binary heap
- * ordered by deadlines on the monotonic clock.
+ * ordered by deadlines on a monotonic clock.  That clock also counts the
+ * time in which the machine is suspended, as other machines count it.
  */
 #include <glib.h>
 #include <signal.h>
@@ -24,6 +25,7 @@
 	bool stopped;
 	uint64_t blocked_us;	/* total of long iterations and late wake-ups */
 	uint64_t wakeup_due_us; /* latest planned end of the current wait */
+	uint64_t ended_us;	/* end of the last iteration, 0: none yet */
 	void (*on_timing)(void *arg, const struct loop_timing *t);
 	void *on_timing_arg;
 	void (*iteration_end)(void *arg);
@@ -41,10 +43,13 @@
 	return (uint64_t)ts.tv_sec * 1000000 + (uint64_t)ts.tv_nsec / 1000;
 }
 
-/* Return monotonic microseconds, for deadlines and durations. */
+/*
+ * Return monotonic microseconds, for deadlines and durations.  They include
+ * the time in which the machine was suspended.
+ */
 uint64_t clock_mono_us(void)
 {
-	return clock_us(CLOCK_MONOTONIC);
+	return clock_us(CLOCK_BOOTTIME);
 }
 
 /* Return monotonic milliseconds, for deadlines and leases. */
@@ -277,15 +282,23 @@
 	return MIN((wall - h2o_wall) * 1000, ended_us - began_us);
 }
 
-/* Add long parts of an iteration to the blocked time and report it. */
+/*
+ * Add a late wake-up to the blocked time.  This precedes the timers, as an
+ * answer may arrive only after a suspension of the machine.
+ */
+static void record_wakeup(struct loop *l, const struct loop_timing *t)
+{
+	if (t->late_us > LONG_ITERATION_US)
+		l->blocked_us += t->late_us;
+}
+
+/* Add a long iteration to the blocked time and report its parts. */
 static void record_timing(struct loop *l, const struct loop_timing *t)
 {
 	uint64_t busy_us = t->sockets_us + t->timers_us;
 
 	if (busy_us > LONG_ITERATION_US)
 		l->blocked_us += busy_us;
-	if (t->late_us > LONG_ITERATION_US)
-		l->blocked_us += t->late_us;
 	if (l->on_timing)
 		l->on_timing(l->on_timing_arg, t);
 }
@@ -307,7 +320,8 @@
 		wait = 0;
 	else if (l->heap_len && l->heap[1]->due_ms - now < wait)
 		wait = l->heap[1]->due_ms - now;
-	began = clock_mono_us();
+	/* the process may have been paused since the last iteration */
+	began = l->ended_us ? l->ended_us : clock_mono_us();
 	l->wakeup_due_us = began + wait * UINT64_C(1000);
 	h2o_evloop_run(l->h2o, (int32_t)wait);
 	polled = clock_mono_us();
@@ -315,11 +329,13 @@
 	waited_us = polled - began - t.sockets_us;
 	if (waited_us > wait * UINT64_C(1000))
 		t.late_us = waited_us - wait * UINT64_C(1000);
+	record_wakeup(l, &t);
 	fire_due_timers(l);
 	run_completion_callbacks(l);
 	if (l->iteration_end)
 		l->iteration_end(l->iteration_end_arg);
-	t.timers_us = clock_mono_us() - polled;
+	l->ended_us = clock_mono_us();
+	t.timers_us = l->ended_us - polled;
 	record_timing(l, &t);
 }
 
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -50,14 +50,16 @@
 	bool starts_are_late; /* the upstream refuses starts as late */
 	bool yields_are_lost; /* the store falls silent with a resignation */
 	uint32_t stronger_peers;
+	uint32_t writes;
 	uint32_t run_writes; /* writes that hold a run row */
 	char *entry;	     /* of the only upstream */
 	uint64_t version;
 	uint32_t write_delay_ms;
-	uint32_t starts;       /* orders that the upstream got */
-	uint32_t late_starts;  /* those that it refused as late */
-	uint64_t last_call_ms; /* time of the last call that it got */
-	json_t *running;       /* its list of runs */
+	uint32_t starts;	 /* orders that the upstream got */
+	uint32_t upstream_calls; /* all calls that it got */
+	uint32_t late_starts;	 /* those that it refused as late */
+	uint64_t last_call_ms;	 /* time of the last call that it got */
+	json_t *running;	 /* its list of runs */
 	GPtrArray *calls;
 };
 
@@ -72,17 +74,22 @@
 };
 
 static int64_t clock_offset_ms;
+static int64_t suspended_ms;
 
 /*
  * Replaces the C library's function: all clocks are ahead by clock_offset_ms,
- * as after a pause of the process.
+ * as after a pause of the process, and by suspended_ms, as after a suspension
+ * of the machine, which CLOCK_MONOTONIC does not count.
  */
 int clock_gettime(clockid_t id, struct timespec *ts)
 {
 	int rc = syscall(SYS_clock_gettime, id, ts);
+	int64_t ms = clock_offset_ms;
 
-	ts->tv_sec += clock_offset_ms / 1000;
-	ts->tv_nsec += clock_offset_ms % 1000 * 1000000;
+	if (id != CLOCK_MONOTONIC)
+		ms += suspended_ms;
+	ts->tv_sec += ms / 1000;
+	ts->tv_nsec += ms % 1000 * 1000000;
 	if (ts->tv_nsec >= 1000000000) {
 		ts->tv_nsec -= 1000000000;
 		ts->tv_sec++;
@@ -189,6 +196,7 @@
 		note_written_owner(s, body);
 		if (s->yields_are_lost && owner_is_nobody(s))
 			s->store_is_silent = true;
+		s->writes++;
 		s->run_writes += strstr(body, RUN_TABLE) != NULL;
 	}
 	c->fixture = s;
@@ -235,6 +243,7 @@
 				  (json_int_t)json_int_or(order, "run", 0), "",
 				  0));
 	}
+	s->upstream_calls++;
 	s->last_call_ms = clock_mono_ms();
 	exchange_reply_json(x, 200,
 			    json_pack("{s:I,s:I,s:O,s:[]}", "clockMs",
@@ -334,7 +343,7 @@
 	s->http = http_client_create(s->loop);
 	s->counters = counters_create();
 	g_strlcpy(s->settings.instance, "i", sizeof(s->settings.instance));
-	s->settings.lease_ms = LEASE_MS;
+	s->settings.lease_ms = s->settings.lease_max_ms = LEASE_MS;
 	s->settings.heartbeat_ms = 1500;
 	s->settings.stop_ms = 200;
 	s->settings.reclaim_ms = 3000;
@@ -382,7 +391,7 @@
 	g_free(s->written_owner);
 	json_decref(s->running);
 	loop_destroy(s->loop);
-	clock_offset_ms = 0;
+	clock_offset_ms = suspended_ms = 0;
 }
 
 /* Step the loop until the upstream got a start, for at most ms. */
@@ -517,6 +526,104 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * The leader's machine is suspended for longer than the tenure while a write is
+ * in flight; the first clock that shows it is CLOCK_BOOTTIME.
+ */
+static void test_leader_suspended_beyond_its_tenure_sends_nothing(void **state)
+{
+	struct fixture s;
+	uint32_t calls;
+
+	(void)state;
+	fixture_create(&s, 400);
+	step_until_start(&s, 1500);
+	assert_true(leader_is_active(s.leader));
+	submit_job(&s);
+	while (!s.run_writes)
+		loop_step(s.loop, 10);
+	loop_step(s.loop, 10); /* for calls that were sent before */
+	calls = s.upstream_calls;
+	suspended_ms += TENURE_LIMIT_MS + 500;
+	for (uint32_t i = 0; i < 60; i++)
+		loop_step(s.loop, 10);
+	assert_int_equal(s.starts, 0);
+	assert_int_equal(s.upstream_calls, calls);
+	assert_false(leader_is_active(s.leader));
+	fixture_destroy(&s);
+}
+
+/*
+ * The leader is paused for less than its tenure while it records a start; an
+ * upstream that restarts meanwhile has seen no later epoch. Guards against a
+ * start after a successor may have claimed: the leader asks the store first.
+ */
+static void test_start_is_confirmed_by_a_write_after_a_pause(void **state)
+{
+	struct fixture s;
+	uint32_t writes;
+
+	(void)state;
+	fixture_create(&s, 400);
+	step_until_start(&s, 1500);
+	assert_true(leader_is_active(s.leader));
+	submit_job(&s);
+	while (!s.run_writes)
+		loop_step(s.loop, 10);
+	writes = s.writes;
+	clock_offset_ms += 2000;
+	step_until_start(&s, START_MAX_MS);
+	assert_int_equal(s.starts, 1);
+	assert_true(s.writes > writes);
+	fixture_destroy(&s);
+}
+
+/* Answer the call of this path that was sent first. */
+static void answer_first(struct fixture *s, const char *path)
+{
+	for (guint i = 0; i < s->calls->len; i++) {
+		struct call *c = g_ptr_array_index(s->calls, i);
+
+		if (!strstr(c->path, path))
+			continue;
+		answer_call(c);
+		return;
+	}
+	fail_msg("no call of %s", path);
+}
+
+/*
+ * The upstreams do not refuse excess work. After a pause the leader reads an
+ * answer with their list, and that its write was committed: both are old.
+ */
+static void test_start_is_not_sent_by_a_list_read_after_a_pause(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, 400);
+	s.policy->services[0].enforces_capacity = false;
+	step_until_start(&s, 1500);
+	assert_true(leader_is_active(s.leader));
+	run_for(&s, 1600);
+	submit_job(&s);
+	while (!s.run_writes)
+		loop_step(s.loop, 10);
+	clock_offset_ms += 1200;
+	answer_first(&s, "rows-feed?table=" UPSTREAM_TABLE "&");
+	for (uint32_t i = 0; i < 10; i++)
+		loop_step(s.loop, 10);
+	assert_int_equal(s.starts, 0);
+	/* the next answer shows the present resources */
+	while (!s.starts && leader_is_active(s.leader)) {
+		run_for(&s, 200);
+		answer_first(&s, "rows-feed?table=" UPSTREAM_TABLE "&");
+		run_for(&s, 400);
+	}
+	assert_int_equal(s.starts, 1);
+	fixture_destroy(&s);
+}
+
 /* Return the run row of the only job, whose task an earlier leader started. */
 static char *encode_active_run(const struct fixture *s)
 {
@@ -785,6 +892,12 @@
 			test_leader_calls_no_upstream_after_its_tenure),
 		cmocka_unit_test(
 			test_recorded_start_is_not_sent_after_the_tenure),
+		cmocka_unit_test(
+			test_leader_suspended_beyond_its_tenure_sends_nothing),
+		cmocka_unit_test(
+			test_start_is_confirmed_by_a_write_after_a_pause),
+		cmocka_unit_test(
+			test_start_is_not_sent_by_a_list_read_after_a_pause),
 		cmocka_unit_test(
 			test_run_of_leader_before_the_last_is_not_doubled),
 		cmocka_unit_test(
--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -48,6 +48,7 @@
 	struct job *job;
 	struct task *task;
 	uint32_t changes; /* of the model, as reported by the session */
+	uint32_t refusals;
 };
 
 static void remove_run(struct fake_upstream *f, const char *task)
@@ -154,7 +155,7 @@
 	*s = (struct fixture){.loop = loop_create()};
 	s->http = http_client_create(s->loop);
 	s->counters = counters_create();
-	s->settings.lease_ms = 6000;
+	s->settings.lease_ms = s->settings.lease_max_ms = 6000;
 	s->settings.heartbeat_ms = 1500;
 	s->model = model_create();
 	tenure_begin(&s->tenure, UINT64_MAX / 2, 0);
@@ -439,6 +440,51 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * An upstream that is cut off from this leader restarts, and the leader before
+ * it, which is not, starts its run there. Guards against a second run elsewhere
+ * until the lists show it, or the leases of that leader have ended.
+ */
+static void
+test_run_started_after_restart_by_earlier_leader_is_kept(void **state)
+{
+	uint64_t end_ms;
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	for (uint32_t answers = 0; answers < 2; answers++) {
+		fixture_create(&s);
+		fake_upstream_create(&f, s.loop);
+		s.settings.lease_ms = s.settings.lease_max_ms = 300;
+		end_ms = clock_mono_ms() + 1500;
+		s.model->earlier_leases_end_ms = end_ms;
+		s.task->run = 4;
+		s.upstream->state = UPSTREAM_GONE;
+		model_inherit_run(s.model, s.task, "u1", 77, clock_mono_ms());
+		f.mute = true;
+		open_session(&s, &f);
+		step_until(s.loop, NULL, 100);
+		restart(&f);
+		s.entry.started_wall_ms = f.born;
+		session_apply_entry(s.upstream->session, &s.entry);
+		add_run(&f, "00000000000000a1.0.0.0", 4);
+		if (answers) {
+			f.mute = false;
+			assert_becomes(&s, TASK_RUNNING);
+			assert_true(clock_mono_ms() < end_ms);
+			assert_int_equal(f.stops, 0);
+		} else {
+			while (clock_mono_ms() < end_ms) {
+				assert_true(task_is_active(s.task));
+				loop_step(s.loop, 10);
+			}
+			assert_becomes(&s, TASK_WAITING);
+		}
+		fixture_destroy(&s);
+	}
+}
+
 /*
  * The start of a suspect is not answered: it may have ended the upstream.
  * Guards against an order that is sent again to its next incarnation.
@@ -465,6 +511,104 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * The process is paused while an unanswered start waits for its retry. Guards
+ * against a start that is sent when its gang, or a successor, has given it up.
+ */
+static void test_start_is_not_repeated_after_its_retry_time(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	open_session(&s, &f);
+	step_until(s.loop, &s.changes, 1000);
+	f.mute = true;
+	start_task(&s);
+	while (!s.task->retry)
+		loop_step(s.loop, 10);
+	assert_int_equal(f.starts, 1);
+	g_usleep(1500000);
+	f.mute = false;
+	assert_becomes(&s, TASK_WAITING);
+	assert_int_equal(f.starts, 1);
+	assert_in_range(f.stops, 1, 2);
+	fixture_destroy(&s);
+}
+
+static bool refuse_start(void *arg, const struct task *t)
+{
+	(void)t;
+	((struct fixture *)arg)->refusals++;
+	return false;
+}
+
+/*
+ * LIMIT: the upstream does not refuse excess work, and the list of upstreams
+ * has become old, or shows less room, while a start waits for its repetition.
+ */
+static void test_start_is_not_repeated_beyond_the_listed_room(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	for (uint32_t shrinks = 0; shrinks < 2; shrinks++) {
+		fixture_create(&s);
+		fake_upstream_create(&f, s.loop);
+		open_session(&s, &f);
+		step_until(s.loop, &s.changes, 1000);
+		f.mute = true;
+		start_task(&s);
+		step_until(s.loop, &f.starts, 1000);
+		if (shrinks)
+			s.upstream->resources.accelerators = 0;
+		else
+			s.env.events.may_start = refuse_start;
+		step_until(s.loop, NULL, 600);
+		f.mute = false;
+		assert_becomes(&s, TASK_WAITING);
+		assert_int_equal(f.starts, 1);
+		assert_true(f.stops);
+		assert_true(shrinks || s.refusals);
+		fixture_destroy(&s);
+	}
+}
+
+/*
+ * The settings shorten the lease while an earlier leader's one of the former
+ * length lasts. Guards against a run that is taken as lost before it has ended.
+ */
+static void test_shorter_lease_setting_does_not_shorten_leases(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+	uint64_t end_ms;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	s.settings.lease_ms = s.settings.lease_max_ms = 2000;
+	s.model->earlier_leases_end_ms = clock_mono_ms() + 9000;
+	s.task->run = 4;
+	s.upstream->state = UPSTREAM_GONE;
+	model_inherit_run(s.model, s.task, "u1", 77, clock_mono_ms());
+	add_run(&f, "00000000000000a1.0.0.0", 4);
+	s.settings.lease_ms = 500;
+	open_session(&s, &f);
+	end_ms = clock_mono_ms() + 2000;
+	assert_becomes(&s, TASK_RUNNING);
+	f.mute = true;
+	while (clock_mono_ms() < end_ms) {
+		assert_true(task_is_active(s.task));
+		loop_step(s.loop, 10);
+	}
+	assert_becomes(&s, TASK_WAITING);
+	fixture_destroy(&s);
+}
+
 /* A run that was confirmed before a restart is lost with the first lists. */
 static void test_run_of_earlier_incarnation_is_lost(void **state)
 {
@@ -544,7 +688,7 @@
 	s.entry.draining = false;
 	session_apply_entry(s.upstream->session, &s.entry);
 	assert_becomes_usable(&s);
-	session_note_unlisted(s.upstream->session);
+	session_note_unlisted(s.upstream->session, true);
 	assert_false(is_usable(&s));
 	session_apply_entry(s.upstream->session, &s.entry);
 	assert_becomes_usable(&s);
@@ -603,7 +747,7 @@
 	assert_int_equal(s.upstream->state, UPSTREAM_GONE);
 	assert_int_equal(later->state, UPSTREAM_READY);
 	/* unless the later one is listed no more */
-	session_note_unlisted(later->session);
+	session_note_unlisted(later->session, true);
 	list_incarnation(&s, "u1", "m1", 77);
 	assert_int_equal(s.upstream->state, UPSTREAM_READY);
 	session_destroy(other->session);
@@ -646,8 +790,16 @@
 			test_start_in_flight_at_restart_is_settled_there),
 		cmocka_unit_test(
 			test_run_confirmed_before_restart_is_known_is_kept),
+		cmocka_unit_test(
+			test_run_started_after_restart_by_earlier_leader_is_kept),
 		cmocka_unit_test(
 			test_unanswered_start_of_suspect_is_not_repeated),
+		cmocka_unit_test(
+			test_start_is_not_repeated_after_its_retry_time),
+		cmocka_unit_test(
+			test_start_is_not_repeated_beyond_the_listed_room),
+		cmocka_unit_test(
+			test_shorter_lease_setting_does_not_shorten_leases),
 		cmocka_unit_test(test_run_of_earlier_incarnation_is_lost),
 		cmocka_unit_test(test_listed_run_is_lost_when_restart_is_known),
 		cmocka_unit_test(test_upstream_that_is_back_gets_work_again),
