Refuse ports with signs, spaces or more than five digits

Cause: strtoul skips spaces, accepts a sign and negates the number.

A port is now one to five digits. address_is_unicast tells the addresses of single hosts from 0.0.0.0/8, groups, reserved ones and broadcast; settings may still name 0.0.0.0 to listen on.

Evidence: odd_addresses_are_refused fails on the code before: ERROR: "10.0.0.1: 80"

--- a/lib/address.c
+++ b/lib/address.c
@@ -1,5 +1,6 @@
 /* IPv4 socket addresses in numeric form; host names are not resolved. */
 #include <arpa/inet.h>
+#include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,12 +11,16 @@
 
 #define LISTEN_BACKLOG 4096
 
+#define PORT_DIGITS_MAX 5
+/* First octet of multicast, reserved and broadcast addresses. */
+#define GROUP_OCTET_MIN 224
+
 /* Parse "IP:port" into *a; return false when s is NULL or malformed. */
 bool address_parse(const char *s, struct sockaddr_in *a)
 {
 	char ip[INET_ADDRSTRLEN];
 	const char *colon = s ? strrchr(s, ':') : NULL;
-	char *end;
+	size_t digits;
 	unsigned long port;
 
 	memset(a, 0, sizeof(*a));
@@ -24,13 +29,25 @@
 		return false;
 	memcpy(ip, s, colon - s);
 	ip[colon - s] = '\0';
-	port = strtoul(colon + 1, &end, 10);
-	if (*end || end == colon + 1 || port == 0 || port > 65535)
+	/* strtoul also accepts spaces and signs, and negates the number */
+	digits = strspn(colon + 1, "0123456789");
+	if (!digits || digits > PORT_DIGITS_MAX || colon[1 + digits])
+		return false;
+	port = strtoul(colon + 1, NULL, 10);
+	if (!port || port > UINT16_MAX)
 		return false;
 	a->sin_port = htons((uint16_t)port);
 	return inet_pton(AF_INET, ip, &a->sin_addr) == 1;
 }
 
+/* Report whether a can be the address of one host. */
+bool address_is_unicast(const struct sockaddr_in *a)
+{
+	uint32_t octet = ntohl(a->sin_addr.s_addr) >> 24;
+
+	return octet && octet < GROUP_OCTET_MIN;
+}
+
 /* Format a as "IP:port" into buf of len bytes. */
 void address_format(const struct sockaddr_in *a, char *buf, size_t len)
 {
--- a/lib/address.h
+++ b/lib/address.h
@@ -9,6 +9,7 @@
 #define ADDRESS_TEXT_BYTES 32
 
 bool address_parse(const char *s, struct sockaddr_in *a);
+bool address_is_unicast(const struct sockaddr_in *a);
 void address_format(const struct sockaddr_in *a, char *buf, size_t len);
 int address_listen(const struct sockaddr_in *at);
 
--- a/test/unit_lib.c
+++ b/test/unit_lib.c
@@ -358,6 +358,45 @@
 	g_free(text);
 }
 
+/* Guards against text that becomes the port of another program. */
+static void odd_addresses_are_refused(void **state)
+{
+	static const char *const odd[] = {"",
+					  ":80",
+					  "10.0.0.1",
+					  "10.0.0.1:",
+					  "10.0.0.1: 80",
+					  "10.0.0.1:+80",
+					  "10.0.0.1:-80",
+					  "10.0.0.1:-18446744073709551536",
+					  "10.0.0.1:80 ",
+					  "10.0.0.1:80x",
+					  "10.0.0.1:0",
+					  "10.0.0.1:65536",
+					  "10.0.0.1:000080",
+					  "10.0.0.1:18446744073709551696",
+					  " 10.0.0.1:80",
+					  "10.0.0.1 :80",
+					  "10.0.0:80",
+					  "host:80",
+					  "[::1]:80"};
+	struct sockaddr_in a;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++)
+		if (address_parse(odd[i], &a))
+			fail_msg("\"%s\"", odd[i]);
+	assert_false(address_parse(NULL, &a));
+	assert_true(address_parse("10.0.0.1:65535", &a));
+	assert_int_equal(ntohs(a.sin_port), 65535);
+	assert_true(address_parse("0.0.0.0:80", &a));
+	assert_false(address_is_unicast(&a));
+	assert_true(address_parse("224.0.0.1:80", &a));
+	assert_false(address_is_unicast(&a));
+	assert_true(address_parse("223.0.0.1:80", &a));
+	assert_true(address_is_unicast(&a));
+}
+
 /* Connections that a timer writes to and closes. */
 struct close_test {
 	struct loop *loop;
@@ -621,6 +660,7 @@
 		cmocka_unit_test(each_invalid_setting_is_reported),
 		cmocka_unit_test(each_invalid_configuration_field_is_reported),
 		cmocka_unit_test(all_problems_are_reported_at_once),
+		cmocka_unit_test(odd_addresses_are_refused),
 		cmocka_unit_test(
 			contradicting_configuration_limits_are_reported),
 		cmocka_unit_test(
