Bound what an entry of an upstream may say

Operators of a like system: another writer left an odd entry among those of the workers. Here an entry with `born` of -1 or 2^63 - 1 was taken; every answer and every later sound entry of that upstream then counted as an earlier incarnation, so that it got no work until the leader changed, and its runs counted as lost while they went on. A capacity of 2^63 - 1 overflowed the sums over its service. A key of more than 63 bytes was cut and not found again, so that each heartbeat added an upstream with a session; one with line breaks went into a header.

Cause: numbers were converted without bounds, a field of another type counted as 0 or as missing, texts were cut at their maximum length.

Unknown fields are allowed. The entry of unit_leader.c lacked three fields that every upstream writes and has them now.

Evidence: on the decoder before, of unit_platform: ERROR: born: -1 FAILED: upstream_entries_with_odd_numbers_are_refused ERROR: born: FAILED: odd_upstream_entries_are_refused ERROR: decode_upstream(ids[i], text->str, WALL_MS, &e) FAILED: upstream_entries_under_odd_ids_are_refused

--- a/lead/leader.c
+++ b/lead/leader.c
@@ -268,7 +268,7 @@
 	if (!d->leading)
 		return;
 	u = fleet_find_upstream(d->model->fleet, id);
-	if (!value || !decode_upstream(value, &e)) {
+	if (!value || !decode_upstream(id, value, clock_wall_ms(), &e)) {
 		if (value)
 			log_fields(LOG_WARN, "bad_upstream_entry", "{s:s}",
 				   "upstream", id);
--- a/lib/schema.c
+++ b/lib/schema.c
@@ -338,6 +338,38 @@
 	return json_is_integer(v) ? json_integer_value(v) : fallback;
 }
 
+/*
+ * Read the integer called name in o into *out, which keeps its value if there
+ * is none. Returns false if it is of another type, below min or above max.
+ */
+bool json_read_int(const json_t *o, const char *name, int64_t min, int64_t max,
+		   int64_t *out)
+{
+	const json_t *v = json_object_get(o, name);
+
+	if (!v)
+		return true;
+	if (!json_is_integer(v) || json_integer_value(v) < min ||
+	    json_integer_value(v) > max)
+		return false;
+	*out = json_integer_value(v);
+	return true;
+}
+
+/*
+ * Read the string called name in o into `to` of len bytes, which keeps its
+ * value if there is none. Returns false if it is of another type or too long.
+ */
+bool json_read_str(const json_t *o, const char *name, char *to, size_t len)
+{
+	const json_t *v = json_object_get(o, name);
+
+	if (!v)
+		return true;
+	return json_is_string(v) &&
+	       g_strlcpy(to, json_string_value(v), len) < len;
+}
+
 /*
  * Return the number v, at least min and at most max; min if v is no number. The
  * conversion of a double to an integer type that cannot hold it is undefined.
--- a/lib/schema.h
+++ b/lib/schema.h
@@ -50,6 +50,9 @@
 		     struct problems *p);
 
 int64_t json_int_or(const json_t *o, const char *name, int64_t fallback);
+bool json_read_int(const json_t *o, const char *name, int64_t min, int64_t max,
+		   int64_t *out);
+bool json_read_str(const json_t *o, const char *name, char *to, size_t len);
 double json_number_within(const json_t *v, double min, double max);
 const char *json_str_or(const json_t *o, const char *name,
 			const char *fallback);
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -288,6 +288,7 @@
 	job_destroy(j);
 	s->entry = g_strdup_printf(
 		"{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\","
+		"\"version\":\"v1\",\"slots\":8,\"coldLeftMs\":0,"
 		"\"addr\":\"%s\",\"seq\":1,\"born\":77,\"labels\":[\"a\","
 		"\"r\"],\"capacity\":{\"cpu\":1000,\"memMb\":1000}}",
 		address);
--- a/test/unit_platform.c
+++ b/test/unit_platform.c
@@ -4,6 +4,7 @@
 #include <setjmp.h>
 #include <stdint.h>
 #include <cmocka.h>
+#include <string.h>
 #include <unistd.h>
 
 #include "lib/address.h"
@@ -99,11 +100,284 @@
 	policy_destroy(p);
 }
 
+#define WALL_MS UINT64_C(1796421697614)
+#define HUNDRED_BYTES                                                          \
+	"xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"                   \
+	"xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"
+
+/* A field of an entry and its value as JSON; NULL for none. */
+struct entry_field {
+	const char *name;
+	const char *value;
+};
+
+/* What sound upstreams write; the last two of them may be absent. */
+static const struct entry_field sound_fields[] = {
+	{"service", "\"s\""},
+	{"addr", "\"10.3.64.16:8248\""},
+	{"zone", "\"z\""},
+	{"version", "\"v1\""},
+	{"slots", "8"},
+	{"state", "\"ready\""},
+	{"seq", "1"},
+	{"coldLeftMs", "0"},
+	{"born", "1796421690000"},
+	{"capacity", "{\"cpu\":128000,\"memMb\":524288,\"gpu\":8}"},
+	{"labels", "[\"a\",\"r3-2\"]"},
+	{"clockMs", "7687143"},
+	{"machine", "\"m-5afb2\""},
+};
+
+/* Decode a sound entry in which one field is replaced, added or left out. */
+static bool decode_with(const struct entry_field *changed,
+			struct upstream_entry *e)
+{
+	GString *s = g_string_new("{\"other\":[{}]");
+	bool found = false, ok;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sound_fields); i++) {
+		const struct entry_field *f = &sound_fields[i];
+
+		if (!strcmp(f->name, changed->name)) {
+			f = changed;
+			found = true;
+		}
+		if (f->value)
+			g_string_append_printf(s, ",\"%s\":%s", f->name,
+					       f->value);
+	}
+	if (!found)
+		g_string_append_printf(s, ",\"%s\":%s", changed->name,
+				       changed->value);
+	g_string_append_c(s, '}');
+	ok = decode_upstream("i-7f3a91c2", s->str, WALL_MS, e);
+	g_string_free(s, TRUE);
+	return ok;
+}
+
+/* Guards against an upstream that is not used, as its entry is refused. */
+static void sound_upstream_entries_are_accepted(void **state)
+{
+	static const struct entry_field changes[] = {
+		{"other", "7"},
+		{"state", "\"draining\""},
+		{"remainingMs", "0"},
+		{"remainingMs", "6000"},
+		{"seq", "0"},
+		{"slots", "0"},
+		{"coldLeftMs", "4000"},
+		{"born", "1796421700000"},
+		{"born", "1"},
+		{"clockMs", NULL},
+		{"clockMs", "0"},
+		{"machine", NULL},
+		{"machine", "\"\""},
+		{"capacity", "{\"cpu\":16000,\"memMb\":32768}"},
+		{"capacity", "{\"cpu\":0,\"memMb\":0,\"gpu\":0}"},
+		{"labels", "[]"},
+		{"labels", "[\"a\"]"},
+		{"addr", "\"10.128.0.9:65535\""},
+		{"addr", "\"127.0.0.1:1\""},
+		{"addr", "\"223.255.255.254:80\""},
+	};
+	struct upstream_entry e;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(changes); i++) {
+		if (!decode_with(&changes[i], &e))
+			fail_msg("%s: %s", changes[i].name, changes[i].value);
+	}
+	assert_true(decode_with(&changes[0], &e));
+	assert_string_equal(e.service, "s");
+	assert_string_equal(e.domain, "z");
+	assert_string_equal(e.kind, "a");
+	assert_string_equal(e.rack, "r3-2");
+	assert_string_equal(e.machine, "m-5afb2");
+	assert_int_equal(e.started_wall_ms, UINT64_C(1796421690000));
+	assert_int_equal(e.clock_ms, 7687143);
+	assert_int_equal(e.resources.cpu_milli, 128000);
+	assert_int_equal(e.resources.memory_mb, 524288);
+	assert_int_equal(e.resources.accelerators, 8);
+	assert_int_equal(ntohs(e.address.sin_port), 8248);
+	assert_true(decode_with(&changes[3], &e));
+	assert_int_equal(e.drain_remaining_ms, 6000);
+}
+
+/* Values that no number field of an entry may have; NULL: it is missing. */
+static const char *const odd_numbers[] = {
+	"-1",
+	"9223372036854775807",
+	"9223372036854775808",
+	"-9223372036854775808",
+	"18446744073709551616",
+	"1e400",
+	"1e300",
+	"1.5",
+	"\"7\"",
+	"null",
+	"true",
+	"[1]",
+	"{}",
+};
+
+/* Guards against numbers that become valid ones of another meaning. */
+static void upstream_entries_with_odd_numbers_are_refused(void **state)
+{
+	static const char *const names[] = {
+		"born", "clockMs", "remainingMs", "slots", "coldLeftMs", "seq"};
+	static const char *const capacities[] = {
+		"{\"cpu\":%s,\"memMb\":1,\"gpu\":1}",
+		"{\"cpu\":1,\"memMb\":%s,\"gpu\":1}",
+		"{\"cpu\":1,\"memMb\":1,\"gpu\":%s}"};
+	struct upstream_entry e;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_numbers); i++) {
+		for (size_t k = 0; k < G_N_ELEMENTS(names); k++) {
+			struct entry_field f = {names[k], odd_numbers[i]};
+
+			if (decode_with(&f, &e))
+				fail_msg("%s: %s", f.name, f.value);
+		}
+		for (size_t k = 0; k < G_N_ELEMENTS(capacities); k++) {
+			char *value =
+				g_strdup_printf(capacities[k], odd_numbers[i]);
+			struct entry_field f = {"capacity", value};
+
+			if (decode_with(&f, &e))
+				fail_msg("%s: %s", f.name, f.value);
+			g_free(value);
+		}
+	}
+}
+
+/* Guards against entries of other writers that are drawn upon for work. */
+static void odd_upstream_entries_are_refused(void **state)
+{
+	static const struct entry_field changes[] = {
+		/* a start that lies days ahead makes all later ones older */
+		{"born", "1797421697614"},
+		{"born", "0"},
+		{"born", NULL},
+		{"seq", NULL},
+		{"slots", NULL},
+		{"coldLeftMs", NULL},
+		{"version", NULL},
+		{"version", "7"},
+		{"version", "\"v\\u00001\""},
+		{"service", NULL},
+		{"service", "7"},
+		{"service", "\"\""},
+		{"service", "\"" HUNDRED_BYTES "\""},
+		{"zone", NULL},
+		{"zone", "[]"},
+		{"zone", "\"" HUNDRED_BYTES "\""},
+		{"machine", "7"},
+		{"machine", "null"},
+		{"machine", "\"" HUNDRED_BYTES "\""},
+		{"state", NULL},
+		{"state", "\"gone\""},
+		{"state", "7"},
+		{"labels", NULL},
+		{"labels", "{}"},
+		{"labels", "\"a\""},
+		{"labels", "[1,2]"},
+		{"labels", "[null,\"r\"]"},
+		{"labels", "[\"a\",\"r\",7]"},
+		{"labels", "[[\"a\"]]"},
+		{"labels", "[\"a\",\"" HUNDRED_BYTES "\"]"},
+		{"capacity", NULL},
+		{"capacity", "7"},
+		{"capacity", "[]"},
+		{"capacity", "{}"},
+		{"capacity", "{\"cpu\":1}"},
+		{"capacity", "{\"memMb\":1}"},
+		{"capacity", "{\"cpu\":100000001,\"memMb\":1}"},
+		{"addr", NULL},
+		{"addr", "7"},
+		{"addr", "\"10.0.0.1\""},
+		{"addr", "\"10.0.0.1:70000\""},
+		{"addr", "\"10.0.0.1:-1\""},
+		{"addr", "\"10.0.0.1:0\""},
+		{"addr", "\"0.0.0.0:80\""},
+		{"addr", "\"0.1.2.3:80\""},
+		{"addr", "\"224.0.0.1:80\""},
+		{"addr", "\"255.255.255.255:80\""},
+	};
+	struct upstream_entry e;
+	GString *labels = g_string_new("[\"a\"");
+	struct entry_field many = {"labels", NULL};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(changes); i++)
+		if (decode_with(&changes[i], &e))
+			fail_msg("%s: %s", changes[i].name, changes[i].value);
+	for (uint32_t i = 0; i < 100000; i++)
+		g_string_append(labels, ",\"a\"");
+	g_string_append_c(labels, ']');
+	many.value = labels->str;
+	assert_false(decode_with(&many, &e));
+	g_string_free(labels, TRUE);
+}
+
+/* Return a value that is nested n deep; free with g_free. */
+static char *nest(uint32_t n)
+{
+	char *open = g_strnfill(n, '['), *shut = g_strnfill(n, ']');
+	char *text = g_strconcat(open, shut, NULL);
+
+	g_free(open);
+	g_free(shut);
+	return text;
+}
+
+static void upstream_entries_that_are_no_objects_are_refused(void **state)
+{
+	static const char *const texts[] = {
+		"", "null", "7", "\"x\"", "[]", "[{}]", "{}", "{", "{\"a\":}"};
+	struct upstream_entry e;
+	char *deep = nest(100000);
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		assert_false(decode_upstream("i-1", texts[i], WALL_MS, &e));
+	assert_false(decode_upstream("i-1", deep, WALL_MS, &e));
+	g_free(deep);
+}
+
+/*
+ * An id is sent in a header and kept in 64 bytes. Guards against an entry that
+ * adds another upstream each time it is written, as its id is cut.
+ */
+static void upstream_entries_under_odd_ids_are_refused(void **state)
+{
+	static const char *const ids[] = {"",	    " ",      "a b",
+					  "a\r\nb", "a\xffz", HUNDRED_BYTES};
+	struct upstream_entry e;
+	GString *text = g_string_new("{\"other\":0");
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(sound_fields); i++)
+		g_string_append_printf(text, ",\"%s\":%s", sound_fields[i].name,
+				       sound_fields[i].value);
+	g_string_append_c(text, '}');
+	assert_true(decode_upstream("i-1", text->str, WALL_MS, &e));
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++)
+		assert_false(decode_upstream(ids[i], text->str, WALL_MS, &e));
+	g_string_free(text, TRUE);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(listed_progress_is_between_0_and_100_percent),
 		cmocka_unit_test(slack_factor_of_a_queue_is_bounded),
+		cmocka_unit_test(sound_upstream_entries_are_accepted),
+		cmocka_unit_test(upstream_entries_with_odd_numbers_are_refused),
+		cmocka_unit_test(odd_upstream_entries_are_refused),
+		cmocka_unit_test(
+			upstream_entries_that_are_no_objects_are_refused),
+		cmocka_unit_test(upstream_entries_under_odd_ids_are_refused),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
