Log an odd entry once, and take it for no departure

Operators: a line in the log for each heartbeat of an odd entry. And an entry that turned odd while its upstream drained counted as removed by the upstream itself, so that a refused connection was taken for its end: its runs were started elsewhere although a cut may refuse as well.

Cause: an entry that cannot be decoded was handled as a removed one, and nothing remembered that it was odd before.

The leader logs the first malformed entry under a key and then none until a sound one or a removal. An upstream whose entry is odd gets no new work; its runs go on, and it counts as left only by what its address answers.

Evidence: a whole leader for a minute with 16 odd entries, written again with each heartbeat, and 40 jobs, of unit_leader. That the departure was noted wrongly follows from the code; no test shows it.

--- a/lead/leader.c
+++ b/lead/leader.c
@@ -72,6 +72,8 @@
 	/* No write is sent before this time, as the store is slow. */
 	uint64_t next_write_ms;
 	struct model *model;
+	/* Keys of the entries of upstreams that are malformed at present. */
+	GHashTable *odd_entries;
 	/* Starts that wait until they are recorded. */
 	struct starts *starts;
 	struct account_guarantee *guarantees;
@@ -110,6 +112,7 @@
 	}
 	model_destroy(d->model);
 	d->model = NULL;
+	g_hash_table_remove_all(d->odd_entries);
 	starts_clear(d->starts);
 }
 
@@ -253,6 +256,40 @@
 	add_job(arg, id, value);
 }
 
+/*
+ * Place no work on u, which is not listed any more, or whose entry cannot be
+ * used. Its runs go on while it answers.
+ */
+static void retire_upstream(struct upstream *u, bool odd)
+{
+	if (u->state == UPSTREAM_GONE)
+		return;
+	log_fields(LOG_INFO, "upstream_unlisted", "{s:s,s:i,s:b}", "upstream",
+		   u->id, "tasks", (int)u->tasks->len, "odd", odd);
+	if (u->session && odd)
+		session_note_odd_entry(u->session);
+	else if (u->session)
+		session_note_unlisted(u->session);
+	u->state = UPSTREAM_GONE;
+}
+
+/*
+ * Decode an entry of the list of upstreams. The first of several malformed
+ * entries in a row under one key is logged.
+ */
+static bool decode_entry(struct leader *d, const char *id, const char *value,
+			 struct upstream_entry *e)
+{
+	if (decode_upstream(id, value, clock_wall_ms(), e)) {
+		g_hash_table_remove(d->odd_entries, id);
+		return true;
+	}
+	if (g_hash_table_add(d->odd_entries, g_strdup(id)))
+		log_fields(LOG_WARN, "bad_upstream_entry", "{s:s}", "upstream",
+			   id);
+	return false;
+}
+
 /*
  * Apply a change of the list of upstreams; value is NULL for a removed
  * entry. A malformed entry counts as removed.
@@ -268,17 +305,11 @@
 	if (!d->leading)
 		return;
 	u = fleet_find_upstream(d->model->fleet, id);
-	if (!value || !decode_upstream(id, value, clock_wall_ms(), &e)) {
-		if (value)
-			log_fields(LOG_WARN, "bad_upstream_entry", "{s:s}",
-				   "upstream", id);
-		if (u && u->state != UPSTREAM_GONE) {
-			log_fields(LOG_INFO, "upstream_unlisted", "{s:s,s:i}",
-				   "upstream", id, "tasks", (int)u->tasks->len);
-			if (u->session)
-				session_note_unlisted(u->session);
-			u->state = UPSTREAM_GONE;
-		}
+	if (!value)
+		g_hash_table_remove(d->odd_entries, id);
+	if (!value || !decode_entry(d, id, value, &e)) {
+		if (u)
+			retire_upstream(u, value != NULL);
 		return;
 	}
 	if (!u)
@@ -774,6 +805,8 @@
 
 	d->env = *e;
 	d->starts = starts_create();
+	d->odd_entries =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	d->election = election_create(
 		e->loop, e->rows, e->counters, e->settings->instance,
 		e->incarnation, succession_claim_delay_ms(e->strength), &ev, d);
@@ -789,6 +822,7 @@
 	stop_leading(d);
 	election_destroy(d->election);
 	starts_destroy(d->starts);
+	g_hash_table_destroy(d->odd_entries);
 	g_free(d->guarantees);
 	g_free(d);
 }
--- a/lead/session.c
+++ b/lead/session.c
@@ -279,6 +279,17 @@
 	session_schedule_call(k);
 }
 
+/*
+ * Note that the entry of the upstream cannot be used: nothing shows that the
+ * upstream has left.
+ */
+void session_note_odd_entry(struct session *k)
+{
+	k->upstream->state = UPSTREAM_GONE;
+	k->upstream->incarnations_compared = false;
+	session_schedule_call(k);
+}
+
 /* Note that the write about to be sent covers all ends seen so far. */
 void session_note_write_sent(struct session *k)
 {
--- a/lead/session.h
+++ b/lead/session.h
@@ -42,6 +42,7 @@
 void session_destroy(struct session *k);
 void session_apply_entry(struct session *k, const struct upstream_entry *entry);
 void session_note_unlisted(struct session *k);
+void session_note_odd_entry(struct session *k);
 void session_schedule_call(struct session *k);
 void session_start_run(struct session *k, struct task *t);
 void session_stop_run(struct session *k, struct task *t);
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -9,6 +9,7 @@
 #include <stdint.h>
 #include <cmocka.h>
 #include <arpa/inet.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/syscall.h>
@@ -47,13 +48,17 @@
 	char *owner;	     /* the owner row, or NULL */
 	char *written_owner; /* as in the last write */
 	bool store_is_silent;
-	uint32_t run_writes; /* writes that hold a run row */
-	char *entry;	     /* of the only upstream */
+	uint32_t run_writes;	     /* writes that hold a run row */
+	char *entry;		     /* of the only sound upstream */
+	const char *const (*odd)[2]; /* further entries: ids and values */
+	size_t odd_len;
 	uint64_t version;
 	uint32_t write_delay_ms;
 	uint32_t starts;       /* orders that the upstream got */
 	uint64_t last_call_ms; /* time of the last call that it got */
 	json_t *running;       /* its list of runs */
+	json_t *ended;	       /* its list of ends, if its runs end */
+	uint32_t completed;    /* writes that hold a completed job */
 	GPtrArray *calls;
 };
 
@@ -137,14 +142,16 @@
 		key = KEY_OWNER;
 		value = s->owner;
 	}
-	if (!key)
-		return rows;
-	json_array_append_new(rows, encode_row(key, value, 1));
+	if (key)
+		json_array_append_new(rows, encode_row(key, value, 1));
+	for (size_t i = 0; key && value == s->entry && i < s->odd_len; i++)
+		json_array_append_new(
+			rows, encode_row(s->odd[i][0], s->odd[i][1], 1));
 	return rows;
 }
 
-/* Keep the owner row of a write. */
-static void note_written_owner(struct fixture *s, const char *body)
+/* Keep the owner row of a write, and count the jobs that it completes. */
+static void note_written_rows(struct fixture *s, const char *body)
 {
 	json_t *v = json_loads(body, 0, NULL);
 	const json_t *item;
@@ -153,11 +160,18 @@
 
 	json_array_foreach(json_object_get(v, "puts"), i, item)
 	{
-		if (strcmp(json_str_or(item, "table", ""), OWNER_TABLE))
+		const char *table = json_str_or(item, "table", "");
+		char *value = (char *)g_base64_decode(
+			json_str_or(item, "value", ""), &n);
+
+		if (!strcmp(table, STATE_TABLE))
+			s->completed += strstr(value, "completed") != NULL;
+		if (strcmp(table, OWNER_TABLE)) {
+			g_free(value);
 			continue;
+		}
 		g_free(s->written_owner);
-		s->written_owner = (char *)g_base64_decode(
-			json_str_or(item, "value", ""), &n);
+		s->written_owner = value;
 	}
 	json_decref(v);
 }
@@ -174,7 +188,7 @@
 
 	(void)timeout_ms;
 	if (write) {
-		note_written_owner(s, body);
+		note_written_rows(s, body);
 		s->run_writes += strstr(body, RUN_TABLE) != NULL;
 	}
 	c->fixture = s;
@@ -194,7 +208,22 @@
 	return true;
 }
 
-/* Serve an order as an upstream whose runs never end. */
+/* Move the runs of the upstream to its list of ends. */
+static void end_runs(struct fixture *s)
+{
+	const json_t *run;
+	size_t i;
+
+	json_array_foreach(s->running, i, run) json_array_append_new(
+		s->ended, json_pack("[I,s,I,s,s]",
+				    (json_int_t)json_array_size(s->ended) + 1,
+				    json_string_value(json_array_get(run, 0)),
+				    json_integer_value(json_array_get(run, 1)),
+				    "done", ""));
+	json_array_clear(s->running);
+}
+
+/* Serve an order as an upstream whose runs end in time, or never. */
 static void handle_order(void *arg, struct http_exchange *x)
 {
 	struct fixture *s = arg;
@@ -202,6 +231,9 @@
 	const char *text = exchange_body(x, &len);
 	json_t *order = json_loadb(text, len, 0, NULL);
 
+	if (s->ended && !strcmp(exchange_path(x), "/-/hold"))
+		end_runs(s);
+
 	if (!strcmp(exchange_path(x), "/-/run-start")) {
 		s->starts++;
 		json_array_append_new(
@@ -212,10 +244,10 @@
 	}
 	s->last_call_ms = clock_mono_ms();
 	exchange_reply_json(x, 200,
-			    json_pack("{s:I,s:I,s:O,s:[]}", "clockMs",
+			    json_pack("{s:I,s:I,s:O,s:O*}", "clockMs",
 				      (json_int_t)clock_mono_ms(), "born",
 				      (json_int_t)77, "running", s->running,
-				      "finished"),
+				      "finished", s->ended),
 			    0);
 	json_decref(order);
 }
@@ -264,11 +296,26 @@
 	return g_strdup_printf("127.0.0.1:%u", ntohs(at.sin_port));
 }
 
+/* Return the spec row of a job of one task that needs this much of each. */
+static char *encode_spec(const struct queue *q, int64_t need)
+{
+	struct job *j = job_create(JOB);
+	struct step *step = job_add_step(j);
+	char *row;
+
+	queue_configure_job(q, j);
+	j->payload = g_strdup("");
+	step->count = 1;
+	step->need = (struct resources){need, need, 0};
+	row = spec_encode(j);
+	job_destroy(j);
+	return row;
+}
+
 /* Fill the store: a job of one task, and an upstream that can hold it. */
 static void fill_store(struct fixture *s)
 {
 	char *address = listen_as_upstream(s);
-	struct job *j = job_create(JOB);
 	struct service *service;
 	struct queue *q;
 
@@ -281,11 +328,7 @@
 	g_strlcpy(q->name, "q", sizeof(q->name));
 	g_strlcpy(q->service, "s", sizeof(q->service));
 	q->slack_factor = 1;
-	queue_configure_job(q, j);
-	j->payload = g_strdup("");
-	job_add_step(j)->count = 1;
-	s->spec = spec_encode(j);
-	job_destroy(j);
+	s->spec = encode_spec(q, 10);
 	s->entry = g_strdup_printf(
 		"{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\","
 		"\"version\":\"v1\",\"slots\":8,\"coldLeftMs\":0,"
@@ -358,6 +401,7 @@
 	g_free(s->owner);
 	g_free(s->written_owner);
 	json_decref(s->running);
+	json_decref(s->ended);
 	loop_destroy(s->loop);
 	clock_offset_ms = 0;
 }
@@ -373,21 +417,25 @@
 	}
 }
 
-/* Show the leader a job by the feed that it follows. */
-static void submit_job(struct fixture *s)
+/*
+ * Show the leader new rows by the feed of a table, if it waits for that; adds
+ * them to its answer at their next versions. Releases rows.
+ */
+static void feed_rows(struct fixture *s, const char *table, json_t *rows)
 {
-	json_t *v;
+	char *path = g_strdup_printf("rows-feed?table=%s&", table);
+	json_t *v, *row;
+	size_t k;
 
-	s->version++;
-	v = json_pack("{s:[o],s:I,s:I}", "rows",
-		      encode_row(JOB, s->spec, s->version), "rowVersion",
+	json_array_foreach(rows, k, row) json_object_set_new(
+		row, "rowVersion", json_integer(++s->version));
+	v = json_pack("{s:o,s:I,s:I}", "rows", rows, "rowVersion",
 		      (json_int_t)s->version, "nowMs",
 		      (json_int_t)clock_mono_ms());
-
 	for (guint i = 0; i < s->calls->len; i++) {
 		struct call *c = g_ptr_array_index(s->calls, i);
 
-		if (!strstr(c->path, "rows-feed?table=" SPEC_TABLE "&"))
+		if (!strstr(c->path, path))
 			continue;
 		g_free(c->body);
 		c->body = json_dumps(v, JSON_COMPACT);
@@ -395,6 +443,13 @@
 		break;
 	}
 	json_decref(v);
+	g_free(path);
+}
+
+/* Show the leader a job by the feed that it follows. */
+static void submit_job(struct fixture *s)
+{
+	feed_rows(s, SPEC_TABLE, json_pack("[o]", encode_row(JOB, s->spec, 0)));
 }
 
 static void test_job_of_predecessor_is_started(void **state)
@@ -668,6 +723,165 @@
 	fixture_destroy(&s);
 }
 
+/* Parts of entries. */
+#define ODD_BEGIN                                                              \
+	"{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\","               \
+	"\"version\":\"v1\",\"coldLeftMs\":0,"
+#define ODD_LABELS "\"labels\":[\"a\",\"r\"],"
+#define ODD_ADDRESS "\"addr\":\"127.0.0.1:1\","
+#define ODD_ROOM "\"capacity\":{\"cpu\":1000,\"memMb\":1000}"
+#define LARGE "9223372036854775807"
+#define LONG_ID                                                                \
+	"xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx" \
+	"xx"
+
+/* Entries that other writers may leave beside those of upstreams. */
+static const char *const odd_entries[][2] = {
+	{"a", ""},
+	{"b", "{"},
+	{"c", "null"},
+	{"d", "\001\377\376"},
+	{"e", "{\"service\":1e400}"},
+	{"f", "{\"service\":18446744073709551616}"},
+	{"g", ODD_BEGIN ODD_LABELS ODD_ADDRESS ODD_ROOM
+	 ",\"slots\":8,\"seq\":1,\"born\":-1}"},
+	{"h", ODD_BEGIN ODD_LABELS ODD_ADDRESS ODD_ROOM
+	 ",\"slots\":8,\"seq\":1,\"born\":" LARGE "}"},
+	{"i", ODD_BEGIN ODD_LABELS ODD_ADDRESS
+	 "\"slots\":8,\"seq\":1,\"born\":77,\"capacity\":{\"cpu\":" LARGE
+	 ",\"memMb\":" LARGE ",\"gpu\":" LARGE "}}"},
+	{"j", ODD_BEGIN ODD_LABELS "\"addr\":\"127.0.0.1:70000\"," ODD_ROOM
+				   ",\"slots\":8,\"seq\":1,\"born\":77}"},
+	{"k", ODD_BEGIN ODD_LABELS "\"addr\":\"127.0.0.1:+1\"," ODD_ROOM
+				   ",\"slots\":8,\"seq\":1,\"born\":77}"},
+	{"l", ODD_BEGIN ODD_LABELS "\"addr\":\"0.0.0.0:1\"," ODD_ROOM
+				   ",\"slots\":8,\"seq\":1,\"born\":77}"},
+	{"m", ODD_BEGIN ODD_ADDRESS ODD_ROOM
+	 ",\"labels\":[{}],\"slots\":8,\"seq\":1,\"born\":77}"},
+	{"n", ODD_BEGIN ODD_LABELS ODD_ADDRESS ODD_ROOM
+	 ",\"slots\":\"8\",\"seq\":1,\"born\":77}"},
+	{LONG_ID, ODD_BEGIN ODD_LABELS ODD_ADDRESS ODD_ROOM
+	 ",\"slots\":8,\"seq\":1,\"born\":77}"},
+	{"o\r\np", ODD_BEGIN ODD_LABELS ODD_ADDRESS ODD_ROOM
+	 ",\"slots\":8,\"seq\":1,\"born\":77}"},
+};
+
+/* The last two are odd by their ids alone. */
+#define ODD_VALUES (G_N_ELEMENTS(odd_entries) - 2)
+
+/* Interval at which entries are written again. */
+#define HEARTBEAT_MS 1500
+
+/* Return the rows of the odd entries and of the sound one. */
+static json_t *all_entries(const struct fixture *s)
+{
+	json_t *rows = json_array();
+
+	for (size_t i = 0; i < s->odd_len; i++)
+		json_array_append_new(
+			rows, encode_row(s->odd[i][0], s->odd[i][1], 0));
+	json_array_append_new(rows, encode_row("u1", s->entry, 0));
+	return rows;
+}
+
+/* A file that takes the standard output in place of the test's own. */
+struct captured_log {
+	FILE *file;
+	int own_fd;
+};
+
+static void log_capture(struct captured_log *c)
+{
+	c->file = tmpfile();
+	assert_non_null(c->file);
+	fflush(stdout);
+	c->own_fd = dup(STDOUT_FILENO);
+	dup2(fileno(c->file), STDOUT_FILENO);
+}
+
+/* Give the output back; returns how many lines hold the text. */
+static uint32_t log_count(struct captured_log *c, const char *text)
+{
+	char line[8192];
+	uint32_t n = 0;
+
+	dup2(c->own_fd, STDOUT_FILENO);
+	close(c->own_fd);
+	rewind(c->file);
+	while (fgets(line, sizeof(line), c->file))
+		n += strstr(line, text) != NULL;
+	fclose(c->file);
+	return n;
+}
+
+/*
+ * Guards against leaders that end or that stop following the list of upstreams:
+ * odd entries of each kind are written again with each heartbeat for a minute,
+ * while a job a second arrives.
+ */
+static void test_odd_entries_cost_themselves_alone(void **state)
+{
+	enum { JOBS = 40 };
+	struct captured_log log;
+	struct fixture s;
+	uint32_t lines;
+
+	(void)state;
+	log_capture(&log);
+	fixture_create(&s, 5);
+	s.odd = odd_entries;
+	s.odd_len = G_N_ELEMENTS(odd_entries);
+	s.ended = json_array();
+	while (!leader_is_active(s.leader))
+		run_for(&s, ADVANCE_MS);
+	for (uint32_t i = 0; i < JOBS; i++) {
+		char id[JOB_ID_BYTES];
+
+		snprintf(id, sizeof(id), "%016x", i + 1);
+		feed_rows(&s, SPEC_TABLE,
+			  json_pack("[o]", encode_row(id, s.spec, 0)));
+		feed_rows(&s, UPSTREAM_TABLE, all_entries(&s));
+		run_for(&s, HEARTBEAT_MS);
+	}
+	run_for(&s, 3000);
+	lines = log_count(&log, "bad_upstream_entry");
+	assert_true(leader_is_active(s.leader));
+	assert_int_equal(s.completed, JOBS);
+	assert_int_equal(s.starts, JOBS);
+	assert_int_equal(lines, s.odd_len);
+	fixture_destroy(&s);
+}
+
+/*
+ * A sound entry is replaced by an odd one: the upstream gets no new work, but
+ * its run goes on, and it gets work again once its entry is back.
+ */
+static void test_upstream_with_odd_entry_keeps_its_runs(void **state)
+{
+	const char *other = "00000000000000a2";
+	struct fixture s;
+
+	(void)state;
+	lead_with_running_job(&s);
+	for (size_t i = 0; i < ODD_VALUES; i++) {
+		feed_rows(&s, UPSTREAM_TABLE,
+			  json_pack("[o]",
+				    encode_row("u1", odd_entries[i][1], 0)));
+		run_for(&s, HEARTBEAT_MS);
+		assert_true(s.last_call_ms + 1000 > clock_mono_ms());
+	}
+	feed_rows(&s, SPEC_TABLE,
+		  json_pack("[o]", encode_row(other, s.spec, 0)));
+	run_for(&s, 2 * LEASE_MS);
+	assert_int_equal(s.starts, 1);
+	feed_rows(&s, UPSTREAM_TABLE,
+		  json_pack("[o]", encode_row("u1", s.entry, 0)));
+	run_for(&s, HEARTBEAT_MS);
+	assert_int_equal(s.starts, 2);
+	assert_int_equal(json_array_size(s.running), 2);
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -689,6 +903,8 @@
 			test_odd_owner_row_counts_as_leader_that_may_act),
 		cmocka_unit_test(
 			test_claim_after_odd_owner_row_exceeds_all_epochs),
+		cmocka_unit_test(test_odd_entries_cost_themselves_alone),
+		cmocka_unit_test(test_upstream_with_odd_entry_keeps_its_runs),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
