Place no work without needs on upstreams that get none

Callers: a job whose tasks need nothing (all three needs left out) waited for ever, or ran on an upstream that is in backoff, while one entry named an upstream that never answered: 0 of 40 such jobs ended in a minute, each started there again five times a second.

Cause: an upstream that gets no work in a pass had zero resources left, and a task without needs fits into zero.

Such an upstream has less than nothing left now.

Evidence: with sched/pack.c before, of unit_leader: [ERROR] 0 != 0x1 FAILED: test_work_without_needs_goes_to_usable_upstreams

--- a/sched/pack.c
+++ b/sched/pack.c
@@ -30,6 +30,9 @@
 	bool one_rack;
 };
 
+/* Free resources of an upstream that takes no work, not even without needs. */
+static const struct resources no_room = {-1, -1, -1};
+
 /* Return the hash h extended by v (FNV-1a over words). */
 static uint64_t hash_mix(uint64_t h, uint64_t v)
 {
@@ -590,7 +593,7 @@
 		uint32_t i = p->chosen[k].index;
 
 		p->usable[i] = false;
-		p->free_now[i] = p->free_after_stops[i] = (struct resources){0};
+		p->free_now[i] = p->free_after_stops[i] = no_room;
 		p->suspect_upstreams++;
 	}
 }
@@ -623,6 +626,7 @@
 	p->usable[i] = upstream_is_usable(u, p->now_ms) && !has_suspect &&
 		       (p->slow_allowed || u->slow_until_ms <= p->now_ms) &&
 		       (p->failing_allowed || u->failing_until_ms <= p->now_ms);
+	p->free_now[i] = p->free_after_stops[i] = no_room;
 	if (!p->usable[i])
 		return;
 	p->free_now[i] = u->resources;
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -852,6 +852,33 @@
 	fixture_destroy(&s);
 }
 
+/* A listed upstream that never answers, as nothing listens there. */
+static const char *const silent_entries[][2] = {
+	{"a", ODD_BEGIN ODD_LABELS ODD_ADDRESS ODD_ROOM
+	 ",\"slots\":8,\"seq\":1,\"born\":77}"},
+};
+
+/*
+ * Guards against work that fits into no room at all, and goes to upstreams that
+ * get no work for that reason.
+ */
+static void test_work_without_needs_goes_to_usable_upstreams(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, 5);
+	s.odd = silent_entries;
+	s.odd_len = G_N_ELEMENTS(silent_entries);
+	s.ended = json_array();
+	s.has_job = true;
+	free(s.spec);
+	s.spec = encode_spec(&s.policy->queues[0], 0);
+	run_for(&s, 10000);
+	assert_int_equal(s.completed, 1);
+	fixture_destroy(&s);
+}
+
 /*
  * A sound entry is replaced by an odd one: the upstream gets no new work, but
  * its run goes on, and it gets work again once its entry is back.
@@ -904,6 +931,8 @@
 		cmocka_unit_test(
 			test_claim_after_odd_owner_row_exceeds_all_epochs),
 		cmocka_unit_test(test_odd_entries_cost_themselves_alone),
+		cmocka_unit_test(
+			test_work_without_needs_goes_to_usable_upstreams),
 		cmocka_unit_test(test_upstream_with_odd_entry_keeps_its_runs),
 	};
 
