Let an odd row cost itself alone, not its page

Here one key with an escaped NUL, a raw NUL, bytes that are not UTF-8 or half a surrogate pair, or one row that is nested too deeply, made the whole page unreadable: no leader could read the list of upstreams any more, none led, and each instance asked for the same page for ever. A row of `op` or of our own tables did the same to configuration and jobs.

Cause: a page is one JSON document, and the parser refuses it as a whole. A full read of a page without a usable row also took it for the last one, and one whose next page does not advance was asked for 300,000 times a second.

The next page of a full read begins after the last key that was read, used or not; if there is none, the call counts as failed and is repeated with its delay. The rows left out of an answer are logged in one line.

Weighed: a parser that reads row by row at all times (twice the work for each page); replacing bytes that are not UTF-8 (leaves surrogates and nesting).

--- a/lead/replica.c
+++ b/lead/replica.c
@@ -318,15 +318,25 @@
 	f->next_key = key;
 }
 
+/*
+ * Report whether the page after this one begins after it; no page does if no
+ * key of this one could be read.
+ */
+static bool page_can_be_passed(const struct replica *f,
+			       const struct rows_answer *a)
+{
+	return !a->more ||
+	       (a->last_key && strcmp(a->last_key, f->next_key) >= 0);
+}
+
 /* Advance a full read by one page; the last page completes the replica. */
 static void apply_page(struct replica *f, const struct rows_answer *a)
 {
 	if (!*f->next_key && !f->part_index)
 		f->read_version = a->version;
-	if (a->more && a->len) {
+	if (a->more) {
 		/* The smallest key above the last one read. */
-		set_next_key(
-			f, g_strconcat(a->list[a->len - 1].key, "\001", NULL));
+		set_next_key(f, g_strconcat(a->last_key, "\001", NULL));
 		return;
 	}
 	set_next_key(f, g_strdup(""));
@@ -339,7 +349,7 @@
 }
 
 /* Handle a call that failed, and schedule the next one. */
-static void note_failure(struct replica *f, const struct rows_answer *a)
+static void note_failure(struct replica *f, enum rows_outcome o)
 {
 	uint32_t delay = MIN(RETRY_DELAY_MS << MIN(f->failure_count, 4),
 			     RETRY_DELAY_MAX_MS);
@@ -354,8 +364,8 @@
 	}
 	if (!f->failure_count++)
 		log_fields(LOG_WARN, "store_lost", "{s:s,s:s,s:I}", "table",
-			   f->table, "outcome", rows_outcome_name(a->outcome),
-			   "version", (json_int_t)f->version);
+			   f->table, "outcome", rows_outcome_name(o), "version",
+			   (json_int_t)f->version);
 	f->answered_since_ms = 0;
 	timer_start(f->loop, &f->timer, delay);
 }
@@ -378,9 +388,17 @@
 		return;
 	}
 	if (a->outcome != ROWS_OK) {
-		note_failure(f, a);
+		note_failure(f, a->outcome);
+		return;
+	}
+	if (!f->complete && !page_can_be_passed(f, a)) {
+		note_failure(f, ROWS_UNKNOWN);
 		return;
 	}
+	if (a->refused)
+		log_fields(LOG_WARN, "rows_refused", "{s:s,s:i,s:I}", "table",
+			   f->table, "rows", (int)a->refused, "version",
+			   (json_int_t)a->version);
 	if (f->failure_count)
 		log_fields(LOG_INFO, "store_regained", "{s:s,s:i}", "table",
 			   f->table, "failures", (int)f->failure_count);
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -123,6 +123,21 @@
 	return v;
 }
 
+/* Append the odd entries, and one whose key holds a NUL after that of u1. */
+static void append_odd_entries(const struct fixture *s, json_t *rows)
+{
+	json_t *row;
+
+	for (size_t i = 0; i < s->odd_len; i++)
+		json_array_append_new(
+			rows, encode_row(s->odd[i][0], s->odd[i][1], 1));
+	if (!s->odd_len)
+		return;
+	row = encode_row("", s->odd[0][1], 1);
+	json_object_set_new(row, "key", json_stringn("u1\0x", 4));
+	json_array_append_new(rows, row);
+}
+
 /* Return the rows of the table that a path names. */
 static json_t *rows_of(const struct fixture *s, const char *path)
 {
@@ -144,9 +159,8 @@
 	}
 	if (key)
 		json_array_append_new(rows, encode_row(key, value, 1));
-	for (size_t i = 0; key && value == s->entry && i < s->odd_len; i++)
-		json_array_append_new(
-			rows, encode_row(s->odd[i][0], s->odd[i][1], 1));
+	if (key && value == s->entry)
+		append_odd_entries(s, rows);
 	return rows;
 }
 
@@ -777,9 +791,7 @@
 {
 	json_t *rows = json_array();
 
-	for (size_t i = 0; i < s->odd_len; i++)
-		json_array_append_new(
-			rows, encode_row(s->odd[i][0], s->odd[i][1], 0));
+	append_odd_entries(s, rows);
 	json_array_append_new(rows, encode_row("u1", s->entry, 0));
 	return rows;
 }
@@ -832,8 +844,8 @@
 	s.odd = odd_entries;
 	s.odd_len = G_N_ELEMENTS(odd_entries);
 	s.ended = json_array();
-	while (!leader_is_active(s.leader))
-		run_for(&s, ADVANCE_MS);
+	run_for(&s, 3000);
+	assert_true(leader_is_active(s.leader));
 	for (uint32_t i = 0; i < JOBS; i++) {
 		char id[JOB_ID_BYTES];
 
