Keep a sound configuration when an odd one comes

Callers: after a configuration with `routes` that is missing or no list, every queue answered 404; after one with a version of -1 (taken as 2^64 - 1) or 2^63 - 1 no later version was accepted until all instances had restarted. A key that is no text counted as the empty key, which any call can carry.

Cause: only the type of `version` was checked.

A configuration needs a version up to 2^53 and a list of routes; tenants and services are lists or absent (null is absent). An item that is no object, or whose texts are of another type or too long, is left out and logged; a number out of its bounds becomes the nearest one within. Keys that are no text or empty are left out.

Evidence: with platform/decode.c before, of unit_platform: ERROR: {"version":1} FAILED: odd_configurations_are_refused ERROR: 0x4 != 0x1 (queues) FAILED: odd_parts_of_a_configuration_cost_themselves_alone

--- a/test/unit_platform.c
+++ b/test/unit_platform.c
@@ -100,6 +100,68 @@
 	policy_destroy(p);
 }
 
+/*
+ * Guards against a configuration that replaces a sound one and serves nobody,
+ * or that no later one replaces.
+ */
+static void odd_configurations_are_refused(void **state)
+{
+	static const char *const texts[] = {
+		"",
+		"[]",
+		"{}",
+		"{\"version\":1}",
+		"{\"version\":\"1\",\"routes\":[]}",
+		"{\"version\":-1,\"routes\":[]}",
+		"{\"version\":9223372036854775807,\"routes\":[]}",
+		"{\"version\":18446744073709551616,\"routes\":[]}",
+		"{\"version\":1e400,\"routes\":[]}",
+		"{\"version\":1,\"routes\":7}",
+		"{\"version\":1,\"routes\":{}}",
+		"{\"version\":1,\"routes\":null}",
+		"{\"version\":1,\"routes\":[],\"tenants\":{}}",
+		"{\"version\":1,\"routes\":[],\"services\":7}",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		if (decode_policy(texts[i]))
+			fail_msg("%s", texts[i]);
+}
+
+/* An empty key must give access to nobody, and a number has a bound. */
+static void odd_parts_of_a_configuration_cost_themselves_alone(void **state)
+{
+	struct policy *p = decode_policy(
+		"{\"version\":7,\"routes\":[7,[],{\"name\":7},{\"name\":\"q\","
+		"\"priority\":-1,\"maxAttempts\":-1,\"timeoutMs\":\"x\","
+		"\"targetRuntimeMs\":-1,\"slackFactor\":\"x\"}],"
+		"\"tenants\":[null,{\"name\":[]},{\"name\":\"t\",\"apiKeys\":"
+		"[7,\"\",\"k\"],\"guaranteed\":{\"gpu\":9223372036854775807}},"
+		"{\"name\":\"u\",\"apiKeys\":7,\"guaranteed\":-1}],"
+		"\"services\":[{\"name\":{}},{\"name\":\"s\","
+		"\"enforcesCapacity\":true}],\"limits\":"
+		"{\"maxBodyBytes\":-1}}");
+
+	(void)state;
+	assert_non_null(p);
+	assert_int_equal(p->version, 7);
+	assert_int_equal(p->queues_len, 1);
+	assert_string_equal(p->queues[0].name, "q");
+	assert_int_equal(p->queues[0].priority, 0);
+	assert_int_equal(p->queues[0].max_attempts, 0);
+	assert_int_equal(p->queues[0].target_ms, 0);
+	assert_int_equal(p->accounts_len, 2);
+	assert_null(policy_find_account(p, ""));
+	assert_string_equal(policy_find_account(p, "k")->name, "t");
+	assert_in_range(p->accounts[0].guaranteed, 0, 1000000);
+	assert_int_equal(p->accounts[1].guaranteed, 0);
+	assert_int_equal(p->services_len, 1);
+	assert_true(policy_enforces_capacity(p, "s"));
+	assert_int_equal(p->max_body_bytes, 262144);
+	policy_destroy(p);
+}
+
 #define WALL_MS UINT64_C(1796421697614)
 #define HUNDRED_BYTES                                                          \
 	"xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"                   \
@@ -372,6 +434,9 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(listed_progress_is_between_0_and_100_percent),
 		cmocka_unit_test(slack_factor_of_a_queue_is_bounded),
+		cmocka_unit_test(odd_configurations_are_refused),
+		cmocka_unit_test(
+			odd_parts_of_a_configuration_cost_themselves_alone),
 		cmocka_unit_test(sound_upstream_entries_are_accepted),
 		cmocka_unit_test(upstream_entries_with_odd_numbers_are_refused),
 		cmocka_unit_test(odd_upstream_entries_are_refused),
