Let an odd row of an upstream's lists cost itself alone

Callers: an upstream whose answer held one odd row, such as a checkpoint with an escaped NUL, counted as silent: all its runs were lost with their leases and started elsewhere. A `born` of -1 or 2^63 - 1 made all its later answers older ones. A run of 2^32 + 1 counted as run 1. An end whose reason is unknown was never acknowledged, so that the upstream answered at once and was asked 21,000 times a second, with a line in the log each time; so did one answer with another status.

Cause: an answer was parsed as one document; numbers were converted without bounds; only ends that could be read moved the acknowledgement.

An upstream whose answer has anything odd is asked again after RECORD_WAIT_MAX_MS.

--- a/lead/session.c
+++ b/lead/session.c
@@ -480,9 +480,11 @@
 	k->failure_count = 0;
 	reach_record_answer(k->upstream, clock_mono_ms());
 	apply_lists(k, a);
+	/* An end that cannot be acknowledged would be answered at once. */
 	if (needs_calls(k))
 		timer_start(env->loop, &k->call_timer,
-			    k->newest_end_seen > k->newest_end_acknowledged
+			    a->refused || k->newest_end_seen >
+						    k->newest_end_acknowledged
 				    ? RECORD_WAIT_MAX_MS
 				    : 0);
 	if (k->newest_end_seen != before || !usable)
--- a/test/unit_platform.c
+++ b/test/unit_platform.c
@@ -12,6 +12,10 @@
 #include "platform/decode.h"
 #include "platform/orders.h"
 
+#define HUNDRED_BYTES                                                          \
+	"xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"                   \
+	"xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"
+
 /*
  * Set a to an address on loopback that only this process uses: runs of the
  * tests at the same time share the ports.
@@ -81,6 +85,173 @@
 	loop_destroy(l);
 }
 
+/* An answer that an upstream gives, and what is made of it. */
+struct listed {
+	const char *body;
+	struct order_answer answer; /* without the lists */
+	GString *text; /* TASK/RUN of each run, =NUMBER/TASK/RUN of each end */
+};
+
+static void answer_with_body(void *arg, struct http_exchange *x)
+{
+	exchange_reply(x, 200, "application/json", ((struct listed *)arg)->body,
+		       0);
+}
+
+static void copy_lists(void *arg, const struct order_answer *a)
+{
+	struct listed *l = arg;
+
+	l->answer = *a;
+	for (uint32_t i = 0; i < a->running_len; i++)
+		g_string_append_printf(l->text, "%s/%u ", a->running[i].task,
+				       a->running[i].run);
+	for (uint32_t i = 0; i < a->ended_len; i++)
+		g_string_append_printf(l->text, "=%llu/%s/%u ",
+				       (unsigned long long)a->ended[i].number,
+				       a->ended[i].task, a->ended[i].run);
+}
+
+/* Renew the leases of an upstream that answers l->body. */
+static void decode_lists(struct listed *l)
+{
+	struct loop *loop = loop_create();
+	struct http_client *c = http_client_create(loop);
+	struct http_server *s;
+	struct sockaddr_in at;
+	struct orders *o;
+
+	own_address(&at, 7436);
+	s = http_server_create(loop, &at, 1024, answer_with_body, l);
+	assert_non_null(s);
+	o = orders_create(c, "u1", &at);
+	l->text = g_string_new(NULL);
+	l->answer.outcome = ORDER_INVALID;
+	orders_renew(o, 0, 1, 0, 0, 2000, copy_lists, l);
+	for (int i = 0; i < 200 && l->answer.outcome == ORDER_INVALID; i++)
+		loop_step(loop, 10);
+	orders_destroy(o);
+	http_server_destroy(s);
+	http_client_destroy(c);
+	loop_destroy(loop);
+}
+
+/*
+ * Guards against a row that hides the others, that becomes one of another run,
+ * or that nobody can acknowledge.
+ */
+static void odd_rows_of_lists_cost_themselves_alone(void **state)
+{
+	static const char *const rows[][2] = {
+		{"[\"b\",2,\"\",7]", "b/2 "},
+		{"[\"b\",4294967297,\"\",7]", ""},
+		{"[\"b\",-1,\"\",7]", ""},
+		{"[\"b\",0,\"\",7]", ""},
+		{"[\"b\",1e400,\"\",7]", ""},
+		{"[\"b\",18446744073709551616,\"\",7]", ""},
+		{"[\"b\",\"2\",\"\",7]", ""},
+		{"[\"b\\u0000\",2,\"\",7]", ""},
+		{"[\"b\\ud800\",2,\"\",7]", ""},
+		{"[\"b\xff\",2,\"\",7]", ""},
+		{"[7,2,\"\",7]", ""},
+		{"[\"\",2,\"\",7]", ""},
+		{"[\"" HUNDRED_BYTES "\",2,\"\",7]", ""},
+		{"[]", ""},
+		{"{}", ""},
+		{"7", ""},
+		{"null", ""},
+		{"[[[[]]]]", ""},
+		/* a checkpoint that cannot be read costs the checkpoint */
+		{"[\"b\",2,\"\\u0000\",7]", "b/2 "},
+		{"[\"b\",2,{},{}]", "b/2 "},
+	};
+	struct listed l = {0};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char *body = g_strdup_printf(
+			"{\"clockMs\":9,\"born\":7,\"running\":"
+			"[[\"a\",1,\"\",0],%s,[\"z\",3,\"\",0]],"
+			"\"finished\":[[1,\"y\",1,\"done\",\"\"]]}",
+			rows[i][0]);
+		char *expected =
+			g_strdup_printf("a/1 %sz/3 =1/y/1 ", rows[i][1]);
+
+		l.body = body;
+		decode_lists(&l);
+		assert_int_equal(l.answer.outcome, ORDER_DONE);
+		assert_string_equal(l.text->str, expected);
+		assert_int_equal(l.answer.refused, !*rows[i][1]);
+		assert_int_equal(l.answer.clock_ms, 9);
+		g_string_free(l.text, TRUE);
+		g_free(expected);
+		g_free(body);
+	}
+}
+
+static void odd_ends_can_be_acknowledged(void **state)
+{
+	static const char *const rows[][2] = {
+		{"[2,\"b\",1,\"done\",\"\"]", "=2/b/1 "},
+		{"[2,\"b\",1,\"gone\",\"\"]", "=2//1 "},
+		{"[2,\"b\",1]", "=2//1 "},
+		{"[2,\"b\",-1,\"done\",\"\"]", "=2//0 "},
+		{"[2,7,1,\"done\",\"\"]", "=2//1 "},
+		{"[-2,\"b\",1,\"done\",\"\"]", ""},
+		{"[9223372036854775807,\"b\",1,\"done\",\"\"]", ""},
+		{"[\"2\",\"b\",1,\"done\",\"\"]", ""},
+		{"[1e300,\"b\",1,\"done\",\"\"]", ""},
+		{"{}", ""},
+		{"7", ""},
+	};
+	struct listed l = {0};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char *body = g_strdup_printf(
+			"{\"clockMs\":9,\"running\":[],\"finished\":["
+			"[1,\"a\",1,\"done\",\"\"],%s,"
+			"[3,\"c\",1,\"failed\",\"\"]]}",
+			rows[i][0]);
+		char *expected =
+			g_strdup_printf("=1/a/1 %s=3/c/1 ", rows[i][1]);
+
+		l.body = body;
+		decode_lists(&l);
+		assert_string_equal(l.text->str, expected);
+		assert_int_equal(l.answer.refused, i != 0);
+		g_string_free(l.text, TRUE);
+		g_free(expected);
+		g_free(body);
+	}
+}
+
+/* Guards against a start time that makes all later answers older. */
+static void odd_numbers_of_an_answer_are_unknown(void **state)
+{
+	static const char *const numbers[] = {"-1", "9223372036854775807",
+					      "\"7\"", "null", "1e300"};
+	struct listed l = {0};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
+		char *body = g_strdup_printf(
+			"{\"clockMs\":%s,\"born\":%s,\"remainingMs\":%s,"
+			"\"running\":[[\"a\",1,\"\",0]],\"finished\":[]}",
+			numbers[i], numbers[i], numbers[i]);
+
+		l.body = body;
+		decode_lists(&l);
+		assert_int_equal(l.answer.outcome, ORDER_DONE);
+		assert_string_equal(l.text->str, "a/1 ");
+		assert_int_equal(l.answer.clock_ms, 0);
+		assert_int_equal(l.answer.started_wall_ms, 0);
+		assert_int_equal(l.answer.drain_remaining_ms, 0);
+		g_string_free(l.text, TRUE);
+		g_free(body);
+	}
+}
+
 /*
  * Guards against an objective in milliseconds that is undefined: the longest
  * chain of a job times the factor is converted to an integer.
@@ -163,9 +334,6 @@
 }
 
 #define WALL_MS UINT64_C(1796421697614)
-#define HUNDRED_BYTES                                                          \
-	"xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"                   \
-	"xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"
 
 /* A field of an entry and its value as JSON; NULL for none. */
 struct entry_field {
@@ -433,6 +601,9 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(listed_progress_is_between_0_and_100_percent),
+		cmocka_unit_test(odd_rows_of_lists_cost_themselves_alone),
+		cmocka_unit_test(odd_ends_can_be_acknowledged),
+		cmocka_unit_test(odd_numbers_of_an_answer_are_unknown),
 		cmocka_unit_test(slack_factor_of_a_queue_is_bounded),
 		cmocka_unit_test(odd_configurations_are_refused),
 		cmocka_unit_test(
--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -32,7 +32,8 @@
 	char running[RUNS_MAX][TASK_NAME_BYTES];
 	uint32_t runs[RUNS_MAX];
 	uint32_t running_len;
-	uint32_t starts, stops;
+	uint32_t starts, stops, lists;
+	const char *odd_end; /* row of its list of ends, or NULL */
 };
 
 struct fixture {
@@ -78,9 +79,10 @@
 		json_array_append_new(running,
 				      json_pack("[s,i,s,i]", f->running[i],
 						(int)f->runs[i], "", 10));
-	return json_pack("{s:I,s:I,s:o,s:[]}", "clockMs",
+	return json_pack("{s:I,s:I,s:o,s:[o*]}", "clockMs",
 			 (json_int_t)clock_mono_ms(), "born",
-			 (json_int_t)f->born, "running", running, "finished");
+			 (json_int_t)f->born, "running", running, "finished",
+			 f->odd_end ? json_loads(f->odd_end, 0, NULL) : NULL);
 }
 
 static void handle_call(void *arg, struct http_exchange *x)
@@ -106,6 +108,7 @@
 		if (!f->mute)
 			remove_run(f, json_str_or(body, "task", ""));
 	}
+	f->lists += wants_lists;
 	if (!f->mute && !(wants_lists && f->holds_lists)) {
 		answer = wants_lists ? list_runs(f)
 				     : json_pack("{s:I}", "clockMs",
@@ -632,6 +635,42 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * The upstream answers at once while it lists an end that is not acknowledged.
+ * Guards against list calls without a delay, and against lost runs.
+ */
+static void test_odd_end_is_passed_and_its_upstream_stays_in_use(void **state)
+{
+	static const char *const rows[] = {
+		"[1,\"00000000000000a1.0.0.0\",1,\"gone\",\"\"]",
+		"[1,7,1,\"done\",\"\"]",
+		"[1,\"00000000000000a1.0.0.0\",4294967297,\"done\",\"\"]",
+		"[-1,\"00000000000000a1.0.0.0\",1,\"done\",\"\"]",
+		"[\"1\",\"00000000000000a1.0.0.0\",1,\"done\",\"\"]",
+		"[]",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct fake_upstream f;
+		struct fixture s;
+
+		fixture_create(&s);
+		fake_upstream_create(&f, s.loop);
+		open_session(&s, &f);
+		step_until(s.loop, &s.changes, 1000);
+		start_task(&s);
+		assert_becomes(&s, TASK_RUNNING);
+		f.odd_end = rows[i];
+		/* an upstream that is not odd holds its answers */
+		f.lists = 0;
+		step_until(s.loop, NULL, 1000);
+		assert_in_range(f.lists, 2, 6);
+		assert_int_equal(s.task->state, TASK_RUNNING);
+		fixture_destroy(&s);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -655,6 +694,8 @@
 			test_run_on_earlier_incarnation_of_machine_is_lost),
 		cmocka_unit_test(
 			test_run_on_earlier_incarnation_of_machine_is_not_inherited),
+		cmocka_unit_test(
+			test_odd_end_is_passed_and_its_upstream_stays_in_use),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
