Take only the exact name of a task for that task

Callers: the end of a run under a name such as ID.0.0.4294967296 or ID.0.0.0x, which an upstream listed, counted as the end of task ID.0.0.0.

Cause: sscanf reads numbers modulo 2^32, with spaces and signs, and ignores what follows.

Names are parsed by hand, as task_format_name writes them.

Evidence: with sched/job.c before, of unit_record: ERROR: a.0.0.0x FAILED: test_odd_task_names_name_no_task

--- a/sched/job.c
+++ b/sched/job.c
@@ -219,15 +219,43 @@
 		 st->step_index, t->index);
 }
 
+/*
+ * Read the number at *p, up to its end, and step over both. Returns false if
+ * there is none, or not as it is formatted.
+ */
+static bool parse_number(const char **p, char end, uint32_t *out)
+{
+	const char *s = *p;
+	uint64_t n = 0;
+
+	while (g_ascii_isdigit(**p) && n <= UINT32_MAX)
+		n = n * 10 + (uint64_t)(*(*p)++ - '0');
+	if (*p == s || (*s == '0' && *p > s + 1) || n > UINT32_MAX ||
+	    **p != end)
+		return false;
+	*out = n;
+	if (end)
+		(*p)++;
+	return true;
+}
+
 /*
  * Parse a task's name; id has JOB_ID_BYTES. Returns false if it is
- * malformed.
+ * malformed: no other name than that of task_format_name stands for a task.
  */
 bool task_parse_name(const char *name, char *id, uint32_t *occurrence,
 		     uint32_t *step, uint32_t *index)
 {
-	return sscanf(name, "%23[^.].%u.%u.%u", id, occurrence, step, index) ==
-	       4;
+	size_t len = strcspn(name, ".");
+
+	if (!len || len >= JOB_ID_BYTES || !name[len])
+		return false;
+	memcpy(id, name, len);
+	id[len] = '\0';
+	name += len + 1;
+	return parse_number(&name, '.', occurrence) &&
+	       parse_number(&name, '.', step) &&
+	       parse_number(&name, '\0', index);
 }
 
 /* Report whether t holds resources on an upstream. */
--- a/test/unit_record.c
+++ b/test/unit_record.c
@@ -188,6 +188,43 @@
 	fixture_destroy(&s);
 }
 
+/* Guards against the end of one run that ends another. */
+static void test_odd_task_names_name_no_task(void **state)
+{
+	static const char *const odd[] = {
+		"",
+		".",
+		"a",
+		"a.0.0",
+		"a.0.0.",
+		"a.0.0.0x",
+		"a.0.0.0.0",
+		"a.0.0. 0",
+		"a.0.0.+0",
+		"a.0.0.-0",
+		"a.0.0.00",
+		"a.0.00.0",
+		"a.0.0.4294967296",
+		"a.0.0.18446744073709551616",
+		"a.99999999999999999999999999.0.0",
+		".0.0.0",
+		"000000000000000000000000.0.0.0",
+	};
+	uint32_t occurrence, step, index;
+	char id[JOB_ID_BYTES];
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++)
+		if (task_parse_name(odd[i], id, &occurrence, &step, &index))
+			fail_msg("%s", odd[i]);
+	assert_true(task_parse_name("00000000000000000000000.1.20.4294967295",
+				    id, &occurrence, &step, &index));
+	assert_string_equal(id, "00000000000000000000000");
+	assert_int_equal(occurrence, 1);
+	assert_int_equal(step, 20);
+	assert_int_equal(index, UINT32_MAX);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -196,6 +233,7 @@
 		cmocka_unit_test(test_gang_failure_counts_once_across_leaders),
 		cmocka_unit_test(
 			test_run_row_of_largest_job_fits_into_the_store),
+		cmocka_unit_test(test_odd_task_names_name_no_task),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
