Refuse the spec row of a job under an id that no job has

Operators of a like system: the machines that read a list ended again and again. Here two spec rows whose keys agree in their first 23 bytes end each leader, one after the other, with a segmentation fault: the next leader reads the same rows.

Cause: the id of a job is kept in 24 bytes. A longer one is cut, not found under its full key, and the second such job takes the place of the first in the table of jobs, which frees the first while the list of jobs still holds it.

spec_decode refuses a key that is empty, too long, or has a dot, which ends an id in the name of a task; the row is logged. Callers cannot choose such an id, as entry/entry.c accepts 16 hexadecimal digits only.

Evidence: with lead/record.c before, of unit_leader: Test failed with exception: Segmentation fault(11) FAILED: test_odd_job_rows_cost_themselves_alone valgrind: invalid read in model_update_job_states of a block that model_add_job has freed.

--- a/lead/record.c
+++ b/lead/record.c
@@ -235,9 +235,17 @@
 		json_integer_value(n);
 }
 
+/* Report whether id stands for a job in the names of its tasks. */
+static bool job_id_is_valid(const char *id)
+{
+	size_t n = strcspn(id, ".");
+
+	return n && !id[n] && n < JOB_ID_BYTES;
+}
+
 /*
  * Decode a job and create its stages. Returns NULL for a malformed or
- * invalid value.
+ * invalid value, or an id of another form.
  */
 struct job *spec_decode(const char *id, const char *text)
 {
@@ -247,7 +255,7 @@
 	char *why = NULL;
 	size_t i;
 
-	if (!json_is_object(v))
+	if (!json_is_object(v) || !job_id_is_valid(id))
 		goto out;
 	j = job_create(id);
 	json_str_copy(j->queue, sizeof(j->queue), v, "queue");
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -864,6 +864,61 @@
 	fixture_destroy(&s);
 }
 
+/* Rows of a table that another writer left: keys and values. */
+static json_t *encode_rows(const char *const (*rows)[2], size_t len)
+{
+	json_t *list = json_array();
+
+	for (size_t i = 0; i < len; i++)
+		json_array_append_new(list,
+				      encode_row(rows[i][0], rows[i][1], 0));
+	return list;
+}
+
+/*
+ * Guards against a leader that ends: the keys of two jobs are equal up to the
+ * length of an id, so that one took the other's place while it was in use.
+ */
+static void test_odd_job_rows_cost_themselves_alone(void **state)
+{
+	const char *sound = "00000000000000a2";
+	struct captured_log log;
+	struct fixture s;
+	uint32_t lines;
+
+	(void)state;
+	log_capture(&log);
+	fixture_create(&s, 5);
+	s.ended = json_array();
+	run_for(&s, 3000);
+	assert_true(leader_is_active(s.leader));
+	for (uint32_t i = 0; i < 5; i++) {
+		const char *const rows[][2] = {
+			{"00000000000000000000000000000001", s.spec},
+			{"00000000000000000000000000000002", s.spec},
+			{"a.0.0.0", s.spec},
+			{"a1", ""},
+			{"a2", "{"},
+			{"a3", "{\"queue\":\"q\",\"steps\":[{\"count\":-1}]}"},
+			{"a4", "{\"queue\":\"q\",\"steps\":"
+			       "[{\"count\":4000000000}]}"},
+		};
+
+		feed_rows(&s, SPEC_TABLE,
+			  encode_rows(rows, G_N_ELEMENTS(rows)));
+		run_for(&s, 1000);
+	}
+	feed_rows(&s, SPEC_TABLE,
+		  json_pack("[o]", encode_row(sound, s.spec, 0)));
+	run_for(&s, 3000);
+	lines = log_count(&log, "bad_row");
+	assert_int_equal(s.starts, 1);
+	assert_int_equal(s.completed, 1);
+	/* one for each version of each odd row */
+	assert_int_equal(lines, 5 * 7);
+	fixture_destroy(&s);
+}
+
 /* A listed upstream that never answers, as nothing listens there. */
 static const char *const silent_entries[][2] = {
 	{"a", ODD_BEGIN ODD_LABELS ODD_ADDRESS ODD_ROOM
@@ -943,6 +998,7 @@
 		cmocka_unit_test(
 			test_claim_after_odd_owner_row_exceeds_all_epochs),
 		cmocka_unit_test(test_odd_entries_cost_themselves_alone),
+		cmocka_unit_test(test_odd_job_rows_cost_themselves_alone),
 		cmocka_unit_test(
 			test_work_without_needs_goes_to_usable_upstreams),
 		cmocka_unit_test(test_upstream_with_odd_entry_keeps_its_runs),
