Keep the runs of a job apart whatever its checkpoints hold

Callers: none seen. An upstream may give a checkpoint any text. One with a space or an asterisk shifted the tasks after it in the row of runs: a new leader took one task's run for another's, so that running tasks were started again and finished ones ran twice.

Cause: tasks are separated by spaces in the row, and an asterisk anywhere in a task counted as the end of a number of repeats.

A checkpoint with a space or a per cent sign is written with these escaped; all others, and rows of the running version, are read as before. A number of repeats is digits at the beginning of a task only.

Evidence: with lead/record.c before, of unit_record: [ERROR] "a" != "a b c" FAILED: test_checkpoint_with_spaces_keeps_runs_apart

--- a/lead/record.c
+++ b/lead/record.c
@@ -310,6 +310,27 @@
  */
 #define CHECKPOINTS_ROW_MAX_BYTES 48000
 
+/* Append a checkpoint; spaces, which separate tasks, are escaped in it. */
+static void checkpoint_encode(GString *s, const char *checkpoint)
+{
+	char *escaped = NULL;
+
+	if (strpbrk(checkpoint, " %"))
+		escaped = g_uri_escape_string(checkpoint, NULL, TRUE);
+	g_string_append_printf(s, ",%s", escaped ? escaped : checkpoint);
+	g_free(escaped);
+}
+
+/* Return the text of a checkpoint; free with g_free. */
+static char *checkpoint_decode(const char *text)
+{
+	char *checkpoint = NULL;
+
+	if (strchr(text, '%'))
+		checkpoint = g_uri_unescape_string(text, NULL);
+	return checkpoint ? checkpoint : g_strdup(text);
+}
+
 /*
  * Append the tasks of st to s, separated by spaces. A task that is done is
  * written as `=` and its run, any other as RUN,FAILURES,INCARNATION,CHECKPOINT.
@@ -341,7 +362,7 @@
 					       t->failures);
 		if (i < st->step->count && t->state != TASK_DONE &&
 		    t->checkpoint && with_checkpoints)
-			g_string_append_printf(current, ",%s", t->checkpoint);
+			checkpoint_encode(current, t->checkpoint);
 		if (repeat_count && g_string_equal(current, previous)) {
 			repeat_count++;
 			continue;
@@ -494,7 +515,7 @@
 	if (field[0] && field[1])
 		t->failures = g_ascii_strtoull(field[1], NULL, 10);
 	if (g_strv_length(field) > 3)
-		t->checkpoint = g_strdup(field[3]);
+		t->checkpoint = checkpoint_decode(field[3]);
 	if (g_strv_length(field) > 2 && *field[2])
 		decode_active_task(r, t, field[2]);
 	g_strfreev(field);
@@ -507,14 +528,15 @@
 	uint32_t index = 0;
 
 	for (char **p = list; *p; p++) {
-		char *star = strchr(*p, '*');
-		uint32_t n = star ? g_ascii_strtoull(*p, NULL, 10) : 1;
+		size_t digits = strspn(*p, "0123456789");
+		bool repeated = digits && (*p)[digits] == '*';
+		const char *task = repeated ? *p + digits + 1 : *p;
+		uint64_t n = repeated ? g_ascii_strtoull(*p, NULL, 10) : 1;
 
 		if (!**p)
 			continue;
 		for (; n && index < st->step->count; n--)
-			task_decode(r, &st->tasks[index++],
-				    star ? star + 1 : *p);
+			task_decode(r, &st->tasks[index++], task);
 	}
 	g_strfreev(list);
 }
--- a/test/unit_record.c
+++ b/test/unit_record.c
@@ -188,6 +188,41 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * The tasks of a row are separated by spaces. Guards against a checkpoint that
+ * gives tasks the runs of others.
+ */
+static void test_checkpoint_with_spaces_keeps_runs_apart(void **state)
+{
+	static const char *const checkpoints[] = {"a b c", " ",	  "7*1,2,3 8",
+						  "%41",   "=3 ", "100% x"};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(checkpoints); i++) {
+		struct fixture s, t;
+		char *row;
+
+		fixture_create(&s, 3, false);
+		fixture_create(&t, 3, false);
+		for (uint32_t k = 0; k < 3; k++)
+			task_end_run(job_find_task(t.job, 0, 0, k),
+				     RUN_NEVER_STARTED, NULL, 2000);
+		s.task->checkpoint = g_strdup(checkpoints[i]);
+		task_end_run(job_find_task(s.job, 0, 0, 1), RUN_DONE, NULL,
+			     2000);
+		row = run_encode(s.job);
+		assert_true(run_decode(t.job, row, inherit_run, t.model));
+		assert_string_equal(t.task->checkpoint, checkpoints[i]);
+		assert_true(task_is_active(t.task));
+		assert_int_equal(job_find_task(t.job, 0, 0, 1)->state,
+				 TASK_DONE);
+		assert_true(task_is_active(job_find_task(t.job, 0, 0, 2)));
+		free(row);
+		fixture_destroy(&s);
+		fixture_destroy(&t);
+	}
+}
+
 /* Guards against the end of one run that ends another. */
 static void test_odd_task_names_name_no_task(void **state)
 {
@@ -234,6 +269,7 @@
 		cmocka_unit_test(
 			test_run_row_of_largest_job_fits_into_the_store),
 		cmocka_unit_test(test_odd_task_names_name_no_task),
+		cmocka_unit_test(test_checkpoint_with_spaces_keeps_runs_apart),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
