Bound the numbers of our own rows

Callers: none seen; another writer may leave a value in any row. A run number of 2^32 - 1 made the next run 0, which every upstream refuses as old; an incarnation "u1@" made all answers of that upstream older ones, so that it got no work; a slack factor of 1e300 became an objective that is undefined; a state row with an end time of -1 was never removed; a name of an upstream over 63 bytes added an upstream for each task. A count of 2^32 + 1 counted as 1.

Cause: numbers were converted without bounds and by functions that read modulo 2^64 and skip what does not belong to them.

An odd task of a run row is left out alone, with a line in the log that names the job; those beside it keep their runs, since it still counts as one task. An odd spec, job or state row is refused.

What remains: a task whose record is lost in this way counts as never started. It is started again at once, and its earlier run is stopped when its upstream lists it.

--- a/config/policy.h
+++ b/config/policy.h
@@ -10,6 +10,12 @@
 
 #include "sched/job.h"
 
+/* Bounds of the settings of a queue. */
+#define QUEUE_PRIORITY_MAX 1000
+#define QUEUE_ATTEMPTS_MAX 1000000
+#define QUEUE_SLACK_FACTOR_MAX 1000
+#define QUEUE_TARGET_MAX_MS (INT64_C(366) * 24 * 60 * 60 * 1000)
+
 struct queue {
 	char name[LABEL_BYTES];
 	char host[128];
--- a/lead/leader.c
+++ b/lead/leader.c
@@ -212,15 +212,16 @@
 		return;
 	j = spec_decode(id, value);
 	if (!j) {
-		log_fields(LOG_ERROR, "bad_row", "{s:s}", "job", id);
+		log_fields(LOG_ERROR, "bad_row", "{s:s,s:s}", "job", id,
+			   "table", SPEC_TABLE);
 		return;
 	}
 	age = store > j->received_ms ? store - j->received_ms : 0;
 	j->since_ms = now_ms - MIN(age, now_ms - 1);
 	model_add_job(d->model, j);
 	if (run && !run_decode(j, run, inherit_run, d))
-		log_fields(LOG_ERROR, "bad_row", "{s:s,s:s}", "job", id, "run",
-			   run);
+		log_fields(LOG_ERROR, "bad_row", "{s:s,s:s}", "job", id,
+			   "table", RUN_TABLE);
 	/* The rows of a final job have to be removed. */
 	j->dirty = job_is_final(j);
 	j->recorded_state = j->state;
--- a/lead/record.c
+++ b/lead/record.c
@@ -3,11 +3,16 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "config/policy.h"
 #include "lead/record.h"
 #include "lead/tenure.h"
+#include "lib/loop.h"
 #include "lib/schema.h"
+#include "platform/bounds.h"
 #include "sched/fleet.h"
 
+/* A higher number of a run or of failures was not written by a leader. */
+#define RUN_NUMBER_MAX INT32_MAX
 /* A row with a higher epoch than this was not written by a leader. */
 #define EPOCH_MAX (INT64_C(1) << 53)
 
@@ -119,12 +124,14 @@
 {
 	json_t *v = json_loads(text, 0, NULL);
 
+	bool ok;
+
 	memset(r, 0, sizeof(*r));
-	g_strlcpy(r->queue, json_str_or(v, "queue", ""), sizeof(r->queue));
-	g_strlcpy(r->account, json_str_or(v, "account", ""),
-		  sizeof(r->account));
+	ok = json_read_str(v, "queue", r->queue, sizeof(r->queue)) &&
+	     json_read_str(v, "account", r->account, sizeof(r->account)) &&
+	     *r->queue;
 	json_decref(v);
-	return *r->queue;
+	return ok;
 }
 
 /* Encode the state of j; release with free(). */
@@ -142,9 +149,11 @@
 bool state_decode(const char *text, struct state_record *r)
 {
 	json_t *v = json_loads(text, 0, NULL);
-	bool ok = job_state_parse(json_str_or(v, "state", ""), &r->state);
+	int64_t ended_ms = 0;
+	bool ok = job_state_parse(json_str_or(v, "state", ""), &r->state) &&
+		  json_read_int(v, "ended_ms", 0, COUNTER_MAX, &ended_ms);
 
-	r->ended_ms = json_int_or(v, "ended_ms", 0);
+	r->ended_ms = ended_ms;
 	json_decref(v);
 	return ok;
 }
@@ -180,10 +189,14 @@
 		return;
 	j->queue_known = true;
 	job_set_service(j, service);
-	j->priority = json_int_or(v, "priority", 0);
-	j->max_attempts = MAX(json_int_or(v, "max_attempts", 1), 1);
-	j->slack_factor = json_number_value(json_object_get(v, "slack_factor"));
-	j->target_ms = json_int_or(v, "target_ms", 0);
+	j->priority =
+		CLAMP(json_int_or(v, "priority", 0), 0, QUEUE_PRIORITY_MAX);
+	j->max_attempts =
+		CLAMP(json_int_or(v, "max_attempts", 1), 1, QUEUE_ATTEMPTS_MAX);
+	j->slack_factor = json_number_within(json_object_get(v, "slack_factor"),
+					     0, QUEUE_SLACK_FACTOR_MAX);
+	j->target_ms =
+		CLAMP(json_int_or(v, "target_ms", 0), 0, QUEUE_TARGET_MAX_MS);
 }
 
 /*
@@ -210,29 +223,87 @@
 	return s;
 }
 
-static void step_decode(const json_t *v, struct step *s)
+/* Read an integer that fits; returns false for another value. */
+static bool read_uint32(const json_t *v, const char *name, uint32_t *out)
 {
-	const json_t *after = json_object_get(v, "after"), *n;
-	const char *letters = json_str_or(v, "flags", "");
+	int64_t n = *out;
+	bool ok = json_read_int(v, name, 0, UINT32_MAX, &n);
+
+	*out = n;
+	return ok;
+}
+
+/* Read the time called name, at least 0; 0 if there is none. */
+static uint64_t read_time_ms(const json_t *v, const char *name)
+{
+	return CLAMP(json_int_or(v, name, 0), 0, COUNTER_MAX);
+}
+
+/* Read the earlier steps that s waits for. */
+static bool after_decode(const json_t *list, struct step *s)
+{
+	const json_t *n;
 	size_t i;
 
-	s->count = json_int_or(v, "count", 1);
-	s->need.cpu_milli = json_int_or(v, "cpu_milli", 0);
-	s->need.memory_mb = json_int_or(v, "memory_mb", 0);
-	s->need.accelerators = json_int_or(v, "accelerators", 0);
-	s->estimate_ms = json_int_or(v, "estimate_ms", 0);
-	s->max_tasks_per_upstream = json_int_or(v, "spread", 0);
-	s->max_unavailable = json_int_or(v, "max_unavailable", 0);
-	s->target_ms = json_int_or(v, "target_ms", 0);
-	json_str_copy(s->label, sizeof(s->label), v, "label");
-	json_str_copy(s->data_rack, sizeof(s->data_rack), v, "data_rack");
-	json_str_copy(s->image, sizeof(s->image), v, "image");
-	for (i = 0; i < G_N_ELEMENTS(step_flags); i++)
+	s->after = g_new0(uint32_t, json_array_size(list) + 1);
+	json_array_foreach(list, i, n)
+	{
+		if (!json_is_integer(n) || json_integer_value(n) < 0 ||
+		    json_integer_value(n) > UINT32_MAX)
+			return false;
+		s->after[s->after_len++] = json_integer_value(n);
+	}
+	return true;
+}
+
+static bool step_decode(const json_t *v, struct step *s)
+{
+	const char *letters = json_str_or(v, "flags", "");
+
+	s->count = 1;
+	for (size_t i = 0; i < G_N_ELEMENTS(step_flags); i++)
 		*((bool *)((char *)s + step_flags[i].offset)) =
 			strchr(letters, step_flags[i].letter) != NULL;
-	s->after = g_new0(uint32_t, json_array_size(after) + 1);
-	json_array_foreach(after, i, n) s->after[s->after_len++] =
-		json_integer_value(n);
+	return json_is_object(v) && read_uint32(v, "count", &s->count) &&
+	       json_read_int(v, "cpu_milli", 0, INT64_MAX,
+			     &s->need.cpu_milli) &&
+	       json_read_int(v, "memory_mb", 0, INT64_MAX,
+			     &s->need.memory_mb) &&
+	       json_read_int(v, "accelerators", 0, INT64_MAX,
+			     &s->need.accelerators) &&
+	       read_uint32(v, "estimate_ms", &s->estimate_ms) &&
+	       read_uint32(v, "spread", &s->max_tasks_per_upstream) &&
+	       read_uint32(v, "max_unavailable", &s->max_unavailable) &&
+	       read_uint32(v, "target_ms", &s->target_ms) &&
+	       json_read_str(v, "label", s->label, sizeof(s->label)) &&
+	       json_read_str(v, "data_rack", s->data_rack,
+			     sizeof(s->data_rack)) &&
+	       json_read_str(v, "image", s->image, sizeof(s->image)) &&
+	       after_decode(json_object_get(v, "after"), s);
+}
+
+/* Decode the fields of a spec; returns false for a malformed value. */
+static bool spec_fields_decode(const json_t *v, struct job *j)
+{
+	const json_t *item;
+	bool ok = json_is_object(v);
+	size_t i;
+
+	settings_decode(json_object_get(v, "settings"), j);
+	j->received_ms = read_time_ms(v, "received_ms");
+	j->start_at_wall_ms = read_time_ms(v, "start_at_wall_ms");
+	j->interval_ms = read_time_ms(v, "interval_ms");
+	j->payload = g_strdup(json_str_or(v, "payload", ""));
+	ok = ok && json_read_str(v, "queue", j->queue, sizeof(j->queue)) &&
+	     json_read_str(v, "account", j->account, sizeof(j->account)) &&
+	     read_uint32(v, "repeat", &j->repeat);
+	json_array_foreach(json_object_get(v, "steps"), i, item)
+	{
+		if (!ok || i >= JOB_STEPS_MAX)
+			return false;
+		ok = step_decode(item, job_add_step(j));
+	}
+	return ok;
 }
 
 /* Report whether id stands for a job in the names of its tasks. */
@@ -250,25 +321,13 @@
 struct job *spec_decode(const char *id, const char *text)
 {
 	json_t *v = json_loads(text, 0, NULL);
-	const json_t *item;
 	struct job *j = NULL;
 	char *why = NULL;
-	size_t i;
 
-	if (!json_is_object(v) || !job_id_is_valid(id))
+	if (!job_id_is_valid(id))
 		goto out;
 	j = job_create(id);
-	json_str_copy(j->queue, sizeof(j->queue), v, "queue");
-	json_str_copy(j->account, sizeof(j->account), v, "account");
-	settings_decode(json_object_get(v, "settings"), j);
-	j->received_ms = json_int_or(v, "received_ms", 0);
-	j->start_at_wall_ms = json_int_or(v, "start_at_wall_ms", 0);
-	j->interval_ms = json_int_or(v, "interval_ms", 0);
-	j->repeat = json_int_or(v, "repeat", 0);
-	j->payload = g_strdup(json_str_or(v, "payload", ""));
-	json_array_foreach(json_object_get(v, "steps"), i, item)
-		step_decode(item, job_add_step(j));
-	if (job_validate(j, &why)) {
+	if (spec_fields_decode(v, j) && job_validate(j, &why)) {
 		job_create_stages(j);
 	} else {
 		job_destroy(j);
@@ -484,48 +543,77 @@
 	void *arg;
 };
 
-/* Report a task that may still run, given its index of an incarnation. */
-static void decode_active_task(const struct run_decoder *r, struct task *t,
-			       const char *incarnation_text)
+/* Read a number up to max that is all of text. */
+static bool parse_number(const char *text, uint64_t max, uint64_t *out)
 {
-	size_t n = g_ascii_strtoull(incarnation_text, NULL, 10);
-	const char *name =
-		json_string_value(json_array_get(r->incarnations, n));
-	char **part = g_strsplit(name ? name : "", "@", 2);
+	return g_ascii_string_to_unsigned(text, 10, 0, max, out, NULL);
+}
 
-	if (part[0] && part[1])
-		r->active(r->arg, t, part[0],
-			  g_ascii_strtoull(part[1], NULL, 10));
-	g_strfreev(part);
+/*
+ * Report a task that may still run, given its index of an incarnation. Returns
+ * false if that names none.
+ */
+static bool decode_active_task(const struct run_decoder *r, struct task *t,
+			       const char *incarnation_text)
+{
+	uint64_t start_max = clock_wall_ms() + START_AHEAD_MAX_MS;
+	uint64_t n, started_wall_ms;
+	const char *name, *at;
+	char *upstream;
+
+	if (!parse_number(incarnation_text, UINT32_MAX, &n))
+		return false;
+	name = json_string_value(json_array_get(r->incarnations, n));
+	at = name ? strrchr(name, '@') : NULL;
+	if (!at || at == name || at - name >= LABEL_BYTES ||
+	    !parse_number(at + 1, start_max, &started_wall_ms))
+		return false;
+	upstream = g_strndup(name, at - name);
+	r->active(r->arg, t, upstream, started_wall_ms);
+	g_free(upstream);
+	return true;
 }
 
-static void task_decode(const struct run_decoder *r, struct task *t,
+/* Decode one task. Returns false, and leaves t as it was, if it is odd. */
+static bool task_decode(const struct run_decoder *r, struct task *t,
 			const char *text)
 {
-	char **field;
+	char **field = g_strsplit(text, ",", 4);
+	guint len = g_strv_length(field);
+	uint64_t run = 0, failures = 0;
+	bool ok;
 
 	if (*text == '=') {
-		t->run = g_ascii_strtoull(text + 1, NULL, 10);
-		t->state = TASK_DONE;
-		t->stage->done++;
-		return;
+		ok = parse_number(text + 1, RUN_NUMBER_MAX, &run);
+		if (ok) {
+			t->run = run;
+			t->state = TASK_DONE;
+			t->stage->done++;
+		}
+		goto out;
 	}
-	field = g_strsplit(text, ",", 4);
-	t->run = g_ascii_strtoull(field[0], NULL, 10);
-	if (field[0] && field[1])
-		t->failures = g_ascii_strtoull(field[1], NULL, 10);
-	if (g_strv_length(field) > 3)
+	ok = len && parse_number(field[0], RUN_NUMBER_MAX, &run) &&
+	     (len < 2 || parse_number(field[1], RUN_NUMBER_MAX, &failures));
+	if (!ok)
+		goto out;
+	t->run = run;
+	t->failures = failures;
+	if (len > 3)
 		t->checkpoint = checkpoint_decode(field[3]);
-	if (g_strv_length(field) > 2 && *field[2])
-		decode_active_task(r, t, field[2]);
+	if (len > 2 && *field[2])
+		ok = decode_active_task(r, t, field[2]);
+out:
 	g_strfreev(field);
+	return ok;
 }
 
-static void stage_decode(const struct run_decoder *r, struct stage *st,
+/* Decode the tasks of st. Returns false if any is odd. */
+static bool stage_decode(const struct run_decoder *r, struct stage *st,
 			 const char *text)
 {
 	char **list = g_strsplit(text, " ", -1);
 	uint32_t index = 0;
+	bool ok = true;
 
 	for (char **p = list; *p; p++) {
 		size_t digits = strspn(*p, "0123456789");
@@ -536,14 +624,23 @@
 		if (!**p)
 			continue;
 		for (; n && index < st->step->count; n--)
-			task_decode(r, &st->tasks[index++], task);
+			ok &= task_decode(r, &st->tasks[index++], task);
 	}
 	g_strfreev(list);
+	return ok;
+}
+
+/* Return the integer at i of a row, from 0 to RUN_NUMBER_MAX. */
+static uint32_t count_at(const json_t *row, size_t i)
+{
+	return CLAMP(json_integer_value(json_array_get(row, i)), 0,
+		     RUN_NUMBER_MAX);
 }
 
 /*
  * Decode the state of j and its runs; calls `active` for each task that may
- * still run. Returns false for a malformed value.
+ * still run. Returns false for a malformed value, of which what can be read is
+ * applied.
  */
 bool run_decode(struct job *j, const char *text, active_task_fn active,
 		void *arg)
@@ -556,7 +653,7 @@
 	bool ok = job_state_parse(json_str_or(v, "state", ""), &j->state);
 	size_t i;
 
-	j->ended_ms = json_int_or(v, "ended_ms", 0);
+	j->ended_ms = read_time_ms(v, "ended_ms");
 	suspicions_decode(j, json_object_get(v, "suspicions"));
 	json_array_foreach(json_object_get(v, "stages"), i, item)
 	{
@@ -564,11 +661,9 @@
 
 		if (i >= j->stages_len)
 			break;
-		j->stages[i].failures =
-			json_integer_value(json_array_get(item, 0));
-		j->stages[i].failed_run =
-			json_integer_value(json_array_get(item, 2));
-		stage_decode(&r, &j->stages[i], tasks ? tasks : "");
+		j->stages[i].failures = count_at(item, 0);
+		j->stages[i].failed_run = count_at(item, 2);
+		ok &= stage_decode(&r, &j->stages[i], tasks ? tasks : "");
 	}
 	json_decref(v);
 	return ok;
--- a/test/unit_record.c
+++ b/test/unit_record.c
@@ -223,6 +223,207 @@
 	}
 }
 
+/* Decode a run row whose only stage has these tasks, between two sound ones. */
+static bool decode_tasks(struct fixture *s, const char *tasks,
+			 const char *incarnation)
+{
+	char *row = g_strdup_printf("{\"state\":\"running\",\"lives\":"
+				    "[\"u1@77\",\"%s\"],\"stages\":"
+				    "[[0,\"4,0,0 %s 5,0,0\",0]]}",
+				    incarnation, tasks);
+	bool ok = run_decode(s->job, row, inherit_run, s->model);
+
+	g_free(row);
+	return ok;
+}
+
+/* An odd task costs itself alone: the tasks beside it keep their runs. */
+static void test_odd_tasks_of_a_run_row_cost_themselves_alone(void **state)
+{
+	static const char *const odd[][2] = {
+		{"x", "u1@77"},
+		{"-1,0,", "u1@77"},
+		{"4294967295,0,", "u1@77"},
+		{"18446744073709551617,0,", "u1@77"},
+		{"1,-1,", "u1@77"},
+		{"1,4294967296,", "u1@77"},
+		{"1,0,x", "u1@77"},
+		{"1,0,7", "u1@77"},
+		{"1,0,-1", "u1@77"},
+		{"1,0,1", ""},
+		{"1,0,1", "u1"},
+		{"1,0,1", "@77"},
+		{"1,0,1", "u1@"},
+		{"1,0,1", "u1@-77"},
+		{"1,0,1", "u1@77x"},
+		/* a start that makes all later ones older */
+		{"1,0,1", "u1@9223372036854775807"},
+		{"1,0,1",
+		 "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"
+		 "xxxxxxxxxx@77"},
+		{"=", "u1@77"},
+		{"=-1", "u1@77"},
+		{"=99999999999", "u1@77"},
+		{"1*x", "u1@77"},
+		{",,,", "u1@77"},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		struct fixture s;
+
+		fixture_create(&s, 3, false);
+		for (uint32_t k = 0; k < 3; k++)
+			task_end_run(job_find_task(s.job, 0, 0, k),
+				     RUN_NEVER_STARTED, NULL, 2000);
+		if (decode_tasks(&s, odd[i][0], odd[i][1]))
+			fail_msg("%s %s", odd[i][0], odd[i][1]);
+		assert_int_equal(s.task->run, 4);
+		assert_true(task_is_active(s.task));
+		assert_int_equal(job_find_task(s.job, 0, 0, 1)->state,
+				 TASK_WAITING);
+		assert_int_equal(job_find_task(s.job, 0, 0, 2)->run, 5);
+		assert_true(task_is_active(job_find_task(s.job, 0, 0, 2)));
+		assert_int_equal(s.upstream->started_wall_ms, 77);
+		assert_int_equal(s.model->fleet->list->len, 1);
+		fixture_destroy(&s);
+	}
+}
+
+/* Guards against a leader that ends, or that works on one row for ever. */
+static void test_odd_run_rows_are_survived(void **state)
+{
+	static const char *const rows[] = {
+		"",
+		"7",
+		"[]",
+		"{}",
+		"{\"state\":\"odd\"}",
+		"{\"state\":7}",
+		"{\"state\":\"running\",\"stages\":{}}",
+		"{\"state\":\"running\",\"stages\":[7,[],[[],[],[]],[{}]]}",
+		"{\"state\":\"running\",\"stages\":"
+		"[[-1,\"18446744073709551615*=1\",-1]]}",
+		"{\"state\":\"running\",\"stages\":[[0,\"0*=1 *=1 2**\",0]]}",
+		"{\"state\":\"running\",\"lives\":{},\"stages\":"
+		"[[1e300,\"1,0,0\",\"x\"]]}",
+		"{\"state\":\"running\",\"suspicions\":[7,[],[-1,-1],"
+		"[0,0,-1,9223372036854775807,-1,-1],[9,9],[0,9999]]}",
+		"{\"state\":\"running\",\"ended_ms\":-1}",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct fixture s;
+
+		fixture_create(&s, 3, false);
+		for (uint32_t k = 0; k < 3; k++)
+			task_end_run(job_find_task(s.job, 0, 0, k),
+				     RUN_NEVER_STARTED, NULL, 2000);
+		run_decode(s.job, rows[i], inherit_run, s.model);
+		assert_in_range(s.job->stages[0].done, 0, 3);
+		assert_in_range(s.job->stages[0].failures, 0, INT32_MAX);
+		assert_in_range(s.job->ended_ms, 0, INT64_C(1) << 53);
+		free(run_encode(s.job));
+		fixture_destroy(&s);
+	}
+}
+
+/* Parts of a spec row. */
+#define SPEC(steps) "{\"queue\":\"q\",\"steps\":[" steps "]}"
+#define STEP(field) SPEC("{\"count\":2,\"cpu_milli\":5," field "}")
+
+static void test_odd_spec_rows_are_refused(void **state)
+{
+	static const char *const rows[] = {
+		"",
+		"7",
+		"[]",
+		"{}",
+		"{\"queue\":\"q\"}",
+		"{\"queue\":7,\"steps\":[{\"count\":1}]}",
+		SPEC(""),
+		SPEC("7"),
+		SPEC("[]"),
+		SPEC("{\"count\":0}"),
+		SPEC("{\"count\":-1}"),
+		SPEC("{\"count\":4000000000}"),
+		SPEC("{\"count\":4294967297}"),
+		SPEC("{\"count\":\"1\"}"),
+		STEP("\"memory_mb\":-1"),
+		STEP("\"memory_mb\":9223372036854775807"),
+		STEP("\"accelerators\":1e300"),
+		STEP("\"estimate_ms\":4294967296"),
+		STEP("\"spread\":-1"),
+		STEP("\"target_ms\":[]"),
+		STEP("\"label\":7"),
+		STEP("\"after\":[-4294967296]"),
+		STEP("\"after\":[0]"),
+		STEP("\"after\":[{}]"),
+		"{\"queue\":\"q\",\"repeat\":4294967297,\"steps\":[{}]}",
+		"{\"queue\":\"q\",\"repeat\":1000,\"steps\":[{\"count\":5}]}",
+	};
+	static const char *const ids[] = {"", ".", "a.b",
+					  "000000000000000000000000"};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		if (spec_decode("a", rows[i]))
+			fail_msg("%s", rows[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++)
+		assert_null(spec_decode(ids[i], SPEC("{}")));
+}
+
+static void test_odd_settings_of_a_spec_row_are_bounded(void **state)
+{
+	struct job *j = spec_decode(
+		"a", "{\"queue\":\"q\",\"received_ms\":-1,"
+		     "\"start_at_wall_ms\":-1,\"interval_ms\":-1,"
+		     "\"settings\":{\"service\":\"s\",\"priority\":-1,"
+		     "\"max_attempts\":-1,\"slack_factor\":1e300,"
+		     "\"target_ms\":-1},\"steps\":[{}]}");
+
+	(void)state;
+	assert_non_null(j);
+	assert_int_equal(j->received_ms, 0);
+	assert_int_equal(j->start_at_wall_ms, 0);
+	assert_int_equal(j->interval_ms, 0);
+	assert_int_equal(j->priority, 0);
+	assert_int_equal(j->max_attempts, 1);
+	assert_true(j->slack_factor == 1000);
+	assert_int_equal(j->target_ms, 0);
+	job_destroy(j);
+}
+
+static void test_odd_state_and_job_rows_are_refused(void **state)
+{
+	static const char *const states[] = {
+		"",
+		"[]",
+		"{}",
+		"{\"state\":7}",
+		"{\"state\":\"odd\"}",
+		"{\"state\":\"completed\",\"ended_ms\":-1}",
+		"{\"state\":\"completed\",\"ended_ms\":\"7\"}",
+		"{\"state\":\"completed\",\"ended_ms\":9223372036854775807}"};
+	static const char *const jobs[] = {"",
+					   "[]",
+					   "{}",
+					   "{\"queue\":7}",
+					   "{\"queue\":\"\"}",
+					   "{\"queue\":\"q\",\"account\":7}"};
+	struct state_record r;
+	struct job_record j;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(states); i++)
+		if (state_decode(states[i], &r))
+			fail_msg("%s", states[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(jobs); i++)
+		if (job_decode(jobs[i], &j))
+			fail_msg("%s", jobs[i]);
+}
+
 /* Guards against the end of one run that ends another. */
 static void test_odd_task_names_name_no_task(void **state)
 {
@@ -270,6 +471,12 @@
 			test_run_row_of_largest_job_fits_into_the_store),
 		cmocka_unit_test(test_odd_task_names_name_no_task),
 		cmocka_unit_test(test_checkpoint_with_spaces_keeps_runs_apart),
+		cmocka_unit_test(
+			test_odd_tasks_of_a_run_row_cost_themselves_alone),
+		cmocka_unit_test(test_odd_run_rows_are_survived),
+		cmocka_unit_test(test_odd_spec_rows_are_refused),
+		cmocka_unit_test(test_odd_settings_of_a_spec_row_are_bounded),
+		cmocka_unit_test(test_odd_state_and_job_rows_are_refused),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
