Refuse odd rows of instances

An instance row whose name is longer than 63 bytes made every instance read freed memory when it was written a second time; one with a strength of 2^32 - 1 made a weak leader yield at each of its terms; one written at 2^63 - 1 was never removed.

Cause: the name is kept in 64 bytes; a longer one is cut and not found under its full name, and the second such peer takes the place of the first in the table of peers, which frees the first together with the key of that place. Numbers were converted without bounds.

peer_record_decode gets the name and refuses one that does not fit, a strength over 100 per cent, negative numbers, and an address of no single host. A row that was written more than three intervals in the future counts as one of an instance that is gone. The leader removes such rows, as it removed malformed ones before.

Evidence: a scratch program that calls relay_update_peer twice with a name of 80 bytes, under valgrind, on the code before: "Invalid read of size 1 [...] by g_hash_table_insert [...] inside a block of size 192 free'd". With peer/roster.c before, of unit_peer: ERROR: {"address":"0.0.0.0:80"} FAILED: test_odd_peer_records_are_refused

--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -108,9 +108,10 @@
 	if (!strcmp(key, KEY_OWNER))
 		leader_apply_owner_row(j->leader, value, version);
 	else if (g_str_has_prefix(key, KEY_INSTANCE))
-		relay_update_peer(
-			j->relay, name,
-			value && peer_record_decode(value, &p) ? &p : NULL);
+		relay_update_peer(j->relay, name,
+				  value && peer_record_decode(name, value, &p)
+					  ? &p
+					  : NULL);
 }
 
 static void on_registered(void *arg, const struct rows_answer *a)
--- a/lead/expire.c
+++ b/lead/expire.c
@@ -108,7 +108,7 @@
 
 	(void)version;
 	if (rows_tx_count_entries(r->tx) < EXPIRE_ROWS_MAX &&
-	    (!peer_record_decode(value, &p) ||
+	    (!peer_record_decode(key + strlen(KEY_INSTANCE), value, &p) ||
 	     peer_record_is_expired(&p, replica_store_clock_ms(r->owners))))
 		rows_tx_remove(r->tx, OWNER_TABLE, key);
 }
--- a/peer/roster.c
+++ b/peer/roster.c
@@ -6,6 +6,9 @@
 #include "lib/schema.h"
 #include "peer/roster.h"
 
+/* The store's clock is a count of milliseconds far below this. */
+#define WRITTEN_MAX_MS (INT64_C(1) << 53)
+
 /* Encode an instance's record as JSON; free with free. */
 char *peer_record_encode(const struct peer_record *p)
 {
@@ -23,18 +26,36 @@
 	return s;
 }
 
-/* Decode an instance's record. Returns false if the address is invalid. */
-bool peer_record_decode(const char *text, struct peer_record *p)
+/* Report whether name can be that of an instance: it fits into its copies. */
+static bool name_is_valid(const char *name)
+{
+	size_t len = strlen(name);
+
+	return len && len < PEER_NAME_BYTES;
+}
+
+/*
+ * Decode the record of the instance called name. Returns false for another
+ * name, or if a field is missing, of another type or out of its bounds.
+ */
+bool peer_record_decode(const char *name, const char *text,
+			struct peer_record *p)
 {
 	json_t *v = json_loads(text, 0, NULL);
+	int64_t incarnation = 0, strength = 0, written_ms = 0;
 	bool ok;
 
 	memset(p, 0, sizeof(*p));
-	json_str_copy(p->domain, sizeof(p->domain), v, "domain");
-	p->incarnation = json_int_or(v, "incarnation", 0);
-	p->strength = json_int_or(v, "strength", 0);
-	p->written_ms = json_int_or(v, "written_ms", 0);
-	ok = address_parse(json_str_or(v, "address", ""), &p->address);
+	ok = name_is_valid(name) &&
+	     json_read_str(v, "domain", p->domain, sizeof(p->domain)) &&
+	     json_read_int(v, "incarnation", 0, INT64_MAX, &incarnation) &&
+	     json_read_int(v, "strength", 0, PEER_STRENGTH_MAX, &strength) &&
+	     json_read_int(v, "written_ms", 0, WRITTEN_MAX_MS, &written_ms) &&
+	     address_parse(json_str_or(v, "address", ""), &p->address) &&
+	     address_is_unicast(&p->address);
+	p->incarnation = incarnation;
+	p->strength = strength;
+	p->written_ms = written_ms;
 	json_decref(v);
 	return ok;
 }
@@ -58,9 +79,10 @@
 
 /*
  * Report whether the instance of a row is gone; store_ms is the present time on
- * the store's clock.
+ * the store's clock. A row from the future was not written by an instance.
  */
 bool peer_record_is_expired(const struct peer_record *p, uint64_t store_ms)
 {
-	return p->written_ms + 3 * ROSTER_INTERVAL_MS < store_ms;
+	return p->written_ms + 3 * ROSTER_INTERVAL_MS < store_ms ||
+	       p->written_ms > store_ms + 3 * ROSTER_INTERVAL_MS;
 }
--- a/peer/roster.h
+++ b/peer/roster.h
@@ -7,6 +7,8 @@
 #include <stdint.h>
 
 #define PEER_NAME_BYTES 64
+/* Strength of an instance that is fit to lead any site, in percent. */
+#define PEER_STRENGTH_MAX 100
 
 struct peer_record {
 	char domain[PEER_NAME_BYTES];
@@ -23,7 +25,8 @@
 #define ROSTER_INTERVAL_MS 600000
 
 char *peer_record_encode(const struct peer_record *p);
-bool peer_record_decode(const char *text, struct peer_record *p);
+bool peer_record_decode(const char *name, const char *text,
+			struct peer_record *p);
 uint64_t peer_record_rank(const struct peer_record *p, const char *peer,
 			  const char *domain, const char *instance);
 bool peer_record_is_expired(const struct peer_record *p, uint64_t store_ms);
--- a/test/unit_peer.c
+++ b/test/unit_peer.c
@@ -61,7 +61,7 @@
 	(void)state;
 	assert_true(address_parse("10.1.0.19:7000", &p.address));
 	text = peer_record_encode(&p);
-	assert_true(peer_record_decode(text, &q));
+	assert_true(peer_record_decode("i", text, &q));
 	assert_string_equal(q.domain, "durgapur");
 	assert_int_equal(q.incarnation, 7);
 	assert_int_equal(q.strength, 40);
@@ -69,11 +69,50 @@
 	assert_int_equal(q.address.sin_addr.s_addr, p.address.sin_addr.s_addr);
 	assert_false(peer_record_is_expired(&q, 5000 + ROSTER_INTERVAL_MS));
 	assert_true(peer_record_is_expired(&q, 5001 + 3 * ROSTER_INTERVAL_MS));
-	assert_false(peer_record_decode("{\"domain\": \"durgapur\"}", &q));
-	assert_false(peer_record_decode("nonsense", &q));
+	assert_false(peer_record_decode("i", "{\"domain\": \"durgapur\"}", &q));
+	assert_false(peer_record_decode("i", "nonsense", &q));
 	free(text);
 }
 
+/*
+ * Guards against a peer that never goes, or that is always stronger, and
+ * against a name that is another one once it is cut.
+ */
+static void test_odd_peer_records_are_refused(void **state)
+{
+	static const char *const odd[] = {
+		"",
+		"[]",
+		"{}",
+		"{\"address\":7}",
+		"{\"address\":\"10.1.0.19:70000\"}",
+		"{\"address\":\"10.1.0.19:+80\"}",
+		"{\"address\":\"0.0.0.0:80\"}",
+		"{\"address\":\"10.1.0.19:80\",\"domain\":7}",
+		"{\"address\":\"10.1.0.19:80\",\"incarnation\":-1}",
+		"{\"address\":\"10.1.0.19:80\",\"strength\":-1}",
+		"{\"address\":\"10.1.0.19:80\",\"strength\":4294967396}",
+		"{\"address\":\"10.1.0.19:80\",\"strength\":101}",
+		"{\"address\":\"10.1.0.19:80\",\"written_ms\":-1}",
+		"{\"address\":\"10.1.0.19:80\",\"written_ms\":"
+		"9223372036854775807}",
+	};
+	const char *sound = "{\"address\":\"10.1.0.19:80\",\"strength\":100,"
+			    "\"written_ms\":9007199254740992}";
+	char *name = g_strnfill(PEER_NAME_BYTES, 'x');
+	struct peer_record p;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++)
+		if (peer_record_decode("i", odd[i], &p))
+			fail_msg("%s", odd[i]);
+	assert_false(peer_record_decode(name, sound, &p));
+	assert_false(peer_record_decode("", sound, &p));
+	assert_true(peer_record_decode(name + 1, sound, &p));
+	assert_true(peer_record_is_expired(&p, 5000));
+	g_free(name);
+}
+
 /*
  * Guards against an overload of one peer when the store refuses thirty
  * instances of a domain: they rank peers of their domain first, and spread over
@@ -118,6 +157,7 @@
 		cmocka_unit_test(
 			test_peer_calls_are_served_only_while_store_answers),
 		cmocka_unit_test(test_peer_record_decodes_as_encoded),
+		cmocka_unit_test(test_odd_peer_records_are_refused),
 		cmocka_unit_test(
 			test_refused_instances_rank_domain_first_and_spread),
 	};
