Keep what is known of a job when its row turns odd

Callers: 410 "no such job" for an accepted job whose row another writer had replaced by a malformed one.

Cause: the cache took over the empty record of the malformed row.

The row of a job never changes once it is accepted, so a malformed one leaves the known record as it is. The log no longer holds the value, which can be long and need not be text.

Evidence: with entry/jobcache.c before, of unit_record: [ERROR] job_cache_find_accepted(c, "a") FAILED: test_odd_rows_do_not_replace_what_is_known_of_a_job

--- a/entry/jobcache.c
+++ b/entry/jobcache.c
@@ -41,19 +41,22 @@
 	return j;
 }
 
+/*
+ * Apply the row of a job. The row of an accepted job never changes, so that a
+ * malformed one does not replace what is known.
+ */
 static void apply_job_row(struct job_cache *c, const char *id,
 			  const char *value)
 {
-	struct cached_job *j;
+	struct job_record r;
 
-	if (!value) {
+	if (!value)
 		g_hash_table_remove(c->jobs, id);
-		return;
-	}
-	j = find_or_add(c, id);
-	if (!job_decode(value, &j->record))
+	else if (job_decode(value, &r))
+		find_or_add(c, id)->record = r;
+	else
 		log_fields(LOG_ERROR, "bad_row", "{s:s,s:s}", "job", id,
-			   "value", value);
+			   "table", JOB_TABLE);
 }
 
 /* Apply a row of the table of jobs; value is NULL if it was removed. */
@@ -78,7 +81,7 @@
 		find_or_add(c, id)->state = r.state;
 	else
 		log_fields(LOG_ERROR, "bad_row", "{s:s,s:s}", "job", id,
-			   "value", value);
+			   "table", STATE_TABLE);
 }
 
 /* Return the entry of a job whose row is known, or NULL. */
--- a/test/unit_record.c
+++ b/test/unit_record.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "entry/jobcache.h"
 #include "lead/model.h"
 #include "lead/record.h"
 
@@ -424,6 +425,29 @@
 			fail_msg("%s", jobs[i]);
 }
 
+/* Guards against an accepted job that callers hear does not exist. */
+static void test_odd_rows_do_not_replace_what_is_known_of_a_job(void **state)
+{
+	static const char *const odd[] = {"", "[]", "{}", "{\"state\":7}",
+					  "{\"queue\":7}"};
+	struct job_cache *c = job_cache_create();
+
+	(void)state;
+	job_cache_apply_job_row(c, KEY_JOB "a", "{\"queue\":\"q\"}");
+	job_cache_apply_state_row(c, "a", "{\"state\":\"running\"}");
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		job_cache_apply_job_row(c, KEY_JOB "a", odd[i]);
+		job_cache_apply_state_row(c, "a", odd[i]);
+		job_cache_apply_job_row(c, KEY_JOB "b", odd[i]);
+	}
+	assert_non_null(job_cache_find_accepted(c, "a"));
+	assert_int_equal(job_cache_find(c, "a")->state, JOB_RUNNING);
+	assert_null(job_cache_find(c, "b"));
+	job_cache_apply_job_row(c, KEY_JOB "a", NULL);
+	assert_null(job_cache_find(c, "a"));
+	job_cache_destroy(c);
+}
+
 /* Guards against the end of one run that ends another. */
 static void test_odd_task_names_name_no_task(void **state)
 {
@@ -477,6 +501,8 @@
 		cmocka_unit_test(test_odd_spec_rows_are_refused),
 		cmocka_unit_test(test_odd_settings_of_a_spec_row_are_bounded),
 		cmocka_unit_test(test_odd_state_and_job_rows_are_refused),
+		cmocka_unit_test(
+			test_odd_rows_do_not_replace_what_is_known_of_a_job),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
