Let upstreams that were never heard of speak for no domain

Operators: 304 lines "upstream_doubted" a minute, and as many calls, while three entries named upstreams that never answered; the sound upstreams of that failure domain got no work for the length of a call each time.

Cause: silent upstreams put their domain in doubt. One that answers ends the doubt for 0.4 s only, and an entry that names nobody is silent for ever.

An upstream that has never answered this leader counts for 10 s. A gone one is taken off the list sooner, and those that were heard before a cut still count.

Evidence: with sched/reach.c before, of unit_leader: [ERROR] 0x130 != 0 FAILED: test_upstreams_never_heard_of_speak_for_no_domain

--- a/sched/reach.c
+++ b/sched/reach.c
@@ -10,6 +10,11 @@
 #define SILENT_MIN 2
 /* An answer within this time shows that the domain is reachable. */
 #define HEARD_RECENTLY_MS 400
+/*
+ * An upstream that has never answered, and is silent for this long, is listed
+ * by mistake: the platform removes those that are gone earlier.
+ */
+#define NEVER_HEARD_MAX_MS 10000
 
 /* What the upstreams of a domain show. */
 struct domain_state {
@@ -38,6 +43,15 @@
 	return u->heard_ms && u->heard_ms + HEARD_RECENTLY_MS > now_ms;
 }
 
+/* Report whether u is silent in a way that speaks for its domain. */
+static bool is_silent(const struct upstream *u, uint64_t now_ms)
+{
+	bool never_heard = !u->heard_ms && u->silent_since_ms &&
+			   u->silent_since_ms + NEVER_HEARD_MAX_MS < now_ms;
+
+	return u->silent && !never_heard;
+}
+
 /* Return the state of a domain, added if it is missing. */
 static struct domain_state *state_of(GArray *states, GQuark domain)
 {
@@ -66,7 +80,7 @@
 		if (u->state == UPSTREAM_GONE)
 			continue;
 		s = state_of(states, u->domain_quark);
-		s->silent += u->silent;
+		s->silent += is_silent(u, now_ms);
 		s->heard_recently += is_heard_recently(u, now_ms);
 	}
 	return states;
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -29,6 +29,8 @@
 /* docs/DESIGN.md: a leader acts for at most this long after its last write. */
 #define TENURE_LIMIT_MS 10000
 #define LEASE_MS 6000
+/* An upstream that has never answered may be cut off for this long. */
+#define NEVER_HEARD_LIMIT_MS 10000
 /* Time by which the clock is advanced between two steps of the loop. */
 #define ADVANCE_MS 50
 
@@ -919,11 +921,12 @@
 	fixture_destroy(&s);
 }
 
-/* A listed upstream that never answers, as nothing listens there. */
+/* Listed upstreams that never answer, as nothing listens there. */
+#define SILENT_ENTRY                                                           \
+	ODD_BEGIN ODD_LABELS ODD_ADDRESS ODD_ROOM                              \
+		",\"slots\":8,\"seq\":1,\"born\":77}"
 static const char *const silent_entries[][2] = {
-	{"a", ODD_BEGIN ODD_LABELS ODD_ADDRESS ODD_ROOM
-	 ",\"slots\":8,\"seq\":1,\"born\":77}"},
-};
+	{"a", SILENT_ENTRY}, {"b", SILENT_ENTRY}, {"c", SILENT_ENTRY}};
 
 /*
  * Guards against work that fits into no room at all, and goes to upstreams that
@@ -946,6 +949,37 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * Guards against entries that put the failure domain in doubt for ever, though
+ * nobody has ever heard of their upstreams.
+ */
+static void test_upstreams_never_heard_of_speak_for_no_domain(void **state)
+{
+	struct captured_log log;
+	struct fixture s;
+	uint32_t lines;
+
+	(void)state;
+	fixture_create(&s, 5);
+	s.odd = silent_entries;
+	s.odd_len = G_N_ELEMENTS(silent_entries);
+	s.ended = json_array();
+	run_for(&s, NEVER_HEARD_LIMIT_MS + 2000);
+	log_capture(&log);
+	for (uint32_t i = 0; i < 40; i++) {
+		char id[JOB_ID_BYTES];
+
+		snprintf(id, sizeof(id), "%016x", i + 1);
+		feed_rows(&s, SPEC_TABLE,
+			  json_pack("[o]", encode_row(id, s.spec, 0)));
+		run_for(&s, HEARTBEAT_MS);
+	}
+	lines = log_count(&log, "upstream_doubted");
+	assert_int_equal(s.completed, 40);
+	assert_int_equal(lines, 0);
+	fixture_destroy(&s);
+}
+
 /*
  * A sound entry is replaced by an odd one: the upstream gets no new work, but
  * its run goes on, and it gets work again once its entry is back.
@@ -1001,6 +1035,8 @@
 		cmocka_unit_test(test_odd_job_rows_cost_themselves_alone),
 		cmocka_unit_test(
 			test_work_without_needs_goes_to_usable_upstreams),
+		cmocka_unit_test(
+			test_upstreams_never_heard_of_speak_for_no_domain),
 		cmocka_unit_test(test_upstream_with_odd_entry_keeps_its_runs),
 	};
 
