Take no run 0 from the row of runs

Callers: none seen. A task "0,0,0" of an odd row counted as active in run 0, which no upstream has, and "=0" as done; a job whose tasks all had run 0 lost these ends when it was written again.

Cause: only the upper bound of a run was checked.

Evidence: with lead/record.c before, of unit_record: ERROR: 0,0,0 u1@77 FAILED: test_odd_tasks_of_a_run_row_cost_themselves_alone

--- a/lead/record.c
+++ b/lead/record.c
@@ -584,7 +584,7 @@
 	bool ok;
 
 	if (*text == '=') {
-		ok = parse_number(text + 1, RUN_NUMBER_MAX, &run);
+		ok = parse_number(text + 1, RUN_NUMBER_MAX, &run) && run;
 		if (ok) {
 			t->run = run;
 			t->state = TASK_DONE;
@@ -601,7 +601,7 @@
 	if (len > 3)
 		t->checkpoint = checkpoint_decode(field[3]);
 	if (len > 2 && *field[2])
-		ok = decode_active_task(r, t, field[2]);
+		ok = run && decode_active_task(r, t, field[2]);
 out:
 	g_strfreev(field);
 	return ok;
--- a/test/unit_record.c
+++ b/test/unit_record.c
@@ -262,7 +262,9 @@
 		{"1,0,1",
 		 "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"
 		 "xxxxxxxxxx@77"},
+		{"0,0,0", "u1@77"},
 		{"=", "u1@77"},
+		{"=0", "u1@77"},
 		{"=-1", "u1@77"},
 		{"=99999999999", "u1@77"},
 		{"1*x", "u1@77"},
