Send a recorded check to the incarnation in its row

What callers saw: a check that is not idempotent could run twice under one key. The intent row names the upstream's incarnation, but the request named the newest one that this instance knew. If the answer of the table is late, a repeat at another instance may have asked the upstream meanwhile, left the tombstone, taken the row over and run. Once the upstream restarts, the tombstone is lost, and any answer to another check tells the first instance the new incarnation: its request was accepted, though its lease had ended.

Cause: the permission to send holds for the incarnation in the row, and was not looked at when it was used.

The request now names the recorded incarnation, so that an upstream which has restarted refuses it.

Evidence: test_recorded_check_is_not_run_by_a_later_incarnation fails before ("0x1 != 0" runs) and passes after.

--- a/daemon/check.c
+++ b/daemon/check.c
@@ -426,7 +426,8 @@
 /*
  * Send q to its upstream under its lease.  The upstream keeps the outcome of
  * a check that is not idempotent and accepts it only under the incarnation
- * that is named.
+ * that the intent row names: a later one has lost the tombstone of a lease that
+ * another attempt has replaced.
  */
 void quick_send(struct quick_check *q)
 {
@@ -437,8 +438,7 @@
 		q->request_id, "payload", payload, "run_ms",
 		(json_int_t)json_int_or(q->request, "run_ms", 0), "keep",
 		(int)(q->idempotency_key != NULL), "incarnation",
-		(json_int_t)(q->idempotency_key ? q->upstream->incarnation
-						: 0));
+		(json_int_t)q->incarnation);
 	char *text = json_dumps(body, JSON_COMPACT);
 
 	q->state = QUICK_SENT;
--- a/daemon/quick.h
+++ b/daemon/quick.h
@@ -70,7 +70,8 @@
 	char *row_key;
 	char *nonce;
 	uint64_t row_version;
-	uint64_t incarnation; /* of the upstream that it is sent to */
+	/* of the upstream, in the intent row; 0 if the check is idempotent */
+	uint64_t incarnation;
 	uint64_t queried_incarnation;
 	char *queried_lease;
 	struct roster_upstream *queried_upstream;
