Name the process in a coordinator's claims

What callers saw: after a restart of the instance that decided first, a job that had been requeued before ran to its end, but the end was never recorded. By reading: the next coordinator would run it again, and a job that is not idempotent ran without its start in the table.

Cause: an upstream grants an epoch that it knows to the same holder, and the holder was the instance. A restarted process without peers that know the epoch claims epoch 1 again, and the upstreams granted it. It then numbered its attempts from 1.1 again, below those in the rows, so that its updates were dropped as stale; and commands of the earlier process that are still on the way would have been obeyed.

The holder now names the process by the instance's name and incarnation, as leases of checks do. The second process is refused and claims a higher epoch.

Evidence: test_restarted_coordinator_claims_a_higher_epoch fails before ("not within 20000 ms: job_is(s, "done")") and passes after.

--- a/daemon/upstream_control.c
+++ b/daemon/upstream_control.c
@@ -71,14 +71,23 @@
 	c->leases = NULL;
 }
 
-/* Return a new object with the fields common to all commands. */
+/*
+ * Return a new object with the fields common to all commands.  The holder is
+ * this process and not only its instance, so that a restarted process cannot
+ * share an epoch with an earlier one, whose commands may still be on the way.
+ */
 json_t *upstream_control_body(const struct upstream_control *c)
 {
 	const struct coordinator *d = c->coordinator;
-
-	return json_pack("{s:I,s:s,s:i}", "epoch", (json_int_t)d->epoch,
-			 "holder", d->env->settings->name, "term_ms",
-			 (int)d->config->limits.lease_term_ms);
+	const struct settings *s = d->env->settings;
+	char *holder = g_strdup_printf("%s-%" G_GUINT64_FORMAT, s->name,
+				       s->incarnation);
+	json_t *body = json_pack("{s:I,s:s,s:i}", "epoch", (json_int_t)d->epoch,
+				 "holder", holder, "term_ms",
+				 (int)d->config->limits.lease_term_ms);
+
+	g_free(holder);
+	return body;
 }
 
 /* POST body, whose reference is taken, to c; false if no call was made. */
--- /dev/null
+++ b/test/unit_coordinator.c
@@ -0,0 +1,452 @@
+/*
+ * Tests of the coordinator with the table and the upstreams in the test's own
+ * event loop. The upstreams obey the claimant with the highest epoch and keep
+ * their leases until they are released.
+ */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/syscall.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "daemon/coordinator.h"
+#include "daemon/jobs.h"
+
+#define BODY_MAX 65536
+#define UPSTREAM_COUNT 2
+#define JOB_KEY "job/reindex"
+#define ATTEMPT_OF_EPOCH(e) (((json_int_t)(e) << 16) + 57)
+/* Time by which the clock is advanced after each step of the loop. */
+#define ADVANCE_MS 10
+#define WAIT_MAX_MS 20000
+#define SCAN_INTERVAL_MS 200
+
+struct fake_upstream {
+	struct http_server *server;
+	uint64_t epoch;
+	char *holder;
+	uint64_t version;
+	json_t *leases; /* id to lease */
+	bool silent;
+};
+
+struct fixture {
+	uint32_t net; /* third octet of the upstreams' addresses */
+	struct settings settings;
+	struct env env;
+	struct jobs *jobs;
+	struct coordinator *coordinator;
+	struct fake_upstream upstreams[UPSTREAM_COUNT];
+	json_t *rows; /* the table: key to {"version", "value"} */
+	uint64_t version;
+	uint64_t scanned_ms;
+	uint32_t starts; /* runs that the upstreams have started */
+};
+
+static int64_t clock_offset_ms;
+
+/*
+ * Replaces the C library's function: all clocks are ahead by clock_offset_ms,
+ * so that a test need not wait.
+ */
+int clock_gettime(clockid_t id, struct timespec *ts)
+{
+	int rc = syscall(SYS_clock_gettime, id, ts);
+
+	ts->tv_sec += clock_offset_ms / 1000;
+	ts->tv_nsec += clock_offset_ms % 1000 * 1000000;
+	if (ts->tv_nsec >= 1000000000) {
+		ts->tv_nsec -= 1000000000;
+		ts->tv_sec++;
+	}
+	return rc;
+}
+
+/* Upstreams */
+
+/* Return the address of upstream i, which counts from 0. */
+static char *format_address(const struct fixture *s, uint32_t i)
+{
+	return g_strdup_printf("127.76.%u.%u:9000", s->net, i + 1);
+}
+
+/* Return the upstream to which a request was sent. */
+static struct fake_upstream *find_upstream(struct fixture *s,
+					   struct http_exchange *x)
+{
+	char *host = exchange_host(x);
+	struct fake_upstream *found = NULL;
+
+	for (uint32_t i = 0; i < UPSTREAM_COUNT; i++) {
+		char *address = format_address(s, i);
+
+		if (!strcmp(host, address))
+			found = &s->upstreams[i];
+		g_free(address);
+	}
+	g_free(host);
+	assert_non_null(found);
+	return found;
+}
+
+static json_t *build_report(const struct fake_upstream *u)
+{
+	json_t *list = json_array();
+	const char *id;
+	json_t *lease;
+
+	json_object_foreach(u->leases, id, lease)
+		json_array_append(list, lease);
+	return json_pack("{s:I,s:I,s:I,s:o}", "epoch", (json_int_t)u->epoch,
+			 "version", (json_int_t)u->version, "incarnation",
+			 (json_int_t)1, "leases", list);
+}
+
+static void set_lease_state(struct fake_upstream *u, const char *id,
+			    const char *state)
+{
+	json_t *lease = json_object_get(u->leases, id);
+
+	if (!lease)
+		return;
+	json_object_set_new(lease, "state", json_string(state));
+	u->version++;
+}
+
+/* Set the state of all leases, as when their runs end. */
+static void set_all_leases(struct fake_upstream *u, const char *state)
+{
+	const char *id;
+	json_t *lease;
+
+	json_object_foreach(u->leases, id, lease) set_lease_state(u, id, state);
+}
+
+static void reserve_leases(struct fake_upstream *u, const json_t *list)
+{
+	json_t *v;
+	size_t i;
+
+	json_array_foreach(list, i, v)
+	{
+		json_object_set(u->leases, json_str_or(v, "lease", ""), v);
+		set_lease_state(u, json_str_or(v, "lease", ""), "reserved");
+	}
+}
+
+static void change_leases(struct fake_upstream *u, const json_t *ids,
+			  const char *state)
+{
+	json_t *v;
+	size_t i;
+
+	json_array_foreach(ids, i, v)
+		set_lease_state(u, json_string_value(v), state);
+}
+
+static bool accept_claim(struct fake_upstream *u, uint64_t epoch,
+			 const char *holder)
+{
+	if (epoch < u->epoch ||
+	    (epoch == u->epoch && strcmp(holder, u->holder)))
+		return false;
+	g_free(u->holder);
+	u->holder = g_strdup(holder);
+	u->epoch = epoch;
+	return true;
+}
+
+static void serve_upstream(void *arg, struct http_exchange *x)
+{
+	struct fixture *s = arg;
+	const char *path = exchange_path(x);
+	struct fake_upstream *u = find_upstream(s, x);
+	json_t *v = json_loads(exchange_body(x, NULL), 0, NULL);
+	const json_t *leases = json_object_get(v, "leases");
+	uint64_t epoch = json_int_or(v, "epoch", 0);
+	const char *holder = json_str_or(v, "holder", "");
+	bool obeys = epoch == u->epoch && !strcmp(holder, u->holder);
+
+	if (u->silent)
+		goto out;
+	if (!strcmp(path, "/claim"))
+		obeys = accept_claim(u, epoch, holder);
+	if (!obeys) {
+		exchange_reply_json(x, 409,
+				    json_pack("{s:s,s:I}", "refused",
+					      "stale_epoch", "epoch",
+					      (json_int_t)u->epoch),
+				    0);
+		goto out;
+	}
+	if (!strcmp(path, "/reserve")) {
+		reserve_leases(u, leases);
+	} else if (!strcmp(path, "/start")) {
+		change_leases(u, leases, "running");
+		s->starts += json_array_size(leases);
+	} else if (!strcmp(path, "/release")) {
+		change_leases(u, leases, "stopped");
+	}
+	exchange_reply_json(x, 200, build_report(u), 0);
+out:
+	json_decref(v);
+}
+
+/* The table */
+
+static void put_row(struct fixture *s, const char *key, json_t *value)
+{
+	json_object_set_new(s->rows, key,
+			    json_pack("{s:s,s:I,s:O}", "key", key, "version",
+				      (json_int_t)++s->version, "value",
+				      value));
+}
+
+static json_t *row_value(struct fixture *s, const char *key)
+{
+	return json_object_get(json_object_get(s->rows, key), "value");
+}
+
+static void receive_table_call(void *task, struct message *m)
+{
+	struct fixture *s = task;
+	const json_t *op = json_array_get(m->json, 0);
+	const char *key = m->tag == MSG_READ ? json_string_value(m->json)
+					     : json_str_or(op, "key", "");
+	json_t *row = json_object_get(s->rows, key);
+	struct message out = {
+		.from = TASK_PLATFORM, .to = m->from, .ticket = m->ticket};
+
+	out.txn.verdict = verdict_ran();
+	if (m->tag == MSG_READ) {
+		out.tag = MSG_READ_DONE;
+		out.txn.conflict = json_incref(row);
+	} else if (json_int_or(op, "expect", 0) ==
+		   json_int_or(row, "version", 0)) {
+		out.tag = MSG_TXN_DONE;
+		put_row(s, key, json_object_get(op, "value"));
+		out.txn.version = s->version;
+	} else {
+		out.tag = MSG_TXN_DONE;
+		out.txn.verdict = verdict_did_not_run(REASON_CONFLICT);
+		out.txn.conflict = json_incref(row);
+	}
+	bus_post(s->env.bus, &out);
+}
+
+/* Post all rows, as read by a scan that was sent now. */
+static void post_scan(struct fixture *s)
+{
+	struct message m = {
+		.tag = MSG_ROWS, .from = TASK_PLATFORM, .to = TASK_JOB};
+	const char *key;
+	json_t *row;
+
+	m.rows.list = json_array();
+	json_object_foreach(s->rows, key, row)
+		json_array_append(m.rows.list, row);
+	s->scanned_ms = clock_mono_ms();
+	m.rows.caught_up_ms = s->scanned_ms;
+	bus_post(s->env.bus, &m);
+}
+
+static void put_job(struct fixture *s, const char *state, json_int_t attempt)
+{
+	json_t *value =
+		json_pack("{s:s,s:s,s:s,s:i,s:i,s:I}", "account", "damodar",
+			  "state", state, "domain", "kolkata", "accelerators",
+			  8, "run_ms", 60000, "attempt", attempt);
+
+	put_row(s, JOB_KEY, value);
+	json_decref(value);
+}
+
+static bool job_is(struct fixture *s, const char *state)
+{
+	return !strcmp(json_str_or(row_value(s, JOB_KEY), "state", ""), state);
+}
+
+/* The site */
+
+/* Post a configuration of the first n upstreams. */
+static void post_config(struct fixture *s, uint32_t n)
+{
+	struct message m = {
+		.tag = MSG_CONFIG, .from = TASK_CONFIG, .to = TASK_COORDINATOR};
+	json_t *values = json_pack("{s:{s:s}}", "config/account/damodar",
+				   "name", "damodar");
+
+	for (uint32_t i = 1; i <= n; i++) {
+		char *name = g_strdup_printf("kolkata-w%u", i);
+		char *key = g_strconcat("config/upstream/", name, NULL);
+		char *address = format_address(s, i - 1);
+
+		json_object_set_new(values, key,
+				    json_pack("{s:s,s:s,s:s,s:s,s:i,s:i}",
+					      "name", name, "domain", "kolkata",
+					      "rack", "kolkata-r1", "address",
+					      address, "accelerators", 8,
+					      "slots", 8));
+		g_free(name);
+		g_free(key);
+		g_free(address);
+	}
+	m.config = config_build(values, n);
+	bus_post(s->env.bus, &m);
+	json_decref(values);
+}
+
+/* Post a list of members with the first n upstreams. */
+static void post_members(struct fixture *s, uint32_t n)
+{
+	json_t *list = json_array();
+
+	for (uint32_t i = 1; i <= n; i++) {
+		char *name = g_strdup_printf("kolkata-w%u", i);
+
+		json_array_append_new(list, json_pack("{s:s,s:s}", "name", name,
+						      "state", "live"));
+		g_free(name);
+	}
+	post_json(s->env.bus, MSG_MEMBERS, TASK_PLATFORM, TASK_COORDINATOR,
+		  list);
+}
+
+static void deliver_messages(void *arg)
+{
+	bus_deliver(arg);
+}
+
+static void start_process(struct fixture *s)
+{
+	s->settings.incarnation++;
+	s->jobs = jobs_create(&s->env);
+	s->coordinator = coordinator_create(&s->env);
+}
+
+static void stop_process(struct fixture *s)
+{
+	coordinator_destroy(s->coordinator);
+	jobs_destroy(s->jobs);
+}
+
+static struct fixture *setup_site(void)
+{
+	static uint32_t last_net;
+	struct fixture *s = g_new0(struct fixture, 1);
+
+	s->net = ++last_net;
+	g_strlcpy(s->settings.name, "kolkata-1", sizeof(s->settings.name));
+	g_strlcpy(s->settings.domain, "kolkata", sizeof(s->settings.domain));
+	s->rows = json_object();
+	s->env = (struct env){.settings = &s->settings,
+			      .loop = loop_create(),
+			      .bus = bus_create(),
+			      .counters = counters_create(),
+			      .events = event_ring_create(100)};
+	s->env.http = http_client_create(s->env.loop);
+	loop_on_iteration_end(s->env.loop, deliver_messages, s->env.bus);
+	for (uint32_t i = 0; i < UPSTREAM_COUNT; i++) {
+		char *text = format_address(s, i);
+		struct sockaddr_in a;
+
+		address_parse(text, &a);
+		s->upstreams[i].holder = g_strdup("");
+		s->upstreams[i].leases = json_object();
+		s->upstreams[i].server = http_server_create(
+			s->env.loop, &a, BODY_MAX, serve_upstream, s);
+		assert_non_null(s->upstreams[i].server);
+		g_free(text);
+	}
+	bus_attach(s->env.bus, TASK_PLATFORM, receive_table_call, s);
+	start_process(s);
+	return s;
+}
+
+static void teardown_site(struct fixture *s)
+{
+	stop_process(s);
+	for (uint32_t i = 0; i < UPSTREAM_COUNT; i++) {
+		http_server_destroy(s->upstreams[i].server);
+		json_decref(s->upstreams[i].leases);
+		g_free(s->upstreams[i].holder);
+	}
+	http_client_destroy(s->env.http);
+	bus_destroy(s->env.bus);
+	counters_destroy(s->env.counters);
+	event_ring_destroy(s->env.events);
+	loop_destroy(s->env.loop);
+	json_decref(s->rows);
+	g_free(s);
+}
+
+static void step(struct fixture *s)
+{
+	loop_step(s->env.loop, 1);
+	clock_offset_ms += ADVANCE_MS;
+	if (clock_mono_ms() - s->scanned_ms >= SCAN_INTERVAL_MS)
+		post_scan(s);
+}
+
+static void run_for(struct fixture *s, uint64_t ms)
+{
+	uint64_t until_ms = clock_mono_ms() + ms;
+
+	while (clock_mono_ms() < until_ms)
+		step(s);
+}
+
+/* Runs the site until the condition is true. */
+#define wait_until(s, what)                                                    \
+	do {                                                                   \
+		uint64_t until_ms_ = clock_mono_ms() + WAIT_MAX_MS;            \
+		while (!(what)) {                                              \
+			if (clock_mono_ms() > until_ms_)                       \
+				fail_msg("not within %d ms: %s", WAIT_MAX_MS,  \
+					 #what);                               \
+			step(s);                                               \
+		}                                                              \
+	} while (0)
+
+static void test_restarted_coordinator_claims_a_higher_epoch(void **state)
+{
+	struct fixture *s = setup_site();
+	uint64_t earlier;
+
+	(void)state;
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, UPSTREAM_COUNT);
+	run_for(s, 3000);
+	earlier = s->upstreams[0].epoch;
+	assert_true(earlier);
+	stop_process(s);
+	put_job(s, "waiting", ATTEMPT_OF_EPOCH(earlier));
+	start_process(s);
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, UPSTREAM_COUNT);
+	wait_until(s, s->starts);
+	run_for(s, 1000);
+	set_all_leases(&s->upstreams[0], "done");
+	set_all_leases(&s->upstreams[1], "done");
+	wait_until(s, job_is(s, "done"));
+	assert_true(s->upstreams[0].epoch > earlier);
+	assert_int_equal(s->starts, 1);
+	teardown_site(s);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			test_restarted_coordinator_claims_a_higher_epoch),
+	};
+
+	cmocka_set_test_filter(getenv("TEST_FILTER"));
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
