Claim above the epochs of the attempts in the table

What callers saw: after all upstreams and instances of a domain had restarted, a job that had been tried before ran to its end, and its row stayed "waiting". By reading: the next coordinator would run it again.

Cause: the highest epoch is learned from upstreams and peers only. Once all of them have restarted, the next coordinator decides with epoch 1, while the rows hold attempts of higher epochs, and a row ignores updates of earlier attempts. The bound on what earlier coordinators did was taken from those who remember, not from the table that outlives them.

Rows now raise the highest epoch seen. A leader that finds its own epoch, or a later one, in a row before it has started anything steps down and claims again; it starts nothing before it has read the table, so that no start is made in an epoch that is too low.

Evidence: test_end_is_recorded_after_all_upstreams_and_instances_restarted fails before ("not within 20000 ms: job_is(s, "done")") and passes after.

--- a/daemon/coordinator-internal.h
+++ b/daemon/coordinator-internal.h
@@ -15,6 +15,8 @@
 #define NO_JOB_HANDLE UINT32_MAX
 #define CALL_TIMEOUT_MS 1000
 #define LEASE_EXPIRY_MARGIN_MS 200
+/* An attempt is an epoch and, in its lowest bits, a number in the epoch. */
+#define ATTEMPT_SEQUENCE_BITS 16
 
 enum role_state { ROLE_FOLLOWER, ROLE_CANDIDATE, ROLE_LEADER };
 
@@ -27,6 +29,7 @@
 	uint64_t attempts;	 /* attempts started in this epoch */
 	uint64_t all_claimed_ms; /* when every upstream was claimed */
 	uint64_t table_caught_up_ms;
+	bool settled; /* leader that has seen what its predecessors did */
 	uint64_t no_leader_since_ms; /* 0: the domain has a leader */
 	uint64_t created_ms;
 	bool leaving;
--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -221,6 +221,7 @@
 	log_line(LOG_INFO, "stepped_down", "epoch %" G_GUINT64_FORMAT ": %s",
 		 d->epoch, reason);
 	d->role = ROLE_FOLLOWER;
+	d->settled = false;
 	d->no_leader_since_ms = 0;
 	d->releasing_count = 0;
 	sched_destroy(d->sched);
@@ -573,6 +574,16 @@
 	}
 }
 
+/*
+ * Allow the leader to start jobs once the table was read after the last claim:
+ * it then knows every job that ended under its predecessors.
+ */
+static void settle_if_due(struct coordinator *d)
+{
+	if (d->role == ROLE_LEADER && d->table_caught_up_ms > d->all_claimed_ms)
+		d->settled = true;
+}
+
 static void on_tick(void *arg)
 {
 	struct coordinator *d = arg;
@@ -596,8 +607,8 @@
 	update_usable_upstreams(d, now);
 	tick_releasing_gangs(d, now);
 	rebind_lost_cells(d, now);
-	if (d->role == ROLE_LEADER &&
-	    d->table_caught_up_ms > d->all_claimed_ms && has_quorum(d, now) &&
+	settle_if_due(d);
+	if (d->role == ROLE_LEADER && d->settled && has_quorum(d, now) &&
 	    !d->leaving)
 		schedule(d, now);
 }
@@ -688,6 +699,19 @@
 		release_orphan_leases(d, c);
 }
 
+/*
+ * Keep the epoch above those of the attempts in the table, as a row ignores
+ * updates of earlier attempts.  Before it has settled, a leader starts
+ * nothing, so that a row of its own epoch is of an earlier coordinator: all
+ * upstreams have restarted since and granted the epoch again.
+ */
+static void observe_row_epoch(struct coordinator *d, uint64_t epoch)
+{
+	d->max_epoch_seen = MAX(d->max_epoch_seen, epoch);
+	if (epoch > d->epoch || (epoch == d->epoch && !d->settled))
+		step_down(d, "the table has attempts of a later epoch");
+}
+
 static void handle_job_row(struct coordinator *d, const json_t *row)
 {
 	const char *name = json_str_or(row, "job", "");
@@ -703,6 +727,9 @@
 			gang_remove(g);
 		return;
 	}
+	observe_row_epoch(d, (uint64_t)json_int_or(row, "attempt", 0) >>
+				     ATTEMPT_SEQUENCE_BITS);
+	g = g_hash_table_lookup(d->gangs, name);
 	if (!g)
 		g = gang_create(d, name);
 	gang_update_from_row(g, row);
--- a/daemon/explain.c
+++ b/daemon/explain.c
@@ -95,7 +95,7 @@
 				      : sched_job(d->sched, g->job_handle);
 	uint32_t need = g->shape.parts * g->shape.accelerators;
 
-	if (d->table_caught_up_ms <= d->all_claimed_ms)
+	if (!d->settled)
 		return g_strdup("The decider has just taken over and must see "
 				"the table once before it starts anything; "
 				"it goes on when the table answers.");
--- a/daemon/gang.c
+++ b/daemon/gang.c
@@ -8,7 +8,6 @@
 
 #include "daemon/coordinator-internal.h"
 
-#define ATTEMPT_SEQUENCE_BITS 16
 #define RELEASE_POLL_INTERVAL_MS 100
 
 static const char *const state_names[] = {
--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -440,11 +440,31 @@
 	teardown_site(s);
 }
 
+static void
+test_end_is_recorded_after_all_upstreams_and_instances_restarted(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, UPSTREAM_COUNT);
+	put_job(s, "waiting", ATTEMPT_OF_EPOCH(7));
+	wait_until(s, s->starts);
+	run_for(s, 1000);
+	set_all_leases(&s->upstreams[0], "done");
+	set_all_leases(&s->upstreams[1], "done");
+	wait_until(s, job_is(s, "done"));
+	assert_int_equal(s->starts, 1);
+	teardown_site(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_restarted_coordinator_claims_a_higher_epoch),
+		cmocka_unit_test(
+			test_end_is_recorded_after_all_upstreams_and_instances_restarted),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
