Claim upstreams that a newer list or configuration shows

What callers saw: a job could run twice at once after a change of coordinator.

Cause: a new coordinator claims the upstreams of its configuration, except those that the platform's list lacks, and may start jobs once it has read the table after the last claim. The list was not read again, and the upstreams of a configuration that comes with that read were not claimed before the first start. An instance that was paused or cut off from the platform so left out an upstream on which the last coordinator's runs went on, and started them again elsewhere. The bound on what earlier coordinators do was taken from a list that was older than the claims.

A leader now starts nothing while a configured upstream that exists has not accepted its epoch; it claims all again instead, so that their leases are adopted. If it left out an upstream as gone, it first needs a list that was asked for after the last claim, which takes at most one more interval of the list (1 s).

Evidence: test_upstream_missing_from_an_old_list_is_claimed_before_starts and test_upstream_of_a_newer_configuration_is_claimed_before_starts fail before ("0x1 != 0" starts beside the run that lasts) and pass after.

--- a/daemon/check.c
+++ b/daemon/check.c
@@ -629,7 +629,7 @@
 		apply_config(c, m);
 		break;
 	case MSG_MEMBERS:
-		roster_apply_members(c->roster, m->json);
+		roster_apply_members(c->roster, m->members.list);
 		break;
 	case MSG_UPSTREAM_LEAVING:
 		roster_mark_leaving(c->roster,
--- a/daemon/coordinator-internal.h
+++ b/daemon/coordinator-internal.h
@@ -35,9 +35,10 @@
 	bool leaving;
 	bool table_reachable;
 	bool members_known;
-	struct sched *sched; /* NULL unless leader */
-	GPtrArray *controls; /* struct upstream_control by site index */
-	GHashTable *gangs;   /* name to struct gang */
+	uint64_t members_asked_ms; /* when the list was asked for */
+	struct sched *sched;	   /* NULL unless leader */
+	GPtrArray *controls;	   /* struct upstream_control by site index */
+	GHashTable *gangs;	   /* name to struct gang */
 	struct peer_list *peers;
 	struct timer tick;
 	uint64_t renewed_ms;
@@ -56,12 +57,13 @@
 	uint32_t index; /* index in the site */
 	struct http_pool *pool;
 	struct health health;
-	bool claimed;	      /* obeys the coordinator's epoch */
-	bool claim_pending;   /* a claim call is in flight */
-	bool renewal_pending; /* a renewal call is in flight */
-	bool leaving;	      /* reported by the upstream itself */
-	bool listed;	      /* is on the platform's list */
-	bool listed_leaving;  /* is on the list, but not live */
+	uint64_t claimed_epoch; /* the last that it accepted */
+	bool claimed;		/* obeys the coordinator's epoch */
+	bool claim_pending;	/* a claim call is in flight */
+	bool renewal_pending;	/* a renewal call is in flight */
+	bool leaving;		/* reported by the upstream itself */
+	bool listed;		/* is on the platform's list */
+	bool listed_leaving;	/* is on the list, but not live */
 	bool configured;
 	uint64_t reported_version; /* version of the last report of leases */
 	uint64_t incarnation;
@@ -161,6 +163,7 @@
 
 /* coordinator.c */
 void coordinator_yield_to_epoch(struct coordinator *d, uint64_t epoch);
+void coordinator_claim_again(struct coordinator *d);
 void coordinator_handle_report(struct coordinator *d,
 			       struct upstream_control *c);
 struct upstream_control *coordinator_find_control(struct coordinator *d,
--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -249,6 +249,12 @@
 	step_down(d, "a later epoch has claimed an upstream");
 }
 
+/* Claim all upstreams anew, because one was not claimed before. */
+void coordinator_claim_again(struct coordinator *d)
+{
+	step_down(d, "an upstream was not claimed");
+}
+
 static void claim_upstreams(struct coordinator *d)
 {
 	uint64_t now = clock_mono_ms();
@@ -575,13 +581,32 @@
 }
 
 /*
- * Allow the leader to start jobs once the table was read after the last claim:
- * it then knows every job that ended under its predecessors.
+ * Allow the leader to start jobs, or claim again.  The table and the list, both
+ * read after the last claim, tell which jobs ended under its predecessors and
+ * which upstreams these may have used: a list or a configuration that is older
+ * than the claims may lack one.
  */
 static void settle_if_due(struct coordinator *d)
 {
-	if (d->role == ROLE_LEADER && d->table_caught_up_ms > d->all_claimed_ms)
-		d->settled = true;
+	bool gone_upstreams = false;
+
+	if (d->role != ROLE_LEADER || d->settled)
+		return;
+	for (guint i = 0; i < d->controls->len; i++) {
+		const struct upstream_control *c =
+			g_ptr_array_index(d->controls, i);
+
+		if (!c->configured || c->claimed_epoch == d->epoch)
+			continue;
+		if (!upstream_control_is_gone(c)) {
+			coordinator_claim_again(d);
+			return;
+		}
+		gone_upstreams = true;
+	}
+	d->settled =
+		d->table_caught_up_ms > d->all_claimed_ms &&
+		(!gone_upstreams || d->members_asked_ms > d->all_claimed_ms);
 }
 
 static void on_tick(void *arg)
@@ -591,6 +616,7 @@
 
 	timer_start(d->env->loop, &d->tick, TICK_INTERVAL_MS);
 	yield_to_newer_peers(d);
+	settle_if_due(d);
 	if (d->role == ROLE_FOLLOWER) {
 		start_election_if_due(d, now);
 		return;
@@ -607,7 +633,6 @@
 	update_usable_upstreams(d, now);
 	tick_releasing_gangs(d, now);
 	rebind_lost_cells(d, now);
-	settle_if_due(d);
 	if (d->role == ROLE_LEADER && d->settled && has_quorum(d, now) &&
 	    !d->leaving)
 		schedule(d, now);
@@ -763,13 +788,15 @@
 	config_unref(old_config);
 }
 
-static void handle_members(struct coordinator *d, const json_t *list)
+static void handle_members(struct coordinator *d, const struct members *m)
 {
+	const json_t *list = m->list;
 	json_t *v;
 	size_t i;
 	bool changed = false;
 
 	d->members_known = true;
+	d->members_asked_ms = m->asked_ms;
 	for (guint k = 0; k < d->controls->len; k++)
 		((struct upstream_control *)g_ptr_array_index(d->controls, k))
 			->listed = false;
@@ -822,7 +849,7 @@
 		handle_config(d, m);
 		break;
 	case MSG_MEMBERS:
-		handle_members(d, m->json);
+		handle_members(d, &m->members);
 		break;
 	case MSG_PEERS:
 		g_free(d->peers);
--- a/daemon/message.c
+++ b/daemon/message.c
@@ -32,7 +32,6 @@
 		break;
 	case MSG_TXN:
 	case MSG_READ:
-	case MSG_MEMBERS:
 	case MSG_UPSTREAM_LEAVING:
 	case MSG_JOB_ROW:
 	case MSG_JOB_UPDATE:
@@ -47,6 +46,9 @@
 	case MSG_ROWS_FORWARD:
 		json_decref(m->rows.list);
 		break;
+	case MSG_MEMBERS:
+		json_decref(m->members.list);
+		break;
 	case MSG_CONFIG:
 		config_unref(m->config);
 		break;
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -70,6 +70,11 @@
 	struct peer_state peers[];
 };
 
+struct members {
+	json_t *list;
+	uint64_t asked_ms; /* when the list was asked for, monotonic */
+};
+
 enum request_kind {
 	REQUEST_SUBMIT_JOB,
 	REQUEST_GET_JOB,
@@ -114,7 +119,7 @@
 	MSG_ROWS,	      /* rows: those that have changed */
 	MSG_ROWS_REQUEST,     /* number: a peer requests rows above it */
 	MSG_ROWS_FORWARD,     /* rows: forward to peers */
-	MSG_MEMBERS,	      /* json: the platform's list of members */
+	MSG_MEMBERS,	      /* members: the platform's list */
 	MSG_TABLE_STATE,      /* flag: the table is reachable */
 	MSG_CONFIG,	      /* config: the newest snapshot */
 	MSG_PEERS,	      /* peers */
@@ -140,6 +145,7 @@
 		json_t *json;
 		struct txn_result txn;
 		struct rows rows;
+		struct members members;
 		uint64_t number;
 		bool flag;
 		struct config *config;
--- a/daemon/peer.c
+++ b/daemon/peer.c
@@ -601,7 +601,7 @@
 		broadcast_rows(p, &m->rows);
 		break;
 	case MSG_MEMBERS:
-		add_members(p, m->json);
+		add_members(p, m->members.list);
 		break;
 	case MSG_CONFIG:
 		config_unref(p->config);
--- a/daemon/platform_client.c
+++ b/daemon/platform_client.c
@@ -23,6 +23,7 @@
 	uint32_t address_index;	  /* of the address in use */
 	uint64_t scanned_version; /* all changes up to it were read */
 	uint64_t scan_sent_ms;
+	uint64_t members_sent_ms;
 	struct timer scan_timer;
 	struct timer members_timer;
 	GQueue *queued; /* struct table_request */
@@ -290,9 +291,15 @@
 	static const enum task_id listeners[] = {TASK_PEER, TASK_CHECK,
 						 TASK_COORDINATOR};
 
-	for (size_t i = 0; i < G_N_ELEMENTS(listeners); i++)
-		post_json(t->env->bus, MSG_MEMBERS, TASK_PLATFORM, listeners[i],
-			  json_incref(list));
+	for (size_t i = 0; i < G_N_ELEMENTS(listeners); i++) {
+		struct message m = {.tag = MSG_MEMBERS,
+				    .from = TASK_PLATFORM,
+				    .to = listeners[i]};
+
+		m.members.list = json_incref(list);
+		m.members.asked_ms = t->members_sent_ms;
+		bus_post(t->env->bus, &m);
+	}
 }
 
 static void on_members(void *arg, const struct http_result *r)
@@ -316,6 +323,7 @@
 	struct platform_client *t = arg;
 
 	counter_add(t->env->counters, "platform_reads", NULL, 1);
+	t->members_sent_ms = clock_mono_ms();
 	if (!http_call_start(current_pool(t), "GET", "/members", NULL,
 			     SCAN_TIMEOUT_MS, on_members, t))
 		timer_start(t->env->loop, &t->members_timer,
--- a/daemon/upstream_control.c
+++ b/daemon/upstream_control.c
@@ -135,6 +135,18 @@
 		coordinator_yield_to_epoch(c->coordinator, epoch);
 }
 
+/*
+ * Report whether c accepts its first claim of the epoch from a leader that has
+ * not settled.  Its leases are not among those that the leader has adopted.
+ */
+static bool is_late_claim(const struct upstream_control *c)
+{
+	const struct coordinator *d = c->coordinator;
+
+	return d->role == ROLE_LEADER && !d->settled &&
+	       c->claimed_epoch != d->epoch;
+}
+
 static void on_claimed(void *arg, const struct http_result *r)
 {
 	struct upstream_control *c = arg;
@@ -146,11 +158,17 @@
 	v = json_loadb(r->body, r->len, 0, NULL);
 	if (r->status == 200 &&
 	    (uint64_t)json_int_or(v, "epoch", 0) == c->coordinator->epoch) {
+		if (is_late_claim(c)) {
+			coordinator_claim_again(c->coordinator);
+			goto out;
+		}
 		c->claimed = true;
+		c->claimed_epoch = c->coordinator->epoch;
 		apply_report(c, v);
 	} else if (r->status == 409) {
 		handle_refusal(c, v);
 	}
+out:
 	json_decref(v);
 }
 
--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -305,6 +305,9 @@
 /* Post a list of members with the first n upstreams. */
 static void post_members(struct fixture *s, uint32_t n)
 {
+	struct message m = {.tag = MSG_MEMBERS,
+			    .from = TASK_PLATFORM,
+			    .to = TASK_COORDINATOR};
 	json_t *list = json_array();
 
 	for (uint32_t i = 1; i <= n; i++) {
@@ -314,8 +317,9 @@
 						      "state", "live"));
 		g_free(name);
 	}
-	post_json(s->env.bus, MSG_MEMBERS, TASK_PLATFORM, TASK_COORDINATOR,
-		  list);
+	m.members.list = list;
+	m.members.asked_ms = clock_mono_ms();
+	bus_post(s->env.bus, &m);
 }
 
 static void deliver_messages(void *arg)
@@ -414,6 +418,24 @@
 		}                                                              \
 	} while (0)
 
+/* Let an earlier coordinator's run of the job last at an upstream. */
+static void put_running_lease(struct fake_upstream *u, uint64_t epoch)
+{
+	char *id = g_strdup_printf("reindex#%" JSON_INTEGER_FORMAT ".0",
+				   ATTEMPT_OF_EPOCH(epoch));
+
+	json_object_set_new(
+		u->leases, id,
+		json_pack("{s:s,s:s,s:s,s:I,s:i,s:i,s:i,s:i,s:s,s:b,s:s}",
+			  "lease", id, "job", "reindex", "account", "damodar",
+			  "attempt", ATTEMPT_OF_EPOCH(epoch), "part", 0,
+			  "parts", 1, "mask", 255, "slots", 0, "payload", "",
+			  "idempotent", 1, "state", "running"));
+	u->epoch = epoch;
+	u->version++;
+	g_free(id);
+}
+
 static void test_restarted_coordinator_claims_a_higher_epoch(void **state)
 {
 	struct fixture *s = setup_site();
@@ -458,6 +480,48 @@
 	teardown_site(s);
 }
 
+static void
+test_upstream_missing_from_an_old_list_is_claimed_before_starts(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	put_job(s, "running", ATTEMPT_OF_EPOCH(7));
+	put_running_lease(&s->upstreams[1], 7);
+	s->upstreams[0].epoch = 7;
+	s->upstreams[1].silent = true;
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, 1);
+	run_for(s, 5000);
+	s->upstreams[1].silent = false;
+	post_members(s, UPSTREAM_COUNT);
+	run_for(s, 5000);
+	assert_int_equal(s->starts, 0);
+	set_all_leases(&s->upstreams[1], "done");
+	wait_until(s, job_is(s, "done"));
+	teardown_site(s);
+}
+
+static void
+test_upstream_of_a_newer_configuration_is_claimed_before_starts(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	put_job(s, "running", ATTEMPT_OF_EPOCH(7));
+	put_running_lease(&s->upstreams[1], 7);
+	s->upstreams[0].epoch = 7;
+	post_config(s, 1);
+	post_members(s, UPSTREAM_COUNT);
+	wait_until(s, s->upstreams[0].epoch > 7);
+	post_config(s, UPSTREAM_COUNT);
+	run_for(s, 5000);
+	assert_int_equal(s->starts, 0);
+	set_all_leases(&s->upstreams[1], "done");
+	wait_until(s, job_is(s, "done"));
+	teardown_site(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -465,6 +529,10 @@
 			test_restarted_coordinator_claims_a_higher_epoch),
 		cmocka_unit_test(
 			test_end_is_recorded_after_all_upstreams_and_instances_restarted),
+		cmocka_unit_test(
+			test_upstream_missing_from_an_old_list_is_claimed_before_starts),
+		cmocka_unit_test(
+			test_upstream_of_a_newer_configuration_is_claimed_before_starts),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
