Look up newly configured upstreams in the known list

Cause: the list is applied to the upstreams that are known when it arrives. One that a configuration added counted as gone until the next list, so that a coordinator could leave it out of its claims although the list that it had asked for named it.

The coordinator now keeps the newest list and applies it to new upstreams.

Evidence: test_listed_upstream_of_a_newer_configuration_is_not_gone fails before ("0x1 != 0" starts beside the run that lasts) and passes after.

--- a/daemon/coordinator-internal.h
+++ b/daemon/coordinator-internal.h
@@ -34,7 +34,7 @@
 	uint64_t created_ms;
 	bool leaving;
 	bool table_reachable;
-	bool members_known;
+	json_t *members;	   /* the platform's list; NULL: not known */
 	uint64_t members_asked_ms; /* when the list was asked for */
 	struct sched *sched;	   /* NULL unless leader */
 	GPtrArray *controls;	   /* struct upstream_control by site index */
--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -776,31 +776,20 @@
 		gang_handle_saved(g, update);
 }
 
-static void handle_config(struct coordinator *d, struct message *m)
-{
-	struct config *old_config = d->config;
-
-	d->config = m->config;
-	m->config = NULL;
-	sync_controls(d);
-	if (d->role == ROLE_LEADER)
-		rebuild_scheduler(d, old_config);
-	config_unref(old_config);
-}
-
-static void handle_members(struct coordinator *d, const struct members *m)
+/*
+ * Apply the platform's newest list to the upstreams that are known.  An
+ * upstream that a configuration adds is looked up in it as well.
+ */
+static void apply_members(struct coordinator *d)
 {
-	const json_t *list = m->list;
 	json_t *v;
 	size_t i;
 	bool changed = false;
 
-	d->members_known = true;
-	d->members_asked_ms = m->asked_ms;
 	for (guint k = 0; k < d->controls->len; k++)
 		((struct upstream_control *)g_ptr_array_index(d->controls, k))
 			->listed = false;
-	json_array_foreach(list, i, v)
+	json_array_foreach(d->members, i, v)
 	{
 		struct upstream_control *c =
 			coordinator_find_control(d, json_str_or(v, "name", ""));
@@ -819,6 +808,27 @@
 		announce_role(d);
 }
 
+static void handle_config(struct coordinator *d, struct message *m)
+{
+	struct config *old_config = d->config;
+
+	d->config = m->config;
+	m->config = NULL;
+	sync_controls(d);
+	apply_members(d);
+	if (d->role == ROLE_LEADER)
+		rebuild_scheduler(d, old_config);
+	config_unref(old_config);
+}
+
+static void handle_members(struct coordinator *d, const struct members *m)
+{
+	json_decref(d->members);
+	d->members = json_incref(m->list);
+	d->members_asked_ms = m->asked_ms;
+	apply_members(d);
+}
+
 static void handle_request(struct coordinator *d, const struct message *m)
 {
 	json_t *body = NULL;
@@ -906,6 +916,7 @@
 	g_hash_table_destroy(d->gangs);
 	sched_destroy(d->sched);
 	config_unref(d->config);
+	json_decref(d->members);
 	g_free(d->peers);
 	g_free(d);
 }
--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -21,6 +21,7 @@
 #define BODY_MAX 65536
 #define UPSTREAM_COUNT 2
 #define JOB_KEY "job/reindex"
+#define LATER_JOB_KEY "job/later"
 #define ATTEMPT_OF_EPOCH(e) (((json_int_t)(e) << 16) + 57)
 /* Time by which the clock is advanced after each step of the loop. */
 #define ADVANCE_MS 10
@@ -46,6 +47,7 @@
 	json_t *rows; /* the table: key to {"version", "value"} */
 	uint64_t version;
 	uint64_t scanned_ms;
+	bool table_is_silent;
 	uint32_t starts; /* runs that the upstreams have started */
 };
 
@@ -256,20 +258,21 @@
 	bus_post(s->env.bus, &m);
 }
 
-static void put_job(struct fixture *s, const char *state, json_int_t attempt)
+static void put_job(struct fixture *s, const char *key, const char *state,
+		    json_int_t attempt)
 {
 	json_t *value =
 		json_pack("{s:s,s:s,s:s,s:i,s:i,s:I}", "account", "damodar",
 			  "state", state, "domain", "kolkata", "accelerators",
 			  8, "run_ms", 60000, "attempt", attempt);
 
-	put_row(s, JOB_KEY, value);
+	put_row(s, key, value);
 	json_decref(value);
 }
 
-static bool job_is(struct fixture *s, const char *state)
+static bool job_is(struct fixture *s, const char *key, const char *state)
 {
-	return !strcmp(json_str_or(row_value(s, JOB_KEY), "state", ""), state);
+	return !strcmp(json_str_or(row_value(s, key), "state", ""), state);
 }
 
 /* The site */
@@ -394,7 +397,8 @@
 {
 	loop_step(s->env.loop, 1);
 	clock_offset_ms += ADVANCE_MS;
-	if (clock_mono_ms() - s->scanned_ms >= SCAN_INTERVAL_MS)
+	if (!s->table_is_silent &&
+	    clock_mono_ms() - s->scanned_ms >= SCAN_INTERVAL_MS)
 		post_scan(s);
 }
 
@@ -448,7 +452,7 @@
 	earlier = s->upstreams[0].epoch;
 	assert_true(earlier);
 	stop_process(s);
-	put_job(s, "waiting", ATTEMPT_OF_EPOCH(earlier));
+	put_job(s, JOB_KEY, "waiting", ATTEMPT_OF_EPOCH(earlier));
 	start_process(s);
 	post_config(s, UPSTREAM_COUNT);
 	post_members(s, UPSTREAM_COUNT);
@@ -456,7 +460,7 @@
 	run_for(s, 1000);
 	set_all_leases(&s->upstreams[0], "done");
 	set_all_leases(&s->upstreams[1], "done");
-	wait_until(s, job_is(s, "done"));
+	wait_until(s, job_is(s, JOB_KEY, "done"));
 	assert_true(s->upstreams[0].epoch > earlier);
 	assert_int_equal(s->starts, 1);
 	teardown_site(s);
@@ -470,12 +474,12 @@
 	(void)state;
 	post_config(s, UPSTREAM_COUNT);
 	post_members(s, UPSTREAM_COUNT);
-	put_job(s, "waiting", ATTEMPT_OF_EPOCH(7));
+	put_job(s, JOB_KEY, "waiting", ATTEMPT_OF_EPOCH(7));
 	wait_until(s, s->starts);
 	run_for(s, 1000);
 	set_all_leases(&s->upstreams[0], "done");
 	set_all_leases(&s->upstreams[1], "done");
-	wait_until(s, job_is(s, "done"));
+	wait_until(s, job_is(s, JOB_KEY, "done"));
 	assert_int_equal(s->starts, 1);
 	teardown_site(s);
 }
@@ -486,7 +490,7 @@
 	struct fixture *s = setup_site();
 
 	(void)state;
-	put_job(s, "running", ATTEMPT_OF_EPOCH(7));
+	put_job(s, JOB_KEY, "running", ATTEMPT_OF_EPOCH(7));
 	put_running_lease(&s->upstreams[1], 7);
 	s->upstreams[0].epoch = 7;
 	s->upstreams[1].silent = true;
@@ -498,7 +502,7 @@
 	run_for(s, 5000);
 	assert_int_equal(s->starts, 0);
 	set_all_leases(&s->upstreams[1], "done");
-	wait_until(s, job_is(s, "done"));
+	wait_until(s, job_is(s, JOB_KEY, "done"));
 	teardown_site(s);
 }
 
@@ -508,7 +512,7 @@
 	struct fixture *s = setup_site();
 
 	(void)state;
-	put_job(s, "running", ATTEMPT_OF_EPOCH(7));
+	put_job(s, JOB_KEY, "running", ATTEMPT_OF_EPOCH(7));
 	put_running_lease(&s->upstreams[1], 7);
 	s->upstreams[0].epoch = 7;
 	post_config(s, 1);
@@ -518,7 +522,34 @@
 	run_for(s, 5000);
 	assert_int_equal(s->starts, 0);
 	set_all_leases(&s->upstreams[1], "done");
-	wait_until(s, job_is(s, "done"));
+	wait_until(s, job_is(s, JOB_KEY, "done"));
+	teardown_site(s);
+}
+
+static void
+test_listed_upstream_of_a_newer_configuration_is_not_gone(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	put_job(s, JOB_KEY, "running", ATTEMPT_OF_EPOCH(7));
+	put_running_lease(&s->upstreams[1], 7);
+	s->upstreams[0].epoch = 7;
+	s->upstreams[1].silent = true;
+	s->table_is_silent = true;
+	post_config(s, 1);
+	wait_until(s, s->upstreams[0].epoch > 7);
+	run_for(s, 1000);
+	post_members(s, UPSTREAM_COUNT);
+	post_config(s, UPSTREAM_COUNT);
+	s->table_is_silent = false;
+	run_for(s, 5000);
+	assert_int_equal(s->starts, 0);
+	s->upstreams[1].silent = false;
+	run_for(s, 5000);
+	assert_int_equal(s->starts, 0);
+	set_all_leases(&s->upstreams[1], "done");
+	wait_until(s, job_is(s, JOB_KEY, "done"));
 	teardown_site(s);
 }
 
@@ -533,6 +564,8 @@
 			test_upstream_missing_from_an_old_list_is_claimed_before_starts),
 		cmocka_unit_test(
 			test_upstream_of_a_newer_configuration_is_claimed_before_starts),
+		cmocka_unit_test(
+			test_listed_upstream_of_a_newer_configuration_is_not_gone),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
