Use a new upstream after the epoch was confirmed again

What callers saw: a job could run twice at once if a coordinator was cut off from its upstreams while one was added to the configuration.

Cause: a coordinator may decide for a lease term after the last confirmation of its epoch. What it starts meanwhile on upstreams that a later coordinator has claimed is refused; an upstream that was added, or has come back, since those claims was not among them, and granted the start.

Such an upstream is now used only after more than half of the others have confirmed the epoch by calls sent after it appeared. Until then it takes at most one more interval of renewals. If none of the others is left, the leader claims all again.

Evidence: test_upstream_added_after_a_later_claim_gets_no_starts fails before ("0x2 != 0x1" starts, the second by the earlier coordinator) and passes after; test_added_and_returned_upstreams_are_used shows that such upstreams are used.

--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -347,6 +347,17 @@
 	g_list_free(all);
 }
 
+/* Use the upstreams of the claims that made this instance the leader. */
+static void use_claimed_upstreams(struct coordinator *d)
+{
+	for (guint i = 0; i < d->controls->len; i++) {
+		struct upstream_control *c = g_ptr_array_index(d->controls, i);
+
+		c->in_use = c->configured && c->claimed &&
+			    !upstream_control_is_gone(c);
+	}
+}
+
 static void become_leader(struct coordinator *d)
 {
 	json_t *jobs = leases_by_job(d);
@@ -357,6 +368,7 @@
 	json_decref(jobs);
 	d->role = ROLE_LEADER;
 	d->all_claimed_ms = clock_mono_ms();
+	use_claimed_upstreams(d);
 	event_add(d->env->events, "deciding", d->env->settings->name, NULL,
 		  "epoch %" G_GUINT64_FORMAT, d->epoch);
 	log_line(LOG_INFO, "deciding", "epoch %" G_GUINT64_FORMAT, d->epoch);
@@ -431,11 +443,10 @@
 /* Scheduling */
 
 /*
- * Report whether more than half of the upstreams have confirmed the epoch
- * within the lease term.  A leader that was paused, or whose upstreams were
- * claimed by another instance, must not act.
+ * Report whether more than half of the upstreams in use have confirmed the
+ * epoch in answer to a call that was sent after since_ms.
  */
-static bool has_quorum(const struct coordinator *d, uint64_t now)
+static bool is_confirmed_since(const struct coordinator *d, uint64_t since_ms)
 {
 	uint32_t all = 0, confirmed_count = 0;
 
@@ -443,16 +454,61 @@
 		const struct upstream_control *c =
 			g_ptr_array_index(d->controls, i);
 
-		if (!c->configured || upstream_control_is_gone(c))
+		if (!c->in_use)
 			continue;
 		all++;
 		confirmed_count +=
-			c->claimed && now - c->confirmed_sent_ms <
-					      d->config->limits.lease_term_ms;
+			c->claimed && c->confirmed_sent_ms > since_ms;
 	}
 	return all && confirmed_count * 2 > all;
 }
 
+/*
+ * Report whether the epoch was confirmed within the lease term.  A leader that
+ * was paused, or whose upstreams were claimed by another instance, must not
+ * act.
+ */
+static bool has_quorum(const struct coordinator *d, uint64_t now)
+{
+	return is_confirmed_since(d, now - d->config->limits.lease_term_ms);
+}
+
+/*
+ * Use an upstream that was added or has come back once the epoch is confirmed
+ * by a call sent after it appeared.  A later coordinator that has claimed the
+ * others may not know it, and so cannot refuse what is started there.
+ */
+static void use_new_upstreams(struct coordinator *d, uint64_t now)
+{
+	uint32_t used_count = 0;
+	bool claimed = false;
+
+	for (guint i = 0; i < d->controls->len; i++) {
+		struct upstream_control *c = g_ptr_array_index(d->controls, i);
+
+		if (!c->configured || upstream_control_is_gone(c)) {
+			c->in_use = false;
+			c->known_ms = 0;
+		}
+		used_count += c->in_use;
+	}
+	for (guint i = 0; i < d->controls->len; i++) {
+		struct upstream_control *c = g_ptr_array_index(d->controls, i);
+
+		if (c->in_use || !c->configured || upstream_control_is_gone(c))
+			continue;
+		claimed = claimed || c->claimed;
+		if (!c->known_ms)
+			c->known_ms = now;
+		if (c->claimed && is_confirmed_since(d, c->known_ms)) {
+			c->in_use = true;
+			c->known_ms = 0;
+		}
+	}
+	if (!used_count && claimed)
+		coordinator_claim_again(d); /* nobody is left to confirm */
+}
+
 static void execute_action(struct coordinator *d, const struct action *a)
 {
 	const struct job *j = sched_job(d->sched, a->job);
@@ -590,7 +646,7 @@
 {
 	bool gone_upstreams = false;
 
-	if (d->role != ROLE_LEADER || d->settled)
+	if (d->settled)
 		return;
 	for (guint i = 0; i < d->controls->len; i++) {
 		const struct upstream_control *c =
@@ -616,7 +672,10 @@
 
 	timer_start(d->env->loop, &d->tick, TICK_INTERVAL_MS);
 	yield_to_newer_peers(d);
-	settle_if_due(d);
+	if (d->role == ROLE_LEADER)
+		use_new_upstreams(d, now);
+	if (d->role == ROLE_LEADER)
+		settle_if_due(d);
 	if (d->role == ROLE_FOLLOWER) {
 		start_election_if_due(d, now);
 		return;
--- a/daemon/upstream_control.c
+++ b/daemon/upstream_control.c
@@ -53,7 +53,7 @@
 	uint64_t now = clock_mono_ms();
 	uint32_t term = c->coordinator->config->limits.lease_term_ms;
 
-	return c->configured && c->claimed && !c->leaving &&
+	return c->configured && c->in_use && c->claimed && !c->leaving &&
 	       !c->listed_leaving && !upstream_control_is_gone(c) &&
 	       now - c->confirmed_sent_ms < term &&
 	       now - c->last_refusal_ms >= REFUSAL_BACKOFF_MS &&
@@ -64,6 +64,8 @@
 void upstream_control_reset(struct upstream_control *c)
 {
 	c->claimed = false;
+	c->in_use = false;
+	c->known_ms = 0;
 	c->reported_version = 0;
 	g_hash_table_remove_all(c->not_renewed);
 	g_hash_table_remove_all(c->acks);
--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -553,6 +553,59 @@
 	teardown_site(s);
 }
 
+static void test_upstream_added_after_a_later_claim_gets_no_starts(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	post_config(s, 1);
+	post_members(s, UPSTREAM_COUNT);
+	put_job(s, JOB_KEY, "accepted", 0);
+	wait_until(s, job_is(s, JOB_KEY, "running"));
+	s->upstreams[0].epoch = 9;
+	s->upstreams[0].silent = true;
+	post_config(s, UPSTREAM_COUNT);
+	put_job(s, LATER_JOB_KEY, "accepted", 0);
+	run_for(s, 8000);
+	assert_true(s->upstreams[1].epoch);
+	assert_int_equal(s->starts, 1);
+	s->upstreams[0].silent = false;
+	wait_until(s, job_is(s, LATER_JOB_KEY, "running"));
+	assert_true(s->upstreams[0].epoch > 9);
+	teardown_site(s);
+}
+
+static void test_added_and_returned_upstreams_are_used(void **state)
+{
+	struct fixture *s = setup_site();
+	uint64_t epoch;
+
+	(void)state;
+	post_config(s, 1);
+	post_members(s, UPSTREAM_COUNT);
+	put_job(s, JOB_KEY, "accepted", 0);
+	wait_until(s, job_is(s, JOB_KEY, "running"));
+	epoch = s->upstreams[0].epoch;
+	post_config(s, UPSTREAM_COUNT);
+	run_for(s, 2000);
+	post_members(s, 1);
+	run_for(s, 2000);
+	post_members(s, UPSTREAM_COUNT);
+	run_for(s, 2000);
+	put_job(s, LATER_JOB_KEY, "accepted", 0);
+	wait_until(s, job_is(s, LATER_JOB_KEY, "running"));
+	assert_int_equal(s->upstreams[0].epoch, epoch);
+	assert_int_equal(json_object_size(s->upstreams[1].leases), 1);
+	post_members(s, 0);
+	run_for(s, 2000);
+	post_members(s, UPSTREAM_COUNT);
+	run_for(s, 5000);
+	assert_int_equal(s->starts, 2);
+	set_all_leases(&s->upstreams[1], "done");
+	wait_until(s, job_is(s, LATER_JOB_KEY, "done"));
+	teardown_site(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -566,6 +619,9 @@
 			test_upstream_of_a_newer_configuration_is_claimed_before_starts),
 		cmocka_unit_test(
 			test_listed_upstream_of_a_newer_configuration_is_not_gone),
+		cmocka_unit_test(
+			test_upstream_added_after_a_later_claim_gets_no_starts),
+		cmocka_unit_test(test_added_and_returned_upstreams_are_used),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
