Bind guarantees elsewhere by two lists only

What operators saw: the cells of an upstream could be bound elsewhere although it was back.

Cause: an upstream that is off the list for 5 s has its cells bound elsewhere. The time was taken from the clock, not from the lists: an instance that was paused, or got no list meanwhile, counted a loss of 5 s from a single old list, and acted on it before it read another one.

The time now runs from the request of one list to that of another.

Evidence: test_old_list_binds_no_guarantee_elsewhere fails before ("0x1 != 0" requests to bind elsewhere) and passes after.

--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -577,9 +577,10 @@
 
 /*
  * Request new bindings when the set of gone upstreams has differed for
- * REBIND_DELAY_MS from the set that was last reported.
+ * REBIND_DELAY_MS from the set that was last reported, in lists that were
+ * asked for so far apart.  An old list does not tell that it still differs.
  */
-static void rebind_lost_cells(struct coordinator *d, uint64_t now)
+static void rebind_lost_cells(struct coordinator *d)
 {
 	uint32_t loss_hash = 0;
 	json_t *lost = json_array();
@@ -601,8 +602,9 @@
 		goto out;
 	}
 	if (!d->loss_since_ms)
-		d->loss_since_ms = now;
-	if (now - d->loss_since_ms < REBIND_DELAY_MS || !d->table_reachable)
+		d->loss_since_ms = d->members_asked_ms;
+	if (d->members_asked_ms - d->loss_since_ms < REBIND_DELAY_MS ||
+	    !d->table_reachable)
 		goto out;
 	d->rebound_loss_hash = loss_hash;
 	d->loss_since_ms = 0;
@@ -691,7 +693,7 @@
 	}
 	update_usable_upstreams(d, now);
 	tick_releasing_gangs(d, now);
-	rebind_lost_cells(d, now);
+	rebind_lost_cells(d);
 	if (d->role == ROLE_LEADER && d->settled && has_quorum(d, now) &&
 	    !d->leaving)
 		schedule(d, now);
--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -48,7 +48,8 @@
 	uint64_t version;
 	uint64_t scanned_ms;
 	bool table_is_silent;
-	uint32_t starts; /* runs that the upstreams have started */
+	uint32_t starts;  /* runs that the upstreams have started */
+	uint32_t rebinds; /* requests to bind guarantees elsewhere */
 };
 
 static int64_t clock_offset_ms;
@@ -242,6 +243,24 @@
 	bus_post(s->env.bus, &out);
 }
 
+static void receive_request(void *task, struct message *m)
+{
+	struct fixture *s = task;
+
+	s->rebinds +=
+		m->tag == MSG_REQUEST && m->request.kind == REQUEST_REBIND;
+}
+
+static void post_table_state(struct fixture *s, bool reachable)
+{
+	struct message m = {.tag = MSG_TABLE_STATE,
+			    .from = TASK_PLATFORM,
+			    .to = TASK_COORDINATOR,
+			    .flag = reachable};
+
+	bus_post(s->env.bus, &m);
+}
+
 /* Post all rows, as read by a scan that was sent now. */
 static void post_scan(struct fixture *s)
 {
@@ -372,6 +391,7 @@
 		g_free(text);
 	}
 	bus_attach(s->env.bus, TASK_PLATFORM, receive_table_call, s);
+	bus_attach(s->env.bus, TASK_CONFIG, receive_request, s);
 	start_process(s);
 	return s;
 }
@@ -606,6 +626,24 @@
 	teardown_site(s);
 }
 
+static void test_old_list_binds_no_guarantee_elsewhere(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	post_table_state(s, true);
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, UPSTREAM_COUNT);
+	run_for(s, 3000);
+	post_members(s, 1);
+	run_for(s, 10000);
+	assert_int_equal(s->rebinds, 0);
+	post_members(s, 1);
+	run_for(s, 1000);
+	assert_int_equal(s->rebinds, 1);
+	teardown_site(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -622,6 +660,7 @@
 		cmocka_unit_test(
 			test_upstream_added_after_a_later_claim_gets_no_starts),
 		cmocka_unit_test(test_added_and_returned_upstreams_are_used),
+		cmocka_unit_test(test_old_list_binds_no_guarantee_elsewhere),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
