Count each upstream's own time off the list

What operators saw: the cells of an upstream could be bound elsewhere a second after it had left the list, if another one had left it before.

Cause: the time for which upstreams are off the list was kept once, from the first that left it, and applied to all: a bound computed from one of several.

Each upstream now has its own time, and a request to bind elsewhere names the upstreams that were off the list for 5 s. Requests are as far apart as before.

Evidence: test_each_upstream_is_lost_by_its_own_time_off_the_list fails before ("0x2 != 0x1" upstreams in the request) and passes after.

--- a/daemon/coordinator-internal.h
+++ b/daemon/coordinator-internal.h
@@ -42,7 +42,7 @@
 	struct peer_list *peers;
 	struct timer tick;
 	uint64_t renewed_ms;
-	uint64_t loss_since_ms;
+	uint64_t rebound_ms; /* when the last list before it was asked for */
 	uint32_t rebound_loss_hash;
 	bool rows_changed;	  /* some gangs may have to be queued */
 	uint32_t releasing_count; /* gangs in GANG_RELEASING */
@@ -64,8 +64,9 @@
 	bool claim_pending;	/* a claim call is in flight */
 	bool renewal_pending;	/* a renewal call is in flight */
 	bool leaving;		/* reported by the upstream itself */
-	bool listed;		/* is on the platform's list */
-	bool listed_leaving;	/* is on the list, but not live */
+	/* When the first list that lacks it was asked for; 0: is listed. */
+	uint64_t gone_since_ms;
+	bool listed_leaving; /* is on the list, but not live */
 	bool configured;
 	uint64_t reported_version; /* version of the last report of leases */
 	uint64_t incarnation;
--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -576,9 +576,19 @@
 }
 
 /*
- * Request new bindings when the set of gone upstreams has differed for
- * REBIND_DELAY_MS from the set that was last reported, in lists that were
- * asked for so far apart.  An old list does not tell that it still differs.
+ * Report whether c was off the list for REBIND_DELAY_MS, in lists that were
+ * asked for so far apart.  An old list does not tell that it still is.
+ */
+static bool is_lost(const struct upstream_control *c)
+{
+	return c->configured && upstream_control_is_gone(c) &&
+	       c->coordinator->members_asked_ms - c->gone_since_ms >=
+		       REBIND_DELAY_MS;
+}
+
+/*
+ * Request new bindings when the set of lost upstreams differs from the one of
+ * the last request, at least REBIND_DELAY_MS after it.
  */
 static void rebind_lost_cells(struct coordinator *d)
 {
@@ -592,22 +602,16 @@
 		const struct upstream_control *c =
 			g_ptr_array_index(d->controls, i);
 
-		if (!c->configured || !upstream_control_is_gone(c))
+		if (!is_lost(c))
 			continue;
 		json_array_append_new(lost, json_string(c->name));
 		loss_hash = loss_hash * 31 + g_str_hash(c->name);
 	}
-	if (loss_hash == d->rebound_loss_hash) {
-		d->loss_since_ms = 0;
-		goto out;
-	}
-	if (!d->loss_since_ms)
-		d->loss_since_ms = d->members_asked_ms;
-	if (d->members_asked_ms - d->loss_since_ms < REBIND_DELAY_MS ||
-	    !d->table_reachable)
+	if (loss_hash == d->rebound_loss_hash || !d->table_reachable ||
+	    d->members_asked_ms - d->rebound_ms < REBIND_DELAY_MS)
 		goto out;
 	d->rebound_loss_hash = loss_hash;
-	d->loss_since_ms = 0;
+	d->rebound_ms = d->members_asked_ms;
 	m.request.kind = REQUEST_REBIND;
 	m.request.body = json_incref(lost);
 	bus_post(d->env->bus, &m);
@@ -847,9 +851,14 @@
 	size_t i;
 	bool changed = false;
 
-	for (guint k = 0; k < d->controls->len; k++)
-		((struct upstream_control *)g_ptr_array_index(d->controls, k))
-			->listed = false;
+	if (!d->members)
+		return;
+	for (guint k = 0; k < d->controls->len; k++) {
+		struct upstream_control *c = g_ptr_array_index(d->controls, k);
+
+		if (!c->gone_since_ms)
+			c->gone_since_ms = d->members_asked_ms;
+	}
 	json_array_foreach(d->members, i, v)
 	{
 		struct upstream_control *c =
@@ -858,7 +867,7 @@
 
 		if (!c)
 			continue;
-		c->listed = true;
+		c->gone_since_ms = 0;
 		if (leaves && !c->listed_leaving)
 			event_add(d->env->events, "upstream_leaving", c->name,
 				  NULL, "by the platform's list");
--- a/daemon/upstream_control.c
+++ b/daemon/upstream_control.c
@@ -44,7 +44,7 @@
 /* Report whether c is missing from the platform's list. */
 bool upstream_control_is_gone(const struct upstream_control *c)
 {
-	return c->coordinator->members && !c->listed;
+	return c->gone_since_ms;
 }
 
 /* Report whether new leases may be placed at c now. */
--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -50,6 +50,7 @@
 	bool table_is_silent;
 	uint32_t starts;  /* runs that the upstreams have started */
 	uint32_t rebinds; /* requests to bind guarantees elsewhere */
+	uint32_t lost;	  /* upstreams that the last of them names */
 };
 
 static int64_t clock_offset_ms;
@@ -247,8 +248,10 @@
 {
 	struct fixture *s = task;
 
-	s->rebinds +=
-		m->tag == MSG_REQUEST && m->request.kind == REQUEST_REBIND;
+	if (m->tag != MSG_REQUEST || m->request.kind != REQUEST_REBIND)
+		return;
+	s->rebinds++;
+	s->lost = json_array_size(m->request.body);
 }
 
 static void post_table_state(struct fixture *s, bool reachable)
@@ -644,6 +647,32 @@
 	teardown_site(s);
 }
 
+static void
+test_each_upstream_is_lost_by_its_own_time_off_the_list(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	post_table_state(s, true);
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, UPSTREAM_COUNT);
+	run_for(s, 3000);
+	post_members(s, 1);
+	run_for(s, 4500);
+	post_members(s, 0);
+	run_for(s, 1000);
+	post_members(s, 0);
+	run_for(s, 100);
+	assert_int_equal(s->rebinds, 1);
+	assert_int_equal(s->lost, 1);
+	run_for(s, 5500);
+	post_members(s, 0);
+	run_for(s, 100);
+	assert_int_equal(s->rebinds, 2);
+	assert_int_equal(s->lost, 2);
+	teardown_site(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -661,6 +690,8 @@
 			test_upstream_added_after_a_later_claim_gets_no_starts),
 		cmocka_unit_test(test_added_and_returned_upstreams_are_used),
 		cmocka_unit_test(test_old_list_binds_no_guarantee_elsewhere),
+		cmocka_unit_test(
+			test_each_upstream_is_lost_by_its_own_time_off_the_list),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
