Bound leases by the terms that calls have named

What callers saw: after the lease term was shortened, a job could run twice at once: its upstream was silent, and the job was started again elsewhere though its lease, which had the former term, lasted.

Cause: a release counts leases as ended after the term of the configuration in force, not after the term that was asked for.

Each upstream now has the latest end of any lease that a call may have granted, from the term that the call named, and a release waits for it.

Evidence: test_job_waits_for_leases_of_a_former_longer_lease_term fails before ("0x2 != 0x1" starts within the former term) and passes after.

--- a/daemon/coordinator-internal.h
+++ b/daemon/coordinator-internal.h
@@ -72,7 +72,9 @@
 	uint64_t incarnation;
 	/* When the newest call that was granted was sent. */
 	uint64_t confirmed_sent_ms;
-	uint64_t last_call_ms;	  /* when the newest call was sent */
+	uint64_t last_call_ms; /* when the newest call was sent */
+	/* When all leases have ended that a call may have granted. */
+	uint64_t leases_end_ms;
 	uint64_t last_refusal_ms; /* last failed reservation or start */
 	GHashTable *not_renewed;  /* lease ids that are left to expire */
 	GHashTable *acks;	  /* ended lease ids to acknowledge */
@@ -141,7 +143,7 @@
 void upstream_control_reset(struct upstream_control *c);
 bool upstream_control_call(struct upstream_control *c, const char *path,
 			   json_t *body, http_done_fn done, void *arg);
-json_t *upstream_control_body(const struct upstream_control *c);
+json_t *upstream_control_body(struct upstream_control *c);
 
 /* gang.c */
 struct gang *gang_create(struct coordinator *d, const char *name);
--- a/daemon/gang.c
+++ b/daemon/gang.c
@@ -220,8 +220,8 @@
 }
 
 /* Return a command that lists g's leases at c: in full, or only their ids. */
-static json_t *lease_list_body(const struct gang *g,
-			       const struct upstream_control *c, bool full)
+static json_t *lease_list_body(const struct gang *g, struct upstream_control *c,
+			       bool full)
 {
 	json_t *body = upstream_control_body(c);
 	json_t *list = json_array();
@@ -461,6 +461,18 @@
 	finish_release(g);
 }
 
+/* Return when the leases of all parts have ended, if no call renews them. */
+static uint64_t latest_lease_end_ms(const struct gang *g)
+{
+	uint64_t end_ms = 0;
+
+	for (uint32_t i = 0; i < g->shape.parts; i++)
+		if (g->parts[i].control && !g->parts[i].ended)
+			end_ms =
+				MAX(end_ms, g->parts[i].control->leases_end_ms);
+	return end_ms;
+}
+
 /*
  * Stop every part of g with grace_ms for a checkpoint.  The leases are no
  * longer renewed, so that they expire where the command is lost.
@@ -481,9 +493,7 @@
 	set_state(g, GANG_RELEASING);
 	if (g->job_handle != NO_JOB_HANDLE)
 		sched_mark_evicting(d->sched, g->job_handle);
-	g->leases_expired_by_ms = clock_mono_ms() + CALL_TIMEOUT_MS +
-				  d->config->limits.lease_term_ms +
-				  LEASE_EXPIRY_MARGIN_MS;
+	g->leases_expired_by_ms = latest_lease_end_ms(g);
 	add_attempt_event(g, "releasing", reason);
 	for (uint32_t i = 0; i < g->shape.parts; i++) {
 		if (!g->parts[i].control)
--- a/daemon/upstream_control.c
+++ b/daemon/upstream_control.c
@@ -77,17 +77,22 @@
  * Return a new object with the fields common to all commands.  The holder is
  * this process and not only its instance, so that a restarted process cannot
  * share an epoch with an earlier one, whose commands may still be on the way.
+ * A command may extend leases by the term that it names, whatever the term in a
+ * later configuration is.
  */
-json_t *upstream_control_body(const struct upstream_control *c)
+json_t *upstream_control_body(struct upstream_control *c)
 {
 	const struct coordinator *d = c->coordinator;
 	const struct settings *s = d->env->settings;
+	uint32_t term_ms = d->config->limits.lease_term_ms;
 	char *holder = g_strdup_printf("%s-%" G_GUINT64_FORMAT, s->name,
 				       s->incarnation);
 	json_t *body = json_pack("{s:I,s:s,s:i}", "epoch", (json_int_t)d->epoch,
-				 "holder", holder, "term_ms",
-				 (int)d->config->limits.lease_term_ms);
+				 "holder", holder, "term_ms", (int)term_ms);
 
+	c->leases_end_ms =
+		MAX(c->leases_end_ms, clock_mono_ms() + CALL_TIMEOUT_MS +
+					      term_ms + LEASE_EXPIRY_MARGIN_MS);
 	g_free(holder);
 	return body;
 }
--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -19,7 +19,8 @@
 #include "daemon/jobs.h"
 
 #define BODY_MAX 65536
-#define UPSTREAM_COUNT 2
+#define UPSTREAM_COUNT 2 /* in most tests */
+#define UPSTREAM_COUNT_MAX 3
 #define JOB_KEY "job/reindex"
 #define LATER_JOB_KEY "job/later"
 #define ATTEMPT_OF_EPOCH(e) (((json_int_t)(e) << 16) + 57)
@@ -43,14 +44,15 @@
 	struct env env;
 	struct jobs *jobs;
 	struct coordinator *coordinator;
-	struct fake_upstream upstreams[UPSTREAM_COUNT];
+	struct fake_upstream upstreams[UPSTREAM_COUNT_MAX];
 	json_t *rows; /* the table: key to {"version", "value"} */
 	uint64_t version;
 	uint64_t scanned_ms;
 	bool table_is_silent;
-	uint32_t starts;  /* runs that the upstreams have started */
-	uint32_t rebinds; /* requests to bind guarantees elsewhere */
-	uint32_t lost;	  /* upstreams that the last of them names */
+	int lease_term_ms; /* in the configuration; 0: the default */
+	uint32_t starts;   /* runs that the upstreams have started */
+	uint32_t rebinds;  /* requests to bind guarantees elsewhere */
+	uint32_t lost;	   /* upstreams that the last of them names */
 };
 
 static int64_t clock_offset_ms;
@@ -87,7 +89,7 @@
 	char *host = exchange_host(x);
 	struct fake_upstream *found = NULL;
 
-	for (uint32_t i = 0; i < UPSTREAM_COUNT; i++) {
+	for (uint32_t i = 0; i < UPSTREAM_COUNT_MAX; i++) {
 		char *address = format_address(s, i);
 
 		if (!strcmp(host, address))
@@ -307,6 +309,10 @@
 	json_t *values = json_pack("{s:{s:s}}", "config/account/damodar",
 				   "name", "damodar");
 
+	if (s->lease_term_ms)
+		json_object_set_new(
+			values, "config/limits",
+			json_pack("{s:i}", "lease_term_ms", s->lease_term_ms));
 	for (uint32_t i = 1; i <= n; i++) {
 		char *name = g_strdup_printf("kolkata-w%u", i);
 		char *key = g_strconcat("config/upstream/", name, NULL);
@@ -381,7 +387,7 @@
 			      .events = event_ring_create(100)};
 	s->env.http = http_client_create(s->env.loop);
 	loop_on_iteration_end(s->env.loop, deliver_messages, s->env.bus);
-	for (uint32_t i = 0; i < UPSTREAM_COUNT; i++) {
+	for (uint32_t i = 0; i < UPSTREAM_COUNT_MAX; i++) {
 		char *text = format_address(s, i);
 		struct sockaddr_in a;
 
@@ -402,7 +408,7 @@
 static void teardown_site(struct fixture *s)
 {
 	stop_process(s);
-	for (uint32_t i = 0; i < UPSTREAM_COUNT; i++) {
+	for (uint32_t i = 0; i < UPSTREAM_COUNT_MAX; i++) {
 		http_server_destroy(s->upstreams[i].server);
 		json_decref(s->upstreams[i].leases);
 		g_free(s->upstreams[i].holder);
@@ -673,6 +679,30 @@
 	teardown_site(s);
 }
 
+static void
+test_job_waits_for_leases_of_a_former_longer_lease_term(void **state)
+{
+	struct fixture *s = setup_site();
+	uint32_t used;
+
+	(void)state;
+	s->lease_term_ms = 30000;
+	post_config(s, UPSTREAM_COUNT_MAX);
+	post_members(s, UPSTREAM_COUNT_MAX);
+	put_job(s, JOB_KEY, "accepted", 0);
+	wait_until(s, job_is(s, JOB_KEY, "running"));
+	for (used = 0; !json_object_size(s->upstreams[used].leases); used++)
+		;
+	s->upstreams[used].silent = true;
+	s->lease_term_ms = 3000;
+	post_config(s, UPSTREAM_COUNT_MAX);
+	run_for(s, 28000);
+	assert_int_equal(s->starts, 1);
+	run_for(s, 10000);
+	assert_int_equal(s->starts, 2);
+	teardown_site(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -692,6 +722,8 @@
 		cmocka_unit_test(test_old_list_binds_no_guarantee_elsewhere),
 		cmocka_unit_test(
 			test_each_upstream_is_lost_by_its_own_time_off_the_list),
+		cmocka_unit_test(
+			test_job_waits_for_leases_of_a_former_longer_lease_term),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
