Close a link that fell silent before its next message

What callers saw: a check could run at a peer long after its caller had been told that it may have run, if the peer was paused meanwhile.

Cause: a link that is silent for 1.6 s is lost, and so are the checks that were forwarded over it, but only a timer looked at that limit. In a process whose sockets are served first when it wakes, the message that had waited renewed the link, and the check got its whole budget from that time on.

The limit is now looked at before each message. A check that waited for less than 1.6 s still gets its whole budget from its receipt.

The process test resumed_peer_runs_no_check_that_its_sender_gave_up passes before as well: after SIGSTOP the timers run first.

--- a/daemon/peer.c
+++ b/daemon/peer.c
@@ -249,6 +249,11 @@
 	free_link(p, l);
 }
 
+static bool is_silent(const struct link *l, uint64_t now)
+{
+	return now - l->heard_ms > SILENCE_TIMEOUT_MS;
+}
+
 static void drop_link(struct peers *p, struct link *l, const char *why)
 {
 	struct frame_conn *c = l->conn;
@@ -402,15 +407,25 @@
 	}
 }
 
+/*
+ * Handle a message.  A link that fell silent is closed even if the silence ends
+ * before the timer fires, as after a pause of this process: the peer has given
+ * up the link, and the checks that it forwarded over it.
+ */
 static void on_received(void *arg, struct frame_conn *c,
 			const Lacewing__Envelope *e)
 {
 	struct peers *p = arg;
 	struct link *l = find_link(p, c);
+	uint64_t now = clock_mono_ms();
 
 	if (!l)
 		return;
-	l->heard_ms = clock_mono_ms();
+	if (is_silent(l, now)) {
+		drop_link(p, l, "no message within timeout");
+		return;
+	}
+	l->heard_ms = now;
 	if (!l->hello_received &&
 	    e->body_case != LACEWING__ENVELOPE__BODY_HELLO) {
 		drop_link(p, l, "message before hello");
@@ -518,7 +533,7 @@
 		if (i >= p->links->len)
 			continue;
 		l = g_ptr_array_index(p->links, i);
-		if (now - l->heard_ms > SILENCE_TIMEOUT_MS)
+		if (is_silent(l, now))
 			drop_link(p, l, "no message within timeout");
 	}
 }
--- a/test/proc_resume.c
+++ b/test/proc_resume.c
@@ -1,6 +1,6 @@
 /*
  * An instance that wakes from a pause first learns what was decided without it:
- * it serves nobody by an old list or configuration.
+ * it acts neither on an old list or configuration nor on old requests of peers.
  */
 #include <glib.h>
 #include <signal.h>
@@ -109,6 +109,41 @@
 	site_stop(s);
 }
 
+static void resumed_peer_runs_no_check_that_its_sender_gave_up(void **state)
+{
+	struct site_options o = {.net = 78,
+				 .domains = 2,
+				 .instances = 1,
+				 .workers = 1,
+				 .accounts = accounts};
+	struct test_site *s = site_start(&o);
+	static const char check[] =
+		"{\"account\": \"damodar\", \"payload\": \"x\", "
+		"\"deadline_ms\": 800}";
+	int status;
+
+	(void)state;
+	command(s, at_platform(s), "/control",
+		"{\"member\": {\"name\": \"kolkata-w1\", "
+		"\"state\": \"leaving\"}}");
+	wait_for(s, 5000,
+		 (json_decref(ask(s, at_instance(s, 0, 0), "POST", "/v1/checks",
+				  check, &status)),
+		  status == 200 && starts_at(s, 1, "durgapur-w1") > 0));
+	command(s, at_workers(s, 1), "/control", "{}");
+	uint32_t before = starts_at(s, 1, "durgapur-w1");
+
+	instance_signal(s, 1, 0, SIGSTOP);
+	json_decref(ask(s, at_instance(s, 0, 0), "POST", "/v1/checks", check,
+			&status));
+	assert_int_equal(status, 504);
+	wait_ms(s, 2000);
+	instance_signal(s, 1, 0, SIGCONT);
+	wait_ms(s, 1500);
+	assert_int_equal(starts_at(s, 1, "durgapur-w1"), before);
+	site_stop(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -116,6 +151,8 @@
 			resumed_instance_sends_no_checks_to_upstream_that_left),
 		cmocka_unit_test(
 			resumed_instance_refuses_checks_of_a_removed_account),
+		cmocka_unit_test(
+			resumed_peer_runs_no_check_that_its_sender_gave_up),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
