Wait for the table before a test applies its configuration

Seen once: refused_retry_keeps_verdict_of_first_attempt ended at its start with "127.47.1.1:7400/v1/config: 503: did_not_run, platform_out" (out/proc_answers at, at a load of 9.5). The instance's log shows the cause: its first calls of the table, 0 ms after its start, failed, as the proxy in between did not listen yet, and succeeded 251 ms later. The test had waited for the platform itself and for the instance, and sent the configuration in between. The refusal was true.

The start of a site now waits until each instance reports that the table answers. No check is changed.

--- a/test/site.c
+++ b/test/site.c
@@ -286,6 +286,16 @@
 	return status == 200;
 }
 
+/* Returns true if an instance serves callers and reaches the table. */
+static bool reaches_table(struct test_site *s, const char *server)
+{
+	json_t *v = ask(s, server, "GET", "/health", NULL, NULL);
+	bool reached = json_is_true(json_object_get(v, "table_answers"));
+
+	json_decref(v);
+	return reached;
+}
+
 static void send_json(struct test_site *s, const char *server, const char *path,
 		      json_t *v)
 {
@@ -323,9 +333,8 @@
 			instance_start(s, d, i);
 	for (uint32_t d = 0; d < s->o.domains; d++)
 		for (uint32_t i = 0; i < s->o.instances; i++)
-			wait_for(
-				s, 5000,
-				answers_ok(s, at_instance(s, d, i), "/health"));
+			wait_for(s, 5000,
+				 reaches_table(s, at_instance(s, d, i)));
 	send_json(s, at_instance(s, 0, 0), "/v1/config", configuration(s));
 	for (uint32_t d = 0; d < s->o.domains; d++)
 		wait_for(s, 10000, coordinator_of(s, d) != UINT32_MAX);
