Read the intent row after a refused lease

What callers saw: a check that is not idempotent was reported as did_not_run although it had run under the same key: its intent was recorded late, and a repeat at another instance had forbidden its lease to start, replaced it in the row and run.

Cause: the upstream's refusal shows that the lease has ended, and was taken as proof that the request did not run.

After such a refusal the row is read: if another attempt has replaced this one, its answer is returned, or its outcome is asked for.

Evidence: test_replaced_check_gets_the_answer_of_its_repeat fails before ("0x1 != 0": did_not_run in place of ran) and passes after.

--- a/daemon/check.c
+++ b/daemon/check.c
@@ -286,7 +286,7 @@
 /*
  * An upstream refused q with status 429 (no slot) or 409.  Nothing ran, so
  * an idempotent check is dispatched again without a token of the retry
- * budget.
+ * budget.  409 says that the lease of any other check has ended.
  */
 static void handle_refusal(struct quick_check *q, const struct http_result *r)
 {
@@ -300,13 +300,12 @@
 	counter_add(c->env->counters, "checks_refused_by_upstream", NULL, 1);
 	q->upstream->refusal_backoff_until_ms =
 		clock_mono_ms() + CHECK_REFUSAL_BACKOFF_MS;
-	if (q->idempotency_key)
-		intent_finish_not_run(
-			q,
-			verdict_did_not_run(r->status == 429 ? REASON_BUSY
-							     : REASON_REFUSED));
-	else
+	if (!q->idempotency_key)
 		quick_dispatch(q);
+	else if (r->status == 409)
+		intent_handle_refusal(q);
+	else
+		intent_finish_not_run(q, verdict_did_not_run(REASON_BUSY));
 }
 
 /*
--- a/daemon/intent.c
+++ b/daemon/intent.c
@@ -84,6 +84,7 @@
 	g_free(q->nonce);
 	q->nonce = g_strdup(q->lease);
 	q->incarnation = q->upstream->incarnation;
+	q->refused = false;
 	q->state = QUICK_WRITING_INTENT;
 	post_intent_row(q, "sent", NULL, q->ticket);
 }
@@ -219,8 +220,12 @@
 void intent_handle_read(struct quick_check *q, const struct txn_result *t)
 {
 	const json_t *value = json_object_get(t->conflict, "value");
+	bool known = verdict_is_ran(t->verdict) && quick_remaining_ms(q);
 
-	if (!verdict_is_ran(t->verdict) || !quick_remaining_ms(q)) {
+	if (q->refused && (!known || !t->conflict)) {
+		quick_finish(q, verdict_may_have_run(REASON_PLATFORM_OUT),
+			     NULL);
+	} else if (!known) {
 		/* Nothing was or will be sent under this lease. */
 		quick_finish(q, verdict_did_not_run(REASON_PLATFORM_OUT), NULL);
 	} else if (!t->conflict) {
@@ -228,7 +233,11 @@
 		intent_write(q);
 	} else if (!strcmp(json_str_or(value, "nonce", ""), q->nonce)) {
 		q->row_version = json_int_or(t->conflict, "version", 0);
-		quick_send(q);
+		if (q->refused)
+			intent_finish_not_run(
+				q, verdict_did_not_run(REASON_REFUSED));
+		else
+			quick_send(q);
 	} else {
 		follow_existing_intent(q, t->conflict);
 	}
@@ -251,6 +260,17 @@
 	quick_finish(q, v, NULL);
 }
 
+/*
+ * Read the row after an upstream has refused q's lease.  It has restarted, or
+ * a repeat of the request has forbidden the lease to start, replaced it in the
+ * row, and may have run.
+ */
+void intent_handle_refusal(struct quick_check *q)
+{
+	q->refused = true;
+	read_intent(q);
+}
+
 /* Query the outcome of q's lease after an attempt without an answer. */
 void intent_resolve(struct quick_check *q)
 {
--- a/daemon/quick.h
+++ b/daemon/quick.h
@@ -73,6 +73,7 @@
 	/* of the upstream, in the intent row; 0 if the check is idempotent */
 	uint64_t incarnation;
 	uint64_t queried_incarnation;
+	bool refused; /* the upstream has refused the recorded lease */
 	char *queried_lease;
 	struct roster_upstream *queried_upstream;
 	bool queried_own_lease; /* the queried lease is this check's */
@@ -92,6 +93,7 @@
 void intent_handle_read(struct quick_check *q, const struct txn_result *t);
 void intent_finish_answered(struct quick_check *q, json_t *answer);
 void intent_finish_not_run(struct quick_check *q, struct verdict v);
+void intent_handle_refusal(struct quick_check *q);
 void intent_resolve(struct quick_check *q);
 void intent_free(struct quick_check *q);
 
--- a/test/unit_check.c
+++ b/test/unit_check.c
@@ -10,6 +10,7 @@
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "daemon/check.h"
 
@@ -27,6 +28,8 @@
 	uint32_t runs_of_keys;	/* runs of checks with an idempotency key */
 	uint32_t writes;	/* of intents */
 	uint64_t write_ticket;	/* of the last write, which waits */
+	json_t *row;		/* the intent row; NULL: none */
+	bool knows_leases;	/* the upstream refuses leases that ended */
 	uint32_t results;	/* finished checks */
 	struct verdict verdict; /* of the last finished check */
 };
@@ -60,7 +63,11 @@
 	struct fixture *s = arg;
 	json_t *v = json_loads(exchange_body(x, NULL), 0, NULL);
 
-	if (!strcmp(exchange_path(x), "/run"))
+	if (!strcmp(exchange_path(x), "/run") && s->knows_leases)
+		exchange_reply_json(
+			x, 409, json_pack("{s:s}", "refused", "lease_known"),
+			0);
+	else if (!strcmp(exchange_path(x), "/run"))
 		serve_run(s, x, v);
 	else
 		exchange_reply_json(x, 200,
@@ -71,14 +78,32 @@
 	json_decref(v);
 }
 
-static void receive_write(void *task, struct message *m)
+static void set_row(struct fixture *s, json_t *value)
+{
+	json_decref(s->row);
+	s->row = json_pack("{s:I,s:o}", "version", (json_int_t)2, "value",
+			   value);
+}
+
+/* Keep the row of a write, which waits, and answer a read. */
+static void receive_table_call(void *task, struct message *m)
 {
 	struct fixture *s = task;
+	struct message out = {.tag = MSG_READ_DONE,
+			      .from = TASK_PLATFORM,
+			      .to = TASK_CHECK,
+			      .ticket = m->ticket};
 
-	if (m->tag != MSG_TXN || !m->ticket)
-		return;
-	s->writes++;
-	s->write_ticket = m->ticket;
+	if (m->tag == MSG_TXN && m->ticket) {
+		s->writes++;
+		s->write_ticket = m->ticket;
+		set_row(s, json_incref(json_object_get(
+				   json_array_get(m->json, 0), "value")));
+	} else if (m->tag == MSG_READ) {
+		out.txn.verdict = verdict_ran();
+		out.txn.conflict = json_incref(s->row);
+		bus_post(s->env.bus, &out);
+	}
 }
 
 static void receive_result(void *task, struct message *m)
@@ -134,7 +159,7 @@
 	s->upstream = http_server_create(s->env.loop, &a, BODY_MAX,
 					 serve_upstream, s);
 	assert_non_null(s->upstream);
-	bus_attach(s->env.bus, TASK_PLATFORM, receive_write, s);
+	bus_attach(s->env.bus, TASK_PLATFORM, receive_table_call, s);
 	bus_attach(s->env.bus, TASK_CALLER, receive_result, s);
 	s->checks = checks_create(&s->env);
 	post_config(s);
@@ -150,6 +175,7 @@
 	counters_destroy(s->env.counters);
 	event_ring_destroy(s->env.events);
 	loop_destroy(s->env.loop);
+	json_decref(s->row);
 	g_free(s);
 }
 
@@ -206,11 +232,42 @@
 	teardown_site(s);
 }
 
+/* Return the row after a repeat at another instance has replaced it and run. */
+static json_t *row_of_repeat(void)
+{
+	char *hash = g_strdup_printf("%016" G_GINT64_MODIFIER "x",
+				     (guint64)XXH64("", 0, 0));
+	json_t *v = json_pack("{s:s,s:s,s:s,s:s,s:s,s:{s:s}}", "nonce",
+			      "kolkata-2-1-1", "state", "done", "hash", hash,
+			      "lease", "kolkata-2-1-1", "upstream",
+			      "kolkata-w2", "answer", "answer", "checked");
+
+	g_free(hash);
+	return v;
+}
+
+static void test_replaced_check_gets_the_answer_of_its_repeat(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	send_check(s, "payout");
+	await_count(s, &s->writes, 1);
+	set_row(s, row_of_repeat());
+	s->knows_leases = true;
+	answer_write(s);
+	await_count(s, &s->results, 1);
+	assert_int_equal(s->verdict.tag, VERDICT_RAN);
+	teardown_site(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_recorded_check_is_not_run_by_a_later_incarnation),
+		cmocka_unit_test(
+			test_replaced_check_gets_the_answer_of_its_repeat),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
