Refuse to remove or move an upstream that is listed

What callers saw: a job ran twice at once. Its upstream was removed from the configuration, and the coordinator was restarted while the job ran.

Cause: a new coordinator claims the upstreams of its configuration, and learns from them what runs. It cannot ask one that was removed, or that has another address or domain now, though the earlier coordinator's leases last there.

A change that removes or moves an upstream is now refused with a reason while the platform lists it, or while the list of the last 5 s is not known. Operators were told to take a silent upstream off the list, and to remove one that is off the list; they need no other way.

Evidence: used_upstream_stays_in_the_configuration fails before ("reindex: attempts overlap") and passes after.

--- a/daemon/config_store.c
+++ b/daemon/config_store.c
@@ -14,6 +14,9 @@
 #define HEAD_KEY "config/head"
 #define BINDING_KEY_PREFIX "config/binding/"
 #define APPLY_ATTEMPTS_MAX 4
+#define UPSTREAM_KEY_PREFIX "config/upstream/"
+/* An older list of members does not tell what exists now. */
+#define MEMBERS_AGE_MAX_MS 5000
 
 struct config_store {
 	struct env *env;
@@ -24,6 +27,8 @@
 	GHashTable *changes; /* ticket to struct config_change */
 	uint64_t next_ticket;
 	bool rebind_pending;
+	json_t *members;	   /* the platform's list; NULL: not known */
+	uint64_t members_asked_ms; /* when it was asked for */
 };
 
 /* A change that is not yet confirmed in the table. */
@@ -281,6 +286,63 @@
 		      json_pack("{s:o}", "problems", problems_json(p)));
 }
 
+static bool is_listed(const struct config_store *s, const char *name)
+{
+	json_t *v;
+	size_t i;
+
+	json_array_foreach(s->members, i, v)
+	{
+		if (!strcmp(json_str_or(v, "name", ""), name))
+			return true;
+	}
+	return false;
+}
+
+/* Report whether coordinators would find an upstream at another place. */
+static bool is_moved(const json_t *old, const json_t *new)
+{
+	return strcmp(json_str_or(old, "domain", ""),
+		      json_str_or(new, "domain", "")) ||
+	       strcmp(json_str_or(old, "address", ""),
+		      json_str_or(new, "address", ""));
+}
+
+/*
+ * Add a problem for each upstream that rows remove or move while it may run
+ * jobs: a new coordinator could not find them, and would start them again.
+ */
+static void check_upstreams_unused(const struct config_store *s,
+				   const json_t *rows, struct problems *p)
+{
+	bool known = s->members &&
+		     clock_mono_ms() - s->members_asked_ms < MEMBERS_AGE_MAX_MS;
+	const char *key;
+	json_t *value;
+
+	json_object_foreach((json_t *)rows, key, value)
+	{
+		const json_t *old =
+			json_object_get(json_object_get(s->rows, key), "value");
+		const char *name = key + strlen(UPSTREAM_KEY_PREFIX);
+
+		if (!g_str_has_prefix(key, UPSTREAM_KEY_PREFIX) ||
+		    !json_is_object(old) || !is_moved(old, value))
+			continue;
+		if (!known)
+			problem_add(p, "upstreams",
+				    "%s may run jobs: the platform's list is "
+				    "not known now",
+				    name);
+		else if (is_listed(s, name))
+			problem_add(p, "upstreams",
+				    "%s may run jobs: take it off the "
+				    "platform's list before it is removed or "
+				    "moved",
+				    name);
+	}
+}
+
 static void handle_apply(struct config_store *s, const struct message *m)
 {
 	struct problems *p = problems_create("configuration");
@@ -303,6 +365,7 @@
 		goto out;
 	}
 	rows = config_file_to_rows(file);
+	check_upstreams_unused(s, rows, p);
 	all = merge_values(s, rows);
 	c = config_build(all, s->newest_version);
 	config_validate(c, p);
@@ -435,6 +498,11 @@
 	case MSG_ROWS_REQUEST:
 		send_rows(s, m);
 		break;
+	case MSG_MEMBERS:
+		json_decref(s->members);
+		s->members = json_incref(m->members.list);
+		s->members_asked_ms = m->members.asked_ms;
+		break;
 	case MSG_TXN_DONE:
 		handle_txn_result(s, m);
 		break;
@@ -471,6 +539,7 @@
 	if (!s)
 		return;
 	json_decref(s->rows);
+	json_decref(s->members);
 	config_unref(s->snapshot);
 	g_hash_table_destroy(s->changes);
 	g_free(s);
--- a/daemon/platform_client.c
+++ b/daemon/platform_client.c
@@ -292,7 +292,8 @@
 static void post_members(struct platform_client *t, json_t *list)
 {
 	static const enum task_id listeners[] = {TASK_PEER, TASK_CHECK,
-						 TASK_COORDINATOR, TASK_CALLER};
+						 TASK_COORDINATOR, TASK_CALLER,
+						 TASK_CONFIG};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(listeners); i++) {
 		struct message m = {.tag = MSG_MEMBERS,
--- a/test/proc_config.c
+++ b/test/proc_config.c
@@ -245,6 +245,72 @@
 	site_stop(s);
 }
 
+/* Send a change to the last instance; return the status. */
+static int change_status(struct test_site *s, const char *body)
+{
+	int status;
+
+	json_decref(ask(s, at_instance(s, 0, 1), "POST", "/v1/config", body,
+			&status));
+	return status;
+}
+
+/* Return the name of the upstream that runs the only job. */
+static char *name_used_upstream(struct test_site *s)
+{
+	json_t *list = records(s, 0);
+	char *name =
+		g_strdup(json_str_or(json_array_get(list, 0), "worker", ""));
+
+	json_decref(list);
+	return name;
+}
+
+/* An upstream that is removed while it is used is unknown to a successor. */
+static void used_upstream_stays_in_the_configuration(void **state)
+{
+	struct site_options o = {.net = 79,
+				 .domains = 1,
+				 .instances = 2,
+				 .workers = 4,
+				 .accounts = accounts};
+	struct test_site *s = site_start(&o);
+	uint32_t d = coordinator_of(s, 0);
+	char *name, *removal, *move, *leave;
+	int status;
+
+	(void)state;
+	submit(s, 0, d,
+	       "{\"account\": \"damodar\", \"key\": \"reindex\", "
+	       "\"accelerators\": 8, \"run_ms\": 12000}");
+	wait_for(s, 8000, job_in_state(s, "reindex", "running"));
+	name = name_used_upstream(s);
+	removal = g_strdup_printf("{\"remove\": [\"upstream/%s\"]}", name);
+	move = g_strdup_printf("{\"upstreams\": [{\"name\": \"%s\", "
+			       "\"domain\": \"kolkata\", \"rack\": "
+			       "\"kolkata-r1\", \"address\": "
+			       "\"127.79.101.9:9000\", \"accelerators\": 8, "
+			       "\"slots\": 8}]}",
+			       name);
+	leave = g_strdup_printf("{\"member\": {\"name\": \"%s\", "
+				"\"state\": \"gone\"}}",
+				name);
+	status = change_status(s, removal);
+	instance_kill(s, 0, d);
+	instance_start(s, 0, d);
+	wait_for(s, 30000, job_in_state(s, "reindex", "done"));
+	judge_gang(s, 1, "reindex", 1);
+	assert_int_equal(status, 400);
+	assert_int_equal(change_status(s, move), 400);
+	command(s, at_platform(s), "/control", leave);
+	wait_for(s, 5000, change_status(s, removal) == 200);
+	g_free(leave);
+	g_free(move);
+	g_free(removal);
+	g_free(name);
+	site_stop(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -257,6 +323,7 @@
 		cmocka_unit_test(instance_without_config_is_not_ready),
 		cmocka_unit_test(second_of_two_changes_on_one_base_conflicts),
 		cmocka_unit_test(change_with_lost_platform_answer_is_accepted),
+		cmocka_unit_test(used_upstream_stays_in_the_configuration),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
