--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -495,6 +495,25 @@
 	teardown_site(s);
 }
 
+static void test_processes_of_one_instance_share_no_epoch(void **state)
+{
+	struct fixture *s = setup_site();
+	uint64_t earlier;
+
+	(void)state;
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, UPSTREAM_COUNT);
+	run_for(s, 3000);
+	earlier = s->upstreams[0].epoch;
+	stop_process(s);
+	start_process(s);
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, UPSTREAM_COUNT);
+	run_for(s, 5000);
+	assert_true(s->upstreams[0].epoch > earlier);
+	teardown_site(s);
+}
+
 static void
 test_end_is_recorded_after_all_upstreams_and_instances_restarted(void **state)
 {
@@ -708,6 +727,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_restarted_coordinator_claims_a_higher_epoch),
+		cmocka_unit_test(test_processes_of_one_instance_share_no_epoch),
 		cmocka_unit_test(
 			test_end_is_recorded_after_all_upstreams_and_instances_restarted),
 		cmocka_unit_test(
