Claim a moved upstream at its new address

What operators saw: after an upstream was given another address, the coordinator went on calling the former one until its process was restarted, and used the upstream no more.

Cause: a known upstream was kept by its name alone. It is now kept by name and address; one that has moved is claimed anew.

Evidence: test_moved_upstream_is_claimed_at_its_new_address fails before ("not within 20000 ms: s->upstreams[2].epoch == s->upstreams[0].epoch") and passes after.

--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -184,7 +184,9 @@
 		for (guint k = 0; k < old->len && !c; k++) {
 			struct upstream_control *o = g_ptr_array_index(old, k);
 
-			if (!strcmp(o->name, u->name)) {
+			if (!strcmp(o->name, u->name) &&
+			    !memcmp(&o->address, &u->address,
+				    sizeof(o->address))) {
 				c = o;
 				g_ptr_array_remove_index_fast(old, k);
 			}
--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -50,9 +50,11 @@
 	uint64_t scanned_ms;
 	bool table_is_silent;
 	int lease_term_ms; /* in the configuration; 0: the default */
-	uint32_t starts;   /* runs that the upstreams have started */
-	uint32_t rebinds;  /* requests to bind guarantees elsewhere */
-	uint32_t lost;	   /* upstreams that the last of them names */
+	/* The servers at which the configuration places the upstreams. */
+	uint32_t places[UPSTREAM_COUNT_MAX];
+	uint32_t starts;  /* runs that the upstreams have started */
+	uint32_t rebinds; /* requests to bind guarantees elsewhere */
+	uint32_t lost;	  /* upstreams that the last of them names */
 };
 
 static int64_t clock_offset_ms;
@@ -316,7 +318,7 @@
 	for (uint32_t i = 1; i <= n; i++) {
 		char *name = g_strdup_printf("kolkata-w%u", i);
 		char *key = g_strconcat("config/upstream/", name, NULL);
-		char *address = format_address(s, i - 1);
+		char *address = format_address(s, s->places[i - 1]);
 
 		json_object_set_new(values, key,
 				    json_pack("{s:s,s:s,s:s,s:s,s:i,s:i}",
@@ -392,6 +394,7 @@
 		struct sockaddr_in a;
 
 		address_parse(text, &a);
+		s->places[i] = i;
 		s->upstreams[i].holder = g_strdup("");
 		s->upstreams[i].leases = json_object();
 		s->upstreams[i].server = http_server_create(
@@ -722,6 +725,23 @@
 	teardown_site(s);
 }
 
+static void test_moved_upstream_is_claimed_at_its_new_address(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, UPSTREAM_COUNT);
+	run_for(s, 3000);
+	assert_true(s->upstreams[1].epoch);
+	post_members(s, 1);
+	s->places[1] = 2;
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, UPSTREAM_COUNT);
+	wait_until(s, s->upstreams[2].epoch == s->upstreams[0].epoch);
+	teardown_site(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -744,6 +764,8 @@
 			test_each_upstream_is_lost_by_its_own_time_off_the_list),
 		cmocka_unit_test(
 			test_job_waits_for_leases_of_a_former_longer_lease_term),
+		cmocka_unit_test(
+			test_moved_upstream_is_claimed_at_its_new_address),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
