Ignore late answers of unlisted upstreams to claims

Such an answer is ignored until the coordinator has settled. If the upstream is listed by then, all are claimed again, as its leases have to be adopted; otherwise it runs nothing, and is claimed by itself.

Evidence: test_answer_of_an_unlisted_upstream_repeats_no_claims fails before ("0x2 != 0x1", the epoch) and passes after.

--- a/daemon/coordinator-internal.h
+++ b/daemon/coordinator-internal.h
@@ -168,7 +168,6 @@
 
 /* coordinator.c */
 void coordinator_yield_to_epoch(struct coordinator *d, uint64_t epoch);
-void coordinator_claim_again(struct coordinator *d);
 void coordinator_handle_report(struct coordinator *d,
 			       struct upstream_control *c);
 struct upstream_control *coordinator_find_control(struct coordinator *d,
--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -252,7 +252,7 @@
 }
 
 /* Claim all upstreams anew, because one was not claimed before. */
-void coordinator_claim_again(struct coordinator *d)
+static void claim_again(struct coordinator *d)
 {
 	step_down(d, "an upstream was not claimed");
 }
@@ -508,7 +508,7 @@
 		}
 	}
 	if (!used_count && claimed)
-		coordinator_claim_again(d); /* nobody is left to confirm */
+		claim_again(d); /* nobody is left to confirm */
 }
 
 static void execute_action(struct coordinator *d, const struct action *a)
@@ -663,7 +663,7 @@
 		if (!c->configured || c->claimed_epoch == d->epoch)
 			continue;
 		if (!upstream_control_is_gone(c)) {
-			coordinator_claim_again(d);
+			claim_again(d);
 			return;
 		}
 		gone_upstreams = true;
--- a/daemon/upstream_control.c
+++ b/daemon/upstream_control.c
@@ -144,7 +144,9 @@
 
 /*
  * Report whether c accepts its first claim of the epoch from a leader that has
- * not settled.  Its leases are not among those that the leader has adopted.
+ * not settled.  Its leases are not among those that the leader has adopted, so
+ * that the answer is ignored: the leader claims all again if c is listed, and
+ * otherwise claims it once it has settled.
  */
 static bool is_late_claim(const struct upstream_control *c)
 {
@@ -165,10 +167,8 @@
 	v = json_loadb(r->body, r->len, 0, NULL);
 	if (r->status == 200 &&
 	    (uint64_t)json_int_or(v, "epoch", 0) == c->coordinator->epoch) {
-		if (is_late_claim(c)) {
-			coordinator_claim_again(c->coordinator);
+		if (is_late_claim(c))
 			goto out;
-		}
 		c->claimed = true;
 		c->claimed_epoch = c->coordinator->epoch;
 		apply_report(c, v);
--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -577,6 +577,30 @@
 	teardown_site(s);
 }
 
+static void test_answer_of_an_unlisted_upstream_repeats_no_claims(void **state)
+{
+	struct fixture *s = setup_site();
+	uint64_t epoch;
+
+	(void)state;
+	s->table_is_silent = true;
+	s->upstreams[1].silent = true;
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, 1);
+	run_for(s, 3000);
+	epoch = s->upstreams[0].epoch;
+	assert_true(epoch);
+	s->upstreams[1].silent = false;
+	run_for(s, 3000);
+	assert_int_equal(s->upstreams[0].epoch, epoch);
+	s->table_is_silent = false;
+	post_members(s, 1);
+	put_job(s, JOB_KEY, "accepted", 0);
+	wait_until(s, job_is(s, JOB_KEY, "running"));
+	assert_int_equal(s->upstreams[0].epoch, epoch);
+	teardown_site(s);
+}
+
 static void
 test_listed_upstream_of_a_newer_configuration_is_not_gone(void **state)
 {
@@ -754,6 +778,8 @@
 			test_upstream_missing_from_an_old_list_is_claimed_before_starts),
 		cmocka_unit_test(
 			test_upstream_of_a_newer_configuration_is_claimed_before_starts),
+		cmocka_unit_test(
+			test_answer_of_an_unlisted_upstream_repeats_no_claims),
 		cmocka_unit_test(
 			test_listed_upstream_of_a_newer_configuration_is_not_gone),
 		cmocka_unit_test(
