Stop cancelled jobs after a change of coordinator

What callers saw: a job ran on to its end though its cancellation had been accepted, if the coordinator changed before the job was stopped. Found on the way, by reading.

Cause: a cancellation is carried out when its row arrives. A new coordinator has read the row before it adopts the job, and looked at it no more.

It now stops what it adopts and is to be cancelled.

Evidence: test_cancelled_job_stops_after_a_change_of_coordinator fails before ("not within 20000 ms: job_is(s, JOB_KEY, "cancelled")") and passes after.

--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -349,6 +349,20 @@
 	g_list_free(all);
 }
 
+/* Stop the adopted jobs whose cancellation the last coordinator left. */
+static void release_cancelled_gangs(struct coordinator *d)
+{
+	GList *all = g_hash_table_get_values(d->gangs);
+
+	for (GList *l = all; l; l = l->next) {
+		struct gang *g = l->data;
+
+		if (gang_is_active(g) && !strcmp(g->row_state, "cancelling"))
+			gang_release(g, RELEASE_CANCEL, "cancelled", 0);
+	}
+	g_list_free(all);
+}
+
 /* Use the upstreams of the claims that made this instance the leader. */
 static void use_claimed_upstreams(struct coordinator *d)
 {
@@ -378,6 +392,7 @@
 	for (guint i = 0; i < d->controls->len; i++)
 		coordinator_handle_report(d, g_ptr_array_index(d->controls, i));
 	release_incomplete_gangs(d);
+	release_cancelled_gangs(d);
 	announce_role(d);
 }
 
--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -766,6 +766,21 @@
 	teardown_site(s);
 }
 
+static void test_cancelled_job_stops_after_a_change_of_coordinator(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	put_job(s, JOB_KEY, "cancelling", ATTEMPT_OF_EPOCH(7));
+	put_running_lease(&s->upstreams[1], 7);
+	s->upstreams[0].epoch = 7;
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, UPSTREAM_COUNT);
+	wait_until(s, job_is(s, JOB_KEY, "cancelled"));
+	assert_int_equal(s->starts, 0);
+	teardown_site(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -792,6 +807,8 @@
 			test_job_waits_for_leases_of_a_former_longer_lease_term),
 		cmocka_unit_test(
 			test_moved_upstream_is_claimed_at_its_new_address),
+		cmocka_unit_test(
+			test_cancelled_job_stops_after_a_change_of_coordinator),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
