--- a/daemon/check.c
+++ b/daemon/check.c
@@ -286,7 +286,7 @@
 /*
  * An upstream refused q with status 429 (no slot) or 409.  Nothing ran, so
  * an idempotent check is dispatched again without a token of the retry
- * budget.
+ * budget.  409 says that the lease of any other check has ended.
  */
 static void handle_refusal(struct quick_check *q, const struct http_result *r)
 {
@@ -300,13 +300,12 @@
 	counter_add(c->env->counters, "checks_refused_by_upstream", NULL, 1);
 	q->upstream->refusal_backoff_until_ms =
 		clock_mono_ms() + CHECK_REFUSAL_BACKOFF_MS;
-	if (q->idempotency_key)
-		intent_finish_not_run(
-			q,
-			verdict_did_not_run(r->status == 429 ? REASON_BUSY
-							     : REASON_REFUSED));
-	else
+	if (!q->idempotency_key)
 		quick_dispatch(q);
+	else if (r->status == 409)
+		intent_handle_refusal(q);
+	else
+		intent_finish_not_run(q, verdict_did_not_run(REASON_BUSY));
 }
 
 /*
@@ -426,7 +425,8 @@
 /*
  * Send q to its upstream under its lease.  The upstream keeps the outcome of
  * a check that is not idempotent and accepts it only under the incarnation
- * that is named.
+ * that the intent row names: a later one has lost the tombstone of a lease that
+ * another attempt has replaced.
  */
 void quick_send(struct quick_check *q)
 {
@@ -437,8 +437,7 @@
 		q->request_id, "payload", payload, "run_ms",
 		(json_int_t)json_int_or(q->request, "run_ms", 0), "keep",
 		(int)(q->idempotency_key != NULL), "incarnation",
-		(json_int_t)(q->idempotency_key ? q->upstream->incarnation
-						: 0));
+		(json_int_t)q->incarnation);
 	char *text = json_dumps(body, JSON_COMPACT);
 
 	q->state = QUICK_SENT;
@@ -629,7 +628,7 @@
 		apply_config(c, m);
 		break;
 	case MSG_MEMBERS:
-		roster_apply_members(c->roster, m->json);
+		roster_apply_members(c->roster, m->members.list);
 		break;
 	case MSG_UPSTREAM_LEAVING:
 		roster_mark_leaving(c->roster,
--- a/daemon/coordinator-internal.h
+++ b/daemon/coordinator-internal.h
@@ -15,6 +15,8 @@
 #define NO_JOB_HANDLE UINT32_MAX
 #define CALL_TIMEOUT_MS 1000
 #define LEASE_EXPIRY_MARGIN_MS 200
+/* An attempt is an epoch and, in its lowest bits, a number in the epoch. */
+#define ATTEMPT_SEQUENCE_BITS 16
 
 enum role_state { ROLE_FOLLOWER, ROLE_CANDIDATE, ROLE_LEADER };
 
@@ -27,18 +29,20 @@
 	uint64_t attempts;	 /* attempts started in this epoch */
 	uint64_t all_claimed_ms; /* when every upstream was claimed */
 	uint64_t table_caught_up_ms;
+	bool settled; /* leader that has seen what its predecessors did */
 	uint64_t no_leader_since_ms; /* 0: the domain has a leader */
 	uint64_t created_ms;
 	bool leaving;
 	bool table_reachable;
-	bool members_known;
-	struct sched *sched; /* NULL unless leader */
-	GPtrArray *controls; /* struct upstream_control by site index */
-	GHashTable *gangs;   /* name to struct gang */
+	json_t *members;	   /* the platform's list; NULL: not known */
+	uint64_t members_asked_ms; /* when the list was asked for */
+	struct sched *sched;	   /* NULL unless leader */
+	GPtrArray *controls;	   /* struct upstream_control by site index */
+	GHashTable *gangs;	   /* name to struct gang */
 	struct peer_list *peers;
 	struct timer tick;
 	uint64_t renewed_ms;
-	uint64_t loss_since_ms;
+	uint64_t rebound_ms; /* when the last list before it was asked for */
 	uint32_t rebound_loss_hash;
 	bool rows_changed;	  /* some gangs may have to be queued */
 	uint32_t releasing_count; /* gangs in GANG_RELEASING */
@@ -53,18 +57,24 @@
 	uint32_t index; /* index in the site */
 	struct http_pool *pool;
 	struct health health;
-	bool claimed;	      /* obeys the coordinator's epoch */
-	bool claim_pending;   /* a claim call is in flight */
-	bool renewal_pending; /* a renewal call is in flight */
-	bool leaving;	      /* reported by the upstream itself */
-	bool listed;	      /* is on the platform's list */
-	bool listed_leaving;  /* is on the list, but not live */
+	uint64_t claimed_epoch; /* the last that it accepted */
+	bool in_use;		/* the leader may place work there */
+	uint64_t known_ms;	/* when it appeared; 0 if in use or gone */
+	bool claimed;		/* obeys the coordinator's epoch */
+	bool claim_pending;	/* a claim call is in flight */
+	bool renewal_pending;	/* a renewal call is in flight */
+	bool leaving;		/* reported by the upstream itself */
+	/* When the first list that lacks it was asked for; 0: is listed. */
+	uint64_t gone_since_ms;
+	bool listed_leaving; /* is on the list, but not live */
 	bool configured;
 	uint64_t reported_version; /* version of the last report of leases */
 	uint64_t incarnation;
 	/* When the newest call that was granted was sent. */
 	uint64_t confirmed_sent_ms;
-	uint64_t last_call_ms;	  /* when the newest call was sent */
+	uint64_t last_call_ms; /* when the newest call was sent */
+	/* When all leases have ended that a call may have granted. */
+	uint64_t leases_end_ms;
 	uint64_t last_refusal_ms; /* last failed reservation or start */
 	GHashTable *not_renewed;  /* lease ids that are left to expire */
 	GHashTable *acks;	  /* ended lease ids to acknowledge */
@@ -133,7 +143,7 @@
 void upstream_control_reset(struct upstream_control *c);
 bool upstream_control_call(struct upstream_control *c, const char *path,
 			   json_t *body, http_done_fn done, void *arg);
-json_t *upstream_control_body(const struct upstream_control *c);
+json_t *upstream_control_body(struct upstream_control *c);
 
 /* gang.c */
 struct gang *gang_create(struct coordinator *d, const char *name);
--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -184,7 +184,9 @@
 		for (guint k = 0; k < old->len && !c; k++) {
 			struct upstream_control *o = g_ptr_array_index(old, k);
 
-			if (!strcmp(o->name, u->name)) {
+			if (!strcmp(o->name, u->name) &&
+			    !memcmp(&o->address, &u->address,
+				    sizeof(o->address))) {
 				c = o;
 				g_ptr_array_remove_index_fast(old, k);
 			}
@@ -221,6 +223,7 @@
 	log_line(LOG_INFO, "stepped_down", "epoch %" G_GUINT64_FORMAT ": %s",
 		 d->epoch, reason);
 	d->role = ROLE_FOLLOWER;
+	d->settled = false;
 	d->no_leader_since_ms = 0;
 	d->releasing_count = 0;
 	sched_destroy(d->sched);
@@ -248,6 +251,12 @@
 	step_down(d, "a later epoch has claimed an upstream");
 }
 
+/* Claim all upstreams anew, because one was not claimed before. */
+static void claim_again(struct coordinator *d)
+{
+	step_down(d, "an upstream was not claimed");
+}
+
 static void claim_upstreams(struct coordinator *d)
 {
 	uint64_t now = clock_mono_ms();
@@ -340,6 +349,31 @@
 	g_list_free(all);
 }
 
+/* Stop the adopted jobs whose cancellation the last coordinator left. */
+static void release_cancelled_gangs(struct coordinator *d)
+{
+	GList *all = g_hash_table_get_values(d->gangs);
+
+	for (GList *l = all; l; l = l->next) {
+		struct gang *g = l->data;
+
+		if (gang_is_active(g) && !strcmp(g->row_state, "cancelling"))
+			gang_release(g, RELEASE_CANCEL, "cancelled", 0);
+	}
+	g_list_free(all);
+}
+
+/* Use the upstreams of the claims that made this instance the leader. */
+static void use_claimed_upstreams(struct coordinator *d)
+{
+	for (guint i = 0; i < d->controls->len; i++) {
+		struct upstream_control *c = g_ptr_array_index(d->controls, i);
+
+		c->in_use = c->configured && c->claimed &&
+			    !upstream_control_is_gone(c);
+	}
+}
+
 static void become_leader(struct coordinator *d)
 {
 	json_t *jobs = leases_by_job(d);
@@ -350,6 +384,7 @@
 	json_decref(jobs);
 	d->role = ROLE_LEADER;
 	d->all_claimed_ms = clock_mono_ms();
+	use_claimed_upstreams(d);
 	event_add(d->env->events, "deciding", d->env->settings->name, NULL,
 		  "epoch %" G_GUINT64_FORMAT, d->epoch);
 	log_line(LOG_INFO, "deciding", "epoch %" G_GUINT64_FORMAT, d->epoch);
@@ -357,6 +392,7 @@
 	for (guint i = 0; i < d->controls->len; i++)
 		coordinator_handle_report(d, g_ptr_array_index(d->controls, i));
 	release_incomplete_gangs(d);
+	release_cancelled_gangs(d);
 	announce_role(d);
 }
 
@@ -424,11 +460,10 @@
 /* Scheduling */
 
 /*
- * Report whether more than half of the upstreams have confirmed the epoch
- * within the lease term.  A leader that was paused, or whose upstreams were
- * claimed by another instance, must not act.
+ * Report whether more than half of the upstreams in use have confirmed the
+ * epoch in answer to a call that was sent after since_ms.
  */
-static bool has_quorum(const struct coordinator *d, uint64_t now)
+static bool is_confirmed_since(const struct coordinator *d, uint64_t since_ms)
 {
 	uint32_t all = 0, confirmed_count = 0;
 
@@ -436,16 +471,61 @@
 		const struct upstream_control *c =
 			g_ptr_array_index(d->controls, i);
 
-		if (!c->configured || upstream_control_is_gone(c))
+		if (!c->in_use)
 			continue;
 		all++;
 		confirmed_count +=
-			c->claimed && now - c->confirmed_sent_ms <
-					      d->config->limits.lease_term_ms;
+			c->claimed && c->confirmed_sent_ms > since_ms;
 	}
 	return all && confirmed_count * 2 > all;
 }
 
+/*
+ * Report whether the epoch was confirmed within the lease term.  A leader that
+ * was paused, or whose upstreams were claimed by another instance, must not
+ * act.
+ */
+static bool has_quorum(const struct coordinator *d, uint64_t now)
+{
+	return is_confirmed_since(d, now - d->config->limits.lease_term_ms);
+}
+
+/*
+ * Use an upstream that was added or has come back once the epoch is confirmed
+ * by a call sent after it appeared.  A later coordinator that has claimed the
+ * others may not know it, and so cannot refuse what is started there.
+ */
+static void use_new_upstreams(struct coordinator *d, uint64_t now)
+{
+	uint32_t used_count = 0;
+	bool claimed = false;
+
+	for (guint i = 0; i < d->controls->len; i++) {
+		struct upstream_control *c = g_ptr_array_index(d->controls, i);
+
+		if (!c->configured || upstream_control_is_gone(c)) {
+			c->in_use = false;
+			c->known_ms = 0;
+		}
+		used_count += c->in_use;
+	}
+	for (guint i = 0; i < d->controls->len; i++) {
+		struct upstream_control *c = g_ptr_array_index(d->controls, i);
+
+		if (c->in_use || !c->configured || upstream_control_is_gone(c))
+			continue;
+		claimed = claimed || c->claimed;
+		if (!c->known_ms)
+			c->known_ms = now;
+		if (c->claimed && is_confirmed_since(d, c->known_ms)) {
+			c->in_use = true;
+			c->known_ms = 0;
+		}
+	}
+	if (!used_count && claimed)
+		claim_again(d); /* nobody is left to confirm */
+}
+
 static void execute_action(struct coordinator *d, const struct action *a)
 {
 	const struct job *j = sched_job(d->sched, a->job);
@@ -513,10 +593,21 @@
 }
 
 /*
- * Request new bindings when the set of gone upstreams has differed for
- * REBIND_DELAY_MS from the set that was last reported.
+ * Report whether c was off the list for REBIND_DELAY_MS, in lists that were
+ * asked for so far apart.  An old list does not tell that it still is.
  */
-static void rebind_lost_cells(struct coordinator *d, uint64_t now)
+static bool is_lost(const struct upstream_control *c)
+{
+	return c->configured && upstream_control_is_gone(c) &&
+	       c->coordinator->members_asked_ms - c->gone_since_ms >=
+		       REBIND_DELAY_MS;
+}
+
+/*
+ * Request new bindings when the set of lost upstreams differs from the one of
+ * the last request, at least REBIND_DELAY_MS after it.
+ */
+static void rebind_lost_cells(struct coordinator *d)
 {
 	uint32_t loss_hash = 0;
 	json_t *lost = json_array();
@@ -528,21 +619,16 @@
 		const struct upstream_control *c =
 			g_ptr_array_index(d->controls, i);
 
-		if (!c->configured || !upstream_control_is_gone(c))
+		if (!is_lost(c))
 			continue;
 		json_array_append_new(lost, json_string(c->name));
 		loss_hash = loss_hash * 31 + g_str_hash(c->name);
 	}
-	if (loss_hash == d->rebound_loss_hash) {
-		d->loss_since_ms = 0;
-		goto out;
-	}
-	if (!d->loss_since_ms)
-		d->loss_since_ms = now;
-	if (now - d->loss_since_ms < REBIND_DELAY_MS || !d->table_reachable)
+	if (loss_hash == d->rebound_loss_hash || !d->table_reachable ||
+	    d->members_asked_ms - d->rebound_ms < REBIND_DELAY_MS)
 		goto out;
 	d->rebound_loss_hash = loss_hash;
-	d->loss_since_ms = 0;
+	d->rebound_ms = d->members_asked_ms;
 	m.request.kind = REQUEST_REBIND;
 	m.request.body = json_incref(lost);
 	bus_post(d->env->bus, &m);
@@ -573,6 +659,35 @@
 	}
 }
 
+/*
+ * Allow the leader to start jobs, or claim again.  The table and the list, both
+ * read after the last claim, tell which jobs ended under its predecessors and
+ * which upstreams these may have used: a list or a configuration that is older
+ * than the claims may lack one.
+ */
+static void settle_if_due(struct coordinator *d)
+{
+	bool gone_upstreams = false;
+
+	if (d->settled)
+		return;
+	for (guint i = 0; i < d->controls->len; i++) {
+		const struct upstream_control *c =
+			g_ptr_array_index(d->controls, i);
+
+		if (!c->configured || c->claimed_epoch == d->epoch)
+			continue;
+		if (!upstream_control_is_gone(c)) {
+			claim_again(d);
+			return;
+		}
+		gone_upstreams = true;
+	}
+	d->settled =
+		d->table_caught_up_ms > d->all_claimed_ms &&
+		(!gone_upstreams || d->members_asked_ms > d->all_claimed_ms);
+}
+
 static void on_tick(void *arg)
 {
 	struct coordinator *d = arg;
@@ -580,6 +695,10 @@
 
 	timer_start(d->env->loop, &d->tick, TICK_INTERVAL_MS);
 	yield_to_newer_peers(d);
+	if (d->role == ROLE_LEADER)
+		use_new_upstreams(d, now);
+	if (d->role == ROLE_LEADER)
+		settle_if_due(d);
 	if (d->role == ROLE_FOLLOWER) {
 		start_election_if_due(d, now);
 		return;
@@ -595,9 +714,8 @@
 	}
 	update_usable_upstreams(d, now);
 	tick_releasing_gangs(d, now);
-	rebind_lost_cells(d, now);
-	if (d->role == ROLE_LEADER &&
-	    d->table_caught_up_ms > d->all_claimed_ms && has_quorum(d, now) &&
+	rebind_lost_cells(d);
+	if (d->role == ROLE_LEADER && d->settled && has_quorum(d, now) &&
 	    !d->leaving)
 		schedule(d, now);
 }
@@ -688,6 +806,19 @@
 		release_orphan_leases(d, c);
 }
 
+/*
+ * Keep the epoch above those of the attempts in the table, as a row ignores
+ * updates of earlier attempts.  Before it has settled, a leader starts
+ * nothing, so that a row of its own epoch is of an earlier coordinator: all
+ * upstreams have restarted since and granted the epoch again.
+ */
+static void observe_row_epoch(struct coordinator *d, uint64_t epoch)
+{
+	d->max_epoch_seen = MAX(d->max_epoch_seen, epoch);
+	if (epoch > d->epoch || (epoch == d->epoch && !d->settled))
+		step_down(d, "the table has attempts of a later epoch");
+}
+
 static void handle_job_row(struct coordinator *d, const json_t *row)
 {
 	const char *name = json_str_or(row, "job", "");
@@ -703,6 +834,9 @@
 			gang_remove(g);
 		return;
 	}
+	observe_row_epoch(d, (uint64_t)json_int_or(row, "attempt", 0) >>
+				     ATTEMPT_SEQUENCE_BITS);
+	g = g_hash_table_lookup(d->gangs, name);
 	if (!g)
 		g = gang_create(d, name);
 	gang_update_from_row(g, row);
@@ -724,29 +858,25 @@
 		gang_handle_saved(g, update);
 }
 
-static void handle_config(struct coordinator *d, struct message *m)
-{
-	struct config *old_config = d->config;
-
-	d->config = m->config;
-	m->config = NULL;
-	sync_controls(d);
-	if (d->role == ROLE_LEADER)
-		rebuild_scheduler(d, old_config);
-	config_unref(old_config);
-}
-
-static void handle_members(struct coordinator *d, const json_t *list)
+/*
+ * Apply the platform's newest list to the upstreams that are known.  An
+ * upstream that a configuration adds is looked up in it as well.
+ */
+static void apply_members(struct coordinator *d)
 {
 	json_t *v;
 	size_t i;
 	bool changed = false;
 
-	d->members_known = true;
-	for (guint k = 0; k < d->controls->len; k++)
-		((struct upstream_control *)g_ptr_array_index(d->controls, k))
-			->listed = false;
-	json_array_foreach(list, i, v)
+	if (!d->members)
+		return;
+	for (guint k = 0; k < d->controls->len; k++) {
+		struct upstream_control *c = g_ptr_array_index(d->controls, k);
+
+		if (!c->gone_since_ms)
+			c->gone_since_ms = d->members_asked_ms;
+	}
+	json_array_foreach(d->members, i, v)
 	{
 		struct upstream_control *c =
 			coordinator_find_control(d, json_str_or(v, "name", ""));
@@ -754,7 +884,7 @@
 
 		if (!c)
 			continue;
-		c->listed = true;
+		c->gone_since_ms = 0;
 		if (leaves && !c->listed_leaving)
 			event_add(d->env->events, "upstream_leaving", c->name,
 				  NULL, "by the platform's list");
@@ -765,6 +895,27 @@
 		announce_role(d);
 }
 
+static void handle_config(struct coordinator *d, struct message *m)
+{
+	struct config *old_config = d->config;
+
+	d->config = m->config;
+	m->config = NULL;
+	sync_controls(d);
+	apply_members(d);
+	if (d->role == ROLE_LEADER)
+		rebuild_scheduler(d, old_config);
+	config_unref(old_config);
+}
+
+static void handle_members(struct coordinator *d, const struct members *m)
+{
+	json_decref(d->members);
+	d->members = json_incref(m->list);
+	d->members_asked_ms = m->asked_ms;
+	apply_members(d);
+}
+
 static void handle_request(struct coordinator *d, const struct message *m)
 {
 	json_t *body = NULL;
@@ -795,7 +946,7 @@
 		handle_config(d, m);
 		break;
 	case MSG_MEMBERS:
-		handle_members(d, m->json);
+		handle_members(d, &m->members);
 		break;
 	case MSG_PEERS:
 		g_free(d->peers);
@@ -852,6 +1003,7 @@
 	g_hash_table_destroy(d->gangs);
 	sched_destroy(d->sched);
 	config_unref(d->config);
+	json_decref(d->members);
 	g_free(d->peers);
 	g_free(d);
 }
--- a/daemon/upstream_control.c
+++ b/daemon/upstream_control.c
@@ -44,7 +44,7 @@
 /* Report whether c is missing from the platform's list. */
 bool upstream_control_is_gone(const struct upstream_control *c)
 {
-	return c->coordinator->members_known && !c->listed;
+	return c->gone_since_ms;
 }
 
 /* Report whether new leases may be placed at c now. */
@@ -53,7 +53,7 @@
 	uint64_t now = clock_mono_ms();
 	uint32_t term = c->coordinator->config->limits.lease_term_ms;
 
-	return c->configured && c->claimed && !c->leaving &&
+	return c->configured && c->in_use && c->claimed && !c->leaving &&
 	       !c->listed_leaving && !upstream_control_is_gone(c) &&
 	       now - c->confirmed_sent_ms < term &&
 	       now - c->last_refusal_ms >= REFUSAL_BACKOFF_MS &&
@@ -64,6 +64,8 @@
 void upstream_control_reset(struct upstream_control *c)
 {
 	c->claimed = false;
+	c->in_use = false;
+	c->known_ms = 0;
 	c->reported_version = 0;
 	g_hash_table_remove_all(c->not_renewed);
 	g_hash_table_remove_all(c->acks);
@@ -71,14 +73,28 @@
 	c->leases = NULL;
 }
 
-/* Return a new object with the fields common to all commands. */
-json_t *upstream_control_body(const struct upstream_control *c)
+/*
+ * Return a new object with the fields common to all commands.  The holder is
+ * this process and not only its instance, so that a restarted process cannot
+ * share an epoch with an earlier one, whose commands may still be on the way.
+ * A command may extend leases by the term that it names, whatever the term in a
+ * later configuration is.
+ */
+json_t *upstream_control_body(struct upstream_control *c)
 {
 	const struct coordinator *d = c->coordinator;
+	const struct settings *s = d->env->settings;
+	uint32_t term_ms = d->config->limits.lease_term_ms;
+	char *holder = g_strdup_printf("%s-%" G_GUINT64_FORMAT, s->name,
+				       s->incarnation);
+	json_t *body = json_pack("{s:I,s:s,s:i}", "epoch", (json_int_t)d->epoch,
+				 "holder", holder, "term_ms", (int)term_ms);
 
-	return json_pack("{s:I,s:s,s:i}", "epoch", (json_int_t)d->epoch,
-			 "holder", d->env->settings->name, "term_ms",
-			 (int)d->config->limits.lease_term_ms);
+	c->leases_end_ms =
+		MAX(c->leases_end_ms, clock_mono_ms() + CALL_TIMEOUT_MS +
+					      term_ms + LEASE_EXPIRY_MARGIN_MS);
+	g_free(holder);
+	return body;
 }
 
 /* POST body, whose reference is taken, to c; false if no call was made. */
@@ -126,6 +142,20 @@
 		coordinator_yield_to_epoch(c->coordinator, epoch);
 }
 
+/*
+ * Report whether c accepts its first claim of the epoch from a leader that has
+ * not settled.  Its leases are not among those that the leader has adopted, so
+ * that the answer is ignored: the leader claims all again if c is listed, and
+ * otherwise claims it once it has settled.
+ */
+static bool is_late_claim(const struct upstream_control *c)
+{
+	const struct coordinator *d = c->coordinator;
+
+	return d->role == ROLE_LEADER && !d->settled &&
+	       c->claimed_epoch != d->epoch;
+}
+
 static void on_claimed(void *arg, const struct http_result *r)
 {
 	struct upstream_control *c = arg;
@@ -137,11 +167,15 @@
 	v = json_loadb(r->body, r->len, 0, NULL);
 	if (r->status == 200 &&
 	    (uint64_t)json_int_or(v, "epoch", 0) == c->coordinator->epoch) {
+		if (is_late_claim(c))
+			goto out;
 		c->claimed = true;
+		c->claimed_epoch = c->coordinator->epoch;
 		apply_report(c, v);
 	} else if (r->status == 409) {
 		handle_refusal(c, v);
 	}
+out:
 	json_decref(v);
 }
 
