Let heartbeats of a stand-in upstream fail to reach the store

An upstream in a failure domain that is cut off runs on, but the store hears no heartbeat of it. The stand-in could only crash an upstream, so a test could not show a run that goes on after its entry has lapsed.

Now a command makes an upstream silent: its entry lapses after three heartbeats and comes back with the next one. Upstreams can be spread over failure domains, and the record lists the runs that ended with their lease, so that a test can check that its fault struck.

--- a/fake/joint.c
+++ b/fake/joint.c
@@ -4,30 +4,34 @@
  * The payload of a task is its run time in milliseconds, or "crash MS" for a
  * task whose upstream crashes that long after it has started the task.
  *
- *	joint STORE FIRST-UPSTREAM UPSTREAMS [FIRST-LISTED]
+ *	joint STORE FIRST-UPSTREAM UPSTREAMS [FIRST-LISTED [DOMAINS]]
  *
  * Addresses are IP:PORT; each further upstream increments the IP. The table of
  * servers lists the upstreams from FIRST-LISTED on, the default is
- * FIRST-UPSTREAM; a proxy such as cutter can listen there.
+ * FIRST-UPSTREAM; a proxy such as cutter can listen there. Upstream n is in
+ * failure domain n modulo DOMAINS, the default is 1.
  *
  * The store's address also serves:
  *	POST /control  {"store": "ok"|"refuse"|"hang", "lose_answers": N,
  *			"late_starts": N, "late_ms": N, "forget": true,
  *			"crash_ms": N, "guarded": BOOL,
- *			"upstream": N, "room": N}
+ *			"upstream": N, "room": N, "silent": BOOL}
  *	               (forget: compact the feed's history up to now;
  *	               crash_ms: time for which a crashed upstream is away;
  *	               guarded: upstreams refuse starts beyond their room;
- *	               room: accelerators of one upstream, one for each run)
+ *	               room: accelerators of one upstream, one for each run;
+ *	               silent: its heartbeats do not reach the store)
  *	GET /record    {"starts": N, "twice": N, "after_done": N,
  *			"running": N, "unlisted": N, "crashes": N,
  *			"over_room": N,
- *			"crash_tasks": [[TASK, CRASHES, FURTHER-STARTS], ...]}
+ *			"crash_tasks": [[TASK, CRASHES, FURTHER-STARTS], ...],
+ *			"lapses": [[TASK, UPSTREAM, MS], ...]}
  *	               (twice: starts of a task that was running; after_done:
  *	               starts of a completed task; unlisted: upstreams whose entry
  *	               does not show their last change; over_room: starts that
  *	               brought an upstream over its room; further starts: those
- *	               after three upstreams had crashed under the task)
+ *	               after three upstreams had crashed under the task; lapses:
+ *	               runs that ended with their lease, on the monotonic clock)
  */
 #include <glib.h>
 #include <signal.h>
@@ -93,14 +97,15 @@
 	    !address_parse(argv[2], &first) ||
 	    !address_parse(argv[argc > 4 ? 4 : 2], &listed)) {
 		fprintf(stderr, "usage: joint STORE FIRST-UPSTREAM UPSTREAMS "
-				"[FIRST-LISTED]\n");
+				"[FIRST-LISTED [DOMAINS]]\n");
 		return 2;
 	}
 	signal(SIGPIPE, SIG_IGN);
 	log_open("joint", "joint", LOG_INFO);
 	j.loop = loop_create();
 	j.store = joint_store_create();
-	j.upstreams = joint_upstreams_create(j.loop, j.store);
+	j.upstreams = joint_upstreams_create(j.loop, j.store,
+					     argc > 5 ? atoi(argv[5]) : 1);
 	j.server = http_server_create(j.loop, &store_address, MAX_BODY_BYTES,
 				      handle_request, &j);
 	for (int i = 0; i < atoi(argv[3]); i++) {
--- a/fake/jointupstream.c
+++ b/fake/jointupstream.c
@@ -1,8 +1,9 @@
 /*
  * The upstreams of the simulated joint platform. A run takes one accelerator of
  * its upstream's room. An upstream that crashes forgets its runs, their ends
- * and the fencing token, and comes back under its id with a new start time; its
- * entry in the table of servers lapses if it is away for long.
+ * and the fencing token, and comes back under its id with a new start time. The
+ * entry of an upstream in the table of servers lapses if it is away for long or
+ * its heartbeats do not reach the store.
  */
 #include <glib.h>
 #include <string.h>
@@ -46,9 +47,11 @@
 	struct http_server *server; /* NULL: the port is still in use */
 	char listed_address[ADDRESS_TEXT_BYTES];
 	char id[32];
+	char domain[16];
 	char rack[8];
 	uint64_t born_ms;
 	uint64_t crashed_ms;	     /* 0: it is up */
+	uint64_t silent_ms;	     /* 0: the store gets its heartbeats */
 	uint64_t max_epoch;	     /* highest fencing token seen */
 	uint64_t lease_end_clock_ms; /* in ms since born_ms, plus 1 */
 	uint64_t voided_end_count;   /* number of the last voided end */
@@ -84,6 +87,7 @@
 	struct loop *loop;
 	struct joint_store *store;
 	GPtrArray *list;
+	uint32_t domains; /* number of failure domains */
 	uint32_t starts_to_delay;
 	uint32_t start_delay_ms;
 	uint64_t crash_ms; /* time for which a crashed upstream is away */
@@ -95,6 +99,7 @@
 	uint32_t starts_after_done;
 	uint32_t crashes;
 	uint32_t starts_over_room;
+	json_t *lapses; /* runs that ended with their lease, see joint.c */
 };
 
 /* A request to start a run that is executed after a delay. */
@@ -147,6 +152,10 @@
 					(int)r->number, reason, ""));
 	if (!strcmp(reason, "done"))
 		g_hash_table_add(u->all->completed_tasks, g_strdup(r->task));
+	if (!strcmp(reason, "lapsed"))
+		json_array_append_new(u->all->lapses,
+				      json_pack("[s,s,I]", r->task, u->id,
+						(json_int_t)clock_mono_ms()));
 	forbid_start(u, r->task, r->number);
 	g_ptr_array_remove(u->runs, r);
 	free_run(r);
@@ -492,7 +501,7 @@
 		"{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,"
 		"s:I}",
 		"service", "service", "addr", u->listed_address, "zone",
-		"kolkata", "version", "v1", "slots", 8, "state", "ready",
+		u->domain, "version", "v1", "slots", 8, "state", "ready",
 		"coldLeftMs", 0, "capacity", "cpu", 64000, "memMb", 65536,
 		"gpu", (int)u->room, "labels", "a", u->rack, "clockMs",
 		(json_int_t)upstream_clock_ms(u), "seq", (json_int_t)++u->seq,
@@ -507,22 +516,29 @@
 	u->is_listed = u->listed_current = true;
 }
 
+/* Return since when the store gets no heartbeat of u, 0 if it gets them. */
+static uint64_t away_since_ms(const struct upstream *u)
+{
+	return u->crashed_ms ? u->crashed_ms : u->silent_ms;
+}
+
 /*
  * Send the heartbeat of u if it is due and the store takes it. The entry of an
  * upstream that is away lapses.
  */
 static void beat(struct upstream *u)
 {
-	uint64_t now = clock_mono_ms();
+	uint64_t now = clock_mono_ms(), away_ms = away_since_ms(u);
 
 	if (!joint_store_is_available(u->all->store))
 		return;
-	if (u->crashed_ms) {
-		if (u->is_listed &&
-		    now >= u->crashed_ms + SILENT_HEARTBEATS_MAX * HEARTBEAT_MS)
+	if (away_ms) {
+		bool lapsed =
+			now >= away_ms + SILENT_HEARTBEATS_MAX * HEARTBEAT_MS;
+
+		if (u->is_listed && lapsed)
 			joint_store_remove(u->all->store, "servers", u->id);
-		u->is_listed &= now < u->crashed_ms + SILENT_HEARTBEATS_MAX *
-							      HEARTBEAT_MS;
+		u->is_listed &= !lapsed;
 		return;
 	}
 	if (now < u->next_beat_ms)
@@ -572,15 +588,20 @@
 		answer_renewal(u);
 }
 
-/* Create an empty set of upstreams that register in s. */
-struct joint_upstreams *joint_upstreams_create(struct loop *l,
-					       struct joint_store *s)
+/*
+ * Create an empty set of upstreams that register in s and are spread over so
+ * many failure domains.
+ */
+struct joint_upstreams *
+joint_upstreams_create(struct loop *l, struct joint_store *s, uint32_t domains)
 {
 	struct joint_upstreams *us = g_new0(struct joint_upstreams, 1);
 
 	us->loop = l;
 	us->store = s;
 	us->list = g_ptr_array_new();
+	us->domains = domains;
+	us->lapses = json_array();
 	us->guarded = true;
 	us->crash_ms = CRASHED_MS_DEFAULT;
 	us->completed_tasks =
@@ -607,6 +628,10 @@
 	listed.sin_addr.s_addr = htonl(ntohl(listed.sin_addr.s_addr) + number);
 	address_format(&listed, u->listed_address, sizeof(u->listed_address));
 	g_snprintf(u->id, sizeof(u->id), "w%u", number);
+	g_strlcpy(u->domain, "kolkata", sizeof(u->domain));
+	if (us->domains > 1)
+		g_snprintf(u->domain, sizeof(u->domain), "domain%u",
+			   number % us->domains);
 	g_strlcpy(u->rack, number < 8 ? "r0" : "r1", sizeof(u->rack));
 	u->room = ACCELERATOR_COUNT;
 	u->runs = g_ptr_array_new();
@@ -627,6 +652,7 @@
 {
 	json_int_t number = json_int_or(command, "upstream", -1);
 	const json_t *guarded = json_object_get(command, "guarded");
+	const json_t *silent = json_object_get(command, "silent");
 	struct upstream *u;
 
 	us->starts_to_delay =
@@ -640,6 +666,8 @@
 		return;
 	u = g_ptr_array_index(us->list, number);
 	u->room = json_int_or(command, "room", u->room);
+	if (silent)
+		u->silent_ms = json_is_true(silent) ? clock_mono_ms() : 0;
 	u->listed_current = false;
 }
 
@@ -672,10 +700,11 @@
 						       (int)c->crashes,
 						       (int)c->further_starts));
 	}
-	return json_pack("{s:i,s:i,s:i,s:I,s:I,s:i,s:i,s:o}", "starts",
+	return json_pack("{s:i,s:i,s:i,s:I,s:I,s:i,s:i,s:o,s:O}", "starts",
 			 (int)us->starts, "twice", (int)us->duplicate_starts,
 			 "after_done", (int)us->starts_after_done, "running",
 			 running, "unlisted", unlisted, "crashes",
 			 (int)us->crashes, "over_room",
-			 (int)us->starts_over_room, "crash_tasks", tasks);
+			 (int)us->starts_over_room, "crash_tasks", tasks,
+			 "lapses", us->lapses);
 }
--- a/fake/jointupstream.h
+++ b/fake/jointupstream.h
@@ -10,8 +10,8 @@
 
 struct joint_upstreams;
 
-struct joint_upstreams *joint_upstreams_create(struct loop *l,
-					       struct joint_store *s);
+struct joint_upstreams *
+joint_upstreams_create(struct loop *l, struct joint_store *s, uint32_t domains);
 bool joint_upstreams_add(struct joint_upstreams *us, struct sockaddr_in address,
 			 struct sockaddr_in listed);
 void joint_upstreams_control(struct joint_upstreams *us, const json_t *command);
