Cut failure domains off in the process tests

The process tests had one proxy link from each instance to the store and one from all instances to each upstream. So an upstream was cut off from everybody or from nobody, links between peers could not be cut, and no leader could lose the store and its peers while it still reached upstreams that the others had lost.

In a site that is started as divided, each instance is in a failure domain of its own and has links of its own to all upstreams and peers. Every instance reads the same addresses from the same rows, also through a peer, so a small library is preloaded into the instances that leads their connections to the proxy. The proxy can also refuse connections. A site starts with empty logs: a test that ran again took the leader of the earlier run for the present one.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,10 @@
 BINARIES = $(addprefix $(OUT)/,$(PROGRAMS))
 SOURCES = $(filter-out proto/%,$(wildcard */*.c)) $(wildcard */*.h)
 
-all: $(BINARIES)
+# preloaded by the process tests
+REROUTE = $(OUT)/reroute.so
+
+all: $(BINARIES) $(REROUTE)
 
 lacewingd: $(OUT)/lacewingd
 
@@ -48,6 +51,11 @@
 	@echo "  LINK  $@"
 	@$(CC) -o $@ $^ $(LIBS)
 
+$(REROUTE): fake/reroute.c
+	@mkdir -p $(@D)
+	@echo "  LINK  $@"
+	@$(CC) $(CFLAGS) -fPIC -shared -o $@ $<
+
 -include $(wildcard $(OUT)/obj/*/*.d)
 
 TEST_OBJS = $(call obj,test/site.c test/judge.c test/jointsite.c $(LIB))
--- a/fake/cutter.c
+++ b/fake/cutter.c
@@ -7,6 +7,7 @@
  * Link -1 means all links; delay_ms delays the data of both directions. Modes:
  *	pass	forward all data
  *	cut	close all connections, and new ones once accepted
+ *	refuse	close all connections and refuse new ones
  *	freeze	forward nothing, but keep connections open and accept new ones
  *	forget	freeze the open connections for good, forward new ones
  *	half	close each connection in the middle of the next answer
@@ -22,7 +23,14 @@
 #include "lib/log.h"
 #include "lib/schema.h"
 
-enum mode { MODE_PASS, MODE_CUT, MODE_FREEZE, MODE_HALF, MODE_DEAF };
+enum mode {
+	MODE_PASS,
+	MODE_CUT,
+	MODE_REFUSE,
+	MODE_FREEZE,
+	MODE_HALF,
+	MODE_DEAF,
+};
 
 struct fault_proxy {
 	struct loop *loop;
@@ -31,11 +39,12 @@
 
 struct link {
 	struct fault_proxy *proxy;
+	struct sockaddr_in address;
 	struct sockaddr_in target;
 	enum mode mode;
 	uint32_t delay_ms;
 	GPtrArray *connections;
-	h2o_socket_t *listener;
+	h2o_socket_t *listener; /* NULL while connections are refused */
 };
 
 /* Data that is sent after the link's delay. */
@@ -250,25 +259,39 @@
 	}
 }
 
+/* Listen for connections of l. Return false if its address is not available. */
+static bool open_listener(struct link *l)
+{
+	int fd = address_listen(&l->address);
+
+	if (fd < 0)
+		return false;
+	l->listener = h2o_evloop_socket_create(loop_h2o(l->proxy->loop), fd,
+					       H2O_SOCKET_FLAG_DONT_READ);
+	l->listener->data = l;
+	h2o_socket_read_start(l->listener, handle_accept);
+	return true;
+}
+
+static void close_listener(struct link *l)
+{
+	if (l->listener)
+		h2o_socket_close(l->listener);
+	l->listener = NULL;
+}
+
 static bool create_link(struct fault_proxy *proxy,
 			const struct sockaddr_in *address,
 			const struct sockaddr_in *target)
 {
-	struct link *l;
-	int fd = address_listen(address);
+	struct link *l = g_new0(struct link, 1);
 
-	if (fd < 0)
-		return false;
-	l = g_new0(struct link, 1);
 	l->proxy = proxy;
+	l->address = *address;
 	l->target = *target;
 	l->connections = g_ptr_array_new();
-	l->listener = h2o_evloop_socket_create(loop_h2o(proxy->loop), fd,
-					       H2O_SOCKET_FLAG_DONT_READ);
-	l->listener->data = l;
-	h2o_socket_read_start(l->listener, handle_accept);
 	g_ptr_array_add(proxy->links, l);
-	return true;
+	return open_listener(l);
 }
 
 static void freeze_connections(struct link *l)
@@ -291,6 +314,15 @@
 static void set_link_mode(struct link *l, const char *mode, uint32_t delay_ms)
 {
 	l->delay_ms = delay_ms;
+	if (!strcmp(mode, "refuse")) {
+		l->mode = MODE_REFUSE;
+		close_listener(l);
+		close_connections(l);
+		return;
+	}
+	if (!l->listener && !open_listener(l))
+		log_line(LOG_ERROR, "listen_failed",
+			 "the address of a link is not available");
 	if (!strcmp(mode, "pass")) {
 		if (l->mode == MODE_FREEZE || l->mode == MODE_DEAF)
 			close_connections(l);
@@ -343,8 +375,7 @@
 	struct sockaddr_in listen_address, target_address, control_address;
 	GError *err = NULL;
 	char *first = NULL, *target = NULL, *control = NULL;
-	gint count = 1;
-	gboolean one_target = FALSE;
+	gint count = 1, target_count = 0;
 	int rc = 1;
 	GOptionEntry entries[] = {
 		{"first", 'f', 0, G_OPTION_ARG_STRING, &first,
@@ -354,8 +385,8 @@
 		 "first address to forward to", "IP:PORT"},
 		{"count", 'n', 0, G_OPTION_ARG_INT, &count, "number of links",
 		 "N"},
-		{"one-target", 'o', 0, G_OPTION_ARG_NONE, &one_target,
-		 "forward all links to the same target", NULL},
+		{"targets", 'm', 0, G_OPTION_ARG_INT, &target_count,
+		 "number of targets, after which the first follows again", "N"},
 		{"control", 'c', 0, G_OPTION_ARG_STRING, &control,
 		 "accept commands on this address", "IP:PORT"},
 		{0}};
@@ -388,8 +419,9 @@
 			goto out;
 		}
 		increment_address(&listen_address);
-		if (!one_target)
-			increment_address(&target_address);
+		increment_address(&target_address);
+		if (target_count && !((i + 1) % target_count))
+			address_parse(target, &target_address);
 	}
 	loop_run(proxy.loop);
 	rc = 0;
--- a/test/jointsite.c
+++ b/test/jointsite.c
@@ -12,6 +12,15 @@
 
 #include "test/jointsite.h"
 
+/*
+ * The connections from an instance to the upstreams and its peers, which have
+ * consecutive addresses, go through links of its own in a divided site.
+ */
+#define FIRST_LISTED_HOST 151
+#define LISTED_PORT 7200
+#define LINKS_PER_INSTANCE (UPSTREAM_COUNT + INSTANCE_COUNT)
+#define REROUTE_LIBRARY "out/reroute.so"
+
 /* A route; clients send the address of the instance as the Host. */
 #define ROUTE_FORMAT                                                           \
 	"{\"name\": \"urgent%u\", \"host\": \"127.%u.9.%u\", "                 \
@@ -77,18 +86,35 @@
 static void preload_fake_clock(const struct joint_site *s, uint32_t i)
 {
 	char *file = clock_file_path(s, i);
+	char *preload;
 	glob_t found;
 
 	if (glob(FAKETIME_GLOB, 0, NULL, &found))
 		fail_msg("libfaketime is not installed");
-	setenv("LD_PRELOAD", found.gl_pathv[0], 1);
+	preload = g_strdup_printf("%s:%s", found.gl_pathv[0], REROUTE_LIBRARY);
+	setenv("LD_PRELOAD", preload, 1);
 	setenv("FAKETIME_TIMESTAMP_FILE", file, 1);
 	setenv("FAKETIME_NO_CACHE", "1", 1);
 	setenv("FAKETIME_DONT_FAKE_MONOTONIC", "1", 1);
 	globfree(&found);
+	g_free(preload);
 	g_free(file);
 }
 
+/*
+ * Sets the environment so that processes started from now on reach upstreams
+ * and peers through the links of instance i.
+ */
+static void reroute_connections(const struct joint_site *s, uint32_t i)
+{
+	char *text = g_strdup_printf("127.%u.9.%u %u 127.%u.10.%u", s->net,
+				     FIRST_LISTED_HOST, LINKS_PER_INSTANCE,
+				     s->net, 1 + i * LINKS_PER_INSTANCE);
+
+	setenv("REROUTE", text, 1);
+	g_free(text);
+}
+
 /* Offsets the wall clock of one instance by off_s seconds. */
 void joint_set_clock_offset(struct joint_site *s, uint32_t i, int32_t off_s)
 {
@@ -154,10 +180,17 @@
 	char *callers = format_address(s, 10 + i, 7000);
 	char *ready = format_address(s, 10 + i, 7001);
 	char *metrics = format_address(s, 10 + i, 7002);
-	char *peers = format_address(s, 10 + i, 7003);
+	char *domain = s->divided ? g_strdup_printf("domain%u", i)
+				  : g_strdup("kolkata");
+	char *peers =
+		s->divided
+			? format_address(s,
+					 FIRST_LISTED_HOST + UPSTREAM_COUNT + i,
+					 LISTED_PORT)
+			: format_address(s, 10 + i, 7003);
 	char *store = format_address(s, 20 + i, 7100);
 	char *text = g_strdup_printf(
-		"{\"instance\": \"i%u\", \"domain\": \"kolkata\", \"joint\": "
+		"{\"instance\": \"i%u\", \"domain\": \"%s\", \"joint\": "
 		"{\"callers\": \"%s\", \"readiness\": \"%s\", \"metrics\": "
 		"\"%s\", \"peers\": \"%s\", \"store\": \"%s\", "
 		"\"processor_share\": 1, \"link_mbps\": 1000, \"lease_ms\": "
@@ -167,15 +200,19 @@
 		"\"remote_factor\": 3, \"keep_ended_s\": 120, "
 		"\"drain_ms\": 500, \"grace_s\": 2.9, \"history_s\": "
 		"20}}",
-		i, callers, ready, metrics, peers, store);
+		i, domain, callers, ready, metrics, peers, store);
 
 	g_file_set_contents(file, text, -1, NULL);
 	preload_fake_clock(s, i);
+	if (s->divided)
+		reroute_connections(s, i);
 	s->instances[i] = start_process(s, name, argv);
 	unsetenv("LD_PRELOAD");
+	unsetenv("REROUTE");
 	g_free(text);
 	g_free(store);
 	g_free(peers);
+	g_free(domain);
 	g_free(metrics);
 	g_free(ready);
 	g_free(callers);
@@ -273,18 +310,18 @@
 	char count[8], instances[8];
 	char *store = format_address(s, 1, 7100);
 	char *first = format_address(s, 101, 7200);
-	char *first_listed = format_address(s, 151, 7200);
+	char *first_listed = format_address(s, FIRST_LISTED_HOST, LISTED_PORT);
 	char *first_store_link = format_address(s, 20, 7100);
 	char *store_control_at = format_address(s, 2, 7100);
 	char *upstream_control_at = format_address(s, 3, 7100);
-	char *platform_argv[] = {"out/joint", store,	    first,
-				 count,	      first_listed, NULL};
-	char *store_argv[] = {"out/cutter", "--one-target",
-			      "--first",    first_store_link,
-			      "--target",   store,
-			      "--count",    instances,
-			      "--control",  store_control_at,
-			      NULL};
+	char *platform_argv[] = {"out/joint",  store,
+				 first,	       count,
+				 first_listed, s->divided ? instances : "1",
+				 NULL};
+	char *store_argv[] = {"out/cutter", "--targets",      "1",
+			      "--first",    first_store_link, "--target",
+			      store,	    "--count",	      instances,
+			      "--control",  store_control_at, NULL};
 	char *upstream_argv[] = {"out/cutter", "--first",   first_listed,
 				 "--target",   first,	    "--count",
 				 count,	       "--control", upstream_control_at,
@@ -303,6 +340,30 @@
 	g_free(upstream_control_at);
 }
 
+/*
+ * Starts the proxy that has links from each instance to the upstreams and the
+ * peers of its own.
+ */
+static void start_domain_proxy(struct joint_site *s)
+{
+	char count[8], targets[8];
+	char *first = g_strdup_printf("127.%u.10.1:%u", s->net, LISTED_PORT);
+	char *target = format_address(s, FIRST_LISTED_HOST, LISTED_PORT);
+	char *control = format_address(s, 4, 7100);
+	char *argv[] = {"out/cutter", "--first",   first,   "--target",
+			target,	      "--targets", targets, "--count",
+			count,	      "--control", control, NULL};
+
+	snprintf(targets, sizeof(targets), "%d", LINKS_PER_INSTANCE);
+	snprintf(count, sizeof(count), "%d",
+		 INSTANCE_COUNT * LINKS_PER_INSTANCE);
+	s->domain_proxy = start_process(s, "domain-proxy", argv);
+	s->domain_control = create_pool(s, 4, 7100);
+	g_free(first);
+	g_free(target);
+	g_free(control);
+}
+
 /* Sets the mode and the delay of one link of a proxy. */
 static void set_link(struct joint_site *s, struct http_pool *control,
 		     uint32_t link, const char *mode, uint32_t delay_ms)
@@ -335,6 +396,55 @@
 	set_link(s, s->upstream_control, u, mode, delay_ms);
 }
 
+/*
+ * Sets the mode of the links from instance i to upstream u alone, in a divided
+ * site.
+ */
+void joint_set_own_link(struct joint_site *s, uint32_t i, uint32_t u,
+			const char *mode)
+{
+	set_link(s, s->domain_control, i * LINKS_PER_INSTANCE + u, mode, 0);
+}
+
+/* Returns the failure domain of upstream u of a divided site. */
+uint32_t joint_upstream_domain(uint32_t u)
+{
+	return u % INSTANCE_COUNT;
+}
+
+/* Returns the failure domain at the other end of a link of an instance. */
+static uint32_t link_domain(uint32_t link)
+{
+	return link < UPSTREAM_COUNT ? joint_upstream_domain(link)
+				     : link - UPSTREAM_COUNT;
+}
+
+/*
+ * Sets the mode of all links that lead out of failure domain d of a divided
+ * site: those of its instance to the store, to its peers and to upstreams
+ * elsewhere, and those of other instances to it and its upstreams. Unless the
+ * mode is "pass", the heartbeats of its upstreams do not reach the store.
+ */
+void joint_set_domain_links(struct joint_site *s, uint32_t d, const char *mode)
+{
+	bool passes = !strcmp(mode, "pass");
+
+	joint_set_store_link(s, d, mode, 0);
+	for (uint32_t i = 0; i < INSTANCE_COUNT; i++)
+		for (uint32_t k = 0; k < LINKS_PER_INSTANCE; k++)
+			if ((i == d) != (link_domain(k) == d))
+				joint_set_own_link(s, i, k, mode);
+	for (uint32_t u = 0; u < UPSTREAM_COUNT; u++) {
+		char *body =
+			g_strdup_printf("{\"upstream\": %u, \"silent\": %s}", u,
+					passes ? "false" : "true");
+
+		if (joint_upstream_domain(u) == d)
+			joint_control_platform(s, body);
+		g_free(body);
+	}
+}
+
 /* Kills a process and waits for its end. */
 static void kill_process(pid_t pid)
 {
@@ -342,17 +452,35 @@
 	waitpid(pid, NULL, 0);
 }
 
-static struct joint_site *start_site(uint32_t net, bool unguarded)
+/* Returns the path of the log of instance i, which the caller frees. */
+static char *log_path(const struct joint_site *s, uint32_t i)
+{
+	return g_strdup_printf("%s/i%u.log", s->dir, i);
+}
+
+/* Removes the log that an earlier run of the test has left. */
+static void remove_log(const struct joint_site *s, uint32_t i)
+{
+	char *log = log_path(s, i);
+
+	unlink(log);
+	g_free(log);
+}
+
+static struct joint_site *start_site(uint32_t net, bool unguarded, bool divided)
 {
 	struct joint_site *s = g_new0(struct joint_site, 1);
 
 	s->net = net;
 	s->unguarded = unguarded;
+	s->divided = divided;
 	snprintf(s->dir, sizeof(s->dir), "out/joint-%u", net);
 	g_mkdir_with_parents(s->dir, 0755);
 	s->loop = loop_create();
 	s->http = http_client_create(s->loop);
 	start_platform(s);
+	if (divided)
+		start_domain_proxy(s);
 	s->store = create_pool(s, 1, 7100);
 	s->store_control = create_pool(s, 2, 7100);
 	s->upstream_control = create_pool(s, 3, 7100);
@@ -360,6 +488,7 @@
 	if (unguarded)
 		joint_control_platform(s, "{\"guarded\": false}");
 	for (uint32_t i = 0; i < INSTANCE_COUNT; i++) {
+		remove_log(s, i);
 		s->callers[i] = create_pool(s, 10 + i, 7000);
 		joint_set_clock_offset(s, i, 0);
 		joint_instance_start(s, i);
@@ -372,13 +501,19 @@
 /* Starts a site on network 127.NET and waits until all instances are ready. */
 struct joint_site *joint_start(uint32_t net)
 {
-	return start_site(net, false);
+	return start_site(net, false, false);
 }
 
 /* Starts a site whose upstreams carry out starts beyond their room. */
 struct joint_site *joint_start_unguarded(uint32_t net)
 {
-	return start_site(net, true);
+	return start_site(net, true, false);
+}
+
+/* Starts a site of which each instance is in a failure domain of its own. */
+struct joint_site *joint_start_divided(uint32_t net, bool unguarded)
+{
+	return start_site(net, unguarded, true);
 }
 
 /* Sends a signal that ends the instance and waits for its end. */
@@ -470,6 +605,10 @@
 	kill_process(s->platform);
 	kill_process(s->store_proxy);
 	kill_process(s->upstream_proxy);
+	if (s->divided) {
+		http_pool_destroy(s->domain_control);
+		kill_process(s->domain_proxy);
+	}
 	http_client_destroy(s->http);
 	loop_destroy(s->loop);
 	g_free(s);
@@ -616,7 +755,7 @@
 	uint64_t deadline_ms = clock_mono_ms() + WAIT_TIMEOUT_MS;
 
 	for (uint32_t i = 0;; i = (i + 1) % INSTANCE_COUNT) {
-		char *log = g_strdup_printf("%s/i%u.log", s->dir, i);
+		char *log = log_path(s, i);
 		char *text = NULL;
 		const char *gained, *lost;
 		bool is_leader = false;
@@ -636,3 +775,36 @@
 		loop_step(s->loop, 10);
 	}
 }
+
+/* Returns how often a value, in quotes, stands in the log of instance i. */
+uint32_t joint_count_log(struct joint_site *s, uint32_t i, const char *value)
+{
+	char *log = log_path(s, i);
+	char *quoted = g_strdup_printf("\"%s\"", value);
+	char *text = NULL;
+	uint32_t n = 0;
+
+	g_file_get_contents(log, &text, NULL, NULL);
+	for (const char *p = text; p && (p = strstr(p, quoted)); p++)
+		n++;
+	g_free(text);
+	g_free(quoted);
+	g_free(log);
+	return n;
+}
+
+/*
+ * Waits until a value stands more than n times in the log of instance i, at
+ * most WAIT_TIMEOUT_MS.
+ */
+void joint_wait_log(struct joint_site *s, uint32_t i, const char *value,
+		    uint32_t n)
+{
+	uint64_t deadline_ms = clock_mono_ms() + WAIT_TIMEOUT_MS;
+
+	while (joint_count_log(s, i, value) <= n) {
+		if (clock_mono_ms() > deadline_ms)
+			fail_msg("instance %u does not log %s", i, value);
+		loop_step(s->loop, 10);
+	}
+}
--- a/test/jointsite.h
+++ b/test/jointsite.h
@@ -25,6 +25,7 @@
 	uint32_t net; /* second octet of every address: one for each test */
 	char dir[64];
 	bool unguarded; /* upstreams carry out starts beyond their room */
+	bool divided;	/* each instance is in a failure domain of its own */
 	struct loop *loop;
 	struct http_client *http;
 	struct http_pool *store;
@@ -34,6 +35,10 @@
 	 * with one link from all instances to each upstream */
 	pid_t store_proxy;
 	pid_t upstream_proxy;
+	/* with one link from each instance to each upstream and each peer, if
+	 * the site is divided */
+	pid_t domain_proxy;
+	struct http_pool *domain_control;
 	struct http_pool *store_control;
 	struct http_pool *upstream_control;
 	pid_t instances[INSTANCE_COUNT];
@@ -41,6 +46,7 @@
 
 struct joint_site *joint_start(uint32_t net);
 struct joint_site *joint_start_unguarded(uint32_t net);
+struct joint_site *joint_start_divided(uint32_t net, bool unguarded);
 void joint_stop(struct joint_site *s);
 json_t *joint_record(struct joint_site *s);
 int joint_count(struct joint_site *s, const char *name);
@@ -58,7 +64,14 @@
 			  uint32_t delay_ms);
 void joint_set_upstream_link(struct joint_site *s, uint32_t u, const char *mode,
 			     uint32_t delay_ms);
+void joint_set_own_link(struct joint_site *s, uint32_t i, uint32_t u,
+			const char *mode);
+uint32_t joint_upstream_domain(uint32_t u);
+void joint_set_domain_links(struct joint_site *s, uint32_t d, const char *mode);
 uint32_t joint_wait_leader(struct joint_site *s);
+uint32_t joint_count_log(struct joint_site *s, uint32_t i, const char *value);
+void joint_wait_log(struct joint_site *s, uint32_t i, const char *value,
+		    uint32_t n);
 
 int joint_request(struct joint_site *s, struct http_pool *p, const char *method,
 		  const char *path, const char *body, json_t **out);
