Add a soak test of faults that outlast the tenure and leases

The faults of the soak last up to 2.7 s (rooms 8 s), so no seed could show what happens after the tenure of a leader or a lease has ended.

A test of its own starts cuts of a failure domain, outages of the store and freezes of 9 to 26 s in the first 8 s of a seed, and kills, terminates or freezes leaders for 34 s meanwhile. Its faults come from a generator of their own, existing seeds draw as before (a_seed_draws_the_same_work_everywhere). A seed in which the leader never changed fails.

--- a/test/jointsite.c
+++ b/test/jointsite.c
@@ -747,28 +747,33 @@
 }
 
 /*
- * Waits for a leader and returns its index: an instance whose log records
- * "leading" without a later "leadership_lost".
+ * Returns true if instance i leads: its log records "leading" without a later
+ * "leadership_lost".
  */
+bool joint_is_leader(struct joint_site *s, uint32_t i)
+{
+	char *log = log_path(s, i);
+	char *text = NULL;
+	const char *gained, *lost;
+	bool is_leader = false;
+
+	if (s->instances[i] && g_file_get_contents(log, &text, NULL, NULL)) {
+		gained = g_strrstr(text, "\"event\":\"leading\"");
+		lost = g_strrstr(text, "\"event\":\"leadership_lost\"");
+		is_leader = gained && (!lost || lost < gained);
+	}
+	g_free(text);
+	g_free(log);
+	return is_leader;
+}
+
+/* Waits for a leader and returns its index. */
 uint32_t joint_wait_leader(struct joint_site *s)
 {
 	uint64_t deadline_ms = clock_mono_ms() + WAIT_TIMEOUT_MS;
 
 	for (uint32_t i = 0;; i = (i + 1) % INSTANCE_COUNT) {
-		char *log = log_path(s, i);
-		char *text = NULL;
-		const char *gained, *lost;
-		bool is_leader = false;
-
-		if (s->instances[i] &&
-		    g_file_get_contents(log, &text, NULL, NULL)) {
-			gained = g_strrstr(text, "\"event\":\"leading\"");
-			lost = g_strrstr(text, "\"event\":\"leadership_lost\"");
-			is_leader = gained && (!lost || lost < gained);
-		}
-		g_free(text);
-		g_free(log);
-		if (is_leader)
+		if (joint_is_leader(s, i))
 			return i;
 		if (clock_mono_ms() > deadline_ms)
 			fail_msg("no instance is leader");
--- a/test/jointsite.h
+++ b/test/jointsite.h
@@ -68,6 +68,7 @@
 			const char *mode);
 uint32_t joint_upstream_domain(uint32_t u);
 void joint_set_domain_links(struct joint_site *s, uint32_t d, const char *mode);
+bool joint_is_leader(struct joint_site *s, uint32_t i);
 uint32_t joint_wait_leader(struct joint_site *s);
 uint32_t joint_count_log(struct joint_site *s, uint32_t i, const char *value);
 void joint_wait_log(struct joint_site *s, uint32_t i, const char *value,
--- a/test/proc_soak.c
+++ b/test/proc_soak.c
@@ -25,6 +25,15 @@
 /* The seeds that run if SOAK_SEEDS is not set, as in CI. */
 #define DEFAULT_SEEDS "1 2 3"
 #define DEFAULT_CRASH_SEEDS "4 21"
+#define DEFAULT_LONG_SEEDS "1 2"
+/*
+ * Long faults begin in the first part of a seed and have all ended when it is
+ * over. Each outlasts the tenure of a leader, or a lease and a takeover.
+ */
+#define LONG_SOAK_MS 34000
+#define LONG_FAULTS_BEGIN_MS 8000
+#define LONG_FAULT_MIN_MS 9000
+#define LONG_FAULT_MAX_MS 26000
 
 enum fault {
 	FAULT_KILL,
@@ -42,6 +51,13 @@
 	FAULT_COUNT,
 };
 
+enum long_fault {
+	LONG_FAULT_DOMAIN,
+	LONG_FAULT_STORE,
+	LONG_FAULT_FREEZE,
+	LONG_FAULT_COUNT,
+};
+
 enum outcome { JOB_UNKNOWN, JOB_ACCEPTED, JOB_REJECTED, JOB_CANCELLED };
 
 struct soak {
@@ -51,6 +67,9 @@
 	 * their own, so that the other faults of a seed stay as recorded. */
 	GRand *upstream_random;
 	bool crashes; /* submit jobs that crash their upstreams */
+	/* The same for long faults and for what happens to leaders meanwhile;
+	 * NULL if the seed has none. */
+	GRand *long_random;
 	enum outcome jobs[JOBS_MAX];
 	uint32_t jobs_len;
 	enum outcome crash_jobs[CRASH_JOBS_MAX];
@@ -65,7 +84,12 @@
 	uint64_t upstream_link_until_ms[UPSTREAM_COUNT];
 	uint64_t clock_until_ms[INSTANCE_COUNT];
 	uint64_t room_until_ms[UPSTREAM_COUNT]; /* room reduced */
-	uint64_t restarted_ms[INSTANCE_COUNT];	/* time of the last restart */
+	uint64_t domain_until_ms;		/* a failure domain cut off */
+	uint32_t cut_domain;
+	uint32_t long_faults; /* number of long faults begun */
+	uint64_t next_long_fault_ms;
+	uint64_t next_leader_fault_ms;
+	uint64_t restarted_ms[INSTANCE_COUNT]; /* time of the last restart */
 };
 
 /* Link modes of the proxy fake/cutter.c and the delay that each adds. */
@@ -109,6 +133,8 @@
 	if (!k->site->instances[i] || k->resume_ms[i])
 		return;
 	w = random_work(k);
+	if (k->long_random)
+		w.run_ms *= g_rand_int_range(k->long_random, 1, 9);
 	status = joint_submit(k->site, i, n + 1, w.tasks, w.run_ms);
 	if (status == 200)
 		k->jobs[n] = JOB_ACCEPTED;
@@ -265,6 +291,8 @@
 	}
 	if (end_fault_if_due(&k->store_until_ms, all))
 		joint_control_platform(k->site, "{\"store\": \"ok\"}");
+	if (end_fault_if_due(&k->domain_until_ms, all))
+		joint_set_domain_links(k->site, k->cut_domain, "pass");
 	end_link_faults(k, all);
 }
 
@@ -303,15 +331,21 @@
 				       "completed");
 }
 
-/* Submits a job and may start a fault, then waits for the next step. */
-static void run_step(struct soak *k)
+/* Submits a new job or an earlier one again. */
+static void submit_any_job(struct soak *k)
 {
-	uint64_t step_end_ms = clock_mono_ms() + STEP_INTERVAL_MS;
-
 	if (k->jobs_len < JOBS_MAX && random_below(k, 3))
 		submit_job(k, k->jobs_len++);
 	else if (k->jobs_len)
 		submit_job(k, random_below(k, k->jobs_len));
+}
+
+/* Submits a job and may start a fault, then waits for the next step. */
+static void run_step(struct soak *k)
+{
+	uint64_t step_end_ms = clock_mono_ms() + STEP_INTERVAL_MS;
+
+	submit_any_job(k);
 	if (!random_below(k, 4))
 		inject_fault(k);
 	if (!g_rand_int_range(k->upstream_random, 0, 6))
@@ -349,6 +383,158 @@
 	g_rand_free(k.upstream_random);
 }
 
+/* Returns a random leader, or any instance if there is none. */
+static uint32_t choose_leader(struct soak *k)
+{
+	uint32_t first = g_rand_int_range(k->long_random, 0, INSTANCE_COUNT);
+
+	for (uint32_t n = 0; n < INSTANCE_COUNT; n++)
+		if (joint_is_leader(k->site, (first + n) % INSTANCE_COUNT))
+			return (first + n) % INSTANCE_COUNT;
+	return first;
+}
+
+static void freeze_instance(struct soak *k, uint32_t i, uint64_t until_ms)
+{
+	if (!k->site->instances[i] || k->resume_ms[i])
+		return;
+	kill(k->site->instances[i], SIGSTOP);
+	k->resume_ms[i] = until_ms;
+}
+
+/*
+ * Starts a long fault, unless one of its kind is active.  The first one of a
+ * seed cuts a failure domain off.
+ */
+static void inject_long_fault(struct soak *k)
+{
+	static const char *const modes[] = {"freeze", "freeze", "cut",
+					    "refuse"};
+	uint32_t kind = g_rand_int_range(k->long_random, 0, LONG_FAULT_COUNT);
+	uint32_t mode =
+		g_rand_int_range(k->long_random, 0, G_N_ELEMENTS(modes));
+	uint32_t i = choose_leader(k);
+	uint64_t until_ms = clock_mono_ms() +
+			    g_rand_int_range(k->long_random, LONG_FAULT_MIN_MS,
+					     LONG_FAULT_MAX_MS);
+
+	if (!k->long_faults++)
+		kind = LONG_FAULT_DOMAIN;
+	switch ((enum long_fault)kind) {
+	case LONG_FAULT_DOMAIN:
+		if (k->domain_until_ms)
+			break;
+		k->cut_domain = i;
+		k->domain_until_ms = until_ms;
+		joint_set_domain_links(k->site, i, modes[mode]);
+		break;
+	case LONG_FAULT_STORE:
+		if (k->store_until_ms)
+			break;
+		joint_control_platform(k->site,
+				       mode % 2 ? "{\"store\": \"refuse\"}"
+						: "{\"store\": \"hang\"}");
+		k->store_until_ms = until_ms;
+		break;
+	case LONG_FAULT_FREEZE:
+		freeze_instance(k, i, until_ms);
+		break;
+	case LONG_FAULT_COUNT:
+		break;
+	}
+}
+
+/* Kills, terminates or freezes a leader for a short time. */
+static void inject_leader_fault(struct soak *k)
+{
+	uint32_t i = choose_leader(k);
+	uint32_t kind = g_rand_int_range(k->long_random, 0, 3);
+	uint64_t until_ms =
+		clock_mono_ms() + g_rand_int_range(k->long_random, 200, 2700);
+
+	if (kind == 0)
+		stop_instance(k, i, SIGKILL);
+	else if (kind == 1)
+		stop_instance(k, i, SIGTERM);
+	else
+		freeze_instance(k, i, until_ms);
+}
+
+/*
+ * Submits a job now and then and starts the faults whose time has come. A step
+ * takes longer while an instance does not answer.
+ */
+static void run_long_step(struct soak *k, uint64_t began_ms)
+{
+	uint64_t now = clock_mono_ms();
+
+	if (!random_below(k, 6))
+		submit_any_job(k);
+	if (now >= k->next_long_fault_ms &&
+	    now < began_ms + LONG_FAULTS_BEGIN_MS) {
+		inject_long_fault(k);
+		k->next_long_fault_ms =
+			now + g_rand_int_range(k->long_random, 500, 4000);
+	}
+	if (now >= k->next_leader_fault_ms) {
+		inject_leader_fault(k);
+		k->next_leader_fault_ms =
+			now + g_rand_int_range(k->long_random, 1000, 6000);
+	}
+	end_faults(k, false);
+	joint_check_record(k->site);
+	while (clock_mono_ms() < now + STEP_INTERVAL_MS)
+		loop_step(k->site->loop, 10);
+}
+
+/*
+ * Prints how often an instance began to lead and how many runs lapsed. The
+ * leader must have changed, as otherwise the faults of the seed struck nothing.
+ */
+static void check_faults_struck(struct soak *k)
+{
+	json_t *record = joint_record(k->site);
+	size_t lapses = json_array_size(json_object_get(record, "lapses"));
+	uint32_t changes = 0;
+
+	for (uint32_t i = 0; i < INSTANCE_COUNT; i++)
+		changes += joint_count_log(k->site, i, "leading");
+	print_message("leaders %u, lapsed runs %zu\n", changes, lapses);
+	json_decref(record);
+	assert_true(changes > 1);
+}
+
+/*
+ * Runs one seed of faults that outlast the tenure of leaders and leases, while
+ * leaders are killed, terminated and frozen.
+ */
+static void run_long_seed(uint32_t seed)
+{
+	struct soak k = {.random = g_rand_new_with_seed(seed),
+			 .long_random = g_rand_new_with_seed(~seed)};
+	uint64_t began_ms;
+
+	print_message("seed %u\n", seed);
+	k.site = joint_start_divided(90 + seed % 10, seed % 2);
+	for (uint32_t i = 0; i < INSTANCE_COUNT; i++)
+		joint_wait_peers(k.site, i);
+	began_ms = clock_mono_ms();
+	k.next_long_fault_ms =
+		began_ms + g_rand_int_range(k.long_random, 500, 3000);
+	k.next_leader_fault_ms =
+		began_ms + g_rand_int_range(k.long_random, 2000, 6000);
+	while (clock_mono_ms() < began_ms + LONG_SOAK_MS)
+		run_long_step(&k, began_ms);
+	end_faults(&k, true);
+	for (uint32_t i = 0; i < INSTANCE_COUNT; i++)
+		joint_wait_ready(k.site, i);
+	check_accepted_jobs_end(&k);
+	check_faults_struck(&k);
+	joint_stop(k.site);
+	g_rand_free(k.random);
+	g_rand_free(k.long_random);
+}
+
 static void run_seeds(const char *text, bool crashes)
 {
 	char **seeds = g_strsplit(text, " ", -1);
@@ -375,6 +561,19 @@
 	run_seeds(text ? text : DEFAULT_CRASH_SEEDS, true);
 }
 
+static void
+accepted_jobs_complete_under_faults_that_outlast_leases(void **state)
+{
+	const char *text = getenv("SOAK_SEEDS");
+	char **seeds = g_strsplit(text ? text : DEFAULT_LONG_SEEDS, " ", -1);
+
+	(void)state;
+	for (char **s = seeds; *s; s++)
+		if (**s)
+			run_long_seed(g_ascii_strtoull(*s, NULL, 10));
+	g_strfreev(seeds);
+}
+
 /*
  * Seeds that have failed once and the faults that they found:
  * 22, 50: an instance resumed from SIGSTOP never became ready again, and its
@@ -418,6 +617,8 @@
 		cmocka_unit_test(accepted_jobs_complete_under_random_faults),
 		cmocka_unit_test(
 			accepted_jobs_end_while_tasks_crash_their_upstreams),
+		cmocka_unit_test(
+			accepted_jobs_complete_under_faults_that_outlast_leases),
 		cmocka_unit_test(seeds_that_failed_before_pass),
 	};
 
