Count the time of a pause before timeouts fire

The timeout of a call does not count time in which the loop was blocked. But the time of a pause was added only at the end of the iteration in which the process woke, after the timers that were due then had fired. A process that was paused in its wait for sockets (which ends with EINTR, so that no socket is read) took all calls in flight for unanswered, though the answers waited: a leader logged upstream_silent and write_failed in the millisecond in which it woke (process test of a leader that wakes after its tenure).

Now late wake-ups and long socket callbacks count before timers fire.

--- a/lib/loop.c
+++ b/lib/loop.c
@@ -277,17 +277,11 @@
 	return MIN((wall - h2o_wall) * 1000, ended_us - began_us);
 }
 
-/* Add long parts of an iteration to the blocked time and report it. */
-static void record_timing(struct loop *l, const struct loop_timing *t)
+/* Add a long part of an iteration to the blocked time. */
+static void note_blocked(struct loop *l, uint64_t us)
 {
-	uint64_t busy_us = t->sockets_us + t->timers_us;
-
-	if (busy_us > LONG_ITERATION_US)
-		l->blocked_us += busy_us;
-	if (t->late_us > LONG_ITERATION_US)
-		l->blocked_us += t->late_us;
-	if (l->on_timing)
-		l->on_timing(l->on_timing_arg, t);
+	if (us > LONG_ITERATION_US)
+		l->blocked_us += us;
 }
 
 /*
@@ -315,12 +309,17 @@
 	waited_us = polled - began - t.sockets_us;
 	if (waited_us > wait * UINT64_C(1000))
 		t.late_us = waited_us - wait * UINT64_C(1000);
+	/* timeouts that are due now must not count this time */
+	note_blocked(l, t.late_us);
+	note_blocked(l, t.sockets_us);
 	fire_due_timers(l);
 	run_completion_callbacks(l);
 	if (l->iteration_end)
 		l->iteration_end(l->iteration_end_arg);
 	t.timers_us = clock_mono_us() - polled;
-	record_timing(l, &t);
+	note_blocked(l, t.timers_us);
+	if (l->on_timing)
+		l->on_timing(l->on_timing_arg, &t);
 }
 
 /* Run until loop_stop is called. */
--- a/test/unit_lib.c
+++ b/test/unit_lib.c
@@ -4,11 +4,14 @@
 #include <setjmp.h>
 #include <stdint.h>
 #include <cmocka.h>
+#include <fcntl.h>
 #include <glib.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <malloc.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include "config/config.h"
@@ -581,6 +584,58 @@
 	loop_destroy(l);
 }
 
+#define PAUSE_ROUNDS 10
+
+/* Pauses the parent, answers its call, and resumes it 200 ms later. */
+static void answer_paused_parent(int listener)
+{
+	static const char answer[] =
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+	char request[1024];
+	int fd = accept(listener, NULL, NULL);
+	bool ok = fd >= 0 && read(fd, request, sizeof(request)) > 0;
+
+	g_usleep(20000); /* the parent waits for its sockets */
+	kill(getppid(), SIGSTOP);
+	ok = ok && write(fd, answer, strlen(answer)) > 0;
+	g_usleep(200000);
+	kill(getppid(), SIGCONT);
+	_exit(ok ? 0 : 1);
+}
+
+static void a_paused_process_does_not_time_out_an_answered_call(void **state)
+{
+	struct loop *l = loop_create();
+	struct http_client *c = http_client_create(l);
+	struct sockaddr_in at;
+	uint32_t n[4] = {0};
+	int listener, end;
+
+	(void)state;
+	own_address(&at, 7435);
+	listener = address_listen(&at);
+	assert_true(listener >= 0);
+	fcntl(listener, F_SETFL, 0);
+	for (uint32_t round = 1; round <= PAUSE_ROUNDS; round++) {
+		struct http_pool *p = http_pool_create(c, &at, 1);
+		pid_t child = fork();
+
+		if (!child)
+			answer_paused_parent(listener);
+		assert_non_null(http_call_start(p, "POST", "/", "", 100,
+						count_verdict, n));
+		while (n[3] < round)
+			loop_step(l, 1000);
+		waitpid(child, &end, 0);
+		assert_int_equal(end, 0);
+		http_pool_destroy(p);
+	}
+	assert_int_equal(n[VERDICT_RAN], PAUSE_ROUNDS);
+	http_client_destroy(c);
+	loop_destroy(l);
+	close(listener);
+}
+
 /* A server that never answers ends a call by its timeout. */
 static void a_call_to_a_silent_server_times_out(void **state)
 {
@@ -630,6 +685,8 @@
 			a_call_without_an_answer_does_not_use_freed_connections),
 		cmocka_unit_test(
 			a_blocked_loop_does_not_time_out_an_answered_call),
+		cmocka_unit_test(
+			a_paused_process_does_not_time_out_an_answered_call),
 		cmocka_unit_test(a_call_to_a_silent_server_times_out),
 	};
 
