--- a/test/proc_soak.c
+++ b/test/proc_soak.c
@@ -134,7 +134,7 @@
 		return;
 	w = random_work(k);
 	if (k->long_random)
-		w.run_ms *= g_rand_int_range(k->long_random, 1, 9);
+		w.run_ms *= g_rand_int_range(k->long_random, 1, 17);
 	status = joint_submit(k->site, i, n + 1, w.tasks, w.run_ms);
 	if (status == 200)
 		k->jobs[n] = JOB_ACCEPTED;
