Take no failures of a task that never ran

Callers: none seen. A task "0,3," of an odd row, which has failed three times and never ran, kept its failures until the job's row was written again.

Cause: each number was checked alone.

With lead/record.c before, of unit_record: ERROR: 0,3, u1@77 FAILED: test_odd_tasks_of_a_run_row_cost_themselves_alone

--- a/lead/record.c
+++ b/lead/record.c
@@ -593,7 +593,8 @@
 		goto out;
 	}
 	ok = len && parse_number(field[0], RUN_NUMBER_MAX, &run) &&
-	     (len < 2 || parse_number(field[1], RUN_NUMBER_MAX, &failures));
+	     (len < 2 || parse_number(field[1], RUN_NUMBER_MAX, &failures)) &&
+	     (run || !failures);
 	if (!ok)
 		goto out;
 	t->run = run;
--- a/test/unit_record.c
+++ b/test/unit_record.c
@@ -263,6 +263,7 @@
 		 "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"
 		 "xxxxxxxxxx@77"},
 		{"0,0,0", "u1@77"},
+		{"0,3,", "u1@77"},
 		{"=", "u1@77"},
 		{"=0", "u1@77"},
 		{"=-1", "u1@77"},
