Keep a checkpoint whose escapes are no text

Cause: the unescaped text was not checked, and JSON refuses it.

A checkpoint that does not unescape to text is taken as it is.

With lead/record.c before, of unit_record: [ERROR] 0x1 != 0x4 FAILED: test_checkpoint_without_escapes_is_kept

--- a/lead/record.c
+++ b/lead/record.c
@@ -380,14 +380,20 @@
 	g_free(escaped);
 }
 
-/* Return the text of a checkpoint; free with g_free. */
+/*
+ * Return the text of a checkpoint; free with g_free. One that was not escaped
+ * by checkpoint_encode is taken as it is.
+ */
 static char *checkpoint_decode(const char *text)
 {
 	char *checkpoint = NULL;
 
 	if (strchr(text, '%'))
 		checkpoint = g_uri_unescape_string(text, NULL);
-	return checkpoint ? checkpoint : g_strdup(text);
+	if (checkpoint && g_utf8_validate(checkpoint, -1, NULL))
+		return checkpoint;
+	g_free(checkpoint);
+	return g_strdup(text);
 }
 
 /*
--- a/test/unit_record.c
+++ b/test/unit_record.c
@@ -224,6 +224,39 @@
 	}
 }
 
+/*
+ * A checkpoint of another version, or of another writer, whose escapes are no
+ * text. Guards against a row of which the stage is missing.
+ */
+static void test_checkpoint_without_escapes_is_kept(void **state)
+{
+	static const char *const checkpoints[] = {"%98x", "%", "%zz", "%00",
+						  "100%"};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(checkpoints); i++) {
+		char *text = g_strdup_printf("{\"state\":\"running\","
+					     "\"stages\":[[0,\"4,0,,%s\",0]]}",
+					     checkpoints[i]);
+		struct fixture s, t;
+		char *row;
+
+		fixture_create(&s, 1, false);
+		fixture_create(&t, 1, false);
+		task_end_run(s.task, RUN_NEVER_STARTED, NULL, 2000);
+		task_end_run(t.task, RUN_NEVER_STARTED, NULL, 2000);
+		assert_true(run_decode(s.job, text, inherit_run, s.model));
+		row = run_encode(s.job);
+		assert_true(run_decode(t.job, row, inherit_run, t.model));
+		assert_int_equal(t.task->run, 4);
+		assert_string_equal(t.task->checkpoint, checkpoints[i]);
+		free(row);
+		g_free(text);
+		fixture_destroy(&s);
+		fixture_destroy(&t);
+	}
+}
+
 /* Decode a run row whose only stage has these tasks, between two sound ones. */
 static bool decode_tasks(struct fixture *s, const char *tasks,
 			 const char *incarnation)
@@ -498,6 +531,7 @@
 			test_run_row_of_largest_job_fits_into_the_store),
 		cmocka_unit_test(test_odd_task_names_name_no_task),
 		cmocka_unit_test(test_checkpoint_with_spaces_keeps_runs_apart),
+		cmocka_unit_test(test_checkpoint_without_escapes_is_kept),
 		cmocka_unit_test(
 			test_odd_tasks_of_a_run_row_cost_themselves_alone),
 		cmocka_unit_test(test_odd_run_rows_are_survived),
