--- a/test/unit_peer.c
+++ b/test/unit_peer.c
@@ -74,6 +74,10 @@
 	free(text);
 }
 
+/* A row that was written after the end of all times. */
+#define WRITTEN_LATE                                                           \
+	"{\"address\":\"10.1.0.19:80\",\"written_ms\":9223372036854775807}"
+
 /*
  * Guards against a peer that never goes, or that is always stronger, and
  * against a name that is another one once it is cut.
@@ -94,8 +98,7 @@
 		"{\"address\":\"10.1.0.19:80\",\"strength\":4294967396}",
 		"{\"address\":\"10.1.0.19:80\",\"strength\":101}",
 		"{\"address\":\"10.1.0.19:80\",\"written_ms\":-1}",
-		"{\"address\":\"10.1.0.19:80\",\"written_ms\":"
-		"9223372036854775807}",
+		WRITTEN_LATE,
 	};
 	const char *sound = "{\"address\":\"10.1.0.19:80\",\"strength\":100,"
 			    "\"written_ms\":9007199254740992}";
--- a/test/unit_platform.c
+++ b/test/unit_platform.c
@@ -12,9 +12,9 @@
 #include "platform/decode.h"
 #include "platform/orders.h"
 
-#define HUNDRED_BYTES                                                          \
-	"xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"                   \
-	"xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"
+/* A text that is longer than a label. */
+#define LONG_LABEL                                                             \
+	"xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"
 
 /*
  * Set a to an address on loopback that only this process uses: runs of the
@@ -155,7 +155,7 @@
 		{"[\"b\xff\",2,\"\",7]", ""},
 		{"[7,2,\"\",7]", ""},
 		{"[\"\",2,\"\",7]", ""},
-		{"[\"" HUNDRED_BYTES "\",2,\"\",7]", ""},
+		{"[\"" LONG_LABEL "\",2,\"\",7]", ""},
 		{"[]", ""},
 		{"{}", ""},
 		{"7", ""},
@@ -498,13 +498,13 @@
 		{"service", NULL},
 		{"service", "7"},
 		{"service", "\"\""},
-		{"service", "\"" HUNDRED_BYTES "\""},
+		{"service", "\"" LONG_LABEL "\""},
 		{"zone", NULL},
 		{"zone", "[]"},
-		{"zone", "\"" HUNDRED_BYTES "\""},
+		{"zone", "\"" LONG_LABEL "\""},
 		{"machine", "7"},
 		{"machine", "null"},
-		{"machine", "\"" HUNDRED_BYTES "\""},
+		{"machine", "\"" LONG_LABEL "\""},
 		{"state", NULL},
 		{"state", "\"gone\""},
 		{"state", "7"},
@@ -515,7 +515,7 @@
 		{"labels", "[null,\"r\"]"},
 		{"labels", "[\"a\",\"r\",7]"},
 		{"labels", "[[\"a\"]]"},
-		{"labels", "[\"a\",\"" HUNDRED_BYTES "\"]"},
+		{"labels", "[\"a\",\"" LONG_LABEL "\"]"},
 		{"capacity", NULL},
 		{"capacity", "7"},
 		{"capacity", "[]"},
@@ -582,7 +582,7 @@
 static void upstream_entries_under_odd_ids_are_refused(void **state)
 {
 	static const char *const ids[] = {"",	    " ",      "a b",
-					  "a\r\nb", "a\xffz", HUNDRED_BYTES};
+					  "a\r\nb", "a\xffz", LONG_LABEL};
 	struct upstream_entry e;
 	GString *text = g_string_new("{\"other\":0");
 
