Blame no task whose start was certainly not carried out

Cause: a run counted as one that may have ended its upstream if its start order had been sent and the upstream had been heard within 1.5 s before. What the upstream, or its closed port, had answered was not looked at. A suspect is tried on an idle upstream, which nobody calls, so it meets those that have restarted; with one end by chance that made two at once after a start, the second without any other run, and the job failed.

Change: an answer that shows that the order was not carried out is noted in the task, before the news of the incarnation in the same answer is judged. Such a run is blamed only if another order for it has no answer.

Evidence: test_order_that_was_not_carried_out_is_not_blamed failed before ("0x2 != 0x1" early ends), and test_start_that_finds_another_upstream_is_not_blamed fails if the answer is noted after it is judged.

--- a/lead/delivery.c
+++ b/lead/delivery.c
@@ -37,20 +37,44 @@
 						  : action_after_refusal(t);
 }
 
+/*
+ * Note in t whether a start order for its newest run was certainly not carried
+ * out, or was not answered and may still be.
+ */
+void delivery_note_outcome(struct task *t, enum order_outcome outcome)
+{
+	switch (outcome) {
+	case ORDER_DONE:
+		break;
+	case ORDER_UNKNOWN:
+		t->uncertain = true;
+		break;
+	case ORDER_NOT_SENT:
+	case ORDER_LEASE_EXPIRED:
+	case ORDER_OLD_RUN:
+	case ORDER_NO_CAPACITY:
+	case ORDER_UNAVAILABLE:
+	case ORDER_NO_TICKET:
+	case ORDER_INVALID:
+	case ORDER_STALE_EPOCH:
+	case ORDER_REPLACED:
+		t->refused = true;
+		break;
+	}
+}
+
 /*
  * Decide what follows from the outcome of a start order for the newest run
- * of t. Notes in t that an order was not answered and may still be carried
- * out.
+ * of t, and note the outcome in t.
  */
 enum delivery_action delivery_decide(struct task *t, enum order_outcome outcome,
 				     uint64_t now_ms)
 {
+	delivery_note_outcome(t, outcome);
 	switch (outcome) {
 	case ORDER_DONE:
 		return DELIVERY_CONFIRMED;
 	case ORDER_UNKNOWN:
-		t->uncertain = true;
-		return retry_until_timeout(t, now_ms);
 	case ORDER_NOT_SENT:
 	case ORDER_LEASE_EXPIRED:
 		return retry_until_timeout(t, now_ms);
--- a/lead/delivery.h
+++ b/lead/delivery.h
@@ -18,6 +18,7 @@
 	DELIVERY_FAILED,      /* The upstream cannot run the task. */
 };
 
+void delivery_note_outcome(struct task *t, enum order_outcome outcome);
 bool delivery_may_send_again(const struct task *t, uint64_t now_ms);
 enum delivery_action delivery_decide(struct task *t, enum order_outcome outcome,
 				     uint64_t now_ms);
--- a/lead/session.c
+++ b/lead/session.c
@@ -681,8 +681,11 @@
 {
 	struct order *o = arg;
 	struct session *k = o->session;
-	struct task *t;
+	struct task *t = find_order_task(o);
 
+	/* the end of the incarnation is judged by what is known of the order */
+	if (t)
+		delivery_note_outcome(t, a->outcome);
 	if (note_answer(k, a)) {
 		t = find_order_task(o);
 		if (t)
--- a/sched/job.c
+++ b/sched/job.c
@@ -331,6 +331,7 @@
 	t->inherited = false;
 	t->sent = false;
 	t->uncertain = false;
+	t->refused = false;
 	t->retry = false;
 	t->stop_answered_ms = 0;
 	fleet_occupy(u, t);
--- a/sched/job.h
+++ b/sched/job.h
@@ -114,6 +114,7 @@
 	bool inherited;		/* and it was not listed since */
 	bool sent;		/* a start order for the newest run was sent */
 	bool uncertain;		/* a start order was not answered */
+	bool refused;		/* an answered one was not carried out */
 	bool retry;		/* the order must be sent again */
 	bool earlier_run_done;	/* an earlier run has completed the task */
 	uint64_t stop_answered_ms; /* 0: no stop order was answered */
--- a/sched/suspect.c
+++ b/sched/suspect.c
@@ -154,7 +154,8 @@
 
 /*
  * Report whether the upstream of t lived when it was given the order: it has
- * confirmed the run, or was heard shortly before or since.
+ * confirmed the run, or was heard shortly before or since. After an order that
+ * was not carried out the run may only have started by one without an answer.
  */
 static bool started_in_incarnation(const struct task *t)
 {
@@ -162,6 +163,8 @@
 
 	if (t->confirmed_ms && t->confirmed_ms >= t->placed_ms)
 		return true;
+	if (t->refused && !t->uncertain)
+		return false;
 	if (u->silent_since_ms && u->silent_since_ms < t->placed_ms)
 		return false;
 	return t->sent && u->heard_ms &&
--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -28,7 +28,7 @@
 	uint64_t born;
 	bool mute;	  /* leaves all calls unanswered */
 	bool replaced;	  /* another upstream answers at its address */
-	bool holds_lists; /* leaves list calls unanswered */
+	bool holds_lists; /* leaves list calls unanswered, of either */
 	char running[RUNS_MAX][TASK_NAME_BYTES];
 	uint32_t runs[RUNS_MAX];
 	uint32_t running_len;
@@ -92,7 +92,7 @@
 	json_t *body = json_loadb(text, len, 0, NULL), *answer;
 	bool wants_lists = !strcmp(exchange_path(x), "/-/hold");
 
-	if (f->replaced) {
+	if (f->replaced && !(wants_lists && f->holds_lists)) {
 		exchange_reply_json(x, 421, json_object(), 0);
 		json_decref(body);
 		return;
@@ -702,6 +702,29 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * A start order is the first call that another upstream answers. Guards against
+ * a task that is blamed for the end of an upstream that it never ran on.
+ */
+static void test_start_that_finds_another_upstream_is_not_blamed(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	open_session(&s, &f);
+	assert_becomes_usable(&s);
+	f.replaced = true;
+	f.holds_lists = true;
+	start_task(&s);
+	assert_becomes(&s, TASK_WAITING);
+	assert_int_equal(f.starts, 0);
+	assert_false(task_is_suspect(s.task));
+	fixture_destroy(&s);
+}
+
 /* List an upstream as an incarnation of a machine; returns it. */
 static struct upstream *list_incarnation(struct fixture *s, const char *id,
 					 const char *machine, uint64_t born)
@@ -803,6 +826,8 @@
 		cmocka_unit_test(test_run_of_earlier_incarnation_is_lost),
 		cmocka_unit_test(test_listed_run_is_lost_when_restart_is_known),
 		cmocka_unit_test(test_upstream_that_is_back_gets_work_again),
+		cmocka_unit_test(
+			test_start_that_finds_another_upstream_is_not_blamed),
 		cmocka_unit_test(
 			test_run_on_earlier_incarnation_of_machine_is_lost),
 		cmocka_unit_test(
--- a/test/unit_suspect.c
+++ b/test/unit_suspect.c
@@ -10,6 +10,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "lead/delivery.h"
 #include "lead/model.h"
 #include "lead/record.h"
 #include "sched/reach.h"
@@ -464,6 +465,65 @@
 	simulation_destroy(&sim);
 }
 
+/*
+ * End the first run of t beside another, at once after its start, and place the
+ * next one, alone, on an upstream that was heard a second before.
+ */
+static struct upstream *place_after_quick_end(struct simulation *sim,
+					      struct task *t)
+{
+	struct upstream *u = upstream(sim, 1);
+
+	for (uint32_t i = 0; i < 2; i++) {
+		struct task *m = &t->stage->tasks[i];
+
+		task_place(m, upstream(sim, 0), 1, sim->now_ms);
+		m->sent = true;
+		task_confirm(m, sim->now_ms + 10);
+	}
+	suspect_note_silence(upstream(sim, 0), sim->now_ms + 80);
+	reach_record_answer(u, sim->now_ms);
+	sim->now_ms += 600;
+	model_lose_upstream(sim->model, upstream(sim, 0), sim->now_ms,
+			    INCARNATION_ENDED, "replaced");
+	assert_int_equal(t->suspicion.early_ends, 1);
+	sim->now_ms += 400;
+	task_place(t, u, 2, sim->now_ms);
+	t->sent = true;
+	return u;
+}
+
+/*
+ * LOST: a start order that had certainly not been carried out counted as a run
+ * that had ended its upstream.
+ */
+static void test_order_that_was_not_carried_out_is_not_blamed(void **state)
+{
+	static const enum order_outcome outcomes[] = {
+		ORDER_NOT_SENT, ORDER_LEASE_EXPIRED, ORDER_REPLACED};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(outcomes); i++) {
+		struct simulation sim;
+		struct upstream *u;
+		struct task *t;
+
+		simulation_create(&sim, 2);
+		t = &add_job(&sim, 2, 1, false, "")->stages[0].tasks[0];
+		u = place_after_quick_end(&sim, t);
+		delivery_decide(t, outcomes[i], sim.now_ms + 12);
+		if (outcomes[i] != ORDER_REPLACED)
+			suspect_note_silence(u, sim.now_ms + 13);
+		model_lose_upstream(sim.model, u, sim.now_ms + 137,
+				    INCARNATION_ENDED, "replaced");
+		assert_int_equal(t->state, TASK_WAITING);
+		assert_int_equal(t->suspicion.early_ends, 1);
+		assert_int_equal(t->stage->job->state, JOB_RUNNING);
+		assert_true(u->ended_without_candidate);
+		simulation_destroy(&sim);
+	}
+}
+
 /* LOST: upstreams that restart one after another failed innocent jobs. */
 static void test_wave_of_restarts_fails_no_job(void **state)
 {
@@ -854,6 +914,8 @@
 			test_cut_domain_excuses_no_end_found_by_a_new_leader),
 		cmocka_unit_test(
 			test_order_to_an_upstream_that_has_restarted_blames_nobody),
+		cmocka_unit_test(
+			test_order_that_was_not_carried_out_is_not_blamed),
 		cmocka_unit_test(test_wave_of_restarts_fails_no_job),
 		cmocka_unit_test(test_planned_leave_raises_no_suspect),
 		cmocka_unit_test(
