Bound starts after a write by the followers' own timeout

The limit after which a recorded start needs another write must not exceed the time after which followers claim; both were 1500 ms under two names.

--- a/lead/election.c
+++ b/lead/election.c
@@ -16,11 +16,6 @@
  * as heartbeat.
  */
 #define WRITE_INTERVAL_MAX_MS 300
-/*
- * A follower claims the leadership when the row has not changed for this
- * long while the store answered: five write intervals.
- */
-#define TAKEOVER_TIMEOUT_MS 1500
 /*
  * Maximum of the per-instance delay that keeps instances from claiming at
  * the same moment.
--- a/lead/election.h
+++ b/lead/election.h
@@ -11,6 +11,12 @@
 #include "lib/loop.h"
 #include "platform/rows.h"
 
+/*
+ * A follower claims the leadership when the row has not changed for this long
+ * while the store answered: five write intervals.
+ */
+#define TAKEOVER_TIMEOUT_MS 1500
+
 struct election;
 
 struct election_events {
--- a/lead/leader.c
+++ b/lead/leader.c
@@ -46,10 +46,9 @@
 #define LIST_AGE_MAX_MS 2600
 /*
  * Maximum time from the first attempt of the newest committed write until a
- * start is sent. It must not exceed the time for which followers wait before
- * they claim the leadership.
+ * start is sent: no follower has claimed the leadership by then.
  */
-#define START_AFTER_WRITE_MAX_MS 1500
+#define START_AFTER_WRITE_MAX_MS TAKEOVER_TIMEOUT_MS
 /*
  * Delay between an answer of the upstreams feed and the next call; this
  * table changes all the time.
