--- a/test/proc_soak.c
+++ b/test/proc_soak.c
@@ -34,6 +34,9 @@
 #define LONG_FAULTS_BEGIN_MS 8000
 #define LONG_FAULT_MIN_MS 9000
 #define LONG_FAULT_MAX_MS 26000
+/* Jobs that run on most upstreams when the first long fault begins. */
+#define FIRST_JOBS_COUNT 4
+#define FIRST_JOBS_RUN_MS 25000
 
 enum fault {
 	FAULT_KILL,
@@ -518,6 +521,12 @@
 	k.site = joint_start_divided(90 + seed % 10, seed % 2);
 	for (uint32_t i = 0; i < INSTANCE_COUNT; i++)
 		joint_wait_peers(k.site, i);
+	for (; k.jobs_len < FIRST_JOBS_COUNT; k.jobs_len++) {
+		k.jobs[k.jobs_len] = JOB_ACCEPTED;
+		assert_int_equal(joint_submit(k.site, 0, k.jobs_len + 1, 6,
+					      FIRST_JOBS_RUN_MS),
+				 200);
+	}
 	began_ms = clock_mono_ms();
 	k.next_long_fault_ms =
 		began_ms + g_rand_int_range(k.long_random, 500, 3000);
