Fuzz what other programs leave in rows, entries and answers

A document of which a field is odd or missing goes to its decoder: entries of upstreams, configurations, specs, steps, runs, states, jobs, owners, instances and the lists of upstreams. A key and a value of any bytes go into a page between two sound rows, and the input as it is to all. What is accepted must be within its bounds, jobs and runs must be the same once they are written and read again, and sound rows beside an odd one must be read.

--- a/Makefile
+++ b/Makefile
@@ -93,7 +93,26 @@
 		$(shell pkg-config --cflags glib-2.0 jansson gsl) -o $@ $^ \
 		$(shell pkg-config --libs glib-2.0 jansson gsl) -lxxhash -lm
 
-fuzz: $(OUT)/fuzz_sched $(OUT)/fuzz_report
+# a run gives one document to each decoder
+FUZZ_ROWS_RUNS = 6000
+FUZZ_ROWS = test/fuzz_rows.c platform/answer.c platform/decode.c platform/lists.c \
+	platform/rows.c lead/record.c peer/roster.c config/policy.c sched/ending.c \
+	sched/estimator.c sched/fleet.c sched/job.c sched/progress.c sched/suspect.c \
+	lib/address.c lib/log.c lib/loop.c lib/schema.c lib/verdict.c
+
+$(OUT)/fuzz_rows: $(FUZZ_ROWS)
+	@mkdir -p $(OUT)
+	@echo "  FUZZ  $@"
+	@$(FUZZ_CC) \
+		-DH2O_USE_LIBUV=0 \
+		$(shell pkg-config --cflags glib-2.0 jansson) -o $@ $^ \
+		$(shell pkg-config --libs glib-2.0 jansson) -lh2o-evloop -lssl -lcrypto \
+		-lm
+
+fuzz: $(OUT)/fuzz_sched $(OUT)/fuzz_report $(OUT)/fuzz_rows
+	$(OUT)/fuzz_rows -seed=$(FUZZ_SEED) -runs=$(FUZZ_ROWS_RUNS) -max_len=100 \
+		-len_control=0 -artifact_prefix=$(OUT)/ >$(OUT)/fuzz.log 2>&1 || \
+		{ tail -n 40 $(OUT)/fuzz.log; exit 1; }
 	$(OUT)/fuzz_report -seed=$(FUZZ_SEED) -runs=$(FUZZ_REPORT_RUNS) -max_len=2000 \
 		-len_control=0 -dict=test/fuzz_report.dict \
 		-artifact_prefix=$(OUT)/ >$(OUT)/fuzz.log 2>&1 || \
