--- a/lead/election.c
+++ b/lead/election.c
@@ -505,18 +505,17 @@
 
 	if (!e->row_exists && !e->highest_epoch)
 		earlier_end_ms = 0; /* There never was a leader. */
-	log_fields(
-		LOG_INFO, "leadership_claim", "{s:s,s:I,s:I,s:b,s:I,s:I}",
-		"from", e->row.instance, "epoch", (json_int_t)e->row.epoch,
-		"unchanged_ms", (json_int_t)(now - e->row_changed_ms), "ended",
-		last_has_ended, "row_earlier_ms", (json_int_t)e->row.earlier_ms,
-		"earlier_ms",
-		(json_int_t)(earlier_end_ms > now ? earlier_end_ms - now : 0));
+	tenure_begin(&e->tenure, now, earlier_end_ms);
+	log_fields(LOG_INFO, "leadership_claim", "{s:s,s:I,s:I,s:b,s:I,s:I}",
+		   "from", e->row.instance, "epoch", (json_int_t)e->row.epoch,
+		   "unchanged_ms", (json_int_t)(now - e->row_changed_ms),
+		   "ended", last_has_ended, "row_earlier_ms",
+		   (json_int_t)e->row.earlier_ms, "earlier_ms",
+		   (json_int_t)tenure_earlier_remaining_ms(&e->tenure, now));
 	e->role = ROLE_CANDIDATE;
 	e->self.epoch = MAX(e->row.epoch, e->highest_epoch) + 1;
 	e->highest_epoch = e->self.epoch;
 	e->self.sequence = 0;
-	tenure_begin(&e->tenure, now, earlier_end_ms);
 	write_owner_row(e, rows_tx_create(LEADER_PART));
 }
 
--- a/lead/leaseclock.c
+++ b/lead/leaseclock.c
@@ -70,9 +70,7 @@
 			     uint64_t now_ms)
 {
 	uint64_t elapsed = now_ms - c->clock_read_ms;
-	uint64_t end = now_ms + lease_ms +
-		       lease_ms / (CLOCK_DRIFT_DIVISOR - 1) +
-		       ROUNDING_MARGIN_MS;
+	uint64_t end = lease_clock_latest_end(lease_ms, now_ms);
 
 	if (!c->clock_read_ms || c->unanswered)
 		return 0;
--- a/lead/record.c
+++ b/lead/record.c
@@ -13,8 +13,6 @@
 
 /* A higher number of a run or of failures was not written by a leader. */
 #define RUN_NUMBER_MAX INT32_MAX
-/* A row with a higher epoch than this was not written by a leader. */
-#define EPOCH_MAX (INT64_C(1) << 53)
 
 const char *const job_parts[JOB_PARTS + 1] = {"0", "1", "2", "3", "4",
 					      "5", "6", "7", NULL};
@@ -52,7 +50,8 @@
 	const json_t *instance = json_object_get(v, "instance");
 	int64_t epoch = json_int_or(v, "epoch", -1);
 	int64_t earlier_ms = json_int_or(v, "earlier_ms", TENURE_MS);
-	bool ok = json_is_string(instance) && epoch >= 0 && epoch <= EPOCH_MAX;
+	bool ok =
+		json_is_string(instance) && epoch >= 0 && epoch <= COUNTER_MAX;
 
 	memset(o, 0, sizeof(*o));
 	if (ok) {
