Share the advancing clock of four unit tests

unit_leader, unit_suspend, unit_coordinator and unit_link each replaced clock_gettime with the same code.

--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -17,6 +17,7 @@
 
 #include "daemon/coordinator.h"
 #include "daemon/jobs.h"
+#include "test/testclock.h"
 
 #define BODY_MAX 65536
 #define UPSTREAM_COUNT 2 /* in most tests */
@@ -60,25 +61,6 @@
 	uint32_t lost;	  /* upstreams that the last of them names */
 };
 
-static int64_t clock_offset_ms;
-
-/*
- * Replaces the C library's function: all clocks are ahead by clock_offset_ms,
- * so that a test need not wait.
- */
-int clock_gettime(clockid_t id, struct timespec *ts)
-{
-	int rc = syscall(SYS_clock_gettime, id, ts);
-
-	ts->tv_sec += clock_offset_ms / 1000;
-	ts->tv_nsec += clock_offset_ms % 1000 * 1000000;
-	if (ts->tv_nsec >= 1000000000) {
-		ts->tv_nsec -= 1000000000;
-		ts->tv_sec++;
-	}
-	return rc;
-}
-
 /* Upstreams */
 
 /* Return the address of upstream i, which counts from 0. */
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -21,6 +21,7 @@
 #include "lib/counter.h"
 #include "lib/http.h"
 #include "platform/decode.h"
+#include "test/testclock.h"
 
 #define BODY_MAX 65536
 #define JOB "00000000000000a1"
@@ -80,30 +81,6 @@
 	void *done_arg;
 };
 
-static int64_t clock_offset_ms;
-static int64_t suspended_ms;
-
-/*
- * Replaces the C library's function: all clocks are ahead by clock_offset_ms,
- * as after a pause of the process, and by suspended_ms, as after a suspension
- * of the machine, which CLOCK_MONOTONIC does not count.
- */
-int clock_gettime(clockid_t id, struct timespec *ts)
-{
-	int rc = syscall(SYS_clock_gettime, id, ts);
-	int64_t ms = clock_offset_ms;
-
-	if (id != CLOCK_MONOTONIC)
-		ms += suspended_ms;
-	ts->tv_sec += ms / 1000;
-	ts->tv_nsec += ms % 1000 * 1000000;
-	if (ts->tv_nsec >= 1000000000) {
-		ts->tv_nsec -= 1000000000;
-		ts->tv_sec++;
-	}
-	return rc;
-}
-
 static void answer_call(void *arg)
 {
 	struct call *c = arg;
--- a/test/unit_link.c
+++ b/test/unit_link.c
@@ -15,6 +15,7 @@
 
 #include "daemon/peer.h"
 #include "lib/frame.h"
+#include "test/testclock.h"
 
 #define PEER_ADDRESS "127.76.100.1:7500"
 #define BUDGET_MS 800
@@ -31,22 +32,6 @@
 	bool closed;
 };
 
-static int64_t clock_offset_ms;
-
-/* Replaces the C library's function: all clocks are ahead by clock_offset_ms. */
-int clock_gettime(clockid_t id, struct timespec *ts)
-{
-	int rc = syscall(SYS_clock_gettime, id, ts);
-
-	ts->tv_sec += clock_offset_ms / 1000;
-	ts->tv_nsec += clock_offset_ms % 1000 * 1000000;
-	if (ts->tv_nsec >= 1000000000) {
-		ts->tv_nsec -= 1000000000;
-		ts->tv_sec++;
-	}
-	return rc;
-}
-
 static void on_opened(void *arg, struct frame_conn *c)
 {
 	Lacewing__Hello h = LACEWING__HELLO__INIT;
--- a/test/unit_suspend.c
+++ b/test/unit_suspend.c
@@ -21,34 +21,14 @@
 #include "lib/http.h"
 #include "peer/link.h"
 #include "peer/relay.h"
+#include "test/testclock.h"
 
 #define SUSPENSION_MS 5000
 #define SETTLE_MS 300
 
-static int64_t suspended_ms;
 /* The next wait for events is suspended for this long. */
 static int64_t suspend_next_wait_ms;
 
-static void add_ms(struct timespec *ts, int64_t ms)
-{
-	ts->tv_sec += ms / 1000;
-	ts->tv_nsec += ms % 1000 * 1000000;
-	if (ts->tv_nsec >= 1000000000) {
-		ts->tv_nsec -= 1000000000;
-		ts->tv_sec++;
-	}
-}
-
-/* Replaces the C library's function: CLOCK_MONOTONIC counts no suspension. */
-int clock_gettime(clockid_t id, struct timespec *ts)
-{
-	int rc = syscall(SYS_clock_gettime, id, ts);
-
-	if (id != CLOCK_MONOTONIC)
-		add_ms(ts, suspended_ms);
-	return rc;
-}
-
 /* Replaces the C library's function. */
 int gettimeofday(struct timeval *tv, void *tz)
 {
