--- a/lead/leader.c
+++ b/lead/leader.c
@@ -239,6 +239,19 @@
 		cancel_job(d, j);
 }
 
+/* Remove a job whose spec row is gone, and log one that has not ended. */
+static void forget_job(struct leader *d, const char *id)
+{
+	const struct job *j = model_find_job(d->model, id);
+
+	if (j && !job_is_final(j))
+		log_fields(LOG_WARN, "job_forgotten", "{s:s,s:s,s:b,s:I}",
+			   "job", id, "state", job_state_name(j->state),
+			   "active", job_has_active_tasks(j), "version",
+			   (json_int_t)replica_version(d->specs));
+	model_remove_job(d->model, id);
+}
+
 static void apply_spec_row(void *arg, const char *id, const char *value,
 			   uint64_t version)
 {
@@ -250,7 +263,7 @@
 	if (value)
 		add_job(d, id, value);
 	else
-		model_remove_job(d->model, id);
+		forget_job(d, id);
 	schedule_pass(d);
 }
 
--- a/lead/model.c
+++ b/lead/model.c
@@ -481,9 +481,12 @@
 		confirm_blame(m, u, now_ms);
 		suspect_note_idle_end(u, now_ms);
 	}
-	log_fields(LOG_WARN, "upstream_lost", "{s:s,s:s,s:i,s:s}", "upstream",
-		   u->id, "why", why, "tasks", (int)lost->len, "cause",
-		   end_cause_name(cause));
+	log_fields(LOG_WARN, "upstream_lost", "{s:s,s:s,s:i,s:s,s:b,s:I}",
+		   "upstream", u->id, "why", why, "tasks", (int)lost->len,
+		   "cause", end_cause_name(cause), "listed",
+		   u->state != UPSTREAM_GONE, "unheard_ms",
+		   u->heard_ms ? (json_int_t)(now_ms - u->heard_ms)
+			       : (json_int_t)-1);
 	log_findings(findings, u);
 	for (guint i = 0; i < lost->len; i++) {
 		struct task *t = g_ptr_array_index(lost, i);
--- a/lead/replica.c
+++ b/lead/replica.c
@@ -322,19 +322,26 @@
 	return FALSE;
 }
 
-/* Remove the rows that a complete read did not contain. */
-static void remove_unseen(struct replica *f)
+/*
+ * Remove the rows that a complete read did not contain; returns how many these
+ * were.
+ */
+static uint32_t remove_unseen(struct replica *f)
 {
 	struct unseen u = {f->read_number,
 			   g_ptr_array_new_with_free_func(g_free)};
 
+	uint32_t removed;
+
 	g_tree_foreach(f->copy, collect_unseen, &u);
-	for (guint i = 0; i < u.keys->len; i++) {
+	removed = u.keys->len;
+	for (guint i = 0; i < removed; i++) {
 		struct row gone = {.key = g_ptr_array_index(u.keys, i)};
 
 		apply_row(f, &gone);
 	}
 	g_ptr_array_free(u.keys, TRUE);
+	return removed;
 }
 
 static void set_next_key(struct replica *f, char *key)
@@ -357,6 +364,8 @@
 /* Advance a full read by one page; the last page completes the replica. */
 static void apply_page(struct replica *f, const struct rows_answer *a)
 {
+	uint32_t removed;
+
 	if (!*f->next_key && !f->part_index)
 		f->read_version = a->version;
 	if (a->more) {
@@ -368,8 +377,15 @@
 	if (f->parts[++f->part_index])
 		return;
 	f->part_index = 0;
-	remove_unseen(f);
+	removed = remove_unseen(f);
 	f->complete = true;
+	if (f->version)
+		log_fields(LOG_INFO, "table_read_again",
+			   "{s:s,s:I,s:I,s:i,s:i}", "table", f->table,
+			   "version", (json_int_t)f->read_version, "before",
+			   (json_int_t)f->version, "rows",
+			   (int)g_tree_nnodes(f->copy), "removed",
+			   (int)removed);
 	f->version = f->read_version;
 }
 
