Let candidates prolong leases only with a majority

A failure domain is cut in two. One side has the leader and most upstreams, the other an instance and an upstream U with a run. The leader does not reach U: it waits until the leases there have ended by its own reckoning and starts the job elsewhere. The instance hears no leader, claims U and renews the leases there for as long as the cut lasts, so that the run goes on: the job runs twice at once.

The silence of U said nothing of its runs, as somebody else could prolong them. A claim extends no lease any more (a rule of the protocol, and of the stand-in). A candidate renews leases only while more than half of the listed upstreams obey it, and otherwise repeats its claims. A leader starts nothing without a majority, so that only one side can do either.

test_candidate_without_a_majority_prolongs_no_leases failed before ("0x4 != 0", renewals of a candidate that two of three upstreams did not answer) and passes.

--- a/daemon/coordinator-internal.h
+++ b/daemon/coordinator-internal.h
@@ -58,6 +58,7 @@
 	struct http_pool *pool;
 	struct health health;
 	uint64_t claimed_epoch; /* the last that it accepted */
+	uint64_t renewed_epoch; /* the last in which leases were renewed */
 	bool in_use;		/* the leader may place work there */
 	uint64_t known_ms;	/* when it appeared; 0 if in use or gone */
 	bool claimed;		/* obeys the coordinator's epoch */
--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -648,14 +648,48 @@
 	g_list_free(all);
 }
 
+/*
+ * Report whether more than half of the listed upstreams obey the epoch, and
+ * have confirmed that within the lease term.
+ */
+static bool has_claimed_majority(const struct coordinator *d, uint64_t now)
+{
+	uint32_t all = 0, claimed_count = 0;
+
+	for (guint i = 0; i < d->controls->len; i++) {
+		const struct upstream_control *c =
+			g_ptr_array_index(d->controls, i);
+
+		if (!c->configured || upstream_control_is_gone(c))
+			continue;
+		all++;
+		claimed_count +=
+			c->claimed && now - c->confirmed_sent_ms <
+					      d->config->limits.lease_term_ms;
+	}
+	return claimed_count * 2 > all;
+}
+
+/*
+ * Renew the leases at the claimed upstreams.  A candidate does so only with a
+ * majority, and otherwise repeats its claims, which extend no lease: a leader
+ * that cannot reach these upstreams counts on the end of the leases there, and
+ * starts their jobs elsewhere.
+ */
 static void renew_due_leases(struct coordinator *d, uint64_t now)
 {
+	bool may_renew = d->role == ROLE_LEADER || has_claimed_majority(d, now);
+
 	for (guint i = 0; i < d->controls->len; i++) {
 		struct upstream_control *c = g_ptr_array_index(d->controls, i);
+		bool due = now - c->last_call_ms >= d->config->limits.renew_ms;
 
-		if (c->claimed &&
-		    now - c->last_call_ms >= d->config->limits.renew_ms)
+		if (!c->claimed)
+			continue;
+		if (may_renew && (due || c->renewed_epoch != d->epoch))
 			upstream_control_renew(c);
+		else if (due)
+			upstream_control_claim(c);
 	}
 }
 
--- a/daemon/upstream_control.c
+++ b/daemon/upstream_control.c
@@ -179,7 +179,7 @@
 	json_decref(v);
 }
 
-/* Claim the upstream for the coordinator's epoch. */
+/* Claim the upstream for the coordinator's epoch; no lease is extended. */
 void upstream_control_claim(struct upstream_control *c)
 {
 	if (c->claim_pending || c->renewal_pending)
@@ -257,6 +257,7 @@
 		mark_acks_sent(c);
 	}
 	c->last_call_ms = clock_mono_ms();
+	c->renewed_epoch = c->coordinator->epoch;
 	c->renewal_pending =
 		upstream_control_call(c, "/renew", body, on_renewed, c);
 }
--- a/fake/worker.c
+++ b/fake/worker.c
@@ -408,7 +408,10 @@
 	}
 }
 
-/* Accept a claim unless its epoch is lower, or held by another holder. */
+/*
+ * Accept a claim unless its epoch is lower, or held by another holder. The
+ * leases keep their ends.
+ */
 static void handle_claim(struct worker *w, struct http_exchange *x, json_t *v)
 {
 	uint64_t epoch = json_int_or(v, "epoch", 0);
@@ -422,7 +425,6 @@
 	g_free(w->holder);
 	w->holder = g_strdup(json_str_or(v, "holder", ""));
 	w->term_ms = json_int_or(v, "term_ms", 0);
-	renew_leases(w, v);
 	reply_json(x, 200, build_report(w, UINT64_MAX));
 }
 
--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -40,6 +40,15 @@
 	uint64_t version;
 	json_t *leases; /* id to lease */
 	bool silent;
+	uint32_t answer_delay_ms;
+	uint32_t renewals; /* that it has carried out */
+};
+
+/* An answer that is sent later. */
+struct late_answer {
+	struct timer timer;
+	struct http_exchange *x;
+	json_t *report;
 };
 
 struct fixture {
@@ -155,6 +164,30 @@
 	return true;
 }
 
+static void send_late_answer(void *arg)
+{
+	struct late_answer *a = arg;
+
+	exchange_reply_json(a->x, 200, a->report, 0);
+	g_free(a);
+}
+
+static void answer_with_report(struct fixture *s, struct fake_upstream *u,
+			       struct http_exchange *x)
+{
+	struct late_answer *a;
+
+	if (!u->answer_delay_ms) {
+		exchange_reply_json(x, 200, build_report(u), 0);
+		return;
+	}
+	a = g_new0(struct late_answer, 1);
+	a->x = x;
+	a->report = build_report(u);
+	timer_init(&a->timer, send_late_answer, a);
+	timer_start(s->env.loop, &a->timer, u->answer_delay_ms);
+}
+
 static void serve_upstream(void *arg, struct http_exchange *x)
 {
 	struct fixture *s = arg;
@@ -185,8 +218,10 @@
 		s->starts += json_array_size(leases);
 	} else if (!strcmp(path, "/release")) {
 		change_leases(u, leases, "stopped");
+	} else if (!strcmp(path, "/renew")) {
+		u->renewals++;
 	}
-	exchange_reply_json(x, 200, build_report(u), 0);
+	answer_with_report(s, u, x);
 out:
 	json_decref(v);
 }
@@ -766,6 +801,25 @@
 	teardown_site(s);
 }
 
+static void test_candidate_without_a_majority_prolongs_no_leases(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	put_running_lease(&s->upstreams[0], 7);
+	s->upstreams[1].silent = true;
+	s->upstreams[2].silent = true;
+	post_config(s, UPSTREAM_COUNT_MAX);
+	post_members(s, UPSTREAM_COUNT_MAX);
+	run_for(s, 6000);
+	assert_true(s->upstreams[0].epoch > 7);
+	assert_int_equal(s->upstreams[0].renewals, 0);
+	s->upstreams[1].silent = false;
+	run_for(s, 2000);
+	assert_true(s->upstreams[0].renewals);
+	teardown_site(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -794,6 +848,8 @@
 			test_moved_upstream_is_claimed_at_its_new_address),
 		cmocka_unit_test(
 			test_cancelled_job_stops_after_a_change_of_coordinator),
+		cmocka_unit_test(
+			test_candidate_without_a_majority_prolongs_no_leases),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
