End no lease by time without a majority that confirms the epoch

A coordinator that woke from a pause, or was cut off from all upstreams, took the silence for the end of every lease once their time was over by its own clock, and wrote that into the table: "parked" for a job that is not idempotent, "waiting" for others. Another coordinator may have adopted the run meanwhile, under the same attempt, so that the table accepted the write: a job that ran was final, and was stopped as one whose row had ended.

A lease is taken for ended by time only if more than half of the upstreams in use have confirmed the epoch in answer to a call sent after that time. No other coordinator had a majority until then, and without one it renews nothing.

test_job_is_not_ended_by_time_while_another_may_prolong_it failed before (the row was "parked" 10 s after the upstreams fell silent) and passes.

--- a/daemon/coordinator-internal.h
+++ b/daemon/coordinator-internal.h
@@ -169,6 +169,8 @@
 
 /* coordinator.c */
 void coordinator_yield_to_epoch(struct coordinator *d, uint64_t epoch);
+bool coordinator_is_confirmed_since(const struct coordinator *d,
+				    uint64_t since_ms);
 void coordinator_handle_report(struct coordinator *d,
 			       struct upstream_control *c);
 struct upstream_control *coordinator_find_control(struct coordinator *d,
--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -463,7 +463,8 @@
  * Report whether more than half of the upstreams in use have confirmed the
  * epoch in answer to a call that was sent after since_ms.
  */
-static bool is_confirmed_since(const struct coordinator *d, uint64_t since_ms)
+bool coordinator_is_confirmed_since(const struct coordinator *d,
+				    uint64_t since_ms)
 {
 	uint32_t all = 0, confirmed_count = 0;
 
@@ -487,7 +488,8 @@
  */
 static bool has_quorum(const struct coordinator *d, uint64_t now)
 {
-	return is_confirmed_since(d, now - d->config->limits.lease_term_ms);
+	return coordinator_is_confirmed_since(
+		d, now - d->config->limits.lease_term_ms);
 }
 
 /*
@@ -517,7 +519,8 @@
 		claimed = claimed || c->claimed;
 		if (!c->known_ms)
 			c->known_ms = now;
-		if (c->claimed && is_confirmed_since(d, c->known_ms)) {
+		if (c->claimed &&
+		    coordinator_is_confirmed_since(d, c->known_ms)) {
 			c->in_use = true;
 			c->known_ms = 0;
 		}
--- a/daemon/gang.c
+++ b/daemon/gang.c
@@ -669,12 +669,18 @@
 	}
 }
 
-/* Repeat a pending release, and finish it once all leases have expired. */
+/*
+ * Repeat a pending release, and finish it once all leases have expired.  Until
+ * a majority has confirmed the epoch after that time, another coordinator may
+ * have renewed them.
+ */
 void gang_tick(struct gang *g, uint64_t now_ms)
 {
 	if (g->state != GANG_RELEASING)
 		return;
-	if (now_ms >= g->leases_expired_by_ms) {
+	if (now_ms >= g->leases_expired_by_ms &&
+	    coordinator_is_confirmed_since(g->coordinator,
+					   g->leases_expired_by_ms)) {
 		for (uint32_t i = 0; i < g->shape.parts; i++)
 			g->parts[i].ended = true;
 		finish_release_if_ended(g);
--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -820,6 +820,34 @@
 	teardown_site(s);
 }
 
+static void
+test_job_is_not_ended_by_time_while_another_may_prolong_it(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	put_job(s, JOB_KEY, "accepted", 0);
+	json_object_set_new(row_value(s, JOB_KEY), "idempotent", json_false());
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, UPSTREAM_COUNT);
+	wait_until(s, job_is(s, JOB_KEY, "running"));
+	s->upstreams[0].silent = true;
+	s->upstreams[1].silent = true;
+	run_for(s, 10000);
+	assert_true(job_is(s, JOB_KEY, "running"));
+	s->upstreams[0].epoch = 9;
+	s->upstreams[1].epoch = 9;
+	s->upstreams[0].silent = false;
+	s->upstreams[1].silent = false;
+	run_for(s, 5000);
+	assert_true(job_is(s, JOB_KEY, "running"));
+	set_all_leases(&s->upstreams[0], "done");
+	set_all_leases(&s->upstreams[1], "done");
+	wait_until(s, job_is(s, JOB_KEY, "done"));
+	assert_int_equal(s->starts, 1);
+	teardown_site(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -850,6 +878,8 @@
 			test_cancelled_job_stops_after_a_change_of_coordinator),
 		cmocka_unit_test(
 			test_candidate_without_a_majority_prolongs_no_leases),
+		cmocka_unit_test(
+			test_job_is_not_ended_by_time_while_another_may_prolong_it),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
