--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -20,6 +20,9 @@
 #include "test/testclock.h"
 
 #define BODY_MAX 65536
+/* Each process has its own port, so that runs do not disturb each other. */
+#define PORT_MIN 9000
+#define PORT_COUNT 20000
 #define UPSTREAM_COUNT 2 /* in most tests */
 #define UPSTREAM_COUNT_MAX 3
 #define JOB_KEY "job/reindex"
@@ -75,7 +78,8 @@
 /* Return the address of upstream i, which counts from 0. */
 static char *format_address(const struct fixture *s, uint32_t i)
 {
-	return g_strdup_printf("127.76.%u.%u:9000", s->net, i + 1);
+	return g_strdup_printf("127.76.%u.%u:%d", s->net, i + 1,
+			       PORT_MIN + getpid() % PORT_COUNT);
 }
 
 /* Return the upstream to which a request was sent. */
