Read the row of a job again if the table's answer lacks it

The end of a run that a new coordinator had adopted before it knew the job's row is written after a read of the row. If the read found none, the update counted as saved: the coordinator forgot the job and let the upstream forget the ended lease. Rows of jobs are never removed, so that only an old copy of the table can lack one. With the next scan the row was there, "running", and the job was started again after it had been done.

The read is repeated until the row is found, and the job and its lease are kept until then.

test_end_is_kept_until_the_row_is_found failed before ("0x1 != 0" starts of a job that was done) and passes.

--- a/daemon/jobs.c
+++ b/daemon/jobs.c
@@ -54,8 +54,9 @@
 	struct jobs *jobs;
 	char *key;
 	json_t *patch;
-	uint64_t ticket; /* of the request in flight; 0 if there is none */
-	bool changed;	 /* whether patch changed since the last write */
+	uint64_t ticket;  /* of the request in flight; 0 if there is none */
+	bool changed;	  /* whether patch changed since the last write */
+	bool row_missing; /* as far as the last read tells */
 	struct timer timer;
 };
 
@@ -639,15 +640,25 @@
 	}
 }
 
+/*
+ * Continue after the row of an update was read.  Rows of jobs are never
+ * removed, so that an answer without the row is older than the row.
+ */
 static void handle_update_read(struct jobs *j, struct job_update *u,
 			       struct txn_result *t)
 {
 	if (!verdict_is_ran(t->verdict)) {
 		schedule_update_retry(u);
 	} else if (!t->conflict) {
-		/* The job has no row that could be updated. */
-		finish_update(j, u);
+		if (!u->row_missing)
+			log_line(LOG_WARN, "job_row_missing",
+				 "%s: the table lacks the row to update; it "
+				 "is read again",
+				 u->key);
+		u->row_missing = true;
+		schedule_update_retry(u);
 	} else {
+		u->row_missing = false;
 		store_row(j, u->key, json_int_or(t->conflict, "version", 0),
 			  json_object_get(t->conflict, "value"));
 		send_update(u);
--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -65,7 +65,8 @@
 	uint64_t version;
 	uint64_t scanned_ms;
 	bool table_is_silent;
-	int lease_term_ms; /* in the configuration; 0: the default */
+	bool reads_are_old; /* reads find no row */
+	int lease_term_ms;  /* in the configuration; 0: the default */
 	/* The servers at which the configuration places the upstreams. */
 	uint32_t places[UPSTREAM_COUNT_MAX];
 	uint32_t starts;  /* runs that the upstreams have started */
@@ -258,7 +259,8 @@
 	out.txn.verdict = verdict_ran();
 	if (m->tag == MSG_READ) {
 		out.tag = MSG_READ_DONE;
-		out.txn.conflict = json_incref(row);
+		if (!s->reads_are_old)
+			out.txn.conflict = json_incref(row);
 	} else if (json_int_or(op, "expect", 0) ==
 		   json_int_or(row, "version", 0)) {
 		out.tag = MSG_TXN_DONE;
@@ -925,6 +927,30 @@
 	teardown_site(s);
 }
 
+static void test_end_is_kept_until_the_row_is_found(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	s->table_is_silent = true;
+	s->reads_are_old = true;
+	put_job(s, JOB_KEY, "running", ATTEMPT_OF_EPOCH(7));
+	put_running_lease(&s->upstreams[1], 7);
+	s->upstreams[0].epoch = 7;
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, UPSTREAM_COUNT);
+	run_for(s, 3000);
+	set_all_leases(&s->upstreams[1], "done");
+	run_for(s, 3000);
+	s->table_is_silent = false;
+	run_for(s, 3000);
+	assert_int_equal(s->starts, 0);
+	s->reads_are_old = false;
+	wait_until(s, job_is(s, JOB_KEY, "done"));
+	assert_int_equal(s->starts, 0);
+	teardown_site(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -963,6 +989,7 @@
 			test_run_on_an_unlisted_silent_upstream_is_not_doubled),
 		cmocka_unit_test(
 			test_unlisted_upstream_that_answers_again_keeps_its_run),
+		cmocka_unit_test(test_end_is_kept_until_the_row_is_found),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
