Take no answer of the table that is behind for a reading of it

A new coordinator starts jobs once it has read the table by a scan that was sent after its claims: jobs that ended under its predecessor are known to have ended then. Any answer counted, also one of a copy of the table that was behind (of another address of the platform, say), and it set the version from which the next scan starts back. A job whose end such a copy lacks would be started again.

An answer that falls behind what the client had read, or had committed when the scan was sent, is dropped, logged once (table_old) and asked for at the next address.

--- a/daemon/platform_client.c
+++ b/daemon/platform_client.c
@@ -22,7 +22,10 @@
 	struct http_pool **pools; /* one per platform address */
 	uint32_t address_index;	  /* of the address in use */
 	uint64_t scanned_version; /* all changes up to it were read */
+	uint64_t known_version;	  /* the newest that an answer has named */
 	uint64_t scan_sent_ms;
+	uint64_t scan_min_version; /* of the table when the scan was sent */
+	bool table_is_old;	   /* by the last scan */
 	uint64_t members_sent_ms;
 	bool scan_again;    /* at once after the call in flight */
 	bool members_again; /* the same */
@@ -73,6 +76,12 @@
 	}
 }
 
+static void use_next_address(struct platform_client *t)
+{
+	t->address_index =
+		(t->address_index + 1) % t->env->settings->platform_len;
+}
+
 /*
  * Update the reachability of the platform from a result; a failure switches
  * to the next address.  True if the platform answered without a 5xx status.
@@ -88,8 +97,7 @@
 		return true;
 	}
 	counter_add(t->env->counters, "platform_failures", NULL, 1);
-	t->address_index =
-		(t->address_index + 1) % t->env->settings->platform_len;
+	use_next_address(t);
 	if (++t->consecutive_failures >= 2)
 		post_table_state(t, false);
 	return false;
@@ -120,13 +128,21 @@
 	table_request_free(q);
 }
 
+/* Note a version that the table has reached. */
+static void note_version(struct platform_client *t, uint64_t version)
+{
+	t->known_version = MAX(t->known_version, version);
+}
+
 static void finish_txn(struct table_request *q, int status, const json_t *v)
 {
 	json_t *row = json_object_get(v, "conflict");
+	uint64_t version = json_int_or(v, "version", 0);
 
 	if (status == 200)
-		finish_request(q, verdict_ran(), json_int_or(v, "version", 0),
-			       NULL);
+		note_version(q->platform_client, version);
+	if (status == 200)
+		finish_request(q, verdict_ran(), version, NULL);
 	else if (status == 409)
 		finish_request(q, verdict_did_not_run(REASON_CONFLICT), 0,
 			       row ? json_incref(row) : NULL);
@@ -245,11 +261,38 @@
 	bus_post(t->env->bus, &m);
 }
 
+/*
+ * Report whether the answer to a scan is older than the table was when the scan
+ * was sent.  Such an answer tells neither what has changed since nor which rows
+ * exist.  One that has the rows of a part of the changes only must not fall
+ * behind the scans before it.
+ */
+static bool scan_is_old(struct platform_client *t, uint64_t complete,
+			bool is_whole)
+{
+	uint64_t min = is_whole ? t->scan_min_version : t->scanned_version;
+	bool was_old = t->table_is_old;
+
+	t->table_is_old = complete < min;
+	if (!t->table_is_old)
+		return false;
+	counter_add(t->env->counters, "platform_old_scans", NULL, 1);
+	if (!was_old)
+		log_line(LOG_WARN, "table_old",
+			 "a scan was answered up to version %" G_GUINT64_FORMAT
+			 ", but the table has reached %" G_GUINT64_FORMAT
+			 "; it is repeated",
+			 complete, min);
+	use_next_address(t);
+	return true;
+}
+
 static void on_scan(void *arg, const struct http_result *r)
 {
 	struct platform_client *t = arg;
 	uint64_t wait = t->env->settings->scan_ms;
 	uint64_t caught_up_ms = t->scan_sent_ms;
+	uint64_t complete;
 	json_t *v = NULL, *list;
 
 	if (!record_result(t, r) || r->status != 200)
@@ -258,11 +301,15 @@
 	list = json_object_get(v, "rows");
 	if (!json_is_array(list))
 		goto out;
+	complete = json_int_or(v, "complete", t->scanned_version);
+	if (scan_is_old(t, complete, json_array_size(list) < SCAN_ROWS_MAX))
+		goto out;
 	if (json_array_size(list) >= SCAN_ROWS_MAX) {
 		wait = 0;
 		caught_up_ms = 0;
 	}
-	t->scanned_version = json_int_or(v, "complete", t->scanned_version);
+	t->scanned_version = complete;
+	note_version(t, complete);
 	post_rows(t, TASK_CONFIG, list, caught_up_ms);
 	post_rows(t, TASK_JOB, list, caught_up_ms);
 out:
@@ -280,6 +327,7 @@
 
 	counter_add(t->env->counters, "platform_reads", NULL, 1);
 	t->scan_sent_ms = clock_mono_ms();
+	t->scan_min_version = t->known_version;
 	if (!http_call_start(current_pool(t), "GET", path, NULL,
 			     SCAN_TIMEOUT_MS, on_scan, t))
 		timer_start(t->env->loop, &t->scan_timer,
