Wait for the end of runs that stop while the coordinator changes

A run that a coordinator had told to stop was still "stopping" (it had time for a checkpoint, or ignored the stop) when the next coordinator claimed its upstream. That one adopted the job as running, read the report again, and took every state but "running", "done" and "failed" for a lost part: the job was placed elsewhere at once, beside the run that was stopping. A state that this version does not know counted as an end, too, in running and in releasing jobs, and the lease of an unknown job in such a state was acknowledged instead of released.

A lease has ended if it is "done", "failed" or "stopped", or missing from the upstream's own list. In any other state the job is released and waited for.

test_stopping_run_is_waited_for_by_the_next_leader and test_run_in_an_unknown_state_has_not_ended failed before ("0x1 != 0" starts) and pass.

--- a/daemon/coordinator-internal.h
+++ b/daemon/coordinator-internal.h
@@ -163,6 +163,7 @@
 void gang_end(struct gang *g, const char *state, const char *reason);
 void gang_remove(struct gang *g);
 void gang_job_spec(const struct gang *g, struct job_spec *spec);
+bool gang_lease_has_ended(const json_t *lease);
 bool gang_is_active(const struct gang *g);
 struct gang *gang_adopt(struct coordinator *d, const char *name,
 			json_t *leases);
--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -768,14 +768,6 @@
 
 /* Messages */
 
-static bool lease_occupies_slot(const json_t *lease)
-{
-	const char *state = json_str_or(lease, "state", "");
-
-	return !strcmp(state, "reserved") || !strcmp(state, "running") ||
-	       !strcmp(state, "stopping");
-}
-
 /* The result is ignored: a lease that is not released expires. */
 static void on_orphans_released(void *arg, const struct http_result *r)
 {
@@ -800,7 +792,7 @@
 		if (g && g->parts &&
 		    (uint64_t)json_int_or(v, "attempt", 0) == g->attempt)
 			continue;
-		if (!lease_occupies_slot(v)) {
+		if (gang_lease_has_ended(v)) {
 			g_hash_table_insert(c->acks, g_strdup(id), NULL);
 		} else if (!g_hash_table_contains(c->not_renewed, id)) {
 			g_hash_table_insert(c->not_renewed, g_strdup(id), NULL);
--- a/daemon/gang.c
+++ b/daemon/gang.c
@@ -591,9 +591,26 @@
 		     0);
 }
 
+/*
+ * Report whether a lease has ended.  One that is missing from the upstream's
+ * list, NULL, has; one in a state that is not known may go on.
+ */
+bool gang_lease_has_ended(const json_t *lease)
+{
+	static const char *const ended[] = {"done", "failed", "stopped"};
+	const char *state = json_str_or(lease, "state", "");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(ended); i++)
+		if (!strcmp(state, ended[i]))
+			return true;
+	return !lease;
+}
+
 static void update_running_part(struct gang *g, struct gang_part *p,
-				const char *state)
+				const json_t *lease)
 {
+	const char *state = json_str_or(lease, "state", "");
+
 	if (!strcmp(state, "running"))
 		return;
 	if (!strcmp(state, "done")) {
@@ -603,7 +620,7 @@
 	} else if (!strcmp(state, "failed")) {
 		handle_failed_part(g, p);
 	} else {
-		p->ended = true;
+		p->ended = gang_lease_has_ended(lease);
 		gang_release(g, RELEASE_REQUEUE, "a part was lost", 0);
 	}
 }
@@ -614,8 +631,7 @@
 	const char *state = json_str_or(lease, "state", "");
 	uint64_t progress = json_int_or(lease, "progress_ms", 0);
 
-	if (!strcmp(state, "running") || !strcmp(state, "stopping") ||
-	    !strcmp(state, "reserved"))
+	if (!gang_lease_has_ended(lease))
 		return;
 	p->ended = true;
 	p->done = !strcmp(state, "done");
@@ -644,8 +660,7 @@
 		lease = g_hash_table_lookup(by_id, id);
 		g_free(id);
 		if (state == GANG_RUNNING)
-			update_running_part(g, p,
-					    json_str_or(lease, "state", ""));
+			update_running_part(g, p, lease);
 		else
 			update_releasing_part(g, p, lease);
 	}
@@ -724,8 +739,7 @@
 	p->mask = json_int_or(v, "mask", 0);
 	p->incarnation = p->control ? p->control->incarnation : 0;
 	p->done = !strcmp(state, "done");
-	p->ended = p->done || !strcmp(state, "stopped") ||
-		   !strcmp(state, "failed");
+	p->ended = gang_lease_has_ended(v);
 	if (p->done || !strcmp(state, "running"))
 		(*intact)++;
 }
--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -43,6 +43,7 @@
 	uint64_t version;
 	json_t *leases; /* id to lease */
 	bool silent;
+	bool ignores_stops;
 	uint32_t answer_delay_ms;
 	uint32_t renewals; /* that it has carried out */
 };
@@ -222,7 +223,8 @@
 		change_leases(u, leases, "running");
 		s->starts += json_array_size(leases);
 	} else if (!strcmp(path, "/release")) {
-		change_leases(u, leases, "stopped");
+		change_leases(u, leases,
+			      u->ignores_stops ? "stopping" : "stopped");
 	} else if (!strcmp(path, "/renew")) {
 		u->renewals++;
 	}
@@ -951,6 +953,37 @@
 	teardown_site(s);
 }
 
+/* Plays a change of coordinator while a run is in a state. */
+static void play_change_of_coordinator(const char *state)
+{
+	struct fixture *s = setup_site();
+
+	put_job(s, JOB_KEY, "running", ATTEMPT_OF_EPOCH(7));
+	put_running_lease(&s->upstreams[1], 7);
+	set_all_leases(&s->upstreams[1], state);
+	s->upstreams[0].epoch = 7;
+	s->upstreams[1].ignores_stops = true;
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, UPSTREAM_COUNT);
+	run_for(s, 4000);
+	assert_int_equal(s->starts, 0);
+	set_all_leases(&s->upstreams[1], "stopped");
+	wait_until(s, s->starts);
+	teardown_site(s);
+}
+
+static void test_stopping_run_is_waited_for_by_the_next_leader(void **state)
+{
+	(void)state;
+	play_change_of_coordinator("stopping");
+}
+
+static void test_run_in_an_unknown_state_has_not_ended(void **state)
+{
+	(void)state;
+	play_change_of_coordinator("checkpointing");
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -990,6 +1023,9 @@
 		cmocka_unit_test(
 			test_unlisted_upstream_that_answers_again_keeps_its_run),
 		cmocka_unit_test(test_end_is_kept_until_the_row_is_found),
+		cmocka_unit_test(
+			test_stopping_run_is_waited_for_by_the_next_leader),
+		cmocka_unit_test(test_run_in_an_unknown_state_has_not_ended),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
