Let an upstream's list contradict the end of a lease by time

When the time of a releasing job's leases was over, all its parts counted as ended, also one that its upstream had just listed as "stopping": the job was started elsewhere beside it. An upstream may end a lease late.

The end by time holds for parts only whose upstream has not answered since; otherwise its list decides.

test_reported_run_has_not_ended_by_time failed before ("0x1 != 0" starts) and passes.

--- a/daemon/gang.c
+++ b/daemon/gang.c
@@ -684,6 +684,20 @@
 	}
 }
 
+/*
+ * Take the leases of g, whose time is over, for ended, but for those at
+ * upstreams that have reported since: their lists tell.
+ */
+static void end_expired_parts(struct gang *g)
+{
+	for (uint32_t i = 0; i < g->shape.parts; i++) {
+		const struct upstream_control *c = g->parts[i].control;
+
+		if (!c || c->confirmed_sent_ms <= g->leases_expired_by_ms)
+			g->parts[i].ended = true;
+	}
+}
+
 /*
  * Repeat a pending release, and finish it once all leases have expired.  Until
  * a majority has confirmed the epoch after that time, another coordinator may
@@ -696,10 +710,10 @@
 	if (now_ms >= g->leases_expired_by_ms &&
 	    coordinator_is_confirmed_since(g->coordinator,
 					   g->leases_expired_by_ms)) {
-		for (uint32_t i = 0; i < g->shape.parts; i++)
-			g->parts[i].ended = true;
+		end_expired_parts(g);
 		finish_release_if_ended(g);
-		return;
+		if (g->state != GANG_RELEASING)
+			return;
 	}
 	if (now_ms - g->releases_sent_ms < RELEASE_POLL_INTERVAL_MS)
 		return;
--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -222,9 +222,8 @@
 	} else if (!strcmp(path, "/start")) {
 		change_leases(u, leases, "running");
 		s->starts += json_array_size(leases);
-	} else if (!strcmp(path, "/release")) {
-		change_leases(u, leases,
-			      u->ignores_stops ? "stopping" : "stopped");
+	} else if (!strcmp(path, "/release") && !u->ignores_stops) {
+		change_leases(u, leases, "stopped");
 	} else if (!strcmp(path, "/renew")) {
 		u->renewals++;
 	}
@@ -296,8 +295,8 @@
 	bus_post(s->env.bus, &m);
 }
 
-/* Post all rows, as read by a scan that was sent now. */
-static void post_scan(struct fixture *s)
+/* Post all rows; caught_up_ms is when the scan was sent, 0 if a peer sent them. */
+static void post_rows(struct fixture *s, uint64_t caught_up_ms)
 {
 	struct message m = {
 		.tag = MSG_ROWS, .from = TASK_PLATFORM, .to = TASK_JOB};
@@ -307,11 +306,17 @@
 	m.rows.list = json_array();
 	json_object_foreach(s->rows, key, row)
 		json_array_append(m.rows.list, row);
-	s->scanned_ms = clock_mono_ms();
-	m.rows.caught_up_ms = s->scanned_ms;
+	m.rows.caught_up_ms = caught_up_ms;
 	bus_post(s->env.bus, &m);
 }
 
+/* Post all rows, as read by a scan that was sent now. */
+static void post_scan(struct fixture *s)
+{
+	s->scanned_ms = clock_mono_ms();
+	post_rows(s, s->scanned_ms);
+}
+
 static void put_job(struct fixture *s, const char *key, const char *state,
 		    json_int_t attempt)
 {
@@ -984,6 +989,26 @@
 	play_change_of_coordinator("checkpointing");
 }
 
+static void test_reported_run_has_not_ended_by_time(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	put_job(s, JOB_KEY, "running", ATTEMPT_OF_EPOCH(7));
+	put_running_lease(&s->upstreams[1], 7);
+	s->upstreams[0].epoch = 7;
+	s->upstreams[1].ignores_stops = true;
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, UPSTREAM_COUNT);
+	run_for(s, 3000);
+	set_all_leases(&s->upstreams[1], "stopping");
+	run_for(s, 10000);
+	assert_int_equal(s->starts, 0);
+	set_all_leases(&s->upstreams[1], "stopped");
+	wait_until(s, s->starts);
+	teardown_site(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -1026,6 +1051,7 @@
 		cmocka_unit_test(
 			test_stopping_run_is_waited_for_by_the_next_leader),
 		cmocka_unit_test(test_run_in_an_unknown_state_has_not_ended),
+		cmocka_unit_test(test_reported_run_has_not_ended_by_time),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
