Park no job by a configuration that may be older than its row

A job is parked, which is final, if no set of upstreams can hold its shape. Its row may reach the leader before a configuration that adds the upstreams which it was accepted for: peers forward rows, and instances may differ by 5 s. The job was ended by a stale copy.

It is parked only once the table was read, by a scan sent after the row was known, and does not fit the configuration then; until then it waits.

test_job_is_not_parked_by_an_old_configuration failed before (the row was not "accepted") and passes; test_job_that_never_fits_is_parked passed before and after.

--- a/daemon/coordinator-internal.h
+++ b/daemon/coordinator-internal.h
@@ -45,6 +45,7 @@
 	uint64_t rebound_ms; /* when the last list before it was asked for */
 	uint32_t rebound_loss_hash;
 	bool rows_changed;	  /* some gangs may have to be queued */
+	bool awaits_config;	  /* a job does not fit the one in force */
 	uint32_t releasing_count; /* gangs in GANG_RELEASING */
 };
 
@@ -119,7 +120,8 @@
 	uint64_t submitted_ms; /* monotonic */
 	char row_state[16];
 	bool has_row;
-	uint32_t job_handle; /* in the scheduler, or NO_JOB_HANDLE */
+	uint64_t row_known_ms; /* when the row was known first */
+	uint32_t job_handle;   /* in the scheduler, or NO_JOB_HANDLE */
 	enum gang_state state;
 	enum release_outcome outcome;
 	const char *reason; /* why it was released */
--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -70,7 +70,11 @@
 	l->account_queue_max = SCHED_QUEUE_MAX;
 }
 
-/* Add a gang to the scheduler, as placed if it has parts, else as waiting. */
+/*
+ * Add a gang to the scheduler, as placed if it has parts, else as waiting.  A
+ * job that does not fit is parked once the table was read after its row was
+ * known: the configuration in force may be older than the row.
+ */
 static void add_to_scheduler(struct coordinator *d, struct gang *g)
 {
 	struct job_spec spec;
@@ -78,10 +82,14 @@
 
 	gang_job_spec(g, &spec);
 	if (!g->parts) {
-		if (sched_submit(d->sched, &spec, &g->job_handle) ==
+		if (sched_submit(d->sched, &spec, &g->job_handle) !=
 		    SUBMIT_NEVER_FITS)
+			return;
+		if (d->table_caught_up_ms > g->row_known_ms)
 			gang_end(g, "parked",
 				 "no set of upstreams can hold this shape");
+		else
+			d->awaits_config = true;
 		return;
 	}
 	parts = g_new0(struct part, g->shape.parts);
@@ -999,6 +1007,8 @@
 		break;
 	case MSG_CAUGHT_UP:
 		d->table_caught_up_ms = m->number;
+		d->rows_changed = d->rows_changed || d->awaits_config;
+		d->awaits_config = false;
 		break;
 	case MSG_TABLE_STATE:
 		d->table_reachable = m->flag;
--- a/daemon/gang.c
+++ b/daemon/gang.c
@@ -94,6 +94,8 @@
 {
 	json_t *failed_on = json_object_get(row, "failed_on");
 
+	if (!g->has_row)
+		g->row_known_ms = clock_mono_ms();
 	g->has_row = true;
 	g_strlcpy(g->account, json_str_or(row, "account", ""),
 		  sizeof(g->account));
--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -1009,6 +1009,48 @@
 	teardown_site(s);
 }
 
+/* The configuration and the row reach an instance in any order. */
+static void test_job_is_not_parked_by_an_old_configuration(void **state)
+{
+	struct fixture *s = setup_site();
+	json_t *value = json_pack("{s:s,s:s,s:s,s:i,s:i,s:i,s:I}", "account",
+				  "damodar", "state", "accepted", "domain",
+				  "kolkata", "parts", 2, "accelerators", 8,
+				  "run_ms", 60000, "attempt", (json_int_t)0);
+
+	(void)state;
+	post_config(s, 1);
+	post_members(s, UPSTREAM_COUNT);
+	run_for(s, 3000);
+	s->table_is_silent = true;
+	put_row(s, JOB_KEY, value);
+	post_rows(s, 0);
+	run_for(s, 1000);
+	assert_true(job_is(s, JOB_KEY, "accepted"));
+	post_config(s, UPSTREAM_COUNT);
+	s->table_is_silent = false;
+	wait_until(s, job_is(s, JOB_KEY, "running"));
+	json_decref(value);
+	teardown_site(s);
+}
+
+static void test_job_that_never_fits_is_parked(void **state)
+{
+	struct fixture *s = setup_site();
+	json_t *value = json_pack("{s:s,s:s,s:s,s:i,s:i,s:i,s:I}", "account",
+				  "damodar", "state", "accepted", "domain",
+				  "kolkata", "parts", 2, "accelerators", 8,
+				  "run_ms", 60000, "attempt", (json_int_t)0);
+
+	(void)state;
+	put_row(s, JOB_KEY, value);
+	post_config(s, 1);
+	post_members(s, 1);
+	wait_until(s, job_is(s, JOB_KEY, "parked"));
+	json_decref(value);
+	teardown_site(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -1052,6 +1094,9 @@
 			test_stopping_run_is_waited_for_by_the_next_leader),
 		cmocka_unit_test(test_run_in_an_unknown_state_has_not_ended),
 		cmocka_unit_test(test_reported_run_has_not_ended_by_time),
+		cmocka_unit_test(
+			test_job_is_not_parked_by_an_old_configuration),
+		cmocka_unit_test(test_job_that_never_fits_is_parked),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
