--- a/daemon/platform_client.c
+++ b/daemon/platform_client.c
@@ -141,6 +141,7 @@
 
 	if (status == 200)
 		note_version(q->platform_client, version);
+	note_version(q->platform_client, json_int_or(row, "version", 0));
 	if (status == 200)
 		finish_request(q, verdict_ran(), version, NULL);
 	else if (status == 409)
@@ -153,6 +154,8 @@
 
 static void finish_read(struct table_request *q, int status, json_t *v)
 {
+	if (status == 200)
+		note_version(q->platform_client, json_int_or(v, "version", 0));
 	if (status == 200)
 		finish_request(q, verdict_ran(), json_int_or(v, "version", 0),
 			       json_incref(v));
--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -295,7 +295,7 @@
 	bus_post(s->env.bus, &m);
 }
 
-/* Post all rows; caught_up_ms is when the scan was sent, 0 if a peer sent them. */
+/* Post all rows; caught_up_ms is when the scan was sent, 0 for a peer's. */
 static void post_rows(struct fixture *s, uint64_t caught_up_ms)
 {
 	struct message m = {
