--- a/lead/replica.c
+++ b/lead/replica.c
@@ -1,6 +1,8 @@
 /*
  * A replica reads the whole table once, then follows the change feed. If
- * the feed's history has been compacted, it reads the table again.
+ * the feed's history has been compacted, it reads the table again. No answer is
+ * older than those before it (platform/rows.c), so the copy never goes back: a
+ * row that a complete read lacks has been removed.
  * Connections may stall silently, so each call has a timeout slightly above
  * its wait time.
  */
@@ -465,7 +467,7 @@
 	apply_rows(f, a);
 	if (!f->complete)
 		apply_page(f, a);
-	else if (a->version > f->version)
+	else
 		f->version = a->version;
 	timer_start(f->loop, &f->timer,
 		    f->complete && !f->refresh ? f->poll_delay_ms : 0);
