Do not begin another full read on 410 for a page of one

The number of the read was raised, but not its position: the rows of the pages before counted as not contained, and were reported as removed. Only the feed has a history; 410 for a page now counts as a failed call.

test_410_for_a_page_does_not_begin_another_read failed before with "a=1 b=1 a- " != "a=1 b=1 ". The platform's pages name 410 for the feed alone.

--- a/lead/replica.c
+++ b/lead/replica.c
@@ -435,7 +435,8 @@
 		replica_free(f);
 		return;
 	}
-	if (a->outcome == ROWS_COMPACTED) {
+	/* Only the feed has a history that can be dropped. */
+	if (a->outcome == ROWS_COMPACTED && f->complete) {
 		log_fields(LOG_WARN, "feed_compacted", "{s:s,s:I}", "table",
 			   f->table, "version", (json_int_t)f->version);
 		f->complete = false;
--- a/test/unit_replica.c
+++ b/test/unit_replica.c
@@ -233,6 +233,21 @@
 	fixture_destroy(&s);
 }
 
+/* Guards against rows of earlier pages that count as removed. */
+static void test_410_for_a_page_does_not_begin_another_read(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, replica_single_part);
+	answer_rows(&s, "from=&", 10, "a=1@5 +");
+	answer(&s, "from=a%01&", 410, "{}");
+	answer_rows(&s, "from=a%01&", 11, "b=1@6");
+	assert_changes(&s, "a=1 b=1 ");
+	assert_true(replica_is_complete(s.replica));
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -244,6 +259,8 @@
 			test_older_answer_of_the_feed_counts_as_failure),
 		cmocka_unit_test(
 			test_copy_is_not_older_than_an_answer_before_its_call),
+		cmocka_unit_test(
+			test_410_for_a_page_does_not_begin_another_read),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
