Ignore a removal that is older than the row in the copy

The feed after a full read begins at the version of the first page. A row of a later page that was removed and created in between was reported as removed and then as new. For an upstream's entry that is a departure that did not happen.

test_removal_older_than_the_row_is_ignored failed before with "b- b=2 ". test_row_that_changes_between_pages_is_current passed before.

--- a/lead/replica.c
+++ b/lead/replica.c
@@ -285,13 +285,16 @@
 	g_tree_foreach(f->copy, visit_row, &v);
 }
 
-/* Apply a row unless the copy has a newer version; NULL removes it. */
+/*
+ * Apply a row unless the copy has a newer version; NULL removes it. The version
+ * of a removal is 0 if it is unknown.
+ */
 static void apply_row(struct replica *f, const struct row *row)
 {
 	struct stored_row *s = g_tree_lookup(f->copy, row->key);
 
 	if (!row->value) {
-		if (!s)
+		if (!s || (row->version && row->version < s->version))
 			return;
 		f->ev.changed(f->arg, row->key, NULL, row->version);
 		g_tree_remove(f->copy, row->key);
--- a/test/unit_replica.c
+++ b/test/unit_replica.c
@@ -248,6 +248,41 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * The second page holds a row that was removed and created after the first one;
+ * the feed begins with its removal.
+ */
+static void test_removal_older_than_the_row_is_ignored(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, replica_single_part);
+	answer_rows(&s, "from=&", 10, "a=1@5 +");
+	answer_rows(&s, "from=a%01&", 15, "b=2@14");
+	assert_changes(&s, "a=1 b=2 ");
+	answer_rows(&s, "rows-feed?table=t&after=10", 15, "b-@12 b=2@14");
+	assert_changes(&s, "");
+	answer_rows(&s, "rows-feed?table=t&after=15", 16, "b-@16");
+	assert_changes(&s, "b- ");
+	fixture_destroy(&s);
+}
+
+/* A row that changes between two pages is in the copy as the feed shows it. */
+static void test_row_that_changes_between_pages_is_current(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, replica_single_part);
+	answer_rows(&s, "from=&", 10, "a=1@5 +");
+	answer_rows(&s, "from=a%01&", 15, "b=2@14");
+	answer_rows(&s, "rows-feed?table=t&after=10", 15,
+		    "a=2@11 b=1@12 c=1@13 c-@14 b=2@14");
+	assert_changes(&s, "a=1 b=2 a=2 c=1 c- ");
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -261,6 +296,9 @@
 			test_copy_is_not_older_than_an_answer_before_its_call),
 		cmocka_unit_test(
 			test_410_for_a_page_does_not_begin_another_read),
+		cmocka_unit_test(test_removal_older_than_the_row_is_ignored),
+		cmocka_unit_test(
+			test_row_that_changes_between_pages_is_current),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
