Count the age of a copy from the first page of a full read

Each answered page made the copy count as new, though its other rows are as old as the read before. A start for an upstream that does not refuse excess work looks at that age, and so does the wait for the configuration after a pause. The copy is now current as of the first call of its last complete read, or of the last feed call; the accessor is named after that.

test_age_of_the_copy_is_that_of_its_first_page failed before: the age was bounded while a page was missing.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -686,7 +686,7 @@
 	log_fields(LOG_INFO, "doubt_ended", "{s:I,s:i,s:b,s:I}", "took_ms",
 		   (json_int_t)(clock_mono_ms() - n->revalidating_since_ms),
 		   "requests", (int)requests->len, "asked",
-		   replica_answered_call_sent_ms(n->env.policies) >
+		   replica_current_at_ms(n->env.policies) >
 			   n->revalidating_since_ms,
 		   "policy", (json_int_t)(n->policy ? n->policy->version : 0));
 	n->revalidating_since_ms = 0;
@@ -711,8 +711,7 @@
 {
 	if (!n->revalidating_since_ms)
 		return;
-	if (replica_answered_call_sent_ms(n->env.policies) >
-	    n->revalidating_since_ms)
+	if (replica_current_at_ms(n->env.policies) > n->revalidating_since_ms)
 		finish_revalidation(n);
 	else
 		replica_refresh(n->env.policies);
--- a/lead/replica.c
+++ b/lead/replica.c
@@ -76,8 +76,10 @@
 	uint32_t failure_count;
 	/* When the call in flight was sent. */
 	uint64_t call_sent_ms;
-	/* When the newest answered call was sent. */
-	uint64_t answered_call_sent_ms;
+	/* When the first call of the current or last full read was sent. */
+	uint64_t read_sent_ms;
+	/* The copy holds all changes until then. */
+	uint64_t current_at_ms;
 	/* When the feed call before it was sent; 0 if that was no feed call. */
 	uint64_t feed_call_sent_ms;
 	/* The changes that are being applied were made after this time. */
@@ -177,15 +179,16 @@
  */
 uint64_t replica_age_max_ms(const struct replica *f)
 {
-	return f->answered_call_sent_ms
-		       ? clock_mono_ms() - f->answered_call_sent_ms
-		       : UINT64_MAX;
+	return f->current_at_ms ? clock_mono_ms() - f->current_at_ms
+				: UINT64_MAX;
 }
 
-/* Return when the newest answered call was sent; 0 if there was none. */
-uint64_t replica_answered_call_sent_ms(const struct replica *f)
+/*
+ * Return a time until which the copy holds all changes; 0 if it is incomplete.
+ */
+uint64_t replica_current_at_ms(const struct replica *f)
 {
-	return f->answered_call_sent_ms;
+	return f->current_at_ms;
 }
 
 /*
@@ -371,8 +374,10 @@
 {
 	uint32_t removed;
 
-	if (!*f->next_key && !f->part_index)
+	if (!*f->next_key && !f->part_index) {
 		f->read_version = a->version;
+		f->read_sent_ms = f->call_sent_ms;
+	}
 	if (a->more) {
 		/* The smallest key above the last one read. */
 		set_next_key(f, g_strconcat(a->last_key, "\001", NULL));
@@ -392,6 +397,7 @@
 			   (int)g_tree_nnodes(f->copy), "removed",
 			   (int)removed);
 	f->version = f->read_version;
+	f->current_at_ms = f->read_sent_ms;
 }
 
 /* Handle a call that failed, and schedule the next one. */
@@ -429,6 +435,13 @@
 	f->feed_call_sent_ms = f->complete ? f->call_sent_ms : 0;
 }
 
+/* Note that the copy is complete up to an answer of the feed. */
+static void note_feed_answer(struct replica *f, const struct rows_answer *a)
+{
+	f->version = a->version;
+	f->current_at_ms = f->call_sent_ms;
+}
+
 static void on_answer(void *arg, const struct rows_answer *a)
 {
 	struct replica *f = arg;
@@ -464,7 +477,6 @@
 			   f->table, "failures", (int)f->failure_count);
 	f->failure_count = 0;
 	f->answered_ms = clock_mono_ms();
-	f->answered_call_sent_ms = f->call_sent_ms;
 	f->store_ms = a->now_ms;
 	if (!f->answered_since_ms)
 		f->answered_since_ms = f->answered_ms;
@@ -472,7 +484,7 @@
 	if (!f->complete)
 		apply_page(f, a);
 	else
-		f->version = a->version;
+		note_feed_answer(f, a);
 	timer_start(f->loop, &f->timer,
 		    f->complete && !f->refresh ? f->poll_delay_ms : 0);
 	if (f->ev.answered)
--- a/lead/replica.h
+++ b/lead/replica.h
@@ -34,7 +34,7 @@
 bool replica_is_complete(const struct replica *f);
 uint64_t replica_age_ms(const struct replica *f);
 uint64_t replica_age_max_ms(const struct replica *f);
-uint64_t replica_answered_call_sent_ms(const struct replica *f);
+uint64_t replica_current_at_ms(const struct replica *f);
 uint64_t replica_changes_after_ms(const struct replica *f);
 void replica_refresh(struct replica *f);
 void replica_expect_large_rows(struct replica *f);
--- a/test/unit_replica.c
+++ b/test/unit_replica.c
@@ -283,6 +283,23 @@
 	fixture_destroy(&s);
 }
 
+/* Guards against a copy that counts as new from its first page on. */
+static void test_age_of_the_copy_is_that_of_its_first_page(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, replica_single_part);
+	answer_rows(&s, "from=&", 10, "a=1@5 +");
+	assert_true(replica_age_max_ms(s.replica) == UINT64_MAX);
+	clock_offset_ms += 500;
+	answer_rows(&s, "from=a%01&", 15, "b=2@14");
+	assert_true(replica_age_max_ms(s.replica) >= 500);
+	answer_rows(&s, "rows-feed?table=t&after=10", 15, "");
+	assert_true(replica_age_max_ms(s.replica) < 500);
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -299,6 +316,8 @@
 		cmocka_unit_test(test_removal_older_than_the_row_is_ignored),
 		cmocka_unit_test(
 			test_row_that_changes_between_pages_is_current),
+		cmocka_unit_test(
+			test_age_of_the_copy_is_that_of_its_first_page),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
