Keep the runs of a job whose spec row is gone before it has ended

What callers could see: two runs of each task of a job at once.

A leader removed a job from its model as soon as its spec row was removed, and with it what it knew of the job's runs. If the row came back, all tasks started anew with number 1, while the first runs became strays. Only a leader removes spec rows, after the job's end is recorded, so a row that is gone earlier proves nothing: the job is now kept with its runs and ends as usual, and the missing row is logged as job_row_missing.

--- a/lead/leader.c
+++ b/lead/leader.c
@@ -239,17 +239,24 @@
 		cancel_job(d, j);
 }
 
-/* Remove a job whose spec row is gone, and log one that has not ended. */
+/*
+ * Remove a job whose spec row is gone. One whose end is not recorded keeps its
+ * runs: it was not removed by a leader.
+ */
 static void forget_job(struct leader *d, const char *id)
 {
 	const struct job *j = model_find_job(d->model, id);
 
-	if (j && !job_is_final(j))
-		log_fields(LOG_WARN, "job_forgotten", "{s:s,s:s,s:b,s:I}",
-			   "job", id, "state", job_state_name(j->state),
-			   "active", job_has_active_tasks(j), "version",
-			   (json_int_t)replica_version(d->specs));
-	model_remove_job(d->model, id);
+	if (!j)
+		return;
+	if (job_is_final(j) && !job_has_active_tasks(j) && !j->dirty) {
+		model_remove_job(d->model, id);
+		return;
+	}
+	log_fields(LOG_ERROR, "job_row_missing", "{s:s,s:s,s:b,s:I}", "job", id,
+		   "state", job_state_name(j->state), "active",
+		   job_has_active_tasks(j), "version",
+		   (json_int_t)replica_version(d->specs));
 }
 
 static void apply_spec_row(void *arg, const char *id, const char *value,
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -32,6 +32,8 @@
 #define LEASE_MS 6000
 /* An upstream that has never answered may be cut off for this long. */
 #define NEVER_HEARD_LIMIT_MS 10000
+/* Version of the store when a test begins. */
+#define VERSION_AT_FIRST 5
 /* Time by which the clock is advanced between two steps of the loop. */
 #define ADVANCE_MS 50
 
@@ -53,6 +55,9 @@
 	bool store_is_silent;
 	bool starts_are_late; /* the upstream refuses starts as late */
 	bool yields_are_lost; /* the store falls silent with a resignation */
+	/* So many reads of this table are of the store as it began. */
+	const char *stale_table;
+	uint32_t stale_reads;
 	uint32_t stronger_peers;
 	uint32_t writes;
 	uint32_t run_writes;	     /* writes that hold a run row */
@@ -188,6 +193,17 @@
 	return owner_decode(s->written_owner, &r) && !*r.instance;
 }
 
+/* Report whether this call gets the answer of a store that lags behind. */
+static bool is_stale_read(struct fixture *s, const char *path)
+{
+	char *text = g_strdup_printf("rows-get?table=%s&", s->stale_table);
+	bool stale = s->stale_reads && strstr(path, text);
+
+	s->stale_reads -= stale;
+	g_free(text);
+	return stale;
+}
+
 /* Answer reads and writes; a feed has no changes and is never answered. */
 static bool send_to_store(void *arg, const char *method, const char *path,
 			  const char *body, uint32_t timeout_ms,
@@ -196,6 +212,7 @@
 	struct fixture *s = arg;
 	struct call *c = g_new0(struct call, 1);
 	bool write = !strcmp(method, "POST");
+	bool stale = is_stale_read(s, path);
 	json_t *v;
 
 	(void)timeout_ms;
@@ -212,9 +229,10 @@
 	c->done_arg = done_arg;
 	timer_init(&c->timer, answer_call, c);
 	s->version += write;
-	v = json_pack("{s:o,s:I,s:I}", "rows", rows_of(s, path), "rowVersion",
-		      (json_int_t)s->version, "nowMs",
-		      (json_int_t)clock_mono_ms());
+	v = json_pack("{s:o,s:I,s:I}", "rows",
+		      stale ? json_array() : rows_of(s, path), "rowVersion",
+		      (json_int_t)(stale ? VERSION_AT_FIRST : s->version),
+		      "nowMs", (json_int_t)clock_mono_ms());
 	c->body = json_dumps(v, JSON_COMPACT);
 	json_decref(v);
 	g_ptr_array_add(s->calls, c);
@@ -375,7 +393,7 @@
 			      .calls =
 				      g_ptr_array_new_with_free_func(call_free),
 			      .running = json_array(),
-			      .version = 5,
+			      .version = VERSION_AT_FIRST,
 			      .write_delay_ms = write_delay_ms};
 	s->http = http_client_create(s->loop);
 	s->counters = counters_create();
@@ -1209,6 +1227,99 @@
 	fixture_destroy(&s);
 }
 
+/* Answer the feed of a table, if it is being waited for, with this status. */
+static void refuse_feed(struct fixture *s, const char *table, int status)
+{
+	char *path = g_strdup_printf("rows-feed?table=%s&", table);
+	struct http_result r = {.verdict = verdict_ran(),
+				.status = status,
+				.body = "{}",
+				.len = 2};
+
+	for (guint i = 0; i < s->calls->len; i++) {
+		struct call *c = g_ptr_array_index(s->calls, i);
+
+		if (!strstr(c->path, path))
+			continue;
+		c->done(c->done_arg, &r);
+		g_ptr_array_remove_fast(s->calls, c);
+		g_free(path);
+		return;
+	}
+	fail_msg("no call of %s", path);
+}
+
+/*
+ * After its feed was compacted the table of jobs is read from a copy that lags
+ * behind. Guards against a leader that forgets a job and starts it anew.
+ */
+static void test_stale_read_of_specs_starts_no_task_again(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	lead_with_running_job(&s);
+	run_for(&s, 500);
+	s.stale_table = SPEC_TABLE;
+	s.stale_reads = JOB_PARTS;
+	refuse_feed(&s, SPEC_TABLE, 410);
+	run_for(&s, 3000);
+	submit_job(&s);
+	run_for(&s, 3000);
+	assert_int_equal(s.stale_reads, 0);
+	assert_true(leader_is_active(s.leader));
+	assert_int_equal(s.starts, 1);
+	assert_int_equal(json_array_size(s.running), 1);
+	fixture_destroy(&s);
+}
+
+/* The row of a job that has not ended is removed, and written again. */
+static void test_job_without_its_row_keeps_its_runs(void **state)
+{
+	json_t *row = encode_row(JOB, "", 0);
+	struct fixture s;
+
+	(void)state;
+	lead_with_running_job(&s);
+	run_for(&s, 500);
+	json_object_set_new(row, "deleted", json_true());
+	feed_rows(&s, SPEC_TABLE, json_pack("[o]", row));
+	run_for(&s, 1000);
+	submit_job(&s);
+	run_for(&s, 3000);
+	assert_int_equal(s.starts, 1);
+	s.ended = json_array();
+	run_for(&s, 3000);
+	assert_int_equal(s.completed, 1);
+	fixture_destroy(&s);
+}
+
+/*
+ * A new leader reads the runs of its predecessor from a copy that lags behind
+ * its claim. Guards against a task that is started beside its first run.
+ */
+static void test_stale_read_of_runs_starts_no_task_again(void **state)
+{
+	struct fixture s;
+	uint64_t began_ms;
+
+	(void)state;
+	fixture_create(&s, 5);
+	s.has_job = true;
+	s.run = encode_active_run(&s);
+	s.stale_table = RUN_TABLE;
+	s.stale_reads = 2;
+	s.owner = g_strdup("{\"instance\":\"\",\"incarnation\":1,\"epoch\":2,"
+			   "\"sequence\":4,\"earlier_ms\":0}");
+	began_ms = clock_mono_ms();
+	while (!s.starts && clock_mono_ms() < began_ms + 60000)
+		run_for(&s, ADVANCE_MS);
+	assert_int_equal(s.stale_reads, 0);
+	assert_int_equal(s.starts, 1);
+	assert_true(clock_mono_ms() >= began_ms + LEASE_MS);
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -1249,6 +1360,9 @@
 		cmocka_unit_test(
 			test_upstreams_never_heard_of_speak_for_no_domain),
 		cmocka_unit_test(test_upstream_with_odd_entry_keeps_its_runs),
+		cmocka_unit_test(test_stale_read_of_specs_starts_no_task_again),
+		cmocka_unit_test(test_job_without_its_row_keeps_its_runs),
+		cmocka_unit_test(test_stale_read_of_runs_starts_no_task_again),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
