Hold a job whose run row cannot be read until earlier leases have ended

A row of runs that cannot be read, wholly or in part, counted as one without those runs: a new leader started the tasks at once, while the first runs held leases of an earlier leader. The job now starts nothing before the last lease of earlier leaders has ended. A first run on an upstream that answers is a stray and is stopped in that time; one on an upstream that does not answer has ended.

test_job_whose_runs_are_unreadable_waits failed before: started at once, with a row that is no JSON and with one whose task names no incarnation.

--- a/lead/leader.c
+++ b/lead/leader.c
@@ -203,7 +203,8 @@
 
 /*
  * Add a job to the model from its spec row and its run row, unless it is
- * known or has ended. A malformed row is logged.
+ * known or has ended. A malformed row is logged; a run that it does not show
+ * is a stray, or has ended with the leases of earlier leaders.
  */
 static void add_job(struct leader *d, const char *id, const char *value)
 {
@@ -223,9 +224,11 @@
 	age = store > j->received_ms ? store - j->received_ms : 0;
 	j->since_ms = now_ms - MIN(age, now_ms - 1);
 	model_add_job(d->model, j);
-	if (run && !run_decode(j, run, inherit_run, d))
+	if (run && !run_decode(j, run, inherit_run, d)) {
 		log_fields(LOG_ERROR, "bad_row", "{s:s,s:s}", "job", id,
 			   "table", RUN_TABLE);
+		j->unknown_runs_end_ms = d->model->earlier_leases_end_ms;
+	}
 	/* The rows of a final job have to be removed. */
 	j->dirty = job_is_final(j);
 	j->recorded_state = j->state;
--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -264,7 +264,8 @@
 		if (c.stage->earlier_run_done)
 			stop_already_done(p, c.stage);
 		stop_broken_gang(p, c.stage);
-		if (p->input->stops_only)
+		if (p->input->stops_only ||
+		    p->input->now_ms <= j->unknown_runs_end_ms)
 			continue;
 		if (!stage_waiting_count(c.stage) ||
 		    (c.stage->step->gang && !stage_is_idle(c.stage)))
--- a/sched/job.h
+++ b/sched/job.h
@@ -214,6 +214,8 @@
 	enum job_state recorded_state; /* the state in the rows */
 	uint64_t since_ms;	       /* received_ms on our clock */
 	uint64_t ended_ms;	       /* on the store's clock */
+	/* Runs that are not known may be active until then. */
+	uint64_t unknown_runs_end_ms;
 	uint32_t stages_len;
 	struct stage *stages;
 	/* settings of its queue, updated with each configuration */
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -1320,6 +1320,35 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * The row of a job's runs cannot be read. Its tasks are not started before the
+ * leases of earlier leaders have ended.
+ */
+static void test_job_whose_runs_are_unreadable_waits(void **state)
+{
+	static const char *const odd[] = {
+		"{", "{\"state\":\"running\",\"stages\":[[0,\"4,0,9\",0]]}"};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		struct fixture s;
+		uint64_t began_ms;
+
+		fixture_create(&s, 5);
+		s.has_job = true;
+		s.run = strdup(odd[i]);
+		s.owner = g_strdup(
+			"{\"instance\":\"\",\"incarnation\":1,\"epoch\":2,"
+			"\"sequence\":4,\"earlier_ms\":3000}");
+		began_ms = clock_mono_ms();
+		while (!s.starts && clock_mono_ms() < began_ms + 60000)
+			run_for(&s, ADVANCE_MS);
+		assert_int_equal(s.starts, 1);
+		assert_true(clock_mono_ms() >= began_ms + 3000 + LEASE_MS);
+		fixture_destroy(&s);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -1363,6 +1392,7 @@
 		cmocka_unit_test(test_stale_read_of_specs_starts_no_task_again),
 		cmocka_unit_test(test_job_without_its_row_keeps_its_runs),
 		cmocka_unit_test(test_stale_read_of_runs_starts_no_task_again),
+		cmocka_unit_test(test_job_whose_runs_are_unreadable_waits),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
