Remove the state row of an ended job after all its other rows

What callers could see: a job that had completed is run once more, from the start; or it stays in the count of pending jobs for good.

The rows of an ended job are removed by one transaction for each part, which may fail, and the state row by the leader's own write. A part that is refused or silent while the leader's part is not lost its removals: nothing led to the other rows any more, although the code said that the next pass finds them again. A spec row without a state row and a run row is a new job for the next leader.

The state row is now removed only when the copies of the other tables show that the rows are gone, and are not older than the state row: an older copy may lack a row that exists. The state row itself is evidence that does not age, as an ended job never changes.

Both tests of the new unit_expire failed before: the state row was removed in the same pass, and by copies from before the end of the job.

--- a/lead/expire.c
+++ b/lead/expire.c
@@ -32,6 +32,35 @@
 		       : NULL;
 }
 
+/*
+ * Remove a row if the copy of its table holds it. Returns whether it is known
+ * to be gone; a copy older than min_version may lack a row that exists.
+ */
+static bool remove_row(struct rows_tx *t, const struct replica *copy,
+		       const char *table, const char *key, uint64_t min_version)
+{
+	if (!replica_get(copy, key, NULL))
+		return replica_version(copy) >= min_version;
+	rows_tx_remove(t, table, key);
+	return false;
+}
+
+/* Remove the row of this kind of a job; returns whether it is known gone. */
+static bool remove_job_row(struct rows_tx *t, const struct expiry *e,
+			   const char *kind, const char *id,
+			   uint64_t min_version)
+{
+	char *key = g_strconcat(kind, id, NULL);
+	bool gone = remove_row(t, e->jobs, JOB_TABLE, key, min_version);
+
+	g_free(key);
+	return gone;
+}
+
+/*
+ * Remove the rows of a job that has ended. Its state row is the last: without
+ * it, the others would be those of a new job.
+ */
 static void remove_ended_job(void *arg, const char *id, const char *value,
 			     uint64_t version)
 {
@@ -39,31 +68,27 @@
 	const struct expiry *e = r->expiry;
 	struct state_record s;
 	struct rows_tx *t;
-	char *key;
+	bool gone;
 
-	(void)version;
 	if (!state_decode(value, &s) || !job_state_is_final(s.state) ||
 	    model_find_job(e->model, id))
 		return;
 	t = part_transaction(r, id);
-	if (t && replica_get(e->specs, id, NULL))
-		rows_tx_remove(t, SPEC_TABLE, id);
-	if (!t || !state_expired(&s, e->before_ms) ||
-	    rows_tx_count_entries(r->states) >= EXPIRE_ROWS_MAX)
+	if (!t)
 		return;
-	key = g_strconcat(KEY_JOB, id, NULL);
-	rows_tx_remove(t, JOB_TABLE, key);
-	g_free(key);
-	key = g_strconcat(KEY_CANCEL, id, NULL);
-	rows_tx_remove(t, JOB_TABLE, key);
-	g_free(key);
-	rows_tx_remove(r->states, STATE_TABLE, id);
+	gone = remove_row(t, e->specs, SPEC_TABLE, id, version);
+	if (!state_expired(&s, e->before_ms))
+		return;
+	gone &= remove_job_row(t, e, KEY_JOB, id, version);
+	gone &= remove_job_row(t, e, KEY_CANCEL, id, version);
+	if (gone && rows_tx_count_entries(r->states) < EXPIRE_ROWS_MAX)
+		rows_tx_remove(r->states, STATE_TABLE, id);
 }
 
 static void on_removed(void *arg, const struct rows_answer *a)
 {
 	(void)arg;
-	/* The next pass finds the rows again. */
+	/* The state rows remain, so the next pass finds these again. */
 	if (a->outcome != ROWS_OK)
 		log_fields(LOG_WARN, "removal_failed", "{s:s}", "outcome",
 			   rows_outcome_name(a->outcome));
--- a/lead/expire.h
+++ b/lead/expire.h
@@ -14,6 +14,7 @@
 struct expiry {
 	struct rows *rows;
 	const struct replica *states;
+	const struct replica *jobs;
 	const struct replica *specs;
 	/* A job in the model is not over yet, so its rows are kept. */
 	const struct model *model;
--- a/lead/leader.c
+++ b/lead/leader.c
@@ -603,6 +603,7 @@
 {
 	struct expiry e = {.rows = d->env.rows,
 			   .states = d->env.states,
+			   .jobs = d->env.jobs,
 			   .specs = d->specs,
 			   .model = d->model};
 	uint64_t store = replica_store_clock_ms(d->env.states);
--- /dev/null
+++ b/test/unit_expire.c
@@ -0,0 +1,201 @@
+/* Tests of the removal of rows that are no longer needed. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lead/expire.h"
+#include "lead/record.h"
+#include "lib/loop.h"
+#include "lib/schema.h"
+
+/* A job of the first part, and the version at which it ended. */
+#define JOB "00000000000000a1"
+#define ENDED_VERSION 20
+/* Its end on the store's clock. */
+#define ENDED_MS 1000
+#define READ_MAX_MS 2000
+
+struct fixture {
+	struct loop *loop;
+	/* One client for each table: their answers differ in version. */
+	struct rows *rows[3];
+	uint32_t rows_len;
+	bool has_spec, has_job, has_cancel;
+	/* Version of the answers about specs, and about jobs. */
+	uint64_t specs_version, jobs_version;
+	char *removed; /* the transactions that were sent */
+};
+
+static void append_row(json_t *rows, const char *key, const char *value)
+{
+	char *b64 = g_base64_encode((const guchar *)value, strlen(value));
+
+	json_array_append_new(rows, json_pack("{s:s,s:s,s:I}", "key", key,
+					      "value", b64, "rowVersion",
+					      (json_int_t)ENDED_VERSION));
+	g_free(b64);
+}
+
+/* Answer reads at once, and keep the text of transactions. */
+static bool answer_call(void *arg, const char *method, const char *path,
+			const char *body, uint32_t timeout_ms,
+			http_done_fn done, void *done_arg)
+{
+	struct fixture *s = arg;
+	struct http_result r = {.verdict = verdict_ran(), .status = 200};
+	uint64_t version = ENDED_VERSION;
+	json_t *rows = json_array();
+	char *text;
+	json_t *v;
+
+	(void)timeout_ms;
+	if (strstr(path, "rows-feed")) {
+		json_decref(rows);
+		return false;
+	}
+	if (!strcmp(method, "POST")) {
+		text = g_strconcat(s->removed, body, NULL);
+		g_free(s->removed);
+		s->removed = text;
+	} else if (strstr(path, "table=" STATE_TABLE "&")) {
+		append_row(rows, JOB,
+			   "{\"state\":\"completed\",\"ended_ms\":1000}");
+	} else if (strstr(path, "table=" SPEC_TABLE "&")) {
+		version = s->specs_version;
+		if (s->has_spec && strstr(path, "part=0&"))
+			append_row(rows, JOB, "{}");
+	} else {
+		version = s->jobs_version;
+		if (s->has_cancel && strstr(path, "part=0&"))
+			append_row(rows, KEY_CANCEL JOB, "{}");
+		if (s->has_job && strstr(path, "part=0&"))
+			append_row(rows, KEY_JOB JOB, "{}");
+	}
+	v = json_pack("{s:o,s:I,s:I}", "rows", rows, "rowVersion",
+		      (json_int_t)version, "nowMs", (json_int_t)ENDED_MS);
+	text = json_dumps(v, JSON_COMPACT);
+	r.body = text;
+	r.len = strlen(text);
+	done(done_arg, &r);
+	free(text);
+	json_decref(v);
+	return true;
+}
+
+static void ignore_row(void *arg, const char *key, const char *value,
+		       uint64_t version)
+{
+	(void)arg;
+	(void)key;
+	(void)value;
+	(void)version;
+}
+
+static struct replica *read_table(struct fixture *s, const char *table,
+				  const char *const *parts)
+{
+	struct replica_events ev = {.changed = ignore_row};
+	struct rows *r = s->rows[s->rows_len++] = rows_create(answer_call, s);
+	struct replica *f =
+		replica_create(s->loop, r, table, parts, 1000, &ev, s);
+	uint64_t deadline_ms = clock_mono_ms() + READ_MAX_MS;
+
+	while (!replica_is_complete(f) && clock_mono_ms() < deadline_ms)
+		loop_step(s->loop, 1);
+	assert_true(replica_is_complete(f));
+	return f;
+}
+
+/* Run one pass of the leader; returns how many state rows it removes. */
+static uint32_t expire(struct fixture *s)
+{
+	struct rows_tx *t = rows_tx_create(LEADER_PART);
+	struct model *m = model_create();
+	struct replica *states, *specs, *jobs;
+	struct expiry e;
+	uint32_t n;
+
+	s->loop = loop_create();
+	s->removed = g_strdup("");
+	states = read_table(s, STATE_TABLE, replica_single_part);
+	specs = read_table(s, SPEC_TABLE, job_parts);
+	jobs = read_table(s, JOB_TABLE, job_parts);
+	e = (struct expiry){.rows = s->rows[0],
+			    .states = states,
+			    .specs = specs,
+			    .jobs = jobs,
+			    .model = m,
+			    .before_ms = ENDED_MS + 1};
+	expire_rows(&e, t);
+	n = rows_tx_count_entries(t);
+	rows_tx_destroy(t);
+	replica_destroy(states);
+	replica_destroy(specs);
+	replica_destroy(jobs);
+	while (s->rows_len)
+		rows_destroy(s->rows[--s->rows_len]);
+	model_destroy(m);
+	loop_destroy(s->loop);
+	return n;
+}
+
+/*
+ * The transactions that remove the other rows may fail. Guards against an ended
+ * job that a later leader takes for a new one, as nothing tells that it ended.
+ */
+static void test_state_row_is_removed_after_all_others(void **state)
+{
+	struct fixture s = {.has_spec = true,
+			    .has_job = true,
+			    .has_cancel = true,
+			    .specs_version = ENDED_VERSION,
+			    .jobs_version = ENDED_VERSION};
+
+	(void)state;
+	assert_int_equal(expire(&s), 0);
+	assert_non_null(strstr(s.removed, SPEC_TABLE));
+	assert_non_null(strstr(s.removed, KEY_JOB JOB));
+	assert_non_null(strstr(s.removed, KEY_CANCEL JOB));
+	g_free(s.removed);
+	s.has_spec = s.has_job = false;
+	assert_int_equal(expire(&s), 0);
+	assert_non_null(strstr(s.removed, KEY_CANCEL JOB));
+	g_free(s.removed);
+	s.has_cancel = false;
+	assert_int_equal(expire(&s), 1);
+	assert_string_equal(s.removed, "");
+	g_free(s.removed);
+}
+
+/* What a copy from before the end of a job lacks may exist. */
+static void test_state_row_is_kept_while_the_copies_are_older(void **state)
+{
+	struct fixture s = {.specs_version = ENDED_VERSION - 1,
+			    .jobs_version = ENDED_VERSION};
+
+	(void)state;
+	assert_int_equal(expire(&s), 0);
+	g_free(s.removed);
+	s.specs_version = ENDED_VERSION;
+	s.jobs_version = ENDED_VERSION - 1;
+	assert_int_equal(expire(&s), 0);
+	g_free(s.removed);
+	s.jobs_version = ENDED_VERSION;
+	assert_int_equal(expire(&s), 1);
+	g_free(s.removed);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_state_row_is_removed_after_all_others),
+		cmocka_unit_test(
+			test_state_row_is_kept_while_the_copies_are_older),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
