--- a/test/unit_replica.c
+++ b/test/unit_replica.c
@@ -233,6 +233,34 @@
 	fixture_destroy(&s);
 }
 
+static void note_conflict(void *arg, const struct rows_answer *a)
+{
+	assert_int_equal(a->outcome, ROWS_CONFLICT);
+	*(bool *)arg = true;
+}
+
+/*
+ * A claim may be known from the row that a conflict shows. What is read after it
+ * must not be older.
+ */
+static void test_copy_is_not_older_than_a_row_of_a_conflict(void **state)
+{
+	struct fixture s;
+	bool answered = false;
+
+	(void)state;
+	fixture_create(&s, replica_single_part);
+	rows_commit(s.rows, "{}", 1000, note_conflict, &answered);
+	answer(&s, "rows-tx", 412,
+	       "{\"rows\":[{\"key\":\"a\",\"value\":\"\",\"rowVersion\":30}]}");
+	assert_true(answered);
+	answer_rows(&s, "rows-get", 29, "");
+	assert_false(replica_is_complete(s.replica));
+	answer_rows(&s, "rows-get", 30, "");
+	assert_true(replica_is_complete(s.replica));
+	fixture_destroy(&s);
+}
+
 /* Guards against rows of earlier pages that count as removed. */
 static void test_410_for_a_page_does_not_begin_another_read(void **state)
 {
@@ -311,6 +339,8 @@
 			test_older_answer_of_the_feed_counts_as_failure),
 		cmocka_unit_test(
 			test_copy_is_not_older_than_an_answer_before_its_call),
+		cmocka_unit_test(
+			test_copy_is_not_older_than_a_row_of_a_conflict),
 		cmocka_unit_test(
 			test_410_for_a_page_does_not_begin_another_read),
 		cmocka_unit_test(test_removal_older_than_the_row_is_ignored),
