Let instance rows expire by the time at which the copy was read

The leader compared the rows in its copy with the store's clock, extrapolated from the last answer. A copy that is not read any more, while the leader's writes succeed, does not show that instances have renewed their rows: after 30 minutes all of them would be removed, and peers would not find each other.

test_instances_do_not_expire_by_an_old_copy failed before: one row removed.

--- a/lead/expire.c
+++ b/lead/expire.c
@@ -134,13 +134,13 @@
 	(void)version;
 	if (rows_tx_count_entries(r->tx) < EXPIRE_ROWS_MAX &&
 	    (!peer_record_decode(key + strlen(KEY_INSTANCE), value, &p) ||
-	     peer_record_is_expired(&p, replica_store_clock_ms(r->owners))))
+	     peer_record_is_expired(&p, replica_answer_clock_ms(r->owners))))
 		rows_tx_remove(r->tx, OWNER_TABLE, key);
 }
 
 /*
  * Add to t the removal of instance rows that are malformed or were not
- * renewed for too long.
+ * renewed for too long when the copy was read.
  */
 void expire_instances(const struct replica *owners, struct rows_tx *t)
 {
--- a/lead/replica.c
+++ b/lead/replica.c
@@ -243,6 +243,15 @@
 	return f->store_ms + (clock_mono_ms() - f->answered_ms);
 }
 
+/*
+ * Return the store's monotonic clock at the newest answer, which bounds what
+ * the copy shows; 0 if there was none.
+ */
+uint64_t replica_answer_clock_ms(const struct replica *f)
+{
+	return f->store_ms;
+}
+
 /* Set the delay between an answer and the next feed call. */
 void replica_set_poll_delay(struct replica *f, uint32_t poll_delay_ms)
 {
--- a/lead/replica.h
+++ b/lead/replica.h
@@ -42,6 +42,7 @@
 uint64_t replica_answered_since_ms(const struct replica *f);
 uint64_t replica_version(const struct replica *f);
 uint64_t replica_store_clock_ms(const struct replica *f);
+uint64_t replica_answer_clock_ms(const struct replica *f);
 void replica_set_poll_delay(struct replica *f, uint32_t poll_delay_ms);
 const char *replica_get(const struct replica *f, const char *key,
 			uint64_t *version);
--- a/test/unit_expire.c
+++ b/test/unit_expire.c
@@ -9,8 +9,11 @@
 
 #include "lead/expire.h"
 #include "lead/record.h"
+#include "lib/address.h"
 #include "lib/loop.h"
 #include "lib/schema.h"
+#include "peer/roster.h"
+#include "test/testclock.h"
 
 /* A job of the first part, and the version at which it ended. */
 #define JOB "00000000000000a1"
@@ -28,6 +31,8 @@
 	/* Version of the answers about specs, and about jobs. */
 	uint64_t specs_version, jobs_version;
 	char *removed; /* the transactions that were sent */
+	/* When the row of an instance was written, and the time of answers. */
+	uint64_t instance_written_ms, now_ms;
 };
 
 static void append_row(json_t *rows, const char *key, const char *value)
@@ -40,6 +45,19 @@
 	g_free(b64);
 }
 
+/* Append the row of an instance, written at this time on the store's clock. */
+static void append_instance(json_t *rows, uint64_t written_ms)
+{
+	struct peer_record p = {
+		.domain = "z", .strength = 100, .written_ms = written_ms};
+	char *value;
+
+	assert_true(address_parse("127.0.0.1:80", &p.address));
+	value = peer_record_encode(&p);
+	append_row(rows, KEY_INSTANCE "i", value);
+	free(value);
+}
+
 /* Answer reads at once, and keep the text of transactions. */
 static bool answer_call(void *arg, const char *method, const char *path,
 			const char *body, uint32_t timeout_ms,
@@ -61,6 +79,8 @@
 		text = g_strconcat(s->removed, body, NULL);
 		g_free(s->removed);
 		s->removed = text;
+	} else if (strstr(path, "table=" OWNER_TABLE "&")) {
+		append_instance(rows, s->instance_written_ms);
 	} else if (strstr(path, "table=" STATE_TABLE "&")) {
 		append_row(rows, JOB,
 			   "{\"state\":\"completed\",\"ended_ms\":1000}");
@@ -76,7 +96,8 @@
 			append_row(rows, KEY_JOB JOB, "{}");
 	}
 	v = json_pack("{s:o,s:I,s:I}", "rows", rows, "rowVersion",
-		      (json_int_t)version, "nowMs", (json_int_t)ENDED_MS);
+		      (json_int_t)version, "nowMs",
+		      (json_int_t)MAX(s->now_ms, ENDED_MS));
 	text = json_dumps(v, JSON_COMPACT);
 	r.body = text;
 	r.len = strlen(text);
@@ -189,12 +210,45 @@
 	g_free(s.removed);
 }
 
+/* Return how many instance rows a leader removes by a copy that is old. */
+static uint32_t expire_instances_later(struct fixture *s, uint64_t later_ms)
+{
+	struct rows_tx *t = rows_tx_create(LEADER_PART);
+	struct replica *owners;
+	uint32_t n;
+
+	s->loop = loop_create();
+	owners = read_table(s, OWNER_TABLE, replica_single_part);
+	clock_offset_ms = later_ms;
+	expire_instances(owners, t);
+	clock_offset_ms = 0;
+	n = rows_tx_count_entries(t);
+	rows_tx_destroy(t);
+	replica_destroy(owners);
+	rows_destroy(s->rows[--s->rows_len]);
+	loop_destroy(s->loop);
+	return n;
+}
+
+/* A copy that is not read any more does not show that a row was renewed. */
+static void test_instances_do_not_expire_by_an_old_copy(void **state)
+{
+	struct fixture s = {.instance_written_ms = ENDED_MS};
+
+	(void)state;
+	assert_int_equal(expire_instances_later(&s, 0), 0);
+	assert_int_equal(expire_instances_later(&s, 4 * ROSTER_INTERVAL_MS), 0);
+	s.now_ms = ENDED_MS + 4 * ROSTER_INTERVAL_MS;
+	assert_int_equal(expire_instances_later(&s, 0), 1);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_state_row_is_removed_after_all_others),
 		cmocka_unit_test(
 			test_state_row_is_kept_while_the_copies_are_older),
+		cmocka_unit_test(test_instances_do_not_expire_by_an_old_copy),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
