Let the stand-in play stale reads, lapsed entries and silent feeds

The users saw two runs of one task on a site of 39 instances and 350 upstreams. The stand-in of the joint platform could not play what such a site sees after an outage or a cut: reads of an old copy, feeds that hear nothing before their history is gone, entries that lapse while the store is away and return late. It can now, by control commands, and it keeps all changes of a row for that.

The record of starts names both runs of a start of what runs or is done, with upstreams, epochs and times, also in the log. An end that became void used to hide another, binding end of the same task; each end is kept by itself now, which makes after_done stricter.

The proxy raises its limit of open files, as a grown site has over 500 links.

--- a/Makefile
+++ b/Makefile
@@ -41,8 +41,8 @@
 $(OUT)/lacewingctl: $(call obj,$(CTL) $(SCHED) $(LIB))
 $(OUT)/platform: $(call obj,fake/platform.c $(LIB))
 $(OUT)/worker: $(call obj,fake/worker.c $(LIB))
-$(OUT)/joint: $(call obj,fake/joint.c fake/jointstore.c fake/jointupstream.c \
-	$(LIB))
+$(OUT)/joint: $(call obj,fake/joint.c fake/jointrecord.c fake/jointstore.c \
+	fake/jointupstream.c $(LIB))
 $(OUT)/cutter: $(call obj,fake/cutter.c $(LIB))
 $(OUT)/load: $(call obj,load/load.c $(LIB))
 $(OUT)/model: $(call obj,load/model.c load/play.c $(SCHED) $(LIB))
--- a/fake/cutter.c
+++ b/fake/cutter.c
@@ -17,6 +17,7 @@
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 #include "lib/http.h"
@@ -363,6 +364,19 @@
 	a->sin_addr.s_addr = htonl(ntohl(a->sin_addr.s_addr) + 1);
 }
 
+/* Allow as many open files as the system grants, for many links. */
+static void raise_file_limit(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit))
+		return;
+	limit.rlim_cur = limit.rlim_max;
+	if (setrlimit(RLIMIT_NOFILE, &limit))
+		log_line(LOG_WARN, "file_limit",
+			 "the number of open files stays limited");
+}
+
 static void on_signal(void *arg, int signo)
 {
 	(void)signo;
@@ -399,6 +413,7 @@
 		goto out;
 	}
 	log_open("cutter", "cutter", LOG_INFO);
+	raise_file_limit();
 	proxy.loop = loop_create();
 	proxy.links = g_ptr_array_new();
 	loop_on_signal(proxy.loop, on_signal, proxy.loop);
--- a/fake/joint.c
+++ b/fake/joint.c
@@ -12,26 +12,48 @@
  * failure domain n modulo DOMAINS, the default is 1.
  *
  * The store's address also serves:
- *	POST /control  {"store": "ok"|"refuse"|"hang", "lose_answers": N,
- *			"late_starts": N, "late_ms": N, "forget": true,
- *			"crash_ms": N, "guarded": BOOL,
- *			"upstream": N, "room": N, "silent": BOOL}
- *	               (forget: compact the feed's history up to now;
+ *	POST /control  {"store": "ok"|"refuse"|"hang"|"down"|"silent",
+ *			"lose_answers": N, "late_starts": N, "late_ms": N,
+ *			"forget": true, "silence_ms": N, "stale_ms": N,
+ *			"crash_ms": N, "guarded": BOOL, "lease_max_ms": N,
+ *			"entries_lapse": BOOL, "entry_delay_ms": N,
+ *			"upstream": N|"domain": N, "room": N, "silent": BOOL}
+ *	               (down, silent: as refuse and hang, also for the open
+ *	               polls of the feed;
+ *	               forget: compact the feed's history up to now;
+ *	               silence_ms: the feed reports no change for so long, and
+ *	               its history is compacted then;
+ *	               stale_ms: range reads and the feed show the rows of so
+ *	               long ago, with the version of that time; 0: the present;
  *	               crash_ms: time for which a crashed upstream is away;
  *	               guarded: upstreams refuse starts beyond their room;
- *	               room: accelerators of one upstream, one for each run;
- *	               silent: its heartbeats do not reach the store)
+ *	               entries_lapse: the entries of upstreams lapse also while
+ *	               the store is away; entry_delay_ms: a lapsed entry is back
+ *	               half of this time to this time after the upstream
+ *	               reaches the store again;
+ *	               room: accelerators of one upstream, or of each one of a
+ *	               domain, one for each run;
+ *	               silent: their heartbeats do not reach the store)
  *	GET /record    {"starts": N, "twice": N, "after_done": N,
  *			"running": N, "unlisted": N, "crashes": N,
- *			"over_room": N,
+ *			"over_room": N, "stopped": N, "void": N,
  *			"crash_tasks": [[TASK, CRASHES, FURTHER-STARTS], ...],
- *			"lapses": [[TASK, UPSTREAM, MS], ...]}
+ *			"lapses": [[TASK, UPSTREAM, MS], ...],
+ *			"breaches": [{"what": "twice"|"after_done", "ms": MS,
+ *			"task": TASK, "upstream": ID, "run": N, "epoch": N,
+ *			"other_upstream": ID, "other_run": N, ...}, ...]}
  *	               (twice: starts of a task that was running; after_done:
- *	               starts of a completed task; unlisted: upstreams whose entry
+ *	               starts of a task with a run that is done, unless the
+ *	               lease of its upstream lapsed, or it crashed, before the
+ *	               end was acknowledged; unlisted: upstreams whose entry
  *	               does not show their last change; over_room: starts that
- *	               brought an upstream over its room; further starts: those
+ *	               brought an upstream over its room; stopped: runs that
+ *	               ended on request; void: runs that are done but whose ends
+ *	               do not count, as said at after_done; further starts: those
  *	               after three upstreams had crashed under the task; lapses:
- *	               runs that ended with their lease, on the monotonic clock)
+ *	               runs that ended with their lease, on the monotonic clock;
+ *	               breaches: the starts of twice and after_done, each with
+ *	               the run before it and the epochs of their leaders)
  */
 #include <glib.h>
 #include <signal.h>
--- a/fake/jointupstream.c
+++ b/fake/jointupstream.c
@@ -8,12 +8,13 @@
 #include <glib.h>
 #include <string.h>
 
+#include "fake/jointrecord.h"
 #include "fake/jointupstream.h"
 #include "lib/log.h"
 #include "lib/schema.h"
 
 #define MAX_BODY_BYTES (4u << 20)
-#define LEASE_MAX_MS 3000
+#define LEASE_MAX_MS_DEFAULT 3000
 #define STOP_DELAY_MS 50
 #define ACCELERATOR_COUNT 8
 /* A change of the room is listed with the next heartbeat. */
@@ -30,6 +31,8 @@
 struct run {
 	char *task;
 	uint32_t number;
+	uint64_t epoch; /* of the leader that started it */
+	uint64_t started_ms;
 	uint64_t completes_at_ms;
 	uint64_t stops_at_ms; /* 0: no stop was requested */
 	bool crashes;	      /* its upstream crashes when it completes */
@@ -46,6 +49,7 @@
 	struct sockaddr_in address;
 	struct http_server *server; /* NULL: the port is still in use */
 	char listed_address[ADDRESS_TEXT_BYTES];
+	uint32_t number;
 	char id[32];
 	char domain[16];
 	char rack[8];
@@ -65,6 +69,7 @@
 	uint32_t room;		      /* accelerators */
 	GArray *past_rooms;	      /* struct past_room, oldest first */
 	bool is_listed;
+	bool entry_lapsed;   /* and it has been away ever since */
 	bool listed_current; /* its entry shows its room and start time */
 	uint32_t listed_room;
 	uint64_t next_beat_ms;
@@ -92,12 +97,15 @@
 	uint32_t start_delay_ms;
 	uint64_t crash_ms; /* time for which a crashed upstream is away */
 	bool guarded;	   /* starts beyond the room are refused */
-	GHashTable *completed_tasks;
+	uint32_t lease_max_ms;
+	bool entries_lapse; /* also while the store is away */
+	/* A lapsed entry is back this long after the store or link, at most. */
+	uint32_t entry_delay_ms;
+	uint64_t store_away_ms; /* since when; 0: it is not away */
+	struct joint_record *record;
 	GHashTable *crash_tasks; /* task to struct crash_count */
-	uint32_t starts;
-	uint32_t duplicate_starts;
-	uint32_t starts_after_done;
 	uint32_t crashes;
+	uint32_t stopped_runs;
 	uint32_t starts_over_room;
 	json_t *lapses; /* runs that ended with their lease, see joint.c */
 };
@@ -144,14 +152,24 @@
 	g_free(r);
 }
 
+static struct joint_run describe_run(const struct upstream *u,
+				     const struct run *r)
+{
+	return (struct joint_run){r->task, u->id, r->number, r->epoch,
+				  r->started_ms};
+}
+
 static void end_run(struct upstream *u, struct run *r, const char *reason)
 {
+	struct joint_run described = describe_run(u, r);
+
 	json_array_append_new(u->unacknowledged_ends,
 			      json_pack("[I,s,i,s,s]",
 					(json_int_t)++u->end_count, r->task,
 					(int)r->number, reason, ""));
 	if (!strcmp(reason, "done"))
-		g_hash_table_add(u->all->completed_tasks, g_strdup(r->task));
+		joint_record_done(u->all->record, &described, u->end_count);
+	u->all->stopped_runs += !strcmp(reason, "stopped");
 	if (!strcmp(reason, "lapsed"))
 		json_array_append_new(u->all->lapses,
 				      json_pack("[s,s,I]", r->task, u->id,
@@ -177,22 +195,35 @@
 	exchange_reply_json(x, 409, v, 0);
 }
 
-/* Extend the lease to "dueMs", at most LEASE_MAX_MS from now. */
+/* Extend the lease to "dueMs", at most the longest lease from now. */
 static void extend_lease(struct upstream *u, const json_t *v)
 {
-	uint64_t max_lease_end_ms = upstream_clock_ms(u) + LEASE_MAX_MS;
+	uint64_t max_lease_end_ms = upstream_clock_ms(u) + u->all->lease_max_ms;
 	uint64_t lease_end_ms = json_int_or(v, "dueMs", 0);
 
 	u->lease_end_clock_ms =
 		MAX(u->lease_end_clock_ms, MIN(lease_end_ms, max_lease_end_ms));
 }
 
-static bool task_is_running(const struct joint_upstreams *us, const char *task)
+/* Record a start on u of a task that may run already. */
+static void record_start(struct upstream *u, const json_t *start)
 {
-	for (guint i = 0; i < us->list->len; i++)
-		if (find_run(g_ptr_array_index(us->list, i), task))
-			return true;
-	return false;
+	const struct joint_upstreams *us = u->all;
+	struct joint_run started = {
+		.task = json_str_or(start, "task", ""),
+		.upstream = u->id,
+		.number = json_int_or(start, "run", 0),
+		.epoch = json_int_or(start, "fencingToken", 0)};
+	struct joint_run other = {0};
+
+	for (guint i = 0; i < us->list->len && !other.task; i++) {
+		const struct upstream *at = g_ptr_array_index(us->list, i);
+		const struct run *r = find_run(at, started.task);
+
+		if (r)
+			other = describe_run(at, r);
+	}
+	joint_record_start(us->record, &started, other.task ? &other : NULL);
 }
 
 /*
@@ -225,16 +256,14 @@
 	return c;
 }
 
-/* Count a start of the task on u, which is about to be carried out. */
-static void count_start(struct upstream *u, const char *task, bool crashes)
+/* Count a start on u, which is about to be carried out. */
+static void count_start(struct upstream *u, const json_t *start, bool crashes)
 {
 	struct joint_upstreams *us = u->all;
+	const char *task = json_str_or(start, "task", "");
 	struct crash_count *c;
 
-	us->starts++;
-	us->duplicate_starts += task_is_running(us, task);
-	us->starts_after_done +=
-		g_hash_table_contains(us->completed_tasks, task);
+	record_start(u, start);
 	if (u->runs->len >= counted_room(u)) {
 		us->starts_over_room++;
 		log_fields(LOG_WARN, "over_room", "{s:s,s:s,s:i,s:i}",
@@ -268,10 +297,12 @@
 	extend_lease(u, v);
 	if (u->all->guarded && u->runs->len >= u->room)
 		return "room";
-	count_start(u, task, crashes);
+	count_start(u, v, crashes);
 	r = g_new0(struct run, 1);
 	r->task = g_strdup(task);
 	r->number = number;
+	r->epoch = json_int_or(v, "fencingToken", 0);
+	r->started_ms = clock_mono_ms();
 	r->crashes = crashes;
 	if (crashes)
 		payload += strlen(CRASH_PAYLOAD);
@@ -353,6 +384,17 @@
 	u->renewal = NULL;
 }
 
+/* Drop the oldest end, which is acknowledged. */
+static void acknowledge_end(struct upstream *u)
+{
+	const json_t *end = json_array_get(u->unacknowledged_ends, 0);
+
+	joint_record_acknowledge(
+		u->all->record, json_string_value(json_array_get(end, 1)),
+		u->id, json_integer_value(json_array_get(end, 0)));
+	json_array_remove(u->unacknowledged_ends, 0);
+}
+
 /*
  * Renew the lease, drop the ended runs up to "ackCursor", and hold the answer
  * back until a run ends or "waitMs" has elapsed. An earlier renewal that is
@@ -374,7 +416,7 @@
 	       (uint64_t)json_integer_value(json_array_get(
 		       json_array_get(u->unacknowledged_ends, 0), 0)) <=
 		       ack_cursor)
-		json_array_remove(u->unacknowledged_ends, 0);
+		acknowledge_end(u);
 	if (u->renewal)
 		answer_renewal(u);
 	u->renewal = x;
@@ -430,9 +472,10 @@
 
 		if (n > u->voided_end_count &&
 		    !strcmp(json_string_value(json_array_get(end, 3)), "done"))
-			g_hash_table_remove(
-				u->all->completed_tasks,
-				json_string_value(json_array_get(end, 1)));
+			joint_record_void(
+				u->all->record,
+				json_string_value(json_array_get(end, 1)),
+				u->id, n);
 	}
 	u->voided_end_count = u->end_count;
 }
@@ -519,7 +562,31 @@
 /* Return since when the store gets no heartbeat of u, 0 if it gets them. */
 static uint64_t away_since_ms(const struct upstream *u)
 {
-	return u->crashed_ms ? u->crashed_ms : u->silent_ms;
+	if (u->crashed_ms)
+		return u->crashed_ms;
+	return u->silent_ms ? u->silent_ms : u->all->store_away_ms;
+}
+
+/* Remove the entry of u if it has been away for long enough. */
+static void expire_entry(struct upstream *u, uint64_t away_ms)
+{
+	if (!u->is_listed ||
+	    clock_mono_ms() < away_ms + SILENT_HEARTBEATS_MAX * HEARTBEAT_MS)
+		return;
+	joint_store_remove(u->all->store, "servers", u->id);
+	u->is_listed = false;
+	u->listed_current = false;
+	u->entry_lapsed = true;
+}
+
+/*
+ * Return when the entry of u, which is not away any more, is listed again. The
+ * entries of several upstreams return one after the other.
+ */
+static uint64_t entry_returns_ms(const struct upstream *u)
+{
+	return clock_mono_ms() +
+	       (uint64_t)u->all->entry_delay_ms * (4 + u->number % 5) / 8;
 }
 
 /*
@@ -530,17 +597,15 @@
 {
 	uint64_t now = clock_mono_ms(), away_ms = away_since_ms(u);
 
-	if (!joint_store_is_available(u->all->store))
+	if (!joint_store_is_available(u->all->store) && !u->all->entries_lapse)
 		return;
 	if (away_ms) {
-		bool lapsed =
-			now >= away_ms + SILENT_HEARTBEATS_MAX * HEARTBEAT_MS;
-
-		if (u->is_listed && lapsed)
-			joint_store_remove(u->all->store, "servers", u->id);
-		u->is_listed &= !lapsed;
+		expire_entry(u, away_ms);
 		return;
 	}
+	if (u->entry_lapsed && u->all->entry_delay_ms)
+		u->next_beat_ms = entry_returns_ms(u);
+	u->entry_lapsed = false;
 	if (now < u->next_beat_ms)
 		return;
 	u->next_beat_ms = now + HEARTBEAT_MS;
@@ -604,8 +669,8 @@
 	us->lapses = json_array();
 	us->guarded = true;
 	us->crash_ms = CRASHED_MS_DEFAULT;
-	us->completed_tasks =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	us->lease_max_ms = LEASE_MAX_MS_DEFAULT;
+	us->record = joint_record_create();
 	us->crash_tasks =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return us;
@@ -622,6 +687,7 @@
 	uint32_t number = us->list->len;
 
 	u->all = us;
+	u->number = number;
 	u->address = address;
 	u->address.sin_addr.s_addr =
 		htonl(ntohl(address.sin_addr.s_addr) + number);
@@ -647,33 +713,50 @@
 	return u->server != NULL;
 }
 
+static void control_upstream(struct upstream *u, const json_t *command)
+{
+	const json_t *silent = json_object_get(command, "silent");
+
+	u->room = json_int_or(command, "room", u->room);
+	if (silent)
+		u->silent_ms = json_is_true(silent) ? clock_mono_ms() : 0;
+	u->listed_current = false;
+}
+
 /* Apply the part of a control command that concerns the upstreams. */
 void joint_upstreams_control(struct joint_upstreams *us, const json_t *command)
 {
 	json_int_t number = json_int_or(command, "upstream", -1);
+	json_int_t domain = json_int_or(command, "domain", -1);
 	const json_t *guarded = json_object_get(command, "guarded");
-	const json_t *silent = json_object_get(command, "silent");
-	struct upstream *u;
+	const json_t *lapse = json_object_get(command, "entries_lapse");
 
 	us->starts_to_delay =
 		json_int_or(command, "late_starts", us->starts_to_delay);
 	us->start_delay_ms =
 		json_int_or(command, "late_ms", us->start_delay_ms);
 	us->crash_ms = json_int_or(command, "crash_ms", us->crash_ms);
+	us->lease_max_ms =
+		json_int_or(command, "lease_max_ms", us->lease_max_ms);
+	us->entry_delay_ms =
+		json_int_or(command, "entry_delay_ms", us->entry_delay_ms);
 	if (guarded)
 		us->guarded = json_is_true(guarded);
-	if (number < 0 || number >= us->list->len)
-		return;
-	u = g_ptr_array_index(us->list, number);
-	u->room = json_int_or(command, "room", u->room);
-	if (silent)
-		u->silent_ms = json_is_true(silent) ? clock_mono_ms() : 0;
-	u->listed_current = false;
+	if (lapse)
+		us->entries_lapse = json_is_true(lapse);
+	for (guint i = 0; i < us->list->len; i++)
+		if (number == i || domain == i % us->domains)
+			control_upstream(g_ptr_array_index(us->list, i),
+					 command);
 }
 
 /* Advance all upstreams to the present. */
 void joint_upstreams_update(struct joint_upstreams *us)
 {
+	if (joint_store_is_available(us->store) || !us->entries_lapse)
+		us->store_away_ms = 0;
+	else if (!us->store_away_ms)
+		us->store_away_ms = clock_mono_ms();
 	for (guint i = 0; i < us->list->len; i++)
 		update_upstream(g_ptr_array_index(us->list, i));
 }
@@ -681,7 +764,7 @@
 /* Return the counts of starts, runs and crashes as a JSON object. */
 json_t *joint_upstreams_record(const struct joint_upstreams *us)
 {
-	json_t *tasks = json_array();
+	json_t *tasks = json_array(), *v;
 	json_int_t running = 0, unlisted = 0;
 	GHashTableIter it;
 	gpointer name, value;
@@ -700,11 +783,11 @@
 						       (int)c->crashes,
 						       (int)c->further_starts));
 	}
-	return json_pack("{s:i,s:i,s:i,s:I,s:I,s:i,s:i,s:o,s:O}", "starts",
-			 (int)us->starts, "twice", (int)us->duplicate_starts,
-			 "after_done", (int)us->starts_after_done, "running",
-			 running, "unlisted", unlisted, "crashes",
-			 (int)us->crashes, "over_room",
-			 (int)us->starts_over_room, "crash_tasks", tasks,
-			 "lapses", us->lapses);
+	v = json_pack("{s:I,s:I,s:i,s:i,s:i,s:o,s:O}", "running", running,
+		      "unlisted", unlisted, "crashes", (int)us->crashes,
+		      "stopped", (int)us->stopped_runs, "over_room",
+		      (int)us->starts_over_room, "crash_tasks", tasks, "lapses",
+		      us->lapses);
+	joint_record_add_to(us->record, v);
+	return v;
 }
