--- a/Makefile
+++ b/Makefile
@@ -58,7 +58,8 @@
 
 -include $(wildcard $(OUT)/obj/*/*.d)
 
-TEST_OBJS = $(call obj,test/site.c test/judge.c test/jointsite.c $(LIB))
+TEST_OBJS = $(call obj,test/site.c test/judge.c test/jointsite.c test/grown.c \
+	test/copyfaults.c $(LIB))
 UNIT_TESTS = $(patsubst test/%.c,$(OUT)/%,$(wildcard test/unit_*.c))
 PROC_TESTS = $(patsubst test/%.c,$(OUT)/%,$(wildcard test/proc_*.c))
 
--- a/test/jointsite.c
+++ b/test/jointsite.c
@@ -13,12 +13,23 @@
 #include "test/jointsite.h"
 
 /*
- * The connections from an instance to the upstreams and its peers, which have
- * consecutive addresses, go through links of its own in a divided site.
+ * Numbers of hosts from 127.NET.9.0 on: of the first upstream, of the first
+ * address at which one is listed, and of the first link of a failure domain.
+ * The peers follow on the listed upstreams. In a divided site, the connections
+ * of instances to both go through links of their domain.
  */
-#define FIRST_LISTED_HOST 151
+struct layout {
+	uint32_t first_upstream;
+	uint32_t first_listed;
+	uint32_t first_link;
+};
+
+static const struct layout small_layout = {101, 151, 257};
+static const struct layout large_layout = {4097, 8193, 12289};
+
+#define HOSTS_PER_NET 256
+#define FIRST_NET 9
 #define LISTED_PORT 7200
-#define LINKS_PER_INSTANCE (UPSTREAM_COUNT + INSTANCE_COUNT)
 #define REROUTE_LIBRARY "out/reroute.so"
 
 /* A route; clients send the address of the instance as the Host. */
@@ -48,7 +59,21 @@
 static char *format_address(const struct joint_site *s, uint32_t host,
 			    uint32_t port)
 {
-	return g_strdup_printf("127.%u.9.%u:%u", s->net, host, port);
+	return g_strdup_printf("127.%u.%u.%u:%u", s->net,
+			       FIRST_NET + host / HOSTS_PER_NET,
+			       host % HOSTS_PER_NET, port);
+}
+
+static const struct layout *layout_of(const struct joint_site *s)
+{
+	return s->upstream_count == UPSTREAM_COUNT ? &small_layout
+						   : &large_layout;
+}
+
+/* Returns the number of links of each failure domain of a divided site. */
+static uint32_t links_per_domain(const struct joint_site *s)
+{
+	return s->upstream_count + s->instance_count;
 }
 
 /*
@@ -89,6 +114,11 @@
 	char *preload;
 	glob_t found;
 
+	if (s->real_clocks) {
+		setenv("LD_PRELOAD", REROUTE_LIBRARY, 1);
+		g_free(file);
+		return;
+	}
 	if (glob(FAKETIME_GLOB, 0, NULL, &found))
 		fail_msg("libfaketime is not installed");
 	preload = g_strdup_printf("%s:%s", found.gl_pathv[0], REROUTE_LIBRARY);
@@ -103,13 +133,18 @@
 
 /*
  * Sets the environment so that processes started from now on reach upstreams
- * and peers through the links of instance i.
+ * and peers through the links of the failure domain of instance i.
  */
 static void reroute_connections(const struct joint_site *s, uint32_t i)
 {
-	char *text = g_strdup_printf("127.%u.9.%u %u 127.%u.10.%u", s->net,
-				     FIRST_LISTED_HOST, LINKS_PER_INSTANCE,
-				     s->net, 1 + i * LINKS_PER_INSTANCE);
+	const struct layout *l = layout_of(s);
+	uint32_t link = l->first_link +
+			joint_instance_domain(s, i) * links_per_domain(s);
+	char *text = g_strdup_printf(
+		"127.%u.%u.%u %u 127.%u.%u.%u", s->net,
+		FIRST_NET + l->first_listed / HOSTS_PER_NET,
+		l->first_listed % HOSTS_PER_NET, links_per_domain(s), s->net,
+		FIRST_NET + link / HOSTS_PER_NET, link % HOSTS_PER_NET);
 
 	setenv("REROUTE", text, 1);
 	g_free(text);
@@ -180,27 +215,27 @@
 	char *callers = format_address(s, 10 + i, 7000);
 	char *ready = format_address(s, 10 + i, 7001);
 	char *metrics = format_address(s, 10 + i, 7002);
-	char *domain = s->divided ? g_strdup_printf("domain%u", i)
+	char *domain = s->divided ? g_strdup_printf("domain%u",
+						    joint_instance_domain(s, i))
 				  : g_strdup("kolkata");
-	char *peers =
-		s->divided
-			? format_address(s,
-					 FIRST_LISTED_HOST + UPSTREAM_COUNT + i,
-					 LISTED_PORT)
-			: format_address(s, 10 + i, 7003);
+	char *peers = s->divided ? format_address(s,
+						  layout_of(s)->first_listed +
+							  s->upstream_count + i,
+						  LISTED_PORT)
+				 : format_address(s, 10 + i, 7003);
 	char *store = format_address(s, 20 + i, 7100);
 	char *text = g_strdup_printf(
 		"{\"instance\": \"i%u\", \"domain\": \"%s\", \"joint\": "
 		"{\"callers\": \"%s\", \"readiness\": \"%s\", \"metrics\": "
 		"\"%s\", \"peers\": \"%s\", \"store\": \"%s\", "
 		"\"processor_share\": 1, \"link_mbps\": 1000, \"lease_ms\": "
-		"3000, \"heartbeat_ms\": 1500, \"stop_ms\": 100, "
+		"%u, \"heartbeat_ms\": 1500, \"stop_ms\": 100, "
 		"\"reclaim_ms\": 2700, "
 		"\"gang_wait_ms\": 3000, \"checkpoint_s\": 2, "
 		"\"remote_factor\": 3, \"keep_ended_s\": 120, "
 		"\"drain_ms\": 500, \"grace_s\": 2.9, \"history_s\": "
 		"20}}",
-		i, domain, callers, ready, metrics, peers, store);
+		i, domain, callers, ready, metrics, peers, store, s->lease_ms);
 
 	g_file_set_contents(file, text, -1, NULL);
 	preload_fake_clock(s, i);
@@ -249,7 +284,7 @@
 void joint_wait_peers(struct joint_site *s, uint32_t i)
 {
 	char *expected =
-		g_strdup_printf("lacewing_peers %d\n", INSTANCE_COUNT - 1);
+		g_strdup_printf("lacewing_peers %u\n", s->instance_count - 1);
 	struct http_pool *p = create_pool(s, 10 + i, 7002);
 	uint64_t deadline_ms = clock_mono_ms() + WAIT_TIMEOUT_MS;
 	bool found = false;
@@ -281,7 +316,7 @@
 	char *config, *b64, *body;
 	uint64_t deadline_ms = clock_mono_ms() + WAIT_TIMEOUT_MS;
 
-	for (uint32_t i = 0; i < INSTANCE_COUNT; i++)
+	for (uint32_t i = 0; i < s->instance_count; i++)
 		g_string_append_printf(routes, "%s" ROUTE_FORMAT, i ? ", " : "",
 				       i, s->net, 10 + i);
 	config = g_strdup_printf(CONFIG_FORMAT, version, routes->str,
@@ -307,16 +342,18 @@
 /* Starts the fake platform and the proxies through which it is reached. */
 static void start_platform(struct joint_site *s)
 {
-	char count[8], instances[8];
+	char count[8], instances[8], domains[8];
 	char *store = format_address(s, 1, 7100);
-	char *first = format_address(s, 101, 7200);
-	char *first_listed = format_address(s, FIRST_LISTED_HOST, LISTED_PORT);
+	char *first =
+		format_address(s, layout_of(s)->first_upstream, LISTED_PORT);
+	char *first_listed =
+		format_address(s, layout_of(s)->first_listed, LISTED_PORT);
 	char *first_store_link = format_address(s, 20, 7100);
 	char *store_control_at = format_address(s, 2, 7100);
 	char *upstream_control_at = format_address(s, 3, 7100);
 	char *platform_argv[] = {"out/joint",  store,
 				 first,	       count,
-				 first_listed, s->divided ? instances : "1",
+				 first_listed, s->divided ? domains : "1",
 				 NULL};
 	char *store_argv[] = {"out/cutter", "--targets",      "1",
 			      "--first",    first_store_link, "--target",
@@ -327,8 +364,9 @@
 				 count,	       "--control", upstream_control_at,
 				 NULL};
 
-	snprintf(count, sizeof(count), "%d", UPSTREAM_COUNT);
-	snprintf(instances, sizeof(instances), "%d", INSTANCE_COUNT);
+	snprintf(count, sizeof(count), "%u", s->upstream_count);
+	snprintf(instances, sizeof(instances), "%u", s->instance_count);
+	snprintf(domains, sizeof(domains), "%u", s->domain_count);
 	s->platform = start_process(s, "platform", platform_argv);
 	s->store_proxy = start_process(s, "store-proxy", store_argv);
 	s->upstream_proxy = start_process(s, "upstream-proxy", upstream_argv);
@@ -341,22 +379,23 @@
 }
 
 /*
- * Starts the proxy that has links from each instance to the upstreams and the
- * peers of its own.
+ * Starts the proxy that has links from each failure domain to the upstreams
+ * and the peers of its own.
  */
 static void start_domain_proxy(struct joint_site *s)
 {
 	char count[8], targets[8];
-	char *first = g_strdup_printf("127.%u.10.1:%u", s->net, LISTED_PORT);
-	char *target = format_address(s, FIRST_LISTED_HOST, LISTED_PORT);
+	char *first = format_address(s, layout_of(s)->first_link, LISTED_PORT);
+	char *target =
+		format_address(s, layout_of(s)->first_listed, LISTED_PORT);
 	char *control = format_address(s, 4, 7100);
 	char *argv[] = {"out/cutter", "--first",   first,   "--target",
 			target,	      "--targets", targets, "--count",
 			count,	      "--control", control, NULL};
 
-	snprintf(targets, sizeof(targets), "%d", LINKS_PER_INSTANCE);
-	snprintf(count, sizeof(count), "%d",
-		 INSTANCE_COUNT * LINKS_PER_INSTANCE);
+	snprintf(targets, sizeof(targets), "%u", links_per_domain(s));
+	snprintf(count, sizeof(count), "%u",
+		 s->domain_count * links_per_domain(s));
 	s->domain_proxy = start_process(s, "domain-proxy", argv);
 	s->domain_control = create_pool(s, 4, 7100);
 	g_free(first);
@@ -397,52 +436,59 @@
 }
 
 /*
- * Sets the mode of the links from instance i to upstream u alone, in a divided
- * site.
+ * Sets the mode of the links from the failure domain of instance i to upstream
+ * u alone, in a divided site.
  */
 void joint_set_own_link(struct joint_site *s, uint32_t i, uint32_t u,
 			const char *mode)
 {
-	set_link(s, s->domain_control, i * LINKS_PER_INSTANCE + u, mode, 0);
+	set_link(s, s->domain_control,
+		 joint_instance_domain(s, i) * links_per_domain(s) + u, mode,
+		 0);
+}
+
+/* Returns the failure domain of instance i of a divided site. */
+uint32_t joint_instance_domain(const struct joint_site *s, uint32_t i)
+{
+	return i % s->domain_count;
 }
 
 /* Returns the failure domain of upstream u of a divided site. */
-uint32_t joint_upstream_domain(uint32_t u)
+uint32_t joint_upstream_domain(const struct joint_site *s, uint32_t u)
 {
-	return u % INSTANCE_COUNT;
+	return u % s->domain_count;
 }
 
-/* Returns the failure domain at the other end of a link of an instance. */
-static uint32_t link_domain(uint32_t link)
+/* Returns the failure domain at the other end of a link of a domain. */
+static uint32_t link_domain(const struct joint_site *s, uint32_t link)
 {
-	return link < UPSTREAM_COUNT ? joint_upstream_domain(link)
-				     : link - UPSTREAM_COUNT;
+	return link < s->upstream_count
+		       ? joint_upstream_domain(s, link)
+		       : joint_instance_domain(s, link - s->upstream_count);
 }
 
 /*
  * Sets the mode of all links that lead out of failure domain d of a divided
- * site: those of its instance to the store, to its peers and to upstreams
- * elsewhere, and those of other instances to it and its upstreams. Unless the
+ * site: those of its instances to the store, to their peers and to upstreams
+ * elsewhere, and those of other domains to them and its upstreams. Unless the
  * mode is "pass", the heartbeats of its upstreams do not reach the store.
  */
 void joint_set_domain_links(struct joint_site *s, uint32_t d, const char *mode)
 {
-	bool passes = !strcmp(mode, "pass");
-
-	joint_set_store_link(s, d, mode, 0);
-	for (uint32_t i = 0; i < INSTANCE_COUNT; i++)
-		for (uint32_t k = 0; k < LINKS_PER_INSTANCE; k++)
-			if ((i == d) != (link_domain(k) == d))
-				joint_set_own_link(s, i, k, mode);
-	for (uint32_t u = 0; u < UPSTREAM_COUNT; u++) {
-		char *body =
-			g_strdup_printf("{\"upstream\": %u, \"silent\": %s}", u,
-					passes ? "false" : "true");
-
-		if (joint_upstream_domain(u) == d)
-			joint_control_platform(s, body);
-		g_free(body);
-	}
+	char *body = g_strdup_printf("{\"domain\": %u, \"silent\": %s}", d,
+				     strcmp(mode, "pass") ? "true" : "false");
+
+	for (uint32_t i = 0; i < s->instance_count; i++)
+		if (joint_instance_domain(s, i) == d)
+			joint_set_store_link(s, i, mode, 0);
+	for (uint32_t from = 0; from < s->domain_count; from++)
+		for (uint32_t k = 0; k < links_per_domain(s); k++)
+			if ((from == d) != (link_domain(s, k) == d))
+				set_link(s, s->domain_control,
+					 from * links_per_domain(s) + k, mode,
+					 0);
+	joint_control_platform(s, body);
+	g_free(body);
 }
 
 /* Kills a process and waits for its end. */
@@ -467,53 +513,86 @@
 	g_free(log);
 }
 
-static struct joint_site *start_site(uint32_t net, bool unguarded, bool divided)
+/* Starts a site on network 127.NET and waits until all instances are ready. */
+static struct joint_site *start_site(uint32_t net,
+				     const struct joint_shape *shape)
 {
 	struct joint_site *s = g_new0(struct joint_site, 1);
 
 	s->net = net;
-	s->unguarded = unguarded;
-	s->divided = divided;
+	s->instance_count = shape->instances;
+	s->upstream_count = shape->upstreams;
+	s->domain_count = shape->domains;
+	s->lease_ms = shape->lease_ms;
+	s->unguarded = shape->unguarded;
+	s->divided = shape->domains > 1;
+	s->real_clocks = shape->real_clocks;
 	snprintf(s->dir, sizeof(s->dir), "out/joint-%u", net);
 	g_mkdir_with_parents(s->dir, 0755);
 	s->loop = loop_create();
 	s->http = http_client_create(s->loop);
 	start_platform(s);
-	if (divided)
+	if (s->divided)
 		start_domain_proxy(s);
 	s->store = create_pool(s, 1, 7100);
 	s->store_control = create_pool(s, 2, 7100);
 	s->upstream_control = create_pool(s, 3, 7100);
 	joint_put_config(s, 3, "key");
-	if (unguarded)
+	if (s->unguarded)
 		joint_control_platform(s, "{\"guarded\": false}");
-	for (uint32_t i = 0; i < INSTANCE_COUNT; i++) {
+	for (uint32_t i = 0; i < s->instance_count; i++) {
 		remove_log(s, i);
 		s->callers[i] = create_pool(s, 10 + i, 7000);
 		joint_set_clock_offset(s, i, 0);
 		joint_instance_start(s, i);
 	}
-	for (uint32_t i = 0; i < INSTANCE_COUNT; i++)
+	for (uint32_t i = 0; i < s->instance_count; i++)
 		joint_wait_ready(s, i);
 	return s;
 }
 
-/* Starts a site on network 127.NET and waits until all instances are ready. */
+static const struct joint_shape default_shape = {.instances = INSTANCE_COUNT,
+						 .upstreams = UPSTREAM_COUNT,
+						 .domains = 1,
+						 .lease_ms = LEASE_MS};
+
 struct joint_site *joint_start(uint32_t net)
 {
-	return start_site(net, false, false);
+	return start_site(net, &default_shape);
 }
 
 /* Starts a site whose upstreams carry out starts beyond their room. */
 struct joint_site *joint_start_unguarded(uint32_t net)
 {
-	return start_site(net, true, false);
+	struct joint_shape shape = default_shape;
+
+	shape.unguarded = true;
+	return start_site(net, &shape);
 }
 
 /* Starts a site of which each instance is in a failure domain of its own. */
 struct joint_site *joint_start_divided(uint32_t net, bool unguarded)
 {
-	return start_site(net, unguarded, true);
+	struct joint_shape shape = default_shape;
+
+	shape.domains = INSTANCE_COUNT;
+	shape.unguarded = unguarded;
+	return start_site(net, &shape);
+}
+
+/*
+ * Starts a site of any shape, of at most INSTANCE_COUNT_MAX instances, whose
+ * upstreams grant leases of the length that the instances ask for.
+ */
+struct joint_site *joint_start_shape(uint32_t net,
+				     const struct joint_shape *shape)
+{
+	struct joint_site *s = start_site(net, shape);
+	char *body = g_strdup_printf("{\"lease_max_ms\": %u}", s->lease_ms);
+
+	joint_control_platform(s, body);
+	g_free(body);
+	return s;
 }
 
 /* Sends a signal that ends the instance and waits for its end. */
@@ -571,6 +650,21 @@
 	return n;
 }
 
+/* Prints the starts of tasks that were running or done. */
+static void print_breaches(const json_t *record)
+{
+	const json_t *breach;
+	size_t i;
+
+	json_array_foreach(json_object_get(record, "breaches"), i, breach)
+	{
+		char *text = json_dumps(breach, JSON_COMPACT | JSON_SORT_KEYS);
+
+		print_message("%s\n", text);
+		free(text);
+	}
+}
+
 /*
  * Checks the record of the upstreams: no task ran twice at a time or after it
  * was done, no start exceeded an upstream's room, and no task was started
@@ -580,6 +674,7 @@
 {
 	json_t *record = joint_record(s);
 
+	print_breaches(record);
 	assert_int_equal(json_int_or(record, "twice", -1), 0);
 	assert_int_equal(json_int_or(record, "after_done", -1), 0);
 	assert_int_equal(json_int_or(record, "over_room", -1), 0);
@@ -594,7 +689,7 @@
 void joint_stop(struct joint_site *s)
 {
 	joint_check_record(s);
-	for (uint32_t i = 0; i < INSTANCE_COUNT; i++) {
+	for (uint32_t i = 0; i < s->instance_count; i++) {
 		if (s->instances[i])
 			joint_instance_kill(s, i, SIGKILL);
 		http_pool_destroy(s->callers[i]);
@@ -772,7 +867,7 @@
 {
 	uint64_t deadline_ms = clock_mono_ms() + WAIT_TIMEOUT_MS;
 
-	for (uint32_t i = 0;; i = (i + 1) % INSTANCE_COUNT) {
+	for (uint32_t i = 0;; i = (i + 1) % s->instance_count) {
 		if (joint_is_leader(s, i))
 			return i;
 		if (clock_mono_ms() > deadline_ms)
--- a/test/jointsite.h
+++ b/test/jointsite.h
@@ -12,41 +12,60 @@
 #include "lib/http.h"
 #include "lib/schema.h"
 
+/* The shape of most sites. */
 #define INSTANCE_COUNT 3
+#define INSTANCE_COUNT_MAX 40
 #define UPSTREAM_COUNT 4
+#define LEASE_MS 3000
 #define WAIT_TIMEOUT_MS 20000
 /* Accelerators of an upstream, of which a run takes one. */
 #define UPSTREAM_ROOM 8
 /* Starts of a task after three upstreams have crashed under it stay below. */
 #define FURTHER_STARTS_LIMIT 3
 
-/* A fake platform and three instances on the addresses 127.NET.9.*. */
+struct joint_shape {
+	uint32_t instances;
+	uint32_t upstreams;
+	uint32_t domains; /* instances and upstreams are spread over them */
+	uint32_t lease_ms;
+	bool unguarded;
+	bool real_clocks; /* no joint_set_clock_offset */
+};
+
+/* A fake platform and its instances on addresses from 127.NET.9.0 on. */
 struct joint_site {
 	uint32_t net; /* second octet of every address: one for each test */
 	char dir[64];
+	uint32_t instance_count;
+	uint32_t upstream_count;
+	uint32_t domain_count;
+	uint32_t lease_ms;
+	bool real_clocks;
 	bool unguarded; /* upstreams carry out starts beyond their room */
-	bool divided;	/* each instance is in a failure domain of its own */
+	bool divided;	/* there are several failure domains */
 	struct loop *loop;
 	struct http_client *http;
 	struct http_pool *store;
-	struct http_pool *callers[INSTANCE_COUNT];
+	struct http_pool *callers[INSTANCE_COUNT_MAX];
 	pid_t platform;
 	/* fake/cutter.c with one link from each instance to the store, and
 	 * with one link from all instances to each upstream */
 	pid_t store_proxy;
 	pid_t upstream_proxy;
-	/* with one link from each instance to each upstream and each peer, if
-	 * the site is divided */
+	/* with one link from each failure domain to each upstream and each
+	 * instance, if the site is divided */
 	pid_t domain_proxy;
 	struct http_pool *domain_control;
 	struct http_pool *store_control;
 	struct http_pool *upstream_control;
-	pid_t instances[INSTANCE_COUNT];
+	pid_t instances[INSTANCE_COUNT_MAX];
 };
 
 struct joint_site *joint_start(uint32_t net);
 struct joint_site *joint_start_unguarded(uint32_t net);
 struct joint_site *joint_start_divided(uint32_t net, bool unguarded);
+struct joint_site *joint_start_shape(uint32_t net,
+				     const struct joint_shape *shape);
 void joint_stop(struct joint_site *s);
 json_t *joint_record(struct joint_site *s);
 int joint_count(struct joint_site *s, const char *name);
@@ -66,7 +85,8 @@
 			     uint32_t delay_ms);
 void joint_set_own_link(struct joint_site *s, uint32_t i, uint32_t u,
 			const char *mode);
-uint32_t joint_upstream_domain(uint32_t u);
+uint32_t joint_instance_domain(const struct joint_site *s, uint32_t i);
+uint32_t joint_upstream_domain(const struct joint_site *s, uint32_t u);
 void joint_set_domain_links(struct joint_site *s, uint32_t d, const char *mode);
 bool joint_is_leader(struct joint_site *s, uint32_t i);
 uint32_t joint_wait_leader(struct joint_site *s);
--- a/test/proc_tenure.c
+++ b/test/proc_tenure.c
@@ -44,7 +44,7 @@
 static void set_room_elsewhere(struct tenure_case *c, uint32_t room)
 {
 	for (uint32_t u = 0; u < UPSTREAM_COUNT; u++)
-		if (joint_upstream_domain(u) != c->first)
+		if (joint_upstream_domain(c->site, u) != c->first)
 			joint_set_room(c->site, u, room);
 	joint_run_for(c->site, LIST_DELAY_MS);
 }
@@ -142,7 +142,7 @@
 		uint64_t ms = json_integer_value(json_array_get(lapse, 2));
 		uint32_t u = g_ascii_strtoull(at + 1, NULL, 10);
 
-		n += joint_upstream_domain(u) == c->first &&
+		n += joint_upstream_domain(c->site, u) == c->first &&
 		     ms > c->began_ms + TENURE_MS;
 	}
 	json_decref(record);
