--- a/test/proc_soak.c
+++ b/test/proc_soak.c
@@ -11,6 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "test/copyfaults.h"
 #include "test/jointsite.h"
 
 #define SOAK_MS 8000
@@ -19,6 +20,9 @@
 #define COMPLETION_TIMEOUT_MS 60000
 /* A process that has just been started does not handle signals yet. */
 #define SIGNAL_SETUP_MS 500
+/* Pauses of the seeds with faults of copies. */
+#define PAUSE_MIN_MS 1000
+#define PAUSE_MAX_MS 4000
 /* Jobs with a task that crashes its upstreams, and their first number. */
 #define CRASH_JOBS_MAX 3
 #define CRASH_JOBS_FIRST (JOBS_MAX + 1)
@@ -26,6 +30,7 @@
 #define DEFAULT_SEEDS "1 2 3"
 #define DEFAULT_CRASH_SEEDS "4 21"
 #define DEFAULT_LONG_SEEDS "1 2"
+#define DEFAULT_COPY_SEEDS "1 2"
 /*
  * Long faults begin in the first part of a seed and have all ended when it is
  * over. Each outlasts the tenure of a leader, or a lease and a takeover.
@@ -73,6 +78,9 @@
 	/* The same for long faults and for what happens to leaders meanwhile;
 	 * NULL if the seed has none. */
 	GRand *long_random;
+	/* The same for longer pauses and for what instances know of the
+	 * store; NULL if the seed has none. */
+	struct copy_faults *copy_faults;
 	enum outcome jobs[JOBS_MAX];
 	uint32_t jobs_len;
 	enum outcome crash_jobs[CRASH_JOBS_MAX];
@@ -297,6 +305,8 @@
 	if (end_fault_if_due(&k->domain_until_ms, all))
 		joint_set_domain_links(k->site, k->cut_domain, "pass");
 	end_link_faults(k, all);
+	if (k->copy_faults)
+		copy_faults_end(k->copy_faults, all);
 }
 
 /*
@@ -343,6 +353,43 @@
 		submit_job(k, random_below(k, k->jobs_len));
 }
 
+/* Returns a random leader, or any instance if there is none. */
+static uint32_t choose_leader(struct soak *k, GRand *random)
+{
+	uint32_t first = g_rand_int_range(random, 0, INSTANCE_COUNT);
+
+	for (uint32_t n = 0; n < INSTANCE_COUNT; n++)
+		if (joint_is_leader(k->site, (first + n) % INSTANCE_COUNT))
+			return (first + n) % INSTANCE_COUNT;
+	return first;
+}
+
+static void freeze_instance(struct soak *k, uint32_t i, uint64_t until_ms)
+{
+	if (!k->site->instances[i] || k->resume_ms[i])
+		return;
+	kill(k->site->instances[i], SIGSTOP);
+	k->resume_ms[i] = until_ms;
+}
+
+/* Pauses a leader or any instance, or starts a fault of its copies. */
+static void inject_copy_fault(struct soak *k)
+{
+	GRand *random = k->copy_faults->random;
+	uint32_t i = choose_leader(k, random);
+	uint32_t kind = g_rand_int_range(random, 0, 4);
+	uint32_t pause_ms =
+		g_rand_int_range(random, PAUSE_MIN_MS, PAUSE_MAX_MS);
+
+	if (kind > 1)
+		copy_faults_inject(k->copy_faults);
+	else if (kind)
+		freeze_instance(k, i, clock_mono_ms() + pause_ms);
+	else
+		freeze_instance(k, (i + 1) % INSTANCE_COUNT,
+				clock_mono_ms() + pause_ms);
+}
+
 /* Submits a job and may start a fault, then waits for the next step. */
 static void run_step(struct soak *k)
 {
@@ -353,6 +400,8 @@
 		inject_fault(k);
 	if (!g_rand_int_range(k->upstream_random, 0, 6))
 		inject_upstream_fault(k);
+	if (k->copy_faults && !g_rand_int_range(k->copy_faults->random, 0, 6))
+		inject_copy_fault(k);
 	end_faults(k, false);
 	joint_check_record(k->site);
 	while (clock_mono_ms() < step_end_ms)
@@ -364,16 +413,21 @@
  * faults, then waits until all instances are ready and checks the jobs.  The
  * upstreams of odd seeds do not guard their room.
  */
-static void run_seed(uint32_t seed, bool crashes)
+static void run_seed(uint32_t seed, bool crashes, bool copies)
 {
 	struct soak k = {.random = g_rand_new_with_seed(seed),
 			 .upstream_random = g_rand_new_with_seed(~seed),
 			 .crashes = crashes};
+	struct copy_faults faults;
 	uint64_t until_ms;
 
 	print_message("seed %u\n", seed);
 	k.site = seed % 2 ? joint_start_unguarded(100 + seed % 100)
 			  : joint_start(100 + seed % 100);
+	if (copies) {
+		copy_faults_begin(&faults, k.site, seed + 1);
+		k.copy_faults = &faults;
+	}
 	until_ms = clock_mono_ms() + SOAK_MS;
 	while (clock_mono_ms() < until_ms)
 		run_step(&k);
@@ -382,29 +436,12 @@
 		joint_wait_ready(k.site, i);
 	check_accepted_jobs_end(&k);
 	joint_stop(k.site);
+	if (copies)
+		copy_faults_free(&faults);
 	g_rand_free(k.random);
 	g_rand_free(k.upstream_random);
 }
 
-/* Returns a random leader, or any instance if there is none. */
-static uint32_t choose_leader(struct soak *k)
-{
-	uint32_t first = g_rand_int_range(k->long_random, 0, INSTANCE_COUNT);
-
-	for (uint32_t n = 0; n < INSTANCE_COUNT; n++)
-		if (joint_is_leader(k->site, (first + n) % INSTANCE_COUNT))
-			return (first + n) % INSTANCE_COUNT;
-	return first;
-}
-
-static void freeze_instance(struct soak *k, uint32_t i, uint64_t until_ms)
-{
-	if (!k->site->instances[i] || k->resume_ms[i])
-		return;
-	kill(k->site->instances[i], SIGSTOP);
-	k->resume_ms[i] = until_ms;
-}
-
 /*
  * Starts a long fault, unless one of its kind is active.  The first one of a
  * seed cuts a failure domain off.
@@ -416,7 +453,7 @@
 	uint32_t kind = g_rand_int_range(k->long_random, 0, LONG_FAULT_COUNT);
 	uint32_t mode =
 		g_rand_int_range(k->long_random, 0, G_N_ELEMENTS(modes));
-	uint32_t i = choose_leader(k);
+	uint32_t i = choose_leader(k, k->long_random);
 	uint64_t until_ms = clock_mono_ms() +
 			    g_rand_int_range(k->long_random, LONG_FAULT_MIN_MS,
 					     LONG_FAULT_MAX_MS);
@@ -450,7 +487,7 @@
 /* Kills, terminates or freezes a leader for a short time. */
 static void inject_leader_fault(struct soak *k)
 {
-	uint32_t i = choose_leader(k);
+	uint32_t i = choose_leader(k, k->long_random);
 	uint32_t kind = g_rand_int_range(k->long_random, 0, 3);
 	uint64_t until_ms =
 		clock_mono_ms() + g_rand_int_range(k->long_random, 200, 2700);
@@ -544,13 +581,14 @@
 	g_rand_free(k.long_random);
 }
 
-static void run_seeds(const char *text, bool crashes)
+static void run_seeds(const char *text, bool crashes, bool copies)
 {
 	char **seeds = g_strsplit(text, " ", -1);
 
 	for (char **s = seeds; *s; s++)
 		if (**s)
-			run_seed(g_ascii_strtoull(*s, NULL, 10), crashes);
+			run_seed(g_ascii_strtoull(*s, NULL, 10), crashes,
+				 copies);
 	g_strfreev(seeds);
 }
 
@@ -559,7 +597,7 @@
 	const char *text = getenv("SOAK_SEEDS");
 
 	(void)state;
-	run_seeds(text ? text : DEFAULT_SEEDS, false);
+	run_seeds(text ? text : DEFAULT_SEEDS, false, false);
 }
 
 static void accepted_jobs_end_while_tasks_crash_their_upstreams(void **state)
@@ -567,7 +605,7 @@
 	const char *text = getenv("SOAK_SEEDS");
 
 	(void)state;
-	run_seeds(text ? text : DEFAULT_CRASH_SEEDS, true);
+	run_seeds(text ? text : DEFAULT_CRASH_SEEDS, true, false);
 }
 
 static void
@@ -583,6 +621,15 @@
 	g_strfreev(seeds);
 }
 
+static void
+accepted_jobs_complete_under_stale_reads_and_lapsed_entries(void **state)
+{
+	const char *text = getenv("SOAK_SEEDS");
+
+	(void)state;
+	run_seeds(text ? text : DEFAULT_COPY_SEEDS, false, true);
+}
+
 /*
  * Seeds that have failed once and the faults that they found:
  * 22, 50: an instance resumed from SIGSTOP never became ready again, and its
@@ -599,8 +646,8 @@
 	(void)state;
 	if (getenv("SOAK_SEEDS"))
 		return;
-	run_seeds("22 50 97", false);
-	run_seeds("605", true);
+	run_seeds("22 50 97", false, false);
+	run_seeds("605", true, false);
 }
 
 /* Guards against seeds that play differently on another processor. */
@@ -628,6 +675,8 @@
 			accepted_jobs_end_while_tasks_crash_their_upstreams),
 		cmocka_unit_test(
 			accepted_jobs_complete_under_faults_that_outlast_leases),
+		cmocka_unit_test(
+			accepted_jobs_complete_under_stale_reads_and_lapsed_entries),
 		cmocka_unit_test(seeds_that_failed_before_pass),
 	};
 
