--- a/lead/leader.c
+++ b/lead/leader.c
@@ -203,7 +203,8 @@
 
 /*
  * Add a job to the model from its spec row and its run row, unless it is
- * known or has ended. A malformed row is logged.
+ * known or has ended. A malformed row is logged; a run that it does not show
+ * is a stray, or has ended with the leases of earlier leaders.
  */
 static void add_job(struct leader *d, const char *id, const char *value)
 {
@@ -223,9 +224,11 @@
 	age = store > j->received_ms ? store - j->received_ms : 0;
 	j->since_ms = now_ms - MIN(age, now_ms - 1);
 	model_add_job(d->model, j);
-	if (run && !run_decode(j, run, inherit_run, d))
+	if (run && !run_decode(j, run, inherit_run, d)) {
 		log_fields(LOG_ERROR, "bad_row", "{s:s,s:s}", "job", id,
 			   "table", RUN_TABLE);
+		j->unknown_runs_end_ms = d->model->earlier_leases_end_ms;
+	}
 	/* The rows of a final job have to be removed. */
 	j->dirty = job_is_final(j);
 	j->recorded_state = j->state;
@@ -239,17 +242,24 @@
 		cancel_job(d, j);
 }
 
-/* Remove a job whose spec row is gone, and log one that has not ended. */
+/*
+ * Remove a job whose spec row is gone. One whose end is not recorded keeps its
+ * runs: it was not removed by a leader.
+ */
 static void forget_job(struct leader *d, const char *id)
 {
 	const struct job *j = model_find_job(d->model, id);
 
-	if (j && !job_is_final(j))
-		log_fields(LOG_WARN, "job_forgotten", "{s:s,s:s,s:b,s:I}",
-			   "job", id, "state", job_state_name(j->state),
-			   "active", job_has_active_tasks(j), "version",
-			   (json_int_t)replica_version(d->specs));
-	model_remove_job(d->model, id);
+	if (!j)
+		return;
+	if (job_is_final(j) && !job_has_active_tasks(j) && !j->dirty) {
+		model_remove_job(d->model, id);
+		return;
+	}
+	log_fields(LOG_ERROR, "job_row_missing", "{s:s,s:s,s:b,s:I}", "job", id,
+		   "state", job_state_name(j->state), "active",
+		   job_has_active_tasks(j), "version",
+		   (json_int_t)replica_version(d->specs));
 }
 
 static void apply_spec_row(void *arg, const char *id, const char *value,
@@ -593,6 +603,7 @@
 {
 	struct expiry e = {.rows = d->env.rows,
 			   .states = d->env.states,
+			   .jobs = d->env.jobs,
 			   .specs = d->specs,
 			   .model = d->model};
 	uint64_t store = replica_store_clock_ms(d->env.states);
--- a/lead/replica.c
+++ b/lead/replica.c
@@ -1,6 +1,8 @@
 /*
  * A replica reads the whole table once, then follows the change feed. If
- * the feed's history has been compacted, it reads the table again.
+ * the feed's history has been compacted, it reads the table again. No answer is
+ * older than those before it (platform/rows.c), so the copy never goes back: a
+ * row that a complete read lacks has been removed.
  * Connections may stall silently, so each call has a timeout slightly above
  * its wait time.
  */
@@ -74,8 +76,10 @@
 	uint32_t failure_count;
 	/* When the call in flight was sent. */
 	uint64_t call_sent_ms;
-	/* When the newest answered call was sent. */
-	uint64_t answered_call_sent_ms;
+	/* When the first call of the current or last full read was sent. */
+	uint64_t read_sent_ms;
+	/* The copy holds all changes until then. */
+	uint64_t current_at_ms;
 	/* When the feed call before it was sent; 0 if that was no feed call. */
 	uint64_t feed_call_sent_ms;
 	/* The changes that are being applied were made after this time. */
@@ -175,15 +179,16 @@
  */
 uint64_t replica_age_max_ms(const struct replica *f)
 {
-	return f->answered_call_sent_ms
-		       ? clock_mono_ms() - f->answered_call_sent_ms
-		       : UINT64_MAX;
+	return f->current_at_ms ? clock_mono_ms() - f->current_at_ms
+				: UINT64_MAX;
 }
 
-/* Return when the newest answered call was sent; 0 if there was none. */
-uint64_t replica_answered_call_sent_ms(const struct replica *f)
+/*
+ * Return a time until which the copy holds all changes; 0 if it is incomplete.
+ */
+uint64_t replica_current_at_ms(const struct replica *f)
 {
-	return f->answered_call_sent_ms;
+	return f->current_at_ms;
 }
 
 /*
@@ -238,6 +243,15 @@
 	return f->store_ms + (clock_mono_ms() - f->answered_ms);
 }
 
+/*
+ * Return the store's monotonic clock at the newest answer, which bounds what
+ * the copy shows; 0 if there was none.
+ */
+uint64_t replica_answer_clock_ms(const struct replica *f)
+{
+	return f->store_ms;
+}
+
 /* Set the delay between an answer and the next feed call. */
 void replica_set_poll_delay(struct replica *f, uint32_t poll_delay_ms)
 {
@@ -283,13 +297,16 @@
 	g_tree_foreach(f->copy, visit_row, &v);
 }
 
-/* Apply a row unless the copy has a newer version; NULL removes it. */
+/*
+ * Apply a row unless the copy has a newer version; NULL removes it. The version
+ * of a removal is 0 if it is unknown.
+ */
 static void apply_row(struct replica *f, const struct row *row)
 {
 	struct stored_row *s = g_tree_lookup(f->copy, row->key);
 
 	if (!row->value) {
-		if (!s)
+		if (!s || (row->version && row->version < s->version))
 			return;
 		f->ev.changed(f->arg, row->key, NULL, row->version);
 		g_tree_remove(f->copy, row->key);
@@ -366,8 +383,10 @@
 {
 	uint32_t removed;
 
-	if (!*f->next_key && !f->part_index)
+	if (!*f->next_key && !f->part_index) {
 		f->read_version = a->version;
+		f->read_sent_ms = f->call_sent_ms;
+	}
 	if (a->more) {
 		/* The smallest key above the last one read. */
 		set_next_key(f, g_strconcat(a->last_key, "\001", NULL));
@@ -387,6 +406,7 @@
 			   (int)g_tree_nnodes(f->copy), "removed",
 			   (int)removed);
 	f->version = f->read_version;
+	f->current_at_ms = f->read_sent_ms;
 }
 
 /* Handle a call that failed, and schedule the next one. */
@@ -424,6 +444,13 @@
 	f->feed_call_sent_ms = f->complete ? f->call_sent_ms : 0;
 }
 
+/* Note that the copy is complete up to an answer of the feed. */
+static void note_feed_answer(struct replica *f, const struct rows_answer *a)
+{
+	f->version = a->version;
+	f->current_at_ms = f->call_sent_ms;
+}
+
 static void on_answer(void *arg, const struct rows_answer *a)
 {
 	struct replica *f = arg;
@@ -433,7 +460,8 @@
 		replica_free(f);
 		return;
 	}
-	if (a->outcome == ROWS_COMPACTED) {
+	/* Only the feed has a history that can be dropped. */
+	if (a->outcome == ROWS_COMPACTED && f->complete) {
 		log_fields(LOG_WARN, "feed_compacted", "{s:s,s:I}", "table",
 			   f->table, "version", (json_int_t)f->version);
 		f->complete = false;
@@ -458,15 +486,14 @@
 			   f->table, "failures", (int)f->failure_count);
 	f->failure_count = 0;
 	f->answered_ms = clock_mono_ms();
-	f->answered_call_sent_ms = f->call_sent_ms;
 	f->store_ms = a->now_ms;
 	if (!f->answered_since_ms)
 		f->answered_since_ms = f->answered_ms;
 	apply_rows(f, a);
 	if (!f->complete)
 		apply_page(f, a);
-	else if (a->version > f->version)
-		f->version = a->version;
+	else
+		note_feed_answer(f, a);
 	timer_start(f->loop, &f->timer,
 		    f->complete && !f->refresh ? f->poll_delay_ms : 0);
 	if (f->ev.answered)
