--- a/test/unit_table.c
+++ b/test/unit_table.c
@@ -32,10 +32,12 @@
 	struct platform_client *client;
 	uint64_t version; /* up to which scans are answered */
 	uint64_t commit_version;
-	uint64_t scanned_after; /* version that the last scan starts from */
+	uint64_t
+		conflict_version; /* of the row of a conflict; 0: no conflict */
+	uint64_t scanned_after;	  /* version that the last scan starts from */
 	uint32_t scans;
 	uint32_t caught_up; /* answers that count as a reading of the table */
-	bool committed;
+	bool txn_done;
 };
 
 static void serve_platform(void *arg, struct http_exchange *x)
@@ -45,12 +47,18 @@
 				   (json_int_t)s->commit_version, "complete",
 				   (json_int_t)s->version, "rows");
 	char *after = exchange_query(x, "after");
+	bool conflicts = s->conflict_version && !after;
 
 	if (after) {
 		s->scans++;
 		s->scanned_after = g_ascii_strtoull(after, NULL, 10);
 	}
-	exchange_reply_json(x, 200, answer, 0);
+	if (conflicts)
+		json_object_set_new(answer, "conflict",
+				    json_pack("{s:s,s:I}", "key", "job/reindex",
+					      "version",
+					      (json_int_t)s->conflict_version));
+	exchange_reply_json(x, conflicts ? 409 : 200, answer, 0);
 	g_free(after);
 }
 
@@ -59,7 +67,7 @@
 	struct fixture *s = task;
 
 	if (m->tag == MSG_TXN_DONE)
-		s->committed = verdict_is_ran(m->txn.verdict);
+		s->txn_done = true;
 	if (m->tag == MSG_ROWS)
 		s->caught_up += m->rows.caught_up_ms != 0;
 }
@@ -147,22 +155,39 @@
 	teardown_client(s);
 }
 
-static void test_scan_without_an_own_commit_is_no_reading(void **state)
+/* Play a transaction that shows that the table has reached version 20. */
+static void play_transaction(struct fixture *s)
 {
-	struct fixture *s = setup_client();
 	uint32_t caught_up;
 
-	(void)state;
 	wait_until(s, s->caught_up);
-	s->commit_version = 20;
 	post_txn(s->env.bus, TASK_JOB, 1, json_array());
-	wait_until(s, s->committed);
+	wait_until(s, s->txn_done);
 	wait_for_scans(s, 2);
 	caught_up = s->caught_up;
 	wait_for_scans(s, 3);
 	assert_int_equal(s->caught_up, caught_up);
 	s->version = 20;
 	wait_until(s, s->caught_up > caught_up);
+}
+
+static void test_scan_without_an_own_commit_is_no_reading(void **state)
+{
+	struct fixture *s = setup_client();
+
+	(void)state;
+	s->commit_version = 20;
+	play_transaction(s);
+	teardown_client(s);
+}
+
+static void test_scan_without_the_row_of_a_conflict_is_no_reading(void **state)
+{
+	struct fixture *s = setup_client();
+
+	(void)state;
+	s->conflict_version = 20;
+	play_transaction(s);
 	teardown_client(s);
 }
 
@@ -171,6 +196,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_scan_that_goes_back_is_no_reading),
 		cmocka_unit_test(test_scan_without_an_own_commit_is_no_reading),
+		cmocka_unit_test(
+			test_scan_without_the_row_of_a_conflict_is_no_reading),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
