Read the table before a job is called unknown

A job that another instance had accepted a moment ago, or one of the oldest ended jobs, which are not kept in memory, was answered with "not found" by an instance that did not have its row; a cancellation of it was refused for that reason. The own copy of the table is no proof that a row does not exist.

Such a request waits for a read of the row. If the platform does not answer either, the reason is platform_out instead.

test_job_that_only_the_table_knows_is_found failed before (verdict_is_ran) and passes.

--- a/daemon/jobs.c
+++ b/daemon/jobs.c
@@ -464,12 +464,38 @@
 	}
 }
 
-/* Continue after the row was read back to see if a write succeeded. */
+/* Continue a request about a job whose row was not known, after a read. */
+static void handle_unknown_row_read(struct jobs *j, struct pending_request *w,
+				    struct txn_result *t)
+{
+	const struct row *r;
+
+	if (t->conflict)
+		store_row(j, w->key, json_int_or(t->conflict, "version", 0),
+			  json_object_get(t->conflict, "value"));
+	r = g_hash_table_lookup(j->rows, w->key);
+	if (r && w->request.request.kind == REQUEST_CANCEL_JOB)
+		send_cancellation(j, w);
+	else if (r)
+		finish_with_verdict(j, w, verdict_ran(), job_json(w->key, r));
+	else if (verdict_is_ran(t->verdict))
+		finish_with_verdict(j, w, verdict_did_not_run(REASON_NOT_FOUND),
+				    NULL);
+	else
+		finish_with_verdict(
+			j, w, verdict_did_not_run(REASON_PLATFORM_OUT), NULL);
+}
+
+/* Continue after a read, most often to see if a write succeeded. */
 static void handle_request_read(struct jobs *j, struct pending_request *w,
 				struct txn_result *t)
 {
 	bool cancel = w->request.request.kind == REQUEST_CANCEL_JOB;
 
+	if (!w->attempts) {
+		handle_unknown_row_read(j, w, t);
+		return;
+	}
 	if (verdict_is_ran(t->verdict) && t->conflict && cancel) {
 		store_row(j, w->key, json_int_or(t->conflict, "version", 0),
 			  json_object_get(t->conflict, "value"));
@@ -518,12 +544,24 @@
 	}
 }
 
+/*
+ * Read the row of a job that is not known here before a request about it is
+ * answered: another instance may have accepted the job just now.
+ */
+static void read_unknown_row(struct jobs *j, struct pending_request *w)
+{
+	post_read(j->env->bus, TASK_JOB, w->ticket, w->key);
+}
+
 static void handle_cancel(struct jobs *j, const struct message *m)
 {
 	struct pending_request *w =
 		pending_request_create(j, m, m->request.name);
 
-	send_cancellation(j, w);
+	if (g_hash_table_contains(j->rows, w->key))
+		send_cancellation(j, w);
+	else
+		read_unknown_row(j, w);
 }
 
 /* Updates from the coordinator */
@@ -696,8 +734,8 @@
 	if (r)
 		post_response(j->env->bus, m, verdict_ran(), job_json(key, r));
 	else
-		post_response(j->env->bus, m,
-			      verdict_did_not_run(REASON_NOT_FOUND), NULL);
+		read_unknown_row(j,
+				 pending_request_create(j, m, m->request.name));
 	g_free(key);
 }
 
--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -70,9 +70,11 @@
 	int lease_term_ms;  /* in the configuration; 0: the default */
 	/* The servers at which the configuration places the upstreams. */
 	uint32_t places[UPSTREAM_COUNT_MAX];
-	uint32_t starts;  /* runs that the upstreams have started */
-	uint32_t rebinds; /* requests to bind guarantees elsewhere */
-	uint32_t lost;	  /* upstreams that the last of them names */
+	uint32_t starts;       /* runs that the upstreams have started */
+	uint32_t rebinds;      /* requests to bind guarantees elsewhere */
+	uint32_t lost;	       /* upstreams that the last of them names */
+	struct verdict answer; /* to the last request of a caller */
+	uint32_t answers;
 };
 
 /* Upstreams */
@@ -285,6 +287,16 @@
 	s->lost = json_array_size(m->request.body);
 }
 
+static void receive_answer(void *task, struct message *m)
+{
+	struct fixture *s = task;
+
+	if (m->tag != MSG_RESPONSE)
+		return;
+	s->answer = m->response.verdict;
+	s->answers++;
+}
+
 static void post_table_state(struct fixture *s, bool reachable)
 {
 	struct message m = {.tag = MSG_TABLE_STATE,
@@ -437,6 +449,7 @@
 	}
 	bus_attach(s->env.bus, TASK_PLATFORM, receive_table_call, s);
 	bus_attach(s->env.bus, TASK_CONFIG, receive_request, s);
+	bus_attach(s->env.bus, TASK_CALLER, receive_answer, s);
 	start_process(s);
 	return s;
 }
@@ -1051,6 +1064,40 @@
 	teardown_site(s);
 }
 
+/* Ask about a job, and wait for the answer. */
+static void ask_about_job(struct fixture *s, enum request_kind kind,
+			  const char *name)
+{
+	struct message m = {
+		.tag = MSG_REQUEST, .from = TASK_CALLER, .to = TASK_JOB};
+	uint32_t answers = s->answers;
+
+	m.request.kind = kind;
+	m.request.name = g_strdup(name);
+	bus_post(s->env.bus, &m);
+	wait_until(s, s->answers > answers);
+}
+
+static void test_job_that_only_the_table_knows_is_found(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	s->table_is_silent = true;
+	put_job(s, JOB_KEY, "accepted", 0);
+	ask_about_job(s, REQUEST_GET_JOB, "reindex");
+	assert_true(verdict_is_ran(s->answer));
+	put_job(s, LATER_JOB_KEY, "accepted", 0);
+	ask_about_job(s, REQUEST_CANCEL_JOB, "later");
+	assert_int_equal(s->answer.reason, REASON_NONE);
+	assert_true(job_is(s, LATER_JOB_KEY, "cancelling"));
+	ask_about_job(s, REQUEST_GET_JOB, "unknown");
+	assert_int_equal(s->answer.reason, REASON_NOT_FOUND);
+	ask_about_job(s, REQUEST_CANCEL_JOB, "unknown");
+	assert_int_equal(s->answer.reason, REASON_NOT_FOUND);
+	teardown_site(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -1097,6 +1144,7 @@
 		cmocka_unit_test(
 			test_job_is_not_parked_by_an_old_configuration),
 		cmocka_unit_test(test_job_that_never_fits_is_parked),
+		cmocka_unit_test(test_job_that_only_the_table_knows_is_found),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
