Wait for the run of a removed upstream after a change of coordinator

An upstream that is off the platform's list may be removed from the configuration. A new coordinator does not know it, found no lease of the jobs there, and started them at once, beside runs that last until their leases end.

The row of a running job names its upstreams. If one of them is not configured, the job waits until the leases that were renewed before the claims have ended; other jobs start.

test_run_on_a_removed_upstream_is_waited_for failed before (the job took the upstream that a later one needed, 3 s after the claims) and passes.

--- a/daemon/coordinator-internal.h
+++ b/daemon/coordinator-internal.h
@@ -46,6 +46,7 @@
 	uint32_t rebound_loss_hash;
 	bool rows_changed;	  /* some gangs may have to be queued */
 	bool awaits_config;	  /* a job does not fit the one in force */
+	bool awaits_leases;	  /* a job may run on a removed upstream */
 	uint32_t releasing_count; /* gangs in GANG_RELEASING */
 };
 
@@ -119,6 +120,7 @@
 	char *payload;
 	uint64_t submitted_ms; /* monotonic */
 	char row_state[16];
+	json_t *where; /* upstreams that the row names; may be NULL */
 	bool has_row;
 	uint64_t row_known_ms; /* when the row was known first */
 	uint32_t job_handle;   /* in the scheduler, or NO_JOB_HANDLE */
--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -113,11 +113,43 @@
 				  !strcmp(g->row_state, "running"));
 }
 
+/* Return when the leases that were renewed before the last claim have ended. */
+static uint64_t earlier_leases_end_ms(const struct coordinator *d)
+{
+	return d->all_claimed_ms + CALL_TIMEOUT_MS +
+	       d->config->limits.lease_term_ms + LEASE_EXPIRY_MARGIN_MS;
+}
+
+/*
+ * Report whether g may run on an upstream that was not claimed, because it was
+ * removed from the configuration.
+ */
+static bool may_run_on_removed_upstream(struct coordinator *d,
+					const struct gang *g)
+{
+	json_t *v;
+	size_t i;
+
+	if (strcmp(g->row_state, "running"))
+		return false;
+	json_array_foreach(g->where, i, v)
+	{
+		const char *name = json_string_value(v);
+		const struct upstream_control *c =
+			name ? coordinator_find_control(d, name) : NULL;
+
+		if (!c || !c->configured)
+			return true;
+	}
+	return false;
+}
+
 /* Queue the waiting gangs that have a row; end those that must not start. */
-static void enqueue_waiting_gangs(struct coordinator *d)
+static void enqueue_waiting_gangs(struct coordinator *d, uint64_t now)
 {
 	GList *all = g_hash_table_get_values(d->gangs);
 
+	d->awaits_leases = false;
 	for (GList *l = all; l; l = l->next) {
 		struct gang *g = l->data;
 
@@ -126,6 +158,9 @@
 			continue;
 		if (!strcmp(g->row_state, "cancelling"))
 			gang_end(g, "cancelled", "asked for");
+		else if (now < earlier_leases_end_ms(d) &&
+			 may_run_on_removed_upstream(d, g))
+			d->awaits_leases = true;
 		else if (must_not_rerun(g))
 			gang_end(g, "parked",
 				 "it may have run, and must not twice");
@@ -576,8 +611,8 @@
 	struct actions actions = {0};
 	uint64_t began_us = clock_mono_us();
 
-	if (d->rows_changed)
-		enqueue_waiting_gangs(d);
+	if (d->rows_changed || d->awaits_leases)
+		enqueue_waiting_gangs(d, now);
 	d->rows_changed = false;
 	sched_decide(d->sched, now, &actions);
 	latency_add(d->env->counters, "decision", clock_mono_us() - began_us);
@@ -717,9 +752,6 @@
  */
 static void settle_if_due(struct coordinator *d, uint64_t now)
 {
-	uint64_t leases_end_ms = d->all_claimed_ms + CALL_TIMEOUT_MS +
-				 d->config->limits.lease_term_ms +
-				 LEASE_EXPIRY_MARGIN_MS;
 	bool gone_upstreams = false;
 
 	if (d->settled)
@@ -739,7 +771,7 @@
 	d->settled =
 		d->table_caught_up_ms > d->all_claimed_ms &&
 		(!gone_upstreams || (d->members_asked_ms > d->all_claimed_ms &&
-				     now >= leases_end_ms));
+				     now >= earlier_leases_end_ms(d)));
 }
 
 static void on_tick(void *arg)
--- a/daemon/gang.c
+++ b/daemon/gang.c
@@ -55,6 +55,7 @@
 void gang_destroy(struct gang *g)
 {
 	json_decref(g->failed_on);
+	json_decref(g->where);
 	g_free(g->payload);
 	g_free(g->parts);
 	g_free(g->name);
@@ -101,6 +102,8 @@
 		  sizeof(g->account));
 	g_strlcpy(g->row_state, json_str_or(row, "state", ""),
 		  sizeof(g->row_state));
+	json_decref(g->where);
+	g->where = json_incref(json_object_get(row, "where"));
 	job_class_parse(json_str_or(row, "class", "batch"), &g->job_class);
 	if (!gang_is_active(g)) {
 		g->shape.parts = json_int_or(row, "parts", 1);
--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -1064,6 +1064,28 @@
 	teardown_site(s);
 }
 
+static void test_run_on_a_removed_upstream_is_waited_for(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	put_job(s, JOB_KEY, "running", ATTEMPT_OF_EPOCH(7));
+	json_object_set_new(row_value(s, JOB_KEY), "where",
+			    json_pack("[s]", "kolkata-w2"));
+	put_job(s, LATER_JOB_KEY, "accepted", 0);
+	put_running_lease(&s->upstreams[1], 7);
+	s->upstreams[0].epoch = 7;
+	post_config(s, 1);
+	post_members(s, 1);
+	wait_until(s, s->upstreams[0].epoch > 7);
+	run_for(s, 3000);
+	assert_true(job_is(s, LATER_JOB_KEY, "running"));
+	assert_int_equal(s->starts, 1);
+	set_all_leases(&s->upstreams[0], "done");
+	wait_until(s, s->starts > 1);
+	teardown_site(s);
+}
+
 /* Ask about a job, and wait for the answer. */
 static void ask_about_job(struct fixture *s, enum request_kind kind,
 			  const char *name)
@@ -1145,6 +1167,7 @@
 			test_job_is_not_parked_by_an_old_configuration),
 		cmocka_unit_test(test_job_that_never_fits_is_parked),
 		cmocka_unit_test(test_job_that_only_the_table_knows_is_found),
+		cmocka_unit_test(test_run_on_a_removed_upstream_is_waited_for),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
