--- a/daemon/coordinator-internal.h
+++ b/daemon/coordinator-internal.h
@@ -45,6 +45,8 @@
 	uint64_t rebound_ms; /* when the last list before it was asked for */
 	uint32_t rebound_loss_hash;
 	bool rows_changed;	  /* some gangs may have to be queued */
+	bool awaits_config;	  /* a job does not fit the one in force */
+	bool awaits_leases;	  /* a job may run on a removed upstream */
 	uint32_t releasing_count; /* gangs in GANG_RELEASING */
 };
 
@@ -58,6 +60,9 @@
 	struct http_pool *pool;
 	struct health health;
 	uint64_t claimed_epoch; /* the last that it accepted */
+	uint64_t claim_epoch;	/* of the last claim call */
+	uint64_t tried_epoch;	/* of the last claim call that has ended */
+	uint64_t renewed_epoch; /* the last in which leases were renewed */
 	bool in_use;		/* the leader may place work there */
 	uint64_t known_ms;	/* when it appeared; 0 if in use or gone */
 	bool claimed;		/* obeys the coordinator's epoch */
@@ -115,8 +120,10 @@
 	char *payload;
 	uint64_t submitted_ms; /* monotonic */
 	char row_state[16];
+	json_t *where; /* upstreams that the row names; may be NULL */
 	bool has_row;
-	uint32_t job_handle; /* in the scheduler, or NO_JOB_HANDLE */
+	uint64_t row_known_ms; /* when the row was known first */
+	uint32_t job_handle;   /* in the scheduler, or NO_JOB_HANDLE */
 	enum gang_state state;
 	enum release_outcome outcome;
 	const char *reason; /* why it was released */
@@ -160,6 +167,7 @@
 void gang_end(struct gang *g, const char *state, const char *reason);
 void gang_remove(struct gang *g);
 void gang_job_spec(const struct gang *g, struct job_spec *spec);
+bool gang_lease_has_ended(const json_t *lease);
 bool gang_is_active(const struct gang *g);
 struct gang *gang_adopt(struct coordinator *d, const char *name,
 			json_t *leases);
@@ -168,6 +176,9 @@
 
 /* coordinator.c */
 void coordinator_yield_to_epoch(struct coordinator *d, uint64_t epoch);
+void coordinator_claim_again(struct coordinator *d);
+bool coordinator_is_confirmed_since(const struct coordinator *d,
+				    uint64_t since_ms);
 void coordinator_handle_report(struct coordinator *d,
 			       struct upstream_control *c);
 struct upstream_control *coordinator_find_control(struct coordinator *d,
--- a/daemon/coordinator.c
+++ b/daemon/coordinator.c
@@ -70,7 +70,11 @@
 	l->account_queue_max = SCHED_QUEUE_MAX;
 }
 
-/* Add a gang to the scheduler, as placed if it has parts, else as waiting. */
+/*
+ * Add a gang to the scheduler, as placed if it has parts, else as waiting.  A
+ * job that does not fit is parked once the table was read after its row was
+ * known: the configuration in force may be older than the row.
+ */
 static void add_to_scheduler(struct coordinator *d, struct gang *g)
 {
 	struct job_spec spec;
@@ -78,10 +82,14 @@
 
 	gang_job_spec(g, &spec);
 	if (!g->parts) {
-		if (sched_submit(d->sched, &spec, &g->job_handle) ==
+		if (sched_submit(d->sched, &spec, &g->job_handle) !=
 		    SUBMIT_NEVER_FITS)
+			return;
+		if (d->table_caught_up_ms > g->row_known_ms)
 			gang_end(g, "parked",
 				 "no set of upstreams can hold this shape");
+		else
+			d->awaits_config = true;
 		return;
 	}
 	parts = g_new0(struct part, g->shape.parts);
@@ -105,11 +113,43 @@
 				  !strcmp(g->row_state, "running"));
 }
 
+/* Return when the leases that were renewed before the last claim have ended. */
+static uint64_t earlier_leases_end_ms(const struct coordinator *d)
+{
+	return d->all_claimed_ms + CALL_TIMEOUT_MS +
+	       d->config->limits.lease_term_ms + LEASE_EXPIRY_MARGIN_MS;
+}
+
+/*
+ * Report whether g may run on an upstream that was not claimed, because it was
+ * removed from the configuration.
+ */
+static bool may_run_on_removed_upstream(struct coordinator *d,
+					const struct gang *g)
+{
+	json_t *v;
+	size_t i;
+
+	if (strcmp(g->row_state, "running"))
+		return false;
+	json_array_foreach(g->where, i, v)
+	{
+		const char *name = json_string_value(v);
+		const struct upstream_control *c =
+			name ? coordinator_find_control(d, name) : NULL;
+
+		if (!c || !c->configured)
+			return true;
+	}
+	return false;
+}
+
 /* Queue the waiting gangs that have a row; end those that must not start. */
-static void enqueue_waiting_gangs(struct coordinator *d)
+static void enqueue_waiting_gangs(struct coordinator *d, uint64_t now)
 {
 	GList *all = g_hash_table_get_values(d->gangs);
 
+	d->awaits_leases = false;
 	for (GList *l = all; l; l = l->next) {
 		struct gang *g = l->data;
 
@@ -118,6 +158,9 @@
 			continue;
 		if (!strcmp(g->row_state, "cancelling"))
 			gang_end(g, "cancelled", "asked for");
+		else if (now < earlier_leases_end_ms(d) &&
+			 may_run_on_removed_upstream(d, g))
+			d->awaits_leases = true;
 		else if (must_not_rerun(g))
 			gang_end(g, "parked",
 				 "it may have run, and must not twice");
@@ -252,7 +295,7 @@
 }
 
 /* Claim all upstreams anew, because one was not claimed before. */
-static void claim_again(struct coordinator *d)
+void coordinator_claim_again(struct coordinator *d)
 {
 	step_down(d, "an upstream was not claimed");
 }
@@ -288,7 +331,10 @@
 	claim_upstreams(d);
 }
 
-/* Report whether every configured upstream that still exists is claimed. */
+/*
+ * Report whether every configured upstream is claimed, or is off the list and
+ * has not answered a claim.
+ */
 static bool all_upstreams_claimed(const struct coordinator *d)
 {
 	for (guint i = 0; i < d->controls->len; i++) {
@@ -296,7 +342,8 @@
 			g_ptr_array_index(d->controls, i);
 
 		if (c->configured && !c->claimed &&
-		    !upstream_control_is_gone(c))
+		    (!upstream_control_is_gone(c) ||
+		     c->tried_epoch != d->epoch))
 			return false;
 	}
 	return true;
@@ -463,7 +510,8 @@
  * Report whether more than half of the upstreams in use have confirmed the
  * epoch in answer to a call that was sent after since_ms.
  */
-static bool is_confirmed_since(const struct coordinator *d, uint64_t since_ms)
+bool coordinator_is_confirmed_since(const struct coordinator *d,
+				    uint64_t since_ms)
 {
 	uint32_t all = 0, confirmed_count = 0;
 
@@ -487,7 +535,8 @@
  */
 static bool has_quorum(const struct coordinator *d, uint64_t now)
 {
-	return is_confirmed_since(d, now - d->config->limits.lease_term_ms);
+	return coordinator_is_confirmed_since(
+		d, now - d->config->limits.lease_term_ms);
 }
 
 /*
@@ -517,13 +566,14 @@
 		claimed = claimed || c->claimed;
 		if (!c->known_ms)
 			c->known_ms = now;
-		if (c->claimed && is_confirmed_since(d, c->known_ms)) {
+		if (c->claimed &&
+		    coordinator_is_confirmed_since(d, c->known_ms)) {
 			c->in_use = true;
 			c->known_ms = 0;
 		}
 	}
 	if (!used_count && claimed)
-		claim_again(d); /* nobody is left to confirm */
+		coordinator_claim_again(d); /* nobody is left to confirm */
 }
 
 static void execute_action(struct coordinator *d, const struct action *a)
@@ -561,8 +611,8 @@
 	struct actions actions = {0};
 	uint64_t began_us = clock_mono_us();
 
-	if (d->rows_changed)
-		enqueue_waiting_gangs(d);
+	if (d->rows_changed || d->awaits_leases)
+		enqueue_waiting_gangs(d, now);
 	d->rows_changed = false;
 	sched_decide(d->sched, now, &actions);
 	latency_add(d->env->counters, "decision", clock_mono_us() - began_us);
@@ -648,14 +698,48 @@
 	g_list_free(all);
 }
 
+/*
+ * Report whether more than half of the listed upstreams obey the epoch, and
+ * have confirmed that within the lease term.
+ */
+static bool has_claimed_majority(const struct coordinator *d, uint64_t now)
+{
+	uint32_t all = 0, claimed_count = 0;
+
+	for (guint i = 0; i < d->controls->len; i++) {
+		const struct upstream_control *c =
+			g_ptr_array_index(d->controls, i);
+
+		if (!c->configured || upstream_control_is_gone(c))
+			continue;
+		all++;
+		claimed_count +=
+			c->claimed && now - c->confirmed_sent_ms <
+					      d->config->limits.lease_term_ms;
+	}
+	return claimed_count * 2 > all;
+}
+
+/*
+ * Renew the leases at the claimed upstreams.  A candidate does so only with a
+ * majority, and otherwise repeats its claims, which extend no lease: a leader
+ * that cannot reach these upstreams counts on the end of the leases there, and
+ * starts their jobs elsewhere.
+ */
 static void renew_due_leases(struct coordinator *d, uint64_t now)
 {
+	bool may_renew = d->role == ROLE_LEADER || has_claimed_majority(d, now);
+
 	for (guint i = 0; i < d->controls->len; i++) {
 		struct upstream_control *c = g_ptr_array_index(d->controls, i);
+		bool due = now - c->last_call_ms >= d->config->limits.renew_ms;
 
-		if (c->claimed &&
-		    now - c->last_call_ms >= d->config->limits.renew_ms)
+		if (!c->claimed)
+			continue;
+		if (may_renew && (due || c->renewed_epoch != d->epoch))
 			upstream_control_renew(c);
+		else if (due)
+			upstream_control_claim(c);
 	}
 }
 
@@ -663,9 +747,10 @@
  * Allow the leader to start jobs, or claim again.  The table and the list, both
  * read after the last claim, tell which jobs ended under its predecessors and
  * which upstreams these may have used: a list or a configuration that is older
- * than the claims may lack one.
+ * than the claims may lack one.  An upstream that is off the list and does not
+ * answer may go on with its runs until their leases end.
  */
-static void settle_if_due(struct coordinator *d)
+static void settle_if_due(struct coordinator *d, uint64_t now)
 {
 	bool gone_upstreams = false;
 
@@ -678,14 +763,15 @@
 		if (!c->configured || c->claimed_epoch == d->epoch)
 			continue;
 		if (!upstream_control_is_gone(c)) {
-			claim_again(d);
+			coordinator_claim_again(d);
 			return;
 		}
 		gone_upstreams = true;
 	}
 	d->settled =
 		d->table_caught_up_ms > d->all_claimed_ms &&
-		(!gone_upstreams || d->members_asked_ms > d->all_claimed_ms);
+		(!gone_upstreams || (d->members_asked_ms > d->all_claimed_ms &&
+				     now >= earlier_leases_end_ms(d)));
 }
 
 static void on_tick(void *arg)
@@ -698,7 +784,7 @@
 	if (d->role == ROLE_LEADER)
 		use_new_upstreams(d, now);
 	if (d->role == ROLE_LEADER)
-		settle_if_due(d);
+		settle_if_due(d, now);
 	if (d->role == ROLE_FOLLOWER) {
 		start_election_if_due(d, now);
 		return;
@@ -722,14 +808,6 @@
 
 /* Messages */
 
-static bool lease_occupies_slot(const json_t *lease)
-{
-	const char *state = json_str_or(lease, "state", "");
-
-	return !strcmp(state, "reserved") || !strcmp(state, "running") ||
-	       !strcmp(state, "stopping");
-}
-
 /* The result is ignored: a lease that is not released expires. */
 static void on_orphans_released(void *arg, const struct http_result *r)
 {
@@ -754,7 +832,7 @@
 		if (g && g->parts &&
 		    (uint64_t)json_int_or(v, "attempt", 0) == g->attempt)
 			continue;
-		if (!lease_occupies_slot(v)) {
+		if (gang_lease_has_ended(v)) {
 			g_hash_table_insert(c->acks, g_strdup(id), NULL);
 		} else if (!g_hash_table_contains(c->not_renewed, id)) {
 			g_hash_table_insert(c->not_renewed, g_strdup(id), NULL);
@@ -961,6 +1039,8 @@
 		break;
 	case MSG_CAUGHT_UP:
 		d->table_caught_up_ms = m->number;
+		d->rows_changed = d->rows_changed || d->awaits_config;
+		d->awaits_config = false;
 		break;
 	case MSG_TABLE_STATE:
 		d->table_reachable = m->flag;
