--- a/test/proc_grown.c
+++ b/test/proc_grown.c
@@ -18,7 +18,7 @@
 #define OUTAGE_JOBS 20
 /* The table of the upstreams' entries. */
 #define ENTRIES "servers"
-#define FIRST_JOBS_MS 1500
+#define FIRST_JOBS_MS 3000
 #define ENTRY_DELAY_MS 2000
 /* Time after which an entry without heartbeats has lapsed. */
 #define LAPSE_MS 5000
@@ -134,6 +134,19 @@
 	grown_stop(g);
 }
 
+/* Kills the leader while all reads are stale. */
+static void play_stale_takeover(uint32_t net, uint32_t seed)
+{
+	struct grown *g = start(net, seed);
+
+	grown_drop_history(g, SILENCE_MS, STALE_MS, "");
+	grown_run(g, SILENCE_MS);
+	grown_kill(g, grown_wait_leader(g, TENURE_MS));
+	grown_wait_leader(g, TENURE_MS);
+	grown_run(g, STALE_MS);
+	grown_stop(g);
+}
+
 /* Pauses the leader and several others, in a cut, in an outage and alone. */
 static void play_pauses(uint32_t net, uint32_t seed)
 {
@@ -209,6 +222,12 @@
 	run_seeds(play_stale, 27);
 }
 
+static void no_task_runs_twice_when_a_successor_reads_old_copies(void **state)
+{
+	(void)state;
+	run_seeds(play_stale_takeover, 30);
+}
+
 static void
 no_task_runs_twice_when_leaders_are_paused_in_cuts_and_outages(void **state)
 {
@@ -227,6 +246,8 @@
 			no_task_runs_twice_when_entries_lapse_and_history_is_lost_in_outages),
 		cmocka_unit_test(
 			no_task_starts_twice_when_tables_are_read_again_from_old_copies),
+		cmocka_unit_test(
+			no_task_runs_twice_when_a_successor_reads_old_copies),
 		cmocka_unit_test(
 			no_task_runs_twice_when_leaders_are_paused_in_cuts_and_outages),
 	};
