Let a full read finish while reads stay behind the store

What callers saw: no leader for as long as reads were stale (no_task_runs_twice_when_a_successor_reads_old_copies, "no instance is leader"). Cause: each retry of a full read asked for the newest version that any answer had shown by then, and a read that stays seconds behind never has that. Change: the minimum is fixed as the read begins; the first page fixes that of the others. The copy is as new as what was known at the claim, which is what the leader relies on.

unit_replica: test_read_completes_while_the_store_moves_on failed before.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -388,6 +388,7 @@
 
 	g_snprintf(key, sizeof(key), "%s%s", KEY_JOB, r->id);
 	rows_read_range(r->entry->env.rows, JOB_TABLE, job_part(r->id), key, 1,
+			rows_newest_version(r->entry->env.rows),
 			store_timeout_ms(r, 0), on_job_row_read, r);
 }
 
--- a/lead/replica.c
+++ b/lead/replica.c
@@ -1,8 +1,8 @@
 /*
  * A replica reads the whole table once, then follows the change feed. If
- * the feed's history has been compacted, it reads the table again. No answer is
- * older than those before it (platform/rows.c), so the copy never goes back: a
- * row that a complete read lacks has been removed.
+ * the feed's history has been compacted, it reads the table again. A full read
+ * is not older than what was known of the store as it began, so the copy never
+ * goes back: a row that a complete read lacks has been removed.
  * Connections may stall silently, so each call has a timeout slightly above
  * its wait time.
  */
@@ -60,6 +60,13 @@
 	bool complete;
 	/* Number of the current or last full read of the table. */
 	uint32_t read_number;
+	/* A full read is due, and its first call was not sent yet. */
+	bool read_due;
+	/*
+	 * No older page is accepted: what was known as that read began, which
+	 * does not rise while reads stay behind the store.
+	 */
+	uint64_t read_min_version;
 	/* Table version at the first page of that read. */
 	uint64_t read_version;
 	/* The next page of that read starts at this key. */
@@ -133,6 +140,7 @@
 	f->arg = arg;
 	f->copy = g_tree_new_full(compare_keys, NULL, g_free, stored_row_free);
 	f->next_key = g_strdup("");
+	f->read_due = true;
 	timer_init(&f->timer, send_next_call, f);
 	timer_start(l, &f->timer, 0);
 	return f;
@@ -384,7 +392,7 @@
 	uint32_t removed;
 
 	if (!*f->next_key && !f->part_index) {
-		f->read_version = a->version;
+		f->read_version = f->read_min_version = a->version;
 		f->read_sent_ms = f->call_sent_ms;
 	}
 	if (a->more) {
@@ -466,6 +474,7 @@
 			   f->table, "version", (json_int_t)f->version);
 		f->complete = false;
 		f->read_number++;
+		f->read_due = true;
 		timer_start(f->loop, &f->timer, 0);
 		return;
 	}
@@ -513,6 +522,9 @@
 					ANSWER_TIMEOUT_DOUBLINGS_MAX)
 				  : 0);
 
+	if (f->read_due)
+		f->read_min_version = rows_newest_version(f->rows);
+	f->read_due = false;
 	f->call_in_flight = true;
 	f->refresh = false;
 	f->call_sent_ms = clock_mono_ms();
@@ -521,6 +533,6 @@
 			       wait + answer_timeout, on_answer, f);
 	else
 		rows_read_range(f->rows, f->table, f->parts[f->part_index],
-				f->next_key, PAGE_ROWS_MAX, answer_timeout,
-				on_answer, f);
+				f->next_key, PAGE_ROWS_MAX, f->read_min_version,
+				answer_timeout, on_answer, f);
 }
--- a/test/fuzz_rows.c
+++ b/test/fuzz_rows.c
@@ -593,7 +593,7 @@
 				.len = len};
 	struct rows *rows = rows_create(keep_call, s);
 
-	rows_read_range(rows, "t", "", "", 500, 100, note_rows, s);
+	rows_read_range(rows, "t", "", "", 500, 0, 100, note_rows, s);
 	s->done(s->arg, &r);
 	rows_destroy(rows);
 }
--- a/test/unit_replica.c
+++ b/test/unit_replica.c
@@ -233,6 +233,34 @@
 	fixture_destroy(&s);
 }
 
+static void note_commit(void *arg, const struct rows_answer *a)
+{
+	(void)arg;
+	assert_int_equal(a->outcome, ROWS_OK);
+}
+
+static void commit_at(struct fixture *s, uint64_t version)
+{
+	rows_commit(s->rows, "{}", 1000, note_commit, NULL);
+	answer_rows(s, "rows-tx", version, "");
+}
+
+/* Guards against a copy that is never read while reads stay behind the store. */
+static void test_read_completes_while_the_store_moves_on(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, replica_single_part);
+	commit_at(&s, 30);
+	answer_rows(&s, "rows-get", 29, "");
+	assert_false(replica_is_complete(s.replica));
+	commit_at(&s, 34);
+	answer_rows(&s, "rows-get", 31, "");
+	assert_true(replica_is_complete(s.replica));
+	fixture_destroy(&s);
+}
+
 static void note_conflict(void *arg, const struct rows_answer *a)
 {
 	assert_int_equal(a->outcome, ROWS_CONFLICT);
@@ -339,6 +367,7 @@
 			test_older_answer_of_the_feed_counts_as_failure),
 		cmocka_unit_test(
 			test_copy_is_not_older_than_an_answer_before_its_call),
+		cmocka_unit_test(test_read_completes_while_the_store_moves_on),
 		cmocka_unit_test(
 			test_copy_is_not_older_than_a_row_of_a_conflict),
 		cmocka_unit_test(
--- a/test/unit_rows.c
+++ b/test/unit_rows.c
@@ -77,7 +77,7 @@
 	struct pending p = {0};
 	struct rows *r = rows_create(keep_call, &p);
 
-	rows_read_range(r, "t", "", "", 500, 100, keep_outcome, o);
+	rows_read_range(r, "t", "", "", 500, 0, 100, keep_outcome, o);
 	answer(&p, body, len);
 	g_free(p.path);
 	rows_destroy(r);
