Show on real processes that a claim beyond a cut doubles no run

A worker is cut off from all instances while it runs a job, and the test claims it past the proxy, as a candidate on the other side of the cut does. The coordinator starts the job elsewhere once the leases have ended, and the first run must be over by then.

--- a/test/proc_gang.c
+++ b/test/proc_gang.c
@@ -169,6 +169,62 @@
 	await_gang_and_stop(s);
 }
 
+/* Returns the record of the start with this index, or NULL. */
+static json_t *find_start(struct test_site *s, size_t index)
+{
+	json_t *list = records(s, 0);
+	json_t *r = json_incref(json_array_get(list, index));
+
+	json_decref(list);
+	return r;
+}
+
+static bool was_started(struct test_site *s, size_t count)
+{
+	json_t *r = find_start(s, count - 1);
+
+	json_decref(r);
+	return r;
+}
+
+/* Claims a worker past the proxy, as an instance on the other side of a cut. */
+static void claim_worker(struct test_site *s, uint32_t net, uint32_t worker)
+{
+	char *at = g_strdup_printf("127.%u.101.%u:9000", net, worker);
+
+	command(s, at, "/claim",
+		"{\"epoch\": 1000, \"holder\": \"kolkata-9\", "
+		"\"term_ms\": 3000}");
+	g_free(at);
+}
+
+static void
+run_is_not_doubled_when_its_worker_is_claimed_beyond_a_cut(void **state)
+{
+	struct test_site *s = start_gang_site(27);
+	uint32_t worker;
+	char *cut;
+	json_t *r;
+
+	(void)state;
+	submit(s, 0, 0,
+	       "{\"account\": \"damodar\", \"key\": \"single\", "
+	       "\"accelerators\": 8, \"run_ms\": 15000}");
+	wait_for(s, 8000, was_started(s, 1));
+	r = find_start(s, 0);
+	worker = strtoul(json_str_or(r, "worker", "") + strlen("kolkata-w"),
+			 NULL, 10);
+	json_decref(r);
+	cut = g_strdup_printf("{\"link\": %u, \"mode\": \"cut\"}", worker - 1);
+	command(s, at_worker_cutter(s, 0), "/control", cut);
+	g_free(cut);
+	wait_for(s, 15000, (claim_worker(s, 27, worker), was_started(s, 2)));
+	r = find_start(s, 0);
+	assert_true(json_int_or(r, "ended_ms", INT64_MAX) < INT64_MAX);
+	json_decref(r);
+	site_stop(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -184,6 +240,8 @@
 			running_gang_is_requeued_when_one_worker_is_cut_off),
 		cmocka_unit_test(
 			gang_completes_when_one_worker_is_silent_at_reservation),
+		cmocka_unit_test(
+			run_is_not_doubled_when_its_worker_is_claimed_beyond_a_cut),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
