Wait before a table is read a third time after a lost history

Cause: a read that is itself older than the dropped history leads to a feed call that fails at once, without any pause. Change: if the feed has not answered since the last full read, the next one begins after RETRY_DELAY_MAX_MS. The first read after a lost history still begins at once.

unit_replica: test_table_older_than_the_history_is_read_after_a_delay failed before.

--- a/lead/replica.c
+++ b/lead/replica.c
@@ -58,6 +58,8 @@
 	GTree *copy;
 	/* The table has been read and its feed can be followed. */
 	bool complete;
+	/* The feed has answered since the table was read. */
+	bool feed_answered;
 	/* Number of the current or last full read of the table. */
 	uint32_t read_number;
 	/* A full read is due, and its first call was not sent yet. */
@@ -456,6 +458,7 @@
 static void note_feed_answer(struct replica *f, const struct rows_answer *a)
 {
 	f->version = a->version;
+	f->feed_answered = true;
 	f->current_at_ms = f->call_sent_ms;
 }
 
@@ -475,7 +478,10 @@
 		f->complete = false;
 		f->read_number++;
 		f->read_due = true;
-		timer_start(f->loop, &f->timer, 0);
+		/* a read that is itself older than the history fails again */
+		timer_start(f->loop, &f->timer,
+			    f->feed_answered ? 0 : RETRY_DELAY_MAX_MS);
+		f->feed_answered = false;
 		return;
 	}
 	if (a->outcome != ROWS_OK) {
--- a/test/unit_replica.c
+++ b/test/unit_replica.c
@@ -12,6 +12,8 @@
 
 /* A call is sent within this time. */
 #define CALL_MAX_MS 2000
+/* A table that is read again and again is read at most this often. */
+#define REREAD_DELAY_MS 200
 
 static const char *const two_parts[] = {"0", "1", NULL};
 
@@ -304,6 +306,28 @@
 	fixture_destroy(&s);
 }
 
+/* Guards against calls without a pause while reads are older than the history. */
+static void
+test_table_older_than_the_history_is_read_after_a_delay(void **state)
+{
+	struct fixture s;
+	uint64_t began_ms;
+
+	(void)state;
+	fixture_create(&s, replica_single_part);
+	answer_rows(&s, "rows-get", 10, "a=1@5");
+	answer_rows(&s, "rows-feed", 10, "");
+	began_ms = clock_mono_ms();
+	answer(&s, "rows-feed", 410, "{}");
+	answer_rows(&s, "rows-get", 11, "a=1@5");
+	assert_true(clock_mono_ms() < began_ms + REREAD_DELAY_MS);
+	began_ms = clock_mono_ms();
+	answer(&s, "rows-feed", 410, "{}");
+	answer_rows(&s, "rows-get", 12, "a=1@5");
+	assert_true(clock_mono_ms() >= began_ms + REREAD_DELAY_MS);
+	fixture_destroy(&s);
+}
+
 /*
  * The second page holds a row that was removed and created after the first one;
  * the feed begins with its removal.
@@ -372,6 +396,8 @@
 			test_copy_is_not_older_than_a_row_of_a_conflict),
 		cmocka_unit_test(
 			test_410_for_a_page_does_not_begin_another_read),
+		cmocka_unit_test(
+			test_table_older_than_the_history_is_read_after_a_delay),
 		cmocka_unit_test(test_removal_older_than_the_row_is_ignored),
 		cmocka_unit_test(
 			test_row_that_changes_between_pages_is_current),
