--- a/daemon/gang.c
+++ b/daemon/gang.c
@@ -55,6 +55,7 @@
 void gang_destroy(struct gang *g)
 {
 	json_decref(g->failed_on);
+	json_decref(g->where);
 	g_free(g->payload);
 	g_free(g->parts);
 	g_free(g->name);
@@ -94,11 +95,15 @@
 {
 	json_t *failed_on = json_object_get(row, "failed_on");
 
+	if (!g->has_row)
+		g->row_known_ms = clock_mono_ms();
 	g->has_row = true;
 	g_strlcpy(g->account, json_str_or(row, "account", ""),
 		  sizeof(g->account));
 	g_strlcpy(g->row_state, json_str_or(row, "state", ""),
 		  sizeof(g->row_state));
+	json_decref(g->where);
+	g->where = json_incref(json_object_get(row, "where"));
 	job_class_parse(json_str_or(row, "class", "batch"), &g->job_class);
 	if (!gang_is_active(g)) {
 		g->shape.parts = json_int_or(row, "parts", 1);
@@ -591,9 +596,26 @@
 		     0);
 }
 
+/*
+ * Report whether a lease has ended.  One that is missing from the upstream's
+ * list, NULL, has; one in a state that is not known may go on.
+ */
+bool gang_lease_has_ended(const json_t *lease)
+{
+	static const char *const ended[] = {"done", "failed", "stopped"};
+	const char *state = json_str_or(lease, "state", "");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(ended); i++)
+		if (!strcmp(state, ended[i]))
+			return true;
+	return !lease;
+}
+
 static void update_running_part(struct gang *g, struct gang_part *p,
-				const char *state)
+				const json_t *lease)
 {
+	const char *state = json_str_or(lease, "state", "");
+
 	if (!strcmp(state, "running"))
 		return;
 	if (!strcmp(state, "done")) {
@@ -603,7 +625,7 @@
 	} else if (!strcmp(state, "failed")) {
 		handle_failed_part(g, p);
 	} else {
-		p->ended = true;
+		p->ended = gang_lease_has_ended(lease);
 		gang_release(g, RELEASE_REQUEUE, "a part was lost", 0);
 	}
 }
@@ -614,8 +636,7 @@
 	const char *state = json_str_or(lease, "state", "");
 	uint64_t progress = json_int_or(lease, "progress_ms", 0);
 
-	if (!strcmp(state, "running") || !strcmp(state, "stopping") ||
-	    !strcmp(state, "reserved"))
+	if (!gang_lease_has_ended(lease))
 		return;
 	p->ended = true;
 	p->done = !strcmp(state, "done");
@@ -644,8 +665,7 @@
 		lease = g_hash_table_lookup(by_id, id);
 		g_free(id);
 		if (state == GANG_RUNNING)
-			update_running_part(g, p,
-					    json_str_or(lease, "state", ""));
+			update_running_part(g, p, lease);
 		else
 			update_releasing_part(g, p, lease);
 	}
@@ -669,16 +689,36 @@
 	}
 }
 
-/* Repeat a pending release, and finish it once all leases have expired. */
+/*
+ * Take the leases of g, whose time is over, for ended, but for those at
+ * upstreams that have reported since: their lists tell.
+ */
+static void end_expired_parts(struct gang *g)
+{
+	for (uint32_t i = 0; i < g->shape.parts; i++) {
+		const struct upstream_control *c = g->parts[i].control;
+
+		if (!c || c->confirmed_sent_ms <= g->leases_expired_by_ms)
+			g->parts[i].ended = true;
+	}
+}
+
+/*
+ * Repeat a pending release, and finish it once all leases have expired.  Until
+ * a majority has confirmed the epoch after that time, another coordinator may
+ * have renewed them.
+ */
 void gang_tick(struct gang *g, uint64_t now_ms)
 {
 	if (g->state != GANG_RELEASING)
 		return;
-	if (now_ms >= g->leases_expired_by_ms) {
-		for (uint32_t i = 0; i < g->shape.parts; i++)
-			g->parts[i].ended = true;
+	if (now_ms >= g->leases_expired_by_ms &&
+	    coordinator_is_confirmed_since(g->coordinator,
+					   g->leases_expired_by_ms)) {
+		end_expired_parts(g);
 		finish_release_if_ended(g);
-		return;
+		if (g->state != GANG_RELEASING)
+			return;
 	}
 	if (now_ms - g->releases_sent_ms < RELEASE_POLL_INTERVAL_MS)
 		return;
@@ -718,8 +758,7 @@
 	p->mask = json_int_or(v, "mask", 0);
 	p->incarnation = p->control ? p->control->incarnation : 0;
 	p->done = !strcmp(state, "done");
-	p->ended = p->done || !strcmp(state, "stopped") ||
-		   !strcmp(state, "failed");
+	p->ended = gang_lease_has_ended(v);
 	if (p->done || !strcmp(state, "running"))
 		(*intact)++;
 }
--- a/test/unit_coordinator.c
+++ b/test/unit_coordinator.c
@@ -20,6 +20,9 @@
 #include "test/testclock.h"
 
 #define BODY_MAX 65536
+/* Each process has its own port, so that runs do not disturb each other. */
+#define PORT_MIN 9000
+#define PORT_COUNT 20000
 #define UPSTREAM_COUNT 2 /* in most tests */
 #define UPSTREAM_COUNT_MAX 3
 #define JOB_KEY "job/reindex"
@@ -40,6 +43,16 @@
 	uint64_t version;
 	json_t *leases; /* id to lease */
 	bool silent;
+	bool ignores_stops;
+	uint32_t answer_delay_ms;
+	uint32_t renewals; /* that it has carried out */
+};
+
+/* An answer that is sent later. */
+struct late_answer {
+	struct timer timer;
+	struct http_exchange *x;
+	json_t *report;
 };
 
 struct fixture {
@@ -53,12 +66,15 @@
 	uint64_t version;
 	uint64_t scanned_ms;
 	bool table_is_silent;
-	int lease_term_ms; /* in the configuration; 0: the default */
+	bool reads_are_old; /* reads find no row */
+	int lease_term_ms;  /* in the configuration; 0: the default */
 	/* The servers at which the configuration places the upstreams. */
 	uint32_t places[UPSTREAM_COUNT_MAX];
-	uint32_t starts;  /* runs that the upstreams have started */
-	uint32_t rebinds; /* requests to bind guarantees elsewhere */
-	uint32_t lost;	  /* upstreams that the last of them names */
+	uint32_t starts;       /* runs that the upstreams have started */
+	uint32_t rebinds;      /* requests to bind guarantees elsewhere */
+	uint32_t lost;	       /* upstreams that the last of them names */
+	struct verdict answer; /* to the last request of a caller */
+	uint32_t answers;
 };
 
 /* Upstreams */
@@ -66,7 +82,8 @@
 /* Return the address of upstream i, which counts from 0. */
 static char *format_address(const struct fixture *s, uint32_t i)
 {
-	return g_strdup_printf("127.76.%u.%u:9000", s->net, i + 1);
+	return g_strdup_printf("127.76.%u.%u:%d", s->net, i + 1,
+			       PORT_MIN + getpid() % PORT_COUNT);
 }
 
 /* Return the upstream to which a request was sent. */
@@ -155,6 +172,30 @@
 	return true;
 }
 
+static void send_late_answer(void *arg)
+{
+	struct late_answer *a = arg;
+
+	exchange_reply_json(a->x, 200, a->report, 0);
+	g_free(a);
+}
+
+static void answer_with_report(struct fixture *s, struct fake_upstream *u,
+			       struct http_exchange *x)
+{
+	struct late_answer *a;
+
+	if (!u->answer_delay_ms) {
+		exchange_reply_json(x, 200, build_report(u), 0);
+		return;
+	}
+	a = g_new0(struct late_answer, 1);
+	a->x = x;
+	a->report = build_report(u);
+	timer_init(&a->timer, send_late_answer, a);
+	timer_start(s->env.loop, &a->timer, u->answer_delay_ms);
+}
+
 static void serve_upstream(void *arg, struct http_exchange *x)
 {
 	struct fixture *s = arg;
@@ -183,10 +224,12 @@
 	} else if (!strcmp(path, "/start")) {
 		change_leases(u, leases, "running");
 		s->starts += json_array_size(leases);
-	} else if (!strcmp(path, "/release")) {
+	} else if (!strcmp(path, "/release") && !u->ignores_stops) {
 		change_leases(u, leases, "stopped");
+	} else if (!strcmp(path, "/renew")) {
+		u->renewals++;
 	}
-	exchange_reply_json(x, 200, build_report(u), 0);
+	answer_with_report(s, u, x);
 out:
 	json_decref(v);
 }
@@ -219,7 +262,8 @@
 	out.txn.verdict = verdict_ran();
 	if (m->tag == MSG_READ) {
 		out.tag = MSG_READ_DONE;
-		out.txn.conflict = json_incref(row);
+		if (!s->reads_are_old)
+			out.txn.conflict = json_incref(row);
 	} else if (json_int_or(op, "expect", 0) ==
 		   json_int_or(row, "version", 0)) {
 		out.tag = MSG_TXN_DONE;
@@ -243,6 +287,16 @@
 	s->lost = json_array_size(m->request.body);
 }
 
+static void receive_answer(void *task, struct message *m)
+{
+	struct fixture *s = task;
+
+	if (m->tag != MSG_RESPONSE)
+		return;
+	s->answer = m->response.verdict;
+	s->answers++;
+}
+
 static void post_table_state(struct fixture *s, bool reachable)
 {
 	struct message m = {.tag = MSG_TABLE_STATE,
@@ -253,8 +307,8 @@
 	bus_post(s->env.bus, &m);
 }
 
-/* Post all rows, as read by a scan that was sent now. */
-static void post_scan(struct fixture *s)
+/* Post all rows; caught_up_ms is when the scan was sent, 0 for a peer's. */
+static void post_rows(struct fixture *s, uint64_t caught_up_ms)
 {
 	struct message m = {
 		.tag = MSG_ROWS, .from = TASK_PLATFORM, .to = TASK_JOB};
@@ -264,11 +318,17 @@
 	m.rows.list = json_array();
 	json_object_foreach(s->rows, key, row)
 		json_array_append(m.rows.list, row);
-	s->scanned_ms = clock_mono_ms();
-	m.rows.caught_up_ms = s->scanned_ms;
+	m.rows.caught_up_ms = caught_up_ms;
 	bus_post(s->env.bus, &m);
 }
 
+/* Post all rows, as read by a scan that was sent now. */
+static void post_scan(struct fixture *s)
+{
+	s->scanned_ms = clock_mono_ms();
+	post_rows(s, s->scanned_ms);
+}
+
 static void put_job(struct fixture *s, const char *key, const char *state,
 		    json_int_t attempt)
 {
@@ -389,6 +449,7 @@
 	}
 	bus_attach(s->env.bus, TASK_PLATFORM, receive_table_call, s);
 	bus_attach(s->env.bus, TASK_CONFIG, receive_request, s);
+	bus_attach(s->env.bus, TASK_CALLER, receive_answer, s);
 	start_process(s);
 	return s;
 }
@@ -766,6 +827,299 @@
 	teardown_site(s);
 }
 
+static void test_candidate_without_a_majority_prolongs_no_leases(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	put_running_lease(&s->upstreams[0], 7);
+	s->upstreams[1].silent = true;
+	s->upstreams[2].silent = true;
+	post_config(s, UPSTREAM_COUNT_MAX);
+	post_members(s, UPSTREAM_COUNT_MAX);
+	run_for(s, 6000);
+	assert_true(s->upstreams[0].epoch > 7);
+	assert_int_equal(s->upstreams[0].renewals, 0);
+	s->upstreams[1].silent = false;
+	run_for(s, 2000);
+	assert_true(s->upstreams[0].renewals);
+	teardown_site(s);
+}
+
+static void
+test_job_is_not_ended_by_time_while_another_may_prolong_it(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	put_job(s, JOB_KEY, "accepted", 0);
+	json_object_set_new(row_value(s, JOB_KEY), "idempotent", json_false());
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, UPSTREAM_COUNT);
+	wait_until(s, job_is(s, JOB_KEY, "running"));
+	s->upstreams[0].silent = true;
+	s->upstreams[1].silent = true;
+	run_for(s, 10000);
+	assert_true(job_is(s, JOB_KEY, "running"));
+	s->upstreams[0].epoch = 9;
+	s->upstreams[1].epoch = 9;
+	s->upstreams[0].silent = false;
+	s->upstreams[1].silent = false;
+	run_for(s, 5000);
+	assert_true(job_is(s, JOB_KEY, "running"));
+	set_all_leases(&s->upstreams[0], "done");
+	set_all_leases(&s->upstreams[1], "done");
+	wait_until(s, job_is(s, JOB_KEY, "done"));
+	assert_int_equal(s->starts, 1);
+	teardown_site(s);
+}
+
+static void
+test_run_on_an_unlisted_upstream_that_answers_late_is_adopted(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	put_job(s, JOB_KEY, "running", ATTEMPT_OF_EPOCH(7));
+	put_running_lease(&s->upstreams[1], 7);
+	s->upstreams[0].epoch = 7;
+	s->upstreams[1].answer_delay_ms = 300;
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, 1);
+	wait_until(s, s->upstreams[0].epoch > 7);
+	for (int i = 0; i < 10; i++) {
+		post_members(s, 1);
+		run_for(s, 1000);
+	}
+	assert_int_equal(s->starts, 0);
+	set_all_leases(&s->upstreams[1], "done");
+	wait_until(s, job_is(s, JOB_KEY, "done"));
+	teardown_site(s);
+}
+
+static void test_run_on_an_unlisted_silent_upstream_is_not_doubled(void **state)
+{
+	struct fixture *s = setup_site();
+	uint64_t until_ms;
+
+	(void)state;
+	put_job(s, JOB_KEY, "running", ATTEMPT_OF_EPOCH(7));
+	put_running_lease(&s->upstreams[1], 7);
+	s->upstreams[0].epoch = 7;
+	s->upstreams[1].silent = true;
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, 1);
+	wait_until(s, s->upstreams[0].epoch > 7);
+	/* The lease may have been renewed just before the claim. */
+	until_ms = clock_mono_ms() + 3000;
+	while (clock_mono_ms() < until_ms) {
+		post_members(s, 1);
+		run_for(s, 500);
+	}
+	assert_int_equal(s->starts, 0);
+	post_members(s, 1);
+	wait_until(s, s->starts);
+	teardown_site(s);
+}
+
+static void
+test_unlisted_upstream_that_answers_again_keeps_its_run(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	put_job(s, JOB_KEY, "running", ATTEMPT_OF_EPOCH(7));
+	put_running_lease(&s->upstreams[1], 7);
+	s->upstreams[0].epoch = 7;
+	s->upstreams[1].silent = true;
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, 1);
+	wait_until(s, s->upstreams[0].epoch > 7);
+	run_for(s, 2000);
+	s->upstreams[1].silent = false;
+	for (int i = 0; i < 10; i++) {
+		post_members(s, 1);
+		run_for(s, 1000);
+	}
+	assert_int_equal(s->starts, 0);
+	set_all_leases(&s->upstreams[1], "done");
+	wait_until(s, job_is(s, JOB_KEY, "done"));
+	teardown_site(s);
+}
+
+static void test_end_is_kept_until_the_row_is_found(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	s->table_is_silent = true;
+	s->reads_are_old = true;
+	put_job(s, JOB_KEY, "running", ATTEMPT_OF_EPOCH(7));
+	put_running_lease(&s->upstreams[1], 7);
+	s->upstreams[0].epoch = 7;
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, UPSTREAM_COUNT);
+	run_for(s, 3000);
+	set_all_leases(&s->upstreams[1], "done");
+	run_for(s, 3000);
+	s->table_is_silent = false;
+	run_for(s, 3000);
+	assert_int_equal(s->starts, 0);
+	s->reads_are_old = false;
+	wait_until(s, job_is(s, JOB_KEY, "done"));
+	assert_int_equal(s->starts, 0);
+	teardown_site(s);
+}
+
+/* Plays a change of coordinator while a run is in a state. */
+static void play_change_of_coordinator(const char *state)
+{
+	struct fixture *s = setup_site();
+
+	put_job(s, JOB_KEY, "running", ATTEMPT_OF_EPOCH(7));
+	put_running_lease(&s->upstreams[1], 7);
+	set_all_leases(&s->upstreams[1], state);
+	s->upstreams[0].epoch = 7;
+	s->upstreams[1].ignores_stops = true;
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, UPSTREAM_COUNT);
+	run_for(s, 4000);
+	assert_int_equal(s->starts, 0);
+	set_all_leases(&s->upstreams[1], "stopped");
+	wait_until(s, s->starts);
+	teardown_site(s);
+}
+
+static void test_stopping_run_is_waited_for_by_the_next_leader(void **state)
+{
+	(void)state;
+	play_change_of_coordinator("stopping");
+}
+
+static void test_run_in_an_unknown_state_has_not_ended(void **state)
+{
+	(void)state;
+	play_change_of_coordinator("checkpointing");
+}
+
+static void test_reported_run_has_not_ended_by_time(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	put_job(s, JOB_KEY, "running", ATTEMPT_OF_EPOCH(7));
+	put_running_lease(&s->upstreams[1], 7);
+	s->upstreams[0].epoch = 7;
+	s->upstreams[1].ignores_stops = true;
+	post_config(s, UPSTREAM_COUNT);
+	post_members(s, UPSTREAM_COUNT);
+	run_for(s, 3000);
+	set_all_leases(&s->upstreams[1], "stopping");
+	run_for(s, 10000);
+	assert_int_equal(s->starts, 0);
+	set_all_leases(&s->upstreams[1], "stopped");
+	wait_until(s, s->starts);
+	teardown_site(s);
+}
+
+/* The configuration and the row reach an instance in any order. */
+static void test_job_is_not_parked_by_an_old_configuration(void **state)
+{
+	struct fixture *s = setup_site();
+	json_t *value = json_pack("{s:s,s:s,s:s,s:i,s:i,s:i,s:I}", "account",
+				  "damodar", "state", "accepted", "domain",
+				  "kolkata", "parts", 2, "accelerators", 8,
+				  "run_ms", 60000, "attempt", (json_int_t)0);
+
+	(void)state;
+	post_config(s, 1);
+	post_members(s, UPSTREAM_COUNT);
+	run_for(s, 3000);
+	s->table_is_silent = true;
+	put_row(s, JOB_KEY, value);
+	post_rows(s, 0);
+	run_for(s, 1000);
+	assert_true(job_is(s, JOB_KEY, "accepted"));
+	post_config(s, UPSTREAM_COUNT);
+	s->table_is_silent = false;
+	wait_until(s, job_is(s, JOB_KEY, "running"));
+	json_decref(value);
+	teardown_site(s);
+}
+
+static void test_job_that_never_fits_is_parked(void **state)
+{
+	struct fixture *s = setup_site();
+	json_t *value = json_pack("{s:s,s:s,s:s,s:i,s:i,s:i,s:I}", "account",
+				  "damodar", "state", "accepted", "domain",
+				  "kolkata", "parts", 2, "accelerators", 8,
+				  "run_ms", 60000, "attempt", (json_int_t)0);
+
+	(void)state;
+	put_row(s, JOB_KEY, value);
+	post_config(s, 1);
+	post_members(s, 1);
+	wait_until(s, job_is(s, JOB_KEY, "parked"));
+	json_decref(value);
+	teardown_site(s);
+}
+
+static void test_run_on_a_removed_upstream_is_waited_for(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	put_job(s, JOB_KEY, "running", ATTEMPT_OF_EPOCH(7));
+	json_object_set_new(row_value(s, JOB_KEY), "where",
+			    json_pack("[s]", "kolkata-w2"));
+	put_job(s, LATER_JOB_KEY, "accepted", 0);
+	put_running_lease(&s->upstreams[1], 7);
+	s->upstreams[0].epoch = 7;
+	post_config(s, 1);
+	post_members(s, 1);
+	wait_until(s, s->upstreams[0].epoch > 7);
+	run_for(s, 3000);
+	assert_true(job_is(s, LATER_JOB_KEY, "running"));
+	assert_int_equal(s->starts, 1);
+	set_all_leases(&s->upstreams[0], "done");
+	wait_until(s, s->starts > 1);
+	teardown_site(s);
+}
+
+/* Ask about a job, and wait for the answer. */
+static void ask_about_job(struct fixture *s, enum request_kind kind,
+			  const char *name)
+{
+	struct message m = {
+		.tag = MSG_REQUEST, .from = TASK_CALLER, .to = TASK_JOB};
+	uint32_t answers = s->answers;
+
+	m.request.kind = kind;
+	m.request.name = g_strdup(name);
+	bus_post(s->env.bus, &m);
+	wait_until(s, s->answers > answers);
+}
+
+static void test_job_that_only_the_table_knows_is_found(void **state)
+{
+	struct fixture *s = setup_site();
+
+	(void)state;
+	s->table_is_silent = true;
+	put_job(s, JOB_KEY, "accepted", 0);
+	ask_about_job(s, REQUEST_GET_JOB, "reindex");
+	assert_true(verdict_is_ran(s->answer));
+	put_job(s, LATER_JOB_KEY, "accepted", 0);
+	ask_about_job(s, REQUEST_CANCEL_JOB, "later");
+	assert_int_equal(s->answer.reason, REASON_NONE);
+	assert_true(job_is(s, LATER_JOB_KEY, "cancelling"));
+	ask_about_job(s, REQUEST_GET_JOB, "unknown");
+	assert_int_equal(s->answer.reason, REASON_NOT_FOUND);
+	ask_about_job(s, REQUEST_CANCEL_JOB, "unknown");
+	assert_int_equal(s->answer.reason, REASON_NOT_FOUND);
+	teardown_site(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -794,6 +1148,26 @@
 			test_moved_upstream_is_claimed_at_its_new_address),
 		cmocka_unit_test(
 			test_cancelled_job_stops_after_a_change_of_coordinator),
+		cmocka_unit_test(
+			test_candidate_without_a_majority_prolongs_no_leases),
+		cmocka_unit_test(
+			test_job_is_not_ended_by_time_while_another_may_prolong_it),
+		cmocka_unit_test(
+			test_run_on_an_unlisted_upstream_that_answers_late_is_adopted),
+		cmocka_unit_test(
+			test_run_on_an_unlisted_silent_upstream_is_not_doubled),
+		cmocka_unit_test(
+			test_unlisted_upstream_that_answers_again_keeps_its_run),
+		cmocka_unit_test(test_end_is_kept_until_the_row_is_found),
+		cmocka_unit_test(
+			test_stopping_run_is_waited_for_by_the_next_leader),
+		cmocka_unit_test(test_run_in_an_unknown_state_has_not_ended),
+		cmocka_unit_test(test_reported_run_has_not_ended_by_time),
+		cmocka_unit_test(
+			test_job_is_not_parked_by_an_old_configuration),
+		cmocka_unit_test(test_job_that_never_fits_is_parked),
+		cmocka_unit_test(test_job_that_only_the_table_knows_is_found),
+		cmocka_unit_test(test_run_on_a_removed_upstream_is_waited_for),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
