--- a/test/unit_replica.c
+++ b/test/unit_replica.c
@@ -12,6 +12,8 @@
 
 /* A call is sent within this time. */
 #define CALL_MAX_MS 2000
+/* A table that is read again and again is read at most this often. */
+#define REREAD_DELAY_MS 200
 
 static const char *const two_parts[] = {"0", "1", NULL};
 
@@ -233,6 +235,34 @@
 	fixture_destroy(&s);
 }
 
+static void note_commit(void *arg, const struct rows_answer *a)
+{
+	(void)arg;
+	assert_int_equal(a->outcome, ROWS_OK);
+}
+
+static void commit_at(struct fixture *s, uint64_t version)
+{
+	rows_commit(s->rows, "{}", 1000, note_commit, NULL);
+	answer_rows(s, "rows-tx", version, "");
+}
+
+/* Guards against a copy that is never read while reads stay behind the store. */
+static void test_read_completes_while_the_store_moves_on(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, replica_single_part);
+	commit_at(&s, 30);
+	answer_rows(&s, "rows-get", 29, "");
+	assert_false(replica_is_complete(s.replica));
+	commit_at(&s, 34);
+	answer_rows(&s, "rows-get", 31, "");
+	assert_true(replica_is_complete(s.replica));
+	fixture_destroy(&s);
+}
+
 static void note_conflict(void *arg, const struct rows_answer *a)
 {
 	assert_int_equal(a->outcome, ROWS_CONFLICT);
@@ -276,6 +306,28 @@
 	fixture_destroy(&s);
 }
 
+/* Guards against calls without a pause while reads are older than the history. */
+static void
+test_table_older_than_the_history_is_read_after_a_delay(void **state)
+{
+	struct fixture s;
+	uint64_t began_ms;
+
+	(void)state;
+	fixture_create(&s, replica_single_part);
+	answer_rows(&s, "rows-get", 10, "a=1@5");
+	answer_rows(&s, "rows-feed", 10, "");
+	began_ms = clock_mono_ms();
+	answer(&s, "rows-feed", 410, "{}");
+	answer_rows(&s, "rows-get", 11, "a=1@5");
+	assert_true(clock_mono_ms() < began_ms + REREAD_DELAY_MS);
+	began_ms = clock_mono_ms();
+	answer(&s, "rows-feed", 410, "{}");
+	answer_rows(&s, "rows-get", 12, "a=1@5");
+	assert_true(clock_mono_ms() >= began_ms + REREAD_DELAY_MS);
+	fixture_destroy(&s);
+}
+
 /*
  * The second page holds a row that was removed and created after the first one;
  * the feed begins with its removal.
@@ -339,10 +391,13 @@
 			test_older_answer_of_the_feed_counts_as_failure),
 		cmocka_unit_test(
 			test_copy_is_not_older_than_an_answer_before_its_call),
+		cmocka_unit_test(test_read_completes_while_the_store_moves_on),
 		cmocka_unit_test(
 			test_copy_is_not_older_than_a_row_of_a_conflict),
 		cmocka_unit_test(
 			test_410_for_a_page_does_not_begin_another_read),
+		cmocka_unit_test(
+			test_table_older_than_the_history_is_read_after_a_delay),
 		cmocka_unit_test(test_removal_older_than_the_row_is_ignored),
 		cmocka_unit_test(
 			test_row_that_changes_between_pages_is_current),
