Count the age of a copy from the first call of its read

A full read may end seconds after what it shows while reads stay behind the store: its first page is as new as what was known when its first call was sent, and may be no newer. The age of the copy counted from the call of the accepted page, so that the limit on the age of the list of upstreams was not kept. unit_replica: test_read_completes_while_the_store_moves_on checks the age.

proc_grown asks for a leader while all reads are stale again, as it did first: a full read finishes since.

--- a/lead/replica.c
+++ b/lead/replica.c
@@ -393,10 +393,8 @@
 {
 	uint32_t removed;
 
-	if (!*f->next_key && !f->part_index) {
+	if (!*f->next_key && !f->part_index)
 		f->read_version = f->read_min_version = a->version;
-		f->read_sent_ms = f->call_sent_ms;
-	}
 	if (a->more) {
 		/* The smallest key above the last one read. */
 		set_next_key(f, g_strconcat(a->last_key, "\001", NULL));
@@ -528,12 +526,14 @@
 					ANSWER_TIMEOUT_DOUBLINGS_MAX)
 				  : 0);
 
-	if (f->read_due)
-		f->read_min_version = rows_newest_version(f->rows);
-	f->read_due = false;
 	f->call_in_flight = true;
 	f->refresh = false;
 	f->call_sent_ms = clock_mono_ms();
+	if (f->read_due) {
+		f->read_min_version = rows_newest_version(f->rows);
+		f->read_sent_ms = f->call_sent_ms;
+	}
+	f->read_due = false;
 	if (f->complete)
 		rows_read_feed(f->rows, f->table, f->version, wait,
 			       wait + answer_timeout, on_answer, f);
--- a/test/proc_grown.c
+++ b/test/proc_grown.c
@@ -146,9 +146,9 @@
 
 	grown_control(g, "{\"stale_ms\": %d}", STALE_MS);
 	grown_kill(g, grown_wait_leader(g, TENURE_MS));
-	grown_run(g, 2 * STALE_MS);
-	grown_control(g, "{\"stale_ms\": 0}");
 	grown_wait_leader(g, TENURE_MS);
+	grown_run(g, STALE_MS);
+	grown_control(g, "{\"stale_ms\": 0}");
 	grown_stop(g);
 }
 
--- a/test/unit_replica.c
+++ b/test/unit_replica.c
@@ -258,8 +258,10 @@
 	answer_rows(&s, "rows-get", 29, "");
 	assert_false(replica_is_complete(s.replica));
 	commit_at(&s, 34);
+	clock_offset_ms += 500;
 	answer_rows(&s, "rows-get", 31, "");
 	assert_true(replica_is_complete(s.replica));
+	assert_true(replica_age_max_ms(s.replica) >= 500);
 	fixture_destroy(&s);
 }
 
