Judge what ends an upstream's runs in one place

Callers saw tasks run again that had not ended: a successor that took over runs on upstreams of a failure domain that was cut off ended them when the leases of earlier leaders had ended, because the upstreams had never been listed to it, and started them anew. Half a second later the upstreams were listed, answered, and showed that the runs were done.

The decision that runs have ended without their upstream's word was made in eight places, several of which took absence for an end. lead/loss.c makes it now, from evidence with its age, and logs it (loss_judged):

- A run row holds the addresses of its upstreams beside their incarnations.
A successor calls an upstream that is not listed to it there, and gives it no work.
A row of an earlier version has no addresses, and an earlier version ignores them.
An upstream without an address counts as ended only by a list that is newer than the end of the leases, 2 s after the store and silent upstreams answer again, and at most 10 s after the leases.
- 421 ends only the incarnation that has the address, and not while an earlier leader may start its runs in a later one.
- An entry that names a later start, of the upstream or of its machine, ends nothing: the upstream is asked.
A machine has restarted when the later incarnation answers and the earlier one does not.
An upstream that answers is in use again, whatever the entry says.
- A row that names another incarnation than the entry ends nothing.
- A call for which no connection was left is no silence, and one that a suspended process sent, or whose failure it read, proves nothing.
- An entry that a list lacks that was read again after its history was dropped is no sign that its upstream has left.

--- a/lead/leader.c
+++ b/lead/leader.c
@@ -12,6 +12,7 @@
 #include "lead/session.h"
 #include "lead/leader.h"
 #include "lead/election.h"
+#include "lead/loss.h"
 #include "lead/starts.h"
 #include "lead/succession.h"
 #include "lib/log.h"
@@ -135,13 +136,25 @@
 	counter_add(d->env.counters, "stale_epoch", NULL, 1);
 }
 
-static void inherit_run(void *arg, struct task *t, const char *upstream,
-			uint64_t started_wall_ms)
+/*
+ * Take over a run that an earlier leader has recorded, and call its upstream at
+ * the recorded address unless a newer one is listed.
+ */
+static void inherit_run(void *arg, struct task *t, const struct run_place *at)
 {
 	struct leader *d = arg;
+	struct upstream *u;
 
-	model_inherit_run(d->model, t, upstream, started_wall_ms,
+	model_inherit_run(d->model, t, at->upstream, at->started_wall_ms,
 			  clock_mono_ms());
+	u = fleet_find_upstream(d->model->fleet, at->upstream);
+	if (!at->address.sin_port || at->started_wall_ms != u->started_wall_ms)
+		return;
+	if (u->session)
+		session_note_recorded(u->session, &at->address);
+	else
+		u->session = session_create_unlisted(&d->session_env, u,
+						     &at->address);
 }
 
 static void cancel_job(struct leader *d, struct job *j)
@@ -286,16 +299,19 @@
 
 /*
  * Place no work on u, which is not listed any more, or whose entry cannot be
- * used. Its runs go on while it answers.
+ * used. Its runs go on while it answers. An entry that a list lacks that was
+ * read again was removed at an unknown time.
  */
-static void retire_upstream(struct upstream *u, bool odd)
+static void retire_upstream(struct leader *d, struct upstream *u, bool odd)
 {
+	bool removed = !odd && replica_changes_after_ms(d->upstreams);
+
 	if (u->state == UPSTREAM_GONE)
 		return;
 	log_fields(LOG_INFO, "upstream_unlisted", "{s:s,s:i,s:b}", "upstream",
 		   u->id, "tasks", (int)u->tasks->len, "odd", odd);
 	if (u->session)
-		session_note_unlisted(u->session, !odd);
+		session_note_unlisted(u->session, removed);
 	u->state = UPSTREAM_GONE;
 }
 
@@ -335,7 +351,7 @@
 		g_hash_table_remove(d->odd_entries, id);
 	if (!value || !decode_entry(d, id, value, &e)) {
 		if (u)
-			retire_upstream(u, value != NULL);
+			retire_upstream(d, u, value != NULL);
 		return;
 	}
 	if (!u)
@@ -734,23 +750,27 @@
 }
 
 /*
- * End the runs on upstreams that were never listed to this leader once the
- * last leases granted by earlier leaders have ended.
+ * Judge whether the runs have ended on upstreams that were never listed to this
+ * leader and whose addresses are unknown, so that they cannot be called.
  */
-static void lose_unlisted_upstreams(struct leader *d)
-{
-	uint64_t now = clock_mono_ms();
+static void judge_unlisted_upstreams(struct leader *d)
+{
+	struct loss_facts f = {.now_ms = clock_mono_ms(),
+			       .leases_end_ms =
+				       d->model->earlier_leases_end_ms};
+	uint64_t since_ms = replica_answered_since_ms(d->upstreams);
+	struct loss_evidence e = {
+		.tag = LOSS_UNLISTED,
+		.at_ms = replica_current_at_ms(d->upstreams),
+		.u.unlisted = {since_ms ? MAX(since_ms, d->model->regained_ms)
+					: 0}};
 
-	if (now <= d->model->earlier_leases_end_ms)
-		return;
 	for (guint i = 0; i < d->model->fleet->list->len; i++) {
 		struct upstream *u =
 			g_ptr_array_index(d->model->fleet->list, i);
 
 		if (!u->session && u->tasks->len)
-			model_lose_upstream(d->model, u, now,
-					    INCARNATION_PRESUMED_ENDED,
-					    "not listed, leases ended");
+			loss_settle(d->model, u, &e, &f);
 	}
 }
 
@@ -788,7 +808,7 @@
 /* Run a scheduling pass. */
 static void decide(struct leader *d)
 {
-	lose_unlisted_upstreams(d);
+	judge_unlisted_upstreams(d);
 	update_reach(d);
 	model_update_job_states(d->model, replica_store_clock_ms(d->env.jobs));
 	dispatch_jobs(d);
--- a/lead/leaseclock.c
+++ b/lead/leaseclock.c
@@ -21,6 +21,13 @@
 	*c = (struct lease_clock){.leases_end_ms = leases_end_ms};
 }
 
+/* Note that another leader may have granted leases up to end_ms. */
+void lease_clock_extend(struct lease_clock *c, uint64_t end_ms)
+{
+	if (c->leases_end_ms < end_ms)
+		c->leases_end_ms = end_ms;
+}
+
 /* Record the upstream's clock from an answer received at now_ms. */
 void lease_clock_note_answer(struct lease_clock *c, uint64_t clock_ms,
 			     uint64_t now_ms)
--- a/lead/leaseclock.h
+++ b/lead/leaseclock.h
@@ -20,6 +20,7 @@
 };
 
 void lease_clock_reset(struct lease_clock *c, uint64_t leases_end_ms);
+void lease_clock_extend(struct lease_clock *c, uint64_t end_ms);
 void lease_clock_note_answer(struct lease_clock *c, uint64_t clock_ms,
 			     uint64_t now_ms);
 void lease_clock_note_epoch_accepted(struct lease_clock *c, uint32_t lease_ms,
--- a/lead/model.h
+++ b/lead/model.h
@@ -21,6 +21,8 @@
 	guint write_from;
 	/* Local time at which the last lease of earlier leaders ends. */
 	uint64_t earlier_leases_end_ms;
+	/* When a silent upstream answered again last; 0: none has. */
+	uint64_t regained_ms;
 	struct fleet *fleet;
 	struct estimator *estimator;
 };
@@ -50,6 +52,10 @@
 			    const struct order_answer *lists);
 void model_note_machine(struct model *m, struct upstream *u,
 			const char *machine, uint64_t now_ms);
+bool model_earlier_leader_may_start(const struct model *m,
+				    const struct upstream *u, uint64_t now_ms);
+bool model_machine_has_restarted(const struct model *m,
+				 const struct upstream *u);
 void model_inherit_run(struct model *m, struct task *t, const char *upstream,
 		       uint64_t started_wall_ms, uint64_t now_ms);
 void model_lose_upstream(struct model *m, struct upstream *u, uint64_t now_ms,
--- a/lead/record.c
+++ b/lead/record.c
@@ -6,6 +6,7 @@
 #include "config/policy.h"
 #include "lead/record.h"
 #include "lead/tenure.h"
+#include "lib/address.h"
 #include "lib/loop.h"
 #include "lib/schema.h"
 #include "platform/bounds.h"
@@ -341,7 +342,8 @@
 /* The upstream incarnations that a row refers to, each once. */
 struct incarnation_list {
 	GPtrArray *upstreams;
-	json_t *names; /* "ID@STARTED_WALL_MS", as strings */
+	json_t *names;	   /* "ID@STARTED_WALL_MS", as strings */
+	json_t *addresses; /* of the same incarnations; "": unknown */
 };
 
 /* Return the index of u's incarnation in the list, adding it if needed. */
@@ -356,17 +358,18 @@
 	name = g_strdup_printf("%s@%llu", u->id,
 			       (unsigned long long)u->started_wall_ms);
 	json_array_append_new(l->names, json_string(name));
+	json_array_append_new(l->addresses, json_string(u->address));
 	g_ptr_array_add(l->upstreams, (gpointer)u);
 	g_free(name);
 	return l->upstreams->len - 1;
 }
 
 /*
- * Maximum length of a run row with checkpoints; a longer one is written without
- * them, as the store refuses values over 64 KB. The upstreams list the
- * checkpoints of runs that are active.
+ * Maximum length of a run row with details; a longer one is written without
+ * checkpoints, and if need be without addresses, as the store refuses values
+ * over 64 KB.
  */
-#define CHECKPOINTS_ROW_MAX_BYTES 48000
+#define RUN_ROW_MAX_BYTES 48000
 
 /* Append a checkpoint; spaces, which separate tasks, are escaped in it. */
 static void checkpoint_encode(GString *s, const char *checkpoint)
@@ -494,10 +497,18 @@
 	}
 }
 
-static char *encode_runs(const struct job *j, bool with_checkpoints)
+/* What a run row holds; the upstreams list the rest of their active runs. */
+enum run_detail {
+	RUN_DETAIL_ALL,
+	RUN_DETAIL_NO_CHECKPOINTS,
+	RUN_DETAIL_NO_ADDRESSES, /* and no checkpoints */
+};
+
+static char *encode_runs(const struct job *j, enum run_detail detail)
 {
 	struct incarnation_list incarnations = {.upstreams = g_ptr_array_new(),
-						.names = json_array()};
+						.names = json_array(),
+						.addresses = json_array()};
 	json_t *stages = json_array(), *suspicions, *v;
 	char *s;
 
@@ -506,7 +517,7 @@
 		GString *tasks = g_string_new(NULL);
 
 		if (stage_has_started(st))
-			stage_encode(tasks, st, with_checkpoints,
+			stage_encode(tasks, st, detail == RUN_DETAIL_ALL,
 				     &incarnations);
 		json_array_append_new(
 			stages,
@@ -517,6 +528,9 @@
 	v = json_pack("{s:s,s:I,s:o,s:o}", "state", job_state_name(j->state),
 		      "ended_ms", (json_int_t)j->ended_ms, "lives",
 		      incarnations.names, "stages", stages);
+	if (detail != RUN_DETAIL_NO_ADDRESSES)
+		json_object_set(v, "addresses", incarnations.addresses);
+	json_decref(incarnations.addresses);
 	suspicions = suspicions_encode(j);
 	if (json_array_size(suspicions))
 		json_object_set(v, "suspicions", suspicions);
@@ -533,17 +547,23 @@
  */
 char *run_encode(const struct job *j)
 {
-	char *s = encode_runs(j, true);
+	char *s = encode_runs(j, RUN_DETAIL_ALL);
 
-	if (strlen(s) <= CHECKPOINTS_ROW_MAX_BYTES)
-		return s;
-	free(s);
-	return encode_runs(j, false);
+	if (strlen(s) > RUN_ROW_MAX_BYTES) {
+		free(s);
+		s = encode_runs(j, RUN_DETAIL_NO_CHECKPOINTS);
+	}
+	if (strlen(s) > RUN_ROW_MAX_BYTES) {
+		free(s);
+		s = encode_runs(j, RUN_DETAIL_NO_ADDRESSES);
+	}
+	return s;
 }
 
 /* What the decoding of one run row needs. */
 struct run_decoder {
 	const json_t *incarnations;
+	const json_t *addresses;
 	active_task_fn active;
 	void *arg;
 };
@@ -554,6 +574,19 @@
 	return g_ascii_string_to_unsigned(text, 10, 0, max, out, NULL);
 }
 
+/*
+ * Decode a recorded address. One that no upstream can have, or that a row of an
+ * earlier version lacks, counts as unknown.
+ */
+static void decode_address(const json_t *v, struct sockaddr_in *address)
+{
+	struct sockaddr_in a;
+
+	if (json_is_string(v) && address_parse(json_string_value(v), &a) &&
+	    address_is_unicast(&a) && a.sin_port)
+		*address = a;
+}
+
 /*
  * Report a task that may still run, given its index of an incarnation. Returns
  * false if that names none.
@@ -562,19 +595,21 @@
 			       const char *incarnation_text)
 {
 	uint64_t start_max = clock_wall_ms() + START_AHEAD_MAX_MS;
-	uint64_t n, started_wall_ms;
+	struct run_place place = {0};
 	const char *name, *at;
 	char *upstream;
+	uint64_t n;
 
 	if (!parse_number(incarnation_text, UINT32_MAX, &n))
 		return false;
 	name = json_string_value(json_array_get(r->incarnations, n));
 	at = name ? strrchr(name, '@') : NULL;
 	if (!at || at == name || at - name >= LABEL_BYTES ||
-	    !parse_number(at + 1, start_max, &started_wall_ms))
+	    !parse_number(at + 1, start_max, &place.started_wall_ms))
 		return false;
-	upstream = g_strndup(name, at - name);
-	r->active(r->arg, t, upstream, started_wall_ms);
+	place.upstream = upstream = g_strndup(name, at - name);
+	decode_address(json_array_get(r->addresses, n), &place.address);
+	r->active(r->arg, t, &place);
 	g_free(upstream);
 	return true;
 }
@@ -653,6 +688,7 @@
 {
 	json_t *v = json_loads(text, 0, NULL);
 	struct run_decoder r = {.incarnations = json_object_get(v, "lives"),
+				.addresses = json_object_get(v, "addresses"),
 				.active = active,
 				.arg = arg};
 	const json_t *item;
--- a/lead/record.h
+++ b/lead/record.h
@@ -2,6 +2,8 @@
 #ifndef LEAD_RECORD_H
 #define LEAD_RECORD_H
 
+#include <netinet/in.h>
+
 #include "sched/job.h"
 
 /*
@@ -74,12 +76,18 @@
 char *spec_encode(const struct job *j);
 struct job *spec_decode(const char *id, const char *text);
 
-/*
- * Called for each task that may still run, with the upstream and the start
- * time (wall clock) that identifies its incarnation.
- */
-typedef void (*active_task_fn)(void *arg, struct task *t, const char *upstream,
-			       uint64_t started_wall_ms);
+/* Where an earlier leader has recorded a run. */
+struct run_place {
+	const char *upstream;
+	/* Start time (wall clock) that identifies the incarnation. */
+	uint64_t started_wall_ms;
+	/* Address of that incarnation; its port is 0 if it is unknown. */
+	struct sockaddr_in address;
+};
+
+/* Called for each task that may still run, with its place. */
+typedef void (*active_task_fn)(void *arg, struct task *t,
+			       const struct run_place *at);
 
 char *run_encode(const struct job *j);
 bool run_decode(struct job *j, const char *text, active_task_fn active,
--- a/lead/session.c
+++ b/lead/session.c
@@ -9,6 +9,8 @@
 #include "lead/departure.h"
 #include "lead/session.h"
 #include "lead/leaseclock.h"
+#include "lead/loss.h"
+#include "lib/address.h"
 #include "lib/log.h"
 #include "sched/reach.h"
 
@@ -54,9 +56,22 @@
 	struct upstream *upstream;
 	struct orders *orders;
 	struct sockaddr_in address;
-	/* A list call is in flight, which was sent at call_sent_ms. */
+	/* The start time that was listed or recorded with the address. */
+	uint64_t address_started_wall_ms;
+	/* The newest start time that the upstream itself has named; 0: none. */
+	uint64_t answered_started_wall_ms;
+	/* One that an entry named and the upstream has denied; 0: none. */
+	uint64_t denied_started_wall_ms;
+	/* Time of the newest answer to any order; 0: none. */
+	uint64_t answered_ms;
+	bool listed;
+	/*
+	 * A list call is in flight, which was sent at call_sent_ms, in time or
+	 * by a process that had been suspended.
+	 */
 	bool call_in_flight;
 	uint64_t call_sent_ms;
+	bool call_sent_late;
 	/*
 	 * Numbers of ended runs in the upstream's list: the newest one that
 	 * was applied to the model, that the write in flight covers, and that
@@ -80,6 +95,7 @@
  */
 struct order {
 	struct session *session;
+	uint64_t sent_ms;
 	char task[TASK_NAME_BYTES];
 	uint32_t run;
 };
@@ -113,12 +129,19 @@
 	return t->state == TASK_PLACED && t->uncertain && task_is_suspect(t);
 }
 
+/* Report whether an entry names a later start that is not confirmed. */
+static bool restart_is_listed(const struct session *k)
+{
+	return k->address_started_wall_ms > k->upstream->started_wall_ms;
+}
+
 /* Report whether a start may be sent by what is known of the upstreams. */
 static bool is_known_well(const struct session *k, const struct task *t)
 {
 	const struct session_events *ev = &k->env->events;
 
-	return !ev->may_start || ev->may_start(k->env->arg, t);
+	return !restart_is_listed(k) &&
+	       (!ev->may_start || ev->may_start(k->env->arg, t));
 }
 
 /*
@@ -218,10 +241,39 @@
 	}
 }
 
-/* Use this address from now on; calls in flight are cancelled. */
-static void set_address(struct session *k, const struct sockaddr_in *at)
+/* Note the address of the present incarnation, for the rows of its runs. */
+static void note_address(struct session *k)
+{
+	struct upstream *u = k->upstream;
+
+	*u->address = '\0';
+	if (k->address_started_wall_ms == u->started_wall_ms)
+		address_format(&k->address, u->address, sizeof(u->address));
+}
+
+static bool is_same_address(const struct sockaddr_in *a,
+			    const struct sockaddr_in *b)
+{
+	return a->sin_addr.s_addr == b->sin_addr.s_addr &&
+	       a->sin_port == b->sin_port;
+}
+
+/*
+ * Use this address from now on, which was listed or recorded with this start
+ * time. If either is new, calls in flight are cancelled: they may belong to a
+ * process that has ended.
+ */
+static void set_address(struct session *k, const struct sockaddr_in *at,
+			uint64_t started_wall_ms)
 {
+	bool same = k->orders && is_same_address(at, &k->address) &&
+		    started_wall_ms <= k->address_started_wall_ms;
+
+	k->address_started_wall_ms = started_wall_ms;
 	k->address = *at;
+	note_address(k);
+	if (same)
+		return;
 	orders_destroy(k->orders);
 	k->call_in_flight = false;
 	k->orders = orders_create(k->env->http, k->upstream->id, at);
@@ -236,6 +288,7 @@
 	upstream_describe(u, e->service, e->domain, e->kind, e->rack);
 	if (memcmp(&u->resources, &e->resources, sizeof(u->resources)))
 		upstream_clear_refusals(u);
+	k->listed = true;
 	u->leaving = e->draining;
 	u->resources = e->resources;
 	u->state = e->draining ? UPSTREAM_DRAINING : UPSTREAM_READY;
@@ -244,9 +297,10 @@
 	model_note_machine(k->env->model, u, e->machine, now);
 }
 
-/* Create the session with u and schedule the first list call. */
-struct session *session_create(const struct session_env *e, struct upstream *u,
-			       const struct upstream_entry *entry)
+/* Create the session with u at an address; schedule the first list call. */
+static struct session *create(const struct session_env *e, struct upstream *u,
+			      const struct sockaddr_in *at,
+			      uint64_t started_wall_ms)
 {
 	struct session *k = g_new0(struct session, 1);
 
@@ -256,16 +310,36 @@
 		(uint64_t)ENTRY_TIMEOUT_HEARTBEATS * e->settings->heartbeat_ms;
 	timer_init(&k->call_timer, on_call_timer, k);
 	timer_init(&k->order_retry_timer, on_retry_timer, k);
-	/* Recorded runs may belong to an earlier incarnation. */
-	model_note_incarnation(e->model, u, entry->started_wall_ms,
-			       clock_mono_ms(), NULL);
-	set_address(k, &entry->address);
-	apply_entry(k, entry);
+	if (!u->started_wall_ms)
+		u->started_wall_ms = started_wall_ms;
+	set_address(k, at, started_wall_ms);
 	lease_clock_reset(&k->leases, e->model->earlier_leases_end_ms);
 	timer_start(e->loop, &k->call_timer, 0);
 	return k;
 }
 
+/* Create the session with u, which is listed. */
+struct session *session_create(const struct session_env *e, struct upstream *u,
+			       const struct upstream_entry *entry)
+{
+	struct session *k =
+		create(e, u, &entry->address, entry->started_wall_ms);
+
+	apply_entry(k, entry);
+	return k;
+}
+
+/*
+ * Create the session with u, which is not listed, at the address that an
+ * earlier leader recorded for its present incarnation. It gets no work.
+ */
+struct session *session_create_unlisted(const struct session_env *e,
+					struct upstream *u,
+					const struct sockaddr_in *at)
+{
+	return create(e, u, at, u->started_wall_ms);
+}
+
 /* Cancel all calls and free k. */
 void session_destroy(struct session *k)
 {
@@ -277,31 +351,85 @@
 	g_free(k);
 }
 
+/* Return what else is known of the upstream when its end is judged. */
+static struct loss_facts collect_facts(const struct session *k)
+{
+	return (struct loss_facts){
+		.now_ms = clock_mono_ms(),
+		.answered_ms = k->answered_ms,
+		.leases_end_ms = k->leases.leases_end_ms,
+		.runs_started_wall_ms =
+			MAX(k->answered_started_wall_ms,
+			    k->upstream->recorded_started_wall_ms)};
+}
+
+/* Judge the evidence, and apply it to the model. */
+static enum loss_outcome settle(struct session *k,
+				const struct loss_evidence *e)
+{
+	struct loss_facts f = collect_facts(k);
+	enum loss_outcome o = loss_settle(k->env->model, k->upstream, e, &f);
+
+	if (o == LOSS_ENDED)
+		k->env->events.model_changed(k->env->arg);
+	return o;
+}
+
 /*
- * Apply the upstream's start time; lists is the answer that shows it, or NULL.
- * Returns true for a new incarnation.
+ * Note that an entry names a later start than the known one. The upstream gets
+ * no work until it has answered, and a lease may have been granted by the later
+ * incarnation.
  */
-static bool note_incarnation(struct session *k, uint64_t started_wall_ms,
-			     const struct order_answer *lists)
+static void ask_about_restart(struct session *k, uint64_t started_wall_ms)
 {
-	if (!model_note_incarnation(k->env->model, k->upstream, started_wall_ms,
-				    clock_mono_ms(), lists))
-		return false;
-	reset_incarnation(k);
-	k->env->events.model_changed(k->env->arg);
-	return true;
+	struct loss_evidence e = {.tag = LOSS_LISTED_ANEW,
+				  .at_ms = clock_mono_ms(),
+				  .u.listed_anew.started_wall_ms =
+					  started_wall_ms};
+
+	settle(k, &e);
+	k->upstream->synced = false;
+	lease_clock_extend(&k->leases, first_leases_end_ms(k));
+	timer_start(k->env->loop, &k->call_timer, 0);
+}
+
+/*
+ * Report whether the entry is of an incarnation before the known one. A
+ * recorded one counts unless it is silent.
+ */
+static bool is_outdated(const struct session *k,
+			const struct upstream_entry *entry)
+{
+	uint64_t recorded = k->upstream->recorded_started_wall_ms;
+
+	return entry->started_wall_ms < k->answered_started_wall_ms ||
+	       (entry->started_wall_ms < recorded && !k->failure_count &&
+		k->address_started_wall_ms == recorded);
 }
 
-/* Apply a newer entry of the platform's list of upstreams. */
+/*
+ * Apply a newer entry of the platform's list of upstreams. One that names a
+ * later start is followed, as the upstream may be there, but ends no run.
+ */
 void session_apply_entry(struct session *k, const struct upstream_entry *entry)
 {
 	enum upstream_state before = k->upstream->state;
+	uint64_t address_started = k->address_started_wall_ms;
 
+	if (is_outdated(k, entry)) {
+		log_fields(LOG_INFO, "entry_outdated", "{s:s,s:I,s:I}",
+			   "upstream", k->upstream->id, "started",
+			   (json_int_t)entry->started_wall_ms, "known",
+			   (json_int_t)k->upstream->started_wall_ms);
+		return;
+	}
 	departure_note_listed(&k->departure);
-	note_incarnation(k, entry->started_wall_ms, NULL);
-	if (entry->address.sin_addr.s_addr != k->address.sin_addr.s_addr ||
-	    entry->address.sin_port != k->address.sin_port)
-		set_address(k, &entry->address);
+	if (entry->started_wall_ms != k->denied_started_wall_ms) {
+		set_address(k, &entry->address, entry->started_wall_ms);
+		if (restart_is_listed(k) &&
+		    entry->started_wall_ms > address_started)
+			ask_about_restart(k, entry->started_wall_ms);
+	}
 	apply_entry(k, entry);
 	if (k->upstream->state != before)
 		log_fields(LOG_INFO, "upstream_state", "{s:s,s:i,s:i}",
@@ -310,6 +438,18 @@
 	session_schedule_call(k);
 }
 
+/*
+ * Note that an earlier leader recorded this address for the present incarnation
+ * of the upstream, which an entry of an earlier one does not name.
+ */
+void session_note_recorded(struct session *k, const struct sockaddr_in *at)
+{
+	uint64_t started = k->upstream->started_wall_ms;
+
+	if (k->address_started_wall_ms < started)
+		set_address(k, at, started);
+}
+
 /* Note that the upstream's entry was last written after this local time. */
 void session_note_entry_written(struct session *k, uint64_t after_ms)
 {
@@ -322,6 +462,7 @@
  */
 void session_note_unlisted(struct session *k, bool removed)
 {
+	k->listed = false;
 	departure_note_unlisted(&k->departure,
 				removed &&
 					k->upstream->state == UPSTREAM_DRAINING,
@@ -354,13 +495,13 @@
 /*
  * Report whether list calls are needed: for runs, for ends that are not
  * acknowledged, to make the upstream obey this leader's epoch, or to learn
- * whether its failure domain is cut off.
+ * whether its failure domain is cut off or its machine has restarted.
  */
 static bool needs_calls(const struct session *k)
 {
 	const struct upstream *u = k->upstream;
 
-	return u->tasks->len || u->doubted ||
+	return u->tasks->len || u->doubted || (u->superseded_ms && k->listed) ||
 	       k->newest_end_seen > k->newest_end_acknowledged ||
 	       (!u->synced && u->state != UPSTREAM_GONE);
 }
@@ -415,11 +556,67 @@
 }
 
 /*
- * Apply what every answer says about the upstream itself. Returns false if
- * the rest of the answer must be ignored because the upstream refuses the
- * epoch, was replaced, or lists the runs of another incarnation.
+ * Apply the start time that the upstream names; a is the answer. Returns false
+ * if the rest of the answer must be ignored: it is of an earlier incarnation,
+ * or lists the runs of a later one for a cursor of an earlier one.
+ */
+static bool note_started(struct session *k, const struct order_answer *a)
+{
+	struct loss_evidence e = {
+		.tag = LOSS_RESTARTED,
+		.at_ms = clock_mono_ms(),
+		.u.restarted = {a->started_wall_ms, a->has_lists ? a : NULL}};
+	uint64_t started = a->started_wall_ms;
+	struct upstream *u = k->upstream;
+	bool restarted = started > u->started_wall_ms;
+
+	if (started < k->answered_started_wall_ms)
+		return false;
+	if (k->address_started_wall_ms > started)
+		k->denied_started_wall_ms = k->address_started_wall_ms;
+	if (k->address_started_wall_ms > started ||
+	    u->started_wall_ms > started)
+		log_fields(LOG_WARN, "start_denied", "{s:s,s:I,s:I,s:I}",
+			   "upstream", u->id, "started", (json_int_t)started,
+			   "listed", (json_int_t)k->address_started_wall_ms,
+			   "recorded", (json_int_t)u->recorded_started_wall_ms);
+	if (restarted)
+		settle(k, &e);
+	u->started_wall_ms = started;
+	k->answered_started_wall_ms = started;
+	k->address_started_wall_ms = started;
+	note_address(k);
+	if (restarted)
+		reset_incarnation(k);
+	return !restarted || !a->has_lists;
+}
+
+/*
+ * Handle that another upstream has answered a call that was sent at sent_ms. It
+ * gets no work until it is listed again.
+ */
+static void handle_replaced(struct session *k, uint64_t sent_ms)
+{
+	struct loss_evidence e = {.tag = LOSS_REPLACED,
+				  .at_ms = sent_ms,
+				  .u.replaced = {k->address_started_wall_ms}};
+
+	if (settle(k, &e) == LOSS_ENDED)
+		reset_incarnation(k);
+	else
+		k->failure_count++;
+	k->upstream->state = UPSTREAM_GONE;
+	k->env->events.model_changed(k->env->arg);
+}
+
+/*
+ * Apply what every answer to a call that was sent at sent_ms says about the
+ * upstream itself. Returns false if the rest of the answer must be ignored
+ * because the upstream refuses the epoch, was replaced, or lists the runs of
+ * another incarnation.
  */
-static bool note_answer(struct session *k, const struct order_answer *a)
+static bool note_answer(struct session *k, const struct order_answer *a,
+			uint64_t sent_ms)
 {
 	switch (a->outcome) {
 	case ORDER_STALE_EPOCH:
@@ -428,48 +625,38 @@
 		k->env->events.epoch_refused(k->env->arg);
 		return false;
 	case ORDER_REPLACED:
-		model_lose_upstream(k->env->model, k->upstream, clock_mono_ms(),
-				    INCARNATION_ENDED, "replaced");
-		reset_incarnation(k);
-		k->upstream->state = UPSTREAM_GONE;
-		k->env->events.model_changed(k->env->arg);
+		handle_replaced(k, sent_ms);
 		return false;
 	case ORDER_DONE:
 	case ORDER_OLD_RUN:
 	case ORDER_LEASE_EXPIRED:
 	case ORDER_NO_CAPACITY:
 	case ORDER_NO_TICKET:
+		if (a->clock_ms)
+			k->answered_ms = clock_mono_ms();
+		break;
 	case ORDER_INVALID:
 	case ORDER_UNAVAILABLE:
 	case ORDER_NOT_SENT:
 	case ORDER_UNKNOWN:
 		break;
 	}
-	if (note_incarnation(k, a->started_wall_ms, a) && a->has_lists)
-		return false; /* It got a cursor of the earlier incarnation. */
-	if (a->started_wall_ms &&
-	    a->started_wall_ms < k->upstream->started_wall_ms)
-		return false; /* An earlier incarnation has answered. */
+	if (a->started_wall_ms && !note_started(k, a))
+		return false;
 	if (a->clock_ms)
 		departure_note_answer(&k->departure, clock_mono_ms());
 	note_clock(k, a);
 	return true;
 }
 
-static void mark_lost(struct session *k, enum incarnation_end end,
-		      const char *why)
+/* Report whether the present iteration of the event loop began late. */
+static bool is_late(const struct session *k)
 {
-	model_lose_upstream(k->env->model, k->upstream, clock_mono_ms(), end,
-			    why);
-	k->env->events.model_changed(k->env->arg);
+	return loop_wakeup_delay_ms(k->env->loop) > LOSS_LATE_MIN_MS;
 }
 
-/*
- * Handle a failed list call: the runs are lost if the upstream has left or
- * the leases have ended.
- */
-static void handle_lists_failure(struct session *k,
-				 const struct order_answer *a)
+/* Note that the upstream is silent, which does not say that it has ended. */
+static void note_silence(struct session *k, const struct order_answer *a)
 {
 	uint64_t now = clock_mono_ms();
 
@@ -481,21 +668,54 @@
 			   order_outcome_name(a->outcome), "leases_end_in_ms",
 			   (json_int_t)k->leases.leases_end_ms -
 				   (json_int_t)now);
-	lease_clock_note_timeout(&k->leases);
 	upstream_avoid_for(k->upstream, AVOID_SILENT_MS, now);
-	/* A call sent before the leases ended proves nothing: this process
-	 * may have been suspended meanwhile, and the upstream still lists how
-	 * its runs ended. */
-	if (k->upstream->tasks->len && a->connection_refused &&
-	    departure_is_certain(&k->departure, k->call_sent_ms))
-		mark_lost(k, INCARNATION_LEFT, "has left");
-	else if (k->upstream->tasks->len &&
-		 lease_clock_is_expired(&k->leases, k->call_sent_ms))
-		mark_lost(k, INCARNATION_PRESUMED_ENDED, "leases ended");
+}
+
+/*
+ * Handle a failed list call. One for which no connection was left did not ask
+ * the upstream; nor did one of a process that was suspended meanwhile.
+ */
+static void handle_lists_failure(struct session *k,
+				 const struct order_answer *a)
+{
+	struct loss_evidence e = {.tag = LOSS_UNANSWERED,
+				  .at_ms = k->call_sent_ms};
+
+	if (a->connections_in_use)
+		goto out;
+	lease_clock_note_timeout(&k->leases);
+	e.u.unanswered.late = k->call_sent_late || is_late(k);
+	e.u.unanswered.has_left =
+		a->connection_refused &&
+		k->address_started_wall_ms == k->upstream->started_wall_ms &&
+		departure_is_certain(&k->departure, k->call_sent_ms);
+	if (!e.u.unanswered.late)
+		note_silence(k, a);
+	if (k->upstream->tasks->len)
+		settle(k, &e);
+out:
 	if (needs_calls(k))
 		timer_start(k->env->loop, &k->call_timer, LISTS_RETRY_DELAY_MS);
 }
 
+/*
+ * Note that the upstream itself answers a call that was sent after an entry of
+ * a later incarnation of its machine was read: that entry is odd.
+ */
+static void deny_supersession(struct session *k)
+{
+	struct upstream *u = k->upstream;
+
+	if (!u->superseded_ms || k->call_sent_ms <= u->superseded_ms)
+		return;
+	u->superseded_ms = 0;
+	if (k->listed)
+		u->state = u->leaving ? UPSTREAM_DRAINING : UPSTREAM_READY;
+	log_fields(LOG_WARN, "supersession_denied", "{s:s,s:i}", "upstream",
+		   u->id, "tasks", (int)u->tasks->len);
+	k->env->events.model_changed(k->env->arg);
+}
+
 static void on_lists_answer(void *arg, const struct order_answer *a)
 {
 	struct session *k = arg;
@@ -504,22 +724,31 @@
 	bool usable = k->upstream->synced && !k->upstream->doubted;
 
 	k->call_in_flight = false;
-	if (!note_answer(k, a)) {
+	if (!note_answer(k, a, k->call_sent_ms)) {
+		bool restarted =
+			a->has_lists &&
+			a->started_wall_ms == k->answered_started_wall_ms;
+
+		/* the lists of a new incarnation are asked for at once */
 		if (a->outcome != ORDER_STALE_EPOCH && needs_calls(k))
 			timer_start(env->loop, &k->call_timer,
-				    LISTS_RETRY_DELAY_MS);
+				    restarted ? 0 : LISTS_RETRY_DELAY_MS);
 		return;
 	}
 	if (a->outcome != ORDER_DONE || !a->has_lists) {
 		handle_lists_failure(k, a);
 		return;
 	}
-	if (k->failure_count)
+	if (k->failure_count) {
+		k->env->model->regained_ms = clock_mono_ms();
 		log_fields(LOG_INFO, "upstream_answers", "{s:s,s:i}",
 			   "upstream", k->upstream->id, "failures",
 			   (int)k->failure_count);
+	}
 	k->failure_count = 0;
+	k->upstream->loss_why = NULL;
 	reach_record_answer(k->upstream, clock_mono_ms());
+	deny_supersession(k);
 	apply_lists(k, a);
 	/* An end that cannot be acknowledged would be answered at once. */
 	if (needs_calls(k))
@@ -552,6 +781,7 @@
 		wait = 0;
 	k->call_in_flight = true;
 	k->call_sent_ms = now;
+	k->call_sent_late = is_late(k);
 	counter_add(k->env->counters, "upstream_lists", NULL, 1);
 	orders_renew(k->orders, lease, k->env->epoch,
 		     k->newest_end_acknowledged, wait, wait + ANSWER_TIMEOUT_MS,
@@ -586,6 +816,7 @@
 
 	o->session = k;
 	o->run = t->run;
+	o->sent_ms = clock_mono_ms();
 	task_format_name(t, o->task, sizeof(o->task));
 	return o;
 }
@@ -679,6 +910,19 @@
 	g_free(o);
 }
 
+/*
+ * Retry an order that another upstream has answered, if its run may still be
+ * active: the address was that of another incarnation.
+ */
+static void retry_misdirected(const struct order *o,
+			      const struct order_answer *a)
+{
+	struct task *t = find_order_task(o);
+
+	if (t && a->outcome == ORDER_REPLACED)
+		schedule_order_retry(o->session, t);
+}
+
 static void on_start_answer(void *arg, const struct order_answer *a)
 {
 	struct order *o = arg;
@@ -688,10 +932,12 @@
 	/* the end of the incarnation is judged by what is known of the order */
 	if (t)
 		delivery_note_outcome(t, a->outcome);
-	if (note_answer(k, a)) {
+	if (note_answer(k, a, o->sent_ms)) {
 		t = find_order_task(o);
 		if (t)
 			handle_start_answer(k, t, o, a->outcome);
+	} else {
+		retry_misdirected(o, a);
 	}
 	g_free(o);
 }
@@ -737,8 +983,10 @@
 	struct session *k = o->session;
 	struct task *t = NULL;
 
-	if (note_answer(k, a))
+	if (note_answer(k, a, o->sent_ms))
 		t = find_order_task(o);
+	else
+		retry_misdirected(o, a);
 	if (t && a->outcome == ORDER_DONE) {
 		t->stop_answered_ms = clock_mono_ms();
 		session_schedule_call(k);
--- a/lead/session.h
+++ b/lead/session.h
@@ -42,8 +42,12 @@
 
 struct session *session_create(const struct session_env *e, struct upstream *u,
 			       const struct upstream_entry *entry);
+struct session *session_create_unlisted(const struct session_env *e,
+					struct upstream *u,
+					const struct sockaddr_in *at);
 void session_destroy(struct session *k);
 void session_apply_entry(struct session *k, const struct upstream_entry *entry);
+void session_note_recorded(struct session *k, const struct sockaddr_in *at);
 void session_note_entry_written(struct session *k, uint64_t after_ms);
 void session_note_unlisted(struct session *k, bool removed);
 void session_schedule_call(struct session *k);
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -10,6 +10,9 @@
 	UPSTREAM_GONE, /* no longer listed */
 };
 
+/* Length of the text of an upstream's address, with the end. */
+#define UPSTREAM_ADDRESS_BYTES 32
+
 /* A run that was blamed for the end of an upstream's incarnation. */
 struct blamed_run {
 	char task[TASK_NAME_BYTES];
@@ -27,12 +30,19 @@
 	char rack[LABEL_BYTES];
 	/* start time, identifies the incarnation; 0: unknown */
 	uint64_t started_wall_ms;
+	/* the newest that earlier leaders recorded runs for; 0: none */
+	uint64_t recorded_started_wall_ms;
+	/* address of the present incarnation, to be recorded; "": unknown */
+	char address[UPSTREAM_ADDRESS_BYTES];
 	GQuark service_quark; /* service, kind, rack and domain as quarks */
 	GQuark kind_quark;
 	GQuark rack_quark;
 	GQuark domain_quark;
 	GQuark host_quark; /* the machine, which outlives it; 0: unknown */
-	bool superseded;   /* a later incarnation of its machine is listed */
+	/* when a later incarnation of its machine was listed; 0: none is */
+	uint64_t superseded_ms;
+	const char
+		*loss_why; /* why its runs were kept last; NULL: it answers */
 	bool incarnations_compared; /* of its machine with this one */
 	enum upstream_state state;
 	bool synced; /* has accepted our epoch and its run lists were read */
