Call an upstream that was replaced no more

Cause: an upstream whose machine has restarted under another id is called while its entry is listed, so that an odd entry can be denied; another upstream answers there with 421, which ended it again each 120 ms, counted an idle end for the suspects each time and scheduled a pass. Change: the answer settles it until it is listed anew.

--- a/lead/session.c
+++ b/lead/session.c
@@ -601,10 +601,12 @@
 				  .at_ms = sent_ms,
 				  .u.replaced = {k->address_started_wall_ms}};
 
-	if (settle(k, &e) == LOSS_ENDED)
+	if (settle(k, &e) == LOSS_ENDED) {
 		reset_incarnation(k);
-	else
+		k->listed = false;
+	} else {
 		k->failure_count++;
+	}
 	k->upstream->state = UPSTREAM_GONE;
 	k->env->events.model_changed(k->env->arg);
 }
--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -35,6 +35,7 @@
 	uint32_t runs[RUNS_MAX];
 	uint32_t running_len;
 	uint32_t starts, stops, lists;
+	uint32_t refusals;   /* calls answered as another upstream */
 	const char *odd_end; /* row of its list of ends, or NULL */
 };
 
@@ -97,6 +98,7 @@
 	bool wants_lists = !strcmp(exchange_path(x), "/-/hold");
 
 	if (f->replaced && !(wants_lists && f->holds_lists)) {
+		f->refusals++;
 		exchange_reply_json(x, 421, json_object(), 0);
 		json_decref(body);
 		return;
@@ -1024,6 +1026,34 @@
 	}
 }
 
+/* Guards against calls and losses without end while an old entry is listed. */
+static void
+test_replaced_upstream_without_runs_is_not_called_again(void **state)
+{
+	struct fake_upstream f, g;
+	struct upstream *later;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	fake_upstream_create(&g, s.loop);
+	g.born = 99;
+	s.entry.address = f.address;
+	list_incarnation(&s, "u1", "m1", 77);
+	step_until(s.loop, &s.changes, 1000);
+	f.replaced = true;
+	s.entry.address = g.address;
+	later = list_incarnation(&s, "u3", "m1", 99);
+	s.entry.address = f.address;
+	list_incarnation(&s, "u1", "m1", 77);
+	step_until(s.loop, NULL, 1500);
+	assert_int_equal(f.refusals, 1);
+	assert_int_equal(s.upstream->state, UPSTREAM_GONE);
+	session_destroy(later->session);
+	fixture_destroy(&s);
+}
+
 /*
  * A run recorded for an earlier incarnation of a machine ends once that does
  * not answer and the later one does, and goes on if it answers.
@@ -1140,6 +1170,8 @@
 		cmocka_unit_test(
 			test_run_on_earlier_incarnation_of_machine_is_not_kept),
 		cmocka_unit_test(test_upstream_that_answers_is_not_superseded),
+		cmocka_unit_test(
+			test_replaced_upstream_without_runs_is_not_called_again),
 		cmocka_unit_test(
 			test_odd_end_is_passed_and_its_upstream_stays_in_use),
 	};
