Let the soak's stale reads reach the jobs that run

Silences and stale reads are shorter now and begin when the last ones have ended, and half as many instances are paused.

--- a/test/copyfaults.c
+++ b/test/copyfaults.c
@@ -5,9 +5,11 @@
 #include "test/copyfaults.h"
 
 #define ENTRY_DELAY_MS 2000
-#define SILENCE_MAX_MS 1500
+#define SILENCE_MAX_MS 600
 #define STALE_MIN_MS 1000
 #define STALE_MAX_MS 5000
+#define STALE_LASTS_MIN_MS 300
+#define STALE_LASTS_MAX_MS 1500
 /* An entry lapses after three heartbeats, 4.5 s. */
 #define AWAY_MIN_MS 4000
 #define AWAY_MAX_MS 7000
@@ -31,12 +33,16 @@
 {
 	int silence_ms = g_rand_int_range(f->random, 0, SILENCE_MAX_MS);
 	int stale_ms = g_rand_int_range(f->random, STALE_MIN_MS, STALE_MAX_MS);
-	int lasts_ms = g_rand_int_range(f->random, silence_ms, STALE_MAX_MS);
+	int lasts_ms =
+		silence_ms + g_rand_int_range(f->random, STALE_LASTS_MIN_MS,
+					      STALE_LASTS_MAX_MS);
 	char *body = g_strdup_printf("{\"silence_ms\": %d, \"stale_ms\": %d}",
 				     silence_ms + 1, stale_ms);
 
-	joint_control_platform(f->site, body);
-	f->stale_until_ms = clock_mono_ms() + lasts_ms;
+	if (!f->stale_until_ms) {
+		joint_control_platform(f->site, body);
+		f->stale_until_ms = clock_mono_ms() + lasts_ms;
+	}
 	g_free(body);
 }
 
--- a/test/proc_soak.c
+++ b/test/proc_soak.c
@@ -30,7 +30,7 @@
 #define DEFAULT_SEEDS "1 2 3"
 #define DEFAULT_CRASH_SEEDS "4 21"
 #define DEFAULT_LONG_SEEDS "1 2"
-#define DEFAULT_COPY_SEEDS "1 2"
+#define DEFAULT_COPY_SEEDS "1 60"
 /*
  * Long faults begin in the first part of a seed and have all ended when it is
  * over. Each outlasts the tenure of a leader, or a lease and a takeover.
@@ -377,7 +377,7 @@
 {
 	GRand *random = k->copy_faults->random;
 	uint32_t i = choose_leader(k, random);
-	uint32_t kind = g_rand_int_range(random, 0, 4);
+	uint32_t kind = g_rand_int_range(random, 0, 8);
 	uint32_t pause_ms =
 		g_rand_int_range(random, PAUSE_MIN_MS, PAUSE_MAX_MS);
 
