--- a/test/unit_replica.c
+++ b/test/unit_replica.c
@@ -265,6 +265,31 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * A read that stays behind the store completes the copy. Guards against one
+ * that counts as current when an answer had shown a newer version before the
+ * read was sent, in a full read or in the feed.
+ */
+static void test_copy_behind_the_store_is_not_current(void **state)
+{
+	uint64_t known_ms;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, replica_single_part);
+	commit_at(&s, 30);
+	answer_rows(&s, "rows-get", 29, "");
+	commit_at(&s, 34);
+	known_ms = clock_mono_ms();
+	clock_offset_ms += 1000;
+	answer_rows(&s, "rows-get", 31, "");
+	assert_true(replica_is_complete(s.replica));
+	assert_in_range(replica_current_at_ms(s.replica), 0, known_ms);
+	answer_rows(&s, "rows-feed?table=t&after=31", 32, "a=1@32");
+	assert_in_range(replica_current_at_ms(s.replica), 0, known_ms);
+	fixture_destroy(&s);
+}
+
 static void note_conflict(void *arg, const struct rows_answer *a)
 {
 	assert_int_equal(a->outcome, ROWS_CONFLICT);
@@ -394,6 +419,7 @@
 		cmocka_unit_test(
 			test_copy_is_not_older_than_an_answer_before_its_call),
 		cmocka_unit_test(test_read_completes_while_the_store_moves_on),
+		cmocka_unit_test(test_copy_behind_the_store_is_not_current),
 		cmocka_unit_test(
 			test_copy_is_not_older_than_a_row_of_a_conflict),
 		cmocka_unit_test(
--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -1097,6 +1097,96 @@
 	}
 }
 
+/*
+ * An entry of a later start names an address at which another upstream answers,
+ * and the upstream itself has ended. Guards against a run that is never taken
+ * for lost, as each call that is answered there counts as one more lease.
+ */
+static void test_answer_of_another_upstream_prolongs_no_lease(void **state)
+{
+	struct fake_upstream f, other;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	fake_upstream_create(&other, s.loop);
+	other.replaced = true;
+	s.settings.lease_ms = s.settings.lease_max_ms = 500;
+	open_session(&s, &f);
+	step_until(s.loop, &s.changes, 1000);
+	start_task(&s);
+	assert_becomes(&s, TASK_RUNNING);
+	f.mute = true;
+	s.entry.started_wall_ms = 99;
+	s.entry.address = other.address;
+	session_apply_entry(s.upstream->session, &s.entry);
+	session_note_unlisted(s.upstream->session, true);
+	assert_becomes(&s, TASK_WAITING);
+	fixture_destroy(&s);
+}
+
+/*
+ * An upstream that the leader cannot reach restarts again and again, as its
+ * entries show. Guards against a run that is never taken for lost, as each entry
+ * counts as one more lease.
+ */
+static void test_restarts_of_silent_upstream_keep_no_run_for_ever(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	s.settings.lease_ms = s.settings.lease_max_ms = 500;
+	open_session(&s, &f);
+	step_until(s.loop, &s.changes, 1000);
+	start_task(&s);
+	assert_becomes(&s, TASK_RUNNING);
+	step_until(s.loop, NULL, 700);
+	f.mute = true;
+	for (uint32_t i = 0; i < 12 && task_is_active(s.task); i++) {
+		s.entry.started_wall_ms++;
+		session_apply_entry(s.upstream->session, &s.entry);
+		step_until(s.loop, NULL, 400);
+	}
+	assert_false(task_is_active(s.task));
+	fixture_destroy(&s);
+}
+
+/*
+ * A machine has restarted under another id at the same address, and the entry
+ * of its earlier incarnation, which has no runs, is still listed. Guards against
+ * calls, log lines and passes without an end.
+ */
+static void test_ended_idle_incarnation_is_not_called_again(void **state)
+{
+	struct fake_upstream f, g;
+	struct upstream *later;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	fake_upstream_create(&g, s.loop);
+	g.born = 99;
+	s.entry.address = f.address;
+	list_incarnation(&s, "u1", "m1", 77);
+	step_until(s.loop, &s.changes, 1000);
+	f.replaced = true;
+	s.entry.address = g.address;
+	later = list_incarnation(&s, "u3", "m1", 99);
+	s.entry.address = f.address;
+	list_incarnation(&s, "u1", "m1", 77);
+	step_until(s.loop, NULL, 1000);
+	s.changes = 0;
+	step_until(s.loop, NULL, 2000);
+	assert_in_range(s.changes, 0, 2);
+	session_destroy(later->session);
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -1140,6 +1230,12 @@
 		cmocka_unit_test(
 			test_run_on_earlier_incarnation_of_machine_is_not_kept),
 		cmocka_unit_test(test_upstream_that_answers_is_not_superseded),
+		cmocka_unit_test(
+			test_answer_of_another_upstream_prolongs_no_lease),
+		cmocka_unit_test(
+			test_restarts_of_silent_upstream_keep_no_run_for_ever),
+		cmocka_unit_test(
+			test_ended_idle_incarnation_is_not_called_again),
 		cmocka_unit_test(
 			test_odd_end_is_passed_and_its_upstream_stays_in_use),
 	};
