--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -1047,7 +1047,11 @@
 	later = list_incarnation(&s, "u3", "m1", 99);
 	s.entry.address = f.address;
 	list_incarnation(&s, "u1", "m1", 77);
-	step_until(s.loop, NULL, 1500);
+	step_until(s.loop, NULL, 1000);
+	assert_int_equal(f.refusals, 1);
+	s.changes = 0;
+	step_until(s.loop, NULL, 2000);
+	assert_in_range(s.changes, 0, 2);
 	assert_int_equal(f.refusals, 1);
 	assert_int_equal(s.upstream->state, UPSTREAM_GONE);
 	session_destroy(later->session);
@@ -1127,6 +1131,64 @@
 	}
 }
 
+/*
+ * An entry of a later start names an address at which another upstream answers,
+ * and the upstream itself has ended. Guards against a run that is never taken
+ * for lost, as each call that is answered there counts as one more lease.
+ */
+static void test_answer_of_another_upstream_prolongs_no_lease(void **state)
+{
+	struct fake_upstream f, other;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	fake_upstream_create(&other, s.loop);
+	other.replaced = true;
+	s.settings.lease_ms = s.settings.lease_max_ms = 500;
+	open_session(&s, &f);
+	step_until(s.loop, &s.changes, 1000);
+	start_task(&s);
+	assert_becomes(&s, TASK_RUNNING);
+	f.mute = true;
+	s.entry.started_wall_ms = 99;
+	s.entry.address = other.address;
+	session_apply_entry(s.upstream->session, &s.entry);
+	session_note_unlisted(s.upstream->session, true);
+	assert_becomes(&s, TASK_WAITING);
+	fixture_destroy(&s);
+}
+
+/*
+ * An upstream that the leader cannot reach restarts again and again, as its
+ * entries show. Guards against a run that is never taken for lost, as each entry
+ * counts as one more lease.
+ */
+static void test_restarts_of_silent_upstream_keep_no_run_for_ever(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	s.settings.lease_ms = s.settings.lease_max_ms = 500;
+	open_session(&s, &f);
+	step_until(s.loop, &s.changes, 1000);
+	start_task(&s);
+	assert_becomes(&s, TASK_RUNNING);
+	step_until(s.loop, NULL, 700);
+	f.mute = true;
+	for (uint32_t i = 0; i < 12 && task_is_active(s.task); i++) {
+		s.entry.started_wall_ms++;
+		session_apply_entry(s.upstream->session, &s.entry);
+		step_until(s.loop, NULL, 400);
+	}
+	assert_false(task_is_active(s.task));
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -1172,6 +1234,10 @@
 		cmocka_unit_test(test_upstream_that_answers_is_not_superseded),
 		cmocka_unit_test(
 			test_replaced_upstream_without_runs_is_not_called_again),
+		cmocka_unit_test(
+			test_answer_of_another_upstream_prolongs_no_lease),
+		cmocka_unit_test(
+			test_restarts_of_silent_upstream_keep_no_run_for_ever),
 		cmocka_unit_test(
 			test_odd_end_is_passed_and_its_upstream_stays_in_use),
 	};
