Request no lease of an upstream at whose address another one answers

Callers would see a run that is never started anew after its upstream has ended: each call that status 421 answered counted as one more lease, so that the leases never ended. It needs an entry that names an address which another upstream has.

--- a/lead/session.c
+++ b/lead/session.c
@@ -601,6 +601,8 @@
 				  .at_ms = sent_ms,
 				  .u.replaced = {k->address_started_wall_ms}};
 
+	/* it has not answered, so no further lease may be requested */
+	lease_clock_note_timeout(&k->leases);
 	if (settle(k, &e) == LOSS_ENDED) {
 		reset_incarnation(k);
 		k->listed = false;
