Count a listed restart as a lease only for runs it may have started

An upstream that the leader cannot reach and that restarts more often than a lease lasts kept its runs for ever, as each entry of a later start moved the end of the leases. Now it does so only while a run may be active in the later incarnation: an order was sent that the earlier one has never listed.

--- a/lead/model.c
+++ b/lead/model.c
@@ -453,6 +453,20 @@
 	       is_listed(t, lists) || earlier_leader_may_start(m, t, now_ms);
 }
 
+/*
+ * Report whether any run placed on u may be active in an incarnation that begins
+ * now.
+ */
+bool model_may_run_after_restart(const struct model *m,
+				 const struct upstream *u, uint64_t now_ms)
+{
+	for (guint i = 0; i < u->tasks->len; i++)
+		if (may_run_after_restart(m, g_ptr_array_index(u->tasks, i),
+					  NULL, now_ms))
+			return true;
+	return false;
+}
+
 /* Log the tasks that are blamed for the end of u's incarnation. */
 static void log_findings(const GArray *findings, const struct upstream *u)
 {
--- a/lead/model.h
+++ b/lead/model.h
@@ -52,6 +52,8 @@
 			    const struct order_answer *lists);
 void model_note_machine(struct model *m, struct upstream *u,
 			const char *machine, uint64_t now_ms);
+bool model_may_run_after_restart(const struct model *m,
+				 const struct upstream *u, uint64_t now_ms);
 bool model_earlier_leader_may_start(const struct model *m,
 				    const struct upstream *u, uint64_t now_ms);
 bool model_machine_has_restarted(const struct model *m,
--- a/lead/session.c
+++ b/lead/session.c
@@ -377,8 +377,8 @@
 
 /*
  * Note that an entry names a later start than the known one. The upstream gets
- * no work until it has answered, and a lease may have been granted by the later
- * incarnation.
+ * no work until it has answered. The later incarnation may have granted a lease
+ * to a run that the earlier one has never listed.
  */
 static void ask_about_restart(struct session *k, uint64_t started_wall_ms)
 {
@@ -389,7 +389,8 @@
 
 	settle(k, &e);
 	k->upstream->synced = false;
-	lease_clock_extend(&k->leases, first_leases_end_ms(k));
+	if (model_may_run_after_restart(k->env->model, k->upstream, e.at_ms))
+		lease_clock_extend(&k->leases, first_leases_end_ms(k));
 	timer_start(k->env->loop, &k->call_timer, 0);
 }
 
