Count no copy as current by an answer that is behind

An answer of the feed that is older than what was known when its call was sent made the copy count as current as of that call, so that "the list is old" and the reading of the policy after a stall could be wrong.

--- a/lead/replica.c
+++ b/lead/replica.c
@@ -83,8 +83,9 @@
 	uint64_t store_ms;
 	/* Count of calls that failed since the newest answer. */
 	uint32_t failure_count;
-	/* When the call in flight was sent. */
+	/* When the call in flight was sent, and what was known then. */
 	uint64_t call_sent_ms;
+	uint64_t call_known_version;
 	/* When the first call of the current or last full read was sent. */
 	uint64_t read_sent_ms;
 	/* The copy holds all changes until then. */
@@ -452,12 +453,16 @@
 	f->feed_call_sent_ms = f->complete ? f->call_sent_ms : 0;
 }
 
-/* Note that the copy is complete up to an answer of the feed. */
+/*
+ * Note that the copy is complete up to an answer of the feed, which may be behind
+ * what was known when its call was sent.
+ */
 static void note_feed_answer(struct replica *f, const struct rows_answer *a)
 {
 	f->version = a->version;
 	f->feed_answered = true;
-	f->current_at_ms = f->call_sent_ms;
+	if (a->version >= f->call_known_version)
+		f->current_at_ms = f->call_sent_ms;
 }
 
 static void on_answer(void *arg, const struct rows_answer *a)
@@ -529,8 +534,9 @@
 	f->call_in_flight = true;
 	f->refresh = false;
 	f->call_sent_ms = clock_mono_ms();
+	f->call_known_version = rows_newest_version(f->rows);
 	if (f->read_due) {
-		f->read_min_version = rows_newest_version(f->rows);
+		f->read_min_version = f->call_known_version;
 		f->read_sent_ms = f->call_sent_ms;
 	}
 	f->read_due = false;
