--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -41,8 +41,8 @@
 	GQuark host_quark; /* the machine, which outlives it; 0: unknown */
 	/* when a later incarnation of its machine was listed; 0: none is */
 	uint64_t superseded_ms;
-	const char
-		*loss_why; /* why its runs were kept last; NULL: it answers */
+	/* why its runs were kept last, a literal; NULL: it answers */
+	const char *loss_why;
 	bool incarnations_compared; /* of its machine with this one */
 	enum upstream_state state;
 	bool synced; /* has accepted our epoch and its run lists were read */
