Store the cancel request of a job that does not exist

Cause: 410 rested on a read that found no row. Nothing kept the ID from being accepted afterwards, as the submission was conditional on the absence of its own row only.

Change: a cancel request for an ID without a job writes cancel/ID, on the condition that job/ID does not exist, and 410 is sent only after that. A submission is conditional on the absence of both rows, so that of the two only one takes effect, in whatever order they are carried out; a submission that finds the request is refused with 409. Requests carry their time and are removed as late as ended jobs. The number of such rows is bounded, and so is the rate at which an instance writes them; beyond that the caller gets 503, which promises nothing.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -10,6 +10,7 @@
 #include "entry/entry.h"
 #include "lead/record.h"
 #include "lib/log.h"
+#include "lib/ratelimit.h"
 #include "platform/decode.h"
 #include "platform/ingress.h"
 #include "platform/rows.h"
@@ -54,6 +55,15 @@
  */
 #define REVALIDATE_TIMEOUT_MS 600
 #define JOB_ID_DIGITS_COUNT 16
+/*
+ * A cancel request for an ID without a job is stored as long as an ended job.
+ * These bounds keep a caller that cancels IDs at random from filling the table,
+ * and from taking the writes of the store: rows of all instances, and how many
+ * of them one instance writes in the long run and at once.
+ */
+#define REFUSED_IDS_MAX 10000
+#define REFUSED_IDS_PER_S_MAX 20
+#define REFUSED_IDS_BURST_MAX 40
 
 struct entry {
 	struct entry_env env;
@@ -65,6 +75,7 @@
 	uint64_t revalidating_since_ms;
 	GPtrArray *deferred; /* requests that wait for that read */
 	struct timer revalidate_timer;
+	struct rate_limit refused_ids;
 };
 
 enum entry_request_kind {
@@ -81,7 +92,7 @@
 	enum entry_request_kind kind;
 	char id[JOB_ID_BYTES];
 	char account[LABEL_BYTES];
-	char *write; /* encoded transaction, or NULL */
+	char *write; /* encoded submission, or NULL */
 	uint64_t received_ms;
 	uint64_t deadline_ms;
 	bool write_uncertain; /* an unanswered write may have been executed */
@@ -232,52 +243,93 @@
 		    refused ? REFUSED_RETRY_DELAY_MS : 0);
 }
 
+/* Return the value of the row of this kind of r's job, or NULL. */
+static const char *find_value(const struct request *r,
+			      const struct rows_answer *a, const char *kind)
+{
+	char key[JOB_KEY_BYTES];
+
+	g_snprintf(key, sizeof(key), "%s%s", kind, r->id);
+	for (uint32_t i = 0; i < a->len; i++)
+		if (!strcmp(a->list[i].key, key))
+			return a->list[i].value;
+	return NULL;
+}
+
 /*
- * Report whether the job that already has the id of r belongs to the caller's
- * account; a holds its row.
+ * Answer a submission whose ID is in use: by a job, which is an earlier attempt
+ * if it is of the same account, or by a cancel request that came first.
  */
-static bool is_callers_job(const struct request *r, const struct rows_answer *a)
+static void on_submit_conflict(struct request *r, const struct rows_answer *a)
 {
+	const char *job = find_value(r, a, KEY_JOB);
 	struct job_record j;
 
-	return a->len && a->list[0].value && job_decode(a->list[0].value, &j) &&
-	       !strcmp(j.account, r->account);
+	if (job && job_decode(job, &j) && !strcmp(j.account, r->account))
+		finish_request(r, 200, "was accepted before", 0);
+	else if (job)
+		finish_request(r, 409, "the id belongs to another job", 0);
+	else if (find_value(r, a, KEY_CANCEL))
+		finish_request(r, 409, "the id was cancelled", 0);
+	else
+		retry_request(r, false);
 }
 
-static void on_conflict(struct request *r, const struct rows_answer *a)
+/* Continue r after a write that may have been executed. */
+static void on_unknown_write(struct request *r)
 {
-	if (r->kind == ENTRY_REQUEST_CANCEL)
-		finish_request(r, 200, "cancelled", 0);
-	else if (is_callers_job(r, a))
-		finish_request(r, 200, "was accepted before", 0);
+	r->write_uncertain = true;
+	/* another instance may reach the store before the deadline */
+	if (store_is_silent(r->entry))
+		finish_request(r, 504,
+			       "the store does not answer; it may be accepted",
+			       STORE_RETRY_AFTER_MS);
 	else
-		finish_request(r, 409, "the id belongs to another job", 0);
+		retry_request(r, false);
 }
 
-static void on_write(void *arg, const struct rows_answer *a)
+static void on_submit_write(void *arg, const struct rows_answer *a)
 {
 	struct request *r = arg;
 
 	switch (a->outcome) {
 	case ROWS_OK:
-		finish_request(r, 200,
-			       r->kind == ENTRY_REQUEST_CANCEL ? "cancelled"
-							       : "accepted",
-			       0);
+		finish_request(r, 200, "accepted", 0);
 		return;
 	case ROWS_CONFLICT:
-		on_conflict(r, a);
+		on_submit_conflict(r, a);
 		return;
 	case ROWS_UNKNOWN:
-		r->write_uncertain = true;
-		/* another instance may reach the store before the deadline */
-		if (store_is_silent(r->entry))
-			finish_request(
-				r, 504,
-				"the store does not answer; it may be accepted",
-				STORE_RETRY_AFTER_MS);
+		on_unknown_write(r);
+		return;
+	case ROWS_REFUSED:
+	case ROWS_COMPACTED:
+		retry_request(r, true);
+		return;
+	}
+}
+
+/*
+ * Continue a cancel request after its write. That for an ID without a job is
+ * conditional: a conflict shows that the job has been accepted since.
+ */
+static void on_cancel_write(void *arg, const struct rows_answer *a)
+{
+	struct request *r = arg;
+
+	switch (a->outcome) {
+	case ROWS_OK:
+		if (r->job_found)
+			finish_request(r, 200, "cancelled", 0);
 		else
-			retry_request(r, false);
+			finish_request(r, 410, "no such job", 0);
+		return;
+	case ROWS_CONFLICT:
+		r->job_found = true;
+		retry_request(r, false);
+		return;
+	case ROWS_UNKNOWN:
+		on_unknown_write(r);
 		return;
 	case ROWS_REFUSED:
 	case ROWS_COMPACTED:
@@ -343,48 +395,107 @@
 	set_states_poll_delay(n);
 }
 
+/*
+ * Return how long to wait for the store, in milliseconds: at least least_ms,
+ * but at most the time that remains to r, so that its caller gets an answer
+ * before the deadline.
+ */
+static uint32_t store_timeout_ms(const struct request *r, uint32_t least_ms)
+{
+	uint64_t now = clock_mono_ms();
+	uint64_t remaining_ms = r->deadline_ms - MIN(r->deadline_ms, now);
+	uint32_t ms = MAX(rows_call_timeout_ms(r->entry->env.rows), least_ms);
+
+	return MAX(MIN(ms, remaining_ms), 1);
+}
+
+/*
+ * Encode a cancel request made at at_ms on the store's clock. One for an ID
+ * without a job is conditional on that, so that either it or a submission takes
+ * effect, also if that is written late. Release with free().
+ */
+static char *encode_cancel_tx(const char *id, uint64_t at_ms, bool job_found)
+{
+	struct cancel_record c = {.at_ms = at_ms};
+	struct rows_tx *t = rows_tx_create(job_part(id));
+	char *job = g_strconcat(KEY_JOB, id, NULL);
+	char *key = g_strconcat(KEY_CANCEL, id, NULL);
+	char *value = cancel_encode(&c);
+	char *text;
+
+	if (!job_found)
+		rows_tx_expect_version(t, JOB_TABLE, job, 0);
+	rows_tx_put(t, JOB_TABLE, key, value);
+	text = rows_tx_encode(t);
+	free(value);
+	g_free(key);
+	g_free(job);
+	rows_tx_destroy(t);
+	return text;
+}
+
+static void write_cancel(struct request *r, uint64_t at_ms)
+{
+	char *text = encode_cancel_tx(r->id, at_ms, r->job_found);
+
+	rows_commit(r->entry->env.rows, text,
+		    store_timeout_ms(r, WRITE_TIMEOUT_MIN_MS), on_cancel_write,
+		    r);
+	free(text);
+}
+
+/*
+ * Store the cancel request of r, whose job did not exist at now_ms on the
+ * store's clock. A write of its submission may be carried out later, or the
+ * caller's submission may arrive again: both are refused then.
+ */
+static void refuse_id(struct request *r, uint64_t now_ms)
+{
+	struct entry *n = r->entry;
+
+	if (job_cache_count_refused_ids(n->job_cache) >= REFUSED_IDS_MAX ||
+	    !rate_limit_allow(&n->refused_ids, clock_mono_us())) {
+		counter_add(n->env.counters, "cancels_over_limit", NULL, 1);
+		finish_request(r, 503, "too many unknown ids were cancelled",
+			       STORE_RETRY_AFTER_MS);
+		return;
+	}
+	write_cancel(r, now_ms);
+}
+
 static void on_job_row_read(void *arg, const struct rows_answer *a)
 {
 	struct request *r = arg;
 	const struct cached_job *j =
 		job_cache_find_accepted(r->entry->job_cache, r->id);
-	char key[JOB_ID_BYTES + 8];
 
-	g_snprintf(key, sizeof(key), "%s%s", KEY_JOB, r->id);
 	if (a->outcome != ROWS_OK && !j) {
 		retry_request(r, a->outcome == ROWS_REFUSED);
 		return;
 	}
-	if (!j && (!a->len || strcmp(a->list[0].key, key))) {
-		finish_request(r, 410, "no such job", 0);
+	r->job_found = j || find_value(r, a, KEY_JOB);
+	switch (r->kind) {
+	case ENTRY_REQUEST_STATE:
+		if (r->job_found) /* the replica may lack its last change */
+			wait_for_state(r);
+		else
+			finish_request(r, 410, "no such job", 0);
 		return;
-	}
-	if (r->kind == ENTRY_REQUEST_STATE) {
-		/* The replica may not show its last change yet. */
-		wait_for_state(r);
+	case ENTRY_REQUEST_CANCEL:
+		if (r->job_found)
+			send_request(r);
+		else
+			refuse_id(r, a->now_ms);
+		return;
+	case ENTRY_REQUEST_SUBMIT:
+	case ENTRY_REQUEST_COUNT:
 		return;
 	}
-	r->job_found = true;
-	send_request(r);
-}
-
-/*
- * Return how long to wait for the store, in milliseconds: at least least_ms,
- * but at most the time that remains to r, so that its caller gets an answer
- * before the deadline.
- */
-static uint32_t store_timeout_ms(const struct request *r, uint32_t least_ms)
-{
-	uint64_t now = clock_mono_ms();
-	uint64_t remaining_ms = r->deadline_ms - MIN(r->deadline_ms, now);
-	uint32_t ms = MAX(rows_call_timeout_ms(r->entry->env.rows), least_ms);
-
-	return MAX(MIN(ms, remaining_ms), 1);
 }
 
 static void read_job_row(struct request *r)
 {
-	char key[JOB_ID_BYTES + 8];
+	char key[JOB_KEY_BYTES];
 
 	g_snprintf(key, sizeof(key), "%s%s", KEY_JOB, r->id);
 	rows_read_range(r->entry->env.rows, JOB_TABLE, job_part(r->id), key, 1,
@@ -395,16 +506,16 @@
 /* Send the store call that r waits for. */
 static void send_request(struct request *r)
 {
-	struct rows *rows = r->entry->env.rows;
-	uint32_t timeout_ms = store_timeout_ms(r, WRITE_TIMEOUT_MIN_MS);
-
 	switch (r->kind) {
 	case ENTRY_REQUEST_SUBMIT:
-		rows_commit(rows, r->write, timeout_ms, on_write, r);
+		rows_commit(r->entry->env.rows, r->write,
+			    store_timeout_ms(r, WRITE_TIMEOUT_MIN_MS),
+			    on_submit_write, r);
 		break;
 	case ENTRY_REQUEST_CANCEL:
 		if (r->job_found)
-			rows_commit(rows, r->write, timeout_ms, on_write, r);
+			write_cancel(
+				r, replica_store_clock_ms(r->entry->env.jobs));
 		else
 			read_job_row(r);
 		break;
@@ -442,19 +553,26 @@
 	return r;
 }
 
+/*
+ * Encode the acceptance of j. It is conditional on an ID that is neither in use
+ * nor cancelled, however late it is carried out. Release with free().
+ */
 static char *encode_submit_tx(const struct job *j)
 {
 	struct rows_tx *t = rows_tx_create(job_part(j->id));
 	char *key = g_strconcat(KEY_JOB, j->id, NULL);
+	char *cancel = g_strconcat(KEY_CANCEL, j->id, NULL);
 	char *value = job_encode(j), *spec = spec_encode(j);
 	char *text;
 
 	rows_tx_expect_version(t, JOB_TABLE, key, 0);
+	rows_tx_expect_version(t, JOB_TABLE, cancel, 0);
 	rows_tx_put(t, JOB_TABLE, key, value);
 	rows_tx_put(t, SPEC_TABLE, j->id, spec);
 	text = rows_tx_encode(t);
 	free(spec);
 	free(value);
+	g_free(cancel);
 	g_free(key);
 	rows_tx_destroy(t);
 	return text;
@@ -535,19 +653,6 @@
 	set_states_poll_delay(n);
 }
 
-static char *encode_cancel_tx(const char *id)
-{
-	struct rows_tx *t = rows_tx_create(job_part(id));
-	char *key = g_strconcat(KEY_CANCEL, id, NULL);
-	char *text;
-
-	rows_tx_put(t, JOB_TABLE, key, "{}");
-	text = rows_tx_encode(t);
-	g_free(key);
-	rows_tx_destroy(t);
-	return text;
-}
-
 static void cancel_job(struct entry *n, struct http_exchange *x,
 		       const char *account, const char *id)
 {
@@ -560,7 +665,6 @@
 		return;
 	}
 	r->job_found = j != NULL;
-	r->write = encode_cancel_tx(id);
 	send_request(r);
 }
 
@@ -754,6 +858,10 @@
 	n->job_cache = job_cache_create();
 	n->state_waiters = g_hash_table_new(NULL, NULL);
 	n->deferred = g_ptr_array_new();
+	n->refused_ids = (struct rate_limit){
+		.per_s_max = REFUSED_IDS_PER_S_MAX,
+		.burst_max = REFUSED_IDS_BURST_MAX,
+	};
 	timer_init(&n->revalidate_timer, on_revalidate_timeout, n);
 	n->server = http_server_create(e->loop, &e->settings->callers,
 				       256 << 10, on_request, n);
--- a/entry/jobcache.c
+++ b/entry/jobcache.c
@@ -9,6 +9,8 @@
 
 struct job_cache {
 	GHashTable *jobs; /* id to struct cached_job */
+	/* Number of IDs that were cancelled and have no job. */
+	uint32_t refused_ids;
 };
 
 /* Create an empty cache. */
@@ -41,22 +43,55 @@
 	return j;
 }
 
+static bool is_refused_id(const struct cached_job *j)
+{
+	return j->cancelled && !*j->record.queue;
+}
+
+/* Note the change of an entry, and remove it if it shows nothing any more. */
+static void note_change(struct job_cache *c, const char *id,
+			const struct cached_job *before)
+{
+	const struct cached_job *j = g_hash_table_lookup(c->jobs, id);
+
+	c->refused_ids -= is_refused_id(before);
+	c->refused_ids += is_refused_id(j);
+	if (!*j->record.queue && !j->cancelled && j->state == JOB_QUEUED)
+		g_hash_table_remove(c->jobs, id);
+}
+
 /*
  * Apply the row of a job. The row of an accepted job never changes, so that a
- * malformed one does not replace what is known.
+ * malformed one does not replace what is known. The state goes with the row.
  */
 static void apply_job_row(struct job_cache *c, const char *id,
 			  const char *value)
 {
-	struct job_record r;
+	struct job_record r = {0};
+	struct cached_job *j, before;
 
-	if (!value)
-		g_hash_table_remove(c->jobs, id);
-	else if (job_decode(value, &r))
-		find_or_add(c, id)->record = r;
-	else
+	if (value && !job_decode(value, &r)) {
 		log_fields(LOG_ERROR, "bad_row", "{s:s,s:s}", "job", id,
 			   "table", JOB_TABLE);
+		return;
+	}
+	j = find_or_add(c, id);
+	before = *j;
+	j->record = r;
+	if (!value)
+		j->state = JOB_QUEUED;
+	note_change(c, id, &before);
+}
+
+/* Apply a cancel request, or its removal if value is NULL. */
+static void apply_cancel_row(struct job_cache *c, const char *id,
+			     const char *value)
+{
+	struct cached_job *j = find_or_add(c, id);
+	struct cached_job before = *j;
+
+	j->cancelled = value != NULL;
+	note_change(c, id, &before);
 }
 
 /* Apply a row of the table of jobs; value is NULL if it was removed. */
@@ -65,8 +100,8 @@
 {
 	if (g_str_has_prefix(key, KEY_JOB))
 		apply_job_row(c, key + strlen(KEY_JOB), value);
-	else if (g_str_has_prefix(key, KEY_CANCEL) && value)
-		find_or_add(c, key + strlen(KEY_CANCEL))->cancelled = true;
+	else if (g_str_has_prefix(key, KEY_CANCEL))
+		apply_cancel_row(c, key + strlen(KEY_CANCEL), value);
 }
 
 /* Apply a row of the table of states; value is NULL if it was removed. */
@@ -100,6 +135,12 @@
 	return g_hash_table_lookup(c->jobs, id);
 }
 
+/* Return how many IDs were cancelled and have no job. */
+uint32_t job_cache_count_refused_ids(const struct job_cache *c)
+{
+	return c->refused_ids;
+}
+
 /* Return how many accepted jobs of a queue have not started. */
 uint64_t job_cache_count_queued(const struct job_cache *c, const char *queue)
 {
--- a/entry/jobcache.h
+++ b/entry/jobcache.h
@@ -7,7 +7,7 @@
 struct job_cache;
 
 struct cached_job {
-	struct job_record record;
+	struct job_record record; /* its queue is empty if there is no job */
 	enum job_state state;
 	bool cancelled; /* a request to cancel it is recorded */
 };
@@ -22,6 +22,7 @@
 						 const char *id);
 const struct cached_job *job_cache_find(const struct job_cache *c,
 					const char *id);
+uint32_t job_cache_count_refused_ids(const struct job_cache *c);
 uint64_t job_cache_count_queued(const struct job_cache *c, const char *queue);
 
 #endif
--- a/fake/joint.c
+++ b/fake/joint.c
@@ -16,6 +16,7 @@
  *			"lose_answers": N, "late_starts": N, "late_ms": N,
  *			"forget": true, "silence_ms": N, "stale_ms": N,
  *			"stale_table": NAME,
+ *			"late_writes": N, "late_write_ms": N, "late_table": NAME,
  *			"crash_ms": N, "guarded": BOOL, "lease_max_ms": N,
  *			"entries_lapse": BOOL, "entry_delay_ms": N,
  *			"upstream": N|"domain": N, "room": N, "silent": BOOL}
@@ -27,6 +28,9 @@
  *	               stale_ms: range reads and the feed show the rows of so
  *	               long ago, with the version of that time; 0: the present;
  *	               stale_table: of this table alone, unless it is empty;
+ *	               late_writes, late_write_ms, late_table: leave so many writes of
+ *	               this table unanswered and carry each out that much
+ *	               later, if its condition holds then;
  *	               crash_ms: time for which a crashed upstream is away;
  *	               guarded: upstreams refuse starts beyond their room;
  *	               entries_lapse: the entries of upstreams lapse also while
--- a/fake/jointstore.c
+++ b/fake/jointstore.c
@@ -35,6 +35,12 @@
 	GPtrArray *changes; /* oldest first */
 };
 
+/* A transaction that was left unanswered and is carried out later. */
+struct late_write {
+	json_t *tx;
+	uint64_t due_ms;
+};
+
 /* A long poll of the feed that has not been answered yet. */
 struct feed_poll {
 	struct http_exchange *x;
@@ -52,6 +58,11 @@
 	GPtrArray *polls;
 	char mode[16];
 	uint32_t answers_to_lose;
+	/* So many writes of this table are carried out that much later. */
+	uint32_t late_count;
+	uint32_t late_ms;
+	char late_table[32];
+	GPtrArray *late_writes;
 	uint32_t stale_ms;    /* age of the rows that reads show; 0: current */
 	char stale_table[32]; /* of this table alone, unless empty */
 	/* The feed reports no change up to then, and has lost its history
@@ -68,6 +79,7 @@
 	s->rows = g_hash_table_new(g_str_hash, g_str_equal);
 	s->changes = g_ptr_array_new();
 	s->polls = g_ptr_array_new();
+	s->late_writes = g_ptr_array_new();
 	g_strlcpy(s->mode, "ok", sizeof(s->mode));
 	return s;
 }
@@ -294,25 +306,84 @@
 	g_ptr_array_add(s->changes, c);
 }
 
+/*
+ * Carry out a transaction if its condition holds. Returns false otherwise; the
+ * expected rows that exist are appended to rows in both cases.
+ */
+static bool apply_transaction(struct joint_store *s, const json_t *v,
+			      json_t *rows)
+{
+	const json_t *item;
+	size_t i;
+
+	if (!check_expected_versions(s, json_object_get(v, "expected"), rows))
+		return false;
+	s->version++;
+	json_array_foreach(json_object_get(v, "puts"), i, item)
+		write_row(s, item, json_str_or(item, "value", ""));
+	json_array_foreach(json_object_get(v, "remove"), i, item)
+	{
+		if (find_row(s, item))
+			write_row(s, item, NULL);
+	}
+	return true;
+}
+
+/* Report whether a transaction writes a row of this table. */
+static bool writes_table(const json_t *v, const char *table)
+{
+	const json_t *item;
+	size_t i;
+
+	json_array_foreach(json_object_get(v, "puts"), i, item)
+	{
+		if (!strcmp(json_str_or(item, "table", ""), table))
+			return true;
+	}
+	return false;
+}
+
+/* Carry out the late writes that are due. */
+static void apply_late_writes(struct joint_store *s)
+{
+	for (guint i = 0; i < s->late_writes->len;) {
+		struct late_write *l = g_ptr_array_index(s->late_writes, i);
+		json_t *rows;
+
+		if (clock_mono_ms() < l->due_ms) {
+			i++;
+			continue;
+		}
+		rows = json_array();
+		apply_transaction(s, l->tx, rows);
+		json_decref(rows);
+		json_decref(l->tx);
+		g_free(l);
+		g_ptr_array_remove_index(s->late_writes, i);
+	}
+}
+
 static void handle_transaction(struct joint_store *s, struct http_exchange *x)
 {
-	size_t len, i;
+	size_t len;
 	const char *body = exchange_body(x, &len);
 	json_t *v = json_loadb(body, len, 0, NULL), *rows = json_array();
-	const json_t *item;
 
-	if (!check_expected_versions(s, json_object_get(v, "expected"), rows)) {
-		exchange_reply_json(x, 412,
-				    build_table_answer(s->version, rows), 0);
+	if (s->late_count && writes_table(v, s->late_table)) {
+		struct late_write *l = g_new0(struct late_write, 1);
+
+		s->late_count--;
+		l->tx = json_incref(v);
+		l->due_ms = clock_mono_ms() + s->late_ms;
+		g_ptr_array_add(s->late_writes, l);
+		goto out; /* leave the exchange unanswered */
+	}
+	if (!apply_transaction(s, v, rows)) {
+		exchange_reply_json(
+			x, 412,
+			build_table_answer(s->version, json_incref(rows)), 0);
 		goto out;
 	}
-	json_decref(rows);
-	s->version++;
-	json_array_foreach(json_object_get(v, "puts"), i, item)
-		write_row(s, item, json_str_or(item, "value", ""));
-	json_array_foreach(json_object_get(v, "remove"), i,
-			   item) if (find_row(s, item))
-		write_row(s, item, NULL);
 	if (s->answers_to_lose) {
 		s->answers_to_lose--; /* leave the exchange unanswered */
 		goto out;
@@ -320,6 +391,7 @@
 	exchange_reply_json(x, 200,
 			    build_table_answer(s->version, json_array()), 0);
 out:
+	json_decref(rows);
 	json_decref(v);
 	answer_feed_polls(s);
 }
@@ -379,9 +451,10 @@
 	answer_feed_polls(s);
 }
 
-/* Answer the polls of the feed that are due. */
+/* Carry out late writes, and answer the polls of the feed that are due. */
 void joint_store_update(struct joint_store *s)
 {
+	apply_late_writes(s);
 	if (s->silent_until_ms && clock_mono_ms() >= s->silent_until_ms) {
 		s->silent_until_ms = 0;
 		s->compacted_version = s->version;
@@ -450,6 +523,11 @@
 		end_feed_polls(s, !strcmp(s->mode, "down"));
 	s->answers_to_lose =
 		json_int_or(command, "lose_answers", s->answers_to_lose);
+	s->late_count = json_int_or(command, "late_writes", s->late_count);
+	s->late_ms = json_int_or(command, "late_write_ms", s->late_ms);
+	g_strlcpy(s->late_table,
+		  json_str_or(command, "late_table", s->late_table),
+		  sizeof(s->late_table));
 	s->stale_ms = json_int_or(command, "stale_ms", s->stale_ms);
 	g_strlcpy(s->stale_table,
 		  json_str_or(command, "stale_table", s->stale_table),
--- a/lead/record.c
+++ b/lead/record.c
@@ -134,6 +134,30 @@
 	return ok;
 }
 
+/* Encode a cancel request; release with free(). */
+char *cancel_encode(const struct cancel_record *r)
+{
+	json_t *v = json_pack("{s:I}", "at_ms", (json_int_t)r->at_ms);
+	char *s = json_dumps(v, JSON_COMPACT);
+
+	json_decref(v);
+	return s;
+}
+
+/*
+ * Decode a cancel request. Its presence alone counts, so that of a version that
+ * did not write its time, or a malformed one, is of an unknown time.
+ */
+void cancel_decode(const char *text, struct cancel_record *r)
+{
+	json_t *v = json_loads(text, 0, NULL);
+	int64_t at_ms = 0;
+
+	json_read_int(v, "at_ms", 0, COUNTER_MAX, &at_ms);
+	r->at_ms = at_ms;
+	json_decref(v);
+}
+
 /* Encode the state of j; release with free(). */
 char *state_encode(const struct job *j)
 {
--- a/lead/record.h
+++ b/lead/record.h
@@ -25,10 +25,14 @@
 #define STATE_TABLE "lacewingspur-states"
 /* Runs of each job, by its ID; a new leader reads this table once. */
 #define RUN_TABLE "lacewingspur-runs"
-/* Accepted jobs and cancel requests; every instance follows this table. */
+/*
+ * Accepted jobs and cancel requests; every instance follows this table. A
+ * cancel request for an ID without a job keeps the ID from being accepted.
+ */
 #define JOB_TABLE "lacewingspur-jobs"
 #define KEY_JOB "job/"
 #define KEY_CANCEL "cancel/"
+#define JOB_KEY_BYTES (JOB_ID_BYTES + 8) /* of either */
 /* Submitted specs, by job ID; the leader follows this table. */
 #define SPEC_TABLE "lacewingspur-specs"
 
@@ -61,6 +65,12 @@
 	char account[LABEL_BYTES];
 };
 
+/* Value of a cancel request. */
+struct cancel_record {
+	/* When it was last made, on the store's clock; 0: unknown. */
+	uint64_t at_ms;
+};
+
 /* Value of a state row. */
 struct state_record {
 	enum job_state state;
@@ -70,6 +80,8 @@
 
 char *job_encode(const struct job *j);
 bool job_decode(const char *text, struct job_record *r);
+char *cancel_encode(const struct cancel_record *r);
+void cancel_decode(const char *text, struct cancel_record *r);
 char *state_encode(const struct job *j);
 bool state_decode(const char *text, struct state_record *r);
 bool state_expired(const struct state_record *r, uint64_t before_ms);
--- a/test/proc_joint.c
+++ b/test/proc_joint.c
@@ -294,6 +294,38 @@
 	joint_stop(s);
 }
 
+/*
+ * The store leaves the writes of a submission unanswered, and carries each out
+ * after its caller has cancelled the job. Guards against a job that runs although
+ * its caller was told that it does not exist.
+ */
+static void job_cancelled_before_its_late_write_never_runs(void **state)
+{
+	struct joint_site *s = joint_start(115);
+	char *path = joint_job_path(1);
+
+	(void)state;
+	joint_control_platform(s,
+			       "{\"late_writes\": 9, \"late_write_ms\": 5000, "
+			       "\"late_table\": \"lacewingspur-specs\"}");
+	assert_int_equal(joint_submit(s, 0, 1, 1, 200), 504);
+	joint_control_platform(s, "{\"late_writes\": 0}");
+	assert_int_equal(
+		joint_request(s, s->callers[1], "DELETE", path, NULL, NULL),
+		410);
+	joint_run_for(s, 7000);
+	assert_int_equal(joint_count(s, "starts"), 0);
+	assert_int_equal(
+		joint_request(s, s->callers[2], "GET", path, NULL, NULL), 410);
+	/* a repeat of the submission that arrives later is refused */
+	assert_int_equal(joint_submit(s, 2, 1, 1, 200), 409);
+	assert_int_equal(joint_submit(s, 2, 2, 1, 200), 200);
+	joint_wait_state(s, 0, 2, "completed");
+	assert_int_equal(joint_count(s, "starts"), 1);
+	g_free(path);
+	joint_stop(s);
+}
+
 /* Let the store answer again, and submit the first job once more. */
 static void assert_submission_can_be_repeated(struct joint_site *s)
 {
@@ -425,6 +457,8 @@
 		cmocka_unit_test(leader_serves_while_store_answers_are_lost),
 		cmocka_unit_test(peer_port_refuses_unlisted_callers),
 		cmocka_unit_test(cancelled_job_stops_its_tasks),
+		cmocka_unit_test(
+			job_cancelled_before_its_late_write_never_runs),
 		cmocka_unit_test(
 			submission_gets_504_within_deadline_when_store_hangs),
 		cmocka_unit_test(
