Keep the texts of a submission whole, or refuse it

Cause: read_step cut image, requires and dataRack to 63 bytes, also within a letter. json_pack fails for what is no UTF-8, step_encode handed its NULL on, and spec_encode appended nothing and did not notice; nothing compared the accepted job with its row.

Change: image has up to 1,000 bytes and is kept whole; requires and dataRack have up to 63, as no upstream has a longer label. A longer text, a field of another type, a flag that is not true or false, or a start time that is no whole number is refused with 400; before, such a label, flag or time counted as left out. The function that cut texts is gone. No encoder of a row fails unseen: it logs row_not_encoded and returns NULL; the leader then writes the other jobs, and no start of that job counts as recorded. A submission is accepted only if its row is read as the same job again and fits into joint.row_bytes, a new setting with the platform's limit; it was answered with 503 for good before.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -554,23 +554,25 @@
 }
 
 /*
- * Encode the acceptance of j. It is conditional on an ID that is neither in use
- * nor cancelled, however late it is carried out. Release with free().
+ * Encode the acceptance of j, whose spec row has this value. It is conditional
+ * on an ID that is neither in use nor cancelled, however late it is carried out.
+ * Release with free().
  */
-static char *encode_submit_tx(const struct job *j)
+static char *encode_submit_tx(const struct job *j, const char *spec)
 {
 	struct rows_tx *t = rows_tx_create(job_part(j->id));
 	char *key = g_strconcat(KEY_JOB, j->id, NULL);
 	char *cancel = g_strconcat(KEY_CANCEL, j->id, NULL);
-	char *value = job_encode(j), *spec = spec_encode(j);
-	char *text;
+	char *value = job_encode(j), *text = NULL;
 
+	if (!value)
+		goto out;
 	rows_tx_expect_version(t, JOB_TABLE, key, 0);
 	rows_tx_expect_version(t, JOB_TABLE, cancel, 0);
 	rows_tx_put(t, JOB_TABLE, key, value);
 	rows_tx_put(t, SPEC_TABLE, j->id, spec);
 	text = rows_tx_encode(t);
-	free(spec);
+out:
 	free(value);
 	g_free(cancel);
 	g_free(key);
@@ -578,6 +580,29 @@
 	return text;
 }
 
+/*
+ * Encode the write that accepts j; release with free(). A job is accepted only
+ * if its row fits and is read as this job again. Otherwise returns NULL and sets
+ * *why, to be freed with g_free.
+ */
+static char *encode_submission(const struct entry *n, const struct job *j,
+			       char **why)
+{
+	size_t max = n->env.settings->value_max_bytes;
+	char *spec = spec_encode(j), *text = NULL;
+
+	if (spec && strlen(spec) > max)
+		*why = g_strdup_printf("the job takes %zu bytes, expected at "
+				       "most %zu",
+				       strlen(spec), max);
+	else if (spec && spec_matches(spec, j))
+		text = encode_submit_tx(j, spec);
+	if (!text && !*why)
+		*why = g_strdup("the job cannot be stored as it is");
+	free(spec);
+	return text;
+}
+
 static void submit_job(struct entry *n, struct http_exchange *x,
 		       const struct queue *q, const char *account,
 		       const char *id)
@@ -586,7 +611,7 @@
 	struct job *j;
 	size_t len;
 	const char *body = exchange_body(x, &len);
-	char *why;
+	char *text, *why;
 
 	if (store_is_silent(n)) {
 		reject_request(n, x, ENTRY_REQUEST_SUBMIT, id, 503,
@@ -603,9 +628,15 @@
 	queue_configure_job(q, j);
 	g_strlcpy(j->account, account, sizeof(j->account));
 	j->received_ms = replica_store_clock_ms(n->env.jobs);
-	r = request_create(n, x, ENTRY_REQUEST_SUBMIT, id, account);
-	r->write = encode_submit_tx(j);
+	text = encode_submission(n, j, &why);
 	job_destroy(j);
+	if (!text) {
+		reject_request(n, x, ENTRY_REQUEST_SUBMIT, id, 400, why, 0);
+		g_free(why);
+		return;
+	}
+	r = request_create(n, x, ENTRY_REQUEST_SUBMIT, id, account);
+	r->write = text;
 	send_request(r);
 }
 
--- a/lead/leader.c
+++ b/lead/leader.c
@@ -31,6 +31,8 @@
 #define SLOW_WRITE_MS 50
 /* A scheduling pass that takes longer than this is logged. */
 #define SLOW_PASS_MS 50
+/* Delay of the next write after a row that could not be encoded. */
+#define NOT_ENCODED_DELAY_MS 1000
 /* Interval between removals of rows that are no longer needed. */
 #define REMOVAL_INTERVAL_MS 2000
 /* Maximum time for which the store holds a feed call. */
@@ -591,9 +593,10 @@
 
 /*
  * Add the changes of j to a write. The run row of a job that is over is
- * removed, and its state row remains.
+ * removed, and its state row remains. A job whose runs cannot be encoded stays
+ * changed, so that no start of it counts as recorded; others are written.
  */
-static void put_job_rows(struct rows_tx *t, struct job *j)
+static void put_job_rows(struct leader *d, struct rows_tx *t, struct job *j)
 {
 	char *value;
 
@@ -604,9 +607,14 @@
 		j->rows_removed = true;
 		return;
 	}
+	value = run_encode(j);
+	if (!value) {
+		j->dirty = true;
+		d->next_write_ms = clock_mono_ms() + NOT_ENCODED_DELAY_MS;
+		return;
+	}
 	if (j->state != j->recorded_state)
 		put_state_row(t, j);
-	value = run_encode(j);
 	rows_tx_put(t, RUN_TABLE, j->id, value);
 	free(value);
 }
@@ -648,7 +656,7 @@
 	model_update_job_states(d->model, replica_store_clock_ms(d->env.jobs));
 	jobs = model_choose_dirty_jobs(d->model, JOBS_PER_WRITE_MAX, &all);
 	for (guint i = 0; i < jobs->len; i++)
-		put_job_rows(t, g_ptr_array_index(jobs, i));
+		put_job_rows(d, t, g_ptr_array_index(jobs, i));
 	g_ptr_array_free(jobs, TRUE);
 	/* A write that lacks a changed job has no room for removals and does
 	 * not cover all ends that were seen. */
--- a/lead/record.c
+++ b/lead/record.c
@@ -7,6 +7,7 @@
 #include "lead/record.h"
 #include "lead/tenure.h"
 #include "lib/address.h"
+#include "lib/log.h"
 #include "lib/loop.h"
 #include "lib/schema.h"
 #include "platform/bounds.h"
@@ -27,6 +28,21 @@
 	return job_parts[(unsigned char)id[0] % JOB_PARTS];
 }
 
+/*
+ * Encode v, which is released, as the value of a row; release with free().
+ * Returns NULL if v is NULL or cannot be encoded.
+ */
+static char *encode_value(json_t *v, const char *table, const char *id)
+{
+	char *s = v ? json_dumps(v, JSON_COMPACT) : NULL;
+
+	if (!s)
+		log_fields(LOG_ERROR, "row_not_encoded", "{s:s,s:s}", "table",
+			   table, "job", id);
+	json_decref(v);
+	return s;
+}
+
 /* Encode the owner record; release with free(). */
 char *owner_encode(const struct owner_record *o)
 {
@@ -35,10 +51,8 @@
 			      "epoch", (json_int_t)o->epoch, "sequence",
 			      (json_int_t)o->sequence, "earlier_ms",
 			      (json_int_t)o->earlier_ms);
-	char *s = json_dumps(v, JSON_COMPACT);
 
-	json_decref(v);
-	return s;
+	return encode_value(v, OWNER_TABLE, "");
 }
 
 /*
@@ -82,6 +96,7 @@
 	{'f', offsetof(struct step, best_effort_cpu)},
 };
 
+/* Returns NULL if a text of s is not valid UTF-8. */
 static json_t *step_encode(const struct step *s)
 {
 	char letters[G_N_ELEMENTS(step_flags) + 1];
@@ -113,10 +128,8 @@
 {
 	json_t *v = json_pack("{s:s,s:s}", "queue", j->queue, "account",
 			      j->account);
-	char *s = json_dumps(v, JSON_COMPACT);
 
-	json_decref(v);
-	return s;
+	return encode_value(v, JOB_TABLE, j->id);
 }
 
 /* Decode a value of job_encode; returns false for a malformed value. */
@@ -137,11 +150,8 @@
 /* Encode a cancel request; release with free(). */
 char *cancel_encode(const struct cancel_record *r)
 {
-	json_t *v = json_pack("{s:I}", "at_ms", (json_int_t)r->at_ms);
-	char *s = json_dumps(v, JSON_COMPACT);
-
-	json_decref(v);
-	return s;
+	return encode_value(json_pack("{s:I}", "at_ms", (json_int_t)r->at_ms),
+			    JOB_TABLE, "");
 }
 
 /*
@@ -163,10 +173,8 @@
 {
 	json_t *v = json_pack("{s:s,s:I}", "state", job_state_name(j->state),
 			      "ended_ms", (json_int_t)j->ended_ms);
-	char *s = json_dumps(v, JSON_COMPACT);
 
-	json_decref(v);
-	return s;
+	return encode_value(v, STATE_TABLE, j->id);
 }
 
 /* Decode a value of state_encode; returns false for a malformed value. */
@@ -192,7 +200,10 @@
 	       r->ended_ms < before_ms;
 }
 
-/* Encode the settings of j's queue; NULL if they are not known. */
+/*
+ * Encode the settings of j's queue; NULL if they are not known or cannot be
+ * encoded.
+ */
 static json_t *settings_encode(const struct job *j)
 {
 	if (!j->queue_known)
@@ -229,22 +240,24 @@
  */
 char *spec_encode(const struct job *j)
 {
-	json_t *steps = json_array();
-	json_t *v;
-	char *s;
-
-	for (uint32_t i = 0; i < j->steps_len; i++)
-		json_array_append_new(steps, step_encode(&j->steps[i]));
-	v = json_pack(
-		"{s:s,s:s,s:o*,s:I,s:I,s:I,s:I,s:s,s:o}", "queue", j->queue,
-		"account", j->account, "settings", settings_encode(j),
-		"received_ms", (json_int_t)j->received_ms, "start_at_wall_ms",
-		(json_int_t)j->start_at_wall_ms, "interval_ms",
-		(json_int_t)j->interval_ms, "repeat", (json_int_t)j->repeat,
-		"payload", j->payload, "steps", steps);
-	s = json_dumps(v, JSON_COMPACT);
-	json_decref(v);
-	return s;
+	json_t *steps = json_array(), *settings = settings_encode(j);
+	json_t *v = NULL;
+	bool ok = settings || !j->queue_known;
+
+	for (uint32_t i = 0; ok && i < j->steps_len; i++)
+		ok = !json_array_append_new(steps, step_encode(&j->steps[i]));
+	if (ok)
+		v = json_pack("{s:s,s:s,s:O*,s:I,s:I,s:I,s:I,s:s,s:O}", "queue",
+			      j->queue, "account", j->account, "settings",
+			      settings, "received_ms",
+			      (json_int_t)j->received_ms, "start_at_wall_ms",
+			      (json_int_t)j->start_at_wall_ms, "interval_ms",
+			      (json_int_t)j->interval_ms, "repeat",
+			      (json_int_t)j->repeat, "payload", j->payload,
+			      "steps", steps);
+	json_decref(settings);
+	json_decref(steps);
+	return encode_value(v, SPEC_TABLE, j->id);
 }
 
 /* Read an integer that fits; returns false for another value. */
@@ -280,6 +293,20 @@
 	return true;
 }
 
+/* Read the name of an image; returns false if it is no text or too long. */
+static bool image_decode(const json_t *v, struct step *s)
+{
+	const json_t *image = json_object_get(v, "image");
+
+	if (!image)
+		return true;
+	if (!json_is_string(image) ||
+	    json_string_length(image) > STEP_IMAGE_MAX_BYTES)
+		return false;
+	step_set_image(s, json_string_value(image));
+	return true;
+}
+
 static bool step_decode(const json_t *v, struct step *s)
 {
 	const char *letters = json_str_or(v, "flags", "");
@@ -302,7 +329,7 @@
 	       json_read_str(v, "label", s->label, sizeof(s->label)) &&
 	       json_read_str(v, "data_rack", s->data_rack,
 			     sizeof(s->data_rack)) &&
-	       json_read_str(v, "image", s->image, sizeof(s->image)) &&
+	       image_decode(v, s) &&
 	       after_decode(json_object_get(v, "after"), s);
 }
 
@@ -339,10 +366,10 @@
 }
 
 /*
- * Decode a job and create its stages. Returns NULL for a malformed or
- * invalid value, or an id of another form.
+ * Decode a job without its stages. Returns NULL for a malformed or invalid
+ * value, or an id of another form.
  */
-struct job *spec_decode(const char *id, const char *text)
+static struct job *submission_decode(const char *id, const char *text)
 {
 	json_t *v = json_loads(text, 0, NULL);
 	struct job *j = NULL;
@@ -351,9 +378,7 @@
 	if (!job_id_is_valid(id))
 		goto out;
 	j = job_create(id);
-	if (spec_fields_decode(v, j) && job_validate(j, &why)) {
-		job_create_stages(j);
-	} else {
+	if (!spec_fields_decode(v, j) || !job_validate(j, &why)) {
 		job_destroy(j);
 		j = NULL;
 	}
@@ -363,6 +388,29 @@
 	return j;
 }
 
+/*
+ * Decode a job and create its stages. Returns NULL for a malformed or
+ * invalid value, or an id of another form.
+ */
+struct job *spec_decode(const char *id, const char *text)
+{
+	struct job *j = submission_decode(id, text);
+
+	if (j)
+		job_create_stages(j);
+	return j;
+}
+
+/* Report whether the value of a spec row is read as what was submitted as j. */
+bool spec_matches(const char *text, const struct job *j)
+{
+	struct job *again = submission_decode(j->id, text);
+	bool same = again && job_is_same_submission(again, j);
+
+	job_destroy(again);
+	return same;
+}
+
 /* The upstream incarnations that a row refers to, each once. */
 struct incarnation_list {
 	GPtrArray *upstreams;
@@ -533,25 +581,30 @@
 	struct incarnation_list incarnations = {.upstreams = g_ptr_array_new(),
 						.names = json_array(),
 						.addresses = json_array()};
-	json_t *stages = json_array(), *suspicions, *v;
-	char *s;
+	json_t *stages = json_array(), *suspicions, *v = NULL;
+	bool ok = true;
 
-	for (uint32_t i = 0; i < j->stages_len; i++) {
+	for (uint32_t i = 0; ok && i < j->stages_len; i++) {
 		const struct stage *st = &j->stages[i];
 		GString *tasks = g_string_new(NULL);
 
 		if (stage_has_started(st))
 			stage_encode(tasks, st, detail == RUN_DETAIL_ALL,
 				     &incarnations);
-		json_array_append_new(
+		ok = !json_array_append_new(
 			stages,
 			json_pack("[I,s,I]", (json_int_t)st->failures,
 				  tasks->str, (json_int_t)st->failed_run));
 		g_string_free(tasks, TRUE);
 	}
-	v = json_pack("{s:s,s:I,s:o,s:o}", "state", job_state_name(j->state),
-		      "ended_ms", (json_int_t)j->ended_ms, "lives",
-		      incarnations.names, "stages", stages);
+	if (ok &&
+	    json_array_size(incarnations.names) == incarnations.upstreams->len)
+		v = json_pack("{s:s,s:I,s:O,s:O}", "state",
+			      job_state_name(j->state), "ended_ms",
+			      (json_int_t)j->ended_ms, "lives",
+			      incarnations.names, "stages", stages);
+	json_decref(incarnations.names);
+	json_decref(stages);
 	if (detail != RUN_DETAIL_NO_ADDRESSES)
 		json_object_set(v, "addresses", incarnations.addresses);
 	json_decref(incarnations.addresses);
@@ -559,10 +612,8 @@
 	if (json_array_size(suspicions))
 		json_object_set(v, "suspicions", suspicions);
 	json_decref(suspicions);
-	s = json_dumps(v, JSON_COMPACT);
-	json_decref(v);
 	g_ptr_array_free(incarnations.upstreams, TRUE);
-	return s;
+	return encode_value(v, RUN_TABLE, j->id);
 }
 
 /*
@@ -573,11 +624,11 @@
 {
 	char *s = encode_runs(j, RUN_DETAIL_ALL);
 
-	if (strlen(s) > RUN_ROW_MAX_BYTES) {
+	if (s && strlen(s) > RUN_ROW_MAX_BYTES) {
 		free(s);
 		s = encode_runs(j, RUN_DETAIL_NO_CHECKPOINTS);
 	}
-	if (strlen(s) > RUN_ROW_MAX_BYTES) {
+	if (s && strlen(s) > RUN_ROW_MAX_BYTES) {
 		free(s);
 		s = encode_runs(j, RUN_DETAIL_NO_ADDRESSES);
 	}
--- a/lead/record.h
+++ b/lead/record.h
@@ -56,6 +56,10 @@
 	uint64_t earlier_ms;
 };
 
+/*
+ * Each encoder returns NULL, which it logs, if a text of the value is not valid
+ * UTF-8. What it returns is released with free().
+ */
 char *owner_encode(const struct owner_record *o);
 bool owner_decode(const char *text, struct owner_record *o);
 
@@ -87,6 +91,7 @@
 bool state_expired(const struct state_record *r, uint64_t before_ms);
 char *spec_encode(const struct job *j);
 struct job *spec_decode(const char *id, const char *text);
+bool spec_matches(const char *text, const struct job *j);
 
 /* Where an earlier leader has recorded a run. */
 struct run_place {
--- a/lib/schema.c
+++ b/lib/schema.c
@@ -386,9 +386,3 @@
 
 	return json_is_string(v) ? json_string_value(v) : fallback;
 }
-
-/* Copy the string called name in o, or "", into `to` of len bytes. */
-void json_str_copy(char *to, size_t len, const json_t *o, const char *name)
-{
-	g_strlcpy(to, json_str_or(o, name, ""), len);
-}
--- a/lib/schema.h
+++ b/lib/schema.h
@@ -56,6 +56,5 @@
 double json_number_within(const json_t *v, double min, double max);
 const char *json_str_or(const json_t *o, const char *name,
 			const char *fallback);
-void json_str_copy(char *to, size_t len, const json_t *o, const char *name);
 
 #endif
--- a/sched/job.c
+++ b/sched/job.c
@@ -45,22 +45,32 @@
 			g_free(st->tasks[k].checkpoint);
 		g_free(st->tasks);
 	}
-	for (uint32_t i = 0; i < j->steps_len; i++)
+	for (uint32_t i = 0; i < j->steps_len; i++) {
 		g_free(j->steps[i].after);
+		g_free(j->steps[i].image);
+	}
 	g_free(j->stages);
 	g_free(j->steps);
 	g_free(j->payload);
 	g_free(j);
 }
 
-/* Append a step to a job that has no stages yet; all its fields are 0. */
+/* Append a step to a job that has no stages yet; its fields are 0 or empty. */
 struct step *job_add_step(struct job *j)
 {
 	j->steps = g_renew(struct step, j->steps, j->steps_len + 1);
 	memset(&j->steps[j->steps_len], 0, sizeof(struct step));
+	j->steps[j->steps_len].image = g_strdup("");
 	return &j->steps[j->steps_len++];
 }
 
+/* Set the name of what the tasks of s run. */
+void step_set_image(struct step *s, const char *image)
+{
+	g_free(s->image);
+	s->image = g_strdup(image);
+}
+
 /* Return how many times the steps run. */
 uint32_t job_occurrences(const struct job *j)
 {
@@ -122,6 +132,61 @@
 	return !*why;
 }
 
+static bool is_same_step(const struct step *a, const struct step *b)
+{
+	return a->count == b->count && a->need.cpu_milli == b->need.cpu_milli &&
+	       a->need.memory_mb == b->need.memory_mb &&
+	       a->need.accelerators == b->need.accelerators &&
+	       a->estimate_ms == b->estimate_ms &&
+	       a->after_len == b->after_len &&
+	       (!a->after_len || !memcmp(a->after, b->after,
+					 a->after_len * sizeof(*a->after))) &&
+	       a->checkpoints == b->checkpoints && a->gang == b->gang &&
+	       a->rack_sensitive == b->rack_sensitive &&
+	       a->speculative == b->speculative &&
+	       a->long_running == b->long_running &&
+	       a->best_effort_cpu == b->best_effort_cpu &&
+	       a->max_tasks_per_upstream == b->max_tasks_per_upstream &&
+	       a->max_unavailable == b->max_unavailable &&
+	       a->target_ms == b->target_ms && !strcmp(a->label, b->label) &&
+	       !strcmp(a->data_rack, b->data_rack) &&
+	       !strcmp(a->image, b->image);
+}
+
+/* Settings without a service count as unknown, as a job cannot run by them. */
+static bool has_same_queue_settings(const struct job *a, const struct job *b)
+{
+	bool known = a->queue_known && *a->service;
+
+	return known == (b->queue_known && *b->service) &&
+	       (!known || (!strcmp(a->service, b->service) &&
+			   a->priority == b->priority &&
+			   a->max_attempts == b->max_attempts &&
+			   a->slack_factor == b->slack_factor &&
+			   a->target_ms == b->target_ms));
+}
+
+/*
+ * Report whether a and b were submitted alike: by the same account to the same
+ * queue with the same settings, at the same time. Their states are not compared.
+ */
+bool job_is_same_submission(const struct job *a, const struct job *b)
+{
+	bool same = !strcmp(a->id, b->id) && !strcmp(a->queue, b->queue) &&
+		    !strcmp(a->account, b->account) &&
+		    !strcmp(a->payload, b->payload) &&
+		    a->steps_len == b->steps_len &&
+		    a->start_at_wall_ms == b->start_at_wall_ms &&
+		    a->interval_ms == b->interval_ms &&
+		    a->repeat == b->repeat &&
+		    a->received_ms == b->received_ms &&
+		    has_same_queue_settings(a, b);
+
+	for (uint32_t i = 0; same && i < a->steps_len; i++)
+		same = is_same_step(&a->steps[i], &b->steps[i]);
+	return same;
+}
+
 /* Create the stages and tasks of a job that job_validate has passed. */
 void job_create_stages(struct job *j)
 {
--- a/sched/job.h
+++ b/sched/job.h
@@ -14,6 +14,8 @@
 #define LABEL_BYTES 64
 #define TASK_NAME_BYTES 64
 #define JOB_STEPS_MAX 64
+/* Maximum length of the name of an image, in bytes. */
+#define STEP_IMAGE_MAX_BYTES 1000
 
 struct upstream;
 
@@ -45,7 +47,7 @@
 	uint32_t target_ms;
 	char label[LABEL_BYTES];
 	char data_rack[LABEL_BYTES];
-	char image[LABEL_BYTES];
+	char *image;	    /* may be empty */
 	GQuark label_quark; /* label and data_rack as quarks */
 	GQuark data_rack_quark;
 	uint64_t expected_ms;	   /* cached result of estimator_duration_ms */
@@ -232,7 +234,9 @@
 struct job *job_create(const char *id);
 void job_destroy(struct job *j);
 struct step *job_add_step(struct job *j);
+void step_set_image(struct step *s, const char *image);
 bool job_validate(const struct job *j, char **why);
+bool job_is_same_submission(const struct job *a, const struct job *b);
 void job_create_stages(struct job *j);
 void job_set_service(struct job *j, const char *service);
 bool job_is_final(const struct job *j);
--- a/test/fuzz_rows.c
+++ b/test/fuzz_rows.c
@@ -12,6 +12,7 @@
 #include "lib/address.h"
 #include "lib/log.h"
 #include "lib/loop.h"
+#include "lib/schema.h"
 #include "peer/roster.h"
 #include "platform/answer.h"
 #include "platform/bounds.h"
@@ -122,6 +123,36 @@
 	{"remainingMs", "9"},
 	{0}};
 
+static const struct doc_field submission_doc[] = {
+	{"spec", "\"x\""},
+	{"steps", "[{\"count\":3,\"cpu\":5,\"image\":\"i\"},{\"count\":2,"
+		  "\"after\":[0],\"gang\":true,\"requires\":\"a\"}]"},
+	{"startAtMs", "1796421690000"},
+	{"intervalMs", "7"},
+	{"repeatCount", "2"},
+	{"longRunning", "false"},
+	{0}};
+static const struct doc_field submitted_step_doc[] = {
+	{"count", "3"},
+	{"cpu", "5"},
+	{"memMb", "6"},
+	{"gpu", "1"},
+	{"estimateMs", "700"},
+	{"after", "[]"},
+	{"gang", "true"},
+	{"checkpointing", "true"},
+	{"speculative", "true"},
+	{"rackSensitive", "false"},
+	{"longRunning", "true"},
+	{"fills", "true"},
+	{"antiAffinity", "2"},
+	{"maxUnavailable", "1"},
+	{"targetMs", "9"},
+	{"requires", "\"a\""},
+	{"dataRack", "\"r\""},
+	{"image", "\"image-name\""},
+	{0}};
+
 static const char *const odd_values[] = {
 	"-1",
 	"0",
@@ -202,6 +233,20 @@
 	g_string_append_c(s, '"');
 }
 
+/* Append a text of letters of one to four bytes, some of them escaped. */
+static void add_text(GString *s, struct input *in)
+{
+	static const char *const letters[] = {
+		"x",	   "\u00e9",  "\u0997", "\U0001F600",
+		"\\u0997", "\\u0001", "\\\"",	"%"};
+	uint32_t n = take(in) * (take(in) % 8 ? 1 : 4);
+
+	g_string_append_c(s, '"');
+	for (; n; n--)
+		g_string_append(s, letters[take(in) % G_N_ELEMENTS(letters)]);
+	g_string_append_c(s, '"');
+}
+
 static void add_number(GString *s, struct input *in)
 {
 	uint64_t n = 0;
@@ -438,6 +483,122 @@
 	job_destroy(again);
 }
 
+/* Compare a text of a step as it was submitted with what was decoded. */
+static void check_step_text(const json_t *step, const char *name,
+			    const char *text)
+{
+	check(!strcmp(json_str_or(step, name, ""), text),
+	      "a text that is not as it was submitted");
+}
+
+/* Compare a flag or number of a submission; what is left out is 0. */
+static void check_step_value(const json_t *step, const char *name,
+			     uint64_t value)
+{
+	const json_t *v = json_object_get(step, name);
+
+	check(value == (json_is_boolean(v) ? (uint64_t)json_is_true(v)
+					   : (uint64_t)json_integer_value(v)),
+	      "a value that is not as it was submitted");
+}
+
+static void check_submitted_step(const json_t *v, const struct step *s,
+				 bool long_running)
+{
+	const json_t *after = json_object_get(v, "after");
+
+	check_step_text(v, "requires", s->label);
+	check_step_text(v, "dataRack", s->data_rack);
+	check_step_text(v, "image", s->image);
+	check_step_value(v, "count", s->count);
+	check_step_value(v, "cpu", s->need.cpu_milli);
+	check_step_value(v, "memMb", s->need.memory_mb);
+	check_step_value(v, "gpu", s->need.accelerators);
+	check_step_value(v, "estimateMs", s->estimate_ms);
+	check_step_value(v, "antiAffinity", s->max_tasks_per_upstream);
+	check_step_value(v, "maxUnavailable", s->max_unavailable);
+	check_step_value(v, "targetMs", s->target_ms);
+	check_step_value(v, "checkpointing", s->checkpoints);
+	check_step_value(v, "gang", s->gang);
+	check_step_value(v, "rackSensitive", s->rack_sensitive);
+	check_step_value(v, "speculative", s->speculative);
+	check_step_value(v, "fills", s->best_effort_cpu);
+	check(s->long_running == (long_running || json_is_true(json_object_get(
+							  v, "longRunning"))),
+	      "a value that is not as it was submitted");
+	check(s->after_len == json_array_size(after),
+	      "a step that waits for others than submitted");
+	for (uint32_t i = 0; i < s->after_len; i++)
+		check(s->after[i] == (uint64_t)json_integer_value(
+					     json_array_get(after, i)),
+		      "a step that waits for others than submitted");
+}
+
+/*
+ * A submission that is accepted is stored, and read again, as it was submitted:
+ * each step of it, with each of its texts and values.
+ */
+static void check_submission(const char *text)
+{
+	char *why = NULL, *row;
+	struct job *j =
+		decode_submission("00000000000000a1", text, strlen(text), &why);
+	struct job *again;
+	json_t *v, *steps;
+	bool all;
+
+	check(!j == !!why, "a refusal without a reason");
+	g_free(why);
+	if (!j)
+		return;
+	v = json_loads(text, 0, NULL);
+	steps = json_object_get(v, "steps");
+	all = json_is_true(json_object_get(v, "longRunning"));
+	row = spec_encode(j);
+	check(row != NULL, "an accepted job that cannot be stored");
+	check(spec_matches(row, j), "an accepted job that changes");
+	again = spec_decode(j->id, row);
+	check(again && again->steps_len == json_array_size(steps),
+	      "an accepted job without some of its steps");
+	check(!strcmp(again->payload, json_str_or(v, "spec", "")),
+	      "a text that is not as it was submitted");
+	check_step_value(v, "startAtMs", again->start_at_wall_ms);
+	check_step_value(v, "intervalMs", again->interval_ms);
+	check_step_value(v, "repeatCount", again->repeat);
+	for (uint32_t i = 0; i < again->steps_len; i++)
+		check_submitted_step(json_array_get(steps, i), &again->steps[i],
+				     all);
+	free(row);
+	json_decref(v);
+	job_destroy(j);
+	job_destroy(again);
+}
+
+/* A submission whose first step has long texts, and an odd or missing field. */
+static void check_submitted_texts(struct input *in)
+{
+	static const char *const texts[] = {"requires", "dataRack", "image"};
+	GString *s = g_string_new("{\"spec\":");
+
+	add_text(s, in);
+	g_string_append(s, ",\"steps\":[");
+	if (take(in) & 1)
+		add_doc(s, in, submitted_step_doc);
+	else
+		add_sound_doc(s, submitted_step_doc);
+	g_string_truncate(s, s->len - 1);
+	/* the last of two fields with one name counts */
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		if (take(in) & 1)
+			continue;
+		g_string_append_printf(s, ",\"%s\":", texts[i]);
+		add_text(s, in);
+	}
+	g_string_append(s, "},{\"count\":1,\"after\":[0]}]}");
+	check_submission(s->str);
+	g_string_free(s, TRUE);
+}
+
 static void place_run(void *arg, struct task *t, const struct run_place *at)
 {
 	struct fleet *f = arg;
@@ -643,6 +804,7 @@
 	check_entry(text);
 	check_policy(text);
 	check_spec(text);
+	check_submission(text);
 	check_run(text);
 	check_small_rows(text);
 	check_lists(text);
@@ -667,10 +829,13 @@
 	void (*check)(const char *text);
 };
 
-static const struct doc docs[] = {
-	{entry_doc, check_entry}, {policy_doc, check_policy},
-	{spec_doc, check_spec},	  {run_doc, check_run},
-	{lists_doc, check_lists}, {small_doc, check_small_rows}};
+static const struct doc docs[] = {{entry_doc, check_entry},
+				  {policy_doc, check_policy},
+				  {spec_doc, check_spec},
+				  {run_doc, check_run},
+				  {lists_doc, check_lists},
+				  {small_doc, check_small_rows},
+				  {submission_doc, check_submission}};
 
 static void check_doc(struct input *in, const struct doc *doc)
 {
@@ -696,7 +861,7 @@
 	for (size_t i = 0; i < len; i++)
 		in.random = (in.random ^ data[i]) * UINT64_C(0x100000001b3);
 	in.random |= 1;
-	choice = take(&in) % (G_N_ELEMENTS(docs) + 3);
+	choice = take(&in) % (G_N_ELEMENTS(docs) + 4);
 
 	log_open("fuzz", "", (enum log_level)(LOG_ERROR + 1));
 	if (choice < G_N_ELEMENTS(docs))
@@ -705,6 +870,8 @@
 		check_step(&in);
 	else if (choice == G_N_ELEMENTS(docs) + 1)
 		check_page(&in);
+	else if (choice == G_N_ELEMENTS(docs) + 2)
+		check_submitted_texts(&in);
 	else
 		check_text(&in);
 	return 0;
--- a/test/proc_joint.c
+++ b/test/proc_joint.c
@@ -394,6 +394,37 @@
 	joint_stop(s);
 }
 
+/*
+ * The image of the first step has 71 bytes, of which the 64th begins within a
+ * letter of three bytes. Guards against a step that is lost from an accepted job,
+ * which is then shown as completed.
+ */
+static void step_with_a_long_image_name_runs(void **state)
+{
+	struct joint_site *s = joint_start(116);
+	char *path = joint_job_path(1);
+
+	(void)state;
+	assert_int_equal(
+		joint_request(
+			s, s->callers[0], "POST", path,
+			"{\"spec\":\"200\",\"steps\":[{\"count\":1,\"cpu\":"
+			"1000,"
+			"\"memMb\":1000,\"estimateMs\":200,\"image\":"
+			"\"registry.1/"
+			"\u0997\u09cd\u09b0\u09be\u09ae\u09ae\u09bf\u09b2\u09be"
+			"\u09a8\u0997\u09cd\u09b0\u09be\u09ae\u09ae\u09bf\u09b2"
+			"\u09be\u09a8\"},{\"count\":1,\"cpu\":1000,\"memMb\":"
+			"1000,"
+			"\"estimateMs\":200}]}",
+			NULL),
+		200);
+	joint_wait_state(s, 1, 1, "completed");
+	assert_int_equal(joint_count(s, "starts"), 2);
+	g_free(path);
+	joint_stop(s);
+}
+
 static void invalid_request_is_refused_with_reason(void **state)
 {
 	static const char *const bodies[] = {
@@ -410,8 +441,11 @@
 		"{\"spec\":\"1\",\"steps\":[{\"count\":1,\"cpu\":1e30}]}",
 		"{\"spec\":\"1\",\"steps\":[{\"count\":1,\"cpu\":9999999999}]}",
 		"{\"spec\": 1, \"steps\": [{\"count\": 1}]}",
+		"{\"spec\":\"1\",\"steps\":[{\"count\":1,\"image\":7}]}",
+		"{\"spec\":\"1\",\"steps\":[{\"count\":1,\"gang\":1}]}",
 	};
 	struct joint_site *s = joint_start(69);
+	char *large;
 	json_t *v;
 
 	(void)state;
@@ -433,6 +467,13 @@
 	assert_int_equal(joint_request(s, s->callers[0], "GET",
 				       "/u/00000000000000aa", NULL, NULL),
 			 410);
+	/* a row of the store holds up to 64 KB */
+	large = g_strdup_printf("{\"spec\":\"%*d\",\"steps\":[{\"count\":1}]}",
+				60000, 1);
+	assert_int_equal(joint_request(s, s->callers[0], "POST",
+				       "/u/00000000000000aa", large, NULL),
+			 400);
+	g_free(large);
 	joint_stop(s);
 }
 
@@ -465,6 +506,7 @@
 			submission_gets_504_once_the_store_is_known_to_hang),
 		cmocka_unit_test(
 			submission_gets_503_at_once_when_store_refuses),
+		cmocka_unit_test(step_with_a_long_image_name_runs),
 		cmocka_unit_test(invalid_request_is_refused_with_reason),
 	};
 
--- a/test/unit_accept.c
+++ b/test/unit_accept.c
@@ -617,6 +617,7 @@
 
 	n->site = s;
 	n->settings.callers = free_address();
+	n->settings.value_max_bytes = 48 << 10;
 	n->rows = rows_create(send_to_store, s);
 	n->policies = replica_create(s->loop, n->rows, "op",
 				     replica_single_part, 1000, &other, n);
--- a/test/unit_platform.c
+++ b/test/unit_platform.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "lead/record.h"
 #include "lib/address.h"
 #include "lib/http.h"
 #include "platform/decode.h"
@@ -619,9 +620,139 @@
 	g_string_free(text, TRUE);
 }
 
+/* Texts of a step and what holds them. */
+static const struct step_text {
+	const char *name;
+	size_t offset;
+	size_t max_bytes;
+} step_texts[] = {
+	{"requires", offsetof(struct step, label), LABEL_BYTES - 1},
+	{"dataRack", offsetof(struct step, data_rack), LABEL_BYTES - 1},
+	{"image", offsetof(struct step, image), STEP_IMAGE_MAX_BYTES},
+};
+
+static const char *get_step_text(const struct step *s,
+				 const struct step_text *t)
+{
+	const char *p = (const char *)s + t->offset;
+
+	return t->offset == offsetof(struct step, image) ? *(char *const *)p
+							 : p;
+}
+
+/* Decode a submission of one step with one more field of this value. */
+static struct job *decode_step(const char *name, const char *value, char **why)
+{
+	char *body = g_strdup_printf(
+		"{\"spec\":\"x\",\"steps\":[{\"count\":1,\"%s\":%s}]}", name,
+		value);
+	struct job *j =
+		decode_submission("00000000000000a1", body, strlen(body), why);
+
+	g_free(body);
+	return j;
+}
+
+/* Encode a job as a row, decode that, and check a text of its only step. */
+static void assert_row_keeps_text(const struct job *j,
+				  const struct step_text *t, const char *text)
+{
+	char *row = spec_encode(j);
+	struct job *again;
+
+	assert_non_null(row);
+	assert_true(spec_matches(row, j));
+	again = spec_decode(j->id, row);
+	assert_non_null(again);
+	assert_int_equal(again->steps_len, 1);
+	assert_string_equal(get_step_text(&again->steps[0], t), text);
+	job_destroy(again);
+	free(row);
+}
+
+/*
+ * Guards against a text that is cut, perhaps within a letter, so that the step
+ * is another one, or cannot be stored and is lost from an accepted job.
+ */
+static void texts_of_a_step_are_whole_or_refused(void **state)
+{
+	/* letters of one to four bytes */
+	static const char *const letters[] = {"x", "\u00e9", "\u0997",
+					      "\U0001F600"};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(step_texts); i++) {
+		const struct step_text *t = &step_texts[i];
+
+		for (size_t n = 0; n < 4 * (t->max_bytes + 8); n++) {
+			const char *letter = letters[n % 4];
+			GString *text = g_string_new(n % 3 ? "a" : "ab");
+			char *value, *why = NULL;
+			struct job *j;
+
+			for (size_t k = 0; k < n / 4 / strlen(letter); k++)
+				g_string_append(text, letter);
+			value = g_strdup_printf("\"%s\"", text->str);
+			j = decode_step(t->name, value, &why);
+			assert_int_equal(j != NULL, text->len <= t->max_bytes);
+			assert_int_equal(why != NULL, !j);
+			if (j)
+				assert_row_keeps_text(j, t, text->str);
+			job_destroy(j);
+			g_free(why);
+			g_free(value);
+			g_string_free(text, TRUE);
+		}
+	}
+}
+
+/*
+ * Guards against a field of another type that counts as left out: the job would
+ * run where it must not, or at another time.
+ */
+static void odd_fields_of_a_submission_are_refused(void **state)
+{
+	static const char *const texts[] = {"requires", "dataRack", "image"};
+	static const char *const flags[] = {
+		"checkpointing", "gang",	"rackSensitive",
+		"speculative",	 "longRunning", "fills",
+	};
+	static const char *const odd_texts[] = {
+		"7",	"null",		 "[]",		"{}",
+		"true", "\"a\\u0000b\"", "\"\\ud800\"", "\"a\xff\""};
+	static const char *const odd_flags[] = {"1", "\"true\"", "null", "[]"};
+	static const char *const odd_times[] = {
+		"1.5", "-1", "\"5\"", "null", "9007199254740993", "1e300"};
+	char *why;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		for (size_t k = 0; k < G_N_ELEMENTS(odd_texts); k++) {
+			assert_null(decode_step(texts[i], odd_texts[k], &why));
+			g_free(why);
+		}
+	for (size_t i = 0; i < G_N_ELEMENTS(flags); i++)
+		for (size_t k = 0; k < G_N_ELEMENTS(odd_flags); k++) {
+			assert_null(decode_step(flags[i], odd_flags[k], &why));
+			g_free(why);
+		}
+	for (size_t k = 0; k < G_N_ELEMENTS(odd_times); k++) {
+		char *body = g_strdup_printf("{\"spec\":\"\",\"steps\":[{"
+					     "\"count\":1}],\"startAtMs\":%s}",
+					     odd_times[k]);
+
+		assert_null(decode_submission("00000000000000a1", body,
+					      strlen(body), &why));
+		g_free(why);
+		g_free(body);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(texts_of_a_step_are_whole_or_refused),
+		cmocka_unit_test(odd_fields_of_a_submission_are_refused),
 		cmocka_unit_test(reloaded_settings_keep_the_longest_lease),
 		cmocka_unit_test(listed_progress_is_between_0_and_100_percent),
 		cmocka_unit_test(odd_rows_of_lists_cost_themselves_alone),
--- a/test/unit_suspend.c
+++ b/test/unit_suspend.c
@@ -209,6 +209,7 @@
 	s->http = http_client_create(s->loop);
 	s->counters = counters_create();
 	s->settings.callers = free_address();
+	s->settings.value_max_bytes = 48 << 10;
 	s->rows = rows_create(send_to_store, s);
 	s->policies = replica_create(s->loop, s->rows, "op",
 				     replica_single_part, 1000, &policies, s);
