Log what is not valid UTF-8

Operators saw records without their text or fields: log_line cuts its text to 512 bytes, and callers cut bodies to 200, perhaps within a letter, and JSON takes no such text; log_fields dropped all fields if one was not valid, such as the id in the path of a refused request, which may be any bytes.

log_line replaces what is not valid, log_fields says that it dropped fields, and an id of another form is not logged.

Test: unit_lib, log_record_says_what_is_not_utf8, failed before.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -156,13 +156,24 @@
 			    retry_after_ms);
 }
 
+static bool is_job_id(const char *s)
+{
+	size_t n = 0;
+
+	for (; s[n]; n++)
+		if (!g_ascii_isxdigit(s[n]))
+			return false;
+	return n == JOB_ID_DIGITS_COUNT;
+}
+
+/* Reject x at once. An id of another form may be any bytes: it is not logged. */
 static void reject_request(struct entry *n, struct http_exchange *x,
 			   enum entry_request_kind k, const char *id,
 			   int status, const char *why, uint32_t retry_after_ms)
 {
 	log_fields(LOG_INFO, "request_refused", "{s:s,s:s,s:i,s:s,s:I}", "job",
-		   id, "kind", request_kind_name(k), "status", status, "why",
-		   why, "policy",
+		   is_job_id(id) ? id : "", "kind", request_kind_name(k),
+		   "status", status, "why", why, "policy",
 		   (json_int_t)(n->policy ? n->policy->version : 0));
 	count_answer(n, k, status);
 	reply_error(x, status, why, retry_after_ms);
@@ -710,16 +721,6 @@
 	g_free(body);
 }
 
-static bool is_job_id(const char *s)
-{
-	size_t n = 0;
-
-	for (; s[n]; n++)
-		if (!g_ascii_isxdigit(s[n]))
-			return false;
-	return n == JOB_ID_DIGITS_COUNT;
-}
-
 /*
  * Find the caller's account by its API key and write its name to account, or ""
  * if the caller has no known key. Returns false if the caller is not admitted:
--- a/lib/log.c
+++ b/lib/log.c
@@ -13,6 +13,7 @@
 #include <string.h>
 #include <time.h>
 #include <unistd.h>
+#include <glib.h>
 #include <jansson.h>
 
 #include "lib/log.h"
@@ -145,10 +146,13 @@
 	return lost_count;
 }
 
-/* Write one record of the event at level lv with a formatted text. */
+/*
+ * Write one record of the event at level lv with a formatted text. What is not
+ * valid UTF-8 in it, as where a text was cut, is replaced.
+ */
 void log_line(enum log_level lv, const char *event, const char *fmt, ...)
 {
-	char text[LOG_TEXT_BYTES];
+	char text[LOG_TEXT_BYTES], *valid;
 	uint32_t dropped;
 	va_list ap;
 	json_t *r;
@@ -159,13 +163,15 @@
 	vsnprintf(text, sizeof(text), fmt, ap);
 	va_end(ap);
 	r = create_record(lv, event, dropped);
-	json_object_set_new(r, "text", json_string(text));
+	valid = g_utf8_make_valid(text, -1);
+	json_object_set_new(r, "text", json_string(valid));
+	g_free(valid);
 	write_record(r);
 }
 
 /*
  * Write one record of the event at level lv with the object that fmt
- * describes, as for json_pack.
+ * describes, as for json_pack. The record says so if a field is not valid UTF-8.
  */
 void log_fields(enum log_level lv, const char *event, const char *fmt, ...)
 {
@@ -181,6 +187,9 @@
 	r = create_record(lv, event, dropped);
 	if (fields)
 		json_object_update(r, fields);
+	else
+		json_object_set_new(r, "text",
+				    json_string("fields are not UTF-8"));
 	json_decref(fields);
 	write_record(r);
 }
--- a/test/unit_lib.c
+++ b/test/unit_lib.c
@@ -165,6 +165,42 @@
 	problems_destroy(p);
 }
 
+/* Write records by fn and return them; free with g_free. */
+static char *capture_log(void (*fn)(void))
+{
+	int fd[2], stdout_fd = dup(STDOUT_FILENO);
+	char text[4096];
+	ssize_t n;
+
+	assert_int_equal(pipe(fd), 0);
+	fflush(stdout);
+	dup2(fd[1], STDOUT_FILENO);
+	fn();
+	dup2(stdout_fd, STDOUT_FILENO);
+	close(stdout_fd);
+	close(fd[1]);
+	n = read(fd[0], text, sizeof(text));
+	close(fd[0]);
+	return g_strndup(text, MAX(n, 0));
+}
+
+static void log_odd_texts(void)
+{
+	log_line(LOG_ERROR, "odd_text", "%.4s", "abc\u0997");
+	log_fields(LOG_ERROR, "odd_field", "{s:s}", "id", "a\xff");
+}
+
+/* Guards against a record that lacks what it is written for. */
+static void log_record_says_what_is_not_utf8(void **state)
+{
+	char *text = capture_log(log_odd_texts);
+
+	(void)state;
+	assert_non_null(strstr(text, "\"text\":\"abc"));
+	assert_non_null(strstr(text, "fields are not UTF-8"));
+	g_free(text);
+}
+
 static const char valid_settings[] =
 	"{\"name\": \"a\", \"domain\": \"b\", \"http\": \"127.0.0.1:1\", "
 	"\"peer\": \"127.0.0.1:2\", \"platform\": [\"127.0.0.1:3\"]%s%s}";
@@ -707,6 +743,7 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(log_record_says_what_is_not_utf8),
 		cmocka_unit_test(reasons_have_names_and_verdicts_have_statuses),
 		cmocka_unit_test(timers_fire_in_due_order_unless_stopped),
 		cmocka_unit_test(quantiles_are_within_the_bucket_width),
