Test the bounds of cancel requests for unknown IDs

A flood at one instance stores as many as the limits allow and gets 503 for the rest, while a job beside it runs; removals fit into the platform's transactions; a request outlives the rows of a job that ended before it.

--- a/test/proc_joint.c
+++ b/test/proc_joint.c
@@ -15,6 +15,8 @@
 #define DEADLINE_MS 3000
 /* A store that hangs is known as silent soon after this time. */
 #define STORE_SILENT_AFTER_MS 700
+/* Cancel requests of a flood. */
+#define UNKNOWN_IDS 400
 
 static void submitted_job_completes(void **state)
 {
@@ -326,6 +328,36 @@
 	joint_stop(s);
 }
 
+/*
+ * Cancel requests of unknown IDs are stored before they are answered with 410.
+ * Guards against a caller that fills the table with them, or takes the writes
+ * that others need.
+ */
+static void flood_of_unknown_ids_is_refused(void **state)
+{
+	struct joint_site *s = joint_start(117);
+	uint64_t began_ms = clock_mono_ms(), took_ms;
+	uint32_t stored = 0, refused = 0;
+
+	(void)state;
+	for (uint32_t i = 0; i < UNKNOWN_IDS; i++) {
+		char *path = joint_job_path(1000 + i);
+		int status = joint_request(s, s->callers[0], "DELETE", path,
+					   NULL, NULL);
+
+		stored += status == 410;
+		refused += status == 503;
+		g_free(path);
+	}
+	took_ms = clock_mono_ms() - began_ms;
+	assert_int_equal(stored + refused, UNKNOWN_IDS);
+	/* 40 at once and 20 a second, see docs/DESIGN.md */
+	assert_in_range(stored, 40, 41 + took_ms * 20 / 1000);
+	assert_int_equal(joint_submit(s, 0, 1, 1, 200), 200);
+	joint_wait_state(s, 1, 1, "completed");
+	joint_stop(s);
+}
+
 /* Let the store answer again, and submit the first job once more. */
 static void assert_submission_can_be_repeated(struct joint_site *s)
 {
@@ -500,6 +532,7 @@
 		cmocka_unit_test(cancelled_job_stops_its_tasks),
 		cmocka_unit_test(
 			job_cancelled_before_its_late_write_never_runs),
+		cmocka_unit_test(flood_of_unknown_ids_is_refused),
 		cmocka_unit_test(
 			submission_gets_504_within_deadline_when_store_hangs),
 		cmocka_unit_test(
--- a/test/unit_expire.c
+++ b/test/unit_expire.c
@@ -28,6 +28,9 @@
 	struct rows *rows[3];
 	uint32_t rows_len;
 	bool has_spec, has_job, has_cancel;
+	bool has_ended;	       /* the job has a state row */
+	uint64_t cancelled_ms; /* time of the cancel request, or 0 */
+	uint32_t refused_ids;  /* old cancel requests without a job */
 	/* Version of the answers about specs, and about jobs. */
 	uint64_t specs_version, jobs_version;
 	char *removed; /* the transactions that were sent */
@@ -35,6 +38,9 @@
 	uint64_t instance_written_ms, now_ms;
 };
 
+/* Entries that the platform takes in one transaction. */
+#define TX_ENTRIES_MAX 100
+
 static void append_row(json_t *rows, const char *key, const char *value)
 {
 	char *b64 = g_base64_encode((const guchar *)value, strlen(value));
@@ -58,6 +64,35 @@
 	free(value);
 }
 
+/* Append the cancel requests of the first part. */
+static void append_cancels(const struct fixture *s, json_t *rows)
+{
+	struct cancel_record c = {s->cancelled_ms};
+	char *value = cancel_encode(&c);
+
+	if (s->has_cancel)
+		append_row(rows, KEY_CANCEL JOB, value);
+	for (uint32_t i = 0; i < s->refused_ids; i++) {
+		char *key = g_strdup_printf(KEY_CANCEL "0%015x", i);
+
+		append_row(rows, key, "{\"at_ms\":1}");
+		g_free(key);
+	}
+	free(value);
+}
+
+/* Check the entries of a transaction, and that each removal is conditional. */
+static void check_transaction(const char *body)
+{
+	json_t *v = json_loads(body, 0, NULL);
+	size_t removed = json_array_size(json_object_get(v, "remove"));
+	size_t expected = json_array_size(json_object_get(v, "expected"));
+
+	assert_int_equal(removed, expected);
+	assert_in_range(removed + expected, 1, TX_ENTRIES_MAX);
+	json_decref(v);
+}
+
 /* Answer reads at once, and keep the text of transactions. */
 static bool answer_call(void *arg, const char *method, const char *path,
 			const char *body, uint32_t timeout_ms,
@@ -76,22 +111,25 @@
 		return false;
 	}
 	if (!strcmp(method, "POST")) {
+		check_transaction(body);
 		text = g_strconcat(s->removed, body, NULL);
 		g_free(s->removed);
 		s->removed = text;
 	} else if (strstr(path, "table=" OWNER_TABLE "&")) {
 		append_instance(rows, s->instance_written_ms);
 	} else if (strstr(path, "table=" STATE_TABLE "&")) {
-		append_row(rows, JOB,
-			   "{\"state\":\"completed\",\"ended_ms\":1000}");
+		if (s->has_ended)
+			append_row(rows, JOB,
+				   "{\"state\":\"completed\","
+				   "\"ended_ms\":1000}");
 	} else if (strstr(path, "table=" SPEC_TABLE "&")) {
 		version = s->specs_version;
 		if (s->has_spec && strstr(path, "part=0&"))
 			append_row(rows, JOB, "{}");
 	} else {
 		version = s->jobs_version;
-		if (s->has_cancel && strstr(path, "part=0&"))
-			append_row(rows, KEY_CANCEL JOB, "{}");
+		if (strstr(path, "part=0&"))
+			append_cancels(s, rows);
 		if (s->has_job && strstr(path, "part=0&"))
 			append_row(rows, KEY_JOB JOB, "{}");
 	}
@@ -170,7 +208,8 @@
  */
 static void test_state_row_is_removed_after_all_others(void **state)
 {
-	struct fixture s = {.has_spec = true,
+	struct fixture s = {.has_ended = true,
+			    .has_spec = true,
 			    .has_job = true,
 			    .has_cancel = true,
 			    .specs_version = ENDED_VERSION,
@@ -195,7 +234,8 @@
 /* What a copy from before the end of a job lacks may exist. */
 static void test_state_row_is_kept_while_the_copies_are_older(void **state)
 {
-	struct fixture s = {.specs_version = ENDED_VERSION - 1,
+	struct fixture s = {.has_ended = true,
+			    .specs_version = ENDED_VERSION - 1,
 			    .jobs_version = ENDED_VERSION};
 
 	(void)state;
@@ -210,6 +250,69 @@
 	g_free(s.removed);
 }
 
+/*
+ * Guards against an ID that can be accepted while a submission of it may still
+ * be under way, and against cancel requests that are kept for good.
+ */
+static void test_cancel_request_without_a_job_expires(void **state)
+{
+	struct fixture s = {.has_cancel = true,
+			    .cancelled_ms = ENDED_MS + 1,
+			    .specs_version = ENDED_VERSION,
+			    .jobs_version = ENDED_VERSION};
+
+	(void)state;
+	expire(&s);
+	assert_string_equal(s.removed, "");
+	g_free(s.removed);
+	s.cancelled_ms = ENDED_MS;
+	expire(&s);
+	assert_non_null(strstr(s.removed, KEY_CANCEL JOB));
+	g_free(s.removed);
+	/* that of a version which did not write the time */
+	s.cancelled_ms = 0;
+	expire(&s);
+	assert_non_null(strstr(s.removed, KEY_CANCEL JOB));
+	g_free(s.removed);
+	/* the job has not ended */
+	s.has_job = true;
+	expire(&s);
+	assert_string_equal(s.removed, "");
+	g_free(s.removed);
+}
+
+/* A repeated request keeps the ID of an ended job from being used again. */
+static void test_repeated_cancel_request_outlives_its_job(void **state)
+{
+	struct fixture s = {.has_ended = true,
+			    .has_cancel = true,
+			    .cancelled_ms = ENDED_MS + 1,
+			    .specs_version = ENDED_VERSION,
+			    .jobs_version = ENDED_VERSION};
+
+	(void)state;
+	assert_int_equal(expire(&s), 0);
+	assert_string_equal(s.removed, "");
+	g_free(s.removed);
+	s.cancelled_ms = ENDED_MS;
+	assert_int_equal(expire(&s), 0);
+	assert_non_null(strstr(s.removed, KEY_CANCEL JOB));
+	g_free(s.removed);
+}
+
+/* The platform refuses a transaction of more entries, and all of it. */
+static void test_many_cancel_requests_expire_in_small_transactions(void **state)
+{
+	struct fixture s = {.refused_ids = 400,
+			    .specs_version = ENDED_VERSION,
+			    .jobs_version = ENDED_VERSION};
+
+	(void)state;
+	expire(&s);
+	assert_non_null(strstr(s.removed, KEY_CANCEL "0"));
+	g_free(s.removed);
+}
+
 /* Return how many instance rows a leader removes by a copy that is old. */
 static uint32_t expire_instances_later(struct fixture *s, uint64_t later_ms)
 {
@@ -248,6 +351,10 @@
 		cmocka_unit_test(test_state_row_is_removed_after_all_others),
 		cmocka_unit_test(
 			test_state_row_is_kept_while_the_copies_are_older),
+		cmocka_unit_test(test_cancel_request_without_a_job_expires),
+		cmocka_unit_test(test_repeated_cancel_request_outlives_its_job),
+		cmocka_unit_test(
+			test_many_cancel_requests_expire_in_small_transactions),
 		cmocka_unit_test(test_instances_do_not_expire_by_an_old_copy),
 	};
 
