--- a/fake/joint.c
+++ b/fake/joint.c
@@ -45,6 +45,7 @@
  *			"over_room": N, "stopped": N, "void": N,
  *			"crash_tasks": [[TASK, CRASHES, FURTHER-STARTS], ...],
  *			"lapses": [[TASK, UPSTREAM, MS], ...],
+ *			"last_starts": {JOB: MS, ...},
  *			"breaches": [{"what": "twice"|"after_done", "ms": MS,
  *			"task": TASK, "upstream": ID, "run": N, "epoch": N,
  *			"other_upstream": ID, "other_run": N, ...}, ...]}
@@ -58,6 +59,7 @@
  *	               do not count, as said at after_done; further starts: those
  *	               after three upstreams had crashed under the task; lapses:
  *	               runs that ended with their lease, on the monotonic clock;
+ *	               last_starts: of each job, on the same clock;
  *	               breaches: the starts of twice and after_done, each with
  *	               the run before it and the epochs of their leaders)
  */
--- a/fake/jointrecord.c
+++ b/fake/jointrecord.c
@@ -27,6 +27,7 @@
 	uint32_t starts_after_done;
 	uint32_t void_ends;
 	json_t *breaches;
+	json_t *last_starts; /* job to the time of its last start */
 };
 
 static void free_done_run(void *arg)
@@ -44,6 +45,7 @@
 	c->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					(GDestroyNotify)g_ptr_array_unref);
 	c->breaches = json_array();
+	c->last_starts = json_object();
 	return c;
 }
 
@@ -65,6 +67,15 @@
 	json_array_append_new(c->breaches, v);
 }
 
+/* Keep the time of the start of a task as the last one of its job. */
+static void note_last_start(struct joint_record *c, const char *task)
+{
+	char *job = g_strndup(task, strcspn(task, "."));
+
+	json_object_set_new(c->last_starts, job, json_integer(clock_mono_ms()));
+	g_free(job);
+}
+
 /* Record the start of r, whose task `other` runs already, unless NULL. */
 void joint_record_start(struct joint_record *c, const struct joint_run *r,
 			const struct joint_run *other)
@@ -73,6 +84,7 @@
 	const struct done_run *d;
 
 	c->starts++;
+	note_last_start(c, r->task);
 	if (other) {
 		c->duplicate_starts++;
 		add_breach(c, "twice", r,
@@ -161,5 +173,6 @@
 	json_object_set_new(v, "after_done",
 			    json_integer(c->starts_after_done));
 	json_object_set_new(v, "void", json_integer(c->void_ends));
+	json_object_set(v, "last_starts", c->last_starts);
 	json_object_set(v, "breaches", c->breaches);
 }
