Count nothing of a job whose runs cannot be encoded as recorded

No text of a run row can be such today, as the decoders take UTF-8 only; found by reading the change.

The write does not count as complete then.

--- a/lead/leader.c
+++ b/lead/leader.c
@@ -593,10 +593,10 @@
 
 /*
  * Add the changes of j to a write. The run row of a job that is over is
- * removed, and its state row remains. A job whose runs cannot be encoded stays
- * changed, so that no start of it counts as recorded; others are written.
+ * removed, and its state row remains. Returns false if its runs cannot be
+ * encoded: it stays changed, so that no start of it counts as recorded.
  */
-static void put_job_rows(struct leader *d, struct rows_tx *t, struct job *j)
+static bool put_job_rows(struct rows_tx *t, struct job *j)
 {
 	char *value;
 
@@ -605,18 +605,18 @@
 		put_state_row(t, j);
 		rows_tx_remove(t, RUN_TABLE, j->id);
 		j->rows_removed = true;
-		return;
+		return true;
 	}
 	value = run_encode(j);
 	if (!value) {
 		j->dirty = true;
-		d->next_write_ms = clock_mono_ms() + NOT_ENCODED_DELAY_MS;
-		return;
+		return false;
 	}
 	if (j->state != j->recorded_state)
 		put_state_row(t, j);
 	rows_tx_put(t, RUN_TABLE, j->id, value);
 	free(value);
+	return true;
 }
 
 /*
@@ -655,8 +655,12 @@
 	/* A final state is recorded with the time at which it was reached. */
 	model_update_job_states(d->model, replica_store_clock_ms(d->env.jobs));
 	jobs = model_choose_dirty_jobs(d->model, JOBS_PER_WRITE_MAX, &all);
-	for (guint i = 0; i < jobs->len; i++)
-		put_job_rows(d, t, g_ptr_array_index(jobs, i));
+	for (guint i = 0; i < jobs->len; i++) {
+		if (put_job_rows(t, g_ptr_array_index(jobs, i)))
+			continue;
+		all = false;
+		d->next_write_ms = clock_mono_ms() + NOT_ENCODED_DELAY_MS;
+	}
 	g_ptr_array_free(jobs, TRUE);
 	/* A write that lacks a changed job has no room for removals and does
 	 * not cover all ends that were seen. */
--- a/test/unit_record.c
+++ b/test/unit_record.c
@@ -585,6 +585,45 @@
 	assert_int_equal(index, UINT32_MAX);
 }
 
+/*
+ * Guards against a row that lacks a step, or the tasks of one, as a text of it
+ * cannot be encoded: it would be read as another job.
+ */
+static void test_row_with_a_text_that_is_not_utf8_is_not_encoded(void **state)
+{
+	struct fixture s;
+	struct job *j = job_create("00000000000000a1");
+	struct step *step;
+	char *row;
+
+	(void)state;
+	j->payload = g_strdup("");
+	step = job_add_step(j);
+	step->count = 1;
+	step = job_add_step(j);
+	step->count = 1;
+	row = spec_encode(j);
+	assert_non_null(row);
+	assert_true(spec_matches(row, j));
+	step_set_image(step, "a\xe0\xa6");
+	assert_false(spec_matches(row, j));
+	free(row);
+	assert_null(spec_encode(j));
+	step_set_image(step, "");
+	g_strlcpy(step->label, "\xff", sizeof(step->label));
+	assert_null(spec_encode(j));
+	job_destroy(j);
+
+	/* both tasks of this job are placed */
+	fixture_create(&s, 2, false);
+	row = run_encode(s.job);
+	assert_non_null(row);
+	free(row);
+	s.task->checkpoint = g_strdup("\xff");
+	assert_null(run_encode(s.job));
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -595,6 +634,8 @@
 		cmocka_unit_test(test_gang_failure_counts_once_across_leaders),
 		cmocka_unit_test(
 			test_run_row_of_largest_job_fits_into_the_store),
+		cmocka_unit_test(
+			test_row_with_a_text_that_is_not_utf8_is_not_encoded),
 		cmocka_unit_test(test_odd_task_names_name_no_task),
 		cmocka_unit_test(test_checkpoint_with_spaces_keeps_runs_apart),
 		cmocka_unit_test(test_checkpoint_without_escapes_is_kept),
