Keep the longest names of upstreams and jobs in their copies

The configuration takes names of upstreams with up to 60 characters, and the inventory kept 47: of two upstreams whose names begin alike, cells of the second were looked up and bound on the first. Keys of jobs have up to 80 characters, and the time line kept 71: their events were not found by the key.

Tests: unit_sched, test_upstreams_with_long_names_are_told_apart, and unit_lib, event_is_found_by_the_longest_name, both failed before.

--- a/lib/event.c
+++ b/lib/event.c
@@ -14,7 +14,8 @@
 
 #define STAMP_COUNTER_BITS 16
 #define EVENT_TEXT_BYTES 200
-#define EVENT_NAME_BYTES 72
+/* A name that an instance gives a job holds its own and two numbers. */
+#define EVENT_NAME_BYTES 112
 
 struct event {
 	uint64_t stamp;
--- a/sched/inventory.h
+++ b/sched/inventory.h
@@ -9,7 +9,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define INVENTORY_NAME_BYTES 48
+#define INVENTORY_NAME_BYTES 64
 #define UPSTREAM_ACCELERATORS_MAX 32
 #define INVENTORY_NO_ACCOUNT UINT32_MAX
 
--- a/test/unit_lib.c
+++ b/test/unit_lib.c
@@ -121,6 +121,22 @@
 	}
 }
 
+/* Guards against events that are not found by the name of their job. */
+static void event_is_found_by_the_longest_name(void **state)
+{
+	struct event_ring *r = event_ring_create(4);
+	char *name = g_strnfill(80, 'j'); /* the longest key of a job */
+	json_t *list;
+
+	(void)state;
+	event_add(r, "accepted", name, "a", "domain d");
+	list = event_list(r, 0, name, "a");
+	assert_int_equal(json_array_size(list), 1);
+	json_decref(list);
+	g_free(name);
+	event_ring_destroy(r);
+}
+
 static void event_stamps_follow_received_stamps(void **state)
 {
 	struct event_ring *a = event_ring_create(4);
@@ -744,6 +760,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(log_record_says_what_is_not_utf8),
+		cmocka_unit_test(event_is_found_by_the_longest_name),
 		cmocka_unit_test(reasons_have_names_and_verdicts_have_statuses),
 		cmocka_unit_test(timers_fire_in_due_order_unless_stopped),
 		cmocka_unit_test(quantiles_are_within_the_bucket_width),
--- a/test/unit_sched.c
+++ b/test/unit_sched.c
@@ -25,6 +25,33 @@
 	return inv;
 }
 
+/*
+ * A configuration names upstreams with up to 60 characters. Guards against two
+ * that count as one, as their names are cut: cells of one would be bound on the
+ * other.
+ */
+static void test_upstreams_with_long_names_are_told_apart(void **state)
+{
+	static const char *const names[] = {
+		"upstream-with-a-name-of-sixty-characters-in-all-somewhere--1",
+		"upstream-with-a-name-of-sixty-characters-in-all-somewhere--2"};
+	struct inventory *inv = inventory_create();
+
+	(void)state;
+	for (uint32_t i = 0; i < 2; i++) {
+		assert_int_equal(strlen(names[i]), 60);
+		inventory_add_upstream(inv, names[i], "r", 8, 10, 2);
+	}
+	for (uint32_t i = 0; i < 2; i++) {
+		uint32_t u = 9;
+
+		assert_true(inventory_find_upstream(inv, names[i], &u));
+		assert_int_equal(u, i);
+		assert_string_equal(inventory_upstream(inv, i)->name, names[i]);
+	}
+	inventory_destroy(inv);
+}
+
 static struct sched *create_sched(uint32_t upstreams)
 {
 	struct sched_limits l = {.hold_after_ms = 1000,
@@ -372,6 +399,7 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_upstreams_with_long_names_are_told_apart),
 		cmocka_unit_test(cell_pick_prefers_partly_used_parent_cell),
 		cmocka_unit_test(bound_cells_never_overlap),
 		cmocka_unit_test(gang_is_placed_in_one_rack),
