Keep no pointer to the image of a job in samples

The sample of an urgent stage is a copy of its step, which outlives the job. Since the image is a text of its own, the copy held a pointer to freed memory; nothing reads it. Found by reading the change.

--- a/sched/estimator.c
+++ b/sched/estimator.c
@@ -187,8 +187,10 @@
 	memset(a, 0, sizeof(*a));
 	a->at_ms = now_ms;
 	a->step = *st->step;
+	/* what the job owns is not kept */
 	a->step.after = NULL;
 	a->step.after_len = 0;
+	a->step.image = NULL;
 	a->stage.job = &a->job;
 	a->stage.step = &a->step;
 	a->stage.tasks = &a->task;
