--- a/review/standin-2/site.sh
+++ b/review/standin-2/site.sh
@@ -84,7 +84,7 @@
 # Start worker wN of a kind on its own address; its pid is in worker_N.
 site_worker() {
 	target/review-2/worker w$1 $net.$((100 + $1)):7200 $store desk $2 \
-		${RACK:-r1} $CPU ${3:-0} "$events" >>"$tmp/w$1.log" 2>&1 &
+		${RACK:-r1} $CPU ${3:-0} "$events" ${BEAT:-0} >>"$tmp/w$1.log" 2>&1 &
 	eval "worker_$1=$!"
 	pids="$pids $!"
 }
--- a/review/standin-2/worker.c
+++ b/review/standin-2/worker.c
@@ -4,8 +4,9 @@
  * are: "ms=4000 cpu=100 end=done saved=16"; "ms1=" is of step 1. What happens to runs is appended to the log, one line each:
  * TIME start|end WORKER TASK RUN TOKEN|HOW.
  *
- * Usage: worker ID ADDRESS STORE SERVICE KIND RACK CPU CLOCK_MS LOG
- * CLOCK_MS is how far the machine's time of day is off.
+ * Usage: worker ID ADDRESS STORE SERVICE KIND RACK CPU CLOCK_MS LOG [BEAT_MS]
+ * CLOCK_MS is how far the machine's time of day is off, BEAT_MS when the first
+ * heartbeat is sent.
  */
 #include <glib.h>
 #include <stdio.h>
@@ -340,7 +341,7 @@
 {
 	struct sockaddr_in at, store_at;
 
-	if (argc != 10 || !address_parse(argv[2], &at) ||
+	if (argc < 10 || argc > 11 || !address_parse(argv[2], &at) ||
 	    !address_parse(argv[3], &store_at)) {
 		fprintf(stderr, "usage: worker ID ADDRESS STORE SERVICE KIND "
 				"RACK CPU CLOCK_MS LOG\n");
@@ -369,7 +370,7 @@
 	timer_init(&ticker, on_tick, NULL);
 	timer_init(&beater, on_beat, NULL);
 	timer_start(loop, &ticker, TICK_MS);
-	timer_start(loop, &beater, 0);
+	timer_start(loop, &beater, argc > 10 ? strtoul(argv[10], NULL, 10) : 0);
 	loop_run(loop);
 	return 0;
 }
