Pass jobs to the estimator, and keep a slowdown of each upstream

Interfaces that the next changes share: estimator_record_run takes the job and the step, so that it can learn by more than the queue, and an upstream has a slowdown by which durations are normalised. Nothing sets it yet, so decisions are as before.

--- a/lead/model.c
+++ b/lead/model.c
@@ -193,9 +193,10 @@
 	if (end_reason == RUN_DONE) {
 		upstream_record_success(u);
 		if (!t->checkpoint && !t->inherited)
-			estimator_record_run(m->estimator, t->stage->job->queue,
-					     t->stage->step->estimate_ms,
-					     now_ms - t->placed_ms);
+			estimator_record_run(m->estimator, t->stage->job,
+					     t->stage->step_index,
+					     (now_ms - t->placed_ms) /
+						     upstream_slowdown(u));
 	}
 	task_end_run(t, end_reason, checkpoint, now_ms);
 }
--- a/load/play.c
+++ b/load/play.c
@@ -544,8 +544,8 @@
 	} else {
 		upstream_record_success(t->at);
 		if (!t->checkpoint)
-			estimator_record_run(p->estimator, t->stage->job->queue,
-					     t->stage->step->estimate_ms,
+			estimator_record_run(p->estimator, t->stage->job,
+					     t->stage->step_index,
 					     p->now_ms - t->placed_ms);
 		task_end_run(t, RUN_DONE, NULL, p->now_ms);
 	}
--- a/sched/estimator.c
+++ b/sched/estimator.c
@@ -107,15 +107,15 @@
 }
 
 /*
- * Record that a task of the queue with this estimate ran for took_ms, from its
- * beginning and not from a checkpoint.
+ * Record that a task of a step of j took took_ms at the speed of a mean
+ * upstream, from its beginning and not from a checkpoint.
  */
-void estimator_record_run(struct estimator *e, const char *queue,
-			  uint32_t estimate_ms, uint64_t took_ms)
+void estimator_record_run(struct estimator *e, const struct job *j,
+			  uint32_t step, uint64_t took_ms)
 {
-	struct queue_stats *q = stats_for(e, queue);
+	struct queue_stats *q = stats_for(e, j->queue);
 	double log_took = log(MAX(took_ms, 1));
-	double log_ratio = log_took - log(MAX(estimate_ms, 1));
+	double log_ratio = log_took - log(MAX(j->steps[step].estimate_ms, 1));
 
 	q->mean_error = running_mean(
 		q->mean_error, (log_took - q->mean) * (log_took - q->mean),
--- a/sched/estimator.h
+++ b/sched/estimator.h
@@ -11,8 +11,8 @@
 
 struct estimator *estimator_create(void);
 void estimator_destroy(struct estimator *e);
-void estimator_record_run(struct estimator *e, const char *queue,
-			  uint32_t estimate_ms, uint64_t took_ms);
+void estimator_record_run(struct estimator *e, const struct job *j,
+			  uint32_t step, uint64_t took_ms);
 uint64_t estimator_duration_ms(const struct estimator *e, const struct job *j,
 			       uint32_t step);
 void estimator_record_urgent(struct estimator *e, const struct stage *st,
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -94,6 +94,15 @@
 	return n;
 }
 
+/*
+ * Return the duration of a run on u divided by that on a mean upstream; 1 if
+ * speeds are not in use.
+ */
+double upstream_slowdown(const struct upstream *u)
+{
+	return u->slowdown > 0 ? u->slowdown : 1;
+}
+
 /* Return the resources that t reserves. */
 struct resources task_resources(const struct task *t)
 {
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -64,6 +64,14 @@
 	bool end_explained;
 	GArray *blamed; /* struct blamed_run, for that end; NULL: none */
 	bool doubted;	/* its failure domain seems cut off */
+	bool evacuated; /* the operators allow no starts in its failure domain */
+	uint64_t cold_until_ms; /* slow after a start until then; 0: not cold */
+	/*
+	 * Duration of a run here divided by that on a mean upstream, and the
+	 * standard deviation of its logarithm; 0: speeds are not in use.
+	 */
+	double slowdown;
+	double slowdown_log_sd;
 	/* start of the current slow period; 0: not slow */
 	uint64_t slow_since_ms;
 	uint64_t slow_until_ms;	       /* treated as slow until this time */
@@ -114,6 +122,7 @@
 	       have->accelerators >= need->accelerators;
 }
 
+double upstream_slowdown(const struct upstream *u);
 bool upstream_has_label(const struct upstream *u, GQuark label);
 bool upstream_is_overcommitted(const struct upstream *u);
 bool upstream_is_usable(const struct upstream *u, uint64_t now_ms);
--- a/test/unit_policy.c
+++ b/test/unit_policy.c
@@ -171,8 +171,8 @@
 		return;
 	reach_record_answer(t->at, p->now_ms);
 	if (end_ms(x, t) <= p->now_ms) {
-		estimator_record_run(p->estimator, x->job->queue,
-				     t->stage->step->estimate_ms, ran_ms);
+		estimator_record_run(p->estimator, x->job, t->stage->step_index,
+				     ran_ms);
 		task_end_run(t, RUN_DONE, NULL, p->now_ms);
 	} else if (p->now_ms % LIST_INTERVAL_MS < STEP_MS) {
 		task_record_progress(
