--- a/Makefile
+++ b/Makefile
@@ -146,12 +146,15 @@
 
 # what h2o does with memory of ours cannot be seen by a sanitizer
 MEMCHECK = valgrind -q --error-exitcode=9
+# as many at a time as test/run.sh runs
+MEMCHECK_JOBS = 4
 
 memcheck: $(UNIT_TESTS)
 	@echo "  MEMCHECK"
-	@for t in $(filter-out %unit_lib,$(UNIT_TESTS)); do \
-		STARVE_SITES=30 $(MEMCHECK) $$t >$(OUT)/memcheck.log 2>&1 || \
-			{ cat $(OUT)/memcheck.log; exit 1; }; done
+	@printf '%s\n' $(filter-out %unit_lib,$(UNIT_TESTS)) | \
+		STARVE_SITES=30 xargs -P $(MEMCHECK_JOBS) -I {} sh -c \
+		'$(MEMCHECK) {} >{}.memcheck 2>&1 || \
+			{ cat {}.memcheck; exit 1; }'
 	@TEST_FILTER='a_*' $(MEMCHECK) $(OUT)/unit_lib >$(OUT)/memcheck.log \
 		2>&1 || { cat $(OUT)/memcheck.log; exit 1; }
 
@@ -162,7 +165,7 @@
 char-sign:
 	@echo "  CHAR  $(OTHER_CHAR)"
 	@$(MAKE) --no-print-directory OUT=$(OUT)/char \
-		EXTRA="$(OTHER_CHAR) -O0" unit-tests
+		EXTRA="$(OTHER_CHAR) -O0" -j$(JOBS) unit-tests
 	@for t in $(UNIT_TESTS:$(OUT)/%=$(OUT)/char/%); do \
 		$$t >$(OUT)/char.log 2>&1 || \
 			{ cat $(OUT)/char.log; exit 1; }; done
@@ -170,7 +173,13 @@
 packages:
 	@sh .ci/install
 
-check: all tests lint fuzz memcheck
+# builds use all processors; what is timed runs after them
+JOBS = $(shell nproc)
+
+check:
+	@$(MAKE) --no-print-directory -j$(JOBS) all tests
+	@$(MAKE) --no-print-directory lint
+	@$(MAKE) --no-print-directory -j2 fuzz memcheck
 	@$(MAKE) --no-print-directory char-sign
 	test/run.sh 4 $(UNIT_TESTS) $(PROC_TESTS)
 
