Start nothing in a failure domain that the operators evacuate

Operators evacuate a failure domain by the row evacuate/DOMAIN of the table `op`, which was ignored: tasks were started there without an end.

The leader leaves the upstreams of such a domain out of the scheduling pass, and looks at the rows again right before each start order, also before one that was recorded before or is sent again. A recorded start that is not sent ends as never started, and its gang is placed anew. With a copy of the rows that is too old to keep joint.evacuate_ms, the leader sends no start. The lease of a start order takes at most half of that bound, so that an order that is delayed on its way is refused in time. Cold upstreams (coldLeftMs) are chosen last. Without joint.evacuate_ms the rows are ignored as before.

--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -190,8 +190,12 @@
 {
 	struct joint *j = arg;
 	struct policy *p, *before = j->policy;
+	const char *evacuated = decode_evacuation_key(key);
 
 	(void)version;
+	if (evacuated)
+		leader_apply_evacuation_row(j->leader, evacuated,
+					    value != NULL);
 	if (strcmp(key, OPERATOR_POLICY_KEY) || !value)
 		return;
 	p = decode_policy(value);
@@ -266,11 +270,13 @@
 	char *all = g_strdup_printf("%slacewing_leads %d\nlacewing_ready %d\n"
 				    "lacewing_peers %u\n"
 				    "lacewing_store_by_peers %d\n"
-				    "lacewing_log_lost %llu\n",
+				    "lacewing_log_lost %llu\n"
+				    "lacewing_evacuated_domains %u\n",
 				    s, leader_is_active(j->leader), is_ready(j),
 				    relay_count_peers(j->relay),
 				    relay_uses_peers(j->relay),
-				    (unsigned long long)log_lost());
+				    (unsigned long long)log_lost(),
+				    leader_count_evacuated(j->leader));
 
 	exchange_reply(x, 200, "text/plain", all, 0);
 	g_free(all);
@@ -412,6 +418,7 @@
 				 .owners = j->owners,
 				 .jobs = j->jobs,
 				 .states = j->states,
+				 .policies = j->policies,
 				 .incarnation = j->incarnation,
 				 .strength = own_strength(j),
 				 .count_stronger_peers = count_stronger_peers,
--- a/lead/leader.c
+++ b/lead/leader.c
@@ -11,6 +11,7 @@
 #include "lead/expire.h"
 #include "lead/session.h"
 #include "lead/leader.h"
+#include "lead/domainorders.h"
 #include "lead/election.h"
 #include "lead/loss.h"
 #include "lead/starts.h"
@@ -83,6 +84,7 @@
 	GHashTable *odd_entries;
 	/* Starts that wait until they are recorded. */
 	struct starts *starts;
+	struct domain_orders *domain_orders;
 	struct account_guarantee *guarantees;
 	uint32_t guarantees_len;
 	struct timer pass_timer;
@@ -111,6 +113,7 @@
 	replica_destroy(d->upstreams);
 	d->specs = d->runs = d->states = d->upstreams = NULL;
 	replica_set_poll_delay(d->env.jobs, d->env.jobs_poll_delay_ms);
+	domain_orders_follow_closely(d->domain_orders, false);
 	for (guint i = 0; d->model && i < d->model->fleet->list->len; i++) {
 		struct upstream *u =
 			g_ptr_array_index(d->model->fleet->list, i);
@@ -369,14 +372,24 @@
 
 /*
  * Report whether a start of t may be sent by what is known of its upstream: one
- * that does not refuse excess work must not get a start by an old list.
+ * that does not refuse excess work must not get a start by an old list, and
+ * none may get one by old rows of the operators.
  */
 static bool upstream_is_known_well(void *arg, const struct task *t)
 {
 	const struct leader *d = arg;
 
-	return policy_enforces_capacity(d->policy, t->at->service) ||
-	       replica_age_max_ms(d->upstreams) <= LIST_AGE_MAX_MS;
+	return domain_orders_are_current(d->domain_orders) &&
+	       (policy_enforces_capacity(d->policy, t->at->service) ||
+		replica_age_max_ms(d->upstreams) <= LIST_AGE_MAX_MS);
+}
+
+/* Report whether the operators allow no start of t on its upstream. */
+static bool start_is_forbidden(void *arg, const struct task *t)
+{
+	const struct leader *d = arg;
+
+	return domain_orders_forbid(d->domain_orders, t->at);
 }
 
 /* Build the model from the replicas and begin to lead. */
@@ -393,7 +406,8 @@
 		.tenure = election_tenure(d->election),
 		.events = {.model_changed = schedule_pass,
 			   .epoch_refused = on_epoch_refused,
-			   .may_start = upstream_is_known_well},
+			   .may_start = upstream_is_known_well,
+			   .is_forbidden = start_is_forbidden},
 		.arg = d,
 	};
 	d->model = model_create();
@@ -465,6 +479,7 @@
 		replica_create(e->loop, e->rows, UPSTREAM_TABLE,
 			       replica_single_part, FEED_WAIT_MAX_MS, &list, d);
 	replica_set_poll_delay(d->upstreams, UPSTREAMS_POLL_DELAY_MS);
+	domain_orders_follow_closely(d->domain_orders, true);
 	/* Cancel requests arrive in this table. */
 	replica_set_poll_delay(e->jobs, 0);
 }
@@ -718,6 +733,7 @@
 {
 	GPtrArray *tasks = starts_take_recorded(d->starts, d->model);
 
+	domain_orders_withhold(d->domain_orders, tasks, clock_mono_ms());
 	starts_drop_excess(tasks, clock_mono_ms());
 	for (guint i = 0; i < tasks->len; i++) {
 		struct task *t = g_ptr_array_index(tasks, i);
@@ -822,6 +838,7 @@
 {
 	judge_unlisted_upstreams(d);
 	update_reach(d);
+	domain_orders_mark(d->domain_orders, d->model->fleet);
 	model_update_job_states(d->model, replica_store_clock_ms(d->env.jobs));
 	dispatch_jobs(d);
 	model_update_job_states(d->model, replica_store_clock_ms(d->env.jobs));
@@ -891,6 +908,7 @@
 
 	d->env = *e;
 	d->starts = starts_create();
+	d->domain_orders = domain_orders_create(e->settings, e->policies);
 	d->odd_entries =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	d->election = election_create(
@@ -908,6 +926,7 @@
 	stop_leading(d);
 	election_destroy(d->election);
 	starts_destroy(d->starts);
+	domain_orders_destroy(d->domain_orders);
 	g_hash_table_destroy(d->odd_entries);
 	g_free(d->guarantees);
 	g_free(d);
@@ -960,6 +979,20 @@
 	schedule_pass(d);
 }
 
+/* Apply the row that evacuates a failure domain, or its removal. */
+void leader_apply_evacuation_row(struct leader *d, const char *domain,
+				 bool present)
+{
+	if (domain_orders_apply_row(d->domain_orders, domain, present))
+		schedule_pass(d);
+}
+
+/* Return the number of evacuated failure domains. */
+uint32_t leader_count_evacuated(const struct leader *d)
+{
+	return domain_orders_count(d->domain_orders);
+}
+
 /* Resign the leadership and never claim it again. */
 void leader_resign(struct leader *d)
 {
--- a/lead/leader.h
+++ b/lead/leader.h
@@ -27,6 +27,8 @@
 	struct replica *jobs;
 	/* Replica of the state of every job. */
 	struct replica *states;
+	/* Replica of the operators' rows; NULL: no domain is evacuated. */
+	struct replica *policies;
 	uint64_t incarnation;
 	/* Election strength of this instance, in percent. */
 	uint32_t strength;
@@ -42,6 +44,9 @@
 void leader_note_owner_answer(struct leader *d);
 void leader_apply_job_row(struct leader *d, const char *key, const char *value);
 void leader_apply_policy(struct leader *d, const struct policy *p);
+void leader_apply_evacuation_row(struct leader *d, const char *domain,
+				 bool present);
+uint32_t leader_count_evacuated(const struct leader *d);
 void leader_resign(struct leader *d);
 bool leader_is_active(const struct leader *d);
 
--- a/lead/replica.c
+++ b/lead/replica.c
@@ -50,6 +50,8 @@
 	uint32_t part_index;
 	/* Maximum time for which the store holds a feed call. */
 	uint32_t wait_ms;
+	/* A further limit of that time. */
+	uint32_t wait_limit_ms;
 	/* Delay between an answer and the next feed call. */
 	uint32_t poll_delay_ms;
 	struct replica_events ev;
@@ -139,6 +141,7 @@
 	f->table = g_strdup(table);
 	f->parts = parts;
 	f->wait_ms = wait_ms;
+	f->wait_limit_ms = UINT32_MAX;
 	f->ev = *ev;
 	f->arg = arg;
 	f->copy = g_tree_new_full(compare_keys, NULL, g_free, stored_row_free);
@@ -272,6 +275,12 @@
 	f->poll_delay_ms = poll_delay_ms;
 }
 
+/* Let the store hold feed calls for at most wait_ms, from the next one on. */
+void replica_limit_wait(struct replica *f, uint32_t wait_ms)
+{
+	f->wait_limit_ms = wait_ms;
+}
+
 /* Return the value of a row, or NULL; version may be NULL. */
 const char *replica_get(const struct replica *f, const char *key,
 			uint64_t *version)
@@ -524,7 +533,9 @@
 	struct replica *f = arg;
 	/* A call that is lost when the store is back must not cost the wait
 	 * as well: a change of the policy has to be in force soon after. */
-	uint32_t wait = f->refresh || f->failure_count ? 0 : f->wait_ms;
+	uint32_t wait = f->refresh || f->failure_count
+				? 0
+				: MIN(f->wait_ms, f->wait_limit_ms);
 	uint32_t answer_timeout =
 		ANSWER_TIMEOUT_MS
 		<< (f->large_rows ? MIN(f->failure_count,
--- a/lead/replica.h
+++ b/lead/replica.h
@@ -44,6 +44,7 @@
 uint64_t replica_store_clock_ms(const struct replica *f);
 uint64_t replica_answer_clock_ms(const struct replica *f);
 void replica_set_poll_delay(struct replica *f, uint32_t poll_delay_ms);
+void replica_limit_wait(struct replica *f, uint32_t wait_ms);
 const char *replica_get(const struct replica *f, const char *key,
 			uint64_t *version);
 void replica_for_each(const struct replica *f, const char *prefix,
--- a/lead/session.c
+++ b/lead/session.c
@@ -7,6 +7,7 @@
 
 #include "lead/delivery.h"
 #include "lead/departure.h"
+#include "lead/domainorders.h"
 #include "lead/session.h"
 #include "lead/leaseclock.h"
 #include "lead/loss.h"
@@ -32,8 +33,6 @@
 #define LISTS_RETRY_DELAY_MS 120
 /* Timeout of an order, after which it is retried. */
 #define ORDER_TIMEOUT_MS 250
-/* Lease granted with a start order; the next list call extends it. */
-#define START_LEASE_MS 3000
 /*
  * Delay before an order is retried; the longer one applies to an upstream
  * that does not answer list calls either.
@@ -144,13 +143,39 @@
 	       (!ev->may_start || ev->may_start(k->env->arg, t));
 }
 
+/* Report whether the operators allow no start of t on its upstream. */
+static bool is_forbidden(const struct session *k, const struct task *t)
+{
+	const struct session_events *ev = &k->env->events;
+
+	return ev->is_forbidden && ev->is_forbidden(k->env->arg, t);
+}
+
+/*
+ * Do not send the start of t again. An earlier order may have been carried out
+ * or still be, so that it is settled by a stop.
+ */
+static void withhold_start(struct session *k, struct task *t)
+{
+	domain_orders_log_withheld(t);
+	if (t->uncertain) {
+		t->state = TASK_STOPPING;
+		session_stop_run(k, t);
+	} else {
+		task_end_run(t, RUN_NEVER_STARTED, NULL, clock_mono_ms());
+	}
+	k->env->events.model_changed(k->env->arg);
+}
+
 /*
  * Send the start of t again, settle it, or wait for the list of upstreams. The
  * upstream may have less room by now, or be about to leave.
  */
 static void retry_start(struct session *k, struct task *t)
 {
-	if (!delivery_may_send_again(t, clock_mono_ms()))
+	if (is_forbidden(k, t))
+		withhold_start(k, t);
+	else if (!delivery_may_send_again(t, clock_mono_ms()))
 		give_up_start(k, t, ORDER_NOT_SENT);
 	else if (t->at->state != UPSTREAM_READY ||
 		 upstream_is_overcommitted(t->at))
@@ -292,6 +317,8 @@
 	u->leaving = e->draining;
 	u->resources = e->resources;
 	u->state = e->draining ? UPSTREAM_DRAINING : UPSTREAM_READY;
+	u->cold_until_ms =
+		e->cold_remaining_ms ? now + e->cold_remaining_ms : 0;
 	if (e->draining && e->drain_remaining_ms)
 		u->leaves_ms = now + e->drain_remaining_ms;
 	model_note_machine(k->env->model, u, e->machine, now);
@@ -967,7 +994,7 @@
 	o = order_create(k, t);
 	s.task = o->task;
 	s.lease_end_clock_ms = lease_clock_request(
-		&k->leases, MIN(START_LEASE_MS, k->env->settings->lease_ms),
+		&k->leases, domain_orders_start_lease_ms(k->env->settings),
 		now);
 	t->sent = true;
 	if (!s.lease_end_clock_ms) {
--- a/lead/session.h
+++ b/lead/session.h
@@ -24,6 +24,11 @@
 	 * always.
 	 */
 	bool (*may_start)(void *arg, const struct task *t);
+	/*
+	 * Returns whether the operators allow no start on the upstream of the
+	 * task; NULL: they always do.
+	 */
+	bool (*is_forbidden)(void *arg, const struct task *t);
 };
 
 /* Environment shared by all sessions of a leader. */
--- a/sched/fallback.c
+++ b/sched/fallback.c
@@ -29,11 +29,12 @@
 	return false;
 }
 
-/* Report whether u is one that st would take without the fallback. */
+/* Report whether u is one that st would take without the fallback, and warm. */
 static bool is_preferred(const struct pack *p, const struct stage *st,
 			 uint32_t index)
 {
-	return p->usable[index] && !has_failed_on(st, p->upstreams[index]);
+	return p->usable[index] && !has_failed_on(st, p->upstreams[index]) &&
+	       !upstream_is_cold(p->upstreams[index], p->now_ms);
 }
 
 /*
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -160,12 +160,19 @@
 
 /*
  * Report whether new work may be placed on u: it is ready, has accepted our
- * epoch, is not in backoff after failed orders and seems reachable.
+ * epoch, is not in backoff after failed orders, seems reachable, and is not in an
+ * evacuated domain.
  */
 bool upstream_is_usable(const struct upstream *u, uint64_t now_ms)
 {
 	return u->state == UPSTREAM_READY && u->synced && !u->doubted &&
-	       u->avoid_until_ms <= now_ms;
+	       !u->evacuated && u->avoid_until_ms <= now_ms;
+}
+
+/* Report whether u is slow after a start. */
+bool upstream_is_cold(const struct upstream *u, uint64_t now_ms)
+{
+	return u->cold_until_ms > now_ms;
 }
 
 /* Report whether the active tasks of u need more resources than it has. */
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -125,6 +125,7 @@
 double upstream_slowdown(const struct upstream *u);
 bool upstream_has_label(const struct upstream *u, GQuark label);
 bool upstream_is_overcommitted(const struct upstream *u);
+bool upstream_is_cold(const struct upstream *u, uint64_t now_ms);
 bool upstream_is_usable(const struct upstream *u, uint64_t now_ms);
 
 void upstream_record_failure(struct upstream *u, const struct job *j,
--- a/sched/job.c
+++ b/sched/job.c
@@ -665,6 +665,8 @@
 		return "plan_later";
 	case WAIT_NO_UPSTREAM:
 		return "no_upstream";
+	case WAIT_EVACUATED:
+		return "evacuated";
 	case WAIT_AVOIDED:
 		return "avoided";
 	case WAIT_RESERVED:
--- a/sched/job.h
+++ b/sched/job.h
@@ -143,6 +143,7 @@
 	WAIT_ISOLATION,	 /* a suspect, for an upstream without unproven runs */
 	/* while its service is mostly free: */
 	WAIT_NO_UPSTREAM, /* no listed upstream could hold a task of it */
+	WAIT_EVACUATED,	  /* only one in an evacuated domain could */
 	WAIT_AVOIDED,	  /* it would fit on upstreams that get no new work */
 	WAIT_RESERVED,	  /* it would fit on what is reserved for others */
 };
--- a/sched/pack.c
+++ b/sched/pack.c
@@ -17,6 +17,8 @@
 #define FAILING_SHARE_DIVISOR 3
 /* Upstreams with this many free accelerators or more are sorted as equal. */
 #define LEFT_ACCELERATORS_MAX 128
+/* Number of orders of choice: those of warm upstreams, then of cold ones. */
+#define ORDERS_MAX (2 * LEFT_ACCELERATORS_MAX)
 
 /*
  * A demand that did not fit in this pass. Free resources only shrink during a
@@ -294,23 +296,26 @@
 		s.left = available[i].accelerators -
 			 MIN(s.count, want) * p->demand.need.accelerators;
 		s.left = CLAMP(s.left, 0, LEFT_ACCELERATORS_MAX - 1);
+		s.order = s.left + (upstream_is_cold(p->upstreams[i], p->now_ms)
+					    ? LEFT_ACCELERATORS_MAX
+					    : 0);
 		p->slots[n++] = s;
 	}
 	return n;
 }
 
-/* Choose among n slots, the tightest first; returns how many it placed. */
+/* Choose among n slots, the tightest first, cold ones last; returns how many it placed. */
 static uint32_t choose_tightest(struct pack *p, uint32_t n, uint32_t want)
 {
-	uint32_t first[LEFT_ACCELERATORS_MAX + 1] = {0}, placed = 0;
+	uint32_t first[ORDERS_MAX + 1] = {0}, placed = 0;
 	struct pack_slot *sorted = p->slots + p->n;
 
 	for (uint32_t k = 0; k < n; k++)
-		first[p->slots[k].left + 1]++;
-	for (uint32_t c = 0; c < LEFT_ACCELERATORS_MAX; c++)
+		first[p->slots[k].order + 1]++;
+	for (uint32_t c = 0; c < ORDERS_MAX; c++)
 		first[c + 1] += first[c];
 	for (uint32_t k = 0; k < n; k++)
-		sorted[first[p->slots[k].left]++] = p->slots[k];
+		sorted[first[p->slots[k].order]++] = p->slots[k];
 	for (uint32_t k = 0; k < n && placed < want; k++) {
 		struct pack_slot s = sorted[k];
 
@@ -351,30 +356,39 @@
 }
 
 /*
- * Return the rack with the fewest free accelerators that takes all `want` tasks
- * of the demand, or PACK_ANY_RACK if there is none.
+ * Return the rack that takes all `want` tasks of the demand with the fewest on
+ * cold upstreams, among these the one with the fewest free accelerators;
+ * PACK_ANY_RACK if there is none.
  */
 static int find_tightest_rack(const struct pack *p, uint32_t want,
 			      const struct resources *available)
 {
 	int64_t best_free = INT64_MAX;
+	uint64_t best_cold = UINT64_MAX;
 	int best = PACK_ANY_RACK;
 
 	for (uint32_t r = 0; r < p->racks_len; r++) {
-		uint64_t fits = 0;
+		uint64_t fits = 0, warm = 0, cold;
 		int64_t left = 0;
 
 		for (uint32_t k = p->rack_start[r]; k < p->rack_start[r + 1];
 		     k++) {
 			uint32_t i = p->rack_members[k];
 
-			fits += pack_capacity(p, i, &available[i]);
+			uint32_t n = pack_capacity(p, i, &available[i]);
+
+			fits += n;
+			if (!upstream_is_cold(p->upstreams[i], p->now_ms))
+				warm += n;
 			left += MAX(available[i].accelerators, 0);
 		}
-		if (fits < want || left >= best_free)
+		cold = want - MIN(want, warm);
+		if (fits < want || cold > best_cold ||
+		    (cold == best_cold && left >= best_free))
 			continue;
 		best = (int)r;
 		best_free = left;
+		best_cold = cold;
 	}
 	return best;
 }
@@ -505,6 +519,36 @@
 	       choose_in_rack(p, want, availability, rack) == want;
 }
 
+/* Report whether the choice includes cold upstreams. */
+static bool choice_is_cold(const struct pack *p)
+{
+	for (uint32_t k = 0; k < p->chosen_len; k++)
+		if (upstream_is_cold(p->upstreams[p->chosen[k].index],
+				     p->now_ms))
+			return true;
+	return false;
+}
+
+/*
+ * Choose upstreams for all `want` tasks of st, if possible on its data rack,
+ * but no cold ones there if others take all tasks; false if not all fit.
+ */
+static bool choose_near_or_far(struct pack *p, struct stage *st, uint32_t want,
+			       enum pack_availability availability,
+			       uint32_t rank)
+{
+	bool near = choose_near_data(p, st, want, availability);
+
+	if (near && !choice_is_cold(p))
+		return true;
+	if (choose_anywhere(p, st, want, availability, rank) &&
+	    !(near && choice_is_cold(p)))
+		return true;
+	if (near)
+		return choose_near_data(p, st, want, availability);
+	return false;
+}
+
 /*
  * Choose upstreams for all `want` tasks of st, if possible on its data rack.
  * Sets p->chosen; false if not all fit.
@@ -512,8 +556,7 @@
 bool pack_choose_all(struct pack *p, struct stage *st, uint32_t want,
 		     enum pack_availability availability)
 {
-	return choose_near_data(p, st, want, availability) ||
-	       choose_anywhere(p, st, want, availability, 0);
+	return choose_near_or_far(p, st, want, availability, 0);
 }
 
 /* Report whether the run of t ends by itself and ranks lower than `rank`. */
@@ -567,8 +610,7 @@
 		p->reservable[i] = p->free_after_stops[i];
 		resources_add(&p->reservable[i], &lower_rank_use[i], 1);
 	}
-	return choose_near_data(p, st, want, PACK_RESERVABLE) ||
-	       choose_anywhere(p, st, want, PACK_RESERVABLE, rank);
+	return choose_near_or_far(p, st, want, PACK_RESERVABLE, rank);
 }
 
 /* Deduct the chosen tasks from the free resources for the rest of the pass. */
@@ -694,7 +736,7 @@
 	for (guint i = 0; i < p->fleet->list->len; i++) {
 		const struct upstream *u = g_ptr_array_index(p->fleet->list, i);
 
-		if (u->state != UPSTREAM_READY)
+		if (u->state != UPSTREAM_READY || u->evacuated)
 			continue;
 		all++;
 		slow += u->slow_until_ms > p->now_ms;
@@ -704,7 +746,11 @@
 	p->failing_allowed = failing * FAILING_SHARE_DIVISOR > all;
 }
 
-/* Begin a pass over f: compute the free resources. End it with pack_end. */
+/*
+ * Begin a pass over f: compute the free resources. End it with pack_end. The
+ * upstreams of evacuated domains are no part of it, so that they count neither
+ * as free nor as able to hold a task, and nothing is preempted on them.
+ */
 void pack_begin(struct pack *p, struct fleet *f, uint64_t now_ms)
 {
 	uint32_t len = f->list->len;
@@ -731,7 +777,7 @@
 		struct upstream *u = g_ptr_array_index(f->list, i);
 
 		u->pass_index = UINT32_MAX;
-		if (u->state != UPSTREAM_GONE)
+		if (u->state != UPSTREAM_GONE && !u->evacuated)
 			add_upstream(p, u);
 	}
 	index_racks(p);
--- a/sched/pack.h
+++ b/sched/pack.h
@@ -30,7 +30,8 @@
 struct pack_slot {
 	uint32_t index;
 	uint32_t count;
-	int64_t left; /* accelerators left free after placing the tasks */
+	int64_t left;	/* accelerators left free after placing the tasks */
+	uint32_t order; /* of the choice: by `left`, cold ones last */
 };
 
 /* The requirements of a stage. */
--- a/sched/wait.c
+++ b/sched/wait.c
@@ -54,6 +54,27 @@
 	return r;
 }
 
+/*
+ * Count how many tasks of the current demand the upstreams of evacuated domains
+ * could hold if they were empty.
+ */
+static uint64_t measure_evacuated(const struct pack *p)
+{
+	const struct demand *d = &p->demand;
+	uint64_t n = 0;
+
+	for (guint i = 0; i < p->fleet->list->len; i++) {
+		const struct upstream *u = g_ptr_array_index(p->fleet->list, i);
+
+		if (u->evacuated && u->state == UPSTREAM_READY &&
+		    u->service_quark == d->service &&
+		    upstream_has_label(u, d->label) &&
+		    resources_contain(&u->resources, &d->need))
+			n += resources_fit_count(&u->resources, &d->need);
+	}
+	return n;
+}
+
 /*
  * Return why `want` tasks of st do not start although its service is mostly
  * free; WAIT_NONE if the work that runs leaves no room for them.
@@ -66,7 +87,9 @@
 	pack_set_demand(p, st);
 	r = measure_room(p);
 	if (r.if_empty < want)
-		return WAIT_NO_UPSTREAM;
+		return r.if_empty + measure_evacuated(p) < want
+			       ? WAIT_NO_UPSTREAM
+			       : WAIT_EVACUATED;
 	if (r.free < want)
 		return WAIT_NONE;
 	if (r.usable < want)
