Test the evacuation of a failure domain

The least lease of a start is bounded as well, so that a bound from 2,700 ms on is kept: at 2,700 ms the sum of age and lease was 2,850 ms.

--- a/fake/joint.c
+++ b/fake/joint.c
@@ -19,7 +19,8 @@
  *			"late_writes": N, "late_write_ms": N, "late_table": NAME,
  *			"crash_ms": N, "guarded": BOOL, "lease_max_ms": N,
  *			"entries_lapse": BOOL, "entry_delay_ms": N,
- *			"upstream": N|"domain": N, "room": N, "silent": BOOL}
+ *			"upstream": N|"domain": N, "room": N, "silent": BOOL,
+ *			"cold_ms": N}
  *	               (down, silent: as refuse and hang, also for the open
  *	               polls of the feed;
  *	               forget: compact the feed's history up to now;
@@ -39,13 +40,15 @@
  *	               reaches the store again;
  *	               room: accelerators of one upstream, or of each one of a
  *	               domain, one for each run;
- *	               silent: their heartbeats do not reach the store)
+ *	               silent: their heartbeats do not reach the store;
+ *	               cold_ms: they are listed as cold for so long)
  *	GET /record    {"starts": N, "twice": N, "after_done": N,
  *			"running": N, "unlisted": N, "crashes": N,
  *			"over_room": N, "stopped": N, "void": N,
  *			"crash_tasks": [[TASK, CRASHES, FURTHER-STARTS], ...],
  *			"lapses": [[TASK, UPSTREAM, MS], ...],
  *			"last_starts": {JOB: MS, ...},
+ *			"last_starts_at": {UPSTREAM: MS, ...},
  *			"breaches": [{"what": "twice"|"after_done", "ms": MS,
  *			"task": TASK, "upstream": ID, "run": N, "epoch": N,
  *			"other_upstream": ID, "other_run": N, ...}, ...]}
@@ -60,6 +63,7 @@
  *	               after three upstreams had crashed under the task; lapses:
  *	               runs that ended with their lease, on the monotonic clock;
  *	               last_starts: of each job, on the same clock;
+ *	               last_starts_at: of each upstream, carried out by it;
  *	               breaches: the starts of twice and after_done, each with
  *	               the run before it and the epochs of their leaders)
  */
--- a/fake/jointrecord.c
+++ b/fake/jointrecord.c
@@ -27,7 +27,8 @@
 	uint32_t starts_after_done;
 	uint32_t void_ends;
 	json_t *breaches;
-	json_t *last_starts; /* job to the time of its last start */
+	json_t *last_starts;	/* job to the time of its last start */
+	json_t *last_starts_at; /* the same by upstream */
 };
 
 static void free_done_run(void *arg)
@@ -46,6 +47,7 @@
 					(GDestroyNotify)g_ptr_array_unref);
 	c->breaches = json_array();
 	c->last_starts = json_object();
+	c->last_starts_at = json_object();
 	return c;
 }
 
@@ -67,12 +69,14 @@
 	json_array_append_new(c->breaches, v);
 }
 
-/* Keep the time of the start of a task as the last one of its job. */
-static void note_last_start(struct joint_record *c, const char *task)
+/* Keep the time of the start of r as the last one of its job and upstream. */
+static void note_last_start(struct joint_record *c, const struct joint_run *r)
 {
-	char *job = g_strndup(task, strcspn(task, "."));
+	char *job = g_strndup(r->task, strcspn(r->task, "."));
 
 	json_object_set_new(c->last_starts, job, json_integer(clock_mono_ms()));
+	json_object_set_new(c->last_starts_at, r->upstream,
+			    json_integer(clock_mono_ms()));
 	g_free(job);
 }
 
@@ -84,7 +88,7 @@
 	const struct done_run *d;
 
 	c->starts++;
-	note_last_start(c, r->task);
+	note_last_start(c, r);
 	if (other) {
 		c->duplicate_starts++;
 		add_breach(c, "twice", r,
@@ -174,5 +178,6 @@
 			    json_integer(c->starts_after_done));
 	json_object_set_new(v, "void", json_integer(c->void_ends));
 	json_object_set(v, "last_starts", c->last_starts);
+	json_object_set(v, "last_starts_at", c->last_starts_at);
 	json_object_set(v, "breaches", c->breaches);
 }
--- a/fake/jointupstream.c
+++ b/fake/jointupstream.c
@@ -74,6 +74,7 @@
 	uint32_t listed_room;
 	uint64_t next_beat_ms;
 	uint64_t seq;
+	uint32_t cold_ms; /* listed as the time for which it is cold */
 };
 
 /* One life of an upstream: requests to an earlier one get no answer. */
@@ -545,10 +546,10 @@
 		"s:I}",
 		"service", "service", "addr", u->listed_address, "zone",
 		u->domain, "version", "v1", "slots", 8, "state", "ready",
-		"coldLeftMs", 0, "capacity", "cpu", 64000, "memMb", 65536,
-		"gpu", (int)u->room, "labels", "a", u->rack, "clockMs",
-		(json_int_t)upstream_clock_ms(u), "seq", (json_int_t)++u->seq,
-		"born", (json_int_t)u->born_ms);
+		"coldLeftMs", (int)u->cold_ms, "capacity", "cpu", 64000,
+		"memMb", 65536, "gpu", (int)u->room, "labels", "a", u->rack,
+		"clockMs", (json_int_t)upstream_clock_ms(u), "seq",
+		(json_int_t)++u->seq, "born", (json_int_t)u->born_ms);
 	struct past_room p = {u->listed_room, clock_mono_ms()};
 
 	joint_store_put(u->all->store, "servers", u->id, v);
@@ -718,6 +719,7 @@
 	const json_t *silent = json_object_get(command, "silent");
 
 	u->room = json_int_or(command, "room", u->room);
+	u->cold_ms = json_int_or(command, "cold_ms", u->cold_ms);
 	if (silent)
 		u->silent_ms = json_is_true(silent) ? clock_mono_ms() : 0;
 	u->listed_current = false;
--- a/sched/evacuation.c
+++ b/sched/evacuation.c
@@ -86,8 +86,14 @@
  */
 uint32_t evacuation_start_lease_ms(uint32_t bound_ms, uint32_t lease_ms)
 {
-	return bound_ms ? MIN(lease_ms, MAX(bound_ms / 2, START_LEASE_MIN_MS))
-			: lease_ms;
+	uint32_t left_ms = bound_ms > AGE_MIN_MS + SLACK_MS
+				   ? bound_ms - AGE_MIN_MS - SLACK_MS
+				   : 0;
+
+	if (!bound_ms)
+		return lease_ms;
+	return MIN(lease_ms,
+		   MAX(MIN(bound_ms / 2, left_ms), START_LEASE_MIN_MS));
 }
 
 /*
--- a/sched/pack.c
+++ b/sched/pack.c
@@ -304,7 +304,10 @@
 	return n;
 }
 
-/* Choose among n slots, the tightest first, cold ones last; returns how many it placed. */
+/*
+ * Choose among n slots, the tightest first and cold ones last; returns how many
+ * tasks it placed.
+ */
 static uint32_t choose_tightest(struct pack *p, uint32_t n, uint32_t want)
 {
 	uint32_t first[ORDERS_MAX + 1] = {0}, placed = 0;
--- a/test/jointsite.c
+++ b/test/jointsite.c
@@ -233,9 +233,11 @@
 		"\"reclaim_ms\": 2700, "
 		"\"gang_wait_ms\": 3000, \"checkpoint_s\": 2, "
 		"\"remote_factor\": 3, \"keep_ended_s\": 120, "
+		"\"evacuate_ms\": %u, "
 		"\"drain_ms\": 500, \"grace_s\": 2.9, \"history_s\": "
 		"20}}",
-		i, domain, callers, ready, metrics, peers, store, s->lease_ms);
+		i, domain, callers, ready, metrics, peers, store, s->lease_ms,
+		s->evacuate_ms);
 
 	g_file_set_contents(file, text, -1, NULL);
 	preload_fake_clock(s, i);
@@ -339,6 +341,27 @@
 	g_string_free(routes, TRUE);
 }
 
+/*
+ * Writes the row that evacuates failure domain d of a divided site, with a value
+ * that is no text, or removes it. Returns when the store has acknowledged it.
+ */
+void joint_set_evacuated(struct joint_site *s, uint32_t d, bool evacuated)
+{
+	char *row = g_strdup_printf("{\"table\": \"op\", \"part\": \"\", "
+				    "\"key\": \"evacuate/domain%u\", "
+				    "\"value\": \"/wA=\"}",
+				    d);
+	char *body = g_strdup_printf(
+		"{\"expected\": [], \"remove\": [%s], \"puts\": [%s]}",
+		evacuated ? "" : row, evacuated ? row : "");
+
+	assert_int_equal(
+		joint_request(s, s->store, "POST", "/-/rows-tx", body, NULL),
+		200);
+	g_free(body);
+	g_free(row);
+}
+
 /* Starts the fake platform and the proxies through which it is reached. */
 static void start_platform(struct joint_site *s)
 {
@@ -530,6 +553,7 @@
 	s->upstream_count = shape->upstreams;
 	s->domain_count = shape->domains;
 	s->lease_ms = shape->lease_ms;
+	s->evacuate_ms = shape->evacuate_ms;
 	s->unguarded = shape->unguarded;
 	s->divided = shape->domains > 1;
 	s->real_clocks = shape->real_clocks;
--- a/test/jointsite.h
+++ b/test/jointsite.h
@@ -28,6 +28,7 @@
 	uint32_t upstreams;
 	uint32_t domains; /* instances and upstreams are spread over them */
 	uint32_t lease_ms;
+	uint32_t evacuate_ms; /* 0: evacuations are ignored */
 	bool unguarded;
 	bool real_clocks; /* no joint_set_clock_offset */
 };
@@ -40,6 +41,7 @@
 	uint32_t upstream_count;
 	uint32_t domain_count;
 	uint32_t lease_ms;
+	uint32_t evacuate_ms;
 	bool real_clocks;
 	bool unguarded; /* upstreams carry out starts beyond their room */
 	bool divided;	/* there are several failure domains */
@@ -76,6 +78,7 @@
 void joint_wait_ready(struct joint_site *s, uint32_t i);
 void joint_wait_peers(struct joint_site *s, uint32_t i);
 void joint_put_config(struct joint_site *s, uint32_t version, const char *key);
+void joint_set_evacuated(struct joint_site *s, uint32_t d, bool evacuated);
 void joint_control_platform(struct joint_site *s, const char *body);
 void joint_set_room(struct joint_site *s, uint32_t u, uint32_t room);
 void joint_set_clock_offset(struct joint_site *s, uint32_t i, int32_t off_s);
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -36,6 +36,10 @@
 #define VERSION_AT_FIRST 5
 /* Time by which the clock is advanced between two steps of the loop. */
 #define ADVANCE_MS 50
+/* The bound of an evacuation, where a test sets one. */
+#define EVACUATE_MS 5000
+/* Key that evacuates the domain of the only upstream. */
+#define EVACUATION OPERATOR_EVACUATE_PREFIX "z"
 /* An address at which nothing listens. */
 #define REFUSING_ADDRESS "127.0.0.1:9"
 
@@ -46,12 +50,13 @@
 	struct counters *counters;
 	struct joint_settings settings;
 	struct rows *rows;
-	struct replica *owners, *jobs, *states;
+	struct replica *owners, *jobs, *states, *policies;
 	struct leader *leader;
 	struct policy *policy;
 	char *spec; /* row of the only job */
 	bool has_job;
-	char *run;		      /* its run row, or NULL */
+	bool evacuated; /* the domain of the only upstream, at first */
+	char *run;	/* its run row, or NULL */
 	const char *recorded_address; /* of the upstream in that row */
 	char *owner;		      /* the owner row, or NULL */
 	char *written_owner;	      /* as in the last write */
@@ -156,6 +161,10 @@
 		key = KEY_OWNER;
 		value = s->owner;
 	}
+	if (strstr(path, "table=" OPERATOR_TABLE "&") && s->evacuated) {
+		key = EVACUATION;
+		value = "";
+	}
 	if (key)
 		json_array_append_new(rows, encode_row(key, value, 1));
 	if (key && value == s->entry)
@@ -322,6 +331,17 @@
 	(void)version;
 }
 
+static void on_operator_row(void *arg, const char *key, const char *value,
+			    uint64_t version)
+{
+	const char *domain = decode_evacuation_key(key);
+
+	(void)version;
+	if (domain)
+		leader_apply_evacuation_row(((struct fixture *)arg)->leader,
+					    domain, value != NULL);
+}
+
 static uint32_t count_stronger_peers(void *arg)
 {
 	return ((struct fixture *)arg)->stronger_peers;
@@ -391,6 +411,7 @@
 	struct replica_events owners = {.changed = on_owner_row,
 					.answered = on_owner_answer};
 	struct replica_events other = {.changed = ignore_row};
+	struct replica_events op = {.changed = on_operator_row};
 	struct leader_env e;
 
 	*s = (struct fixture){.loop = loop_create(),
@@ -414,6 +435,8 @@
 				 &other, s);
 	s->states = replica_create(s->loop, s->rows, STATE_TABLE,
 				   replica_single_part, 1000, &other, s);
+	s->policies = replica_create(s->loop, s->rows, OPERATOR_TABLE,
+				     replica_single_part, 1000, &op, s);
 	e = (struct leader_env){.loop = s->loop,
 				.http = s->http,
 				.rows = s->rows,
@@ -422,6 +445,7 @@
 				.owners = s->owners,
 				.jobs = s->jobs,
 				.states = s->states,
+				.policies = s->policies,
 				.incarnation = 7,
 				.strength = 100,
 				.count_stronger_peers = count_stronger_peers,
@@ -437,6 +461,7 @@
 	replica_destroy(s->owners);
 	replica_destroy(s->jobs);
 	replica_destroy(s->states);
+	replica_destroy(s->policies);
 	g_ptr_array_free(s->calls, TRUE);
 	rows_destroy(s->rows);
 	http_client_destroy(s->http);
@@ -651,6 +676,121 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * Step the loop for ms, in which the feed of the operators' rows is answered as
+ * the store does, but reports no change.
+ */
+static void run_with_rows(struct fixture *s, uint64_t ms)
+{
+	uint64_t until_ms = clock_mono_ms() + ms;
+
+	while (clock_mono_ms() < until_ms) {
+		feed_rows(s, OPERATOR_TABLE, json_array());
+		leader_note_owner_answer(s->leader);
+		for (uint32_t i = 0; i < 10; i++)
+			loop_step(s->loop, 10);
+	}
+}
+
+/* Show the leader that the upstream's domain is evacuated, or not any more. */
+static void feed_evacuation(struct fixture *s, bool evacuated)
+{
+	json_t *row = encode_row(EVACUATION, "", 0);
+
+	if (!evacuated)
+		json_object_set_new(row, "deleted", json_true());
+	feed_rows(s, OPERATOR_TABLE, json_pack("[o]", row));
+}
+
+/*
+ * The evacuation is read while the start is recorded. Guards against a recorded
+ * start that is sent, and against one that is never placed again.
+ */
+static void test_recorded_start_is_withheld_in_evacuated_domain(void **state)
+{
+	struct fixture s;
+	uint32_t writes;
+
+	(void)state;
+	fixture_create(&s, 400);
+	s.settings.evacuate_ms = EVACUATE_MS;
+	run_with_rows(&s, 1500);
+	assert_true(leader_is_active(s.leader));
+	submit_job(&s);
+	while (!s.run_writes)
+		loop_step(s.loop, 10);
+	feed_evacuation(&s, true);
+	writes = s.writes;
+	run_with_rows(&s, 1500);
+	assert_true(s.writes > writes);
+	assert_int_equal(s.starts, 0);
+	assert_int_equal(leader_count_evacuated(s.leader), 1);
+	feed_evacuation(&s, false);
+	run_with_rows(&s, 1500);
+	assert_int_equal(s.starts, 1);
+	assert_int_equal(leader_count_evacuated(s.leader), 0);
+	fixture_destroy(&s);
+}
+
+/* Guards against obeying evacuations where the platform states no bound. */
+static void test_evacuation_is_ignored_without_a_bound(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, 5);
+	s.evacuated = s.has_job = true;
+	step_until_start(&s, START_MAX_MS);
+	assert_int_equal(s.starts, 1);
+	assert_int_equal(leader_count_evacuated(s.leader), 0);
+	fixture_destroy(&s);
+}
+
+/*
+ * A successor finds the row and a job of its predecessor. Guards against a start
+ * before it has read the row.
+ */
+static void test_successor_starts_nothing_in_evacuated_domain(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, 5);
+	s.settings.evacuate_ms = EVACUATE_MS;
+	s.evacuated = s.has_job = true;
+	run_with_rows(&s, 3000);
+	assert_true(leader_is_active(s.leader));
+	assert_int_equal(s.starts, 0);
+	feed_evacuation(&s, false);
+	run_with_rows(&s, 1500);
+	assert_int_equal(s.starts, 1);
+	fixture_destroy(&s);
+}
+
+/*
+ * The store commits writes but does not answer about the operators' rows.
+ * Guards against a start by rows that lack an evacuation of some time ago, and
+ * against a leader that sends none after the next answer.
+ */
+static void test_no_start_is_sent_by_old_rows_of_the_operators(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, 5);
+	s.settings.evacuate_ms = EVACUATE_MS;
+	run_with_rows(&s, 1500);
+	assert_true(leader_is_active(s.leader));
+	run_for(&s, EVACUATE_MS / 2);
+	submit_job(&s);
+	step_until_start(&s, 1500);
+	assert_true(s.run_writes);
+	assert_int_equal(s.starts, 0);
+	run_with_rows(&s, 1500);
+	assert_int_equal(s.starts, 1);
+	fixture_destroy(&s);
+}
+
 /* Answer the call of this path that was sent first. */
 static void answer_first(struct fixture *s, const char *path)
 {
@@ -1553,6 +1693,13 @@
 		cmocka_unit_test(
 			test_upstreams_never_heard_of_speak_for_no_domain),
 		cmocka_unit_test(test_upstream_with_odd_entry_keeps_its_runs),
+		cmocka_unit_test(
+			test_recorded_start_is_withheld_in_evacuated_domain),
+		cmocka_unit_test(test_evacuation_is_ignored_without_a_bound),
+		cmocka_unit_test(
+			test_successor_starts_nothing_in_evacuated_domain),
+		cmocka_unit_test(
+			test_no_start_is_sent_by_old_rows_of_the_operators),
 		cmocka_unit_test(test_stale_read_of_specs_starts_no_task_again),
 		cmocka_unit_test(test_job_without_its_row_keeps_its_runs),
 		cmocka_unit_test(test_stale_read_of_runs_starts_no_task_again),
--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -587,6 +587,46 @@
 	}
 }
 
+static bool forbid_start(void *arg, const struct task *t)
+{
+	(void)arg;
+	(void)t;
+	return true;
+}
+
+/*
+ * The operators evacuate the domain while a start waits for its repetition.
+ * Guards against a start that is sent again, and against one that is dropped
+ * although the first order was carried out.
+ */
+static void test_start_is_not_repeated_in_an_evacuated_domain(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	for (uint32_t carried_out = 0; carried_out < 2; carried_out++) {
+		fixture_create(&s);
+		fake_upstream_create(&f, s.loop);
+		open_session(&s, &f);
+		step_until(s.loop, &s.changes, 1000);
+		f.mute = !carried_out;
+		f.holds_orders = true;
+		start_task(&s);
+		step_until(s.loop, &f.starts, 1000);
+		s.env.events.is_forbidden = forbid_start;
+		/* the lists show a run that was carried out */
+		f.holds_lists = true;
+		step_until(s.loop, &f.stops, 2000);
+		f.mute = f.holds_orders = f.holds_lists = false;
+		remove_run(&f, "00000000000000a1.0.0.0");
+		assert_becomes(&s, TASK_WAITING);
+		assert_int_equal(f.starts, 1);
+		assert_true(f.stops);
+		fixture_destroy(&s);
+	}
+}
+
 /*
  * The settings shorten the lease while an earlier leader's one of the former
  * length lasts. Guards against a run that is taken as lost before it has ended.
@@ -1211,6 +1251,8 @@
 			test_start_is_not_repeated_after_its_retry_time),
 		cmocka_unit_test(
 			test_start_is_not_repeated_beyond_the_listed_room),
+		cmocka_unit_test(
+			test_start_is_not_repeated_in_an_evacuated_domain),
 		cmocka_unit_test(
 			test_shorter_lease_setting_does_not_shorten_leases),
 		cmocka_unit_test(test_run_of_earlier_incarnation_is_lost),
