Learn the speed of machines from runs and place work by it

On 350 upstreams of which a third takes 2.4 times as long as the others, a gang on upstreams chosen without regard to speed is nearly always late.

Each machine now has a belief about the logarithm of its slowdown, from the rates of runs and their siblings. Speeds are used only if products of residuals of different runs on one machine show a spread clearly above 0.28. Then urgent stages take the fastest upstreams and other work the slowest that its objective allows; durations are learned at the speed of a mean upstream. Without it all choices are as before.

--- a/lead/leader.c
+++ b/lead/leader.c
@@ -543,6 +543,7 @@
 		.wall_ms = clock_wall_ms(),
 		.stops_only = election_write_in_flight(d->election),
 		.estimator = d->model->estimator,
+		.speeds = d->model->speeds,
 		.checkpoint_ms = d->env.settings->checkpoint_ms,
 		.stop_ms = d->env.settings->stop_ms,
 		.reclaim_ms = d->env.settings->reclaim_ms,
--- a/lead/model.c
+++ b/lead/model.c
@@ -29,6 +29,7 @@
 	m->job_list = g_ptr_array_new();
 	m->fleet = fleet_create();
 	m->estimator = estimator_create();
+	m->speeds = speed_create(SPEED_SPREAD_MIN_DEFAULT);
 	return m;
 }
 
@@ -41,6 +42,7 @@
 	g_hash_table_destroy(m->jobs);
 	fleet_destroy(m->fleet);
 	estimator_destroy(m->estimator);
+	speed_destroy(m->speeds);
 	g_free(m);
 }
 
@@ -175,15 +177,17 @@
 	char name[TASK_NAME_BYTES];
 
 	task_format_name(t, name, sizeof(name));
-	log_fields(LOG_INFO, "run_ended", "{s:s,s:s,s:I,s:s,s:s,s:I,s:I,s:b}",
-		   "job", t->stage->job->id, "task", name, "run",
-		   (json_int_t)t->run, "how", run_end_name(end_reason),
-		   "upstream", u->id, "after_ms",
-		   (json_int_t)(now_ms - t->placed_ms), "confirmed_after_ms",
+	log_fields(LOG_INFO, "run_ended",
+		   "{s:s,s:s,s:I,s:s,s:s,s:I,s:I,s:b,s:f}", "job",
+		   t->stage->job->id, "task", name, "run", (json_int_t)t->run,
+		   "how", run_end_name(end_reason), "upstream", u->id,
+		   "after_ms", (json_int_t)(now_ms - t->placed_ms),
+		   "confirmed_after_ms",
 		   t->confirmed_ms >= t->placed_ms
 			   ? (json_int_t)(t->confirmed_ms - t->placed_ms)
 			   : (json_int_t)-1,
-		   "stopping", t->state == TASK_STOPPING);
+		   "stopping", t->state == TASK_STOPPING, "slowdown",
+		   run_slowdown(t));
 	/* The upstream has outlived these runs. */
 	if ((end_reason == RUN_DONE || end_reason == RUN_FAILED) &&
 	    suspect_clear(t))
@@ -196,8 +200,12 @@
 			estimator_record_run(m->estimator, t->stage->job,
 					     t->stage->step_index,
 					     (now_ms - t->placed_ms) /
-						     upstream_slowdown(u));
+						     run_slowdown(t));
+		if (!t->checkpoint && !t->inherited)
+			speed_note_done(m->speeds, t, m->estimator,
+					now_ms - t->placed_ms, now_ms);
 	}
+	speed_note_end(m->speeds, t, end_reason == RUN_DONE);
 	task_end_run(t, end_reason, checkpoint, now_ms);
 }
 
@@ -268,6 +276,7 @@
 		g_hash_table_add(listed, t);
 		task_record_progress(t, r->percent, now_ms);
 		progress_record(t, r->percent, a->clock_ms);
+		speed_note_progress(m->speeds, t, m->estimator, now_ms);
 		if (*r->checkpoint && g_strcmp0(t->checkpoint, r->checkpoint)) {
 			g_free(t->checkpoint);
 			t->checkpoint = g_strdup(r->checkpoint);
@@ -558,6 +567,7 @@
 	u->incarnations_compared = false;
 	if (!before)
 		return true;
+	speed_note_restart(m->speeds, u);
 	lost = g_ptr_array_new();
 	for (guint i = 0; i < u->tasks->len; i++) {
 		struct task *t = g_ptr_array_index(u->tasks, i);
--- a/lead/model.h
+++ b/lead/model.h
@@ -10,6 +10,7 @@
 #include "platform/orders.h"
 #include "sched/dispatch.h"
 #include "sched/estimator.h"
+#include "sched/speed.h"
 #include "sched/suspect.h"
 
 struct model {
@@ -25,6 +26,7 @@
 	uint64_t regained_ms;
 	struct fleet *fleet;
 	struct estimator *estimator;
+	struct speed_table *speeds;
 };
 
 /* A run that its upstream must stop, as it is no task's current run there. */
--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -60,13 +60,6 @@
 /* A value above any loss. */
 #define VALUE_MANDATORY 1e9
 
-/*
- * Ranks: urgent work covered by its account's guarantee, other urgent work,
- * then the queues by priority.
- */
-#define RANK_GUARANTEED 0
-#define RANK_URGENT 1
-
 struct candidate {
 	struct stage *stage;
 	uint32_t rank;
@@ -729,6 +722,8 @@
 					 .now_ms = input->now_ms,
 					 .stop_ms = input->stop_ms,
 					 .checkpoint_ms = input->checkpoint_ms};
+	if (input->speeds)
+		speed_refresh(input->speeds, input->fleet, input->now_ms);
 	p.actions = g_array_new(FALSE, FALSE, sizeof(struct action));
 	p.candidates = g_array_new(FALSE, FALSE, sizeof(struct candidate));
 	rank_jobs(input);
--- a/sched/dispatch.h
+++ b/sched/dispatch.h
@@ -7,6 +7,7 @@
 
 #include "sched/fleet.h"
 #include "sched/estimator.h"
+#include "sched/speed.h"
 
 enum stop_cause {
 	STOP_CANCELLED,
@@ -47,8 +48,9 @@
 	uint64_t wall_ms;
 	bool stops_only; /* starts cannot be recorded at present */
 	struct estimator *estimator;
-	uint32_t checkpoint_ms; /* checkpoint interval */
-	uint32_t stop_ms;	/* time an upstream takes to stop a run */
+	struct speed_table *speeds; /* NULL: not used */
+	uint32_t checkpoint_ms;	    /* checkpoint interval */
+	uint32_t stop_ms;	    /* time an upstream takes to stop a run */
 	/* maximum time until a guaranteed job has started */
 	uint32_t reclaim_ms;
 	uint32_t lease_ms; /* a lost run is known to have ended after it */
--- /dev/null
+++ b/sched/fastest.h
@@ -0,0 +1,17 @@
+/* The order in which upstreams of different speed are chosen for a stage. */
+#ifndef SCHED_FASTEST_H
+#define SCHED_FASTEST_H
+
+#include "sched/pack.h"
+
+/* Classes of preference, class 0 first. */
+#define FASTEST_CLASSES 32
+
+uint32_t fastest_class(const struct pack *p, uint32_t index);
+void fastest_sort(struct pack_slot *slots, struct pack_slot *scratch,
+		  uint32_t n);
+int fastest_find_rack(const struct pack *p, uint32_t want,
+		      const struct resources *available);
+double fastest_chosen_slowdown(const struct pack *p);
+
+#endif
--- a/sched/job.c
+++ b/sched/job.c
@@ -416,6 +416,7 @@
 	t->placed_ms = now_ms;
 	t->percent = 0;
 	progress_reset(t);
+	t->speed = (struct speed_evidence){0};
 	t->percent_listed_ms = now_ms;
 	t->first_percent = 0;
 	/* a run without a checkpoint begins at 0 percent */
--- a/sched/job.h
+++ b/sched/job.h
@@ -82,6 +82,27 @@
 	/* duration of a full run at the last window's rate; 0: unknown */
 	uint64_t full_run_ms;
 	bool from_checkpoint; /* the run resumed from a checkpoint */
+	/* first and newest listed progress of the run; first_ms 0: none */
+	uint32_t first_percent;
+	uint32_t last_percent;
+	uint64_t first_ms;
+	uint64_t last_ms;
+};
+
+/*
+ * What the present run says of the speed of its machine, to be replaced when it
+ * has progressed further. Used by sched/speed.c only.
+ */
+struct speed_evidence {
+	bool seen;
+	uint32_t percent;     /* progress at the last observation */
+	double precision;     /* contributed to the belief about the machine */
+	double weighted_mean; /* and the mean times the precision */
+	double stage_weight;  /* contributed to the stage term */
+	double stage_sum;
+	double stage_variance; /* of the stage term without this run */
+	double residual;       /* logarithm of the duration less that term */
+	double deviation; /* of it from the belief, in standard deviations */
 };
 
 /*
@@ -109,6 +130,7 @@
 	uint32_t first_percent;	    /* first progress listed for this run */
 	uint64_t first_percent_ms;  /* when it was listed; 0: not listed yet */
 	struct run_rate run_rate;
+	struct speed_evidence speed;
 	uint64_t placed_ms;
 	uint64_t confirmed_ms;
 	uint64_t ended_ms;
@@ -158,6 +180,11 @@
 	double value_in_time;  /* value of the job if it meets the objective */
 	double value_late;     /* value of the job if it ends late */
 	double upstream_share; /* share of a mean upstream that a task uses */
+	/*
+	 * Slowdown up to which an upstream serves the stage well enough; 0: the
+	 * fastest are preferred, infinite: speed is of no concern.
+	 */
+	double slowdown_allowed;
 	/* value lost by stopping the gang; negative: unknown */
 	double gang_stop_loss;
 	/* time until the gang is expected to end; 0: unknown */
@@ -181,6 +208,10 @@
 	bool rack_can_hold; /* some rack could hold it if empty */
 	/* rack layout for which rack_can_hold was computed */
 	uint64_t rack_layout;
+	/* precision of its term in sched/speed.c, and that times the mean */
+	double speed_weight;
+	double speed_sum;
+	uint64_t speed_number; /* in the order of the first observation */
 	struct stage_value value;
 	enum wait_reason wait_reason;
 	uint32_t trials_passed; /* suspects of it that were cleared */
@@ -197,6 +228,13 @@
 	JOB_CANCELLED,
 };
 
+/*
+ * Ranks: urgent work covered by its account's guarantee, other urgent work,
+ * then the queues by priority.
+ */
+#define RANK_GUARANTEED 0
+#define RANK_URGENT 1
+
 struct job {
 	char id[JOB_ID_BYTES];
 	char queue[LABEL_BYTES];
--- a/sched/pack.c
+++ b/sched/pack.c
@@ -1,9 +1,11 @@
 /* Free resources, and best-fit placement of tasks. */
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "sched/pack.h"
 #include "sched/ending.h"
+#include "sched/fastest.h"
 #include "sched/suspect.h"
 
 /* Maximum number of unmet demands that are remembered in a pass. */
@@ -247,6 +249,7 @@
 	p->demand_id++;
 	*d = (struct demand){.stage = st,
 			     .need = task_resources(&st->tasks[0]),
+			     .slowdown_allowed = st->value.slowdown_allowed,
 			     .service = st->job->service_quark,
 			     .label = *st->step->label ? st->step->label_quark
 						       : 0};
@@ -294,12 +297,16 @@
 		s.left = available[i].accelerators -
 			 MIN(s.count, want) * p->demand.need.accelerators;
 		s.left = CLAMP(s.left, 0, LEFT_ACCELERATORS_MAX - 1);
+		s.speed_class = fastest_class(p, i);
 		p->slots[n++] = s;
 	}
 	return n;
 }
 
-/* Choose among n slots, the tightest first; returns how many it placed. */
+/*
+ * Choose among n slots, by speed if it matters and then the tightest first;
+ * returns how many it placed.
+ */
 static uint32_t choose_tightest(struct pack *p, uint32_t n, uint32_t want)
 {
 	uint32_t first[LEFT_ACCELERATORS_MAX + 1] = {0}, placed = 0;
@@ -311,6 +318,8 @@
 		first[c + 1] += first[c];
 	for (uint32_t k = 0; k < n; k++)
 		sorted[first[p->slots[k].left]++] = p->slots[k];
+	if (p->speeds_used)
+		fastest_sort(sorted, p->slots, n);
 	for (uint32_t k = 0; k < n && placed < want; k++) {
 		struct pack_slot s = sorted[k];
 
@@ -360,6 +369,8 @@
 	int64_t best_free = INT64_MAX;
 	int best = PACK_ANY_RACK;
 
+	if (p->speeds_used)
+		return fastest_find_rack(p, want, available);
 	for (uint32_t r = 0; r < p->racks_len; r++) {
 		uint64_t fits = 0;
 		int64_t left = 0;
@@ -655,6 +666,9 @@
 	p->layout_hash = hash_mix(p->layout_hash, u->resources.memory_mb);
 	p->layout_hash = hash_mix(p->layout_hash, u->resources.accelerators);
 	measure_upstream(p, u->pass_index);
+	p->speeds_used |= u->slowdown > 0;
+	if (u->slowdown > 0)
+		p->log_slowdown[u->pass_index] = log(u->slowdown);
 }
 
 /* Number the racks and group the upstreams by rack. */
@@ -718,6 +732,7 @@
 	p->free_now = g_new0(struct resources, len + 1);
 	p->free_after_stops = g_new0(struct resources, len + 1);
 	p->reservable = g_new0(struct resources, len + 1);
+	p->log_slowdown = g_new0(double, len + 1);
 	p->excluded_for = g_new0(uint64_t, len + 1);
 	p->racks = g_new0(GQuark, len + 1);
 	p->rack = g_new0(uint32_t, len + 1);
@@ -745,6 +760,7 @@
 	g_free(p->free_now);
 	g_free(p->free_after_stops);
 	g_free(p->reservable);
+	g_free(p->log_slowdown);
 	g_free(p->excluded_for);
 	g_free(p->racks);
 	g_free(p->rack);
--- a/sched/pack.h
+++ b/sched/pack.h
@@ -31,6 +31,7 @@
 	uint32_t index;
 	uint32_t count;
 	int64_t left; /* accelerators left free after placing the tasks */
+	uint32_t speed_class; /* preference by speed, see fastest_class */
 };
 
 /* The requirements of a stage. */
@@ -41,6 +42,7 @@
 	GQuark label;
 	bool has_excluded; /* not every upstream of the service may be used */
 	bool one_each;	   /* at most one task per upstream */
+	double slowdown_allowed; /* see struct stage_value */
 };
 
 /*
@@ -64,6 +66,8 @@
 	struct demand demand;	      /* the current demand */
 	bool lifted;		      /* it may use what it was to avoid */
 	enum pack_isolation isolation;
+	bool speeds_used;	    /* the upstreams' speeds matter */
+	double *log_slowdown;	    /* of each upstream */
 	uint32_t suspect_upstreams; /* upstreams that host a suspect */
 	uint32_t racks_len;
 	GQuark *racks;		/* names, by rack index */
--- a/sched/progress.c
+++ b/sched/progress.c
@@ -43,6 +43,12 @@
 {
 	struct run_rate *r = &t->run_rate;
 
+	if (!r->first_ms || percent < r->first_percent) {
+		r->first_percent = percent;
+		r->first_ms = clock_ms;
+	}
+	r->last_percent = percent;
+	r->last_ms = clock_ms;
 	if (!r->window_start_ms || percent < r->window_start_percent ||
 	    clock_ms < r->window_start_ms) {
 		r->window_start_percent = percent;
@@ -86,7 +92,9 @@
 
 		if (!is_representative(t))
 			continue;
-		expected_ms = estimator_duration_ms(e, st->job, st->step_index);
+		expected_ms =
+			estimator_duration_ms(e, st->job, st->step_index) *
+			upstream_slowdown(u);
 		rate_sum +=
 			MIN(expected_ms / t->run_rate.full_run_ms, RATE_MAX);
 		++*judged;
--- a/sched/value.c
+++ b/sched/value.c
@@ -1,4 +1,5 @@
 /* The value of jobs and the loss by stopping their runs. */
+#include <math.h>
 #include <string.h>
 
 #include "sched/value.h"
@@ -29,6 +30,12 @@
 #define ACCELERATOR_CORES 8
 /* Maximum tasks assumed to fit on one upstream. */
 #define TASKS_PER_UPSTREAM_MAX 1000
+/*
+ * Share of the time that its objective leaves a stage that it may take on a
+ * slow upstream, and the slowdown of a fast one.
+ */
+#define ROOM_USED 0.85
+#define FAST_SLOWDOWN 0.7
 /* Progress below this many percent is not extrapolated. */
 #define PROGRESS_MIN_PERCENT 4
 
@@ -84,6 +91,26 @@
 	return base * MIN(size, RELATIVE_SIZE_MAX);
 }
 
+/*
+ * Return the slowdown up to which an upstream serves st well enough. Urgent
+ * work needs the fastest. Other work may take as long as its objective leaves
+ * it; if it is late in any case, as long as it has some value.
+ */
+static double slowdown_allowed(const struct stage *st,
+			       const struct stage_value *sv)
+{
+	double run_ms = MAX(sv->run_ms, 1), room_ms;
+
+	if (st->step->long_running)
+		return INFINITY;
+	if (st->job->rank <= RANK_URGENT)
+		return 0;
+	room_ms = run_ms + sv->slack_ms;
+	if (room_ms < run_ms * FAST_SLOWDOWN)
+		room_ms += (LATE_OBJECTIVE_FACTOR - 1.0) * sv->objective_ms;
+	return MAX(room_ms, 0) * ROOM_USED / run_ms;
+}
+
 /* Return the values of st, computed once per pass. */
 static const struct stage_value *stage_value_of(const struct value_context *v,
 						struct stage *st)
@@ -106,6 +133,7 @@
 	sv->value_in_time = job_value(v, j);
 	sv->value_late = sv->value_in_time * LATE_VALUE_SHARE;
 	sv->upstream_share = upstream_share(v, st);
+	sv->slowdown_allowed = slowdown_allowed(st, sv);
 	sv->gang_stop_loss = -1;
 	sv->gang_release_ms = 0;
 	return sv;
@@ -164,7 +192,8 @@
 uint64_t value_remaining_ms(const struct value_context *v, const struct task *t)
 {
 	uint64_t ran_ms = v->now_ms - MIN(t->placed_ms, v->now_ms);
-	uint64_t run_ms = stage_value_of(v, t->stage)->run_ms;
+	uint64_t run_ms = stage_value_of(v, t->stage)->run_ms *
+			  (t->at ? upstream_slowdown(t->at) : 1);
 	uint64_t since_listed_ms =
 		v->now_ms - MIN(t->percent_listed_ms, v->now_ms);
 	uint32_t progressed = t->percent - MIN(t->first_percent, t->percent);
