Prefer fast upstreams in preemption plans for urgent work

A plan chose the cheapest runs to stop, on slow upstreams too, and an urgent gang took free slow upstreams where it was sure to end late. The expected loss by a late end now counts with the loss by the stops, and an urgent gang waits or preempts for faster upstreams if that loses clearly less.

--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -8,6 +8,7 @@
 #include "sched/dispatch.h"
 #include "sched/evict.h"
 #include "sched/fallback.h"
+#include "sched/fastest.h"
 #include "sched/suspect.h"
 #include "sched/wait.h"
 
@@ -57,6 +58,14 @@
 #define SUSPECT_SHARE_DIVISOR 4
 #define SUSPECTS_PER_CLEARED 2
 
+/*
+ * Urgent work waits or preempts for faster upstreams than those that are free
+ * if the value expected to be lost by their speed is at least this share of its
+ * value, and if that leaves less than this share of the loss.
+ */
+#define FASTER_SHARE_MIN 0.2
+#define FASTER_LOSS_SHARE 0.6
+
 /* A value above any loss. */
 #define VALUE_MANDATORY 1e9
 
@@ -422,6 +431,20 @@
 	       (c->rank > RANK_URGENT && slack_ms > 0);
 }
 
+/* Make the stops of a plan for st, and free the plan. */
+static void carry_out_plan(struct pass *p, struct stage *st, struct eviction *e)
+{
+	pack_deduct_chosen(&p->pack);
+	p->preemptor = st->job;
+	for (guint i = 0; i < e->stop->len; i++)
+		stop_run(p, g_ptr_array_index(e->stop, i), STOP_PREEMPTED);
+	p->preemptor = NULL;
+	note_wait(p, st, WAIT_STOPS);
+	if (e->rack != PACK_ANY_RACK)
+		st->reserved_rack = p->pack.racks[e->rack];
+	eviction_clear(e);
+}
+
 /*
  * Preempt for the candidate if that gains value. It never waits for runs that
  * are expected to end: each expectation that fails costs urgent work the time
@@ -457,18 +480,57 @@
 		note_wait(p, st, WAIT_LOSS);
 		return false;
 	}
-	pack_deduct_chosen(&p->pack);
-	p->preemptor = st->job;
-	for (guint i = 0; i < e.stop->len; i++)
-		stop_run(p, g_ptr_array_index(e.stop, i), STOP_PREEMPTED);
-	p->preemptor = NULL;
-	note_wait(p, st, WAIT_STOPS);
-	if (e.rack != PACK_ANY_RACK)
-		st->reserved_rack = p->pack.racks[e.rack];
-	eviction_clear(&e);
+	carry_out_plan(p, st, &e);
 	return true;
 }
 
+/*
+ * The candidate, which is urgent, fits on the chosen upstreams, but would be
+ * late on them as they are slow. Wait for the stops of faster ones, or preempt
+ * there, if that loses less value. Returns false, with the choice restored, if
+ * it is to start on them.
+ */
+static bool get_faster(struct pass *p, const struct candidate *c, uint32_t want)
+{
+	struct stage *st = c->stage;
+	uint32_t stop_ms = p->input->stop_ms;
+	struct preempt_request request = {.rank = c->rank};
+	double late_loss;
+	struct eviction e = {0};
+
+	if (!p->pack.speeds_used || c->rank > RANK_URGENT || c->due ||
+	    st->step->long_running)
+		return false;
+	late_loss = fastest_chosen_late_loss(&p->pack, 0);
+	if (late_loss < st->value.value_in_time * FASTER_SHARE_MIN)
+		return false;
+	if (pack_choose_all(&p->pack, st, want, PACK_FREE_AFTER_STOPS) &&
+	    fastest_chosen_late_loss(&p->pack, stop_ms) <
+		    late_loss * FASTER_LOSS_SHARE) {
+		pack_deduct_chosen(&p->pack);
+		note_wait(p, st, WAIT_STOPS);
+		return true;
+	}
+	if (p->failed_plans >= FAILED_PLANS_MAX ||
+	    p->input->now_ms < st->next_plan_ms)
+		goto restore;
+	if (!p->evict)
+		p->evict = evict_create(&p->pack, &p->value);
+	request.max_loss = late_loss;
+	if (evict_plan(p->evict, &request, st, want, &e) &&
+	    e.loss + fastest_chosen_late_loss(&p->pack, stop_ms) <
+		    late_loss * FASTER_LOSS_SHARE) {
+		carry_out_plan(p, st, &e);
+		return true;
+	}
+	eviction_clear(&e);
+	st->next_plan_ms = p->input->now_ms + PLAN_RETRY_MS;
+	p->failed_plans++;
+restore:
+	pack_choose_all(&p->pack, st, want, PACK_FREE);
+	return false;
+}
+
 /* Return the share of all upstreams that st takes, by its dominant resource. */
 static double cluster_share(const struct pass *p, const struct stage *st)
 {
@@ -613,7 +675,8 @@
 	if (!want)
 		return;
 	if (pack_choose_all(k, st, want, PACK_FREE)) {
-		start_tasks(p, st, false);
+		if (!get_faster(p, c, want))
+			start_tasks(p, st, false);
 		return;
 	}
 	if (!st->step->gang) {
--- a/sched/evict.c
+++ b/sched/evict.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "sched/evict.h"
+#include "sched/fastest.h"
 
 /*
  * Extra loss accepted for the rack that was freed for the stage before, so that
@@ -69,8 +70,9 @@
 	/* by upstream index, valid if plan_of is the current plan */
 	struct resources *available;
 	uint32_t *count; /* tasks placed there */
-	double *cost;	 /* loss by one more task there */
-	GArray *unmet;	 /* struct unmet_demand of this pass */
+	/* loss by one more task there, and by its end if that is late */
+	double *cost;
+	GArray *unmet; /* struct unmet_demand of this pass */
 };
 
 /* A plan in progress: the request and the upstreams it examines. */
@@ -344,6 +346,8 @@
 	e->available[index] = c->have;
 	e->count[index]++;
 	plan->out->loss += c->loss;
+	plan->out->late_loss =
+		MAX(plan->out->late_loss, fastest_late_loss(e->pack, index, 0));
 }
 
 /* Return entry i of the heap, whose entry 0 is the cheapest. */
@@ -385,11 +389,13 @@
 static void quote_upstream(struct plan *plan, uint32_t index)
 {
 	struct victim_set c;
+	double cost;
 
 	find_victims(plan, index, &c);
-	plan->e->cost[index] = c.loss;
-	if (!isinf(c.loss))
-		heap_push(plan->e, (struct quote){c.loss, index});
+	cost = c.loss + fastest_late_loss(plan->e->pack, index, 0);
+	plan->e->cost[index] = cost;
+	if (!isinf(cost))
+		heap_push(plan->e, (struct quote){cost, index});
 }
 
 /* Return the index of the k-th upstream that the plan examines. */
@@ -435,15 +441,22 @@
 
 	while (e->heap->len) {
 		struct quote q = *heap_entry(e, 0);
+		double late_loss = fastest_late_loss(e->pack, q.index, 0);
 		struct victim_set c;
 
-		if (plan->out->loss + q.cost > max_loss)
-			return false;
+		if (plan->out->loss + q.cost - late_loss > max_loss) {
+			if (!e->pack->speeds_used)
+				return false;
+			/* a slower upstream may cost less */
+			heap_pop(e);
+			continue;
+		}
 		heap_pop(e);
 		if (q.cost != e->cost[q.index])
 			continue;
 		find_victims(plan, q.index, &c);
-		if (c.loss > q.cost) { /* the plan has used resources since */
+		/* the plan may have used resources since */
+		if (c.loss + late_loss > q.cost) {
 			quote_upstream(plan, q.index);
 			continue;
 		}
@@ -574,7 +587,8 @@
 		examined_count += p->rack_start[r + 1] - p->rack_start[r];
 		if (!plan_on(e, request, st, want, (int)r, max_loss + bonus,
 			     &one) ||
-		    (possible && one.loss - bonus >= out->loss)) {
+		    (possible && one.loss + one.late_loss - bonus >=
+					 out->loss + out->late_loss)) {
 			eviction_clear(&one);
 			continue;
 		}
@@ -582,7 +596,8 @@
 		eviction_clear(out);
 		*out = one;
 		possible = true;
-		max_loss = MIN(max_loss, one.loss);
+		if (!p->speeds_used)
+			max_loss = MIN(max_loss, one.loss);
 		best_chosen_len = p->chosen_len;
 		memcpy(best_chosen, p->chosen,
 		       best_chosen_len * sizeof(*best_chosen));
--- a/sched/evict.h
+++ b/sched/evict.h
@@ -17,9 +17,10 @@
 
 /* A preemption plan; its upstreams are in pack->chosen. */
 struct eviction {
-	double loss;	 /* value lost by the stops */
-	GPtrArray *stop; /* tasks to stop, without the rest of gangs */
-	int rack;	 /* index of the rack planned on, or PACK_ANY_RACK */
+	double loss;	  /* value lost by the stops */
+	double late_loss; /* and expected by ending late on slow upstreams */
+	GPtrArray *stop;  /* tasks to stop, without the rest of gangs */
+	int rack;	  /* index of the rack planned on, or PACK_ANY_RACK */
 };
 
 struct evict *evict_create(struct pack *p, const struct value_context *v);
--- a/sched/fastest.c
+++ b/sched/fastest.c
@@ -22,6 +22,10 @@
  */
 #define ALLOWED_DEVIATIONS 1.0
 #define SOUGHT_DEVIATIONS 0.5
+/* Variance of a run's expected duration, in the logarithm. */
+#define RUN_VARIANCE 0.04
+/* A stage with less room than this share of its run is late anywhere. */
+#define FASTEST_ROOM_MIN 0.6
 
 /* Return the bucket of a slowdown's logarithm. */
 static uint32_t bucket_of(double log_slowdown)
@@ -120,14 +124,36 @@
 	return best;
 }
 
-/* Return the slowdown of the slowest chosen upstream; 1 if none is chosen. */
-double fastest_chosen_slowdown(const struct pack *p)
+/*
+ * Return the value that the job of the current demand is expected to lose by
+ * ending late if a task of it starts on an upstream after delay_ms; 0 if speeds
+ * are not used. The stage's values must be those of this pass.
+ */
+double fastest_late_loss(const struct pack *p, uint32_t index,
+			 uint32_t delay_ms)
+{
+	const struct stage_value *sv = &p->demand.stage->value;
+	double sd = p->upstreams[index]->slowdown_log_sd, room_ms, z;
+
+	if (!p->speeds_used || isinf(p->demand.slowdown_allowed) ||
+	    sv->run_ms == 0)
+		return 0;
+	room_ms = (double)sv->run_ms + sv->slack_ms - delay_ms;
+	if (room_ms < sv->run_ms * FASTEST_ROOM_MIN)
+		return 0; /* it is late anywhere */
+	z = (p->log_slowdown[index] - log(room_ms / sv->run_ms)) /
+	    sqrt(sd * sd + RUN_VARIANCE);
+	return (sv->value_in_time - sv->value_late) * 0.5 *
+	       erfc(-z * M_SQRT1_2);
+}
+
+/* Return that loss for the worst of the chosen upstreams. */
+double fastest_chosen_late_loss(const struct pack *p, uint32_t delay_ms)
 {
-	double slowest = 0;
+	double worst = 0;
 
-	for (uint32_t k = 0; k < p->chosen_len; k++)
-		slowest = MAX(
-			slowest,
-			upstream_slowdown(p->upstreams[p->chosen[k].index]));
-	return slowest > 0 ? slowest : 1;
+	for (uint32_t k = 0; p->speeds_used && k < p->chosen_len; k++)
+		worst = MAX(worst,
+			    fastest_late_loss(p, p->chosen[k].index, delay_ms));
+	return worst;
 }
--- a/sched/fastest.h
+++ b/sched/fastest.h
@@ -12,6 +12,8 @@
 		  uint32_t n);
 int fastest_find_rack(const struct pack *p, uint32_t want,
 		      const struct resources *available);
-double fastest_chosen_slowdown(const struct pack *p);
+double fastest_late_loss(const struct pack *p, uint32_t index,
+			 uint32_t delay_ms);
+double fastest_chosen_late_loss(const struct pack *p, uint32_t delay_ms);
 
 #endif
