Use speeds after few runs, and move gangs off slow upstreams

Speeds were in use only after some 100 gangs, as products of two runs per machine need time. The variance of the residuals of single runs now decides first, against the noise seen between siblings on one machine. Speeds stay in use by the spread of the beliefs, since later runs are mostly on fast machines. A gang's siblings on one machine no longer tell each other the stage term.

An urgent gang that shows a slow member soon after its start, would be late there and in time on free faster upstreams is stopped once and started again, if that gains more than its work so far is worth.

--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -9,6 +9,7 @@
 #include "sched/evict.h"
 #include "sched/fallback.h"
 #include "sched/fastest.h"
+#include "sched/move.h"
 #include "sched/suspect.h"
 #include "sched/wait.h"
 
@@ -101,6 +102,8 @@
 		return "gang";
 	case STOP_UPSTREAM_LEAVING:
 		return "leaving";
+	case STOP_UPSTREAM_SLOW:
+		return "slow";
 	case STOP_ALREADY_DONE:
 		return "done_before";
 	}
@@ -749,6 +752,29 @@
 	}
 }
 
+/*
+ * Stop urgent gangs that were found on slow upstreams and end in time only on
+ * others that are free. These are kept free for the rest of the pass.
+ */
+static void move_off_slow(struct pass *p)
+{
+	for (guint i = 0; i < p->input->jobs->len; i++) {
+		struct job *j = g_ptr_array_index(p->input->jobs, i);
+
+		if (job_is_final(j) || !j->queue_known || j->rank > RANK_URGENT)
+			continue;
+		for (uint32_t k = 0; k < j->stages_len; k++) {
+			struct stage *st = &j->stages[k];
+
+			if (!move_gains(&p->pack, &p->value, st))
+				continue;
+			st->moved = true;
+			pack_deduct_chosen(&p->pack);
+			stop_stage(p, st, STOP_UPSTREAM_SLOW);
+		}
+	}
+}
+
 /* Return the mean resources of the upstreams that are listed. */
 static struct resources mean_upstream(const struct fleet *f)
 {
@@ -768,6 +794,13 @@
 				  r.accelerators / n};
 }
 
+/* Report whether gangs may be moved to faster upstreams in this pass. */
+static bool moves_possible(const struct dispatch_input *input)
+{
+	return input->speeds && speed_is_used(input->speeds) &&
+	       !input->stops_only;
+}
+
 /*
  * Run one scheduling pass. Tasks to start become TASK_PLACED and reserve
  * resources; tasks to stop become TASK_STOPPING. Returns an array of struct
@@ -793,9 +826,11 @@
 	stop_unwanted(&p);
 	move_off_leaving(&p);
 	collect_candidates(&p);
-	if (!p.candidates->len)
+	if (!p.candidates->len && !moves_possible(input))
 		goto out;
 	pack_begin(&p.pack, input->fleet, input->now_ms);
+	if (moves_possible(input))
+		move_off_slow(&p);
 	for (guint i = 0; i < p.candidates->len; i++) {
 		struct candidate *c =
 			&g_array_index(p.candidates, struct candidate, i);
--- a/sched/dispatch.h
+++ b/sched/dispatch.h
@@ -15,6 +15,7 @@
 	STOP_PREEMPTED,	       /* for a stage of higher rank */
 	STOP_GANG_BROKEN,      /* another member of the gang has ended */
 	STOP_UPSTREAM_LEAVING, /* the upstream leaves before the task can end */
+	STOP_UPSTREAM_SLOW,    /* the gang ends in time elsewhere only */
 	STOP_ALREADY_DONE,     /* an earlier run has completed the task */
 };
 
--- a/sched/job.h
+++ b/sched/job.h
@@ -95,6 +95,7 @@
  */
 struct speed_evidence {
 	bool seen;
+	bool counted;	      /* in the early judgement */
 	uint32_t percent;     /* progress at the last observation */
 	double precision;     /* contributed to the belief about the machine */
 	double weighted_mean; /* and the mean times the precision */
@@ -204,6 +205,7 @@
 	GQuark reserved_rack; /* rack last freed for it; 0: none */
 	/* some active tasks were completed by an earlier run */
 	bool earlier_run_done;
+	bool moved;	    /* was stopped to start on faster upstreams */
 	bool rack_relaxed;  /* may span racks despite the slowdown */
 	bool rack_can_hold; /* some rack could hold it if empty */
 	/* rack layout for which rack_can_hold was computed */
--- a/sched/speed.c
+++ b/sched/speed.c
@@ -52,12 +52,34 @@
 #define RESIDUAL_KEPT 0.9
 /* A residual counts if the variance of its stage term is below this. */
 #define RESIDUAL_STAGE_VARIANCE_MAX 0.1
-/* Machines with two runs or more for the spread to be judged. */
+/*
+ * Machines with two runs or more for the spread to be judged, and for this
+ * judgement to replace the early one.
+ */
 #define SPREAD_MACHINES_MIN 20
-/* The spread exceeds the bound by so many standard errors before speeds are
- * used, and falls below this share of the bound before they no longer are. */
+#define SPREAD_MACHINES_SURE 60
+/* The spread exceeds the bound by so many standard errors. */
 #define SPREAD_ERRORS 2.0
-#define SPREAD_OFF_SHARE 0.75
+/*
+ * Shares of the squared bound that the variance of the beliefs, which are drawn
+ * towards their mean, falls below before speeds are no longer used: after few
+ * runs and later.
+ */
+#define EARLY_OFF 0.8
+#define CONFIRMED_OFF 0.55
+/*
+ * Before enough machines had two runs, the spread is judged by the variance of
+ * the residuals less that of a task. The latter is taken to be as large as it
+ * usually gets, which weighs as much as NOISE_RUNS differences of siblings on
+ * one machine. RUNS_MIN runs are needed; a run counts from EARLY_PERCENT on.
+ */
+#define EARLY_TASK_VARIANCE 0.09
+#define EARLY_NOISE_RUNS 20
+#define EARLY_RUNS_MIN 40
+#define EARLY_ERRORS 1.5
+#define EARLY_PERCENT 8
+/* Weight of the runs so far with each new one: some 200 runs count. */
+#define EARLY_KEPT 0.995
 /* Interval between two judgements of the spread. */
 #define JUDGE_INTERVAL_MS 250
 /* A machine is known if the variance is below this. */
@@ -87,11 +109,23 @@
 	GHashTable *machines; /* name to struct machine */
 	double spread_min;
 	bool used;
-	double centre; /* logarithm of the mean slowdown of known machines */
-	double spread; /* standard deviation between machines, net of noise */
+	bool confirmed; /* by the runs of enough machines, not only early */
+	double centre;	/* logarithm of the mean slowdown of known machines */
+	double spread;	/* standard deviation between machines, net of noise */
+	double belief_variance; /* of the means of known machines */
 	uint32_t known;
 	uint64_t judged_ms;
 	uint64_t stages; /* number of stages that were observed */
+	/* of the residuals, less the variance of their stage terms */
+	struct early {
+		double n;
+		double sum;
+		double squares;
+		double fourths;
+		/* half the squared differences of siblings on one machine */
+		double noise;
+		double noise_n;
+	} early;
 };
 
 /* Create a table; speeds are used from a spread clearly above spread_min. */
@@ -193,23 +227,74 @@
 		is_on_one_rack(t->stage));
 }
 
-/* Return how many tasks of t's stage are active on its upstream. */
-static uint32_t siblings_there(const struct task *t)
+/* The siblings of a task on its own upstream, and itself. */
+struct siblings {
+	uint32_t n;
+	bool counted;	     /* one of them is, in the early judgement */
+	double residual;     /* the residual of that one */
+	double stage_weight; /* sum of their contributions to the stage term */
+	double stage_sum;
+};
+
+/* Sum the siblings of t on its upstream. */
+static struct siblings siblings_there(const struct task *t)
 {
-	uint32_t n = 0;
+	struct siblings b = {0};
 
 	for (guint i = 0; i < t->at->tasks->len; i++) {
 		const struct task *x = g_ptr_array_index(t->at->tasks, i);
 
-		n += x->stage == t->stage;
+		if (x->stage != t->stage)
+			continue;
+		b.n++;
+		if (x->speed.counted && !b.counted) {
+			b.counted = true;
+			b.residual = x->speed.residual;
+		}
+		b.stage_weight += x->speed.stage_weight;
+		b.stage_sum += x->speed.stage_sum;
+	}
+	return b;
+}
+
+/*
+ * Count a run that has progressed far enough in the early judgement: one of its
+ * stage and machine there, and the others by how far they differ from that one,
+ * which is noise.
+ */
+static void count_early(struct speed_table *s, struct task *t)
+{
+	struct siblings there = siblings_there(t);
+	struct speed_evidence *ev = &t->speed;
+	struct early *y = &s->early;
+	double mean = y->n > 0 ? y->sum / y->n : 0;
+	double r =
+		CLAMP(ev->residual - mean, -RESIDUAL_MAX, RESIDUAL_MAX) + mean;
+	/* the stage term is uncertain */
+	double square = r * r - ev->stage_variance;
+
+	if (there.counted) {
+		double d = CLAMP(ev->residual - there.residual, -RESIDUAL_MAX,
+				 RESIDUAL_MAX);
+
+		ev->counted = true;
+		y->noise += d * d / 2;
+		y->noise_n++;
+		return;
 	}
-	return MAX(n, 1);
+	if (ev->stage_variance >= RESIDUAL_STAGE_VARIANCE_MAX)
+		return;
+	ev->counted = true;
+	y->n = y->n * EARLY_KEPT + 1;
+	y->sum = y->sum * EARLY_KEPT + r;
+	y->squares = y->squares * EARLY_KEPT + square;
+	y->fourths = y->fourths * EARLY_KEPT + square * square;
 }
 
 /*
  * Replace what the run of t says by an observed logarithm of its full duration
  * in milliseconds, with the variance of the observation. Siblings on the same
- * machine share one observation.
+ * machine share its term, and none of them tells another one the stage term.
  */
 static void observe(struct speed_table *s, struct task *t,
 		    const struct estimator *e, double log_ms, double variance,
@@ -218,9 +303,9 @@
 	struct machine *m = machine_for(s, machine_name(t->at), now_ms);
 	struct stage *st = t->stage;
 	struct speed_evidence *ev = &t->speed;
-	double shared = siblings_there(t);
+	struct siblings there = siblings_there(t);
 	double precision, weighted_mean, mean, residual, z2, trust;
-	double stage_variance, weight;
+	double stage_variance, stage_weight;
 
 	age(m, now_ms);
 	precision = m->precision - ev->precision;
@@ -240,24 +325,25 @@
 		st->speed_sum = st->speed_weight *
 				(log(MAX(expected_ms, 1)) - s->centre);
 	}
-	st->speed_weight -= ev->stage_weight;
-	st->speed_sum -= ev->stage_sum;
-	stage_variance = 1 / st->speed_weight;
-	residual = log_ms - st->speed_sum / st->speed_weight;
+	stage_weight =
+		MAX(st->speed_weight - there.stage_weight, 1 / STAGE_VARIANCE);
+	stage_variance = 1 / stage_weight;
+	residual = log_ms - (st->speed_sum - there.stage_sum) / stage_weight;
 	z2 = (residual - mean) * (residual - mean) /
 	     (1 / precision + variance + stage_variance);
-	trust = MIN(1, (NOISE_FREEDOM + 1) / (NOISE_FREEDOM + z2)) / shared;
+	trust = MIN(1, (NOISE_FREEDOM + 1) / (NOISE_FREEDOM + z2));
 	if (!ev->seen)
 		m->runs++;
 	ev->seen = true;
-	ev->precision = trust / (variance + stage_variance);
+	ev->precision = trust / (variance + there.n * stage_variance);
 	ev->weighted_mean = residual * ev->precision;
 	m->precision = MIN(precision + ev->precision, 1 / VARIANCE_MIN);
 	m->weighted_mean = (weighted_mean + ev->weighted_mean) *
 			   (m->precision / (precision + ev->precision));
-	weight = trust / (1 / precision + variance);
-	ev->stage_weight = weight;
-	ev->stage_sum = weight * (log_ms - mean);
+	st->speed_weight -= ev->stage_weight;
+	st->speed_sum -= ev->stage_sum;
+	ev->stage_weight = trust / (there.n / precision + variance);
+	ev->stage_sum = ev->stage_weight * (log_ms - mean);
 	st->speed_weight += ev->stage_weight;
 	st->speed_sum += ev->stage_sum;
 	ev->residual = residual;
@@ -282,6 +368,8 @@
 	t->speed.percent = r->last_percent;
 	observe(s, t, e, log(ms * 100.0 / percent),
 		TASK_VARIANCE + error * error, now_ms);
+	if (percent >= EARLY_PERCENT && !t->speed.counted)
+		count_early(s, t);
 }
 
 /*
@@ -382,7 +470,7 @@
 {
 	GHashTableIter it;
 	gpointer value;
-	double sum = 0;
+	double sum = 0, means = 0, squares = 0, mean;
 
 	s->known = 0;
 	g_hash_table_iter_init(&it, s->machines);
@@ -392,8 +480,13 @@
 		if (!is_known(m))
 			continue;
 		s->known++;
-		sum += exp(m->weighted_mean / m->precision);
+		mean = m->weighted_mean / m->precision;
+		sum += exp(mean);
+		means += mean;
+		squares += mean * mean;
 	}
+	mean = means / MAX(s->known, 1);
+	s->belief_variance = squares / MAX(s->known, 1) - mean * mean;
 	if (s->known >= CENTRE_MACHINES_MIN)
 		s->centre = log(sum / s->known);
 }
@@ -417,6 +510,23 @@
 	return n > 0 ? sum / n : 0;
 }
 
+/* Judge by the variance of the residuals of few runs whether speeds are used. */
+static void judge_early(struct speed_table *s)
+{
+	const struct early *y = &s->early;
+	double mean, variance, error, noise;
+
+	if (y->n < EARLY_RUNS_MIN)
+		return;
+	mean = y->sum / y->n;
+	variance = y->squares / y->n - mean * mean;
+	noise = (EARLY_TASK_VARIANCE * EARLY_NOISE_RUNS + y->noise) /
+		(EARLY_NOISE_RUNS + y->noise_n);
+	error = sqrt(MAX(y->fourths / y->n - variance * variance, 0) / y->n);
+	s->used |= variance - EARLY_ERRORS * error >
+		   s->spread_min * s->spread_min + noise;
+}
+
 /*
  * Judge the variance between machines, net of noise, and whether speeds are
  * used. Nothing changes while too few machines had two runs.
@@ -442,16 +552,31 @@
 		squares += x * x;
 		n++;
 	}
+	if (n < SPREAD_MACHINES_SURE)
+		judge_early(s);
 	if (n < SPREAD_MACHINES_MIN)
 		return;
 	variance = sum / n;
 	error = sqrt(MAX(squares / n - variance * variance, 0) / n);
 	s->spread = sqrt(MAX(variance, 0));
-	if (!s->used)
-		s->used = variance - SPREAD_ERRORS * error > bound;
-	else
-		s->used = variance + SPREAD_ERRORS * error >
-			  bound * SPREAD_OFF_SHARE * SPREAD_OFF_SHARE;
+	if (variance - SPREAD_ERRORS * error > bound)
+		s->used = s->confirmed = true;
+}
+
+/*
+ * Judge whether speeds are still used, by the spread of the beliefs: where they
+ * are used, fast machines get most of the runs, and products of residuals show
+ * little of the others. What few runs have suggested must hold.
+ */
+static void judge_end(struct speed_table *s)
+{
+	double bound = s->spread_min * s->spread_min;
+
+	if (s->known < SPREAD_MACHINES_SURE)
+		return;
+	s->used &= s->belief_variance >
+		   bound * (s->confirmed ? CONFIRMED_OFF : EARLY_OFF);
+	s->confirmed &= s->used;
 }
 
 /* Report whether the machine value was not seen for long. */
@@ -497,6 +622,7 @@
 		g_hash_table_foreach_remove(s->machines, is_outdated, &now);
 		find_centre(s);
 		judge_spread(s);
+		judge_end(s);
 	}
 	for (guint i = 0; i < f->list->len; i++) {
 		struct upstream *u = g_ptr_array_index(f->list, i);
--- a/sched/value.c
+++ b/sched/value.c
@@ -59,7 +59,7 @@
 }
 
 /* Return the time from which the objective of st counts, in milliseconds. */
-static uint64_t objective_start_ms(const struct stage *st)
+uint64_t value_objective_start_ms(const struct stage *st)
 {
 	/* the objective of an occurrence starts when the stage is ready */
 	return st->job->repeat ? st->since_ms : st->job->since_ms;
@@ -128,8 +128,9 @@
 	sv->run_ms = estimator_duration_ms(v->estimator, j, st->step_index);
 	sv->objective_ms = longest_ms * j->slack_factor + j->target_ms;
 	sv->critical_path_ms = remaining_ms[st->step_index];
-	sv->slack_ms = (int64_t)(objective_start_ms(st) + sv->objective_ms) -
-		       (int64_t)(v->now_ms + sv->critical_path_ms);
+	sv->slack_ms =
+		(int64_t)(value_objective_start_ms(st) + sv->objective_ms) -
+		(int64_t)(v->now_ms + sv->critical_path_ms);
 	sv->value_in_time = job_value(v, j);
 	sv->value_late = sv->value_in_time * LATE_VALUE_SHARE;
 	sv->upstream_share = upstream_share(v, st);
@@ -139,6 +140,12 @@
 	return sv;
 }
 
+/* Return the objective of the job of st, from value_objective_start_ms. */
+uint64_t value_objective_ms(const struct value_context *v, struct stage *st)
+{
+	return stage_value_of(v, st)->objective_ms;
+}
+
 /*
  * Return how long st can wait with its job still meeting its objective, in
  * milliseconds; negative: it will be late.
@@ -172,7 +179,7 @@
 double value_per_second(const struct value_context *v, struct stage *st)
 {
 	const struct stage_value *sv = stage_value_of(v, st);
-	uint64_t late_end_ms = objective_start_ms(st) +
+	uint64_t late_end_ms = value_objective_start_ms(st) +
 			       LATE_OBJECTIVE_FACTOR * sv->objective_ms;
 	double seconds = MAX(sv->critical_path_ms, 1) / 1000.0 *
 			 sv->upstream_share * st->step->count;
--- a/sched/value.h
+++ b/sched/value.h
@@ -17,6 +17,8 @@
 	uint32_t checkpoint_ms; /* checkpoint interval */
 };
 
+uint64_t value_objective_start_ms(const struct stage *st);
+uint64_t value_objective_ms(const struct value_context *v, struct stage *st);
 int64_t value_slack_ms(const struct value_context *v, struct stage *st);
 double value_gain(const struct value_context *v, struct stage *st);
 double value_per_second(const struct value_context *v, struct stage *st);
