Log learned speeds, and calculate the report's objectives by them

lacewingctl report took the runs on slow upstreams for the length of a job's work, so that it counted late jobs as in time. The leader now logs upstream_speed when the speed of an upstream is known and has changed clearly, and speeds_used; the report divides the runs that completed a job by the last logged slowdown. The metrics speed_known and speed_used, and the setting joint.speed_spread_min, are new.

unit_platform, unit_report, unit_leader, unit_lead, unit_table, unit_dispatch and unit_policy pass.

--- a/lead/leader.c
+++ b/lead/leader.c
@@ -13,6 +13,7 @@
 #include "lead/leader.h"
 #include "lead/election.h"
 #include "lead/loss.h"
+#include "lead/speedlog.h"
 #include "lead/starts.h"
 #include "lead/succession.h"
 #include "lib/log.h"
@@ -550,10 +551,13 @@
 		.lease_ms = d->env.settings->lease_ms,
 	};
 	uint64_t began_us = clock_mono_us(), took_us;
-	GArray *actions = dispatch(&v);
+	GArray *actions;
 
+	speed_set_spread_min(v.speeds, d->env.settings->speed_spread_min);
+	actions = dispatch(&v);
 	took_us = clock_mono_us() - began_us;
 	latency_add(d->env.counters, "pass", took_us);
+	speedlog_update(d->model, d->env.counters);
 	if (took_us > SLOW_PASS_MS * 1000)
 		log_fields(LOG_WARN, "pass_slow", "{s:I,s:i,s:i,s:i}",
 			   "took_ms", (json_int_t)(took_us / 1000), "jobs",
--- a/lead/model.h
+++ b/lead/model.h
@@ -27,6 +27,7 @@
 	struct fleet *fleet;
 	struct estimator *estimator;
 	struct speed_table *speeds;
+	bool speeds_were_used; /* as last logged */
 };
 
 /* A run that its upstream must stop, as it is no task's current run there. */
--- a/lib/counter.c
+++ b/lib/counter.c
@@ -114,6 +114,20 @@
 	g_free(k);
 }
 
+/* Set the value of this name, created when missing. */
+void counter_set(struct counters *c, const char *name, uint64_t n)
+{
+	char *k = format_key(name, NULL);
+	uint64_t *v = g_hash_table_lookup(c->values, k);
+
+	if (!v) {
+		v = g_new0(uint64_t, 1);
+		g_hash_table_insert(c->values, g_strdup(k), v);
+	}
+	*v = n;
+	g_free(k);
+}
+
 /* Add a duration of us microseconds to the histogram of this name. */
 void latency_add(struct counters *c, const char *name, uint64_t us)
 {
--- a/lib/counter.h
+++ b/lib/counter.h
@@ -23,6 +23,7 @@
 void counters_destroy(struct counters *c);
 void counter_add(struct counters *c, const char *name, const char *label,
 		 uint64_t n);
+void counter_set(struct counters *c, const char *name, uint64_t n);
 void latency_add(struct counters *c, const char *name, uint64_t us);
 char *counters_text(const struct counters *c);
 
--- a/report/history.c
+++ b/report/history.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "report/speeds.h"
 #include "report/history.h"
 
 /* Tasks of a step with a higher index share a state. */
@@ -39,6 +40,7 @@
 struct task_state {
 	enum task_phase phase;
 	int64_t placed_ms;
+	GQuark upstream;    /* where its newest run was placed */
 	GQuark stopped_why; /* reason of the stop of its active run */
 	GQuark stopped_for;
 };
@@ -48,8 +50,9 @@
 	uint32_t count;
 	uint32_t active;
 	uint32_t done;
-	GArray *tasks;	      /* struct task_state, by index */
-	int64_t longest_ms;   /* longest run that ended as done */
+	GArray *tasks; /* struct task_state, by index */
+	/* longest run that ended as done, at the speed of a mean upstream */
+	int64_t longest_ms;
 	int64_t restarted_ms; /* since when a gang's present run is placed */
 };
 
@@ -72,6 +75,7 @@
 	struct history *out;
 	GHashTable *jobs;	 /* quark to struct job_replay */
 	GHashTable *slow;	 /* quarks of upstreams that are slow */
+	GHashTable *speeds;	 /* see speeds_collect */
 	GHashTable *heard_ms;	 /* quark of an instance to its last record */
 	GHashTable *lost_tables; /* tables that the leader cannot read */
 	GQuark leader;
@@ -257,6 +261,7 @@
 		s->active++;
 	t->phase = TASK_ACTIVE;
 	t->placed_ms = r->time_ms;
+	t->upstream = r->upstream;
 	t->stopped_why = t->stopped_for = 0;
 	s->restarted_ms = r->time_ms;
 	j->known = true;
@@ -324,6 +329,26 @@
 			TASK_ENDED;
 }
 
+/*
+ * Return the slowdown of the upstream where a run ended, in a gang that of the
+ * slowest member.
+ */
+static double run_slowdown(const struct replay *p, const struct step_state *s,
+			   const struct record *r, bool gang)
+{
+	double slowest = speeds_slowdown(p->speeds, r->upstream);
+
+	for (guint i = 0; gang && i < s->tasks->len; i++) {
+		const struct task_state *t =
+			&g_array_index(s->tasks, struct task_state, i);
+
+		if (t->phase == TASK_ACTIVE)
+			slowest = MAX(slowest,
+				      speeds_slowdown(p->speeds, t->upstream));
+	}
+	return slowest;
+}
+
 static void on_run_done(struct replay *p, struct job_replay *j,
 			struct step_state *s, struct task_state *t,
 			const struct record *r)
@@ -339,7 +364,8 @@
 	if (g_hash_table_contains(p->slow, GUINT_TO_POINTER(r->upstream)))
 		reassign(j, placed + MAX(r->code, 0), r->time_ms,
 			 CAUSE_RUNNING_SLOW);
-	s->longest_ms = MAX(s->longest_ms, r->time_ms - placed);
+	s->longest_ms = MAX(s->longest_ms, (r->time_ms - placed) /
+						   run_slowdown(p, s, r, gang));
 	if (gang) {
 		complete_gang(s);
 		return;
@@ -663,6 +689,7 @@
 		.jobs = g_hash_table_new_full(NULL, NULL, NULL,
 					      job_replay_free),
 		.slow = g_hash_table_new(NULL, NULL),
+		.speeds = speeds_collect(s),
 		.heard_ms = g_hash_table_new_full(NULL, NULL, NULL, g_free),
 		.lost_tables = g_hash_table_new(NULL, NULL),
 		.q_done = g_quark_from_static_string("done"),
@@ -701,6 +728,7 @@
 	g_array_sort(h->wastes, compare_wastes);
 	g_hash_table_destroy(p.jobs);
 	g_hash_table_destroy(p.slow);
+	g_hash_table_destroy(p.speeds);
 	g_hash_table_destroy(p.heard_ms);
 	g_hash_table_destroy(p.lost_tables);
 	return h;
--- a/report/record.c
+++ b/report/record.c
@@ -62,6 +62,8 @@
 				 NULL},
 	[EVENT_UPSTREAM_STATE] = {"upstream_state", NULL, NULL, NULL, "to",
 				  NULL},
+	[EVENT_UPSTREAM_SPEED] = {"upstream_speed", NULL, NULL,
+				  "slowdown_permille", "sd_permille", NULL},
 };
 
 /* Events of the product that the report does not use. */
@@ -91,6 +93,7 @@
 					   "upstream_answers",
 					   "upstream_unlisted",
 					   "upstream_doubted",
+					   "speeds_used",
 					   "epoch_refused",
 					   "stray_run",
 					   "bad_row",
--- a/report/window.c
+++ b/report/window.c
@@ -20,6 +20,7 @@
 	case EVENT_START_FAILED:
 		return true;
 	case EVENT_OTHER:
+	case EVENT_UPSTREAM_SPEED:
 	case EVENT_REQUEST_ENDED:
 	case EVENT_REQUEST_REFUSED:
 	case EVENT_JOB_KNOWN:
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -72,6 +72,7 @@
 	 */
 	double slowdown;
 	double slowdown_log_sd;
+	double slowdown_logged; /* as last logged; 0: never */
 	/* start of the current slow period; 0: not slow */
 	uint64_t slow_since_ms;
 	uint64_t slow_until_ms;	       /* treated as slow until this time */
--- a/sched/speed.c
+++ b/sched/speed.c
@@ -148,10 +148,14 @@
 	g_free(s);
 }
 
-/* Set the standard deviation of the logarithm from which speeds are used. */
+/*
+ * Set the standard deviation of the logarithm from which speeds are used; 0
+ * leaves it as it is.
+ */
 void speed_set_spread_min(struct speed_table *s, double spread_min)
 {
-	s->spread_min = spread_min;
+	if (spread_min > 0)
+		s->spread_min = spread_min;
 }
 
 /* Return the name of the machine of u, which outlives its incarnations. */
