--- a/lead/model.c
+++ b/lead/model.c
@@ -29,6 +29,7 @@
 	m->job_list = g_ptr_array_new();
 	m->fleet = fleet_create();
 	m->estimator = estimator_create();
+	m->speeds = speed_create(SPEED_SPREAD_MIN_DEFAULT);
 	return m;
 }
 
@@ -41,6 +42,7 @@
 	g_hash_table_destroy(m->jobs);
 	fleet_destroy(m->fleet);
 	estimator_destroy(m->estimator);
+	speed_destroy(m->speeds);
 	g_free(m);
 }
 
@@ -196,8 +198,12 @@
 			estimator_record_run(m->estimator, t->stage->job,
 					     t->stage->step_index,
 					     (now_ms - t->placed_ms) /
-						     upstream_slowdown(u));
+						     run_slowdown(t));
+		if (!t->checkpoint && !t->inherited)
+			speed_note_done(m->speeds, t, m->estimator,
+					now_ms - t->placed_ms, now_ms);
 	}
+	speed_note_end(m->speeds, t, end_reason == RUN_DONE);
 	task_end_run(t, end_reason, checkpoint, now_ms);
 }
 
@@ -268,6 +274,7 @@
 		g_hash_table_add(listed, t);
 		task_record_progress(t, r->percent, now_ms);
 		progress_record(t, r->percent, a->clock_ms);
+		speed_note_progress(m->speeds, t, m->estimator, now_ms);
 		if (*r->checkpoint && g_strcmp0(t->checkpoint, r->checkpoint)) {
 			g_free(t->checkpoint);
 			t->checkpoint = g_strdup(r->checkpoint);
@@ -558,6 +565,7 @@
 	u->incarnations_compared = false;
 	if (!before)
 		return true;
+	speed_note_restart(m->speeds, u);
 	lost = g_ptr_array_new();
 	for (guint i = 0; i < u->tasks->len; i++) {
 		struct task *t = g_ptr_array_index(u->tasks, i);
--- a/sched/value.c
+++ b/sched/value.c
@@ -1,4 +1,5 @@
 /* The value of jobs and the loss by stopping their runs. */
+#include <math.h>
 #include <string.h>
 
 #include "sched/value.h"
@@ -29,6 +30,12 @@
 #define ACCELERATOR_CORES 8
 /* Maximum tasks assumed to fit on one upstream. */
 #define TASKS_PER_UPSTREAM_MAX 1000
+/*
+ * Share of the time that its objective leaves a stage that it may take on a
+ * slow upstream, and the slowdown of a fast one.
+ */
+#define ROOM_USED 0.85
+#define FAST_SLOWDOWN 0.7
 /* Progress below this many percent is not extrapolated. */
 #define PROGRESS_MIN_PERCENT 4
 
@@ -52,7 +59,7 @@
 }
 
 /* Return the time from which the objective of st counts, in milliseconds. */
-static uint64_t objective_start_ms(const struct stage *st)
+uint64_t value_objective_start_ms(const struct stage *st)
 {
 	/* the objective of an occurrence starts when the stage is ready */
 	return st->job->repeat ? st->since_ms : st->job->since_ms;
@@ -84,6 +91,26 @@
 	return base * MIN(size, RELATIVE_SIZE_MAX);
 }
 
+/*
+ * Return the slowdown up to which an upstream serves st well enough. Urgent
+ * work needs the fastest. Other work may take as long as its objective leaves
+ * it; if it is late in any case, as long as it has some value.
+ */
+static double slowdown_allowed(const struct stage *st,
+			       const struct stage_value *sv)
+{
+	double run_ms = MAX(sv->run_ms, 1), room_ms;
+
+	if (st->step->long_running)
+		return INFINITY;
+	if (st->job->rank <= RANK_URGENT)
+		return 0;
+	room_ms = run_ms + sv->slack_ms;
+	if (room_ms < run_ms * FAST_SLOWDOWN)
+		room_ms += (LATE_OBJECTIVE_FACTOR - 1.0) * sv->objective_ms;
+	return MAX(room_ms, 0) * ROOM_USED / run_ms;
+}
+
 /* Return the values of st, computed once per pass. */
 static const struct stage_value *stage_value_of(const struct value_context *v,
 						struct stage *st)
@@ -101,16 +128,24 @@
 	sv->run_ms = estimator_duration_ms(v->estimator, j, st->step_index);
 	sv->objective_ms = longest_ms * j->slack_factor + j->target_ms;
 	sv->critical_path_ms = remaining_ms[st->step_index];
-	sv->slack_ms = (int64_t)(objective_start_ms(st) + sv->objective_ms) -
-		       (int64_t)(v->now_ms + sv->critical_path_ms);
+	sv->slack_ms =
+		(int64_t)(value_objective_start_ms(st) + sv->objective_ms) -
+		(int64_t)(v->now_ms + sv->critical_path_ms);
 	sv->value_in_time = job_value(v, j);
 	sv->value_late = sv->value_in_time * LATE_VALUE_SHARE;
 	sv->upstream_share = upstream_share(v, st);
+	sv->slowdown_allowed = slowdown_allowed(st, sv);
 	sv->gang_stop_loss = -1;
 	sv->gang_release_ms = 0;
 	return sv;
 }
 
+/* Return the objective of the job of st, from value_objective_start_ms. */
+uint64_t value_objective_ms(const struct value_context *v, struct stage *st)
+{
+	return stage_value_of(v, st)->objective_ms;
+}
+
 /*
  * Return how long st can wait with its job still meeting its objective, in
  * milliseconds; negative: it will be late.
@@ -144,7 +179,7 @@
 double value_per_second(const struct value_context *v, struct stage *st)
 {
 	const struct stage_value *sv = stage_value_of(v, st);
-	uint64_t late_end_ms = objective_start_ms(st) +
+	uint64_t late_end_ms = value_objective_start_ms(st) +
 			       LATE_OBJECTIVE_FACTOR * sv->objective_ms;
 	double seconds = MAX(sv->critical_path_ms, 1) / 1000.0 *
 			 sv->upstream_share * st->step->count;
@@ -164,7 +199,8 @@
 uint64_t value_remaining_ms(const struct value_context *v, const struct task *t)
 {
 	uint64_t ran_ms = v->now_ms - MIN(t->placed_ms, v->now_ms);
-	uint64_t run_ms = stage_value_of(v, t->stage)->run_ms;
+	uint64_t run_ms = stage_value_of(v, t->stage)->run_ms *
+			  (t->at ? upstream_slowdown(t->at) : 1);
 	uint64_t since_listed_ms =
 		v->now_ms - MIN(t->percent_listed_ms, v->now_ms);
 	uint32_t progressed = t->percent - MIN(t->first_percent, t->percent);
