Learn run durations by queue, account, size and estimate

Cause: the estimator knew one mean and one bias per queue, ignored runs that were stopped or failed, and had no distribution. Runs of tasks that wrote checkpoints were not learned from at all.

Change: sched/duration.c keeps regressions of the logarithm of the duration on that of the estimate in groups (all, queue, account in queue, size class) that borrow from the group above. Runs that take several times as long are told apart, and stopped runs count by the information that they hold. The number of groups is bounded. value.c weighs what preemption gains by the probability that the job still ends in time, and expects the remaining time of a run by how long it has lasted. Nothing changes before a run was observed.

--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 CFLAGS = -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wno-missing-field-initializers \
 	$(FP_FLAGS) -I. -DH2O_USE_LIBUV=0 $(shell pkg-config --cflags $(PKGS)) $(EXTRA)
 LIBS = $(shell pkg-config --libs $(PKGS)) -lh2o-evloop -lssl -lcrypto -lxxhash -lm
+GSL = $(shell pkg-config --libs gsl)
 
 LIB = $(wildcard lib/*.c) proto/peer.pb-c.c
 SCHED = $(wildcard sched/*.c config/*.c)
@@ -27,6 +28,8 @@
 # preloaded by the process tests
 REROUTE = $(OUT)/reroute.so
 
+UNIT_TESTS = $(patsubst test/%.c,$(OUT)/%,$(wildcard test/unit_*.c))
+
 all: $(BINARIES) $(REROUTE)
 
 lacewingd: $(OUT)/lacewingd
@@ -36,8 +39,9 @@
 	@echo "  CC    $<"
 	@$(CC) $(CFLAGS) -MMD -MP -c -o $@ $<
 
+# sched/duration.c and report/ need it
+$(OUT)/lacewingd $(OUT)/lacewingctl $(OUT)/model $(UNIT_TESTS): LIBS += $(GSL)
 $(OUT)/lacewingd: $(call obj,daemon/main.c $(DAEMON) $(SCHED) $(LIB))
-$(OUT)/lacewingctl: LIBS += $(shell pkg-config --libs gsl)
 $(OUT)/lacewingctl: $(call obj,$(CTL) $(SCHED) $(LIB))
 $(OUT)/platform: $(call obj,fake/platform.c $(LIB))
 $(OUT)/worker: $(call obj,fake/worker.c $(LIB))
@@ -60,14 +64,12 @@
 
 TEST_OBJS = $(call obj,test/site.c test/judge.c test/jointsite.c test/grown.c \
 	test/copyfaults.c $(LIB))
-UNIT_TESTS = $(patsubst test/%.c,$(OUT)/%,$(wildcard test/unit_*.c))
 PROC_TESTS = $(patsubst test/%.c,$(OUT)/%,$(wildcard test/proc_*.c))
 
 $(OUT)/unit_%: $(OUT)/obj/test/unit_%.o $(call obj,$(DAEMON) $(SCHED) $(LIB))
 	@echo "  LINK  $@"
 	@$(CC) -o $@ $^ $(LIBS) -lcmocka
 
-$(OUT)/unit_report: LIBS += $(shell pkg-config --libs gsl)
 $(OUT)/unit_report: $(call obj,$(REPORT))
 
 $(OUT)/proc_%: $(OUT)/obj/test/proc_%.o $(TEST_OBJS)
@@ -91,8 +93,8 @@
 	@mkdir -p $(OUT)
 	@echo "  FUZZ  $@"
 	@$(FUZZ_CC) \
-		$(shell pkg-config --cflags glib-2.0) -o $@ $(filter %.c,$^) \
-		$(shell pkg-config --libs glib-2.0) -lm
+		$(shell pkg-config --cflags glib-2.0 gsl) -o $@ $(filter %.c,$^) \
+		$(shell pkg-config --libs glib-2.0 gsl) -lm
 
 $(OUT)/fuzz_report: test/fuzz_report.c $(REPORT) lib/schema.c lib/address.c
 	@mkdir -p $(OUT)
@@ -105,8 +107,8 @@
 # a run gives one document to each decoder
 FUZZ_ROWS_RUNS = 6000
 FUZZ_ROWS = test/fuzz_rows.c platform/answer.c platform/decode.c platform/lists.c \
-	platform/rows.c lead/record.c peer/roster.c config/policy.c sched/ending.c \
-	sched/estimator.c sched/fleet.c sched/job.c sched/progress.c sched/suspect.c \
+	platform/rows.c lead/record.c peer/roster.c config/policy.c sched/duration.c \
+	sched/ending.c sched/estimator.c sched/fleet.c sched/job.c sched/progress.c sched/suspect.c \
 	lib/address.c lib/log.c lib/loop.c lib/schema.c lib/verdict.c
 
 $(OUT)/fuzz_rows: $(FUZZ_ROWS)
@@ -114,9 +116,9 @@
 	@echo "  FUZZ  $@"
 	@$(FUZZ_CC) \
 		-DH2O_USE_LIBUV=0 \
-		$(shell pkg-config --cflags glib-2.0 jansson) -o $@ $^ \
-		$(shell pkg-config --libs glib-2.0 jansson) -lh2o-evloop -lssl -lcrypto \
-		-lm
+		$(shell pkg-config --cflags glib-2.0 jansson gsl) -o $@ $^ \
+		$(shell pkg-config --libs glib-2.0 jansson gsl) -lh2o-evloop -lssl \
+		-lcrypto -lm
 
 fuzz: $(OUT)/fuzz_sched $(OUT)/fuzz_report $(OUT)/fuzz_rows
 	$(OUT)/fuzz_rows -seed=$(FUZZ_SEED) -runs=$(FUZZ_ROWS_RUNS) -max_len=100 \
--- a/lead/model.c
+++ b/lead/model.c
@@ -167,6 +167,41 @@
 		   how);
 }
 
+/*
+ * Learn from the run of t, which ends. A run from a checkpoint is shorter than
+ * the task, and when an inherited one began is not known exactly.
+ */
+static void learn_duration(struct model *m, const struct task *t,
+			   enum run_end how, const struct upstream *u,
+			   uint64_t now_ms)
+{
+	const struct stage *st = t->stage;
+	uint64_t ran_ms = (now_ms - t->placed_ms) / upstream_slowdown(u);
+
+	if (t->run_rate.from_checkpoint || t->inherited ||
+	    st->step->long_running)
+		return;
+	switch (how) {
+	case RUN_DONE:
+		estimator_record_run(m->estimator, st->job, st->step_index,
+				     ran_ms);
+		break;
+	case RUN_FAILED:
+	case RUN_STOPPED:
+	case RUN_GANG_BROKEN:
+		/* an unconfirmed run may not have begun */
+		if (t->confirmed_ms && t->confirmed_ms >= t->placed_ms)
+			estimator_record_stopped(m->estimator, st->job,
+						 st->step_index, ran_ms);
+		break;
+	case RUN_LEASE_EXPIRED:
+	case RUN_GANG_INCOMPLETE:
+	case RUN_NEVER_STARTED:
+	case RUN_UPSTREAM_GONE:
+		break;
+	}
+}
+
 /* End the active run of t on u, log it, and update the statistics. */
 static void end_task(struct model *m, struct task *t, enum run_end end_reason,
 		     const char *checkpoint, struct upstream *u,
@@ -190,14 +225,9 @@
 		log_cleared(t, u, run_end_name(end_reason));
 	if (end_reason == RUN_FAILED)
 		record_failure(u, t->stage->job, now_ms);
-	if (end_reason == RUN_DONE) {
+	if (end_reason == RUN_DONE)
 		upstream_record_success(u);
-		if (!t->checkpoint && !t->inherited)
-			estimator_record_run(m->estimator, t->stage->job,
-					     t->stage->step_index,
-					     (now_ms - t->placed_ms) /
-						     upstream_slowdown(u));
-	}
+	learn_duration(m, t, end_reason, u, now_ms);
 	task_end_run(t, end_reason, checkpoint, now_ms);
 }
 
--- a/load/play.c
+++ b/load/play.c
@@ -524,6 +524,15 @@
 	}
 }
 
+/* Tell the estimator how long a run lasted at least. */
+static void record_unfinished_run(struct simulation *p, const struct task *t)
+{
+	if (!t->checkpoint)
+		estimator_record_stopped(p->estimator, t->stage->job,
+					 t->stage->step_index,
+					 p->now_ms - t->placed_ms);
+}
+
 /*
  * End the run of e, unless it was rescheduled or is being stopped.  Runs fail
  * at random, and always for jobs that always fail.
@@ -540,6 +549,7 @@
 	if (u->always_fails ||
 	    random_chance(p, job_kinds[u->kind].run_failure_share)) {
 		upstream_record_failure(t->at, t->stage->job, p->now_ms);
+		record_unfinished_run(p, t);
 		task_end_run(t, RUN_FAILED, NULL, p->now_ms);
 	} else {
 		upstream_record_success(t->at);
@@ -598,6 +608,7 @@
 		break;
 	case EVENT_RUN_STOPPED:
 		if (e->task->run == e->run && e->task->state == TASK_STOPPING) {
+			record_unfinished_run(p, e->task);
 			abort_run(p, e->task);
 			task_end_run(e->task, RUN_STOPPED, NULL, p->now_ms);
 		}
--- a/sched/estimator.c
+++ b/sched/estimator.c
@@ -1,6 +1,7 @@
 /*
- * Estimates durations as logarithms. The submitted estimate and the queue's
- * mean are two predictors, weighted by their past errors.
+ * Keeps what was observed of jobs and runs. sched/duration.c learns the
+ * durations by queue, account, size and estimate; what the completed tasks of a
+ * step took is added here, as its other tasks do the same work.
  */
 #include <math.h>
 #include <stdlib.h>
@@ -14,24 +15,16 @@
  */
 #define SMOOTHING_MIN 0.05
 /*
- * Squared errors, of the logarithm, that are assumed of a submitted estimate
- * and of the queue's mean before any run was observed.
+ * What was expected of a step counts as so many completed runs of its tasks.
+ * The first to be completed are the shortest, so it counts as several.
  */
-#define PRIOR_ESTIMATE_ERROR 0.2
-#define PRIOR_MEAN_ERROR 1.0
+#define EXPECTED_RUNS 2.0
+/* A run deviates by at most so many standard deviations from expectation. */
+#define DEVIATION_MAX 2.0
 /* An accelerator counts as this many cores of work. */
 #define ACCELERATOR_CORES 8
 
 struct queue_stats {
-	double runs;
-	/* mean logarithm of a run's duration in milliseconds */
-	double mean;
-	/* mean logarithm of the duration divided by the estimate */
-	double bias;
-	/* mean squared error of predicting the logarithm by the mean */
-	double mean_error;
-	/* the same for the estimate corrected by its bias */
-	double estimate_error;
 	double jobs;
 	/* mean work of a job in core-milliseconds */
 	double mean_work;
@@ -58,7 +51,8 @@
 
 struct estimator {
 	GHashTable *queues; /* name to struct queue_stats */
-	uint64_t version;   /* changes with each run that ends */
+	struct duration_groups *durations;
+	uint64_t version; /* changes with each run that ends */
 	struct arrival urgent[URGENT_ARRIVALS_MAX];
 	uint32_t urgent_next;
 };
@@ -69,6 +63,7 @@
 	struct estimator *e = g_new0(struct estimator, 1);
 
 	e->version = 1;
+	e->durations = duration_create();
 	e->queues =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return e;
@@ -80,18 +75,17 @@
 	if (!e)
 		return;
 	g_hash_table_destroy(e->queues);
+	duration_destroy(e->durations);
 	g_free(e);
 }
 
-/* Return the statistics of a queue, created with the priors if missing. */
+/* Return the statistics of a queue, created if missing. */
 static struct queue_stats *stats_for(struct estimator *e, const char *queue)
 {
 	struct queue_stats *q = g_hash_table_lookup(e->queues, queue);
 
 	if (!q) {
 		q = g_new0(struct queue_stats, 1);
-		q->mean_error = PRIOR_MEAN_ERROR;
-		q->estimate_error = PRIOR_ESTIMATE_ERROR;
 		g_hash_table_insert(e->queues, g_strdup(queue), q);
 	}
 	return q;
@@ -106,6 +100,28 @@
 	return old + (seen - old) * MAX(SMOOTHING_MIN, 1 / (n + 1));
 }
 
+static struct duration_key key_of(const struct job *j, uint32_t step)
+{
+	const struct step *s = &j->steps[step];
+
+	return (struct duration_key){
+		.queue = j->queue,
+		.account = j->account,
+		.size_class = duration_size_class(s->count, &s->need),
+		.estimate_ms = s->estimate_ms,
+	};
+}
+
+/*
+ * Return the weight of a run of s. The tasks of a step do the same work, so
+ * their runs say little more about other jobs than one run. The members of a
+ * gang end together.
+ */
+static double run_weight(const struct step *s)
+{
+	return s->gang ? 1.0 / s->count : 1 / sqrt(s->count);
+}
+
 /*
  * Record that a task of a step of j took took_ms at the speed of a mean
  * upstream, from its beginning and not from a checkpoint.
@@ -113,54 +129,89 @@
 void estimator_record_run(struct estimator *e, const struct job *j,
 			  uint32_t step, uint64_t took_ms)
 {
-	struct queue_stats *q = stats_for(e, j->queue);
+	struct step *s = &j->steps[step];
+	struct duration_key k = key_of(j, step);
+	struct duration_estimate d = duration_predict(e->durations, &k);
 	double log_took = log(MAX(took_ms, 1));
-	double log_ratio = log_took - log(MAX(j->steps[step].estimate_ms, 1));
-
-	q->mean_error = running_mean(
-		q->mean_error, (log_took - q->mean) * (log_took - q->mean),
-		q->runs + 2);
-	q->estimate_error = running_mean(
-		q->estimate_error,
-		(log_ratio - q->bias) * (log_ratio - q->bias), q->runs + 2);
-	q->mean = running_mean(q->mean, log_took, q->runs);
-	q->bias = running_mean(q->bias, log_ratio, q->runs + 1);
-	q->runs++;
+	double log_expected = log(MAX(d.median_ms, 1));
+	double most = DEVIATION_MAX * d.log_sd;
+
+	s->ended_log_ms = running_mean(
+		s->ended_log_ms,
+		CLAMP(log_took, log_expected - most, log_expected + most),
+		s->ended_runs++);
+	duration_record_run(e->durations, &k, took_ms, run_weight(s));
 	e->version++;
 }
 
 /*
- * Return the expected duration of a task of a step, in milliseconds: the
- * submitted estimate until a run of the queue was observed.
+ * Record that a run of a task of a step of j was stopped, or failed, after
+ * ran_ms at the speed of a mean upstream.
  */
-static uint64_t duration_ms(const struct estimator *e, const char *queue,
-			    const struct step *s)
+void estimator_record_stopped(struct estimator *e, const struct job *j,
+			      uint32_t step, uint64_t ran_ms)
 {
-	const struct queue_stats *q = g_hash_table_lookup(e->queues, queue);
-	double estimate = MAX(s->estimate_ms, 1);
-	double estimate_weight;
+	struct duration_key k = key_of(j, step);
 
-	if (!q || q->runs < 1)
-		return s->estimate_ms;
-	estimate_weight = q->mean_error / (q->mean_error + q->estimate_error);
-	return exp(estimate_weight * (log(estimate) + q->bias) +
-		   (1 - estimate_weight) * q->mean);
+	duration_record_stopped(e->durations, &k, ran_ms,
+				run_weight(&j->steps[step]));
+	e->version++;
+}
+
+/* Return the expected duration of a task of a step of j. */
+static struct duration_estimate predict(const struct estimator *e,
+					const struct job *j, uint32_t step)
+{
+	const struct step *s = &j->steps[step];
+	struct duration_key k = key_of(j, step);
+	struct duration_estimate d = duration_predict(e->durations, &k);
+	double log_median;
+
+	/* the members of a gang end together, so none runs on */
+	if (!s->ended_runs || s->gang)
+		return d;
+	log_median = (s->ended_runs * s->ended_log_ms +
+		      EXPECTED_RUNS * log(MAX(d.median_ms, 1))) /
+		     (s->ended_runs + EXPECTED_RUNS);
+	return duration_from_log(log_median, d.log_sd, d.runs);
 }
 
 /*
- * Return the expected run time of a task of a step of j, in milliseconds. The
- * step caches the result because a pass needs it many times.
+ * Return the distribution of the run time of a task of a step of j at the speed
+ * of a mean upstream. The step caches it because a pass needs it many times.
  */
-uint64_t estimator_duration_ms(const struct estimator *e, const struct job *j,
-			       uint32_t step)
+struct duration_estimate estimator_duration(const struct estimator *e,
+					    const struct job *j, uint32_t step)
 {
 	struct step *s = &j->steps[step];
 
 	if (s->expected_version != e->version) {
-		s->expected_ms = duration_ms(e, j->queue, s);
+		s->expected = predict(e, j, step);
 		s->expected_version = e->version;
 	}
-	return s->expected_ms;
+	return s->expected;
+}
+
+/*
+ * Return the expected run time of a task of a step of j, in milliseconds. It is
+ * that of a run which is not one of the few that take several times as long.
+ */
+uint64_t estimator_duration_ms(const struct estimator *e, const struct job *j,
+			       uint32_t step)
+{
+	return estimator_duration(e, j, step).median_ms;
+}
+
+/* Return the learned durations, to be saved and restored. */
+struct duration_groups *estimator_durations(struct estimator *e)
+{
+	return e->durations;
+}
+
+/* Note that learned durations were restored. */
+void estimator_note_restored(struct estimator *e)
+{
+	e->version++;
 }
 
 /* Return the estimated work of j in core-milliseconds. */
--- a/sched/job.h
+++ b/sched/job.h
@@ -10,6 +10,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "sched/duration.h"
+
 #define JOB_ID_BYTES 24
 #define LABEL_BYTES 64
 #define TASK_NAME_BYTES 64
@@ -50,8 +52,10 @@
 	char *image;	    /* may be empty */
 	GQuark label_quark; /* label and data_rack as quarks */
 	GQuark data_rack_quark;
-	uint64_t expected_ms;	   /* cached result of estimator_duration_ms */
-	uint64_t expected_version; /* estimator version of expected_ms */
+	struct duration_estimate expected; /* cached by the estimator */
+	uint64_t expected_version;	   /* estimator version of `expected` */
+	uint32_t ended_runs;		   /* completed runs of its tasks */
+	double ended_log_ms; /* mean logarithm of their durations */
 };
 
 enum task_state {
@@ -150,7 +154,9 @@
 /* Values computed in one scheduling pass and valid for that pass only. */
 struct stage_value {
 	uint64_t pass;
-	uint64_t run_ms; /* expected run time of a task */
+	uint64_t run_ms;	      /* expected run time of a task */
+	struct duration_estimate run; /* and its distribution */
+	uint64_t work_ms;	      /* the job's longest chain of work */
 	/* target time from submission to the job's end */
 	uint64_t objective_ms;
 	uint64_t critical_path_ms; /* from the stage's start to the job's end */
--- a/sched/value.c
+++ b/sched/value.c
@@ -1,4 +1,6 @@
 /* The value of jobs and the loss by stopping their runs. */
+#include <gsl/gsl_cdf.h>
+#include <math.h>
 #include <string.h>
 
 #include "sched/value.h"
@@ -98,7 +100,9 @@
 	for (uint32_t i = 0; i < j->steps_len; i++)
 		longest_ms = MAX(longest_ms, remaining_ms[i]);
 	sv->pass = v->pass;
-	sv->run_ms = estimator_duration_ms(v->estimator, j, st->step_index);
+	sv->run = estimator_duration(v->estimator, j, st->step_index);
+	sv->run_ms = sv->run.median_ms;
+	sv->work_ms = longest_ms;
 	sv->objective_ms = longest_ms * j->slack_factor + j->target_ms;
 	sv->critical_path_ms = remaining_ms[st->step_index];
 	sv->slack_ms = (int64_t)(objective_start_ms(st) + sv->objective_ms) -
@@ -120,6 +124,32 @@
 	return stage_value_of(v, st)->slack_ms;
 }
 
+/*
+ * Return the probability that the job of st meets its objective if st starts
+ * after a stop. The objective grows with the duration of the job's work, so a
+ * job whose work turns out short is the one that is late.
+ */
+static double in_time_probability(const struct value_context *v,
+				  const struct stage *st)
+{
+	const struct stage_value *sv = &st->value;
+	const struct job *j = st->job;
+	double spare_factor = j->slack_factor - (double)sv->critical_path_ms /
+							MAX(sv->work_ms, 1);
+	/* what the work must earn by being long, and earns at its median */
+	double need_ms = v->now_ms + v->stop_ms - objective_start_ms(st) -
+			 (double)j->target_ms;
+	double scale;
+
+	if (need_ms <= 0)
+		return spare_factor >= 0;
+	if (spare_factor <= 0)
+		return 0;
+	/* all steps take longer, or shorter, by the same factor */
+	scale = need_ms / (spare_factor * MAX(sv->work_ms, 1));
+	return gsl_cdf_ugaussian_Q(log(scale) / sv->run.log_sd);
+}
+
 /*
  * Return the value gained by starting st now rather than too late; 0 if its job
  * is late in any case.
@@ -129,6 +159,8 @@
 	const struct stage_value *sv = stage_value_of(v, st);
 	double gain = sv->value_in_time - sv->value_late;
 
+	if (sv->run.runs > 0)
+		return gain * in_time_probability(v, st);
 	if (sv->slack_ms >= (int64_t)v->stop_ms)
 		return gain;
 	/* durations are uncertain, so it may still end in time */
@@ -158,18 +190,22 @@
 
 /*
  * Return the expected remaining run time of t in milliseconds: by its listed
- * progress, or by the expected run time while there is little progress. A run
- * that is overdue is expected to need as long again as it is overdue.
+ * progress, or by the learned durations of the runs that lasted as long while
+ * there is little progress. A run that is overdue is expected to need as long
+ * again as it is overdue if nothing was learned.
  */
 uint64_t value_remaining_ms(const struct value_context *v, const struct task *t)
 {
 	uint64_t ran_ms = v->now_ms - MIN(t->placed_ms, v->now_ms);
-	uint64_t run_ms = stage_value_of(v, t->stage)->run_ms;
+	const struct stage_value *sv = stage_value_of(v, t->stage);
+	uint64_t run_ms = sv->run_ms;
 	uint64_t since_listed_ms =
 		v->now_ms - MIN(t->percent_listed_ms, v->now_ms);
 	uint32_t progressed = t->percent - MIN(t->first_percent, t->percent);
 	uint64_t left_ms;
 
+	if (progressed < PROGRESS_MIN_PERCENT && sv->run.runs > 0)
+		return duration_remaining_ms(&sv->run, ran_ms);
 	if (progressed < PROGRESS_MIN_PERCENT)
 		return run_ms > ran_ms ? run_ms - ran_ms
 				       : MAX(run_ms / 4, ran_ms - run_ms);
