--- a/sched/duration.c
+++ b/sched/duration.c
@@ -330,37 +330,56 @@
 	add_to_groups(d, &n, &o, lines, false);
 }
 
+/*
+ * Add a run that was stopped z standard deviations above the expectation. It
+ * counts by the information that it holds, the second derivative of its
+ * log-likelihood, and where Newton's method puts the mean by it: one that was
+ * stopped soon says nothing.
+ */
+static void add_stopped(struct duration_groups *d, const struct names *n,
+			const struct line lines[LEVELS], double x, double z,
+			double weight)
+{
+	const struct line *own = &lines[LEVELS - 1];
+	double bounded = CLAMP(z, -CENSORED_Z_MAX, CENSORED_Z_MAX);
+	double hazard = gsl_ran_ugaussian_pdf(bounded) /
+			gsl_cdf_ugaussian_Q(bounded);
+	double information = hazard * (hazard - bounded);
+	struct observation o = {
+		.x = x,
+		.y = line_at(own, x) +
+		     sqrt(own->variance) *
+			     MIN(1 / (hazard - bounded), CENSORED_SHIFT_MAX),
+		.squared_error = own->variance * hazard / (hazard - bounded),
+		.weight = weight * information,
+	};
+
+	if (information >= CENSORED_WEIGHT_MIN && o.weight > 0)
+		add_to_groups(d, n, &o, lines, true);
+}
+
 /*
  * Record a run that was stopped or failed after ran_ms: it would have taken at
- * least as long. It counts by the information that it holds, the second
- * derivative of its log-likelihood: a run that was stopped soon says nothing.
+ * least as long, perhaps as one of the tail.
  */
 void duration_record_stopped(struct duration_groups *d,
 			     const struct duration_key *k, uint64_t ran_ms,
 			     double weight)
 {
-	const double log_factor = log(DURATION_TAIL_FACTOR);
-	struct observation o = {.x = log_ms(k->estimate_ms)};
 	struct line lines[LEVELS];
 	const struct line *own = &lines[LEVELS - 1];
-	double expected, sd, z, hazard, tail;
+	double x = log_ms(k->estimate_ms), sd, z, shift, tail;
 	struct names n;
 
 	name_groups(k, &n);
 	find_lines(d, &n, lines);
-	expected = line_at(own, o.x);
 	sd = sqrt(own->variance);
-	z = (log_ms(ran_ms) - expected) / sd;
+	z = (log_ms(ran_ms) - line_at(own, x)) / sd;
+	shift = log(DURATION_TAIL_FACTOR) / sd;
 	tail = tail_probability(gsl_cdf_ugaussian_Q(z),
-				gsl_cdf_ugaussian_Q(z - log_factor / sd));
-	z = CLAMP(z - tail * log_factor / sd, -CENSORED_Z_MAX, CENSORED_Z_MAX);
-	hazard = gsl_ran_ugaussian_pdf(z) / gsl_cdf_ugaussian_Q(z);
-	o.weight = weight * hazard * (hazard - z);
-	if (o.weight < CENSORED_WEIGHT_MIN * weight || o.weight <= 0)
-		return;
-	o.y = expected + sd * MIN(1 / (hazard - z), CENSORED_SHIFT_MAX);
-	o.squared_error = own->variance * hazard / (hazard - z);
-	add_to_groups(d, &n, &o, lines, true);
+				gsl_cdf_ugaussian_Q(z - shift));
+	add_stopped(d, &n, lines, x, z, weight * (1 - tail));
+	add_stopped(d, &n, lines, x, z - shift, weight * tail);
 }
 
 /*
