Keep what was learned in rows for the next leader

Cause: a new leader began with the bare estimates.

Change: lead/learned.c keeps lists of named numbers in rows of the table lacewingspur-learned. The durations are the first list. start_decided tells the expected duration.

--- a/lead/leader.c
+++ b/lead/leader.c
@@ -12,6 +12,7 @@
 #include "lead/session.h"
 #include "lead/leader.h"
 #include "lead/election.h"
+#include "lead/learned.h"
 #include "lead/loss.h"
 #include "lead/starts.h"
 #include "lead/succession.h"
@@ -79,6 +80,7 @@
 	/* No write is sent before this time, as the store is slow. */
 	uint64_t next_write_ms;
 	struct model *model;
+	struct learned *learned;
 	/* Keys of the entries of upstreams that are malformed at present. */
 	GHashTable *odd_entries;
 	/* Starts that wait until they are recorded. */
@@ -117,6 +119,8 @@
 
 		session_destroy(u->session);
 	}
+	learned_destroy(d->learned);
+	d->learned = NULL;
 	model_destroy(d->model);
 	d->model = NULL;
 	g_hash_table_remove_all(d->odd_entries);
@@ -400,6 +404,8 @@
 	d->model->earlier_leases_end_ms = tenure_leases_end_ms(
 		election_tenure(d->election), e->settings->lease_max_ms);
 	d->session_env.model = d->model;
+	learned_add_list(d->learned, learned_durations(d->model->estimator));
+	learned_start(d->learned);
 	d->leading = true;
 	succession_note_gained(&d->succession, clock_mono_ms());
 	replica_for_each(d->upstreams, "", apply_upstream_row, d);
@@ -453,6 +459,7 @@
 				      .answered = on_replica_answer};
 
 	(void)version;
+	d->learned = learned_create(e->loop, e->rows, e->counters, e->settings);
 	d->states =
 		replica_create(e->loop, e->rows, STATE_TABLE,
 			       replica_single_part, FEED_WAIT_MAX_MS, &runs, d);
@@ -487,12 +494,15 @@
 
 	task_format_name(a->task, name, sizeof(name));
 	starts_plan(d->starts, a->task);
-	log_fields(
-		LOG_INFO, "start_decided", "{s:s,s:s,s:I,s:s,s:s,s:I,s:I,s:i}",
-		"job", j->id, "task", name, "run", (json_int_t)a->task->run,
-		"upstream", a->u.to->id, "rack", a->u.to->rack, "waited_ms",
-		(json_int_t)(now - a->task->stage->since_ms), "age_ms",
-		(json_int_t)(now - j->since_ms), "priority", (int)j->priority);
+	log_fields(LOG_INFO, "start_decided",
+		   "{s:s,s:s,s:I,s:s,s:s,s:I,s:I,s:i,s:I}", "job", j->id,
+		   "task", name, "run", (json_int_t)a->task->run, "upstream",
+		   a->u.to->id, "rack", a->u.to->rack, "waited_ms",
+		   (json_int_t)(now - a->task->stage->since_ms), "age_ms",
+		   (json_int_t)(now - j->since_ms), "priority",
+		   (int)j->priority, "expected_ms",
+		   (json_int_t)estimator_duration_ms(
+			   d->model->estimator, j, a->task->stage->step_index));
 }
 
 /*
@@ -666,6 +676,8 @@
 	 * not cover all ends that were seen. */
 	if (all) {
 		remove_expired_rows(d, t);
+		learned_add_rows(d->learned, t, clock_mono_ms(),
+				 replica_store_clock_ms(d->env.states));
 		for (guint i = 0; i < d->model->fleet->list->len; i++) {
 			struct upstream *u =
 				g_ptr_array_index(d->model->fleet->list, i);
