--- a/sched/speed.c
+++ b/sched/speed.c
@@ -88,6 +88,12 @@
 #define CENTRE_MACHINES_MIN 8
 /* A machine that was neither observed nor listed for this long is dropped. */
 #define MACHINE_KEPT_MS 3600000
+/*
+ * A belief is saved again if its mean has changed by more than this, or its
+ * variance by more than this factor.
+ */
+#define SAVED_MEAN_ERROR 0.1
+#define SAVED_VARIANCE_RATIO 1.5
 /* Stages whose runs on a machine were counted last. */
 #define STAGES_KEPT 4
 
@@ -103,6 +109,9 @@
 	double w, ww, wr, wwr, wwrr;
 	uint64_t stages[STAGES_KEPT]; /* numbers */
 	uint32_t stages_next;
+	/* the belief as it was saved; a variance of 0: never */
+	double saved_mean;
+	double saved_variance;
 };
 
 struct speed_table {
@@ -660,6 +669,27 @@
 	return s->spread;
 }
 
+/* Report whether the belief of m clearly differs from what was saved. */
+static bool has_changed(const struct machine *m)
+{
+	double mean = m->weighted_mean / m->precision;
+	double ratio = m->saved_variance * m->precision;
+
+	return fabs(mean - m->saved_mean) > SAVED_MEAN_ERROR ||
+	       ratio > SAVED_VARIANCE_RATIO || ratio * SAVED_VARIANCE_RATIO < 1;
+}
+
+/* Note that the belief about a machine is saved as it is now. */
+void speed_note_saved(struct speed_table *s, const char *machine)
+{
+	struct machine *m = g_hash_table_lookup(s->machines, machine);
+
+	if (!m)
+		return;
+	m->saved_mean = m->weighted_mean / m->precision;
+	m->saved_variance = 1 / m->precision;
+}
+
 /* Call fn for each machine that was observed. */
 void speed_foreach(const struct speed_table *s, speed_entry_fn fn, void *arg)
 {
@@ -671,18 +701,23 @@
 		const struct machine *m = value;
 		struct speed_entry e = {
 			key, m->weighted_mean / m->precision - s->centre,
-			1 / m->precision};
+			1 / m->precision, has_changed(m)};
 
 		fn(&e, arg);
 	}
 }
 
-/* Set what is known of a machine, which an earlier leader has stored. */
+/*
+ * Set what is known of a machine, which an earlier leader has stored, unless
+ * more is known of it already.
+ */
 void speed_set_entry(struct speed_table *s, const struct speed_entry *e,
 		     uint64_t now_ms)
 {
 	struct machine *m = machine_for(s, e->machine, now_ms);
 
+	if (m->precision * e->variance > 1)
+		return;
 	m->aged_ms = now_ms;
 	m->precision = 1 / CLAMP(e->variance, VARIANCE_MIN, PRIOR_VARIANCE);
 	m->weighted_mean = (e->log_slowdown + s->centre) * m->precision;
--- a/sched/speed.h
+++ b/sched/speed.h
@@ -19,6 +19,7 @@
 	const char *machine;
 	double log_slowdown; /* relative to a mean machine */
 	double variance;     /* of log_slowdown */
+	bool changed;	     /* clearly differs from what was saved */
 };
 
 typedef void (*speed_entry_fn)(const struct speed_entry *e, void *arg);
@@ -42,6 +43,7 @@
 void speed_foreach(const struct speed_table *s, speed_entry_fn fn, void *arg);
 void speed_set_entry(struct speed_table *s, const struct speed_entry *e,
 		     uint64_t now_ms);
+void speed_note_saved(struct speed_table *s, const char *machine);
 
 double run_slowdown(const struct task *t);
 
