--- a/lead/model.c
+++ b/lead/model.c
@@ -29,6 +29,7 @@
 	m->job_list = g_ptr_array_new();
 	m->fleet = fleet_create();
 	m->estimator = estimator_create();
+	m->speeds = speed_create(SPEED_SPREAD_MIN_DEFAULT);
 	return m;
 }
 
@@ -41,6 +42,7 @@
 	g_hash_table_destroy(m->jobs);
 	fleet_destroy(m->fleet);
 	estimator_destroy(m->estimator);
+	speed_destroy(m->speeds);
 	g_free(m);
 }
 
@@ -167,6 +169,40 @@
 		   how);
 }
 
+/*
+ * Learn from the run of t, which ends. A run from a checkpoint is shorter than
+ * the task, and when an inherited one began is not known exactly.
+ */
+static void learn_duration(struct model *m, const struct task *t,
+			   enum run_end how, uint64_t now_ms)
+{
+	const struct stage *st = t->stage;
+	uint64_t ran_ms = (now_ms - t->placed_ms) / run_slowdown(t);
+
+	if (t->run_rate.from_checkpoint || t->inherited ||
+	    st->step->long_running)
+		return;
+	switch (how) {
+	case RUN_DONE:
+		estimator_record_run(m->estimator, st->job, st->step_index,
+				     ran_ms);
+		break;
+	case RUN_FAILED:
+	case RUN_STOPPED:
+	case RUN_GANG_BROKEN:
+		/* an unconfirmed run may not have begun */
+		if (t->confirmed_ms && t->confirmed_ms >= t->placed_ms)
+			estimator_record_stopped(m->estimator, st->job,
+						 st->step_index, ran_ms);
+		break;
+	case RUN_LEASE_EXPIRED:
+	case RUN_GANG_INCOMPLETE:
+	case RUN_NEVER_STARTED:
+	case RUN_UPSTREAM_GONE:
+		break;
+	}
+}
+
 /* End the active run of t on u, log it, and update the statistics. */
 static void end_task(struct model *m, struct task *t, enum run_end end_reason,
 		     const char *checkpoint, struct upstream *u,
@@ -190,14 +226,13 @@
 		log_cleared(t, u, run_end_name(end_reason));
 	if (end_reason == RUN_FAILED)
 		record_failure(u, t->stage->job, now_ms);
-	if (end_reason == RUN_DONE) {
+	if (end_reason == RUN_DONE)
 		upstream_record_success(u);
-		if (!t->checkpoint && !t->inherited)
-			estimator_record_run(m->estimator, t->stage->job,
-					     t->stage->step_index,
-					     (now_ms - t->placed_ms) /
-						     upstream_slowdown(u));
-	}
+	learn_duration(m, t, end_reason, now_ms);
+	if (end_reason == RUN_DONE && !t->checkpoint && !t->inherited)
+		speed_note_done(m->speeds, t, m->estimator,
+				now_ms - t->placed_ms, now_ms);
+	speed_note_end(m->speeds, t, end_reason == RUN_DONE);
 	task_end_run(t, end_reason, checkpoint, now_ms);
 }
 
@@ -268,6 +303,7 @@
 		g_hash_table_add(listed, t);
 		task_record_progress(t, r->percent, now_ms);
 		progress_record(t, r->percent, a->clock_ms);
+		speed_note_progress(m->speeds, t, m->estimator, now_ms);
 		if (*r->checkpoint && g_strcmp0(t->checkpoint, r->checkpoint)) {
 			g_free(t->checkpoint);
 			t->checkpoint = g_strdup(r->checkpoint);
@@ -558,6 +594,7 @@
 	u->incarnations_compared = false;
 	if (!before)
 		return true;
+	speed_note_restart(m->speeds, u);
 	lost = g_ptr_array_new();
 	for (guint i = 0; i < u->tasks->len; i++) {
 		struct task *t = g_ptr_array_index(u->tasks, i);
--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -8,6 +8,8 @@
 #include "sched/dispatch.h"
 #include "sched/evict.h"
 #include "sched/fallback.h"
+#include "sched/fastest.h"
+#include "sched/move.h"
 #include "sched/suspect.h"
 #include "sched/wait.h"
 
@@ -57,15 +59,16 @@
 #define SUSPECT_SHARE_DIVISOR 4
 #define SUSPECTS_PER_CLEARED 2
 
-/* A value above any loss. */
-#define VALUE_MANDATORY 1e9
-
 /*
- * Ranks: urgent work covered by its account's guarantee, other urgent work,
- * then the queues by priority.
+ * Urgent work waits or preempts for faster upstreams than those that are free
+ * if the value expected to be lost by their speed is at least this share of its
+ * value, and if that leaves less than this share of the loss.
  */
-#define RANK_GUARANTEED 0
-#define RANK_URGENT 1
+#define FASTER_SHARE_MIN 0.2
+#define FASTER_LOSS_SHARE 0.6
+
+/* A value above any loss. */
+#define VALUE_MANDATORY 1e9
 
 struct candidate {
 	struct stage *stage;
@@ -99,6 +102,8 @@
 		return "gang";
 	case STOP_UPSTREAM_LEAVING:
 		return "leaving";
+	case STOP_UPSTREAM_SLOW:
+		return "slow";
 	case STOP_ALREADY_DONE:
 		return "done_before";
 	}
@@ -429,6 +434,20 @@
 	       (c->rank > RANK_URGENT && slack_ms > 0);
 }
 
+/* Make the stops of a plan for st, and free the plan. */
+static void carry_out_plan(struct pass *p, struct stage *st, struct eviction *e)
+{
+	pack_deduct_chosen(&p->pack);
+	p->preemptor = st->job;
+	for (guint i = 0; i < e->stop->len; i++)
+		stop_run(p, g_ptr_array_index(e->stop, i), STOP_PREEMPTED);
+	p->preemptor = NULL;
+	note_wait(p, st, WAIT_STOPS);
+	if (e->rack != PACK_ANY_RACK)
+		st->reserved_rack = p->pack.racks[e->rack];
+	eviction_clear(e);
+}
+
 /*
  * Preempt for the candidate if that gains value. It never waits for runs that
  * are expected to end: each expectation that fails costs urgent work the time
@@ -464,18 +483,57 @@
 		note_wait(p, st, WAIT_LOSS);
 		return false;
 	}
-	pack_deduct_chosen(&p->pack);
-	p->preemptor = st->job;
-	for (guint i = 0; i < e.stop->len; i++)
-		stop_run(p, g_ptr_array_index(e.stop, i), STOP_PREEMPTED);
-	p->preemptor = NULL;
-	note_wait(p, st, WAIT_STOPS);
-	if (e.rack != PACK_ANY_RACK)
-		st->reserved_rack = p->pack.racks[e.rack];
-	eviction_clear(&e);
+	carry_out_plan(p, st, &e);
 	return true;
 }
 
+/*
+ * The candidate, which is urgent, fits on the chosen upstreams, but would be
+ * late on them as they are slow. Wait for the stops of faster ones, or preempt
+ * there, if that loses less value. Returns false, with the choice restored, if
+ * it is to start on them.
+ */
+static bool get_faster(struct pass *p, const struct candidate *c, uint32_t want)
+{
+	struct stage *st = c->stage;
+	uint32_t stop_ms = p->input->stop_ms;
+	struct preempt_request request = {.rank = c->rank};
+	double late_loss;
+	struct eviction e = {0};
+
+	if (!p->pack.speeds_used || c->rank > RANK_URGENT || c->due ||
+	    st->step->long_running)
+		return false;
+	late_loss = fastest_chosen_late_loss(&p->pack, 0);
+	if (late_loss < st->value.value_in_time * FASTER_SHARE_MIN)
+		return false;
+	if (pack_choose_all(&p->pack, st, want, PACK_FREE_AFTER_STOPS) &&
+	    fastest_chosen_late_loss(&p->pack, stop_ms) <
+		    late_loss * FASTER_LOSS_SHARE) {
+		pack_deduct_chosen(&p->pack);
+		note_wait(p, st, WAIT_STOPS);
+		return true;
+	}
+	if (p->failed_plans >= FAILED_PLANS_MAX ||
+	    p->input->now_ms < st->next_plan_ms)
+		goto restore;
+	if (!p->evict)
+		p->evict = evict_create(&p->pack, &p->value);
+	request.max_loss = late_loss;
+	if (evict_plan(p->evict, &request, st, want, &e) &&
+	    e.loss + fastest_chosen_late_loss(&p->pack, stop_ms) <
+		    late_loss * FASTER_LOSS_SHARE) {
+		carry_out_plan(p, st, &e);
+		return true;
+	}
+	eviction_clear(&e);
+	st->next_plan_ms = p->input->now_ms + PLAN_RETRY_MS;
+	p->failed_plans++;
+restore:
+	pack_choose_all(&p->pack, st, want, PACK_FREE);
+	return false;
+}
+
 /* Return the share of all upstreams that st takes, by its dominant resource. */
 static double cluster_share(const struct pass *p, const struct stage *st)
 {
@@ -620,7 +678,8 @@
 	if (!want)
 		return;
 	if (pack_choose_all(k, st, want, PACK_FREE)) {
-		start_tasks(p, st, false);
+		if (!get_faster(p, c, want))
+			start_tasks(p, st, false);
 		return;
 	}
 	if (!st->step->gang) {
@@ -693,6 +752,29 @@
 	}
 }
 
+/*
+ * Stop urgent gangs that were found on slow upstreams and end in time only on
+ * others that are free. These are kept free for the rest of the pass.
+ */
+static void move_off_slow(struct pass *p)
+{
+	for (guint i = 0; i < p->input->jobs->len; i++) {
+		struct job *j = g_ptr_array_index(p->input->jobs, i);
+
+		if (job_is_final(j) || !j->queue_known || j->rank > RANK_URGENT)
+			continue;
+		for (uint32_t k = 0; k < j->stages_len; k++) {
+			struct stage *st = &j->stages[k];
+
+			if (!move_gains(&p->pack, &p->value, st))
+				continue;
+			st->moved = true;
+			pack_deduct_chosen(&p->pack);
+			stop_stage(p, st, STOP_UPSTREAM_SLOW);
+		}
+	}
+}
+
 /* Return the mean resources of the upstreams that are listed. */
 static struct resources mean_upstream(const struct fleet *f)
 {
@@ -712,6 +794,13 @@
 				  r.accelerators / n};
 }
 
+/* Report whether gangs may be moved to faster upstreams in this pass. */
+static bool moves_possible(const struct dispatch_input *input)
+{
+	return input->speeds && speed_is_used(input->speeds) &&
+	       !input->stops_only;
+}
+
 /*
  * Run one scheduling pass. Tasks to start become TASK_PLACED and reserve
  * resources; tasks to stop become TASK_STOPPING. Returns an array of struct
@@ -729,15 +818,19 @@
 					 .now_ms = input->now_ms,
 					 .stop_ms = input->stop_ms,
 					 .checkpoint_ms = input->checkpoint_ms};
+	if (input->speeds)
+		speed_refresh(input->speeds, input->fleet, input->now_ms);
 	p.actions = g_array_new(FALSE, FALSE, sizeof(struct action));
 	p.candidates = g_array_new(FALSE, FALSE, sizeof(struct candidate));
 	rank_jobs(input);
 	stop_unwanted(&p);
 	move_off_leaving(&p);
 	collect_candidates(&p);
-	if (!p.candidates->len)
+	if (!p.candidates->len && !moves_possible(input))
 		goto out;
 	pack_begin(&p.pack, input->fleet, input->now_ms);
+	if (moves_possible(input))
+		move_off_slow(&p);
 	for (guint i = 0; i < p.candidates->len; i++) {
 		struct candidate *c =
 			&g_array_index(p.candidates, struct candidate, i);
--- a/sched/job.h
+++ b/sched/job.h
@@ -10,6 +10,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "sched/duration.h"
+
 #define JOB_ID_BYTES 24
 #define LABEL_BYTES 64
 #define TASK_NAME_BYTES 64
@@ -50,8 +52,10 @@
 	char *image;	    /* may be empty */
 	GQuark label_quark; /* label and data_rack as quarks */
 	GQuark data_rack_quark;
-	uint64_t expected_ms;	   /* cached result of estimator_duration_ms */
-	uint64_t expected_version; /* estimator version of expected_ms */
+	struct duration_estimate expected; /* cached by the estimator */
+	uint64_t expected_version;	   /* estimator version of `expected` */
+	uint32_t ended_runs;		   /* completed runs of its tasks */
+	double ended_log_ms; /* mean logarithm of their durations */
 };
 
 enum task_state {
@@ -82,6 +86,28 @@
 	/* duration of a full run at the last window's rate; 0: unknown */
 	uint64_t full_run_ms;
 	bool from_checkpoint; /* the run resumed from a checkpoint */
+	/* first and newest listed progress of the run; first_ms 0: none */
+	uint32_t first_percent;
+	uint32_t last_percent;
+	uint64_t first_ms;
+	uint64_t last_ms;
+};
+
+/*
+ * What the present run says of the speed of its machine, to be replaced when it
+ * has progressed further. Used by sched/speed.c only.
+ */
+struct speed_evidence {
+	bool seen;
+	bool counted;	      /* in the early judgement */
+	uint32_t percent;     /* progress at the last observation */
+	double precision;     /* contributed to the belief about the machine */
+	double weighted_mean; /* and the mean times the precision */
+	double stage_weight;  /* contributed to the stage term */
+	double stage_sum;
+	double stage_variance; /* of the stage term without this run */
+	double residual;       /* logarithm of the duration less that term */
+	double deviation; /* of it from the belief, in standard deviations */
 };
 
 /*
@@ -109,6 +135,7 @@
 	uint32_t first_percent;	    /* first progress listed for this run */
 	uint64_t first_percent_ms;  /* when it was listed; 0: not listed yet */
 	struct run_rate run_rate;
+	struct speed_evidence speed;
 	uint64_t placed_ms;
 	uint64_t confirmed_ms;
 	uint64_t ended_ms;
@@ -151,7 +178,9 @@
 /* Values computed in one scheduling pass and valid for that pass only. */
 struct stage_value {
 	uint64_t pass;
-	uint64_t run_ms; /* expected run time of a task */
+	uint64_t run_ms;	      /* expected run time of a task */
+	struct duration_estimate run; /* and its distribution */
+	uint64_t work_ms;	      /* the job's longest chain of work */
 	/* target time from submission to the job's end */
 	uint64_t objective_ms;
 	uint64_t critical_path_ms; /* from the stage's start to the job's end */
@@ -159,6 +188,11 @@
 	double value_in_time;  /* value of the job if it meets the objective */
 	double value_late;     /* value of the job if it ends late */
 	double upstream_share; /* share of a mean upstream that a task uses */
+	/*
+	 * Slowdown up to which an upstream serves the stage well enough; 0: the
+	 * fastest are preferred, infinite: speed is of no concern.
+	 */
+	double slowdown_allowed;
 	/* value lost by stopping the gang; negative: unknown */
 	double gang_stop_loss;
 	/* time until the gang is expected to end; 0: unknown */
@@ -178,10 +212,15 @@
 	GQuark reserved_rack; /* rack last freed for it; 0: none */
 	/* some active tasks were completed by an earlier run */
 	bool earlier_run_done;
+	bool moved;	    /* was stopped to start on faster upstreams */
 	bool rack_relaxed;  /* may span racks despite the slowdown */
 	bool rack_can_hold; /* some rack could hold it if empty */
 	/* rack layout for which rack_can_hold was computed */
 	uint64_t rack_layout;
+	/* precision of its term in sched/speed.c, and that times the mean */
+	double speed_weight;
+	double speed_sum;
+	uint64_t speed_number; /* in the order of the first observation */
 	struct stage_value value;
 	enum wait_reason wait_reason;
 	uint32_t trials_passed; /* suspects of it that were cleared */
@@ -198,6 +237,13 @@
 	JOB_CANCELLED,
 };
 
+/*
+ * Ranks: urgent work covered by its account's guarantee, other urgent work,
+ * then the queues by priority.
+ */
+#define RANK_GUARANTEED 0
+#define RANK_URGENT 1
+
 struct job {
 	char id[JOB_ID_BYTES];
 	char queue[LABEL_BYTES];
--- a/sched/value.c
+++ b/sched/value.c
@@ -1,4 +1,6 @@
 /* The value of jobs and the loss by stopping their runs. */
+#include <gsl/gsl_cdf.h>
+#include <math.h>
 #include <string.h>
 
 #include "sched/value.h"
@@ -29,6 +31,12 @@
 #define ACCELERATOR_CORES 8
 /* Maximum tasks assumed to fit on one upstream. */
 #define TASKS_PER_UPSTREAM_MAX 1000
+/*
+ * Share of the time that its objective leaves a stage that it may take on a
+ * slow upstream, and the slowdown of a fast one.
+ */
+#define ROOM_USED 0.85
+#define FAST_SLOWDOWN 0.7
 /* Progress below this many percent is not extrapolated. */
 #define PROGRESS_MIN_PERCENT 4
 
@@ -52,7 +60,7 @@
 }
 
 /* Return the time from which the objective of st counts, in milliseconds. */
-static uint64_t objective_start_ms(const struct stage *st)
+uint64_t value_objective_start_ms(const struct stage *st)
 {
 	/* the objective of an occurrence starts when the stage is ready */
 	return st->job->repeat ? st->since_ms : st->job->since_ms;
@@ -84,6 +92,26 @@
 	return base * MIN(size, RELATIVE_SIZE_MAX);
 }
 
+/*
+ * Return the slowdown up to which an upstream serves st well enough. Urgent
+ * work needs the fastest. Other work may take as long as its objective leaves
+ * it; if it is late in any case, as long as it has some value.
+ */
+static double slowdown_allowed(const struct stage *st,
+			       const struct stage_value *sv)
+{
+	double run_ms = MAX(sv->run_ms, 1), room_ms;
+
+	if (st->step->long_running)
+		return INFINITY;
+	if (st->job->rank <= RANK_URGENT)
+		return 0;
+	room_ms = run_ms + sv->slack_ms;
+	if (room_ms < run_ms * FAST_SLOWDOWN)
+		room_ms += (LATE_OBJECTIVE_FACTOR - 1.0) * sv->objective_ms;
+	return MAX(room_ms, 0) * ROOM_USED / run_ms;
+}
+
 /* Return the values of st, computed once per pass. */
 static const struct stage_value *stage_value_of(const struct value_context *v,
 						struct stage *st)
@@ -98,19 +126,29 @@
 	for (uint32_t i = 0; i < j->steps_len; i++)
 		longest_ms = MAX(longest_ms, remaining_ms[i]);
 	sv->pass = v->pass;
-	sv->run_ms = estimator_duration_ms(v->estimator, j, st->step_index);
+	sv->run = estimator_duration(v->estimator, j, st->step_index);
+	sv->run_ms = sv->run.median_ms;
+	sv->work_ms = longest_ms;
 	sv->objective_ms = longest_ms * j->slack_factor + j->target_ms;
 	sv->critical_path_ms = remaining_ms[st->step_index];
-	sv->slack_ms = (int64_t)(objective_start_ms(st) + sv->objective_ms) -
-		       (int64_t)(v->now_ms + sv->critical_path_ms);
+	sv->slack_ms =
+		(int64_t)(value_objective_start_ms(st) + sv->objective_ms) -
+		(int64_t)(v->now_ms + sv->critical_path_ms);
 	sv->value_in_time = job_value(v, j);
 	sv->value_late = sv->value_in_time * LATE_VALUE_SHARE;
 	sv->upstream_share = upstream_share(v, st);
+	sv->slowdown_allowed = slowdown_allowed(st, sv);
 	sv->gang_stop_loss = -1;
 	sv->gang_release_ms = 0;
 	return sv;
 }
 
+/* Return the objective of the job of st, from value_objective_start_ms. */
+uint64_t value_objective_ms(const struct value_context *v, struct stage *st)
+{
+	return stage_value_of(v, st)->objective_ms;
+}
+
 /*
  * Return how long st can wait with its job still meeting its objective, in
  * milliseconds; negative: it will be late.
@@ -120,6 +158,32 @@
 	return stage_value_of(v, st)->slack_ms;
 }
 
+/*
+ * Return the probability that the job of st meets its objective if st starts
+ * after a stop. The objective grows with the duration of the job's work, so a
+ * job whose work turns out short is the one that is late.
+ */
+static double in_time_probability(const struct value_context *v,
+				  const struct stage *st)
+{
+	const struct stage_value *sv = &st->value;
+	const struct job *j = st->job;
+	double spare_factor = j->slack_factor - (double)sv->critical_path_ms /
+							MAX(sv->work_ms, 1);
+	/* what the work must earn by being long, and earns at its median */
+	double need_ms = v->now_ms + v->stop_ms - value_objective_start_ms(st) -
+			 (double)j->target_ms;
+	double scale;
+
+	if (need_ms <= 0)
+		return spare_factor >= 0;
+	if (spare_factor <= 0)
+		return 0;
+	/* all steps take longer, or shorter, by the same factor */
+	scale = need_ms / (spare_factor * MAX(sv->work_ms, 1));
+	return gsl_cdf_ugaussian_Q(log(scale) / sv->run.log_sd);
+}
+
 /*
  * Return the value gained by starting st now rather than too late; 0 if its job
  * is late in any case.
@@ -129,6 +193,8 @@
 	const struct stage_value *sv = stage_value_of(v, st);
 	double gain = sv->value_in_time - sv->value_late;
 
+	if (sv->run.runs > 0)
+		return gain * in_time_probability(v, st);
 	if (sv->slack_ms >= (int64_t)v->stop_ms)
 		return gain;
 	/* durations are uncertain, so it may still end in time */
@@ -144,7 +210,7 @@
 double value_per_second(const struct value_context *v, struct stage *st)
 {
 	const struct stage_value *sv = stage_value_of(v, st);
-	uint64_t late_end_ms = objective_start_ms(st) +
+	uint64_t late_end_ms = value_objective_start_ms(st) +
 			       LATE_OBJECTIVE_FACTOR * sv->objective_ms;
 	double seconds = MAX(sv->critical_path_ms, 1) / 1000.0 *
 			 sv->upstream_share * st->step->count;
@@ -158,18 +224,24 @@
 
 /*
  * Return the expected remaining run time of t in milliseconds: by its listed
- * progress, or by the expected run time while there is little progress. A run
- * that is overdue is expected to need as long again as it is overdue.
+ * progress, or by the learned durations of the runs that lasted as long while
+ * there is little progress. A run that is overdue is expected to need as long
+ * again as it is overdue if nothing was learned.
  */
 uint64_t value_remaining_ms(const struct value_context *v, const struct task *t)
 {
 	uint64_t ran_ms = v->now_ms - MIN(t->placed_ms, v->now_ms);
-	uint64_t run_ms = stage_value_of(v, t->stage)->run_ms;
+	const struct stage_value *sv = stage_value_of(v, t->stage);
+	double slowdown = t->at ? upstream_slowdown(t->at) : 1;
+	uint64_t run_ms = sv->run_ms * slowdown;
 	uint64_t since_listed_ms =
 		v->now_ms - MIN(t->percent_listed_ms, v->now_ms);
 	uint32_t progressed = t->percent - MIN(t->first_percent, t->percent);
 	uint64_t left_ms;
 
+	if (progressed < PROGRESS_MIN_PERCENT && sv->run.runs > 0)
+		return duration_remaining_ms(&sv->run, ran_ms / slowdown) *
+		       slowdown;
 	if (progressed < PROGRESS_MIN_PERCENT)
 		return run_ms > ran_ms ? run_ms - ran_ms
 				       : MAX(run_ms / 4, ran_ms - run_ms);
