model: add a crowded site, count work lost to preemption

The simulation knew only the large deployment, where an upstream holds two tasks of each kind and nothing strands. The output tells the core-seconds that preempted runs lose from all that are wasted.

--- a/load/model.c
+++ b/load/model.c
@@ -828,7 +828,7 @@
 
 int main(int argc, char **argv)
 {
-	char *deployment = NULL;
+	char *deployment = NULL, *site = NULL;
 	gint seeds = 20, from = 1, upstreams = 610, tasks = 8000;
 	gint accounts = 90, jobs = 500, seconds = 20, seed = 1;
 	gdouble load = 1;
@@ -851,6 +851,8 @@
 		 "pass, day: random seed", "N"},
 		{"load", 'l', 0, G_OPTION_ARG_DOUBLE, &load,
 		 "day: arrival rate as a multiple of the site's", "X"},
+		{"site", 0, 0, G_OPTION_ARG_STRING, &site,
+		 "pass, day: large or crowded", "NAME"},
 		{"accounts", 'a', 0, G_OPTION_ARG_INT, &accounts,
 		 "cost: client accounts", "N"},
 		{0}};
@@ -863,7 +865,7 @@
 	g_option_context_add_main_entries(o, entries, NULL);
 	if (!g_option_context_parse(o, &argc, &argv, &err) || argc != 2 ||
 	    seeds < 1 || upstreams < 1 || accounts < 1 || tasks < 0 ||
-	    jobs < 1 || seconds < 1 || load <= 0) {
+	    jobs < 1 || seconds < 1 || load <= 0 || !play_site_is_known(site)) {
 		fprintf(stderr, "model: %s\n",
 			err ? err->message
 			    : "missing command or option out of "
@@ -875,7 +877,8 @@
 					.tasks = (uint32_t)tasks,
 					.seconds = (uint32_t)seconds,
 					.seed = (uint64_t)seed,
-					.load = load};
+					.load = load,
+					.site = site};
 	if (!strcmp(argv[1], "mix"))
 		rc = run_mix(deployment ? deployment : "barsha", (uint32_t)from,
 			     (uint32_t)seeds);
@@ -892,5 +895,6 @@
 	g_clear_error(&err);
 	g_option_context_free(o);
 	g_free(deployment);
+	g_free(site);
 	return rc;
 }
--- a/load/play.c
+++ b/load/play.c
@@ -15,15 +15,9 @@
 #include "sched/dispatch.h"
 #include "sched/progress.h"
 
-#define RACK_UPSTREAM_COUNT 8
-#define DOMAIN_COUNT 5
-#define ACCOUNT_COUNT 24
+#define ACCOUNT_MAX 24
 /* Share of the accelerators that is guaranteed to all accounts together. */
 #define GUARANTEED_SHARE 0.6
-/* Limits and delays of the large deployment. */
-#define STOP_MAX_MS 900
-#define RECLAIM_MAX_MS 3400
-#define LEASE_MS 10000
 #define CHECKPOINT_INTERVAL_MS 1000
 #define CHECKPOINT_RESTORE_MS 250
 #define CROSS_RACK_SLOWDOWN 3
@@ -64,7 +58,7 @@
 	double slack_factor, target_ms, in_time_credit, late_credit;
 };
 
-static const struct job_kind_spec job_kinds[KIND_COUNT] = {
+static const struct job_kind_spec large_kinds[KIND_COUNT] = {
 	{.name = "rooftop-survey",
 	 .arrivals_per_s = 3.42,
 	 .priority = 1,
@@ -130,11 +124,119 @@
 	 .late_credit = 0.3},
 };
 
+static const struct job_kind_spec crowded_kinds[KIND_COUNT] = {
+	{.name = "rooftop-survey",
+	 .arrivals_per_s = 1.39,
+	 .priority = 1,
+	 .max_attempts = 4,
+	 .mean_tasks = 13,
+	 .tasks_cv = 0.8,
+	 .max_tasks = 80,
+	 .mean_work_ms = 11000,
+	 .work_cv = 0.3,
+	 .max_work_ms = 16000,
+	 .need = {26000, 38000, 0},
+	 .accelerator_counts = {1, 2, 4, 8, 8},
+	 .max_estimate_log_error = 0.5,
+	 .gang = true,
+	 .run_failure_share = 0.02,
+	 .checkpointing_share = 0.45,
+	 .always_failing_share = 0.03,
+	 .cancelled_share = 0.05,
+	 .slack_factor = 3,
+	 .target_ms = 1000,
+	 .in_time_credit = 3,
+	 .late_credit = 0.9},
+	{.name = "eligibility-check",
+	 .arrivals_per_s = 5.88,
+	 .priority = 0,
+	 .max_attempts = 2,
+	 .mean_tasks = 5,
+	 .tasks_cv = 0.8,
+	 .max_tasks = 30,
+	 .mean_work_ms = 2500,
+	 .work_cv = 0.5,
+	 .max_work_ms = 8000,
+	 .need = {7500, 15000, 0},
+	 .accelerator_counts = {1, 2, 4, 8, 8},
+	 .max_estimate_log_error = 0.9,
+	 .gang = true,
+	 .rack_sensitive_share = {0.78, 0.7, 0.5, 0.24, 0.24},
+	 .run_failure_share = 0.05,
+	 .slack_factor = 1.5,
+	 .target_ms = 250,
+	 .in_time_credit = 4,
+	 .late_credit = 0.8},
+	{.name = "village-recon",
+	 .arrivals_per_s = 1.7,
+	 .priority = 2,
+	 .max_attempts = 2,
+	 .mean_tasks = 39,
+	 .tasks_cv = 0.8,
+	 .max_tasks = 230,
+	 .mean_work_ms = 7600,
+	 .work_cv = 0.3,
+	 .max_work_ms = 11000,
+	 .need = {5600, 15000, 0},
+	 .accelerator_counts = {1, 1, 1, 1, 1},
+	 .max_estimate_log_error = 0.2,
+	 .run_failure_share = 0.005,
+	 .checkpointing_share = 0.45,
+	 .always_failing_share = 0.03,
+	 .cancelled_share = 0.15,
+	 .slack_factor = 3,
+	 .target_ms = 3000,
+	 .in_time_credit = 1,
+	 .late_credit = 0.3},
+};
+
+/*
+ * A deployment: its upstreams, its bounds and its kinds of job, whose arrival
+ * rates are those of `rated_upstreams`.
+ */
+struct site_spec {
+	const char *name;
+	const struct job_kind_spec *kinds;
+	struct resources upstream;
+	uint32_t rated_upstreams, rack_upstreams, domains, accounts;
+	/* each account has this share of the remaining arrivals; 0: equal */
+	double account_share;
+	double slowest; /* upstreams take 1/slowest to slowest times as long */
+	uint32_t stop_ms, reclaim_ms, lease_ms;
+};
+
+static const struct site_spec sites[] = {
+	{.name = "large",
+	 .kinds = large_kinds,
+	 .upstream = {128000, 524288, 8},
+	 .rated_upstreams = 1100,
+	 .rack_upstreams = 8,
+	 .domains = 5,
+	 .accounts = 24,
+	 .slowest = 1,
+	 .stop_ms = 900,
+	 .reclaim_ms = 3400,
+	 .lease_ms = 10000},
+	/* two tasks of the second priority fill an upstream */
+	{.name = "crowded",
+	 .kinds = crowded_kinds,
+	 .upstream = {64000, 131072, 8},
+	 .rated_upstreams = 350,
+	 .rack_upstreams = 20,
+	 .domains = 4,
+	 .accounts = 10,
+	 .account_share = 0.3,
+	 .slowest = 1.25,
+	 .stop_ms = 200,
+	 .reclaim_ms = 2700,
+	 .lease_ms = 6000},
+};
+
 enum event_tag {
 	EVENT_JOB_ARRIVAL,     /* a job of `kind` arrives */
 	EVENT_START_CONFIRMED, /* run `run` of `task` starts */
-	EVENT_RUN_END,	   /* a run of `task` ends; `run` is its end_sequence */
-	EVENT_RUN_STOPPED, /* the stop of run `run` takes effect */
+	EVENT_RUN_END, /* a run of `task` ends; `run` is its end_sequence */
+	EVENT_RUN_STOPPED, /* the stop of run `run` takes effect; `value`: 1 if it was preempted */
 	EVENT_JOB_CANCELLED,	/* the caller cancels `job` */
 	EVENT_PROGRESS_REPORT,	/* upstreams report progress */
 	EVENT_SPEED_CHANGE,	/* `upstream` slows by factor `value` */
@@ -179,11 +281,13 @@
 	uint32_t jobs, in_time, late, lost;
 	double credit_earned, credit_possible;
 	double wasted_core_s;
+	double preempted_core_s; /* of it, by runs stopped for other work */
 	struct histogram turnaround;
 };
 
 struct simulation {
 	const struct play_options *options;
+	const struct site_spec *site;
 	GRand *rand;
 	GArray *events;
 	uint64_t next_sequence;
@@ -196,7 +300,7 @@
 	GPtrArray *ended_jobs; /* events may refer to their tasks */
 	GHashTable *sim_jobs;
 	GHashTable *speeds; /* by upstream; 1 is full speed */
-	struct account_guarantee guarantees[ACCOUNT_COUNT];
+	struct account_guarantee guarantees[ACCOUNT_MAX];
 	uint32_t job_count;
 	double task_count_scale;
 	double mean_core_seconds[KIND_COUNT];
@@ -296,10 +400,23 @@
 	return g_rand_double(p->rand) < share;
 }
 
+/* Draw the account of a job; the first ones are the largest. */
+static uint32_t random_account(struct simulation *p)
+{
+	const struct site_spec *s = p->site;
+	uint32_t k = 0;
+
+	if (!s->account_share)
+		return g_rand_int_range(p->rand, 0, s->accounts);
+	while (k + 1 < s->accounts && !random_chance(p, s->account_share))
+		k++;
+	return k;
+}
+
 /* Add a job of kind k, with randomly drawn properties, that arrives now. */
 static void add_random_job(struct simulation *p, enum job_kind k)
 {
-	const struct job_kind_spec *s = &job_kinds[k];
+	const struct job_kind_spec *s = &p->site->kinds[k];
 	struct sim_job *t = g_new0(struct sim_job, 1);
 	char id[JOB_ID_BYTES];
 	struct step *step;
@@ -309,8 +426,7 @@
 
 	snprintf(id, sizeof(id), "%016x", ++p->job_count);
 	j = job_create(id);
-	snprintf(j->account, sizeof(j->account), "a%u",
-		 g_rand_int_range(p->rand, 0, ACCOUNT_COUNT));
+	snprintf(j->account, sizeof(j->account), "a%u", random_account(p));
 	g_strlcpy(j->queue, s->name, sizeof(j->queue));
 	job_set_service(j, "s");
 	j->queue_known = true;
@@ -464,10 +580,11 @@
  * End a run early: keep the work up to its last checkpoint and count the rest
  * as wasted.
  */
-static void abort_run(struct simulation *p, struct task *t)
+static void abort_run(struct simulation *p, struct task *t, bool preempted)
 {
 	struct task_progress *g = task_progress_of(p, t);
-	double ran = p->now_ms - t->placed_ms, kept = 0;
+	struct outcome *o = &p->by_kind[sim_job_of(p, t->stage->job)->kind];
+	double ran = p->now_ms - t->placed_ms, kept = 0, wasted;
 
 	if (!g->slowdown)
 		return; /* not started yet */
@@ -480,9 +597,11 @@
 		g_free(t->checkpoint);
 		t->checkpoint = g_strdup("c");
 	}
-	p->by_kind[sim_job_of(p, t->stage->job)->kind].wasted_core_s +=
-		MAX(ran - kept, 0) / 1000 *
-		core_equivalents(&t->stage->step->need);
+	wasted = MAX(ran - kept, 0) / 1000 *
+		 core_equivalents(&t->stage->step->need);
+	o->wasted_core_s += wasted;
+	if (preempted)
+		o->preempted_core_s += wasted;
 	g->end_sequence++;
 	g->slowdown = 0;
 }
@@ -496,7 +615,7 @@
 {
 	struct sim_job *t = sim_job_of(p, j);
 	struct outcome *o = &p->by_kind[t->kind];
-	const struct job_kind_spec *s = &job_kinds[t->kind];
+	const struct job_kind_spec *s = &p->site->kinds[t->kind];
 	uint64_t took = p->now_ms - t->arrived_ms;
 	double size_weight;
 
@@ -538,7 +657,7 @@
 		return;
 	task_progress_of(p, t)->slowdown = 0;
 	if (u->always_fails ||
-	    random_chance(p, job_kinds[u->kind].run_failure_share)) {
+	    random_chance(p, p->site->kinds[u->kind].run_failure_share)) {
 		upstream_record_failure(t->at, t->stage->job, p->now_ms);
 		task_end_run(t, RUN_FAILED, NULL, p->now_ms);
 	} else {
@@ -559,7 +678,7 @@
 	while (u->tasks->len) {
 		struct task *t = g_ptr_array_index(u->tasks, 0);
 
-		abort_run(p, t);
+		abort_run(p, t, false);
 		task_end_run(t, RUN_UPSTREAM_GONE, NULL, p->now_ms);
 	}
 }
@@ -598,7 +717,7 @@
 		break;
 	case EVENT_RUN_STOPPED:
 		if (e->task->run == e->run && e->task->state == TASK_STOPPING) {
-			abort_run(p, e->task);
+			abort_run(p, e->task, e->value > 0);
 			task_end_run(e->task, RUN_STOPPED, NULL, p->now_ms);
 		}
 		break;
@@ -638,12 +757,13 @@
 		break;
 	case ACTION_STOP:
 		p->stops++;
+		e.value = a->u.stop.cause == STOP_PREEMPTED;
 		e.tag = EVENT_RUN_STOPPED;
 		schedule_event(p,
 			       p->now_ms + ACTION_DELAY_MS +
 				       g_rand_int_range(p->rand,
-							STOP_MAX_MS / 4,
-							STOP_MAX_MS),
+							p->site->stop_ms / 4,
+							p->site->stop_ms),
 			       e);
 		break;
 	case ACTION_WAIT:
@@ -683,13 +803,13 @@
 	struct dispatch_input v = {.jobs = p->jobs,
 				   .fleet = p->fleet,
 				   .guarantees = p->guarantees,
-				   .guarantees_len = ACCOUNT_COUNT,
+				   .guarantees_len = p->site->accounts,
 				   .now_ms = p->now_ms,
 				   .estimator = p->estimator,
 				   .checkpoint_ms = CHECKPOINT_INTERVAL_MS,
-				   .stop_ms = STOP_MAX_MS,
-				   .reclaim_ms = RECLAIM_MAX_MS,
-				   .lease_ms = LEASE_MS};
+				   .stop_ms = p->site->stop_ms,
+				   .reclaim_ms = p->site->reclaim_ms,
+				   .lease_ms = p->site->lease_ms};
 	uint64_t began = clock_mono_us(), took;
 	GArray *actions = dispatch(&v);
 
@@ -704,10 +824,26 @@
 	p->next_pass_ms = p->now_ms + PASS_INTERVAL_MS;
 }
 
+/* Return the site with this name, or the first; NULL if there is none. */
+static const struct site_spec *find_site(const char *name)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(sites); i++)
+		if (!name || !strcmp(name, sites[i].name))
+			return &sites[i];
+	return NULL;
+}
+
+/* Report whether there is a site with this name. */
+bool play_site_is_known(const char *name)
+{
+	return find_site(name);
+}
+
 static void simulation_init(struct simulation *p, const struct play_options *o)
 {
 	memset(p, 0, sizeof(*p));
 	p->options = o;
+	p->site = find_site(o->site);
 	p->rand = g_rand_new_with_seed(o->seed);
 	p->events = g_array_new(FALSE, FALSE, sizeof(struct event));
 	p->start_ms = p->now_ms = 1000000;
@@ -724,21 +860,26 @@
 		struct upstream *u;
 
 		snprintf(id, sizeof(id), "u%u", i);
-		snprintf(rack, sizeof(rack), "r%u", i / RACK_UPSTREAM_COUNT);
+		snprintf(rack, sizeof(rack), "r%u",
+			 i / p->site->rack_upstreams);
 		snprintf(domain, sizeof(domain), "d%u",
-			 i / RACK_UPSTREAM_COUNT * DOMAIN_COUNT *
-				 RACK_UPSTREAM_COUNT / o->upstreams);
+			 i / p->site->rack_upstreams * p->site->domains *
+				 p->site->rack_upstreams / o->upstreams);
 		u = fleet_add_upstream(p->fleet, id);
 		upstream_describe(u, "s", domain, "a", rack);
-		u->resources = (struct resources){128000, 524288, 8};
+		u->resources = p->site->upstream;
 		u->synced = true;
-		*speed = 1;
+		*speed = i % 3 == 0   ? 1 / p->site->slowest
+			 : i % 3 == 1 ? p->site->slowest
+				      : 1;
 		g_hash_table_insert(p->speeds, u, speed);
 	}
-	for (uint32_t i = 0; i < ACCOUNT_COUNT; i++)
+	for (uint32_t i = 0; i < p->site->accounts; i++)
 		p->guarantees[i] = (struct account_guarantee){
 			g_strdup_printf("a%u", i),
-			GUARANTEED_SHARE * o->upstreams * 8 / ACCOUNT_COUNT};
+			GUARANTEED_SHARE * o->upstreams *
+				p->site->upstream.accelerators /
+				p->site->accounts};
 	schedule_event(p, p->now_ms,
 		       (struct event){.tag = EVENT_PROGRESS_REPORT});
 }
@@ -762,7 +903,7 @@
 	g_ptr_array_free(p->ended_jobs, TRUE);
 	g_hash_table_destroy(p->sim_jobs);
 	g_hash_table_destroy(p->speeds);
-	for (uint32_t i = 0; i < ACCOUNT_COUNT; i++)
+	for (uint32_t i = 0; i < p->site->accounts; i++)
 		g_free((char *)p->guarantees[i].account);
 	estimator_destroy(p->estimator);
 	fleet_destroy(p->fleet);
@@ -799,24 +940,25 @@
 	int k;
 
 	for (k = 0; k < KIND_COUNT; k++)
-		sum += job_kinds[k].arrivals_per_s;
+		sum += p->site->kinds[k].arrivals_per_s;
 	while (p->jobs->len < p->options->jobs) {
 		at = g_rand_double(p->rand) * sum;
-		for (k = 0;
-		     k + 1 < KIND_COUNT && at >= job_kinds[k].arrivals_per_s;
+		for (k = 0; k + 1 < KIND_COUNT &&
+			    at >= p->site->kinds[k].arrivals_per_s;
 		     k++)
-			at -= job_kinds[k].arrivals_per_s;
+			at -= p->site->kinds[k].arrivals_per_s;
 		add_random_job(p, k);
 	}
 }
 
-static double mean_task_count(void)
+static double mean_task_count(const struct simulation *p)
 {
 	double sum = 0, tasks = 0;
 
 	for (int k = 0; k < KIND_COUNT; k++) {
-		sum += job_kinds[k].arrivals_per_s;
-		tasks += job_kinds[k].arrivals_per_s * job_kinds[k].mean_tasks;
+		sum += p->site->kinds[k].arrivals_per_s;
+		tasks += p->site->kinds[k].arrivals_per_s *
+			 p->site->kinds[k].mean_tasks;
 	}
 	return tasks / sum;
 }
@@ -830,7 +972,7 @@
 	struct simulation p;
 
 	simulation_init(&p, o);
-	p.task_count_scale = o->tasks / (o->jobs * mean_task_count());
+	p.task_count_scale = o->tasks / (o->jobs * mean_task_count(&p));
 	simulate_until(&p, p.now_ms + o->seconds * 1000, refill_jobs);
 	printf("upstreams=%u jobs=%u tasks=%u passes=%llu p50_us=%llu "
 	       "p99_us=%llu max_us=%llu starts=%llu stops=%llu\n",
@@ -846,14 +988,15 @@
 /* Schedule the job arrivals of a day, with bursts of checks and surveys. */
 static void schedule_arrivals(struct simulation *p, uint64_t end_ms)
 {
-	double scale = p->options->load * p->options->upstreams / 1100;
+	double scale = p->options->load * p->options->upstreams /
+		       p->site->rated_upstreams;
 
 	for (int k = 0; k < KIND_COUNT; k++) {
 		double at = p->now_ms;
 
 		while (at < end_ms) {
 			double since = (at - p->now_ms) / 1000;
-			double rate = job_kinds[k].arrivals_per_s * scale;
+			double rate = p->site->kinds[k].arrivals_per_s * scale;
 
 			if (k == KIND_CHECK && since >= 7 && since < 10.4)
 				rate *= 2.1;
@@ -900,7 +1043,8 @@
 			  const struct outcome *o)
 {
 	printf("%s: jobs=%u in_time=%u late=%u lost=%u credit=%.3f "
-	       "p50_ms=%llu p95_ms=%llu thrown_core_s=%.0f\n",
+	       "p50_ms=%llu p95_ms=%llu thrown_core_s=%.0f "
+	       "preempted_core_s=%.0f\n",
 	       s->name, o->jobs, o->in_time, o->late, o->lost,
 	       o->credit_possible > 0 ? o->credit_earned / o->credit_possible
 				      : 0,
@@ -908,7 +1052,7 @@
 		       1000,
 	       (unsigned long long)histogram_quantile_us(&o->turnaround, 0.95) /
 		       1000,
-	       o->wasted_core_s);
+	       o->wasted_core_s, o->preempted_core_s);
 }
 
 /*
@@ -935,17 +1079,17 @@
 		record_outcome(&p, j);
 	}
 	for (int k = 0; k < KIND_COUNT; k++) {
-		print_outcome(&job_kinds[k], &p.by_kind[k]);
+		print_outcome(&p.site->kinds[k], &p.by_kind[k]);
 		credit_earned += p.by_kind[k].credit_earned;
 		credit_possible += p.by_kind[k].credit_possible;
 		wasted_core_s += p.by_kind[k].wasted_core_s;
 		jobs += p.by_kind[k].jobs;
 		lost += p.by_kind[k].lost;
 	}
-	printf("all: credit=%.3f unserved=%.3f busy=%.3f thrown_core_s=%.0f "
+	printf("all: credit=%.3f possible=%.0f unserved=%.3f busy=%.3f thrown_core_s=%.0f "
 	       "passes=%llu p50_us=%llu p99_us=%llu starts=%llu stops=%llu\n",
 	       credit_possible > 0 ? credit_earned / credit_possible : 0,
-	       (double)lost / MAX(jobs, 1),
+	       credit_possible, (double)lost / MAX(jobs, 1),
 	       p.used_accelerators / MAX(p.available_accelerators, 1),
 	       wasted_core_s, (unsigned long long)p.passes,
 	       (unsigned long long)histogram_quantile_us(&p.pass_time, 0.5),
--- a/load/play.h
+++ b/load/play.h
@@ -5,6 +5,7 @@
 #ifndef LOAD_PLAY_H
 #define LOAD_PLAY_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 struct play_options {
@@ -14,9 +15,11 @@
 	uint32_t seconds; /* of virtual time */
 	uint64_t seed;
 	double load; /* day only: arrival rate as a multiple of the site's */
+	const char *site; /* its name; NULL: the first */
 };
 
 int play_measure_pass_cost(const struct play_options *o);
+bool play_site_is_known(const char *name);
 int play_simulate_day(const struct play_options *o);
 
 #endif
