Weigh what a stop costs the stopped job's client

A stop was priced as if a run with checkpoints lost a whole interval, as if a stopped job restarted at once and from its beginning, and as if a second stop cost no more than the first. Plans also stopped cheap runs that a later victim made unnecessary.

Change: sched/stoploss prices the work since the last checkpoint, the restore, the stop, the wait until the job can start again (what waits at its rank and above against the capacity), and the value that the job loses by ending late, in proportion to how likely that is. Work that is lost again is dearer for each earlier stop of the stage. find_victims leaves out the victims that the task does not need.

To switch off: task_loss in sched/value.c (the former formula), and the call of spare_victims in sched/evict.c.

--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -57,6 +57,9 @@
 #define SUSPECT_SHARE_DIVISOR 4
 #define SUSPECTS_PER_CLEARED 2
 
+/* Longest wait that is estimated; a job that waits an hour has lost its value. */
+#define WAIT_ESTIMATE_MAX_MS 3600000
+
 /* A value above any loss. */
 #define VALUE_MANDATORY 1e9
 
@@ -115,6 +118,8 @@
 		return;
 	pack_record_stop(&p->pack, t);
 	t->state = TASK_STOPPING;
+	if (cause == STOP_PREEMPTED)
+		t->stage->preempted++;
 	g_array_append_val(p->actions, a);
 }
 
@@ -288,6 +293,28 @@
 	g_array_sort(p->candidates, compare_candidates);
 }
 
+/*
+ * Estimate how long work of each rank waits to start: the time that all
+ * upstreams together need for what waits at this rank and above.
+ */
+static void estimate_waits(struct pass *p)
+{
+	double sum_ms[VALUE_RANKS] = {0}, total_ms = 0;
+
+	for (guint i = 0; i < p->candidates->len; i++) {
+		const struct candidate *c =
+			&g_array_index(p->candidates, struct candidate, i);
+
+		sum_ms[MIN(c->rank, VALUE_RANKS - 1)] +=
+			value_waiting_ms(&p->value, c->stage);
+	}
+	for (uint32_t rank = 0; rank < VALUE_RANKS; rank++) {
+		total_ms += sum_ms[rank];
+		p->value.wait_ms[rank] =
+			MIN(total_ms / MAX(p->pack.n, 1), WAIT_ESTIMATE_MAX_MS);
+	}
+}
+
 /* Stop all runs of j. */
 static void stop_job(struct pass *p, struct job *j, enum stop_cause cause)
 {
@@ -738,6 +765,7 @@
 	if (!p.candidates->len)
 		goto out;
 	pack_begin(&p.pack, input->fleet, input->now_ms);
+	estimate_waits(&p);
 	for (guint i = 0; i < p.candidates->len; i++) {
 		struct candidate *c =
 			&g_array_index(p.candidates, struct candidate, i);
--- a/sched/evict.c
+++ b/sched/evict.c
@@ -276,6 +276,33 @@
 	double loss; /* INFINITY: the task cannot fit */
 };
 
+/*
+ * Leave out the victims of c that the task does not need, the dearest first: a
+ * later victim may have freed what the earlier ones could not. Those that are
+ * stopped in any case cost nothing and stay.
+ */
+static void spare_victims(struct plan *plan, uint32_t index,
+			  struct victim_set *c)
+{
+	struct evict *e = plan->e;
+
+	for (uint32_t i = c->n; i-- > 0;) {
+		const struct victim *v = &e->victims[c->list[i]];
+		struct resources without = c->have;
+
+		if (gang_is_stopped(plan, v))
+			continue;
+		resources_add(&without, &v->resources, -1);
+		if (!resources_contain(&without, &e->pack->demand.need) ||
+		    !pack_capacity(e->pack, index, &without))
+			continue;
+		c->have = without;
+		c->loss -= v->loss;
+		memmove(&c->list[i], &c->list[i + 1],
+			(--c->n - i) * sizeof(*c->list));
+	}
+}
+
 /*
  * Find the victims on an upstream that make one more task fit: first those that
  * cost nothing, then those with the least loss.
@@ -330,6 +357,8 @@
 	}
 	if (!fits)
 		c->loss = INFINITY;
+	else if (c->n > 1)
+		spare_victims(plan, index, c);
 }
 
 /* Add the victims of c to the plan and place one more task there. */
--- a/sched/job.h
+++ b/sched/job.h
@@ -155,6 +155,7 @@
 	uint64_t objective_ms;
 	uint64_t critical_path_ms; /* from the stage's start to the job's end */
 	int64_t slack_ms; /* time it can wait and still meet the objective */
+	uint32_t waiting; /* tasks that wait to start */
 	double value_in_time;  /* value of the job if it meets the objective */
 	double value_late;     /* value of the job if it ends late */
 	double upstream_share; /* share of a mean upstream that a task uses */
@@ -187,6 +188,7 @@
 	uint64_t next_plan_ms;	/* earliest time of the next preemption plan */
 	uint64_t plan_id;	/* last plan that stops tasks of this stage */
 	uint32_t plan_stop_count; /* number of tasks stopped by that plan */
+	uint32_t preempted;	  /* runs that were stopped for other work */
 };
 
 enum job_state {
--- a/sched/value.c
+++ b/sched/value.c
@@ -1,6 +1,7 @@
 /* The value of jobs and the loss by stopping their runs. */
 #include <string.h>
 
+#include "sched/stoploss.h"
 #include "sched/value.h"
 
 /* Value by priority: urgent jobs, second priority, all others. */
@@ -106,6 +107,7 @@
 	sv->value_in_time = job_value(v, j);
 	sv->value_late = sv->value_in_time * LATE_VALUE_SHARE;
 	sv->upstream_share = upstream_share(v, st);
+	sv->waiting = stage_waiting_count(st);
 	sv->gang_stop_loss = -1;
 	sv->gang_release_ms = 0;
 	return sv;
@@ -200,33 +202,51 @@
 	return st->value.gang_release_ms;
 }
 
+/*
+ * Return the time that whole upstreams need for the waiting tasks of st, in
+ * milliseconds of one upstream.
+ */
+double value_waiting_ms(const struct value_context *v, struct stage *st)
+{
+	const struct stage_value *sv = stage_value_of(v, st);
+
+	return (double)sv->run_ms * sv->upstream_share * sv->waiting;
+}
+
 /*
  * Return the value lost by stopping t, without the rest of its gang: the work
  * so far or since the last checkpoint, the time to stop, and the value of a job
- * that then ends late.
+ * that then ends late. Long-running work has no end.
  */
 static double task_loss(const struct value_context *v, const struct task *t)
 {
-	const struct stage_value *sv = stage_value_of(v, t->stage);
-	const struct resources *need = &t->stage->step->need;
-	uint64_t ran_ms = v->now_ms - MIN(t->placed_ms, v->now_ms);
-	uint64_t lost_ms = ran_ms;
-	double loss;
-
-	if (t->stage->step->checkpoints)
-		lost_ms = MIN(lost_ms, v->checkpoint_ms);
-	lost_ms += v->stop_ms;
-	loss = lost_ms / 1000.0 *
-	       (UPSTREAM_SECOND_VALUE * sv->upstream_share +
-		CORE_SECOND_COST * (need->cpu_milli / 1000.0 +
-				    need->accelerators * ACCELERATOR_CORES));
-	/* a job that then ends late loses most of its value */
-	if (!t->stage->step->long_running &&
-	    sv->slack_ms < (int64_t)v->stop_ms &&
-	    sv->slack_ms + (int64_t)ran_ms >= 0)
-		loss += (sv->value_in_time - sv->value_late) /
-			t->stage->step->count;
-	return loss;
+	struct stage *st = t->stage;
+	const struct stage_value *sv = stage_value_of(v, st);
+	const struct step *step = st->step;
+	struct stoploss_run r = {
+		.ran_ms = v->now_ms - MIN(t->placed_ms, v->now_ms),
+		.expected_ms = sv->run_ms,
+		.critical_path_ms = sv->critical_path_ms,
+		.objective_ms = sv->objective_ms,
+		.slack_ms = sv->slack_ms,
+		.wait_ms = v->wait_ms[MIN(st->job->rank, VALUE_RANKS - 1)],
+		.stop_ms = v->stop_ms,
+		.checkpoint_ms = step->checkpoints ? v->checkpoint_ms : 0,
+		.others_wait = !step->gang && sv->waiting,
+		.value_in_time = sv->value_in_time,
+		.value_late = sv->value_late,
+	};
+	double loss = stoploss_work_ms(&r) / 1000.0 *
+		      (UPSTREAM_SECOND_VALUE * sv->upstream_share +
+		       CORE_SECOND_COST *
+			       (step->need.cpu_milli / 1000.0 +
+				step->need.accelerators * ACCELERATOR_CORES));
+
+	if (step->long_running)
+		return loss;
+	r.remaining_ms = value_release_ms(v, t);
+	return loss * stoploss_repeat_factor(st->preempted, step->count) +
+	       stoploss_value(&r) / step->count;
 }
 
 /* Return the value lost by stopping t and the rest of its gang. */
