Refuse at submission what overload leaves without value

Change: the leader measures how long a new job of each queue would wait (sched/admission) and, only if that leaves jobs without value, writes the row `admission` of lacewingspur-owner with its other writes. Entry instances refuse such jobs with 429 and the time after which one can start in time. Accounts above their share see the whole backlog, others only what lies within the shares. Urgent jobs within a guarantee, jobs accepted before, jobs with a start time, repeated and long-running ones are never refused, and neither is any while the row or the list of accepted jobs is old.

Not measured on a deployment.

To switch off: the call of put_admission in lead/leader.c.

--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -10,6 +10,7 @@
 
 #include "daemon/joint.h"
 #include "entry/entry.h"
+#include "lead/admissionrow.h"
 #include "lead/leader.h"
 #include "lead/succession.h"
 #include "lead/record.h"
@@ -107,6 +108,8 @@
 
 	if (!strcmp(key, KEY_OWNER))
 		leader_apply_owner_row(j->leader, value, version);
+	else if (!strcmp(key, KEY_ADMISSION))
+		entry_apply_admission_row(j->entry, value);
 	else if (g_str_has_prefix(key, KEY_INSTANCE))
 		relay_update_peer(j->relay, name,
 				  value && peer_record_decode(name, value, &p)
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "entry/jobcache.h"
+#include "lead/admissionrow.h"
 #include "entry/entry.h"
 #include "lead/record.h"
 #include "lib/log.h"
@@ -55,6 +56,11 @@
  */
 #define REVALIDATE_TIMEOUT_MS 600
 #define JOB_ID_DIGITS_COUNT 16
+/*
+ * A job is refused for overload only if accepted jobs were listed this recently,
+ * so that one that was accepted before is recognised.
+ */
+#define ADMISSION_JOBS_AGE_MAX_MS 1500
 /*
  * A cancel request for an ID without a job is stored as long as an ended job.
  * These bounds keep a caller that cancels IDs at random from filling the table,
@@ -76,6 +82,9 @@
 	GPtrArray *deferred; /* requests that wait for that read */
 	struct timer revalidate_timer;
 	struct rate_limit refused_ids;
+	/* The leader's decision on admission, NULL: none, and its time. */
+	struct admission *admission;
+	uint64_t admission_written_ms; /* on the store's clock */
 };
 
 enum entry_request_kind {
@@ -614,6 +623,56 @@
 	return text;
 }
 
+/* Report whether j is urgent and fits into the guarantee of its account. */
+static bool is_covered(const struct entry *n, const struct job *j)
+{
+	int64_t need = 0, guaranteed = 0;
+
+	for (uint32_t i = 0; i < j->steps_len; i++)
+		need = MAX(need,
+			   j->steps[i].count * j->steps[i].need.accelerators);
+	for (uint32_t i = 0; i < n->policy->accounts_len; i++)
+		if (!strcmp(n->policy->accounts[i].name, j->account))
+			guaranteed = n->policy->accounts[i].guaranteed;
+	return !j->priority && guaranteed > 0 && need <= guaranteed;
+}
+
+/*
+ * Report whether j starts at once and ends by itself: only then does the present
+ * load tell when it ends.
+ */
+static bool depends_on_present_load(const struct job *j)
+{
+	for (uint32_t i = 0; i < j->steps_len; i++)
+		if (j->steps[i].long_running)
+			return false;
+	return !j->start_at_wall_ms && !j->repeat;
+}
+
+/*
+ * Return 0 if j is admitted, else the time in milliseconds after which its
+ * caller is to come back. A job that was accepted before is admitted, so that
+ * its caller is told so, and so is every job while the list of accepted jobs is
+ * not current.
+ */
+static uint64_t overload_retry_after_ms(const struct entry *n,
+					const struct job *j)
+{
+	struct admission_request r = {.queue = j->queue,
+				      .account = j->account,
+				      .path_ms = admission_path_ms(j),
+				      .covered = is_covered(n, j)};
+
+	if (!n->admission || !depends_on_present_load(j) ||
+	    !admission_row_is_valid(n->admission_written_ms,
+				    replica_store_clock_ms(n->env.jobs)) ||
+	    replica_age_ms(n->env.jobs) > ADMISSION_JOBS_AGE_MAX_MS ||
+	    job_cache_find_accepted(n->job_cache, j->id))
+		return 0;
+	r.objective_ms = r.path_ms * j->slack_factor + j->target_ms;
+	return admission_retry_after_ms(n->admission, &r);
+}
+
 static void submit_job(struct entry *n, struct http_exchange *x,
 		       const struct queue *q, const char *account,
 		       const char *id)
@@ -622,6 +681,7 @@
 	struct job *j;
 	size_t len;
 	const char *body = exchange_body(x, &len);
+	uint64_t retry_after_ms;
 	char *text, *why;
 
 	if (store_is_silent(n)) {
@@ -639,6 +699,14 @@
 	queue_configure_job(q, j);
 	g_strlcpy(j->account, account, sizeof(j->account));
 	j->received_ms = replica_store_clock_ms(n->env.jobs);
+	retry_after_ms = overload_retry_after_ms(n, j);
+	if (retry_after_ms) {
+		job_destroy(j);
+		counter_add(n->env.counters, "overload_refused", NULL, 1);
+		reject_request(n, x, ENTRY_REQUEST_SUBMIT, id, 429, "overload",
+			       retry_after_ms);
+		return;
+	}
 	text = encode_submission(n, j, &why);
 	job_destroy(j);
 	if (!text) {
@@ -911,6 +979,7 @@
 		return;
 	http_server_destroy(n->server);
 	job_cache_destroy(n->job_cache);
+	admission_destroy(n->admission);
 	g_hash_table_destroy(n->state_waiters);
 	timer_stop(n->env.loop, &n->revalidate_timer);
 	g_ptr_array_free(n->deferred, TRUE);
@@ -930,6 +999,15 @@
 	answer_state_waiters(n, id);
 }
 
+/* Apply the leader's row on admission; value is NULL if it was removed. */
+void entry_apply_admission_row(struct entry *n, const char *value)
+{
+	admission_destroy(n->admission);
+	n->admission =
+		value ? admission_row_decode(value, &n->admission_written_ms)
+		      : NULL;
+}
+
 /* Set the policy, which must stay valid until the next call. */
 void entry_set_policy(struct entry *n, const struct policy *p)
 {
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -26,6 +26,7 @@
 void entry_destroy(struct entry *n);
 void entry_apply_job_row(struct entry *n, const char *key, const char *value);
 void entry_apply_state_row(struct entry *n, const char *id, const char *value);
+void entry_apply_admission_row(struct entry *n, const char *value);
 void entry_set_policy(struct entry *n, const struct policy *p);
 void entry_note_stall(struct entry *n, uint64_t ms);
 void entry_note_policy_read(struct entry *n);
--- a/lead/leader.c
+++ b/lead/leader.c
@@ -12,6 +12,7 @@
 #include "lead/session.h"
 #include "lead/leader.h"
 #include "lead/election.h"
+#include "lead/admissionrow.h"
 #include "lead/loss.h"
 #include "lead/starts.h"
 #include "lead/succession.h"
@@ -35,6 +36,8 @@
 #define NOT_ENCODED_DELAY_MS 1000
 /* Interval between removals of rows that are no longer needed. */
 #define REMOVAL_INTERVAL_MS 2000
+/* Interval between decisions on admission; queues change no faster. */
+#define ADMISSION_INTERVAL_MS 500
 /* Maximum time for which the store holds a feed call. */
 #define FEED_WAIT_MAX_MS 1000
 /*
@@ -85,6 +88,10 @@
 	struct starts *starts;
 	struct account_guarantee *guarantees;
 	uint32_t guarantees_len;
+	/* The last decision on admission; NULL: none, nothing is refused. */
+	struct admission *admission;
+	uint64_t admission_decided_ms;
+	uint64_t admission_put_ms; /* last put in a write; 0: no row */
 	struct timer pass_timer;
 };
 
@@ -119,6 +126,9 @@
 	}
 	model_destroy(d->model);
 	d->model = NULL;
+	admission_destroy(d->admission);
+	d->admission = NULL;
+	d->admission_put_ms = 0;
 	g_hash_table_remove_all(d->odd_entries);
 	starts_clear(d->starts);
 }
@@ -642,6 +652,75 @@
 	expire_instances(d->env.owners, t);
 }
 
+/* Log a decision on admission that differs from the one before. */
+static void log_admission(const struct admission *a)
+{
+	const struct admission_queue *q =
+		a->queues->len
+			? &g_array_index(a->queues, struct admission_queue, 0)
+			: NULL;
+
+	log_fields(LOG_INFO, "admission_changed", "{s:i,s:i,s:s,s:I,s:I}",
+		   "queues", (int)a->queues->len, "above_share",
+		   (int)a->accounts->len, "queue", q ? q->name : "", "wait_ms",
+		   (json_int_t)(q ? q->wait_ms : 0), "fair_wait_ms",
+		   (json_int_t)(q ? q->fair_wait_ms : 0));
+}
+
+/*
+ * Decide again which new jobs are refused, at most once per
+ * ADMISSION_INTERVAL_MS. Returns whether that has changed.
+ */
+static bool decide_admission(struct leader *d)
+{
+	struct admission_input in = {.jobs = d->model->job_list,
+				     .fleet = d->model->fleet,
+				     .estimator = d->model->estimator,
+				     .now_ms = clock_mono_ms(),
+				     .wall_ms = clock_wall_ms()};
+	struct admission *a, *before = d->admission;
+	bool changed;
+
+	if (in.now_ms < d->admission_decided_ms + ADMISSION_INTERVAL_MS)
+		return false;
+	d->admission_decided_ms = in.now_ms;
+	a = admission_decide(&in);
+	changed = before ? !admission_is_equal(a, before) : a->queues->len > 0;
+	if (changed)
+		log_admission(a);
+	admission_destroy(before);
+	d->admission = a;
+	return changed;
+}
+
+/*
+ * Put the decision on admission into a write if it has changed or must be
+ * renewed, and remove the row when nothing is refused any more.
+ */
+static void put_admission(struct leader *d, struct rows_tx *t)
+{
+	bool changed = decide_admission(d);
+	uint64_t now = clock_mono_ms();
+	char *value;
+
+	if (!d->admission || !d->admission->queues->len) {
+		if (d->admission_put_ms)
+			rows_tx_remove(t, OWNER_TABLE, KEY_ADMISSION);
+		d->admission_put_ms = 0;
+		return;
+	}
+	if (!changed && d->admission_put_ms &&
+	    now < d->admission_put_ms + ADMISSION_RENEW_MS)
+		return;
+	value = admission_row_encode(d->admission,
+				     replica_store_clock_ms(d->env.owners));
+	if (!value)
+		return;
+	rows_tx_put(t, OWNER_TABLE, KEY_ADMISSION, value);
+	d->admission_put_ms = now;
+	free(value);
+}
+
 /*
  * Write the changes, of at most JOBS_PER_WRITE_MAX jobs. The write also
  * renews the leadership.
@@ -661,6 +740,9 @@
 		all = false;
 		d->next_write_ms = clock_mono_ms() + NOT_ENCODED_DELAY_MS;
 	}
+	/* A full write has no room for another row. */
+	if (jobs->len < JOBS_PER_WRITE_MAX)
+		put_admission(d, t);
 	g_ptr_array_free(jobs, TRUE);
 	/* A write that lacks a changed job has no room for removals and does
 	 * not cover all ends that were seen. */
--- a/test/unit_accept.c
+++ b/test/unit_accept.c
@@ -17,6 +17,7 @@
 
 #include "entry/entry.h"
 #include "entry/jobcache.h"
+#include "lead/admissionrow.h"
 #include "lead/expire.h"
 #include "lead/record.h"
 #include "lib/http.h"
@@ -28,6 +29,9 @@
 /* Requests are sent during this time. */
 #define REQUESTS_MS 600
 #define DEADLINE_HEADER "Lacewingspur-Deadline-Ms: 400\r\n"
+#define ACCOUNT_KEY "key"
+#define ACCOUNT_HEADERS                                                        \
+	DEADLINE_HEADER "Authorization: Bearer " ACCOUNT_KEY "\r\n"
 #define CALL_TIMEOUT_MS 3000
 /*
  * Cancel requests and ended jobs are kept for this long: until the last write
@@ -863,12 +867,90 @@
 	assert_int_equal(n, 40);
 }
 
+static void on_status(void *arg, const struct http_result *r)
+{
+	*(int *)arg = r->status;
+}
+
+/* Submit a job of 2.5 s and this many accelerators; returns the status. */
+static int submit_sized(struct site *s, const char *id, uint32_t accelerators)
+{
+	char *path = g_strconcat("/q/", id, NULL);
+	char *body = g_strdup_printf(
+		"{\"spec\":\"\",\"steps\":[{\"count\":1,\"cpu\":1,"
+		"\"memMb\":1,\"gpu\":%u,\"estimateMs\":2500}]}",
+		accelerators);
+	uint64_t until_ms = clock_mono_ms() + CALL_TIMEOUT_MS;
+	int status = 0;
+
+	assert_non_null(http_call_start_with_headers(
+		s->nodes[0].pool, "POST", path, ACCOUNT_HEADERS, body,
+		CALL_TIMEOUT_MS, on_status, &status));
+	while (!status && clock_mono_ms() < until_ms)
+		step(s->loop);
+	g_free(body);
+	g_free(path);
+	return status;
+}
+
+/* Give the first entry a row of a decision that was written age_ms ago. */
+static void apply_overload(struct site *s, uint64_t age_ms)
+{
+	struct admission *a = admission_create();
+	struct admission_queue q = {.wait_ms = 60000, .fair_wait_ms = 60000};
+	uint64_t store_ms = replica_store_clock_ms(s->nodes[0].jobs);
+	char *value;
+
+	g_strlcpy(q.name, "q", sizeof(q.name));
+	g_array_append_val(a->queues, q);
+	value = admission_row_encode(a, store_ms - age_ms);
+	assert_non_null(value);
+	entry_apply_admission_row(s->nodes[0].entry, value);
+	free(value);
+	admission_destroy(a);
+}
+
+/*
+ * Under overload an urgent job that cannot have any value is refused with 429
+ * and is not stored. A job within its account's guarantee, one that was accepted
+ * before, and all without a row that is current are accepted. Guards against
+ * refusals of what is promised, and against a row that outlives its leader.
+ */
+static void test_overload_refuses_what_is_not_promised(void **state)
+{
+	struct site *s = site_create(1);
+	struct account *a = policy_add_account(s->policy);
+
+	(void)state;
+	s->ends = true;
+	s->policy->queues[0].slack_factor = 1.5;
+	s->policy->queues[0].target_ms = 250;
+	g_strlcpy(a->name, "small", sizeof(a->name));
+	a->keys = g_strsplit(ACCOUNT_KEY, " ", -1);
+	a->guaranteed = 4;
+	run_until(s, clock_mono_ms() + 200);
+	assert_int_equal(submit_sized(s, "00000000000000a1", 8), 200);
+	run_until(s, clock_mono_ms() + 200);
+	apply_overload(s, 0);
+	assert_int_equal(submit_sized(s, "00000000000000a2", 8), 429);
+	assert_null(find_row(s, JOB_TABLE, KEY_JOB, "00000000000000a2"));
+	assert_int_equal(submit_sized(s, "00000000000000a3", 4), 200);
+	assert_int_equal(submit_sized(s, "00000000000000a1", 8), 200);
+	apply_overload(s, ADMISSION_AGE_MAX_MS + 1);
+	assert_int_equal(submit_sized(s, "00000000000000a2", 8), 200);
+	apply_overload(s, 0);
+	entry_apply_admission_row(s->nodes[0].entry, NULL);
+	assert_int_equal(submit_sized(s, "00000000000000a4", 8), 200);
+	site_destroy(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_answers_stay_true_when_writes_are_late),
 		cmocka_unit_test(test_cache_forgets_cancelled_ids),
 		cmocka_unit_test(test_rate_limit_allows_a_burst_and_a_rate),
+		cmocka_unit_test(test_overload_refuses_what_is_not_promised),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
