--- a/load/play.c
+++ b/load/play.c
@@ -310,6 +310,8 @@
 	double used_accelerators, available_accelerators;
 	struct histogram pass_time;
 	struct outcome by_kind[KIND_COUNT];
+	/* credit of each account */
+	double account_earned[ACCOUNT_MAX], account_possible[ACCOUNT_MAX];
 };
 
 static bool event_precedes(const struct event *a, const struct event *b)
@@ -617,7 +619,8 @@
 	struct outcome *o = &p->by_kind[t->kind];
 	const struct job_kind_spec *s = &p->site->kinds[t->kind];
 	uint64_t took = p->now_ms - t->arrived_ms;
-	double size_weight;
+	double size_weight, earned = 0;
+	uint32_t account = atoi(j->account + 1);
 
 	job_update_completion(j, p->now_ms);
 	if (!job_is_final(j) || t->counted)
@@ -633,14 +636,17 @@
 	histogram_add(&o->turnaround, took * 1000);
 	if (j->state == JOB_COMPLETED && took <= t->objective_ms) {
 		o->in_time++;
-		o->credit_earned += s->in_time_credit * size_weight;
+		earned = s->in_time_credit * size_weight;
 	} else if (j->state == JOB_COMPLETED &&
 		   took <= LATE_LIMIT_FACTOR * t->objective_ms) {
 		o->late++;
-		o->credit_earned += s->late_credit * size_weight;
+		earned = s->late_credit * size_weight;
 	} else {
 		o->lost++;
 	}
+	o->credit_earned += earned;
+	p->account_earned[account] += earned;
+	p->account_possible[account] += s->in_time_credit * size_weight;
 }
 
 /*
@@ -1055,6 +1061,18 @@
 	       o->wasted_core_s, o->preempted_core_s);
 }
 
+/* Return the share of its credit that the account served worst has earned. */
+static double worst_account(const struct simulation *p)
+{
+	double worst = 1;
+
+	for (uint32_t i = 0; i < p->site->accounts; i++)
+		if (p->account_possible[i] > 0)
+			worst = MIN(worst, p->account_earned[i] /
+						   p->account_possible[i]);
+	return worst;
+}
+
 /*
  * Simulate a day of the large deployment, scaled to the number of upstreams in
  * the options, and print the outcomes by kind of job.  Return 0.
@@ -1086,10 +1104,11 @@
 		jobs += p.by_kind[k].jobs;
 		lost += p.by_kind[k].lost;
 	}
-	printf("all: credit=%.3f possible=%.0f unserved=%.3f busy=%.3f thrown_core_s=%.0f "
+	printf("all: credit=%.3f possible=%.0f worst_account=%.3f "
+	       "unserved=%.3f busy=%.3f thrown_core_s=%.0f "
 	       "passes=%llu p50_us=%llu p99_us=%llu starts=%llu stops=%llu\n",
 	       credit_possible > 0 ? credit_earned / credit_possible : 0,
-	       credit_possible, (double)lost / MAX(jobs, 1),
+	       credit_possible, worst_account(&p), (double)lost / MAX(jobs, 1),
 	       p.used_accelerators / MAX(p.available_accelerators, 1),
 	       wasted_core_s, (unsigned long long)p.passes,
 	       (unsigned long long)histogram_quantile_us(&p.pass_time, 0.5),
