Count only free accelerators that usual work can use

Cause: upstreams are chosen by the fewest free accelerators. Tasks of 26 of 64 cores with one accelerator leave accelerators behind exhausted cores and memory; such an upstream looks nearly empty, and others whose accelerators are all of use are filled up first.

Change: sched/shape measures the kinds of tasks of the unfinished jobs. Where cores or memory run out first for some of them, an upstream's free accelerators count only as far as a usual kind of task can use them. Where accelerators run out first for all work, nothing changes.

To switch off: the test of p->usual.uneven in usable_left of sched/pack.c.

--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -788,6 +788,7 @@
 	if (!p.candidates->len)
 		goto out;
 	pack_begin(&p.pack, input->fleet, input->now_ms);
+	pack_measure_work(&p.pack, input->jobs, &p.value.mean_upstream);
 	estimate_waits(&p);
 	for (guint i = 0; i < p.candidates->len; i++) {
 		struct candidate *c =
--- a/sched/pack.c
+++ b/sched/pack.c
@@ -272,6 +272,26 @@
 	return NULL;
 }
 
+/*
+ * Return how many accelerators are left free of `have` after placing `count`
+ * tasks of the demand. Where the usual work is uneven, those do not count that
+ * it could not use for lack of cores or memory: such an upstream is as full as
+ * one without them, and is filled up first.
+ */
+static int64_t usable_left(const struct pack *p, const struct resources *have,
+			   uint32_t count)
+{
+	const struct resources *need = &p->demand.need;
+	struct resources rest = *have;
+
+	rest.accelerators -= count * need->accelerators;
+	if (!p->usual.uneven)
+		return rest.accelerators;
+	rest.cpu_milli -= count * need->cpu_milli;
+	rest.memory_mb -= count * need->memory_mb;
+	return shape_usable(&p->usual, &rest);
+}
+
 /* List the upstreams with resources for the demand; returns their number. */
 static uint32_t list_candidate_slots(struct pack *p, uint32_t want,
 				     enum pack_availability availability,
@@ -291,8 +311,7 @@
 		s.count = pack_capacity(p, i, &available[i]);
 		if (!s.count)
 			continue;
-		s.left = available[i].accelerators -
-			 MIN(s.count, want) * p->demand.need.accelerators;
+		s.left = usable_left(p, &available[i], MIN(s.count, want));
 		s.left = CLAMP(s.left, 0, LEFT_ACCELERATORS_MAX - 1);
 		p->slots[n++] = s;
 	}
@@ -737,6 +756,30 @@
 	index_racks(p);
 }
 
+/*
+ * Measure the tasks of the jobs that have not ended, by the time of upstreams
+ * that they take, to place work so that they still fit.
+ */
+void pack_measure_work(struct pack *p, const GPtrArray *jobs,
+		       const struct resources *mean_upstream)
+{
+	for (guint i = 0; i < jobs->len; i++) {
+		const struct job *j = g_ptr_array_index(jobs, i);
+
+		for (uint32_t k = 0; !job_is_final(j) && k < j->steps_len;
+		     k++) {
+			const struct step *s = &j->steps[k];
+			uint32_t fit =
+				resources_fit_count(mean_upstream, &s->need);
+
+			shape_mix_add(&p->usual, &s->need,
+				      (double)s->count * s->estimate_ms /
+					      MAX(fit, 1));
+		}
+	}
+	shape_mix_finish(&p->usual, mean_upstream);
+}
+
 /* Free what the pass has used. */
 void pack_end(struct pack *p)
 {
--- a/sched/pack.h
+++ b/sched/pack.h
@@ -2,7 +2,7 @@
 #ifndef SCHED_PACK_H
 #define SCHED_PACK_H
 
-#include "sched/fleet.h"
+#include "sched/shape.h"
 
 /* Used in place of a rack index for any rack. */
 #define PACK_ANY_RACK (-1)
@@ -30,7 +30,8 @@
 struct pack_slot {
 	uint32_t index;
 	uint32_t count;
-	int64_t left; /* accelerators left free after placing the tasks */
+	/* usable accelerators left free after placing the tasks */
+	int64_t left;
 };
 
 /* The requirements of a stage. */
@@ -76,7 +77,8 @@
 	struct pack_slot *slots;  /* scratch space of a choice */
 	struct pack_slot *chosen; /* the last choice */
 	uint32_t chosen_len;
-	GArray *unmet; /* struct unmet_demand of this pass */
+	GArray *unmet;		/* struct unmet_demand of this pass */
+	struct shape_mix usual; /* tasks of the jobs that have not ended */
 	/* the last service that was asked for, and whether it is mostly free */
 	GQuark measured_service;
 	bool mostly_free;
@@ -86,6 +88,8 @@
 bool demand_is_general(const struct demand *d);
 void pack_begin(struct pack *p, struct fleet *f, uint64_t now_ms);
 void pack_end(struct pack *p);
+void pack_measure_work(struct pack *p, const GPtrArray *jobs,
+		       const struct resources *mean_upstream);
 void pack_set_demand(struct pack *p, const struct stage *st);
 void pack_lift_exclusion(struct pack *p);
 bool pack_is_eligible(const struct pack *p, uint32_t index);
