test: the admission row lasts as long as the overload

Plays a leader over a store: no row without a backlog, a row that is renewed while a backlog leaves new jobs without value, and one removal when the job that caused it is cancelled.

--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -16,6 +16,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "lead/admissionrow.h"
 #include "lead/leader.h"
 #include "lead/record.h"
 #include "lib/counter.h"
@@ -55,6 +56,9 @@
 	const char *recorded_address; /* of the upstream in that row */
 	char *owner;		      /* the owner row, or NULL */
 	char *written_owner;	      /* as in the last write */
+	char *written_admission;      /* the newest, or NULL */
+	uint32_t admission_writes;    /* writes that hold that row */
+	uint32_t admission_removals;  /* writes that remove it */
 	bool store_is_silent;
 	bool starts_are_late; /* the upstream refuses starts as late */
 	bool yields_are_lost; /* the store falls silent with a resignation */
@@ -181,14 +185,33 @@
 			s->completed += strstr(value, "completed") != NULL;
 		if (strcmp(table, OWNER_TABLE)) {
 			g_free(value);
-			continue;
+		} else if (!strcmp(json_str_or(item, "key", ""),
+				   KEY_ADMISSION)) {
+			g_free(s->written_admission);
+			s->written_admission = value;
+			s->admission_writes++;
+		} else {
+			g_free(s->written_owner);
+			s->written_owner = value;
 		}
-		g_free(s->written_owner);
-		s->written_owner = value;
 	}
 	json_decref(v);
 }
 
+/* Report whether a write removes the admission row. */
+static bool removes_admission(const char *body)
+{
+	json_t *v = json_loads(body, 0, NULL);
+	const json_t *item;
+	bool found = false;
+	size_t i;
+
+	json_array_foreach(json_object_get(v, "remove"), i, item) found |=
+		!strcmp(json_str_or(item, "key", ""), KEY_ADMISSION);
+	json_decref(v);
+	return found;
+}
+
 /* Report whether the last write named no leader. */
 static bool owner_is_nobody(const struct fixture *s)
 {
@@ -226,6 +249,7 @@
 			s->store_is_silent = true;
 		s->writes++;
 		s->run_writes += strstr(body, RUN_TABLE) != NULL;
+		s->admission_removals += removes_admission(body);
 	}
 	c->fixture = s;
 	c->path = g_strdup(path);
@@ -450,6 +474,7 @@
 	free(s->run);
 	g_free(s->owner);
 	g_free(s->written_owner);
+	g_free(s->written_admission);
 	json_decref(s->running);
 	json_decref(s->ended);
 	loop_destroy(s->loop);
@@ -1507,9 +1532,68 @@
 	}
 }
 
+/* Return the spec row of a job that keeps the upstream busy for long. */
+static char *encode_long_spec(const struct queue *q)
+{
+	struct job *j = job_create(JOB);
+	struct step *step = job_add_step(j);
+	char *row;
+
+	queue_configure_job(q, j);
+	j->payload = g_strdup("");
+	step->count = 100;
+	step->need = (struct resources){1000, 1000, 0};
+	step->estimate_ms = 1000;
+	row = spec_encode(j);
+	job_destroy(j);
+	return row;
+}
+
+/*
+ * A leader without a backlog writes no row about admission. With one that leaves
+ * new jobs without value it writes the row, renews it while that lasts, and
+ * removes it once when the job is cancelled. Guards against writes on sites
+ * without overload, a row that ages while the overload lasts, and refusals after
+ * it.
+ */
+static void test_admission_row_lasts_as_long_as_the_overload(void **state)
+{
+	struct fixture s;
+	struct admission *a;
+	uint64_t written_ms;
+	uint32_t writes;
+
+	(void)state;
+	fixture_create(&s, 5);
+	run_for(&s, 4000);
+	assert_true(leader_is_active(s.leader));
+	assert_int_equal(s.admission_writes + s.admission_removals, 0);
+	free(s.spec);
+	s.spec = encode_long_spec(&s.policy->queues[0]);
+	submit_job(&s);
+	run_for(&s, 10000);
+	assert_non_null(s.written_admission);
+	assert_in_range(s.admission_writes, 5, 21);
+	assert_int_equal(s.admission_removals, 0);
+	a = admission_row_decode(s.written_admission, &written_ms);
+	assert_non_null(a);
+	assert_int_equal(a->queues->len, 1);
+	assert_true(written_ms + ADMISSION_AGE_MAX_MS > clock_mono_ms());
+	admission_destroy(a);
+	leader_apply_job_row(s.leader, KEY_CANCEL JOB, "{}");
+	run_for(&s, 2000);
+	writes = s.admission_writes;
+	run_for(&s, 4000);
+	assert_int_equal(s.admission_writes, writes);
+	assert_int_equal(s.admission_removals, 1);
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			test_admission_row_lasts_as_long_as_the_overload),
 		cmocka_unit_test(test_job_of_predecessor_is_started),
 		cmocka_unit_test(test_job_is_started_while_writes_are_slow),
 		cmocka_unit_test(
