--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -856,6 +856,7 @@
 	if (!p.candidates->len && !moves_possible(input))
 		goto out;
 	pack_begin(&p.pack, input->fleet, input->now_ms);
+	pack_measure_work(&p.pack, input->jobs, &p.value.mean_upstream);
 	if (moves_possible(input))
 		move_off_slow(&p);
 	estimate_waits(&p);
