--- a/sched/fastest.c
+++ b/sched/fastest.c
@@ -12,7 +12,6 @@
  * Upstreams are ordered by buckets of their slowdown's logarithm, so that among
  * nearly equal ones the tightest is chosen.
  */
-#define BUCKETS (FASTEST_CLASSES / 2)
 #define BUCKET_WIDTH 0.2
 #define BUCKET_FIRST (-1.5)
 /*
@@ -32,7 +31,7 @@
 {
 	double b = (log_slowdown - BUCKET_FIRST) / BUCKET_WIDTH;
 
-	return CLAMP(b, 0, BUCKETS - 1);
+	return CLAMP(b, 0, FASTEST_BUCKETS - 1);
 }
 
 /*
@@ -50,8 +49,8 @@
 	mean = p->log_slowdown[index];
 	if (allowed > 0 &&
 	    mean + ALLOWED_DEVIATIONS * u->slowdown_log_sd <= log(allowed))
-		return BUCKETS - 1 - bucket_of(mean);
-	return BUCKETS +
+		return FASTEST_BUCKETS - 1 - bucket_of(mean);
+	return FASTEST_BUCKETS +
 	       bucket_of(mean + SOUGHT_DEVIATIONS * u->slowdown_log_sd);
 }
 
--- a/sched/fastest.h
+++ b/sched/fastest.h
@@ -5,7 +5,8 @@
 #include "sched/pack.h"
 
 /* Classes of preference, class 0 first. */
-#define FASTEST_CLASSES 32
+#define FASTEST_BUCKETS 16
+#define FASTEST_CLASSES (2 * FASTEST_BUCKETS)
 
 uint32_t fastest_class(const struct pack *p, uint32_t index);
 void fastest_sort(struct pack_slot *slots, struct pack_slot *scratch,
--- a/test/unit_report.c
+++ b/test/unit_report.c
@@ -152,6 +152,44 @@
 	fixture_destroy(&f);
 }
 
+/*
+ * Guards against a late job that counts as in time because its runs on a slow
+ * upstream are taken for the length of its work.
+ */
+static void a_job_late_by_a_slow_upstream_is_late(void **state)
+{
+	struct fixture f;
+
+	(void)state;
+	for (int known = 0; known < 2; known++) {
+		const struct job_history *j;
+
+		fixture_create(&f);
+		add_submission(&f);
+		add_event(&f, "l", 130, "start_decided",
+			  TASK0 ",\"run\":1,\"upstream\":\"fast\"");
+		add_event(&f, "l", 130, "start_decided",
+			  TASK1 ",\"run\":1,\"upstream\":\"slow\"");
+		add_event(&f, "l", 3530, "run_ended",
+			  TASK0 ",\"run\":1,\"how\":\"done\",\"after_ms\":3400,"
+				"\"upstream\":\"fast\"");
+		add_event(&f, "l", 3540, "job_state",
+			  JOB ",\"state\":\"completed\"");
+		if (known)
+			add_event(&f, "l", 4000, "upstream_speed",
+				  "\"upstream\":\"slow\","
+				  "\"slowdown_permille\":1700,"
+				  "\"sd_permille\":150");
+		finish(&f);
+		j = find_job(&f, "0123456789abcdef");
+		assert_int_equal(j->objective_ms, known ? 2000 * 3 / 2 + 250
+							: 3400 * 3 / 2 + 250);
+		assert_int_equal(j->outcome,
+				 known ? OUTCOME_LATE : OUTCOME_IN_TIME);
+		fixture_destroy(&f);
+	}
+}
+
 /* Guards against an objective that its integer type cannot hold. */
 static void a_job_with_a_huge_slack_factor_ends_in_time(void **state)
 {
@@ -459,6 +497,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			waits_and_order_of_a_late_job_have_their_causes),
+		cmocka_unit_test(a_job_late_by_a_slow_upstream_is_late),
 		cmocka_unit_test(a_job_with_a_huge_slack_factor_ends_in_time),
 		cmocka_unit_test(a_report_until_a_far_time_includes_all_jobs),
 		cmocka_unit_test(
