--- a/sched/value.c
+++ b/sched/value.c
@@ -285,17 +285,15 @@
 	return (double)sv->run_ms * sv->upstream_share * sv->waiting;
 }
 
-/*
- * Return the value lost by stopping t, without the rest of its gang: the work
- * so far or since the last checkpoint, the time to stop, and the value of a job
- * that then ends late. Long-running work has no end.
- */
-static double task_loss(const struct value_context *v, const struct task *t)
+/* Return what is known of the run of t and of its job, but not its end. */
+static struct stoploss_run stoploss_facts(const struct value_context *v,
+					  const struct task *t)
 {
 	struct stage *st = t->stage;
 	const struct stage_value *sv = stage_value_of(v, st);
 	const struct step *step = st->step;
-	struct stoploss_run r = {
+
+	return (struct stoploss_run){
 		.ran_ms = v->now_ms - MIN(t->placed_ms, v->now_ms),
 		.expected_ms = sv->run_ms,
 		.critical_path_ms = sv->critical_path_ms,
@@ -308,17 +306,52 @@
 		.value_in_time = sv->value_in_time,
 		.value_late = sv->value_late,
 	};
-	double loss = stoploss_work_ms(&r) / 1000.0 *
-		      (UPSTREAM_SECOND_VALUE * sv->upstream_share +
-		       CORE_SECOND_COST *
-			       (step->need.cpu_milli / 1000.0 +
-				step->need.accelerators * ACCELERATOR_CORES));
+}
 
-	if (step->long_running)
+/*
+ * Return the value of the work that is lost by a stop of t, whose facts are r:
+ * its work so far or since the last checkpoint, and the time to stop.
+ */
+static double work_loss(const struct task *t, const struct stoploss_run *r)
+{
+	const struct resources *need = &t->stage->step->need;
+
+	return stoploss_work_ms(r) / 1000.0 *
+	       (UPSTREAM_SECOND_VALUE * t->stage->value.upstream_share +
+		CORE_SECOND_COST * (need->cpu_milli / 1000.0 +
+				    need->accelerators * ACCELERATOR_CORES));
+}
+
+/*
+ * Return the value lost by stopping t, without the rest of its gang: its work,
+ * and the value of a job that then ends late. Long-running work has no end.
+ */
+static double task_loss(const struct value_context *v, const struct task *t)
+{
+	const struct stage *st = t->stage;
+	struct stoploss_run r = stoploss_facts(v, t);
+	double loss = work_loss(t, &r);
+
+	if (st->step->long_running)
 		return loss;
 	r.remaining_ms = value_release_ms(v, t);
-	return loss * stoploss_repeat_factor(st->preempted, step->count) +
-	       stoploss_value(&r) / step->count;
+	return loss * stoploss_repeat_factor(st->preempted, st->step->count) +
+	       stoploss_value(&r) / st->step->count;
+}
+
+/* Return the value of the work that is lost by stopping all runs of st. */
+double value_work_loss(const struct value_context *v, const struct stage *st)
+{
+	double sum = 0;
+
+	for (uint32_t i = 0; i < st->step->count; i++)
+		if (task_is_active(&st->tasks[i])) {
+			struct stoploss_run r =
+				stoploss_facts(v, &st->tasks[i]);
+
+			sum += work_loss(&st->tasks[i], &r);
+		}
+	return sum;
 }
 
 /* Return the value lost by stopping t and the rest of its gang. */
--- a/sched/value.h
+++ b/sched/value.h
@@ -31,6 +31,7 @@
 			    const struct task *t);
 uint64_t value_release_ms(const struct value_context *v, const struct task *t);
 double value_waiting_ms(const struct value_context *v, struct stage *st);
+double value_work_loss(const struct value_context *v, const struct stage *st);
 double value_stop_loss(const struct value_context *v, const struct task *t);
 
 #endif
