--- a/Makefile
+++ b/Makefile
@@ -96,7 +96,8 @@
 		$(shell pkg-config --cflags glib-2.0 gsl) -o $@ $(filter %.c,$^) \
 		$(shell pkg-config --libs glib-2.0 gsl) -lm
 
-$(OUT)/fuzz_report: test/fuzz_report.c $(REPORT) lib/schema.c lib/address.c
+$(OUT)/fuzz_report: test/fuzz_report.c $(REPORT) $(wildcard sched/*.c) \
+		lib/schema.c lib/address.c
 	@mkdir -p $(OUT)
 	@echo "  FUZZ  $@"
 	@$(FUZZ_CC) \
@@ -107,9 +108,10 @@
 # a run gives one document to each decoder
 FUZZ_ROWS_RUNS = 6000
 FUZZ_ROWS = test/fuzz_rows.c platform/answer.c platform/decode.c platform/lists.c \
-	platform/rows.c lead/record.c peer/roster.c config/policy.c sched/duration.c \
-	sched/ending.c sched/estimator.c sched/fleet.c sched/job.c sched/progress.c sched/suspect.c \
-	lib/address.c lib/log.c lib/loop.c lib/schema.c lib/verdict.c
+	platform/rows.c lead/learned.c lead/record.c lead/replica.c peer/roster.c \
+	config/policy.c sched/duration.c sched/ending.c sched/estimator.c \
+	sched/fleet.c sched/job.c sched/progress.c sched/suspect.c lib/address.c \
+	lib/counter.c lib/log.c lib/loop.c lib/schema.c lib/verdict.c
 
 $(OUT)/fuzz_rows: $(FUZZ_ROWS)
 	@mkdir -p $(OUT)
--- a/ctl/report.c
+++ b/ctl/report.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "ctl/ctl.h"
+#include "report/prediction.h"
 #include "report/print.h"
 
 /* A longer line is cut off and counted as malformed. */
@@ -20,6 +21,7 @@
 	double since_s;
 	double until_s;
 	gboolean waste;
+	gboolean predictions;
 	gboolean json;
 };
 
@@ -70,7 +72,9 @@
 			o->job);
 		return EXIT_DID_NOT_RUN;
 	}
-	if (o->waste)
+	if (o->predictions)
+		predictions_print(r);
+	else if (o->waste)
 		report_print_waste(r);
 	else
 		report_print(r);
@@ -126,6 +130,8 @@
 		 "print the time line of a job", "ID"},
 		{"waste", 'w', 0, G_OPTION_ARG_NONE, &o.waste,
 		 "print the work that was lost, by cause", NULL},
+		{"predictions", 'p', 0, G_OPTION_ARG_NONE, &o.predictions,
+		 "print how well durations of runs can be predicted", NULL},
 		{"svg", 0, 0, G_OPTION_ARG_FILENAME, &o.svg,
 		 "draw lost time over the time line", "FILE"},
 		{"account", 'a', 0, G_OPTION_ARG_STRING, &o.account,
--- a/report/record.c
+++ b/report/record.c
@@ -102,6 +102,8 @@
 					   "store_answer",
 					   "store_busy",
 					   "listen_failed",
+					   "learned_read",
+					   "learned_not_read",
 					   NULL};
 
 /* Return the name of k in logs. */
--- a/test/fuzz_rows.c
+++ b/test/fuzz_rows.c
@@ -4,10 +4,12 @@
  * and value are any bytes, or plain text; whatever comes, what is accepted is
  * within its bounds, and sound rows beside it are read.
  */
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "lead/learned.h"
 #include "lead/record.h"
 #include "lib/address.h"
 #include "lib/log.h"
@@ -114,6 +116,11 @@
 					     {"sequence", "5"},
 					     {"earlier_ms", "6"},
 					     {0}};
+static const struct doc_field learned_doc[] = {
+	{"format", "1"},
+	{"at_ms", "1000"},
+	{"entries", "[[\"q\",5.5,8,8,1,1,0.2,0],[\"q\\na\",2,7,8,1,1,0.2,0]]"},
+	{0}};
 static const struct doc_field lists_doc[] = {
 	{"clockMs", "482113"},
 	{"born", "1796421690000"},
@@ -693,6 +700,34 @@
 		check(o.epoch <= COUNTER_MAX, "an epoch out of bounds");
 }
 
+/* Whatever was restored, predictions are numbers. */
+static void check_learned(const char *text)
+{
+	const uint64_t estimates_ms[] = {0, 1, 1000, UINT32_MAX};
+	struct estimator *e = estimator_create();
+	struct learned_list list = learned_durations(e);
+	struct learned_result r = {0};
+
+	learned_decode_row(&list, text, 2000, &r);
+	for (size_t i = 0; i < G_N_ELEMENTS(estimates_ms); i++) {
+		struct duration_key k = {"q", "a", 0, estimates_ms[i]};
+		struct duration_estimate d =
+			duration_predict(estimator_durations(e), &k);
+
+		check(isfinite(d.mean_ms) && isfinite(d.median_ms) &&
+			      isfinite(d.log_sd) && d.median_ms >= 0,
+		      "a prediction that is no number");
+		check(isfinite(duration_quantile_ms(&d, 0.9)) &&
+			      isfinite(duration_remaining_ms(&d, 5000)),
+		      "a quantile that is no number");
+		duration_record_run(estimator_durations(e), &k, 1000, 1);
+		duration_record_stopped(estimator_durations(e), &k, 900, 1);
+		d = duration_predict(estimator_durations(e), &k);
+		check(isfinite(d.mean_ms), "a run made a prediction unusable");
+	}
+	estimator_destroy(e);
+}
+
 static void check_lists(const char *text)
 {
 	json_t *body = answer_parse(text, strlen(text));
@@ -829,13 +864,11 @@
 	void (*check)(const char *text);
 };
 
-static const struct doc docs[] = {{entry_doc, check_entry},
-				  {policy_doc, check_policy},
-				  {spec_doc, check_spec},
-				  {run_doc, check_run},
-				  {lists_doc, check_lists},
-				  {small_doc, check_small_rows},
-				  {submission_doc, check_submission}};
+static const struct doc docs[] = {
+	{entry_doc, check_entry},      {policy_doc, check_policy},
+	{spec_doc, check_spec},	       {run_doc, check_run},
+	{lists_doc, check_lists},      {learned_doc, check_learned},
+	{small_doc, check_small_rows}, {submission_doc, check_submission}};
 
 static void check_doc(struct input *in, const struct doc *doc)
 {
--- a/test/unit_report.c
+++ b/test/unit_report.c
@@ -4,9 +4,11 @@
 #include <setjmp.h>
 #include <stdint.h>
 #include <cmocka.h>
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
+#include "report/prediction.h"
 #include "report/print.h"
 #include "report/window.h"
 
@@ -454,9 +456,64 @@
 	fixture_destroy(&f);
 }
 
+/*
+ * Guards against a table that does not show what learning is worth: all
+ * estimates of one queue are double the work, those of the other are right.
+ */
+static void test_predictions_are_compared_with_estimates(void **state)
+{
+	struct fixture f;
+	struct report r = {0};
+	const struct prediction_error *x;
+	GArray *list;
+
+	(void)state;
+	fixture_create(&f);
+	for (int i = 0; i < 60; i++) {
+		int work_ms = 1000 + 37 * (i % 20);
+		char *facts = g_strdup_printf(
+			"\"job\":\"%016d\",\"queue\":\"%s\",\"account\":\"a\","
+			"\"tasks\":1,\"counts\":[1],\"cpu_milli\":1000,"
+			"\"estimate_ms\":%d",
+			i, i % 2 ? "right" : "double",
+			i % 2 ? work_ms : 2 * work_ms);
+		char *end = g_strdup_printf(
+			"\"job\":\"%016d\",\"task\":\"%016d.0.0.0\",\"run\":1,"
+			"\"how\":\"done\",\"after_ms\":%d,"
+			"\"confirmed_after_ms\":3",
+			i, i, work_ms);
+
+		add_event(&f, "l", 100 + 10 * i, "job_known", facts);
+		add_event(&f, "l", 5000 + 10 * i, "run_ended", end);
+		g_free(facts);
+		g_free(end);
+	}
+	/* a run of a later step, whose estimate is not recorded, is left out */
+	add_event(&f, "l", 9000, "run_ended",
+		  "\"job\":\"0000000000000001\","
+		  "\"task\":\"0000000000000001.0.1.0\",\"run\":1,"
+		  "\"how\":\"done\",\"after_ms\":50000");
+	finish(&f);
+	r.set = f.set;
+	list = predictions_evaluate(&r);
+	assert_int_equal(list->len, 2);
+	x = &g_array_index(list, struct prediction_error, 0);
+	assert_string_equal(g_quark_to_string(x->queue), "double");
+	assert_int_equal(x->runs, 30);
+	assert_true(fabs(x->estimate - log(2)) < 0.01);
+	assert_true(x->learned < 0.15 && x->learned < x->mean);
+	assert_true(x->within_90 >= 0.9);
+	x = &g_array_index(list, struct prediction_error, 1);
+	assert_int_equal(x->runs, 30);
+	assert_true(x->estimate < 0.001 && x->learned < 0.15);
+	g_array_unref(list);
+	fixture_destroy(&f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_predictions_are_compared_with_estimates),
 		cmocka_unit_test(
 			waits_and_order_of_a_late_job_have_their_causes),
 		cmocka_unit_test(a_job_with_a_huge_slack_factor_ends_in_time),
