--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -264,10 +264,12 @@
 	struct joint *j = arg;
 	char *s = counters_text(j->counters);
 	char *all = g_strdup_printf("%slacewing_leads %d\nlacewing_ready %d\n"
+				    "lacewing_learned_groups %u\n"
 				    "lacewing_peers %u\n"
 				    "lacewing_store_by_peers %d\n"
 				    "lacewing_log_lost %llu\n",
 				    s, leader_is_active(j->leader), is_ready(j),
+				    leader_count_learned_groups(j->leader),
 				    relay_count_peers(j->relay),
 				    relay_uses_peers(j->relay),
 				    (unsigned long long)log_lost());
--- a/lead/leader.c
+++ b/lead/leader.c
@@ -986,3 +986,11 @@
 {
 	return d->leading;
 }
+
+/* Return the number of groups of runs whose durations are learned. */
+uint32_t leader_count_learned_groups(const struct leader *d)
+{
+	return d->leading ? duration_groups_count(
+				    estimator_durations(d->model->estimator))
+			  : 0;
+}
--- a/lead/leader.h
+++ b/lead/leader.h
@@ -44,5 +44,6 @@
 void leader_apply_policy(struct leader *d, const struct policy *p);
 void leader_resign(struct leader *d);
 bool leader_is_active(const struct leader *d);
+uint32_t leader_count_learned_groups(const struct leader *d);
 
 #endif
--- a/lead/learned.c
+++ b/lead/learned.c
@@ -352,19 +352,19 @@
 		collect_row(list, row,
 			    MIN(ROW_MAX_BYTES, k->settings->value_max_bytes /
 						       ROW_BYTES_DIVISOR));
-	uint32_t entries = w.names->len;
+	bool any = w.text->len;
 	char key[KEY_BYTES], *value;
 
-	for (guint i = 0; i < entries; i++)
+	for (guint i = 0; i < w.names->len; i++)
 		list->note_saved(list->arg, g_ptr_array_index(w.names, i));
 	value = finish_row(&w, store_ms);
-	if (entries) {
+	if (any) {
 		g_snprintf(key, sizeof(key), "%s%u", list->prefix, row);
 		rows_tx_put(t, LEARNED_TABLE, key, value);
 		counter_add(k->counters, "learned_rows_written", NULL, 1);
 	}
 	g_free(value);
-	return entries;
+	return any;
 }
 
 /*
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -17,6 +17,7 @@
 #include <unistd.h>
 
 #include "lead/leader.h"
+#include "lead/learned.h"
 #include "lead/record.h"
 #include "lib/counter.h"
 #include "lib/http.h"
@@ -60,10 +61,12 @@
 	bool yields_are_lost; /* the store falls silent with a resignation */
 	/* So many reads of this table are of the store as it began. */
 	const char *stale_table;
+	const char *silent_table; /* reads of it are not answered, or NULL */
 	uint32_t stale_reads;
 	uint32_t stronger_peers;
 	uint32_t writes;
 	uint32_t run_writes;	     /* writes that hold a run row */
+	uint32_t learned_writes;     /* writes that hold a learned row */
 	char *entry;		     /* of the only sound upstream, or NULL */
 	char *address;		     /* of that upstream */
 	const char *const (*odd)[2]; /* further entries: ids and values */
@@ -226,6 +229,7 @@
 			s->store_is_silent = true;
 		s->writes++;
 		s->run_writes += strstr(body, RUN_TABLE) != NULL;
+		s->learned_writes += strstr(body, LEARNED_TABLE) != NULL;
 	}
 	c->fixture = s;
 	c->path = g_strdup(path);
@@ -240,7 +244,8 @@
 	c->body = json_dumps(v, JSON_COMPACT);
 	json_decref(v);
 	g_ptr_array_add(s->calls, c);
-	if (!strstr(path, "rows-feed") && !s->store_is_silent)
+	if (!strstr(path, "rows-feed") && !s->store_is_silent &&
+	    !(s->silent_table && strstr(path, s->silent_table)))
 		timer_start(s->loop, &c->timer, write ? s->write_delay_ms : 1);
 	return true;
 }
@@ -406,6 +411,7 @@
 	s->settings.heartbeat_ms = 1500;
 	s->settings.stop_ms = 200;
 	s->settings.reclaim_ms = 3000;
+	s->settings.value_max_bytes = BODY_MAX;
 	fill_store(s);
 	s->rows = rows_create(send_to_store, s);
 	s->owners = replica_create(s->loop, s->rows, OWNER_TABLE,
@@ -1507,6 +1513,43 @@
 	}
 }
 
+/*
+ * Guards against a leader that waits for what was learned before it starts
+ * jobs, or that writes over it before it was read.
+ */
+static void test_learned_rows_that_do_not_arrive_delay_nothing(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, 5);
+	s.silent_table = LEARNED_TABLE;
+	s.ended = json_array();
+	s.has_job = true;
+	step_until_start(&s, START_MAX_MS);
+	assert_int_equal(s.starts, 1);
+	run_for(&s, 5000);
+	assert_true(s.completed > 0);
+	assert_int_equal(s.learned_writes, 0);
+	fixture_destroy(&s);
+}
+
+/* Guards against a leader that learns from runs and does not keep it. */
+static void test_what_was_learned_is_written_with_the_other_rows(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, 5);
+	s.ended = json_array();
+	s.has_job = true;
+	step_until_start(&s, START_MAX_MS);
+	run_for(&s, 10000);
+	assert_true(s.completed > 0);
+	assert_in_range(s.learned_writes, 1, 2);
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -1557,6 +1600,10 @@
 		cmocka_unit_test(test_job_without_its_row_keeps_its_runs),
 		cmocka_unit_test(test_stale_read_of_runs_starts_no_task_again),
 		cmocka_unit_test(test_job_whose_runs_are_unreadable_waits),
+		cmocka_unit_test(
+			test_learned_rows_that_do_not_arrive_delay_nothing),
+		cmocka_unit_test(
+			test_what_was_learned_is_written_with_the_other_rows),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
