Learned lists may leave it to the module to find changes; test what the model learns

A list without note_saved has its values compared with what was written or restored, which suits the speeds. A run on a slow upstream is expected to last as long as its speed implies.

--- a/lead/learned.c
+++ b/lead/learned.c
@@ -2,6 +2,7 @@
  * Reads the rows of an earlier leader once, and writes the changed ones with
  * the leader's other rows, in turn over the lists and their rows.
  */
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -35,6 +36,11 @@
 #define READ_MAX_MS 30000
 /* Maximum time for which the store holds a feed call; none is expected. */
 #define FEED_WAIT_MS 1000
+/*
+ * Maximum number of entries whose saved values are kept: far more than a list
+ * has. Then all count as changed once.
+ */
+#define SAVED_NAMES_MAX 8192
 /* Space for the key of a row. */
 #define KEY_BYTES 64
 /* Significant digits of the numbers in a row. */
@@ -53,6 +59,8 @@
 	const struct joint_settings *settings;
 	struct learned_list lists[LEARNED_LISTS_MAX];
 	uint64_t *written_ms[LEARNED_LISTS_MAX]; /* by row; 0: never */
+	/* of lists without note_saved: names to values; NULL for others */
+	GHashTable *saved[LEARNED_LISTS_MAX];
 	uint32_t lists_len;
 	struct replica *replica; /* NULL: the rows were read */
 	bool started;		 /* the lists were added */
@@ -101,8 +109,11 @@
 		return;
 	timer_stop(k->loop, &k->read_timer);
 	replica_destroy(k->replica);
-	for (uint32_t i = 0; i < k->lists_len; i++)
+	for (uint32_t i = 0; i < k->lists_len; i++) {
 		g_free(k->written_ms[i]);
+		if (k->saved[i])
+			g_hash_table_destroy(k->saved[i]);
+	}
 	g_free(k);
 }
 
@@ -112,6 +123,9 @@
 	g_assert(k->lists_len < LEARNED_LISTS_MAX);
 	g_assert(list.values_len <= LEARNED_VALUES_MAX);
 	k->written_ms[k->lists_len] = g_new0(uint64_t, list.rows);
+	if (!list.note_saved)
+		k->saved[k->lists_len] = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free, g_free);
 	k->lists[k->lists_len++] = list;
 }
 
@@ -121,8 +135,8 @@
 	uint32_t row;
 	size_t max_bytes;
 	GString *text;
-	GPtrArray *names; /* of its entries */
-	bool changed;
+	GPtrArray *names;  /* of its entries */
+	GHashTable *saved; /* where their values are kept; may be NULL */
 };
 
 static uint32_t row_of(const struct learned_list *list, const char *name)
@@ -147,6 +161,19 @@
 	return text;
 }
 
+/* Keep the values of an entry that is saved; saved may be NULL. */
+static void save_values(GHashTable *saved, const char *name,
+			const double *values, uint32_t len)
+{
+	if (!saved)
+		return;
+	/* names that are gone are forgotten with all others */
+	if (g_hash_table_size(saved) >= SAVED_NAMES_MAX)
+		g_hash_table_remove_all(saved);
+	g_hash_table_replace(saved, g_strdup(name),
+			     g_memdup2(values, len * sizeof(*values)));
+}
+
 /*
  * Add an entry of the row that is encoded, if there is room for it. One that is
  * left out counts as saved too, or its row would be written again and again.
@@ -159,7 +186,7 @@
 	if (row_of(w->list, e->name) != w->row)
 		return;
 	g_ptr_array_add(w->names, g_strdup(e->name));
-	w->changed |= e->changed;
+	save_values(w->saved, e->name, e->values, e->values_len);
 	if (strlen(e->name) > LEARNED_NAME_MAX_BYTES)
 		return;
 	text = encode_entry(e);
@@ -172,9 +199,11 @@
 
 /* Collect the entries of a row. */
 static struct row_writer collect_row(const struct learned_list *list,
-				     uint32_t row, size_t max_bytes)
+				     uint32_t row, size_t max_bytes,
+				     GHashTable *saved)
 {
 	struct row_writer w = {.list = list,
+			       .saved = saved,
 			       .row = row,
 			       .max_bytes = max_bytes,
 			       .text = g_string_new(""),
@@ -197,21 +226,9 @@
 	return value;
 }
 
-/*
- * Return the value of a row of a list, to be freed. Entries beyond max_bytes
- * are left out. Sets *changed to whether an entry differs from what was saved.
- */
-char *learned_encode_row(const struct learned_list *list, uint32_t row,
-			 size_t max_bytes, uint64_t store_ms, bool *changed)
-{
-	struct row_writer w = collect_row(list, row, max_bytes);
-
-	*changed = w.changed;
-	return finish_row(&w, store_ms);
-}
-
 /* Restore an entry; returns false for a malformed one. */
-static bool decode_entry(const struct learned_list *list, const json_t *v)
+static bool decode_entry(const struct learned_list *list, const json_t *v,
+			 GHashTable *saved)
 {
 	double values[LEARNED_VALUES_MAX];
 	const char *name = json_string_value(json_array_get(v, 0));
@@ -226,15 +243,19 @@
 			return false;
 		values[i] = json_number_value(number);
 	}
-	return list->restore(list->arg, name, values);
+	if (!list->restore(list->arg, name, values))
+		return false;
+	save_values(saved, name, values, list->values_len);
+	return true;
 }
 
 /*
  * Restore the entries of a row that was read at store_ms on the store's clock,
- * and add them to the result.
+ * and add them to the result. Keeps their values in `saved` if it is not NULL.
  */
 void learned_decode_row(const struct learned_list *list, const char *text,
-			uint64_t store_ms, struct learned_result *result)
+			uint64_t store_ms, GHashTable *saved,
+			struct learned_result *result)
 {
 	json_t *v = json_loads(text, 0, NULL);
 	const json_t *entries = json_object_get(v, "entries"), *entry;
@@ -257,7 +278,7 @@
 	result->rows++;
 	json_array_foreach(entries, i, entry)
 	{
-		if (decode_entry(list, entry))
+		if (decode_entry(list, entry, saved))
 			result->entries++;
 		else
 			result->malformed++;
@@ -282,7 +303,7 @@
 		if (g_str_has_prefix(key, k->lists[i].prefix))
 			learned_decode_row(&k->lists[i], value,
 					   replica_store_clock_ms(k->replica),
-					   &r->result);
+					   k->saved[i], &r->result);
 }
 
 static void end_reading(struct learned *k)
@@ -332,14 +353,30 @@
 /* Marks the rows of a list that hold a changed entry. */
 struct row_marks {
 	const struct learned_list *list;
+	GHashTable *saved; /* NULL: the list tells itself what has changed */
 	bool *marked;
 };
 
+/* Report whether an entry differs from its saved values. */
+static bool has_changed(const struct row_marks *m,
+			const struct learned_entry *e)
+{
+	const double *saved =
+		m->saved ? g_hash_table_lookup(m->saved, e->name) : NULL;
+
+	if (!m->saved)
+		return e->changed;
+	for (uint32_t i = 0; saved && i < e->values_len; i++)
+		if (!(fabs(e->values[i] - saved[i]) <= m->list->change))
+			return true;
+	return !saved;
+}
+
 static void mark_row(void *arg, const struct learned_entry *e)
 {
 	struct row_marks *m = arg;
 
-	if (e->changed)
+	if (has_changed(m, e))
 		m->marked[row_of(m->list, e->name)] = true;
 }
 
@@ -351,11 +388,12 @@
 	struct row_writer w =
 		collect_row(list, row,
 			    MIN(ROW_MAX_BYTES, k->settings->value_max_bytes /
-						       ROW_BYTES_DIVISOR));
+						       ROW_BYTES_DIVISOR),
+			    k->saved[list_index]);
 	bool any = w.text->len;
 	char key[KEY_BYTES], *value;
 
-	for (guint i = 0; i < w.names->len; i++)
+	for (guint i = 0; list->note_saved && i < w.names->len; i++)
 		list->note_saved(list->arg, g_ptr_array_index(w.names, i));
 	value = finish_row(&w, store_ms);
 	if (any) {
@@ -377,7 +415,8 @@
 {
 	const struct learned_list *list = &k->lists[list_index];
 	uint64_t *written_ms = k->written_ms[list_index];
-	struct row_marks m = {list, g_new0(bool, list->rows)};
+	struct row_marks m = {list, k->saved[list_index],
+			      g_new0(bool, list->rows)};
 	uint32_t added = 0, first = k->next_row[list_index];
 
 	list->for_each(list->arg, mark_row, &m);
--- a/lead/learned.h
+++ b/lead/learned.h
@@ -26,7 +26,7 @@
 	const char *name; /* up to LEARNED_NAME_MAX_BYTES, UTF-8 */
 	const double *values;
 	uint32_t values_len;
-	bool changed; /* enough to be saved again */
+	bool changed; /* enough to be saved again; see note_saved */
 };
 
 #define LEARNED_NAME_MAX_BYTES 256
@@ -48,8 +48,13 @@
 	 * if its values are not possible.
 	 */
 	bool (*restore)(void *arg, const char *name, const double *values);
-	/* Notes that an entry is written as it is now. */
+	/*
+	 * Notes that an entry is written as it is now. NULL: the list does not
+	 * know which entries have changed; those do of which a value differs by
+	 * more than `change` from what was written or restored.
+	 */
 	void (*note_saved)(void *arg, const char *name);
+	double change;
 	void *arg;
 };
 
@@ -72,10 +77,9 @@
 void learned_add_rows(struct learned *k, struct rows_tx *t, uint64_t now_ms,
 		      uint64_t store_ms);
 
-char *learned_encode_row(const struct learned_list *list, uint32_t row,
-			 size_t max_bytes, uint64_t store_ms, bool *changed);
 void learned_decode_row(const struct learned_list *list, const char *text,
-			uint64_t store_ms, struct learned_result *result);
+			uint64_t store_ms, GHashTable *saved,
+			struct learned_result *result);
 struct learned_list learned_durations(struct estimator *e);
 
 #endif
--- a/sched/value.c
+++ b/sched/value.c
@@ -198,14 +198,16 @@
 {
 	uint64_t ran_ms = v->now_ms - MIN(t->placed_ms, v->now_ms);
 	const struct stage_value *sv = stage_value_of(v, t->stage);
-	uint64_t run_ms = sv->run_ms;
+	double slowdown = t->at ? upstream_slowdown(t->at) : 1;
+	uint64_t run_ms = sv->run_ms * slowdown;
 	uint64_t since_listed_ms =
 		v->now_ms - MIN(t->percent_listed_ms, v->now_ms);
 	uint32_t progressed = t->percent - MIN(t->first_percent, t->percent);
 	uint64_t left_ms;
 
 	if (progressed < PROGRESS_MIN_PERCENT && sv->run.runs > 0)
-		return duration_remaining_ms(&sv->run, ran_ms);
+		return duration_remaining_ms(&sv->run, ran_ms / slowdown) *
+		       slowdown;
 	if (progressed < PROGRESS_MIN_PERCENT)
 		return run_ms > ran_ms ? run_ms - ran_ms
 				       : MAX(run_ms / 4, ran_ms - run_ms);
--- a/test/fuzz_rows.c
+++ b/test/fuzz_rows.c
@@ -708,7 +708,7 @@
 	struct learned_list list = learned_durations(e);
 	struct learned_result r = {0};
 
-	learned_decode_row(&list, text, 2000, &r);
+	learned_decode_row(&list, text, 2000, NULL, &r);
 	for (size_t i = 0; i < G_N_ELEMENTS(estimates_ms); i++) {
 		struct duration_key k = {"q", "a", 0, estimates_ms[i]};
 		struct duration_estimate d =
--- a/test/unit_lead.c
+++ b/test/unit_lead.c
@@ -932,9 +932,64 @@
 	fixture_destroy(&s);
 }
 
+/* List one end of the first task's run, which was placed at 1000 ms. */
+static void end_first_run(struct fixture *s, enum run_end how, uint64_t now_ms)
+{
+	struct run_end_report e = {.number = 1,
+				   .run = 1,
+				   .end_reason = how,
+				   .checkpoint = "saved"};
+	struct order_answer a = {.ended = &e, .ended_len = 1};
+	GArray *strays = g_array_new(FALSE, FALSE, sizeof(struct stray_run));
+	char name[TASK_NAME_BYTES];
+
+	task_format_name(s->task, name, sizeof(name));
+	e.task = name;
+	task_confirm(s->task, 1001);
+	model_apply_lists(s->model, s->upstream, &a, now_ms, now_ms, 0, strays);
+	g_array_unref(strays);
+}
+
+/* Return what a run of 8 s teaches if it ends like that. */
+static struct duration_estimate
+learn_from_end(enum run_end how, const char *checkpoint, bool from_checkpoint)
+{
+	struct duration_estimate d;
+	struct fixture s;
+
+	fixture_create(&s, 1, false);
+	s.job->steps[0].estimate_ms = 2000;
+	s.task->checkpoint = g_strdup(checkpoint);
+	s.task->run_rate.from_checkpoint = from_checkpoint;
+	end_first_run(&s, how, 9000);
+	d = estimator_duration(s.model->estimator, s.job, 0);
+	fixture_destroy(&s);
+	return d;
+}
+
+/*
+ * Guards against runs that are not learned from because they wrote a
+ * checkpoint, and against short ends that are taken for short tasks.
+ */
+static void test_durations_are_learned_from_all_whole_runs(void **state)
+{
+	(void)state;
+	assert_true(learn_from_end(RUN_DONE, NULL, false).median_ms > 2200);
+	assert_true(learn_from_end(RUN_DONE, "c", false).median_ms > 2200);
+	assert_true(learn_from_end(RUN_DONE, "c", true).runs == 0);
+	/* 8 s is longer than expected, however the run has ended */
+	assert_true(learn_from_end(RUN_FAILED, NULL, false).median_ms > 2000);
+	assert_true(learn_from_end(RUN_STOPPED, NULL, false).median_ms > 2000);
+	assert_true(learn_from_end(RUN_STOPPED, "c", true).runs == 0);
+	/* nobody saw when these ended */
+	assert_true(learn_from_end(RUN_LEASE_EXPIRED, NULL, false).runs == 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			test_durations_are_learned_from_all_whole_runs),
 		cmocka_unit_test(
 			test_task_under_which_upstreams_restart_is_given_up),
 		cmocka_unit_test(test_run_of_newer_incarnation_is_not_blamed),
--- a/test/unit_learned.c
+++ b/test/unit_learned.c
@@ -349,13 +349,13 @@
 	struct learned_result r = {0};
 
 	(void)state;
-	learned_decode_row(&list, row, 1000 + 25 * HOUR_MS, &r);
+	learned_decode_row(&list, row, 1000 + 25 * HOUR_MS, NULL, &r);
 	assert_int_equal(r.old_rows, 1);
 	assert_int_equal(r.entries, 0);
 	/* a store that was restarted counts from a smaller time */
-	learned_decode_row(&list, row, 10, &r);
+	learned_decode_row(&list, row, 10, NULL, &r);
 	assert_int_equal(r.entries, 1);
-	learned_decode_row(&list, row, 1000 + 23 * HOUR_MS, &r);
+	learned_decode_row(&list, row, 1000 + 23 * HOUR_MS, NULL, &r);
 	assert_int_equal(r.rows, 2);
 	estimator_destroy(e);
 }
@@ -475,6 +475,45 @@
 	g_free(m);
 }
 
+/*
+ * Guards against a list that does not know its changes and is written again and
+ * again, or never.
+ */
+static void changes_of_a_list_are_found_by_its_values(void **state)
+{
+	struct fixture *f = *state;
+	struct machine_list *m = g_new0(struct machine_list, 1);
+	struct learned_list list = list_of(m);
+
+	list.note_saved = NULL;
+	list.change = 0.05;
+	for (m->len = 0; m->len < 40; m->len++) {
+		snprintf(m->names[m->len], sizeof(m->names[0]), "m-%u", m->len);
+		m->values[m->len][1] = 0.04;
+	}
+	for (int leader = 0; leader < 2; leader++) {
+		struct leading l = {0};
+
+		l.learned = learned_create(f->loop, f->rows, f->counters,
+					   &f->settings);
+		serve_read(f);
+		if (leader)
+			m->len = 0;
+		learned_add_list(l.learned, list);
+		learned_start(l.learned);
+		assert_int_equal(m->len, 40);
+		/* the second leader has read what the first has written */
+		assert_int_equal(write_all(f, &l), leader ? 0 : 8);
+		m->values[3][0] += 0.04;
+		assert_int_equal(write_all(f, &l), 0);
+		m->values[3][0] += 0.04;
+		assert_int_equal(write_all(f, &l), 1);
+		assert_int_equal(write_all(f, &l), 0);
+		learned_destroy(l.learned);
+	}
+	g_free(m);
+}
+
 #define TEST(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
 
 int main(void)
@@ -487,6 +526,7 @@
 		TEST(old_rows_are_not_used),
 		TEST(rows_that_arrive_late_are_still_used),
 		TEST(a_second_list_is_kept_beside_the_first),
+		TEST(changes_of_a_list_are_found_by_its_values),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
