--- a/sched/duration.c
+++ b/sched/duration.c
@@ -342,8 +342,8 @@
 {
 	const struct line *own = &lines[LEVELS - 1];
 	double bounded = CLAMP(z, -CENSORED_Z_MAX, CENSORED_Z_MAX);
-	double hazard = gsl_ran_ugaussian_pdf(bounded) /
-			gsl_cdf_ugaussian_Q(bounded);
+	double hazard =
+		gsl_ran_ugaussian_pdf(bounded) / gsl_cdf_ugaussian_Q(bounded);
 	double information = hazard * (hazard - bounded);
 	struct observation o = {
 		.x = x,
