--- a/report/prediction.c
+++ b/report/prediction.c
@@ -90,14 +90,37 @@
 	q->log_sum += log(took_ms);
 }
 
-/* Report whether the run of r may have begun at a checkpoint. */
-static bool began_at_checkpoint(GHashTable *begun, const struct record *r,
-				const struct job_facts *f)
+/* Return a name of the run of r as one leader knows it, to be freed. */
+static char *run_name(const struct record *r)
 {
 	char *task = record_task_name(r);
-	bool first = g_hash_table_add(begun, task);
+	char *name = g_strdup_printf(
+		"%s/%d/%s", task, r->run,
+		r->instance ? g_quark_to_string(r->instance) : "");
 
-	return f->checkpoints && !first;
+	g_free(task);
+	return name;
+}
+
+/* The starts and ends that the replay has passed. */
+struct passed {
+	GHashTable *started; /* names of runs */
+	GHashTable *ended;   /* names of tasks */
+};
+
+/*
+ * Report whether the run that ends with r was a whole one: the same leader has
+ * placed it, and it cannot have begun at a checkpoint of an earlier run.
+ */
+static bool is_whole_run(struct passed *p, const struct record *r,
+			 const struct job_facts *f)
+{
+	char *name = run_name(r);
+	bool placed = g_hash_table_remove(p->started, name);
+	bool first = g_hash_table_add(p->ended, record_task_name(r));
+
+	g_free(name);
+	return placed && (first || !f->checkpoints);
 }
 
 /*
@@ -169,8 +192,9 @@
 		g_hash_table_new_full(NULL, NULL, NULL, queue_errors_free);
 	GHashTable *jobs = g_hash_table_new_full(NULL, NULL, NULL,
 						 (GDestroyNotify)job_destroy);
-	GHashTable *begun =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	struct passed p = {
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL)};
 	struct estimator *e = estimator_create();
 	GArray *list;
 
@@ -180,10 +204,12 @@
 		const struct job_facts *f;
 		gpointer id = GUINT_TO_POINTER(x->job);
 
+		if (x->kind == EVENT_START_DECIDED)
+			g_hash_table_add(p.started, run_name(x));
 		if (x->kind != EVENT_RUN_ENDED || x->step || !x->has_task)
 			continue;
 		f = record_set_find_job(r->set, x->job);
-		if (!f || f->endless || began_at_checkpoint(begun, x, f))
+		if (!f || f->endless || !is_whole_run(&p, x, f))
 			continue;
 		if (!g_hash_table_contains(jobs, id))
 			g_hash_table_insert(jobs, id, job_of(f));
@@ -191,7 +217,8 @@
 	}
 	list = summarize(queues);
 	estimator_destroy(e);
-	g_hash_table_destroy(begun);
+	g_hash_table_destroy(p.started);
+	g_hash_table_destroy(p.ended);
 	g_hash_table_destroy(jobs);
 	g_hash_table_destroy(queues);
 	return list;
--- a/sched/duration.c
+++ b/sched/duration.c
@@ -59,6 +59,8 @@
 #define LOG_MS_MAX 40.0
 /* A size class spans a factor of four in cores. */
 #define SIZE_CLASS_BITS 2
+/* The largest class, written as one character: a million cores and more. */
+#define CLASS_MAX 10
 #define ACCELERATOR_CORES 8
 /* Steps of the bisection for a quantile; each halves the error. */
 #define QUANTILE_STEPS 40
@@ -117,14 +119,27 @@
 	return g_hash_table_size(d->groups);
 }
 
+/*
+ * Name the groups of a run. A pass does this for each stage, so nothing is
+ * formatted.
+ */
 static void name_groups(const struct duration_key *k, struct names *n)
 {
+	size_t queue = MIN(strlen(k->queue), LABEL_BYTES - 1);
+	size_t account = MIN(strlen(k->account), LABEL_BYTES - 1);
+	char *p = n->text[3];
+
+	memcpy(p, k->queue, queue);
+	p[queue] = '\n';
+	memcpy(p + queue + 1, k->account, account);
+	p[queue + 1 + account] = '\n';
+	p[queue + 2 + account] = (char)('0' + MIN(k->size_class, CLASS_MAX));
+	p[queue + 3 + account] = '\0';
+	memcpy(n->text[2], p, queue + 1 + account);
+	n->text[2][queue + 1 + account] = '\0';
+	memcpy(n->text[1], p, queue);
+	n->text[1][queue] = '\0';
 	n->text[0][0] = '\0';
-	g_snprintf(n->text[1], sizeof(n->text[1]), "%s", k->queue);
-	g_snprintf(n->text[2], sizeof(n->text[2]), "%s\n%s", k->queue,
-		   k->account);
-	g_snprintf(n->text[3], sizeof(n->text[3]), "%s\n%s\n%u", k->queue,
-		   k->account, k->size_class);
 }
 
 static double line_at(const struct line *l, double x)
--- a/test/unit_report.c
+++ b/test/unit_report.c
@@ -477,6 +477,14 @@
 			"\"estimate_ms\":%d",
 			i, i % 2 ? "right" : "double",
 			i % 2 ? work_ms : 2 * work_ms);
+		char *start = g_strdup_printf(
+			"\"job\":\"%016d\",\"task\":\"%016d.0.0.0\",\"run\":1",
+			i, i);
+		char *inherited = g_strdup_printf(
+			"\"job\":\"%016d\",\"task\":\"%016d.0.0.0\",\"run\":1,"
+			"\"how\":\"done\",\"after_ms\":20,"
+			"\"confirmed_after_ms\":3",
+			i, i);
 		char *end = g_strdup_printf(
 			"\"job\":\"%016d\",\"task\":\"%016d.0.0.0\",\"run\":1,"
 			"\"how\":\"done\",\"after_ms\":%d,"
@@ -484,7 +492,12 @@
 			i, i, work_ms);
 
 		add_event(&f, "l", 100 + 10 * i, "job_known", facts);
+		add_event(&f, "l", 105 + 10 * i, "start_decided", start);
 		add_event(&f, "l", 5000 + 10 * i, "run_ended", end);
+		/* one that another leader has placed was seen in part only */
+		add_event(&f, "m", 5001 + 10 * i, "run_ended", inherited);
+		g_free(start);
+		g_free(inherited);
 		g_free(facts);
 		g_free(end);
 	}
