--- a/lead/leader.h
+++ b/lead/leader.h
@@ -49,5 +49,6 @@
 uint32_t leader_count_evacuated(const struct leader *d);
 void leader_resign(struct leader *d);
 bool leader_is_active(const struct leader *d);
+uint32_t leader_count_learned_groups(const struct leader *d);
 
 #endif
