--- a/test/proc_evacuate.c
+++ b/test/proc_evacuate.c
@@ -162,7 +162,7 @@
 static void
 nothing_starts_in_an_evacuated_domain_when_the_leader_is_killed(void **state)
 {
-	struct evacuation_case c = start_case(141);
+	struct evacuation_case c = start_case(181);
 	uint32_t leader;
 
 	(void)state;
@@ -185,7 +185,7 @@
 static void
 nothing_starts_in_a_domain_evacuated_before_the_instances_start(void **state)
 {
-	struct evacuation_case c = start_case(142);
+	struct evacuation_case c = start_case(182);
 
 	(void)state;
 	for (uint32_t i = 0; i < INSTANCE_COUNT; i++)
@@ -209,7 +209,7 @@
 static void
 domain_restored_while_the_history_is_dropped_is_used_again(void **state)
 {
-	struct evacuation_case c = start_case(143);
+	struct evacuation_case c = start_case(183);
 	uint64_t at_ms;
 
 	(void)state;
@@ -237,7 +237,7 @@
 static void
 nothing_starts_in_an_evacuated_domain_while_the_rows_are_late(void **state)
 {
-	struct evacuation_case c = start_case(144);
+	struct evacuation_case c = start_case(184);
 
 	(void)state;
 	load_until(&c, clock_mono_ms() + 1000);
@@ -259,7 +259,7 @@
  */
 static void runs_in_an_evacuated_domain_go_on(void **state)
 {
-	struct evacuation_case c = start_case(145);
+	struct evacuation_case c = start_case(185);
 	int stopped;
 
 	(void)state;
