Bound what clients' and peers' connections hold

Connections kept every byte of a body in h2o's input buffers, without a limit on their sum: 320 bodies of legal size that stop one byte short took 131 MB, 48 unfinished frames at the peers' port 297 MB. Descriptors were not limited either.

Callers, peers and probes (readiness and metrics) have fixed shares of the memory and the descriptors that the settings state. A whole request that does not fit is answered 503 before it reaches its handler, one that has not arrived in full gets 503 and is closed; one that is with its handler is never closed. The kernel's buffers of accepted connections are limited, and large buffers are returned to the system when they are freed. A stranger at the peers' port sends 1 KB before its hello.

--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -8,12 +8,14 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "daemon/intakes.h"
 #include "daemon/joint.h"
 #include "entry/entry.h"
 #include "lead/leader.h"
 #include "lead/succession.h"
 #include "lead/record.h"
 #include "lib/log.h"
+#include "lib/sockbuf.h"
 #include "peer/relay.h"
 #include "platform/decode.h"
 
@@ -68,6 +70,7 @@
 	struct loop *loop;
 	struct http_client *http;
 	struct counters *counters;
+	struct intakes *intakes;
 	struct relay *relay;
 	struct rows *rows;
 	uint64_t incarnation;
@@ -248,6 +251,7 @@
 	uint64_t us = t->sockets_us + t->timers_us;
 
 	latency_add(j->counters, "turn", us);
+	intakes_log_closed(j->intakes);
 	entry_note_stall(j->entry, MAX(us, t->late_us) / 1000);
 	if (MAX(us, t->late_us) > (leader_is_active(j->leader)
 					   ? SLOW_ITERATION_LEADER_US
@@ -263,17 +267,19 @@
 {
 	struct joint *j = arg;
 	char *s = counters_text(j->counters);
-	char *all = g_strdup_printf("%slacewing_leads %d\nlacewing_ready %d\n"
+	char *intakes = intakes_metrics_text(j->intakes);
+	char *all = g_strdup_printf("%s%slacewing_leads %d\nlacewing_ready %d\n"
 				    "lacewing_peers %u\n"
 				    "lacewing_store_by_peers %d\n"
 				    "lacewing_log_lost %llu\n",
-				    s, leader_is_active(j->leader), is_ready(j),
-				    relay_count_peers(j->relay),
+				    s, intakes, leader_is_active(j->leader),
+				    is_ready(j), relay_count_peers(j->relay),
 				    relay_uses_peers(j->relay),
 				    (unsigned long long)log_lost());
 
 	exchange_reply(x, 200, "text/plain", all, 0);
 	g_free(all);
+	g_free(intakes);
 	g_free(s);
 }
 
@@ -312,6 +318,7 @@
 
 	if (s) {
 		joint_settings_update(j->settings, s);
+		intakes_update_settings(j->intakes, j->settings);
 		log_open("lacewingd", j->settings->instance, s->log_level);
 	}
 	log_fields(s ? LOG_INFO : LOG_ERROR, "reload", "{s:b,s:s}", "taken",
@@ -377,11 +384,13 @@
 
 	j->loop = loop_create();
 	j->counters = counters_create();
+	j->intakes = intakes_create(s);
 	j->http = http_client_create(j->loop);
 	j->incarnation = clock_wall_ms() ^ g_random_int();
 	re = (struct relay_env){.loop = j->loop,
 				.http = j->http,
 				.counters = j->counters,
+				.intake = intakes_get(j->intakes, INTAKE_PEERS),
 				.instance = s->instance,
 				.domain = s->domain,
 				.incarnation = j->incarnation,
@@ -399,6 +408,8 @@
 	ee = (struct entry_env){.loop = j->loop,
 				.rows = j->rows,
 				.counters = j->counters,
+				.intake =
+					intakes_get(j->intakes, INTAKE_CALLERS),
 				.settings = s,
 				.policies = j->policies,
 				.jobs = j->jobs,
@@ -422,7 +433,13 @@
 					  on_readiness, j);
 	j->metrics =
 		http_server_create(j->loop, &s->metrics, 1024, on_metrics, j);
-	return j->entry && j->readiness && j->metrics;
+	if (!j->entry || !j->readiness || !j->metrics)
+		return false;
+	http_server_set_intake(j->readiness,
+			       intakes_get(j->intakes, INTAKE_PROBES));
+	http_server_set_intake(j->metrics,
+			       intakes_get(j->intakes, INTAKE_PROBES));
+	return true;
 }
 
 static void destroy_tasks(struct joint *j)
@@ -441,6 +458,7 @@
 	http_client_destroy(j->http);
 	counters_destroy(j->counters);
 	loop_destroy(j->loop);
+	intakes_destroy(j->intakes);
 }
 
 /*
@@ -453,6 +471,7 @@
 	int rc = 1;
 
 	signal(SIGPIPE, SIG_IGN);
+	sockbuf_init_process();
 	log_open("lacewingd", s->instance, s->log_level);
 	if (!create_tasks(&j)) {
 		log_line(LOG_ERROR, "listen_failed",
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -901,6 +901,8 @@
 		entry_destroy(n);
 		return NULL;
 	}
+	if (e->intake)
+		http_server_set_intake(n->server, e->intake);
 	return n;
 }
 
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -16,6 +16,7 @@
 	struct loop *loop;
 	struct rows *rows;
 	struct counters *counters;
+	struct intake *intake; /* counts callers' connections, or NULL */
 	const struct joint_settings *settings;
 	struct replica *policies; /* the operators' configuration */
 	struct replica *jobs;	  /* accepted jobs and cancel requests */
--- a/lib/frame.c
+++ b/lib/frame.c
@@ -11,10 +11,19 @@
 
 #include "lib/address.h"
 #include "lib/frame.h"
+#include "lib/sockbuf.h"
 
 #define QUEUE_MAX_BYTES (16u << 20)
+/* Limits of the intake are checked at least so often. */
+#define CHECK_INTERVAL_MS 250
+/* Memory of an idle connection here, in h2o and in the kernel, about. */
+#define CONN_BASE_BYTES 4096
 
 struct frame_conn {
+	struct intake_conn intake; /* the first member */
+	struct intake *in;	   /* NULL: nothing is limited */
+	uint32_t max_bytes;	   /* longest frame that is accepted */
+	size_t bytes_read;
 	h2o_socket_t *sock;
 	const struct frame_events *ev;
 	void *arg;
@@ -31,6 +40,8 @@
 	h2o_socket_t *sock;
 	const struct frame_events *ev;
 	void *arg;
+	struct intake *in;
+	struct timer check_timer;
 };
 
 int64_t frame_parse(const uint8_t *buf, size_t len, const uint8_t **payload,
@@ -51,8 +62,37 @@
 	return (int64_t)n + FRAME_HEADER_BYTES;
 }
 
+/* Count what c holds now. */
+static void conn_update(struct frame_conn *c)
+{
+	enum intake_state state = INTAKE_IDLE;
+	size_t unsent = c->queue->len + c->writing->len;
+	bool progress;
+
+	if (!c->in || c->closing)
+		return;
+	progress = c->sock->bytes_read != c->bytes_read;
+	c->bytes_read = c->sock->bytes_read;
+	if (c->sock->input->size)
+		state = INTAKE_READING;
+	else if (unsent)
+		state = INTAKE_REPLYING;
+	intake_update(c->in, &c->intake, state,
+		      CONN_BASE_BYTES + sockbuf_held_bytes(c->sock) + unsent,
+		      progress, clock_mono_ms());
+}
+
+/* Stop counting c, which is closing. */
+static void conn_leave_intake(struct frame_conn *c)
+{
+	if (c->in)
+		intake_close(c->in, &c->intake);
+	c->in = NULL;
+}
+
 static void conn_free(struct frame_conn *c)
 {
+	conn_leave_intake(c);
 	if (c->sock)
 		h2o_socket_close(c->sock);
 	g_byte_array_free(c->queue, TRUE);
@@ -69,6 +109,7 @@
 	if (c->closing)
 		return;
 	c->closing = true;
+	conn_leave_intake(c);
 	c->ev->closed(c->arg, c, why);
 	if (!c->in_callback)
 		conn_free(c);
@@ -80,10 +121,53 @@
 	if (c->closing)
 		return;
 	c->closing = true;
+	conn_leave_intake(c);
 	if (!c->in_callback)
 		conn_free(c);
 }
 
+/* Accept frames of at most max_bytes from now on. */
+void frame_set_max(struct frame_conn *c, uint32_t max_bytes)
+{
+	c->max_bytes = max_bytes;
+}
+
+/* Have c closed for limits of the intake only if there is no other choice. */
+void frame_set_trusted(struct frame_conn *c)
+{
+	c->intake.trusted = true;
+}
+
+/* Close connections until the budget of bytes is kept. */
+static void close_for_bytes(struct intake *in)
+{
+	struct intake_conn *c;
+
+	while (intake_has_excess_bytes(in) &&
+	       (c = intake_pick_for_bytes(in, clock_mono_ms()))) {
+		intake_count(in, INTAKE_BYTES);
+		conn_fail((struct frame_conn *)c, "holds too many bytes");
+	}
+}
+
+/* Count what connections hold, and close those that exceed a limit. */
+static void on_check_timer(void *arg)
+{
+	struct frame_listener *f = arg;
+	struct intake_conn *late;
+	enum intake_reason why;
+
+	for (uint32_t i = 0; i < intake_connections(f->in); i++)
+		conn_update(
+			(struct frame_conn *)intake_connection_at(f->in, i));
+	close_for_bytes(f->in);
+	while ((late = intake_pick_overdue(f->in, clock_mono_ms(), &why))) {
+		intake_count(f->in, why);
+		conn_fail((struct frame_conn *)late, "too slow");
+	}
+	timer_start(f->loop, &f->check_timer, CHECK_INTERVAL_MS);
+}
+
 /* Return the total bytes queued on c, with frame headers. */
 uint64_t frame_bytes_sent(const struct frame_conn *c)
 {
@@ -131,6 +215,17 @@
 	return true;
 }
 
+/* Report whether the next frame, which may be incomplete, is too long for c. */
+static bool is_too_long(const struct frame_conn *c)
+{
+	uint32_t n;
+
+	if (c->sock->input->size < FRAME_HEADER_BYTES)
+		return false;
+	memcpy(&n, c->sock->input->bytes, sizeof(n));
+	return ntohl(n) > c->max_bytes;
+}
+
 /* Deliver each complete frame of the input. */
 static void on_readable(h2o_socket_t *sock, const char *err)
 {
@@ -148,20 +243,24 @@
 		int64_t n = frame_parse((uint8_t *)sock->input->bytes,
 					sock->input->size, &payload, &len);
 
-		if (!n)
-			break;
-		if (n < 0)
+		if (n < 0 || is_too_long(c))
 			why = "frame length out of bounds";
+		else if (!n)
+			break;
 		else if (!deliver_envelope(c, payload, len))
 			why = "frame is not a message";
 		else
 			h2o_buffer_consume(&sock->input, n);
 	}
 	c->in_callback = false;
-	if (c->closing)
+	if (c->closing) {
 		conn_free(c);
-	else if (why)
+	} else if (why) {
 		conn_fail(c, why);
+	} else if (c->in) {
+		conn_update(c);
+		close_for_bytes(c->in);
+	}
 }
 
 /* Report c as open, then start to read and write. */
@@ -189,6 +288,7 @@
 	struct frame_conn *c = g_new0(struct frame_conn, 1);
 
 	c->sock = sock;
+	c->max_bytes = FRAME_MAX_BYTES;
 	c->ev = ev;
 	c->arg = arg;
 	c->queue = g_byte_array_new();
@@ -197,15 +297,46 @@
 	return c;
 }
 
+/*
+ * Accept a connection, and close another one if there are too many. Return
+ * NULL if there is still no room.
+ */
+static struct frame_conn *accept_counted(struct frame_listener *f,
+					 h2o_socket_t *sock)
+{
+	struct intake_conn *other;
+	struct frame_conn *c;
+
+	if (intake_is_full(f->in) &&
+	    (other = intake_pick_for_room(f->in, clock_mono_ms()))) {
+		intake_count(f->in, INTAKE_CONNECTIONS);
+		conn_fail((struct frame_conn *)other, "too many connections");
+	}
+	if (intake_is_full(f->in)) {
+		intake_count(f->in, INTAKE_CONNECTIONS);
+		h2o_socket_close(sock);
+		return NULL;
+	}
+	c = conn_create(sock, f->ev, f->arg);
+	c->in = f->in;
+	intake_open(c->in, &c->intake, clock_mono_ms());
+	return c;
+}
+
 static void on_accept(h2o_socket_t *listener, const char *err)
 {
 	struct frame_listener *f = listener->data;
+	struct frame_conn *c;
 	h2o_socket_t *s;
 
 	if (err)
 		return;
-	while ((s = h2o_evloop_socket_accept(listener)))
-		conn_opened(conn_create(s, f->ev, f->arg));
+	while ((s = h2o_evloop_socket_accept(listener))) {
+		c = f->in ? accept_counted(f, s)
+			  : conn_create(s, f->ev, f->arg);
+		if (c)
+			conn_opened(c);
+	}
 }
 
 /* Accept connections on address at; return NULL when it cannot be bound. */
@@ -229,11 +360,25 @@
 	return f;
 }
 
+/*
+ * Count accepted connections in the intake, which must outlive f and them, and
+ * keep its limits. To be called before the loop runs.
+ */
+void frame_listener_set_intake(struct frame_listener *f, struct intake *in)
+{
+	f->in = in;
+	sockbuf_limit_kernel_buffers(f->sock);
+	timer_init(&f->check_timer, on_check_timer, f);
+	timer_start(f->loop, &f->check_timer, CHECK_INTERVAL_MS);
+}
+
 /* Stop accepting and free f. */
 void frame_listener_destroy(struct frame_listener *f)
 {
 	if (!f)
 		return;
+	if (f->in)
+		timer_stop(f->loop, &f->check_timer);
 	h2o_socket_close(f->sock);
 	g_free(f);
 }
--- a/lib/frame.h
+++ b/lib/frame.h
@@ -4,6 +4,7 @@
 
 #include <netinet/in.h>
 
+#include "lib/intake.h"
 #include "lib/loop.h"
 #include "proto/peer.pb-c.h"
 
@@ -24,11 +25,14 @@
 struct frame_listener *frame_listen(struct loop *l,
 				    const struct sockaddr_in *at,
 				    const struct frame_events *ev, void *arg);
+void frame_listener_set_intake(struct frame_listener *f, struct intake *in);
 void frame_listener_destroy(struct frame_listener *f);
 struct frame_conn *frame_connect(struct loop *l, const struct sockaddr_in *to,
 				 const struct frame_events *ev, void *arg);
 void frame_send(struct frame_conn *c, const Lacewing__Envelope *e);
 void frame_close(struct frame_conn *c);
+void frame_set_max(struct frame_conn *c, uint32_t max_bytes);
+void frame_set_trusted(struct frame_conn *c);
 uint64_t frame_bytes_sent(const struct frame_conn *c);
 
 /*
--- a/lib/http.h
+++ b/lib/http.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "lib/address.h"
+#include "lib/intake.h"
 #include "lib/loop.h"
 #include "lib/verdict.h"
 
@@ -60,6 +61,7 @@
 				       const struct sockaddr_in *at,
 				       size_t max_body, http_handler_fn fn,
 				       void *arg);
+void http_server_set_intake(struct http_server *s, struct intake *in);
 void http_server_destroy(struct http_server *s);
 void http_server_stop_accepting(struct http_server *s);
 void http_server_close_after_reply(struct http_server *s);
--- a/lib/httpserver.c
+++ b/lib/httpserver.c
@@ -1,4 +1,11 @@
-/* The HTTP server: one handler for all paths; replies in any order. */
+/*
+ * The HTTP server: one handler for all paths; replies in any order.
+ *
+ * With an intake the server counts what each connection holds, and closes
+ * connections that exceed the limits. h2o keeps headers and bodies in the input
+ * buffer of the socket and offers no hook between a read and its use, so its
+ * socket callbacks are replaced by ones that count and then call them.
+ */
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -6,9 +13,23 @@
 #include <sys/socket.h>
 
 #include "lib/http.h"
+#include "lib/sockbuf.h"
 
 /* Longer than clients keep idle connections, so that they close first. */
 #define IDLE_TIMEOUT_MS 60000
+/* Time limits and bytes that the kernel holds are checked so often. */
+#define CHECK_INTERVAL_MS 250
+/* Memory of an idle connection in h2o, here and in the kernel, about. */
+#define CONN_BASE_BYTES 4096
+/* Memory of a request without its body: h2o's pool, copies of the headers. */
+#define REQUEST_BASE_BYTES 8192
+/*
+ * Copies of a body while its request is with the handler: the exchange's, the
+ * encoded write, and that of the call which sends it.
+ */
+#define BODY_COPIES 4
+#define RETRY_AFTER_S "1"
+#define BUSY_BODY "{\"error\":\"too much is being received; nothing was done\"}"
 
 struct http_server {
 	struct loop *loop;
@@ -20,6 +41,21 @@
 	void *arg;
 	bool close_after_reply; /* close each connection after its next reply */
 	uint32_t open_request_count; /* exchanges without a reply */
+	struct intake *intake;	     /* NULL: nothing is limited */
+	struct timer check_timer;
+};
+
+/* A connection of a server with an intake. */
+struct http_conn {
+	struct intake_conn intake; /* the first member */
+	struct http_server *server;
+	h2o_socket_t *sock;
+	h2o_socket_cb read_fn; /* of h2o, called by on_readable */
+	h2o_socket_cb write_fn;
+	bool handed; /* a request is with the handler */
+	size_t bytes_read;
+	uint64_t unread_bytes; /* in the kernel, at the last check */
+	bool *closed;	       /* set to true when it is closed, unless NULL */
 };
 
 struct handler {
@@ -36,8 +72,182 @@
 	char *query;
 	char *body;
 	size_t body_len;
+	uint64_t held_bytes; /* counted by the intake */
 };
 
+/* Return the connection of a socket, or NULL if its server has no intake. */
+static struct http_conn *conn_of_socket(const h2o_socket_t *sock)
+{
+	return sock->on_close.data;
+}
+
+static struct http_conn *conn_of_request(const h2o_req_t *req)
+{
+	return conn_of_socket(req->conn->callbacks->get_socket(req->conn));
+}
+
+static enum intake_state conn_state(const struct http_conn *c)
+{
+	if (c->intake.state == INTAKE_CLOSING)
+		return INTAKE_CLOSING;
+	if (c->handed)
+		return INTAKE_HANDED;
+	if (h2o_socket_is_writing(c->sock))
+		return INTAKE_REPLYING;
+	return c->sock->input->size ? INTAKE_READING : INTAKE_IDLE;
+}
+
+static void on_readable(h2o_socket_t *sock, const char *err);
+static void on_writable(h2o_socket_t *sock, const char *err);
+
+/* Count what c holds now, and replace callbacks that h2o has set. */
+static void conn_update(struct http_conn *c)
+{
+	h2o_socket_t *sock = c->sock;
+	bool progress = sock->bytes_read != c->bytes_read;
+
+	if (sock->_cb.read && sock->_cb.read != on_readable) {
+		c->read_fn = sock->_cb.read;
+		sock->_cb.read = on_readable;
+	}
+	if (sock->_cb.write && sock->_cb.write != on_writable) {
+		c->write_fn = sock->_cb.write;
+		sock->_cb.write = on_writable;
+	}
+	c->bytes_read = sock->bytes_read;
+	intake_update(c->server->intake, &c->intake, conn_state(c),
+		      CONN_BASE_BYTES + sockbuf_held_bytes(sock) +
+			      c->unread_bytes,
+		      progress, clock_mono_ms());
+}
+
+/*
+ * Answer 503 on a connection whose request has not arrived in full. It may get
+ * lost: the system resets a connection that is closed with unread bytes.
+ */
+static void send_busy(const struct http_conn *c)
+{
+	static const char text[] =
+		"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
+		"Retry-After: " RETRY_AFTER_S "\r\n"
+		"Content-Type: application/json\r\nContent-Length: %zu"
+		"\r\n\r\n" BUSY_BODY;
+	char buf[sizeof(text) + 16];
+	int n = snprintf(buf, sizeof(buf), text, strlen(BUSY_BODY));
+
+	send(h2o_socket_get_fd(c->sock), buf, n, MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
+/*
+ * Close c, which must have no unanswered request. h2o closes it as if its
+ * client had, at once or, while an answer is being written, soon.
+ */
+static void conn_close(struct http_conn *c, enum intake_reason why)
+{
+	struct intake *in = c->server->intake;
+
+	intake_count(in, why);
+	if (c->intake.state == INTAKE_READING)
+		send_busy(c);
+	if (c->intake.state != INTAKE_REPLYING &&
+	    c->sock->_cb.read == on_readable) {
+		c->read_fn(c->sock, h2o_socket_error_closed);
+		return;
+	}
+	shutdown(h2o_socket_get_fd(c->sock), SHUT_RDWR);
+	intake_update(in, &c->intake, INTAKE_CLOSING, c->intake.bytes, false,
+		      clock_mono_ms());
+}
+
+/* Close connections until the budget of bytes is kept, if that is possible. */
+static void close_for_bytes(struct http_server *s)
+{
+	struct intake_conn *c;
+
+	while (intake_has_excess_bytes(s->intake) &&
+	       (c = intake_pick_for_bytes(s->intake, clock_mono_ms())))
+		conn_close((struct http_conn *)c, INTAKE_BYTES);
+}
+
+/* Call a callback of h2o. Return false if the connection has been closed. */
+static bool call_h2o(struct http_conn *c, h2o_socket_cb fn, const char *err)
+{
+	bool closed = false;
+
+	c->closed = &closed;
+	fn(c->sock, err);
+	if (closed)
+		return false;
+	c->closed = NULL;
+	conn_update(c);
+	return true;
+}
+
+/*
+ * Bytes have been read: keep the budget, then let h2o use them. If what closes
+ * has not been freed yet, the connection itself is closed, so that reads of one
+ * iteration of the loop do not exceed the budget together.
+ */
+static void on_readable(h2o_socket_t *sock, const char *err)
+{
+	struct http_conn *c = conn_of_socket(sock);
+	bool closed = false;
+
+	if (!err) {
+		c->closed = &closed;
+		conn_update(c);
+		close_for_bytes(c->server);
+		if (!closed &&
+		    !intake_allows(c->server->intake, c->intake.bytes))
+			conn_close(c, INTAKE_BYTES);
+		if (closed)
+			return;
+		c->closed = NULL;
+	}
+	call_h2o(c, c->read_fn, err);
+}
+
+static void on_writable(h2o_socket_t *sock, const char *err)
+{
+	struct http_conn *c = conn_of_socket(sock);
+
+	call_h2o(c, c->write_fn, err);
+}
+
+static void on_socket_closed(void *data)
+{
+	struct http_conn *c = data;
+
+	if (c->closed)
+		*c->closed = true;
+	intake_close(c->server->intake, &c->intake);
+	g_free(c);
+}
+
+/* Close connections that are too slow, and count bytes in the kernel. */
+static void on_check_timer(void *arg)
+{
+	struct http_server *s = arg;
+	struct intake_conn *late;
+	enum intake_reason why;
+
+	for (uint32_t i = 0; i < intake_connections(s->intake); i++) {
+		struct http_conn *c =
+			(struct http_conn *)intake_connection_at(s->intake, i);
+
+		if (c->server != s || c->intake.state == INTAKE_CLOSING)
+			continue;
+		c->unread_bytes = h2o_socket_is_reading(c->sock)
+					  ? 0
+					  : sockbuf_unread_bytes(c->sock);
+		conn_update(c);
+	}
+	close_for_bytes(s);
+	while ((late = intake_pick_overdue(s->intake, clock_mono_ms(), &why)))
+		conn_close((struct http_conn *)late, why);
+	timer_start(s->loop, &s->check_timer, CHECK_INTERVAL_MS);
+}
+
 /* Mark the exchange of a request that h2o frees before the reply. */
 static void on_request_freed(void *p)
 {
@@ -49,6 +259,46 @@
 	(*req_ref)->req_ref = NULL;
 }
 
+/*
+ * Refuse a whole request without handing it on, so that it never runs.
+ */
+static void refuse_request(struct http_conn *c, h2o_req_t *req)
+{
+	intake_count(c->server->intake, INTAKE_REFUSED);
+	req->res.status = 503;
+	req->res.reason = "Service Unavailable";
+	h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
+		       NULL, H2O_STRLIT("application/json"));
+	h2o_add_header_by_str(&req->pool, &req->res.headers,
+			      H2O_STRLIT("retry-after"), 0, NULL,
+			      H2O_STRLIT(RETRY_AFTER_S));
+	req->http1_is_persistent = 0;
+	req->res.content_length = strlen(BUSY_BODY);
+	h2o_send_inline(req, H2O_STRLIT(BUSY_BODY));
+	conn_update(c);
+}
+
+/*
+ * Count the memory that a whole request will hold. Return false, with nothing
+ * counted, if it exceeds the budget.
+ */
+static bool admit_request(struct http_conn *c, uint64_t bytes)
+{
+	struct intake *in = c->server->intake;
+
+	if (c->intake.state == INTAKE_CLOSING)
+		return false;
+	c->handed = true;
+	conn_update(c);
+	intake_hold(in, bytes);
+	close_for_bytes(c->server);
+	if (intake_allows(in, bytes))
+		return true;
+	intake_release(in, bytes);
+	c->handed = false;
+	return false;
+}
+
 /*
  * Copy the request into an exchange, which may live longer, and call the
  * handler.
@@ -56,10 +306,18 @@
 static int on_request(h2o_handler_t *self, h2o_req_t *req)
 {
 	struct http_server *s = ((struct handler *)self)->server;
-	struct http_exchange *x = g_new0(struct http_exchange, 1);
+	struct http_conn *c = s->intake ? conn_of_request(req) : NULL;
+	uint64_t held = REQUEST_BASE_BYTES + BODY_COPIES * req->entity.len;
+	struct http_exchange *x;
 	struct http_exchange **req_ref;
 	size_t n = req->path.len;
 
+	if (c && !admit_request(c, held)) {
+		refuse_request(c, req);
+		return 0;
+	}
+	x = g_new0(struct http_exchange, 1);
+	x->held_bytes = c ? held : 0;
 	if (req->query_at != SIZE_MAX) {
 		n = req->query_at;
 		x->query = g_strndup(req->path.base + n + 1,
@@ -184,10 +442,15 @@
 		    const char *body, uint32_t retry_after_ms)
 {
 	h2o_req_t *req = x->req;
+	struct http_conn *c = NULL;
 	h2o_iovec_t v;
 
+	if (x->held_bytes)
+		intake_release(x->server->intake, x->held_bytes);
 	if (!req)
 		goto out;
+	if (x->held_bytes)
+		c = conn_of_request(req);
 	req->res.status = status;
 	req->res.reason = status_text(status);
 	h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
@@ -206,7 +469,11 @@
 	v = h2o_strdup(&req->pool, body, SIZE_MAX);
 	req->res.content_length = v.len;
 	*x->req_ref = NULL;
+	if (c)
+		c->handed = false;
 	h2o_send_inline(req, v.base, v.len);
+	if (c)
+		conn_update(c);
 out:
 	x->server->open_request_count--;
 	g_free(x->method);
@@ -244,6 +511,33 @@
 	exchange_reply(x, 503, "text/plain", "", 0);
 }
 
+/*
+ * Accept a connection, and close another one if there are too many. One that
+ * is writing an answer closes later, so that there is still no room.
+ */
+static void accept_counted(struct http_server *s, h2o_socket_t *sock)
+{
+	struct intake_conn *other;
+	struct http_conn *c;
+
+	if (intake_is_full(s->intake) &&
+	    (other = intake_pick_for_room(s->intake, clock_mono_ms())))
+		conn_close((struct http_conn *)other, INTAKE_CONNECTIONS);
+	if (intake_is_full(s->intake)) {
+		intake_count(s->intake, INTAKE_CONNECTIONS);
+		h2o_socket_close(sock);
+		return;
+	}
+	c = g_new0(struct http_conn, 1);
+	c->server = s;
+	c->sock = sock;
+	sock->on_close.cb = on_socket_closed;
+	sock->on_close.data = c;
+	intake_open(s->intake, &c->intake, clock_mono_ms());
+	h2o_accept(&s->accept, sock);
+	conn_update(c);
+}
+
 static void on_accept(h2o_socket_t *listener, const char *err)
 {
 	struct http_server *s = listener->data;
@@ -251,8 +545,12 @@
 
 	if (err)
 		return;
-	while ((sock = h2o_evloop_socket_accept(listener)))
-		h2o_accept(&s->accept, sock);
+	while ((sock = h2o_evloop_socket_accept(listener))) {
+		if (s->intake)
+			accept_counted(s, sock);
+		else
+			h2o_accept(&s->accept, sock);
+	}
 }
 
 /*
@@ -298,6 +596,20 @@
 	return s;
 }
 
+/*
+ * Count connections in the intake, which must outlive s, and keep its limits.
+ * To be called before the loop runs. HTTP/2 is not offered then: its streams
+ * hold bodies where they are not counted.
+ */
+void http_server_set_intake(struct http_server *s, struct intake *in)
+{
+	s->intake = in;
+	s->config.http1.upgrade_to_http2 = 0;
+	sockbuf_limit_kernel_buffers(s->listener);
+	timer_init(&s->check_timer, on_check_timer, s);
+	timer_start(s->loop, &s->check_timer, CHECK_INTERVAL_MS);
+}
+
 /* Close each connection after its next reply; keep accepting new ones. */
 void http_server_close_after_reply(struct http_server *s)
 {
@@ -327,6 +639,9 @@
  */
 void http_server_destroy(struct http_server *s)
 {
-	if (s)
-		http_server_stop_accepting(s);
+	if (!s)
+		return;
+	http_server_stop_accepting(s);
+	if (s->intake)
+		timer_stop(s->loop, &s->check_timer);
 }
--- a/peer/relay.c
+++ b/peer/relay.c
@@ -433,6 +433,7 @@
 	timer_init(&r->probe, on_probe, r);
 	g = (struct relay_server_env){.loop = e->loop,
 				      .counters = e->counters,
+				      .intake = e->intake,
 				      .is_known_peer = is_known_peer,
 				      .serve_call = serve_call,
 				      .arg = r};
--- a/peer/relay.h
+++ b/peer/relay.h
@@ -15,6 +15,7 @@
 	struct loop *loop;
 	struct http_client *http;
 	struct counters *counters;
+	struct intake *intake; /* counts the peers' connections, or NULL */
 	const char *instance;
 	const char *domain;
 	uint64_t incarnation;
--- a/peer/relayserver.c
+++ b/peer/relayserver.c
@@ -11,6 +11,10 @@
 #include "peer/relayserver.h"
 #include "peer/roster.h"
 
+/* Longest hello, and most pending calls of a peer, whose pool has fewer. */
+#define HELLO_MAX_BYTES 1024
+#define CALLS_MAX 1024
+
 struct relay_client {
 	bool greeted; /* a valid hello was received */
 	char name[PEER_NAME_BYTES];
@@ -85,7 +89,8 @@
 	c->conn = conn;
 	c->client = client;
 	c->ticket = m->ticket;
-	if (s->env.is_known_peer(s->env.arg, client->name) &&
+	if (g_hash_table_size(client->calls) < CALLS_MAX &&
+	    s->env.is_known_peer(s->env.arg, client->name) &&
 	    s->env.serve_call(s->env.arg, &call, on_result, c)) {
 		g_hash_table_add(client->calls, c);
 		return;
@@ -124,8 +129,11 @@
 		return;
 	}
 	client->greeted = true;
+	frame_set_max(conn, FRAME_MAX_BYTES);
 	g_strlcpy(client->name, h->name, sizeof(client->name));
-	if (!s->env.is_known_peer(s->env.arg, client->name))
+	if (s->env.is_known_peer(s->env.arg, client->name))
+		frame_set_trusted(conn);
+	else
 		record_refusal(s, "not an instance of this deployment");
 }
 
@@ -135,6 +143,7 @@
 	struct relay_client *client = g_new0(struct relay_client, 1);
 
 	client->calls = g_hash_table_new(NULL, NULL);
+	frame_set_max(conn, HELLO_MAX_BYTES);
 	g_hash_table_insert(s->clients, conn, client);
 }
 
@@ -195,6 +204,8 @@
 		relay_server_destroy(s);
 		return NULL;
 	}
+	if (e->intake)
+		frame_listener_set_intake(s->listener, e->intake);
 	return s;
 }
 
--- a/peer/relayserver.h
+++ b/peer/relayserver.h
@@ -10,6 +10,7 @@
 struct relay_server_env {
 	struct loop *loop;
 	struct counters *counters;
+	struct intake *intake; /* counts the peers' connections, or NULL */
 	/* Reports whether an instance belongs to this deployment. */
 	bool (*is_known_peer)(void *arg, const char *name);
 	/*
