--- a/daemon/intakes.c
+++ b/daemon/intakes.c
@@ -41,13 +41,14 @@
 };
 
 /*
- * The rest of the memory is for jobs and replicas, that of the descriptors for
- * connections to upstreams, peers and the store.
+ * The rest of the memory is for jobs and replicas. Half of the descriptors are
+ * for connections to upstreams, of which a leader has about four each, peers and
+ * the store.
  */
 static const struct share shares[INTAKE_GROUP_COUNT] = {
-	[INTAKE_CALLERS] = {"callers", 16, 40, CALLERS_MIN_BYTES},
-	[INTAKE_PEERS] = {"peers", 8, 8, PEERS_MIN_BYTES},
-	[INTAKE_PROBES] = {"probes", 2, 4, PROBES_MIN_BYTES},
+	[INTAKE_CALLERS] = {"callers", 16, 24, CALLERS_MIN_BYTES},
+	[INTAKE_PEERS] = {"peers", 8, 6, PEERS_MIN_BYTES},
+	[INTAKE_PROBES] = {"probes", 2, 2, PROBES_MIN_BYTES},
 };
 
 struct intakes {
--- a/lib/frame.c
+++ b/lib/frame.c
@@ -136,6 +136,8 @@
 void frame_set_trusted(struct frame_conn *c)
 {
 	c->intake.trusted = true;
+	if (c->in)
+		sockbuf_widen_kernel_buffer(c->sock);
 }
 
 /* Close connections until the budget of bytes is kept. */
@@ -320,6 +322,7 @@
 	c = conn_create(sock, f->ev, f->arg);
 	c->in = f->in;
 	intake_open(c->in, &c->intake, clock_mono_ms());
+	sockbuf_limit_kernel_buffers(sock);
 	return c;
 }
 
@@ -367,7 +370,6 @@
 void frame_listener_set_intake(struct frame_listener *f, struct intake *in)
 {
 	f->in = in;
-	sockbuf_limit_kernel_buffers(f->sock);
 	timer_init(&f->check_timer, on_check_timer, f);
 	timer_start(f->loop, &f->check_timer, CHECK_INTERVAL_MS);
 }
--- a/lib/httpserver.c
+++ b/lib/httpserver.c
@@ -28,6 +28,8 @@
  * encoded write, and that of the call which sends it.
  */
 #define BODY_COPIES 4
+/* More bytes are let into the kernel after so many of a request. */
+#define WIDEN_MIN_BYTES 16384
 #define RETRY_AFTER_S "1"
 #define BUSY_BODY "{\"error\":\"too much is being received; nothing was done\"}"
 
@@ -43,6 +45,7 @@
 	uint32_t open_request_count; /* exchanges without a reply */
 	struct intake *intake;	     /* NULL: nothing is limited */
 	struct timer check_timer;
+	uint64_t closed_for_bytes; /* at the last check */
 };
 
 /* A connection of a server with an intake. */
@@ -52,7 +55,8 @@
 	h2o_socket_t *sock;
 	h2o_socket_cb read_fn; /* of h2o, called by on_readable */
 	h2o_socket_cb write_fn;
-	bool handed; /* a request is with the handler */
+	bool handed;  /* a request is with the handler */
+	bool widened; /* the kernel may hold more bytes */
 	size_t bytes_read;
 	uint64_t unread_bytes; /* in the kernel, at the last check */
 	bool *closed;	       /* set to true when it is closed, unless NULL */
@@ -203,6 +207,10 @@
 		if (closed)
 			return;
 		c->closed = NULL;
+		if (!c->widened && sock->input->size >= WIDEN_MIN_BYTES) {
+			c->widened = true;
+			sockbuf_widen_kernel_buffer(sock);
+		}
 	}
 	call_h2o(c, c->read_fn, err);
 }
@@ -245,6 +253,10 @@
 	close_for_bytes(s);
 	while ((late = intake_pick_overdue(s->intake, clock_mono_ms(), &why)))
 		conn_close((struct http_conn *)late, why);
+	if (s->closed_for_bytes != intake_counted(s->intake, INTAKE_BYTES)) {
+		s->closed_for_bytes = intake_counted(s->intake, INTAKE_BYTES);
+		sockbuf_return_memory();
+	}
 	timer_start(s->loop, &s->check_timer, CHECK_INTERVAL_MS);
 }
 
@@ -534,6 +546,7 @@
 	sock->on_close.cb = on_socket_closed;
 	sock->on_close.data = c;
 	intake_open(s->intake, &c->intake, clock_mono_ms());
+	sockbuf_limit_kernel_buffers(sock);
 	h2o_accept(&s->accept, sock);
 	conn_update(c);
 }
@@ -605,7 +618,6 @@
 {
 	s->intake = in;
 	s->config.http1.upgrade_to_http2 = 0;
-	sockbuf_limit_kernel_buffers(s->listener);
 	timer_init(&s->check_timer, on_check_timer, s);
 	timer_start(s->loop, &s->check_timer, CHECK_INTERVAL_MS);
 }
--- a/lib/sockbuf.c
+++ b/lib/sockbuf.c
@@ -10,12 +10,16 @@
 
 #define PAGE_BYTES 4096
 /*
- * The kernel doubles this value, which allows a window of 64 KB: what Linux
- * begins with. It would otherwise grow to megabytes for each connection.
+ * The kernel doubles these values. The first allows a window of 64 KB, what
+ * Linux begins with; it would otherwise grow to megabytes for each connection.
  */
 #define RECEIVE_BUFFER_BYTES (64 << 10)
-/* As much for answers that the client has not acknowledged. */
 #define SEND_BUFFER_BYTES (64 << 10)
+/*
+ * While a large request arrives. With the first value a request of 256 KB took
+ * up to 0.4 s on a loopback connection, whose segments have 64 KB.
+ */
+#define RECEIVE_BUFFER_WIDE_BYTES (256 << 10)
 
 /* Have large buffers returned to the system when they are freed. */
 void sockbuf_init_process(void)
@@ -23,14 +27,38 @@
 	mallopt(M_MMAP_THRESHOLD, SOCKBUF_MAPPED_MIN_BYTES);
 }
 
-/* Bound what the kernel holds for each connection accepted from now on. */
-void sockbuf_limit_kernel_buffers(h2o_socket_t *listener)
+/*
+ * Return free pages between smaller blocks to the system. It takes some
+ * milliseconds.
+ */
+void sockbuf_return_memory(void)
+{
+	malloc_trim(0);
+}
+
+static void set_receive_buffer(h2o_socket_t *sock, int bytes)
 {
-	int fd = h2o_socket_get_fd(listener);
-	int in = RECEIVE_BUFFER_BYTES, out = SEND_BUFFER_BYTES;
+	setsockopt(h2o_socket_get_fd(sock), SOL_SOCKET, SO_RCVBUF, &bytes,
+		   sizeof(bytes));
+}
 
-	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &in, sizeof(in));
-	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &out, sizeof(out));
+/*
+ * Bound what the kernel holds for an accepted connection. Set on a listener,
+ * the receive buffer would bound the window for good.
+ */
+void sockbuf_limit_kernel_buffers(h2o_socket_t *sock)
+{
+	int out = SEND_BUFFER_BYTES;
+
+	set_receive_buffer(sock, RECEIVE_BUFFER_BYTES);
+	setsockopt(h2o_socket_get_fd(sock), SOL_SOCKET, SO_SNDBUF, &out,
+		   sizeof(out));
+}
+
+/* Let more bytes of a large request arrive at a time. */
+void sockbuf_widen_kernel_buffer(h2o_socket_t *sock)
+{
+	set_receive_buffer(sock, RECEIVE_BUFFER_WIDE_BYTES);
 }
 
 /* Return the memory that the input buffer of sock takes, in bytes. */
