--- a/test/jointsite.c
+++ b/test/jointsite.c
@@ -224,6 +224,11 @@
 						  LISTED_PORT)
 				 : format_address(s, 10 + i, 7003);
 	char *store = format_address(s, 20 + i, 7100);
+	char *limits = s->memory_mb
+			       ? g_strdup_printf(", \"memory_mb\": %u, "
+						 "\"descriptors\": %u",
+						 s->memory_mb, s->descriptors)
+			       : g_strdup("");
 	char *text = g_strdup_printf(
 		"{\"instance\": \"i%u\", \"domain\": \"%s\", \"joint\": "
 		"{\"callers\": \"%s\", \"readiness\": \"%s\", \"metrics\": "
@@ -235,9 +240,9 @@
 		"\"remote_factor\": 3, \"keep_ended_s\": 120, "
 		"\"evacuate_ms\": %u, "
 		"\"drain_ms\": 500, \"grace_s\": 2.9, \"history_s\": "
-		"20}}",
+		"20%s}}",
 		i, domain, callers, ready, metrics, peers, store, s->lease_ms,
-		s->evacuate_ms);
+		s->evacuate_ms, limits);
 
 	g_file_set_contents(file, text, -1, NULL);
 	preload_fake_clock(s, i);
@@ -247,6 +252,7 @@
 	unsetenv("LD_PRELOAD");
 	unsetenv("REROUTE");
 	g_free(text);
+	g_free(limits);
 	g_free(store);
 	g_free(peers);
 	g_free(domain);
@@ -557,6 +563,8 @@
 	s->unguarded = shape->unguarded;
 	s->divided = shape->domains > 1;
 	s->real_clocks = shape->real_clocks;
+	s->memory_mb = shape->memory_mb;
+	s->descriptors = shape->descriptors;
 	snprintf(s->dir, sizeof(s->dir), "out/joint-%u", net);
 	g_mkdir_with_parents(s->dir, 0755);
 	s->loop = loop_create();
--- a/test/jointsite.h
+++ b/test/jointsite.h
@@ -31,6 +31,9 @@
 	uint32_t evacuate_ms; /* 0: evacuations are ignored */
 	bool unguarded;
 	bool real_clocks; /* no joint_set_clock_offset */
+	/* limits in the instances' settings, 0: not stated */
+	uint32_t memory_mb;
+	uint32_t descriptors;
 };
 
 /* A fake platform and its instances on addresses from 127.NET.9.0 on. */
@@ -45,6 +48,8 @@
 	bool real_clocks;
 	bool unguarded; /* upstreams carry out starts beyond their room */
 	bool divided;	/* there are several failure domains */
+	uint32_t memory_mb;
+	uint32_t descriptors;
 	struct loop *loop;
 	struct http_client *http;
 	struct http_pool *store;
