sched: Create the stages of an occurrence when it is due

A job now lists the stages of its open occurrences only: a pass opens those that are due, and releases the first ones 60 s after they are complete. Code that walks over j->stages is unchanged, and tasks that are not open are unknown by name, like those of a job that was removed. Run rows keep their format: complete occurrences have an entry that earlier versions read as done, occurrences that are not open are left out, which they read as not started. A row is never longer than it was.

--- a/lead/record.c
+++ b/lead/record.c
@@ -442,6 +442,8 @@
  * over 64 KB.
  */
 #define RUN_ROW_MAX_BYTES 48000
+/* Longest text of a released stage: a number of tasks and "*=1". */
+#define STAGE_TEXT_BYTES 16
 
 /* Append a checkpoint; spaces, which separate tasks, are escaped in it. */
 static void checkpoint_encode(GString *s, const char *checkpoint)
@@ -518,6 +520,35 @@
 	g_string_free(previous, TRUE);
 }
 
+/* Return the index in a run row of the first open stage of j. */
+static uint32_t first_stage_index(const struct job *j)
+{
+	return j->first_occurrence * j->steps_len;
+}
+
+/*
+ * Append the stages of the released occurrences of j, which are complete, to
+ * the list. Versions that keep all occurrences need an entry for each. The
+ * numbers of their last runs are forgotten, and failures are left out, so that
+ * an entry is no longer than those of stages that have not started were.
+ */
+static bool append_released_stages(const struct job *j, json_t *list)
+{
+	bool ok = true;
+
+	for (uint32_t i = 0; ok && i < first_stage_index(j); i++) {
+		uint32_t n = j->steps[i % j->steps_len].count;
+		char tasks[STAGE_TEXT_BYTES];
+
+		if (n > 1)
+			g_snprintf(tasks, sizeof(tasks), "%u*=1", n);
+		else
+			g_strlcpy(tasks, "=1", sizeof(tasks));
+		ok = !json_array_append_new(list, json_pack("[i,s]", 0, tasks));
+	}
+	return ok;
+}
+
 /*
  * Encode the ends of upstreams that tasks of j are suspected of, each as
  * [stage, index, early, late, longest in ms, quick]. A row without them is left
@@ -525,6 +556,7 @@
  */
 static json_t *suspicions_encode(const struct job *j)
 {
+	uint32_t first = first_stage_index(j);
 	json_t *list = json_array();
 
 	for (uint32_t i = 0; i < j->stages_len; i++) {
@@ -536,18 +568,22 @@
 				continue;
 			json_array_append_new(
 				list,
-				json_pack("[i,i,i,i,i,i]", (int)i, (int)k,
-					  (int)s->early_ends, (int)s->late_ends,
-					  (int)s->longest_ms,
+				json_pack("[i,i,i,i,i,i]", (int)(first + i),
+					  (int)k, (int)s->early_ends,
+					  (int)s->late_ends, (int)s->longest_ms,
 					  (int)s->quick_ends));
 		}
 	}
 	return list;
 }
 
-/* Decode the suspicions of a row; one that names no task is ignored. */
-static void suspicions_decode(struct job *j, const json_t *list)
+/*
+ * Decode the suspicions of a row that name tasks of the open occurrences from
+ * number `from` on.
+ */
+static void suspicions_decode(struct job *j, const json_t *list, uint32_t from)
 {
+	json_int_t first = first_stage_index(j);
 	const json_t *item;
 	size_t n;
 
@@ -556,10 +592,14 @@
 		json_int_t v[6] = {0};
 		struct suspicion *s;
 
-		for (size_t i = 0; i < G_N_ELEMENTS(v); i++)
+		v[0] = json_integer_value(json_array_get(item, 0));
+		if (v[0] < (json_int_t)from * j->steps_len ||
+		    v[0] - first >= j->stages_len)
+			continue;
+		for (size_t i = 1; i < G_N_ELEMENTS(v); i++)
 			v[i] = json_integer_value(json_array_get(item, i));
-		if (v[0] < 0 || v[0] >= j->stages_len || v[1] < 0 ||
-		    v[1] >= j->stages[v[0]].step->count)
+		v[0] -= first;
+		if (v[1] < 0 || v[1] >= j->stages[v[0]].step->count)
 			continue;
 		s = &j->stages[v[0]].tasks[v[1]].suspicion;
 		s->early_ends = CLAMP(v[2], 0, INT32_MAX);
@@ -582,7 +622,7 @@
 						.names = json_array(),
 						.addresses = json_array()};
 	json_t *stages = json_array(), *suspicions, *v = NULL;
-	bool ok = true;
+	bool ok = append_released_stages(j, stages);
 
 	for (uint32_t i = 0; ok && i < j->stages_len; i++) {
 		const struct stage *st = &j->stages[i];
@@ -639,6 +679,7 @@
 struct run_decoder {
 	const json_t *incarnations;
 	const json_t *addresses;
+	const json_t *suspicions;
 	active_task_fn active;
 	void *arg;
 };
@@ -753,6 +794,35 @@
 		     RUN_NUMBER_MAX);
 }
 
+/*
+ * Decode item i of the list of stages of j. Opens its occurrence if the stage
+ * has started; at the end of each occurrence, releases those before that are
+ * complete, so that a long list takes no more memory than its open part.
+ */
+static bool stage_item_decode(const struct run_decoder *r, struct job *j,
+			      size_t i, const json_t *item)
+{
+	const char *tasks = json_string_value(json_array_get(item, 1));
+	uint32_t occurrence = i / j->steps_len, end;
+	struct stage *st;
+
+	if (occurrence >= job_occurrences(j))
+		return true;
+	if (i % j->steps_len == 0)
+		job_release_complete(j, UINT64_MAX);
+	end = job_open_end(j);
+	if (occurrence >= end && (!tasks || !*tasks))
+		return true;
+	if (occurrence >= end) {
+		job_open_occurrences(j, occurrence + 1);
+		suspicions_decode(j, r->suspicions, end);
+	}
+	st = &j->stages[i - first_stage_index(j)];
+	st->failures = count_at(item, 0);
+	st->failed_run = count_at(item, 2);
+	return stage_decode(r, st, tasks ? tasks : "");
+}
+
 /*
  * Decode the state of j and its runs; calls `active` for each task that may
  * still run. Returns false for a malformed value, of which what can be read is
@@ -764,6 +834,7 @@
 	json_t *v = json_loads(text, 0, NULL);
 	struct run_decoder r = {.incarnations = json_object_get(v, "lives"),
 				.addresses = json_object_get(v, "addresses"),
+				.suspicions = json_object_get(v, "suspicions"),
 				.active = active,
 				.arg = arg};
 	const json_t *item;
@@ -771,17 +842,10 @@
 	size_t i;
 
 	j->ended_ms = read_time_ms(v, "ended_ms");
-	suspicions_decode(j, json_object_get(v, "suspicions"));
-	json_array_foreach(json_object_get(v, "stages"), i, item)
-	{
-		const char *tasks = json_string_value(json_array_get(item, 1));
-
-		if (i >= j->stages_len)
-			break;
-		j->stages[i].failures = count_at(item, 0);
-		j->stages[i].failed_run = count_at(item, 2);
-		ok &= stage_decode(&r, &j->stages[i], tasks ? tasks : "");
-	}
+	suspicions_decode(j, r.suspicions, 0);
+	json_array_foreach(json_object_get(v, "stages"), i, item) ok &=
+		stage_item_decode(&r, j, i, item);
+	job_release_complete(j, UINT64_MAX);
 	json_decref(v);
 	return ok;
 }
--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -57,6 +57,13 @@
 #define SUSPECT_SHARE_DIVISOR 4
 #define SUSPECTS_PER_CLEARED 2
 
+/*
+ * The stages of a complete occurrence are kept for this long, in which upstreams
+ * may still list runs of it: the other members of a gang, or an earlier run that
+ * was taken for lost.
+ */
+#define RELEASE_DELAY_MS 60000
+
 /* A value above any loss. */
 #define VALUE_MANDATORY 1e9
 
@@ -279,11 +286,16 @@
 /* Collect the candidates of all jobs and sort them. */
 static void collect_candidates(struct pass *p)
 {
+	uint64_t now_ms = p->input->now_ms;
+
 	for (guint i = 0; i < p->input->jobs->len; i++) {
 		struct job *j = g_ptr_array_index(p->input->jobs, i);
 
-		if (!job_is_final(j) && j->queue_known)
-			collect_job_candidates(p, j);
+		if (job_is_final(j) || !j->queue_known)
+			continue;
+		job_release_complete(j, now_ms - MIN(RELEASE_DELAY_MS, now_ms));
+		job_open_due(j, p->input->wall_ms);
+		collect_job_candidates(p, j);
 	}
 	g_array_sort(p->candidates, compare_candidates);
 }
--- a/sched/job.h
+++ b/sched/job.h
@@ -219,6 +219,12 @@
 	uint64_t ended_ms;	       /* on the store's clock */
 	/* Runs that are not known may be active until then. */
 	uint64_t unknown_runs_end_ms;
+	/*
+	 * The stages of the open occurrences, in order. Those of earlier
+	 * occurrences are complete, later ones are not due yet. Opening and
+	 * releasing occurrences moves the stages, but not their tasks.
+	 */
+	uint32_t first_occurrence; /* the first that is open */
 	uint32_t stages_len;
 	struct stage *stages;
 	/* settings of its queue, updated with each configuration */
@@ -239,6 +245,10 @@
 bool job_validate(const struct job *j, char **why);
 bool job_is_same_submission(const struct job *a, const struct job *b);
 void job_create_stages(struct job *j);
+uint32_t job_open_end(const struct job *j);
+void job_open_occurrences(struct job *j, uint32_t end);
+void job_open_due(struct job *j, uint64_t wall_ms);
+void job_release_complete(struct job *j, uint64_t ended_before_ms);
 void job_set_service(struct job *j, const char *service);
 bool job_is_final(const struct job *j);
 bool job_has_active_tasks(const struct job *j);
