entry: Bound the memory of accepted jobs

Nothing bounded the sum over accepted jobs, which all have to fit into the instance that leads. A job row now carries the estimated memory of the job, each instance sums it over the jobs that have not ended, and publishes its own memory in its row. Without joint.memory_mb no bound applies.

--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -151,6 +151,7 @@
 	g_strlcpy(p.domain, j->settings->domain, sizeof(p.domain));
 	p.written_ms = replica_store_clock_ms(j->owners);
 	p.strength = own_strength(j);
+	p.memory_mb = j->settings->memory_mb;
 	value = peer_record_encode(&p);
 	key = g_strconcat(KEY_INSTANCE, j->settings->instance, NULL);
 	t = rows_tx_create(LEADER_PART);
@@ -170,6 +171,22 @@
 	return relay_count_stronger_peers(j->relay, own_strength(j));
 }
 
+/*
+ * Return the memory of the weakest instance, this one included. Its peers are
+ * known from their rows, which may lack it.
+ */
+static struct job_memory_limits memory_limits(void *arg)
+{
+	struct joint *j = arg;
+	uint32_t own_mb = j->settings->memory_mb;
+	uint32_t peers_mb = relay_least_memory_mb(j->relay);
+
+	return (struct job_memory_limits){
+		.least_mb = own_mb && peers_mb ? MIN(own_mb, peers_mb)
+					       : MAX(own_mb, peers_mb),
+		.instances = relay_count_peers(j->relay) + 1};
+}
+
 static void on_owner_feed_answer(void *arg)
 {
 	struct joint *j = arg;
@@ -267,16 +284,20 @@
 {
 	struct joint *j = arg;
 	char *s = counters_text(j->counters);
-	char *all = g_strdup_printf("%slacewing_leads %d\nlacewing_ready %d\n"
-				    "lacewing_peers %u\n"
-				    "lacewing_store_by_peers %d\n"
-				    "lacewing_log_lost %llu\n"
-				    "lacewing_evacuated_domains %u\n",
-				    s, leader_is_active(j->leader), is_ready(j),
-				    relay_count_peers(j->relay),
-				    relay_uses_peers(j->relay),
-				    (unsigned long long)log_lost(),
-				    leader_count_evacuated(j->leader));
+	char *all = g_strdup_printf(
+		"%slacewing_leads %d\nlacewing_ready %d\n"
+		"lacewing_peers %u\n"
+		"lacewing_store_by_peers %d\n"
+		"lacewing_log_lost %llu\n"
+		"lacewing_evacuated_domains %u\n"
+		"lacewing_job_memory_bytes %llu\n"
+		"lacewing_job_memory_bound_bytes %llu\n",
+		s, leader_is_active(j->leader), is_ready(j),
+		relay_count_peers(j->relay), relay_uses_peers(j->relay),
+		(unsigned long long)log_lost(),
+		leader_count_evacuated(j->leader),
+		(unsigned long long)entry_job_memory_bytes(j->entry),
+		(unsigned long long)entry_job_memory_bound_bytes(j->entry));
 
 	exchange_reply(x, 200, "text/plain", all, 0);
 	g_free(all);
@@ -408,7 +429,9 @@
 				.settings = s,
 				.policies = j->policies,
 				.jobs = j->jobs,
-				.states = j->states};
+				.states = j->states,
+				.memory_limits = memory_limits,
+				.arg = j};
 	le = (struct leader_env){.loop = j->loop,
 				 .http = j->http,
 				 .rows = j->rows,
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -14,6 +14,7 @@
 #include "platform/decode.h"
 #include "platform/ingress.h"
 #include "platform/rows.h"
+#include "sched/footprint.h"
 
 /* Timeout of a request whose caller does not state one. */
 #define CALLER_TIMEOUT_DEFAULT_MS 3000
@@ -54,6 +55,11 @@
  * policy, because the store may be unreachable.
  */
 #define REVALIDATE_TIMEOUT_MS 600
+/*
+ * Retry-After of a job for which the leader has no memory. When other jobs end
+ * is not known; most run for some seconds.
+ */
+#define MEMORY_RETRY_AFTER_MS 5000
 #define JOB_ID_DIGITS_COUNT 16
 /*
  * A cancel request for an ID without a job is stored as long as an ended job.
@@ -76,6 +82,7 @@
 	GPtrArray *deferred; /* requests that wait for that read */
 	struct timer revalidate_timer;
 	struct rate_limit refused_ids;
+	struct job_memory *job_memory;
 };
 
 enum entry_request_kind {
@@ -92,7 +99,8 @@
 	enum entry_request_kind kind;
 	char id[JOB_ID_BYTES];
 	char account[LABEL_BYTES];
-	char *write; /* encoded submission, or NULL */
+	/* encoded submission; NULL: none, or it does not fit into memory */
+	char *write;
 	uint64_t received_ms;
 	uint64_t deadline_ms;
 	bool write_uncertain; /* an unanswered write may have been executed */
@@ -179,6 +187,24 @@
 	reply_error(x, status, why, retry_after_ms);
 }
 
+static struct job_memory_limits memory_limits(const struct entry *n)
+{
+	return n->env.memory_limits ? n->env.memory_limits(n->env.arg)
+				    : (struct job_memory_limits){0};
+}
+
+/* Return the memory of the jobs that have not ended, in bytes. */
+uint64_t entry_job_memory_bytes(const struct entry *n)
+{
+	return job_cache_live_bytes(n->job_cache);
+}
+
+/* Return how much memory jobs may take, in bytes; 0: no bound. */
+uint64_t entry_job_memory_bound_bytes(const struct entry *n)
+{
+	return job_memory_bound_bytes(memory_limits(n).least_mb);
+}
+
 static void request_free(struct request *r)
 {
 	timer_stop(r->entry->env.loop, &r->timer);
@@ -198,6 +224,8 @@
 		   "took_ms", (json_int_t)(clock_mono_ms() - r->received_ms),
 		   "uncertain", r->write_uncertain, "table_age_ms",
 		   (json_int_t)jobs_age_ms(n));
+	if (r->write && status >= 400 && !r->write_uncertain)
+		job_memory_remove(n->job_memory, r->id);
 	count_answer(n, r->kind, status);
 	latency_add(n->env.counters, request_kind_name(r->kind),
 		    (clock_mono_ms() - r->received_ms) * 1000);
@@ -299,6 +327,30 @@
 		retry_request(r, false);
 }
 
+/*
+ * Answer a submission that does not fit into the leader's memory, after its job
+ * was looked up: an earlier attempt may have been accepted.
+ */
+static void refuse_for_memory(struct request *r, const struct rows_answer *a)
+{
+	struct entry *n = r->entry;
+
+	if (find_value(r, a, KEY_JOB)) {
+		on_submit_conflict(r, a);
+		return;
+	}
+	log_fields(LOG_INFO, "request_refused", "{s:s,s:s,s:i,s:s,s:s,s:I,s:I}",
+		   "job", r->id, "kind", request_kind_name(r->kind), "status",
+		   429, "why", "memory", "account", r->account, "bytes",
+		   (json_int_t)entry_job_memory_bytes(n), "bound",
+		   (json_int_t)entry_job_memory_bound_bytes(n));
+	counter_add(n->env.counters, "jobs_over_memory", NULL, 1);
+	finish_request(r, 429,
+		       "no memory for more jobs; it was not accepted and never "
+		       "runs",
+		       MEMORY_RETRY_AFTER_MS);
+}
+
 static void on_submit_write(void *arg, const struct rows_answer *a)
 {
 	struct request *r = arg;
@@ -480,7 +532,7 @@
 	const struct cached_job *j =
 		job_cache_find_accepted(r->entry->job_cache, r->id);
 
-	if (a->outcome != ROWS_OK && !j) {
+	if (a->outcome != ROWS_OK && (!j || r->kind == ENTRY_REQUEST_SUBMIT)) {
 		retry_request(r, a->outcome == ROWS_REFUSED);
 		return;
 	}
@@ -499,6 +551,8 @@
 			refuse_id(r, a->now_ms);
 		return;
 	case ENTRY_REQUEST_SUBMIT:
+		refuse_for_memory(r, a);
+		return;
 	case ENTRY_REQUEST_COUNT:
 		return;
 	}
@@ -519,6 +573,10 @@
 {
 	switch (r->kind) {
 	case ENTRY_REQUEST_SUBMIT:
+		if (!r->write) {
+			read_job_row(r);
+			break;
+		}
 		rows_commit(r->entry->env.rows, r->write,
 			    store_timeout_ms(r, WRITE_TIMEOUT_MIN_MS),
 			    on_submit_write, r);
@@ -614,6 +672,19 @@
 	return text;
 }
 
+/*
+ * Report whether a job of this many bytes fits into the memory of the instances.
+ * One that is known to be accepted counts already.
+ */
+static bool fits_into_memory(struct entry *n, const char *id, uint64_t bytes)
+{
+	struct job_memory_limits l = memory_limits(n);
+
+	return job_cache_find_accepted(n->job_cache, id) ||
+	       job_memory_allows(n->job_memory, &l, entry_job_memory_bytes(n),
+				 bytes, clock_mono_ms());
+}
+
 static void submit_job(struct entry *n, struct http_exchange *x,
 		       const struct queue *q, const char *account,
 		       const char *id)
@@ -623,6 +694,7 @@
 	size_t len;
 	const char *body = exchange_body(x, &len);
 	char *text, *why;
+	uint64_t bytes;
 
 	if (store_is_silent(n)) {
 		reject_request(n, x, ENTRY_REQUEST_SUBMIT, id, 503,
@@ -640,6 +712,7 @@
 	g_strlcpy(j->account, account, sizeof(j->account));
 	j->received_ms = replica_store_clock_ms(n->env.jobs);
 	text = encode_submission(n, j, &why);
+	bytes = footprint_bytes(j);
 	job_destroy(j);
 	if (!text) {
 		reject_request(n, x, ENTRY_REQUEST_SUBMIT, id, 400, why, 0);
@@ -647,7 +720,12 @@
 		return;
 	}
 	r = request_create(n, x, ENTRY_REQUEST_SUBMIT, id, account);
-	r->write = text;
+	if (fits_into_memory(n, id, bytes))
+		r->write = text;
+	else
+		free(text);
+	if (r->write && !job_cache_find_accepted(n->job_cache, id))
+		job_memory_add(n->job_memory, id, bytes, r->received_ms);
 	send_request(r);
 }
 
@@ -888,6 +966,7 @@
 
 	n->env = *e;
 	n->job_cache = job_cache_create();
+	n->job_memory = job_memory_create();
 	n->state_waiters = g_hash_table_new(NULL, NULL);
 	n->deferred = g_ptr_array_new();
 	n->refused_ids = (struct rate_limit){
@@ -911,6 +990,7 @@
 		return;
 	http_server_destroy(n->server);
 	job_cache_destroy(n->job_cache);
+	job_memory_destroy(n->job_memory);
 	g_hash_table_destroy(n->state_waiters);
 	timer_stop(n->env.loop, &n->revalidate_timer);
 	g_ptr_array_free(n->deferred, TRUE);
@@ -921,6 +1001,8 @@
 void entry_apply_job_row(struct entry *n, const char *key, const char *value)
 {
 	job_cache_apply_job_row(n->job_cache, key, value);
+	if (g_str_has_prefix(key, KEY_JOB))
+		job_memory_remove(n->job_memory, key + strlen(KEY_JOB));
 }
 
 /* Apply a row of the table of states; value is NULL if it was removed. */
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -6,6 +6,7 @@
 #define ENTRY_ENTRY_H
 
 #include "config/policy.h"
+#include "entry/jobmemory.h"
 #include "lead/replica.h"
 #include "lib/counter.h"
 #include "platform/settings.h"
@@ -20,6 +21,12 @@
 	struct replica *policies; /* the operators' configuration */
 	struct replica *jobs;	  /* accepted jobs and cancel requests */
 	struct replica *states;	  /* the state of every job */
+	/*
+	 * Returns what is known of the memory of the instances; NULL: the
+	 * memory of jobs is not bounded.
+	 */
+	struct job_memory_limits (*memory_limits)(void *arg);
+	void *arg;
 };
 
 struct entry *entry_create(const struct entry_env *e);
@@ -29,6 +36,8 @@
 void entry_set_policy(struct entry *n, const struct policy *p);
 void entry_note_stall(struct entry *n, uint64_t ms);
 void entry_note_policy_read(struct entry *n);
+uint64_t entry_job_memory_bytes(const struct entry *n);
+uint64_t entry_job_memory_bound_bytes(const struct entry *n);
 uint64_t entry_store_age_ms(const struct entry *n);
 void entry_drain(struct entry *n);
 void entry_stop_accepting(struct entry *n);
--- a/entry/jobcache.c
+++ b/entry/jobcache.c
@@ -11,6 +11,8 @@
 	GHashTable *jobs; /* id to struct cached_job */
 	/* Number of IDs that were cancelled and have no job. */
 	uint32_t refused_ids;
+	/* Memory of the accepted jobs that have not ended. */
+	uint64_t live_bytes;
 };
 
 /* Create an empty cache. */
@@ -48,6 +50,14 @@
 	return j->cancelled && !*j->record.queue;
 }
 
+/* Return what an entry counts for in the memory of the leader. */
+static uint64_t live_bytes_of(const struct cached_job *j)
+{
+	return *j->record.queue && !job_state_is_final(j->state)
+		       ? j->record.bytes
+		       : 0;
+}
+
 /* Note the change of an entry, and remove it if it shows nothing any more. */
 static void note_change(struct job_cache *c, const char *id,
 			const struct cached_job *before)
@@ -56,6 +66,8 @@
 
 	c->refused_ids -= is_refused_id(before);
 	c->refused_ids += is_refused_id(j);
+	c->live_bytes -= live_bytes_of(before);
+	c->live_bytes += live_bytes_of(j);
 	if (!*j->record.queue && !j->cancelled && j->state == JOB_QUEUED)
 		g_hash_table_remove(c->jobs, id);
 }
@@ -108,15 +120,21 @@
 void job_cache_apply_state_row(struct job_cache *c, const char *id,
 			       const char *value)
 {
+	struct cached_job *j, before;
 	struct state_record r;
 
 	if (!value)
 		return; /* The removal of the job's row removes the entry. */
-	if (state_decode(value, &r))
-		find_or_add(c, id)->state = r.state;
-	else
+	if (state_decode(value, &r)) {
+		j = find_or_add(c, id);
+		before = *j;
+		j->state = r.state;
+		c->live_bytes -= live_bytes_of(&before);
+		c->live_bytes += live_bytes_of(j);
+	} else {
 		log_fields(LOG_ERROR, "bad_row", "{s:s,s:s}", "job", id,
 			   "table", STATE_TABLE);
+	}
 }
 
 /* Return the entry of a job whose row is known, or NULL. */
@@ -135,6 +153,12 @@
 	return g_hash_table_lookup(c->jobs, id);
 }
 
+/* Return the memory of the accepted jobs that have not ended, in bytes. */
+uint64_t job_cache_live_bytes(const struct job_cache *c)
+{
+	return c->live_bytes;
+}
+
 /* Return how many IDs were cancelled and have no job. */
 uint32_t job_cache_count_refused_ids(const struct job_cache *c)
 {
--- a/entry/jobcache.h
+++ b/entry/jobcache.h
@@ -22,6 +22,7 @@
 						 const char *id);
 const struct cached_job *job_cache_find(const struct job_cache *c,
 					const char *id);
+uint64_t job_cache_live_bytes(const struct job_cache *c);
 uint32_t job_cache_count_refused_ids(const struct job_cache *c);
 uint64_t job_cache_count_queued(const struct job_cache *c, const char *queue);
 
--- a/lead/record.c
+++ b/lead/record.c
@@ -12,6 +12,10 @@
 #include "lib/schema.h"
 #include "platform/bounds.h"
 #include "sched/fleet.h"
+#include "sched/footprint.h"
+
+/* A job that takes more memory was not accepted. */
+#define JOB_BYTES_MAX (64 << 20)
 
 /* A higher number of a run or of failures was not written by a leader. */
 #define RUN_NUMBER_MAX INT32_MAX
@@ -123,11 +127,12 @@
 		s->data_rack, "image", s->image);
 }
 
-/* Encode the queue and account of j; release with free(). */
+/* Encode the queue, account and memory of j; release with free(). */
 char *job_encode(const struct job *j)
 {
-	json_t *v = json_pack("{s:s,s:s}", "queue", j->queue, "account",
-			      j->account);
+	json_t *v =
+		json_pack("{s:s,s:s,s:I}", "queue", j->queue, "account",
+			  j->account, "bytes", (json_int_t)footprint_bytes(j));
 
 	return encode_value(v, JOB_TABLE, j->id);
 }
@@ -136,13 +141,16 @@
 bool job_decode(const char *text, struct job_record *r)
 {
 	json_t *v = json_loads(text, 0, NULL);
-
+	int64_t bytes = JOB_BYTES_DEFAULT;
 	bool ok;
 
 	memset(r, 0, sizeof(*r));
 	ok = json_read_str(v, "queue", r->queue, sizeof(r->queue)) &&
 	     json_read_str(v, "account", r->account, sizeof(r->account)) &&
 	     *r->queue;
+	if (!json_read_int(v, "bytes", 0, JOB_BYTES_MAX, &bytes))
+		bytes = JOB_BYTES_DEFAULT;
+	r->bytes = bytes;
 	json_decref(v);
 	return ok;
 }
--- a/lead/record.h
+++ b/lead/record.h
@@ -63,10 +63,18 @@
 char *owner_encode(const struct owner_record *o);
 bool owner_decode(const char *text, struct owner_record *o);
 
+/*
+ * Memory of a job whose row does not state it, as that of an earlier version: a
+ * batch of 39 tasks.
+ */
+#define JOB_BYTES_DEFAULT 16384
+
 /* Job metadata known to every instance. */
 struct job_record {
 	char queue[LABEL_BYTES];
 	char account[LABEL_BYTES];
+	/* Memory that it takes in the leader, as estimated at acceptance. */
+	uint64_t bytes;
 };
 
 /* Value of a cancel request. */
--- a/peer/relay.c
+++ b/peer/relay.c
@@ -327,6 +327,39 @@
 	return n;
 }
 
+/* Return how many peers have more than this memory, in megabytes. */
+uint32_t relay_count_larger_peers(const struct relay *r, uint32_t memory_mb)
+{
+	GHashTableIter it;
+	gpointer p;
+	uint32_t n = 0;
+
+	g_hash_table_iter_init(&it, r->peers);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		n += ((struct peer *)p)->record.memory_mb > memory_mb;
+	return n;
+}
+
+/*
+ * Return the least memory of the peers that publish it, in megabytes; 0 if none
+ * does.
+ */
+uint32_t relay_least_memory_mb(const struct relay *r)
+{
+	uint32_t least_mb = 0;
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, r->peers);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		uint32_t mb = ((struct peer *)p)->record.memory_mb;
+
+		if (mb && (!least_mb || mb < least_mb))
+			least_mb = mb;
+	}
+	return least_mb;
+}
+
 /* Report whether calls currently go through peers. */
 bool relay_uses_peers(const struct relay *r)
 {
--- a/peer/relay.h
+++ b/peer/relay.h
@@ -32,6 +32,8 @@
 		     void *done_arg);
 uint32_t relay_count_peers(const struct relay *r);
 uint32_t relay_count_stronger_peers(const struct relay *r, uint32_t strength);
+uint32_t relay_count_larger_peers(const struct relay *r, uint32_t memory_mb);
+uint32_t relay_least_memory_mb(const struct relay *r);
 bool relay_uses_peers(const struct relay *r);
 
 #endif
--- a/peer/roster.c
+++ b/peer/roster.c
@@ -21,6 +21,8 @@
 		      address, "incarnation", (json_int_t)p->incarnation,
 		      "strength", (json_int_t)p->strength, "written_ms",
 		      (json_int_t)p->written_ms);
+	if (p->memory_mb)
+		json_object_set_new(v, "memory_mb", json_integer(p->memory_mb));
 	s = json_dumps(v, JSON_COMPACT);
 	json_decref(v);
 	return s;
@@ -42,7 +44,7 @@
 			struct peer_record *p)
 {
 	json_t *v = json_loads(text, 0, NULL);
-	int64_t incarnation = 0, strength = 0, written_ms = 0;
+	int64_t incarnation = 0, strength = 0, written_ms = 0, memory_mb = 0;
 	bool ok;
 
 	memset(p, 0, sizeof(*p));
@@ -51,10 +53,12 @@
 	     json_read_int(v, "incarnation", 0, INT64_MAX, &incarnation) &&
 	     json_read_int(v, "strength", 0, PEER_STRENGTH_MAX, &strength) &&
 	     json_read_int(v, "written_ms", 0, WRITTEN_MAX_MS, &written_ms) &&
+	     json_read_int(v, "memory_mb", 0, UINT32_MAX, &memory_mb) &&
 	     address_parse(json_str_or(v, "address", ""), &p->address) &&
 	     address_is_unicast(&p->address);
 	p->incarnation = incarnation;
 	p->strength = strength;
+	p->memory_mb = memory_mb;
 	p->written_ms = written_ms;
 	json_decref(v);
 	return ok;
--- a/peer/roster.h
+++ b/peer/roster.h
@@ -15,6 +15,7 @@
 	struct sockaddr_in address;
 	uint64_t incarnation;
 	uint32_t strength;   /* fitness to lead, in percent */
+	uint32_t memory_mb;  /* what the process may use; 0: not known */
 	uint64_t written_ms; /* on the store's clock */
 };
 
--- a/test/unit_accept.c
+++ b/test/unit_accept.c
@@ -157,6 +157,9 @@
 	struct timer pass;
 	struct told told[JOB_COUNT];
 	GPtrArray *planned;
+	/* Memory of the weakest instance; 0: not known. */
+	uint32_t memory_mb;
+	uint32_t over_memory; /* submissions refused as memory is short */
 	uint64_t began_ms;
 	bool ends; /* all calls end at once */
 	uint32_t late_writes, accepted, cancelled, refused, reused;
@@ -475,7 +478,8 @@
 		w->site->accepted++;
 		w->accepted = true;
 	} else if (ran && !y->cancel &&
-		   (r->status == 503 || r->status == 409)) {
+		   (r->status == 503 || r->status == 409 || r->status == 429)) {
+		w->site->over_memory += r->status == 429;
 		w->site->refused++;
 		w->rejections++;
 	}
@@ -640,6 +644,13 @@
 	return at;
 }
 
+static struct job_memory_limits limits_of(void *arg)
+{
+	const struct site *s = arg;
+
+	return (struct job_memory_limits){s->memory_mb, ENTRY_COUNT};
+}
+
 static void node_create(struct node *n, struct site *s)
 {
 	struct replica_events jobs = {.changed = on_job_row};
@@ -663,7 +674,9 @@
 			       .settings = &n->settings,
 			       .policies = n->policies,
 			       .jobs = n->jobs,
-			       .states = n->states};
+			       .states = n->states,
+			       .memory_limits = limits_of,
+			       .arg = s};
 	n->entry = entry_create(&e);
 	assert_non_null(n->entry);
 	entry_set_policy(n->entry, s->policy);
@@ -770,10 +783,11 @@
 	}
 }
 
-static void run_seed(uint32_t seed)
+static void run_seed(uint32_t seed, uint32_t memory_mb)
 {
 	struct site *s = site_create(seed);
 
+	s->memory_mb = memory_mb;
 	run_until(s, clock_mono_ms() + 200);
 	s->began_ms = clock_mono_ms();
 	timer_start(s->loop, &s->pass, PASS_INTERVAL_MS);
@@ -795,6 +809,7 @@
 		      s->late_writes);
 	assert_true(s->accepted && s->cancelled && s->refused &&
 		    s->late_writes && s->reused);
+	assert_int_equal(s->over_memory > 0, memory_mb > 0);
 	check_end(s);
 	site_destroy(s);
 }
@@ -811,10 +826,21 @@
 
 	(void)state;
 	for (char **p = list; *p; p++)
-		run_seed(atoi(*p));
+		run_seed(atoi(*p), 0);
 	g_strfreev(list);
 }
 
+/*
+ * Guards against a job that is stored though each of its submissions was refused
+ * as memory is short, and against memory that ended jobs keep occupied.
+ */
+static void test_answers_stay_true_when_memory_is_short(void **state)
+{
+	(void)state;
+	for (uint32_t seed = 5; seed < 8; seed++)
+		run_seed(seed, 1);
+}
+
 /*
  * Guards against entries of cancelled IDs that stay when their rows are gone,
  * and against a state that is lost when a cancel request arrives first.
@@ -867,6 +893,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_answers_stay_true_when_writes_are_late),
+		cmocka_unit_test(test_answers_stay_true_when_memory_is_short),
 		cmocka_unit_test(test_cache_forgets_cancelled_ids),
 		cmocka_unit_test(test_rate_limit_allows_a_burst_and_a_rate),
 	};
