election: Give way to larger peers after a short leadership

If its leadership had fewer than 30 writes and peers with more memory are known, it now waits like the weakest instance, so that these claim first after the takeover timeout. Planned restarts resign and are not affected, nor is the first kill of a leader that lasted, nor a site without joint.memory_mb.

unit_jobmemory measures the delay of each case.

--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -171,6 +171,18 @@
 	return relay_count_stronger_peers(j->relay, own_strength(j));
 }
 
+/*
+ * Return how many peers have more memory; 0 if that of this instance is not
+ * known.
+ */
+static uint32_t count_larger_peers(void *arg)
+{
+	struct joint *j = arg;
+	uint32_t own_mb = j->settings->memory_mb;
+
+	return own_mb ? relay_count_larger_peers(j->relay, own_mb) : 0;
+}
+
 /*
  * Return the memory of the weakest instance, this one included. Its peers are
  * known from their rows, which may lack it.
@@ -445,6 +457,7 @@
 				 .incarnation = j->incarnation,
 				 .strength = own_strength(j),
 				 .count_stronger_peers = count_stronger_peers,
+				 .count_larger_peers = count_larger_peers,
 				 .arg = j};
 	j->leader = leader_create(&le);
 	j->entry = entry_create(&ee);
--- a/lead/election.c
+++ b/lead/election.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "lead/election.h"
+#include "lead/succession.h"
 #include "lib/log.h"
 
 /*
@@ -30,6 +31,13 @@
  */
 #define YIELD_REST_MS 5000
 
+/*
+ * A leadership with fewer writes than this did not last: the process ended
+ * within some seconds, while it read the rows of its predecessor or soon after
+ * it. A leader that lacks memory for them is killed in that time, each time.
+ */
+#define LASTING_WRITES_MIN 30
+
 enum role { ROLE_FOLLOWER, ROLE_CANDIDATE, ROLE_LEADER };
 
 struct election {
@@ -52,6 +60,8 @@
 	uint64_t highest_epoch;
 	/* Delay of claims, which is longer for a weak instance. */
 	uint32_t claim_delay_ms;
+	/* Peers are known that have more memory than this instance. */
+	bool has_larger_peers;
 	/* The store answers every call since then; 0 if the last failed. */
 	uint64_t answered_since_ms;
 	/* The replicas that a leader needs are complete. */
@@ -519,10 +529,21 @@
 	write_owner_row(e, rows_tx_create(LEADER_PART));
 }
 
+/*
+ * Report whether an earlier process of this instance, which the row names, was
+ * ended soon after its claim, while there are peers with more memory. These see
+ * that the row does not change, and claim after the takeover timeout.
+ */
+static bool leaves_claim_to_larger_peers(const struct election *e)
+{
+	return e->has_larger_peers && e->row.sequence < LASTING_WRITES_MIN;
+}
+
 /*
  * Claim the leadership at once if the row names an earlier process of this
  * instance, after a delay if it names nobody, and otherwise after the
- * takeover timeout.
+ * takeover timeout. A process whose predecessor did not last waits for larger
+ * peers like the weakest instance.
  */
 static void consider_claim(struct election *e)
 {
@@ -530,20 +551,29 @@
 	uint64_t quiet_since = MAX(e->row_changed_ms, e->answered_since_ms);
 	bool nobody = !e->row_exists || (e->row_valid && !*e->row.instance);
 	bool self = e->row_valid && !strcmp(e->row.instance, e->self.instance);
-	uint64_t jitter = g_str_hash(e->self.instance) % CLAIM_JITTER_MAX_MS +
-			  e->claim_delay_ms;
+	bool earlier_self = self && e->row.incarnation != e->self.incarnation;
+	bool gives_way = earlier_self && leaves_claim_to_larger_peers(e);
+	uint64_t jitter = g_str_hash(e->self.instance) % CLAIM_JITTER_MAX_MS;
+
+	jitter += gives_way ? succession_claim_delay_ms(0) : e->claim_delay_ms;
 
 	if (e->role != ROLE_FOLLOWER || !e->replicas_complete || e->resigning ||
 	    !e->answered_since_ms || now < e->rest_until_ms)
 		return;
-	if (self && e->row.incarnation != e->self.incarnation)
+	if (earlier_self && !gives_way)
 		claim_leadership(e, true);
 	else if (nobody && now >= quiet_since + jitter)
 		claim_leadership(e, true);
 	else if (nobody && !timer_running(&e->timer))
 		timer_start(e->loop, &e->timer, quiet_since + jitter - now);
 	else if (!nobody && now >= quiet_since + TAKEOVER_TIMEOUT_MS + jitter)
-		claim_leadership(e, false);
+		claim_leadership(e, earlier_self);
+}
+
+/* Note whether peers are known that have more memory than this instance. */
+void election_note_larger_peers(struct election *e, bool known)
+{
+	e->has_larger_peers = known;
 }
 
 /*
--- a/lead/election.h
+++ b/lead/election.h
@@ -37,6 +37,7 @@
 void election_destroy(struct election *e);
 void election_apply_row(struct election *e, const char *value,
 			uint64_t version);
+void election_note_larger_peers(struct election *e, bool known);
 void election_consider_claim(struct election *e, uint64_t answered_since_ms,
 			     bool replicas_complete);
 bool election_is_leader(const struct election *e);
--- a/lead/leader.c
+++ b/lead/leader.c
@@ -942,6 +942,11 @@
 /* Note an answer about the owner row and decide whether to claim. */
 void leader_note_owner_answer(struct leader *d)
 {
+	const struct leader_env *e = &d->env;
+
+	election_note_larger_peers(d->election,
+				   e->count_larger_peers &&
+					   e->count_larger_peers(e->arg));
 	election_consider_claim(
 		d->election, replica_answered_since_ms(d->env.owners),
 		replica_is_complete(d->env.owners) && d->policy &&
--- a/lead/leader.h
+++ b/lead/leader.h
@@ -34,6 +34,8 @@
 	uint32_t strength;
 	/* Returns the number of peers with at least twice that strength. */
 	uint32_t (*count_stronger_peers)(void *arg);
+	/* Returns the number of peers with more memory; NULL: none is known. */
+	uint32_t (*count_larger_peers)(void *arg);
 	void *arg;
 };
 
--- a/test/unit_jobmemory.c
+++ b/test/unit_jobmemory.c
@@ -1,6 +1,7 @@
 /*
- * Tests of the bound on the memory of accepted jobs. Without it a burst of large
- * jobs kills every leader.
+ * Tests of the bound on the memory of accepted jobs, and of claims after a
+ * leader was killed. Without them a burst of large jobs kills every leader, and
+ * the same instance claims and is killed again and again.
  */
 #include <stdarg.h>
 #include <stddef.h>
@@ -10,10 +11,13 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "entry/jobcache.h"
 #include "entry/jobmemory.h"
+#include "lead/election.h"
 #include "lead/record.h"
+#include "lib/http.h"
 #include "peer/roster.h"
 #include "sched/footprint.h"
 
@@ -23,6 +27,17 @@
 #define INSTANCES 40
 #define NOW_MS 1000000
 
+static uint64_t now_ms = NOW_MS;
+
+/* Replaces the C library's function. */
+int clock_gettime(clockid_t id, struct timespec *ts)
+{
+	(void)id;
+	ts->tv_sec = now_ms / 1000;
+	ts->tv_nsec = now_ms % 1000 * 1000000;
+	return 0;
+}
+
 static uint64_t batch_bytes(uint32_t tasks)
 {
 	struct job *j = job_create("a000000000000001");
@@ -197,6 +212,94 @@
 	free(text);
 }
 
+static bool send_nowhere(void *arg, const char *method, const char *path,
+			 const char *body, uint32_t timeout_ms,
+			 http_done_fn done, void *done_arg)
+{
+	(void)method;
+	(void)path;
+	(void)body;
+	(void)timeout_ms;
+	(void)done;
+	(void)done_arg;
+	++*(uint32_t *)arg;
+	return true;
+}
+
+static void ignore_gained(void *arg, uint64_t version)
+{
+	(void)arg;
+	(void)version;
+}
+
+static void ignore_lost(void *arg, const char *why)
+{
+	(void)arg;
+	(void)why;
+}
+
+static void ignore_event(void *arg)
+{
+	(void)arg;
+}
+
+/*
+ * Return after how many milliseconds instance i claims if the owner row names
+ * an earlier process of it, or another instance, after this many writes.
+ */
+static uint64_t claim_after_ms(const char *owner, uint64_t writes,
+			       bool larger_peers)
+{
+	struct owner_record r = {.incarnation = 6, .epoch = 3};
+	struct election_events ev = {.gained = ignore_gained,
+				     .lost = ignore_lost,
+				     .committed = ignore_event,
+				     .write_due = ignore_event};
+	struct loop *l = loop_create();
+	struct counters *c = counters_create();
+	uint32_t sent = 0;
+	struct rows *rows = rows_create(send_nowhere, &sent);
+	struct election *e = election_create(l, rows, c, "i", 7, 0, &ev, NULL);
+	uint64_t from_ms = now_ms;
+	char *value;
+
+	g_strlcpy(r.instance, owner, sizeof(r.instance));
+	r.sequence = writes;
+	value = owner_encode(&r);
+	election_apply_row(e, value, 5);
+	election_note_larger_peers(e, larger_peers);
+	for (; !sent && now_ms < from_ms + 20000; now_ms += 10)
+		election_consider_claim(e, 1, true);
+	assert_int_equal(sent, 1);
+	free(value);
+	election_destroy(e);
+	rows_destroy(rows);
+	counters_destroy(c);
+	loop_destroy(l);
+	return now_ms - from_ms;
+}
+
+/*
+ * Fails if a process that was killed soon after its claim claims again before
+ * larger peers can, or never; and if a planned restart or the first kill of a
+ * lasting leader takes longer than before.
+ */
+static void test_short_leadership_lets_larger_peers_claim(void **state)
+{
+	uint64_t other_ms = claim_after_ms("other", 2, true);
+
+	(void)state;
+	assert_in_range(claim_after_ms("i", 2, false), 0, 10);
+	assert_in_range(claim_after_ms("i", 1000, true), 0, 10);
+	assert_in_range(claim_after_ms("i", 30, true), 0, 10);
+	assert_in_range(other_ms, TAKEOVER_TIMEOUT_MS,
+			TAKEOVER_TIMEOUT_MS + 200);
+	assert_in_range(claim_after_ms("i", 2, true), other_ms + 3500,
+			other_ms + 4500);
+	/* a leader that has resigned names nobody in the row */
+	assert_in_range(claim_after_ms("", 2, true), 0, 200);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -208,6 +311,7 @@
 		cmocka_unit_test(test_large_jobs_leave_room_for_usual_ones),
 		cmocka_unit_test(test_cache_sums_jobs_that_have_not_ended),
 		cmocka_unit_test(test_instance_row_carries_memory),
+		cmocka_unit_test(test_short_leadership_lets_larger_peers_claim),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
