--- a/Makefile
+++ b/Makefile
@@ -106,8 +106,9 @@
 FUZZ_ROWS_RUNS = 6000
 FUZZ_ROWS = test/fuzz_rows.c platform/answer.c platform/decode.c platform/lists.c \
 	platform/rows.c lead/record.c peer/roster.c config/policy.c sched/ending.c \
-	sched/estimator.c sched/fleet.c sched/job.c sched/progress.c sched/suspect.c \
-	lib/address.c lib/log.c lib/loop.c lib/schema.c lib/verdict.c
+	sched/estimator.c sched/fleet.c sched/footprint.c sched/job.c \
+	sched/occurrence.c sched/progress.c sched/suspect.c lib/address.c \
+	lib/log.c lib/loop.c lib/schema.c lib/verdict.c
 
 $(OUT)/fuzz_rows: $(FUZZ_ROWS)
 	@mkdir -p $(OUT)
--- a/sched/job.h
+++ b/sched/job.h
@@ -244,11 +244,6 @@
 void step_set_image(struct step *s, const char *image);
 bool job_validate(const struct job *j, char **why);
 bool job_is_same_submission(const struct job *a, const struct job *b);
-void job_create_stages(struct job *j);
-uint32_t job_open_end(const struct job *j);
-void job_open_occurrences(struct job *j, uint32_t end);
-void job_open_due(struct job *j, uint64_t wall_ms);
-void job_release_complete(struct job *j, uint64_t ended_before_ms);
 void job_set_service(struct job *j, const char *service);
 bool job_is_final(const struct job *j);
 bool job_has_active_tasks(const struct job *j);
@@ -263,7 +258,16 @@
 void task_format_name(const struct task *t, char *buf, size_t len);
 bool task_is_active(const struct task *t);
 
+/* sched/occurrence.c */
+void job_create_stages(struct job *j);
+uint32_t job_open_end(const struct job *j);
+void job_open_occurrences(struct job *j, uint32_t end);
+void job_open_due(struct job *j, uint64_t wall_ms);
+void job_release_complete(struct job *j, uint64_t ended_before_ms);
+
 bool stage_is_ready(const struct stage *st, uint64_t wall_ms);
+bool stage_is_complete(const struct stage *st);
+void stage_free_tasks(struct stage *st);
 bool stage_is_idle(const struct stage *st);
 bool stage_has_started(const struct stage *st);
 uint32_t stage_waiting_count(const struct stage *st);
