entry: Log a refusal for memory once, and none of an uncertain write

The refusal was logged as request_refused and request_ended, which a report would count twice. A submission whose earlier write through this instance got no answer is not refused, as that write may be carried out.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -345,10 +345,12 @@
 		   (json_int_t)entry_job_memory_bytes(n), "bound",
 		   (json_int_t)entry_job_memory_bound_bytes(n));
 	counter_add(n->env.counters, "jobs_over_memory", NULL, 1);
-	finish_request(r, 429,
-		       "no memory for more jobs; it was not accepted and never "
-		       "runs",
-		       MEMORY_RETRY_AFTER_MS);
+	count_answer(n, r->kind, 429);
+	reply_error(r->exchange, 429,
+		    "no memory for more jobs; it was not accepted and never "
+		    "runs",
+		    MEMORY_RETRY_AFTER_MS);
+	request_free(r);
 }
 
 static void on_submit_write(void *arg, const struct rows_answer *a)
@@ -674,13 +676,15 @@
 
 /*
  * Report whether a job of this many bytes fits into the memory of the instances.
- * One that is known to be accepted counts already.
+ * One that is known to be accepted counts already, as does one whose earlier
+ * write got no answer: it may be carried out, so that no refusal would be true.
  */
 static bool fits_into_memory(struct entry *n, const char *id, uint64_t bytes)
 {
 	struct job_memory_limits l = memory_limits(n);
 
 	return job_cache_find_accepted(n->job_cache, id) ||
+	       job_memory_has(n->job_memory, id) ||
 	       job_memory_allows(n->job_memory, &l, entry_job_memory_bytes(n),
 				 bytes, clock_mono_ms());
 }
--- a/entry/jobmemory.c
+++ b/entry/jobmemory.c
@@ -114,6 +114,12 @@
 	return !unseen || unseen + bytes <= room / MAX(l->instances, 1);
 }
 
+/* Report whether a submission of this ID is counted. */
+bool job_memory_has(const struct job_memory *m, const char *id)
+{
+	return g_hash_table_contains(m->unseen, id);
+}
+
 /* Count a submission of `bytes` until its row is seen. */
 void job_memory_add(struct job_memory *m, const char *id, uint64_t bytes,
 		    uint64_t now_ms)
--- a/entry/jobmemory.h
+++ b/entry/jobmemory.h
@@ -24,6 +24,7 @@
 bool job_memory_allows(struct job_memory *m, const struct job_memory_limits *l,
 		       uint64_t accepted_bytes, uint64_t bytes,
 		       uint64_t now_ms);
+bool job_memory_has(const struct job_memory *m, const char *id);
 void job_memory_add(struct job_memory *m, const char *id, uint64_t bytes,
 		    uint64_t now_ms);
 void job_memory_remove(struct job_memory *m, const char *id);
--- a/test/unit_jobmemory.c
+++ b/test/unit_jobmemory.c
@@ -126,6 +126,8 @@
 
 	(void)state;
 	job_memory_add(m, "a", bound, NOW_MS);
+	assert_true(job_memory_has(m, "a"));
+	assert_false(job_memory_has(m, "b"));
 	assert_false(job_memory_allows(m, &l, 0, 1000, NOW_MS));
 	job_memory_remove(m, "a");
 	assert_true(job_memory_allows(m, &l, 0, 1000, NOW_MS));
