test: Run the memory check over the tests that ask the allocator

valgrind's allocator reports no sizes, so that make memcheck failed on them. They run there without the comparison; the native run compares as before.

--- a/test/unit_occurrences.c
+++ b/test/unit_occurrences.c
@@ -59,6 +59,19 @@
 	return m.uordblks + m.hblkhd;
 }
 
+/*
+ * Report whether the allocator counts; that of valgrind does not, so that the
+ * memory check runs the test without the comparison.
+ */
+static bool allocator_counts(void)
+{
+	void *p = malloc(1000);
+	bool counts = allocated_bytes() > 0;
+
+	free(p);
+	return counts;
+}
+
 /* Fails if occurrences that are not due take memory. */
 static void test_later_occurrences_take_no_memory(void **state)
 {
@@ -75,7 +88,8 @@
 	row = run_encode(j);
 	assert_in_range(strlen(row), 1, 300);
 	free(row);
-	assert_in_range(allocated_bytes() - before, 1, 16384);
+	if (allocator_counts())
+		assert_in_range(allocated_bytes() - before, 1, 16384);
 	assert_null(job_find_task(j, 1, 0, 0));
 	job_open_due(j, START_WALL_MS + 2 * INTERVAL_MS);
 	assert_non_null(job_find_task(j, 2, 3, 0));
