--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -157,6 +157,7 @@
 	g_strlcpy(p.domain, j->settings->domain, sizeof(p.domain));
 	p.written_ms = replica_store_clock_ms(j->owners);
 	p.strength = own_strength(j);
+	p.memory_mb = j->settings->memory_mb;
 	value = peer_record_encode(&p);
 	key = g_strconcat(KEY_INSTANCE, j->settings->instance, NULL);
 	t = rows_tx_create(LEADER_PART);
@@ -176,6 +177,34 @@
 	return relay_count_stronger_peers(j->relay, own_strength(j));
 }
 
+/*
+ * Return how many peers have more memory; 0 if that of this instance is not
+ * known.
+ */
+static uint32_t count_larger_peers(void *arg)
+{
+	struct joint *j = arg;
+	uint32_t own_mb = j->settings->memory_mb;
+
+	return own_mb ? relay_count_larger_peers(j->relay, own_mb) : 0;
+}
+
+/*
+ * Return the memory of the weakest instance, this one included. Its peers are
+ * known from their rows, which may lack it.
+ */
+static struct job_memory_limits memory_limits(void *arg)
+{
+	struct joint *j = arg;
+	uint32_t own_mb = j->settings->memory_mb;
+	uint32_t peers_mb = relay_least_memory_mb(j->relay);
+
+	return (struct job_memory_limits){
+		.least_mb = own_mb && peers_mb ? MIN(own_mb, peers_mb)
+					       : MAX(own_mb, peers_mb),
+		.instances = relay_count_peers(j->relay) + 1};
+}
+
 static void on_owner_feed_answer(void *arg)
 {
 	struct joint *j = arg;
@@ -281,12 +310,16 @@
 		"lacewing_peers %u\n"
 		"lacewing_store_by_peers %d\n"
 		"lacewing_log_lost %llu\n"
-		"lacewing_evacuated_domains %u\n",
+		"lacewing_evacuated_domains %u\n"
+		"lacewing_job_memory_bytes %llu\n"
+		"lacewing_job_memory_bound_bytes %llu\n",
 		s, intakes, leader_is_active(j->leader), is_ready(j),
 		leader_count_learned_groups(j->leader),
 		relay_count_peers(j->relay), relay_uses_peers(j->relay),
 		(unsigned long long)log_lost(),
-		leader_count_evacuated(j->leader));
+		leader_count_evacuated(j->leader),
+		(unsigned long long)entry_job_memory_bytes(j->entry),
+		(unsigned long long)entry_job_memory_bound_bytes(j->entry));
 
 	exchange_reply(x, 200, "text/plain", all, 0);
 	g_free(all);
@@ -424,7 +457,9 @@
 				.settings = s,
 				.policies = j->policies,
 				.jobs = j->jobs,
-				.states = j->states};
+				.states = j->states,
+				.memory_limits = memory_limits,
+				.arg = j};
 	le = (struct leader_env){.loop = j->loop,
 				 .http = j->http,
 				 .rows = j->rows,
@@ -438,6 +473,7 @@
 				 .incarnation = j->incarnation,
 				 .strength = own_strength(j),
 				 .count_stronger_peers = count_stronger_peers,
+				 .count_larger_peers = count_larger_peers,
 				 .arg = j};
 	j->leader = leader_create(&le);
 	j->entry = entry_create(&ee);
