--- a/lib/httpserver.c
+++ b/lib/httpserver.c
@@ -151,10 +151,10 @@
 	struct intake *in = c->server->intake;
 
 	intake_count(in, why);
-	if (c->intake.state == INTAKE_READING)
-		send_busy(c);
-	if (c->intake.state != INTAKE_REPLYING &&
+	if (!h2o_socket_is_writing(c->sock) &&
 	    c->sock->_cb.read == on_readable) {
+		if (c->sock->input->size)
+			send_busy(c);
 		c->read_fn(c->sock, h2o_socket_error_closed);
 		return;
 	}
