test: Plant faults in the limits of connections

Each is caught: bytes that are not counted, requests that are handed on beyond the budget, connections without a limit. The second was missed at first, as the requests after it were refused while they were read; the test counts refused whole requests now.

--- a/test/unit_httpserver.c
+++ b/test/unit_httpserver.c
@@ -239,6 +239,7 @@
 	}
 	assert_true(f.handed > 0);
 	assert_true(refused > 0);
+	assert_true(intake_counted(f.in, INTAKE_REFUSED) > 0);
 	assert_int_equal(f.handed + refused, G_N_ELEMENTS(fds));
 	assert_int_equal(f.handed, f.waiting->len);
 	assert_in_range(intake_bytes(f.in), 1, l.bytes);
