Revert "Serve accounts within their share before those far above it"

The fair wait of admission stays, so that small accounts are not refused for the backlog of large ones.

--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -7,7 +7,6 @@
 
 #include "sched/dispatch.h"
 #include "sched/evict.h"
-#include "sched/fairness.h"
 #include "sched/fallback.h"
 #include "sched/suspect.h"
 #include "sched/wait.h"
@@ -74,9 +73,8 @@
 struct candidate {
 	struct stage *stage;
 	uint32_t rank;
-	bool due;	  /* its guarantee requires preemption now */
-	bool above_share; /* its account wants far more than its share */
-	double density;	  /* value per second of a mean upstream */
+	bool due;	/* its guarantee requires preemption now */
+	double density; /* value per second of a mean upstream */
 };
 
 struct pass {
@@ -84,7 +82,6 @@
 	struct value_context value;
 	struct pack pack;
 	struct evict *evict; /* created on first use */
-	struct fairness *fairness;
 	uint32_t failed_plans;
 	const struct job *preemptor; /* the job that stops are made for */
 	GArray *actions;
@@ -203,9 +200,8 @@
 }
 
 /*
- * Order candidates: due guarantees first, then by rank, those of accounts far
- * above their share last, by value per second, by the time they became ready and
- * by job id.
+ * Order candidates: due guarantees first, then by rank, by value per second, by
+ * the time they became ready and by job id.
  */
 static gint compare_candidates(gconstpointer a, gconstpointer b)
 {
@@ -215,8 +211,6 @@
 		return x->due ? -1 : 1;
 	if (x->rank != y->rank)
 		return x->rank < y->rank ? -1 : 1;
-	if (x->above_share != y->above_share)
-		return y->above_share ? -1 : 1;
 	if (x->density != y->density)
 		return x->density > y->density ? -1 : 1;
 	if (x->stage->since_ms != y->stage->since_ms)
@@ -282,8 +276,6 @@
 		    (c.stage->step->gang && !stage_is_idle(c.stage)))
 			continue;
 		c.due = rank == RANK_GUARANTEED && guarantee_is_due(p, j);
-		c.above_share = rank != RANK_GUARANTEED &&
-				fairness_is_above(p->fairness, j);
 		c.density = value_per_second(&p->value, c.stage);
 		g_array_append_val(p->candidates, c);
 	}
@@ -728,17 +720,6 @@
 	}
 }
 
-/* Count the upstreams that are listed. */
-static uint32_t count_listed(const struct fleet *f)
-{
-	uint32_t n = 0;
-
-	for (guint i = 0; i < f->list->len; i++)
-		n += ((struct upstream *)g_ptr_array_index(f->list, i))
-			     ->state != UPSTREAM_GONE;
-	return n;
-}
-
 /* Return the mean resources of the upstreams that are listed. */
 static struct resources mean_upstream(const struct fleet *f)
 {
@@ -780,11 +761,7 @@
 	rank_jobs(input);
 	stop_unwanted(&p);
 	move_off_leaving(&p);
-	p.fairness = fairness_measure(input->jobs, &p.value.mean_upstream,
-				      count_listed(input->fleet));
 	collect_candidates(&p);
-	fairness_destroy(p.fairness);
-	p.fairness = NULL;
 	if (!p.candidates->len)
 		goto out;
 	pack_begin(&p.pack, input->fleet, input->now_ms);
