--- a/entry/entry.c
+++ b/entry/entry.c
@@ -61,6 +61,10 @@
  * is not known; most run for some seconds.
  */
 #define MEMORY_RETRY_AFTER_MS 5000
+/* What callers are told with 429. */
+#define MEMORY_TEXT                                                            \
+	"no memory for more jobs; it was not accepted and never runs"
+#define OVERLOAD_TEXT "overload; it was not accepted and never runs"
 #define JOB_ID_DIGITS_COUNT 16
 /*
  * A job is refused for overload only if accepted jobs were listed this recently,
@@ -101,6 +105,14 @@
 	ENTRY_REQUEST_COUNT,
 };
 
+/* Why a submission is refused with 429. */
+struct refusal {
+	const char *why;     /* logged */
+	const char *counter; /* counts such refusals */
+	const char *text;    /* for the caller */
+	uint32_t retry_after_ms;
+};
+
 /* A request that waits for the store. */
 struct request {
 	struct entry *entry;
@@ -110,6 +122,8 @@
 	char account[LABEL_BYTES];
 	/* encoded submission; NULL: none, or it does not fit into memory */
 	char *write;
+	bool counted; /* job_memory counts it because of this request */
+	struct refusal refusal; /* of a submission without a write */
 	uint64_t received_ms;
 	uint64_t deadline_ms;
 	bool write_uncertain; /* an unanswered write may have been executed */
@@ -233,7 +247,7 @@
 		   "took_ms", (json_int_t)(clock_mono_ms() - r->received_ms),
 		   "uncertain", r->write_uncertain, "table_age_ms",
 		   (json_int_t)jobs_age_ms(n));
-	if (r->write && status >= 400 && !r->write_uncertain)
+	if (r->counted && status >= 400 && !r->write_uncertain)
 		job_memory_remove(n->job_memory, r->id);
 	count_answer(n, r->kind, status);
 	latency_add(n->env.counters, request_kind_name(r->kind),
@@ -337,10 +351,10 @@
 }
 
 /*
- * Answer a submission that does not fit into the leader's memory, after its job
- * was looked up: an earlier attempt may have been accepted.
+ * Answer a submission that is refused, after its job was looked up: an earlier
+ * attempt may have been accepted.
  */
-static void refuse_for_memory(struct request *r, const struct rows_answer *a)
+static void refuse_submission(struct request *r, const struct rows_answer *a)
 {
 	struct entry *n = r->entry;
 
@@ -350,15 +364,13 @@
 	}
 	log_fields(LOG_INFO, "request_refused", "{s:s,s:s,s:i,s:s,s:s,s:I,s:I}",
 		   "job", r->id, "kind", request_kind_name(r->kind), "status",
-		   429, "why", "memory", "account", r->account, "bytes",
+		   429, "why", r->refusal.why, "account", r->account, "bytes",
 		   (json_int_t)entry_job_memory_bytes(n), "bound",
 		   (json_int_t)entry_job_memory_bound_bytes(n));
-	counter_add(n->env.counters, "jobs_over_memory", NULL, 1);
+	counter_add(n->env.counters, r->refusal.counter, NULL, 1);
 	count_answer(n, r->kind, 429);
-	reply_error(r->exchange, 429,
-		    "no memory for more jobs; it was not accepted and never "
-		    "runs",
-		    MEMORY_RETRY_AFTER_MS);
+	reply_error(r->exchange, 429, r->refusal.text,
+		    r->refusal.retry_after_ms);
 	request_free(r);
 }
 
@@ -562,7 +574,7 @@
 			refuse_id(r, a->now_ms);
 		return;
 	case ENTRY_REQUEST_SUBMIT:
-		refuse_for_memory(r, a);
+		refuse_submission(r, a);
 		return;
 	case ENTRY_REQUEST_COUNT:
 		return;
@@ -727,7 +739,8 @@
 	    !admission_row_is_valid(n->admission_written_ms,
 				    replica_store_clock_ms(n->env.jobs)) ||
 	    replica_age_ms(n->env.jobs) > ADMISSION_JOBS_AGE_MAX_MS ||
-	    job_cache_find_accepted(n->job_cache, j->id))
+	    job_cache_find_accepted(n->job_cache, j->id) ||
+	    job_memory_has(n->job_memory, j->id))
 		return 0;
 	r.objective_ms = r.path_ms * j->slack_factor + j->target_ms;
 	return admission_retry_after_ms(n->admission, &r);
@@ -776,13 +789,7 @@
 	g_strlcpy(j->account, account, sizeof(j->account));
 	j->received_ms = replica_store_clock_ms(n->env.jobs);
 	retry_after_ms = overload_retry_after_ms(n, j);
-	if (retry_after_ms) {
-		job_destroy(j);
-		counter_add(n->env.counters, "overload_refused", NULL, 1);
-		reject_request(n, x, ENTRY_REQUEST_SUBMIT, id, 429, "overload",
-			       retry_after_ms);
-		return;
-	}
+	j->submitted_wall_ms = clock_wall_ms();
 	text = encode_submission(n, j, &why);
 	bytes = footprint_bytes(j);
 	job_destroy(j);
@@ -792,11 +799,20 @@
 		return;
 	}
 	r = request_create(n, x, ENTRY_REQUEST_SUBMIT, id, account);
-	if (fits_into_memory(n, id, bytes))
-		r->write = text;
+	if (retry_after_ms)
+		r->refusal = (struct refusal){"overload", "overload_refused",
+					      OVERLOAD_TEXT, retry_after_ms};
+	else if (!fits_into_memory(n, id, bytes))
+		r->refusal =
+			(struct refusal){"memory", "jobs_over_memory",
+					 MEMORY_TEXT, MEMORY_RETRY_AFTER_MS};
 	else
+		r->write = text;
+	if (!r->write)
 		free(text);
-	if (r->write && !job_cache_find_accepted(n->job_cache, id))
+	r->counted = r->write && !job_memory_has(n->job_memory, id) &&
+		     !job_cache_find_accepted(n->job_cache, id);
+	if (r->counted)
 		job_memory_add(n->job_memory, id, bytes, r->received_ms);
 	send_request(r);
 }
--- a/entry/jobmemory.c
+++ b/entry/jobmemory.c
@@ -73,8 +73,12 @@
 	return MAX(share, bytes / LEAST_SHARE_DIVISOR);
 }
 
-/* Return the sum of the unseen submissions; forgets old ones. */
-static uint64_t unseen_bytes(struct job_memory *m, uint64_t now_ms)
+/*
+ * Return the sum of the unseen submissions of at most job_max_bytes each;
+ * forgets old ones.
+ */
+static uint64_t unseen_bytes(struct job_memory *m, uint64_t job_max_bytes,
+			     uint64_t now_ms)
 {
 	uint64_t sum = 0;
 	GHashTableIter it;
@@ -86,7 +90,7 @@
 
 		if (now_ms >= u->added_ms + UNSEEN_MAX_MS)
 			g_hash_table_iter_remove(&it);
-		else
+		else if (u->bytes <= job_max_bytes)
 			sum += u->bytes;
 	}
 	return sum;
@@ -102,7 +106,7 @@
 		       uint64_t accepted_bytes, uint64_t bytes, uint64_t now_ms)
 {
 	uint64_t bound = job_memory_bound_bytes(l->least_mb);
-	uint64_t unseen = unseen_bytes(m, now_ms), room;
+	uint64_t unseen = unseen_bytes(m, UINT64_MAX, now_ms), room;
 
 	if (!bound)
 		return true;
@@ -111,6 +115,9 @@
 	if (accepted_bytes + unseen + bytes > bound)
 		return false;
 	room = bound - accepted_bytes;
+	/* a large job at this instance must not hold up small ones */
+	if (bytes <= LARGE_JOB_BYTES)
+		unseen = unseen_bytes(m, LARGE_JOB_BYTES, now_ms);
 	return !unseen || unseen + bytes <= room / MAX(l->instances, 1);
 }
 
--- a/lead/leader.c
+++ b/lead/leader.c
@@ -429,6 +429,9 @@
 	d->model->earlier_leases_end_ms = tenure_leases_end_ms(
 		election_tenure(d->election), e->settings->lease_max_ms);
 	d->session_env.model = d->model;
+	/* a row that an earlier leader left is renewed or removed */
+	d->admission_put_ms =
+		replica_get(e->owners, KEY_ADMISSION, NULL) ? 1 : 0;
 	learned_add_list(d->learned, learned_speeds(d->model->speeds));
 	learned_add_list(d->learned, learned_durations(d->model->estimator));
 	learned_start(d->learned);
@@ -938,6 +941,8 @@
 {
 	judge_unlisted_upstreams(d);
 	update_reach(d);
+	/* the setting may have changed since the leadership was gained */
+	domain_orders_follow_closely(d->domain_orders, true);
 	domain_orders_mark(d->domain_orders, d->model->fleet);
 	model_update_job_states(d->model, replica_store_clock_ms(d->env.jobs));
 	dispatch_jobs(d);
--- a/lead/model.c
+++ b/lead/model.c
@@ -179,7 +179,8 @@
 	const struct stage *st = t->stage;
 	uint64_t ran_ms = (now_ms - t->placed_ms) / run_slowdown(t);
 
-	if (t->run_rate.from_checkpoint || t->inherited ||
+	/* how long an earlier leader's run has lasted is not known */
+	if (t->run_rate.from_checkpoint || t->placed_by_earlier ||
 	    st->step->long_running)
 		return;
 	switch (how) {
--- a/lib/frame.c
+++ b/lib/frame.c
@@ -23,7 +23,7 @@
 	struct intake_conn intake; /* the first member */
 	struct intake *in;	   /* NULL: nothing is limited */
 	uint32_t max_bytes;	   /* longest frame that is accepted */
-	size_t bytes_read;
+	bool progressed;	   /* bytes have arrived since it was counted */
 	h2o_socket_t *sock;
 	const struct frame_events *ev;
 	void *arg;
@@ -71,8 +71,8 @@
 
 	if (!c->in || c->closing)
 		return;
-	progress = c->sock->bytes_read != c->bytes_read;
-	c->bytes_read = c->sock->bytes_read;
+	progress = c->progressed;
+	c->progressed = false;
 	if (c->sock->input->size)
 		state = INTAKE_READING;
 	else if (unsent)
@@ -260,6 +260,7 @@
 	} else if (why) {
 		conn_fail(c, why);
 	} else if (c->in) {
+		c->progressed = true;
 		conn_update(c);
 		close_for_bytes(c->in);
 	}
--- a/lib/httpserver.c
+++ b/lib/httpserver.c
@@ -55,9 +55,9 @@
 	h2o_socket_t *sock;
 	h2o_socket_cb read_fn; /* of h2o, called by on_readable */
 	h2o_socket_cb write_fn;
-	bool handed;  /* a request is with the handler */
-	bool widened; /* the kernel may hold more bytes */
-	size_t bytes_read;
+	bool handed;	       /* a request is with the handler */
+	bool widened;	       /* the kernel may hold more bytes */
+	bool progressed;       /* bytes have arrived since it was counted */
 	uint64_t unread_bytes; /* in the kernel, at the last check */
 	bool *closed;	       /* set to true when it is closed, unless NULL */
 };
@@ -108,7 +108,7 @@
 static void conn_update(struct http_conn *c)
 {
 	h2o_socket_t *sock = c->sock;
-	bool progress = sock->bytes_read != c->bytes_read;
+	bool progress = c->progressed;
 
 	if (sock->_cb.read && sock->_cb.read != on_readable) {
 		c->read_fn = sock->_cb.read;
@@ -118,7 +118,7 @@
 		c->write_fn = sock->_cb.write;
 		sock->_cb.write = on_writable;
 	}
-	c->bytes_read = sock->bytes_read;
+	c->progressed = false;
 	intake_update(c->server->intake, &c->intake, conn_state(c),
 		      CONN_BASE_BYTES + sockbuf_held_bytes(sock) +
 			      c->unread_bytes,
@@ -199,8 +199,13 @@
 
 	if (!err) {
 		c->closed = &closed;
+		c->progressed = true;
 		conn_update(c);
-		close_for_bytes(c->server);
+		if (intake_has_excess_bytes(c->server->intake) &&
+		    !intake_can_make_room(c->server->intake))
+			conn_close(c, INTAKE_BYTES);
+		else
+			close_for_bytes(c->server);
 		if (!closed &&
 		    !intake_allows(c->server->intake, c->intake.bytes))
 			conn_close(c, INTAKE_BYTES);
@@ -303,9 +308,11 @@
 	c->handed = true;
 	conn_update(c);
 	intake_hold(in, bytes);
-	close_for_bytes(c->server);
-	if (intake_allows(in, bytes))
-		return true;
+	if (intake_can_make_room(in)) {
+		close_for_bytes(c->server);
+		if (intake_allows(in, bytes))
+			return true;
+	}
 	intake_release(in, bytes);
 	c->handed = false;
 	return false;
--- a/lib/intake.c
+++ b/lib/intake.c
@@ -9,6 +9,11 @@
 
 /* The connection of an ordinary request of some KB holds less. */
 #define SMALL_BYTES 32768
+/*
+ * Longest time without progress that weighs in the choice of what is closed: an
+ * idle connection holds little, however long it is idle.
+ */
+#define STALL_WEIGHT_MAX_MS 10000
 
 struct intake {
 	struct intake_limits limits;
@@ -146,18 +151,38 @@
 	       (bytes <= SMALL_BYTES || in->large_bytes <= large_limit(in));
 }
 
-/* Report whether no further connection is allowed. */
-bool intake_is_full(const struct intake *in)
-{
-	return in->conns->len >= in->limits.connections;
-}
-
 /* The owner of an unanswered request is never closed. */
 static bool can_close(const struct intake_conn *c)
 {
 	return c->state != INTAKE_HANDED && c->state != INTAKE_CLOSING;
 }
 
+/*
+ * Report whether the budget is kept if all connections close that can: if not,
+ * no connection need be closed for a request that is refused in any case.
+ */
+bool intake_can_make_room(const struct intake *in)
+{
+	uint64_t bytes = in->bytes, large_bytes = in->large_bytes;
+
+	for (guint i = 0; i < in->conns->len; i++) {
+		const struct intake_conn *c = g_ptr_array_index(in->conns, i);
+
+		if (!can_close(c))
+			continue;
+		bytes -= c->bytes;
+		if (c->bytes > SMALL_BYTES)
+			large_bytes -= c->bytes;
+	}
+	return bytes <= in->limits.bytes && large_bytes <= large_limit(in);
+}
+
+/* Report whether no further connection is allowed. */
+bool intake_is_full(const struct intake *in)
+{
+	return in->conns->len >= in->limits.connections;
+}
+
 /* Return for how long c has made no progress, in milliseconds, at least 1. */
 static uint64_t stalled_ms(const struct intake_conn *c, uint64_t now_ms)
 {
@@ -180,7 +205,8 @@
 
 	for (guint i = 0; i < in->conns->len; i++) {
 		struct intake_conn *c = g_ptr_array_index(in->conns, i);
-		uint64_t weight = c->bytes * stalled_ms(c, now_ms);
+		uint64_t weight = c->bytes * MIN(stalled_ms(c, now_ms),
+						 STALL_WEIGHT_MAX_MS);
 
 		if (!can_close(c) || !c->bytes ||
 		    (large_only && c->bytes <= SMALL_BYTES))
@@ -232,14 +258,18 @@
 {
 	for (guint i = 0; i < in->conns->len; i++) {
 		struct intake_conn *c = g_ptr_array_index(in->conns, i);
+		/* a link between peers may be busy without a pause */
+		uint64_t since_ms = c->trusted
+					    ? MAX(c->state_ms, c->progress_ms)
+					    : c->state_ms;
 
 		if (c->state == INTAKE_READING &&
-		    now_ms > c->state_ms + in->limits.request_ms) {
+		    now_ms > since_ms + in->limits.request_ms) {
 			*why = INTAKE_SLOW_REQUEST;
 			return c;
 		}
 		if (c->state == INTAKE_REPLYING &&
-		    now_ms > c->state_ms + in->limits.reply_ms) {
+		    now_ms > since_ms + in->limits.reply_ms) {
 			*why = INTAKE_SLOW_READER;
 			return c;
 		}
--- a/lib/intake.h
+++ b/lib/intake.h
@@ -64,6 +64,7 @@
 
 bool intake_has_excess_bytes(const struct intake *in);
 bool intake_allows(const struct intake *in, uint64_t bytes);
+bool intake_can_make_room(const struct intake *in);
 bool intake_is_full(const struct intake *in);
 struct intake_conn *intake_pick_for_bytes(const struct intake *in,
 					  uint64_t now_ms);
--- a/sched/admission.c
+++ b/sched/admission.c
@@ -112,7 +112,8 @@
 	for (guint i = 0; i < f->list->len; i++) {
 		const struct upstream *u = g_ptr_array_index(f->list, i);
 
-		if (u->service_quark != service || u->state != UPSTREAM_READY)
+		if (u->service_quark != service || u->state != UPSTREAM_READY ||
+		    u->evacuated)
 			continue;
 		resources_add(&s.mean, &u->resources, 1);
 		s.upstreams++;
@@ -141,7 +142,12 @@
 		if (st->step->long_running ||
 		    (j->repeat && !stage_is_ready(st, in->wall_ms)))
 			continue;
-		waiting = stage_waiting_count(st);
+		/* what waits for an upstream that is not there delays nothing */
+		waiting = j->cancel_wanted ||
+					  st->wait_reason == WAIT_NO_UPSTREAM ||
+					  !fit
+				  ? 0
+				  : stage_waiting_count(st);
 		load.waiting_ms +=
 			share * waiting *
 			estimator_duration_ms(in->estimator, j, st->step_index);
--- a/sched/estimator.c
+++ b/sched/estimator.c
@@ -140,7 +140,9 @@
 		s->ended_log_ms,
 		CLAMP(log_took, log_expected - most, log_expected + most),
 		s->ended_runs++);
-	duration_record_run(e->durations, &k, took_ms, run_weight(s));
+	/* the members of a gang end with the first that is listed: one call */
+	duration_record_run(e->durations, &k, took_ms,
+			    s->gang ? 1 : run_weight(s));
 	e->version++;
 }
 
--- a/sched/footprint.c
+++ b/sched/footprint.c
@@ -28,7 +28,19 @@
 #define OPEN_RUN_FACTOR 10
 #define OPEN_MIN_MS 600000
 
-/* Return how many occurrences of j are expected to be open at a time. */
+/* Return how many occurrences of j were due when it was submitted. */
+static uint64_t due_at_submission(const struct job *j)
+{
+	if (!j->submitted_wall_ms || j->submitted_wall_ms < j->start_at_wall_ms)
+		return 0;
+	return (j->submitted_wall_ms - j->start_at_wall_ms) / j->interval_ms +
+	       1;
+}
+
+/*
+ * Return how many occurrences of j are expected to be open at a time: those
+ * that are already due at its submission open at once.
+ */
 uint32_t footprint_open_occurrences(const struct job *j)
 {
 	uint32_t n = job_occurrences(j);
@@ -39,7 +51,7 @@
 	for (uint32_t i = 0; i < j->steps_len; i++)
 		run_ms += j->steps[i].estimate_ms;
 	open = 2 + MAX(OPEN_RUN_FACTOR * run_ms, OPEN_MIN_MS) / j->interval_ms;
-	return MIN(open, n);
+	return MIN(open + due_at_submission(j), n);
 }
 
 /* Return the length of the payload of j. */
--- a/sched/job.h
+++ b/sched/job.h
@@ -257,6 +257,8 @@
 	uint64_t interval_ms;
 	uint32_t repeat;      /* occurrences; 0 counts as one, without a time */
 	uint64_t received_ms; /* on the store's clock */
+	/* wall clock at the instance that accepts it; 0: unknown */
+	uint64_t submitted_wall_ms;
 	/* the state */
 	enum job_state state;
 	bool cancel_wanted;
--- a/sched/move.c
+++ b/sched/move.c
@@ -75,13 +75,13 @@
 	past_ms = (double)v->now_ms - value_objective_start_ms(st);
 	after_ms = (double)st->value.critical_path_ms - st->value.run_ms;
 	stay_ms = past_ms + f.stay_ms + after_ms;
-	if (stay_ms < objective_ms)
+	if (stay_ms < objective_ms ||
+	    st->value.value_in_time - st->value.value_late <=
+		    value_work_loss(v, st))
 		return false;
 	if (!pack_choose_all(p, st, st->step->count, PACK_FREE))
 		return false;
 	move_ms = past_ms + v->stop_ms + START_MS +
 		  f.run_ms * chosen_slowdown(p) + after_ms;
-	return move_ms < objective_ms * (1 - IN_TIME_MARGIN) &&
-	       st->value.value_in_time - st->value.value_late >
-		       value_work_loss(v, st);
+	return move_ms < objective_ms * (1 - IN_TIME_MARGIN);
 }
--- a/sched/progress.c
+++ b/sched/progress.c
@@ -43,7 +43,8 @@
 {
 	struct run_rate *r = &t->run_rate;
 
-	if (!r->first_ms || percent < r->first_percent) {
+	if (!r->first_ms || percent < r->first_percent ||
+	    clock_ms < r->first_ms) {
 		r->first_percent = percent;
 		r->first_ms = clock_ms;
 	}
--- a/sched/value.c
+++ b/sched/value.c
@@ -38,6 +38,11 @@
  */
 #define ROOM_USED 0.85
 #define FAST_SLOWDOWN 0.7
+/*
+ * A job that ends in time with a smaller probability counts as late: plans for
+ * it would take the place of plans for jobs that can be saved.
+ */
+#define IN_TIME_PROBABILITY_MIN 0.05
 /* Progress below this many percent is not extrapolated. */
 #define PROGRESS_MIN_PERCENT 4
 
@@ -195,8 +200,11 @@
 	const struct stage_value *sv = stage_value_of(v, st);
 	double gain = sv->value_in_time - sv->value_late;
 
-	if (sv->run.runs > 0)
-		return gain * in_time_probability(v, st);
+	if (sv->run.runs > 0) {
+		double p = in_time_probability(v, st);
+
+		return p < IN_TIME_PROBABILITY_MIN ? 0 : gain * p;
+	}
 	if (sv->slack_ms >= (int64_t)v->stop_ms)
 		return gain;
 	/* durations are uncertain, so it may still end in time */
