--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -8,12 +8,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "daemon/intakes.h"
 #include "daemon/joint.h"
 #include "entry/entry.h"
+#include "lead/admissionrow.h"
 #include "lead/leader.h"
 #include "lead/succession.h"
 #include "lead/record.h"
 #include "lib/log.h"
+#include "lib/sockbuf.h"
 #include "peer/relay.h"
 #include "platform/decode.h"
 
@@ -68,6 +71,7 @@
 	struct loop *loop;
 	struct http_client *http;
 	struct counters *counters;
+	struct intakes *intakes;
 	struct relay *relay;
 	struct rows *rows;
 	uint64_t incarnation;
@@ -107,6 +111,8 @@
 
 	if (!strcmp(key, KEY_OWNER))
 		leader_apply_owner_row(j->leader, value, version);
+	else if (!strcmp(key, KEY_ADMISSION))
+		entry_apply_admission_row(j->entry, value);
 	else if (g_str_has_prefix(key, KEY_INSTANCE))
 		relay_update_peer(j->relay, name,
 				  value && peer_record_decode(name, value, &p)
@@ -151,6 +157,7 @@
 	g_strlcpy(p.domain, j->settings->domain, sizeof(p.domain));
 	p.written_ms = replica_store_clock_ms(j->owners);
 	p.strength = own_strength(j);
+	p.memory_mb = j->settings->memory_mb;
 	value = peer_record_encode(&p);
 	key = g_strconcat(KEY_INSTANCE, j->settings->instance, NULL);
 	t = rows_tx_create(LEADER_PART);
@@ -170,6 +177,34 @@
 	return relay_count_stronger_peers(j->relay, own_strength(j));
 }
 
+/*
+ * Return how many peers have more memory; 0 if that of this instance is not
+ * known.
+ */
+static uint32_t count_larger_peers(void *arg)
+{
+	struct joint *j = arg;
+	uint32_t own_mb = j->settings->memory_mb;
+
+	return own_mb ? relay_count_larger_peers(j->relay, own_mb) : 0;
+}
+
+/*
+ * Return the memory of the weakest instance, this one included. Its peers are
+ * known from their rows, which may lack it.
+ */
+static struct job_memory_limits memory_limits(void *arg)
+{
+	struct joint *j = arg;
+	uint32_t own_mb = j->settings->memory_mb;
+	uint32_t peers_mb = relay_least_memory_mb(j->relay);
+
+	return (struct job_memory_limits){
+		.least_mb = own_mb && peers_mb ? MIN(own_mb, peers_mb)
+					       : MAX(own_mb, peers_mb),
+		.instances = relay_count_peers(j->relay) + 1};
+}
+
 static void on_owner_feed_answer(void *arg)
 {
 	struct joint *j = arg;
@@ -252,6 +287,7 @@
 	uint64_t us = t->sockets_us + t->timers_us;
 
 	latency_add(j->counters, "turn", us);
+	intakes_log_closed(j->intakes);
 	entry_note_stall(j->entry, MAX(us, t->late_us) / 1000);
 	if (MAX(us, t->late_us) > (leader_is_active(j->leader)
 					   ? SLOW_ITERATION_LEADER_US
@@ -267,19 +303,27 @@
 {
 	struct joint *j = arg;
 	char *s = counters_text(j->counters);
-	char *all = g_strdup_printf("%slacewing_leads %d\nlacewing_ready %d\n"
-				    "lacewing_peers %u\n"
-				    "lacewing_store_by_peers %d\n"
-				    "lacewing_log_lost %llu\n"
-				    "lacewing_evacuated_domains %u\n",
-				    s, leader_is_active(j->leader), is_ready(j),
-				    relay_count_peers(j->relay),
-				    relay_uses_peers(j->relay),
-				    (unsigned long long)log_lost(),
-				    leader_count_evacuated(j->leader));
+	char *intakes = intakes_metrics_text(j->intakes);
+	char *all = g_strdup_printf(
+		"%s%slacewing_leads %d\nlacewing_ready %d\n"
+		"lacewing_learned_groups %u\n"
+		"lacewing_peers %u\n"
+		"lacewing_store_by_peers %d\n"
+		"lacewing_log_lost %llu\n"
+		"lacewing_evacuated_domains %u\n"
+		"lacewing_job_memory_bytes %llu\n"
+		"lacewing_job_memory_bound_bytes %llu\n",
+		s, intakes, leader_is_active(j->leader), is_ready(j),
+		leader_count_learned_groups(j->leader),
+		relay_count_peers(j->relay), relay_uses_peers(j->relay),
+		(unsigned long long)log_lost(),
+		leader_count_evacuated(j->leader),
+		(unsigned long long)entry_job_memory_bytes(j->entry),
+		(unsigned long long)entry_job_memory_bound_bytes(j->entry));
 
 	exchange_reply(x, 200, "text/plain", all, 0);
 	g_free(all);
+	g_free(intakes);
 	g_free(s);
 }
 
@@ -318,6 +362,7 @@
 
 	if (s) {
 		joint_settings_update(j->settings, s);
+		intakes_update_settings(j->intakes, j->settings);
 		log_open("lacewingd", j->settings->instance, s->log_level);
 	}
 	log_fields(s ? LOG_INFO : LOG_ERROR, "reload", "{s:b,s:s}", "taken",
@@ -383,11 +428,13 @@
 
 	j->loop = loop_create();
 	j->counters = counters_create();
+	j->intakes = intakes_create(s);
 	j->http = http_client_create(j->loop);
 	j->incarnation = clock_wall_ms() ^ g_random_int();
 	re = (struct relay_env){.loop = j->loop,
 				.http = j->http,
 				.counters = j->counters,
+				.intake = intakes_get(j->intakes, INTAKE_PEERS),
 				.instance = s->instance,
 				.domain = s->domain,
 				.incarnation = j->incarnation,
@@ -405,10 +452,14 @@
 	ee = (struct entry_env){.loop = j->loop,
 				.rows = j->rows,
 				.counters = j->counters,
+				.intake =
+					intakes_get(j->intakes, INTAKE_CALLERS),
 				.settings = s,
 				.policies = j->policies,
 				.jobs = j->jobs,
-				.states = j->states};
+				.states = j->states,
+				.memory_limits = memory_limits,
+				.arg = j};
 	le = (struct leader_env){.loop = j->loop,
 				 .http = j->http,
 				 .rows = j->rows,
@@ -422,6 +473,7 @@
 				 .incarnation = j->incarnation,
 				 .strength = own_strength(j),
 				 .count_stronger_peers = count_stronger_peers,
+				 .count_larger_peers = count_larger_peers,
 				 .arg = j};
 	j->leader = leader_create(&le);
 	j->entry = entry_create(&ee);
@@ -429,7 +481,13 @@
 					  on_readiness, j);
 	j->metrics =
 		http_server_create(j->loop, &s->metrics, 1024, on_metrics, j);
-	return j->entry && j->readiness && j->metrics;
+	if (!j->entry || !j->readiness || !j->metrics)
+		return false;
+	http_server_set_intake(j->readiness,
+			       intakes_get(j->intakes, INTAKE_PROBES));
+	http_server_set_intake(j->metrics,
+			       intakes_get(j->intakes, INTAKE_PROBES));
+	return true;
 }
 
 static void destroy_tasks(struct joint *j)
@@ -448,6 +506,7 @@
 	http_client_destroy(j->http);
 	counters_destroy(j->counters);
 	loop_destroy(j->loop);
+	intakes_destroy(j->intakes);
 }
 
 /*
@@ -460,6 +519,7 @@
 	int rc = 1;
 
 	signal(SIGPIPE, SIG_IGN);
+	sockbuf_init_process();
 	log_open("lacewingd", s->instance, s->log_level);
 	if (!create_tasks(&j)) {
 		log_line(LOG_ERROR, "listen_failed",
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "entry/jobcache.h"
+#include "lead/admissionrow.h"
 #include "entry/entry.h"
 #include "lead/record.h"
 #include "lib/log.h"
@@ -14,6 +15,7 @@
 #include "platform/decode.h"
 #include "platform/ingress.h"
 #include "platform/rows.h"
+#include "sched/footprint.h"
 
 /* Timeout of a request whose caller does not state one. */
 #define CALLER_TIMEOUT_DEFAULT_MS 3000
@@ -54,7 +56,21 @@
  * policy, because the store may be unreachable.
  */
 #define REVALIDATE_TIMEOUT_MS 600
+/*
+ * Retry-After of a job for which the leader has no memory. When other jobs end
+ * is not known; most run for some seconds.
+ */
+#define MEMORY_RETRY_AFTER_MS 5000
+/* What callers are told with 429. */
+#define MEMORY_TEXT                                                            \
+	"no memory for more jobs; it was not accepted and never runs"
+#define OVERLOAD_TEXT "overload; it was not accepted and never runs"
 #define JOB_ID_DIGITS_COUNT 16
+/*
+ * A job is refused for overload only if accepted jobs were listed this recently,
+ * so that one that was accepted before is recognised.
+ */
+#define ADMISSION_JOBS_AGE_MAX_MS 1500
 /*
  * A cancel request for an ID without a job is stored as long as an ended job.
  * These bounds keep a caller that cancels IDs at random from filling the table,
@@ -76,6 +92,10 @@
 	GPtrArray *deferred; /* requests that wait for that read */
 	struct timer revalidate_timer;
 	struct rate_limit refused_ids;
+	/* The leader's decision on admission, NULL: none, and its time. */
+	struct admission *admission;
+	uint64_t admission_written_ms; /* on the store's clock */
+	struct job_memory *job_memory;
 };
 
 enum entry_request_kind {
@@ -85,6 +105,14 @@
 	ENTRY_REQUEST_COUNT,
 };
 
+/* Why a submission is refused with 429. */
+struct refusal {
+	const char *why;     /* logged */
+	const char *counter; /* counts such refusals */
+	const char *text;    /* for the caller */
+	uint32_t retry_after_ms;
+};
+
 /* A request that waits for the store. */
 struct request {
 	struct entry *entry;
@@ -92,7 +120,10 @@
 	enum entry_request_kind kind;
 	char id[JOB_ID_BYTES];
 	char account[LABEL_BYTES];
-	char *write; /* encoded submission, or NULL */
+	/* encoded submission; NULL: none, or it does not fit into memory */
+	char *write;
+	bool counted; /* job_memory counts it because of this request */
+	struct refusal refusal; /* of a submission without a write */
 	uint64_t received_ms;
 	uint64_t deadline_ms;
 	bool write_uncertain; /* an unanswered write may have been executed */
@@ -179,6 +210,24 @@
 	reply_error(x, status, why, retry_after_ms);
 }
 
+static struct job_memory_limits memory_limits(const struct entry *n)
+{
+	return n->env.memory_limits ? n->env.memory_limits(n->env.arg)
+				    : (struct job_memory_limits){0};
+}
+
+/* Return the memory of the jobs that have not ended, in bytes. */
+uint64_t entry_job_memory_bytes(const struct entry *n)
+{
+	return job_cache_live_bytes(n->job_cache);
+}
+
+/* Return how much memory jobs may take, in bytes; 0: no bound. */
+uint64_t entry_job_memory_bound_bytes(const struct entry *n)
+{
+	return job_memory_bound_bytes(memory_limits(n).least_mb);
+}
+
 static void request_free(struct request *r)
 {
 	timer_stop(r->entry->env.loop, &r->timer);
@@ -198,6 +247,8 @@
 		   "took_ms", (json_int_t)(clock_mono_ms() - r->received_ms),
 		   "uncertain", r->write_uncertain, "table_age_ms",
 		   (json_int_t)jobs_age_ms(n));
+	if (r->counted && status >= 400 && !r->write_uncertain)
+		job_memory_remove(n->job_memory, r->id);
 	count_answer(n, r->kind, status);
 	latency_add(n->env.counters, request_kind_name(r->kind),
 		    (clock_mono_ms() - r->received_ms) * 1000);
@@ -299,6 +350,30 @@
 		retry_request(r, false);
 }
 
+/*
+ * Answer a submission that is refused, after its job was looked up: an earlier
+ * attempt may have been accepted.
+ */
+static void refuse_submission(struct request *r, const struct rows_answer *a)
+{
+	struct entry *n = r->entry;
+
+	if (find_value(r, a, KEY_JOB)) {
+		on_submit_conflict(r, a);
+		return;
+	}
+	log_fields(LOG_INFO, "request_refused", "{s:s,s:s,s:i,s:s,s:s,s:I,s:I}",
+		   "job", r->id, "kind", request_kind_name(r->kind), "status",
+		   429, "why", r->refusal.why, "account", r->account, "bytes",
+		   (json_int_t)entry_job_memory_bytes(n), "bound",
+		   (json_int_t)entry_job_memory_bound_bytes(n));
+	counter_add(n->env.counters, r->refusal.counter, NULL, 1);
+	count_answer(n, r->kind, 429);
+	reply_error(r->exchange, 429, r->refusal.text,
+		    r->refusal.retry_after_ms);
+	request_free(r);
+}
+
 static void on_submit_write(void *arg, const struct rows_answer *a)
 {
 	struct request *r = arg;
@@ -480,7 +555,7 @@
 	const struct cached_job *j =
 		job_cache_find_accepted(r->entry->job_cache, r->id);
 
-	if (a->outcome != ROWS_OK && !j) {
+	if (a->outcome != ROWS_OK && (!j || r->kind == ENTRY_REQUEST_SUBMIT)) {
 		retry_request(r, a->outcome == ROWS_REFUSED);
 		return;
 	}
@@ -499,6 +574,8 @@
 			refuse_id(r, a->now_ms);
 		return;
 	case ENTRY_REQUEST_SUBMIT:
+		refuse_submission(r, a);
+		return;
 	case ENTRY_REQUEST_COUNT:
 		return;
 	}
@@ -519,6 +596,10 @@
 {
 	switch (r->kind) {
 	case ENTRY_REQUEST_SUBMIT:
+		if (!r->write) {
+			read_job_row(r);
+			break;
+		}
 		rows_commit(r->entry->env.rows, r->write,
 			    store_timeout_ms(r, WRITE_TIMEOUT_MIN_MS),
 			    on_submit_write, r);
@@ -614,6 +695,72 @@
 	return text;
 }
 
+/* Report whether j is urgent and fits into the guarantee of its account. */
+static bool is_covered(const struct entry *n, const struct job *j)
+{
+	int64_t need = 0, guaranteed = 0;
+
+	for (uint32_t i = 0; i < j->steps_len; i++)
+		need = MAX(need,
+			   j->steps[i].count * j->steps[i].need.accelerators);
+	for (uint32_t i = 0; i < n->policy->accounts_len; i++)
+		if (!strcmp(n->policy->accounts[i].name, j->account))
+			guaranteed = n->policy->accounts[i].guaranteed;
+	return !j->priority && guaranteed > 0 && need <= guaranteed;
+}
+
+/*
+ * Report whether j starts at once and ends by itself: only then does the present
+ * load tell when it ends.
+ */
+static bool depends_on_present_load(const struct job *j)
+{
+	for (uint32_t i = 0; i < j->steps_len; i++)
+		if (j->steps[i].long_running)
+			return false;
+	return !j->start_at_wall_ms && !j->repeat;
+}
+
+/*
+ * Return 0 if j is admitted, else the time in milliseconds after which its
+ * caller is to come back. A job that was accepted before is admitted, so that
+ * its caller is told so, and so is every job while the list of accepted jobs is
+ * not current.
+ */
+static uint64_t overload_retry_after_ms(const struct entry *n,
+					const struct job *j)
+{
+	struct admission_request r = {.queue = j->queue,
+				      .account = j->account,
+				      .path_ms = admission_path_ms(j),
+				      .covered = is_covered(n, j)};
+
+	if (!n->admission || !depends_on_present_load(j) ||
+	    !admission_row_is_valid(n->admission_written_ms,
+				    replica_store_clock_ms(n->env.jobs)) ||
+	    replica_age_ms(n->env.jobs) > ADMISSION_JOBS_AGE_MAX_MS ||
+	    job_cache_find_accepted(n->job_cache, j->id) ||
+	    job_memory_has(n->job_memory, j->id))
+		return 0;
+	r.objective_ms = r.path_ms * j->slack_factor + j->target_ms;
+	return admission_retry_after_ms(n->admission, &r);
+}
+
+/*
+ * Report whether a job of this many bytes fits into the memory of the instances.
+ * One that is known to be accepted counts already, as does one whose earlier
+ * write got no answer: it may be carried out, so that no refusal would be true.
+ */
+static bool fits_into_memory(struct entry *n, const char *id, uint64_t bytes)
+{
+	struct job_memory_limits l = memory_limits(n);
+
+	return job_cache_find_accepted(n->job_cache, id) ||
+	       job_memory_has(n->job_memory, id) ||
+	       job_memory_allows(n->job_memory, &l, entry_job_memory_bytes(n),
+				 bytes, clock_mono_ms());
+}
+
 static void submit_job(struct entry *n, struct http_exchange *x,
 		       const struct queue *q, const char *account,
 		       const char *id)
@@ -622,7 +769,9 @@
 	struct job *j;
 	size_t len;
 	const char *body = exchange_body(x, &len);
+	uint64_t retry_after_ms;
 	char *text, *why;
+	uint64_t bytes;
 
 	if (store_is_silent(n)) {
 		reject_request(n, x, ENTRY_REQUEST_SUBMIT, id, 503,
@@ -639,7 +788,10 @@
 	queue_configure_job(q, j);
 	g_strlcpy(j->account, account, sizeof(j->account));
 	j->received_ms = replica_store_clock_ms(n->env.jobs);
+	retry_after_ms = overload_retry_after_ms(n, j);
+	j->submitted_wall_ms = clock_wall_ms();
 	text = encode_submission(n, j, &why);
+	bytes = footprint_bytes(j);
 	job_destroy(j);
 	if (!text) {
 		reject_request(n, x, ENTRY_REQUEST_SUBMIT, id, 400, why, 0);
@@ -647,7 +799,21 @@
 		return;
 	}
 	r = request_create(n, x, ENTRY_REQUEST_SUBMIT, id, account);
-	r->write = text;
+	if (retry_after_ms)
+		r->refusal = (struct refusal){"overload", "overload_refused",
+					      OVERLOAD_TEXT, retry_after_ms};
+	else if (!fits_into_memory(n, id, bytes))
+		r->refusal =
+			(struct refusal){"memory", "jobs_over_memory",
+					 MEMORY_TEXT, MEMORY_RETRY_AFTER_MS};
+	else
+		r->write = text;
+	if (!r->write)
+		free(text);
+	r->counted = r->write && !job_memory_has(n->job_memory, id) &&
+		     !job_cache_find_accepted(n->job_cache, id);
+	if (r->counted)
+		job_memory_add(n->job_memory, id, bytes, r->received_ms);
 	send_request(r);
 }
 
@@ -888,6 +1054,7 @@
 
 	n->env = *e;
 	n->job_cache = job_cache_create();
+	n->job_memory = job_memory_create();
 	n->state_waiters = g_hash_table_new(NULL, NULL);
 	n->deferred = g_ptr_array_new();
 	n->refused_ids = (struct rate_limit){
@@ -901,6 +1068,8 @@
 		entry_destroy(n);
 		return NULL;
 	}
+	if (e->intake)
+		http_server_set_intake(n->server, e->intake);
 	return n;
 }
 
@@ -911,6 +1080,8 @@
 		return;
 	http_server_destroy(n->server);
 	job_cache_destroy(n->job_cache);
+	admission_destroy(n->admission);
+	job_memory_destroy(n->job_memory);
 	g_hash_table_destroy(n->state_waiters);
 	timer_stop(n->env.loop, &n->revalidate_timer);
 	g_ptr_array_free(n->deferred, TRUE);
@@ -921,6 +1092,8 @@
 void entry_apply_job_row(struct entry *n, const char *key, const char *value)
 {
 	job_cache_apply_job_row(n->job_cache, key, value);
+	if (g_str_has_prefix(key, KEY_JOB))
+		job_memory_remove(n->job_memory, key + strlen(KEY_JOB));
 }
 
 /* Apply a row of the table of states; value is NULL if it was removed. */
@@ -930,6 +1103,15 @@
 	answer_state_waiters(n, id);
 }
 
+/* Apply the leader's row on admission; value is NULL if it was removed. */
+void entry_apply_admission_row(struct entry *n, const char *value)
+{
+	admission_destroy(n->admission);
+	n->admission =
+		value ? admission_row_decode(value, &n->admission_written_ms)
+		      : NULL;
+}
+
 /* Set the policy, which must stay valid until the next call. */
 void entry_set_policy(struct entry *n, const struct policy *p)
 {
--- a/lead/leader.h
+++ b/lead/leader.h
@@ -34,6 +34,8 @@
 	uint32_t strength;
 	/* Returns the number of peers with at least twice that strength. */
 	uint32_t (*count_stronger_peers)(void *arg);
+	/* Returns the number of peers with more memory; NULL: none is known. */
+	uint32_t (*count_larger_peers)(void *arg);
 	void *arg;
 };
 
@@ -49,5 +51,6 @@
 uint32_t leader_count_evacuated(const struct leader *d);
 void leader_resign(struct leader *d);
 bool leader_is_active(const struct leader *d);
+uint32_t leader_count_learned_groups(const struct leader *d);
 
 #endif
--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -67,6 +67,16 @@
 #define FASTER_SHARE_MIN 0.2
 #define FASTER_LOSS_SHARE 0.6
 
+/* Longest wait that is estimated; a job that waits an hour has lost its value. */
+#define WAIT_ESTIMATE_MAX_MS 3600000
+
+/*
+ * The stages of a complete occurrence are kept for this long, in which upstreams
+ * may still list runs of it: the other members of a gang, or an earlier run that
+ * was taken for lost.
+ */
+#define RELEASE_DELAY_MS 60000
+
 /* A value above any loss. */
 #define VALUE_MANDATORY 1e9
 
@@ -120,6 +130,8 @@
 		return;
 	pack_record_stop(&p->pack, t);
 	t->state = TASK_STOPPING;
+	if (cause == STOP_PREEMPTED)
+		t->stage->preempted++;
 	g_array_append_val(p->actions, a);
 }
 
@@ -284,15 +296,42 @@
 /* Collect the candidates of all jobs and sort them. */
 static void collect_candidates(struct pass *p)
 {
+	uint64_t now_ms = p->input->now_ms;
+
 	for (guint i = 0; i < p->input->jobs->len; i++) {
 		struct job *j = g_ptr_array_index(p->input->jobs, i);
 
-		if (!job_is_final(j) && j->queue_known)
-			collect_job_candidates(p, j);
+		if (job_is_final(j) || !j->queue_known)
+			continue;
+		job_release_complete(j, now_ms - MIN(RELEASE_DELAY_MS, now_ms));
+		job_open_due(j, p->input->wall_ms);
+		collect_job_candidates(p, j);
 	}
 	g_array_sort(p->candidates, compare_candidates);
 }
 
+/*
+ * Estimate how long work of each rank waits to start: the time that all
+ * upstreams together need for what waits at this rank and above.
+ */
+static void estimate_waits(struct pass *p)
+{
+	double sum_ms[VALUE_RANKS] = {0}, total_ms = 0;
+
+	for (guint i = 0; i < p->candidates->len; i++) {
+		const struct candidate *c =
+			&g_array_index(p->candidates, struct candidate, i);
+
+		sum_ms[MIN(c->rank, VALUE_RANKS - 1)] +=
+			value_waiting_ms(&p->value, c->stage);
+	}
+	for (uint32_t rank = 0; rank < VALUE_RANKS; rank++) {
+		total_ms += sum_ms[rank];
+		p->value.wait_ms[rank] =
+			MIN(total_ms / MAX(p->pack.n, 1), WAIT_ESTIMATE_MAX_MS);
+	}
+}
+
 /* Stop all runs of j. */
 static void stop_job(struct pass *p, struct job *j, enum stop_cause cause)
 {
@@ -829,8 +868,10 @@
 	if (!p.candidates->len && !moves_possible(input))
 		goto out;
 	pack_begin(&p.pack, input->fleet, input->now_ms);
+	pack_measure_work(&p.pack, input->jobs, &p.value.mean_upstream);
 	if (moves_possible(input))
 		move_off_slow(&p);
+	estimate_waits(&p);
 	for (guint i = 0; i < p.candidates->len; i++) {
 		struct candidate *c =
 			&g_array_index(p.candidates, struct candidate, i);
--- a/sched/move.c
+++ b/sched/move.c
@@ -11,11 +11,7 @@
 #define PROGRESS_MIN_PERCENT 6
 /* From a decision to start until the run begins. */
 #define START_MS 100
-/*
- * Shares of the time to the objective: an end by staying must be beyond it by
- * this, and an end by moving before it.
- */
-#define LATE_MARGIN 0.05
+/* An end by moving must be before the objective by this share of it. */
 #define IN_TIME_MARGIN 0.05
 
 /* What is expected of a running gang, in milliseconds. */
@@ -79,13 +75,13 @@
 	past_ms = (double)v->now_ms - value_objective_start_ms(st);
 	after_ms = (double)st->value.critical_path_ms - st->value.run_ms;
 	stay_ms = past_ms + f.stay_ms + after_ms;
-	if (stay_ms < objective_ms * (1 + LATE_MARGIN))
+	if (stay_ms < objective_ms ||
+	    st->value.value_in_time - st->value.value_late <=
+		    value_work_loss(v, st))
 		return false;
 	if (!pack_choose_all(p, st, st->step->count, PACK_FREE))
 		return false;
 	move_ms = past_ms + v->stop_ms + START_MS +
 		  f.run_ms * chosen_slowdown(p) + after_ms;
-	return move_ms < objective_ms * (1 - IN_TIME_MARGIN) &&
-	       st->value.value_in_time - st->value.value_late >
-		       value_stop_loss(v, &st->tasks[0]);
+	return move_ms < objective_ms * (1 - IN_TIME_MARGIN);
 }
--- a/sched/value.c
+++ b/sched/value.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "sched/stoploss.h"
 #include "sched/value.h"
 
 /* Value by priority: urgent jobs, second priority, all others. */
@@ -37,6 +38,11 @@
  */
 #define ROOM_USED 0.85
 #define FAST_SLOWDOWN 0.7
+/*
+ * A job that ends in time with a smaller probability counts as late: plans for
+ * it would take the place of plans for jobs that can be saved.
+ */
+#define IN_TIME_PROBABILITY_MIN 0.05
 /* Progress below this many percent is not extrapolated. */
 #define PROGRESS_MIN_PERCENT 4
 
@@ -138,6 +144,7 @@
 	sv->value_late = sv->value_in_time * LATE_VALUE_SHARE;
 	sv->upstream_share = upstream_share(v, st);
 	sv->slowdown_allowed = slowdown_allowed(st, sv);
+	sv->waiting = stage_waiting_count(st);
 	sv->gang_stop_loss = -1;
 	sv->gang_release_ms = 0;
 	return sv;
@@ -193,8 +200,11 @@
 	const struct stage_value *sv = stage_value_of(v, st);
 	double gain = sv->value_in_time - sv->value_late;
 
-	if (sv->run.runs > 0)
-		return gain * in_time_probability(v, st);
+	if (sv->run.runs > 0) {
+		double p = in_time_probability(v, st);
+
+		return p < IN_TIME_PROBABILITY_MIN ? 0 : gain * p;
+	}
 	if (sv->slack_ms >= (int64_t)v->stop_ms)
 		return gain;
 	/* durations are uncertain, so it may still end in time */
@@ -273,32 +283,83 @@
 }
 
 /*
- * Return the value lost by stopping t, without the rest of its gang: the work
- * so far or since the last checkpoint, the time to stop, and the value of a job
- * that then ends late.
+ * Return the time that whole upstreams need for the waiting tasks of st, in
+ * milliseconds of one upstream.
  */
-static double task_loss(const struct value_context *v, const struct task *t)
+double value_waiting_ms(const struct value_context *v, struct stage *st)
+{
+	const struct stage_value *sv = stage_value_of(v, st);
+
+	return (double)sv->run_ms * sv->upstream_share * sv->waiting;
+}
+
+/* Return what is known of the run of t and of its job, but not its end. */
+static struct stoploss_run stoploss_facts(const struct value_context *v,
+					  const struct task *t)
+{
+	struct stage *st = t->stage;
+	const struct stage_value *sv = stage_value_of(v, st);
+	const struct step *step = st->step;
+
+	return (struct stoploss_run){
+		.ran_ms = v->now_ms - MIN(t->placed_ms, v->now_ms),
+		.expected_ms = sv->run_ms,
+		.critical_path_ms = sv->critical_path_ms,
+		.objective_ms = sv->objective_ms,
+		.slack_ms = sv->slack_ms,
+		.wait_ms = v->wait_ms[MIN(st->job->rank, VALUE_RANKS - 1)],
+		.stop_ms = v->stop_ms,
+		.checkpoint_ms = step->checkpoints ? v->checkpoint_ms : 0,
+		.others_wait = !step->gang && sv->waiting,
+		.value_in_time = sv->value_in_time,
+		.value_late = sv->value_late,
+	};
+}
+
+/*
+ * Return the value of the work that is lost by a stop of t, whose facts are r:
+ * its work so far or since the last checkpoint, and the time to stop.
+ */
+static double work_loss(const struct task *t, const struct stoploss_run *r)
 {
-	const struct stage_value *sv = stage_value_of(v, t->stage);
 	const struct resources *need = &t->stage->step->need;
-	uint64_t ran_ms = v->now_ms - MIN(t->placed_ms, v->now_ms);
-	uint64_t lost_ms = ran_ms;
-	double loss;
-
-	if (t->stage->step->checkpoints)
-		lost_ms = MIN(lost_ms, v->checkpoint_ms);
-	lost_ms += v->stop_ms;
-	loss = lost_ms / 1000.0 *
-	       (UPSTREAM_SECOND_VALUE * sv->upstream_share +
+
+	return stoploss_work_ms(r) / 1000.0 *
+	       (UPSTREAM_SECOND_VALUE * t->stage->value.upstream_share +
 		CORE_SECOND_COST * (need->cpu_milli / 1000.0 +
 				    need->accelerators * ACCELERATOR_CORES));
-	/* a job that then ends late loses most of its value */
-	if (!t->stage->step->long_running &&
-	    sv->slack_ms < (int64_t)v->stop_ms &&
-	    sv->slack_ms + (int64_t)ran_ms >= 0)
-		loss += (sv->value_in_time - sv->value_late) /
-			t->stage->step->count;
-	return loss;
+}
+
+/*
+ * Return the value lost by stopping t, without the rest of its gang: its work,
+ * and the value of a job that then ends late. Long-running work has no end.
+ */
+static double task_loss(const struct value_context *v, const struct task *t)
+{
+	const struct stage *st = t->stage;
+	struct stoploss_run r = stoploss_facts(v, t);
+	double loss = work_loss(t, &r);
+
+	if (st->step->long_running)
+		return loss;
+	r.remaining_ms = value_release_ms(v, t);
+	return loss * stoploss_repeat_factor(st->preempted, st->step->count) +
+	       stoploss_value(&r) / st->step->count;
+}
+
+/* Return the value of the work that is lost by stopping all runs of st. */
+double value_work_loss(const struct value_context *v, const struct stage *st)
+{
+	double sum = 0;
+
+	for (uint32_t i = 0; i < st->step->count; i++)
+		if (task_is_active(&st->tasks[i])) {
+			struct stoploss_run r =
+				stoploss_facts(v, &st->tasks[i]);
+
+			sum += work_loss(&st->tasks[i], &r);
+		}
+	return sum;
 }
 
 /* Return the value lost by stopping t and the rest of its gang. */
--- a/test/unit_accept.c
+++ b/test/unit_accept.c
@@ -17,6 +17,7 @@
 
 #include "entry/entry.h"
 #include "entry/jobcache.h"
+#include "lead/admissionrow.h"
 #include "lead/expire.h"
 #include "lead/record.h"
 #include "lib/http.h"
@@ -28,6 +29,9 @@
 /* Requests are sent during this time. */
 #define REQUESTS_MS 600
 #define DEADLINE_HEADER "Lacewingspur-Deadline-Ms: 400\r\n"
+#define ACCOUNT_KEY "key"
+#define ACCOUNT_HEADERS                                                        \
+	DEADLINE_HEADER "Authorization: Bearer " ACCOUNT_KEY "\r\n"
 #define CALL_TIMEOUT_MS 3000
 /*
  * Cancel requests and ended jobs are kept for this long: until the last write
@@ -157,6 +161,9 @@
 	struct timer pass;
 	struct told told[JOB_COUNT];
 	GPtrArray *planned;
+	/* Memory of the weakest instance; 0: not known. */
+	uint32_t memory_mb;
+	uint32_t over_memory; /* submissions refused as memory is short */
 	uint64_t began_ms;
 	bool ends; /* all calls end at once */
 	uint32_t late_writes, accepted, cancelled, refused, reused;
@@ -475,7 +482,8 @@
 		w->site->accepted++;
 		w->accepted = true;
 	} else if (ran && !y->cancel &&
-		   (r->status == 503 || r->status == 409)) {
+		   (r->status == 503 || r->status == 409 || r->status == 429)) {
+		w->site->over_memory += r->status == 429;
 		w->site->refused++;
 		w->rejections++;
 	}
@@ -640,6 +648,13 @@
 	return at;
 }
 
+static struct job_memory_limits limits_of(void *arg)
+{
+	const struct site *s = arg;
+
+	return (struct job_memory_limits){s->memory_mb, ENTRY_COUNT};
+}
+
 static void node_create(struct node *n, struct site *s)
 {
 	struct replica_events jobs = {.changed = on_job_row};
@@ -663,7 +678,9 @@
 			       .settings = &n->settings,
 			       .policies = n->policies,
 			       .jobs = n->jobs,
-			       .states = n->states};
+			       .states = n->states,
+			       .memory_limits = limits_of,
+			       .arg = s};
 	n->entry = entry_create(&e);
 	assert_non_null(n->entry);
 	entry_set_policy(n->entry, s->policy);
@@ -770,10 +787,11 @@
 	}
 }
 
-static void run_seed(uint32_t seed)
+static void run_seed(uint32_t seed, uint32_t memory_mb)
 {
 	struct site *s = site_create(seed);
 
+	s->memory_mb = memory_mb;
 	run_until(s, clock_mono_ms() + 200);
 	s->began_ms = clock_mono_ms();
 	timer_start(s->loop, &s->pass, PASS_INTERVAL_MS);
@@ -795,6 +813,7 @@
 		      s->late_writes);
 	assert_true(s->accepted && s->cancelled && s->refused &&
 		    s->late_writes && s->reused);
+	assert_int_equal(s->over_memory > 0, memory_mb > 0);
 	check_end(s);
 	site_destroy(s);
 }
@@ -811,10 +830,21 @@
 
 	(void)state;
 	for (char **p = list; *p; p++)
-		run_seed(atoi(*p));
+		run_seed(atoi(*p), 0);
 	g_strfreev(list);
 }
 
+/*
+ * Guards against a job that is stored though each of its submissions was refused
+ * as memory is short, and against memory that ended jobs keep occupied.
+ */
+static void test_answers_stay_true_when_memory_is_short(void **state)
+{
+	(void)state;
+	for (uint32_t seed = 5; seed < 8; seed++)
+		run_seed(seed, 1);
+}
+
 /*
  * Guards against entries of cancelled IDs that stay when their rows are gone,
  * and against a state that is lost when a cancel request arrives first.
@@ -863,12 +893,91 @@
 	assert_int_equal(n, 40);
 }
 
+static void on_status(void *arg, const struct http_result *r)
+{
+	*(int *)arg = r->status;
+}
+
+/* Submit a job of 2.5 s and this many accelerators; returns the status. */
+static int submit_sized(struct site *s, const char *id, uint32_t accelerators)
+{
+	char *path = g_strconcat("/q/", id, NULL);
+	char *body = g_strdup_printf(
+		"{\"spec\":\"\",\"steps\":[{\"count\":1,\"cpu\":1,"
+		"\"memMb\":1,\"gpu\":%u,\"estimateMs\":2500}]}",
+		accelerators);
+	uint64_t until_ms = clock_mono_ms() + CALL_TIMEOUT_MS;
+	int status = 0;
+
+	assert_non_null(http_call_start_with_headers(
+		s->nodes[0].pool, "POST", path, ACCOUNT_HEADERS, body,
+		CALL_TIMEOUT_MS, on_status, &status));
+	while (!status && clock_mono_ms() < until_ms)
+		step(s->loop);
+	g_free(body);
+	g_free(path);
+	return status;
+}
+
+/* Give the first entry a row of a decision that was written age_ms ago. */
+static void apply_overload(struct site *s, uint64_t age_ms)
+{
+	struct admission *a = admission_create();
+	struct admission_queue q = {.wait_ms = 60000, .fair_wait_ms = 60000};
+	uint64_t store_ms = replica_store_clock_ms(s->nodes[0].jobs);
+	char *value;
+
+	g_strlcpy(q.name, "q", sizeof(q.name));
+	g_array_append_val(a->queues, q);
+	value = admission_row_encode(a, store_ms - age_ms);
+	assert_non_null(value);
+	entry_apply_admission_row(s->nodes[0].entry, value);
+	free(value);
+	admission_destroy(a);
+}
+
+/*
+ * Under overload an urgent job that cannot have any value is refused with 429
+ * and is not stored. A job within its account's guarantee, one that was accepted
+ * before, and all without a row that is current are accepted. Guards against
+ * refusals of what is promised, and against a row that outlives its leader.
+ */
+static void test_overload_refuses_what_is_not_promised(void **state)
+{
+	struct site *s = site_create(1);
+	struct account *a = policy_add_account(s->policy);
+
+	(void)state;
+	s->ends = true;
+	s->policy->queues[0].slack_factor = 1.5;
+	s->policy->queues[0].target_ms = 250;
+	g_strlcpy(a->name, "small", sizeof(a->name));
+	a->keys = g_strsplit(ACCOUNT_KEY, " ", -1);
+	a->guaranteed = 4;
+	run_until(s, clock_mono_ms() + 200);
+	assert_int_equal(submit_sized(s, "00000000000000a1", 8), 200);
+	run_until(s, clock_mono_ms() + 200);
+	apply_overload(s, 0);
+	assert_int_equal(submit_sized(s, "00000000000000a2", 8), 429);
+	assert_null(find_row(s, JOB_TABLE, KEY_JOB, "00000000000000a2"));
+	assert_int_equal(submit_sized(s, "00000000000000a3", 4), 200);
+	assert_int_equal(submit_sized(s, "00000000000000a1", 8), 200);
+	apply_overload(s, ADMISSION_AGE_MAX_MS + 1);
+	assert_int_equal(submit_sized(s, "00000000000000a2", 8), 200);
+	apply_overload(s, 0);
+	entry_apply_admission_row(s->nodes[0].entry, NULL);
+	assert_int_equal(submit_sized(s, "00000000000000a4", 8), 200);
+	site_destroy(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_answers_stay_true_when_writes_are_late),
+		cmocka_unit_test(test_answers_stay_true_when_memory_is_short),
 		cmocka_unit_test(test_cache_forgets_cancelled_ids),
 		cmocka_unit_test(test_rate_limit_allows_a_burst_and_a_rate),
+		cmocka_unit_test(test_overload_refuses_what_is_not_promised),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -16,7 +16,9 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "lead/admissionrow.h"
 #include "lead/leader.h"
+#include "lead/learned.h"
 #include "lead/record.h"
 #include "lib/counter.h"
 #include "lib/http.h"
@@ -60,15 +62,20 @@
 	const char *recorded_address; /* of the upstream in that row */
 	char *owner;		      /* the owner row, or NULL */
 	char *written_owner;	      /* as in the last write */
+	char *written_admission;      /* the newest, or NULL */
+	uint32_t admission_writes;    /* writes that hold that row */
+	uint32_t admission_removals;  /* writes that remove it */
 	bool store_is_silent;
 	bool starts_are_late; /* the upstream refuses starts as late */
 	bool yields_are_lost; /* the store falls silent with a resignation */
 	/* So many reads of this table are of the store as it began. */
 	const char *stale_table;
+	const char *silent_table; /* reads of it are not answered, or NULL */
 	uint32_t stale_reads;
 	uint32_t stronger_peers;
 	uint32_t writes;
 	uint32_t run_writes;	     /* writes that hold a run row */
+	uint32_t learned_writes;     /* writes that hold a learned row */
 	char *entry;		     /* of the only sound upstream, or NULL */
 	char *address;		     /* of that upstream */
 	const char *const (*odd)[2]; /* further entries: ids and values */
@@ -190,14 +197,33 @@
 			s->completed += strstr(value, "completed") != NULL;
 		if (strcmp(table, OWNER_TABLE)) {
 			g_free(value);
-			continue;
+		} else if (!strcmp(json_str_or(item, "key", ""),
+				   KEY_ADMISSION)) {
+			g_free(s->written_admission);
+			s->written_admission = value;
+			s->admission_writes++;
+		} else {
+			g_free(s->written_owner);
+			s->written_owner = value;
 		}
-		g_free(s->written_owner);
-		s->written_owner = value;
 	}
 	json_decref(v);
 }
 
+/* Report whether a write removes the admission row. */
+static bool removes_admission(const char *body)
+{
+	json_t *v = json_loads(body, 0, NULL);
+	const json_t *item;
+	bool found = false;
+	size_t i;
+
+	json_array_foreach(json_object_get(v, "remove"), i, item) found |=
+		!strcmp(json_str_or(item, "key", ""), KEY_ADMISSION);
+	json_decref(v);
+	return found;
+}
+
 /* Report whether the last write named no leader. */
 static bool owner_is_nobody(const struct fixture *s)
 {
@@ -235,6 +261,8 @@
 			s->store_is_silent = true;
 		s->writes++;
 		s->run_writes += strstr(body, RUN_TABLE) != NULL;
+		s->admission_removals += removes_admission(body);
+		s->learned_writes += strstr(body, LEARNED_TABLE) != NULL;
 	}
 	c->fixture = s;
 	c->path = g_strdup(path);
@@ -249,7 +277,8 @@
 	c->body = json_dumps(v, JSON_COMPACT);
 	json_decref(v);
 	g_ptr_array_add(s->calls, c);
-	if (!strstr(path, "rows-feed") && !s->store_is_silent)
+	if (!strstr(path, "rows-feed") && !s->store_is_silent &&
+	    !(s->silent_table && strstr(path, s->silent_table)))
 		timer_start(s->loop, &c->timer, write ? s->write_delay_ms : 1);
 	return true;
 }
@@ -427,6 +456,7 @@
 	s->settings.heartbeat_ms = 1500;
 	s->settings.stop_ms = 200;
 	s->settings.reclaim_ms = 3000;
+	s->settings.value_max_bytes = BODY_MAX;
 	fill_store(s);
 	s->rows = rows_create(send_to_store, s);
 	s->owners = replica_create(s->loop, s->rows, OWNER_TABLE,
@@ -475,6 +505,7 @@
 	free(s->run);
 	g_free(s->owner);
 	g_free(s->written_owner);
+	g_free(s->written_admission);
 	json_decref(s->running);
 	json_decref(s->ended);
 	loop_destroy(s->loop);
@@ -1647,9 +1678,105 @@
 	}
 }
 
+/* Return the spec row of a job that keeps the upstream busy for long. */
+static char *encode_long_spec(const struct queue *q)
+{
+	struct job *j = job_create(JOB);
+	struct step *step = job_add_step(j);
+	char *row;
+
+	queue_configure_job(q, j);
+	j->payload = g_strdup("");
+	step->count = 100;
+	step->need = (struct resources){1000, 1000, 0};
+	step->estimate_ms = 1000;
+	row = spec_encode(j);
+	job_destroy(j);
+	return row;
+}
+
+/*
+ * A leader without a backlog writes no row about admission. With one that leaves
+ * new jobs without value it writes the row, renews it while that lasts, and
+ * removes it once when the job is cancelled. Guards against writes on sites
+ * without overload, a row that ages while the overload lasts, and refusals after
+ * it.
+ */
+static void test_admission_row_lasts_as_long_as_the_overload(void **state)
+{
+	struct fixture s;
+	struct admission *a;
+	uint64_t written_ms;
+	uint32_t writes;
+
+	(void)state;
+	fixture_create(&s, 5);
+	run_for(&s, 4000);
+	assert_true(leader_is_active(s.leader));
+	assert_int_equal(s.admission_writes + s.admission_removals, 0);
+	free(s.spec);
+	s.spec = encode_long_spec(&s.policy->queues[0]);
+	submit_job(&s);
+	run_for(&s, 10000);
+	assert_non_null(s.written_admission);
+	assert_in_range(s.admission_writes, 5, 21);
+	assert_int_equal(s.admission_removals, 0);
+	a = admission_row_decode(s.written_admission, &written_ms);
+	assert_non_null(a);
+	assert_int_equal(a->queues->len, 1);
+	assert_true(written_ms + ADMISSION_AGE_MAX_MS > clock_mono_ms());
+	admission_destroy(a);
+	leader_apply_job_row(s.leader, KEY_CANCEL JOB, "{}");
+	run_for(&s, 2000);
+	writes = s.admission_writes;
+	run_for(&s, 4000);
+	assert_int_equal(s.admission_writes, writes);
+	assert_int_equal(s.admission_removals, 1);
+	fixture_destroy(&s);
+}
+
+/*
+ * Guards against a leader that waits for what was learned before it starts
+ * jobs, or that writes over it before it was read.
+ */
+static void test_learned_rows_that_do_not_arrive_delay_nothing(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, 5);
+	s.silent_table = LEARNED_TABLE;
+	s.ended = json_array();
+	s.has_job = true;
+	step_until_start(&s, START_MAX_MS);
+	assert_int_equal(s.starts, 1);
+	run_for(&s, 5000);
+	assert_true(s.completed > 0);
+	assert_int_equal(s.learned_writes, 0);
+	fixture_destroy(&s);
+}
+
+/* Guards against a leader that learns from runs and does not keep it. */
+static void test_what_was_learned_is_written_with_the_other_rows(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, 5);
+	s.ended = json_array();
+	s.has_job = true;
+	step_until_start(&s, START_MAX_MS);
+	run_for(&s, 10000);
+	assert_true(s.completed > 0);
+	assert_in_range(s.learned_writes, 1, 2);
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			test_admission_row_lasts_as_long_as_the_overload),
 		cmocka_unit_test(test_job_of_predecessor_is_started),
 		cmocka_unit_test(test_job_is_started_while_writes_are_slow),
 		cmocka_unit_test(
@@ -1704,6 +1831,10 @@
 		cmocka_unit_test(test_job_without_its_row_keeps_its_runs),
 		cmocka_unit_test(test_stale_read_of_runs_starts_no_task_again),
 		cmocka_unit_test(test_job_whose_runs_are_unreadable_waits),
+		cmocka_unit_test(
+			test_learned_rows_that_do_not_arrive_delay_nothing),
+		cmocka_unit_test(
+			test_what_was_learned_is_written_with_the_other_rows),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
