--- a/lead/leader.c
+++ b/lead/leader.c
@@ -715,6 +715,11 @@
 	struct admission *a, *before = d->admission;
 	bool changed;
 
+	if (!d->env.settings->refuses_overload) {
+		admission_destroy(d->admission);
+		d->admission = NULL;
+		return false;
+	}
 	if (in.now_ms < d->admission_decided_ms + ADMISSION_INTERVAL_MS)
 		return false;
 	d->admission_decided_ms = in.now_ms;
--- a/test/unit_leader.c
+++ b/test/unit_leader.c
@@ -1695,6 +1695,25 @@
 	return row;
 }
 
+/*
+ * Guards against refusals on a site whose settings do not ask for them: with the
+ * backlog of the next test no row is written.
+ */
+static void test_no_admission_row_without_the_setting(void **state)
+{
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s, 5);
+	run_for(&s, 4000);
+	free(s.spec);
+	s.spec = encode_long_spec(&s.policy->queues[0]);
+	submit_job(&s);
+	run_for(&s, 10000);
+	assert_int_equal(s.admission_writes + s.admission_removals, 0);
+	fixture_destroy(&s);
+}
+
 /*
  * A leader without a backlog writes no row about admission. With one that leaves
  * new jobs without value it writes the row, renews it while that lasts, and
@@ -1711,6 +1730,7 @@
 
 	(void)state;
 	fixture_create(&s, 5);
+	s.settings.refuses_overload = true;
 	run_for(&s, 4000);
 	assert_true(leader_is_active(s.leader));
 	assert_int_equal(s.admission_writes + s.admission_removals, 0);
@@ -1775,6 +1795,7 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_no_admission_row_without_the_setting),
 		cmocka_unit_test(
 			test_admission_row_lasts_as_long_as_the_overload),
 		cmocka_unit_test(test_job_of_predecessor_is_started),
