Keep names of any length: accounts, routes, services, labels, IDs

Cause: the decoder read names into buffers of 64 bytes and left out an item whose name did not fit. Routes and services, labels and images of steps, texts and IDs of upstreams, names in the settings and the groups of learned durations had such bounds too; the last merged two long names that begin alike.

Change: texts are counted references (sched/text.c), quarks, or owned by the policy; none has a bound of ours. What does not fit into a row, a key or a log record is refused, or left out with a log line and a counter. A label that only a caller names no longer becomes a quark, which is never freed.

--- a/config/policy.c
+++ b/config/policy.c
@@ -17,8 +17,18 @@
 {
 	if (!p)
 		return;
-	for (uint32_t i = 0; i < p->accounts_len; i++)
+	for (uint32_t i = 0; i < p->queues_len; i++) {
+		g_free(p->queues[i].name);
+		g_free(p->queues[i].host);
+		g_free(p->queues[i].prefix);
+		g_free(p->queues[i].service);
+	}
+	for (uint32_t i = 0; i < p->services_len; i++)
+		g_free(p->services[i].name);
+	for (uint32_t i = 0; i < p->accounts_len; i++) {
+		g_free(p->accounts[i].name);
 		g_strfreev(p->accounts[i].keys);
+	}
 	g_free(p->queues);
 	g_free(p->services);
 	g_free(p->accounts);
@@ -87,7 +97,7 @@
 /* Give j the queue and its settings. */
 void queue_configure_job(const struct queue *q, struct job *j)
 {
-	g_strlcpy(j->queue, q->name, sizeof(j->queue));
+	text_set(&j->queue, q->name);
 	j->queue_known = true;
 	job_set_service(j, q->service);
 	j->priority = q->priority;
--- a/config/policy.h
+++ b/config/policy.h
@@ -1,6 +1,7 @@
 /*
  * The configuration that the operators of a joint platform provide:
- * queues, services and client accounts.  A policy is immutable once read.
+ * queues, services and client accounts.  A policy is immutable once read, and
+ * owns its texts, which may have any length.
  */
 #ifndef CONFIG_POLICY_H
 #define CONFIG_POLICY_H
@@ -17,10 +18,10 @@
 #define QUEUE_TARGET_MAX_MS (INT64_C(366) * 24 * 60 * 60 * 1000)
 
 struct queue {
-	char name[LABEL_BYTES];
-	char host[128];
-	char prefix[256]; /* of the path */
-	char service[LABEL_BYTES];
+	char *name;
+	char *host;
+	char *prefix; /* of the path */
+	char *service;
 	uint32_t priority; /* 0 is the most urgent */
 	uint32_t max_attempts;
 	uint32_t timeout_ms;
@@ -31,13 +32,13 @@
 };
 
 struct service {
-	char name[LABEL_BYTES];
+	char *name;
 	bool enforces_capacity; /* its upstreams refuse excess work */
 	bool standby;
 };
 
 struct account {
-	char name[LABEL_BYTES];
+	char *name;
 	char **keys;	    /* ends with NULL */
 	int64_t guaranteed; /* accelerators; 0 for none */
 };
@@ -51,6 +52,7 @@
 	uint32_t accounts_len;
 	struct account *accounts;
 	uint32_t max_body_bytes;
+	uint32_t refused_parts; /* malformed items, which were left out */
 };
 
 struct policy *policy_create(uint64_t version);
--- a/daemon/joint.c
+++ b/daemon/joint.c
@@ -106,7 +106,7 @@
 			 uint64_t version)
 {
 	struct joint *j = arg;
-	struct peer_record p;
+	struct peer_record p = {.domain = NULL};
 	const char *name = key + strlen(KEY_INSTANCE);
 
 	if (!strcmp(key, KEY_OWNER))
@@ -118,6 +118,7 @@
 				  value && peer_record_decode(name, value, &p)
 					  ? &p
 					  : NULL);
+	peer_record_clear(&p);
 }
 
 static void on_registered(void *arg, const struct rows_answer *a)
@@ -154,7 +155,7 @@
 	     clock_mono_ms() < j->registered_ms + ROSTER_INTERVAL_MS))
 		return;
 	j->registering = true;
-	g_strlcpy(p.domain, j->settings->domain, sizeof(p.domain));
+	p.domain = j->settings->domain;
 	p.written_ms = replica_store_clock_ms(j->owners);
 	p.strength = own_strength(j);
 	p.memory_mb = j->settings->memory_mb;
@@ -241,6 +242,8 @@
 		policy_destroy(p);
 		return;
 	}
+	counter_add(j->counters, "policy_parts_refused", NULL,
+		    p->refused_parts);
 	j->policy = p;
 	entry_set_policy(j->entry, p);
 	leader_apply_policy(j->leader, p);
@@ -310,6 +313,7 @@
 		"lacewing_peers %u\n"
 		"lacewing_store_by_peers %d\n"
 		"lacewing_log_lost %llu\n"
+		"lacewing_log_shortened %llu\n"
 		"lacewing_evacuated_domains %u\n"
 		"lacewing_job_memory_bytes %llu\n"
 		"lacewing_job_memory_bound_bytes %llu\n",
@@ -317,6 +321,7 @@
 		leader_count_learned_groups(j->leader),
 		relay_count_peers(j->relay), relay_uses_peers(j->relay),
 		(unsigned long long)log_lost(),
+		(unsigned long long)log_shortened(),
 		leader_count_evacuated(j->leader),
 		(unsigned long long)entry_job_memory_bytes(j->entry),
 		(unsigned long long)entry_job_memory_bound_bytes(j->entry));
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -119,7 +119,7 @@
 	struct http_exchange *exchange;
 	enum entry_request_kind kind;
 	char id[JOB_ID_BYTES];
-	char account[LABEL_BYTES];
+	const char *account; /* a held text */
 	/* encoded submission; NULL: none, or it does not fit into memory */
 	char *write;
 	bool counted; /* job_memory counts it because of this request */
@@ -232,6 +232,7 @@
 {
 	timer_stop(r->entry->env.loop, &r->timer);
 	free(r->write);
+	text_clear(&r->account);
 	g_free(r);
 }
 
@@ -325,9 +326,11 @@
 static void on_submit_conflict(struct request *r, const struct rows_answer *a)
 {
 	const char *job = find_value(r, a, KEY_JOB);
-	struct job_record j;
+	struct job_record j = {0};
+	bool own = job && job_decode(job, &j) && !strcmp(j.account, r->account);
 
-	if (job && job_decode(job, &j) && !strcmp(j.account, r->account))
+	job_record_clear(&j);
+	if (own)
 		finish_request(r, 200, "was accepted before", 0);
 	else if (job)
 		finish_request(r, 409, "the id belongs to another job", 0);
@@ -640,7 +643,7 @@
 	r->received_ms = clock_mono_ms();
 	r->deadline_ms = compute_deadline_ms(x, r->received_ms);
 	g_strlcpy(r->id, id, sizeof(r->id));
-	g_strlcpy(r->account, account, sizeof(r->account));
+	text_set(&r->account, account);
 	timer_init(&r->timer, on_retry_timer, r);
 	return r;
 }
@@ -786,7 +789,7 @@
 		return;
 	}
 	queue_configure_job(q, j);
-	g_strlcpy(j->account, account, sizeof(j->account));
+	text_set(&j->account, account);
 	j->received_ms = replica_store_clock_ms(n->env.jobs);
 	retry_after_ms = overload_retry_after_ms(n, j);
 	j->submitted_wall_ms = clock_wall_ms();
@@ -888,23 +891,21 @@
 }
 
 /*
- * Find the caller's account by its API key and write its name to account, or ""
- * if the caller has no known key. Returns false if the caller is not admitted:
- * it has no known key and the queue does not allow anonymous callers.
+ * Find the caller's account by its API key and set *account to its name, which
+ * belongs to the policy, or to "" if the caller has no known key. Returns false
+ * if the caller is not admitted: it has no known key and the queue does not allow
+ * anonymous callers.
  */
 static bool authenticate_caller(const struct entry *n,
 				const struct http_exchange *x,
-				const struct queue *q, char *account,
-				size_t len)
+				const struct queue *q, const char **account)
 {
 	char *key = ingress_api_key(x);
 	const struct account *a =
 		key ? policy_find_account(n->policy, key) : NULL;
 
-	*account = '\0';
+	*account = a ? a->name : "";
 	g_free(key);
-	if (a)
-		g_strlcpy(account, a->name, len);
 	return a || q->allows_anonymous;
 }
 
@@ -951,7 +952,7 @@
 {
 	const char *path = exchange_path(x), *id = path;
 	char *host = exchange_host(x);
-	char account[LABEL_BYTES];
+	const char *account;
 	const struct queue *q = NULL;
 	enum entry_request_kind kind = ENTRY_REQUEST_STATE;
 	bool known;
@@ -966,7 +967,7 @@
 			       STORE_RETRY_AFTER_MS);
 	else if (!q)
 		reject_request(n, x, kind, id, 404, "no such queue", 0);
-	else if (!authenticate_caller(n, x, q, account, sizeof(account)))
+	else if (!authenticate_caller(n, x, q, &account))
 		reject_request(n, x, kind, id, 401, "unknown key", 0);
 	else if (!known)
 		reject_request(n, x, kind, id, 405, "no such method", 0);
--- a/entry/jobcache.c
+++ b/entry/jobcache.c
@@ -15,13 +15,21 @@
 	uint64_t live_bytes;
 };
 
+static void cached_job_free(void *p)
+{
+	struct cached_job *j = p;
+
+	job_record_clear(&j->record);
+	g_free(j);
+}
+
 /* Create an empty cache. */
 struct job_cache *job_cache_create(void)
 {
 	struct job_cache *c = g_new0(struct job_cache, 1);
 
-	c->jobs =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	c->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					cached_job_free);
 	return c;
 }
 
@@ -47,13 +55,13 @@
 
 static bool is_refused_id(const struct cached_job *j)
 {
-	return j->cancelled && !*j->record.queue;
+	return j->cancelled && !j->record.queue;
 }
 
 /* Return what an entry counts for in the memory of the leader. */
 static uint64_t live_bytes_of(const struct cached_job *j)
 {
-	return *j->record.queue && !job_state_is_final(j->state)
+	return j->record.queue && !job_state_is_final(j->state)
 		       ? j->record.bytes
 		       : 0;
 }
@@ -68,7 +76,7 @@
 	c->refused_ids += is_refused_id(j);
 	c->live_bytes -= live_bytes_of(before);
 	c->live_bytes += live_bytes_of(j);
-	if (!*j->record.queue && !j->cancelled && j->state == JOB_QUEUED)
+	if (!j->record.queue && !j->cancelled && j->state == JOB_QUEUED)
 		g_hash_table_remove(c->jobs, id);
 }
 
@@ -93,6 +101,7 @@
 	if (!value)
 		j->state = JOB_QUEUED;
 	note_change(c, id, &before);
+	job_record_clear(&before.record);
 }
 
 /* Apply a cancel request, or its removal if value is NULL. */
@@ -143,7 +152,7 @@
 {
 	const struct cached_job *j = g_hash_table_lookup(c->jobs, id);
 
-	return j && *j->record.queue ? j : NULL;
+	return j && j->record.queue ? j : NULL;
 }
 
 /* Return the entry of a job, even if its row has not arrived yet, or NULL. */
@@ -177,7 +186,7 @@
 		const struct cached_job *j = v;
 
 		n += j->state == JOB_QUEUED && !j->cancelled &&
-		     !strcmp(j->record.queue, queue);
+		     j->record.queue && !strcmp(j->record.queue, queue);
 	}
 	return n;
 }
--- a/entry/jobcache.h
+++ b/entry/jobcache.h
@@ -7,7 +7,7 @@
 struct job_cache;
 
 struct cached_job {
-	struct job_record record; /* its queue is empty if there is no job */
+	struct job_record record; /* its queue is NULL if there is no job */
 	enum job_state state;
 	bool cancelled; /* a request to cancel it is recorded */
 };
--- a/lead/admissionrow.c
+++ b/lead/admissionrow.c
@@ -50,7 +50,7 @@
 
 	if (wait_ms < 0 || fair_wait_ms < 0)
 		return;
-	g_strlcpy(q.name, json_str_or(v, "queue", ""), sizeof(q.name));
+	text_set(&q.name, json_str_or(v, "queue", ""));
 	q.wait_ms = wait_ms;
 	q.fair_wait_ms = MIN(fair_wait_ms, wait_ms);
 	g_array_append_val(a->queues, q);
--- a/lead/expire.c
+++ b/lead/expire.c
@@ -200,13 +200,14 @@
 			    uint64_t version)
 {
 	struct instance_removal *r = arg;
-	struct peer_record p;
+	struct peer_record p = {.domain = NULL};
 
 	(void)version;
 	if (rows_tx_count_entries(r->tx) < EXPIRE_ROWS_MAX &&
 	    (!peer_record_decode(key + strlen(KEY_INSTANCE), value, &p) ||
 	     peer_record_is_expired(&p, replica_answer_clock_ms(r->owners))))
 		rows_tx_remove(r->tx, OWNER_TABLE, key);
+	peer_record_clear(&p);
 }
 
 /*
--- a/lead/leader.c
+++ b/lead/leader.c
@@ -346,6 +346,7 @@
 		g_hash_table_remove(d->odd_entries, id);
 		return true;
 	}
+	counter_add(d->env.counters, "upstream_entries_refused", NULL, 1);
 	if (g_hash_table_add(d->odd_entries, g_strdup(id)))
 		log_fields(LOG_WARN, "bad_upstream_entry", "{s:s}", "upstream",
 			   id);
@@ -753,10 +754,18 @@
 		return;
 	value = admission_row_encode(d->admission,
 				     replica_store_clock_ms(d->env.owners));
-	if (!value)
-		return;
-	rows_tx_put(t, OWNER_TABLE, KEY_ADMISSION, value);
-	d->admission_put_ms = now;
+	if (value && strlen(value) <= d->env.settings->value_max_bytes) {
+		rows_tx_put(t, OWNER_TABLE, KEY_ADMISSION, value);
+		d->admission_put_ms = now;
+	} else {
+		/* the store would refuse the whole write */
+		log_fields(LOG_WARN, "admission_row_left_out", "{s:i,s:i}",
+			   "bytes", value ? (int)strlen(value) : 0,
+			   "bound_bytes",
+			   (int)d->env.settings->value_max_bytes);
+		counter_add(d->env.counters, "admission_rows_left_out", NULL,
+			    1);
+	}
 	free(value);
 }
 
--- a/lead/learned.c
+++ b/lead/learned.c
@@ -140,6 +140,7 @@
 	GString *text;
 	GPtrArray *names;  /* of its entries */
 	GHashTable *saved; /* where their values are kept; may be NULL */
+	uint32_t left_out; /* entries that do not fit into the row */
 };
 
 static uint32_t row_of(const struct learned_list *list, const char *name)
@@ -190,13 +191,13 @@
 		return;
 	g_ptr_array_add(w->names, g_strdup(e->name));
 	save_values(w->saved, e->name, e->values, e->values_len);
-	if (strlen(e->name) > LEARNED_NAME_MAX_BYTES)
-		return;
 	text = encode_entry(e);
 	if (text &&
 	    w->text->len + strlen(text) + ROW_FRAME_BYTES <= w->max_bytes)
 		g_string_append_printf(w->text, "%s%s", w->text->len ? "," : "",
 				       text);
+	else
+		w->left_out++;
 	free(text);
 }
 
@@ -236,8 +237,7 @@
 	double values[LEARNED_VALUES_MAX];
 	const char *name = json_string_value(json_array_get(v, 0));
 
-	if (!name || strlen(name) > LEARNED_NAME_MAX_BYTES ||
-	    json_array_size(v) != list->values_len + 1)
+	if (!name || json_array_size(v) != list->values_len + 1)
 		return false;
 	for (uint32_t i = 0; i < list->values_len; i++) {
 		const json_t *number = json_array_get(v, i + 1);
@@ -398,6 +398,14 @@
 
 	for (guint i = 0; list->note_saved && i < w.names->len; i++)
 		list->note_saved(list->arg, g_ptr_array_index(w.names, i));
+	if (w.left_out) {
+		log_fields(LOG_WARN, "learned_entries_left_out",
+			   "{s:s,s:i,s:i,s:i}", "list", list->prefix, "row",
+			   (int)row, "entries", (int)w.left_out, "bound_bytes",
+			   (int)w.max_bytes);
+		counter_add(k->counters, "learned_entries_left_out", NULL,
+			    w.left_out);
+	}
 	value = finish_row(&w, store_ms);
 	if (any) {
 		g_snprintf(key, sizeof(key), "%s%u", list->prefix, row);
--- a/lead/learned.h
+++ b/lead/learned.h
@@ -23,14 +23,12 @@
 
 /* A named entry of a list. */
 struct learned_entry {
-	const char *name; /* up to LEARNED_NAME_MAX_BYTES, UTF-8 */
+	const char *name; /* UTF-8 */
 	const double *values;
 	uint32_t values_len;
 	bool changed; /* enough to be saved again; see note_saved */
 };
 
-#define LEARNED_NAME_MAX_BYTES 256
-
 typedef void (*learned_entry_fn)(void *arg, const struct learned_entry *e);
 
 /*
--- a/lead/record.c
+++ b/lead/record.c
@@ -69,8 +69,9 @@
 	const json_t *instance = json_object_get(v, "instance");
 	int64_t epoch = json_int_or(v, "epoch", -1);
 	int64_t earlier_ms = json_int_or(v, "earlier_ms", TENURE_MS);
-	bool ok =
-		json_is_string(instance) && epoch >= 0 && epoch <= COUNTER_MAX;
+	bool ok = json_is_string(instance) &&
+		  json_string_length(instance) < sizeof(o->instance) &&
+		  epoch >= 0 && epoch <= COUNTER_MAX;
 
 	memset(o, 0, sizeof(*o));
 	if (ok) {
@@ -137,7 +138,22 @@
 	return encode_value(v, JOB_TABLE, j->id);
 }
 
-/* Decode a value of job_encode; returns false for a malformed value. */
+/*
+ * Hold the string called name in o, empty if there is none, as *to. Returns false
+ * if it is of another type.
+ */
+static bool read_text(const json_t *o, const char *name, const char **to)
+{
+	const json_t *v = json_object_get(o, name);
+
+	text_set(to, json_str_or(o, name, ""));
+	return !v || json_is_string(v);
+}
+
+/*
+ * Decode a value of job_encode; returns false for a malformed value. The texts
+ * of r are released with job_record_clear.
+ */
 bool job_decode(const char *text, struct job_record *r)
 {
 	json_t *v = json_loads(text, 0, NULL);
@@ -145,16 +161,24 @@
 	bool ok;
 
 	memset(r, 0, sizeof(*r));
-	ok = json_read_str(v, "queue", r->queue, sizeof(r->queue)) &&
-	     json_read_str(v, "account", r->account, sizeof(r->account)) &&
-	     *r->queue;
+	ok = read_text(v, "queue", &r->queue) &&
+	     read_text(v, "account", &r->account) && *r->queue;
 	if (!json_read_int(v, "bytes", 0, JOB_BYTES_MAX, &bytes))
 		bytes = JOB_BYTES_DEFAULT;
 	r->bytes = bytes;
+	if (!ok)
+		job_record_clear(r);
 	json_decref(v);
 	return ok;
 }
 
+/* Let go of the texts of r. */
+void job_record_clear(struct job_record *r)
+{
+	text_clear(&r->queue);
+	text_clear(&r->account);
+}
+
 /* Encode a cancel request; release with free(). */
 char *cancel_encode(const struct cancel_record *r)
 {
@@ -301,15 +325,14 @@
 	return true;
 }
 
-/* Read the name of an image; returns false if it is no text or too long. */
+/* Read the name of an image; returns false if it is no text. */
 static bool image_decode(const json_t *v, struct step *s)
 {
 	const json_t *image = json_object_get(v, "image");
 
 	if (!image)
 		return true;
-	if (!json_is_string(image) ||
-	    json_string_length(image) > STEP_IMAGE_MAX_BYTES)
+	if (!json_is_string(image))
 		return false;
 	step_set_image(s, json_string_value(image));
 	return true;
@@ -334,10 +357,8 @@
 	       read_uint32(v, "spread", &s->max_tasks_per_upstream) &&
 	       read_uint32(v, "max_unavailable", &s->max_unavailable) &&
 	       read_uint32(v, "target_ms", &s->target_ms) &&
-	       json_read_str(v, "label", s->label, sizeof(s->label)) &&
-	       json_read_str(v, "data_rack", s->data_rack,
-			     sizeof(s->data_rack)) &&
-	       image_decode(v, s) &&
+	       read_text(v, "label", &s->label) &&
+	       read_text(v, "data_rack", &s->data_rack) && image_decode(v, s) &&
 	       after_decode(json_object_get(v, "after"), s);
 }
 
@@ -353,8 +374,8 @@
 	j->start_at_wall_ms = read_time_ms(v, "start_at_wall_ms");
 	j->interval_ms = read_time_ms(v, "interval_ms");
 	j->payload = g_strdup(json_str_or(v, "payload", ""));
-	ok = ok && json_read_str(v, "queue", j->queue, sizeof(j->queue)) &&
-	     json_read_str(v, "account", j->account, sizeof(j->account)) &&
+	ok = ok && read_text(v, "queue", &j->queue) &&
+	     read_text(v, "account", &j->account) &&
 	     read_uint32(v, "repeat", &j->repeat);
 	json_array_foreach(json_object_get(v, "steps"), i, item)
 	{
@@ -728,7 +749,7 @@
 		return false;
 	name = json_string_value(json_array_get(r->incarnations, n));
 	at = name ? strrchr(name, '@') : NULL;
-	if (!at || at == name || at - name >= LABEL_BYTES ||
+	if (!at || at == name || at - name >= UPSTREAM_ID_BYTES ||
 	    !parse_number(at + 1, start_max, &place.started_wall_ms))
 		return false;
 	place.upstream = upstream = g_strndup(name, at - name);
--- a/lead/record.h
+++ b/lead/record.h
@@ -4,6 +4,7 @@
 
 #include <netinet/in.h>
 
+#include "lib/log.h"
 #include "sched/job.h"
 
 /*
@@ -43,7 +44,7 @@
 /* Value of the owner row, which each write of the leader replaces. */
 struct owner_record {
 	/* Name of the leader; empty if there is none. */
-	char instance[LABEL_BYTES];
+	char instance[INSTANCE_NAME_BYTES];
 	uint64_t incarnation;
 	/* Increases with each claim. */
 	uint64_t epoch;
@@ -71,8 +72,8 @@
 
 /* Job metadata known to every instance. */
 struct job_record {
-	char queue[LABEL_BYTES];
-	char account[LABEL_BYTES];
+	const char *queue; /* held texts */
+	const char *account;
 	/* Memory that it takes in the leader, as estimated at acceptance. */
 	uint64_t bytes;
 };
@@ -92,6 +93,7 @@
 
 char *job_encode(const struct job *j);
 bool job_decode(const char *text, struct job_record *r);
+void job_record_clear(struct job_record *r);
 char *cancel_encode(const struct cancel_record *r);
 void cancel_decode(const char *text, struct cancel_record *r);
 char *state_encode(const struct job *j);
--- a/lib/log.c
+++ b/lib/log.c
@@ -21,8 +21,15 @@
 
 #define LOG_EVENT_RECORDS_PER_S_MAX 400
 #define LOG_RATE_COUNT 64
-#define LOG_TEXT_BYTES 512
 #define LOG_LINE_BYTES 4096 /* PIPE_BUF */
+/*
+ * Texts of a record that is too long for a line are shortened to this, and then
+ * to half of it, until the record fits.
+ */
+#define LOG_FIELD_MAX_BYTES 512
+#define LOG_FIELD_MIN_BYTES 16
+/* Digits of the digest that tells shortened texts apart. */
+#define LOG_DIGEST_DIGITS 16
 
 /*
  * Rate limit of one event name.  Names with the same hash share an entry
@@ -37,10 +44,11 @@
 
 static const char *const level_names[] = {"debug", "info", "warn", "error"};
 static char program_name[32];
-static char instance_name[64];
+static char instance_name[INSTANCE_NAME_BYTES];
 static enum log_level min_level = LOG_INFO;
 static struct log_rate rates[LOG_RATE_COUNT];
 static uint64_t lost_count;
+static uint64_t shortened_count;
 
 /* Set the program, instance and minimum level of later records. */
 void log_open(const char *program, const char *instance, enum log_level min)
@@ -116,23 +124,75 @@
 	return r;
 }
 
+/* Return the first bytes of s, at most max, and a digest of all of it. */
+static json_t *shorten_text(const char *s, size_t max)
+{
+	char *digest = g_compute_checksum_for_string(G_CHECKSUM_SHA256, s, -1);
+	char *head = g_strndup(s, max), *valid = g_utf8_make_valid(head, -1);
+	json_t *v =
+		json_sprintf("%s...#%.*s", valid, LOG_DIGEST_DIGITS, digest);
+
+	g_free(valid);
+	g_free(head);
+	g_free(digest);
+	return v;
+}
+
+/* Shorten the texts of r that are longer than max bytes. */
+static void shorten_record(json_t *r, size_t max)
+{
+	const char *name;
+	json_t *v;
+	void *next;
+
+	json_object_foreach_safe(r, next, name, v)
+	{
+		if (json_string_length(v) > max)
+			json_object_set_new(
+				r, name,
+				shorten_text(json_string_value(v), max));
+	}
+}
+
+/*
+ * Return r as a text that fits into a line; release with free(). Texts of a
+ * longer record are shortened, which shortened_count tells.
+ */
+static char *encode_record(json_t *r)
+{
+	char *s = json_dumps(r, JSON_COMPACT | JSON_PRESERVE_ORDER);
+
+	if (s && strlen(s) > LOG_LINE_BYTES - 1)
+		shortened_count++;
+	for (size_t max = LOG_FIELD_MAX_BYTES;
+	     s && strlen(s) > LOG_LINE_BYTES - 1 && max >= LOG_FIELD_MIN_BYTES;
+	     max /= 2) {
+		shorten_record(r, max);
+		free(s);
+		s = json_dumps(r, JSON_COMPACT | JSON_PRESERVE_ORDER);
+	}
+	return s;
+}
+
 /*
  * Write r as one line and release it.  A writable pipe accepts PIPE_BUF
- * bytes without blocking; longer records are truncated to that size.
+ * bytes without blocking. A record that cannot be made to fit is lost.
  */
 static void write_record(json_t *r)
 {
-	char *s = json_dumps(r, JSON_COMPACT | JSON_PRESERVE_ORDER);
+	char *s = encode_record(r);
 	struct pollfd p = {.fd = STDOUT_FILENO, .events = POLLOUT};
 	char line[LOG_LINE_BYTES];
 	int n;
 
 	json_decref(r);
-	if (!s)
+	if (!s || strlen(s) > sizeof(line) - 1) {
+		free(s);
+		lost_count++;
 		return;
-	n = snprintf(line, sizeof(line) - 1, "%s", s);
-	if (n > (int)sizeof(line) - 2)
-		n = sizeof(line) - 2;
+	}
+	n = strlen(s);
+	memcpy(line, s, n);
 	line[n++] = '\n';
 	free(s);
 	if (poll(&p, 1, 0) != 1 || !(p.revents & POLLOUT) ||
@@ -140,6 +200,12 @@
 		lost_count++;
 }
 
+/* Return the number of records whose texts were shortened. */
+uint64_t log_shortened(void)
+{
+	return shortened_count;
+}
+
 /* Return the number of records lost because the output was not read. */
 uint64_t log_lost(void)
 {
@@ -152,7 +218,7 @@
  */
 void log_line(enum log_level lv, const char *event, const char *fmt, ...)
 {
-	char text[LOG_TEXT_BYTES], *valid;
+	char *text, *valid;
 	uint32_t dropped;
 	va_list ap;
 	json_t *r;
@@ -160,12 +226,13 @@
 	if (lv < min_level || !rate_admit(rate_find(event), &dropped))
 		return;
 	va_start(ap, fmt);
-	vsnprintf(text, sizeof(text), fmt, ap);
+	text = g_strdup_vprintf(fmt, ap);
 	va_end(ap);
 	r = create_record(lv, event, dropped);
 	valid = g_utf8_make_valid(text, -1);
 	json_object_set_new(r, "text", json_string(valid));
 	g_free(valid);
+	g_free(text);
 	write_record(r);
 }
 
--- a/lib/log.h
+++ b/lib/log.h
@@ -5,6 +5,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/*
+ * Length of the name of an instance, with the end. It is part of a row's key,
+ * which the platform's store limits to 200 bytes.
+ */
+#define INSTANCE_NAME_BYTES 192
+
 enum log_level { LOG_DEBUG, LOG_INFO, LOG_WARN, LOG_ERROR };
 
 void log_open(const char *program, const char *instance, enum log_level min);
@@ -16,5 +22,6 @@
 void log_fields(enum log_level lv, const char *event, const char *fmt, ...);
 
 uint64_t log_lost(void);
+uint64_t log_shortened(void);
 
 #endif
--- a/load/play.c
+++ b/load/play.c
@@ -428,8 +428,8 @@
 
 	snprintf(id, sizeof(id), "%016x", ++p->job_count);
 	j = job_create(id);
-	snprintf(j->account, sizeof(j->account), "a%u", random_account(p));
-	g_strlcpy(j->queue, s->name, sizeof(j->queue));
+	text_set_format(&j->account, "a%u", random_account(p));
+	text_set(&j->queue, s->name);
 	job_set_service(j, "s");
 	j->queue_known = true;
 	j->priority = s->priority;
--- a/peer/relay.c
+++ b/peer/relay.c
@@ -400,6 +400,7 @@
 	q = g_new0(struct peer, 1);
 	g_strlcpy(q->name, name, sizeof(q->name));
 	q->record = *p;
+	q->record.domain = NULL; /* the rank says what it is for */
 	q->rank = peer_record_rank(p, name, r->env.domain, r->env.instance);
 	g_hash_table_insert(r->peers, q->name, q);
 }
--- a/peer/relayserver.c
+++ b/peer/relayserver.c
@@ -128,6 +128,10 @@
 		disconnect_client(s, conn, "unsupported protocol version");
 		return;
 	}
+	if (strlen(h->name) >= sizeof(client->name)) {
+		disconnect_client(s, conn, "no instance has such a long name");
+		return;
+	}
 	client->greeted = true;
 	frame_set_max(conn, FRAME_MAX_BYTES);
 	g_strlcpy(client->name, h->name, sizeof(client->name));
--- a/peer/roster.c
+++ b/peer/roster.c
@@ -38,18 +38,19 @@
 
 /*
  * Decode the record of the instance called name. Returns false for another
- * name, or if a field is missing, of another type or out of its bounds.
+ * name, or if a field is missing, of another type or out of its bounds. The
+ * texts of p are freed with peer_record_clear.
  */
 bool peer_record_decode(const char *name, const char *text,
 			struct peer_record *p)
 {
 	json_t *v = json_loads(text, 0, NULL);
+	const json_t *domain = json_object_get(v, "domain");
 	int64_t incarnation = 0, strength = 0, written_ms = 0, memory_mb = 0;
 	bool ok;
 
 	memset(p, 0, sizeof(*p));
-	ok = name_is_valid(name) &&
-	     json_read_str(v, "domain", p->domain, sizeof(p->domain)) &&
+	ok = name_is_valid(name) && (!domain || json_is_string(domain)) &&
 	     json_read_int(v, "incarnation", 0, INT64_MAX, &incarnation) &&
 	     json_read_int(v, "strength", 0, PEER_STRENGTH_MAX, &strength) &&
 	     json_read_int(v, "written_ms", 0, WRITTEN_MAX_MS, &written_ms) &&
@@ -60,10 +61,19 @@
 	p->strength = strength;
 	p->memory_mb = memory_mb;
 	p->written_ms = written_ms;
+	if (ok)
+		p->domain = g_strdup(json_str_or(v, "domain", ""));
 	json_decref(v);
 	return ok;
 }
 
+/* Free the texts of p. */
+void peer_record_clear(struct peer_record *p)
+{
+	g_free(p->domain);
+	p->domain = NULL;
+}
+
 /*
  * Return the rank of a peer for an instance in a domain; higher is better.
  * Peers of the same domain rank first. Among equals a hash of both names
--- a/peer/roster.h
+++ b/peer/roster.h
@@ -6,12 +6,14 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define PEER_NAME_BYTES 64
+#include "lib/log.h"
+
+#define PEER_NAME_BYTES INSTANCE_NAME_BYTES
 /* Strength of an instance that is fit to lead any site, in percent. */
 #define PEER_STRENGTH_MAX 100
 
 struct peer_record {
-	char domain[PEER_NAME_BYTES];
+	char *domain; /* of any length */
 	struct sockaddr_in address;
 	uint64_t incarnation;
 	uint32_t strength;   /* fitness to lead, in percent */
@@ -28,6 +30,7 @@
 char *peer_record_encode(const struct peer_record *p);
 bool peer_record_decode(const char *name, const char *text,
 			struct peer_record *p);
+void peer_record_clear(struct peer_record *p);
 uint64_t peer_record_rank(const struct peer_record *p, const char *peer,
 			  const char *domain, const char *instance);
 bool peer_record_is_expired(const struct peer_record *p, uint64_t store_ms);
--- a/report/prediction.c
+++ b/report/prediction.c
@@ -58,8 +58,8 @@
 	const char *queue = f->queue ? g_quark_to_string(f->queue) : "";
 	const char *account = f->account ? g_quark_to_string(f->account) : "";
 
-	g_strlcpy(j->queue, queue, sizeof(j->queue));
-	g_strlcpy(j->account, account, sizeof(j->account));
+	text_set(&j->queue, queue);
+	text_set(&j->account, account);
 	s->count = MAX(f->counts[0], 1);
 	s->need.cpu_milli = f->cpu_milli;
 	s->need.accelerators = f->accelerators;
--- a/sched/admission.c
+++ b/sched/admission.c
@@ -54,12 +54,18 @@
 	double active;	   /* upstreams that it takes now */
 };
 
+static void admission_queue_clear(void *p)
+{
+	text_clear(&((struct admission_queue *)p)->name);
+}
+
 /* Create a decision that refuses nothing. */
 struct admission *admission_create(void)
 {
 	struct admission *a = g_new0(struct admission, 1);
 
 	a->queues = g_array_new(FALSE, FALSE, sizeof(struct admission_queue));
+	g_array_set_clear_func(a->queues, admission_queue_clear);
 	a->accounts = g_ptr_array_new_with_free_func(g_free);
 	return a;
 }
@@ -311,7 +317,7 @@
 	d.fair_wait_ms = round_wait_ms(fair_work_ms(&w, share_ms) / speed);
 	if (d.wait_ms <= q->hopeless_ms)
 		goto out;
-	g_strlcpy(d.name, q->name, sizeof(d.name));
+	text_set(&d.name, q->name);
 	g_array_append_val(a->queues, d);
 	name_accounts(&w, share_ms, a);
 out:
--- a/sched/admission.h
+++ b/sched/admission.h
@@ -14,7 +14,7 @@
 
 /* What is known of a queue whose new jobs may be refused. */
 struct admission_queue {
-	char name[LABEL_BYTES];
+	const char *name; /* a held text */
 	/* Expected wait of a new job: of an account above its share, others. */
 	uint64_t wait_ms;
 	uint64_t fair_wait_ms;
--- a/sched/duration.c
+++ b/sched/duration.c
@@ -62,6 +62,8 @@
 /* The largest class, written as one character: a million cores and more. */
 #define CLASS_MAX 10
 #define ACCELERATOR_CORES 8
+/* Space for the names of the groups of a run without an allocation. */
+#define NAMES_FIXED_BYTES 512
 /* Steps of the bisection for a quantile; each halves the error. */
 #define QUANTILE_STEPS 40
 
@@ -87,11 +89,14 @@
 	double runs;	 /* weight of runs of all levels */
 };
 
-G_STATIC_ASSERT(DURATION_GROUP_NAME_BYTES >= 2 * LABEL_BYTES + 16);
-
-/* Names of the groups of a run, from all runs to its own group. */
+/*
+ * Names of the groups of a run, from all runs to its own group: queue, account
+ * and size class, separated by newlines.
+ */
 struct names {
-	char text[LEVELS][DURATION_GROUP_NAME_BYTES];
+	const char *text[LEVELS];
+	char fixed[NAMES_FIXED_BYTES]; /* holds them if they fit */
+	char *allocated;	       /* or this does; NULL */
 };
 
 /* Create a set of groups without runs. */
@@ -125,21 +130,30 @@
  */
 static void name_groups(const struct duration_key *k, struct names *n)
 {
-	size_t queue = MIN(strlen(k->queue), LABEL_BYTES - 1);
-	size_t account = MIN(strlen(k->account), LABEL_BYTES - 1);
-	char *p = n->text[3];
-
+	size_t queue = strlen(k->queue), account = strlen(k->account);
+	size_t own = queue + account + 4, pair = queue + account + 2;
+	char *p = n->fixed;
+
+	n->allocated = NULL;
+	if (own + pair + queue + 1 > sizeof(n->fixed))
+		p = n->allocated = g_malloc(own + pair + queue + 1);
+	n->text[0] = "";
+	n->text[3] = p;
 	memcpy(p, k->queue, queue);
 	p[queue] = '\n';
 	memcpy(p + queue + 1, k->account, account);
-	p[queue + 1 + account] = '\n';
-	p[queue + 2 + account] = (char)('0' + MIN(k->size_class, CLASS_MAX));
-	p[queue + 3 + account] = '\0';
-	memcpy(n->text[2], p, queue + 1 + account);
-	n->text[2][queue + 1 + account] = '\0';
-	memcpy(n->text[1], p, queue);
-	n->text[1][queue] = '\0';
-	n->text[0][0] = '\0';
+	p[own - 3] = '\n';
+	p[own - 2] = (char)('0' + MIN(k->size_class, CLASS_MAX));
+	p[own - 1] = '\0';
+	n->text[2] = memcpy(p + own, p, pair - 1);
+	p[own + pair - 1] = '\0';
+	n->text[1] = memcpy(p + own + pair, p, queue);
+	p[own + pair + queue] = '\0';
+}
+
+static void names_clear(struct names *n)
+{
+	g_free(n->allocated);
 }
 
 static double line_at(const struct line *l, double x)
@@ -343,6 +357,7 @@
 		o.tail = tail > 0.5;
 	}
 	add_to_groups(d, &n, &o, lines, false);
+	names_clear(&n);
 }
 
 /*
@@ -395,6 +410,7 @@
 				gsl_cdf_ugaussian_Q(z - shift));
 	add_stopped(d, &n, lines, x, z, weight * (1 - tail));
 	add_stopped(d, &n, lines, x, z - shift, weight * tail);
+	names_clear(&n);
 }
 
 /*
@@ -425,6 +441,7 @@
 
 	name_groups(k, &n);
 	find_lines(d, &n, lines);
+	names_clear(&n);
 	if (own->runs <= 0)
 		return (struct duration_estimate){.mean_ms = k->estimate_ms,
 						  .median_ms = k->estimate_ms,
@@ -482,8 +499,7 @@
 	const double sum_max = RUNS_MAX * LOG_MS_MAX * LOG_MS_MAX;
 	struct group *g;
 
-	if (strlen(name) >= DURATION_GROUP_NAME_BYTES ||
-	    !is_within(m->runs, 0, RUNS_MAX) ||
+	if (!is_within(m->runs, 0, RUNS_MAX) ||
 	    !is_within(m->mean_x, 0, LOG_MS_MAX) ||
 	    !is_within(m->mean_y, -LOG_MS_MAX, LOG_MS_MAX) ||
 	    !is_within(m->sum_xx, 0, sum_max) ||
--- a/sched/duration.h
+++ b/sched/duration.h
@@ -17,8 +17,6 @@
 #define DURATION_TAIL_FACTOR 7.0
 /* Maximum number of groups that are kept. */
 #define DURATION_GROUPS_MAX 512
-/* Name of a group: queue, account and size class, separated by newlines. */
-#define DURATION_GROUP_NAME_BYTES 160
 
 /* How long a task is expected to run. */
 struct duration_estimate {
--- a/sched/estimator.c
+++ b/sched/estimator.c
@@ -69,11 +69,20 @@
 	return e;
 }
 
+static void arrival_clear(struct arrival *a)
+{
+	text_clear(&a->step.label);
+	text_clear(&a->step.data_rack);
+	memset(a, 0, sizeof(*a));
+}
+
 /* Free e; NULL is allowed. */
 void estimator_destroy(struct estimator *e)
 {
 	if (!e)
 		return;
+	for (uint32_t i = 0; i < URGENT_ARRIVALS_MAX; i++)
+		arrival_clear(&e->urgent[i]);
 	g_hash_table_destroy(e->queues);
 	duration_destroy(e->durations);
 	g_free(e);
@@ -237,10 +246,14 @@
 {
 	struct arrival *a = &e->urgent[e->urgent_next++ % URGENT_ARRIVALS_MAX];
 
-	memset(a, 0, sizeof(*a));
+	arrival_clear(a);
 	a->at_ms = now_ms;
 	a->step = *st->step;
-	/* what the job owns is not kept */
+	a->step.label = NULL;
+	a->step.data_rack = NULL;
+	text_set(&a->step.label, st->step->label);
+	text_set(&a->step.data_rack, st->step->data_rack);
+	/* what else the job owns is not kept */
 	a->step.after = NULL;
 	a->step.after_len = 0;
 	a->step.image = NULL;
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -59,6 +59,7 @@
 	struct upstream *u = g_new0(struct upstream, 1);
 
 	g_strlcpy(u->id, id, sizeof(u->id));
+	upstream_describe(u, "", "", "", "");
 	u->tasks = g_ptr_array_new();
 	g_ptr_array_add(f->list, u);
 	g_hash_table_insert(f->by_id, u->id, u);
@@ -69,14 +70,14 @@
 void upstream_describe(struct upstream *u, const char *service,
 		       const char *domain, const char *kind, const char *rack)
 {
-	g_strlcpy(u->service, service, sizeof(u->service));
-	g_strlcpy(u->domain, domain, sizeof(u->domain));
-	g_strlcpy(u->kind, kind, sizeof(u->kind));
-	g_strlcpy(u->rack, rack, sizeof(u->rack));
-	u->service_quark = g_quark_from_string(u->service);
-	u->kind_quark = g_quark_from_string(u->kind);
-	u->rack_quark = g_quark_from_string(u->rack);
-	u->domain_quark = g_quark_from_string(u->domain);
+	u->service_quark = g_quark_from_string(service);
+	u->kind_quark = g_quark_from_string(kind);
+	u->rack_quark = g_quark_from_string(rack);
+	u->domain_quark = g_quark_from_string(domain);
+	u->service = g_quark_to_string(u->service_quark);
+	u->domain = g_quark_to_string(u->domain_quark);
+	u->kind = g_quark_to_string(u->kind_quark);
+	u->rack = g_quark_to_string(u->rack_quark);
 }
 
 /* Return how many times `need` fits into `have`, which is not negative. */
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -10,6 +10,12 @@
 	UPSTREAM_GONE, /* no longer listed */
 };
 
+/*
+ * Length of an upstream's ID, with the end: the platform's store has keys of at
+ * most 200 bytes.
+ */
+#define UPSTREAM_ID_BYTES 201
+
 /* Length of the text of an upstream's address, with the end. */
 #define UPSTREAM_ADDRESS_BYTES 32
 
@@ -23,11 +29,11 @@
 };
 
 struct upstream {
-	char id[LABEL_BYTES];
-	char service[LABEL_BYTES];
-	char domain[LABEL_BYTES];
-	char kind[LABEL_BYTES];
-	char rack[LABEL_BYTES];
+	char id[UPSTREAM_ID_BYTES];
+	const char *service; /* the texts of the quarks below */
+	const char *domain;
+	const char *kind;
+	const char *rack;
 	/* start time, identifies the incarnation; 0: unknown */
 	uint64_t started_wall_ms;
 	/* the newest that earlier leaders recorded runs for; 0: none */
--- a/sched/footprint.c
+++ b/sched/footprint.c
@@ -18,6 +18,8 @@
 /* Names and numbers of a job and of a step in the spec row. */
 #define SPEC_ROW_BYTES 512
 #define SPEC_STEP_BYTES 320
+/* Rows and copies of them in which the names of a job stand. */
+#define NAME_COPIES 3
 /* A task in the run row, and the name of its checkpoint, both kept once more. */
 #define TASK_TEXT_BYTES 96
 /*
@@ -54,6 +56,19 @@
 	return MIN(open + due_at_submission(j), n);
 }
 
+/* Return the bytes of a label, which is in the step and in the spec row. */
+static uint64_t label_bytes(const char *label)
+{
+	return label ? 2 * (BLOCK_OVERHEAD_BYTES + strlen(label)) : 0;
+}
+
+/* Return the bytes of the names of j, which its rows repeat. */
+static uint64_t name_bytes(const struct job *j)
+{
+	return NAME_COPIES *
+	       (strlen(j->queue) + strlen(j->account) + strlen(j->service));
+}
+
 /* Return the length of the payload of j. */
 static uint64_t payload_bytes(const struct job *j)
 {
@@ -68,7 +83,7 @@
 {
 	/* the payload is in the job and in the spec row */
 	uint64_t bytes = sizeof(*j) + ENTRIES_BYTES + SPEC_ROW_BYTES +
-			 2 * payload_bytes(j);
+			 2 * payload_bytes(j) + name_bytes(j);
 	uint64_t occurrence = 0;
 
 	for (uint32_t i = 0; i < j->steps_len; i++) {
@@ -77,6 +92,7 @@
 		bytes += sizeof(*s) + SPEC_STEP_BYTES +
 			 2 * (BLOCK_OVERHEAD_BYTES +
 			      (s->image ? strlen(s->image) : 0)) +
+			 label_bytes(s->label) + label_bytes(s->data_rack) +
 			 2 * s->after_len * sizeof(*s->after);
 		occurrence +=
 			sizeof(struct stage) + BLOCK_OVERHEAD_BYTES +
--- a/sched/job.c
+++ b/sched/job.c
@@ -28,6 +28,9 @@
 	struct job *j = g_new0(struct job, 1);
 
 	g_strlcpy(j->id, id, sizeof(j->id));
+	text_set(&j->queue, "");
+	text_set(&j->account, "");
+	j->service = "";
 	j->max_attempts = 1;
 	j->slack_factor = 1;
 	return j;
@@ -51,7 +54,11 @@
 	for (uint32_t i = 0; i < j->steps_len; i++) {
 		g_free(j->steps[i].after);
 		g_free(j->steps[i].image);
+		text_clear(&j->steps[i].label);
+		text_clear(&j->steps[i].data_rack);
 	}
+	text_clear(&j->queue);
+	text_clear(&j->account);
 	g_free(j->stages);
 	g_free(j->steps);
 	g_free(j->payload);
@@ -64,6 +71,8 @@
 	j->steps = g_renew(struct step, j->steps, j->steps_len + 1);
 	memset(&j->steps[j->steps_len], 0, sizeof(struct step));
 	j->steps[j->steps_len].image = g_strdup("");
+	text_set(&j->steps[j->steps_len].label, "");
+	text_set(&j->steps[j->steps_len].data_rack, "");
 	return &j->steps[j->steps_len++];
 }
 
@@ -74,6 +83,20 @@
 	s->image = g_strdup(image);
 }
 
+/*
+ * Return the quark of a label that a caller names: 0 if it is empty, LABEL_UNUSED
+ * if no upstream has ever had it. A quark is never freed, so callers make none.
+ */
+GQuark label_quark(const char *label)
+{
+	GQuark q;
+
+	if (!*label)
+		return 0;
+	q = g_quark_try_string(label);
+	return q ? q : LABEL_UNUSED;
+}
+
 /* Return how many times the steps run. */
 uint32_t job_occurrences(const struct job *j)
 {
@@ -199,8 +222,8 @@
 /* Set the service whose upstreams run j. */
 void job_set_service(struct job *j, const char *service)
 {
-	g_strlcpy(j->service, service, sizeof(j->service));
-	j->service_quark = g_quark_from_string(j->service);
+	j->service_quark = g_quark_from_string(service);
+	j->service = g_quark_to_string(j->service_quark);
 }
 
 /* Report whether a job in state s has ended and never changes its state. */
--- a/sched/job.h
+++ b/sched/job.h
@@ -11,13 +11,14 @@
 #include <stdint.h>
 
 #include "sched/duration.h"
+#include "sched/text.h"
 
 #define JOB_ID_BYTES 24
-#define LABEL_BYTES 64
 #define TASK_NAME_BYTES 64
 #define JOB_STEPS_MAX 64
-/* Maximum length of the name of an image, in bytes. */
-#define STEP_IMAGE_MAX_BYTES 1000
+
+/* A label that no upstream has. */
+#define LABEL_UNUSED G_MAXUINT32
 
 struct upstream;
 
@@ -47,11 +48,9 @@
 	/* maximum tasks not serving at a time when preempted; 0: no limit */
 	uint32_t max_unavailable;
 	uint32_t target_ms;
-	char label[LABEL_BYTES];
-	char data_rack[LABEL_BYTES];
-	char *image;	    /* may be empty */
-	GQuark label_quark; /* label and data_rack as quarks */
-	GQuark data_rack_quark;
+	const char *label; /* a held text, like data_rack; may be empty */
+	const char *data_rack;
+	char *image;			   /* may be empty */
 	struct duration_estimate expected; /* cached by the estimator */
 	uint64_t expected_version;	   /* estimator version of `expected` */
 	uint32_t ended_runs;		   /* completed runs of its tasks */
@@ -248,8 +247,8 @@
 
 struct job {
 	char id[JOB_ID_BYTES];
-	char queue[LABEL_BYTES];
-	char account[LABEL_BYTES];
+	const char *queue; /* held texts */
+	const char *account;
 	char *payload;
 	uint32_t steps_len;
 	struct step *steps;
@@ -279,7 +278,7 @@
 	struct stage *stages;
 	/* settings of its queue, updated with each configuration */
 	bool queue_known;
-	char service[LABEL_BYTES];
+	const char *service; /* the text of its quark */
 	GQuark service_quark;
 	uint32_t rank; /* valid for the current scheduling pass */
 	uint32_t priority;
@@ -292,6 +291,7 @@
 void job_destroy(struct job *j);
 struct step *job_add_step(struct job *j);
 void step_set_image(struct step *s, const char *image);
+GQuark label_quark(const char *label);
 bool job_validate(const struct job *j, char **why);
 bool job_is_same_submission(const struct job *a, const struct job *b);
 void job_set_service(struct job *j, const char *service);
--- a/sched/occurrence.c
+++ b/sched/occurrence.c
@@ -54,12 +54,6 @@
  */
 void job_create_stages(struct job *j)
 {
-	for (uint32_t i = 0; i < j->steps_len; i++) {
-		struct step *s = &j->steps[i];
-
-		s->label_quark = g_quark_from_string(s->label);
-		s->data_rack_quark = g_quark_from_string(s->data_rack);
-	}
 	job_open_occurrences(j, 1);
 }
 
--- a/sched/pack.c
+++ b/sched/pack.c
@@ -253,8 +253,7 @@
 			     .need = task_resources(&st->tasks[0]),
 			     .slowdown_allowed = st->value.slowdown_allowed,
 			     .service = st->job->service_quark,
-			     .label = *st->step->label ? st->step->label_quark
-						       : 0};
+			     .label = label_quark(st->step->label)};
 	if (st->job->state != JOB_QUEUED) {
 		d->one_each = stage_spreads_suspects(st);
 		exclude_failed_upstreams(p, st);
@@ -544,7 +543,7 @@
 	if (!*st->step->data_rack)
 		return false;
 	pack_set_demand(p, st);
-	rack = find_rack(p, st->step->data_rack_quark);
+	rack = find_rack(p, label_quark(st->step->data_rack));
 	return rack != PACK_ANY_RACK &&
 	       choose_in_rack(p, want, availability, rack) == want;
 }
--- a/sched/speed.c
+++ b/sched/speed.c
@@ -235,7 +235,7 @@
 	       !t->run_rate.from_checkpoint && !step->long_running &&
 	       !step->best_effort_cpu && t->at->cold_until_ms <= now_ms &&
 	       (!*step->data_rack ||
-		step->data_rack_quark == t->at->rack_quark) &&
+		label_quark(step->data_rack) == t->at->rack_quark) &&
 	       (!step->gang || !step->rack_sensitive ||
 		is_on_one_rack(t->stage));
 }
--- a/test/jointsite.h
+++ b/test/jointsite.h
@@ -83,6 +83,7 @@
 void joint_wait_ready(struct joint_site *s, uint32_t i);
 void joint_wait_peers(struct joint_site *s, uint32_t i);
 void joint_put_config(struct joint_site *s, uint32_t version, const char *key);
+void joint_put_config_text(struct joint_site *s, const char *config);
 void joint_set_evacuated(struct joint_site *s, uint32_t d, bool evacuated);
 void joint_control_platform(struct joint_site *s, const char *body);
 void joint_set_room(struct joint_site *s, uint32_t u, uint32_t room);
@@ -104,6 +105,9 @@
 
 int joint_request(struct joint_site *s, struct http_pool *p, const char *method,
 		  const char *path, const char *body, json_t **out);
+int joint_request_as(struct joint_site *s, struct http_pool *p, const char *key,
+		     const char *method, const char *path, const char *body,
+		     json_t **out);
 char *joint_job_path(uint32_t n);
 int joint_submit(struct joint_site *s, uint32_t i, uint32_t n, uint32_t tasks,
 		 uint32_t run_ms);
