Start work only on an incarnation that its own entry describes

Cause: an answer's start time was taken over while service, labels, resources and state stayed those of the entry before.

An upstream whose present incarnation has no entry of its own gets no work; the entry of a later one is kept until that answers; one that the upstream denies is not used. An order is not sent to another incarnation than its run was placed on. A start goes over a connection on which the incarnation has named itself, as its answer does not say who gave it; without one the upstream is asked first. A run that a later incarnation has begun all the same is stopped if that does not suit it.

--- a/fake/joint.c
+++ b/fake/joint.c
@@ -20,7 +20,8 @@
  *			"crash_ms": N, "guarded": BOOL, "lease_max_ms": N,
  *			"entries_lapse": BOOL, "entry_delay_ms": N,
  *			"upstream": N|"domain": N, "room": N, "silent": BOOL,
- *			"cold_ms": N}
+ *			"cold_ms": N, "kind": TEXT, "crash": BOOL,
+ *			"first_beat_ms": N}
  *	               (down, silent: as refuse and hang, also for the open
  *	               polls of the feed;
  *	               forget: compact the feed's history up to now;
@@ -41,10 +42,13 @@
  *	               room: accelerators of one upstream, or of each one of a
  *	               domain, one for each run;
  *	               silent: their heartbeats do not reach the store;
- *	               cold_ms: they are listed as cold for so long)
+ *	               cold_ms: they are listed as cold for so long;
+ *	               kind, crash: the kind of an upstream, which crashes now;
+ *	               first_beat_ms: an upstream that is back sends its first
+ *	               heartbeat so long after its start)
  *	GET /record    {"starts": N, "twice": N, "after_done": N,
  *			"running": N, "unlisted": N, "crashes": N,
- *			"over_room": N, "stopped": N, "void": N,
+ *			"over_room": N, "on_other_kind": N, "stopped": N, "void": N,
  *			"crash_tasks": [[TASK, CRASHES, FURTHER-STARTS], ...],
  *			"lapses": [[TASK, UPSTREAM, MS], ...],
  *			"last_starts": {JOB: MS, ...},
@@ -57,7 +61,9 @@
  *	               lease of its upstream lapsed, or it crashed, before the
  *	               end was acknowledged; unlisted: upstreams whose entry
  *	               does not show their last change; over_room: starts that
- *	               brought an upstream over its room; stopped: runs that
+ *	               brought an upstream over its room; on_other_kind: starts
+ *	               of tasks whose payload begins with "kind KIND " on
+ *	               upstreams of another; stopped: runs that
  *	               ended on request; void: runs that are done but whose ends
  *	               do not count, as said at after_done; further starts: those
  *	               after three upstreams had crashed under the task; lapses:
--- a/fake/jointupstream.c
+++ b/fake/jointupstream.c
@@ -25,6 +25,8 @@
 #define CRASHED_MS_DEFAULT 1500
 /* The payload of a task whose upstream crashes, before the delay in ms. */
 #define CRASH_PAYLOAD "crash"
+/* That of a task that is only for upstreams of one kind, before both. */
+#define KIND_PAYLOAD "kind "
 /* Starts of such a task are counted after this many crashes under it. */
 #define CRASHES_BEFORE_FURTHER_STARTS 3
 
@@ -53,6 +55,7 @@
 	char id[32];
 	char domain[16];
 	char rack[8];
+	char kind[16]; /* its first label */
 	uint64_t born_ms;
 	uint64_t crashed_ms;	     /* 0: it is up */
 	uint64_t silent_ms;	     /* 0: the store gets its heartbeats */
@@ -96,8 +99,9 @@
 	uint32_t domains; /* number of failure domains */
 	uint32_t starts_to_delay;
 	uint32_t start_delay_ms;
-	uint64_t crash_ms; /* time for which a crashed upstream is away */
-	bool guarded;	   /* starts beyond the room are refused */
+	uint64_t crash_ms;	/* time for which a crashed upstream is away */
+	uint64_t first_beat_ms; /* from its start to its first heartbeat */
+	bool guarded;		/* starts beyond the room are refused */
 	uint32_t lease_max_ms;
 	bool entries_lapse; /* also while the store is away */
 	/* A lapsed entry is back this long after the store or link, at most. */
@@ -108,6 +112,7 @@
 	uint32_t crashes;
 	uint32_t stopped_runs;
 	uint32_t starts_over_room;
+	uint32_t starts_on_other_kinds;
 	json_t *lapses; /* runs that ended with their lease, see joint.c */
 };
 
@@ -277,6 +282,27 @@
 	c->further_starts += c->crashes >= CRASHES_BEFORE_FURTHER_STARTS;
 }
 
+/*
+ * Return the payload of a start without the kind that it is for, if any; count
+ * it if that is not the kind of u.
+ */
+static const char *check_kind(struct upstream *u, const char *payload)
+{
+	const char *kind, *rest;
+
+	if (!g_str_has_prefix(payload, KIND_PAYLOAD))
+		return payload;
+	kind = payload + strlen(KIND_PAYLOAD);
+	rest = strchr(kind, ' ');
+	if (!rest || strlen(u->kind) != (size_t)(rest - kind) ||
+	    strncmp(u->kind, kind, rest - kind)) {
+		u->all->starts_on_other_kinds++;
+		log_fields(LOG_WARN, "other_kind", "{s:s,s:s,s:s}", "upstream",
+			   u->id, "kind", u->kind, "payload", payload);
+	}
+	return rest ? rest + 1 : "";
+}
+
 /* Start a run. Return NULL, or the reason for a refusal. */
 static const char *start_run(struct upstream *u, const json_t *v)
 {
@@ -299,6 +325,7 @@
 	if (u->all->guarded && u->runs->len >= u->room)
 		return "room";
 	count_start(u, v, crashes);
+	payload = check_kind(u, payload);
 	r = g_new0(struct run, 1);
 	r->task = g_strdup(task);
 	r->number = number;
@@ -535,7 +562,7 @@
 	u->crashed_ms = 0;
 	u->seq = 0;
 	u->listed_current = false;
-	u->next_beat_ms = n->born_ms;
+	u->next_beat_ms = n->born_ms + u->all->first_beat_ms;
 }
 
 /* Write the entry of u in the table of servers. */
@@ -547,7 +574,7 @@
 		"service", "service", "addr", u->listed_address, "zone",
 		u->domain, "version", "v1", "slots", 8, "state", "ready",
 		"coldLeftMs", (int)u->cold_ms, "capacity", "cpu", 64000,
-		"memMb", 65536, "gpu", (int)u->room, "labels", "a", u->rack,
+		"memMb", 65536, "gpu", (int)u->room, "labels", u->kind, u->rack,
 		"clockMs", (json_int_t)upstream_clock_ms(u), "seq",
 		(json_int_t)++u->seq, "born", (json_int_t)u->born_ms);
 	struct past_room p = {u->listed_room, clock_mono_ms()};
@@ -700,6 +727,7 @@
 		g_snprintf(u->domain, sizeof(u->domain), "domain%u",
 			   number % us->domains);
 	g_strlcpy(u->rack, number < 8 ? "r0" : "r1", sizeof(u->rack));
+	g_strlcpy(u->kind, "a", sizeof(u->kind));
 	u->room = ACCELERATOR_COUNT;
 	u->runs = g_ptr_array_new();
 	u->unacknowledged_ends = json_array();
@@ -720,6 +748,10 @@
 
 	u->room = json_int_or(command, "room", u->room);
 	u->cold_ms = json_int_or(command, "cold_ms", u->cold_ms);
+	g_strlcpy(u->kind, json_str_or(command, "kind", u->kind),
+		  sizeof(u->kind));
+	if (json_is_true(json_object_get(command, "crash")) && !u->crashed_ms)
+		crash_upstream(u);
 	if (silent)
 		u->silent_ms = json_is_true(silent) ? clock_mono_ms() : 0;
 	u->listed_current = false;
@@ -738,6 +770,8 @@
 	us->start_delay_ms =
 		json_int_or(command, "late_ms", us->start_delay_ms);
 	us->crash_ms = json_int_or(command, "crash_ms", us->crash_ms);
+	us->first_beat_ms =
+		json_int_or(command, "first_beat_ms", us->first_beat_ms);
 	us->lease_max_ms =
 		json_int_or(command, "lease_max_ms", us->lease_max_ms);
 	us->entry_delay_ms =
@@ -785,11 +819,12 @@
 						       (int)c->crashes,
 						       (int)c->further_starts));
 	}
-	v = json_pack("{s:I,s:I,s:i,s:i,s:i,s:o,s:O}", "running", running,
+	v = json_pack("{s:I,s:I,s:i,s:i,s:i,s:i,s:o,s:O}", "running", running,
 		      "unlisted", unlisted, "crashes", (int)us->crashes,
 		      "stopped", (int)us->stopped_runs, "over_room",
-		      (int)us->starts_over_room, "crash_tasks", tasks, "lapses",
-		      us->lapses);
+		      (int)us->starts_over_room, "on_other_kind",
+		      (int)us->starts_on_other_kinds, "crash_tasks", tasks,
+		      "lapses", us->lapses);
 	joint_record_add_to(us->record, v);
 	return v;
 }
--- a/lead/model.c
+++ b/lead/model.c
@@ -601,6 +601,8 @@
 		struct task *t = g_ptr_array_index(u->tasks, i);
 
 		t->in_newer_incarnation = is_listed(t, lists);
+		if (t->in_newer_incarnation)
+			t->placed_started_wall_ms = started_wall_ms;
 		if (may_run_after_restart(m, t, lists, now_ms))
 			t->stage->job->dirty = true;
 		else
--- a/lead/session.c
+++ b/lead/session.c
@@ -8,6 +8,7 @@
 #include "lead/delivery.h"
 #include "lead/departure.h"
 #include "lead/domainorders.h"
+#include "lead/incarnation.h"
 #include "lead/session.h"
 #include "lead/leaseclock.h"
 #include "lead/loss.h"
@@ -50,6 +51,12 @@
  */
 #define AVOID_SILENT_MS 1000
 
+/*
+ * Starts go over a connection on which the incarnation has named itself. So many
+ * answers in a row after which none is open show that the upstream keeps none.
+ */
+#define UNUSED_ANSWERS_MAX 3
+
 struct session {
 	const struct session_env *env;
 	struct upstream *upstream;
@@ -57,13 +64,17 @@
 	struct sockaddr_in address;
 	/* The start time that was listed or recorded with the address. */
 	uint64_t address_started_wall_ms;
-	/* The newest start time that the upstream itself has named; 0: none. */
-	uint64_t answered_started_wall_ms;
-	/* One that an entry named and the upstream has denied; 0: none. */
-	uint64_t denied_started_wall_ms;
+	struct incarnation incarnation;
 	/* Time of the newest answer to any order; 0: none. */
 	uint64_t answered_ms;
-	bool listed;
+	/*
+	 * A call that asks the incarnation to name itself is in flight, sent at
+	 * ask_sent_ms; starts wait for it; answers since the last such start.
+	 */
+	bool ask_in_flight;
+	uint64_t ask_sent_ms;
+	bool starts_wait;
+	uint32_t unused_answers;
 	/*
 	 * A list call is in flight, which was sent at call_sent_ms, in time or
 	 * by a process that had been suspended.
@@ -97,10 +108,12 @@
 	uint64_t sent_ms;
 	char task[TASK_NAME_BYTES];
 	uint32_t run;
+	bool was_sent; /* an earlier start order of the run was sent */
 };
 
 static void request_lists(struct session *k);
 static void schedule_order_retry(struct session *k, struct task *t);
+static void await_incarnation(struct session *k, struct task *t);
 static void give_up_start(struct session *k, struct task *t,
 			  enum order_outcome why);
 
@@ -134,6 +147,15 @@
 	return k->address_started_wall_ms > k->upstream->started_wall_ms;
 }
 
+/*
+ * Report whether the newest run of t was placed on an earlier incarnation than
+ * the present one, whose labels and resources may differ.
+ */
+static bool is_placed_on_earlier_incarnation(const struct task *t)
+{
+	return t->placed_started_wall_ms != t->at->started_wall_ms;
+}
+
 /* Report whether a start may be sent by what is known of the upstreams. */
 static bool is_known_well(const struct session *k, const struct task *t)
 {
@@ -157,7 +179,6 @@
  */
 static void withhold_start(struct session *k, struct task *t)
 {
-	domain_orders_log_withheld(t);
 	if (t->uncertain) {
 		t->state = TASK_STOPPING;
 		session_stop_run(k, t);
@@ -167,23 +188,44 @@
 	k->env->events.model_changed(k->env->arg);
 }
 
+static void log_start_of_earlier_incarnation(const struct session *k,
+					     const struct task *t)
+{
+	char name[TASK_NAME_BYTES];
+
+	task_format_name(t, name, sizeof(name));
+	counter_add(k->env->counters, "starts_of_earlier_incarnations", NULL,
+		    1);
+	log_fields(LOG_INFO, "start_withheld", "{s:s,s:s,s:I,s:s,s:I,s:I,s:b}",
+		   "job", t->stage->job->id, "task", name, "run",
+		   (json_int_t)t->run, "upstream", t->at->id, "placed_on",
+		   (json_int_t)t->placed_started_wall_ms, "started",
+		   (json_int_t)t->at->started_wall_ms, "uncertain",
+		   t->uncertain);
+}
+
 /*
  * Send the start of t again, settle it, or wait for the list of upstreams. The
  * upstream may have less room by now, or be about to leave.
  */
 static void retry_start(struct session *k, struct task *t)
 {
-	if (is_forbidden(k, t))
+	if (is_forbidden(k, t)) {
+		domain_orders_log_withheld(t);
+		withhold_start(k, t);
+	} else if (is_placed_on_earlier_incarnation(t)) {
+		log_start_of_earlier_incarnation(k, t);
 		withhold_start(k, t);
-	else if (!delivery_may_send_again(t, clock_mono_ms()))
+	} else if (!delivery_may_send_again(t, clock_mono_ms())) {
 		give_up_start(k, t, ORDER_NOT_SENT);
-	else if (t->at->state != UPSTREAM_READY ||
-		 upstream_is_overcommitted(t->at))
+	} else if (t->at->state != UPSTREAM_READY ||
+		   upstream_is_overcommitted(t->at)) {
 		give_up_start(k, t, ORDER_NO_CAPACITY);
-	else if (is_known_well(k, t))
+	} else if (is_known_well(k, t)) {
 		session_start_run(k, t);
-	else
+	} else {
 		schedule_order_retry(k, t);
+	}
 }
 
 /* Retry the orders that were not answered. */
@@ -192,6 +234,7 @@
 	struct session *k = arg;
 	GPtrArray *list = upstream_take_retry_tasks(k->upstream);
 
+	k->starts_wait = false;
 	for (guint i = 0; i < list->len; i++) {
 		struct task *t = g_ptr_array_index(list, i);
 
@@ -243,6 +286,9 @@
 	k->newest_end_seen = 0;
 	k->newest_end_in_write = 0;
 	k->newest_end_acknowledged = 0;
+	orders_disconnect(k->orders);
+	upstream_clear_refusals(k->upstream);
+	k->upstream->cold_until_ms = 0;
 	lease_clock_reset(&k->leases, first_leases_end_ms(k));
 	k->upstream->synced = false;
 }
@@ -301,10 +347,49 @@
 		return;
 	orders_destroy(k->orders);
 	k->call_in_flight = false;
+	k->ask_in_flight = false;
 	k->orders = orders_create(k->env->http, k->upstream->id, at);
 	retry_orders(k);
 }
 
+/*
+ * Place no work on the upstream unless its present incarnation is described by
+ * an entry of its own.
+ */
+static void apply_state(struct session *k)
+{
+	struct upstream *u = k->upstream;
+
+	if (!incarnation_is_described(&k->incarnation, u->started_wall_ms))
+		u->state = UPSTREAM_GONE;
+	else
+		u->state = u->leaving ? UPSTREAM_DRAINING : UPSTREAM_READY;
+}
+
+/*
+ * Stop the runs that the present incarnation may have begun, although they were
+ * placed on an earlier one, and that it does not suit.
+ */
+static void stop_unsuited_runs(struct session *k)
+{
+	struct upstream *u = k->upstream;
+
+	for (guint i = 0; i < u->tasks->len; i++) {
+		struct task *t = g_ptr_array_index(u->tasks, i);
+		const struct job *j = t->stage->job;
+
+		if (t->state == TASK_STOPPING || !t->sent || t->inherited ||
+		    (upstream_has_label(u,
+					label_quark(t->stage->step->label)) &&
+		     (!j->queue_known || j->service_quark == u->service_quark)))
+			continue;
+		log_start_of_earlier_incarnation(k, t);
+		t->state = TASK_STOPPING;
+		schedule_order_retry(k, t);
+	}
+}
+
+/* Apply the entry that describes the known incarnation, or an earlier one. */
 static void apply_entry(struct session *k, const struct upstream_entry *e)
 {
 	struct upstream *u = k->upstream;
@@ -313,14 +398,15 @@
 	upstream_describe(u, e->service, e->domain, e->kind, e->rack);
 	if (memcmp(&u->resources, &e->resources, sizeof(u->resources)))
 		upstream_clear_refusals(u);
-	k->listed = true;
 	u->leaving = e->draining;
 	u->resources = e->resources;
-	u->state = e->draining ? UPSTREAM_DRAINING : UPSTREAM_READY;
+	apply_state(k);
 	u->cold_until_ms =
 		e->cold_remaining_ms ? now + e->cold_remaining_ms : 0;
 	if (e->draining && e->drain_remaining_ms)
 		u->leaves_ms = now + e->drain_remaining_ms;
+	else if (!e->draining)
+		u->leaves_ms = 0;
 	model_note_machine(k->env->model, u, e->machine, now);
 }
 
@@ -345,6 +431,25 @@
 	return k;
 }
 
+/* Apply an entry that is not outdated, or keep it until the upstream answers. */
+static enum entry_use use_entry(struct session *k,
+				const struct upstream_entry *e)
+{
+	enum entry_use use = incarnation_note_entry(
+		&k->incarnation, e, k->upstream->started_wall_ms);
+
+	switch (use) {
+	case ENTRY_DESCRIBES:
+		apply_entry(k, e);
+		break;
+	case ENTRY_AWAITS_ANSWER:
+	case ENTRY_OF_EARLIER_ONE:
+	case ENTRY_DENIED:
+		break;
+	}
+	return use;
+}
+
 /* Create the session with u, which is listed. */
 struct session *session_create(const struct session_env *e, struct upstream *u,
 			       const struct upstream_entry *entry)
@@ -352,7 +457,7 @@
 	struct session *k =
 		create(e, u, &entry->address, entry->started_wall_ms);
 
-	apply_entry(k, entry);
+	use_entry(k, entry);
 	return k;
 }
 
@@ -386,7 +491,7 @@
 		.answered_ms = k->answered_ms,
 		.leases_end_ms = k->leases.leases_end_ms,
 		.runs_started_wall_ms =
-			MAX(k->answered_started_wall_ms,
+			MAX(k->incarnation.answered_started_wall_ms,
 			    k->upstream->recorded_started_wall_ms)};
 }
 
@@ -422,17 +527,16 @@
 }
 
 /*
- * Report whether the entry is of an incarnation before the known one. A
- * recorded one counts unless it is silent.
+ * Report whether the entry is of an incarnation before the recorded one, which
+ * counts unless it is silent.
  */
-static bool is_outdated(const struct session *k,
-			const struct upstream_entry *entry)
+static bool is_before_recorded(const struct session *k,
+			       const struct upstream_entry *entry)
 {
 	uint64_t recorded = k->upstream->recorded_started_wall_ms;
 
-	return entry->started_wall_ms < k->answered_started_wall_ms ||
-	       (entry->started_wall_ms < recorded && !k->failure_count &&
-		k->address_started_wall_ms == recorded);
+	return entry->started_wall_ms < recorded && !k->failure_count &&
+	       k->address_started_wall_ms == recorded;
 }
 
 /*
@@ -443,22 +547,22 @@
 {
 	enum upstream_state before = k->upstream->state;
 	uint64_t address_started = k->address_started_wall_ms;
+	enum entry_use use = is_before_recorded(k, entry) ? ENTRY_OF_EARLIER_ONE
+							  : use_entry(k, entry);
 
-	if (is_outdated(k, entry)) {
-		log_fields(LOG_INFO, "entry_outdated", "{s:s,s:I,s:I}",
+	if (use == ENTRY_OF_EARLIER_ONE || use == ENTRY_DENIED) {
+		log_fields(LOG_INFO, "entry_outdated", "{s:s,s:I,s:I,s:b}",
 			   "upstream", k->upstream->id, "started",
 			   (json_int_t)entry->started_wall_ms, "known",
-			   (json_int_t)k->upstream->started_wall_ms);
+			   (json_int_t)k->upstream->started_wall_ms, "denied",
+			   use == ENTRY_DENIED);
 		return;
 	}
 	departure_note_listed(&k->departure);
-	if (entry->started_wall_ms != k->denied_started_wall_ms) {
-		set_address(k, &entry->address, entry->started_wall_ms);
-		if (restart_is_listed(k) &&
-		    entry->started_wall_ms > address_started)
-			ask_about_restart(k, entry->started_wall_ms);
-	}
-	apply_entry(k, entry);
+	set_address(k, &entry->address, entry->started_wall_ms);
+	if (use == ENTRY_AWAITS_ANSWER &&
+	    entry->started_wall_ms > address_started)
+		ask_about_restart(k, entry->started_wall_ms);
 	if (k->upstream->state != before)
 		log_fields(LOG_INFO, "upstream_state", "{s:s,s:i,s:i}",
 			   "upstream", k->upstream->id, "from", (int)before,
@@ -490,7 +594,7 @@
  */
 void session_note_unlisted(struct session *k, bool removed)
 {
-	k->listed = false;
+	incarnation_note_unlisted(&k->incarnation);
 	departure_note_unlisted(&k->departure,
 				removed &&
 					k->upstream->state == UPSTREAM_DRAINING,
@@ -529,9 +633,10 @@
 {
 	const struct upstream *u = k->upstream;
 
-	return u->tasks->len || u->doubted || (u->superseded_ms && k->listed) ||
+	return u->tasks->len || u->doubted ||
+	       (u->superseded_ms && incarnation_is_listed(&k->incarnation)) ||
 	       k->newest_end_seen > k->newest_end_acknowledged ||
-	       (!u->synced && u->state != UPSTREAM_GONE);
+	       (!u->synced && incarnation_is_listed(&k->incarnation));
 }
 
 static void on_stray_stopped(void *arg, const struct order_answer *a)
@@ -583,6 +688,13 @@
 					clock_mono_ms());
 }
 
+/* Apply the entry that was kept until its incarnation answered. */
+static void apply_kept_entry(struct session *k)
+{
+	apply_entry(k, &k->incarnation.newest);
+	stop_unsuited_runs(k);
+}
+
 /*
  * Apply the start time that the upstream names; a is the answer. Returns false
  * if the rest of the answer must be ignored: it is of an earlier incarnation,
@@ -597,11 +709,12 @@
 	uint64_t started = a->started_wall_ms;
 	struct upstream *u = k->upstream;
 	bool restarted = started > u->started_wall_ms;
+	bool lowered = started < u->started_wall_ms, describes;
 
-	if (started < k->answered_started_wall_ms)
+	if (started < k->incarnation.answered_started_wall_ms) {
+		orders_disconnect(k->orders);
 		return false;
-	if (k->address_started_wall_ms > started)
-		k->denied_started_wall_ms = k->address_started_wall_ms;
+	}
 	if (k->address_started_wall_ms > started ||
 	    u->started_wall_ms > started)
 		log_fields(LOG_WARN, "start_denied", "{s:s,s:I,s:I,s:I}",
@@ -611,11 +724,15 @@
 	if (restarted)
 		settle(k, &e);
 	u->started_wall_ms = started;
-	k->answered_started_wall_ms = started;
+	describes = incarnation_note_answer(&k->incarnation, started);
 	k->address_started_wall_ms = started;
 	note_address(k);
 	if (restarted)
 		reset_incarnation(k);
+	if (describes)
+		apply_kept_entry(k);
+	else if (restarted || (lowered && !u->superseded_ms))
+		apply_state(k);
 	return !restarted || !a->has_lists;
 }
 
@@ -633,7 +750,7 @@
 	lease_clock_note_timeout(&k->leases);
 	if (settle(k, &e) == LOSS_ENDED) {
 		reset_incarnation(k);
-		k->listed = false;
+		incarnation_note_unlisted(&k->incarnation);
 	} else {
 		k->failure_count++;
 	}
@@ -741,8 +858,7 @@
 	if (!u->superseded_ms || k->call_sent_ms <= u->superseded_ms)
 		return;
 	u->superseded_ms = 0;
-	if (k->listed)
-		u->state = u->leaving ? UPSTREAM_DRAINING : UPSTREAM_READY;
+	apply_state(k);
 	log_fields(LOG_WARN, "supersession_denied", "{s:s,s:i}", "upstream",
 		   u->id, "tasks", (int)u->tasks->len);
 	k->env->events.model_changed(k->env->arg);
@@ -759,7 +875,8 @@
 	if (!note_answer(k, a, k->call_sent_ms)) {
 		bool restarted =
 			a->has_lists &&
-			a->started_wall_ms == k->answered_started_wall_ms;
+			a->started_wall_ms ==
+				k->incarnation.answered_started_wall_ms;
 
 		/* the lists of a new incarnation are asked for at once */
 		if (a->outcome != ORDER_STALE_EPOCH && needs_calls(k))
@@ -961,6 +1078,14 @@
 	struct session *k = o->session;
 	struct task *t = find_order_task(o);
 
+	if (a->unconfirmed) {
+		if (t) {
+			t->sent = o->was_sent;
+			await_incarnation(k, t);
+		}
+		g_free(o);
+		return;
+	}
 	/* the end of the incarnation is judged by what is known of the order */
 	if (t)
 		delivery_note_outcome(t, a->outcome);
@@ -971,9 +1096,58 @@
 	} else {
 		retry_misdirected(o, a);
 	}
+	/* its connection is open again once this call has returned */
+	if (k->starts_wait)
+		timer_start(k->env->loop, &k->order_retry_timer, 0);
 	g_free(o);
 }
 
+/*
+ * Note that the upstream has named its incarnation over a connection that starts
+ * can use now. Its lists are left to the list calls, whose order is known.
+ */
+static void on_asked(void *arg, const struct order_answer *a)
+{
+	struct session *k = arg;
+
+	k->ask_in_flight = false;
+	if (!note_answer(k, a, k->ask_sent_ms) || a->outcome != ORDER_DONE ||
+	    a->started_wall_ms != k->upstream->started_wall_ms)
+		return;
+	k->unused_answers++;
+	if (k->starts_wait)
+		timer_start(k->env->loop, &k->order_retry_timer, 0);
+}
+
+/* Ask the incarnation to name itself. */
+static void ask_incarnation(struct session *k)
+{
+	if (k->ask_in_flight)
+		return;
+	k->ask_in_flight = true;
+	k->ask_sent_ms = clock_mono_ms();
+	counter_add(k->env->counters, "incarnations_asked", NULL, 1);
+	orders_renew(k->orders, 0, k->env->epoch, k->newest_end_acknowledged, 0,
+		     ANSWER_TIMEOUT_MS, on_asked, k);
+}
+
+/* Let the start of t wait until the incarnation has named itself. */
+static void await_incarnation(struct session *k, struct task *t)
+{
+	schedule_order_retry(k, t);
+	k->starts_wait = true;
+	ask_incarnation(k);
+}
+
+/*
+ * Report whether a start may open a connection: the upstream answers and keeps
+ * none open.
+ */
+static bool keeps_no_connection(const struct session *k)
+{
+	return k->unused_answers >= UNUSED_ANSWERS_MAX;
+}
+
 /*
  * Order the upstream to start the newest run of t, which must be recorded. Does
  * nothing after the end of the tenure.
@@ -991,7 +1165,17 @@
 
 	if (!may_act(k, now))
 		return;
+	if (restart_is_listed(k) || is_placed_on_earlier_incarnation(t)) {
+		schedule_order_retry(k, t);
+		return;
+	}
+	s.may_connect = keeps_no_connection(k);
+	if (!s.may_connect && !orders_is_connected(k->orders)) {
+		await_incarnation(k, t);
+		return;
+	}
 	o = order_create(k, t);
+	o->was_sent = t->sent;
 	s.task = o->task;
 	s.lease_end_clock_ms = lease_clock_request(
 		&k->leases, domain_orders_start_lease_ms(k->env->settings),
@@ -1004,6 +1188,11 @@
 		session_schedule_call(k);
 		return;
 	}
+	if (s.may_connect)
+		counter_add(k->env->counters, "starts_on_new_connections", NULL,
+			    1);
+	else
+		k->unused_answers = 0;
 	counter_add(k->env->counters, "orders", "kind=\"start\"", 1);
 	orders_start(k->orders, &s, ORDER_TIMEOUT_MS, on_start_answer, o);
 	session_schedule_call(k);
--- a/lib/http.h
+++ b/lib/http.h
@@ -24,6 +24,7 @@
 	int status;
 	const char *body; /* ends in NUL; valid during the callback */
 	size_t len;
+	bool opened; /* over a connection that no call had used before */
 };
 
 typedef void (*http_done_fn)(void *arg, const struct http_result *r);
@@ -38,6 +39,7 @@
 void http_pool_destroy(struct http_pool *p);
 uint32_t http_pool_in_flight(const struct http_pool *p);
 void http_pool_retire_connections(struct http_pool *p);
+bool http_pool_has_open_connection(const struct http_pool *p);
 
 struct http_call *http_call_start(struct http_pool *p, const char *method,
 				  const char *path, const char *body,
@@ -48,6 +50,11 @@
 			     const char *path, const char *headers,
 			     const char *body, uint32_t timeout_ms,
 			     http_done_fn done, void *arg);
+struct http_call *
+http_call_start_on_open_connection(struct http_pool *p, const char *method,
+				   const char *path, const char *headers,
+				   const char *body, uint32_t timeout_ms,
+				   http_done_fn done, void *arg);
 void http_call_cancel(struct http_call *call);
 
 /* Server */
--- a/lib/httpclient.c
+++ b/lib/httpclient.c
@@ -49,6 +49,9 @@
 	h2o_iovec_t request_iov;
 	GByteArray *body;
 	bool sent;
+	bool starting;	 /* inside http_call_start: connecting at once */
+	bool opened;	 /* its connection was not open before */
+	bool open_only;	 /* it must not open one */
 	bool has_length; /* the answer's headers tell where it ends */
 	int status;
 	http_done_fn done;
@@ -189,13 +192,15 @@
  */
 static void call_finish(struct http_call *call, struct verdict v)
 {
-	struct http_result r = {.verdict = v, .status = call->status};
+	struct http_result r = {
+		.verdict = v, .status = call->status, .opened = call->opened};
 	http_done_fn done = call->done;
 	void *arg = call->arg;
 	guint8 nul = 0;
 
 	call->set->in_flight--;
-	if (v.tag != VERDICT_RAN && call->set == call->pool->set)
+	if (v.tag != VERDICT_RAN && v.reason != REASON_BUSY &&
+	    call->set == call->pool->set)
 		http_pool_retire_connections(call->pool);
 	else if (call->set->retired)
 		timer_start(call->pool->client->loop, &call->pool->sweep_timer,
@@ -301,6 +306,12 @@
 		call_finish(call, verdict_did_not_run(REASON_CONNECT));
 		return NULL;
 	}
+	/* the pool hands out an open connection before it returns */
+	call->opened = !call->starting;
+	if (call->opened && call->open_only) {
+		call_finish(call, verdict_did_not_run(REASON_BUSY));
+		return NULL;
+	}
 	call->sent = true;
 	call->pool->client->bytes += call->request_iov.len;
 	*bufs = &call->request_iov;
@@ -322,6 +333,38 @@
 			       method, path, host, headers, strlen(body), body);
 }
 
+static struct http_call *call_start(struct http_pool *p, const char *method,
+				    const char *path, const char *headers,
+				    const char *body, bool open_only,
+				    uint32_t timeout_ms, http_done_fn done,
+				    void *arg)
+{
+	struct http_call *call;
+
+	if (http_pool_in_flight(p) >= p->max_connections)
+		return NULL;
+	call = g_new0(struct http_call, 1);
+	call->pool = p;
+	call->set = p->set;
+	call->set->in_flight++;
+	call->open_only = open_only;
+	call->done = done;
+	call->arg = arg;
+	call->body = g_byte_array_new();
+	call->request =
+		format_request(p, method, path, headers, body ? body : "");
+	call->request_iov =
+		h2o_iovec_init(call->request, strlen(call->request));
+	g_hash_table_add(p->calls, call);
+	timer_init(&call->timer, call_timeout, call);
+	timer_start_timeout(p->client->loop, &call->timer, timeout_ms);
+	call->starting = true;
+	h2o_http1client_connect_with_pool(&call->client, call, &p->client->ctx,
+					  &p->set->sockets, on_connect);
+	call->starting = false;
+	return call;
+}
+
 /*
  * Send one request; done(arg, result) is called exactly once, unless the
  * call is cancelled, and never from inside this function.  body may be
@@ -347,27 +390,32 @@
 			     const char *body, uint32_t timeout_ms,
 			     http_done_fn done, void *arg)
 {
-	struct http_call *call;
+	return call_start(p, method, path, headers, body, false, timeout_ms,
+			  done, arg);
+}
 
-	if (http_pool_in_flight(p) >= p->max_connections)
+/* Report whether a call could begin on a connection that is open by now. */
+bool http_pool_has_open_connection(const struct http_pool *p)
+{
+	return !h2o_linklist_is_empty(&p->set->sockets._shared.sockets);
+}
+
+/*
+ * Send one request as http_call_start_with_headers does, but only over a
+ * connection on which a call of this pool was answered: it leads to the process
+ * that gave that answer. The call ends with REASON_BUSY, and did not run, if the
+ * last such connection turns out to be closed; returns NULL if there is none.
+ */
+struct http_call *
+http_call_start_on_open_connection(struct http_pool *p, const char *method,
+				   const char *path, const char *headers,
+				   const char *body, uint32_t timeout_ms,
+				   http_done_fn done, void *arg)
+{
+	if (!http_pool_has_open_connection(p))
 		return NULL;
-	call = g_new0(struct http_call, 1);
-	call->pool = p;
-	call->set = p->set;
-	call->set->in_flight++;
-	call->done = done;
-	call->arg = arg;
-	call->body = g_byte_array_new();
-	call->request =
-		format_request(p, method, path, headers, body ? body : "");
-	call->request_iov =
-		h2o_iovec_init(call->request, strlen(call->request));
-	g_hash_table_add(p->calls, call);
-	timer_init(&call->timer, call_timeout, call);
-	timer_start_timeout(p->client->loop, &call->timer, timeout_ms);
-	h2o_http1client_connect_with_pool(&call->client, call, &p->client->ctx,
-					  &p->set->sockets, on_connect);
-	return call;
+	return call_start(p, method, path, headers, body, true, timeout_ms,
+			  done, arg);
 }
 
 /* Cancel and free call; its callback is not run. */
--- a/sched/job.c
+++ b/sched/job.c
@@ -413,6 +413,7 @@
 	t->state = TASK_PLACED;
 	t->run = run;
 	t->placed_ms = now_ms;
+	t->placed_started_wall_ms = u->started_wall_ms;
 	t->percent = 0;
 	progress_reset(t);
 	t->speed = (struct speed_evidence){0};
--- a/sched/job.h
+++ b/sched/job.h
@@ -136,6 +136,8 @@
 	struct run_rate run_rate;
 	struct speed_evidence speed;
 	uint64_t placed_ms;
+	/* the incarnation of its upstream that the newest run was placed on */
+	uint64_t placed_started_wall_ms;
 	uint64_t confirmed_ms;
 	uint64_t ended_ms;
 	bool placed_by_earlier; /* an earlier leader placed the newest run */
--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -5,6 +5,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <setjmp.h>
+#include <signal.h>
 #include <stdint.h>
 #include <cmocka.h>
 #include <arpa/inet.h>
@@ -23,6 +24,7 @@
 
 /* An upstream that lists its runs and counts the orders it got. */
 struct fake_upstream {
+	uint32_t processes; /* the number of the present one */
 	struct http_server *server;
 	struct sockaddr_in address;
 	uint64_t born;
@@ -30,6 +32,7 @@
 	bool replaced;	       /* another upstream answers at its address */
 	bool holds_lists;      /* leaves list calls unanswered, of either */
 	bool holds_orders;     /* leaves the others unanswered */
+	bool refuses_starts;   /* as their leases have ended */
 	bool loses_next_lists; /* leaves one list call unanswered */
 	char running[RUNS_MAX][TASK_NAME_BYTES];
 	uint32_t runs[RUNS_MAX];
@@ -39,6 +42,12 @@
 	const char *odd_end; /* row of its list of ends, or NULL */
 };
 
+/* A process of an upstream; its connections end with it. */
+struct fake_process {
+	struct fake_upstream *upstream;
+	uint32_t number;
+};
+
 struct fixture {
 	struct loop *loop;
 	struct http_client *http;
@@ -89,20 +98,36 @@
 			 f->odd_end ? json_loads(f->odd_end, 0, NULL) : NULL);
 }
 
+/* Answer a call, unless the process that its connection leads to has ended. */
 static void handle_call(void *arg, struct http_exchange *x)
 {
-	struct fake_upstream *f = arg;
+	const struct fake_process *p = arg;
+	struct fake_upstream *f = p->upstream;
 	size_t len;
 	const char *text = exchange_body(x, &len);
 	json_t *body = json_loadb(text, len, 0, NULL), *answer;
 	bool wants_lists = !strcmp(exchange_path(x), "/-/hold");
 
+	if (p->number != f->processes) {
+		exchange_abort(x);
+		json_decref(body);
+		return;
+	}
 	if (f->replaced && !(wants_lists && f->holds_lists)) {
 		f->refusals++;
 		exchange_reply_json(x, 421, json_object(), 0);
 		json_decref(body);
 		return;
 	}
+	if (f->refuses_starts && !strcmp(exchange_path(x), "/-/run-start")) {
+		exchange_reply_json(x, 409,
+				    json_pack("{s:I,s:s}", "clockMs",
+					      (json_int_t)clock_mono_ms(),
+					      "reason", "late"),
+				    0);
+		json_decref(body);
+		return;
+	}
 	if (!strcmp(exchange_path(x), "/-/run-start")) {
 		f->starts++;
 		if (!f->mute)
@@ -140,14 +165,25 @@
 	return at;
 }
 
-static void fake_upstream_create(struct fake_upstream *f, struct loop *l)
+/* Let f be served by a new process; connections to earlier ones are dead. */
+static void begin_process(struct fake_upstream *f, struct loop *l)
 {
-	*f = (struct fake_upstream){.born = 77, .address = free_address()};
+	struct fake_process *p = g_new0(struct fake_process, 1);
+
+	/* h2o's connections refer to it until the test program exits */
+	p->upstream = f;
+	p->number = ++f->processes;
 	f->server =
-		http_server_create(l, &f->address, BODY_MAX, handle_call, f);
+		http_server_create(l, &f->address, BODY_MAX, handle_call, p);
 	assert_non_null(f->server);
 }
 
+static void fake_upstream_create(struct fake_upstream *f, struct loop *l)
+{
+	*f = (struct fake_upstream){.born = 77, .address = free_address()};
+	begin_process(f, l);
+}
+
 static void note_change(void *arg)
 {
 	((struct fixture *)arg)->changes++;
@@ -1232,9 +1268,194 @@
 	fixture_destroy(&s);
 }
 
+/* End the process of f. */
+static void end_process(struct fake_upstream *f)
+{
+	http_server_destroy(f->server);
+	f->processes++;
+}
+
+/* List the present incarnation of f as this kind. */
+static void list_as(struct fixture *s, const struct fake_upstream *f,
+		    const char *kind)
+{
+	s->entry.started_wall_ms = f->born;
+	s->entry.kind = kind;
+	session_apply_entry(s->upstream->session, &s->entry);
+}
+
+/*
+ * An answer shows a restart before an entry does. Guards against work that is
+ * placed by the labels and resources of the earlier incarnation.
+ */
+static void
+test_restarted_upstream_gets_no_work_until_it_is_listed(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	open_session(&s, &f);
+	step_until(s.loop, &s.changes, 1000);
+	assert_true(upstream_is_usable(s.upstream, clock_mono_ms()));
+	restart(&f);
+	s.upstream->doubted = true;
+	session_schedule_call(s.upstream->session);
+	step_until(s.loop, NULL, 500);
+	assert_int_equal(s.upstream->started_wall_ms, f.born);
+	assert_false(upstream_is_usable(s.upstream, clock_mono_ms()));
+	/* the entry of the earlier one is written again */
+	session_apply_entry(s.upstream->session, &s.entry);
+	step_until(s.loop, NULL, 500);
+	assert_false(upstream_is_usable(s.upstream, clock_mono_ms()));
+	list_as(&s, &f, "b");
+	step_until(s.loop, NULL, 500);
+	assert_true(upstream_is_usable(s.upstream, clock_mono_ms()));
+	assert_string_equal(s.upstream->kind, "b");
+	fixture_destroy(&s);
+}
+
+/*
+ * An idle upstream has restarted, and nothing has told so yet. Guards against a
+ * first start that goes to an incarnation that is not known.
+ */
+static void test_first_start_asks_who_answers(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	open_session(&s, &f);
+	step_until(s.loop, &s.changes, 1000);
+	end_process(&f);
+	restart(&f);
+	begin_process(&f, s.loop);
+	start_task(&s);
+	assert_becomes(&s, TASK_WAITING);
+	assert_int_equal(f.starts, 0);
+	assert_int_equal(s.upstream->started_wall_ms, f.born);
+	assert_false(upstream_is_usable(s.upstream, clock_mono_ms()));
+	fixture_destroy(&s);
+}
+
+/*
+ * A start is refused and waits to be sent again; meanwhile the upstream ends, and
+ * is up again as another kind. Guards against a start that is sent again to the
+ * later incarnation.
+ */
+static void test_start_is_not_repeated_at_a_later_incarnation(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	open_session(&s, &f);
+	step_until(s.loop, &s.changes, 1000);
+	f.refuses_starts = true;
+	start_task(&s);
+	step_until(s.loop, NULL, 300);
+	assert_int_equal(s.task->state, TASK_PLACED);
+	end_process(&f);
+	restart(&f);
+	f.refuses_starts = false;
+	begin_process(&f, s.loop);
+	list_as(&s, &f, "b");
+	assert_becomes(&s, TASK_WAITING);
+	step_until(s.loop, NULL, 1500);
+	assert_int_equal(f.starts, 0);
+	assert_true(upstream_is_usable(s.upstream, clock_mono_ms()));
+	fixture_destroy(&s);
+}
+
+/*
+ * The later incarnation has begun a run before it was known. Guards against work
+ * that goes on where its client has excluded it.
+ */
+static void
+test_run_that_does_not_suit_a_new_incarnation_is_stopped(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	s.entry.kind = "a";
+	text_set(&s.job->steps[0].label, "a");
+	open_session(&s, &f);
+	step_until(s.loop, &s.changes, 1000);
+	restart(&f);
+	start_task(&s);
+	assert_becomes(&s, TASK_RUNNING);
+	list_as(&s, &f, "b");
+	assert_becomes(&s, TASK_WAITING);
+	assert_int_equal(f.stops, 1);
+	fixture_destroy(&s);
+}
+
+/*
+ * Another writer leaves an entry of a later start and another kind. Guards
+ * against its labels, and against an upstream that is out of use meanwhile.
+ */
+static void test_labels_of_a_denied_entry_are_not_used(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	s.entry.kind = "a";
+	open_session(&s, &f);
+	step_until(s.loop, &s.changes, 1000);
+	s.entry.started_wall_ms = 99;
+	s.entry.kind = "b";
+	for (uint32_t i = 0; i < 3; i++) {
+		session_apply_entry(s.upstream->session, &s.entry);
+		step_until(s.loop, NULL, 300);
+		assert_string_equal(s.upstream->kind, "a");
+	}
+	assert_true(upstream_is_usable(s.upstream, clock_mono_ms()));
+	fixture_destroy(&s);
+}
+
+/* Guards against an upstream that gets no starts as it closes connections. */
+static void test_upstream_that_keeps_no_connection_is_used(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	http_server_close_after_reply(f.server);
+	open_session(&s, &f);
+	step_until(s.loop, &s.changes, 1000);
+	start_task(&s);
+	assert_becomes(&s, TASK_RUNNING);
+	assert_int_equal(f.starts, 1);
+	fixture_destroy(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			test_restarted_upstream_gets_no_work_until_it_is_listed),
+		cmocka_unit_test(test_first_start_asks_who_answers),
+		cmocka_unit_test(
+			test_start_is_not_repeated_at_a_later_incarnation),
+		cmocka_unit_test(
+			test_run_that_does_not_suit_a_new_incarnation_is_stopped),
+		cmocka_unit_test(test_labels_of_a_denied_entry_are_not_used),
+		cmocka_unit_test(
+			test_upstream_that_keeps_no_connection_is_used),
 		cmocka_unit_test(test_run_is_started_and_stopped),
 		cmocka_unit_test(test_start_survives_change_of_address),
 		cmocka_unit_test(test_stop_survives_change_of_address),
@@ -1287,5 +1508,7 @@
 			test_odd_end_is_passed_and_its_upstream_stays_in_use),
 	};
 
+	/* processes end while calls reach them */
+	signal(SIGPIPE, SIG_IGN);
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
