test: crowds at an instance whose settings state no memory

unit_session: the first start is also played after the open connections were closed as unused; proc_reborn waits for that too.

--- a/test/jointsite.c
+++ b/test/jointsite.c
@@ -235,11 +235,13 @@
 						  LISTED_PORT)
 				 : format_address(s, 10 + i, 7003);
 	char *store = format_address(s, 20 + i, 7100);
-	char *limits = s->memory_mb
-			       ? g_strdup_printf(", \"memory_mb\": %u, "
-						 "\"descriptors\": %u",
-						 s->memory_mb, s->descriptors)
-			       : g_strdup("");
+	char *memory = s->memory_mb ? g_strdup_printf(", \"memory_mb\": %u",
+						      s->memory_mb)
+				    : g_strdup("");
+	char *limits = s->descriptors
+			       ? g_strdup_printf("%s, \"descriptors\": %u",
+						 memory, s->descriptors)
+			       : g_strdup(memory);
 	char *text = g_strdup_printf(
 		"{\"instance\": \"i%u\", \"domain\": \"%s\", \"joint\": "
 		"{\"callers\": \"%s\", \"readiness\": \"%s\", \"metrics\": "
@@ -263,6 +265,7 @@
 	unsetenv("LD_PRELOAD");
 	unsetenv("REROUTE");
 	g_free(text);
+	g_free(memory);
 	g_free(limits);
 	g_free(store);
 	g_free(peers);
--- a/test/proc_crowd.c
+++ b/test/proc_crowd.c
@@ -22,6 +22,9 @@
 #define MEMORY_MB 64
 #define DESCRIPTORS 512
 #define DESCRIPTORS_FEW 192
+/* The smallest machine of the pages, for settings that state no memory. */
+#define MEMORY_SMALLEST_MB 120
+#define DESCRIPTORS_MANY 4096
 #define KB_PER_MB 1024
 
 /* Largest body that the configuration allows (limits.maxBodyBytes). */
@@ -36,6 +39,8 @@
 /* Sizes of the crowds. */
 #define BODIES_COUNT 320
 #define WHOLE_BODIES_COUNT 440
+/* Bodies of more than MEMORY_SMALLEST_MB together. */
+#define MANY_BODIES_COUNT 900
 #define HEADERS_COUNT 300
 #define NON_READERS_COUNT 120
 #define FRAMES_COUNT 48
@@ -193,14 +198,16 @@
 	return text;
 }
 
-static struct joint_site *start_limited(uint32_t net, uint32_t descriptors)
+/* Starts a site whose settings state this memory, 0: none, and descriptors. */
+static struct joint_site *start_with(uint32_t net, uint32_t memory_mb,
+				     uint32_t descriptors)
 {
 	struct joint_shape shape = {.instances = INSTANCE_COUNT,
 				    .upstreams = UPSTREAM_COUNT,
 				    .domains = 1,
 				    .lease_ms = LEASE_MS,
 				    .real_clocks = true,
-				    .memory_mb = MEMORY_MB,
+				    .memory_mb = memory_mb,
 				    .descriptors = descriptors};
 	struct joint_site *s = joint_start_shape(net, &shape);
 	struct rlimit r = {descriptors, descriptors};
@@ -211,6 +218,17 @@
 	return s;
 }
 
+static struct joint_site *start_limited(uint32_t net, uint32_t descriptors)
+{
+	return start_with(net, MEMORY_MB, descriptors);
+}
+
+/* Returns the bound on the memory of an instance, in KB. */
+static uint64_t memory_bound_kb(const struct joint_site *s)
+{
+	return (s->memory_mb ? s->memory_mb : MEMORY_SMALLEST_MB) * KB_PER_MB;
+}
+
 /* Returns the largest memory that instance 0 has had resident, in KB. */
 static uint64_t resident_max_kb(const struct joint_site *s)
 {
@@ -252,11 +270,12 @@
 	char *path = joint_job_path(1);
 	int status, end = 0;
 
-	print_message("resident %llu KB of %u MB, %u descriptors of %u\n",
-		      (unsigned long long)kb, MEMORY_MB, descriptors,
+	print_message("resident %llu KB of %llu, %u descriptors of %u\n",
+		      (unsigned long long)kb,
+		      (unsigned long long)memory_bound_kb(s), descriptors,
 		      s->descriptors);
 	assert_int_equal(waitpid(s->instances[0], &end, WNOHANG), 0);
-	assert_in_range(kb, 1, MEMORY_MB * KB_PER_MB);
+	assert_in_range(kb, 1, memory_bound_kb(s));
 	assert_in_range(descriptors, 1, s->descriptors);
 	status = joint_request(
 		s, p, "POST", path,
@@ -267,7 +286,7 @@
 	g_free(path);
 	assert_int_equal(status, 200);
 	assert_int_equal(waitpid(s->instances[0], &end, WNOHANG), 0);
-	assert_in_range(resident_max_kb(s), 1, MEMORY_MB * KB_PER_MB);
+	assert_in_range(resident_max_kb(s), 1, memory_bound_kb(s));
 }
 
 /* Has a crowd send these bytes, checks the instance, and stops the site. */
@@ -306,6 +325,36 @@
 	check_bodies(141, PIECE_BYTES);
 }
 
+/*
+ * Guards against a bound that a single client inside the limits meets: the
+ * largest body, whole and in pieces, with and without a stated memory.
+ */
+static void largest_legal_body_is_served_in_calm(void **state)
+{
+	static const uint32_t memory_mb[] = {MEMORY_MB, 0};
+
+	(void)state;
+	for (uint32_t i = 0; i < G_N_ELEMENTS(memory_mb); i++) {
+		struct joint_site *s =
+			start_with(152 + i, memory_mb[i], DESCRIPTORS);
+		char *body = body_text(SPEC_BYTES);
+		size_t len;
+		char *text = request_text(152 + i, body, 0, &len);
+		struct crowd *c;
+
+		assert_int_equal(joint_request(s, s->callers[0], "POST",
+					       "/u/00000000000000ab", body,
+					       NULL),
+				 200);
+		c = crowd_create(s, PORT_CALLERS, 1, text, len, PIECE_BYTES);
+		joint_wait_count(s, "starts", 2, WAIT_TIMEOUT_MS);
+		check_serves_within_limits(s);
+		crowd_destroy(c);
+		joint_stop(s);
+		g_free(body);
+	}
+}
+
 /* Guards against whole large bodies that arrive at once and are refused. */
 static void whole_bodies_at_once_are_bounded(void **state)
 {
@@ -413,6 +462,10 @@
 		    NON_READERS_COUNT, text, len, len);
 }
 
+/* The first frame of a connection, which names a known instance. */
+static const char hello[] = {0,	   0,	 0,    8, 0x0a, 6,
+			     0x08, 0x02, 0x12, 2, 'i',	'1'};
+
 /* Returns a frame of FRAME_BYTES without its last byte, after a prefix. */
 static char *unfinished_frame(const char *prefix, size_t prefix_len,
 			      size_t *len)
@@ -427,6 +480,31 @@
 	return bytes;
 }
 
+/*
+ * The settings state no memory; bodies come to the callers' port and frames in
+ * the name of an instance to the peers' port. Guards against crowds that fill a small machine,
+ * as the memory of a large one was assumed.
+ */
+static void crowds_without_a_stated_memory_are_bounded(void **state)
+{
+	struct rlimit r = {DESCRIPTORS_MANY, DESCRIPTORS_MANY};
+	struct joint_site *s;
+	char *body = body_text(SPEC_LARGE_BYTES), *frame;
+	size_t len, frame_len;
+	char *text = request_text(151, body, 1, &len);
+	struct crowd *c;
+
+	(void)state;
+	g_free(body);
+	setrlimit(RLIMIT_NOFILE, &r);
+	s = start_with(151, 0, DESCRIPTORS_MANY);
+	c = crowd_create(s, PORT_CALLERS, MANY_BODIES_COUNT, text, len,
+			 BODY_MAX_BYTES);
+	frame = unfinished_frame(hello, sizeof(hello), &frame_len);
+	check_crowd(s, PORT_PEERS, FRAMES_COUNT, frame, frame_len, frame_len);
+	crowd_destroy(c);
+}
+
 /* Guards against strangers whose frames fill the memory at the peers' port. */
 static void frames_without_a_hello_are_bounded(void **state)
 {
@@ -441,8 +519,6 @@
 /* As above; each connection first names itself as a known instance. */
 static void frames_after_a_hello_are_bounded(void **state)
 {
-	static const char hello[] = {0,	   0,	 0,    8, 0x0a, 6,
-				     0x08, 0x02, 0x12, 2, 'i',	'1'};
 	size_t len;
 	char *bytes = unfinished_frame(hello, sizeof(hello), &len);
 
@@ -466,6 +542,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(bodies_that_stop_one_byte_short_are_bounded),
 		cmocka_unit_test(bodies_in_small_pieces_are_bounded),
+		cmocka_unit_test(largest_legal_body_is_served_in_calm),
 		cmocka_unit_test(whole_bodies_at_once_are_bounded),
 		cmocka_unit_test(
 			whole_bodies_that_wait_for_the_store_are_bounded),
@@ -473,6 +550,7 @@
 		cmocka_unit_test(clients_that_read_no_response_are_bounded),
 		cmocka_unit_test(crowd_at_the_readiness_listener_is_bounded),
 		cmocka_unit_test(crowd_at_the_metrics_listener_is_bounded),
+		cmocka_unit_test(crowds_without_a_stated_memory_are_bounded),
 		cmocka_unit_test(frames_without_a_hello_are_bounded),
 		cmocka_unit_test(frames_after_a_hello_are_bounded),
 		cmocka_unit_test(idle_connections_of_strangers_are_bounded),
--- a/test/proc_reborn.c
+++ b/test/proc_reborn.c
@@ -100,10 +100,10 @@
 	uint32_t n = 1;
 
 	(void)state;
-	for (uint32_t round = 0; round < 4; round++) {
+	for (uint32_t round = 0; round < 3; round++) {
 		submit_for_b(s, n);
 		joint_wait_completed(s, 0, n++);
-		joint_run_for(s, 1000 * round);
+		joint_run_for(s, 2500 * round);
 		control_changed(s, "a", true);
 		/* it is up, and its heartbeat is not due yet */
 		joint_run_for(s, AWAY_MS + 200);
--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -17,6 +17,8 @@
 #include "lib/schema.h"
 
 #define BODY_MAX 65536
+/* Time after which the client has closed connections that are not used. */
+#define UNUSED_CLOSED_MS 5000
 #define RUNS_MAX 8
 #define EPOCH 3
 /* Each order must have an effect within this time. */
@@ -1318,8 +1320,9 @@
 }
 
 /*
- * An idle upstream has restarted, and nothing has told so yet. Guards against a
- * first start that goes to an incarnation that is not known.
+ * An idle upstream has restarted, and nothing has told so yet; the connections to
+ * it are open or were closed as unused. Guards against a first start that goes to
+ * an incarnation that is not known.
  */
 static void test_first_start_asks_who_answers(void **state)
 {
@@ -1327,19 +1330,23 @@
 	struct fixture s;
 
 	(void)state;
-	fixture_create(&s);
-	fake_upstream_create(&f, s.loop);
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
-	end_process(&f);
-	restart(&f);
-	begin_process(&f, s.loop);
-	start_task(&s);
-	assert_becomes(&s, TASK_WAITING);
-	assert_int_equal(f.starts, 0);
-	assert_int_equal(s.upstream->started_wall_ms, f.born);
-	assert_false(upstream_is_usable(s.upstream, clock_mono_ms()));
-	fixture_destroy(&s);
+	for (uint32_t unused = 0; unused < 2; unused++) {
+		fixture_create(&s);
+		fake_upstream_create(&f, s.loop);
+		open_session(&s, &f);
+		step_until(s.loop, &s.changes, 1000);
+		if (unused)
+			step_until(s.loop, NULL, UNUSED_CLOSED_MS);
+		end_process(&f);
+		restart(&f);
+		begin_process(&f, s.loop);
+		start_task(&s);
+		assert_becomes(&s, TASK_WAITING);
+		assert_int_equal(f.starts, 0);
+		assert_int_equal(s.upstream->started_wall_ms, f.born);
+		assert_false(upstream_is_usable(s.upstream, clock_mono_ms()));
+		fixture_destroy(&s);
+	}
 }
 
 /*
