Assume the smallest machine where the settings state no memory

Cause: with joint.memory_mb missing, 512 MB were assumed: 128 for callers' connections and 64 for peers'.

Change: 120 MB are assumed. Settings from deploy/settings.json.in always state the memory where the platform does, so no deployment changes.

--- a/daemon/intakes.c
+++ b/daemon/intakes.c
@@ -9,8 +9,8 @@
 #include "lib/log.h"
 #include "lib/loop.h"
 
-/* Assumed where the settings do not state the memory. */
-#define MEMORY_DEFAULT_MB 512
+/* Assumed where the settings do not state the memory: the smallest machine. */
+#define MEMORY_DEFAULT_MB 120
 #define BYTES_PER_MB (UINT64_C(1) << 20)
 /*
  * A share of the memory is at least this: two requests with the largest body
