lead: a denied entry does not count as listed once nothing is

incarnation_is_listed compared the start of no entry, 0, with a denied one, so that an upstream without an entry was asked for its lists until it answered. By reading; denied_entry_describes_nothing failed before and passes.

--- a/lead/incarnation.c
+++ b/lead/incarnation.c
@@ -61,6 +61,8 @@
 /* Report whether the list has an entry that the upstream has not denied. */
 bool incarnation_is_listed(const struct incarnation *i)
 {
+	uint64_t newest = i->newest.started_wall_ms;
+
 	return i->described_started_wall_ms ||
-	       i->newest.started_wall_ms != i->denied_started_wall_ms;
+	       (newest && newest != i->denied_started_wall_ms);
 }
--- a/test/unit_incarnation.c
+++ b/test/unit_incarnation.c
@@ -126,6 +126,12 @@
 	assert_int_equal(read_entry(&r, 99, "odd"), ENTRY_DENIED);
 	assert_true(may_place(&r));
 	check(&r);
+	/* what was denied is no entry, also once nothing is listed */
+	assert_true(incarnation_is_listed(&r.known));
+	incarnation_note_unlisted(&r.known);
+	assert_false(incarnation_is_listed(&r.known));
+	read_entry(&r, 99, "odd");
+	assert_false(incarnation_is_listed(&r.known));
 	/* also as the first entry that is read */
 	r = (struct reader){.kind = ""};
 	read_entry(&r, 99, "odd");
