test: seeded restarts of upstreams as other kinds

Upstreams restart as other kinds under jobs for both kinds, with instances killed and frozen and links that fall silent. Every record of the stand-in is checked for starts on another kind (joint_check_record).

--- a/test/jointsite.c
+++ b/test/jointsite.c
@@ -738,6 +738,7 @@
 	assert_int_equal(json_int_or(record, "twice", -1), 0);
 	assert_int_equal(json_int_or(record, "after_done", -1), 0);
 	assert_int_equal(json_int_or(record, "over_room", -1), 0);
+	assert_int_equal(json_int_or(record, "on_other_kind", -1), 0);
 	assert_true(max_of_crash_tasks(record, 2) < FURTHER_STARTS_LIMIT);
 	json_decref(record);
 }
--- a/test/proc_reborn.c
+++ b/test/proc_reborn.c
@@ -3,6 +3,7 @@
  * another kind, with its first heartbeat a while after its start.
  */
 #include <glib.h>
+#include <signal.h>
 #include <stdlib.h>
 
 #include "test/jointsite.h"
@@ -14,19 +15,29 @@
 #define FIRST_BEAT_MS 1000
 /* Time within which an upstream is listed and used again. */
 #define BACK_MS 5000
-
-static void control_changed(struct joint_site *s, const char *kind, bool crash)
+/* Seeds of the random course in CI, its steps, and its longest fault. */
+#define DEFAULT_SEEDS "1 2"
+#define SEED_STEPS 60
+#define FAULT_MAX_MS 1500
+
+/* Makes upstream u one of this kind, by a crash or at once. */
+static void change_kind(struct joint_site *s, uint32_t u, const char *kind,
+			bool crash, uint32_t away_ms, uint32_t first_beat_ms)
 {
 	char *body = g_strdup_printf(
-		"{\"upstream\": %d, \"kind\": \"%s\", \"crash\": %s, "
-		"\"crash_ms\": %d, \"first_beat_ms\": %d}",
-		CHANGED, kind, crash ? "true" : "false", AWAY_MS,
-		FIRST_BEAT_MS);
+		"{\"upstream\": %u, \"kind\": \"%s\", \"crash\": %s, "
+		"\"crash_ms\": %u, \"first_beat_ms\": %u}",
+		u, kind, crash ? "true" : "false", away_ms, first_beat_ms);
 
 	joint_control_platform(s, body);
 	g_free(body);
 }
 
+static void control_changed(struct joint_site *s, const char *kind, bool crash)
+{
+	change_kind(s, CHANGED, kind, crash, AWAY_MS, FIRST_BEAT_MS);
+}
+
 static struct joint_site *start_site(uint32_t net)
 {
 	struct joint_site *s = joint_start(net);
@@ -35,20 +46,29 @@
 	return s;
 }
 
-/* Submits job n of one task, for upstreams of kind b. */
-static void submit_for_b(struct joint_site *s, uint32_t n)
+/*
+ * Submits job n of one task, for upstreams of this kind, to instance i; returns
+ * the status.
+ */
+static int submit_for(struct joint_site *s, uint32_t i, uint32_t n,
+		      const char *kind)
 {
 	char *path = joint_job_path(n);
+	char *body = g_strdup_printf(
+		"{\"spec\":\"kind %s 200\",\"steps\":[{\"count\":1,\"cpu\":"
+		"1000,\"memMb\":1000,\"estimateMs\":200,\"requires\":"
+		"\"%s\"}]}",
+		kind, kind);
+	int status = joint_request(s, s->callers[i], "POST", path, body, NULL);
 
-	assert_int_equal(
-		joint_request(s, s->callers[n % s->instance_count], "POST",
-			      path,
-			      "{\"spec\":\"kind b 200\",\"steps\":[{\"count\":"
-			      "1,\"cpu\":1000,\"memMb\":1000,\"estimateMs\":"
-			      "200,\"requires\":\"b\"}]}",
-			      NULL),
-		200);
+	g_free(body);
 	g_free(path);
+	return status;
+}
+
+static void submit_for_b(struct joint_site *s, uint32_t n)
+{
+	assert_int_equal(submit_for(s, n % s->instance_count, n, "b"), 200);
 }
 
 static void assert_none_on_other_kind(struct joint_site *s)
@@ -119,11 +139,88 @@
 	joint_stop(s);
 }
 
+/* Kills or freezes an instance, or cuts an upstream off, for a while. */
+static void inject_fault(struct joint_site *s, GRand *g)
+{
+	uint32_t i = g_rand_int_range(g, 0, s->instance_count);
+	uint32_t u = g_rand_int_range(g, 0, s->upstream_count);
+	uint32_t ms = g_rand_int_range(g, 100, FAULT_MAX_MS);
+
+	switch (g_rand_int_range(g, 0, 3)) {
+	case 0:
+		joint_instance_kill(s, i, SIGKILL);
+		joint_run_for(s, ms);
+		joint_instance_start(s, i);
+		joint_wait_ready(s, i);
+		break;
+	case 1:
+		kill(s->instances[i], SIGSTOP);
+		joint_run_for(s, ms);
+		kill(s->instances[i], SIGCONT);
+		break;
+	case 2:
+		joint_set_upstream_link(s, u, "freeze", 0);
+		joint_run_for(s, ms);
+		joint_set_upstream_link(s, u, "pass", 0);
+		break;
+	}
+}
+
+/*
+ * Upstreams restart as other kinds under jobs for both, with instances killed and
+ * frozen and links that fall silent; the seed chooses. Guards against any course
+ * in which work starts on another kind, or is not done at last.
+ */
+static void play_seed(uint32_t seed)
+{
+	struct joint_site *s = joint_start(134);
+	GRand *g = g_rand_new_with_seed(seed);
+	GArray *accepted = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+
+	print_message("seed %u\n", seed);
+	for (uint32_t n = 1; n <= SEED_STEPS; n++) {
+		const char *kind = g_rand_boolean(g) ? "a" : "b";
+		uint32_t u = g_rand_int_range(g, 0, s->upstream_count);
+
+		if (g_rand_int_range(g, 0, 3) == 0)
+			change_kind(s, u, kind, true,
+				    g_rand_int_range(g, 50, FAULT_MAX_MS),
+				    g_rand_int_range(g, 0, FAULT_MAX_MS));
+		if (g_rand_int_range(g, 0, 8) == 0)
+			inject_fault(s, g);
+		if (submit_for(s, n % s->instance_count, n,
+			       g_rand_boolean(g) ? "a" : "b") == 200)
+			g_array_append_val(accepted, n);
+		joint_run_for(s, g_rand_int_range(g, 0, 300));
+		assert_none_on_other_kind(s);
+	}
+	change_kind(s, 0, "a", true, AWAY_MS, 0);
+	change_kind(s, 1, "b", true, AWAY_MS, 0);
+	for (guint k = 0; k < accepted->len; k++)
+		joint_wait_completed(s, 0,
+				     g_array_index(accepted, uint32_t, k));
+	g_array_unref(accepted);
+	g_rand_free(g);
+	joint_stop(s);
+}
+
+static void random_restarts_keep_work_on_its_kind(void **state)
+{
+	const char *text = getenv("REBORN_SEEDS");
+	char **seeds = g_strsplit(text ? text : DEFAULT_SEEDS, " ", -1);
+
+	(void)state;
+	for (char **p = seeds; *p; p++)
+		play_seed(g_ascii_strtoull(*p, NULL, 10));
+	g_strfreev(seeds);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(work_for_a_kind_waits_for_an_upstream_of_it),
 		cmocka_unit_test(idle_upstream_is_asked_before_the_next_start),
+		cmocka_unit_test(random_restarts_keep_work_on_its_kind),
 	};
 
 	cmocka_set_test_filter(getenv("TEST_FILTER"));
