lead: a start that finds an open connection ends the count of unused answers

Answers to calls that ask for the incarnation counted until a start was sent, so that starts that were given up meanwhile could add up to the three after which a start may open a connection of its own. By reading; unit_session passes.

--- a/lead/session.c
+++ b/lead/session.c
@@ -69,7 +69,8 @@
 	uint64_t answered_ms;
 	/*
 	 * A call that asks the incarnation to name itself is in flight, sent at
-	 * ask_sent_ms; starts wait for it; answers since the last such start.
+	 * ask_sent_ms; starts wait for it; answers since a start last found an
+	 * open connection.
 	 */
 	bool ask_in_flight;
 	uint64_t ask_sent_ms;
@@ -1169,6 +1170,8 @@
 		schedule_order_retry(k, t);
 		return;
 	}
+	if (orders_is_connected(k->orders))
+		k->unused_answers = 0;
 	s.may_connect = keeps_no_connection(k);
 	if (!s.may_connect && !orders_is_connected(k->orders)) {
 		await_incarnation(k, t);
@@ -1191,8 +1194,6 @@
 	if (s.may_connect)
 		counter_add(k->env->counters, "starts_on_new_connections", NULL,
 			    1);
-	else
-		k->unused_answers = 0;
 	counter_add(k->env->counters, "orders", "kind=\"start\"", 1);
 	orders_start(k->orders, &s, ORDER_TIMEOUT_MS, on_start_answer, o);
 	session_schedule_call(k);
