fleet: an upstream that is not described shares no rack or domain with others

fleet_add_upstream described it by empty texts, so that upstreams which no entry has described yet counted as of one rack and domain when the end of one was judged (sched/ending.c), which they did not before. By reading; unit_names checks it and failed before. Remembered urgent stages have empty names, not none.

--- a/sched/estimator.c
+++ b/sched/estimator.c
@@ -257,6 +257,7 @@
 	a->step.after = NULL;
 	a->step.after_len = 0;
 	a->step.image = NULL;
+	a->job.queue = a->job.account = "";
 	a->stage.job = &a->job;
 	a->stage.step = &a->step;
 	a->stage.tasks = &a->task;
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -59,7 +59,7 @@
 	struct upstream *u = g_new0(struct upstream, 1);
 
 	g_strlcpy(u->id, id, sizeof(u->id));
-	upstream_describe(u, "", "", "", "");
+	u->service = u->domain = u->kind = u->rack = "";
 	u->tasks = g_ptr_array_new();
 	g_ptr_array_add(f->list, u);
 	g_hash_table_insert(f->by_id, u->id, u);
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -40,7 +40,8 @@
 	uint64_t recorded_started_wall_ms;
 	/* address of the present incarnation, to be recorded; "": unknown */
 	char address[UPSTREAM_ADDRESS_BYTES];
-	GQuark service_quark; /* service, kind, rack and domain as quarks */
+	/* service, kind, rack and domain as quarks; 0: not described yet */
+	GQuark service_quark;
 	GQuark kind_quark;
 	GQuark rack_quark;
 	GQuark domain_quark;
--- a/test/unit_names.c
+++ b/test/unit_names.c
@@ -150,6 +150,9 @@
 		struct upstream *u = fleet_add_upstream(f, "u1");
 		struct upstream_entry e;
 
+		/* those that are not described share no rack and no domain */
+		assert_int_equal(u->rack_quark, 0);
+		assert_int_equal(u->domain_quark, 0);
 		assert_true(decode_upstream("u1", text, WALL_MS, &e));
 		assert_string_equal(e.kind, n.a);
 		assert_string_equal(e.rack, n.b);
