--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,7 +6,7 @@
 make -j8 OUT=target target/joint target/cutter
 mkdir -p target/review-3
 packages="glib-2.0 jansson libprotobuf-c"
-for name in storelimits; do
+for name in storelimits worker; do
 	gcc -std=gnu11 -O2 -Wall -Wextra -Wno-missing-field-initializers -I. \
 		-DH2O_USE_LIBUV=0 $(pkg-config --cflags $packages) \
 		-o target/review-3/$name review/standin-3/$name.c \
