lead: draw no conclusion from lists whose running rows are odd

A row of the running runs that cannot be read was left out, so that its run was in neither list: it counted as never started and was started again while it ran. Found by listing what can remove a run from the lists. Such lists end no run as absent any more; the ends that they hold are applied as before.

--- a/lead/model.c
+++ b/lead/model.c
@@ -422,7 +422,7 @@
 	for (guint i = 0; i < u->tasks->len; i++) {
 		struct task *t = g_ptr_array_index(u->tasks, i);
 
-		if (a->ended_len < ENDED_PAGE_COUNT &&
+		if (a->ended_len < ENDED_PAGE_COUNT && !a->running_incomplete &&
 		    !g_hash_table_contains(listed, t) &&
 		    is_certainly_absent(t, sent_ms))
 			g_ptr_array_add(absent, t);
--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -1452,6 +1452,31 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * A row of the running runs is odd, so that it does not say which run it shows.
+ * Guards against a run that is started again as the lists seem to lack it.
+ */
+static void test_run_lasts_while_a_row_of_running_runs_is_odd(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	open_session(&s, &f);
+	step_until(s.loop, &s.changes, 1000);
+	start_task(&s);
+	assert_becomes(&s, TASK_RUNNING);
+	f.odd_running = true;
+	step_until(s.loop, NULL, 1500);
+	assert_int_equal(s.task->state, TASK_RUNNING);
+	f.odd_running = false;
+	f.running_len = 0;
+	assert_becomes(&s, TASK_WAITING);
+	fixture_destroy(&s);
+}
+
 /*
  * A start is refused and waits to be sent again; meanwhile the upstream ends, and
  * is up again as another kind. Guards against a start that is sent again to the
@@ -1618,6 +1643,8 @@
 			test_later_incarnation_is_told_nothing_of_the_earlier_one),
 		cmocka_unit_test(
 			test_ends_are_acknowledged_again_after_a_lost_call),
+		cmocka_unit_test(
+			test_run_lasts_while_a_row_of_running_runs_is_odd),
 		cmocka_unit_test(
 			test_odd_end_is_passed_and_its_upstream_stays_in_use),
 	};
