lead: repeat at a later incarnation the stops that the earlier one answered

A stop that the earlier incarnation has answered counted for the later one too. If that had begun the run by a late start, nobody stopped it: cancelled work went on until its end. With the restart the answer is forgotten and the stop is sent again.

--- a/lead/session.c
+++ b/lead/session.c
@@ -271,6 +271,22 @@
 	return end_ms;
 }
 
+/*
+ * Send the stops again that an earlier incarnation has answered: a run that the
+ * present one may have begun does not end by them.
+ */
+static void repeat_answered_stops(struct session *k)
+{
+	for (guint i = 0; i < k->upstream->tasks->len; i++) {
+		struct task *t = g_ptr_array_index(k->upstream->tasks, i);
+
+		if (t->state != TASK_STOPPING || !t->stop_answered_ms)
+			continue;
+		t->stop_answered_ms = 0;
+		schedule_order_retry(k, t);
+	}
+}
+
 /* Forget all that holds only for the upstream's previous incarnation. */
 static void reset_incarnation(struct session *k)
 {
@@ -279,6 +295,7 @@
 	k->upstream->cold_until_ms = 0;
 	lease_clock_reset(&k->leases, first_leases_end_ms(k));
 	k->upstream->synced = false;
+	repeat_answered_stops(k);
 }
 
 /*
--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -1452,6 +1452,42 @@
 	fixture_destroy(&s);
 }
 
+/*
+ * A stop has been answered when the upstream restarts, and the later incarnation
+ * has begun the run. Guards against a run that nobody stops.
+ */
+static void test_stop_is_repeated_at_a_later_incarnation(void **state)
+{
+	struct fake_upstream f;
+	struct fixture s;
+	char name[TASK_NAME_BYTES];
+
+	(void)state;
+	fixture_create(&s);
+	fake_upstream_create(&f, s.loop);
+	open_session(&s, &f);
+	step_until(s.loop, &s.changes, 1000);
+	f.holds_lists = true;
+	start_task(&s);
+	assert_becomes(&s, TASK_RUNNING);
+	s.task->state = TASK_STOPPING;
+	session_stop_run(s.upstream->session, s.task);
+	while (!s.task->stop_answered_ms)
+		loop_step(s.loop, 10);
+	assert_int_equal(f.stops, 1);
+	end_process(&f);
+	restart(&f);
+	task_format_name(s.task, name, sizeof(name));
+	add_run(&f, name, s.task->run);
+	f.holds_lists = false;
+	begin_process(&f, s.loop);
+	list_as(&s, &f, "");
+	assert_becomes(&s, TASK_WAITING);
+	assert_int_equal(f.stops, 2);
+	assert_int_equal(f.running_len, 0);
+	fixture_destroy(&s);
+}
+
 /*
  * A row of the running runs is odd, so that it does not say which run it shows.
  * Guards against a run that is started again as the lists seem to lack it.
@@ -1643,6 +1679,7 @@
 			test_later_incarnation_is_told_nothing_of_the_earlier_one),
 		cmocka_unit_test(
 			test_ends_are_acknowledged_again_after_a_lost_call),
+		cmocka_unit_test(test_stop_is_repeated_at_a_later_incarnation),
 		cmocka_unit_test(
 			test_run_lasts_while_a_row_of_running_runs_is_odd),
 		cmocka_unit_test(
