--- a/lead/model.c
+++ b/lead/model.c
@@ -565,12 +565,18 @@
 	g_ptr_array_free(lost, TRUE);
 }
 
-/* End all runs on u as lost: they ended with the upstream or its leases. */
+/*
+ * End all runs on u as lost: they ended with the upstream or its leases. One
+ * whose end is only presumed may list them as done once it is back: it is asked
+ * for its lists as soon as it can be reached, and gets no work before.
+ */
 void model_lose_upstream(struct model *m, struct upstream *u, uint64_t now_ms,
 			 enum incarnation_end end, const char *why)
 {
 	GPtrArray *lost = g_ptr_array_new();
 
+	if (end == INCARNATION_PRESUMED_ENDED)
+		u->synced = false;
 	for (guint i = 0; i < u->tasks->len; i++)
 		g_ptr_array_add(lost, g_ptr_array_index(u->tasks, i));
 	lose_runs(m, u, now_ms, end, why, lost);
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -52,7 +52,11 @@
 	const char *loss_why;
 	bool incarnations_compared; /* of its machine with this one */
 	enum upstream_state state;
-	bool synced; /* has accepted our epoch and its run lists were read */
+	/*
+	 * It has accepted our epoch, and its run lists were read since its end
+	 * was last presumed; else it is asked for them.
+	 */
+	bool synced;
 	uint64_t leaves_ms; /* earliest departure when draining; 0: unknown */
 	struct resources resources;
 	struct resources used;
--- a/test/unit_session.c
+++ b/test/unit_session.c
@@ -16,309 +16,30 @@
 #include "lead/session.h"
 #include "lib/http.h"
 #include "lib/schema.h"
+#include "test/sessionsite.h"
 
-#define BODY_MAX 65536
 /* Time after which the client has closed connections that are not used. */
 #define UNUSED_CLOSED_MS 5000
-#define RUNS_MAX 8
-#define EPOCH 3
-/* Each order must have an effect within this time. */
-#define SETTLE_MAX_MS 3000
-
-/* An upstream that lists its runs and counts the orders it got. */
-struct fake_upstream {
-	uint32_t processes; /* the number of the present one */
-	struct http_server *server;
-	struct sockaddr_in address;
-	uint64_t born;
-	bool mute;	       /* leaves all calls unanswered */
-	bool replaced;	       /* another upstream answers at its address */
-	bool holds_lists;      /* leaves list calls unanswered, of either */
-	bool holds_orders;     /* leaves the others unanswered */
-	bool refuses_starts;   /* as their leases have ended */
-	bool loses_next_lists; /* leaves one list call unanswered */
-	char running[RUNS_MAX][TASK_NAME_BYTES];
-	uint32_t runs[RUNS_MAX];
-	uint32_t running_len;
-	uint32_t starts, stops, lists;
-	uint32_t refusals;   /* calls answered as another upstream */
-	const char *odd_end; /* row of its list of ends, or NULL */
-	bool odd_running;    /* its rows of running runs name no run */
-	/* of the calls that the present process got */
-	json_int_t cursor_max, token_max;
-	uint32_t leases;	/* that renewed leases */
-	uint32_t acknowledging; /* that acknowledged ends */
-};
-
-/* A process of an upstream; its connections end with it. */
-struct fake_process {
-	struct fake_upstream *upstream;
-	uint32_t number;
-};
-
-struct fixture {
-	struct loop *loop;
-	struct http_client *http;
-	struct counters *counters;
-	struct joint_settings settings;
-	struct model *model;
-	struct session_env env;
-	struct tenure tenure;
-	struct upstream *upstream;
-	struct upstream_entry entry;
-	struct job *job;
-	struct task *task;
-	uint32_t changes; /* of the model, as reported by the session */
-	uint32_t refusals;
-};
-
-static void remove_run(struct fake_upstream *f, const char *task)
-{
-	for (uint32_t i = 0; i < f->running_len; i++) {
-		if (strcmp(f->running[i], task))
-			continue;
-		f->running_len--;
-		memmove(f->running[i], f->running[f->running_len],
-			sizeof(f->running[i]));
-		f->runs[i] = f->runs[f->running_len];
-	}
-}
-
-static void add_run(struct fake_upstream *f, const char *task, uint32_t run)
-{
-	remove_run(f, task);
-	g_strlcpy(f->running[f->running_len], task, TASK_NAME_BYTES);
-	f->runs[f->running_len++] = run;
-}
-
-/* Return the answer of f to a list call. */
-static json_t *list_runs(const struct fake_upstream *f)
-{
-	json_t *running = json_array();
-
-	for (uint32_t i = 0; i < f->running_len; i++)
-		json_array_append_new(
-			running,
-			json_pack("[s,i,s,i]", f->running[i],
-				  f->odd_running ? -1 : (int)f->runs[i], "",
-				  10));
-	return json_pack("{s:I,s:I,s:o,s:[o*]}", "clockMs",
-			 (json_int_t)clock_mono_ms(), "born",
-			 (json_int_t)f->born, "running", running, "finished",
-			 f->odd_end ? json_loads(f->odd_end, 0, NULL) : NULL);
-}
-
-/* Note what a call carries. */
-static void note_terms(struct fake_upstream *f, const json_t *body)
-{
-	json_int_t token = json_int_or(body, "fencingToken", 0);
-
-	f->cursor_max = MAX(f->cursor_max, json_int_or(body, "ackCursor", 0));
-	f->token_max = MAX(f->token_max, token);
-	f->leases += json_object_get(body, "dueMs") != NULL;
-	f->acknowledging += json_int_or(body, "ackCursor", 0) > 0;
-}
-
-/* Answer a call, unless the process that its connection leads to has ended. */
-static void handle_call(void *arg, struct http_exchange *x)
-{
-	const struct fake_process *p = arg;
-	struct fake_upstream *f = p->upstream;
-	size_t len;
-	const char *text = exchange_body(x, &len);
-	json_t *body = json_loadb(text, len, 0, NULL), *answer;
-	bool wants_lists = !strcmp(exchange_path(x), "/-/hold");
-
-	if (p->number != f->processes) {
-		exchange_abort(x);
-		json_decref(body);
-		return;
-	}
-	if (!wants_lists || !f->loses_next_lists)
-		note_terms(f, body);
-	if (f->replaced && !(wants_lists && f->holds_lists)) {
-		f->refusals++;
-		exchange_reply_json(x, 421, json_object(), 0);
-		json_decref(body);
-		return;
-	}
-	if (f->refuses_starts && !strcmp(exchange_path(x), "/-/run-start")) {
-		exchange_reply_json(x, 409,
-				    json_pack("{s:I,s:s}", "clockMs",
-					      (json_int_t)clock_mono_ms(),
-					      "reason", "late"),
-				    0);
-		json_decref(body);
-		return;
-	}
-	if (!strcmp(exchange_path(x), "/-/run-start")) {
-		f->starts++;
-		if (!f->mute)
-			add_run(f, json_str_or(body, "task", ""),
-				json_int_or(body, "run", 0));
-	} else if (!strcmp(exchange_path(x), "/-/run-stop")) {
-		f->stops++;
-		if (!f->mute && !f->holds_orders)
-			remove_run(f, json_str_or(body, "task", ""));
-	}
-	f->lists += wants_lists;
-	if (wants_lists && f->loses_next_lists)
-		f->loses_next_lists = false;
-	else if (!f->mute &&
-		 !(wants_lists ? f->holds_lists : f->holds_orders)) {
-		answer = wants_lists ? list_runs(f)
-				     : json_pack("{s:I}", "clockMs",
-						 (json_int_t)clock_mono_ms());
-		exchange_reply_json(x, 200, answer, 0);
-	}
-	json_decref(body);
-}
-
-/* Return a loopback address with a port that is free. */
-static struct sockaddr_in free_address(void)
-{
-	struct sockaddr_in at = {.sin_family = AF_INET,
-				 .sin_addr = {htonl(INADDR_LOOPBACK)}};
-	socklen_t len = sizeof(at);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	assert_int_equal(bind(fd, (struct sockaddr *)&at, sizeof(at)), 0);
-	assert_int_equal(getsockname(fd, (struct sockaddr *)&at, &len), 0);
-	close(fd);
-	return at;
-}
-
-/* Let f be served by a new process; connections to earlier ones are dead. */
-static void begin_process(struct fake_upstream *f, struct loop *l)
-{
-	struct fake_process *p = g_new0(struct fake_process, 1);
-
-	/* h2o's connections refer to it until the test program exits */
-	p->upstream = f;
-	p->number = ++f->processes;
-	f->cursor_max = f->token_max = 0;
-	f->leases = 0;
-	f->server =
-		http_server_create(l, &f->address, BODY_MAX, handle_call, p);
-	assert_non_null(f->server);
-}
-
-static void fake_upstream_create(struct fake_upstream *f, struct loop *l)
-{
-	*f = (struct fake_upstream){.born = 77, .address = free_address()};
-	begin_process(f, l);
-}
-
-static void note_change(void *arg)
-{
-	((struct fixture *)arg)->changes++;
-}
-
-static void ignore_refusal(void *arg)
-{
-	(void)arg;
-}
-
-static void fixture_create(struct fixture *s)
-{
-	struct step *step;
-
-	*s = (struct fixture){.loop = loop_create()};
-	s->http = http_client_create(s->loop);
-	s->counters = counters_create();
-	s->settings.lease_ms = s->settings.lease_max_ms = 6000;
-	s->settings.heartbeat_ms = 1500;
-	s->model = model_create();
-	tenure_begin(&s->tenure, UINT64_MAX / 2, 0);
-	s->env = (struct session_env){.loop = s->loop,
-				      .http = s->http,
-				      .counters = s->counters,
-				      .settings = &s->settings,
-				      .model = s->model,
-				      .epoch = EPOCH,
-				      .tenure = &s->tenure,
-				      .events = {note_change, ignore_refusal},
-				      .arg = s};
-	s->upstream = fleet_add_upstream(s->model->fleet, "u1");
-	s->entry = (struct upstream_entry){.service = "s",
-					   .domain = "d",
-					   .kind = "",
-					   .rack = "",
-					   .machine = "",
-					   .resources = {100000, 100000, 100},
-					   .started_wall_ms = 77};
-	s->job = job_create("00000000000000a1");
-	s->job->payload = g_strdup("");
-	s->job->max_attempts = 3;
-	step = job_add_step(s->job);
-	step->count = 1;
-	step->need = (struct resources){1000, 1000, 1};
-	job_create_stages(s->job);
-	model_add_job(s->model, s->job);
-	s->task = job_find_task(s->job, 0, 0, 0);
-}
-
-/* Begin the session with f, which the list shows at its address. */
-static void open_session(struct fixture *s, const struct fake_upstream *f)
-{
-	s->entry.address = f->address;
-	s->upstream->session = session_create(&s->env, s->upstream, &s->entry);
-}
-
-static void fixture_destroy(struct fixture *s)
-{
-	session_destroy(s->upstream->session);
-	model_destroy(s->model);
-	http_client_destroy(s->http);
-	counters_destroy(s->counters);
-	loop_destroy(s->loop);
-}
-
-/* Step the loop until the value is not 0, or for ms milliseconds. */
-static void step_until(struct loop *l, const uint32_t *value, uint64_t ms)
-{
-	uint64_t deadline_ms = clock_mono_ms() + ms;
-
-	while (!(value && *value) && clock_mono_ms() < deadline_ms)
-		loop_step(l, 10);
-}
-
-/* Step the loop until the task is in this state, at most SETTLE_MAX_MS. */
-static void assert_becomes(struct fixture *s, enum task_state state)
-{
-	uint64_t deadline_ms = clock_mono_ms() + SETTLE_MAX_MS;
-
-	while (s->task->state != state && clock_mono_ms() < deadline_ms)
-		loop_step(s->loop, 10);
-	assert_int_equal(s->task->state, state);
-}
-
-/* Place the task and order its start. */
-static void start_task(struct fixture *s)
-{
-	task_place(s->task, s->upstream, s->task->run + 1, clock_mono_ms());
-	session_start_run(s->upstream->session, s->task);
-}
 
 /* The plain course: a run is started, listed and stopped. */
 static void test_run_is_started_and_stopped(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
+	session_site_open(&s, &f);
+	session_site_step(s.loop, &s.changes, 1000);
 	assert_true(s.upstream->synced);
-	start_task(&s);
-	assert_becomes(&s, TASK_RUNNING);
+	session_site_start_task(&s);
+	session_site_await_state(&s, TASK_RUNNING);
 	s.task->state = TASK_STOPPING;
 	session_stop_run(s.upstream->session, s.task);
-	assert_becomes(&s, TASK_WAITING);
+	session_site_await_state(&s, TASK_WAITING);
 	assert_int_equal(f.starts, 1);
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 /*
@@ -328,21 +49,21 @@
 static void test_start_survives_change_of_address(void **state)
 {
 	struct fake_upstream before, after;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&before, s.loop);
 	fake_upstream_create(&after, s.loop);
-	open_session(&s, &before);
-	step_until(s.loop, &s.changes, 1000);
+	session_site_open(&s, &before);
+	session_site_step(s.loop, &s.changes, 1000);
 	before.mute = true;
-	start_task(&s);
-	step_until(s.loop, &before.starts, 1000);
+	session_site_start_task(&s);
+	session_site_step(s.loop, &before.starts, 1000);
 	s.entry.address = after.address;
 	session_apply_entry(s.upstream->session, &s.entry);
-	assert_becomes(&s, TASK_RUNNING);
-	fixture_destroy(&s);
+	session_site_await_state(&s, TASK_RUNNING);
+	session_site_destroy(&s);
 }
 
 /*
@@ -352,25 +73,25 @@
 static void test_stop_survives_change_of_address(void **state)
 {
 	struct fake_upstream before, after;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&before, s.loop);
 	fake_upstream_create(&after, s.loop);
-	open_session(&s, &before);
-	step_until(s.loop, &s.changes, 1000);
-	start_task(&s);
-	assert_becomes(&s, TASK_RUNNING);
-	add_run(&after, before.running[0], before.runs[0]);
+	session_site_open(&s, &before);
+	session_site_step(s.loop, &s.changes, 1000);
+	session_site_start_task(&s);
+	session_site_await_state(&s, TASK_RUNNING);
+	fake_upstream_add_run(&after, before.running[0], before.runs[0]);
 	before.mute = true;
 	s.task->state = TASK_STOPPING;
 	session_stop_run(s.upstream->session, s.task);
-	step_until(s.loop, &before.stops, 1000);
+	session_site_step(s.loop, &before.stops, 1000);
 	s.entry.address = after.address;
 	session_apply_entry(s.upstream->session, &s.entry);
-	assert_becomes(&s, TASK_WAITING);
-	fixture_destroy(&s);
+	session_site_await_state(&s, TASK_WAITING);
+	session_site_destroy(&s);
 }
 
 /*
@@ -380,20 +101,20 @@
 static void test_stop_decided_before_session_is_sent(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
 	s.upstream->state = UPSTREAM_GONE;
 	s.task->run = 4;
 	model_inherit_run(s.model, s.task, "u1", 77, clock_mono_ms());
 	s.task->state = TASK_STOPPING;
-	add_run(&f, "00000000000000a1.0.0.0", 4);
-	open_session(&s, &f);
-	assert_becomes(&s, TASK_WAITING);
+	fake_upstream_add_run(&f, "00000000000000a1.0.0.0", 4);
+	session_site_open(&s, &f);
+	session_site_await_state(&s, TASK_WAITING);
 	assert_int_equal(f.stops, 1);
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 /*
@@ -403,27 +124,20 @@
 static void test_answer_that_ends_doubt_is_reported(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
+	session_site_open(&s, &f);
+	session_site_step(s.loop, &s.changes, 1000);
 	s.changes = 0;
 	s.upstream->doubted = true;
 	session_schedule_call(s.upstream->session);
-	step_until(s.loop, &s.changes, 1000);
+	session_site_step(s.loop, &s.changes, 1000);
 	assert_false(s.upstream->doubted);
 	assert_int_equal(s.changes, 1);
-	fixture_destroy(&s);
-}
-
-/* Restart f: it runs nothing, under a newer start time. */
-static void restart(struct fake_upstream *f)
-{
-	f->born++;
-	f->running_len = 0;
+	session_site_destroy(&s);
 }
 
 /*
@@ -433,26 +147,26 @@
 static void test_run_started_after_unnoticed_restart_is_kept(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
-	restart(&f);
+	session_site_open(&s, &f);
+	session_site_step(s.loop, &s.changes, 1000);
+	fake_upstream_restart(&f);
 	s.changes = 0;
-	start_task(&s);
+	session_site_start_task(&s);
 	s.job->dirty = false;
-	step_until(s.loop, &s.changes, 1000);
+	session_site_step(s.loop, &s.changes, 1000);
 	assert_int_equal(s.upstream->started_wall_ms, f.born);
-	step_until(s.loop, NULL, 300);
+	session_site_step(s.loop, NULL, 300);
 	assert_int_equal(s.task->state, TASK_RUNNING);
 	assert_int_equal(s.task->run, 1);
 	assert_int_equal(f.stops, 0);
 	/* its row names the incarnation, so it has to be written again */
 	assert_true(s.job->dirty);
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 /*
@@ -463,25 +177,25 @@
 static void test_start_in_flight_at_restart_is_settled_there(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
+	session_site_open(&s, &f);
+	session_site_step(s.loop, &s.changes, 1000);
 	f.mute = true;
-	start_task(&s);
-	step_until(s.loop, &f.starts, 1000);
-	restart(&f);
+	session_site_start_task(&s);
+	session_site_step(s.loop, &f.starts, 1000);
+	fake_upstream_restart(&f);
 	s.entry.started_wall_ms = f.born;
 	session_apply_entry(s.upstream->session, &s.entry);
 	assert_true(task_is_active(s.task));
 	f.mute = false;
-	assert_becomes(&s, TASK_WAITING);
+	session_site_await_state(&s, TASK_WAITING);
 	assert_int_equal(f.starts, 1);
 	assert_in_range(f.stops, 1, 2);
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 /*
@@ -491,27 +205,27 @@
 static void test_run_confirmed_before_restart_is_known_is_kept(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
-	restart(&f);
+	session_site_open(&s, &f);
+	session_site_step(s.loop, &s.changes, 1000);
+	fake_upstream_restart(&f);
 	f.holds_lists = true;
-	start_task(&s);
-	assert_becomes(&s, TASK_RUNNING);
+	session_site_start_task(&s);
+	session_site_await_state(&s, TASK_RUNNING);
 	s.entry.started_wall_ms = f.born;
 	session_apply_entry(s.upstream->session, &s.entry);
 	assert_true(task_is_active(s.task));
 	f.holds_lists = false;
-	step_until(s.loop, NULL, 1500);
+	session_site_step(s.loop, NULL, 1500);
 	assert_true(s.upstream->synced);
 	assert_int_equal(s.task->state, TASK_RUNNING);
 	assert_int_equal(s.task->run, 1);
 	assert_int_equal(f.stops, 0);
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 /*
@@ -524,11 +238,11 @@
 {
 	uint64_t end_ms;
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
 	for (uint32_t answers = 0; answers < 2; answers++) {
-		fixture_create(&s);
+		session_site_create(&s);
 		fake_upstream_create(&f, s.loop);
 		s.settings.lease_ms = s.settings.lease_max_ms = 300;
 		end_ms = clock_mono_ms() + 1500;
@@ -537,15 +251,15 @@
 		s.upstream->state = UPSTREAM_GONE;
 		model_inherit_run(s.model, s.task, "u1", 77, clock_mono_ms());
 		f.mute = true;
-		open_session(&s, &f);
-		step_until(s.loop, NULL, 100);
-		restart(&f);
+		session_site_open(&s, &f);
+		session_site_step(s.loop, NULL, 100);
+		fake_upstream_restart(&f);
 		s.entry.started_wall_ms = f.born;
 		session_apply_entry(s.upstream->session, &s.entry);
-		add_run(&f, "00000000000000a1.0.0.0", 4);
+		fake_upstream_add_run(&f, "00000000000000a1.0.0.0", 4);
 		if (answers) {
 			f.mute = false;
-			assert_becomes(&s, TASK_RUNNING);
+			session_site_await_state(&s, TASK_RUNNING);
 			assert_true(clock_mono_ms() < end_ms);
 			assert_int_equal(f.stops, 0);
 		} else {
@@ -553,9 +267,9 @@
 				assert_true(task_is_active(s.task));
 				loop_step(s.loop, 10);
 			}
-			assert_becomes(&s, TASK_WAITING);
+			session_site_await_state(&s, TASK_WAITING);
 		}
-		fixture_destroy(&s);
+		session_site_destroy(&s);
 	}
 }
 
@@ -566,23 +280,23 @@
 static void test_unanswered_start_of_suspect_is_not_repeated(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
+	session_site_open(&s, &f);
+	session_site_step(s.loop, &s.changes, 1000);
 	s.task->suspicion.early_ends = 1;
 	f.mute = true;
-	start_task(&s);
-	step_until(s.loop, &f.stops, 1000);
+	session_site_start_task(&s);
+	session_site_step(s.loop, &f.stops, 1000);
 	assert_int_equal(f.stops, 1);
 	assert_int_equal(s.task->state, TASK_STOPPING);
 	f.mute = false;
-	assert_becomes(&s, TASK_WAITING);
+	session_site_await_state(&s, TASK_WAITING);
 	assert_int_equal(f.starts, 1);
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 /*
@@ -592,30 +306,30 @@
 static void test_start_is_not_repeated_after_its_retry_time(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
+	session_site_open(&s, &f);
+	session_site_step(s.loop, &s.changes, 1000);
 	f.mute = true;
-	start_task(&s);
+	session_site_start_task(&s);
 	while (!s.task->retry)
 		loop_step(s.loop, 10);
 	assert_int_equal(f.starts, 1);
 	g_usleep(1500000);
 	f.mute = false;
-	assert_becomes(&s, TASK_WAITING);
+	session_site_await_state(&s, TASK_WAITING);
 	assert_int_equal(f.starts, 1);
 	assert_in_range(f.stops, 1, 2);
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 static bool refuse_start(void *arg, const struct task *t)
 {
 	(void)t;
-	((struct fixture *)arg)->refusals++;
+	((struct session_site *)arg)->refusals++;
 	return false;
 }
 
@@ -626,28 +340,28 @@
 static void test_start_is_not_repeated_beyond_the_listed_room(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
 	for (uint32_t shrinks = 0; shrinks < 2; shrinks++) {
-		fixture_create(&s);
+		session_site_create(&s);
 		fake_upstream_create(&f, s.loop);
-		open_session(&s, &f);
-		step_until(s.loop, &s.changes, 1000);
+		session_site_open(&s, &f);
+		session_site_step(s.loop, &s.changes, 1000);
 		f.mute = true;
-		start_task(&s);
-		step_until(s.loop, &f.starts, 1000);
+		session_site_start_task(&s);
+		session_site_step(s.loop, &f.starts, 1000);
 		if (shrinks)
 			s.upstream->resources.accelerators = 0;
 		else
 			s.env.events.may_start = refuse_start;
-		step_until(s.loop, NULL, 600);
+		session_site_step(s.loop, NULL, 600);
 		f.mute = false;
-		assert_becomes(&s, TASK_WAITING);
+		session_site_await_state(&s, TASK_WAITING);
 		assert_int_equal(f.starts, 1);
 		assert_true(f.stops);
 		assert_true(shrinks || s.refusals);
-		fixture_destroy(&s);
+		session_site_destroy(&s);
 	}
 }
 
@@ -666,28 +380,28 @@
 static void test_start_is_not_repeated_in_an_evacuated_domain(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
 	for (uint32_t carried_out = 0; carried_out < 2; carried_out++) {
-		fixture_create(&s);
+		session_site_create(&s);
 		fake_upstream_create(&f, s.loop);
-		open_session(&s, &f);
-		step_until(s.loop, &s.changes, 1000);
+		session_site_open(&s, &f);
+		session_site_step(s.loop, &s.changes, 1000);
 		f.mute = !carried_out;
 		f.holds_orders = true;
-		start_task(&s);
-		step_until(s.loop, &f.starts, 1000);
+		session_site_start_task(&s);
+		session_site_step(s.loop, &f.starts, 1000);
 		s.env.events.is_forbidden = forbid_start;
 		/* the lists show a run that was carried out */
 		f.holds_lists = true;
-		step_until(s.loop, &f.stops, 2000);
+		session_site_step(s.loop, &f.stops, 2000);
 		f.mute = f.holds_orders = f.holds_lists = false;
-		remove_run(&f, "00000000000000a1.0.0.0");
-		assert_becomes(&s, TASK_WAITING);
+		fake_upstream_remove_run(&f, "00000000000000a1.0.0.0");
+		session_site_await_state(&s, TASK_WAITING);
 		assert_int_equal(f.starts, 1);
 		assert_true(f.stops);
-		fixture_destroy(&s);
+		session_site_destroy(&s);
 	}
 }
 
@@ -698,48 +412,48 @@
 static void test_shorter_lease_setting_does_not_shorten_leases(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 	uint64_t end_ms;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
 	s.settings.lease_ms = s.settings.lease_max_ms = 2000;
 	s.model->earlier_leases_end_ms = clock_mono_ms() + 9000;
 	s.task->run = 4;
 	s.upstream->state = UPSTREAM_GONE;
 	model_inherit_run(s.model, s.task, "u1", 77, clock_mono_ms());
-	add_run(&f, "00000000000000a1.0.0.0", 4);
+	fake_upstream_add_run(&f, "00000000000000a1.0.0.0", 4);
 	s.settings.lease_ms = 500;
-	open_session(&s, &f);
+	session_site_open(&s, &f);
 	end_ms = clock_mono_ms() + 2000;
-	assert_becomes(&s, TASK_RUNNING);
+	session_site_await_state(&s, TASK_RUNNING);
 	f.mute = true;
 	while (clock_mono_ms() < end_ms) {
 		assert_true(task_is_active(s.task));
 		loop_step(s.loop, 10);
 	}
-	assert_becomes(&s, TASK_WAITING);
-	fixture_destroy(&s);
+	session_site_await_state(&s, TASK_WAITING);
+	session_site_destroy(&s);
 }
 
 /* A run that was confirmed before a restart is lost with the first lists. */
 static void test_run_of_earlier_incarnation_is_lost(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
-	start_task(&s);
-	assert_becomes(&s, TASK_RUNNING);
-	restart(&f);
-	assert_becomes(&s, TASK_WAITING);
+	session_site_open(&s, &f);
+	session_site_step(s.loop, &s.changes, 1000);
+	session_site_start_task(&s);
+	session_site_await_state(&s, TASK_RUNNING);
+	fake_upstream_restart(&f);
+	session_site_await_state(&s, TASK_WAITING);
 	assert_int_equal(s.upstream->tasks->len, 0);
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 /*
@@ -750,29 +464,29 @@
 static void test_listed_run_is_lost_when_restart_is_confirmed(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
-	start_task(&s);
-	assert_becomes(&s, TASK_RUNNING);
-	step_until(s.loop, NULL, 100);
+	session_site_open(&s, &f);
+	session_site_step(s.loop, &s.changes, 1000);
+	session_site_start_task(&s);
+	session_site_await_state(&s, TASK_RUNNING);
+	session_site_step(s.loop, NULL, 100);
 	f.holds_lists = true;
-	restart(&f);
+	fake_upstream_restart(&f);
 	s.entry.started_wall_ms = f.born;
 	session_apply_entry(s.upstream->session, &s.entry);
-	step_until(s.loop, NULL, 200);
+	session_site_step(s.loop, NULL, 200);
 	assert_int_equal(s.task->state, TASK_RUNNING);
 	assert_false(upstream_is_usable(s.upstream, clock_mono_ms()));
 	f.holds_lists = false;
 	/* the call in flight ends, and the next one is answered */
-	step_until(s.loop, NULL, 500);
+	session_site_step(s.loop, NULL, 500);
 	assert_int_equal(s.task->state, TASK_WAITING);
 	assert_int_equal(s.upstream->tasks->len, 0);
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 /*
@@ -784,38 +498,38 @@
 {
 	struct fake_upstream f, other;
 	struct sockaddr_in addresses[3];
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++) {
-		fixture_create(&s);
+		session_site_create(&s);
 		fake_upstream_create(&f, s.loop);
 		fake_upstream_create(&other, s.loop);
 		other.replaced = true;
 		addresses[0] = f.address;
 		addresses[1] = other.address;
-		addresses[2] = free_address();
-		open_session(&s, &f);
-		step_until(s.loop, &s.changes, 1000);
-		start_task(&s);
-		assert_becomes(&s, TASK_RUNNING);
-		step_until(s.loop, NULL, 100);
+		addresses[2] = session_site_free_address();
+		session_site_open(&s, &f);
+		session_site_step(s.loop, &s.changes, 1000);
+		session_site_start_task(&s);
+		session_site_await_state(&s, TASK_RUNNING);
+		session_site_step(s.loop, NULL, 100);
 		s.entry.started_wall_ms = 99;
 		s.entry.address = addresses[i];
 		session_apply_entry(s.upstream->session, &s.entry);
-		step_until(s.loop, NULL, 800);
+		session_site_step(s.loop, NULL, 800);
 		assert_int_equal(s.task->state, TASK_RUNNING);
 		/* the upstream's own entry is back with the next heartbeat */
 		s.entry.started_wall_ms = f.born;
 		s.entry.address = f.address;
 		session_apply_entry(s.upstream->session, &s.entry);
 		f.lists = 0;
-		step_until(s.loop, NULL, 1500);
+		session_site_step(s.loop, NULL, 1500);
 		assert_true(f.lists);
 		assert_int_equal(s.task->state, TASK_RUNNING);
 		assert_int_equal(s.task->run, 1);
 		assert_true(upstream_is_usable(s.upstream, clock_mono_ms()));
-		fixture_destroy(&s);
+		session_site_destroy(&s);
 	}
 }
 
@@ -827,31 +541,31 @@
 static void test_old_address_says_nothing_of_recorded_incarnation(void **state)
 {
 	struct fake_upstream f, other;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
 	for (uint32_t recorded = 0; recorded < 2; recorded++) {
-		fixture_create(&s);
+		session_site_create(&s);
 		fake_upstream_create(&f, s.loop);
 		fake_upstream_create(&other, s.loop);
 		other.replaced = true;
 		f.born = 88;
 		s.model->earlier_leases_end_ms = clock_mono_ms() + 2500;
-		open_session(&s, &other);
+		session_site_open(&s, &other);
 		s.task->run = 4;
 		model_inherit_run(s.model, s.task, "u1", 88, clock_mono_ms());
-		add_run(&f, "00000000000000a1.0.0.0", 4);
+		fake_upstream_add_run(&f, "00000000000000a1.0.0.0", 4);
 		if (recorded)
 			session_note_recorded(s.upstream->session, &f.address);
-		step_until(s.loop, NULL, 1000);
+		session_site_step(s.loop, NULL, 1000);
 		assert_true(task_is_active(s.task));
 		s.entry.started_wall_ms = f.born;
 		s.entry.address = f.address;
 		session_apply_entry(s.upstream->session, &s.entry);
-		assert_becomes(&s, TASK_RUNNING);
+		session_site_await_state(&s, TASK_RUNNING);
 		assert_int_equal(s.task->run, 4);
 		assert_int_equal(f.stops, 0);
-		fixture_destroy(&s);
+		session_site_destroy(&s);
 	}
 }
 
@@ -864,10 +578,10 @@
 test_replaced_upstream_may_run_what_earlier_leader_starts(void **state)
 {
 	struct fake_upstream f, other;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
 	fake_upstream_create(&other, s.loop);
 	other.replaced = true;
@@ -876,19 +590,19 @@
 	s.upstream->state = UPSTREAM_GONE;
 	s.task->run = 4;
 	model_inherit_run(s.model, s.task, "u1", 77, clock_mono_ms());
-	open_session(&s, &other);
-	step_until(s.loop, NULL, 500);
+	session_site_open(&s, &other);
+	session_site_step(s.loop, NULL, 500);
 	assert_true(task_is_active(s.task));
-	add_run(&f, "00000000000000a1.0.0.0", 4);
+	fake_upstream_add_run(&f, "00000000000000a1.0.0.0", 4);
 	s.entry.started_wall_ms = f.born;
 	s.entry.address = f.address;
 	session_apply_entry(s.upstream->session, &s.entry);
-	assert_becomes(&s, TASK_RUNNING);
-	step_until(s.loop, NULL, 500);
+	session_site_await_state(&s, TASK_RUNNING);
+	session_site_step(s.loop, NULL, 500);
 	assert_int_equal(s.task->state, TASK_RUNNING);
 	assert_int_equal(s.task->run, 4);
 	assert_int_equal(f.stops, 0);
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 /*
@@ -900,27 +614,27 @@
 static void test_call_of_suspended_process_proves_nothing(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
 	s.settings.lease_ms = s.settings.lease_max_ms = 2000;
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
-	start_task(&s);
-	assert_becomes(&s, TASK_RUNNING);
+	session_site_open(&s, &f);
+	session_site_step(s.loop, &s.changes, 1000);
+	session_site_start_task(&s);
+	session_site_await_state(&s, TASK_RUNNING);
 	f.mute = true;
 	while (!s.upstream->silent)
 		loop_step(s.loop, 10);
 	f.mute = false;
 	f.loses_next_lists = true;
 	g_usleep(2300000);
-	step_until(s.loop, NULL, 1500);
+	session_site_step(s.loop, NULL, 1500);
 	assert_false(f.loses_next_lists);
 	assert_int_equal(s.task->state, TASK_RUNNING);
 	assert_int_equal(s.task->run, 1);
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 /*
@@ -931,17 +645,17 @@
 static void test_call_without_a_connection_is_no_silence(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 	uint64_t until_ms;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
 	s.settings.lease_ms = s.settings.lease_max_ms = 300;
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
-	start_task(&s);
-	assert_becomes(&s, TASK_RUNNING);
+	session_site_open(&s, &f);
+	session_site_step(s.loop, &s.changes, 1000);
+	session_site_start_task(&s);
+	session_site_await_state(&s, TASK_RUNNING);
 	/* list calls are sent with pauses, in which orders take their place */
 	f.odd_end = "[]";
 	f.holds_orders = true;
@@ -953,19 +667,19 @@
 		loop_step(s.loop, 5);
 	}
 	f.holds_orders = false;
-	step_until(s.loop, NULL, 1000);
+	session_site_step(s.loop, NULL, 1000);
 	assert_int_equal(s.task->run, 1);
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 /* Report whether the upstream may be given work. */
-static bool is_usable(const struct fixture *s)
+static bool is_usable(const struct session_site *s)
 {
 	return upstream_is_usable(s->upstream, clock_mono_ms());
 }
 
 /* Step the loop until the upstream may be given work. */
-static void assert_becomes_usable(struct fixture *s)
+static void assert_becomes_usable(struct session_site *s)
 {
 	uint64_t deadline_ms = clock_mono_ms() + SETTLE_MAX_MS;
 
@@ -981,12 +695,12 @@
 static void test_upstream_that_is_back_gets_work_again(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
-	open_session(&s, &f);
+	session_site_open(&s, &f);
 	assert_becomes_usable(&s);
 	s.entry.draining = true;
 	s.entry.drain_remaining_ms = 3000;
@@ -1000,13 +714,13 @@
 	session_apply_entry(s.upstream->session, &s.entry);
 	assert_becomes_usable(&s);
 	f.replaced = true;
-	start_task(&s);
-	assert_becomes(&s, TASK_WAITING);
+	session_site_start_task(&s);
+	session_site_await_state(&s, TASK_WAITING);
 	assert_false(is_usable(&s));
 	f.replaced = false;
 	session_apply_entry(s.upstream->session, &s.entry);
 	assert_becomes_usable(&s);
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 /*
@@ -1016,24 +730,24 @@
 static void test_start_that_finds_another_upstream_is_not_blamed(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
-	open_session(&s, &f);
+	session_site_open(&s, &f);
 	assert_becomes_usable(&s);
 	f.replaced = true;
 	f.holds_lists = true;
-	start_task(&s);
-	assert_becomes(&s, TASK_WAITING);
+	session_site_start_task(&s);
+	session_site_await_state(&s, TASK_WAITING);
 	assert_int_equal(f.starts, 0);
 	assert_false(task_is_suspect(s.task));
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 /* List an upstream as an incarnation of a machine; returns it. */
-static struct upstream *list_incarnation(struct fixture *s, const char *id,
+static struct upstream *list_incarnation(struct session_site *s, const char *id,
 					 const char *machine, uint64_t born)
 {
 	struct upstream *u = fleet_find_upstream(s->model->fleet, id);
@@ -1057,25 +771,25 @@
 {
 	struct upstream *other, *later;
 	struct fake_upstream f, g;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
 	fake_upstream_create(&g, s.loop);
 	g.born = 99;
 	s.entry.address = f.address;
 	list_incarnation(&s, "u1", "m1", 77);
-	step_until(s.loop, &s.changes, 1000);
-	start_task(&s);
-	assert_becomes(&s, TASK_RUNNING);
+	session_site_step(s.loop, &s.changes, 1000);
+	session_site_start_task(&s);
+	session_site_await_state(&s, TASK_RUNNING);
 	f.mute = true;
 	other = list_incarnation(&s, "u2", "m2", 88);
 	s.entry.address = g.address;
 	later = list_incarnation(&s, "u3", "m1", 99);
 	assert_int_equal(s.upstream->state, UPSTREAM_GONE);
 	/* a held call ends, and one that was sent since fails */
-	assert_becomes(&s, TASK_WAITING);
+	session_site_await_state(&s, TASK_WAITING);
 	/* the entry of the earlier incarnation does not make it usable again */
 	s.entry.address = f.address;
 	list_incarnation(&s, "u1", "m1", 77);
@@ -1087,7 +801,7 @@
 	assert_int_equal(s.upstream->state, UPSTREAM_READY);
 	session_destroy(other->session);
 	session_destroy(later->session);
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 /*
@@ -1099,20 +813,20 @@
 {
 	struct fake_upstream f, g;
 	struct upstream *later;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
 	for (uint32_t idle = 0; idle < 2; idle++) {
-		fixture_create(&s);
+		session_site_create(&s);
 		fake_upstream_create(&f, s.loop);
 		fake_upstream_create(&g, s.loop);
 		g.born = 99;
 		s.entry.address = f.address;
 		list_incarnation(&s, "u1", "m1", 77);
-		step_until(s.loop, &s.changes, 1000);
+		session_site_step(s.loop, &s.changes, 1000);
 		if (!idle) {
-			start_task(&s);
-			assert_becomes(&s, TASK_RUNNING);
+			session_site_start_task(&s);
+			session_site_await_state(&s, TASK_RUNNING);
 		}
 		s.entry.address = g.address;
 		later = list_incarnation(&s, "u3", "m1", 99);
@@ -1120,13 +834,13 @@
 		/* its entry is written again with each heartbeat */
 		s.entry.address = f.address;
 		list_incarnation(&s, "u1", "m1", 77);
-		step_until(s.loop, NULL, 1500);
+		session_site_step(s.loop, NULL, 1500);
 		assert_true(idle || s.task->state == TASK_RUNNING);
 		assert_int_equal(s.upstream->state, UPSTREAM_READY);
 		list_incarnation(&s, "u1", "m1", 77);
 		assert_int_equal(s.upstream->state, UPSTREAM_READY);
 		session_destroy(later->session);
-		fixture_destroy(&s);
+		session_site_destroy(&s);
 	}
 }
 
@@ -1136,30 +850,30 @@
 {
 	struct fake_upstream f, g;
 	struct upstream *later;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
 	fake_upstream_create(&g, s.loop);
 	g.born = 99;
 	s.entry.address = f.address;
 	list_incarnation(&s, "u1", "m1", 77);
-	step_until(s.loop, &s.changes, 1000);
+	session_site_step(s.loop, &s.changes, 1000);
 	f.replaced = true;
 	s.entry.address = g.address;
 	later = list_incarnation(&s, "u3", "m1", 99);
 	s.entry.address = f.address;
 	list_incarnation(&s, "u1", "m1", 77);
-	step_until(s.loop, NULL, 1000);
+	session_site_step(s.loop, NULL, 1000);
 	assert_int_equal(f.refusals, 1);
 	s.changes = 0;
-	step_until(s.loop, NULL, 2000);
+	session_site_step(s.loop, NULL, 2000);
 	assert_in_range(s.changes, 0, 2);
 	assert_int_equal(f.refusals, 1);
 	assert_int_equal(s.upstream->state, UPSTREAM_GONE);
 	session_destroy(later->session);
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 /*
@@ -1170,11 +884,11 @@
 {
 	struct fake_upstream f, g;
 	struct upstream *later;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
 	for (uint32_t answers = 0; answers < 2; answers++) {
-		fixture_create(&s);
+		session_site_create(&s);
 		fake_upstream_create(&f, s.loop);
 		fake_upstream_create(&g, s.loop);
 		g.born = 99;
@@ -1186,16 +900,16 @@
 		list_incarnation(&s, "u1", "m1", 77);
 		s.task->run = 4;
 		model_inherit_run(s.model, s.task, "u1", 77, clock_mono_ms());
-		add_run(&f, "00000000000000a1.0.0.0", 4);
+		fake_upstream_add_run(&f, "00000000000000a1.0.0.0", 4);
 		if (answers) {
-			assert_becomes(&s, TASK_RUNNING);
-			step_until(s.loop, NULL, 1500);
+			session_site_await_state(&s, TASK_RUNNING);
+			session_site_step(s.loop, NULL, 1500);
 			assert_int_equal(s.task->state, TASK_RUNNING);
 		} else {
-			assert_becomes(&s, TASK_WAITING);
+			session_site_await_state(&s, TASK_WAITING);
 		}
 		session_destroy(later->session);
-		fixture_destroy(&s);
+		session_site_destroy(&s);
 	}
 }
 
@@ -1217,21 +931,21 @@
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
 		struct fake_upstream f;
-		struct fixture s;
+		struct session_site s;
 
-		fixture_create(&s);
+		session_site_create(&s);
 		fake_upstream_create(&f, s.loop);
-		open_session(&s, &f);
-		step_until(s.loop, &s.changes, 1000);
-		start_task(&s);
-		assert_becomes(&s, TASK_RUNNING);
+		session_site_open(&s, &f);
+		session_site_step(s.loop, &s.changes, 1000);
+		session_site_start_task(&s);
+		session_site_await_state(&s, TASK_RUNNING);
 		f.odd_end = rows[i];
 		/* an upstream that is not odd holds its answers */
 		f.lists = 0;
-		step_until(s.loop, NULL, 1000);
+		session_site_step(s.loop, NULL, 1000);
 		assert_in_range(f.lists, 2, 6);
 		assert_int_equal(s.task->state, TASK_RUNNING);
-		fixture_destroy(&s);
+		session_site_destroy(&s);
 	}
 }
 
@@ -1243,25 +957,25 @@
 static void test_answer_of_another_upstream_prolongs_no_lease(void **state)
 {
 	struct fake_upstream f, other;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
 	fake_upstream_create(&other, s.loop);
 	other.replaced = true;
 	s.settings.lease_ms = s.settings.lease_max_ms = 500;
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
-	start_task(&s);
-	assert_becomes(&s, TASK_RUNNING);
+	session_site_open(&s, &f);
+	session_site_step(s.loop, &s.changes, 1000);
+	session_site_start_task(&s);
+	session_site_await_state(&s, TASK_RUNNING);
 	f.mute = true;
 	s.entry.started_wall_ms = 99;
 	s.entry.address = other.address;
 	session_apply_entry(s.upstream->session, &s.entry);
 	session_note_unlisted(s.upstream->session, true);
-	assert_becomes(&s, TASK_WAITING);
-	fixture_destroy(&s);
+	session_site_await_state(&s, TASK_WAITING);
+	session_site_destroy(&s);
 }
 
 /*
@@ -1272,41 +986,25 @@
 static void test_restarts_of_silent_upstream_keep_no_run_for_ever(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
 	s.settings.lease_ms = s.settings.lease_max_ms = 500;
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
-	start_task(&s);
-	assert_becomes(&s, TASK_RUNNING);
-	step_until(s.loop, NULL, 700);
+	session_site_open(&s, &f);
+	session_site_step(s.loop, &s.changes, 1000);
+	session_site_start_task(&s);
+	session_site_await_state(&s, TASK_RUNNING);
+	session_site_step(s.loop, NULL, 700);
 	f.mute = true;
 	for (uint32_t i = 0; i < 12 && task_is_active(s.task); i++) {
 		s.entry.started_wall_ms++;
 		session_apply_entry(s.upstream->session, &s.entry);
-		step_until(s.loop, NULL, 400);
+		session_site_step(s.loop, NULL, 400);
 	}
 	assert_false(task_is_active(s.task));
-	fixture_destroy(&s);
-}
-
-/* End the process of f. */
-static void end_process(struct fake_upstream *f)
-{
-	http_server_destroy(f->server);
-	f->processes++;
-}
-
-/* List the present incarnation of f as this kind. */
-static void list_as(struct fixture *s, const struct fake_upstream *f,
-		    const char *kind)
-{
-	s->entry.started_wall_ms = f->born;
-	s->entry.kind = kind;
-	session_apply_entry(s->upstream->session, &s->entry);
+	session_site_destroy(&s);
 }
 
 /*
@@ -1317,29 +1015,29 @@
 test_restarted_upstream_gets_no_work_until_it_is_listed(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
+	session_site_open(&s, &f);
+	session_site_step(s.loop, &s.changes, 1000);
 	assert_true(upstream_is_usable(s.upstream, clock_mono_ms()));
-	restart(&f);
+	fake_upstream_restart(&f);
 	s.upstream->doubted = true;
 	session_schedule_call(s.upstream->session);
-	step_until(s.loop, NULL, 500);
+	session_site_step(s.loop, NULL, 500);
 	assert_int_equal(s.upstream->started_wall_ms, f.born);
 	assert_false(upstream_is_usable(s.upstream, clock_mono_ms()));
 	/* the entry of the earlier one is written again */
 	session_apply_entry(s.upstream->session, &s.entry);
-	step_until(s.loop, NULL, 500);
+	session_site_step(s.loop, NULL, 500);
 	assert_false(upstream_is_usable(s.upstream, clock_mono_ms()));
-	list_as(&s, &f, "b");
-	step_until(s.loop, NULL, 500);
+	session_site_list_as(&s, &f, "b");
+	session_site_step(s.loop, NULL, 500);
 	assert_true(upstream_is_usable(s.upstream, clock_mono_ms()));
 	assert_string_equal(s.upstream->kind, "b");
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 /*
@@ -1350,25 +1048,25 @@
 static void test_first_start_asks_who_answers(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
 	for (uint32_t unused = 0; unused < 2; unused++) {
-		fixture_create(&s);
+		session_site_create(&s);
 		fake_upstream_create(&f, s.loop);
-		open_session(&s, &f);
-		step_until(s.loop, &s.changes, 1000);
+		session_site_open(&s, &f);
+		session_site_step(s.loop, &s.changes, 1000);
 		if (unused)
-			step_until(s.loop, NULL, UNUSED_CLOSED_MS);
-		end_process(&f);
-		restart(&f);
-		begin_process(&f, s.loop);
-		start_task(&s);
-		assert_becomes(&s, TASK_WAITING);
+			session_site_step(s.loop, NULL, UNUSED_CLOSED_MS);
+		fake_upstream_end(&f);
+		fake_upstream_restart(&f);
+		fake_upstream_begin(&f, s.loop);
+		session_site_start_task(&s);
+		session_site_await_state(&s, TASK_WAITING);
 		assert_int_equal(f.starts, 0);
 		assert_int_equal(s.upstream->started_wall_ms, f.born);
 		assert_false(upstream_is_usable(s.upstream, clock_mono_ms()));
-		fixture_destroy(&s);
+		session_site_destroy(&s);
 	}
 }
 
@@ -1382,44 +1080,44 @@
 test_later_incarnation_is_told_nothing_of_the_earlier_one(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 	uint32_t lists;
 	json_int_t token;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
 	f.odd_end = "[130,\"00000000000000ff.0.0.0\",1,\"done\",\"\"]";
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
-	start_task(&s);
-	assert_becomes(&s, TASK_RUNNING);
+	session_site_open(&s, &f);
+	session_site_step(s.loop, &s.changes, 1000);
+	session_site_start_task(&s);
+	session_site_await_state(&s, TASK_RUNNING);
 	session_note_write_sent(s.upstream->session);
 	session_note_write_committed(s.upstream->session);
-	step_until(s.loop, NULL, 1000);
+	session_site_step(s.loop, NULL, 1000);
 	assert_int_equal(f.cursor_max, 130);
 	assert_true(f.leases);
 	token = f.token_max;
 	f.odd_end = NULL;
-	end_process(&f);
-	restart(&f);
+	fake_upstream_end(&f);
+	fake_upstream_restart(&f);
 	f.holds_lists = true;
-	begin_process(&f, s.loop);
+	fake_upstream_begin(&f, s.loop);
 	lists = f.lists;
 	while (f.lists < lists + 3)
 		loop_step(s.loop, 10);
 	assert_int_equal(f.cursor_max, 0);
 	assert_int_equal(f.leases, 0);
 	f.holds_lists = false;
-	list_as(&s, &f, "");
-	assert_becomes(&s, TASK_WAITING);
-	start_task(&s);
-	assert_becomes(&s, TASK_RUNNING);
-	step_until(s.loop, NULL, 1000);
+	session_site_list_as(&s, &f, "");
+	session_site_await_state(&s, TASK_WAITING);
+	session_site_start_task(&s);
+	session_site_await_state(&s, TASK_RUNNING);
+	session_site_step(s.loop, NULL, 1000);
 	assert_int_equal(f.cursor_max, 0);
 	assert_true(f.leases);
 	assert_true(f.token_max > token);
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 /*
@@ -1429,27 +1127,27 @@
 static void test_ends_are_acknowledged_again_after_a_lost_call(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
 	f.odd_end = "[5,\"00000000000000ff.0.0.0\",1,\"done\",\"\"]";
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
-	step_until(s.loop, NULL, 500);
+	session_site_open(&s, &f);
+	session_site_step(s.loop, &s.changes, 1000);
+	session_site_step(s.loop, NULL, 500);
 	f.odd_end = NULL;
 	f.loses_next_lists = true;
 	session_note_write_sent(s.upstream->session);
 	session_note_write_committed(s.upstream->session);
-	step_until(s.loop, NULL, 2000);
+	session_site_step(s.loop, NULL, 2000);
 	assert_false(f.loses_next_lists);
 	assert_true(f.acknowledging >= 1);
 	assert_int_equal(f.cursor_max, 5);
 	f.acknowledging = 0;
-	step_until(s.loop, NULL, 1000);
+	session_site_step(s.loop, NULL, 1000);
 	assert_int_equal(f.acknowledging, 0);
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 /*
@@ -1459,33 +1157,33 @@
 static void test_stop_is_repeated_at_a_later_incarnation(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 	char name[TASK_NAME_BYTES];
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
+	session_site_open(&s, &f);
+	session_site_step(s.loop, &s.changes, 1000);
 	f.holds_lists = true;
-	start_task(&s);
-	assert_becomes(&s, TASK_RUNNING);
+	session_site_start_task(&s);
+	session_site_await_state(&s, TASK_RUNNING);
 	s.task->state = TASK_STOPPING;
 	session_stop_run(s.upstream->session, s.task);
 	while (!s.task->stop_answered_ms)
 		loop_step(s.loop, 10);
 	assert_int_equal(f.stops, 1);
-	end_process(&f);
-	restart(&f);
+	fake_upstream_end(&f);
+	fake_upstream_restart(&f);
 	task_format_name(s.task, name, sizeof(name));
-	add_run(&f, name, s.task->run);
+	fake_upstream_add_run(&f, name, s.task->run);
 	f.holds_lists = false;
-	begin_process(&f, s.loop);
-	list_as(&s, &f, "");
-	assert_becomes(&s, TASK_WAITING);
+	fake_upstream_begin(&f, s.loop);
+	session_site_list_as(&s, &f, "");
+	session_site_await_state(&s, TASK_WAITING);
 	assert_int_equal(f.stops, 2);
 	assert_int_equal(f.running_len, 0);
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 /*
@@ -1495,22 +1193,22 @@
 static void test_run_lasts_while_a_row_of_running_runs_is_odd(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
-	start_task(&s);
-	assert_becomes(&s, TASK_RUNNING);
+	session_site_open(&s, &f);
+	session_site_step(s.loop, &s.changes, 1000);
+	session_site_start_task(&s);
+	session_site_await_state(&s, TASK_RUNNING);
 	f.odd_running = true;
-	step_until(s.loop, NULL, 1500);
+	session_site_step(s.loop, NULL, 1500);
 	assert_int_equal(s.task->state, TASK_RUNNING);
 	f.odd_running = false;
 	f.running_len = 0;
-	assert_becomes(&s, TASK_WAITING);
-	fixture_destroy(&s);
+	session_site_await_state(&s, TASK_WAITING);
+	session_site_destroy(&s);
 }
 
 /*
@@ -1521,27 +1219,27 @@
 static void test_start_is_not_repeated_at_a_later_incarnation(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
+	session_site_open(&s, &f);
+	session_site_step(s.loop, &s.changes, 1000);
 	f.refuses_starts = true;
-	start_task(&s);
-	step_until(s.loop, NULL, 300);
+	session_site_start_task(&s);
+	session_site_step(s.loop, NULL, 300);
 	assert_int_equal(s.task->state, TASK_PLACED);
-	end_process(&f);
-	restart(&f);
+	fake_upstream_end(&f);
+	fake_upstream_restart(&f);
 	f.refuses_starts = false;
-	begin_process(&f, s.loop);
-	list_as(&s, &f, "b");
-	assert_becomes(&s, TASK_WAITING);
-	step_until(s.loop, NULL, 1500);
+	fake_upstream_begin(&f, s.loop);
+	session_site_list_as(&s, &f, "b");
+	session_site_await_state(&s, TASK_WAITING);
+	session_site_step(s.loop, NULL, 1500);
 	assert_int_equal(f.starts, 0);
 	assert_true(upstream_is_usable(s.upstream, clock_mono_ms()));
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 /*
@@ -1552,22 +1250,22 @@
 test_run_that_does_not_suit_a_new_incarnation_is_stopped(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
 	s.entry.kind = "a";
 	text_set(&s.job->steps[0].label, "a");
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
-	restart(&f);
-	start_task(&s);
-	assert_becomes(&s, TASK_RUNNING);
-	list_as(&s, &f, "b");
-	assert_becomes(&s, TASK_WAITING);
+	session_site_open(&s, &f);
+	session_site_step(s.loop, &s.changes, 1000);
+	fake_upstream_restart(&f);
+	session_site_start_task(&s);
+	session_site_await_state(&s, TASK_RUNNING);
+	session_site_list_as(&s, &f, "b");
+	session_site_await_state(&s, TASK_WAITING);
 	assert_int_equal(f.stops, 1);
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 /*
@@ -1577,41 +1275,41 @@
 static void test_labels_of_a_denied_entry_are_not_used(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
 	s.entry.kind = "a";
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
+	session_site_open(&s, &f);
+	session_site_step(s.loop, &s.changes, 1000);
 	s.entry.started_wall_ms = 99;
 	s.entry.kind = "b";
 	for (uint32_t i = 0; i < 3; i++) {
 		session_apply_entry(s.upstream->session, &s.entry);
-		step_until(s.loop, NULL, 300);
+		session_site_step(s.loop, NULL, 300);
 		assert_string_equal(s.upstream->kind, "a");
 	}
 	assert_true(upstream_is_usable(s.upstream, clock_mono_ms()));
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 /* Guards against an upstream that gets no starts as it closes connections. */
 static void test_upstream_that_keeps_no_connection_is_used(void **state)
 {
 	struct fake_upstream f;
-	struct fixture s;
+	struct session_site s;
 
 	(void)state;
-	fixture_create(&s);
+	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
 	http_server_close_after_reply(f.server);
-	open_session(&s, &f);
-	step_until(s.loop, &s.changes, 1000);
-	start_task(&s);
-	assert_becomes(&s, TASK_RUNNING);
+	session_site_open(&s, &f);
+	session_site_step(s.loop, &s.changes, 1000);
+	session_site_start_task(&s);
+	session_site_await_state(&s, TASK_RUNNING);
 	assert_int_equal(f.starts, 1);
-	fixture_destroy(&s);
+	session_site_destroy(&s);
 }
 
 int main(void)
