lead: tokens of a leader lie below its epoch

An instance of an earlier version takes the epoch of the row plus 1, and uses it as its token. The tokens that a leader raises have to stay below that, or upstreams would refuse such a successor during an update or after a rollback; the next epoch exceeds them now in either version. By reading; unit_contact checks the bounds.

Also, at an upstream that keeps no connection, recorded ends that cannot be acknowledged yet are not asked for again at once, and a session that is created voids no call.

--- a/lead/contact.c
+++ b/lead/contact.c
@@ -23,14 +23,14 @@
 /* Begin with no incarnation known, for a leader of this epoch. */
 void contact_init(struct contact *c, uint64_t epoch)
 {
-	*c = (struct contact){.epoch = epoch, .token = epoch};
+	*c = (struct contact){.epoch = epoch, .token = epoch - EPOCH_STEP + 1};
 }
 
 /* Void the calls sent so far, unless this leader's tokens are used up. */
 static void raise_token(struct contact *c)
 {
 	c->unsettled = false;
-	if (c->token < c->epoch + EPOCH_STEP - 1)
+	if (c->token < c->epoch)
 		c->token++;
 }
 
--- a/lead/contact.h
+++ b/lead/contact.h
@@ -12,8 +12,10 @@
 #include <stdint.h>
 
 /*
- * The epochs of two leaders differ by this at least. A leader uses the tokens
- * between: it raises the one for an upstream to void its own earlier calls.
+ * The epochs of two leaders differ by this at least. A leader uses the tokens up
+ * to its epoch, and raises the one for an upstream to void its own earlier calls.
+ * So the next epoch exceeds them also if it is greater by 1, as that of an
+ * instance of an earlier version is.
  */
 #define EPOCH_STEP (UINT64_C(1) << 20)
 
@@ -32,7 +34,7 @@
 };
 
 struct contact {
-	uint64_t epoch; /* of this leader, its lowest token */
+	uint64_t epoch; /* of this leader, its highest token */
 	uint64_t token; /* of the next call */
 	/*
 	 * A call with this token, which is not harmless to another incarnation,
--- a/lead/session.c
+++ b/lead/session.c
@@ -350,10 +350,11 @@
 	note_address(k);
 	if (same)
 		return;
+	if (k->orders)
+		contact_drop_calls(&k->contact);
 	orders_destroy(k->orders);
 	k->call_in_flight = false;
 	k->ask_in_flight = false;
-	contact_drop_calls(&k->contact);
 	k->orders = orders_create(k->env->http, k->upstream->id, at);
 	retry_orders(k);
 }
@@ -960,6 +961,23 @@
 	k->env->events.model_changed(k->env->arg);
 }
 
+/*
+ * Return the delay of the next list call after the answer a: an end that cannot
+ * be acknowledged yet would be answered at once.
+ */
+static uint32_t next_call_delay_ms(const struct session *k,
+				   const struct order_answer *a)
+{
+	const struct contact *c = &k->contact;
+
+	if (a->refused || contact_has_unrecorded_ends(c))
+		return RECORD_WAIT_MAX_MS;
+	return contact_keeps_no_connection(c) &&
+			       contact_has_unacknowledged_ends(c)
+		       ? LISTS_RETRY_DELAY_MS
+		       : 0;
+}
+
 static void on_lists_answer(void *arg, const struct order_answer *a)
 {
 	struct session *k = arg;
@@ -1007,13 +1025,9 @@
 	reach_record_answer(k->upstream, clock_mono_ms());
 	deny_supersession(k);
 	apply_lists(k, a);
-	/* An end that cannot be acknowledged would be answered at once. */
 	if (needs_calls(k))
-		timer_start(
-			env->loop, &k->call_timer,
-			a->refused || contact_has_unrecorded_ends(&k->contact)
-				? RECORD_WAIT_MAX_MS
-				: 0);
+		timer_start(env->loop, &k->call_timer,
+			    next_call_delay_ms(k, a));
 	if (k->contact.newest_end_seen != before || !usable)
 		env->events.model_changed(env->arg);
 }
--- a/test/sessionsite.h
+++ b/test/sessionsite.h
@@ -11,11 +11,12 @@
 #include <stdint.h>
 #include <cmocka.h>
 
+#include "lead/contact.h"
 #include "lead/session.h"
 #include "lib/http.h"
 
 #define RUNS_MAX 8
-#define EPOCH 3
+#define EPOCH (3 * EPOCH_STEP)
 /* Each order must have an effect within this time. */
 #define SETTLE_MAX_MS 3000
 
--- a/test/unit_contact.c
+++ b/test/unit_contact.c
@@ -91,15 +91,19 @@
 			 t.token);
 }
 
-/* Guards against tokens that reach those of the next leader. */
-static void tokens_stay_below_the_next_epoch(void **state)
+/*
+ * Guards against tokens that reach those of the next leader, or are not above
+ * those of the last one.
+ */
+static void tokens_lie_between_two_epochs(void **state)
 {
 	struct contact c = known_contact();
 
 	(void)state;
+	assert_true(c.token > EPOCH - EPOCH_STEP);
 	for (uint64_t i = 0; i < EPOCH_STEP + 10; i++)
 		contact_forget_incarnation(&c);
-	assert_int_equal(c.token, EPOCH + EPOCH_STEP - 1);
+	assert_int_equal(c.token, EPOCH);
 }
 
 /* Guards against ends that are not acknowledged as one call was lost. */
@@ -210,7 +214,7 @@
 		cmocka_unit_test(call_over_a_new_connection_is_bare),
 		cmocka_unit_test(later_incarnation_begins_without_numbers),
 		cmocka_unit_test(unanswered_call_is_voided_by_the_next),
-		cmocka_unit_test(tokens_stay_below_the_next_epoch),
+		cmocka_unit_test(tokens_lie_between_two_epochs),
 		cmocka_unit_test(
 			ends_stay_unacknowledged_until_a_call_is_answered),
 		cmocka_unit_test(missing_numbers_of_ends_are_counted),
