lead: know who is behind a connection before it counts as named

A refusal by token, and the answer to the stop of a run that no task has, can come from a later incarnation over a new connection. They named it, nobody looked, and the connection counted as one to the known incarnation: the next list call carried its numbers of ends and its lease there. Found in the read of the diff.

Such a refusal leaves no connection open, and that answer is looked at like all others. test_refusal_by_token_leaves_no_connection and test_stop_of_a_stray_run_shows_a_restart fail without the change.

--- a/Makefile
+++ b/Makefile
@@ -72,7 +72,8 @@
 
 $(OUT)/unit_report: $(call obj,$(REPORT))
 $(OUT)/unit_contact: $(call obj,test/callworld.c)
-$(OUT)/unit_session $(OUT)/unit_presumed: $(call obj,test/sessionsite.c)
+$(OUT)/unit_session $(OUT)/unit_presumed $(OUT)/unit_calls: \
+	$(call obj,test/sessionsite.c)
 
 $(OUT)/proc_%: $(OUT)/obj/test/proc_%.o $(TEST_OBJS)
 	@echo "  LINK  $@"
--- a/lead/session.c
+++ b/lead/session.c
@@ -103,6 +103,7 @@
 };
 
 static void request_lists(struct session *k);
+static void on_stray_stopped(void *arg, const struct order_answer *a);
 static void schedule_order_retry(struct session *k, struct task *t);
 static void await_incarnation(struct session *k, struct task *t);
 static void give_up_start(struct session *k, struct task *t,
@@ -652,12 +653,6 @@
 				  orders_is_connected(k->orders));
 }
 
-static void on_stray_stopped(void *arg, const struct order_answer *a)
-{
-	(void)a; /* The order is retried if the run is listed again. */
-	g_free(arg);
-}
-
 static void stop_stray_runs(struct session *k, const GArray *strays)
 {
 	for (guint i = 0; i < strays->len && may_act(k, clock_mono_ms()); i++) {
@@ -668,6 +663,8 @@
 		log_fields(LOG_WARN, "stray_run", "{s:s,s:I,s:s}", "task",
 			   s->task, "run", (json_int_t)s->run, "upstream",
 			   k->upstream->id);
+		o->session = k;
+		o->sent_ms = clock_mono_ms();
 		o->terms = begin_call(k, CALL_STOP);
 		orders_stop(k->orders, s->task, s->run, o->terms.token,
 			    ORDER_TIMEOUT_MS, on_stray_stopped, o);
@@ -816,6 +813,12 @@
 static bool note_sender(struct session *k, const struct order_answer *a,
 			uint64_t sent_ms, const struct call_terms *t)
 {
+	bool refused =
+		a->outcome == ORDER_STALE_EPOCH || a->outcome == ORDER_REPLACED;
+
+	/* who has refused is not looked at, so that it is not known */
+	if (refused && a->new_connection)
+		orders_disconnect(k->orders);
 	switch (a->outcome) {
 	case ORDER_STALE_EPOCH:
 		if (was_overtaken(k, a, t)) {
@@ -895,6 +898,15 @@
 	return usable;
 }
 
+/* The stop is sent again if the run is listed again. */
+static void on_stray_stopped(void *arg, const struct order_answer *a)
+{
+	struct order *o = arg;
+
+	note_answer(o->session, CALL_STOP, a, o->sent_ms, &o->terms);
+	g_free(o);
+}
+
 /* Report whether the present iteration of the event loop began late. */
 static bool is_late(const struct session *k)
 {
--- a/test/sessionsite.c
+++ b/test/sessionsite.c
@@ -77,6 +77,15 @@
 	f->acknowledging += json_int_or(body, "ackCursor", 0) > 0;
 }
 
+/* Restart f at once. */
+static void begin_next_process(struct fake_upstream *f)
+{
+	f->restarts_after_lists = false;
+	fake_upstream_end(f);
+	fake_upstream_restart(f);
+	fake_upstream_begin(f, f->loop);
+}
+
 /* Answer a call, unless the process that its connection leads to has ended. */
 static void handle_call(void *arg, struct http_exchange *x)
 {
@@ -94,6 +103,16 @@
 	}
 	if (!wants_lists || !f->loses_next_lists)
 		note_terms(f, body);
+	if (json_int_or(body, "fencingToken", 0) < f->fence) {
+		exchange_reply_json(x, 409,
+				    json_pack("{s:I,s:I,s:s}", "clockMs",
+					      (json_int_t)clock_mono_ms(),
+					      "born", (json_int_t)f->born,
+					      "reason", "fence"),
+				    0);
+		json_decref(body);
+		return;
+	}
 	if (f->replaced && !(wants_lists && f->holds_lists)) {
 		f->refusals++;
 		exchange_reply_json(x, 421, json_object(), 0);
@@ -128,7 +147,14 @@
 		answer = wants_lists ? list_runs(f)
 				     : json_pack("{s:I}", "clockMs",
 						 (json_int_t)clock_mono_ms());
+		if (f->names_itself)
+			json_object_set_new(answer, "born",
+					    json_integer((json_int_t)f->born));
+		if (wants_lists && f->restarts_after_lists)
+			http_server_close_after_reply(f->server);
 		exchange_reply_json(x, 200, answer, 0);
+		if (wants_lists && f->restarts_after_lists)
+			begin_next_process(f);
 	}
 	json_decref(body);
 }
@@ -154,6 +180,7 @@
 
 	/* h2o's connections refer to it until the test program exits */
 	p->upstream = f;
+	f->loop = l;
 	p->number = ++f->processes;
 	f->cursor_max = f->token_max = 0;
 	f->leases = 0;
--- a/test/sessionsite.h
+++ b/test/sessionsite.h
@@ -22,6 +22,7 @@
 
 /* An upstream that lists its runs and counts the orders it got. */
 struct fake_upstream {
+	struct loop *loop;
 	uint32_t processes; /* the number of the present one */
 	struct http_server *server;
 	struct sockaddr_in address;
@@ -39,7 +40,10 @@
 	uint32_t refusals;   /* calls answered as another upstream */
 	const char *odd_end; /* row of its list of ends, or NULL */
 	uint32_t odd_ends;   /* ends of unknown tasks that come before it */
-	bool odd_running;    /* its rows of running runs name no run */
+	json_int_t fence;    /* refuses tokens below this */
+	bool restarts_after_lists; /* once it has sent them */
+	bool names_itself;	   /* in its answers to orders too */
+	bool odd_running;	   /* its rows of running runs name no run */
 	/* of the calls that the present process got */
 	json_int_t cursor_max, token_max;
 	uint32_t leases;	/* that renewed leases */
