lead: acknowledge ends promptly at an upstream that keeps no connection

Seen in a trial on a scratch copy, with a worker that closes each connection: list calls with recorded ends found a start in flight and carried no number, so ends were acknowledged 429 ms after they came (mean), and 80 tasks that had ended in the last moments before a crash were started again; none of these ends had been taken note of, so no rule was broken, but their work was done twice. A list call without ends to acknowledge carried a number too, was not held, and the next one followed at once.

A number of ends goes over a new connection only if there are ends to acknowledge; starts wait until they are, for the one or two calls that it takes, and go on with the answer.

--- a/lead/contact.c
+++ b/lead/contact.c
@@ -14,11 +14,6 @@
  * upstream keeps none.
  */
 #define UNUSED_ANSWERS_MAX 3
-/*
- * At an upstream that keeps no connection, starts wait once so many recorded
- * ends are not acknowledged. It lists 500 ends at a time.
- */
-#define UNACKNOWLEDGED_ENDS_MAX 100
 
 /* Begin with no incarnation known, for a leader of this epoch. */
 void contact_init(struct contact *c, uint64_t epoch)
@@ -41,7 +36,7 @@
 }
 
 /* Report whether no incarnation after the known one can have taken a start. */
-static bool starts_are_settled(const struct contact *c)
+bool contact_starts_are_settled(const struct contact *c)
 {
 	return !c->blind_starts_in_flight &&
 	       c->blind_starts_settled == c->blind_starts;
@@ -86,9 +81,9 @@
 		break;
 	case CALL_LISTS:
 		t.bare = t.harmless = !connected && !blind;
-		if (connected || (blind && starts_are_settled(c)))
+		if (connected || (blind && contact_has_unacknowledged_ends(c) &&
+				  contact_starts_are_settled(c)))
 			t.ack_cursor = c->newest_end_recorded;
-		c->blind_cursor_in_flight = blind && t.ack_cursor;
 		break;
 	}
 	if (!t.bare)
@@ -105,9 +100,8 @@
 {
 	if (connected)
 		return false;
-	return !contact_keeps_no_connection(c) || c->blind_cursor_in_flight ||
-	       c->newest_end_recorded - c->newest_end_acknowledged >
-		       UNACKNOWLEDGED_ENDS_MAX;
+	return !contact_keeps_no_connection(c) ||
+	       contact_has_unacknowledged_ends(c);
 }
 
 /* Report whether a later call of this leader has voided the one with t. */
@@ -136,8 +130,6 @@
 {
 	if (kind == CALL_START && !t->connected && c->blind_starts_in_flight)
 		c->blind_starts_in_flight--;
-	if (kind == CALL_LISTS)
-		c->blind_cursor_in_flight = false;
 	switch (end) {
 	case CALL_NAMED:
 		settle_call(c, kind, t);
@@ -158,7 +150,6 @@
 	c->unsettled = true;
 	c->unused_answers = 0;
 	c->blind_starts_in_flight = 0;
-	c->blind_cursor_in_flight = false;
 }
 
 /* Forget what belongs to the known incarnation, and void the calls to it. */
--- a/lead/contact.h
+++ b/lead/contact.h
@@ -67,8 +67,6 @@
 	uint32_t blind_starts;
 	uint32_t blind_starts_in_flight;
 	uint32_t blind_starts_settled;
-	/* A call over such a connection acknowledges ends. */
-	bool blind_cursor_in_flight;
 };
 
 /* What a call may carry, and over which connections it may go. */
@@ -105,5 +103,6 @@
 bool contact_has_unrecorded_ends(const struct contact *c);
 bool contact_has_unacknowledged_ends(const struct contact *c);
 bool contact_keeps_no_connection(const struct contact *c);
+bool contact_starts_are_settled(const struct contact *c);
 
 #endif
--- a/lead/session.c
+++ b/lead/session.c
@@ -975,7 +975,8 @@
 
 /*
  * Return the delay of the next list call after the answer a: an end that cannot
- * be acknowledged yet would be answered at once.
+ * be acknowledged yet would be answered at once. At an upstream that keeps no
+ * connection that also depends on the starts in flight.
  */
 static uint32_t next_call_delay_ms(const struct session *k,
 				   const struct order_answer *a)
@@ -984,9 +985,8 @@
 
 	if (a->refused || contact_has_unrecorded_ends(c))
 		return RECORD_WAIT_MAX_MS;
-	return contact_keeps_no_connection(c) &&
-			       contact_has_unacknowledged_ends(c)
-		       ? LISTS_RETRY_DELAY_MS
+	return contact_keeps_no_connection(c) && !contact_starts_are_settled(c)
+		       ? ORDER_RETRY_DELAY_MS
 		       : 0;
 }
 
@@ -1040,6 +1040,9 @@
 	if (needs_calls(k))
 		timer_start(env->loop, &k->call_timer,
 			    next_call_delay_ms(k, a));
+	if (k->starts_wait && contact_keeps_no_connection(&k->contact) &&
+	    !contact_has_unacknowledged_ends(&k->contact))
+		timer_start(env->loop, &k->order_retry_timer, 0);
 	if (k->contact.newest_end_seen != before || !usable)
 		env->events.model_changed(env->arg);
 }
@@ -1067,7 +1070,8 @@
 			&k->leases, k->env->settings->lease_ms, now);
 	if (!k->upstream->synced || k->failure_count || !r.lease_end_clock_ms ||
 	    contact_has_unrecorded_ends(&k->contact) ||
-	    k->contact.blind_cursor_in_flight)
+	    (contact_keeps_no_connection(&k->contact) &&
+	     contact_has_unacknowledged_ends(&k->contact)))
 		r.wait_ms = 0;
 	k->call_in_flight = true;
 	k->call_sent_ms = now;
@@ -1286,6 +1290,21 @@
 	ask_incarnation(k);
 }
 
+/*
+ * Let the start of t wait: until ends are acknowledged at an upstream that keeps
+ * no connection, else until the incarnation has named itself.
+ */
+static void await_turn(struct session *k, struct task *t)
+{
+	if (!contact_keeps_no_connection(&k->contact)) {
+		await_incarnation(k, t);
+		return;
+	}
+	schedule_order_retry(k, t);
+	k->starts_wait = true;
+	session_schedule_call(k);
+}
+
 /*
  * Order the upstream to start the newest run of t, which must be recorded. Does
  * nothing after the end of the tenure.
@@ -1309,7 +1328,7 @@
 	}
 	connected = orders_is_connected(k->orders);
 	if (contact_start_must_wait(&k->contact, connected)) {
-		await_incarnation(k, t);
+		await_turn(k, t);
 		return;
 	}
 	o = order_create(k, t);
--- a/test/unit_contact.c
+++ b/test/unit_contact.c
@@ -14,7 +14,7 @@
 #include "test/callworld.h"
 
 #define EPOCH (3 * EPOCH_STEP)
-#define SEEDS 3000
+#define SEEDS 40000
 #define STEPS 400
 
 /* Return a contact whose incarnation 77 has listed ends up to 130, recorded. */
@@ -159,25 +159,35 @@
 	struct call_terms lists, start;
 
 	(void)state;
-	answer_without_connection(&c, 3);
+	answer_without_connection(&c, 4);
 	assert_true(contact_keeps_no_connection(&c));
+	assert_false(contact_has_unacknowledged_ends(&c));
+	/* there is nothing to acknowledge, so that no number is sent */
+	lists = contact_begin_call(&c, CALL_LISTS, false);
+	assert_false(lists.bare);
+	assert_int_equal(lists.ack_cursor, 0);
+	contact_end_call(&c, CALL_LISTS, &lists, CALL_NAMED);
 	assert_false(contact_start_must_wait(&c, false));
 	start = contact_begin_call(&c, CALL_START, false);
+	contact_note_ends(&c, 131, 140);
+	contact_note_write_sent(&c);
+	contact_note_write_committed(&c);
+	assert_true(contact_start_must_wait(&c, false));
 	lists = contact_begin_call(&c, CALL_LISTS, false);
-	assert_false(lists.bare);
 	assert_int_equal(lists.ack_cursor, 0);
 	contact_end_call(&c, CALL_START, &start, CALL_ANSWERED);
 	/* that list call may have been taken before the start */
 	contact_end_call(&c, CALL_LISTS, &lists, CALL_NAMED);
+	assert_false(contact_starts_are_settled(&c));
 	lists = contact_begin_call(&c, CALL_LISTS, false);
 	assert_int_equal(lists.ack_cursor, 0);
 	contact_end_call(&c, CALL_LISTS, &lists, CALL_NAMED);
+	assert_true(contact_starts_are_settled(&c));
 	lists = contact_begin_call(&c, CALL_LISTS, false);
-	assert_int_equal(lists.ack_cursor, 130);
+	assert_int_equal(lists.ack_cursor, 140);
 	assert_true(contact_start_must_wait(&c, false));
 	contact_end_call(&c, CALL_LISTS, &lists, CALL_NAMED);
 	assert_false(contact_start_must_wait(&c, false));
-	assert_false(contact_has_unacknowledged_ends(&c));
 }
 
 static uint32_t choose(void *arg, uint32_t n)
