test: one place that records and acknowledges ends in unit_calls

Three tests wrote the same steps; the assertions stay, and the one on the number that is acknowledged holds for all three now.

--- a/test/unit_calls.c
+++ b/test/unit_calls.c
@@ -7,6 +7,27 @@
 
 #include "test/sessionsite.h"
 
+/* An end that the upstream lists first, and its number. */
+#define RECORDED_END "[130,\"00000000000000ff.0.0.0\",1,\"done\",\"\"]"
+#define RECORDED_END_NUMBER 130
+
+/* Record the end that f lists, so that it is acknowledged and listed no more. */
+static void acknowledge_ends(struct session_site *s, struct fake_upstream *f)
+{
+	session_note_write_sent(s->upstream->session);
+	session_note_write_committed(s->upstream->session);
+	session_site_step(s->loop, NULL, 1000);
+	assert_int_equal(f->cursor_max, RECORDED_END_NUMBER);
+	f->odd_end = NULL;
+}
+
+/* Let the session ask for the lists, whatever else it needs. */
+static void ask_for_lists(struct session_site *s)
+{
+	s->upstream->doubted = true;
+	session_schedule_call(s->upstream->session);
+}
+
 /*
  * An upstream has acknowledged ends, restarts, and leaves the first calls without
  * an answer, so that the leader does not know it yet. Guards against calls whose
@@ -24,18 +45,14 @@
 	(void)state;
 	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
-	f.odd_end = "[130,\"00000000000000ff.0.0.0\",1,\"done\",\"\"]";
+	f.odd_end = RECORDED_END;
 	session_site_open(&s, &f);
 	session_site_step(s.loop, &s.changes, 1000);
 	session_site_start_task(&s);
 	session_site_await_state(&s, TASK_RUNNING);
-	session_note_write_sent(s.upstream->session);
-	session_note_write_committed(s.upstream->session);
-	session_site_step(s.loop, NULL, 1000);
-	assert_int_equal(f.cursor_max, 130);
+	acknowledge_ends(&s, &f);
 	assert_true(f.leases);
 	token = f.token_max;
-	f.odd_end = NULL;
 	fake_upstream_end(&f);
 	fake_upstream_restart(&f);
 	f.holds_lists = true;
@@ -70,21 +87,16 @@
 	(void)state;
 	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
-	f.odd_end = "[130,\"00000000000000ff.0.0.0\",1,\"done\",\"\"]";
+	f.odd_end = RECORDED_END;
 	session_site_open(&s, &f);
 	session_site_step(s.loop, &s.changes, 1000);
-	session_note_write_sent(s.upstream->session);
-	session_note_write_committed(s.upstream->session);
-	session_site_step(s.loop, NULL, 500);
-	assert_int_equal(f.cursor_max, 130);
-	f.odd_end = NULL;
+	acknowledge_ends(&s, &f);
 	fake_upstream_end(&f);
 	fake_upstream_restart(&f);
 	f.fence = EPOCH + 1;
 	fake_upstream_begin(&f, s.loop);
 	for (uint32_t i = 0; i < 3; i++) {
-		s.upstream->doubted = true;
-		session_schedule_call(s.upstream->session);
+		ask_for_lists(&s);
 		session_site_step(s.loop, NULL, 200);
 	}
 	assert_true(f.token_max > 0);
@@ -107,21 +119,16 @@
 	session_site_create(&s);
 	fake_upstream_create(&f, s.loop);
 	f.names_itself = true;
-	f.odd_end = "[130,\"00000000000000ff.0.0.0\",1,\"done\",\"\"]";
+	f.odd_end = RECORDED_END;
 	session_site_open(&s, &f);
 	session_site_step(s.loop, &s.changes, 1000);
-	session_note_write_sent(s.upstream->session);
-	session_note_write_committed(s.upstream->session);
-	session_site_step(s.loop, NULL, 500);
-	f.odd_end = NULL;
+	acknowledge_ends(&s, &f);
 	fake_upstream_add_run(&f, "00000000000000fe.0.0.0", 1);
 	f.restarts_after_lists = true;
-	s.upstream->doubted = true;
-	session_schedule_call(s.upstream->session);
+	ask_for_lists(&s);
 	session_site_step(s.loop, &f.stops, 1000);
 	assert_int_equal(f.processes, 3);
-	s.upstream->doubted = true;
-	session_schedule_call(s.upstream->session);
+	ask_for_lists(&s);
 	session_site_step(s.loop, NULL, 500);
 	assert_int_equal(f.cursor_max, 0);
 	assert_int_equal(s.upstream->started_wall_ms, f.born);
